Fix the package boundaries and the typed messages

Cause: several people will write at once, so what passes between packages has to be settled first. The decisions see typed messages and times only; wire types stay in the package of each peer. No measurement yet: nothing runs.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test check measure fuzz clean
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m pimentoledge demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/python -m pyink --quiet --check pimentoledge
+	$(BIN)/python -m ruff check --quiet pimentoledge
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/pimentoledge/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with long shared prompts."""
--- /dev/null
+++ b/pimentoledge/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers: completions and plain services."""
--- /dev/null
+++ b/pimentoledge/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""State machines: typed message and time in, typed actions out."""
--- /dev/null
+++ b/pimentoledge/decisions/declarations.py
@@ -0,0 +1,149 @@
+"""What operators declare: contracts, backend servers, models, services."""
+
+import enum
+
+import attrs
+
+
+class Priority(enum.StrEnum):
+    """How a contract's traffic is served when there is a queue."""
+
+    INTERACTIVE = "interactive"
+    BATCH = "batch"
+
+
+class ServerKind(enum.StrEnum):
+    """What stands behind a backend server's agent."""
+
+    RUNNER = "runner"
+    SERVICE = "service"
+    KV_CACHE = "kv_cache"
+
+
+class ServerState(enum.StrEnum):
+    """What the operator wants of a backend server."""
+
+    IN = "in"
+    LEAVING = "leaving"
+
+
+@attrs.define(kw_only=True)
+class Contract:
+    """One organisation's limits, priorities and permissions.
+
+    Attributes:
+        organisation: the organisation's name.
+        version: the store's version of this object; 0 before it is stored.
+        key_digests: hexadecimal BLAKE2b-256 digests of its API keys.
+        models: permitted models.
+        services: permitted plain services.
+        priority: the highest priority its requests may ask for.
+        share: weight in the fair share among organisations.
+        requests_per_second: rate limit; 0 for none.
+        burst: requests that may come at once above the rate.
+        concurrency: requests at one time; 0 for no limit.
+        deadline_seconds: deadline of a request that names none.
+        max_deadline_seconds: the longest deadline a request may name.
+    """
+
+    organisation: str
+    version: int = 0
+    key_digests: list[str] = attrs.field(factory=list)
+    models: list[str] = attrs.field(factory=list)
+    services: list[str] = attrs.field(factory=list)
+    priority: Priority = Priority.INTERACTIVE
+    share: float = 1.0
+    requests_per_second: float = 0.0
+    burst: int = 10
+    concurrency: int = 0
+    deadline_seconds: float = 60.0
+    max_deadline_seconds: float = 600.0
+
+
+@attrs.define(kw_only=True)
+class BackendServer:
+    """A declared backend server.
+
+    Attributes:
+        name: unique name.
+        version: the store's version of this object.
+        kind: runner, plain service or KV cache server.
+        serves: the model or service that it serves.
+        agent: address of its agent's mailbox, as tcp://ip:port.
+        data_centre: where it stands.
+        state: what the operator wants of it.
+        checks_orders: whether it refuses an old fencing number.
+        slots: requests that it can run at one time.
+    """
+
+    name: str
+    version: int = 0
+    kind: ServerKind = ServerKind.RUNNER
+    serves: str
+    agent: str
+    data_centre: str = ""
+    state: ServerState = ServerState.IN
+    checks_orders: bool = True
+    slots: int = 16
+
+
+@attrs.define(kw_only=True)
+class Model:
+    """A declared model.
+
+    Attributes:
+        name: the model's name.
+        version: the store's version of this object.
+        weights: the weights version that its runners should have.
+        adapters: adapters that its runners should have.
+        concurrent_loads: runners that may load weights at one time.
+    """
+
+    name: str
+    version: int = 0
+    weights: str
+    adapters: list[str] = attrs.field(factory=list)
+    concurrent_loads: int = 2
+
+
+@attrs.define(kw_only=True)
+class Service:
+    """A declared plain service.
+
+    Attributes:
+        name: the service's name.
+        version: the store's version of this object.
+        repeatable_methods: methods whose calls may be repeated; a call with
+            any other method needs an idempotency key and runs at most once.
+        outcome_seconds: how long the answer of a finished call is kept.
+    """
+
+    name: str
+    version: int = 0
+    repeatable_methods: list[str] = attrs.field(factory=lambda: ["GET", "HEAD"])
+    outcome_seconds: float = 3600.0
+
+
+Declaration = Contract | BackendServer | Model | Service
+
+# The path of each kind in the object API; the object's name follows.
+PREFIXES: dict[type, str] = {
+    Contract: "contracts/",
+    BackendServer: "backend-servers/",
+    Model: "models/",
+    Service: "services/",
+}
+
+
+def name_of(declaration: Declaration) -> str:
+    """Returns the name under which a declaration is stored."""
+    match declaration:
+        case Contract():
+            return declaration.organisation
+        case _:
+            return declaration.name
+
+
+def path_of(declaration: Declaration) -> str:
+    """Returns the path of a declaration in the object API."""
+    return PREFIXES[type(declaration)] + name_of(declaration)
--- /dev/null
+++ b/pimentoledge/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the system."""
--- /dev/null
+++ b/pimentoledge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API for operators."""
--- /dev/null
+++ b/pimentoledge/results.py
@@ -0,0 +1,193 @@
+"""Numbered result codes, shared by every process and shown to callers.
+
+docs/result-codes.md holds the same table; a test compares the two.
+"""
+
+import enum
+
+import attrs
+
+
+class Ran(enum.StrEnum):
+    """What an answer says about the call having run."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "outcome_unknown"
+
+
+class Code(enum.IntEnum):
+    """Result codes; the thousands group them by who can act on them."""
+
+    OK = 0
+    # 1xxx: the request itself.
+    BAD_JSON = 1001
+    BODY_TOO_LARGE = 1002
+    BAD_FIELD = 1003
+    UNKNOWN_MODEL = 1004
+    UNKNOWN_SERVICE = 1005
+    BAD_KEY = 1006
+    NOT_PERMITTED = 1007
+    KEY_NEEDED = 1008
+    NOT_FOUND = 1009
+    METHOD_NOT_ALLOWED = 1010
+    # 2xxx: limits and load.
+    RATE_LIMITED = 2001
+    CONCURRENCY_LIMITED = 2002
+    DEADLINE_UNMEETABLE = 2003
+    OVERLOADED = 2004
+    SHUTTING_DOWN = 2005
+    # 3xxx: routing; what an agent refuses, and what an entry can't place.
+    NO_SERVER = 3001
+    STALE_INCARNATION = 3002
+    STALE_WEIGHTS = 3003
+    SERVER_LEAVING = 3004
+    SERVER_DOWN = 3005
+    WRONG_SERVER = 3006
+    AGENT_UNREACHABLE = 3007
+    STALE_CONFIGURATION = 3008
+    ADAPTER_NOT_LOADED = 3009
+    SUSPECT_BUSY = 3010
+    # 4xxx: the call was started.
+    ENGINE_DIED = 4001
+    DEADLINE_PASSED = 4002
+    POISON = 4003
+    STREAM_BROKEN = 4004
+    SERVICE_FAILED = 4005
+    CALLER_GONE = 4006
+    # 5xxx: calls that may not be repeated.
+    CLAIM_RUNNING = 5001
+    OUTCOME_UNKNOWN = 5002
+    CLAIM_STORE_DOWN = 5003
+    KEY_REUSED = 5004
+    # 6xxx: operators and the platform's store.
+    INVALID_DECLARATION = 6001
+    VERSION_CONFLICT = 6002
+    NOT_ACCEPTED = 6003
+    OPERATOR_KEY = 6004
+    OPERATOR_ROLE = 6005
+    ABSENT = 6006
+    # 7xxx: settings and starting.
+    BAD_SETTING = 7001
+    # 9xxx: defects.
+    INTERNAL = 9001
+
+
+@attrs.frozen(kw_only=True)
+class Meaning:
+    """What a code means to a caller.
+
+    Attributes:
+        status: HTTP status.
+        ran: what is true of the call unless the error itself says otherwise.
+        text: default message.
+    """
+
+    status: int
+    ran: Ran
+    text: str
+
+
+def _row(status: int, ran: Ran, text: str) -> Meaning:
+    return Meaning(status=status, ran=ran, text=text)
+
+
+_NOT = Ran.NOT_RUN
+_RAN = Ran.RAN
+_UNKNOWN = Ran.UNKNOWN
+
+MEANINGS: dict[Code, Meaning] = {
+    Code.OK: _row(200, _RAN, "done"),
+    Code.BAD_JSON: _row(400, _NOT, "the body is not valid JSON"),
+    Code.BODY_TOO_LARGE: _row(413, _NOT, "the body is too large"),
+    Code.BAD_FIELD: _row(400, _NOT, "a field is missing or out of range"),
+    Code.UNKNOWN_MODEL: _row(404, _NOT, "no such model"),
+    Code.UNKNOWN_SERVICE: _row(404, _NOT, "no such service"),
+    Code.BAD_KEY: _row(401, _NOT, "the API key is missing or unknown"),
+    Code.NOT_PERMITTED: _row(403, _NOT, "the contract does not permit this"),
+    Code.KEY_NEEDED: _row(
+        400, _NOT, "a call that may not be repeated needs Idempotency-Key"
+    ),
+    Code.NOT_FOUND: _row(404, _NOT, "no such path"),
+    Code.METHOD_NOT_ALLOWED: _row(405, _NOT, "method not allowed"),
+    Code.RATE_LIMITED: _row(429, _NOT, "the contract's rate is used up"),
+    Code.CONCURRENCY_LIMITED: _row(
+        429, _NOT, "the contract's concurrent requests are used up"
+    ),
+    Code.DEADLINE_UNMEETABLE: _row(
+        503, _NOT, "the deadline cannot be met by any server"
+    ),
+    Code.OVERLOADED: _row(503, _NOT, "all servers are full"),
+    Code.SHUTTING_DOWN: _row(503, _NOT, "this process is shutting down"),
+    Code.NO_SERVER: _row(503, _NOT, "no server can take this call now"),
+    Code.STALE_INCARNATION: _row(503, _NOT, "the engine has restarted"),
+    Code.STALE_WEIGHTS: _row(503, _NOT, "the weights have changed"),
+    Code.SERVER_LEAVING: _row(503, _NOT, "the server is leaving"),
+    Code.SERVER_DOWN: _row(503, _NOT, "the server is down"),
+    Code.WRONG_SERVER: _row(503, _NOT, "another server has this address"),
+    Code.AGENT_UNREACHABLE: _row(503, _NOT, "the agent cannot be reached"),
+    Code.STALE_CONFIGURATION: _row(503, _NOT, "the configuration has changed"),
+    Code.ADAPTER_NOT_LOADED: _row(503, _NOT, "the adapter is not loaded"),
+    Code.SUSPECT_BUSY: _row(503, _NOT, "another suspect request runs here"),
+    Code.ENGINE_DIED: _row(502, _RAN, "the engine died while it ran this"),
+    Code.DEADLINE_PASSED: _row(504, _UNKNOWN, "the deadline has passed"),
+    Code.POISON: _row(
+        422, _RAN, "this request ran and crashed the engines that ran it"
+    ),
+    Code.STREAM_BROKEN: _row(
+        502, _RAN, "the stream broke and could not be continued"
+    ),
+    Code.SERVICE_FAILED: _row(502, _UNKNOWN, "the service gave no answer"),
+    Code.CALLER_GONE: _row(499, _RAN, "the caller went away"),
+    Code.CLAIM_RUNNING: _row(409, _RAN, "a call with this key is running"),
+    Code.OUTCOME_UNKNOWN: _row(
+        409, _UNKNOWN, "a call with this key may have run; it is not repeated"
+    ),
+    Code.CLAIM_STORE_DOWN: _row(
+        503, _NOT, "the claim cannot be made durable now"
+    ),
+    Code.KEY_REUSED: _row(
+        422, _NOT, "this key was used before with another request"
+    ),
+    Code.INVALID_DECLARATION: _row(400, _NOT, "the declaration is not valid"),
+    Code.VERSION_CONFLICT: _row(
+        412, _NOT, "the object has a newer version than the one you read"
+    ),
+    Code.NOT_ACCEPTED: _row(
+        503, _NOT, "the platform's store did not take this; not accepted"
+    ),
+    Code.OPERATOR_KEY: _row(401, _NOT, "the operator key is unknown"),
+    Code.OPERATOR_ROLE: _row(403, _NOT, "the operator's role forbids this"),
+    Code.ABSENT: _row(404, _NOT, "no such object"),
+    Code.BAD_SETTING: _row(500, _NOT, "a setting is not valid"),
+    Code.INTERNAL: _row(500, _UNKNOWN, "a defect of pimentoledge"),
+}
+
+
+@attrs.frozen(kw_only=True)
+class Error:
+    """An error as it is passed on and shown.
+
+    Attributes:
+        code: result code.
+        text: message for a person; empty for the code's own.
+        ran: overrides what the code says about the call having run.
+        retry_after: seconds after which to come back; 0 for no advice.
+    """
+
+    code: Code
+    text: str = ""
+    ran: Ran | None = None
+    retry_after: float = 0.0
+
+    def message(self) -> str:
+        """Returns the text, or the code's own where there is none."""
+        return self.text or MEANINGS[self.code].text
+
+    def status(self) -> int:
+        """Returns the HTTP status."""
+        return MEANINGS[self.code].status
+
+    def outcome(self) -> Ran:
+        """Returns what is true of the call having run."""
+        return self.ran or MEANINGS[self.code].ran
--- /dev/null
+++ b/pimentoledge/runners/__init__.py
@@ -0,0 +1,1 @@
+"""The interface of model engines, and its fake."""
--- /dev/null
+++ b/pimentoledge/services/__init__.py
@@ -0,0 +1,1 @@
+"""The interface of plain services, and its fake."""
--- /dev/null
+++ b/pimentoledge/settings.py
@@ -0,0 +1,333 @@
+"""Every setting of every process: its default, its range and its check."""
+
+import re
+
+import attrs
+from returns import result
+
+from pimentoledge import results
+
+ENVIRONMENT_PREFIX = "PIMENTOLEDGE_"
+ENTRY = "entry"
+AGENT = "agent"
+OPERATOR = "operator"
+DAEMONS = (ENTRY, AGENT)
+_ADDRESS = re.compile(r"^tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_HOST_PORT = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_URL = re.compile(r"^https?://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+
+
+@attrs.frozen(kw_only=True)
+class Text:
+    """A setting of text that matches a pattern.
+
+    Attributes:
+        pattern: what the whole text must match.
+        allowed: the pattern in words, for messages.
+    """
+
+    pattern: re.Pattern[str]
+    allowed: str
+
+
+@attrs.frozen(kw_only=True)
+class Number:
+    """A number between two bounds, both allowed."""
+
+    low: float
+    high: float
+    whole: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Setting:
+    """One setting.
+
+    Attributes:
+        name: name with hyphens, as in its flag.
+        kind: what values are allowed.
+        default: default value; None when it must be given.
+        programs: programs that have it.
+        text: what it does, with its unit.
+    """
+
+    name: str
+    kind: Text | Number | Choice
+    default: str | None
+    programs: tuple[str, ...]
+    text: str
+
+    def variable(self) -> str:
+        """Returns the name of its environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.replace("-", "_").upper()
+
+    def flag(self) -> str:
+        """Returns its flag."""
+        return "--" + self.name
+
+
+_ADDRESS_KIND = Text(pattern=_ADDRESS, allowed="tcp://IP:PORT")
+_HOST_KIND = Text(pattern=_HOST_PORT, allowed="IP:PORT")
+_URL_KIND = Text(pattern=_URL, allowed="http://IP:PORT")
+_NAME_KIND = Text(
+    pattern=_NAME,
+    allowed="letters, digits, '.', '_' and '-', at most 63",
+)
+
+
+def _seconds(low: float, high: float) -> Number:
+    return Number(low=low, high=high)
+
+
+SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        name="name",
+        kind=_NAME_KIND,
+        default=None,
+        programs=DAEMONS,
+        text="name of this process; an agent has its backend server's name",
+    ),
+    Setting(
+        name="data-centre",
+        kind=_NAME_KIND,
+        default="local",
+        programs=DAEMONS,
+        text="data centre that this process runs in",
+    ),
+    Setting(
+        name="mailbox",
+        kind=_ADDRESS_KIND,
+        default=None,
+        programs=DAEMONS,
+        text="address where other processes reach this one",
+    ),
+    Setting(
+        name="store",
+        kind=_URL_KIND,
+        default=None,
+        programs=DAEMONS,
+        text="the platform's object API",
+    ),
+    Setting(
+        name="store-timeout",
+        kind=_seconds(0.05, 60),
+        default="2",
+        programs=DAEMONS,
+        text="seconds to wait for an answer of the object API",
+    ),
+    Setting(
+        name="listen",
+        kind=_HOST_KIND,
+        default="127.0.0.1:8080",
+        programs=(ENTRY,),
+        text="address for callers",
+    ),
+    Setting(
+        name="admin-listen",
+        kind=_HOST_KIND,
+        default="127.0.0.1:8081",
+        programs=DAEMONS,
+        text="address for operators, metrics and health",
+    ),
+    Setting(
+        name="caller-threads",
+        kind=Number(low=4, high=4096, whole=True),
+        default="600",
+        programs=(ENTRY,),
+        text="callers served at one time; each open stream holds one thread",
+    ),
+    Setting(
+        name="max-body-bytes",
+        kind=Number(low=1024, high=64 * 1024 * 1024, whole=True),
+        default=str(8 * 1024 * 1024),
+        programs=(ENTRY,),
+        text="largest body of a request, in bytes",
+    ),
+    Setting(
+        name="stream-buffer-bytes",
+        kind=Number(low=4096, high=16 * 1024 * 1024, whole=True),
+        default=str(256 * 1024),
+        programs=(ENTRY,),
+        text="text kept for a slow caller before its stream is ended, bytes",
+    ),
+    Setting(
+        name="drain-seconds",
+        kind=_seconds(0, 3600),
+        default="3",
+        programs=(ENTRY,),
+        text="seconds to go on accepting after SIGTERM, while not ready",
+    ),
+    Setting(
+        name="shutdown-seconds",
+        kind=_seconds(1, 86400),
+        default="600",
+        programs=DAEMONS,
+        text="longest wait for running requests after SIGTERM, seconds",
+    ),
+    Setting(
+        name="backend",
+        kind=_URL_KIND,
+        default=None,
+        programs=(AGENT,),
+        text="the backend server beside this agent",
+    ),
+    Setting(
+        name="block-bytes",
+        kind=Number(low=16, high=65536, whole=True),
+        default="256",
+        programs=(ENTRY,),
+        text="prompt bytes in one block of the prefix chain",
+    ),
+    Setting(
+        name="log-level",
+        kind=Choice(words=("debug", "info", "notice", "warning", "error")),
+        default="info",
+        programs=DAEMONS,
+        text="lowest level that is logged",
+    ),
+    Setting(
+        name="log-format",
+        kind=Choice(words=("plain", "json")),
+        default="plain",
+        programs=DAEMONS,
+        text="form of the log lines",
+    ),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Value:
+    """A setting's value and where it came from.
+
+    Attributes:
+        setting: which setting.
+        text: the value as text.
+        source: "flag", "environment" or "default".
+    """
+
+    setting: Setting
+    text: str
+    source: str
+
+
+class Settings:
+    """The checked settings of one process.
+
+    Attributes:
+        values: Value by setting name.
+    """
+
+    def __init__(self, *, values: dict[str, Value]):
+        self.values = values
+
+    def text(self, name: str) -> str:
+        """Returns a setting's value as text."""
+        return self.values[name].text
+
+    def number(self, name: str) -> float:
+        """Returns a setting's value as a number."""
+        return float(self.values[name].text)
+
+    def whole(self, name: str) -> int:
+        """Returns a setting's value as a whole number."""
+        return int(self.values[name].text)
+
+
+def of_program(program: str) -> list[Setting]:
+    """Returns the settings that a program has."""
+    return [each for each in SETTINGS if program in each.programs]
+
+
+def _allowed(kind: Text | Number | Choice) -> str:
+    match kind:
+        case Text():
+            return kind.allowed
+        case Number():
+            noun = "a whole number" if kind.whole else "a number"
+            return f"{noun} from {kind.low:g} to {kind.high:g}"
+        case Choice():
+            return "one of " + ", ".join(kind.words)
+
+
+def _valid(kind: Text | Number | Choice, text: str) -> bool:
+    match kind:
+        case Text():
+            return bool(kind.pattern.match(text))
+        case Choice():
+            return text in kind.words
+        case Number():
+            try:
+                number = int(text) if kind.whole else float(text)
+            except ValueError:
+                return False
+            return kind.low <= number <= kind.high
+
+
+def _bad(text: str) -> result.Failure:
+    error = results.Error(code=results.Code.BAD_SETTING, text=text)
+    return result.Failure(error)
+
+
+def check(
+    *,
+    program: str,
+    flags: dict[str, str],
+    environment: dict[str, str],
+) -> result.Result[Settings, results.Error]:
+    """Checks the settings of a program.
+
+    Args:
+        program: ENTRY, AGENT or OPERATOR.
+        flags: value by setting name, as given on the command line.
+        environment: the process's environment.
+
+    Returns:
+        The settings, or an Error that names flag, variable, value and what
+        is allowed.
+    """
+    known = {each.name: each for each in SETTINGS}
+    variables = {each.variable() for each in SETTINGS}
+    mine = of_program(program)
+    for name in flags:
+        if name not in known or known[name] not in mine:
+            return _bad(f"unknown setting --{name} of pimentoledge {program}")
+    for variable in sorted(environment):
+        ours = variable.startswith(ENVIRONMENT_PREFIX)
+        if ours and variable not in variables:
+            return _bad(f"unknown setting {variable} in the environment")
+    values: dict[str, Value] = {}
+    for setting in mine:
+        value = _value(setting, flags, environment)
+        where = f"{setting.flag()} (or {setting.variable()})"
+        if value is None:
+            return _bad(
+                f"missing setting {where}: must be {_allowed(setting.kind)}"
+            )
+        if not _valid(setting.kind, value.text):
+            return _bad(
+                f"bad setting {where}: {value.text!r} from {value.source};"
+                f" must be {_allowed(setting.kind)}"
+            )
+        values[setting.name] = value
+    return result.Success(Settings(values=values))
+
+
+def _value(
+    setting: Setting, flags: dict[str, str], environment: dict[str, str]
+) -> Value | None:
+    if setting.name in flags:
+        return Value(setting=setting, text=flags[setting.name], source="flag")
+    if setting.variable() in environment:
+        text = environment[setting.variable()]
+        return Value(setting=setting, text=text, source="environment")
+    if setting.default is None:
+        return None
+    return Value(setting=setting, text=setting.default, source="default")
