Put every declaration under one prefix of the store

Cause: a watch on the whole store would also carry each claim and permit. One prefix, declared/, lets one watch see what operators declare and nothing else. Also the event for a process that can't be reached. Not measured.

--- a/pimentoledge/decisions/declarations.py
+++ b/pimentoledge/decisions/declarations.py
@@ -126,12 +126,13 @@
 
 Declaration = Contract | BackendServer | Model | Service
 
-# The path of each kind in the object API; the object's name follows.
+# The path of each kind in the object API; the name follows. One common prefix,
+# so that one watch sees every declaration and none of the claims and permits.
 PREFIXES: dict[type, str] = {
-    Contract: "contracts/",
-    BackendServer: "backend-servers/",
-    Model: "models/",
-    Service: "services/",
+    Contract: "declared/contracts/",
+    BackendServer: "declared/backend-servers/",
+    Model: "declared/models/",
+    Service: "declared/services/",
 }
 
 
--- a/pimentoledge/decisions/events.py
+++ b/pimentoledge/decisions/events.py
@@ -24,6 +24,20 @@
     configuration: int = 0
 
 
+@attrs.define(kw_only=True)
+class Unreachable:
+    """A process can't be reached by a message.
+
+    Attributes:
+        address: its mailbox.
+        unsent: messages that surely never left this process; what was sent
+            before them may or may not have arrived.
+    """
+
+    address: str
+    unsent: list[object] = attrs.field(factory=list)
+
+
 @attrs.define(kw_only=True)
 class CallerRequest:
     """Entry: a caller asks for something.
