Decide which declared servers may get new work

An entry needs one place that says which backend servers it may use. Membership puts three sources together: the declaration, which alone admits; the platform's lagging list of VMs; and what the entry sees itself (refusals, timeouts, incarnations, the agent's word). The last two may only remove or delay.

Weighed: holding back for a fixed time (a flapping server would crash a request each time; so the time doubles, with jitter, and is forgotten one failure a minute), counting every refusal (fifty requests that one crash refuses would hold it back at once for the longest time; so failures within a hold-back count once), dropping servers on timeouts alone (a slow network would take a model away; such servers stay when no other is left), and dropping VMs that are missing from the list (an empty list would take everything away; the same rule). Truths that name a past incarnation are late messages and change nothing.

messages.Truth gets `loading`, beside `leaving`: a server that loads weights comes back within a second or so, one that leaves does not, and only the latter needs guarding against late answers.

Not measured yet: decision time.

--- /dev/null
+++ b/pimentoledge/decisions/membership.py
@@ -0,0 +1,400 @@
+"""Which declared backend servers an entry may give new work to.
+
+Three sources are put together. The declaration alone admits a server. The
+platform's list of VMs and what the entry sees itself (refused connections,
+timeouts, changed incarnations, the agent's word that it is leaving) may only
+remove a server or delay it.
+"""
+
+import collections
+import enum
+import math
+import random
+
+import attrs
+
+from pimentoledge.decisions import declarations
+from pimentoledge.nodes import messages
+
+# Incarnations remembered for one server; a truth that names a past one is a
+# late message.
+PAST_INCARNATIONS = 4
+
+
+@attrs.frozen(kw_only=True)
+class VmState:
+    """One VM as the platform's lagging list shows it.
+
+    Attributes:
+        address: its IP address.
+        leaving: whether the platform is about to take it away.
+    """
+
+    address: str
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """Times and bounds of hold-back; all times in seconds.
+
+    Attributes:
+        first: hold-back after the first failure.
+        longest: longest hold-back.
+        trial: how long one trial request keeps others away.
+        last_resort: time between trials when nothing else is left.
+        forget: time without failure after which one failure is forgotten.
+        probe: time between probes of a server that takes no new work.
+        servers: most servers remembered.
+    """
+
+    first: float = 0.25
+    longest: float = 30.0
+    trial: float = 1.0
+    last_resort: float = 0.5
+    forget: float = 60.0
+    probe: float = 1.0
+    servers: int = 16384
+
+
+class Heard(enum.StrEnum):
+    """What a truth means beside what was known of its server."""
+
+    CURRENT = "current"
+    RESTARTED = "restarted"
+    # It names an incarnation that is known to have ended: a late message.
+    PAST = "past"
+
+
+@attrs.define(kw_only=True)
+class Trouble:
+    """What speaks against one server; absent for a healthy one.
+
+    Attributes:
+        failures: failures not yet forgotten.
+        counted: time from which the next one is forgotten.
+        held_until: end of the hold-back.
+        soft: whether only timeouts led to the hold-back.
+        down: whether it failed and has not answered since.
+        failed_at: time of the last hard failure.
+        tried_at: when the trial that is out was sent; others stay away.
+        closed: whether its agent said that it takes no new work.
+        left_at: when its agent last said that it is leaving.
+        probe_at: when to ask a closed server again.
+    """
+
+    failures: int = 0
+    counted: float = 0.0
+    held_until: float = 0.0
+    soft: bool = True
+    down: bool = False
+    failed_at: float = -math.inf
+    tried_at: float = -math.inf
+    closed: bool = False
+    left_at: float = -math.inf
+    probe_at: float = 0.0
+
+
+def host_of(agent: str) -> str:
+    """Returns the IP address within tcp://ip:port."""
+    return agent.rpartition(":")[0].rpartition("/")[2]
+
+
+class Membership:
+    """One entry's view of the declared servers.
+
+    Attributes:
+        timing: times and bounds.
+        troubles: Trouble by server name, oldest first.
+        incarnations: the last incarnations by server name, newest last.
+        leaving_vms: addresses that the platform lists as leaving.
+        missing_vms: addresses that were listed and no longer are, and the
+            time when each was first missed.
+        known_vms: addresses in the latest list.
+    """
+
+    def __init__(self, *, seed: int, timing: Timing | None = None):
+        self.timing = timing or Timing()
+        self.troubles: collections.OrderedDict[str, Trouble] = (
+            collections.OrderedDict()
+        )
+        self.incarnations: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
+        self.leaving_vms: frozenset[str] = frozenset()
+        self.missing_vms: dict[str, float] = {}
+        self.known_vms: frozenset[str] = frozenset()
+        self._random = random.Random(seed)
+
+    def usable(
+        self, servers: list[declarations.BackendServer], now: float
+    ) -> list[declarations.BackendServer]:
+        """Returns the servers that may get new work.
+
+        Args:
+            servers: declared servers, such as those of one model.
+            now: monotonic seconds.
+
+        Returns:
+            The servers without trouble and those due for a trial. Where that
+            leaves none, those held back on soft evidence; where there is none
+            of those either, one that is due for a last trial.
+        """
+        declared = [
+            each
+            for each in servers
+            if each.state is declarations.ServerState.IN
+        ]
+        listed = self._not_leaving_by_list(declared)
+        troubles = self.troubles
+        found = [
+            each
+            for each in listed
+            if each.name not in troubles or self._open(troubles[each.name], now)
+        ]
+        found = self._without_missing(found)
+        if found:
+            return found
+        return self._last_resort(listed, now)
+
+    def dispatched(self, server: str, now: float) -> None:
+        """Takes note of work sent to a server; it may be the trial."""
+        trouble = self.troubles.get(server)
+        if trouble is not None and trouble.down:
+            trouble.tried_at = now
+
+    def refused(self, server: str, now: float) -> None:
+        """Takes note that nothing listens there, or that its engine is down.
+
+        Args:
+            server: the server's name.
+            now: monotonic seconds.
+        """
+        self._failed(server, now, soft=False)
+
+    def timed_out(self, server: str, now: float) -> None:
+        """Takes note that no answer came in time, which proves little."""
+        self._failed(server, now, soft=True)
+
+    def answered(self, truth: messages.Truth, now: float) -> Heard:
+        """Takes note of an agent's word.
+
+        Args:
+            truth: what the agent says of its server.
+            now: monotonic seconds.
+
+        Returns:
+            Whether the engine is the one known, a new one, or one that is
+            known to have ended; in the last case nothing is changed.
+        """
+        if not truth.incarnation:
+            self._closed_or_not(truth, now)
+            self._failed(truth.server, now, soft=False)
+            return Heard.CURRENT
+        heard = self._heard(truth)
+        if heard is Heard.PAST:
+            return heard
+        self._closed_or_not(truth, now)
+        trouble = self.troubles.get(truth.server)
+        was_down = trouble is not None and trouble.down
+        if heard is Heard.RESTARTED and not was_down:
+            self._restarted(truth.server, now)
+        elif trouble is not None:
+            self._recovered(truth.server, trouble, now)
+        return heard
+
+    def vms(self, states: list[VmState], now: float) -> None:
+        """Takes in the platform's list of VMs.
+
+        A VM that was listed and no longer is counts as soft evidence only:
+        the list lags and may be cut short. One never listed may be too new
+        to be there; its declaration admits it.
+
+        Args:
+            states: the whole list.
+            now: monotonic seconds.
+        """
+        listed = frozenset(each.address for each in states)
+        self.leaving_vms = frozenset(
+            each.address for each in states if each.leaving
+        )
+        gone = (self.known_vms | self.missing_vms.keys()) - listed
+        kept = sorted(gone, key=lambda each: self.missing_vms.get(each, now))
+        self.missing_vms = {
+            each: self.missing_vms.get(each, now)
+            for each in kept[-self.timing.servers :]
+        }
+        self.known_vms = listed
+
+    def probes(
+        self, servers: list[declarations.BackendServer], now: float
+    ) -> list[declarations.BackendServer]:
+        """Returns closed servers to ask whether they take new work again.
+
+        Each is returned once in every `timing.probe` seconds. A message
+        asks, so that no request is spent on a server that is leaving.
+
+        Args:
+            servers: all declared servers.
+            now: monotonic seconds.
+        """
+        due = []
+        if not self.troubles:
+            return due
+        for each in servers:
+            trouble = self.troubles.get(each.name)
+            if trouble is None or not trouble.closed:
+                continue
+            if now >= trouble.probe_at:
+                trouble.probe_at = now + self.timing.probe
+                due.append(each)
+        return due
+
+    def incarnation(self, server: str) -> str:
+        """Returns the engine incarnation last heard of; empty for none."""
+        known = self.incarnations.get(server)
+        return known[-1] if known else ""
+
+    def _open(self, trouble: Trouble, now: float) -> bool:
+        if trouble.closed or now < trouble.held_until:
+            return False
+        on_trial = trouble.down and now < trouble.tried_at + self.timing.trial
+        return not on_trial
+
+    def _not_leaving_by_list(
+        self, servers: list[declarations.BackendServer]
+    ) -> list[declarations.BackendServer]:
+        if not self.leaving_vms:
+            return servers
+        return [
+            each
+            for each in servers
+            if host_of(each.agent) not in self.leaving_vms
+        ]
+
+    def _without_missing(
+        self, servers: list[declarations.BackendServer]
+    ) -> list[declarations.BackendServer]:
+        # A list that comes back cut short would remove every server at once.
+        # It shows as servers whose agents still answer; so a missing VM only
+        # loses its place while another server is left to take the work.
+        if not self.missing_vms:
+            return servers
+        present = [
+            each
+            for each in servers
+            if host_of(each.agent) not in self.missing_vms
+        ]
+        return present or servers
+
+    def _last_resort(
+        self, servers: list[declarations.BackendServer], now: float
+    ) -> list[declarations.BackendServer]:
+        held = [
+            (self.troubles[each.name], each)
+            for each in servers
+            if not self.troubles[each.name].closed
+        ]
+        soft = [each for trouble, each in held if trouble.soft]
+        if soft:
+            return soft
+        # All were refused, as when every engine of a model restarts at once:
+        # without this a request would wait for the end of a long hold-back
+        # though an engine is there again.
+        due = []
+        for trouble, each in held:
+            latest = max(trouble.failed_at, trouble.tried_at)
+            if now >= latest + self.timing.last_resort:
+                due.append((latest, each.name, each))
+        if not due:
+            return []
+        longest_ago = min(due, key=lambda each: each[:2])
+        return [longest_ago[2]]
+
+    def _trouble(self, server: str, now: float) -> Trouble:
+        trouble = self.troubles.get(server)
+        if trouble is None:
+            trouble = Trouble(counted=now)
+            self.troubles[server] = trouble
+            if len(self.troubles) > self.timing.servers:
+                self.troubles.popitem(last=False)
+        self._forget(trouble, now)
+        return trouble
+
+    def _forget(self, trouble: Trouble, now: float) -> None:
+        rounds = int((now - trouble.counted) / self.timing.forget)
+        if rounds > 0:
+            trouble.failures = max(0, trouble.failures - rounds)
+            trouble.counted += rounds * self.timing.forget
+
+    def _failed(self, server: str, now: float, *, soft: bool) -> None:
+        trouble = self._trouble(server, now)
+        if not soft:
+            trouble.failed_at = now
+        trouble.tried_at = -math.inf
+        if now < trouble.held_until:
+            # Many requests fail together when one engine dies: that is one
+            # failure. Hard evidence still outweighs soft.
+            trouble.soft = trouble.soft and soft
+            return
+        trouble.soft = soft
+        trouble.down = True
+        self._hold(trouble, now)
+
+    def _restarted(self, server: str, now: float) -> None:
+        trouble = self._trouble(server, now)
+        if trouble.failures > 0:
+            trouble.soft = False
+            self._hold(trouble, now)
+            return
+        # The first restart delays nothing: the engine is there and answers.
+        trouble.failures = 1
+        trouble.counted = now
+
+    def _hold(self, trouble: Trouble, now: float) -> None:
+        doubled = self.timing.first * 2.0 ** min(trouble.failures, 32)
+        trouble.failures = min(trouble.failures + 1, 32)
+        trouble.counted = now
+        wait = min(doubled, self.timing.longest)
+        # Without jitter all entries would send their trials together.
+        trouble.held_until = now + wait * self._random.uniform(0.75, 1.25)
+
+    def _recovered(self, server: str, trouble: Trouble, now: float) -> None:
+        self._forget(trouble, now)
+        if now < trouble.held_until and not trouble.soft:
+            # An answer sent before the engine died comes late: it must not
+            # end the hold-back.
+            return
+        trouble.down = False
+        trouble.held_until = 0.0
+        trouble.tried_at = -math.inf
+        if trouble.failures == 0 and not trouble.closed:
+            del self.troubles[server]
+
+    def _closed_or_not(self, truth: messages.Truth, now: float) -> None:
+        if truth.leaving or truth.loading:
+            trouble = self._trouble(truth.server, now)
+            if not trouble.closed:
+                trouble.probe_at = now + self.timing.probe
+            trouble.closed = True
+            if truth.leaving:
+                trouble.left_at = now
+            return
+        trouble = self.troubles.get(truth.server)
+        # An answer sent before the leave and late on its way must not open
+        # the server again; one later than that only costs a refusal by the
+        # agent, whose truth closes it again.
+        if trouble is not None and now >= trouble.left_at + self.timing.probe:
+            trouble.closed = False
+
+    def _heard(self, truth: messages.Truth) -> Heard:
+        known = self.incarnations.get(truth.server, ())
+        if known and known[-1] == truth.incarnation:
+            return Heard.CURRENT
+        if truth.incarnation in known:
+            return Heard.PAST
+        latest = (*known, truth.incarnation)[-PAST_INCARNATIONS:]
+        self.incarnations[truth.server] = latest
+        if len(self.incarnations) > self.timing.servers:
+            self.incarnations.popitem(last=False)
+        return Heard.RESTARTED if known else Heard.CURRENT
--- a/pimentoledge/nodes/messages.py
+++ b/pimentoledge/nodes/messages.py
@@ -62,7 +62,8 @@
         incarnation: id of the engine's life; empty when it is down.
         weights: weights version loaded.
         adapters: adapters loaded.
-        leaving: whether it takes no new work.
+        leaving: whether it takes no new work any more.
+        loading: whether it takes no new work until weights are loaded.
         running: requests in the engine.
         queued: requests waiting at the agent.
         queued_tokens: uncached prompt tokens waiting or in prefill.
@@ -79,6 +80,7 @@
     weights: str = ""
     adapters: list[str] = attrs.field(factory=list)
     leaving: bool = False
+    loading: bool = False
     running: int = 0
     queued: int = 0
     queued_tokens: int = 0
