Choose servers by expected wait and cached prefix

The entry core needs the placement API before the policy is tuned. This is its first form: chained keyed BLAKE2b digests name prefixes, a bounded table of hints says which server ran them in the last seconds, a fluid queue corrects each load report by what this entry sent since, and the cheapest server in expected seconds to the first token wins.

Hints point to an engine life, so a restart or new weights void all hints of a server in one step. Reports cover dispatches by count, not by time, since processes share no clock.

--- /dev/null
+++ b/pimentoledge/decisions/placement.py
@@ -0,0 +1,302 @@
+"""Where a request runs: the cheapest backend server as this entry sees it.
+
+Every entry decides alone. Entries agree on where a prefix lives because they
+rank the servers by the same hash, and each corrects that by what its own
+requests found.
+"""
+
+from collections.abc import Sequence
+import hashlib
+import random
+
+import attrs
+
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import hints
+from pimentoledge.decisions import loads
+from pimentoledge.nodes import messages
+
+_FIRST_RESIDENCE = 1.0
+_RESIDENCE_WEIGHT = 0.05
+_MOST_PENDING = 20_000
+
+
+@attrs.define(kw_only=True)
+class Wanted:
+    """What a request needs.
+
+    Attributes:
+        request: request id.
+        organisation: whose request it is.
+        model: model or service name.
+        adapter: adapter name; empty for none.
+        weights: weights version; empty for a plain service.
+        blocks: digests of the prompt's blocks, from prefixes.chain.
+        block_tokens: estimated tokens in one block.
+        prompt_tokens: estimated tokens in the prompt.
+        priority: declarations.Priority.
+        seconds_left: time to the deadline.
+        avoid: servers that must not run it.
+    """
+
+    request: str
+    organisation: str
+    model: str
+    adapter: str = ""
+    weights: str = ""
+    blocks: list[bytes] = attrs.field(factory=list)
+    block_tokens: int = 64
+    prompt_tokens: int = 0
+    priority: str = declarations.Priority.INTERACTIVE
+    seconds_left: float = 60.0
+    avoid: frozenset[str] = frozenset()
+
+
+@attrs.define(kw_only=True)
+class Candidate:
+    """A server that was considered.
+
+    Attributes:
+        server: its name.
+        cost: expected seconds to the first token.
+        depth_tokens: prompt tokens expected in its cache.
+        wait_seconds: expected queue ahead.
+    """
+
+    server: str
+    cost: float
+    depth_tokens: int
+    wait_seconds: float
+
+
+@attrs.define(kw_only=True)
+class Choice:
+    """Where a request shall run.
+
+    Attributes:
+        server: the server's name; None when there is none.
+        incarnation: engine incarnation assumed; empty when not known.
+        expected_depth: prompt tokens expected in its cache.
+        candidates: what was considered, cheapest first.
+        reason: why, in a few words.
+    """
+
+    server: str | None
+    incarnation: str = ""
+    expected_depth: int = 0
+    candidates: list[Candidate] = attrs.field(factory=list)
+    reason: str = ""
+
+
+@attrs.define(kw_only=True)
+class Pending:
+    """A request between its choice and its end."""
+
+    blocks: list[bytes]
+    life: hints.Life | None = None
+    sent_at: float = 0.0
+
+
+class Placer:
+    """Chooses servers and learns from what became of the requests.
+
+    Attributes:
+        data_centre: this entry's data centre.
+        cross_seconds: added to the cost of a server in another one.
+        random: the only source of chance, seeded.
+        hints: what is probably cached where.
+        loads: load by server name.
+        lives: engine life by server name.
+        pending: requests under way, by id.
+        residence: how long a request holds a slot, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        data_centre: str,
+        hint_limit: int = 20_000,
+        hint_seconds: float = 20.0,
+        holders: int = 8,
+        cross_seconds: float = 0.001,
+    ):
+        self.data_centre = data_centre
+        self.cross_seconds = cross_seconds
+        self.random = random.Random(seed)
+        self.hints = hints.Hints(
+            limit=hint_limit, seconds=hint_seconds, holders=holders
+        )
+        self.loads: dict[str, loads.Load] = {}
+        self.lives: dict[str, hints.Life] = {}
+        self.pending: dict[str, Pending] = {}
+        self.residence = _FIRST_RESIDENCE
+
+    def choose(
+        self,
+        wanted: Wanted,
+        servers: Sequence[declarations.BackendServer],
+        now: float,
+    ) -> Choice:
+        """Returns where a request shall run.
+
+        Args:
+            wanted: what it needs.
+            servers: servers declared for its model or service.
+            now: the time.
+        """
+        allowed = [each for each in servers if self.allowed(wanted, each)]
+        usable = [each for each in allowed if self.load(each.name, now)]
+        reason = "cheapest"
+        if not usable:
+            # Failures only delay: with no other server left, one that failed
+            # a moment ago is tried again, since its agent refuses truthfully.
+            usable = allowed
+            reason = "last resort"
+        if not usable:
+            return Choice(server=None, reason="no usable server")
+        depths = self.hints.depths(wanted.blocks, now)
+        candidates = [
+            self.candidate(wanted, each, depths, now) for each in usable
+        ]
+        home = _rank_key(wanted)
+        candidates.sort(key=lambda each: (each.cost, _rank(home, each.server)))
+        best = candidates[0]
+        self.remember(wanted)
+        return Choice(
+            server=best.server,
+            incarnation=self.life(best.server).incarnation,
+            expected_depth=best.depth_tokens,
+            candidates=candidates,
+            reason=reason,
+        )
+
+    def allowed(
+        self, wanted: Wanted, server: declarations.BackendServer
+    ) -> bool:
+        """Returns whether a server may run a request at all."""
+        if server.state != declarations.ServerState.IN:
+            return False
+        if server.name in wanted.avoid:
+            return False
+        load = self.loads.get(server.name)
+        if load is None or load.truth is None:
+            return True
+        truth = load.truth
+        if truth.leaving or not truth.incarnation:
+            return False
+        if wanted.weights and truth.weights != wanted.weights:
+            return False
+        return not wanted.adapter or wanted.adapter in truth.adapters
+
+    def load(self, server: str, now: float) -> bool:
+        """Returns whether a server hasn't failed a moment ago."""
+        load = self.loads.get(server)
+        return load is None or now >= load.retry_at
+
+    def candidate(
+        self,
+        wanted: Wanted,
+        server: declarations.BackendServer,
+        depths: dict[str, int],
+        now: float,
+    ) -> Candidate:
+        """Returns a server with its cost."""
+        load = self.loads.get(server.name) or loads.Load()
+        depth = depths.get(server.name, 0) * wanted.block_tokens
+        depth = min(depth, wanted.prompt_tokens)
+        wait = load.wait_seconds(now, self.residence)
+        cost = wait + (wanted.prompt_tokens - depth) * load.token_seconds()
+        if server.data_centre != self.data_centre:
+            cost += self.cross_seconds
+        return Candidate(
+            server=server.name,
+            cost=cost,
+            depth_tokens=depth,
+            wait_seconds=wait,
+        )
+
+    def remember(self, wanted: Wanted):
+        """Keeps a request's blocks until it is sent and finished."""
+        self.pending[wanted.request] = Pending(blocks=wanted.blocks)
+        if len(self.pending) > _MOST_PENDING:
+            del self.pending[next(iter(self.pending))]
+
+    def sent(self, server: str, request: str, tokens: int, now: float):
+        """Counts a dispatch.
+
+        Args:
+            server: where it went.
+            request: request id.
+            tokens: uncached prompt tokens expected.
+            now: the time.
+        """
+        load = self.loads.setdefault(server, loads.Load())
+        load.sent(tokens, now)
+        pending = self.pending.get(request)
+        if pending is None:
+            return
+        pending.life = self.life(server)
+        pending.sent_at = now
+        self.hints.add(pending.blocks, pending.life, now)
+
+    def learned(self, truth: messages.Truth, now: float):
+        """Takes what an agent says of its server in place of hints."""
+        load = self.loads.setdefault(truth.server, loads.Load())
+        load.reported(truth, now)
+        life = self.life(truth.server)
+        same = life.incarnation == truth.incarnation
+        if same and life.weights == truth.weights:
+            return
+        life.over = True
+        self.lives[truth.server] = hints.Life(
+            server=truth.server,
+            incarnation=truth.incarnation,
+            weights=truth.weights,
+        )
+
+    def finished(
+        self,
+        server: str,
+        request: str,
+        blocks: list[bytes],
+        cached_tokens: int,
+        now: float,
+    ):
+        """Learns from a request that ran to its end.
+
+        Args:
+            server: where it ran.
+            request: request id.
+            blocks: digests of its prompt's blocks.
+            cached_tokens: prompt tokens that the engine took from its cache.
+            now: the time.
+        """
+        life = self.life(server)
+        pending = self.pending.pop(request, None)
+        if pending is not None and pending.life is not None:
+            taken = now - pending.sent_at
+            self.residence += _RESIDENCE_WEIGHT * (taken - self.residence)
+            life = pending.life
+        if not life.over:
+            self.hints.add(blocks, life, now)
+
+    def failed(self, server: str, now: float):
+        """Counts a failure to reach a server or to be served by it."""
+        self.loads.setdefault(server, loads.Load()).failed(now)
+
+    def life(self, server: str) -> hints.Life:
+        """Returns the engine life that is believed to be current."""
+        return self.lives.setdefault(server, hints.Life(server=server))
+
+
+def _rank_key(wanted: Wanted) -> bytes:
+    if wanted.blocks:
+        return wanted.blocks[0]
+    return wanted.request.encode()
+
+
+def _rank(key: bytes, server: str) -> bytes:
+    return hashlib.blake2b(
+        server.encode(), key=key[:64], digest_size=8
+    ).digest()
--- /dev/null
+++ b/pimentoledge/tests/test_placement.py
@@ -0,0 +1,228 @@
+"""Placement: whose cache is relied on, and how load corrects it."""
+
+import attrs
+
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import placement
+from pimentoledge.decisions import prefixes
+from pimentoledge.nodes import messages
+
+_BLOCK_BYTES = 16
+_TEXT = bytes(range(160))
+
+
+def _server(name, **fields):
+    return declarations.BackendServer(
+        name=name, serves="m", agent="tcp://127.0.0.1:1", **fields
+    )
+
+
+def _truth(name, **fields):
+    values = {
+        "incarnation": "i1",
+        "weights": "w1",
+        "slots": 8,
+        "token_seconds": 0.001,
+    }
+    return messages.Truth(server=name, **(values | fields))
+
+
+def _wanted(request="r1", *, text=_TEXT, organisation="o", **fields):
+    salt = prefixes.salt(
+        organisation=organisation, model="m", adapter="", weights="w1"
+    )
+    blocks = prefixes.chain(salt=salt, text=text, block_bytes=_BLOCK_BYTES)
+    values = {"model": "m", "weights": "w1", "block_tokens": 16}
+    values["prompt_tokens"] = len(text)
+    return placement.Wanted(
+        request=request,
+        organisation=organisation,
+        blocks=blocks,
+        **(values | fields),
+    )
+
+
+def _placer(*truths):
+    placer = placement.Placer(seed=1, data_centre="")
+    for truth in truths:
+        placer.learned(truth, 0.0)
+    return placer
+
+
+def _run(placer, wanted, server, now):
+    placer.choose(wanted, [_server(server)], now)
+    placer.sent(server, wanted.request, wanted.prompt_tokens, now)
+    placer.finished(server, wanted.request, wanted.blocks, 0, now)
+
+
+SERVERS = [_server("a"), _server("b"), _server("c")]
+TRUTHS = [_truth("a"), _truth("b"), _truth("c")]
+
+
+def _depth(choice, server):
+    found = {each.server: each.depth_tokens for each in choice.candidates}
+    return found[server]
+
+
+def test_chain_names_every_full_block_of_the_same_text():
+    salt = prefixes.salt(organisation="o", model="m", adapter="", weights="w")
+    long = prefixes.chain(salt=salt, text=_TEXT, block_bytes=16)
+    short = prefixes.chain(salt=salt, text=_TEXT[:70], block_bytes=16)
+    assert len(long) == 10
+    assert long[:4] == short
+    assert len(set(long)) == 10
+
+
+def test_salt_differs_for_every_field():
+    fields = {"organisation": "a", "model": "b", "adapter": "c", "weights": "d"}
+    salts = {prefixes.salt(**fields)}
+    for name in fields:
+        salts.add(prefixes.salt(**(fields | {name: "x"})))
+    moved = {"organisation": "ab", "model": ""}
+    salts.add(prefixes.salt(**(fields | moved)))
+    assert len(salts) == 6
+
+
+def test_unknown_server_is_used_without_relying_on_its_cache():
+    choice = _placer().choose(_wanted(), [_server("a")], 0.0)
+    assert choice.server == "a"
+    assert choice.incarnation == ""
+    assert choice.expected_depth == 0
+
+
+def test_request_goes_where_its_prefix_is():
+    for name in "abc":
+        placer = _placer(*TRUTHS)
+        _run(placer, _wanted(), name, 0.0)
+        choice = placer.choose(_wanted("r2"), SERVERS, 0.5)
+        assert choice.server == name
+        assert choice.incarnation == "i1"
+        assert choice.expected_depth == len(_TEXT)
+
+
+def test_restarted_engine_voids_its_hints():
+    """A caller would wait for a full prefill that nobody planned for.
+
+    The engine crashes and comes back empty; the entry learns of the new
+    incarnation. Relying on the old one's blocks would send all requests of a
+    prefix to a cold runner as if it were warm.
+    """
+    placer = _placer(*TRUTHS)
+    _run(placer, _wanted(), "a", 0.0)
+    placer.learned(_truth("a", incarnation="i2"), 0.1)
+    choice = placer.choose(_wanted("r2"), SERVERS, 0.2)
+    assert _depth(choice, "a") == 0
+
+
+def test_answer_of_an_older_engine_life_makes_no_hint():
+    """A late answer would make a cold engine look warm.
+
+    A request ends, the engine restarts, the entry hears of the restart
+    first and of the end afterwards.
+    """
+    placer = _placer(*TRUTHS)
+    wanted = _wanted()
+    placer.choose(wanted, [_server("a")], 0.0)
+    placer.sent("a", "r1", 160, 0.0)
+    placer.learned(_truth("a", incarnation="i2"), 0.1)
+    placer.finished("a", "r1", wanted.blocks, 0, 0.2)
+    assert _depth(placer.choose(_wanted("r2"), SERVERS, 0.3), "a") == 0
+
+
+def test_new_weights_void_hints_and_old_weights_are_not_used():
+    placer = _placer(*TRUTHS)
+    _run(placer, _wanted(), "a", 0.0)
+    placer.learned(_truth("a", weights="w2"), 0.1)
+    choice = placer.choose(_wanted("r2"), SERVERS, 0.2)
+    assert choice.server in {"b", "c"}
+    placer.learned(_truth("a", weights="w1"), 0.3)
+    choice = placer.choose(_wanted("r3"), SERVERS, 0.4)
+    assert _depth(choice, "a") == 0
+
+
+def test_other_organisation_finds_nothing():
+    placer = _placer(*TRUTHS)
+    _run(placer, _wanted(), "a", 0.0)
+    choice = placer.choose(_wanted("r2", organisation="p"), SERVERS, 0.1)
+    assert choice.expected_depth == 0
+
+
+def test_servers_that_may_not_run_it_are_left_out():
+    truths = [
+        _truth("a", leaving=True),
+        _truth("b", incarnation=""),
+        _truth("c", weights="w2"),
+        _truth("d", adapters=["x"]),
+        _truth("e"),
+    ]
+    placer = _placer(*truths)
+    servers = [_server(name) for name in "abcde"]
+    servers.append(_server("f", state=declarations.ServerState.LEAVING))
+    choice = placer.choose(_wanted(adapter="x"), servers, 0.0)
+    assert [each.server for each in choice.candidates] == ["d"]
+    wanted = _wanted(avoid=frozenset(["d", "e"]))
+    assert placer.choose(wanted, servers, 0.0).server is None
+
+
+def test_failed_server_is_the_last_resort():
+    placer = _placer(*TRUTHS)
+    placer.failed("a", 1.0)
+    placer.failed("b", 1.0)
+    assert placer.choose(_wanted(), SERVERS, 1.1).server == "c"
+    placer.failed("c", 1.0)
+    choice = placer.choose(_wanted(), SERVERS, 1.1)
+    assert choice.server is not None
+    assert choice.reason == "last resort"
+
+
+def test_spills_only_when_the_queue_costs_more_than_recomputing():
+    placer = _placer(*TRUTHS)
+    _run(placer, _wanted(), "a", 0.0)
+    placer.learned(_truth("a", queued_tokens=100, received=1), 0.0)
+    assert placer.choose(_wanted("r2"), SERVERS, 0.0).server == "a"
+    placer.learned(_truth("a", queued_tokens=200, received=1), 0.0)
+    assert placer.choose(_wanted("r3"), SERVERS, 0.0).server != "a"
+
+
+def test_own_dispatches_count_until_a_report_covers_them():
+    placer = _placer(*TRUTHS)
+    placer.sent("a", "x", 500, 0.0)
+    placer.sent("a", "y", 300, 0.0)
+    load = placer.loads["a"]
+    assert load.wait_seconds(0.0, 1.0) == 0.8
+    placer.learned(_truth("a", queued_tokens=500, received=1), 0.0)
+    assert load.wait_seconds(0.0, 1.0) == 0.8
+    placer.learned(_truth("a", queued_tokens=800, received=2), 0.0)
+    assert load.wait_seconds(0.0, 1.0) == 0.8
+    assert abs(load.wait_seconds(0.5, 1.0) - 0.3) < 1e-9
+
+
+def test_restarted_agent_counts_from_zero():
+    """Without the guard the entry would think a server full for ever.
+
+    An agent restarts and counts the entry's dispatches from 0 again; no
+    later report would cover the numbers of its life before.
+    """
+    placer = _placer(*TRUTHS)
+    for number in range(5):
+        placer.sent("a", str(number), 1000, 0.0)
+    placer.learned(_truth("a", received=5), 0.0)
+    placer.sent("a", "lost", 1000, 0.0)
+    placer.learned(_truth("a", received=0), 0.1)
+    placer.sent("a", "new", 10, 0.1)
+    placer.learned(_truth("a", received=1), 0.2)
+    assert placer.loads["a"].wait_seconds(0.2, 1.0) == 0.0
+
+
+def test_hints_expire_and_are_bounded():
+    placer = placement.Placer(
+        seed=1, data_centre="", hint_limit=25, hint_seconds=5
+    )
+    _run(placer, _wanted(), "a", 0.0)
+    assert placer.choose(_wanted("q"), SERVERS, 4.0).expected_depth > 0
+    assert placer.choose(_wanted("q"), SERVERS, 6.0).expected_depth == 0
+    for number in range(10):
+        wanted = _wanted(f"r{number}", text=bytes([number]) * 160)
+        _run(placer, wanted, "a", 7.0)
+    assert len(placer.hints.table) == 25
+    assert attrs.asdict(wanted)["blocks"][-1] in placer.hints.table
