Hold a contract's limits across entries by lending

Cause: a rate or concurrency limit kept in each entry alone is multiplied by the number of entries, and a fixed share refuses an organisation whose requests all reach one entry.

Change: decisions.limits asks the entry that owns an organisation by rendezvous hashing; decisions.lending keeps one token bucket and the slots there and lends them out. An entry lets a request in from a small share of its own and reports it as debt, so that the usual request waits for no message; while the owner is silent only that share is left. Levels in the messages are absolute, so that lost and repeated ones repair themselves.

--- /dev/null
+++ b/pimentoledge/decisions/limits.py
@@ -0,0 +1,597 @@
+"""One contract's rate and concurrency limits over all entries.
+
+For each organisation one entry, chosen by rendezvous hashing, owns the
+limits (decisions.lending) and lends tokens and slots to the others ahead of
+need. An entry without a token lets a request in from a small share of its
+own and reports it as debt, so that the usual request waits for no message.
+While the owner is silent only that share is left: neither nothing nor
+everything.
+"""
+
+import math
+
+import attrs
+import xxhash
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import lending
+from pimentoledge.nodes import messages
+
+SHORTEST_RETRY_SECONDS = 0.02
+LONGEST_RETRY_SECONDS = 30.0
+# Weight of the newest sample in the moving averages.
+SMOOTHING = 0.2
+
+
+@attrs.frozen(kw_only=True)
+class Policy:
+    """How entries share a limit.
+
+    Attributes:
+        own_share: part of the limit, over all entries, that they may use
+            without the owner.
+        chunk_seconds: tokens are borrowed for this time of demand.
+        answer_seconds: an owner that has not answered by then is silent.
+        probe_seconds: a silent owner is asked again this often.
+        tick_seconds: how often leases and waiting requests are looked at.
+        idle_seconds: an account without requests is forgotten after this.
+        most_waiting: requests that may wait for one owner's answer.
+        slots_ahead: whether a slot is taken from the own share before the
+            owner has answered.
+    """
+
+    own_share: float = 0.5
+    chunk_seconds: float = 0.5
+    answer_seconds: float = 0.25
+    probe_seconds: float = 1.0
+    tick_seconds: float = 0.1
+    idle_seconds: float = 60.0
+    most_waiting: int = 1000
+    slots_ahead: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Granted:
+    """The request may run; release it when it has ended.
+
+    Attributes:
+        sends: messages to send.
+    """
+
+    sends: list[actions.Action] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Refused:
+    """The request must not run.
+
+    Attributes:
+        error: what to tell the caller, with an honest `retry_after`.
+        sends: messages to send.
+    """
+
+    error: results.Error
+    sends: list[actions.Action] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Waiting:
+    """The owner is asked; a Decided follows within `answer_seconds`.
+
+    Attributes:
+        sends: messages to send.
+    """
+
+    sends: list[actions.Action] = attrs.field(factory=list)
+
+
+@attrs.frozen(kw_only=True)
+class Decided:
+    """What became of a request that was Waiting.
+
+    Attributes:
+        request: request id.
+        error: None when it may run.
+    """
+
+    request: str
+    error: results.Error | None
+
+
+Taken = Granted | Refused | Waiting
+
+
+@attrs.define(kw_only=True)
+class Account:
+    """What this entry holds of one organisation's limits.
+
+    Attributes:
+        contract: newest contract seen here.
+        owner: mailbox of the entry that owns the limits.
+        tokens: tokens lent and not yet spent.
+        tokens_until: when they lapse.
+        slots: concurrent requests that the owner allows here.
+        slots_until: when that lapses.
+        own_level: tokens of the own share.
+        own_at: time up to which `own_level` counts.
+        debt: requests let in from the own share and not yet reported.
+        running: start time by request id.
+        waiting: time of arrival by request id, in that order.
+        rate_denied_until: the owner has said that there is no token before.
+        slots_denied_until: the same for slots.
+        promised_until: a caller refused earlier was told to come back then.
+        scarce: whether the owner has no slot left.
+        number: that of the last Borrow.
+        asked_at: when it was sent; None when it is answered.
+        arrival_seconds: moving average of the time between requests.
+        hold_seconds: moving average of the time that a request runs.
+        used_at: when the last request came.
+    """
+
+    contract: declarations.Contract
+    owner: str
+    tokens: int = 0
+    tokens_until: float = 0.0
+    slots: int = 0
+    slots_until: float = 0.0
+    own_level: float = 0.0
+    own_at: float = 0.0
+    debt: int = 0
+    running: dict[str, float] = attrs.field(factory=dict)
+    waiting: dict[str, float] = attrs.field(factory=dict)
+    rate_denied_until: float = 0.0
+    slots_denied_until: float = 0.0
+    promised_until: float = 0.0
+    scarce: bool = False
+    number: int = 0
+    asked_at: float | None = None
+    arrival_seconds: float = 1.0
+    hold_seconds: float = 1.0
+    used_at: float = 0.0
+
+    def chunk(self, seconds: float) -> int:
+        """Returns how many tokens to borrow ahead."""
+        wanted = seconds / max(self.arrival_seconds, 1e-6)
+        most = max(1.0, self.contract.burst / 2)
+        return math.ceil(max(1.0, min(wanted, most)))
+
+
+class Limits:
+    """The limits of all contracts, as one entry sees and keeps them.
+
+    Attributes:
+        name: this entry's name.
+        address: this entry's mailbox.
+        policy: how limits are shared.
+        peers: mailboxes of all live entries, this one's among them.
+        accounts: what this entry holds, by organisation.
+        ledgers: what this entry owns, by organisation.
+        organisations: organisation by request that runs or waits.
+        silent: owners that owe an answer, with the time of the last probe.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        seed: int = 0,
+        policy: Policy | None = None,
+    ):
+        """Starts with nothing lent and no peer known.
+
+        Args:
+            name: this entry's name.
+            address: this entry's mailbox.
+            seed: first number of this life's messages, so that an answer to
+                an earlier life is not taken for one to this life.
+            policy: how limits are shared.
+        """
+        self.name = name
+        self.address = address
+        self.seed = seed
+        self.policy = policy or Policy()
+        self.peers: list[str] = [address]
+        self.accounts: dict[str, Account] = {}
+        self.ledgers: dict[str, lending.Ledger] = {}
+        self.organisations: dict[str, str] = {}
+        self.silent: dict[str, float] = {}
+        self.ticked_at: float | None = None
+
+    def take(
+        self, contract: declarations.Contract, request: str, now: float
+    ) -> Taken:
+        """Asks to let one request in.
+
+        Args:
+            contract: the organisation's contract as this entry knows it.
+            request: request id.
+            now: monotonic time in seconds.
+        """
+        if not contract.requests_per_second and not contract.concurrency:
+            return Granted()
+        account = self._account(contract, now)
+        sent: list[actions.Action] = []
+        lacking = self._lacking(account, now)
+        if lacking is _ASK:
+            sent = self._ask(account, now, waiting=1)
+            lacking = self._lacking(account, now)
+        if lacking is None:
+            self._let_in(account, request, now)
+            return Granted(sends=sent + self._ask_ahead(account, now))
+        if lacking is not _ASK:
+            return Refused(
+                error=self._refusal(account, lacking, now), sends=sent
+            )
+        if len(account.waiting) >= self.policy.most_waiting:
+            code = results.Code.OVERLOADED
+            return Refused(error=self._refusal(account, code, now), sends=sent)
+        account.waiting[request] = now
+        self.organisations[request] = contract.organisation
+        return Waiting(sends=sent)
+
+    def release(self, request: str, now: float) -> list[actions.Action]:
+        """Ends a request that was granted, or one that gave up waiting."""
+        organisation = self.organisations.pop(request, "")
+        account = self.accounts.get(organisation)
+        if account is None:
+            return []
+        account.waiting.pop(request, None)
+        started = account.running.pop(request, None)
+        if started is not None:
+            held = now - started
+            account.hold_seconds += SMOOTHING * (held - account.hold_seconds)
+        account.slots_denied_until = 0.0
+        # A freed slot that nobody hears of would be a refusal below the
+        # limit at another entry.
+        if account.scarce and account.asked_at is None:
+            return self._ask(account, now)
+        return []
+
+    def entries(
+        self, addresses: list[str], now: float
+    ) -> list[actions.Action | Decided]:
+        """Takes over the list of live entries' mailboxes."""
+        self.peers = sorted({*addresses, self.address})
+        alive = set(self.peers)
+        for organisation, ledger in list(self.ledgers.items()):
+            ledger.keep_only(alive)
+            if self.owner_of(organisation) != self.address:
+                del self.ledgers[organisation]
+        self.silent = {
+            address: at
+            for address, at in self.silent.items()
+            if address in alive
+        }
+        done: list[actions.Action | Decided] = []
+        for organisation, account in self.accounts.items():
+            owner = self.owner_of(organisation)
+            if owner == account.owner:
+                continue
+            account.owner = owner
+            account.asked_at = None
+            account.slots = min(account.slots, len(account.running))
+            # The new owner knows nothing of what runs here, and would lend
+            # it out again.
+            if account.running or account.waiting:
+                done += self._ask(account, now)
+            done += self._settle(account, now)
+        return done
+
+    def handle(
+        self, event: object, now: float
+    ) -> list[actions.Action | Decided]:
+        """Takes in a message of another entry, or the passing of time.
+
+        Args:
+            event: events.FromNode with a Borrow or a Lend; anything else
+                counts as time that passed.
+            now: monotonic time in seconds.
+        """
+        match event:
+            case events.FromNode(message=messages.Borrow() as ask):
+                return [
+                    actions.Send(
+                        address=event.sender,
+                        message=self._lend(event.sender, ask, now),
+                    )
+                ]
+            case events.FromNode(message=messages.Lend() as lent):
+                return self._lent(event.sender, lent, now)
+            case _:
+                return self._tick(now)
+
+    def next_wake(self) -> float | None:
+        """Returns when handle should be called again without a message."""
+        if not self.accounts and not self.ledgers:
+            return None
+        return (self.ticked_at or 0.0) + self.policy.tick_seconds
+
+    def owner_of(self, organisation: str) -> str:
+        """Returns the mailbox of the entry that owns the limits."""
+        return max(self.peers, key=lambda peer: _score(organisation, peer))
+
+    def _account(self, contract: declarations.Contract, now: float) -> Account:
+        account = self.accounts.get(contract.organisation)
+        if account is None:
+            account = Account(
+                contract=contract,
+                owner=self.owner_of(contract.organisation),
+                number=self.seed,
+                own_at=now,
+                used_at=now - 1.0,
+            )
+            account.own_level = self._own_burst(account)
+            self.accounts[contract.organisation] = account
+        if contract.version >= account.contract.version:
+            account.contract = contract
+        apart = now - account.used_at
+        account.arrival_seconds += SMOOTHING * (apart - account.arrival_seconds)
+        account.used_at = now
+        return account
+
+    def _own_burst(self, account: Account) -> float:
+        part = self.policy.own_share * account.contract.burst
+        return max(1.0, part / len(self.peers))
+
+    def _own_slots(self, account: Account) -> int:
+        part = self.policy.own_share * account.contract.concurrency
+        return max(1, math.floor(part / len(self.peers)))
+
+    def _fill_own(self, account: Account, now: float) -> None:
+        rate = account.contract.requests_per_second
+        rate *= self.policy.own_share / len(self.peers)
+        passed = max(0.0, now - account.own_at)
+        level = account.own_level + rate * passed
+        account.own_level = min(level, self._own_burst(account))
+        account.own_at = max(now, account.own_at)
+
+    def _lacking(self, account: Account, now: float) -> object:
+        """Returns None, a results.Code, or _ASK where the owner must say."""
+        lacking = self._lacking_slot(account, now)
+        if isinstance(lacking, results.Code):
+            return lacking
+        return self._lacking_token(account, now) or lacking
+
+    def _lacking_slot(self, account: Account, now: float) -> object:
+        if not account.contract.concurrency:
+            return None
+        running = len(account.running)
+        if running < account.slots and now < account.slots_until:
+            return None
+        if now < account.slots_denied_until:
+            return results.Code.CONCURRENCY_LIMITED
+        silent = account.owner in self.silent
+        own = running < self._own_slots(account)
+        if own and (silent or self.policy.slots_ahead):
+            return None
+        return results.Code.CONCURRENCY_LIMITED if silent else _ASK
+
+    def _lacking_token(self, account: Account, now: float) -> object:
+        if not account.contract.requests_per_second:
+            return None
+        if account.tokens and now < account.tokens_until:
+            return None
+        if now < account.rate_denied_until:
+            return results.Code.RATE_LIMITED
+        self._fill_own(account, now)
+        if account.own_level >= 1.0:
+            return None
+        silent = account.owner in self.silent
+        return results.Code.RATE_LIMITED if silent else _ASK
+
+    def _let_in(self, account: Account, request: str, now: float) -> None:
+        account.running[request] = now
+        self.organisations[request] = account.contract.organisation
+        if not account.contract.requests_per_second:
+            return
+        if account.tokens and now < account.tokens_until:
+            account.tokens -= 1
+            return
+        account.own_level -= 1.0
+        account.debt += 1
+
+    def _refusal(
+        self, account: Account, code: results.Code, now: float
+    ) -> results.Error:
+        """Returns an error that says when coming back is worth it.
+
+        Callers refused at one time are told times one after another: with
+        the same time for all, most of them would come back for nothing.
+        """
+        contract = account.contract
+        match code:
+            case results.Code.RATE_LIMITED:
+                apart = 1.0 / contract.requests_per_second
+                first = account.rate_denied_until
+                if account.owner in self.silent:
+                    apart *= len(self.peers) / self.policy.own_share
+                    first = now + apart * max(0.0, 1.0 - account.own_level)
+            case _:
+                apart = account.hold_seconds / max(1, contract.concurrency)
+                first = now + apart
+        start = max(first, account.promised_until, now)
+        start = min(start, now + LONGEST_RETRY_SECONDS)
+        account.promised_until = start + apart
+        retry = max(SHORTEST_RETRY_SECONDS, start - now)
+        return results.Error(code=code, retry_after=retry)
+
+    def _ask_ahead(self, account: Account, now: float) -> list[actions.Action]:
+        """Asks for more before the last token and slot are used."""
+        contract = account.contract
+        chunk = account.chunk(self.policy.chunk_seconds)
+        few_tokens = contract.requests_per_second and (
+            account.debt or account.tokens <= chunk // 2
+        )
+        few_slots = contract.concurrency and (
+            len(account.running) > account.slots
+            or (len(account.running) == account.slots and not account.scarce)
+        )
+        if account.asked_at is not None or not (few_tokens or few_slots):
+            return []
+        if account.owner in self.silent:
+            return []
+        if now < account.rate_denied_until and not few_slots:
+            return []
+        return self._ask(account, now)
+
+    def _ask(
+        self, account: Account, now: float, waiting: int = 0
+    ) -> list[actions.Action]:
+        """Sends a Borrow, unless one is under way."""
+        if account.asked_at is not None:
+            return []
+        ask = self._borrow(account, now, waiting)
+        if account.owner == self.address:
+            self._apply(account, self._lend(self.address, ask, now), now)
+            return []
+        return [actions.Send(address=account.owner, message=ask)]
+
+    def _borrow(
+        self, account: Account, now: float, waiting: int
+    ) -> messages.Borrow:
+        contract = account.contract
+        waiting += len(account.waiting)
+        lapsed = account.tokens_until <= now
+        returned = account.tokens if lapsed else 0
+        account.tokens -= returned
+        busy = now - account.used_at < lending.TOKEN_SECONDS
+        chunk = account.chunk(self.policy.chunk_seconds) + waiting
+        wanted = max(0, chunk - account.tokens) if busy or waiting else 0
+        if now < account.rate_denied_until:
+            wanted = 0
+        slots = len(account.running) + waiting
+        if busy and not account.scarce:
+            slots += contract.concurrency // (4 * len(self.peers))
+        account.number += 1
+        account.asked_at = now
+        ask = messages.Borrow(
+            organisation=contract.organisation,
+            number=account.number,
+            version=contract.version,
+            rate=contract.requests_per_second,
+            burst=contract.burst,
+            concurrency=contract.concurrency,
+            tokens=wanted if contract.requests_per_second else 0,
+            debt=account.debt,
+            returned=returned,
+            running=len(account.running),
+            slots=slots if contract.concurrency else 0,
+        )
+        account.debt = 0
+        return ask
+
+    def _lend(
+        self, borrower: str, ask: messages.Borrow, now: float
+    ) -> messages.Lend:
+        ledger = self.ledgers.get(ask.organisation)
+        if ledger is None:
+            ledger = lending.open_ledger(ask, now)
+            self.ledgers[ask.organisation] = ledger
+        return ledger.lend(borrower, ask, now)
+
+    def _lent(
+        self, sender: str, lent: messages.Lend, now: float
+    ) -> list[actions.Action | Decided]:
+        self.silent.pop(sender, None)
+        account = self.accounts.get(lent.organisation)
+        # An answer to an older question, or of a former owner, speaks of a
+        # state that has passed; its tokens lapse unspent.
+        if account is None or account.owner != sender:
+            return []
+        if account.asked_at is None or account.number != lent.number:
+            return []
+        self._apply(account, lent, now)
+        return self._settle(account, now)
+
+    def _apply(self, account: Account, lent: messages.Lend, now: float) -> None:
+        asked_at = account.asked_at if account.asked_at is not None else now
+        account.asked_at = None
+        if lent.tokens:
+            account.tokens += lent.tokens
+            account.tokens_until = asked_at + lent.token_seconds
+            account.rate_denied_until = 0.0
+        if lent.wait:
+            account.rate_denied_until = now + lent.wait
+        account.slots = lent.slots
+        account.slots_until = asked_at + lent.slot_seconds
+        account.scarce = lent.scarce
+        account.slots_denied_until = 0.0
+        if lent.scarce and lent.slots <= len(account.running):
+            pause = account.hold_seconds / max(1, account.contract.concurrency)
+            pause = max(pause, lending.SHORTEST_WAIT_SECONDS)
+            account.slots_denied_until = now + min(pause, 1.0)
+
+    def _settle(
+        self, account: Account, now: float
+    ) -> list[actions.Action | Decided]:
+        """Decides what it can of the requests that wait, in their order."""
+        done: list[actions.Action | Decided] = []
+        for request in list(account.waiting):
+            lacking = self._lacking(account, now)
+            if lacking is _ASK:
+                return done + self._ask(account, now)
+            del account.waiting[request]
+            error = None
+            if lacking is None:
+                self._let_in(account, request, now)
+            else:
+                self.organisations.pop(request, None)
+                error = self._refusal(account, lacking, now)
+            done.append(Decided(request=request, error=error))
+        return done
+
+    def _tick(self, now: float) -> list[actions.Action | Decided]:
+        self.ticked_at = now
+        done: list[actions.Action | Decided] = []
+        for organisation, account in list(self.accounts.items()):
+            done += self._look_at(account, now)
+            idle = now - account.used_at > self.policy.idle_seconds
+            if idle and not account.running and not account.tokens:
+                del self.accounts[organisation]
+        for organisation, ledger in list(self.ledgers.items()):
+            if ledger.idle(now):
+                del self.ledgers[organisation]
+        return done
+
+    def _look_at(
+        self, account: Account, now: float
+    ) -> list[actions.Action | Decided]:
+        policy = self.policy
+        if account.asked_at is not None:
+            late = now - account.asked_at >= policy.answer_seconds
+            if not late:
+                return []
+            # The Borrow or its answer is lost, or the owner is dead or cut
+            # off. What was borrowed with it is gone; asking again may only
+            # lend too little, never the same tokens twice.
+            account.asked_at = None
+            self.silent.setdefault(account.owner, now)
+            return self._settle(account, now)
+        done = self._settle(account, now)
+        if account.owner in self.silent:
+            if now - self.silent[account.owner] < policy.probe_seconds:
+                return done
+            self.silent[account.owner] = now
+            account.debt = 0
+            return done + self._ask(account, now)
+        stale_tokens = account.tokens and account.tokens_until <= now
+        renew = account.slots_until - now < lending.SLOT_SECONDS / 2
+        stale_slots = account.slots and renew
+        idle_slots = account.slots > len(account.running) and (
+            account.scarce or now - account.used_at > lending.TOKEN_SECONDS
+        )
+        if stale_tokens or stale_slots or idle_slots or account.debt:
+            done += self._ask(account, now)
+        return done
+
+
+# The owner has to be asked.
+_ASK = object()
+
+
+def _score(organisation: str, peer: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{organisation}\0{peer}".encode())
--- a/pimentoledge/nodes/messages.py
+++ b/pimentoledge/nodes/messages.py
@@ -296,6 +296,67 @@
     unknown: list[str] = attrs.field(factory=list)
 
 
+@attrs.define(kw_only=True)
+class Borrow:
+    """Entry to the entry that owns a contract's limits: lend to me.
+
+    Levels (`running`, `slots`) are absolute, so a lost or repeated message
+    is put right by the next one.
+
+    Attributes:
+        organisation: whose contract.
+        number: grows by one with each message for this organisation.
+        version: the contract's version that the sender has.
+        rate: that version's requests per second; 0 for no limit.
+        burst: that version's burst.
+        concurrency: that version's concurrent requests; 0 for no limit.
+        tokens: tokens wanted, each good for one request.
+        debt: requests that were let in ahead of a token.
+        returned: tokens handed back unspent.
+        running: requests that run at the sender.
+        slots: concurrent requests wanted, with those that run.
+    """
+
+    organisation: str
+    number: int
+    version: int = 0
+    rate: float = 0.0
+    burst: int = 0
+    concurrency: int = 0
+    tokens: int = 0
+    debt: int = 0
+    returned: int = 0
+    running: int = 0
+    slots: int = 0
+
+
+@attrs.define(kw_only=True)
+class Lend:
+    """Answer to Borrow.
+
+    Attributes:
+        organisation: whose contract.
+        number: that of the Borrow.
+        tokens: tokens lent; they lapse after `token_seconds`.
+        slots: concurrent requests that the receiver may run, in all.
+        token_seconds: from the sending of the Borrow.
+        slot_seconds: from the sending of the Borrow.
+        wait: seconds until a token will be there; 0 when some were lent or
+            none was wanted.
+        scarce: whether no slot is free now; who ends a request says so at
+            once.
+    """
+
+    organisation: str
+    number: int
+    tokens: int = 0
+    slots: int = 0
+    token_seconds: float = 0.0
+    slot_seconds: float = 0.0
+    wait: float = 0.0
+    scarce: bool = False
+
+
 # Numbers on the wire; a number is never used for another message.
 # 1-29 requests; 30-39 limits; 40-49 quarantine; 50-69 configuration and
 # membership; 70-79 claims; 80-89 orders and permits.
@@ -311,4 +372,6 @@
     9: Cancel,
     10: Probe,
     11: Report,
+    30: Borrow,
+    31: Lend,
 }
--- /dev/null
+++ b/pimentoledge/tests/test_limits.py
@@ -0,0 +1,217 @@
+"""One contract's limits over several entries."""
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import limits
+
+ENTRIES = [f"tcp://10.0.0.{number}:7000" for number in range(1, 11)]
+
+
+class Net:
+    """Several entries' limits; messages are carried at once unless cut.
+
+    Attributes:
+        nodes: Limits by mailbox.
+        cut: mailboxes that no message reaches or leaves.
+        decided: error or None, by request that had to wait.
+        sent: number of messages.
+    """
+
+    def __init__(self, *, addresses=ENTRIES, policy=None):
+        self.nodes = {}
+        self.cut = set()
+        self.decided = {}
+        self.sent = 0
+        for address in addresses:
+            self.nodes[address] = limits.Limits(
+                name=address, address=address, policy=policy
+            )
+            self.nodes[address].entries(addresses, 0.0)
+
+    def carry(self, source, done, now):
+        for action in done:
+            match action:
+                case limits.Decided():
+                    self.decided[action.request] = action.error
+                case actions.Send(address=target, message=message):
+                    self.sent += 1
+                    if {source, target} & self.cut and source != target:
+                        continue
+                    event = events.FromNode(sender=source, message=message)
+                    more = self.nodes[target].handle(event, now)
+                    self.carry(target, more, now)
+
+    def take(self, address, contract, request, now):
+        """Returns None when let in, or the error."""
+        taken = self.nodes[address].take(contract, request, now)
+        self.decided.pop(request, None)
+        self.carry(address, taken.sends, now)
+        match taken:
+            case limits.Granted():
+                return None
+            case limits.Refused():
+                return taken.error
+        if request not in self.decided:
+            self.tick(now + 0.3)
+        return self.decided[request]
+
+    def tick(self, now):
+        for address, node in self.nodes.items():
+            self.carry(address, node.handle(None, now), now)
+
+    def release(self, address, request, now):
+        self.carry(address, self.nodes[address].release(request, now), now)
+
+    def let_in(self, contract, per_second, seconds, places):
+        """Offers requests for a while; returns how many were let in."""
+        count = 0
+        for step in range(int(per_second * seconds)):
+            now = step / per_second
+            address = places[step % len(places)]
+            name = f"r{step}"
+            if self.take(address, contract, name, now) is None:
+                count += 1
+                self.release(address, name, now)
+            if step % max(1, per_second // 10) == 0:
+                self.tick(now)
+        return count
+
+
+def contract(**fields):
+    return declarations.Contract(organisation="araujo", version=1, **fields)
+
+
+def test_without_limits_nothing_is_sent():
+    net = Net()
+    assert net.take(ENTRIES[0], contract(), "r", 0.0) is None
+    assert net.sent == 0
+
+
+def test_the_rate_holds_over_all_entries():
+    """An organisation sends ten times its rate, spread over ten entries.
+
+    With a full bucket in each entry it would get ten times its limit.
+    """
+    net = Net()
+    limited = contract(requests_per_second=20, burst=20)
+    count = net.let_in(limited, 200, 10, ENTRIES)
+    assert 0.95 * 220 <= count <= 1.1 * 220
+
+
+def test_one_entry_gets_the_whole_rate():
+    """The balancer sends all of an organisation's requests to one entry.
+
+    With an equal share for each entry it would get a tenth of its limit.
+    """
+    net = Net()
+    limited = contract(requests_per_second=20, burst=20)
+    count = net.let_in(limited, 200, 10, ENTRIES[:1])
+    assert 0.95 * 220 <= count <= 1.1 * 220
+
+
+def test_below_the_rate_nothing_is_refused():
+    net = Net()
+    limited = contract(requests_per_second=20, burst=20)
+    assert net.let_in(limited, 19, 20, ENTRIES) == 19 * 20
+
+
+def test_concurrency_holds_over_all_entries():
+    net = Net()
+    limited = contract(concurrency=7)
+    let_in = [
+        (address, name)
+        for address in ENTRIES
+        for name in (f"{address}-a", f"{address}-b")
+        if net.take(address, limited, name, 1.0) is None
+    ]
+    assert len(let_in) == 7
+    for address, name in let_in:
+        net.release(address, name, 2.0)
+    net.tick(2.1)
+    assert net.take(ENTRIES[9], limited, "last", 2.2) is None
+
+
+def test_one_entry_gets_every_slot():
+    net = Net()
+    limited = contract(concurrency=50)
+    answers = [
+        net.take(ENTRIES[3], limited, f"r{number}", 1.0) for number in range(60)
+    ]
+    assert answers.count(None) == 50
+    assert answers[-1].code == results.Code.CONCURRENCY_LIMITED
+    assert answers[-1].retry_after > 0
+
+
+def test_a_silent_owner_leaves_neither_nothing_nor_everything():
+    """The entry that owns a contract's limits is cut off for a while.
+
+    Callers at the other entries go on, but slower: each entry has its part
+    of half the limit. Refusing all would stop the organisation; letting all
+    in would drop its limit.
+    """
+    net = Net()
+    limited = contract(requests_per_second=20, burst=20)
+    owner = net.nodes[ENTRIES[0]].owner_of("araujo")
+    net.cut.add(owner)
+    others = [address for address in ENTRIES if address != owner]
+    count = net.let_in(limited, 200, 20, others)
+    share = 0.5 * 9 / 10 * (20 * 20 + 20)
+    assert 0.8 * share <= count <= 1.2 * share + 9
+
+
+def test_retry_after_is_worth_following():
+    """A caller is refused, waits as told, and must not be refused again."""
+    net = Net()
+    limited = contract(requests_per_second=2, burst=1)
+    assert net.take(ENTRIES[0], limited, "a", 0.0) is None
+    net.tick(0.01)
+    error = net.take(ENTRIES[0], limited, "b", 0.02)
+    assert error is not None
+    later = 0.02 + error.retry_after
+    net.tick(later)
+    assert net.take(ENTRIES[0], limited, "c", later) is None
+
+
+def test_a_new_owner_learns_what_runs():
+    """The owner of an organisation's limits dies while its slots are used.
+
+    The entry that follows it must not lend the same slots again: the
+    organisation would run twice what its contract says.
+    """
+    net = Net()
+    limited = contract(concurrency=10)
+    owner = net.nodes[ENTRIES[0]].owner_of("araujo")
+    others = [address for address in ENTRIES if address != owner]
+    running = [
+        net.take(others[0], limited, f"r{number}", 1.0) for number in range(10)
+    ]
+    assert running == [None] * 10
+    net.cut.add(owner)
+    for address in others:
+        node = net.nodes[address]
+        net.carry(address, node.entries(others, 2.0), 2.0)
+    error = net.take(others[1], limited, "one more", 2.1)
+    assert error.code == results.Code.CONCURRENCY_LIMITED
+
+
+def test_an_older_contract_is_not_taken_over():
+    """An entry that is behind must not bring back the limit of before."""
+    net = Net()
+    new = contract(concurrency=2)
+    new.version = 5
+    old = contract(concurrency=100)
+    assert net.take(ENTRIES[0], new, "a", 1.0) is None
+    assert net.take(ENTRIES[0], new, "b", 1.0) is None
+    assert net.take(ENTRIES[1], old, "c", 1.0) is not None
+
+
+def test_idle_organisations_are_forgotten():
+    net = Net()
+    limited = contract(requests_per_second=5, concurrency=5)
+    net.let_in(limited, 5, 3, ENTRIES)
+    for step in range(200):
+        net.tick(4.0 + step / 2)
+    assert all(not node.accounts for node in net.nodes.values())
+    assert all(not node.ledgers for node in net.nodes.values())
