Keep the highest version of every declaration at a node

Cause: a node hears of a change from the store and from several other nodes, in any order and more than once; nothing in force may come back by an older message, and one unreadable value may not take away a contract.

The change: configuration.Configuration applies objects one by one by their version, keeps tombstones (20,000; below a forgotten one only the store may bring an unknown object back), falls back to the older valid value where a newer one can't be read, and updates indexes and bucket digests with each change. Declarations of entry processes and operators join the others.

--- /dev/null
+++ b/pimentoledge/decisions/configuration.py
@@ -0,0 +1,455 @@
+"""What is in force at one node: the newest version of every declaration.
+
+A node may hear of the changes in any order, twice, and from several others.
+It keeps the highest version per object and a tombstone for each deletion, so
+nothing that was in force ever comes back by an older message.
+
+Values are kept compressed, as they were stored. Contracts, of which there are
+many, are decoded when they are asked for; the few hot ones stay decoded.
+"""
+
+from collections import abc
+import zlib
+
+import attrs
+from returns import result
+import xxhash
+
+from pimentoledge import results
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import stores
+from pimentoledge.decisions import validation
+
+BUCKETS = 256
+MOST_DECODED = 2048
+MOST_TOMBSTONES = 20_000
+_CONTRACTS = declarations.PREFIXES[declarations.Contract]
+
+
+# Text that most values contain, so that even a short one shrinks; it is never
+# sent or stored, so a release may change it.
+_COMMON = b"".join(
+    declarations.encode(each)
+    for each in (
+        declarations.EntryNode(name="", mailbox="tcp://10."),
+        declarations.Model(name="", weights=""),
+        declarations.Service(name=""),
+        declarations.BackendServer(name="", serves="", agent="tcp://10."),
+        declarations.Contract(organisation="", key_digests=[""]),
+    )
+)
+
+
+def _pack(value: bytes) -> bytes:
+    packer = zlib.compressobj(level=1, wbits=-12, memLevel=4, zdict=_COMMON)
+    return packer.compress(value) + packer.flush()
+
+
+def _unpack(packed: bytes) -> bytes:
+    return zlib.decompressobj(wbits=-12, zdict=_COMMON).decompress(packed)
+
+
+@attrs.frozen(kw_only=True, weakref_slot=False)
+class Record:
+    """What is kept of one object.
+
+    Attributes:
+        version: its version.
+        packed: its value, compressed; None for a deletion.
+    """
+
+    version: int
+    packed: bytes | None
+
+
+def bucket_of(path: str) -> int:
+    """Returns the number of the digest bucket that a path falls in."""
+    return xxhash.xxh3_64_intdigest(path.encode()) % BUCKETS
+
+
+def _fingerprint(path: str, record: Record | None) -> int:
+    if record is None or record.packed is None:
+        return 0
+    text = f"{path}\n{record.version}"
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def decode(
+    path: str, stored: stores.Object
+) -> result.Result[declarations.Declaration, results.Error]:
+    """Reads a stored declaration and checks its values."""
+    match declarations.decode(path, stored):
+        case result.Success(declaration):
+            faults = validation.faults(declaration)
+        case failure:
+            return failure
+    if not faults:
+        return result.Success(declaration)
+    text = f"{path}: {faults[0].param}: {faults[0].text}"
+    code = results.Code.INVALID_DECLARATION
+    return result.Failure(results.Error(code=code, text=text))
+
+
+def _object(path: str, record: Record) -> stores.Object:
+    packed = record.packed
+    return stores.Object(
+        path=path,
+        version=record.version,
+        value=None if packed is None else _unpack(packed),
+    )
+
+
+@attrs.define(kw_only=True)
+class Rejection:
+    """A newest version that could not be taken into force.
+
+    Attributes:
+        path: the object's path.
+        version: the version that was rejected.
+        error: why.
+    """
+
+    path: str
+    version: int
+    error: results.Error
+
+
+class KeyIndex:
+    """Whose key a digest is.
+
+    One key in two declarations is an operators' mistake that two racing
+    updates can make; every node then picks the same owner, whatever the
+    order in which it heard of them.
+
+    Attributes:
+        first: the first owner by name, by digest.
+        others: sorted further owners, by digest; mostly empty.
+    """
+
+    def __init__(self):
+        self.first: dict[bytes, str] = {}
+        self.others: dict[bytes, list[str]] = {}
+
+    def add(self, digest: str, name: str) -> None:
+        """Adds an owner of a key, given its hexadecimal digest."""
+        self._set(bytes.fromhex(digest), self._owners(digest) | {name})
+
+    def drop(self, digest: str, name: str) -> None:
+        """Removes an owner of a key."""
+        self._set(bytes.fromhex(digest), self._owners(digest) - {name})
+
+    def find(self, digest: str) -> str | None:
+        """Returns the owner's name; None for an unknown or malformed key."""
+        try:
+            return self.first.get(bytes.fromhex(digest))
+        except ValueError:
+            return None
+
+    def _owners(self, digest: str) -> set[str]:
+        key = bytes.fromhex(digest)
+        if key not in self.first:
+            return set()
+        return {self.first[key], *self.others.get(key, ())}
+
+    def _set(self, key: bytes, owners: set[str]) -> None:
+        self.first.pop(key, None)
+        self.others.pop(key, None)
+        if owners:
+            self.first[key], *others = sorted(owners)
+            if others:
+                self.others[key] = others
+
+
+class Contracts(abc.Mapping):
+    """The contracts in force by organisation, decoded on use.
+
+    Attributes:
+        configuration: where they come from.
+        decoded: those that were asked for lately.
+        count: how many there are.
+    """
+
+    def __init__(self, *, configuration: "Configuration"):
+        self.configuration = configuration
+        self.decoded: dict[str, declarations.Contract] = {}
+        self.count = 0
+
+    def __getitem__(self, organisation: str) -> declarations.Contract:
+        """Returns the contract of an organisation."""
+        found = self.decoded.get(organisation)
+        if found is not None:
+            return found
+        stored = self.configuration.in_force(_CONTRACTS + organisation)
+        if stored is None:
+            raise KeyError(organisation)
+        found = declarations.decode(stored.path, stored).unwrap()
+        if len(self.decoded) >= MOST_DECODED:
+            self.decoded.pop(next(iter(self.decoded)))
+        self.decoded[organisation] = found
+        return found
+
+    def __contains__(self, organisation: object) -> bool:
+        """Returns whether an organisation has a contract."""
+        path = f"{_CONTRACTS}{organisation}"
+        return self.configuration.in_force(path) is not None
+
+    def __iter__(self) -> abc.Iterator[str]:
+        """Iterates over the organisations; reads through all objects."""
+        for shelf in self.configuration.shelves:
+            for path in list(shelf):
+                name = path.removeprefix(_CONTRACTS)
+                if path.startswith(_CONTRACTS) and name in self:
+                    yield name
+
+    def __len__(self) -> int:
+        """Returns the number of contracts."""
+        return self.count
+
+
+class Configuration:
+    """The newest version of every declaration, with indexes.
+
+    Attributes:
+        version: highest version seen, of any object.
+        known: revision of the store up to which every object was once seen
+            whole, from a scan or from a node that had; 0 while this node may
+            lack objects.
+        contracts: Contract by organisation.
+        rejections: by path, what was too bad to be taken into force.
+        buckets: digest of each bucket's live objects and their versions.
+        root: digest of them all.
+        shelves: newest Record by path, in each bucket.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.known = 0
+        self.contracts = Contracts(configuration=self)
+        self.rejections: dict[str, Rejection] = {}
+        self.buckets = [0] * BUCKETS
+        self.shelves: list[dict[str, Record]] = [{} for _ in range(BUCKETS)]
+        self.root = 0
+        self._fallbacks: dict[str, stores.Object] = {}
+        self._others: dict[type, dict[str, declarations.Declaration]] = {
+            kind: {}
+            for kind in declarations.PREFIXES
+            if kind is not declarations.Contract
+        }
+        self._servers: dict[
+            tuple[str, str], dict[str, declarations.BackendServer]
+        ] = {}
+        self._keys = KeyIndex()
+        self._operators = KeyIndex()
+        self._tombstones: dict[str, int] = {}
+        self._floor = 0
+
+    def apply(
+        self, objects: list[stores.Object], *, from_store: bool = True
+    ) -> list[str]:
+        """Takes objects into force where they are newer.
+
+        Args:
+            objects: objects of the store; a value of None is a deletion.
+            from_store: whether they were just read from the store, rather
+                than told by another node.
+
+        Returns:
+            The paths whose declaration in force changed.
+        """
+        changed = []
+        for stored in objects:
+            if self._newer(stored, from_store) and self._take(stored):
+                changed.append(stored.path)
+        return changed
+
+    def newest(self, path: str) -> stores.Object | None:
+        """Returns the newest object at a path, also a deleted one."""
+        record = self.shelves[bucket_of(path)].get(path)
+        return None if record is None else _object(path, record)
+
+    def in_force(self, path: str) -> stores.Object | None:
+        """Returns the object whose declaration is in force at a path."""
+        if path in self.rejections:
+            return self._fallbacks.get(path)
+        found = self.newest(path)
+        return None if found is None or found.value is None else found
+
+    def get(self, kind: type, name: str) -> declarations.Declaration | None:
+        """Returns the declaration of a kind and name that is in force."""
+        if kind is declarations.Contract:
+            return self.contracts.get(name)
+        return self._others[kind].get(name)
+
+    def names(self, kind: type) -> abc.Iterable[str]:
+        """Returns the names of a kind that are in force."""
+        if kind is declarations.Contract:
+            return self.contracts.keys()
+        return self._others[kind].keys()
+
+    def contract_by_key(self, digest: str) -> declarations.Contract | None:
+        """Returns the contract that a key belongs to.
+
+        Args:
+            digest: hexadecimal BLAKE2b-256 digest of the key.
+        """
+        path = self._keys.find(digest)
+        if path is None:
+            return None
+        return self.contracts[path.removeprefix(_CONTRACTS)]
+
+    def operator_by_key(self, digest: str) -> declarations.Operator | None:
+        """Returns the operator that a key belongs to."""
+        name = self._operators.find(digest)
+        return self.get(declarations.Operator, name) if name else None
+
+    def servers(
+        self, kind: declarations.ServerKind, serves: str
+    ) -> list[declarations.BackendServer]:
+        """Returns the declared servers of a model or service."""
+        return list(self._servers.get((kind, serves), {}).values())
+
+    def server(self, name: str) -> declarations.BackendServer | None:
+        """Returns a declared backend server."""
+        return self._others[declarations.BackendServer].get(name)
+
+    def model(self, name: str) -> declarations.Model | None:
+        """Returns a declared model."""
+        return self._others[declarations.Model].get(name)
+
+    def service(self, name: str) -> declarations.Service | None:
+        """Returns a declared plain service."""
+        return self._others[declarations.Service].get(name)
+
+    def entries(self) -> list[declarations.EntryNode]:
+        """Returns the declared entry processes."""
+        return list(self._others[declarations.EntryNode].values())
+
+    def bucket(self, number: int) -> list[stores.Object]:
+        """Returns all that a node needs to hold one bucket as this one does.
+
+        Where the newest version was rejected this gives the older one, that
+        is in force, too.
+        """
+        fallbacks = [
+            each
+            for path, each in self._fallbacks.items()
+            if bucket_of(path) == number
+        ]
+        shelf = self.shelves[number]
+        return fallbacks + [_object(*each) for each in shelf.items()]
+
+    def _newer(self, stored: stores.Object, from_store: bool) -> bool:
+        old = self.shelves[bucket_of(stored.path)].get(stored.path)
+        if old is not None:
+            return stored.version > old.version
+        # The deletion of this object may have been forgotten here, as only
+        # so many are kept. A node that was cut off meanwhile still has the
+        # object and would bring it back into force; the store would not.
+        return from_store or stored.version > self._floor
+
+    def _take(self, stored: stores.Object) -> bool:
+        self.version = max(self.version, stored.version)
+        if declarations.kind_of(stored.path) is None:
+            return False
+        before = self.in_force(stored.path)
+        path = self._shelve(stored)
+        if stored.value is None:
+            self._accept(path, before, None)
+            self._bury(path, stored.version)
+            return before is not None
+        match decode(path, stored):
+            case result.Success(declaration):
+                self._accept(path, before, declaration)
+                return True
+            case result.Failure(error):
+                self._reject(path, stored.version, before, error)
+        return False
+
+    def _shelve(self, stored: stores.Object) -> str:
+        path = stored.path
+        number = bucket_of(path)
+        shelf = self.shelves[number]
+        old = shelf.get(path)
+        packed = None if stored.value is None else _pack(stored.value)
+        new = Record(version=stored.version, packed=packed)
+        change = _fingerprint(path, old) ^ _fingerprint(path, new)
+        self.buckets[number] ^= change
+        self.root ^= change
+        shelf[path] = new
+        return path
+
+    def _reject(
+        self,
+        path: str,
+        version: int,
+        before: stores.Object | None,
+        error: results.Error,
+    ) -> None:
+        # A value that no release should have written, or one of a newer
+        # release: the node would lose a contract that is in use. The older
+        # valid value stays in force until there is a newer valid one.
+        self._tombstones.pop(path, None)
+        if before is not None:
+            self._fallbacks[path] = before
+        self.rejections[path] = Rejection(
+            path=path, version=version, error=error
+        )
+
+    def _accept(
+        self,
+        path: str,
+        before: stores.Object | None,
+        declaration: declarations.Declaration | None,
+    ) -> None:
+        self._fallbacks.pop(path, None)
+        self.rejections.pop(path, None)
+        self._tombstones.pop(path, None)
+        if before is not None:
+            self._unindex(path, declarations.decode(path, before).unwrap())
+        if declaration is not None:
+            self._index(path, declaration)
+
+    def _bury(self, path: str, version: int) -> None:
+        self._tombstones[path] = version
+        if len(self._tombstones) <= MOST_TOMBSTONES:
+            return
+        path = next(iter(self._tombstones))
+        version = self._tombstones.pop(path)
+        self._floor = max(self._floor, version)
+        del self.shelves[bucket_of(path)][path]
+
+    def _index(self, path: str, declaration: declarations.Declaration) -> None:
+        match declaration:
+            case declarations.Contract(organisation=name):
+                self.contracts.count += 1
+                self.contracts.decoded.pop(name, None)
+                for digest in declaration.key_digests:
+                    self._keys.add(digest, path)
+                return
+            case declarations.BackendServer(kind=kind, serves=serves):
+                servers = self._servers.setdefault((kind, serves), {})
+                servers[declaration.name] = declaration
+            case declarations.Operator():
+                for digest in declaration.key_digests:
+                    self._operators.add(digest, declaration.name)
+        self._others[type(declaration)][declaration.name] = declaration
+
+    def _unindex(
+        self, path: str, declaration: declarations.Declaration
+    ) -> None:
+        match declaration:
+            case declarations.Contract(organisation=name):
+                self.contracts.count -= 1
+                self.contracts.decoded.pop(name, None)
+                for digest in declaration.key_digests:
+                    self._keys.drop(digest, path)
+                return
+            case declarations.BackendServer(kind=kind, serves=serves):
+                servers = self._servers[kind, serves]
+                servers.pop(declaration.name, None)
+                if not servers:
+                    del self._servers[kind, serves]
+            case declarations.Operator():
+                for digest in declaration.key_digests:
+                    self._operators.drop(digest, declaration.name)
+        self._others[type(declaration)].pop(declaration.name, None)
--- a/pimentoledge/decisions/declarations.py
+++ b/pimentoledge/decisions/declarations.py
@@ -3,6 +3,11 @@
 import enum
 
 import attrs
+import msgspec
+from returns import result
+
+from pimentoledge import results
+from pimentoledge.decisions import stores
 
 
 class Priority(enum.StrEnum):
@@ -124,15 +129,62 @@
     outcome_seconds: float = 3600.0
 
 
-Declaration = Contract | BackendServer | Model | Service
+@attrs.define(kw_only=True)
+class EntryNode:
+    """An entry process, declared by itself when it starts.
+
+    Attributes:
+        name: unique name.
+        version: the store's version of this object.
+        mailbox: where other processes reach it, as tcp://ip:port.
+        data_centre: where it stands.
+    """
+
+    name: str
+    version: int = 0
+    mailbox: str
+    data_centre: str = ""
+
+
+class Role(enum.StrEnum):
+    """What an operator may do; each role includes the ones before it."""
+
+    VIEWER = "viewer"
+    EDITOR = "editor"
+    ADMIN = "admin"
+
+
+@attrs.define(kw_only=True)
+class Operator:
+    """An operator of the administration API.
+
+    Attributes:
+        name: unique name.
+        version: the store's version of this object.
+        role: what the operator may do.
+        key_digests: hexadecimal BLAKE2b-256 digests of the operator's keys.
+    """
+
+    name: str
+    version: int = 0
+    role: Role = Role.VIEWER
+    key_digests: list[str] = attrs.field(factory=list)
+
+
+Declaration = Contract | BackendServer | Model | Service | EntryNode | Operator
+
+# Everything that is declared stands below one path, so that one watch sees
+# all of it and none of the store's busier kinds.
+ROOT = "declared/"
 
-# The path of each kind in the object API; the name follows. One common prefix,
-# so that one watch sees every declaration and none of the claims and permits.
+# The path of each kind in the object API; the object's name follows.
 PREFIXES: dict[type, str] = {
-    Contract: "declared/contracts/",
-    BackendServer: "declared/backend-servers/",
-    Model: "declared/models/",
-    Service: "declared/services/",
+    Contract: ROOT + "contracts/",
+    BackendServer: ROOT + "backend-servers/",
+    Model: ROOT + "models/",
+    Service: ROOT + "services/",
+    EntryNode: ROOT + "entries/",
+    Operator: ROOT + "operators/",
 }
 
 
@@ -148,3 +200,55 @@
 def path_of(declaration: Declaration) -> str:
     """Returns the path of a declaration in the object API."""
     return PREFIXES[type(declaration)] + name_of(declaration)
+
+
+def kind_of(path: str) -> type | None:
+    """Returns the kind of declaration that stands at a path, if any."""
+    for kind, prefix in PREFIXES.items():
+        if path.startswith(prefix):
+            return kind
+    return None
+
+
+def encode(declaration: Declaration) -> bytes:
+    """Returns the JSON that is stored for a declaration.
+
+    The version is left out: the store gives it at the write.
+    """
+    fields = msgspec.to_builtins(declaration)
+    del fields["version"]
+    return msgspec.json.encode(fields)
+
+
+def decode(
+    path: str, stored: stores.Object
+) -> result.Result[Declaration, results.Error]:
+    """Reads a stored declaration; its values are checked by validation.
+
+    Fields that this release does not know are passed over, so that a newer
+    release may add some while both run.
+
+    Args:
+        path: where it is stored.
+        stored: the object; its value must not be None.
+
+    Returns:
+        The declaration with the object's version, or an Error that names
+        the field.
+    """
+    kind = kind_of(path)
+    if kind is None:
+        return _invalid(f"{path}: no kind of declaration is kept here")
+    try:
+        declaration = msgspec.json.decode(stored.value, type=kind)
+    except msgspec.MsgspecError as error:
+        return _invalid(f"{path}: {error}")
+    if path_of(declaration) != path:
+        return _invalid(f"{path}: names {name_of(declaration)!r} inside")
+    declaration.version = stored.version
+    return result.Success(declaration)
+
+
+def _invalid(text: str) -> result.Failure:
+    code = results.Code.INVALID_DECLARATION
+    return result.Failure(results.Error(code=code, text=text))
