Decide at the agent what runs, waits or is refused

An entry's beliefs may be stale, so the last hop checks server, incarnation, weights, adapter, leaving and configuration before anything runs. An entry that stays behind a known configuration version for longer than a grace is refused; an agent that is itself behind refuses nothing by it, as what the entry knows is newer.

Then priority, fair share and arrival decide. Fair share counts tokens for each organisation, divided by its share (the virtual token counter of fair LLM serving), with a floor for those that come back from idleness. Weighed: start-time fair queueing with tags at arrival, which can't be corrected by what an answer really took. Batch work leaves a reserve of slots, and gets one in eight by age, so that it is not starved.

The agent outlives its engine and remembers what crashed it, so a suspect runs apart from others even when no entry knows of it yet.

--- /dev/null
+++ b/pimentoledge/decisions/admission.py
@@ -0,0 +1,493 @@
+"""Admission at the agent: the last hop checks the truth, then the order.
+
+Whatever an entry believed when it sent a request, it runs here only if the
+beliefs that matter are still true. Then priority decides, fair share among
+organisations, and arrival.
+"""
+
+import collections
+
+import attrs
+
+from pimentoledge import results
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import queues
+from pimentoledge.nodes import messages
+
+# Crashes that make content certain poison; see quarantine.
+POISON_CRASHES = 3
+# Fingerprints that an agent remembers.
+MAX_REMEMBERED = 1024
+# Configuration versions remembered with the time they were learned.
+MAX_VERSIONS = 64
+# Weight of the newest duration in the running mean.
+DURATION_WEIGHT = 0.1
+# Tokens expected of an answer for the fair share, until it has ended.
+EXPECTED_TOKENS = 256
+MIN_RETRY_AFTER = 0.1
+MAX_RETRY_AFTER = 30.0
+
+Key = tuple[str, int]
+
+
+@attrs.define(kw_only=True)
+class Admit:
+    """Run it now."""
+
+
+@attrs.define(kw_only=True)
+class Queue:
+    """It waits here; ready() or expired() gives it back later."""
+
+
+@attrs.define(kw_only=True)
+class Refuse:
+    """Not run, and never will be for this attempt.
+
+    Attributes:
+        code: why.
+        retry_after: seconds after which it may be tried here again.
+        dispatch: what is refused.
+        sender: the entry that sent it.
+    """
+
+    code: results.Code
+    retry_after: float = 0.0
+    dispatch: messages.Dispatch
+    sender: str
+
+
+@attrs.define(kw_only=True)
+class Ready:
+    """A queued dispatch that starts now."""
+
+    dispatch: messages.Dispatch
+    sender: str
+
+
+@attrs.define(kw_only=True)
+class Running:
+    """A dispatch that was handed to the engine.
+
+    Attributes:
+        item: the dispatch.
+        started: when.
+        batch: whether it holds a slot as batch work.
+        aged: whether it got its slot by age.
+    """
+
+    item: queues.Item
+    started: float
+    batch: bool
+    aged: bool = False
+
+
+@attrs.define(kw_only=True)
+class Crashes:
+    """What this agent's engine did with some content.
+
+    Attributes:
+        count: engines known to have crashed on it, here or elsewhere.
+        until: when to forget it.
+    """
+
+    count: int
+    until: float
+
+
+class Admission:
+    """Decides at one agent what runs, what waits and what is refused.
+
+    An attempt is offered once: holds() tells a repeated message.
+
+    Attributes:
+        server: name of the backend server.
+        slots: requests that the engine runs at one time.
+        reserve: slots that batch work leaves free.
+        aged_slots: slots that batch work may take by age, at one time.
+        age_seconds: wait after which batch work goes before interactive.
+        queue_limit: items that may wait, of each priority.
+        configuration_grace: seconds that an entry may lag behind a
+            configuration version known here.
+        suspect_seconds: how long a suspect is remembered.
+        poison_seconds: how long certain poison is remembered.
+        running: Running by request and attempt.
+        interactive: waiting interactive work.
+        batch: waiting batch work.
+        duration: mean seconds that a request holds a slot; 0 if unknown.
+        remembered: Crashes by fingerprint, oldest first.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: str,
+        slots: int,
+        reserve: int | None = None,
+        age_seconds: float = 10.0,
+        queue_limit: int = 256,
+        configuration_grace: float = 5.0,
+        suspect_seconds: float = 300.0,
+        poison_seconds: float = 86400.0,
+    ):
+        self.server = server
+        self.slots = slots
+        default = max(1, slots // 8) if slots > 1 else 0
+        self.reserve = default if reserve is None else reserve
+        self.aged_slots = max(1, slots // 8)
+        self.age_seconds = age_seconds
+        self.queue_limit = queue_limit
+        self.configuration_grace = configuration_grace
+        self.suspect_seconds = suspect_seconds
+        self.poison_seconds = poison_seconds
+        self.running: dict[Key, Running] = {}
+        self.interactive = queues.FairQueue()
+        self.batch = queues.FairQueue()
+        self.dropped: list[queues.Item] = []
+        self.duration = 0.0
+        self.token_seconds = 0.0
+        self.remembered: dict[bytes, Crashes] = {}
+        self.versions: collections.deque[tuple[int, float]] = collections.deque(
+            maxlen=MAX_VERSIONS
+        )
+        self.required = 0
+        self.now = 0.0
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait here."""
+        return self.interactive.size + self.batch.size
+
+    @property
+    def queued_tokens(self) -> int:
+        """Uncached prompt tokens that wait here."""
+        return sum(
+            _uncached(item.dispatch)
+            for queue in (self.interactive, self.batch)
+            for item in queue
+        )
+
+    def holds(self, request: str, attempt: int) -> bool:
+        """Returns whether an attempt runs or waits here."""
+        return (request, attempt) in self.running or (
+            self._waiting(request, attempt) is not None
+        )
+
+    def suspects(self) -> list[bytes]:
+        """Returns the fingerprints of what runs in the engine."""
+        prints = [
+            each.item.dispatch.fingerprint for each in self.running.values()
+        ]
+        return list(dict.fromkeys(each for each in prints if each))
+
+    def offer(
+        self,
+        dispatch: messages.Dispatch,
+        sender: str,
+        truth: messages.Truth,
+        now: float,
+    ) -> Admit | Queue | Refuse:
+        """Decides on a new dispatch.
+
+        A full queue may push out an item of another organisation; call
+        expired() afterwards, which gives that one back.
+        """
+        self.now = now
+        self.token_seconds = truth.token_seconds
+        self._learn_version(truth.configuration, now)
+        crashes = max(
+            dispatch.crashes, self._remembered(dispatch.fingerprint, now)
+        )
+        code = self._untrue(dispatch, truth) or self._suspect(crashes)
+        if code is not None:
+            delay = self._slot_wait(1) if code == _BUSY else 0.0
+            return _refuse(dispatch, sender, code, delay)
+        item = queues.Item(
+            dispatch=dispatch,
+            sender=sender,
+            arrived=now,
+            deadline=now + dispatch.seconds_left,
+            cost=_cost(dispatch),
+            crashes=crashes,
+        )
+        queue = self._queue(item)
+        starts = queue.size == 0 and self._may_start(item)
+        wait = 0.0 if starts else self._wait(dispatch)
+        late = now + wait - self._latest_start(item)
+        if late > 0 or dispatch.seconds_left <= 0:
+            return _refuse(
+                dispatch, sender, results.Code.DEADLINE_UNMEETABLE, late
+            )
+        if starts:
+            self._start(item, now)
+            return Admit()
+        queue.push(item)
+        if queue.size > self.queue_limit:
+            victim = queue.waiting[queue.heaviest()][-1]
+            queue.remove(victim)
+            if victim is item:
+                return _refuse(dispatch, sender, results.Code.OVERLOADED, wait)
+            self.dropped.append(victim)
+        return Queue()
+
+    def ended(
+        self,
+        request: str,
+        attempt: int,
+        now: float,
+        *,
+        finished: bool = False,
+        tokens: int | None = None,
+    ) -> None:
+        """Notes that an attempt holds no slot any more.
+
+        Args:
+            request: request id.
+            attempt: attempt number.
+            now: the time.
+            finished: whether the engine completed it, which shows that its
+                content does not crash engines.
+            tokens: uncached prompt tokens and generated tokens together.
+        """
+        self.now = now
+        ended = self.running.pop((request, attempt), None)
+        if ended is None:
+            return
+        if tokens is not None:
+            self._queue(ended.item).correct(ended.item, tokens)
+        if finished:
+            self._measure(now - ended.started)
+            self.remembered.pop(ended.item.dispatch.fingerprint, None)
+
+    def cancel(self, request: str, attempt: int) -> bool:
+        """Forgets a queued attempt; returns whether it was queued here."""
+        item = self._waiting(request, attempt)
+        if item is not None:
+            self._queue(item).remove(item)
+        return item is not None
+
+    def ready(self, now: float) -> list[Ready]:
+        """Takes out what starts now; call after each ended() and offer()."""
+        self.now = now
+        started = []
+        while (item := self._next(now)) is not None:
+            self._queue(item).remove(item)
+            self._start(item, now)
+            started.append(Ready(dispatch=item.dispatch, sender=item.sender))
+        return started
+
+    def expired(self, now: float) -> list[Refuse]:
+        """Takes out what can no longer start in time, or was pushed out."""
+        self.now = now
+        refused = [
+            _refuse(
+                item.dispatch,
+                item.sender,
+                results.Code.OVERLOADED,
+                self._wait(item.dispatch),
+            )
+            for item in self.dropped
+        ]
+        self.dropped.clear()
+        for queue in (self.interactive, self.batch):
+            late = [item for item in queue if self._latest_start(item) <= now]
+            for item in late:
+                queue.remove(item)
+                refused.append(
+                    _refuse(
+                        item.dispatch,
+                        item.sender,
+                        results.Code.DEADLINE_UNMEETABLE,
+                        self._wait(item.dispatch),
+                    )
+                )
+        return refused
+
+    def clear(self) -> list[messages.Dispatch]:
+        """Notes that the engine died; returns what was queued, not run.
+
+        What ran is remembered as suspect: this process outlives the engine,
+        so content that crashed it is known here though no entry knows yet.
+        """
+        for fingerprint in self.suspects():
+            known = [
+                each.item.crashes
+                for each in self.running.values()
+                if each.item.dispatch.fingerprint == fingerprint
+            ]
+            self._remember(fingerprint, max(known) + 1)
+        self.running.clear()
+        waited = self.interactive.clear() + self.batch.clear() + self.dropped
+        self.dropped = []
+        return [item.dispatch for item in waited]
+
+    def next_wake(self) -> float | None:
+        """Returns when expired() or ready() has something new to say."""
+        times = [
+            self._latest_start(item)
+            for queue in (self.interactive, self.batch)
+            for item in queue
+        ]
+        oldest = self.batch.oldest()
+        if oldest is not None and len(self.running) < self.slots:
+            aged = oldest.arrived + self.age_seconds
+            if aged > self.now:
+                times.append(aged)
+        return min(times, default=None)
+
+    def _untrue(
+        self, dispatch: messages.Dispatch, truth: messages.Truth
+    ) -> results.Code | None:
+        if dispatch.server != self.server:
+            return results.Code.WRONG_SERVER
+        if not truth.incarnation:
+            return results.Code.SERVER_DOWN
+        if truth.leaving:
+            return results.Code.SERVER_LEAVING
+        if dispatch.incarnation not in ("", truth.incarnation):
+            return results.Code.STALE_INCARNATION
+        if dispatch.weights not in ("", truth.weights):
+            return results.Code.STALE_WEIGHTS
+        adapter = dispatch.completion.adapter if dispatch.completion else ""
+        if adapter and adapter not in truth.adapters:
+            return results.Code.ADAPTER_NOT_LOADED
+        # An entry cut off from changes would go on by a contract that was
+        # withdrawn. An agent that is itself behind decides nothing by it:
+        # what the entry knows is newer.
+        if 0 < dispatch.configuration < self.required:
+            return results.Code.STALE_CONFIGURATION
+        return None
+
+    def _learn_version(self, version: int, now: float) -> None:
+        newest = self.versions[-1][0] if self.versions else self.required
+        if version > newest:
+            self.versions.append((version, now))
+        while self.versions:
+            version, since = self.versions[0]
+            if now - since < self.configuration_grace:
+                break
+            self.required = version
+            self.versions.popleft()
+
+    def _suspect(self, crashes: int) -> results.Code | None:
+        if crashes >= POISON_CRASHES:
+            return results.Code.POISON
+        if crashes == 0:
+            return None
+        running = [each.item for each in self.running.values()]
+        here = [*running, *self.interactive, *self.batch]
+        return _BUSY if any(each.crashes for each in here) else None
+
+    def _remembered(self, fingerprint: bytes, now: float) -> int:
+        known = self.remembered.get(fingerprint)
+        if known is None:
+            return 0
+        if known.until <= now:
+            del self.remembered[fingerprint]
+            return 0
+        return known.count
+
+    def _remember(self, fingerprint: bytes, count: int) -> None:
+        certain = count >= POISON_CRASHES
+        seconds = self.poison_seconds if certain else self.suspect_seconds
+        self.remembered.pop(fingerprint, None)
+        self.remembered[fingerprint] = Crashes(
+            count=count, until=self.now + seconds
+        )
+        while len(self.remembered) > MAX_REMEMBERED:
+            weakest = min(
+                self.remembered, key=lambda each: self.remembered[each].until
+            )
+            del self.remembered[weakest]
+
+    def _queue(self, item: queues.Item) -> queues.FairQueue:
+        return self.batch if _is_batch(item.dispatch) else self.interactive
+
+    def _waiting(self, request: str, attempt: int) -> queues.Item | None:
+        for queue in (self.interactive, self.batch):
+            for item in queue:
+                if item.key() == (request, attempt):
+                    return item
+        return None
+
+    def _may_start(self, item: queues.Item) -> bool:
+        free = self.slots - len(self.running)
+        if not _is_batch(item.dispatch):
+            return free > 0
+        return free > self.reserve and self.interactive.size == 0
+
+    def _aged(self, now: float) -> queues.Item | None:
+        # Interactive work alone could fill every slot for hours; without
+        # this, batch work would wait until its deadline refuses it.
+        oldest = self.batch.oldest()
+        if oldest is None or now - oldest.arrived < self.age_seconds:
+            return None
+        held = sum(each.aged for each in self.running.values())
+        return oldest if held < self.aged_slots else None
+
+    def _next(self, now: float) -> queues.Item | None:
+        if len(self.running) >= self.slots:
+            return None
+        item = self._aged(now) or self.interactive.peek()
+        if item is not None:
+            return item
+        item = self.batch.peek()
+        return item if item is not None and self._may_start(item) else None
+
+    def _start(self, item: queues.Item, now: float) -> None:
+        batch = _is_batch(item.dispatch)
+        self._queue(item).charge(item)
+        self.running[item.key()] = Running(
+            item=item,
+            started=now,
+            batch=batch,
+            aged=batch and now - item.arrived >= self.age_seconds,
+        )
+
+    def _measure(self, seconds: float) -> None:
+        if self.duration == 0.0:
+            self.duration = seconds
+        self.duration += DURATION_WEIGHT * (seconds - self.duration)
+
+    def _slot_wait(self, ahead: float) -> float:
+        return ahead * self.duration / max(1, self.slots)
+
+    def _wait(self, dispatch: messages.Dispatch) -> float:
+        ahead = self.interactive.ahead(dispatch)
+        if _is_batch(dispatch):
+            ahead = self.interactive.size + self.batch.ahead(dispatch)
+        return self._slot_wait(ahead + 1)
+
+    def _latest_start(self, item: queues.Item) -> float:
+        return item.deadline - _uncached(item.dispatch) * self.token_seconds
+
+
+_BUSY = results.Code.SUSPECT_BUSY
+
+
+def _is_batch(dispatch: messages.Dispatch) -> bool:
+    return dispatch.priority == declarations.Priority.BATCH
+
+
+def _uncached(dispatch: messages.Dispatch) -> int:
+    return max(0, dispatch.prompt_tokens - dispatch.expected_depth)
+
+
+def _cost(dispatch: messages.Dispatch) -> int:
+    answer = 0
+    if dispatch.completion is not None:
+        answer = min(dispatch.completion.max_tokens, EXPECTED_TOKENS)
+    return max(1, _uncached(dispatch) + answer)
+
+
+def _refuse(
+    dispatch: messages.Dispatch,
+    sender: str,
+    code: results.Code,
+    retry_after: float,
+) -> Refuse:
+    if retry_after > 0:
+        retry_after = min(max(retry_after, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+    return Refuse(
+        code=code, retry_after=retry_after, dispatch=dispatch, sender=sender
+    )
--- /dev/null
+++ b/pimentoledge/decisions/queues.py
@@ -0,0 +1,154 @@
+"""A queue that shares an engine among organisations by tokens.
+
+Each organisation has a counter of the tokens that it was served, divided by
+its share. The one with the smallest counter goes next; within it, arrival
+order. An organisation that comes back from idleness starts at the floor, so
+it neither saves up service nor pays for what it used when nobody waited.
+"""
+
+import collections
+
+import attrs
+
+from pimentoledge.nodes import messages
+
+# Idle organisations whose counter is remembered; beyond it the one that is
+# least ahead of the floor is forgotten, which gains it the least.
+MAX_IDLE = 256
+
+
+@attrs.define(kw_only=True)
+class Item:
+    """One dispatch that waits.
+
+    Attributes:
+        dispatch: what the entry sent.
+        sender: the entry's mailbox.
+        arrived: when it came.
+        deadline: when its answer is due.
+        cost: tokens that it is expected to take.
+        crashes: engines that its content is known to have crashed.
+    """
+
+    dispatch: messages.Dispatch
+    sender: str
+    arrived: float
+    deadline: float
+    cost: int
+    crashes: int = 0
+
+    def key(self) -> tuple[str, int]:
+        """Returns request and attempt."""
+        return (self.dispatch.request, self.dispatch.attempt)
+
+
+class FairQueue:
+    """Waiting dispatches of one priority.
+
+    Attributes:
+        waiting: items by organisation, in order of arrival.
+        counters: tokens served divided by share, by organisation.
+        floor: counter of the organisation served last, before its charge.
+        size: items waiting.
+    """
+
+    def __init__(self):
+        self.waiting: dict[str, collections.deque[Item]] = {}
+        self.counters: dict[str, float] = {}
+        self.floor = 0.0
+        self.size = 0
+
+    def __iter__(self):
+        for items in self.waiting.values():
+            yield from items
+
+    def push(self, item: Item) -> None:
+        """Adds an item behind those of its organisation."""
+        self._lift(item.dispatch.organisation)
+        items = self.waiting.setdefault(
+            item.dispatch.organisation, collections.deque()
+        )
+        items.append(item)
+        self.size += 1
+
+    def push_front(self, item: Item) -> None:
+        """Puts an item that had started before those of its organisation."""
+        self.push(item)
+        self.waiting[item.dispatch.organisation].rotate(1)
+
+    def peek(self) -> Item | None:
+        """Returns the item that goes next."""
+        if not self.waiting:
+            return None
+        organisation = min(
+            self.waiting,
+            key=lambda each: (
+                self.counters[each],
+                self.waiting[each][0].arrived,
+            ),
+        )
+        return self.waiting[organisation][0]
+
+    def oldest(self) -> Item | None:
+        """Returns the item that has waited longest."""
+        heads = [items[0] for items in self.waiting.values()]
+        return min(heads, key=lambda each: each.arrived, default=None)
+
+    def heaviest(self) -> str:
+        """Returns the organisation with the most waiting for its share."""
+        return max(
+            self.waiting,
+            key=lambda each: sum(
+                item.cost / item.dispatch.share for item in self.waiting[each]
+            ),
+        )
+
+    def remove(self, item: Item) -> None:
+        """Takes out an item that waits here."""
+        organisation = item.dispatch.organisation
+        self.waiting[organisation].remove(item)
+        self.size -= 1
+        if not self.waiting[organisation]:
+            del self.waiting[organisation]
+
+    def charge(self, item: Item) -> None:
+        """Counts an item's tokens to its organisation, as it starts."""
+        organisation = item.dispatch.organisation
+        self._lift(organisation)
+        self.floor = self.counters[organisation]
+        self.counters[organisation] += item.cost / item.dispatch.share
+        self._forget()
+
+    def correct(self, item: Item, tokens: int) -> None:
+        """Replaces an item's expected tokens by what it really took."""
+        organisation = item.dispatch.organisation
+        if organisation in self.counters:
+            change = (tokens - item.cost) / item.dispatch.share
+            self.counters[organisation] += change
+
+    def ahead(self, dispatch: messages.Dispatch) -> float:
+        """Estimates how many items start before a new one would."""
+        own = len(self.waiting.get(dispatch.organisation, ()))
+        shares = dispatch.share
+        for organisation, items in self.waiting.items():
+            if organisation != dispatch.organisation:
+                shares += items[0].dispatch.share
+        return min(self.size, (own + 1) * shares / dispatch.share - 1)
+
+    def clear(self) -> list[Item]:
+        """Takes out all items."""
+        items = list(self)
+        self.waiting.clear()
+        self.size = 0
+        return items
+
+    def _lift(self, organisation: str) -> None:
+        # One that still waits keeps its counter: what it is owed stays.
+        if organisation not in self.waiting:
+            counter = self.counters.get(organisation, self.floor)
+            self.counters[organisation] = max(counter, self.floor)
+
+    def _forget(self) -> None:
+        idle = [each for each in self.counters if each not in self.waiting]
+        if len(idle) > MAX_IDLE:
+            del self.counters[min(idle, key=self.counters.__getitem__)]
