Bound the engines that one poison request can crash

When an engine dies all it ran is suspect. Knowledge is a set of crashes for each fingerprint, merged by union: news may come twice, late or unordered. All entries choose the same server for a suspect, whose agent runs one at a time.

One object for each crash in the store, created on condition that it is absent, by two entries chosen by rendezvous; a lost answer is harmless. A vanished VM is weaker evidence: it isn't stored, and refuses only for long enough that a failing rack is over.

--- a/pimentoledge/nodes/messages.py
+++ b/pimentoledge/nodes/messages.py
@@ -357,6 +357,37 @@
     scarce: bool = False
 
 
+@attrs.define(kw_only=True)
+class Suspects:
+    """Entry to entry, and in the store: an engine died running these.
+
+    Attributes:
+        server: the engine's backend server.
+        incarnation: the life that ended.
+        fingerprints: what it ran, sorted.
+        certain: whether its agent saw the engine die; false when the whole
+            VM vanished.
+    """
+
+    server: str
+    incarnation: str
+    fingerprints: list[bytes]
+    certain: bool = True
+
+
+@attrs.define(kw_only=True)
+class Released:
+    """Entry to entry: an engine completed this suspect.
+
+    Attributes:
+        fingerprint: what is released.
+        crashes: ids of the crashes that it is cleared of.
+    """
+
+    fingerprint: bytes
+    crashes: list[bytes]
+
+
 # Numbers on the wire; a number is never used for another message.
 # 1-29 requests; 30-39 limits; 40-49 quarantine; 50-69 configuration and
 # membership; 70-79 claims; 80-89 orders and permits.
@@ -374,4 +405,6 @@
     11: Report,
     30: Borrow,
     31: Lend,
+    40: Suspects,
+    41: Released,
 }
--- /dev/null
+++ b/pimentoledge/tests/test_quarantine.py
@@ -0,0 +1,187 @@
+"""Quarantine: poison is bounded, innocents are released, news is kept."""
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import events
+from pimentoledge.decisions import quarantine
+from pimentoledge.decisions import stores
+
+A = "tcp://127.0.0.1:9001"
+B = "tcp://127.0.0.1:9002"
+
+
+def pair():
+    return (
+        quarantine.Quarantine(name=A, peers=[B]),
+        quarantine.Quarantine(name=B, peers=[A]),
+    )
+
+
+def deliver(sent, receiver, now):
+    for each in sent:
+        if isinstance(each, actions.Send):
+            receiver.handle(
+                events.FromNode(sender=A, message=each.message), now
+            )
+
+
+class Store:
+    """Answers calls from a dictionary, or says that it is down."""
+
+    def __init__(self):
+        self.objects = {}
+        self.down = False
+        self.writes = 0
+
+    def answer(self, call):
+        if self.down:
+            return stores.Answer(call=call.call, outcome=stores.Outcome.DOWN)
+        match call:
+            case stores.Scan():
+                found = list(self.objects.values())
+                return stores.Answer(
+                    call=call.call,
+                    outcome=stores.Outcome.FOUND,
+                    objects=found,
+                )
+            case stores.Write():
+                self.writes += 1
+                had = self.objects.get(call.path)
+                if (had.version if had else 0) != call.expected:
+                    return stores.Answer(
+                        call=call.call, outcome=stores.Outcome.CONFLICT
+                    )
+                self.objects.pop(call.path, None)
+                if call.value is not None:
+                    self.objects[call.path] = stores.Object(
+                        path=call.path, version=self.writes, value=call.value
+                    )
+                return stores.Answer(
+                    call=call.call,
+                    outcome=stores.Outcome.WRITTEN,
+                    version=self.writes,
+                )
+
+    def serve(self, machine, sent, now):
+        while sent:
+            each = sent.pop(0)
+            if isinstance(each, actions.CallStore):
+                sent += machine.handle(self.answer(each.call), now)
+
+
+def test_second_crash_points_at_one_and_the_third_ends_it():
+    """A request crashes an engine with an innocent beside it.
+
+    Retried apart, the poison crashes its second engine and the innocent
+    completes. After a short hold the poison may try once more; its third
+    crash has it refused for long, and the answer says that it ran.
+    """
+    one, other = pair()
+    deliver(one.crashed([b"p", b"i"], "r1", "x", 0.0), other, 0.0)
+    assert one.check(b"i", 0.0) == quarantine.Suspect(crashes=1)
+    assert other.check(b"p", 0.0) == quarantine.Suspect(crashes=1)
+    deliver(one.survived(b"i", 1.0), other, 1.0)
+    assert other.check(b"i", 1.0) == quarantine.Clear()
+    deliver(one.crashed([b"p", b"c"], "r2", "y", 2.0), other, 2.0)
+    held = other.check(b"p", 2.0)
+    assert held.error.code == results.Code.POISON
+    assert held.error.outcome() == results.Ran.RAN
+    assert held.error.retry_after == 30.0
+    assert other.check(b"c", 2.0) == quarantine.Suspect(crashes=1)
+    assert other.check(b"p", 32.0) == quarantine.Suspect(crashes=2)
+    deliver(one.crashed([b"p"], "r3", "z", 33.0), other, 33.0)
+    assert isinstance(other.check(b"p", 80_000.0), quarantine.Poison)
+
+
+def test_one_crash_counts_once_whoever_reports_it():
+    one, other = pair()
+    sent = one.crashed([b"p"], "r1", "x", 0.0)
+    deliver(sent, other, 0.0)
+    deliver(sent, other, 1.0)
+    assert other.crashed([b"p"], "r1", "x", 1.0) == []
+    assert other.check(b"p", 1.0) == quarantine.Suspect(crashes=1)
+
+
+def test_two_suspects_in_one_batch_are_not_pointed_at():
+    one, _ = pair()
+    one.crashed([b"p", b"i"], "r1", "x", 0.0)
+    one.crashed([b"p", b"i"], "r2", "y", 1.0)
+    assert one.check(b"p", 1.0) == quarantine.Suspect(crashes=2)
+    assert one.check(b"i", 1.0) == quarantine.Suspect(crashes=2)
+
+
+def test_vanished_vms_give_only_a_short_refusal():
+    """A rack fails, and a request that was retried in it looks like poison.
+
+    Three VMs vanish one after another, none seen by its agent to crash.
+    """
+    one, _ = pair()
+    for number in range(3):
+        one.crashed([b"i"], f"r{number}", "x", 0.0, certain=False)
+    assert isinstance(one.check(b"i", 1.0), quarantine.Poison)
+    assert one.check(b"i", 301.0) == quarantine.Clear()
+    assert one.next_wake() is None
+
+
+def test_knowledge_outlives_a_herd_restart_of_entries():
+    """All entries restart at once, and the caller sends its poison again.
+
+    The crashes are in the store; a new entry reads them at its start, and
+    keeps them through an outage that comes afterwards.
+    """
+    store = Store()
+    one, _ = pair()
+    one.peers = []
+    for number in range(3):
+        sent = one.crashed([b"p", b"i"], f"r{number}", "x", 0.0)
+        store.serve(one, sent, 0.0)
+    assert store.writes == 3
+    fresh = quarantine.Quarantine(name=B)
+    assert fresh.check(b"p", 0.0) == quarantine.Clear()
+    store.serve(fresh, fresh.start(0.0), 0.0)
+    store.down = True
+    store.serve(fresh, fresh.wake(60.0), 60.0)
+    assert isinstance(fresh.check(b"p", 60.0), quarantine.Poison)
+
+
+def test_write_waits_for_the_store_and_is_cleaned_up():
+    store = Store()
+    store.down = True
+    one = quarantine.Quarantine(name=A)
+    store.serve(one, one.crashed([b"p"], "r1", "x", 0.0), 0.0)
+    assert not store.objects
+    store.down = False
+    store.serve(one, one.wake(one.next_wake()), 2.0)
+    assert len(store.objects) == 1
+    one.scan_at = 400.0
+    store.serve(one, one.wake(400.0), 400.0)
+    assert not store.objects
+    assert one.check(b"p", 400.0) == quarantine.Clear()
+
+
+def test_suspects_go_to_one_server_from_each_entry():
+    servers = [f"r{number}" for number in range(9)]
+    order = quarantine.server_order(b"p", servers)
+    assert order == quarantine.server_order(b"p", servers[::-1])
+    assert sorted(order) == servers
+    without = [each for each in servers if each != order[3]]
+    assert quarantine.server_order(b"p", without)[:3] == order[:3]
+
+
+def test_fingerprint_separates_organisations_and_parts():
+    assert quarantine.fingerprint_of("a", [b"xy"]) != (
+        quarantine.fingerprint_of("a", [b"x", b"y"])
+    )
+    assert quarantine.fingerprint_of("a", [b"x"]) != (
+        quarantine.fingerprint_of("b", [b"x"])
+    )
+
+
+def test_claim_lets_one_copy_run_at_a_time():
+    one, _ = pair()
+    assert one.begin(b"p", "q1")
+    assert not one.begin(b"p", "q2")
+    one.end(b"p", "q2")
+    assert not one.begin(b"p", "q2")
+    one.end(b"p", "q1")
+    assert one.begin(b"p", "q2")
