Serve callers over HTTP with bounded streams and true errors

Cause: callers need the completions, models and services routes, and no caller may harm another or take a half answer for a whole one. Change: callers/: a cheroot server whose gateway reads a request, hands it to the core and relays its Replies.

--- /dev/null
+++ b/pimentoledge/callers/completions.py
@@ -0,0 +1,244 @@
+"""Completions as callers send them: checked, and turned into messages."""
+
+import re
+from typing import Annotated
+from typing import Literal
+
+import attrs
+import msgspec
+from returns import result
+
+from pimentoledge import results
+from pimentoledge.nodes import messages
+
+DEFAULT_MAX_TOKENS = 1024
+_MOST_TOKENS = 1 << 20
+_MOST_SECONDS = 86400
+
+# Fields read here; every other field goes to the engine unread.
+_OWN_FIELDS = (
+    "model",
+    "adapter",
+    "messages",
+    "prompt",
+    "max_tokens",
+    "max_completion_tokens",
+    "stream",
+    "stream_options",
+    "n",
+    "best_of",
+    "timeout",
+)
+# Fields whose meaning needs more than text from the engine. Ignoring them
+# would give an answer that isn't what was asked for.
+_UNSUPPORTED = (
+    "tools",
+    "functions",
+    "logprobs",
+    "top_logprobs",
+    "echo",
+    "suffix",
+    "audio",
+    "modalities",
+)
+_EMPTY = (b"null", b"false", b"[]", b"0", b'["text"]')
+
+# Where msgspec's messages name the field: "... - at `$.messages[0].role`",
+# "Object missing required field `messages`".
+_PLACE = re.compile(r"`(?:\$\.)?([a-z][\w.\[\]]*)`$")
+
+_Count = Annotated[int, msgspec.Meta(ge=1, le=_MOST_TOKENS)]
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=_MOST_SECONDS)]
+_Sign = Annotated[float, msgspec.Meta(ge=-2, le=2)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Stop = Annotated[str, msgspec.Meta(max_length=256)]
+
+
+@attrs.define(kw_only=True)
+class _Part:
+    """A piece of a message's content; only text is supported."""
+
+    type: Literal["text"]
+    text: str
+
+
+@attrs.define(kw_only=True)
+class _Message:
+    """One message of a chat."""
+
+    role: Literal["system", "developer", "user", "assistant", "tool"]
+    content: str | list[_Part]
+
+
+@attrs.define(kw_only=True)
+class _StreamOptions:
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+@attrs.define(kw_only=True)
+class _Body:
+    """The fields that both kinds of completion have.
+
+    The sampling parameters are checked and then passed on as they came.
+    """
+
+    model: _Name
+    adapter: str | None = None
+    max_tokens: _Count | None = None
+    max_completion_tokens: _Count | None = None
+    stream: bool | None = None
+    stream_options: _StreamOptions | None = None
+    n: Literal[1] | None = None
+    best_of: Literal[1] | None = None
+    timeout: _Seconds | None = None
+    temperature: Annotated[float, msgspec.Meta(ge=0, le=2)] | None = None
+    top_p: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
+    presence_penalty: _Sign | None = None
+    frequency_penalty: _Sign | None = None
+    seed: int | None = None
+    stop: _Stop | Annotated[list[_Stop], msgspec.Meta(max_length=4)] | None = (
+        None
+    )
+
+
+@attrs.define(kw_only=True)
+class _ChatBody(_Body):
+    messages: Annotated[list[_Message], msgspec.Meta(min_length=1)]
+
+
+@attrs.define(kw_only=True)
+class _TextBody(_Body):
+    prompt: str | Annotated[list[str], msgspec.Meta(min_length=1, max_length=1)]
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """A completion that a caller asked for.
+
+    Attributes:
+        completion: what goes to the engine.
+        name: the model as the caller named it.
+        chat: whether the answer has the form of a chat.
+        stream: whether the answer is streamed.
+        include_usage: whether a stream ends with the token counts.
+        seconds: time allowed in the body; 0 when it named none.
+    """
+
+    completion: messages.Completion
+    name: str
+    chat: bool
+    stream: bool
+    include_usage: bool
+    seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """A body that can't be taken.
+
+    Attributes:
+        error: what is wrong.
+        param: the field at fault; None when no single one is.
+    """
+
+    error: results.Error
+    param: str | None = None
+
+
+_decode_chat = msgspec.json.Decoder(_ChatBody).decode
+_decode_text = msgspec.json.Decoder(_TextBody).decode
+_decode_fields = msgspec.json.Decoder(dict[str, msgspec.Raw]).decode
+_encode = msgspec.json.Encoder().encode
+
+
+def read(body: bytes, *, chat: bool) -> result.Result[Asked, Fault]:
+    """Reads the body of a completion.
+
+    Args:
+        body: JSON as it came.
+        chat: whether it came to /v1/chat/completions.
+
+    Returns:
+        What was asked for, or the Fault that makes the body unusable.
+    """
+    try:
+        fields = _decode_fields(body)
+        fault = _unsupported(fields)
+        if fault is not None:
+            return result.Failure(fault)
+        asked = _decode_chat(body) if chat else _decode_text(body)
+    except msgspec.ValidationError as error:
+        return result.Failure(_invalid(str(error)))
+    except (msgspec.DecodeError, RecursionError) as error:
+        # A body nested some thousand levels deep ends in RecursionError.
+        return result.Failure(_not_json(str(error)))
+    return result.Success(_asked(asked, fields, chat))
+
+
+def _not_json(text: str) -> Fault:
+    message = f"the body is not valid JSON: {text}"
+    error = results.Error(code=results.Code.BAD_JSON, text=message)
+    return Fault(error=error)
+
+
+def _invalid(text: str) -> Fault:
+    place = _PLACE.search(text)
+    param = place.group(1) if place is not None else None
+    error = results.Error(code=results.Code.BAD_FIELD, text=text)
+    return Fault(error=error, param=param)
+
+
+def _unsupported(fields: dict[str, msgspec.Raw]) -> Fault | None:
+    for name in _UNSUPPORTED:
+        if name in fields and bytes(fields[name]) not in _EMPTY:
+            text = f"the field {name} is not supported"
+            error = results.Error(code=results.Code.BAD_FIELD, text=text)
+            return Fault(error=error, param=name)
+    return None
+
+
+def _asked(
+    body: _ChatBody | _TextBody, fields: dict[str, msgspec.Raw], chat: bool
+) -> Asked:
+    model, _, adapter = body.model.partition(":")
+    limit = body.max_completion_tokens or body.max_tokens or DEFAULT_MAX_TOKENS
+    for name in _OWN_FIELDS:
+        fields.pop(name, None)
+    completion = messages.Completion(
+        model=model,
+        adapter=body.adapter or adapter,
+        prompt=_prompt(body),
+        max_tokens=limit,
+        parameters=_encode(fields),
+    )
+    options = body.stream_options
+    return Asked(
+        completion=completion,
+        name=body.model,
+        chat=chat,
+        stream=bool(body.stream),
+        include_usage=options is not None and options.include_usage,
+        seconds=body.timeout or 0.0,
+    )
+
+
+def _prompt(body: _ChatBody | _TextBody) -> str:
+    match body:
+        case _TextBody():
+            prompt = body.prompt
+            return prompt if isinstance(prompt, str) else prompt[0]
+        case _ChatBody():
+            turns = [_turn(each) for each in body.messages]
+            return "".join(turns) + "<|assistant|>\n"
+
+
+def _turn(message: _Message) -> str:
+    content = message.content
+    if not isinstance(content, str):
+        content = "".join(each.text for each in content)
+    # Text that holds a role's marker would begin a message of that role; an
+    # inserted space keeps it text.
+    content = content.replace("<|", "< |")
+    return f"<|{message.role}|>\n{content}\n"
--- /dev/null
+++ b/pimentoledge/callers/passing.py
@@ -0,0 +1,83 @@
+"""Calls to plain services: what is passed on, and what comes back."""
+
+import urllib.parse
+
+from pimentoledge.nodes import messages
+
+ROOT = "/services/"
+
+# Headers that belong to one connection, and those that the sender's HTTP
+# library sets by itself.
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Headers that speak to this system only. The API key must not leave it.
+_OWN = frozenset(
+    ("authorization", "x-priority", "x-request-timeout", "traceparent")
+)
+
+
+def call(
+    *, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+) -> messages.ServiceCall | None:
+    """Returns the call that a request below ROOT asks for.
+
+    Args:
+        method: HTTP method.
+        target: path and query as they came, not unquoted.
+        headers: headers as they came.
+        body: the whole body.
+
+    Returns:
+        The call; None if the path names no service.
+    """
+    path, _, query = target.removeprefix(ROOT).partition("?")
+    service, _, rest = path.partition("/")
+    if not service:
+        return None
+    return messages.ServiceCall(
+        service=urllib.parse.unquote(service),
+        method=method,
+        path="/" + rest,
+        query=query,
+        headers=without(headers, _HOP_BY_HOP | _OWN),
+        body=body,
+    )
+
+
+def answer_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Returns the headers of a service's answer that go to the caller."""
+    return without(headers, _HOP_BY_HOP)
+
+
+def without(
+    headers: list[tuple[str, str]], names: frozenset[str]
+) -> list[tuple[str, str]]:
+    """Returns headers without those named, or named by Connection."""
+    dropped = set(names)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(each.strip().lower() for each in value.split(","))
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped and _is_plain(name + value)
+    ]
+
+
+def _is_plain(text: str) -> bool:
+    # A line break within a header would begin another one at the receiver.
+    return "\r" not in text and "\n" not in text
