Measure placement against baselines in virtual time

Policies could not be compared: nothing ran them on one workload. Now `make measure` runs the real placement decisions and eight baselines over two workloads with nested prefixes, four entries, pools of runners with limited caches, and six faults, each policy on the same seeds. It writes JSON, Markdown and a plot per table under results/.

The engine and the agent here are small stand-ins of the bench; they give way to the project's own as those land.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,11 @@
 	$(BIN)/python -m pytest
 
 check: $(STAMP)
-	$(BIN)/python -m pyink --quiet --check pimentoledge
-	$(BIN)/python -m ruff check --quiet pimentoledge
+	$(BIN)/python -m pyink --quiet --check pimentoledge benches
+	$(BIN)/python -m ruff check --quiet pimentoledge benches
+
+measure: $(STAMP)
+	$(BIN)/python -m benches.measure
 
 clean:
-	rm -rf $(VENV) build *.egg-info
+	rm -rf $(VENV) build results *.egg-info
--- /dev/null
+++ b/benches/engines.py
@@ -0,0 +1,228 @@
+"""A runner's engine as a step machine in virtual time.
+
+It batches continuously: each step gives one token to every request past its
+prefill and spends a budget of prompt tokens on the others, interactive ones
+first. Its cache of prompt blocks is limited; the least recently used block
+goes first.
+"""
+
+import collections
+
+import attrs
+
+from benches import workloads
+
+_CHUNK_TOKENS = 512
+# Batch work leaves this many slots to interactive work.
+_KEPT_SLOTS = 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """A request in an engine.
+
+    Attributes:
+        arrival: the request.
+        attempt: number of its attempt.
+        expected: cached tokens that the entry expected.
+        cached: prompt tokens found in the cache; None before it starts.
+        left: prompt tokens still to compute.
+        stored: blocks of it already put into the cache.
+        generated: tokens generated.
+    """
+
+    arrival: workloads.Arrival
+    attempt: int
+    expected: int
+    cached: int | None = None
+    left: int = 0
+    stored: int = 0
+    generated: int = 0
+
+
+class Holders:
+    """Counts, over all live engines, how many hold each block."""
+
+    def __init__(self):
+        self.counts: collections.Counter[bytes] = collections.Counter()
+
+    def add(self, block: bytes):
+        """Counts an engine that now holds a block."""
+        self.counts[block] += 1
+
+    def remove(self, block: bytes):
+        """Counts an engine that no longer holds a block."""
+        if self.counts[block] <= 1:
+            del self.counts[block]
+        else:
+            self.counts[block] -= 1
+
+    def depth(self, blocks: list[bytes]) -> int:
+        """Returns how many leading blocks are held by any engine."""
+        return _leading(blocks, self.counts)
+
+
+def _leading(blocks: list[bytes], held) -> int:
+    for depth, block in enumerate(blocks):
+        if block not in held:
+            return depth
+    return len(blocks)
+
+
+class Engine:
+    """One engine.
+
+    Attributes:
+        name: its runner's name.
+        pool: its sizes and speeds.
+        holders: shared count of held blocks, for the wasted tokens.
+        waiting: jobs outside the batch, by priority.
+        batch: jobs in the batch.
+        cache: blocks held, least recently used first.
+        prefilled: prompt tokens of the running step, by job.
+        computed: prompt tokens computed for each job that started.
+    """
+
+    def __init__(self, *, name: str, pool: workloads.Pool, holders: Holders):
+        self.name = name
+        self.pool = pool
+        self.holders = holders
+        self.waiting: dict[str, collections.deque[Job]] = {
+            workloads.INTERACTIVE: collections.deque(),
+            workloads.BATCH: collections.deque(),
+        }
+        self.batch: list[Job] = []
+        self.cache: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
+        self.prefilled: list[tuple[Job, int]] = []
+        self.started: list[tuple[Job, int]] = []
+
+    def submit(self, job: Job):
+        """Queues a job."""
+        self.waiting[job.arrival.priority].append(job)
+
+    def idle(self) -> bool:
+        """Returns whether there is nothing to do."""
+        return not self.batch and not any(self.waiting.values())
+
+    def queued(self) -> int:
+        """Returns the number of jobs outside the batch."""
+        return sum(len(each) for each in self.waiting.values())
+
+    def queued_tokens(self) -> int:
+        """Returns the uncached prompt tokens waiting or in prefill."""
+        outside = sum(
+            max(0, job.arrival.prompt_tokens - job.expected)
+            for queue in self.waiting.values()
+            for job in queue
+        )
+        return outside + sum(job.left for job in self.batch)
+
+    def depth(self, blocks: list[bytes]) -> int:
+        """Returns how many leading blocks are in the cache."""
+        return _leading(blocks, self.cache)
+
+    def start_step(self) -> float:
+        """Begins a step and returns how long it takes."""
+        self.fill()
+        budget = _CHUNK_TOKENS
+        self.prefilled = []
+        order = sorted(
+            (job for job in self.batch if job.cached is None or job.left),
+            key=lambda job: job.arrival.priority != workloads.INTERACTIVE,
+        )
+        for job in order:
+            if budget <= 0:
+                break
+            if job.cached is None:
+                self.look_up(job)
+            tokens = min(budget, job.left)
+            budget -= tokens
+            self.prefilled.append((job, tokens))
+        spent = (_CHUNK_TOKENS - budget) * self.pool.token_seconds
+        return self.pool.step_seconds + spent
+
+    def fill(self):
+        """Moves waiting jobs into the batch."""
+        for priority, kept in (
+            (workloads.INTERACTIVE, 0),
+            (workloads.BATCH, _KEPT_SLOTS),
+        ):
+            queue = self.waiting[priority]
+            while queue and len(self.batch) < self.pool.slots - kept:
+                self.batch.append(queue.popleft())
+
+    def look_up(self, job: Job):
+        """Takes what the cache has of a job's prompt."""
+        depth = self.depth(job.arrival.blocks)
+        elsewhere = self.holders.depth(job.arrival.blocks)
+        wasted = max(0, elsewhere - depth) * workloads.BLOCK_TOKENS
+        job.cached = depth * workloads.BLOCK_TOKENS
+        job.stored = depth
+        # One token at least is computed, to have the first answer's token.
+        job.left = max(1, job.arrival.prompt_tokens - job.cached)
+        self.touch(job.arrival.blocks[:depth])
+        self.started.append((job, wasted))
+
+    def touch(self, blocks: list[bytes]):
+        """Marks blocks as used, the first of a prompt as the most recent.
+
+        So a block never leaves before the ones that continue it.
+        """
+        for block in reversed(blocks):
+            if block in self.cache:
+                self.cache.move_to_end(block)
+
+    def end_step(self) -> tuple[list[Job], list[Job]]:
+        """Ends a step.
+
+        Returns:
+            Jobs whose first token is ready, and jobs that are complete.
+        """
+        first: list[Job] = []
+        done: list[Job] = []
+        for job in self.batch:
+            if job.cached is not None and not job.left:
+                job.generated += 1
+        for job, tokens in self.prefilled:
+            job.left -= tokens
+            self.store(job)
+            if not job.left:
+                job.generated = 1
+                first.append(job)
+        for job in self.batch:
+            if job.generated >= job.arrival.output_tokens:
+                done.append(job)
+        if done:
+            gone = set(map(id, done))
+            self.batch = [job for job in self.batch if id(job) not in gone]
+        return first, done
+
+    def store(self, job: Job):
+        """Puts the blocks that a job has computed into the cache."""
+        known = job.arrival.prompt_tokens - job.left
+        depth = min(len(job.arrival.blocks), known // workloads.BLOCK_TOKENS)
+        for block in job.arrival.blocks[job.stored : depth]:
+            if block not in self.cache:
+                self.cache[block] = None
+                self.holders.add(block)
+        job.stored = max(job.stored, depth)
+        self.touch(job.arrival.blocks[:depth])
+        most = self.pool.cache_tokens // workloads.BLOCK_TOKENS
+        while len(self.cache) > most:
+            block, _ = self.cache.popitem(last=False)
+            self.holders.remove(block)
+
+    def crash(self) -> list[Job]:
+        """Loses all state; returns the jobs that were in it."""
+        lost = [*self.batch, *self.waiting["interactive"]]
+        lost.extend(self.waiting["batch"])
+        for block in self.cache:
+            self.holders.remove(block)
+        self.cache.clear()
+        self.batch = []
+        self.prefilled = []
+        for queue in self.waiting.values():
+            queue.clear()
+        return lost
--- /dev/null
+++ b/benches/workloads.py
@@ -0,0 +1,310 @@
+"""Synthetic workloads with nested shared prompt prefixes.
+
+Two deployments, each with a pool of large and a pool of small runners:
+
+* manuals: people wait for answers about service manuals, nested by brand,
+  model and year; quick quotes go to the small runners.
+* dossiers: long checks of a lot's dossier against a rule set, which nobody
+  waits for, with interactive notes beside them; more notes go to the small
+  runners.
+"""
+
+import bisect
+import enum
+import functools
+import itertools
+import random
+
+import attrs
+
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import prefixes
+
+ENTRIES = 4
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+ORGANISATIONS = 8
+BLOCK_BYTES = 256
+TOKEN_BYTES = 4
+BLOCK_TOKENS = BLOCK_BYTES // TOKEN_BYTES
+WEIGHTS = "w1"
+SECONDS = 60.0
+WARM_UP = 10.0
+FAULT_AT = 30.0
+
+INTERACTIVE = declarations.Priority.INTERACTIVE
+BATCH = declarations.Priority.BATCH
+_DEADLINES = {INTERACTIVE: 10.0, BATCH: 120.0}
+
+
+class Deployment(enum.StrEnum):
+    """Which of the two workloads."""
+
+    MANUALS = "manuals"
+    DOSSIERS = "dossiers"
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """A pool of equal runners of one model.
+
+    Attributes:
+        model: model name.
+        runners: how many.
+        cache_tokens: tokens in one runner's prefix cache.
+        token_seconds: prefill time of one uncached token.
+        step_seconds: time of one batch step without prefill.
+        slots: requests in one runner's batch at most.
+    """
+
+    model: str
+    runners: int
+    cache_tokens: int
+    token_seconds: float
+    step_seconds: float
+    slots: int
+
+
+_LARGE = Pool(
+    model="large",
+    runners=9,
+    cache_tokens=96_000,
+    token_seconds=0.00012,
+    step_seconds=0.02,
+    slots=16,
+)
+_SMALL = Pool(
+    model="small",
+    runners=3,
+    cache_tokens=24_000,
+    token_seconds=0.00005,
+    step_seconds=0.01,
+    slots=16,
+)
+POOLS = {
+    Deployment.MANUALS: (_LARGE, _SMALL),
+    Deployment.DOSSIERS: (attrs.evolve(_LARGE, runners=5), _SMALL),
+}
+
+
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """A request as it reaches an entry.
+
+    Attributes:
+        request: request id.
+        at: time of arrival.
+        entry: number of the entry that the balancer chose.
+        organisation: whose request it is.
+        model: which model.
+        priority: declarations.Priority.
+        blocks: chained digests of its prompt.
+        prompt_tokens: tokens in the prompt.
+        output_tokens: tokens that it will generate.
+        deadline: seconds that its caller allows.
+    """
+
+    request: str
+    at: float
+    entry: int
+    organisation: str
+    model: str
+    priority: declarations.Priority
+    blocks: list[bytes]
+    prompt_tokens: int
+    output_tokens: int
+    deadline: float
+
+
+class Zipf:
+    """Draws small numbers, the small ones more often."""
+
+    def __init__(self, *, count: int, exponent: float):
+        weights = [1 / (each + 1) ** exponent for each in range(count)]
+        self.cumulative = list(itertools.accumulate(weights))
+
+    def draw(self, rng: random.Random) -> int:
+        """Returns a number from 0 to count - 1."""
+        point = rng.random() * self.cumulative[-1]
+        return bisect.bisect(self.cumulative, point)
+
+
+@functools.cache
+def _segment(name: str, tokens: int) -> bytes:
+    """Returns the text of one level; the same name gives the same text."""
+    return random.Random(name).randbytes(tokens * TOKEN_BYTES)
+
+
+def _length(name: str, low: int, high: int) -> int:
+    return random.Random(name).randint(low, high)
+
+
+class Generator:
+    """Makes the arrivals of one deployment and one seed.
+
+    Attributes:
+        seed: seed of all chance in it.
+        rng: the source of chance.
+        organisations: draws an organisation; a few are large.
+        shift: whether half of the large runners' work goes to one prefix,
+            cold until then, from FAULT_AT on.
+        arrivals: what was made.
+    """
+
+    def __init__(self, *, seed: int, shift: bool):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.organisations = Zipf(count=ORGANISATIONS, exponent=1.1)
+        self.shift = shift
+        self.arrivals: list[Arrival] = []
+
+    def shifted(self, at: float, share: float) -> bool:
+        """Returns whether a request goes to the newly hot prefix."""
+        return self.shift and at >= FAULT_AT and self.rng.random() < share
+
+    def add(
+        self,
+        at: float,
+        organisation: int,
+        model: str,
+        priority: declarations.Priority,
+        segments: list[bytes],
+        output_tokens: int,
+    ):
+        """Adds a request whose prompt is the segments and a unique tail."""
+        # Named after the seed, so that each seed hashes to other servers.
+        name = f"org-{self.seed}-{organisation}"
+        key = prefixes.salt(
+            organisation=name, model=model, adapter="", weights=WEIGHTS
+        )
+        text = b"".join(segments)
+        blocks = prefixes.chain(salt=key, text=text, block_bytes=BLOCK_BYTES)
+        arrival = Arrival(
+            request="",
+            at=at,
+            entry=self.rng.randrange(ENTRIES),
+            organisation=name,
+            model=model,
+            priority=priority,
+            blocks=blocks,
+            prompt_tokens=len(text) // TOKEN_BYTES,
+            output_tokens=output_tokens,
+            deadline=_DEADLINES[priority],
+        )
+        self.arrivals.append(arrival)
+
+    def tail(self, low: int, high: int) -> bytes:
+        """Returns text that no other request has."""
+        return self.rng.randbytes(self.rng.randint(low, high) * TOKEN_BYTES)
+
+    def times(self, rate: float):
+        """Yields Poisson arrivals of a rate per second."""
+        at = self.rng.expovariate(rate)
+        while at < SECONDS:
+            yield at
+            at += self.rng.expovariate(rate)
+
+    def manuals(self, rate: float):
+        """Adds questions about manuals, one in seven of them as batch work."""
+        brands = Zipf(count=4, exponent=1.0)
+        models = Zipf(count=6, exponent=1.0)
+        years = Zipf(count=3, exponent=0.7)
+        for at in self.times(rate):
+            place = (
+                self.organisations.draw(self.rng),
+                brands.draw(self.rng),
+                models.draw(self.rng),
+                years.draw(self.rng),
+            )
+            if self.shifted(at, 0.6):
+                place = (1, 3, 5, 2)
+            priority = BATCH if self.rng.random() < 0.15 else INTERACTIVE
+            org, brand, model, year = place
+            segments = [
+                _level(f"preamble {org}", 300, 500),
+                _level(f"brand {org} {brand}", 1000, 2000),
+                _level(f"model {org} {brand} {model}", 2000, 4000),
+                _level(f"year {place}", 800, 1600),
+                self.tail(80, 400),
+            ]
+            output = self.rng.randint(30, 120)
+            self.add(at, org, "large", priority, segments, output)
+
+    def quotes(self, rate: float):
+        """Adds short interactive work for the small runners."""
+        lists = Zipf(count=4, exponent=0.8)
+        for at in self.times(rate):
+            org = self.organisations.draw(self.rng)
+            number = lists.draw(self.rng)
+            segments = [
+                _level(f"counter {org}", 300, 600),
+                _level(f"list {org} {number}", 500, 1200),
+                self.tail(50, 250),
+            ]
+            output = self.rng.randint(30, 100)
+            self.add(at, org, "small", INTERACTIVE, segments, output)
+
+    def dossiers(self, rate: float):
+        """Adds checks of lots: each lot gets several within some seconds."""
+        rules = Zipf(count=3, exponent=1.5)
+        checks_per_lot = 8
+        for start in self.times(rate / checks_per_lot):
+            org = self.organisations.draw(self.rng)
+            rule = rules.draw(self.rng)
+            if self.shifted(start, 0.5):
+                org, rule = 2, 2
+            shared = [
+                _level(f"rules {org} {rule}", 3000, 6000),
+                self.tail(1500, 5000),
+            ]
+            at = start
+            for _ in range(self.rng.randint(2, 2 * checks_per_lot - 2)):
+                segments = [*shared, self.tail(60, 200)]
+                self.add(at, org, "large", BATCH, segments, 2)
+                at += self.rng.expovariate(0.8)
+
+    def notes(self, rate: float):
+        """Adds interactive notes for the runners of the long checks."""
+        templates = Zipf(count=3, exponent=1.0)
+        for at in self.times(rate):
+            org = self.organisations.draw(self.rng)
+            number = templates.draw(self.rng)
+            segments = [
+                _level(f"desk {org}", 400, 800),
+                _level(f"template {org} {number}", 600, 1200),
+                self.tail(50, 200),
+            ]
+            output = self.rng.randint(30, 80)
+            self.add(at, org, "large", INTERACTIVE, segments, output)
+
+
+def _level(name: str, low: int, high: int) -> bytes:
+    return _segment(name, _length(name, low, high))
+
+
+@functools.cache
+def arrivals(
+    deployment: Deployment, seed: int, shift: bool, load: float
+) -> tuple[Arrival, ...]:
+    """Returns a workload in the order of arrival.
+
+    Args:
+        deployment: which workload.
+        seed: seed of all chance in it.
+        shift: whether the hot prefix changes at FAULT_AT.
+        load: multiplies all rates.
+    """
+    generator = Generator(seed=seed, shift=shift)
+    match deployment:
+        case Deployment.MANUALS:
+            generator.manuals(rate=14.0 * load)
+            generator.quotes(rate=14.0 * load)
+        case Deployment.DOSSIERS:
+            generator.dossiers(rate=12.0 * load)
+            generator.notes(rate=4.0 * load)
+            generator.quotes(rate=14.0 * load)
+    ordered = sorted(generator.arrivals, key=lambda each: each.at)
+    kept = [each for each in ordered if each.at < SECONDS]
+    return tuple(
+        attrs.evolve(each, request=f"r{number}")
+        for number, each in enumerate(kept)
+    )
