Pause batch work for interactive work at the agent

An interactive request that found the reserve used up waited until some batch answer was complete: hundreds of steps of the engine. Now the batch work that started last is cancelled at the engine and put back in front of its organisation's queue, to resume behind what it has generated. Work that got its slot by age stays, since it would starve.

Weighed: handing the engine more than its slots and trusting its priorities, which in common engines order the queue but don't stop what runs; a larger reserve, which bounds nothing when a burst exceeds it.

What was paused has run, so giving it up is reported as such and never as "not run".

--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -32,7 +32,14 @@
 
 @attrs.define(kw_only=True)
 class Admit:
-    """Run it now."""
+    """Run it now.
+
+    Attributes:
+        pause: running batch work to cancel at the engine for it; paused()
+            is to be called as each has stopped.
+    """
+
+    pause: list[Key] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
@@ -49,20 +56,30 @@
         retry_after: seconds after which it may be tried here again.
         dispatch: what is refused.
         sender: the entry that sent it.
+        started: it did run until it was paused: to be reported as failed,
+            since "not run" would be false.
     """
 
     code: results.Code
     retry_after: float = 0.0
     dispatch: messages.Dispatch
     sender: str
+    started: bool = False
 
 
 @attrs.define(kw_only=True)
 class Ready:
-    """A queued dispatch that starts now."""
+    """A queued dispatch that starts now.
+
+    Attributes:
+        dispatch: what the entry sent.
+        sender: the entry that sent it.
+        resumed: it was paused; it goes on behind what it has generated.
+    """
 
     dispatch: messages.Dispatch
     sender: str
+    resumed: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -74,12 +91,15 @@
         started: when.
         batch: whether it holds a slot as batch work.
         aged: whether it got its slot by age.
+        pausing: whether the engine was told to stop it, so that its slot
+            is as good as free.
     """
 
     item: queues.Item
     started: float
     batch: bool
     aged: bool = False
+    pausing: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -212,6 +232,8 @@
         )
         queue = self._queue(item)
         starts = queue.size == 0 and self._may_start(item)
+        victim = self._victim(item) if not starts and not queue.size else None
+        starts = starts or victim is not None
         wait = 0.0 if starts else self._wait(dispatch)
         late = now + wait - self._latest_start(item)
         if late > 0 or dispatch.seconds_left <= 0:
@@ -220,7 +242,7 @@
             )
         if starts:
             self._start(item, now)
-            return Admit()
+            return Admit(pause=self._pause(victim))
         queue.push(item)
         if queue.size > self.queue_limit:
             victim = queue.waiting[queue.heaviest()][-1]
@@ -259,6 +281,18 @@
             self._measure(now - ended.started)
             self.remembered.pop(ended.item.dispatch.fingerprint, None)
 
+    def paused(self, request: str, attempt: int, now: float) -> None:
+        """Notes that the engine stopped an attempt that is to be paused.
+
+        It waits in front of its organisation's batch work; ready() resumes
+        it.
+        """
+        self.now = now
+        stopped = self.running.pop((request, attempt), None)
+        if stopped is not None:
+            stopped.item.started = True
+            self.batch.push_front(stopped.item)
+
     def cancel(self, request: str, attempt: int) -> bool:
         """Forgets a queued attempt; returns whether it was queued here."""
         item = self._waiting(request, attempt)
@@ -271,21 +305,23 @@
         self.now = now
         started = []
         while (item := self._next(now)) is not None:
+            aged = item is self._aged(now)
             self._queue(item).remove(item)
-            self._start(item, now)
-            started.append(Ready(dispatch=item.dispatch, sender=item.sender))
+            self._start(item, now, aged=aged)
+            started.append(
+                Ready(
+                    dispatch=item.dispatch,
+                    sender=item.sender,
+                    resumed=item.started,
+                )
+            )
         return started
 
     def expired(self, now: float) -> list[Refuse]:
         """Takes out what can no longer start in time, or was pushed out."""
         self.now = now
         refused = [
-            _refuse(
-                item.dispatch,
-                item.sender,
-                results.Code.OVERLOADED,
-                self._wait(item.dispatch),
-            )
+            self._give_back(item, results.Code.OVERLOADED)
             for item in self.dropped
         ]
         self.dropped.clear()
@@ -293,19 +329,16 @@
             late = [item for item in queue if self._latest_start(item) <= now]
             for item in late:
                 queue.remove(item)
-                refused.append(
-                    _refuse(
-                        item.dispatch,
-                        item.sender,
-                        results.Code.DEADLINE_UNMEETABLE,
-                        self._wait(item.dispatch),
-                    )
-                )
+                code = results.Code.DEADLINE_UNMEETABLE
+                refused.append(self._give_back(item, code))
         return refused
 
     def clear(self) -> list[messages.Dispatch]:
         """Notes that the engine died; returns what was queued, not run.
 
+        Paused work is forgotten without being returned, as it has run; its
+        owner fails it together with what runs.
+
         What ran is remembered as suspect: this process outlives the engine,
         so content that crashed it is known here though no entry knows yet.
         """
@@ -319,7 +352,7 @@
         self.running.clear()
         waited = self.interactive.clear() + self.batch.clear() + self.dropped
         self.dropped = []
-        return [item.dispatch for item in waited]
+        return [item.dispatch for item in waited if not item.started]
 
     def next_wake(self) -> float | None:
         """Returns when expired() or ready() has something new to say."""
@@ -329,7 +362,7 @@
             for item in queue
         ]
         oldest = self.batch.oldest()
-        if oldest is not None and len(self.running) < self.slots:
+        if oldest is not None and self._free() > 0:
             aged = oldest.arrived + self.age_seconds
             if aged > self.now:
                 times.append(aged)
@@ -410,8 +443,39 @@
                     return item
         return None
 
+    def _free(self) -> int:
+        pausing = sum(each.pausing for each in self.running.values())
+        return self.slots - len(self.running) + pausing
+
+    def _victim(self, item: queues.Item) -> Running | None:
+        """Returns batch work that gives way to an interactive item.
+
+        Without this an interactive request that finds the reserve used up
+        waits for a whole batch answer, not for one step of the engine. What
+        started last has the least to compute again. What got its slot by
+        age stays: it would starve.
+        """
+        if _is_batch(item.dispatch):
+            return None
+        yielding = [
+            each
+            for each in self.running.values()
+            if each.batch
+            and not each.aged
+            and not each.pausing
+            and each.item.dispatch.completion is not None
+            and not each.item.dispatch.key
+        ]
+        return max(yielding, key=lambda each: each.started, default=None)
+
+    def _pause(self, victim: Running | None) -> list[Key]:
+        if victim is None:
+            return []
+        victim.pausing = True
+        return [victim.item.key()]
+
     def _may_start(self, item: queues.Item) -> bool:
-        free = self.slots - len(self.running)
+        free = self._free()
         if not _is_batch(item.dispatch):
             return free > 0
         return free > self.reserve and self.interactive.size == 0
@@ -426,7 +490,7 @@
         return oldest if held < self.aged_slots else None
 
     def _next(self, now: float) -> queues.Item | None:
-        if len(self.running) >= self.slots:
+        if self._free() <= 0:
             return None
         item = self._aged(now) or self.interactive.peek()
         if item is not None:
@@ -434,14 +498,15 @@
         item = self.batch.peek()
         return item if item is not None and self._may_start(item) else None
 
-    def _start(self, item: queues.Item, now: float) -> None:
-        batch = _is_batch(item.dispatch)
+    def _start(
+        self, item: queues.Item, now: float, *, aged: bool = False
+    ) -> None:
         self._queue(item).charge(item)
         self.running[item.key()] = Running(
             item=item,
             started=now,
-            batch=batch,
-            aged=batch and now - item.arrived >= self.age_seconds,
+            batch=_is_batch(item.dispatch),
+            aged=aged,
         )
 
     def _measure(self, seconds: float) -> None:
@@ -458,6 +523,11 @@
             ahead = self.interactive.size + self.batch.ahead(dispatch)
         return self._slot_wait(ahead + 1)
 
+    def _give_back(self, item: queues.Item, code: results.Code) -> Refuse:
+        wait = self._wait(item.dispatch)
+        refused = _refuse(item.dispatch, item.sender, code, wait)
+        return attrs.evolve(refused, started=item.started)
+
     def _latest_start(self, item: queues.Item) -> float:
         return item.deadline - _uncached(item.dispatch) * self.token_seconds
 
--- a/pimentoledge/decisions/queues.py
+++ b/pimentoledge/decisions/queues.py
@@ -28,6 +28,7 @@
         deadline: when its answer is due.
         cost: tokens that it is expected to take.
         crashes: engines that its content is known to have crashed.
+        started: whether it has held a slot already, before it was paused.
     """
 
     dispatch: messages.Dispatch
@@ -36,6 +37,7 @@
     deadline: float
     cost: int
     crashes: int = 0
+    started: bool = False
 
     def key(self) -> tuple[str, int]:
         """Returns request and attempt."""
@@ -112,7 +114,9 @@
             del self.waiting[organisation]
 
     def charge(self, item: Item) -> None:
-        """Counts an item's tokens to its organisation, as it starts."""
+        """Counts an item's tokens to its organisation, as it first starts."""
+        if item.started:
+            return
         organisation = item.dispatch.organisation
         self._lift(organisation)
         self.floor = self.counters[organisation]
