--- a/pimentoledge/decisions/actions.py
+++ b/pimentoledge/decisions/actions.py
@@ -66,6 +66,25 @@
     error: results.Error
 
 
+@attrs.define(kw_only=True)
+class ReplyOperator:
+    """Entry: the answer to an operator.
+
+    Attributes:
+        request: request id.
+        status: HTTP status.
+        fields: the JSON body.
+        version: version of the object answered with; 0 for none.
+        known: whether this is what this node knows, the store being down.
+    """
+
+    request: str
+    status: int
+    fields: dict[str, object]
+    version: int = 0
+    known: bool = False
+
+
 @attrs.define(kw_only=True)
 class RunCompletion:
     """Agent: hand a completion to the engine."""
@@ -117,6 +136,7 @@
     | ReplyEnd
     | ReplyAnswer
     | ReplyError
+    | ReplyOperator
     | RunCompletion
     | RunCall
     | CancelRun
--- a/pimentoledge/decisions/configuration.py
+++ b/pimentoledge/decisions/configuration.py
@@ -8,6 +8,7 @@
 many, are decoded when they are asked for; the few hot ones stay decoded.
 """
 
+import bisect
 from collections import abc
 import zlib
 
@@ -21,6 +22,8 @@
 from pimentoledge.decisions import validation
 
 BUCKETS = 256
+# A revision that stands for "not complete up to any".
+UNKNOWN = -1
 MOST_DECODED = 2048
 MOST_TOMBSTONES = 20_000
 _CONTRACTS = declarations.PREFIXES[declarations.Contract]
@@ -67,11 +70,24 @@
     return xxhash.xxh3_64_intdigest(path.encode()) % BUCKETS
 
 
-def _fingerprint(path: str, record: Record | None) -> int:
+def fingerprint(path: str, version: int) -> int:
+    """Returns the digest of one version of an object."""
+    return xxhash.xxh3_64_intdigest(f"{path}\n{version}".encode())
+
+
+def _live_fingerprint(path: str, record: Record | None) -> int:
     if record is None or record.packed is None:
         return 0
-    text = f"{path}\n{record.version}"
-    return xxhash.xxh3_64_intdigest(text.encode())
+    return fingerprint(path, record.version)
+
+
+def _object(path: str, record: Record) -> stores.Object:
+    packed = record.packed
+    return stores.Object(
+        path=path,
+        version=record.version,
+        value=None if packed is None else _unpack(packed),
+    )
 
 
 def decode(
@@ -90,15 +106,6 @@
     return result.Failure(results.Error(code=code, text=text))
 
 
-def _object(path: str, record: Record) -> stores.Object:
-    packed = record.packed
-    return stores.Object(
-        path=path,
-        version=record.version,
-        value=None if packed is None else _unpack(packed),
-    )
-
-
 @attrs.define(kw_only=True)
 class Rejection:
     """A newest version that could not be taken into force.
@@ -160,6 +167,56 @@
                 self.others[key] = others
 
 
+class Paths:
+    """The paths that are in force, in order; sorted when they are read.
+
+    A sort of a list that is sorted but for its end costs one pass.
+    """
+
+    def __init__(self):
+        self._paths: list[str] = []
+        self._sorted = True
+
+    def __contains__(self, path: str) -> bool:
+        """Returns whether a path is in force."""
+        self._sort()
+        place = bisect.bisect_left(self._paths, path)
+        return self._paths[place : place + 1] == [path]
+
+    def __len__(self) -> int:
+        """Returns the number of paths."""
+        return len(self._paths)
+
+    def add(self, path: str) -> None:
+        """Adds a path that is not there yet."""
+        self._paths.append(path)
+        self._sorted = False
+
+    def remove(self, path: str) -> None:
+        """Removes a path that is there."""
+        self._sort()
+        del self._paths[bisect.bisect_left(self._paths, path)]
+
+    def below(
+        self, prefix: str, *, after: str = "", limit: int | None = None
+    ) -> list[str]:
+        """Returns paths that start with a prefix, behind one, in order."""
+        self._sort()
+        first = bisect.bisect_left(self._paths, prefix)
+        if after:
+            first = max(first, bisect.bisect_right(self._paths, after))
+        # No path holds a character above the last of Unicode.
+        last = bisect.bisect_left(self._paths, prefix + "\U0010ffff")
+        if limit is not None:
+            last = min(last, first + limit)
+        return self._paths[first:last]
+
+    def _sort(self) -> None:
+        if not self._sorted:
+            self._paths.sort()
+            self._sorted = True
+
+
 class Contracts(abc.Mapping):
     """The contracts in force by organisation, decoded on use.
 
@@ -190,16 +247,12 @@
 
     def __contains__(self, organisation: object) -> bool:
         """Returns whether an organisation has a contract."""
-        path = f"{_CONTRACTS}{organisation}"
-        return self.configuration.in_force(path) is not None
+        return f"{_CONTRACTS}{organisation}" in self.configuration.paths
 
     def __iter__(self) -> abc.Iterator[str]:
-        """Iterates over the organisations; reads through all objects."""
-        for shelf in self.configuration.shelves:
-            for path in list(shelf):
-                name = path.removeprefix(_CONTRACTS)
-                if path.startswith(_CONTRACTS) and name in self:
-                    yield name
+        """Iterates over the organisations in the order of their names."""
+        for path in self.configuration.paths.below(_CONTRACTS):
+            yield path.removeprefix(_CONTRACTS)
 
     def __len__(self) -> int:
         """Returns the number of contracts."""
@@ -212,18 +265,21 @@
     Attributes:
         version: highest version seen, of any object.
         known: revision of the store up to which every object was once seen
-            whole, from a scan or from a node that had; 0 while this node may
-            lack objects.
+            whole, from a scan or from a node that had; UNKNOWN while this
+            node may lack objects.
+        paths: the paths that are in force.
         contracts: Contract by organisation.
         rejections: by path, what was too bad to be taken into force.
         buckets: digest of each bucket's live objects and their versions.
         root: digest of them all.
+        floor: up to this version an object that is not here was deleted.
         shelves: newest Record by path, in each bucket.
     """
 
     def __init__(self):
         self.version = 0
-        self.known = 0
+        self.known = UNKNOWN
+        self.paths = Paths()
         self.contracts = Contracts(configuration=self)
         self.rejections: dict[str, Rejection] = {}
         self.buckets = [0] * BUCKETS
@@ -241,7 +297,11 @@
         self._keys = KeyIndex()
         self._operators = KeyIndex()
         self._tombstones: dict[str, int] = {}
-        self._floor = 0
+        self.floor = 0
+
+    def is_whole(self) -> bool:
+        """Returns whether this node lacks nothing up to some revision."""
+        return self.known != UNKNOWN
 
     def apply(
         self, objects: list[stores.Object], *, from_store: bool = True
@@ -250,18 +310,66 @@
 
         Args:
             objects: objects of the store; a value of None is a deletion.
-            from_store: whether they were just read from the store, rather
-                than told by another node.
+            from_store: whether they were just read by a scan of the store,
+                which never gives what was deleted before.
 
         Returns:
             The paths whose declaration in force changed.
         """
         changed = []
         for stored in objects:
-            if self._newer(stored, from_store) and self._take(stored):
-                changed.append(stored.path)
+            if self.is_newer(stored, from_store=from_store):
+                changed += self._take(stored)
         return changed
 
+    def is_newer(self, stored: stores.Object, *, from_store: bool) -> bool:
+        """Returns whether an object is newer than what is here."""
+        old = self.shelves[bucket_of(stored.path)].get(stored.path)
+        if old is not None:
+            return stored.version > old.version
+        # Its deletion may have been forgotten here. A node that was cut off
+        # meanwhile still has the object and would bring it back into force;
+        # the store would not.
+        return from_store or stored.version > self.floor
+
+    def absent(self, objects: list[stores.Object], revision: int) -> list:
+        """Returns deletions of what the store no longer has.
+
+        Args:
+            objects: all objects of the store.
+            revision: the store's revision when it gave them.
+        """
+        present = {each.path for each in objects}
+        return [
+            stores.Object(path=path, version=revision, value=None)
+            for shelf in self.shelves
+            for path, record in shelf.items()
+            if record.packed is not None
+            and path not in present
+            and record.version <= revision
+        ]
+
+    def raise_floor(self, revision: int) -> None:
+        """Notes that nothing is missing here up to a revision.
+
+        Tombstones up to there need not be kept any more.
+        """
+        self.floor = max(self.floor, revision)
+        old = [p for p, v in self._tombstones.items() if v <= self.floor]
+        for path in old:
+            del self._tombstones[path]
+            del self.shelves[bucket_of(path)][path]
+
+    def clear_bucket(self, number: int) -> None:
+        """Forgets one bucket; for a node that only keeps some of them."""
+        for path, record in list(self.shelves[number].items()):
+            gone = stores.Object(
+                path=path, version=record.version + 1, value=None
+            )
+            self.apply([gone])
+            self._tombstones.pop(path, None)
+            del self.shelves[number][path]
+
     def newest(self, path: str) -> stores.Object | None:
         """Returns the newest object at a path, also a deleted one."""
         record = self.shelves[bucket_of(path)].get(path)
@@ -280,11 +388,12 @@
             return self.contracts.get(name)
         return self._others[kind].get(name)
 
-    def names(self, kind: type) -> abc.Iterable[str]:
-        """Returns the names of a kind that are in force."""
-        if kind is declarations.Contract:
-            return self.contracts.keys()
-        return self._others[kind].keys()
+    def page(self, kind: type, *, after: str, limit: int | None) -> list[str]:
+        """Returns names of a kind, in order, that come behind a name."""
+        prefix = declarations.PREFIXES[kind]
+        behind = prefix + after if after else ""
+        paths = self.paths.below(prefix, after=behind, limit=limit)
+        return [path.removeprefix(prefix) for path in paths]
 
     def contract_by_key(self, digest: str) -> declarations.Contract | None:
         """Returns the contract that a key belongs to.
@@ -338,32 +447,23 @@
         shelf = self.shelves[number]
         return fallbacks + [_object(*each) for each in shelf.items()]
 
-    def _newer(self, stored: stores.Object, from_store: bool) -> bool:
-        old = self.shelves[bucket_of(stored.path)].get(stored.path)
-        if old is not None:
-            return stored.version > old.version
-        # The deletion of this object may have been forgotten here, as only
-        # so many are kept. A node that was cut off meanwhile still has the
-        # object and would bring it back into force; the store would not.
-        return from_store or stored.version > self._floor
-
-    def _take(self, stored: stores.Object) -> bool:
+    def _take(self, stored: stores.Object) -> list[str]:
         self.version = max(self.version, stored.version)
         if declarations.kind_of(stored.path) is None:
-            return False
+            return []
         before = self.in_force(stored.path)
         path = self._shelve(stored)
         if stored.value is None:
             self._accept(path, before, None)
             self._bury(path, stored.version)
-            return before is not None
+            return [] if before is None else [path]
         match decode(path, stored):
             case result.Success(declaration):
                 self._accept(path, before, declaration)
-                return True
+                return [path]
             case result.Failure(error):
                 self._reject(path, stored.version, before, error)
-        return False
+        return []
 
     def _shelve(self, stored: stores.Object) -> str:
         path = stored.path
@@ -372,7 +472,7 @@
         old = shelf.get(path)
         packed = None if stored.value is None else _pack(stored.value)
         new = Record(version=stored.version, packed=packed)
-        change = _fingerprint(path, old) ^ _fingerprint(path, new)
+        change = _live_fingerprint(path, old) ^ _live_fingerprint(path, new)
         self.buckets[number] ^= change
         self.root ^= change
         shelf[path] = new
@@ -408,6 +508,10 @@
             self._unindex(path, declarations.decode(path, before).unwrap())
         if declaration is not None:
             self._index(path, declaration)
+        if before is None and declaration is not None:
+            self.paths.add(path)
+        if before is not None and declaration is None:
+            self.paths.remove(path)
 
     def _bury(self, path: str, version: int) -> None:
         self._tombstones[path] = version
@@ -415,7 +519,7 @@
             return
         path = next(iter(self._tombstones))
         version = self._tombstones.pop(path)
-        self._floor = max(self._floor, version)
+        self.floor = max(self.floor, version)
         del self.shelves[bucket_of(path)][path]
 
     def _index(self, path: str, declaration: declarations.Declaration) -> None:
--- a/pimentoledge/decisions/declarations.py
+++ b/pimentoledge/decisions/declarations.py
@@ -1,6 +1,7 @@
 """What operators declare: contracts, backend servers, models, services."""
 
 import enum
+import hashlib
 
 import attrs
 import msgspec
@@ -188,6 +189,11 @@
 }
 
 
+def key_digest(key: str) -> str:
+    """Returns the hexadecimal digest under which a key is kept."""
+    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
+
+
 def name_of(declaration: Declaration) -> str:
     """Returns the name under which a declaration is stored."""
     match declaration:
@@ -210,13 +216,28 @@
     return None
 
 
-def encode(declaration: Declaration) -> bytes:
+@attrs.frozen(kw_only=True)
+class Change:
+    """Who made a declaration; stored beside its fields.
+
+    Attributes:
+        by: name of the operator.
+        at: when, in seconds since 1970.
+    """
+
+    by: str
+    at: float
+
+
+def encode(declaration: Declaration, change: Change | None = None) -> bytes:
     """Returns the JSON that is stored for a declaration.
 
     The version is left out: the store gives it at the write.
     """
     fields = msgspec.to_builtins(declaration)
     del fields["version"]
+    if change is not None:
+        fields["changed"] = msgspec.to_builtins(change)
     return msgspec.json.encode(fields)
 
 
--- /dev/null
+++ b/pimentoledge/decisions/distribution.py
@@ -0,0 +1,367 @@
+"""How one entry gets every change of the configuration, and passes it on.
+
+A few entries of each data centre watch the store; more than the intended
+few are harmless. An entry that learns something new tells a few others, who
+do the same, so a change reaches nearly all in a few hops. Every second each
+entry compares digests with another one, which repairs what was lost on the
+way, and every message between processes carries its sender's newest version,
+so that one that is behind learns it at once.
+
+An entry that starts takes everything from another entry, and only when there
+is none that has it, from the store. Agents keep a few buckets each, so that
+entries that all restart while the store is down find it again.
+"""
+
+import random
+
+import attrs
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents_served
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import exchange
+from pimentoledge.decisions import peers
+from pimentoledge.decisions import registration
+from pimentoledge.decisions import stores
+from pimentoledge.decisions import watching
+from pimentoledge.nodes import configuration_messages as messages
+
+Actions = list[actions.Action]
+
+WATCHERS = 2
+# When the store was not called for changes from this data centre for so long,
+# the next entries by rank begin, one after the other.
+TAKEOVER_SECONDS = 15.0
+TAKEOVER_STEP_SECONDS = 1.0
+DIGEST_SECONDS = 1.0
+# Least time between two questions to an entry that turned out to be ahead.
+BEHIND_SECONDS = 0.2
+# How long an entry that starts waits for another one to have everything; an
+# entry of a lower rank waits longer, so that a herd makes few scans.
+JOIN_SECONDS = 1.0
+LATE_JOIN_SECONDS = 4.0
+LATE_JOIN_SPREAD_SECONDS = 4.0
+NEAR = 2
+FAR = 1
+# More changes than this at one time are left to the digests.
+MOST_TOLD = 64
+LONG_AGO = 1e6
+
+
+@attrs.define(kw_only=True)
+class Told:
+    """What another entry told of itself for the status page.
+
+    Attributes:
+        tell: what it told.
+        at: when.
+    """
+
+    tell: messages.StatusTell
+    at: float
+
+
+class Distributor:
+    """One entry's part in the distribution.
+
+    Attributes:
+        name: this entry's name.
+        address: its mailbox.
+        data_centre: where it stands.
+        configuration: what is in force here; only this machine changes it.
+        peers: the other entries.
+        watching: its calls to the store.
+        exchange: repairs differences with another entry.
+        agents: the agents that it serves.
+        registration: declares this entry itself.
+        told: Told by mailbox.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        data_centre: str,
+        seed: int,
+        view: configuration.Configuration,
+        seeds: list[str],
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.configuration = view
+        self.peers = peers.Peers(
+            address=address,
+            data_centre=data_centre,
+            seeds=seeds,
+            seed=seed,
+        )
+        self.watching = watching.Watching(view=view, seed=seed + 1)
+        self.exchange = exchange.Exchange(view=view)
+        self.agents = agents_served.Agents(address=address, view=view)
+        self.registration = registration.Registration(
+            name=name,
+            data_centre=data_centre,
+            view=view,
+            seed=seed + 2,
+        )
+        self.told: dict[str, Told] = {}
+        self._random = random.Random(seed)
+        self._watched = float("-inf")
+        self._started: float | None = None
+        self._late = self._random.uniform(0, LATE_JOIN_SPREAD_SECONDS)
+        self._next_digest = float("-inf")
+        self._asked = float("-inf")
+        self._on_duty = False
+        self._sweeper = False
+
+    @property
+    def address(self) -> str:
+        """Returns this entry's mailbox."""
+        return self.peers.address
+
+    @address.setter
+    def address(self, address: str) -> None:
+        """Sets the mailbox, once its port is known."""
+        self.peers.address = address
+        self.agents.address = address
+
+    def handle(self, event: object, now: float) -> Actions:
+        """Takes a message, an answer of the store, or a fault of a peer."""
+        match event:
+            case events.FromNode():
+                return self._message(event, now) + self._behind(event, now)
+            case stores.Answer():
+                return self._answer(event, now)
+            case events.Unreachable(address=address):
+                self.peers.unreachable(address, now)
+                self.exchange.drop(address)
+            case events.Drain():
+                return self.registration.retire()
+        return []
+
+    def wake(self, now: float) -> Actions:
+        """Does what is due."""
+        if self._started is None:
+            self._started = now
+        self._on_duty = self._duty(now)
+        self._sweeper = self.peers.rank(now, everywhere=True) == 0
+        todo = self.watching.turn(
+            now, duty=self._on_duty, sweeper=self._sweeper
+        )
+        todo += self.registration.turn(self.address, now)
+        if now >= self._next_digest:
+            todo += self._compare(now)
+        return todo
+
+    def next_wake(self) -> float | None:
+        """Returns when `wake` is due next."""
+        if self._started is None:
+            return float("-inf")
+        follow = self.watching.next_wake(
+            duty=self._on_duty, sweeper=self._sweeper
+        )
+        times = (self._next_digest, follow)
+        return min(each for each in times if each is not None)
+
+    def publish(self, objects: list[stores.Object], now: float) -> Actions:
+        """Takes objects that the store was just seen to hold, and tells all.
+
+        The agents that keep the objects' buckets are told at once as well: if
+        this process and then every other entry is lost while the store is
+        down, they are the only ones that have what was accepted here.
+        """
+        kept = self.agents.keepers_told(objects)
+        return self._take(objects, now) + kept
+
+    def ask_status(self, now: float) -> Actions:
+        """Asks every other entry what is in force there."""
+        usable = self.peers.usable(now)
+        mailboxes = {peer.mailbox for peer in usable}
+        self.told = {m: t for m, t in self.told.items() if m in mailboxes}
+        ask = messages.StatusAsk()
+        return [
+            actions.Send(address=peer.mailbox, message=ask) for peer in usable
+        ]
+
+    def status(self, now: float) -> messages.StatusTell:
+        """Returns what is in force here."""
+        view = self.configuration
+        count, behind = self.agents.counts(now)
+        return messages.StatusTell(
+            name=self.name,
+            data_centre=self.data_centre,
+            version=view.version,
+            known=view.known,
+            root=view.root,
+            rejected=sorted(view.rejections)[: agents_served.MOST_NAMED],
+            agents=count,
+            behind=behind,
+        )
+
+    def _message(self, event: events.FromNode, now: float) -> Actions:
+        sender = event.sender
+        match event.message:
+            case messages.Changes() as changes:
+                return self._changes(changes, sender, now)
+            case messages.Digest() as digest:
+                self._heard(digest, sender, now)
+                self.exchange.compare(digest)
+                summary = self.exchange.summary(digest, self._about_me(now))
+                return [actions.Send(address=sender, message=summary)]
+            case messages.Summary() as summary:
+                self._heard(summary, sender, now)
+                return self.exchange.repair(summary, sender, now)
+            case messages.Fetch() as fetch:
+                return self.exchange.give(fetch, sender)
+            case messages.Poll() as poll:
+                offered = self.exchange.offered(poll.held, sender)
+                return offered + self.agents.polled(poll, sender, now)
+            case messages.StatusAsk():
+                tell = self.status(now)
+                return [actions.Send(address=sender, message=tell)]
+            case messages.StatusTell() as tell:
+                self.told[sender] = Told(tell=tell, at=now)
+        return []
+
+    def _behind(self, event: events.FromNode, now: float) -> Actions:
+        newer = event.configuration > self.configuration.version
+        if not newer or now < self._asked + BEHIND_SECONDS:
+            return []
+        if self.agents.knows(event.sender):
+            return []
+        self._asked = now
+        return [self._digest(event.sender, now)]
+
+    def _answer(self, answer: stores.Answer, now: float) -> Actions:
+        before = self.configuration.known
+        fresh = self.watching.handle(answer, now)
+        if fresh is not None:
+            known = self.configuration.known
+            return self._tell(fresh, now, after=before, known=known)
+        return self._take(self.registration.handle(answer, now), now)
+
+    def _changes(
+        self, changes: messages.Changes, sender: str, now: float
+    ) -> Actions:
+        view = self.configuration
+        whole = view.is_whole()
+        # An agent's copy may be old. It helps an entry that has nothing; to
+        # one that is complete it could only bring back what was deleted.
+        if whole and self.agents.knows(sender):
+            return []
+        todo = self._take(
+            changes.objects,
+            now,
+            sender=sender,
+            after=changes.after,
+            known=changes.known,
+        )
+        if whole and 0 <= changes.after <= view.known:
+            view.known = max(view.known, changes.known)
+        return todo + self.exchange.told(changes, sender, now)
+
+    def _take(
+        self,
+        objects: list[stores.Object],
+        now: float,
+        *,
+        sender: str = "",
+        after: int = configuration.UNKNOWN,
+        known: int = configuration.UNKNOWN,
+    ) -> Actions:
+        view = self.configuration
+        fresh = [o for o in objects if view.is_newer(o, from_store=False)]
+        view.apply(fresh, from_store=False)
+        return self._tell(fresh, now, sender=sender, after=after, known=known)
+
+    def _tell(
+        self,
+        fresh: list[stores.Object],
+        now: float,
+        *,
+        sender: str = "",
+        after: int,
+        known: int,
+    ) -> Actions:
+        if not fresh:
+            return []
+        if any(_is_entry(each) for each in fresh):
+            entries = self.configuration.entries()
+            self.peers.declare(entries)
+            self.agents.declare([each.mailbox for each in entries])
+        todo = self.agents.told(fresh)
+        # What came as the answer to a fetch is old news to the others, and
+        # so much at one time is better repaired by digests.
+        if len(fresh) > MOST_TOLD or not self.configuration.is_whole():
+            return todo
+        changes = messages.Changes(objects=fresh, after=after, known=known)
+        chosen = self.peers.choose(now, near=NEAR, far=FAR)
+        return todo + [
+            actions.Send(address=mailbox, message=changes)
+            for mailbox in chosen
+            if mailbox != sender
+        ]
+
+    def _heard(
+        self,
+        message: messages.Digest | messages.Summary,
+        sender: str,
+        now: float,
+    ) -> None:
+        self.peers.hear(sender, message.name, message.data_centre, now)
+        if message.data_centre == self.data_centre:
+            self._watched = max(self._watched, now - message.watched)
+
+    def _compare(self, now: float) -> Actions:
+        pause = DIGEST_SECONDS * self._random.uniform(0.8, 1.2)
+        self._next_digest = now + pause
+        joining = not self.configuration.is_whole()
+        near = self._random.randrange(2)
+        chosen = self.peers.choose(now, near=near, far=1 - near)
+        if joining:
+            chosen = self.peers.choose(now, near=1, far=1)
+        return [self._digest(mailbox, now) for mailbox in chosen[:2]]
+
+    def _digest(self, mailbox: str, now: float) -> actions.Send:
+        digest = messages.Digest(**self._about_me(now))
+        return actions.Send(address=mailbox, message=digest)
+
+    def _about_me(self, now: float) -> dict[str, object]:
+        watched = max(self._watched, self.watching.attempted)
+        if self.watching.busy():
+            watched = now
+        return {
+            "root": self.configuration.root,
+            "known": self.configuration.known,
+            "name": self.name,
+            "data_centre": self.data_centre,
+            "watched": min(now - watched, LONG_AGO),
+        }
+
+    def _duty(self, now: float) -> bool:
+        """Tells whether this entry shall call the store for changes."""
+        rank = self.peers.rank(now)
+        if not self.configuration.is_whole():
+            return self._scans(rank, now)
+        if rank < WATCHERS:
+            return True
+        watched = max(self._watched, self.watching.attempted)
+        late = (rank - WATCHERS) * TAKEOVER_STEP_SECONDS
+        return now - watched > TAKEOVER_SECONDS + late
+
+    def _scans(self, rank: int, now: float) -> bool:
+        if self._started is None or self.exchange.busy(now):
+            return False
+        if not self.peers.usable(now):
+            return True
+        wait = JOIN_SECONDS
+        if rank >= WATCHERS:
+            wait = LATE_JOIN_SECONDS + self._late
+        return now >= self._started + wait
+
+
+def _is_entry(stored: stores.Object) -> bool:
+    return declarations.kind_of(stored.path) is declarations.EntryNode
--- a/pimentoledge/decisions/events.py
+++ b/pimentoledge/decisions/events.py
@@ -172,3 +172,37 @@
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+
+
+@attrs.define(kw_only=True)
+class OperatorRequest:
+    """Entry: an operator asks for something.
+
+    Attributes:
+        request: new id, unique over all entries and their restarts.
+        key_digest: hexadecimal digest of the operator's key.
+        method: GET, PUT, PATCH or DELETE.
+        kind: the kind's part of the path, as "contracts"; or "status".
+        name: the object's name; empty for a list.
+        history: whether the object's former versions are asked for.
+        limit: names in one page of a list.
+        cursor: the last name of the page before.
+        body: the JSON body.
+        expected: version that the object must have; 0 when it must be
+            absent; None when the operator names no condition.
+        dry_run: check everything, and write nothing.
+        at: the wall clock, in seconds since 1970.
+    """
+
+    request: str
+    key_digest: str
+    method: str
+    kind: str
+    name: str = ""
+    history: bool = False
+    limit: int = 100
+    cursor: str = ""
+    body: bytes = b""
+    expected: int | None = None
+    dry_run: bool = False
+    at: float = 0.0
--- /dev/null
+++ b/pimentoledge/decisions/peers.py
@@ -0,0 +1,148 @@
+"""Who the other entries are, and which of them to talk to."""
+
+import random
+
+import attrs
+
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import rings
+
+# An entry that was heard of, but is not declared, is forgotten after this.
+HEARD_SECONDS = 60.0
+# One that can't be reached is left out of every choice for so long.
+SILENT_SECONDS = 10.0
+MOST_HEARD = 1024
+NEVER = float("-inf")
+
+
+@attrs.define(kw_only=True)
+class Peer:
+    """Another entry.
+
+    Attributes:
+        mailbox: its address.
+        name: its name; empty while not known.
+        data_centre: where it stands; empty while not known.
+        declared: whether the configuration has it.
+        heard: when it was heard last.
+        silent_until: when it may be tried again.
+    """
+
+    mailbox: str
+    name: str = ""
+    data_centre: str = ""
+    declared: bool = False
+    heard: float = NEVER
+    silent_until: float = NEVER
+
+
+class Peers:
+    """The other entries: declared, heard of, or named in the settings.
+
+    Attributes:
+        address: this entry's own mailbox.
+        data_centre: where this entry stands.
+        table: Peer by mailbox.
+        seeds: mailboxes from the settings.
+    """
+
+    def __init__(
+        self, *, address: str, data_centre: str, seeds: list[str], seed: int
+    ):
+        self.address = address
+        self.data_centre = data_centre
+        self.seeds = seeds
+        self.table: dict[str, Peer] = {}
+        self._random = random.Random(seed)
+
+    def declare(self, entries: list[declarations.EntryNode]) -> None:
+        """Takes the declared entries."""
+        for peer in self.table.values():
+            peer.declared = False
+        for entry in entries:
+            if entry.mailbox == self.address:
+                continue
+            peer = self.table.setdefault(
+                entry.mailbox, Peer(mailbox=entry.mailbox)
+            )
+            peer.declared = True
+            peer.name = entry.name
+            peer.data_centre = entry.data_centre
+
+    def hear(
+        self, mailbox: str, name: str, data_centre: str, now: float
+    ) -> None:
+        """Notes that an entry was heard."""
+        if mailbox == self.address:
+            return
+        if mailbox not in self.table:
+            self._make_room(now)
+        peer = self.table.setdefault(mailbox, Peer(mailbox=mailbox))
+        peer.name = name
+        peer.data_centre = data_centre
+        peer.heard = now
+        peer.silent_until = NEVER
+
+    def unreachable(self, mailbox: str, now: float) -> None:
+        """Notes that an entry can't be reached."""
+        if mailbox in self.seeds or mailbox in self.table:
+            peer = self.table.setdefault(mailbox, Peer(mailbox=mailbox))
+            peer.silent_until = now + SILENT_SECONDS
+
+    def usable(self, now: float) -> list[Peer]:
+        """Returns the entries to talk to."""
+        found = [
+            peer
+            for peer in self.table.values()
+            if self._counts(peer, now) and peer.silent_until <= now
+        ]
+        for seed in self.seeds:
+            if seed not in self.table and seed != self.address:
+                found.append(Peer(mailbox=seed))
+        return found
+
+    def choose(self, now: float, *, near: int, far: int) -> list[str]:
+        """Returns some entries at random.
+
+        Args:
+            now: the time.
+            near: how many of this data centre.
+            far: how many of the others, or of all where there are few.
+        """
+        usable = self.usable(now)
+        if len(usable) <= near + far:
+            return [peer.mailbox for peer in usable]
+        here = [p for p in usable if p.data_centre == self.data_centre]
+        chosen = self._random.sample(here, min(near, len(here)))
+        rest = [p for p in usable if p not in chosen and p not in here]
+        if len(rest) < far:
+            rest = [p for p in usable if p not in chosen]
+        chosen += self._random.sample(rest, min(far, len(rest)))
+        return [peer.mailbox for peer in chosen]
+
+    def rank(self, now: float, *, everywhere: bool = False) -> int:
+        """Returns this entry's rank among those of its data centre.
+
+        All entries that know the same others agree on it, without a message.
+
+        Args:
+            now: the time.
+            everywhere: rank among the entries of all data centres.
+        """
+        mine = rings.point(self.address)
+        return sum(
+            rings.point(peer.mailbox) < mine
+            for peer in self.usable(now)
+            if everywhere or peer.data_centre in ("", self.data_centre)
+        )
+
+    def _counts(self, peer: Peer, now: float) -> bool:
+        lately = now - peer.heard < HEARD_SECONDS
+        return peer.declared or lately or peer.mailbox in self.seeds
+
+    def _make_room(self, now: float) -> None:
+        if len(self.table) < MOST_HEARD:
+            return
+        old = [m for m, p in self.table.items() if not self._counts(p, now)]
+        for mailbox in old:
+            del self.table[mailbox]
--- /dev/null
+++ b/pimentoledge/decisions/registration.py
@@ -0,0 +1,104 @@
+"""An entry's own declaration: written once, and when it differs."""
+
+import random
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import stores
+
+# Two processes with one name would take the declaration from each other for
+# ever; each waits twice as long before its next write.
+SHORTEST_PAUSE_SECONDS = 5.0
+LONGEST_PAUSE_SECONDS = 320.0
+
+
+class Registration:
+    """Declares one entry, by a conditional write and without heartbeats.
+
+    Attributes:
+        name: the entry's name.
+        data_centre: where it stands.
+        configuration: what is in force here.
+        retired: whether the entry is leaving.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        view: configuration.Configuration,
+        seed: int,
+    ):
+        self.name = name
+        self.data_centre = data_centre
+        self.configuration = view
+        self.retired = False
+        self._random = random.Random(seed)
+        self._write: stores.Write | None = None
+        self._retry = float("-inf")
+        self._pause = SHORTEST_PAUSE_SECONDS
+
+    def turn(self, address: str, now: float) -> list[actions.Action]:
+        """Writes the declaration when it is due.
+
+        Args:
+            address: the entry's mailbox.
+            now: the time.
+        """
+        waits = self._write is not None or now < self._retry
+        if self.retired or waits or not self.configuration.is_whole():
+            return []
+        wanted = declarations.EntryNode(
+            name=self.name, mailbox=address, data_centre=self.data_centre
+        )
+        found = self.configuration.get(declarations.EntryNode, self.name)
+        if found is not None:
+            wanted.version = found.version
+        if found == wanted:
+            return []
+        self._retry = now + self._pause
+        self._pause = min(self._pause * 2, LONGEST_PAUSE_SECONDS)
+        return self._call(declarations.encode(wanted))
+
+    def retire(self) -> list[actions.Action]:
+        """Deletes the declaration, for the end of the process."""
+        self.retired = True
+        if self.configuration.get(declarations.EntryNode, self.name) is None:
+            return []
+        return self._call(None)
+
+    def handle(self, answer: stores.Answer, now: float) -> list[stores.Object]:
+        """Takes an answer, and returns what the store holds now."""
+        if self._write is None or answer.call != self._write.call:
+            return []
+        write, self._write = self._write, None
+        match answer.outcome:
+            case stores.Outcome.WRITTEN:
+                written = stores.Object(
+                    path=write.path, version=answer.version, value=write.value
+                )
+                return [written]
+            case stores.Outcome.CONFLICT:
+                return answer.objects
+            case _:
+                # Down or lost; a lost one that took effect comes by the
+                # watch, before the next try.
+                pause = self._random.uniform(1, 2) * SHORTEST_PAUSE_SECONDS
+                self._retry = now + pause
+        return []
+
+    def _call(self, value: bytes | None) -> list[actions.Action]:
+        path = declarations.PREFIXES[declarations.EntryNode] + self.name
+        stored = self.configuration.newest(path)
+        alive = stored is not None and stored.value is not None
+        number = self._random.getrandbits(128)
+        self._write = stores.Write(
+            call=f"register.{number:032x}",
+            path=path,
+            value=value,
+            expected=stored.version if alive else 0,
+            write_id=f"{self.name}.{number:032x}",
+        )
+        return [actions.CallStore(call=self._write)]
--- /dev/null
+++ b/pimentoledge/decisions/subscription.py
@@ -0,0 +1,164 @@
+"""How an agent gets its declarations, and keeps buckets for the entries."""
+
+import random
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents_served
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import exchange
+from pimentoledge.nodes import configuration_messages as messages
+
+POLL_SECONDS = 4.0
+# Until an entry that is complete has answered.
+FIRST_POLL_SECONDS = 0.5
+SILENT_SECONDS = 10.0
+MOST_ENTRIES = 16
+
+Actions = list[actions.Action]
+
+
+class Subscriber:
+    """One agent's part in the distribution; it never calls the store.
+
+    Attributes:
+        name: the backend server's name.
+        configuration: the declarations that the agent goes by.
+        kept: the buckets that it keeps for entries that restart.
+        entries: mailboxes of the entries to poll.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        seed: int,
+        view: configuration.Configuration,
+        seeds: list[str],
+    ):
+        self.name = name
+        self.configuration = view
+        self.kept = configuration.Configuration()
+        self.entries = list(seeds)
+        self._seeds = seeds
+        self._numbers: dict[int, int] = {}
+        self._silent: dict[str, float] = {}
+        self._random = random.Random(seed)
+        self._next_poll = float("-inf")
+        self._complete = False
+
+    def handle(self, event: object, now: float) -> Actions:
+        """Takes a message of an entry, or that one can't be reached."""
+        match event:
+            case events.FromNode(message=messages.Changes() as changes):
+                self._take(changes)
+            case events.FromNode(message=messages.PollAnswer() as answer):
+                return self._answered(answer, event.sender)
+            case events.FromNode(message=messages.Fetch() as fetch):
+                return self._give(fetch, event.sender)
+            case events.Unreachable(address=address):
+                self._silent[address] = now + SILENT_SECONDS
+                if address in self.entries:
+                    self._next_poll = now
+        return []
+
+    def wake(self, now: float) -> Actions:
+        """Polls an entry when it is due."""
+        if now < self._next_poll:
+            return []
+        pause = POLL_SECONDS if self._complete else FIRST_POLL_SECONDS
+        self._next_poll = now + pause * self._random.uniform(0.8, 1.2)
+        usable = self._usable(now)
+        if not usable:
+            return []
+        self._complete = False
+        entry = self._random.choice(usable)
+        return [actions.Send(address=entry, message=self._poll())]
+
+    def next_wake(self) -> float | None:
+        """Returns when `wake` is due next."""
+        return self._next_poll
+
+    def _usable(self, now: float) -> list[str]:
+        self._silent = {m: t for m, t in self._silent.items() if t > now}
+        known = list(dict.fromkeys(self.entries + self._seeds))
+        return [each for each in known if each not in self._silent] or known
+
+    def _poll(self) -> messages.Poll:
+        versions = [
+            (path, record.version)
+            for shelf in self.configuration.shelves
+            for path, record in shelf.items()
+        ]
+        held = [
+            messages.Held(
+                number=number, digest=self.kept.buckets[number], known=known
+            )
+            for number, known in self._numbers.items()
+        ]
+        return messages.Poll(server=self.name, versions=versions, held=held)
+
+    def _take(self, changes: messages.Changes) -> None:
+        objects = changes.objects
+        self.kept.apply(
+            [
+                each
+                for each in objects
+                if configuration.bucket_of(each.path) in self._numbers
+            ],
+            from_store=False,
+        )
+        mine = declarations.PREFIXES[declarations.BackendServer] + self.name
+        self.configuration.apply(
+            [each for each in objects if each.path == mine], from_store=False
+        )
+        server = self.configuration.server(self.name)
+        wanted = [] if server is None else agents_served.own_paths(server)
+        self.configuration.apply(
+            [each for each in objects if each.path in wanted], from_store=False
+        )
+        self._mark(changes.done)
+
+    def _answered(self, answer: messages.PollAnswer, sender: str) -> Actions:
+        if answer.known < 0:
+            # An entry that has just started knows nothing to be asked for.
+            return []
+        self._complete = True
+        self.entries = answer.entries[:MOST_ENTRIES]
+        wanted = {each.number for each in answer.held}
+        for number in self._numbers.keys() - wanted:
+            self.kept.clear_bucket(number)
+            del self._numbers[number]
+        for each in answer.held:
+            self._numbers.setdefault(each.number, configuration.UNKNOWN)
+        self._mark(answer.held)
+        differ = [
+            each.number
+            for each in answer.held
+            if self.kept.buckets[each.number] != each.digest
+        ]
+        if not differ:
+            return []
+        buckets = [
+            exchange.bucket_fingerprints(self.kept, number) for number in differ
+        ]
+        fetch = messages.Fetch(buckets=buckets, answer=False)
+        return [actions.Send(address=sender, message=fetch)]
+
+    def _mark(self, held: list[messages.Held]) -> None:
+        for each in held:
+            same = self.kept.buckets[each.number] == each.digest
+            if each.number in self._numbers and same:
+                known = max(self._numbers[each.number], each.known)
+                self._numbers[each.number] = known
+
+    def _give(self, fetch: messages.Fetch, sender: str) -> Actions:
+        fetch.buckets = [b for b in fetch.buckets if b.number in self._numbers]
+        if not fetch.buckets:
+            return []
+        known = min(self._numbers[b.number] for b in fetch.buckets)
+        return [
+            actions.Send(address=sender, message=part)
+            for part in exchange.answers(self.kept, fetch, known=known)
+        ]
--- a/pimentoledge/nodes/messages.py
+++ b/pimentoledge/nodes/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from pimentoledge.nodes import configuration_messages
+
 
 @attrs.define(kw_only=True)
 class Completion:
@@ -407,4 +409,5 @@
     31: Lend,
     40: Suspects,
     41: Released,
+    **configuration_messages.NUMBERS,
 }
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -67,6 +67,8 @@
     OPERATOR_KEY = 6004
     OPERATOR_ROLE = 6005
     ABSENT = 6006
+    PRECONDITION_NEEDED = 6007
+    UNCONFIRMED = 6008
     # 7xxx: settings and starting.
     BAD_SETTING = 7001
     # 9xxx: defects.
@@ -159,6 +161,12 @@
     Code.OPERATOR_KEY: _row(401, _NOT, "the operator key is unknown"),
     Code.OPERATOR_ROLE: _row(403, _NOT, "the operator's role forbids this"),
     Code.ABSENT: _row(404, _NOT, "no such object"),
+    Code.PRECONDITION_NEEDED: _row(
+        428, _NOT, "If-Match or If-None-Match is needed"
+    ),
+    Code.UNCONFIRMED: _row(
+        504, _UNKNOWN, "the store's answer was lost; read the object again"
+    ),
     Code.BAD_SETTING: _row(500, _NOT, "a setting is not valid"),
     Code.INTERNAL: _row(500, _UNKNOWN, "a defect of pimentoledge"),
 }
--- /dev/null
+++ b/pimentoledge/tests/network.py
@@ -0,0 +1,200 @@
+"""Entries, agents and a store in one thread, for tests of distribution."""
+
+import heapq
+import itertools
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import distribution
+from pimentoledge.decisions import events
+from pimentoledge.decisions import stores
+from pimentoledge.decisions import subscription
+
+DELAY = 0.002
+
+
+class Store:
+    """A store whose watches can drop entries and whose writes can be lost."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 0
+        self.calls = []
+        self.down = False
+        self.dropped = set()
+
+    def put(self, path, value, write_id=""):
+        self.revision += 1
+        self.objects[path] = stores.Object(
+            path=path, version=self.revision, value=value, write_id=write_id
+        )
+        return self.objects[path]
+
+    def call(self, call):
+        """Answers a call; None for a watch that has nothing to tell yet."""
+        outcome = stores.Outcome
+        if self.down:
+            return stores.Answer(call=call.call, outcome=outcome.DOWN)
+        match call:
+            case stores.Read(path=path):
+                found = [self.objects[path]] if path in self.objects else []
+                live = found and found[0].value is not None
+                kind = outcome.FOUND if live else outcome.ABSENT
+            case stores.Scan(prefix=prefix):
+                kind = outcome.FOUND
+                found = [
+                    o
+                    for o in self.objects.values()
+                    if o.path.startswith(prefix) and o.value is not None
+                ]
+            case stores.Watch(prefix=prefix, after=after):
+                kind = outcome.FOUND
+                found = [
+                    o
+                    for o in self.objects.values()
+                    if o.path.startswith(prefix)
+                    and o.version > after
+                    and o.version not in self.dropped
+                ]
+                if not found:
+                    return None
+            case stores.Write(path=path, expected=expected):
+                found = [self.objects[path]] if path in self.objects else []
+                live = found and found[0].value is not None
+                if (found[0].version if live else 0) != expected:
+                    kind = outcome.CONFLICT
+                else:
+                    kind = outcome.WRITTEN
+                    found = [self.put(path, call.value, call.write_id)]
+        return stores.Answer(
+            call=call.call, outcome=kind, objects=found, version=self.revision
+        )
+
+
+class Network:
+    """Runs state machines with a clock of its own.
+
+    Attributes:
+        cut: tells of (sender, receiver) whether messages are dropped.
+        apart: addresses that can't reach the store.
+    """
+
+    def __init__(self, *, seeds=()):
+        self.now = 100.0
+        self.store = Store()
+        self.nodes = {}
+        self.seeds = list(seeds)
+        self.cut = lambda sender, receiver: False
+        self.apart = set()
+        self.sent = 0
+        self.queue = []
+        self.watches = []
+        self.numbers = itertools.count()
+
+    def entry(self, number, data_centre="recife"):
+        """Starts an entry, or starts it anew with nothing in memory."""
+        address = f"tcp://10.0.0.{number}:7000"
+        self.nodes[address] = distribution.Distributor(
+            name=f"entry-{number}",
+            address=address,
+            data_centre=data_centre,
+            seed=next(self.numbers) * 1000,
+            view=configuration.Configuration(),
+            seeds=self.seeds,
+        )
+        self.watches = [w for w in self.watches if w[0] != address]
+        return self.nodes[address]
+
+    def agent(self, number):
+        """Starts an agent of a runner."""
+        address = f"tcp://10.0.1.{number}:7000"
+        self.nodes[address] = subscription.Subscriber(
+            name=f"r{number}",
+            seed=next(self.numbers),
+            view=configuration.Configuration(),
+            seeds=self.seeds,
+        )
+        return self.nodes[address]
+
+    def entries(self):
+        kind = distribution.Distributor
+        return [n for n in self.nodes.values() if isinstance(n, kind)]
+
+    def declare(self, declaration):
+        """Writes a declaration as another client of the store."""
+        path = declarations.path_of(declaration)
+        return self.store.put(path, declarations.encode(declaration))
+
+    def run(self, seconds, until=None):
+        """Runs for so long, or until something holds; tells whether it did."""
+        end = self.now + seconds
+        while self.now < end:
+            if until is not None and until():
+                return True
+            self.step(end)
+        return until is not None and until()
+
+    def step(self, end):
+        wakes = [node.next_wake() for node in self.nodes.values()]
+        wakes += [due for _, _, due in self.watches]
+        wakes += [self.queue[0][0]] if self.queue else []
+        self.now = min(max(self.now, min(wakes)), end)
+        while self.queue and self.queue[0][0] <= self.now:
+            _, _, address, event = heapq.heappop(self.queue)
+            if address in self.nodes:
+                node = self.nodes[address]
+                self.perform(address, node.handle(event, self.now))
+        for address, node in list(self.nodes.items()):
+            if node.next_wake() <= self.now:
+                self.perform(address, node.wake(self.now))
+        self.look()
+
+    def look(self):
+        """Answers the watches that have something to tell or are over."""
+        waiting, self.watches = self.watches, []
+        for address, call, due in waiting:
+            answer = self.ask(address, call)
+            if answer is None and self.now >= due:
+                answer = stores.Answer(
+                    call=call.call,
+                    outcome=stores.Outcome.FOUND,
+                    version=self.store.revision,
+                )
+            if answer is None:
+                self.watches.append((address, call, due))
+            else:
+                self.later(address, answer)
+
+    def ask(self, address, call):
+        if address in self.apart:
+            return stores.Answer(call=call.call, outcome=stores.Outcome.DOWN)
+        return self.store.call(call)
+
+    def later(self, address, event):
+        number = next(self.numbers)
+        heapq.heappush(self.queue, (self.now + DELAY, number, address, event))
+
+    def perform(self, address, todo):
+        for action in todo:
+            match action:
+                case actions.Send(address=receiver, message=message):
+                    self.send(address, receiver, message)
+                case actions.CallStore(call=stores.Watch() as call):
+                    self.store.calls.append(call)
+                    due = self.now + call.seconds
+                    self.watches.append((address, call, due))
+                case actions.CallStore(call=call):
+                    self.store.calls.append(call)
+                    self.later(address, self.ask(address, call))
+
+    def send(self, sender, receiver, message):
+        self.sent += 1
+        if receiver not in self.nodes or self.cut(sender, receiver):
+            self.later(sender, events.Unreachable(address=receiver))
+            return
+        view = self.nodes[sender].configuration
+        event = events.FromNode(
+            sender=sender, message=message, configuration=view.version
+        )
+        self.later(receiver, event)
--- /dev/null
+++ b/pimentoledge/tests/test_distribution.py
@@ -0,0 +1,310 @@
+"""How changes of the configuration reach every node."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import distribution
+from pimentoledge.decisions import events
+from pimentoledge.decisions import stores
+from pimentoledge.nodes import configuration_messages as messages
+from pimentoledge.tests import network
+
+IN_FORCE_SECONDS = 5
+OLD = "declared/contracts/old"
+
+
+def contract(name, **fields):
+    return declarations.Contract(organisation=name, **fields)
+
+
+def started(count, *, agents=0, contracts=20):
+    """Returns a network that has come to rest."""
+    net = network.Network(seeds=["tcp://10.0.0.1:7000", "tcp://10.0.0.2:7000"])
+    for number in range(contracts):
+        net.declare(contract(f"org-{number}"))
+    net.declare(declarations.Model(name="assistente", weights="v1"))
+    for number in range(agents):
+        address = f"tcp://10.0.1.{number}:7000"
+        net.declare(
+            declarations.BackendServer(
+                name=f"r{number}", serves="assistente", agent=address
+            )
+        )
+        net.agent(number)
+    for number in range(1, count + 1):
+        net.entry(number, ["recife", "fortaleza", "natal"][number % 3])
+    net.run(30)
+    assert all(len(e.configuration.entries()) == count for e in net.entries())
+    return net
+
+
+def everywhere(net, stored):
+    def reached():
+        views = [node.configuration for node in net.entries()]
+        newest = [view.newest(stored.path) for view in views]
+        return all(o and o.version >= stored.version for o in newest)
+
+    return reached
+
+
+def test_change_reaches_all_and_the_store_is_called_by_few():
+    calls = {}
+    for count in (6, 24):
+        net = started(count)
+        stored = net.declare(contract("new"))
+        assert net.run(IN_FORCE_SECONDS, until=everywhere(net, stored))
+        net.run(20)
+        before = len(net.store.calls)
+        net.run(60)
+        calls[count] = len(net.store.calls) - before
+    assert calls[24] <= calls[6] + 2
+
+
+def test_digests_repair_lost_messages():
+    """One entry goes on with the old limits of a contract.
+
+    The message that told it of the change was lost on the way, and nobody
+    sends it again by itself.
+    """
+    net = started(8)
+    net.cut = lambda sender, receiver: True
+    stored = net.declare(contract("org-1", burst=99))
+    net.run(1)
+    chance = random.Random(1)
+    net.cut = lambda sender, receiver: chance.random() < 0.5
+    assert net.run(2 * IN_FORCE_SECONDS, until=everywhere(net, stored))
+
+
+def test_sweep_finds_what_every_watch_dropped():
+    """A deleted contract's key goes on working.
+
+    The store's watch drops the deletion for every watcher, and no further
+    change of that object comes.
+    """
+    net = started(3)
+    net.store.dropped.add(net.store.revision + 1)
+    net.store.put("declared/contracts/org-3", None)
+    net.declare(contract("later"))
+    net.run(0.3)
+    views = [entry.configuration for entry in net.entries()]
+    assert all("org-3" in view.contracts for view in views)
+    assert net.run(
+        20, until=lambda: all("org-3" not in v.contracts for v in views)
+    )
+
+
+def test_entry_that_restarts_while_the_store_is_down_takes_from_others():
+    net = started(3)
+    net.store.down = True
+    net.store.calls.clear()
+    late = net.entry(2)
+    assert net.run(2, until=late.configuration.is_whole)
+    assert len(late.configuration.contracts) == 20
+    assert net.store.calls == [] or not any(
+        isinstance(call, stores.Scan) for call in net.store.calls
+    )
+
+
+def test_all_entries_restart_while_the_store_is_down():
+    """Every caller is refused as unknown until the store is back.
+
+    A bad release restarts all entries within seconds, during an outage of
+    the store; no entry has the configuration any more.
+    """
+    net = started(4, agents=6)
+    net.run(10)
+    net.store.down = True
+    accepted = stores.Object(
+        path="declared/contracts/org-1",
+        version=net.store.revision + 1,
+        value=declarations.encode(contract("org-1", burst=77)),
+    )
+    first = net.entries()[0]
+    net.perform(first.address, first.publish([accepted], net.now))
+    net.run(0.1)
+    for number in range(1, 5):
+        net.entry(number)
+    assert net.run(
+        10, until=lambda: all(e.configuration.is_whole() for e in net.entries())
+    )
+    for entry in net.entries():
+        assert len(entry.configuration.contracts) == 20
+        assert entry.configuration.contracts["org-1"].burst == 77
+
+
+def test_store_outage_of_minutes():
+    net = started(6)
+    net.store.down = True
+    net.run(300)
+    net.store.calls.clear()
+    net.run(60)
+    # Two watchers per data centre, each every 1 to 2 s; nobody else joins in.
+    assert len(net.store.calls) <= 6 * 65
+    net.store.down = False
+    stored = net.declare(contract("org-2", burst=5))
+    assert net.run(IN_FORCE_SECONDS, until=everywhere(net, stored))
+
+
+def test_others_take_over_from_dead_watchers():
+    """Changes stop reaching one data centre, and then all.
+
+    Both watchers of each data centre died; the others believe that somebody
+    still watches.
+    """
+    net = started(12)
+    for entry in net.entries():
+        if entry.peers.rank(net.now) < distribution.WATCHERS:
+            del net.nodes[entry.address]
+    net.watches = []
+    net.run(30)
+    stored = net.declare(contract("new"))
+    assert net.run(IN_FORCE_SECONDS, until=everywhere(net, stored))
+
+
+def test_half_that_was_cut_off_brings_nothing_deleted_back():
+    """A contract that was deleted during a partition works again.
+
+    The half that was cut off still has the contract. An entry that started
+    after the deletion has never heard of either, and takes it from there.
+    """
+    net = started(6)
+    old = net.declare(contract("old"))
+    assert net.run(IN_FORCE_SECONDS, until=everywhere(net, old))
+    far = {entry.address for entry in net.entries()[3:]}
+    stale = net.entries()[3]
+    net.cut = lambda sender, receiver: (sender in far) != (receiver in far)
+    net.apart = far
+    net.store.put(OLD, None)
+    net.run(30)
+    net.entry(1)
+    net.run(10)
+    net.cut = lambda sender, receiver: False
+    fresh = net.entries()[0].configuration
+    assert stale.configuration.newest(OLD).value is not None
+    for _ in range(40):
+        net.run(0.25)
+        assert "old" not in fresh.contracts
+    assert "old" not in stale.configuration.contracts
+
+
+def test_old_copy_of_an_agent_undoes_nothing():
+    """A deleted contract works again after an agent comes back.
+
+    The agent was paused since before the deletion and still keeps it.
+    """
+    net = started(2)
+    entry = net.entries()[0]
+    agent = "tcp://10.0.1.1:7000"
+    poll = messages.Poll(server="r1", versions=[], held=[])
+    entry.handle(events.FromNode(sender=agent, message=poll), net.now)
+    ghost = stores.Object(
+        path=OLD, version=1, value=declarations.encode(contract("old"))
+    )
+    changes = messages.Changes(objects=[ghost])
+    entry.configuration.floor = 0
+    entry.handle(events.FromNode(sender=agent, message=changes), net.now)
+    assert "old" not in entry.configuration.contracts
+
+
+def test_agent_gets_its_own_declarations_at_once():
+    net = started(4, agents=3)
+    model = declarations.Model(name="assistente", weights="v2")
+    net.declare(model)
+    agents = [n for a, n in net.nodes.items() if a.startswith("tcp://10.0.1")]
+
+    def reached():
+        models = [n.configuration.model("assistente") for n in agents]
+        return all(each and each.weights == "v2" for each in models)
+
+    assert net.run(IN_FORCE_SECONDS, until=reached)
+    assert all(len(a.configuration.contracts) == 0 for a in agents)
+    count, _ = net.entries()[0].agents.counts(net.now)
+    assert count <= 3
+
+
+def test_two_processes_with_one_name_do_not_write_for_ever():
+    net = started(1)
+    twin = net.entry(9)
+    twin.registration.name = "entry-1"
+    net.run(20)
+    before = len(net.store.calls)
+    net.run(300)
+    writes = [
+        c for c in net.store.calls[before:] if isinstance(c, stores.Write)
+    ]
+    assert len(writes) <= 14
+
+
+class Faults(stateful.RuleBasedStateMachine):
+    """Changes, partitions, outages and restarts, against the store itself."""
+
+    def __init__(self):
+        super().__init__()
+        self.net = started(4, contracts=3)
+        self.seen = {}
+        self.half = False
+
+    @stateful.rule(
+        name=strategies.sampled_from("abc"), alive=strategies.booleans()
+    )
+    def change(self, name, alive):
+        if alive:
+            self.net.declare(contract(name))
+        else:
+            self.net.store.put(f"declared/contracts/{name}", None)
+
+    @stateful.rule()
+    def cut_or_heal(self):
+        self.half = not self.half
+        near = {entry.address for entry in self.net.entries()[:2]}
+        self.net.cut = lambda sender, receiver: self.half and (
+            (sender in near) != (receiver in near)
+        )
+
+    @stateful.rule()
+    def store_down_or_up(self):
+        self.net.store.down = not self.net.store.down
+
+    @stateful.rule(number=strategies.integers(1, 4))
+    def restart(self, number):
+        entry = self.net.entry(number)
+        self.seen.pop(entry.address, None)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.01, 0.3, 3]))
+    def run_for(self, seconds):
+        self.net.run(seconds)
+
+    @stateful.invariant()
+    def never_reverts(self):
+        for entry in self.net.entries():
+            seen = self.seen.setdefault(entry.address, {})
+            for name in "abc":
+                path = f"declared/contracts/{name}"
+                newest = entry.configuration.newest(path)
+                version = newest.version if newest else 0
+                floor = entry.configuration.floor
+                assert max(version, floor) >= seen.get(name, 0)
+                seen[name] = max(version, seen.get(name, 0))
+
+    def teardown(self):
+        self.half = False
+        self.net.store.down = False
+        self.net.run(25)
+        for entry in self.net.entries():
+            for name in "abc":
+                path = f"declared/contracts/{name}"
+                truth = self.net.store.objects.get(path)
+                alive = truth is not None and truth.value is not None
+                found = entry.configuration.in_force(path)
+                assert (found is not None) == alive
+                assert not alive or found.version == truth.version
+
+
+TestFaults = Faults.TestCase
+TestFaults.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=25, stateful_step_count=15
+)
