Claim keyed calls durably before they run

A call with an idempotency key may run once, whatever is killed, paused or lost. The agent beside the server now has a state machine for it: a record that names this life of the agent goes into the shard's object by a conditional update, and only then the call is granted. Many claims and outcomes share one write. A refused claim stays true because only the life that a record names may run it, and that life remembers that it gave up.

Weighed: expiry by wall clocks (one VM with a wrong clock would drop records that still count), against an age of the shard that its writers add up from their own monotonic clocks; spans never overlap, so it never runs fast. A write of unknown fate is settled by a second write on the same version rather than by waiting, since no wait is long enough for a late packet.

CLAIM_RUNNING said "ran"; a call in progress may still end as not run, so it now says "outcome_unknown". CLAIM_STORE_DOWN now says that it speaks of this request alone. New codes: ANSWER_NOT_KEPT, CLAIMS_FULL.

Tests: 13, with a state machine over two agents, lost and late writes, kills and pauses.

--- /dev/null
+++ b/pimentoledge/decisions/claim_verdicts.py
@@ -0,0 +1,77 @@
+"""What an agent is told of a request with an idempotency key."""
+
+import attrs
+
+from pimentoledge import results
+from pimentoledge.decisions import claim_records
+
+
+@attrs.frozen(kw_only=True)
+class Granted:
+    """The claim is durable, and this agent may start the call once.
+
+    The agent looks at the request's deadline again right before it starts
+    the call, since the grant may have waited in its queue.
+    """
+
+    request: str
+    attempt: int
+
+
+@attrs.frozen(kw_only=True)
+class Replay:
+    """The call with this key ran before; this is its answer."""
+
+    request: str
+    attempt: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Denied:
+    """The request is not run.
+
+    Attributes:
+        request: request id.
+        attempt: attempt number.
+        code: why.
+        ran: what is true of the call that the key stands for.
+        retry_after: seconds; 0 for no advice.
+    """
+
+    request: str
+    attempt: int
+    code: results.Code
+    ran: results.Ran
+    retry_after: float = 0.0
+
+
+Verdict = Granted | Replay | Denied
+
+
+def deny(
+    request: str,
+    attempt: int,
+    code: results.Code,
+    ran: results.Ran = results.Ran.NOT_RUN,
+) -> Denied:
+    """Returns a refusal; by default one that says that nothing ran."""
+    return Denied(request=request, attempt=attempt, code=code, ran=ran)
+
+
+def finished(
+    request: str, attempt: int, answer: claim_records.Answer | None
+) -> Replay | Denied:
+    """Returns the answer of the first run, or that it isn't kept."""
+    if answer is None:
+        code = results.Code.ANSWER_NOT_KEPT
+        return deny(request, attempt, code, results.Ran.RAN)
+    return Replay(
+        request=request,
+        attempt=attempt,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -60,6 +60,8 @@
     OUTCOME_UNKNOWN = 5002
     CLAIM_STORE_DOWN = 5003
     KEY_REUSED = 5004
+    ANSWER_NOT_KEPT = 5005
+    CLAIMS_FULL = 5006
     # 6xxx: operators and the platform's store.
     INVALID_DECLARATION = 6001
     VERSION_CONFLICT = 6002
@@ -141,16 +143,27 @@
     ),
     Code.SERVICE_FAILED: _row(502, _UNKNOWN, "the service gave no answer"),
     Code.CALLER_GONE: _row(499, _RAN, "the caller went away"),
-    Code.CLAIM_RUNNING: _row(409, _RAN, "a call with this key is running"),
+    Code.CLAIM_RUNNING: _row(
+        409, _UNKNOWN, "a call with this key is in progress"
+    ),
     Code.OUTCOME_UNKNOWN: _row(
         409, _UNKNOWN, "a call with this key may have run; it is not repeated"
     ),
     Code.CLAIM_STORE_DOWN: _row(
-        503, _NOT, "the claim cannot be made durable now"
+        503,
+        _NOT,
+        "the claim cannot be made durable now; this request was not run, an"
+        " earlier one with its key may have",
     ),
     Code.KEY_REUSED: _row(
         422, _NOT, "this key was used before with another request"
     ),
+    Code.ANSWER_NOT_KEPT: _row(
+        409, _RAN, "the call with this key ran; its answer is not kept"
+    ),
+    Code.CLAIMS_FULL: _row(
+        503, _NOT, "too many keys are remembered; this request was not run"
+    ),
     Code.INVALID_DECLARATION: _row(400, _NOT, "the declaration is not valid"),
     Code.VERSION_CONFLICT: _row(
         412, _NOT, "the object has a newer version than the one you read"
--- /dev/null
+++ b/pimentoledge/tests/test_claims.py
@@ -0,0 +1,557 @@
+"""Tests of the claims: one run for each idempotency key, true refusals.
+
+A small store in memory stands in for the object API; each call to it waits
+in a list until the test says how it ends.
+"""
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import claim_records
+from pimentoledge.decisions import claim_shards
+from pimentoledge.decisions import claim_verdicts
+from pimentoledge.decisions import claims
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import stores
+from pimentoledge.nodes import messages
+
+DONE = stores.Outcome.WRITTEN
+DOWN = stores.Outcome.DOWN
+LOST = stores.Outcome.LOST
+OUTCOME_SECONDS = 3600.0
+WHO = strategies.integers(0, 1)
+
+
+class Store:
+    """Objects with conditional writes."""
+
+    def __init__(self):
+        self.objects: dict[str, stores.Object] = {}
+        self.revision = 0
+
+    def perform(self, call: stores.Read | stores.Write) -> stores.Answer:
+        found = self.objects.get(call.path)
+        held = [found] if found else []
+        if isinstance(call, stores.Read):
+            outcome = stores.Outcome.FOUND if found else stores.Outcome.ABSENT
+            return _answer(call, outcome, held)
+        if call.expected != (found.version if found else 0):
+            return _answer(call, stores.Outcome.CONFLICT, held)
+        self.revision += 1
+        self.objects[call.path] = stores.Object(
+            path=call.path,
+            version=self.revision,
+            value=call.value,
+            write_id=call.write_id,
+        )
+        return _answer(call, DONE, [], self.revision)
+
+
+def _answer(call, outcome, objects=(), version=0) -> stores.Answer:
+    return stores.Answer(
+        call=call.call, outcome=outcome, objects=list(objects), version=version
+    )
+
+
+def _dispatch(request: str, key: str, **fields) -> messages.Dispatch:
+    call = messages.ServiceCall(
+        service="orders", method="POST", path="/", body=fields.pop("body", b"")
+    )
+    fields.setdefault("seconds_left", 30.0)
+    return messages.Dispatch(
+        request=request,
+        attempt=1,
+        organisation="acme",
+        priority="interactive",
+        server="s",
+        key=key,
+        call=call,
+        **fields,
+    )
+
+
+class Agent:
+    """One life of an agent: its claims, store calls and verdicts."""
+
+    def __init__(self, life: str, store: Store, **limits):
+        self.store = store
+        self.claims = claims.Claims(
+            agent="s",
+            life=life,
+            seed=1,
+            limits=claim_shards.Limits(**limits),
+        )
+        self.calls: list[stores.Read | stores.Write] = []
+        self.verdicts: dict[str, list[claim_verdicts.Verdict]] = {}
+
+    def take(self, outputs: list[claims.Output]) -> None:
+        for output in outputs:
+            match output:
+                case actions.CallStore():
+                    self.calls.append(output.call)
+                case _:
+                    self.verdicts.setdefault(output.request, []).append(output)
+
+    def claim(self, request: str, key: str, now: float = 0.0, **fields):
+        dispatch = _dispatch(request, key, **fields)
+        self.take(
+            self.claims.claim(
+                dispatch,
+                serves="orders",
+                outcome_seconds=OUTCOME_SECONDS,
+                now=now,
+            )
+        )
+
+    def next_call(self, now: float, outcome=DONE, effect: bool = True):
+        """Ends the oldest store call; a lost one has its effect or not."""
+        call = self.calls.pop(0)
+        answer = self.store.perform(call) if effect else None
+        if outcome in (DOWN, LOST):
+            answer = _answer(call, outcome)
+        self.take(self.claims.answer(answer, now))
+        return call
+
+    def settle(self, now: float) -> float:
+        """Runs until nothing is due within a minute; returns the time."""
+        while True:
+            while self.calls:
+                self.next_call(now)
+            wake = self.claims.next_wake()
+            if wake is None:
+                return now
+            now = max(now, wake)
+            self.take(self.claims.tick(now))
+
+    def finish(self, request: str, now: float, body: bytes = b"done"):
+        outputs = self.claims.finished(
+            request, status=201, headers=[("x", "y")], body=body, now=now
+        )
+        self.take(outputs)
+
+    def verdict(self, request: str) -> claim_verdicts.Verdict:
+        (only,) = self.verdicts[request]
+        return only
+
+
+def _denied(agent: Agent, request: str) -> tuple[results.Code, results.Ran]:
+    verdict = agent.verdict(request)
+    assert isinstance(verdict, claim_verdicts.Denied), verdict
+    return verdict.code, verdict.ran
+
+
+def test_a_resend_through_another_agent_gets_the_first_answer():
+    """The caller's entry dies after the call ran; the resend finds it.
+
+    The first agent leaves, so the resend goes to another one. It must read
+    the outcome and not run the order again; another body is refused.
+    """
+    store = Store()
+    first, second = Agent("life-1", store), Agent("life-2", store)
+    first.claim("r1", "k")
+    first.settle(0.0)
+    assert isinstance(first.verdict("r1"), claim_verdicts.Granted)
+    first.claim("r2", "k", 1.0)
+    unknown = results.Ran.UNKNOWN
+    assert _denied(first, "r2") == (results.Code.CLAIM_RUNNING, unknown)
+    second.claim("r3", "k", 1.0)
+    second.settle(1.0)
+    assert _denied(second, "r3") == (results.Code.OUTCOME_UNKNOWN, unknown)
+    first.finish("r1", 2.0)
+    first.settle(2.0)
+    assert first.claims.held() == 0
+    second.claim("r4", "k", 3.0)
+    second.settle(3.0)
+    replay = second.verdict("r4")
+    assert (replay.status, replay.body) == (201, b"done")
+    assert replay.headers == [("x", "y")]
+    second.claim("r5", "k", 4.0, body=b"other")
+    reused = (results.Code.KEY_REUSED, results.Ran.NOT_RUN)
+    assert _denied(second, "r5") == reused
+
+
+def test_a_lost_answer_is_read_back_before_anything_else():
+    """The store takes the claim, and its answer is lost.
+
+    A second write, or a refusal, without looking would leave the key
+    claimed by nobody who knows; the record read back grants the call.
+    """
+    agent = Agent("life-1", Store())
+    agent.claim("r1", "k")
+    agent.next_call(0.0)
+    agent.next_call(0.0, LOST)
+    agent.take(agent.claims.tick(1.0))
+    assert isinstance(agent.next_call(1.0), stores.Read)
+    assert isinstance(agent.verdict("r1"), claim_verdicts.Granted)
+
+
+def test_a_refused_claim_never_runs_though_its_write_lands_late():
+    """The caller is told "not run" in an outage; the write lands after it.
+
+    The record then names this life, which gave the claim up: it takes the
+    record out, and the caller's resend to another agent may run.
+    """
+    store = Store()
+    agent = Agent("life-1", store)
+    agent.claim("r1", "k")
+    agent.next_call(0.0)
+    late = agent.calls[0]
+    agent.next_call(0.0, LOST, effect=False)
+    agent.take(agent.claims.tick(1.0))
+    agent.next_call(1.0, DOWN, effect=False)
+    agent.take(agent.claims.tick(2.5))
+    down = (results.Code.CLAIM_STORE_DOWN, results.Ran.NOT_RUN)
+    assert _denied(agent, "r1") == down
+    store.perform(late)
+    now = agent.settle(2.5)
+    assert agent.claims.held() == 0
+    other = Agent("life-2", store)
+    other.claim("r2", "k", now)
+    other.settle(now)
+    assert isinstance(other.verdict("r2"), claim_verdicts.Granted)
+    assert len(agent.verdicts["r1"]) == 1
+
+
+def test_a_write_of_unknown_fate_is_outrun_before_it_is_forgotten():
+    """The lost write hasn't landed when it is read back, but lands later.
+
+    Forgetting the given-up claim at the read back would let the late write
+    block the key for a day; a write on the same version makes it conflict.
+    """
+    store = Store()
+    agent = Agent("life-1", store, patience=0.5)
+    agent.claim("r1", "k")
+    agent.next_call(0.0)
+    late = agent.calls[0]
+    agent.next_call(0.0, LOST, effect=False)
+    agent.take(agent.claims.tick(1.0))
+    assert _denied(agent, "r1")[1] == results.Ran.NOT_RUN
+    agent.settle(1.0)
+    assert agent.claims.held() == 0
+    assert store.perform(late).outcome == stores.Outcome.CONFLICT
+
+
+def test_a_key_being_freed_is_not_granted_from_its_old_record():
+    """The caller resends while the record of its refused call is taken out.
+
+    A grant from that old record would run with nothing durable: the other
+    agent, which sees the key free, would run the order a second time.
+    """
+    store = Store()
+    agent, other = Agent("life-1", store), Agent("life-2", store)
+    agent.claim("r1", "k")
+    agent.next_call(0.0)
+    agent.next_call(0.0)
+    agent.take(agent.claims.failed("r1", results.Ran.NOT_RUN, 0.0))
+    agent.take(agent.claims.tick(1.0))
+    agent.claim("r2", "k", 1.0)
+    assert "r2" not in agent.verdicts
+    agent.next_call(1.0)
+    other.claim("r3", "k", 1.0)
+    other.settle(1.0)
+    agent.settle(1.1)
+    assert isinstance(other.verdict("r3"), claim_verdicts.Granted)
+    unknown = results.Ran.UNKNOWN
+    assert _denied(agent, "r2") == (results.Code.OUTCOME_UNKNOWN, unknown)
+
+
+def test_a_grant_after_the_deadline_is_a_refusal():
+    """The holder is paused during its write and wakes after the deadline.
+
+    Its entry may have told the caller by then; so it must not start.
+    """
+    agent = Agent("life-1", Store())
+    agent.claim("r1", "k", seconds_left=5.0)
+    agent.next_call(0.0)
+    agent.next_call(60.0)
+    late = (results.Code.DEADLINE_UNMEETABLE, results.Ran.NOT_RUN)
+    assert _denied(agent, "r1") == late
+    agent.settle(60.0)
+    assert agent.claims.held() == 0
+
+
+def test_many_claims_go_into_one_write():
+    """A herd of orders arrives while a write is out: one write takes all."""
+    agent = Agent("life-1", Store())
+    for number in range(400):
+        agent.claim(f"r{number}", f"k{number}")
+    shards = len(agent.calls)
+    writes = 0
+    while agent.calls:
+        writes += isinstance(agent.next_call(0.0), stores.Write)
+    assert writes == shards <= claim_records.SHARDS
+    granted = [each[0] for each in agent.verdicts.values()]
+    assert all(isinstance(each, claim_verdicts.Granted) for each in granted)
+    assert len(granted) == 400
+
+
+def test_outage_refuses_at_once_after_its_first_seconds():
+    """The store is down for minutes: callers aren't kept waiting for it.
+
+    A claim that comes in the first seconds waits; later ones are refused at
+    once, but one of them tries the store now and then.
+    """
+    agent = Agent("life-1", Store())
+    agent.claim("r0", "k")
+    now = 0.0
+    while "r0" not in agent.verdicts:
+        agent.next_call(now, DOWN, effect=False)
+        now = agent.claims.next_wake() or now
+        agent.take(agent.claims.tick(now))
+    assert now >= 2.0
+    agent.claim("r1", "k", now)
+    down = (results.Code.CLAIM_STORE_DOWN, results.Ran.NOT_RUN)
+    assert _denied(agent, "r1") == down
+    agent.claim("r2", "k", now + 2.0)
+    agent.settle(now + 2.0)
+    assert isinstance(agent.verdict("r2"), claim_verdicts.Granted)
+
+
+def test_a_full_shard_refuses_and_forgets_nothing_early():
+    """Too many keys for the object: a new one is refused, none is dropped.
+
+    Only the age that writers measured themselves frees room: first the kept
+    answers go, then the keys.
+    """
+    store = Store()
+    limits = {"object_bytes": 200, "key_seconds": 7200.0}
+    agent = Agent("life-1", store, **limits)
+    keys = [f"k{n}" for n in range(200)]
+    shard = claim_records.shard_of("acme", "k0")
+    keys = [k for k in keys if claim_records.shard_of("acme", k) == shard]
+    for number, key in enumerate(keys[:6]):
+        agent.claim(f"r{number}", key)
+        agent.settle(0.0)
+        if isinstance(agent.verdict(f"r{number}"), claim_verdicts.Granted):
+            agent.finish(f"r{number}", 0.0)
+            agent.settle(0.0)
+    full = (results.Code.CLAIMS_FULL, results.Ran.NOT_RUN)
+    assert _denied(agent, "r5") == full
+    again = Agent("life-2", store, **limits)
+    again.claim("again", keys[0], 1e9)
+    again.settle(1e9)
+    assert again.verdict("again").body == b"done"
+    agent.claim("later", keys[5], 20000.0)
+    agent.settle(20000.0)
+    agent.claim("last", keys[5], 40000.0)
+    agent.settle(40000.0)
+    assert isinstance(agent.verdict("last"), claim_verdicts.Granted)
+
+
+def test_a_large_answer_is_remembered_but_not_kept():
+    """A call whose answer is too large ran: the resend hears just that."""
+    agent = Agent("life-1", Store())
+    agent.claim("r1", "k")
+    agent.settle(0.0)
+    agent.finish("r1", 1.0, body=bytes(5000))
+    kept = (results.Code.ANSWER_NOT_KEPT, results.Ran.RAN)
+    agent.claim("r2", "k", 1.0)
+    assert _denied(agent, "r2") == kept
+    agent.settle(2.0)
+    agent.claim("r3", "k", 3.0)
+    assert _denied(agent, "r3") == kept
+
+
+def test_an_unreadable_object_is_not_guessed_at():
+    """Someone wrote something else there: refused, and not overwritten."""
+    store = Store()
+    agent = Agent("life-1", store)
+    path = claim_records.path_of("orders", claim_records.shard_of("acme", "k"))
+    store.objects[path] = stores.Object(path=path, version=1, value=b"\xc1")
+    agent.claim("r1", "k")
+    agent.settle(0.0)
+    down = (results.Code.CLAIM_STORE_DOWN, results.Ran.NOT_RUN)
+    assert _denied(agent, "r1") == down
+    assert store.objects[path].value == b"\xc1"
+
+
+def test_entries_agree_on_the_owner():
+    """Two entries send one key to one agent, and few keys move on a leave."""
+    servers = [
+        declarations.BackendServer(name=f"s{n}", serves="orders", agent="")
+        for n in range(4)
+    ]
+    shards = range(claim_records.SHARDS)
+    before = [claim_records.owner("orders", n, servers).name for n in shards]
+    backwards = servers[::-1]
+    again = [claim_records.owner("orders", n, backwards).name for n in shards]
+    assert before == again
+    servers[0].state = declarations.ServerState.LEAVING
+    after = [claim_records.owner("orders", n, servers).name for n in shards]
+    moved = {a for a, b in zip(before, after, strict=True) if a != b}
+    assert moved <= {"s0"}
+    assert "s0" not in after
+    assert claim_records.owner("other", 0, servers) is None
+
+
+@attrs.define
+class Run:
+    """What the service knows of one run."""
+
+    request: str
+    body: bytes
+
+
+class OneRun(stateful.RuleBasedStateMachine):
+    """Agents, a store and a service that counts, against every order.
+
+    Lost answers, writes that land late, outages, kills, pauses and two
+    owners at once come in any order; the service's count is the judge.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.store = Store()
+        self.now = 0.0
+        self.lives = 0
+        self.requests = 0
+        self.agents = [self.agent(), self.agent()]
+        self.late: list[stores.Write] = []
+        self.runs: dict[str, list[Run]] = {}
+        self.started: set[str] = set()
+        self.key_of: dict[str, str] = {}
+        self.seen: dict[str, claim_verdicts.Verdict] = {}
+        self.waiting: list[tuple[Agent, str]] = []
+        self.running: list[tuple[Agent, str]] = []
+
+    def agent(self) -> Agent:
+        self.lives += 1
+        return Agent(f"life-{self.lives}", self.store)
+
+    def look(self) -> None:
+        """Checks new verdicts against what the service saw."""
+        for agent in self.agents:
+            for request, (verdict, *more) in agent.verdicts.items():
+                assert not more, (verdict, more)
+                if request not in self.seen:
+                    self.seen[request] = verdict
+                    self.judge(agent, request, verdict)
+
+    def judge(self, agent: Agent, request: str, verdict) -> None:
+        runs = self.runs.get(self.key_of[request], [])
+        match verdict:
+            case claim_verdicts.Granted():
+                self.waiting.append((agent, request))
+            case claim_verdicts.Replay():
+                assert [each.body for each in runs] == [verdict.body]
+            case claim_verdicts.Denied(ran=results.Ran.RAN):
+                assert len(runs) == 1
+
+    @stateful.rule(who=WHO, key=strategies.sampled_from(["a", "a", "b"]))
+    def claim(self, who, key):
+        self.requests += 1
+        request = f"r{self.requests}"
+        self.key_of[request] = key
+        self.agents[who].claim(request, key, self.now, seconds_left=10.0)
+
+    @stateful.rule(who=WHO)
+    def store_works(self, who):
+        while self.agents[who].calls:
+            self.agents[who].next_call(self.now)
+
+    @stateful.rule(
+        who=WHO,
+        fate=strategies.sampled_from([DONE, DOWN, LOST, "late", "late"]),
+        effect=strategies.booleans(),
+    )
+    def store_answers(self, who, fate, effect):
+        agent = self.agents[who]
+        if not agent.calls:
+            return
+        if fate == "late" and isinstance(agent.calls[0], stores.Write):
+            self.late.append(agent.calls[0])
+            agent.next_call(self.now, LOST, effect=False)
+        elif fate in (DONE, "late"):
+            agent.next_call(self.now)
+        else:
+            agent.next_call(self.now, fate, effect and fate == LOST)
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def late_write_lands(self):
+        self.store.perform(self.late.pop(0))
+
+    @stateful.rule(
+        seconds=strategies.sampled_from([0.1, 0.5, 0.5, 1.0, 15.0]),
+        awake=strategies.sampled_from([(0, 1), (0, 1), (0,), (1,)]),
+    )
+    def time_passes(self, seconds, awake):
+        self.now += seconds
+        for who in awake:
+            self.agents[who].take(self.agents[who].claims.tick(self.now))
+
+    @stateful.rule(who=WHO)
+    def killed(self, who):
+        dead = self.agents[who]
+        self.late += [c for c in dead.calls if isinstance(c, stores.Write)]
+        self.agents[who] = self.agent()
+        self.waiting = [each for each in self.waiting if each[0] is not dead]
+        self.running = [each for each in self.running if each[0] is not dead]
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(reached=strategies.sampled_from([True, True, False]))
+    def starts(self, reached):
+        agent, request = self.waiting.pop(0)
+        if not reached:
+            agent.take(
+                agent.claims.failed(request, results.Ran.NOT_RUN, self.now)
+            )
+            return
+        self.started.add(request)
+        key = self.key_of[request]
+        run = Run(request, f"answer to {request}".encode())
+        self.runs.setdefault(key, []).append(run)
+        self.running.append((agent, request))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(answered=strategies.booleans())
+    def ends(self, answered):
+        agent, request = self.running.pop(0)
+        if answered:
+            body = f"answer to {request}".encode()
+            agent.finish(request, self.now, body)
+        else:
+            agent.take(
+                agent.claims.failed(request, results.Ran.UNKNOWN, self.now)
+            )
+
+    @stateful.invariant()
+    def at_most_one_run(self):
+        self.look()
+        for runs in self.runs.values():
+            assert len(runs) <= 1, runs
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        for request in self.started:
+            verdict = self.seen[request]
+            assert isinstance(verdict, claim_verdicts.Granted)
+
+    def teardown(self):
+        for agent in self.agents:
+            self.now = agent.settle(self.now)
+        self.look()
+        for agent in self.agents:
+            asked = [r for r in self.key_of if r in agent.verdicts]
+            assert all(len(agent.verdicts[r]) == 1 for r in asked)
+            for claim in _claims_of(agent):
+                assert claim.phase == claim_shards.Phase.RUNNING
+
+
+def _claims_of(agent: Agent) -> list[claim_shards.Claim]:
+    shards = agent.claims.shards.values()
+    return [claim for shard in shards for claim in shard.mine.values()]
+
+
+OneRun.TestCase.settings = hypothesis.settings(
+    max_examples=250,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestOneRun = OneRun.TestCase
