--- /dev/null
+++ b/pimentoledge/fake_http.py
@@ -0,0 +1,138 @@
+"""HTTP server under the fakes of the peers.
+
+A fake must be able to do what a good server never does: close a connection in
+the middle of an answer. So the handlers here write to cheroot's request
+themselves, and `cut` ends a connection without an answer or an end mark.
+"""
+
+from collections.abc import Callable
+import socket
+import threading
+import urllib.parse
+
+import cheroot.server
+
+LISTEN_BACKLOG = 512
+SHUTDOWN_SECONDS = 5
+POLL_SECONDS = 0.05
+JSON = b"application/json"
+EVENT_STREAM = b"text/event-stream"
+
+Handle = Callable[[cheroot.server.HTTPRequest], None]
+
+
+class Gateway(cheroot.server.Gateway):
+    """Gives each request to the handler of its server."""
+
+    def respond(self) -> None:
+        """Answers one request."""
+        self.req.server.handle(self.req)
+
+
+class Server:
+    """A cheroot server on a thread of its own.
+
+    It can be started again on the same port after `close`, as a restarted
+    peer would be.
+
+    Attributes:
+        host: address to listen at.
+        port: port to listen at; 0 until the first start picks a free one.
+        threads: requests handled at one time.
+    """
+
+    def __init__(self, *, handle: Handle, host: str, port: int, threads: int):
+        self.handle = handle
+        self.host = host
+        self.port = port
+        self.threads = threads
+        self.http = None
+        self.thread = None
+
+    @property
+    def url(self) -> str:
+        """Base URL of the server."""
+        return f"http://{self.host}:{self.port}"
+
+    def start(self) -> None:
+        """Binds the port and serves."""
+        self.http = cheroot.server.HTTPServer(
+            (self.host, self.port), Gateway, minthreads=self.threads
+        )
+        self.http.handle = self.handle
+        self.http.request_queue_size = LISTEN_BACKLOG
+        self.http.shutdown_timeout = SHUTDOWN_SECONDS
+        self.http.expiration_interval = POLL_SECONDS
+        self.http.keep_alive_conn_limit = 1000
+        self.http.prepare()
+        self.port = self.http.bind_addr[1]
+        self.thread = threading.Thread(
+            target=self.http.serve, name=f"fake-{self.port}"
+        )
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stops listening and closes all connections."""
+        if self.http is None:
+            return
+        self.http.stop()
+        self.thread.join()
+        self.http = None
+        self.thread = None
+
+
+def body_of(request: cheroot.server.HTTPRequest) -> bytes:
+    """Returns the whole body of a request."""
+    return request.rfile.read()
+
+
+def path_of(request: cheroot.server.HTTPRequest) -> str:
+    """Returns the path of a request, without its query."""
+    return request.path.decode("ascii")
+
+
+def begin(
+    request: cheroot.server.HTTPRequest,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    """Sends status line and headers; the body may follow in pieces."""
+    request.status = b"%d status" % status
+    request.outheaders = headers
+    request.send_headers()
+    request.sent_headers = True
+
+
+def answer(
+    request: cheroot.server.HTTPRequest,
+    body: bytes,
+    status: int = 200,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Sends a whole answer; JSON, unless the headers say otherwise."""
+    given = list(headers or [(b"Content-Type", JSON)])
+    given.append((b"Content-Length", b"%d" % len(body)))
+    begin(request, status, given)
+    request.conn.wfile.write(body)
+
+
+def cut(request: cheroot.server.HTTPRequest) -> None:
+    """Ends the connection at once, without an answer or an end mark."""
+    request.sent_headers = True
+    request.chunked_write = False
+    request.close_connection = True
+    cut_socket(request.conn.socket)
+
+
+def cut_socket(connection: socket.socket) -> None:
+    """Shuts a socket down, from any thread; its owner closes it."""
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The other side was faster; the connection is down either way.
+        pass
+
+
+def query_of(request: cheroot.server.HTTPRequest) -> dict[str, str]:
+    """Returns the query's fields; of a repeated field the last."""
+    return dict(urllib.parse.parse_qsl(request.qs.decode("ascii")))
--- /dev/null
+++ b/pimentoledge/platform/fake_objects.py
@@ -0,0 +1,180 @@
+"""The platform's object API in memory, with its faults."""
+
+import threading
+import time
+
+from pimentoledge.decisions import stores
+
+MAX_VALUE_BYTES = 1 << 20
+
+
+class Rate:
+    """Token bucket that holds at most one second's worth of calls."""
+
+    def __init__(self, *, per_second: float):
+        self.per_second = per_second
+        self.tokens = per_second
+        self.last = None
+
+    def take(self, now: float) -> bool:
+        """Returns whether a call is within the rate; 0 means no limit."""
+        if self.per_second <= 0:
+            return True
+        if self.last is not None:
+            gained = (now - self.last) * self.per_second
+            self.tokens = min(self.per_second, self.tokens + gained)
+        self.last = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class FakeObjects:
+    """The object API: versions, conditional writes, scans and watches.
+
+    One counter numbers the writes of all objects. Calls are answered at once
+    and may come from any thread; whoever serves them over a network does the
+    waiting, with `changed`.
+
+    Attributes:
+        clock: returns the time in seconds, for the rate limits.
+        objects: all objects by path; a deleted one stays with value None.
+        revision: version of the last write.
+        changed: condition that is notified after each write, and that guards
+            everything here.
+        down: whether each call is refused, without effect.
+        latency: seconds that the server waits before it makes a call.
+        lose_answers: number of next writes that take effect and whose answer
+            is lost.
+        lose_requests: number of next writes that get lost before they take
+            effect, so that their answer is lost too.
+        drop_watch_entries: number of next changes that watches leave out.
+        max_value_bytes: a longer value is refused, without effect.
+        writes: rate limit of the writes; above it a call is refused.
+        reads: rate limit of reads, scans and watches.
+        counts: calls by kind, the refused ones included.
+    """
+
+    def __init__(self, *, clock=time.monotonic):
+        self.clock = clock
+        self.objects: dict[str, stores.Object] = {}
+        self.revision = 0
+        self.changed = threading.Condition()
+        self.down = False
+        self.latency = 0.0
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.drop_watch_entries = 0
+        self.max_value_bytes = MAX_VALUE_BYTES
+        self.writes = Rate(per_second=0)
+        self.reads = Rate(per_second=0)
+        self.counts = {"writes": 0, "reads": 0, "scans": 0, "watches": 0}
+
+    def limit(self, *, writes_per_second: float, reads_per_second: float):
+        """Sets the rate limits; 0 means none."""
+        with self.changed:
+            self.writes = Rate(per_second=writes_per_second)
+            self.reads = Rate(per_second=reads_per_second)
+
+    def call(self, call: stores.Call) -> stores.Answer:
+        """Makes a call and answers at once."""
+        with self.changed:
+            self._count(call)
+            if self.down or not self._within_rate(call):
+                return self._answer(call, stores.Outcome.DOWN)
+            match call:
+                case stores.Read():
+                    return self._read(call)
+                case stores.Write():
+                    return self._write(call)
+                case stores.Scan():
+                    found = self._under(call.prefix, 0)
+                    live = [each for each in found if each.value is not None]
+                    return self._complete(call, live)
+                case stores.Watch():
+                    return self._watch(call)
+
+    def changes(self, prefix: str, after: int) -> bool:
+        """Returns whether a watch has something to say; isn't counted."""
+        if self.revision <= after:
+            return False
+        return any(
+            each.version > after and path.startswith(prefix)
+            for path, each in self.objects.items()
+        )
+
+    def _count(self, call: stores.Call) -> None:
+        match call:
+            case stores.Read():
+                self.counts["reads"] += 1
+            case stores.Write():
+                self.counts["writes"] += 1
+            case stores.Scan():
+                self.counts["scans"] += 1
+            case stores.Watch():
+                self.counts["watches"] += 1
+
+    def _within_rate(self, call: stores.Call) -> bool:
+        rate = self.writes if isinstance(call, stores.Write) else self.reads
+        return rate.take(self.clock())
+
+    def _answer(self, call, outcome, objects=(), version=0) -> stores.Answer:
+        return stores.Answer(
+            call=call.call,
+            outcome=outcome,
+            objects=list(objects),
+            version=version,
+        )
+
+    def _complete(self, call, objects) -> stores.Answer:
+        return self._answer(call, stores.Outcome.FOUND, objects, self.revision)
+
+    def _live(self, path: str) -> stores.Object | None:
+        found = self.objects.get(path)
+        if found is None or found.value is None:
+            return None
+        return found
+
+    def _read(self, call: stores.Read) -> stores.Answer:
+        found = self._live(call.path)
+        if found is None:
+            return self._answer(call, stores.Outcome.ABSENT)
+        return self._answer(call, stores.Outcome.FOUND, [found], found.version)
+
+    def _write(self, call: stores.Write) -> stores.Answer:
+        if len(call.value or b"") > self.max_value_bytes:
+            return self._answer(call, stores.Outcome.DOWN)
+        if self.lose_requests > 0:
+            self.lose_requests -= 1
+            return self._answer(call, stores.Outcome.LOST)
+        present = self._live(call.path)
+        if call.expected != (present.version if present else 0):
+            objects = [present] if present else []
+            return self._answer(call, stores.Outcome.CONFLICT, objects)
+        self.revision += 1
+        self.objects[call.path] = stores.Object(
+            path=call.path,
+            version=self.revision,
+            value=call.value,
+            write_id=call.write_id,
+        )
+        self.changed.notify_all()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return self._answer(call, stores.Outcome.LOST)
+        return self._answer(call, stores.Outcome.WRITTEN, version=self.revision)
+
+    def _watch(self, call: stores.Watch) -> stores.Answer:
+        found = self._under(call.prefix, call.after)
+        dropped = min(self.drop_watch_entries, len(found))
+        self.drop_watch_entries -= dropped
+        return self._complete(call, found[dropped:])
+
+    def _under(self, prefix: str, after: int) -> list[stores.Object]:
+        found = [
+            each
+            for path, each in self.objects.items()
+            if each.version > after and path.startswith(prefix)
+        ]
+        return sorted(found, key=lambda each: each.version)
--- /dev/null
+++ b/pimentoledge/platform/fake_servers.py
@@ -0,0 +1,98 @@
+"""HTTP server before the fakes of the platform."""
+
+import time
+
+import cheroot.server
+import msgspec
+
+from pimentoledge import fake_http
+from pimentoledge.decisions import stores
+from pimentoledge.platform import fake_objects
+from pimentoledge.platform import fake_vms
+from pimentoledge.platform import vms
+from pimentoledge.platform import wires
+
+THREADS = 32
+# Longest sleep of a waiting watch, so that it sees the server's end.
+WAIT_SECONDS = 0.25
+
+
+class ObjectServer:
+    """Serves the object API, and the list of VMs where there is one.
+
+    Attributes:
+        objects: the fake object API.
+        vm_list: the fake list of VMs, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        objects: fake_objects.FakeObjects,
+        vm_list: fake_vms.FakeVmList | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        threads: int = THREADS,
+    ):
+        self.objects = objects
+        self.vm_list = vm_list
+        self.closing = False
+        self.server = fake_http.Server(
+            handle=self.handle, host=host, port=port, threads=threads
+        )
+
+    @property
+    def url(self) -> str:
+        """Base URL of the server."""
+        return self.server.url
+
+    def start(self) -> None:
+        """Listens."""
+        self.closing = False
+        self.server.start()
+
+    def close(self) -> None:
+        """Ends waiting watches and stops listening."""
+        self.closing = True
+        with self.objects.changed:
+            self.objects.changed.notify_all()
+        self.server.close()
+
+    def handle(self, request: cheroot.server.HTTPRequest) -> None:
+        """Answers one request."""
+        path = fake_http.path_of(request)
+        if path == vms.PATH:
+            self.list_vms(request)
+            return
+        if path not in wires.KINDS:
+            fake_http.answer(request, b"{}", status=404)
+            return
+        call = wires.decode_call(path, fake_http.body_of(request))
+        if self.objects.latency > 0:
+            time.sleep(self.objects.latency)
+        if isinstance(call, stores.Watch):
+            self.wait(call)
+        answer = self.objects.call(call)
+        if answer.outcome == stores.Outcome.LOST or self.closing:
+            fake_http.cut(request)
+            return
+        fake_http.answer(request, wires.encode(answer))
+
+    def wait(self, watch: stores.Watch) -> None:
+        """Waits until a watch has something to say or its time is over."""
+        end = time.monotonic() + watch.seconds
+        objects = self.objects
+        with objects.changed:
+            while not self.closing and not objects.down:
+                left = end - time.monotonic()
+                if left <= 0 or objects.changes(watch.prefix, watch.after):
+                    return
+                objects.changed.wait(min(left, WAIT_SECONDS))
+
+    def list_vms(self, request: cheroot.server.HTTPRequest) -> None:
+        """Answers with the list of VMs as it is shown now."""
+        if self.vm_list is None or self.vm_list.down:
+            fake_http.answer(request, b"{}", status=503)
+            return
+        body = msgspec.json.encode(self.vm_list.shown())
+        fake_http.answer(request, body)
--- /dev/null
+++ b/pimentoledge/platform/vms.py
@@ -0,0 +1,80 @@
+"""The platform's list of VMs, which lags, and its client."""
+
+import enum
+
+import attrs
+import msgspec
+from returns import result
+import urllib3
+
+from pimentoledge import results
+
+PATH = "/vms"
+
+
+class VmState(enum.StrEnum):
+    """What the platform says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.define(kw_only=True)
+class Vm:
+    """One VM of the list.
+
+    Attributes:
+        name: its name.
+        address: its IP number.
+        data_centre: where it stands.
+        state: whether it stays.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    state: VmState = VmState.LIVE
+
+
+class VmListClient:
+    """Reads the list of VMs over HTTP; may be used from any thread.
+
+    Attributes:
+        url: base URL of the platform's service.
+        timeout: seconds for one call.
+    """
+
+    def __init__(self, *, url: str, timeout: float = 2.0):
+        self.url = url
+        self.timeout = timeout
+        self.pool = None
+
+    def start(self) -> None:
+        """Opens the connection pool."""
+        self.pool = urllib3.PoolManager(retries=False)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        if self.pool is not None:
+            self.pool.clear()
+
+    def read(self) -> result.Result[list[Vm], results.Error]:
+        """Returns the list as the platform gives it, or why it could not."""
+        try:
+            response = self.pool.request(
+                "GET", self.url + PATH, timeout=self.timeout
+            )
+            if response.status != 200:
+                return _down(f"status {response.status}")
+            vms = msgspec.json.decode(response.data, type=list[Vm])
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            return _down(str(error))
+        return result.Success(vms)
+
+
+def _down(text: str) -> result.Failure:
+    return result.Failure(
+        results.Error(
+            code=results.Code.PLATFORM_DOWN, text=f"list of VMs: {text}"
+        )
+    )
--- /dev/null
+++ b/pimentoledge/platform/wires.py
@@ -0,0 +1,29 @@
+"""The object API's form on the wire: JSON over HTTP, one path for a kind."""
+
+import msgspec
+
+from pimentoledge.decisions import stores
+
+# Values are bytes, which msgspec writes as base64.
+PATHS: dict[type, str] = {
+    stores.Read: "/objects/read",
+    stores.Write: "/objects/write",
+    stores.Scan: "/objects/scan",
+    stores.Watch: "/objects/watch",
+}
+KINDS: dict[str, type] = {path: kind for kind, path in PATHS.items()}
+
+
+def encode(message: stores.Call | stores.Answer) -> bytes:
+    """Returns the JSON form of a call or an answer."""
+    return msgspec.json.encode(message)
+
+
+def decode_call(path: str, body: bytes) -> stores.Call:
+    """Returns the call that was sent to a path."""
+    return msgspec.json.decode(body, type=KINDS[path])
+
+
+def decode_answer(body: bytes) -> stores.Answer:
+    """Returns the answer in a body."""
+    return msgspec.json.decode(body, type=stores.Answer)
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -71,6 +71,7 @@
     ABSENT = 6006
     PRECONDITION_NEEDED = 6007
     UNCONFIRMED = 6008
+    PLATFORM_DOWN = 6009
     # 7xxx: settings and starting.
     BAD_SETTING = 7001
     # 9xxx: defects.
@@ -180,6 +181,9 @@
     Code.UNCONFIRMED: _row(
         504, _UNKNOWN, "the store's answer was lost; read the object again"
     ),
+    Code.PLATFORM_DOWN: _row(
+        503, _NOT, "the platform's service gave no answer"
+    ),
     Code.BAD_SETTING: _row(500, _NOT, "a setting is not valid"),
     Code.INTERNAL: _row(500, _UNKNOWN, "a defect of pimentoledge"),
 }
--- /dev/null
+++ b/pimentoledge/runners/fake_servers.py
@@ -0,0 +1,356 @@
+"""HTTP server before a fake engine, in real time."""
+
+import collections
+import threading
+import time
+
+import cheroot.server
+
+from pimentoledge import fake_http
+from pimentoledge.runners import fake_engines
+from pimentoledge.runners import wires
+
+# Threads beside those of the streams: status, orders, events, KV.
+CONTROL_THREADS = 16
+EVENT_POLL_SECONDS = 0.05
+DRAIN_SECONDS = 10.0
+
+Key = tuple[str, int]
+
+
+class Sink:
+    """The connection that one stream goes to.
+
+    The thread that steps the engine writes here without ever blocking, so
+    that a slow reader holds up only its own stream; what does not fit into
+    the socket waits in `rest`, which the length of one answer bounds.
+
+    Attributes:
+        request: the HTTP request; its thread waits on `done`.
+        rest: bytes that the socket didn't take yet.
+        gone: whether the reader went away.
+        broken: whether the connection ends without an end mark.
+        done: set when nothing more will be written.
+    """
+
+    def __init__(self, *, request: cheroot.server.HTTPRequest):
+        self.request = request
+        self.socket = request.conn.socket
+        self.socket.setblocking(False)
+        self.rest = b""
+        self.gone = False
+        self.broken = False
+        self.done = threading.Event()
+
+    def write(self, data: bytes) -> None:
+        """Writes blocks as one HTTP chunk, as far as the socket takes it."""
+        framed = b"%x\r\n%s\r\n" % (len(data), data)
+        if self.rest:
+            framed = self.rest + framed
+        try:
+            sent = self.socket.send(framed)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            # The reader closed. The engine goes on, for it may resume.
+            self.gone = True
+            sent = len(framed)
+        self.rest = framed[sent:]
+
+    def finish(self) -> None:
+        """Lets the request's thread end the answer."""
+        self.done.set()
+
+    def cut(self) -> None:
+        """Ends the connection without an end mark."""
+        self.broken = True
+        self.done.set()
+
+    def wait(self) -> None:
+        """Waits until the stream is over, then ends the answer."""
+        self.done.wait()
+        self.socket.settimeout(DRAIN_SECONDS)
+        if not self.broken and not self.gone:
+            try:
+                self.socket.sendall(self.rest)
+            except OSError:
+                self.gone = True
+        if self.broken or self.gone:
+            fake_http.cut(self.request)
+
+
+class EngineServer:
+    """Serves a fake engine: its streams, orders, status, events and KV.
+
+    A crash cuts all connections and closes the port, as the end of a process
+    does; the port opens again when the engine comes back.
+
+    Attributes:
+        engine: the engine; touch it only while holding `lock`.
+        lock: guards the engine.
+        lose_writes: number of next text writes to streams that get lost, so
+            that their readers see a gap.
+        latency: seconds before each answer that isn't a stream.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: fake_engines.FakeEngine,
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ):
+        self.engine = engine
+        self.lock = threading.Condition()
+        self.lose_writes = 0
+        self.latency = 0.0
+        self.sinks: dict[Key, Sink] = {}
+        self.closing = threading.Event()
+        self.thread = None
+        self.serving = False
+        self.server = fake_http.Server(
+            handle=self.handle,
+            host=host,
+            port=port,
+            threads=engine.slots + CONTROL_THREADS,
+        )
+        self.routes = {
+            wires.COMPLETIONS: self.complete,
+            wires.RESUME: self.resume,
+            wires.CANCEL: self.cancel,
+            wires.STATUS: self.status,
+            wires.ORDERS: self.order,
+            wires.EVENTS: self.events,
+            wires.KV_EXPORT: self.export_kv,
+            wires.KV_IMPORT: self.import_kv,
+        }
+
+    @property
+    def url(self) -> str:
+        """Base URL of the server."""
+        return self.server.url
+
+    def start(self) -> None:
+        """Listens, and steps the engine."""
+        self.closing.clear()
+        self.server.start()
+        self.serving = True
+        self.thread = threading.Thread(target=self.run, name="fake-engine")
+        self.thread.start()
+
+    def close(self) -> None:
+        """Cuts all streams and stops."""
+        self.closing.set()
+        with self.lock:
+            self.lock.notify_all()
+        self.thread.join()
+        self.cut_streams()
+        self.server.close()
+
+    def crash(self) -> None:
+        """Makes the engine die; returns when its port is closed."""
+        with self.lock:
+            self.engine.crash(time.monotonic())
+            self.lock.notify_all()
+            self.lock.wait_for(lambda: not self.serving)
+
+    def restart(self) -> None:
+        """Makes the engine come back; returns when its port is open."""
+        with self.lock:
+            self.engine.restart(time.monotonic())
+            self.lock.notify_all()
+            self.lock.wait_for(lambda: self.serving)
+
+    def cut_streams(self) -> None:
+        """Breaks the connections of all streams; the engine goes on."""
+        with self.lock:
+            for sink in self.sinks.values():
+                sink.cut()
+            self.sinks.clear()
+
+    def run(self) -> None:
+        """Steps the engine in real time until the end."""
+        while not self.closing.is_set():
+            with self.lock:
+                self._step()
+                up = bool(self.engine.incarnation)
+            if up != self.serving:
+                self._serve(up)
+
+    def handle(self, request: cheroot.server.HTTPRequest) -> None:
+        """Answers one request."""
+        route = self.routes.get(fake_http.path_of(request))
+        if route is None:
+            fake_http.answer(request, b"{}", status=404)
+            return
+        route(request)
+
+    def complete(self, request: cheroot.server.HTTPRequest) -> None:
+        """Runs a completion."""
+        body = fake_http.body_of(request)
+        submission = wires.submission_decoder.decode(body)
+        run = submission.run
+        with self.lock:
+            refused = self.engine.submit(run, submission.salt, time.monotonic())
+            if refused is None:
+                sink = self._open(request, (run.request, run.attempt))
+                self.lock.notify_all()
+        if refused is None:
+            sink.wait()
+            return
+        refusal = wires.Refusal(ran=refused.ran, reason=refused.text)
+        fake_http.answer(request, wires.encode(refusal), status=wires.REFUSED)
+
+    def resume(self, request: cheroot.server.HTTPRequest) -> None:
+        """Goes on with a stream on a new connection."""
+        fields = fake_http.query_of(request)
+        key = (fields["request"], int(fields["attempt"]))
+        with self.lock:
+            found = self.engine.resume(*key, int(fields["index"]))
+            if found is not None:
+                if old := self.sinks.pop(key, None):
+                    old.cut()
+                sink = self._open(request, key)
+                self._deliver(found)
+        if found is None:
+            refusal = wires.Refusal(ran="ran", reason="unknown stream")
+            fake_http.answer(
+                request, wires.encode(refusal), status=wires.REFUSED
+            )
+            return
+        sink.wait()
+
+    def cancel(self, request: cheroot.server.HTTPRequest) -> None:
+        """Cancels a stream."""
+        fields = fake_http.query_of(request)
+        with self.lock:
+            found = self.engine.cancel(
+                fields["request"], int(fields["attempt"]), time.monotonic()
+            )
+            self.lock.notify_all()
+        self._answer(request, b"{}", status=200 if found else 404)
+
+    def status(self, request: cheroot.server.HTTPRequest) -> None:
+        """Says how the engine is."""
+        with self.lock:
+            status = self.engine.status(time.monotonic())
+        self._answer(request, wires.encode(status))
+
+    def order(self, request: cheroot.server.HTTPRequest) -> None:
+        """Takes an order."""
+        order = wires.order_decoder.decode(fake_http.body_of(request))
+        with self.lock:
+            answer = self.engine.order(order, time.monotonic())
+            self.lock.notify_all()
+        self._answer(request, wires.encode(answer))
+
+    def events(self, request: cheroot.server.HTTPRequest) -> None:
+        """Gives cache events, or waits for the first."""
+        fields = fake_http.query_of(request)
+        after = int(fields["after"])
+        end = time.monotonic() + float(fields.get("seconds", 0))
+        while True:
+            now = time.monotonic()
+            with self.lock:
+                found = self.engine.cache_events(after, now)
+            if found is None or found.events or now >= end:
+                break
+            if self.closing.wait(EVENT_POLL_SECONDS):
+                break
+        if found is None:
+            fake_http.cut(request)
+            return
+        self._answer(request, wires.encode(found))
+
+    def export_kv(self, request: cheroot.server.HTTPRequest) -> None:
+        """Gives cached blocks."""
+        wanted = wires.chain_decoder.decode(fake_http.body_of(request))
+        with self.lock:
+            found = self.engine.export_kv(wanted.blocks)
+        time.sleep(found.seconds)
+        self._answer(request, wires.encode(found))
+
+    def import_kv(self, request: cheroot.server.HTTPRequest) -> None:
+        """Takes blocks in."""
+        given = wires.kv_decoder.decode(fake_http.body_of(request))
+        with self.lock:
+            seconds = self.engine.import_kv(given, time.monotonic())
+            self.lock.notify_all()
+        if seconds is None:
+            self._answer(request, b"{}", status=wires.DOWN)
+            return
+        self._answer(request, wires.encode(wires.Seconds(seconds=seconds)))
+
+    def _answer(self, request, body: bytes, status: int = 200) -> None:
+        if self.latency > 0:
+            time.sleep(self.latency)
+        fake_http.answer(request, body, status=status)
+
+    def _open(self, request: cheroot.server.HTTPRequest, key: Key) -> Sink:
+        fake_http.begin(
+            request, 200, [(b"Content-Type", fake_http.EVENT_STREAM)]
+        )
+        sink = Sink(request=request)
+        self.sinks[key] = sink
+        return sink
+
+    def _step(self) -> None:
+        wake = self.engine.next_wake()
+        now = time.monotonic()
+        if wake is None:
+            self.lock.wait()
+        elif wake > now:
+            self.lock.wait(wake - now)
+        else:
+            self._deliver(self.engine.step(now))
+
+    def _deliver(self, output: list[fake_engines.Event]) -> None:
+        """Writes what came out, each stream's events in one write."""
+        by_stream = collections.defaultdict(list)
+        for event in output:
+            by_stream[(event.request, event.attempt)].append(event)
+        for key, found in by_stream.items():
+            sink = self.sinks.get(key)
+            if sink is not None:
+                self._write(key, sink, found)
+
+    def _write(self, key: Key, sink: Sink, found: list) -> None:
+        last = found[-1]
+        crashed = (
+            isinstance(last, fake_engines.events.EngineBroken)
+            and last.text == fake_engines.CRASHED
+        )
+        if crashed:
+            found = found[:-1]
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            found = [
+                each
+                for each in found
+                if not isinstance(each, fake_engines.events.EngineText)
+            ]
+        if found:
+            sink.write(b"".join([wires.block_of(each) for each in found]))
+        if crashed:
+            sink.cut()
+            del self.sinks[key]
+        elif not isinstance(
+            last,
+            fake_engines.events.EngineText | fake_engines.events.EngineStarted,
+        ):
+            sink.finish()
+            del self.sinks[key]
+
+    def _serve(self, up: bool) -> None:
+        if up:
+            self.server.start()
+        else:
+            with self.lock:
+                self._deliver(self.engine.step(time.monotonic()))
+            # Whatever is left has no stream in the engine any more; its
+            # thread would wait for ever, and `close` for the thread.
+            self.cut_streams()
+            self.server.close()
+        with self.lock:
+            self.serving = up
+            self.lock.notify_all()
--- /dev/null
+++ b/pimentoledge/runners/fake_weight_stores.py
@@ -0,0 +1,33 @@
+"""The weight store: loads take longer when many happen at one time."""
+
+
+class WeightStore:
+    """Says how long each load of weights takes.
+
+    Attributes:
+        load_seconds: time of a load while no more than `concurrent` run.
+        concurrent: loads at one time that the store serves at full speed.
+        loads: loads so far.
+        most: most loads that ran at one time.
+    """
+
+    def __init__(self, *, load_seconds: float = 0.5, concurrent: int = 3):
+        self.load_seconds = load_seconds
+        self.concurrent = concurrent
+        self.loads = 0
+        self.most = 0
+        self.ends: list[float] = []
+
+    def begin(self, now: float) -> float:
+        """Begins a load; returns its seconds.
+
+        The time is fixed at the start, in proportion to the loads then
+        running: later ones do not slow it down any more.
+        """
+        self.ends = [end for end in self.ends if end > now]
+        running = len(self.ends) + 1
+        seconds = self.load_seconds * max(1.0, running / self.concurrent)
+        self.ends.append(now + seconds)
+        self.loads += 1
+        self.most = max(self.most, running)
+        return seconds
--- a/pimentoledge/runners/messages.py
+++ b/pimentoledge/runners/messages.py
@@ -56,3 +56,18 @@
 
     incarnation: str
     events: list[CacheEvent]
+
+
+@attrs.define(kw_only=True)
+class KvBlocks:
+    """KV cache blocks on their way from one engine to another.
+
+    Attributes:
+        blocks: chained digests, from the start of a prefix.
+        data: the cached values; opaque.
+        seconds: time that the transfer takes at the engine that answers.
+    """
+
+    blocks: list[bytes]
+    data: bytes = b""
+    seconds: float = 0.0
--- /dev/null
+++ b/pimentoledge/runners/streams.py
@@ -0,0 +1,124 @@
+"""Reads an engine's stream and tells a whole answer from a broken one."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from pimentoledge import results
+from pimentoledge.decisions import events
+from pimentoledge.runners import wires
+
+Event = (
+    events.EngineStarted
+    | events.EngineText
+    | events.EngineEnded
+    | events.EngineBroken
+)
+
+
+class StreamReader:
+    """Turns the bytes of one stream into events.
+
+    An engine that dies closes its connections, which looks like the end of
+    an answer; lost frames leave a gap in the token numbers. So an answer is
+    whole only with its end block, and when each text begins where the one
+    before it stopped; everything else is EngineBroken, exactly once, and
+    nothing comes after it.
+
+    Attributes:
+        request: request id.
+        attempt: attempt number.
+        index: number of the next token.
+        over: whether EngineEnded or EngineBroken was given out.
+        whole: whether it was EngineEnded.
+    """
+
+    def __init__(self, *, request: str, attempt: int, index: int = 0):
+        self.request = request
+        self.attempt = attempt
+        self.index = index
+        self.over = False
+        self.whole = False
+        self.rest = b""
+
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """Takes what arrived; text that came together is one event."""
+        *blocks, self.rest = (self.rest + data).split(wires.BLOCK_END)
+        first = self.index
+        texts: list[str] = []
+        for block in blocks:
+            if self.over:
+                return
+            if block.startswith(wires.DATA):
+                fault = self._take(block, texts)
+                if not fault:
+                    continue
+                event = self.broken(fault)
+            else:
+                event = self._read(block)
+            if texts:
+                yield self._text(first, texts)
+                texts = []
+            yield event
+        if texts:
+            yield self._text(first, texts)
+
+    def broken(
+        self, text: str, ran: results.Ran = results.Ran.RAN
+    ) -> events.EngineBroken:
+        """Ends the stream as broken."""
+        self.over = True
+        return events.EngineBroken(
+            request=self.request, attempt=self.attempt, ran=str(ran), text=text
+        )
+
+    def _take(self, block: bytes, texts: list[str]) -> str:
+        try:
+            chunk = wires.chunk_decoder.decode(block[len(wires.DATA) :])
+        except msgspec.MsgspecError as error:
+            return f"bad text block: {error}"
+        if chunk.index != self.index:
+            return f"token {chunk.index} came where {self.index} was due"
+        texts.append(chunk.text)
+        self.index += chunk.tokens
+        return ""
+
+    def _text(self, first: int, texts: list[str]) -> events.EngineText:
+        return events.EngineText(
+            request=self.request,
+            attempt=self.attempt,
+            index=first,
+            text="".join(texts),
+            tokens=self.index - first,
+        )
+
+    def _read(self, block: bytes) -> Event:
+        try:
+            event = _decode(block)
+        except msgspec.MsgspecError as error:
+            return self.broken(f"bad block: {error}")
+        if (event.request, event.attempt) != (self.request, self.attempt):
+            return self.broken("a block of another stream")
+        match event:
+            case events.EngineEnded():
+                if event.completion_tokens != self.index:
+                    return self.broken(
+                        f"{event.completion_tokens} tokens announced, but"
+                        f" {self.index} came"
+                    )
+                self.over = True
+                self.whole = True
+            case events.EngineBroken():
+                self.over = True
+        return event
+
+
+def _decode(block: bytes) -> Event:
+    for head, decoder in (
+        (wires.STARTED, wires.started_decoder),
+        (wires.ENDED, wires.ended_decoder),
+        (wires.BROKEN, wires.broken_decoder),
+    ):
+        if block.startswith(head):
+            return decoder.decode(block[len(head) :])
+    raise msgspec.DecodeError("unknown event")
--- /dev/null
+++ b/pimentoledge/runners/wires.py
@@ -0,0 +1,112 @@
+"""The engines' form on the wire: JSON over HTTP, streams as SSE.
+
+Each block of a stream is `event: NAME` and `data: JSON`; a text block has no
+event name. A stream is complete only with its `ended` block.
+"""
+
+import attrs
+import msgspec
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import events
+from pimentoledge.runners import messages
+
+COMPLETIONS = "/v1/completions"
+CANCEL = "/cancel"
+RESUME = "/resume"
+STATUS = "/status"
+ORDERS = "/orders"
+EVENTS = "/events"
+KV_EXPORT = "/kv/export"
+KV_IMPORT = "/kv/import"
+# Status with which an engine refuses a completion; the body is a Refusal.
+REFUSED = 409
+DOWN = 503
+DATA = b"data: "
+STARTED = b"event: started\ndata: "
+ENDED = b"event: ended\ndata: "
+BROKEN = b"event: broken\ndata: "
+BLOCK_END = b"\n\n"
+
+
+@attrs.define(kw_only=True)
+class Submission:
+    """Body of a completion request."""
+
+    run: actions.RunCompletion
+    salt: str
+
+
+@attrs.define(kw_only=True)
+class Refusal:
+    """Body of a refusal.
+
+    Attributes:
+        ran: results.Ran.
+        reason: why.
+    """
+
+    ran: str
+    reason: str
+
+
+@attrs.define(kw_only=True)
+class Chunk:
+    """Data of a text block; `index` counts tokens from 0."""
+
+    index: int
+    text: str
+    tokens: int
+
+
+@attrs.define(kw_only=True)
+class Chain:
+    """Body of an export request."""
+
+    blocks: list[bytes]
+
+
+@attrs.define(kw_only=True)
+class Seconds:
+    """Body of the answer to an import."""
+
+    seconds: float
+
+
+encode = msgspec.json.Encoder().encode
+chunk_decoder = msgspec.json.Decoder(Chunk)
+started_decoder = msgspec.json.Decoder(events.EngineStarted)
+ended_decoder = msgspec.json.Decoder(events.EngineEnded)
+broken_decoder = msgspec.json.Decoder(events.EngineBroken)
+submission_decoder = msgspec.json.Decoder(Submission)
+refusal_decoder = msgspec.json.Decoder(Refusal)
+status_decoder = msgspec.json.Decoder(events.EngineStatus)
+order_decoder = msgspec.json.Decoder(messages.Order)
+order_answer_decoder = msgspec.json.Decoder(messages.OrderAnswer)
+cache_events_decoder = msgspec.json.Decoder(messages.CacheEvents)
+chain_decoder = msgspec.json.Decoder(Chain)
+kv_decoder = msgspec.json.Decoder(messages.KvBlocks)
+seconds_decoder = msgspec.json.Decoder(Seconds)
+
+
+def block_of(
+    event: (
+        events.EngineStarted
+        | events.EngineText
+        | events.EngineEnded
+        | events.EngineBroken
+    ),
+) -> bytes:
+    """Returns the block of a stream that stands for an event."""
+    match event:
+        case events.EngineText():
+            chunk = Chunk(
+                index=event.index, text=event.text, tokens=event.tokens
+            )
+            return DATA + encode(chunk) + BLOCK_END
+        case events.EngineStarted():
+            return STARTED + encode(event) + BLOCK_END
+        case events.EngineEnded():
+            return ENDED + encode(event) + BLOCK_END
+        case events.EngineBroken():
+            return BROKEN + encode(event) + BLOCK_END
