--- /dev/null
+++ b/pimentoledge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line."""
