--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test check measure fuzz clean
+.PHONY: demo test check tables measure fuzz clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -23,5 +23,8 @@
 measure: $(STAMP)
 	$(BIN)/python -m benches.measure
 
+tables: $(STAMP)
+	$(BIN)/python -m pimentoledge.tables docs
+
 clean:
 	rm -rf $(VENV) build results *.egg-info
--- /dev/null
+++ b/pimentoledge/agent.py
@@ -0,0 +1,172 @@
+"""The agent daemon: sockets and threads around the agent's state machine."""
+
+from concurrent import futures
+import secrets
+import threading
+import time
+import zlib
+
+import logbook
+
+from pimentoledge import logs
+from pimentoledge import settings
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.nodes import loops
+from pimentoledge.platform import objects
+from pimentoledge.platform import store_tasks
+from pimentoledge.platform import watchers
+from pimentoledge.runners import engines
+from pimentoledge.services import clients
+
+logger = logbook.Logger("agent")
+
+STATUS_SECONDS = 0.5
+IDLE_CHECK_SECONDS = 0.05
+# Threads beside those that each hold one running request.
+SPARE_THREADS = 4
+LIFE_BYTES = 8
+
+
+class AgentDaemon:
+    """One agent process.
+
+    Attributes:
+        chosen: its checked settings.
+        core: the state machine; only the loop's thread touches it.
+        loop: the thread that owns the state machine.
+        store: task that calls the object API.
+        watcher: task that follows the declarations.
+        backend: client of the engine or service beside this agent.
+    """
+
+    def __init__(self, *, chosen: settings.Settings):
+        self.chosen = chosen
+        name = chosen.text("name")
+        self.kind = declarations.ServerKind(chosen.text("kind"))
+        life = secrets.token_hex(LIFE_BYTES)
+        slots = chosen.whole("slots")
+        self.core = agents.Agent(
+            name=name,
+            kind=self.kind,
+            life=life,
+            slots=slots,
+            seed=zlib.crc32(name.encode()),
+            view=configuration.Configuration(),
+        )
+        self.loop = loops.Loop(
+            core=self.core,
+            mailbox_address=chosen.text("mailbox"),
+            perform=self.perform,
+        )
+        self.store = store_tasks.StoreTask(
+            client=self.object_client(), deliver=self.loop.inbox.put
+        )
+        self.watcher = watchers.Watcher(
+            client=self.object_client(),
+            prefix=declarations.ROOT,
+            deliver=self.loop.inbox.put,
+        )
+        self.backend = self.backend_client()
+        self.pool = futures.ThreadPoolExecutor(
+            max_workers=slots + SPARE_THREADS, thread_name_prefix="run"
+        )
+        self.ask_now = threading.Event()
+        self.closing = False
+        self.status_thread = threading.Thread(
+            target=self.follow_status, name="status"
+        )
+
+    def object_client(self) -> objects.ObjectClient:
+        """Returns a new client of the object API."""
+        return objects.ObjectClient(
+            url=self.chosen.text("store"),
+            timeout=self.chosen.number("store-timeout"),
+        )
+
+    def backend_client(self) -> engines.EngineClient | clients.ServiceClient:
+        """Returns the client of what stands beside this agent."""
+        url = self.chosen.text("backend")
+        if self.kind == declarations.ServerKind.SERVICE:
+            return clients.ServiceClient(url=url)
+        timeout = self.chosen.number("engine-timeout")
+        return engines.EngineClient(url=url, timeout=timeout)
+
+    def start(self) -> None:
+        """Opens every socket and starts every task."""
+        self.loop.start()
+        self.store.start()
+        self.backend.start()
+        self.loop.run_thread()
+        self.watcher.start()
+        self.status_thread.start()
+        address = self.loop.mailbox.address
+        logger.info("agent {} listens at {}", self.core.name, address)
+
+    def drain(self) -> None:
+        """Refuses new work and finishes what runs."""
+        self.loop.inbox.put(events.Drain())
+        until = time.monotonic() + self.chosen.number("shutdown-seconds")
+        while time.monotonic() < until and not self.loop.ask(_is_idle):
+            time.sleep(IDLE_CHECK_SECONDS)
+
+    def close(self) -> None:
+        """Closes every socket and waits for every task."""
+        self.closing = True
+        self.ask_now.set()
+        self.status_thread.join()
+        self.watcher.close()
+        self.loop.close()
+        self.backend.close()
+        self.pool.shutdown(wait=True, cancel_futures=True)
+        self.store.close()
+
+    def follow_status(self) -> None:
+        """Asks the engine who it is, regularly and when told to."""
+        while not self.closing:
+            self.loop.inbox.put(self.status())
+            self.ask_now.wait(STATUS_SECONDS)
+            self.ask_now.clear()
+
+    def status(self) -> events.EngineStatus:
+        """Returns what the engine or service says of itself."""
+        if isinstance(self.backend, engines.EngineClient):
+            return self.backend.status()
+        # A plain service has no incarnation: it keeps nothing that a request
+        # could rely on. Its agent's life stands for it.
+        return events.EngineStatus(incarnation=self.core.life)
+
+    def perform(self, todo: list[actions.Action]) -> None:
+        """Carries out actions other than sending."""
+        for action in todo:
+            match action:
+                case actions.RunCompletion():
+                    self.pool.submit(self.run_completion, action)
+                case actions.RunCall():
+                    self.pool.submit(self.run_call, action)
+                case actions.CancelRun():
+                    self.pool.submit(
+                        self.backend.cancel, action.request, action.attempt
+                    )
+                case actions.CheckEngine():
+                    self.ask_now.set()
+                case actions.CallStore():
+                    self.store.call(action.call)
+                case actions.LogDecision():
+                    logs.decision(action.kind, action.fields)
+
+    def run_completion(self, action: actions.RunCompletion) -> None:
+        """Runs a completion at the engine and delivers what it says."""
+        for event in self.backend.run(action, action.salt):
+            self.loop.inbox.put(event)
+
+    def run_call(self, action: actions.RunCall) -> None:
+        """Runs a call at the service and delivers its answer."""
+        self.loop.inbox.put(self.backend.run(action))
+
+
+def _is_idle(core: agents.Agent) -> bool:
+    return core.idle()
--- /dev/null
+++ b/pimentoledge/commands/daemons.py
@@ -0,0 +1,103 @@
+"""The commands that run a daemon until it is told to end."""
+
+import os
+import signal
+import threading
+
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs import option as cleo_option
+import logbook
+from returns import result
+
+from pimentoledge import agent
+from pimentoledge import entry
+from pimentoledge import logs
+from pimentoledge import settings
+
+logger = logbook.Logger("daemons")
+
+BAD_SETTING_EXIT = 2
+
+
+def setting_options(program: str) -> list[cleo_option.Option]:
+    """Returns a command line option for each setting of a program."""
+    return [
+        option(each.name, description=each.text, flag=False)
+        for each in settings.of_program(program)
+    ]
+
+
+def given_flags(asked: command.Command, program: str) -> dict[str, str]:
+    """Returns the settings that were given as flags."""
+    names = [each.name for each in settings.of_program(program)]
+    return {
+        name: asked.option(name)
+        for name in names
+        if asked.option(name) is not None
+    }
+
+
+def run_until_told(daemon: entry.EntryDaemon | agent.AgentDaemon) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then drains and closes it."""
+    told = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    daemon.start()
+    told.wait()
+    logger.notice("told to end: draining")
+    daemon.drain()
+    daemon.close()
+    logger.notice("ended")
+
+
+class DaemonCommand(command.Command):
+    """Checks the settings and runs a daemon.
+
+    Attributes:
+        program: settings.ENTRY or settings.AGENT.
+        daemon: class of the daemon.
+    """
+
+    program = ""
+    daemon: type = object
+
+    def handle(self) -> int:
+        """Runs the command; returns the exit status."""
+        checked = settings.check(
+            program=self.program,
+            flags=given_flags(self, self.program),
+            environment=dict(os.environ),
+        )
+        match checked:
+            case result.Failure(error):
+                self.line_error(f"{error.code.value}: {error.text}")
+                return BAD_SETTING_EXIT
+            case result.Success(chosen):
+                pass
+        handler = logs.handler(
+            level=chosen.text("log-level"), form=chosen.text("log-format")
+        )
+        with handler.applicationbound():
+            run_until_told(self.daemon(chosen=chosen))
+        return 0
+
+
+class EntryCommand(DaemonCommand):
+    """Runs an entry."""
+
+    name = "entry"
+    description = "Runs an entry: serves callers"
+    program = settings.ENTRY
+    daemon = entry.EntryDaemon
+    options = setting_options(settings.ENTRY)
+
+
+class AgentCommand(DaemonCommand):
+    """Runs an agent."""
+
+    name = "agent"
+    description = "Runs an agent beside a backend server"
+    program = settings.AGENT
+    daemon = agent.AgentDaemon
+    options = setting_options(settings.AGENT)
--- /dev/null
+++ b/pimentoledge/commands/fakes.py
@@ -0,0 +1,77 @@
+"""The command that runs a fake outside system in a process of its own."""
+
+import signal
+import threading
+
+from cleo.commands import command
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from pimentoledge.platform import fake_objects
+from pimentoledge.platform import fake_servers as object_servers
+from pimentoledge.runners import fake_engines
+from pimentoledge.runners import fake_servers as engine_servers
+from pimentoledge.services import fake_services
+
+Server = (
+    object_servers.ObjectServer
+    | engine_servers.EngineServer
+    | fake_services.ServiceServer
+)
+
+
+class FakeCommand(command.Command):
+    """Runs a fake until it is told to end; prints its URL first."""
+
+    name = "fake"
+    description = "Runs a fake object API, engine or plain service"
+    hidden = True
+    arguments = [argument("what", description="store, engine or service")]
+    options = [
+        option("port", description="port on loopback", flag=False, default="0"),
+        option("name", description="name", flag=False, default="engine"),
+        option("slots", description="batch slots", flag=False, default="16"),
+        option(
+            "cache-blocks", description="cache", flag=False, default="65536"
+        ),
+        option(
+            "token-seconds", description="prefill", flag=False, default="0.0001"
+        ),
+        option("step-seconds", description="step", flag=False, default="0.032"),
+    ]
+
+    def handle(self) -> int:
+        """Runs the command; returns the exit status."""
+        told = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: told.set())
+        server = self.server()
+        if server is None:
+            self.line_error("what to run: store, engine or service")
+            return 2
+        server.start()
+        self.line(server.url)
+        told.wait()
+        server.close()
+        return 0
+
+    def server(self) -> Server | None:
+        """Returns the server that was asked for."""
+        port = int(self.option("port"))
+        match self.argument("what"):
+            case "store":
+                objects = fake_objects.FakeObjects()
+                return object_servers.ObjectServer(objects=objects, port=port)
+            case "engine":
+                engine = fake_engines.FakeEngine(
+                    name=self.option("name"),
+                    slots=int(self.option("slots")),
+                    cache_blocks=int(self.option("cache-blocks")),
+                    token_seconds=float(self.option("token-seconds")),
+                    step_seconds=float(self.option("step-seconds")),
+                )
+                return engine_servers.EngineServer(engine=engine, port=port)
+            case "service":
+                service = fake_services.FakeService()
+                return fake_services.ServiceServer(service=service, port=port)
+        return None
--- /dev/null
+++ b/pimentoledge/decisions/acceptance.py
@@ -0,0 +1,102 @@
+"""Checks a caller's request against its organisation's contract."""
+
+import hashlib
+
+import attrs
+from returns import result
+
+from pimentoledge import results
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+
+FINGERPRINT_BYTES = 16
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """What the contract makes of a request.
+
+    Attributes:
+        contract: the organisation's contract.
+        seconds: time allowed.
+    """
+
+    contract: declarations.Contract
+    seconds: float
+
+
+def _fail(code: results.Code, text: str = "") -> result.Failure:
+    return result.Failure(results.Error(code=code, text=text))
+
+
+def check(
+    event: events.CallerRequest, view: configuration.Configuration
+) -> result.Result[Accepted, results.Error]:
+    """Checks key, permissions, existence, idempotency key and deadline."""
+    contract = view.contract_by_key(event.key_digest)
+    if contract is None:
+        return _fail(results.Code.BAD_KEY)
+    if event.completion is not None:
+        found = _check_model(event, contract, view)
+    else:
+        found = _check_service(event, contract, view)
+    if found is not None:
+        return result.Failure(found)
+    seconds = event.seconds or contract.deadline_seconds
+    if seconds > contract.max_deadline_seconds:
+        text = f"the deadline is over {contract.max_deadline_seconds:g} seconds"
+        return _fail(results.Code.BAD_FIELD, text)
+    return result.Success(Accepted(contract=contract, seconds=seconds))
+
+
+def _check_model(
+    event: events.CallerRequest,
+    contract: declarations.Contract,
+    view: configuration.Configuration,
+) -> results.Error | None:
+    model = view.model(event.completion.model)
+    if event.completion.model not in contract.models:
+        code = results.Code.UNKNOWN_MODEL
+        if model is not None:
+            code = results.Code.NOT_PERMITTED
+        return results.Error(code=code, text=f"{event.completion.model!r}")
+    adapter = event.completion.adapter
+    if model is None:
+        return results.Error(code=results.Code.UNKNOWN_MODEL)
+    if adapter and adapter not in model.adapters:
+        text = f"no such adapter: {adapter!r}"
+        return results.Error(code=results.Code.UNKNOWN_MODEL, text=text)
+    return None
+
+
+def _check_service(
+    event: events.CallerRequest,
+    contract: declarations.Contract,
+    view: configuration.Configuration,
+) -> results.Error | None:
+    service = view.service(event.call.service)
+    if service is None:
+        return results.Error(code=results.Code.UNKNOWN_SERVICE)
+    if service.name not in contract.services:
+        return results.Error(code=results.Code.NOT_PERMITTED)
+    event.call.repeatable = event.call.method in service.repeatable_methods
+    if not event.call.repeatable and not event.idempotency_key:
+        return results.Error(code=results.Code.KEY_NEEDED)
+    return None
+
+
+def fingerprint(organisation: str, event: events.CallerRequest) -> bytes:
+    """Returns a digest of organisation and content, the same on a resend."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(organisation.encode() + b"\0")
+    if event.completion is not None:
+        wanted = event.completion
+        digest.update(f"{wanted.model}\0{wanted.adapter}\0".encode())
+        digest.update(wanted.prompt.encode())
+    else:
+        call = event.call
+        digest.update(f"{call.service}\0{call.method}\0".encode())
+        digest.update(f"{call.path}\0{call.query}\0".encode())
+        digest.update(call.body)
+    return digest.digest()
--- a/pimentoledge/decisions/actions.py
+++ b/pimentoledge/decisions/actions.py
@@ -87,12 +87,23 @@
 
 @attrs.define(kw_only=True)
 class RunCompletion:
-    """Agent: hand a completion to the engine."""
+    """Agent: hand a completion to the engine.
+
+    Attributes:
+        request: request id.
+        attempt: attempt number.
+        priority: declarations.Priority.
+        completion: what to run.
+        salt: the engine shares cached blocks only under an equal salt, so
+            that no organisation can use or time another's prompts.
+        trace: traceparent header.
+    """
 
     request: str
     attempt: int
     priority: str
     completion: messages.Completion
+    salt: str = ""
     trace: str = ""
 
 
@@ -116,6 +127,11 @@
     attempt: int
 
 
+@attrs.define(kw_only=True)
+class CheckEngine:
+    """Agent: ask the engine at once who it is."""
+
+
 @attrs.define(kw_only=True)
 class LogDecision:
     """Write one log line for a decision.
@@ -140,5 +156,6 @@
     | RunCompletion
     | RunCall
     | CancelRun
+    | CheckEngine
     | LogDecision
 )
--- /dev/null
+++ b/pimentoledge/decisions/agents.py
@@ -0,0 +1,563 @@
+"""The agent's state machine: the truth about one backend server.
+
+It admits or refuses each dispatch, hands what it admits to the engine or
+service beside it, and sends the answer back to the entry that asked.
+"""
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import admission
+from pimentoledge.decisions import claim_verdicts
+from pimentoledge.decisions import claims
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import runs
+from pimentoledge.decisions import stores
+from pimentoledge.nodes import messages
+
+Key = tuple[str, int]
+Actions = list[actions.Action]
+
+# Senders whose dispatches are counted.
+MAX_SENDERS = 4096
+
+
+class Agent:
+    """Decides for one backend server.
+
+    Attributes:
+        name: the backend server's name.
+        kind: what stands beside this agent.
+        life: this life of the agent's process.
+        configuration: what operators declared, as far as known here.
+        admission: decides what runs, waits and is refused.
+        claims: at-most-once calls.
+        status: what the engine or service last said of itself.
+        runs: attempts that have not ended.
+        received: dispatches received, by sender.
+        frames: frames to be sent, by entry.
+        draining: whether the process shall end.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: declarations.ServerKind,
+        life: str,
+        slots: int,
+        seed: int,
+        view: configuration.Configuration,
+    ):
+        self.name = name
+        self.kind = kind
+        self.life = life
+        self.configuration = view
+        self.admission = admission.Admission(server=name, slots=slots)
+        self.claims = claims.Claims(agent=name, life=life, seed=seed)
+        self.status = events.EngineStatus()
+        self.runs: dict[Key, runs.Run] = {}
+        self.received: dict[str, int] = {}
+        self.frames: dict[str, list[messages.Frame]] = {}
+        self.draining = False
+
+    def handle(self, event: object, now: float) -> Actions:
+        """Takes an event and returns what to do."""
+        match event:
+            case events.EngineText():
+                return self.text(event)
+            case events.FromNode():
+                return self.from_node(event, now)
+            case events.EngineStarted():
+                return self.started(event)
+            case events.EngineEnded():
+                return self.engine_ended(event, now)
+            case events.EngineBroken():
+                return self.broken(event, now)
+            case events.ServiceDone():
+                return self.service_done(event, now)
+            case events.EngineStatus():
+                return self.learned(event, now)
+            case stores.Answer() if self.claims.owns(event.call):
+                return self.claimed(self.claims.answer(event, now), now)
+            case stores.Answer() if event.call.startswith(declarations.ROOT):
+                self.configuration.apply(event.objects)
+            case events.Unreachable():
+                return self.unreachable(event, now)
+            case events.Drain():
+                self.draining = True
+        return []
+
+    def tick(self, now: float) -> Actions:
+        """Does what is due."""
+        todo = self.claimed(self.claims.tick(now), now)
+        return todo + self.advance(now)
+
+    def next_wake(self) -> float | None:
+        """Returns when `tick` is due next."""
+        times = (self.admission.next_wake(), self.claims.next_wake())
+        return min((each for each in times if each is not None), default=None)
+
+    def flush(self) -> Actions:
+        """Returns what was held back to be sent together."""
+        pending, self.frames = self.frames, {}
+        return [
+            actions.Send(
+                address=address, message=messages.Frames(frames=frames)
+            )
+            for address, frames in pending.items()
+        ]
+
+    def idle(self) -> bool:
+        """Returns whether nothing runs and every claim is settled."""
+        return not self.runs and not self.claims.held()
+
+    def truth(self, sender: str) -> messages.Truth:
+        """Returns what is true here, for one receiver."""
+        declared = self.configuration.server(self.name)
+        leaving = self.draining or (
+            declared is not None
+            and declared.state == declarations.ServerState.LEAVING
+        )
+        return messages.Truth(
+            server=self.name,
+            incarnation=self.status.incarnation,
+            weights=self.status.weights,
+            adapters=self.status.adapters,
+            leaving=leaving,
+            running=len(self.admission.running),
+            queued=self.admission.queued,
+            queued_tokens=self.admission.queued_tokens,
+            slots=self.admission.slots,
+            token_seconds=self.status.token_seconds,
+            step_seconds=self.status.step_seconds,
+            received=self.received.get(sender, 0),
+            configuration=self.configuration.version,
+        )
+
+    def from_node(self, event: events.FromNode, now: float) -> Actions:
+        """Takes a message of another process."""
+        match event.message:
+            case messages.Dispatch():
+                return self.dispatch(event.message, event.sender, now)
+            case messages.Cancel():
+                return self.cancel(event.message, event.sender, now)
+            case messages.Probe():
+                return self.probe(event.message, event.sender)
+        return []
+
+    def dispatch(
+        self, dispatch: messages.Dispatch, sender: str, now: float
+    ) -> Actions:
+        """Takes a request: claims it first if it may not be repeated."""
+        if (dispatch.request, dispatch.attempt) in self.runs:
+            return []
+        self.count(sender)
+        run = runs.Run(
+            dispatch=dispatch,
+            sender=sender,
+            expires=now + dispatch.seconds_left,
+            sequence=dispatch.sequence,
+        )
+        if dispatch.server != self.name:
+            return [self.refuse(run, results.Code.WRONG_SERVER)]
+        if self.draining:
+            return [self.refuse(run, results.Code.SHUTTING_DOWN)]
+        self.runs[run.key()] = run
+        if not dispatch.key:
+            return self.offer(run, now)
+        run.stage = runs.Stage.CLAIMING
+        outputs = self.claims.claim(
+            dispatch,
+            serves=self.serves(dispatch),
+            outcome_seconds=self.outcome_seconds(dispatch),
+            now=now,
+        )
+        return self.claimed(outputs, now)
+
+    def serves(self, dispatch: messages.Dispatch) -> str:
+        """Returns the model or service that a dispatch is for."""
+        if dispatch.completion is not None:
+            return dispatch.completion.model
+        return dispatch.call.service
+
+    def outcome_seconds(self, dispatch: messages.Dispatch) -> float:
+        """Returns how long the answer of a call is kept."""
+        service = self.configuration.service(self.serves(dispatch))
+        if service is not None:
+            return service.outcome_seconds
+        return declarations.OUTCOME_SECONDS
+
+    def count(self, sender: str) -> None:
+        """Counts a dispatch of a sender."""
+        if sender not in self.received and len(self.received) >= MAX_SENDERS:
+            del self.received[next(iter(self.received))]
+        self.received[sender] = self.received.get(sender, 0) + 1
+
+    def offer(self, run: runs.Run, now: float) -> Actions:
+        """Offers a request to admission."""
+        run.dispatch.seconds_left = run.expires - now
+        verdict = self.admission.offer(
+            run.dispatch, run.sender, self.truth(run.sender), now
+        )
+        todo: Actions = [_log_admission(run, verdict)]
+        match verdict:
+            case admission.Admit():
+                todo.append(self.admitted(run))
+                todo.append(self.begin(run))
+            case admission.Queue():
+                run.stage = runs.Stage.QUEUED
+                todo.append(self.admitted(run))
+            case admission.Refuse():
+                todo += self.turn_away(run, verdict, now)
+        return todo + self.advance(now)
+
+    def admitted(self, run: runs.Run) -> actions.Send:
+        """Tells the entry that its request is accepted."""
+        request, attempt = run.key()
+        return actions.Send(
+            address=run.sender,
+            message=messages.Admitted(
+                request=request,
+                attempt=attempt,
+                truth=self.truth(run.sender),
+            ),
+        )
+
+    def turn_away(
+        self, run: runs.Run, verdict: admission.Refuse, now: float
+    ) -> Actions:
+        """Refuses a request, and frees its key if it had claimed one."""
+        del self.runs[run.key()]
+        todo: Actions = []
+        if run.dispatch.key:
+            outputs = self.claims.failed(
+                run.dispatch.request, results.Ran.NOT_RUN, now
+            )
+            todo += self.claimed(outputs, now)
+        todo.append(self.refuse(run, verdict.code, verdict.retry_after))
+        return todo
+
+    def refuse(
+        self, run: runs.Run, code: results.Code, retry_after: float = 0.0
+    ) -> actions.Send:
+        """Tells the entry that its request was not run."""
+        request, attempt = run.key()
+        message = messages.Refused(
+            request=request,
+            attempt=attempt,
+            code=code,
+            truth=self.truth(run.sender),
+            retry_after=retry_after,
+        )
+        return actions.Send(address=run.sender, message=message)
+
+    def begin(self, run: runs.Run) -> actions.Action:
+        """Hands a request to the engine or service."""
+        run.stage = runs.Stage.RUNNING
+        dispatch = run.dispatch
+        if dispatch.completion is not None:
+            return actions.RunCompletion(
+                request=dispatch.request,
+                attempt=dispatch.attempt,
+                priority=dispatch.priority,
+                completion=dispatch.completion,
+                salt=dispatch.organisation,
+                trace=dispatch.trace,
+            )
+        return actions.RunCall(
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            call=dispatch.call,
+            seconds=dispatch.seconds_left,
+            key=dispatch.key,
+            trace=dispatch.trace,
+        )
+
+    def advance(self, now: float) -> Actions:
+        """Refuses what can't be run in time, and starts what may start."""
+        todo: Actions = []
+        for refused in self.admission.expired(now):
+            key = (refused.dispatch.request, refused.dispatch.attempt)
+            if key in self.runs:
+                todo += self.turn_away(self.runs[key], refused, now)
+        for ready in self.admission.ready(now):
+            key = (ready.dispatch.request, ready.dispatch.attempt)
+            run = self.runs[key]
+            run.dispatch.seconds_left = run.expires - now
+            todo.append(self.begin(run))
+        return todo
+
+    def claimed(self, outputs: list[claims.Output], now: float) -> Actions:
+        """Carries out what the claims say."""
+        todo: Actions = []
+        for output in outputs:
+            match output:
+                case claim_verdicts.Granted():
+                    run = self.runs.get((output.request, output.attempt))
+                    if run is not None:
+                        todo += self.offer(run, now)
+                case claim_verdicts.Replay():
+                    todo += self.replay(output)
+                case claim_verdicts.Denied():
+                    todo += self.denied(output)
+                case _:
+                    todo.append(output)
+        return todo
+
+    def replay(self, output: claim_verdicts.Replay) -> Actions:
+        """Answers a resend with the kept answer of the first run."""
+        run = self.runs.pop((output.request, output.attempt), None)
+        if run is None:
+            return []
+        message = messages.ServiceAnswer(
+            request=output.request,
+            attempt=output.attempt,
+            status=output.status,
+            headers=output.headers,
+            body=output.body,
+            truth=self.truth(run.sender),
+            replayed=True,
+        )
+        return self.to_entry(run.sender, message)
+
+    def denied(self, output: claim_verdicts.Denied) -> Actions:
+        """Tells the entry that a call with this key is not run now."""
+        run = self.runs.pop((output.request, output.attempt), None)
+        if run is None:
+            return []
+        if output.ran == results.Ran.NOT_RUN:
+            return [self.refuse(run, output.code)]
+        return self.fail(run, output.code, output.ran)
+
+    def started(self, event: events.EngineStarted) -> Actions:
+        """Takes the engine's word of who it is, newer than its status."""
+        if event.incarnation != self.status.incarnation:
+            return [actions.CheckEngine()]
+        return []
+
+    def text(self, event: events.EngineText) -> Actions:
+        """Makes a frame of generated text."""
+        run = self.runs.get((event.request, event.attempt))
+        # A token that comes twice or out of order is of a connection that
+        # was cut and taken up again; passing it on would garble the stream.
+        if run is None or event.index != run.tokens:
+            return []
+        run.tokens += event.tokens
+        frame = messages.Frame(
+            request=event.request,
+            attempt=event.attempt,
+            sequence=run.sequence,
+            text=event.text,
+            tokens=event.tokens,
+        )
+        run.sequence += 1
+        self.frames.setdefault(run.sender, []).append(frame)
+        return []
+
+    def engine_ended(self, event: events.EngineEnded, now: float) -> Actions:
+        """Ends a stream, if all of it went through here."""
+        run = self.runs.get((event.request, event.attempt))
+        if run is None:
+            return []
+        if event.completion_tokens != run.tokens:
+            # The engine counts more tokens than came: some were lost between
+            # it and here, so the stream must not pass as complete.
+            return self.give_up(
+                run, results.Code.STREAM_BROKEN, results.Ran.RAN, now
+            )
+        del self.runs[run.key()]
+        uncached = event.prompt_tokens - event.cached_tokens
+        self.admission.ended(
+            event.request,
+            event.attempt,
+            now,
+            finished=True,
+            tokens=uncached + event.completion_tokens,
+        )
+        message = messages.Finished(
+            request=event.request,
+            attempt=event.attempt,
+            sequence=run.sequence,
+            reason=event.reason,
+            prompt_tokens=event.prompt_tokens,
+            cached_tokens=event.cached_tokens,
+            completion_tokens=event.completion_tokens,
+            truth=self.truth(run.sender),
+        )
+        return self.to_entry(run.sender, message) + self.advance(now)
+
+    def service_done(self, event: events.ServiceDone, now: float) -> Actions:
+        """Passes a service's answer on, once a claim's outcome is noted."""
+        run = self.runs.pop((event.request, event.attempt), None)
+        if run is None:
+            return []
+        self.admission.ended(event.request, event.attempt, now, finished=True)
+        todo: Actions = []
+        if run.dispatch.key:
+            outputs = self.claims.finished(
+                event.request,
+                status=event.status,
+                headers=event.headers,
+                body=event.body,
+                now=now,
+            )
+            todo += self.claimed(outputs, now)
+        message = messages.ServiceAnswer(
+            request=event.request,
+            attempt=event.attempt,
+            status=event.status,
+            headers=event.headers,
+            body=event.body,
+            truth=self.truth(run.sender),
+        )
+        return todo + self.to_entry(run.sender, message) + self.advance(now)
+
+    def broken(self, event: events.EngineBroken, now: float) -> Actions:
+        """Finds out what a broken answer means."""
+        run = self.runs.get((event.request, event.attempt))
+        if run is None:
+            return []
+        if self.kind == declarations.ServerKind.SERVICE:
+            code = results.Code.SERVICE_FAILED
+            return self.give_up(run, code, results.Ran(event.ran), now)
+        run.stage = runs.Stage.BROKEN
+        run.ran = event.ran
+        return [actions.CheckEngine()]
+
+    def learned(self, status: events.EngineStatus, now: float) -> Actions:
+        """Takes the engine's status; finds out whether it died."""
+        before = self.status.incarnation
+        self.status = status
+        if status.slots:
+            self.admission.slots = status.slots
+        if before and status.incarnation != before:
+            return self.died(now) + self.advance(now)
+        todo: Actions = []
+        for run in list(self.runs.values()):
+            if run.stage == runs.Stage.BROKEN:
+                code = results.Code.STREAM_BROKEN
+                todo += self.give_up(run, code, results.Ran(run.ran), now)
+        return todo + self.advance(now)
+
+    def died(self, now: float) -> Actions:
+        """Ends what the engine ran when it died, and what waited for it."""
+        suspects = self.admission.suspects()
+        self.admission.clear()
+        todo: Actions = []
+        for run in list(self.runs.values()):
+            match run.stage:
+                case runs.Stage.RUNNING | runs.Stage.BROKEN:
+                    ran = results.Ran(run.ran or results.Ran.RAN)
+                    code = results.Code.ENGINE_DIED
+                    todo += self.give_up(run, code, ran, now, suspects)
+                case runs.Stage.QUEUED:
+                    refused = admission.Refuse(
+                        code=results.Code.SERVER_DOWN,
+                        dispatch=run.dispatch,
+                        sender=run.sender,
+                    )
+                    todo += self.turn_away(run, refused, now)
+        return todo
+
+    def give_up(
+        self,
+        run: runs.Run,
+        code: results.Code,
+        ran: results.Ran,
+        now: float,
+        suspects: list[bytes] | None = None,
+    ) -> Actions:
+        """Ends an attempt that did not end well."""
+        del self.runs[run.key()]
+        request, attempt = run.key()
+        self.admission.ended(request, attempt, now)
+        todo: Actions = []
+        if run.dispatch.key:
+            outputs = self.claims.failed(request, ran, now)
+            todo += self.claimed(outputs, now)
+        return todo + self.fail(run, code, ran, suspects) + self.advance(now)
+
+    def fail(
+        self,
+        run: runs.Run,
+        code: results.Code,
+        ran: results.Ran,
+        suspects: list[bytes] | None = None,
+    ) -> Actions:
+        """Tells the entry how an attempt failed."""
+        request, attempt = run.key()
+        message = messages.Failed(
+            request=request,
+            attempt=attempt,
+            code=code,
+            ran=ran,
+            truth=self.truth(run.sender),
+            suspects=suspects or [],
+        )
+        return self.to_entry(run.sender, message)
+
+    def to_entry(self, sender: str, message: object) -> Actions:
+        """Sends a message behind the frames that wait for its receiver."""
+        todo: Actions = []
+        frames = self.frames.pop(sender, None)
+        if frames:
+            message_before = messages.Frames(frames=frames)
+            todo.append(actions.Send(address=sender, message=message_before))
+        todo.append(actions.Send(address=sender, message=message))
+        return todo
+
+    def cancel(
+        self, message: messages.Cancel, sender: str, now: float
+    ) -> Actions:
+        """Stops an attempt that nobody waits for."""
+        run = self.runs.get((message.request, message.attempt))
+        if run is None or run.sender != sender:
+            return []
+        return self.abandon(run, now)
+
+    def abandon(self, run: runs.Run, now: float) -> Actions:
+        """Stops an attempt, unless its outcome has to be found and kept."""
+        if run.dispatch.key or run.dispatch.completion is None:
+            run.wanted = False
+            return []
+        del self.runs[run.key()]
+        request, attempt = run.key()
+        if self.admission.cancel(request, attempt):
+            return []
+        self.admission.ended(request, attempt, now)
+        stop = actions.CancelRun(request=request, attempt=attempt)
+        return [stop, *self.advance(now)]
+
+    def unreachable(self, event: events.Unreachable, now: float) -> Actions:
+        """Stops what an entry asked for that is gone."""
+        self.frames.pop(event.address, None)
+        todo: Actions = []
+        for run in list(self.runs.values()):
+            if run.sender == event.address:
+                todo += self.abandon(run, now)
+        return todo
+
+    def probe(self, message: messages.Probe, sender: str) -> Actions:
+        """Tells an entry which of its requests are not here."""
+        held = {request for request, _ in self.runs}
+        unknown = [each for each in message.requests if each not in held]
+        report = messages.Report(truth=self.truth(sender), unknown=unknown)
+        return self.to_entry(sender, report)
+
+
+def _log_admission(
+    run: runs.Run, verdict: admission.Admit | admission.Queue | admission.Refuse
+) -> actions.LogDecision:
+    fields: dict[str, object] = {
+        "request": run.dispatch.request,
+        "attempt": run.dispatch.attempt,
+        "organisation": run.dispatch.organisation,
+        "server": run.dispatch.server,
+        "verdict": type(verdict).__name__.lower(),
+    }
+    if isinstance(verdict, admission.Refuse):
+        fields["reason"] = verdict.code.name
+        fields["retry_after"] = verdict.retry_after
+    return actions.LogDecision(kind="admit", fields=fields)
--- a/pimentoledge/decisions/declarations.py
+++ b/pimentoledge/decisions/declarations.py
@@ -10,6 +10,9 @@
 from pimentoledge import results
 from pimentoledge.decisions import stores
 
+# How long the answer of a finished call is kept, unless declared.
+OUTCOME_SECONDS = 3600.0
+
 
 class Priority(enum.StrEnum):
     """How a contract's traffic is served when there is a queue."""
@@ -127,7 +130,7 @@
     name: str
     version: int = 0
     repeatable_methods: list[str] = attrs.field(factory=lambda: ["GET", "HEAD"])
-    outcome_seconds: float = 3600.0
+    outcome_seconds: float = OUTCOME_SECONDS
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/pimentoledge/decisions/entries.py
@@ -0,0 +1,700 @@
+"""The entry's state machine: from a caller's request to its whole answer.
+
+It checks the contract, chooses a backend server, sends the request to that
+server's agent and passes the answer on. What it believes of the servers are
+hints: each dispatch carries them, and the agent refuses what is not true.
+"""
+
+from returns import result
+
+from pimentoledge import results
+from pimentoledge.decisions import acceptance
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import claim_records
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import limits
+from pimentoledge.decisions import membership
+from pimentoledge.decisions import placement
+from pimentoledge.decisions import prefixes
+from pimentoledge.decisions import retries
+from pimentoledge.decisions import stores
+from pimentoledge.decisions import streams
+from pimentoledge.decisions import tickets
+from pimentoledge.decisions import timers
+from pimentoledge.nodes import messages
+
+Actions = list[actions.Action]
+
+# Prompt bytes that count as one token until the engine has told.
+TOKEN_BYTES = 4
+# An agent that has not taken or refused a request by then is asked.
+ANSWER_SECONDS = 0.5
+# A stream that is silent for so long makes its agent be asked about it.
+SILENCE_SECONDS = 5.0
+# An agent that was asked and says nothing by then counts as unreachable.
+PROBE_SECONDS = 0.5
+# Candidates in a log line.
+LOGGED_CANDIDATES = 4
+
+_DEADLINE = "deadline"
+_QUIET = "quiet"
+_RETRY = "retry"
+_LIMITS = ("limits",)
+
+
+class Entry:
+    """Decides for the requests of one entry.
+
+    Attributes:
+        name: the entry's name.
+        address: its mailbox.
+        block_bytes: prompt bytes in one block of the prefix chain.
+        configuration: what operators declared, as far as known here.
+        placer: chooses among usable servers.
+        membership: tells which servers are usable.
+        limits: the contracts' limits over all entries.
+        budget: bounds retries.
+        tickets: requests that have not ended, by id.
+        timers: what is due when.
+        draining: whether the process shall end.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        data_centre: str,
+        seed: int,
+        block_bytes: int,
+        view: configuration.Configuration,
+    ):
+        self.name = name
+        self.address = address
+        self.block_bytes = block_bytes
+        self.configuration = view
+        self.placer = placement.Placer(seed=seed, data_centre=data_centre)
+        self.membership = membership.Membership(seed=seed)
+        self.limits = limits.Limits(name=name, address=address, seed=seed)
+        self.budget = retries.RetryBudget()
+        self.tickets: dict[str, tickets.Ticket] = {}
+        self.timers = timers.Timers()
+        self.draining = False
+
+    def handle(self, event: object, now: float) -> Actions:
+        """Takes an event and returns what to do."""
+        match event:
+            case events.FromNode():
+                return self.from_node(event, now)
+            case events.CallerRequest():
+                return self.accept(event, now)
+            case events.CallerGone():
+                return self.caller_gone(event, now)
+            case events.Unreachable():
+                return self.unreachable(event, now)
+            case stores.Answer() if event.call.startswith(declarations.ROOT):
+                return self.declared(event, now)
+            case events.Drain():
+                self.draining = True
+        return []
+
+    def declared(self, answer: stores.Answer, now: float) -> Actions:
+        """Takes what operators declared."""
+        self.configuration.apply(answer.objects)
+        peers = [each.mailbox for each in self.configuration.entries()]
+        return self.limited(self.limits.entries(peers, now), now)
+
+    def tick(self, now: float) -> Actions:
+        """Does what is due."""
+        todo: Actions = []
+        for kind, request in self.timers.due(now):
+            ticket = self.tickets.get(request)
+            if ticket is None:
+                continue
+            match kind:
+                case "deadline":
+                    todo += self.too_late(ticket, now)
+                case "quiet":
+                    todo += self.quiet(ticket, now)
+                case "retry":
+                    todo += self.place(ticket, now)
+        wake = self.limits.next_wake()
+        if wake is not None and wake <= now:
+            todo += self.limited(self.limits.handle(None, now), now)
+        return todo
+
+    def next_wake(self) -> float | None:
+        """Returns when `tick` is due next."""
+        times = (self.timers.next(), self.limits.next_wake())
+        return min((each for each in times if each is not None), default=None)
+
+    def flush(self) -> Actions:
+        """Returns what was held back to be sent together: nothing."""
+        return []
+
+    def idle(self) -> bool:
+        """Returns whether every request has ended."""
+        return not self.tickets
+
+    def from_node(self, event: events.FromNode, now: float) -> Actions:
+        """Takes a message of another process."""
+        message = event.message
+        match message:
+            case messages.Frames():
+                return self.frames(message.frames, event.sender, now)
+            case messages.Borrow() | messages.Lend():
+                return self.limited(self.limits.handle(event, now), now)
+            case messages.Report():
+                return self.report(message, event.sender, now)
+        ticket = self.current(message, event.sender)
+        truth = getattr(message, "truth", None)
+        if truth is not None:
+            self.learn(truth, now)
+        if ticket is None:
+            return []
+        ticket.heard = now
+        ticket.probed = False
+        match message:
+            case messages.Admitted():
+                ticket.phase = tickets.Phase.ADMITTED
+                self.watch(ticket, now + SILENCE_SECONDS)
+            case messages.Refused():
+                return self.refused(ticket, message, now)
+            case messages.Finished():
+                return self.finished(ticket, message, now)
+            case messages.ServiceAnswer():
+                return self.answered(ticket, message, now)
+            case messages.Failed():
+                return self.failed(ticket, message, now)
+        return []
+
+    def current(self, message: object, sender: str) -> tickets.Ticket | None:
+        """Returns the ticket of a message of its current attempt.
+
+        A message of an attempt that was given up on may come at any time
+        later; its answer could be another's or garble the caller's stream.
+        """
+        ticket = self.tickets.get(getattr(message, "request", ""))
+        if ticket is None or ticket.agent != sender:
+            return None
+        if not ticket.stream.is_current(message.request, message.attempt):
+            return None
+        return ticket
+
+    def learn(self, truth: messages.Truth, now: float) -> None:
+        """Takes an agent's word about its server, unless it is outdated."""
+        heard = self.membership.answered(truth, now)
+        if heard is not membership.Heard.PAST:
+            self.placer.learned(truth, now)
+
+    def accept(self, event: events.CallerRequest, now: float) -> Actions:
+        """Takes a caller's request, or refuses it."""
+        if self.draining:
+            error = results.Error(code=results.Code.SHUTTING_DOWN)
+            return [_error(event.request, error)]
+        match acceptance.check(event, self.configuration):
+            case result.Failure(error):
+                return [_error(event.request, error)]
+            case result.Success(accepted):
+                ticket = self.ticket(event, accepted, now)
+        self.budget.request(now)
+        self.tickets[event.request] = ticket
+        self.timers.set((_DEADLINE, event.request), ticket.deadline)
+        match self.limits.take(ticket.contract, event.request, now):
+            case limits.Granted(sends=sends):
+                return sends + self.place(ticket, now)
+            case limits.Refused(error=error, sends=sends):
+                return sends + self.end_error(ticket, error, now)
+            case limits.Waiting(sends=sends):
+                return sends
+
+    def ticket(
+        self,
+        event: events.CallerRequest,
+        accepted: acceptance.Accepted,
+        now: float,
+    ) -> tickets.Ticket:
+        """Returns the ticket of an accepted request."""
+        contract = accepted.contract
+        deadline = now + accepted.seconds
+        ticket = tickets.Ticket(
+            event=event,
+            contract=contract,
+            arrived=now,
+            deadline=deadline,
+            blocks=self.blocks(event, contract.organisation),
+            fingerprint=acceptance.fingerprint(contract.organisation, event),
+            stream=streams.Stream(request=event.request),
+            tries=retries.AttemptState(deadline=deadline),
+        )
+        ticket.tries.repeatable = ticket.repeatable()
+        return ticket
+
+    def blocks(
+        self, event: events.CallerRequest, organisation: str
+    ) -> list[bytes]:
+        """Returns the chained digests of a request's prompt."""
+        wanted = event.completion
+        if wanted is None:
+            return []
+        salt = prefixes.salt(
+            organisation=organisation,
+            model=wanted.model,
+            adapter=wanted.adapter,
+            weights=self.weights(wanted.model),
+        )
+        return prefixes.chain(
+            salt=salt,
+            text=wanted.prompt.encode(),
+            block_bytes=self.block_bytes,
+        )
+
+    def weights(self, name: str) -> str:
+        """Returns the declared weights version of a model."""
+        model = self.configuration.model(name)
+        return model.weights if model is not None else ""
+
+    def limited(self, outputs: list[object], now: float) -> Actions:
+        """Carries out what the limits say."""
+        todo: Actions = []
+        for output in outputs:
+            match output:
+                case limits.Decided():
+                    todo += self.decided(output, now)
+                case _:
+                    todo.append(output)
+        return todo
+
+    def decided(self, decided: limits.Decided, now: float) -> Actions:
+        """Goes on with a request that waited for its limit."""
+        ticket = self.tickets.get(decided.request)
+        if ticket is None:
+            return self.limited(self.limits.release(decided.request, now), now)
+        if decided.error is not None:
+            return self.end_error(ticket, decided.error, now)
+        return self.place(ticket, now)
+
+    def place(self, ticket: tickets.Ticket, now: float) -> Actions:
+        """Chooses a server and sends the request to its agent."""
+        ticket.phase = tickets.Phase.PLACING
+        choice = self.choose(ticket, now)
+        ticket.choice = choice
+        log = self.log_route(ticket, choice)
+        server = self.configuration.server(choice.server or "")
+        if server is None:
+            failure = retries.NoCandidate()
+            return [log, *self.step(ticket, failure, now)]
+        attempt = ticket.stream.new_attempt()
+        ticket.phase = tickets.Phase.SENT
+        ticket.server = server.name
+        ticket.agent = server.agent
+        ticket.heard = now
+        ticket.probed = False
+        dispatch = self.dispatch(ticket, attempt, choice, now)
+        uncached = dispatch.prompt_tokens - choice.expected_depth
+        request = ticket.event.request
+        self.placer.sent(server.name, request, max(0, uncached), now)
+        self.membership.dispatched(server.name, now)
+        self.watch(ticket, now + ANSWER_SECONDS)
+        return [log, actions.Send(address=server.agent, message=dispatch)]
+
+    def choose(self, ticket: tickets.Ticket, now: float) -> placement.Choice:
+        """Returns where a request shall run next."""
+        completion = ticket.event.completion
+        call = ticket.event.call
+        if completion is not None:
+            kind, serves = declarations.ServerKind.RUNNER, completion.model
+        else:
+            kind, serves = declarations.ServerKind.SERVICE, call.service
+        declared = self.configuration.servers(kind, serves)
+        if ticket.event.idempotency_key:
+            declared = self.owners(ticket, serves, declared)
+        usable = self.membership.usable(declared, now)
+        return self.placer.choose(self.wanted(ticket, serves, now), usable, now)
+
+    def owners(
+        self,
+        ticket: tickets.Ticket,
+        serves: str,
+        declared: list[declarations.BackendServer],
+    ) -> list[declarations.BackendServer]:
+        """Returns the server that owns a request's idempotency key."""
+        shard = claim_records.shard_of(
+            ticket.contract.organisation, ticket.event.idempotency_key
+        )
+        left = [
+            each
+            for each in declared
+            if each.state == declarations.ServerState.IN
+            and each.name not in ticket.tries.avoid
+        ]
+        owner = claim_records.owner(serves, shard, left)
+        return [owner] if owner is not None else []
+
+    def wanted(
+        self, ticket: tickets.Ticket, serves: str, now: float
+    ) -> placement.Wanted:
+        """Returns what placement has to know of a request."""
+        completion = ticket.event.completion
+        return placement.Wanted(
+            request=ticket.event.request,
+            organisation=ticket.contract.organisation,
+            model=serves,
+            adapter=completion.adapter if completion is not None else "",
+            weights=self.weights(serves) if completion is not None else "",
+            blocks=ticket.blocks,
+            block_tokens=self.block_bytes // TOKEN_BYTES,
+            prompt_tokens=_prompt_tokens(ticket),
+            priority=ticket.priority(),
+            seconds_left=ticket.deadline - now,
+            avoid=frozenset(ticket.tries.avoid),
+        )
+
+    def dispatch(
+        self,
+        ticket: tickets.Ticket,
+        attempt: streams.Attempt,
+        choice: placement.Choice,
+        now: float,
+    ) -> messages.Dispatch:
+        """Returns the message that asks an agent to run a request."""
+        event = ticket.event
+        completion = event.completion
+        if completion is not None:
+            completion.continued = ticket.stream.continued()
+            completion.continued_tokens = ticket.stream.continued_tokens()
+        return messages.Dispatch(
+            request=event.request,
+            attempt=attempt.number,
+            organisation=ticket.contract.organisation,
+            priority=ticket.priority(),
+            share=ticket.contract.share,
+            seconds_left=ticket.deadline - now,
+            server=choice.server,
+            incarnation=choice.incarnation,
+            weights=self.weights(completion.model) if completion else "",
+            configuration=self.configuration.version,
+            expected_depth=choice.expected_depth,
+            prompt_tokens=_prompt_tokens(ticket),
+            fingerprint=ticket.fingerprint,
+            key=event.idempotency_key,
+            sequence=attempt.sequence,
+            completion=completion,
+            call=event.call,
+            trace=event.trace,
+        )
+
+    def log_route(
+        self, ticket: tickets.Ticket, choice: placement.Choice
+    ) -> actions.LogDecision:
+        """Returns the log line of a placement."""
+        considered = choice.candidates[:LOGGED_CANDIDATES]
+        fields: dict[str, object] = {
+            "request": ticket.event.request,
+            "organisation": ticket.contract.organisation,
+            "attempt": ticket.stream.attempt + 1,
+            "choice": choice.server,
+            "reason": choice.reason,
+            "expected_depth": choice.expected_depth,
+            "candidates": {
+                each.server: round(each.cost, 4) for each in considered
+            },
+            "considered": len(choice.candidates),
+        }
+        return actions.LogDecision(kind="route", fields=fields)
+
+    def frames(
+        self, frames: list[messages.Frame], sender: str, now: float
+    ) -> Actions:
+        """Passes frames on to their callers, in order."""
+        todo: Actions = []
+        for frame in frames:
+            ticket = self.tickets.get(frame.request)
+            if ticket is None or ticket.agent != sender:
+                continue
+            delivered = ticket.stream.accept(frame)
+            if isinstance(delivered, streams.Broken):
+                todo += self.broken(ticket, now)
+                continue
+            if not delivered:
+                continue
+            ticket.heard = now
+            ticket.probed = False
+            if not ticket.first:
+                ticket.first = now
+            for each in delivered:
+                todo.append(
+                    actions.ReplyText(
+                        request=each.request, text=each.text, tokens=each.tokens
+                    )
+                )
+        return todo
+
+    def broken(self, ticket: tickets.Ticket, now: float) -> Actions:
+        """Goes on with a stream that lost frames."""
+        failure = retries.Broken(
+            server=ticket.server,
+            code=results.Code.STREAM_BROKEN,
+            ran=results.Ran.RAN,
+        )
+        return [self.cancel(ticket), *self.step(ticket, failure, now)]
+
+    def refused(
+        self, ticket: tickets.Ticket, message: messages.Refused, now: float
+    ) -> Actions:
+        """Goes on with a request that its agent did not run."""
+        code = results.Code(message.code)
+        if code == results.Code.SERVER_DOWN:
+            self.membership.refused(ticket.server, now)
+        failure = retries.NotRun(
+            server=ticket.server, code=code, retry_after=message.retry_after
+        )
+        return self.step(ticket, failure, now)
+
+    def failed(
+        self, ticket: tickets.Ticket, message: messages.Failed, now: float
+    ) -> Actions:
+        """Goes on with a request that was admitted and failed."""
+        code = results.Code(message.code)
+        if code in _FINAL:
+            error = results.Error(code=code, ran=results.Ran(message.ran))
+            return self.end_error(ticket, error, now)
+        failure = retries.Broken(
+            server=ticket.server, code=code, ran=results.Ran(message.ran)
+        )
+        return self.step(ticket, failure, now)
+
+    def finished(
+        self, ticket: tickets.Ticket, message: messages.Finished, now: float
+    ) -> Actions:
+        """Ends a stream, if all of it has been passed on."""
+        match ticket.stream.finish(message):
+            case streams.Broken():
+                return self.broken(ticket, now)
+            case streams.Complete(completion_tokens=tokens):
+                pass
+            case _:
+                return []
+        self.placer.finished(
+            ticket.server,
+            message.request,
+            ticket.blocks,
+            message.cached_tokens,
+            now,
+        )
+        reply = actions.ReplyEnd(
+            request=message.request,
+            reason=message.reason,
+            prompt_tokens=message.prompt_tokens,
+            cached_tokens=message.cached_tokens,
+            completion_tokens=tokens,
+        )
+        return [reply, *self.end(ticket, now)]
+
+    def answered(
+        self,
+        ticket: tickets.Ticket,
+        message: messages.ServiceAnswer,
+        now: float,
+    ) -> Actions:
+        """Gives a service's answer to the caller."""
+        self.placer.finished(ticket.server, message.request, [], 0, now)
+        reply = actions.ReplyAnswer(
+            request=message.request,
+            status=message.status,
+            headers=message.headers,
+            body=message.body,
+            replayed=message.replayed,
+        )
+        return [reply, *self.end(ticket, now)]
+
+    def step(
+        self, ticket: tickets.Ticket, failure: retries.Failure, now: float
+    ) -> Actions:
+        """Tries a failed request again, or gives its final answer at once."""
+        tries = ticket.tries
+        tries.streamed = ticket.stream.tokens
+        tries.continuable = ticket.stream.can_continue()
+        next_step = retries.next_step(tries, failure, self.budget, now)
+        log = _log_step(ticket, failure, next_step)
+        match next_step:
+            case retries.GiveUp(error=error):
+                return [log, *self.end_error(ticket, error, now)]
+            case retries.Retry(delay=delay) if delay > 0:
+                ticket.phase = tickets.Phase.PLACING
+                ticket.stream.open = False
+                self.timers.cancel((_QUIET, ticket.event.request))
+                self.timers.set((_RETRY, ticket.event.request), now + delay)
+                return [log]
+            case retries.Retry():
+                return [log, *self.place(ticket, now)]
+
+    def end(self, ticket: tickets.Ticket, now: float) -> Actions:
+        """Forgets a request that has ended."""
+        request = ticket.event.request
+        del self.tickets[request]
+        for kind in (_DEADLINE, _QUIET, _RETRY):
+            self.timers.cancel((kind, request))
+        return self.limited(self.limits.release(request, now), now)
+
+    def end_error(
+        self, ticket: tickets.Ticket, error: results.Error, now: float
+    ) -> Actions:
+        """Ends a request with an error."""
+        return [_error(ticket.event.request, error), *self.end(ticket, now)]
+
+    def cancel(self, ticket: tickets.Ticket) -> actions.Send:
+        """Returns the message that stops the current attempt."""
+        cancel = messages.Cancel(
+            request=ticket.event.request, attempt=ticket.stream.attempt
+        )
+        return actions.Send(address=ticket.agent, message=cancel)
+
+    def caller_gone(self, event: events.CallerGone, now: float) -> Actions:
+        """Stops what nobody waits for."""
+        ticket = self.tickets.get(event.request)
+        if ticket is None:
+            return []
+        todo: Actions = []
+        if _is_out(ticket):
+            todo.append(self.cancel(ticket))
+        return todo + self.end(ticket, now)
+
+    def too_late(self, ticket: tickets.Ticket, now: float) -> Actions:
+        """Ends a request whose time is up, saying truly whether it ran."""
+        ran = ticket.tries.ran
+        if ticket.stream.tokens:
+            ran = results.Ran.RAN
+        elif _is_out(ticket):
+            ran = results.Ran.UNKNOWN
+        error = results.Error(code=results.Code.DEADLINE_PASSED, ran=ran)
+        todo = [self.cancel(ticket)] if _is_out(ticket) else []
+        return todo + self.end_error(ticket, error, now)
+
+    def watch(self, ticket: tickets.Ticket, at: float) -> None:
+        """Sets when a silent agent is to be asked."""
+        self.timers.set((_QUIET, ticket.event.request), at)
+
+    def quiet(self, ticket: tickets.Ticket, now: float) -> Actions:
+        """Asks an agent that has been silent, or gives up on it."""
+        limit = SILENCE_SECONDS
+        if ticket.phase is tickets.Phase.SENT:
+            limit = ANSWER_SECONDS
+        if not _is_out(ticket):
+            return []
+        if now - ticket.heard < limit:
+            self.watch(ticket, ticket.heard + limit)
+            return []
+        if ticket.probed:
+            return self.lost(ticket, results.Ran.UNKNOWN, now)
+        ticket.probed = True
+        self.watch(ticket, now + PROBE_SECONDS)
+        probe = messages.Probe(requests=[ticket.event.request])
+        return [actions.Send(address=ticket.agent, message=probe)]
+
+    def lost(
+        self, ticket: tickets.Ticket, ran: results.Ran, now: float
+    ) -> Actions:
+        """Goes on with a request whose agent can't be reached."""
+        self.membership.timed_out(ticket.server, now)
+        self.placer.failed(ticket.server, now)
+        if ticket.stream.tokens:
+            ran = results.Ran.RAN
+        failure = retries.Broken(
+            server=ticket.server,
+            code=results.Code.AGENT_UNREACHABLE,
+            ran=ran,
+        )
+        return [self.cancel(ticket), *self.step(ticket, failure, now)]
+
+    def report(
+        self, message: messages.Report, sender: str, now: float
+    ) -> Actions:
+        """Takes an agent's answer to a probe."""
+        self.learn(message.truth, now)
+        todo: Actions = []
+        for request in message.unknown:
+            ticket = self.tickets.get(request)
+            # The messages of one sender come in order, so an answer sent
+            # before the report would be here: the agent lost the request.
+            if ticket is not None and ticket.agent == sender and ticket.probed:
+                todo += self.lost(ticket, results.Ran.UNKNOWN, now)
+        for ticket in self.tickets.values():
+            if ticket.agent == sender and ticket.probed:
+                ticket.heard = now
+                ticket.probed = False
+                self.watch(ticket, now + SILENCE_SECONDS)
+        return todo
+
+    def unreachable(self, event: events.Unreachable, now: float) -> Actions:
+        """Goes on with the requests of an agent that can't be reached."""
+        unsent = {
+            (each.request, each.attempt)
+            for each in event.unsent
+            if isinstance(each, messages.Dispatch)
+        }
+        todo: Actions = []
+        for ticket in list(self.tickets.values()):
+            if ticket.agent != event.address or not _is_out(ticket):
+                continue
+            key = (ticket.event.request, ticket.stream.attempt)
+            self.membership.refused(ticket.server, now)
+            if key in unsent:
+                failure = retries.NotRun(
+                    server=ticket.server,
+                    code=results.Code.AGENT_UNREACHABLE,
+                )
+                todo += self.step(ticket, failure, now)
+            else:
+                todo += self.lost(ticket, results.Ran.UNKNOWN, now)
+        return todo
+
+
+# An agent's word that ends the request: nothing else may be tried.
+_FINAL = frozenset(
+    {
+        results.Code.CLAIM_RUNNING,
+        results.Code.OUTCOME_UNKNOWN,
+        results.Code.KEY_REUSED,
+        results.Code.POISON,
+    }
+)
+
+
+def _is_out(ticket: tickets.Ticket) -> bool:
+    """Returns whether an agent may hold the request."""
+    return ticket.phase in (tickets.Phase.SENT, tickets.Phase.ADMITTED)
+
+
+def _prompt_tokens(ticket: tickets.Ticket) -> int:
+    completion = ticket.event.completion
+    if completion is None:
+        return 0
+    return len(completion.prompt.encode()) // TOKEN_BYTES
+
+
+def _error(request: str, error: results.Error) -> actions.ReplyError:
+    return actions.ReplyError(request=request, error=error)
+
+
+def _log_step(
+    ticket: tickets.Ticket,
+    failure: retries.Failure,
+    step: retries.Retry | retries.GiveUp,
+) -> actions.LogDecision:
+    fields: dict[str, object] = {
+        "request": ticket.event.request,
+        "attempt": ticket.stream.attempt,
+        "server": ticket.server,
+        "failure": failure.code.name,
+    }
+    match step:
+        case retries.Retry():
+            fields["step"] = "retry"
+            fields["delay"] = step.delay
+        case retries.GiveUp():
+            fields["step"] = "give_up"
+            fields["reason"] = step.error.code.name
+    return actions.LogDecision(kind="retry", fields=fields)
--- /dev/null
+++ b/pimentoledge/decisions/runs.py
@@ -0,0 +1,47 @@
+"""What an agent keeps of one attempt until it has ended."""
+
+import enum
+
+import attrs
+
+from pimentoledge.nodes import messages
+
+
+class Stage(enum.StrEnum):
+    """Where an attempt stands at its agent."""
+
+    # Its claim is on the way to the store.
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    RUNNING = "running"
+    # Its answer broke off; the engine is asked whether it still lives.
+    BROKEN = "broken"
+
+
+@attrs.define(kw_only=True)
+class Run:
+    """One attempt at its agent.
+
+    Attributes:
+        dispatch: what to run.
+        sender: the entry's mailbox.
+        expires: when its time is up.
+        stage: where it stands.
+        sequence: number of the next frame.
+        tokens: tokens that the engine has generated.
+        ran: what was seen when it broke: results.Ran.
+        wanted: whether its entry still waits for it.
+    """
+
+    dispatch: messages.Dispatch
+    sender: str
+    expires: float
+    stage: Stage = Stage.QUEUED
+    sequence: int = 0
+    tokens: int = 0
+    ran: str = ""
+    wanted: bool = True
+
+    def key(self) -> tuple[str, int]:
+        """Returns request and attempt."""
+        return self.dispatch.request, self.dispatch.attempt
--- /dev/null
+++ b/pimentoledge/entry.py
@@ -0,0 +1,184 @@
+"""The entry daemon: sockets and threads around the entry's state machine."""
+
+import time
+import zlib
+
+import logbook
+
+from pimentoledge import logs
+from pimentoledge import metrics
+from pimentoledge import settings
+from pimentoledge.callers import replies
+from pimentoledge.callers import servers
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import entries
+from pimentoledge.decisions import events
+from pimentoledge.nodes import loops
+from pimentoledge.platform import objects
+from pimentoledge.platform import store_tasks
+from pimentoledge.platform import watchers
+
+logger = logbook.Logger("entry")
+
+IDLE_CHECK_SECONDS = 0.05
+
+
+class EntryDaemon:
+    """One entry process.
+
+    Attributes:
+        chosen: its checked settings.
+        core: the state machine; only the loop's thread touches it.
+        loop: the thread that owns the state machine.
+        store: task that calls the object API.
+        watcher: task that follows the declarations.
+        callers: the HTTP server for callers.
+        replies: where the answer of each open request goes.
+        leaving: whether the balancer should send no more callers.
+    """
+
+    def __init__(self, *, chosen: settings.Settings):
+        self.chosen = chosen
+        name = chosen.text("name")
+        self.core = entries.Entry(
+            name=name,
+            address=chosen.text("mailbox"),
+            data_centre=chosen.text("data-centre"),
+            seed=zlib.crc32(name.encode()),
+            block_bytes=chosen.whole("block-bytes"),
+            view=configuration.Configuration(),
+        )
+        self.loop = loops.Loop(
+            core=self.core,
+            mailbox_address=chosen.text("mailbox"),
+            perform=self.perform,
+        )
+        self.store = store_tasks.StoreTask(
+            client=self.object_client(), deliver=self.loop.inbox.put
+        )
+        self.watcher = watchers.Watcher(
+            client=self.object_client(),
+            prefix=declarations.ROOT,
+            deliver=self.loop.inbox.put,
+        )
+        self.callers = servers.CallerServer(
+            listen=chosen.text("listen"),
+            threads=chosen.whole("caller-threads"),
+            max_body_bytes=chosen.whole("max-body-bytes"),
+            buffer_bytes=chosen.whole("stream-buffer-bytes"),
+            submit=self.submit,
+            gone=self.gone,
+            models=self.models,
+            ready=self.ready,
+        )
+        self.replies: dict[str, replies.Replies] = {}
+        self.leaving = False
+
+    def object_client(self) -> objects.ObjectClient:
+        """Returns a new client of the object API."""
+        return objects.ObjectClient(
+            url=self.chosen.text("store"),
+            timeout=self.chosen.number("store-timeout"),
+        )
+
+    def start(self) -> None:
+        """Opens every socket and starts every task."""
+        self.loop.start()
+        self.core.address = self.loop.mailbox.address
+        self.core.limits.address = self.core.address
+        self.store.start()
+        self.loop.run_thread()
+        self.watcher.start()
+        self.callers.start()
+        logger.info("entry {} serves {}", self.core.name, self.callers.address)
+
+    def drain(self) -> None:
+        """Leaves the balancer, then finishes what runs.
+
+        A balancer looks at /readyz only now and then; until it has, callers
+        still come here, and each is served.
+        """
+        self.leaving = True
+        time.sleep(self.chosen.number("drain-seconds"))
+        self.loop.inbox.put(events.Drain())
+        until = time.monotonic() + self.chosen.number("shutdown-seconds")
+        while time.monotonic() < until and not self.loop.ask(_is_idle):
+            time.sleep(IDLE_CHECK_SECONDS)
+
+    def close(self) -> None:
+        """Closes every socket and waits for every task."""
+        self.callers.close()
+        self.watcher.close()
+        self.loop.close()
+        self.store.close()
+
+    def submit(self, event: events.CallerRequest) -> replies.Replies:
+        """Hands a request to the state machine; any thread may call it."""
+        answer = replies.Replies(
+            limit_bytes=self.chosen.whole("stream-buffer-bytes")
+        )
+        self.replies[event.request] = answer
+        self.loop.inbox.put(event)
+        return answer
+
+    def gone(self, request: str) -> None:
+        """Says that the caller of a request went away."""
+        self.replies.pop(request, None)
+        self.loop.inbox.put(events.CallerGone(request=request))
+
+    def ready(self) -> bool:
+        """Returns whether the balancer should send callers here."""
+        return not self.leaving and self.core.configuration.version > 0
+
+    def models(self, key_digest: str) -> list[str] | None:
+        """Returns the models of an API key, or None for an unknown key."""
+
+        def find(core: entries.Entry) -> list[str] | None:
+            contract = core.configuration.contract_by_key(key_digest)
+            return None if contract is None else list(contract.models)
+
+        return self.loop.ask(find)
+
+    def perform(self, todo: list[actions.Action]) -> None:
+        """Carries out actions other than sending."""
+        for action in todo:
+            match action:
+                case actions.ReplyText():
+                    self.reply(action, last=False)
+                case actions.CallStore():
+                    self.store.call(action.call)
+                case actions.LogDecision():
+                    logs.decision(action.kind, action.fields)
+                case _:
+                    self.reply(action, last=True)
+
+    def reply(self, action: actions.Action, *, last: bool) -> None:
+        """Hands a piece of an answer to its caller's thread."""
+        answer = self.replies.get(action.request)
+        if last:
+            self.replies.pop(action.request, None)
+            _count(action)
+        if answer is None:
+            return
+        if not answer.put(action) and not last:
+            self.gone(action.request)
+
+
+def _is_idle(core: entries.Entry) -> bool:
+    return core.idle()
+
+
+def _count(action: actions.Action) -> None:
+    match action:
+        case actions.ReplyError():
+            metrics.REQUESTS.labels(action.error.code.name).inc()
+        case actions.ReplyEnd():
+            metrics.REQUESTS.labels("OK").inc()
+            cached = action.cached_tokens
+            computed = action.prompt_tokens - cached
+            metrics.PROMPT_TOKENS.labels("yes").inc(cached)
+            metrics.PROMPT_TOKENS.labels("no").inc(computed)
+        case _:
+            metrics.REQUESTS.labels("OK").inc()
--- /dev/null
+++ b/pimentoledge/nodes/loops.py
@@ -0,0 +1,156 @@
+"""The thread that owns a process's state machine."""
+
+from collections.abc import Callable
+import queue
+import threading
+import time
+import traceback
+
+import attrs
+import logbook
+
+from pimentoledge.decisions import actions
+from pimentoledge.nodes import mailboxes
+
+logger = logbook.Logger("loops")
+
+# Longest sleep: how often silent connections are looked after.
+LONGEST_WAIT = 0.25
+# Events handled before the actions are carried out: bounds the delay of the
+# first of them under a burst.
+BATCH = 64
+
+
+@attrs.define(kw_only=True)
+class Question:
+    """Asks something of the state machine, from another thread.
+
+    Attributes:
+        function: called with the state machine, in its own thread.
+        answer: where the result goes.
+    """
+
+    function: Callable[[object], object]
+    answer: queue.SimpleQueue[object] = attrs.field(factory=queue.SimpleQueue)
+
+
+class Loop:
+    """Gives events to a state machine and carries out its actions.
+
+    Attributes:
+        core: has `handle(event, now)`, `next_wake()` and a
+            `configuration.version`.
+        inbox: events from the other threads.
+        mailbox: connection to the other processes.
+        perform: carries out every action other than Send.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: object,
+        mailbox_address: str,
+        perform: Callable[[list[actions.Action]], None],
+    ):
+        self.core = core
+        self.perform = perform
+        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self.mailbox = mailboxes.Mailbox(
+            address=mailbox_address, deliver=self.inbox.put
+        )
+        self.thread = threading.Thread(target=self.run, name="loop")
+        self.closing = False
+        self.expired = 0.0
+
+    def start(self) -> None:
+        """Opens the mailbox; `run_thread` then starts the work."""
+        self.mailbox.start()
+
+    def run_thread(self) -> None:
+        """Starts handling events."""
+        self.thread.start()
+
+    def close(self) -> None:
+        """Handles what has arrived, then stops."""
+        self.closing = True
+        self.inbox.put(None)
+        if self.thread.ident is not None:
+            self.thread.join()
+        self.mailbox.close()
+
+    def ask(self, function: Callable[[object], object]) -> object:
+        """Calls a function with the state machine, in its own thread.
+
+        For other threads; returns its result, or None while closing.
+        """
+        question = Question(function=function)
+        self.inbox.put(question)
+        while not self.closing:
+            try:
+                return question.answer.get(timeout=LONGEST_WAIT)
+            except queue.Empty:
+                continue
+        return None
+
+    def run(self) -> None:
+        """Handles events until closed."""
+        while not self.closing:
+            batch = self.gather()
+            try:
+                self.turn(batch)
+            except Exception:  # A defect must not end the process silently.
+                logger.critical("defect: {}", traceback.format_exc())
+
+    def gather(self) -> list[object]:
+        """Waits for events until the next timer, and takes a batch."""
+        wait = LONGEST_WAIT
+        wake = self.core.next_wake()
+        if wake is not None:
+            wait = min(wait, max(0.0, wake - time.monotonic()))
+        try:
+            batch = [self.inbox.get(timeout=wait)]
+        except queue.Empty:
+            return []
+        while len(batch) < BATCH and not self.inbox.empty():
+            batch.append(self.inbox.get())
+        return batch
+
+    def turn(self, batch: list[object]) -> None:
+        """Handles a batch and whatever timer is due."""
+        now = time.monotonic()
+        todo: list[actions.Action] = []
+        for event in batch:
+            match event:
+                case None:
+                    continue
+                case Question():
+                    event.answer.put(event.function(self.core))
+                case mailboxes.PeerUp() | mailboxes.PeerDown():
+                    self.mailbox.handle(event)
+                case _:
+                    todo += self.core.handle(event, now)
+        wake = self.core.next_wake()
+        if wake is not None and wake <= now:
+            todo += self.core.tick(now)
+        todo += self.core.flush()
+        self.carry_out(todo, now)
+        if now - self.expired > LONGEST_WAIT:
+            self.expired = now
+            self.mailbox.expire(now)
+
+    def carry_out(self, todo: list[actions.Action], now: float) -> None:
+        """Sends what is to be sent and hands the rest to the daemon."""
+        rest = []
+        version = self.core.configuration.version
+        for action in todo:
+            if isinstance(action, actions.Send):
+                self.mailbox.send(
+                    action.address,
+                    action.message,
+                    configuration=version,
+                    now=now,
+                )
+            else:
+                rest.append(action)
+        if rest:
+            self.perform(rest)
--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -4,6 +4,7 @@
 import urllib3
 
 from pimentoledge import http_faults
+from pimentoledge import http_pools
 from pimentoledge.decisions import stores
 from pimentoledge.platform import wires
 
@@ -25,12 +26,12 @@
 
     def start(self) -> None:
         """Opens the connection pool."""
-        self.pool = urllib3.PoolManager(retries=False, maxsize=POOL_SIZE)
+        self.pool = http_pools.Pool(size=POOL_SIZE)
 
     def close(self) -> None:
-        """Closes the connections."""
+        """Closes the connections, also those that a thread waits on."""
         if self.pool is not None:
-            self.pool.clear()
+            self.pool.cut()
 
     def call(self, call: stores.Call) -> stores.Answer:
         """Makes a call and waits for its answer.
--- a/pimentoledge/platform/vms.py
+++ b/pimentoledge/platform/vms.py
@@ -7,6 +7,7 @@
 from returns import result
 import urllib3
 
+from pimentoledge import http_pools
 from pimentoledge import results
 
 PATH = "/vms"
@@ -51,12 +52,12 @@
 
     def start(self) -> None:
         """Opens the connection pool."""
-        self.pool = urllib3.PoolManager(retries=False)
+        self.pool = http_pools.Pool(size=1)
 
     def close(self) -> None:
-        """Closes the connections."""
+        """Closes the connections, also those that a thread waits on."""
         if self.pool is not None:
-            self.pool.clear()
+            self.pool.cut()
 
     def read(self) -> result.Result[list[Vm], results.Error]:
         """Returns the list as the platform gives it, or why it could not."""
--- a/pimentoledge/runners/engines.py
+++ b/pimentoledge/runners/engines.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from pimentoledge import http_faults
+from pimentoledge import http_pools
 from pimentoledge import results
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import events
@@ -38,14 +39,12 @@
 
     def start(self) -> None:
         """Opens the connection pool."""
-        self.pool = urllib3.PoolManager(
-            retries=False, maxsize=POOL_SIZE, timeout=self.timeout
-        )
+        self.pool = http_pools.Pool(size=POOL_SIZE, timeout=self.timeout)
 
     def close(self) -> None:
         """Closes the idle connections; running streams go on."""
         if self.pool is not None:
-            self.pool.clear()
+            self.pool.cut()
 
     def run(
         self, run: actions.RunCompletion, salt: str
--- a/pimentoledge/services/clients.py
+++ b/pimentoledge/services/clients.py
@@ -3,6 +3,7 @@
 import urllib3
 
 from pimentoledge import http_faults
+from pimentoledge import http_pools
 from pimentoledge import results
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import events
@@ -43,12 +44,12 @@
 
     def start(self) -> None:
         """Opens the connection pool."""
-        self.pool = urllib3.PoolManager(retries=False, maxsize=POOL_SIZE)
+        self.pool = http_pools.Pool(size=POOL_SIZE)
 
     def close(self) -> None:
-        """Closes the connections."""
+        """Closes the connections, also those that a thread waits on."""
         if self.pool is not None:
-            self.pool.clear()
+            self.pool.cut()
 
     def run(
         self, run: actions.RunCall
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -15,9 +15,6 @@
 _ADDRESS = re.compile(r"^tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 _HOST_PORT = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 _URL = re.compile(r"^https?://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-_ADDRESSES = re.compile(r"^(tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}(,|$))*$")
-_DIGEST = re.compile(r"^([0-9a-f]{64})?$")
-_KEY = re.compile(r"^[!-~]{16,256}$")
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 
 
@@ -112,37 +109,6 @@
         programs=DAEMONS,
         text="address where other processes reach this one",
     ),
-    Setting(
-        name="peers",
-        kind=Text(
-            pattern=_ADDRESSES,
-            allowed="addresses as tcp://IP:PORT with commas between, or none",
-        ),
-        default="",
-        programs=DAEMONS,
-        text="mailboxes of a few entries, to find the others by",
-    ),
-    Setting(
-        name="operator-key-digest",
-        kind=Text(pattern=_DIGEST, allowed="64 hexadecimal digits, or none"),
-        default="",
-        programs=(ENTRY,),
-        text="BLAKE2b-256 digest of an admin's key that is always valid",
-    ),
-    Setting(
-        name="admin-url",
-        kind=_URL_KIND,
-        default="http://127.0.0.1:8081",
-        programs=(OPERATOR,),
-        text="administration API of any entry",
-    ),
-    Setting(
-        name="operator-key",
-        kind=Text(pattern=_KEY, allowed="16 to 256 visible characters"),
-        default=None,
-        programs=(OPERATOR,),
-        text="the operator's key; better given in the environment",
-    ),
     Setting(
         name="store",
         kind=_URL_KIND,
@@ -213,6 +179,27 @@
         programs=(AGENT,),
         text="the backend server beside this agent",
     ),
+    Setting(
+        name="kind",
+        kind=Choice(words=("runner", "service", "kv_cache")),
+        default="runner",
+        programs=(AGENT,),
+        text="what stands beside this agent",
+    ),
+    Setting(
+        name="slots",
+        kind=Number(low=1, high=1024, whole=True),
+        default="16",
+        programs=(AGENT,),
+        text="requests that run at one time until the engine has told",
+    ),
+    Setting(
+        name="engine-timeout",
+        kind=_seconds(0.1, 600),
+        default="30",
+        programs=(AGENT,),
+        text="seconds of silence after which an engine's answer is broken",
+    ),
     Setting(
         name="block-bytes",
         kind=Number(low=16, high=65536, whole=True),
@@ -280,7 +267,8 @@
     return [each for each in SETTINGS if program in each.programs]
 
 
-def _allowed(kind: Text | Number | Choice) -> str:
+def allowed(kind: Text | Number | Choice) -> str:
+    """Returns in words which values a setting may have."""
     match kind:
         case Text():
             return kind.allowed
@@ -291,7 +279,8 @@
             return "one of " + ", ".join(kind.words)
 
 
-def _valid(kind: Text | Number | Choice, text: str) -> bool:
+def valid(kind: Text | Number | Choice, text: str) -> bool:
+    """Returns whether a text is an allowed value."""
     match kind:
         case Text():
             return bool(kind.pattern.match(text))
@@ -343,12 +332,12 @@
         where = f"{setting.flag()} (or {setting.variable()})"
         if value is None:
             return _bad(
-                f"missing setting {where}: must be {_allowed(setting.kind)}"
+                f"missing setting {where}: must be {allowed(setting.kind)}"
             )
-        if not _valid(setting.kind, value.text):
+        if not valid(setting.kind, value.text):
             return _bad(
                 f"bad setting {where}: {value.text!r} from {value.source};"
-                f" must be {_allowed(setting.kind)}"
+                f" must be {allowed(setting.kind)}"
             )
         values[setting.name] = value
     return result.Success(Settings(values=values))
--- /dev/null
+++ b/pimentoledge/tests/test_nodes.py
@@ -0,0 +1,140 @@
+"""Messages between processes: codec, mailboxes, timers."""
+
+import queue
+import time
+
+import pynng
+from returns import result
+
+from pimentoledge.decisions import events
+from pimentoledge.decisions import timers
+from pimentoledge.nodes import codecs
+from pimentoledge.nodes import mailboxes
+from pimentoledge.nodes import messages
+
+WAIT = 10.0
+
+
+class Owner:
+    """A mailbox with the inbox of its owner."""
+
+    def __init__(self):
+        self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self.mailbox = mailboxes.Mailbox(
+            address="tcp://127.0.0.1:0", deliver=self.inbox.put
+        )
+        self.mailbox.start()
+
+    def send(self, address: str, number: int):
+        message = messages.Cancel(request="r", attempt=number)
+        now = time.monotonic()
+        self.mailbox.send(address, message, configuration=7, now=now)
+
+    def next(self, kind: type) -> object:
+        """Returns the next event of a kind, handling connections' news."""
+        until = time.monotonic() + WAIT
+        while True:
+            self.mailbox.expire(time.monotonic())
+            try:
+                event = self.inbox.get(timeout=0.05)
+            except queue.Empty:
+                assert time.monotonic() < until
+                continue
+            if isinstance(event, mailboxes.PeerUp | mailboxes.PeerDown):
+                self.mailbox.handle(event)
+            if isinstance(event, kind):
+                return event
+
+
+def test_every_message_survives_the_codec():
+    truth = messages.Truth(server="s")
+    dispatch = messages.Dispatch(
+        request="r",
+        attempt=1,
+        organisation="o",
+        priority="batch",
+        seconds_left=1.5,
+        server="s",
+        fingerprint=b"\x00\xff",
+        call=messages.ServiceCall(
+            service="c", method="GET", path="/", headers=[("a", "b")]
+        ),
+    )
+    failed = messages.Failed(
+        request="r", attempt=1, code=4001, ran="ran", truth=truth
+    )
+    for message in (dispatch, failed, messages.Frames(frames=[])):
+        data = codecs.encode(message, sender="tcp://a", configuration=3)
+        event = codecs.decode(data).unwrap()
+        assert event == events.FromNode(
+            sender="tcp://a", message=message, configuration=3
+        )
+
+
+def test_bytes_that_are_no_message_are_an_error():
+    for data in (
+        b"",
+        b"\xc1",
+        b"\x94\x01\xa1a\x00\xc0",
+        b"\x94\x7f\xa1a\x00\xc0",
+    ):
+        assert isinstance(codecs.decode(data), result.Failure)
+
+
+def test_messages_come_in_order_with_their_sender():
+    one, other = Owner(), Owner()
+    for number in range(300):
+        one.send(other.mailbox.address, number)
+    # What waited for the connection goes out when it is up.
+    one.next(mailboxes.PeerUp)
+    got = [other.next(events.FromNode) for _ in range(300)]
+    assert [each.message.attempt for each in got] == list(range(300))
+    assert got[0].sender == one.mailbox.address
+    assert got[0].configuration == 7
+    one.mailbox.close()
+    other.mailbox.close()
+
+
+def test_a_peer_that_is_not_there_gives_back_what_was_unsent():
+    """A request is sent to an agent whose VM is gone, and its caller waits.
+
+    The connection never comes up; the entry has to learn at once that its
+    message left nowhere, so that "not run" is true and another try is safe.
+    """
+    probe = pynng.Pull0(listen="tcp://127.0.0.1:0")
+    nobody = str(probe.listeners[0].url)
+    probe.close()
+    one = Owner()
+    one.send(nobody, 1)
+    event = one.next(events.Unreachable)
+    assert event.address == nobody
+    assert [each.attempt for each in event.unsent] == [1]
+    one.mailbox.close()
+
+
+def test_a_peer_that_dies_is_reported():
+    """An agent is killed while an entry waits for its answer.
+
+    The broken connection tells the entry; without it the caller would wait
+    for the deadline.
+    """
+    one, other = Owner(), Owner()
+    one.send(other.mailbox.address, 1)
+    one.next(mailboxes.PeerUp)
+    other.next(events.FromNode)
+    other.mailbox.close()
+    event = one.next(events.Unreachable)
+    assert event.unsent == []
+    one.mailbox.close()
+
+
+def test_timers_fire_once_at_their_newest_time():
+    kept = timers.Timers()
+    kept.set(("a",), 1.0)
+    kept.set(("b",), 2.0)
+    kept.set(("a",), 3.0)
+    kept.cancel(("b",))
+    assert kept.next() == 3.0
+    assert kept.due(2.5) == []
+    assert kept.due(3.0) == [("a",)]
+    assert kept.next() is None
--- /dev/null
+++ b/pimentoledge/tests/test_path.py
@@ -0,0 +1,206 @@
+"""The whole path: real entries and agents before fakes, on loopback."""
+
+import json
+import threading
+import time
+
+import pytest
+import urllib3
+
+from pimentoledge import emulators
+from pimentoledge.decisions import declarations
+from pimentoledge.runners import fake_engines
+
+WAIT = 20.0
+KEY = "path-key"
+PROMPT = "A long manual about one frame. " * 40
+
+
+@pytest.fixture
+def emulator():
+    started = emulators.Emulator()
+    started.start()
+    started.declare(declarations.Model(name="m", weights="w1"))
+    started.declare(declarations.Service(name="cards"))
+    started.declare(
+        declarations.Contract(
+            organisation="o",
+            key_digests=[emulators.key_digest(KEY)],
+            models=["m"],
+            services=["cards"],
+        )
+    )
+    yield started
+    started.close()
+
+
+def until(condition):
+    """Waits for a condition, with a bound."""
+    end = time.monotonic() + WAIT
+    while not condition():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.01)
+
+
+def start_entry(emulator, name="entry", **flags):
+    daemon = emulator.add_entry(name, **flags)
+    servers = len(emulator.runners) + len(emulator.services)
+    until(
+        lambda: len(
+            daemon.loop.ask(
+                lambda core: core.configuration.servers("runner", "m")
+                + core.configuration.servers("service", "cards")
+            )
+        )
+        == servers
+    )
+    until(daemon.ready)
+    return daemon
+
+
+def ask(daemon, tokens=20, stream=True, **headers):
+    pool = urllib3.PoolManager(retries=False, timeout=WAIT)
+    body = {
+        "model": "m",
+        "prompt": PROMPT,
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+    return pool.request(
+        "POST",
+        f"http://{daemon.callers.address}/v1/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {KEY}", **headers},
+        preload_content=False,
+    )
+
+
+def read_stream(response):
+    """Returns a stream's text, and whether it ended as a whole one does."""
+    text, done = "", False
+    for line in response:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[len(b"data: ") :].strip()
+        if data == b"[DONE]":
+            done = True
+            continue
+        event = json.loads(data)
+        assert "error" not in event, event
+        text += "".join(each["text"] for each in event["choices"])
+    return text, done
+
+
+def post_card(daemon, key):
+    pool = urllib3.PoolManager(retries=False, timeout=WAIT)
+    return pool.request(
+        "POST",
+        f"http://{daemon.callers.address}/services/cards/new",
+        body=b"{}",
+        headers={"Authorization": f"Bearer {KEY}", "Idempotency-Key": key},
+    )
+
+
+def test_a_stream_is_whole_and_the_second_one_hits_the_cache(emulator):
+    emulator.add_runner("r1", "m", step_seconds=0.002)
+    emulator.add_runner("r2", "m", step_seconds=0.002)
+    entry = start_entry(emulator)
+    expected = fake_engines.expected_text(PROMPT, 0, 20)
+    for _ in range(2):
+        assert read_stream(ask(entry)) == (expected, True)
+    cached = [
+        r.engine.counters.cached_tokens for r in emulator.runners.values()
+    ]
+    assert sum(cached) > 0
+
+
+def test_an_engine_that_dies_mid_stream_is_continued_on_another(emulator):
+    """A runner dies while a counter clerk reads the answer.
+
+    The engine crashes after some tokens; the entry goes on at the other
+    runner behind what it has passed on. The caller sees one whole answer,
+    with no word twice.
+    """
+    emulator.add_runner("r1", "m", step_seconds=0.01)
+    emulator.add_runner("r2", "m", step_seconds=0.01)
+    entry = start_entry(emulator)
+    response = ask(entry, tokens=60)
+    until(
+        lambda: any(
+            r.engine.counters.generated_tokens > 5
+            for r in emulator.runners.values()
+        )
+    )
+    busy = max(
+        emulator.runners.values(),
+        key=lambda each: each.engine.counters.generated_tokens,
+    )
+    busy.server.crash()
+    expected = fake_engines.expected_text(PROMPT, 0, 60)
+    assert read_stream(response) == (expected, True)
+
+
+def test_a_caller_that_goes_away_cancels_at_the_engine(emulator):
+    """A caller closes the connection in the middle of a long answer.
+
+    Without a cancel the engine would generate the rest for nobody and keep
+    its slot from others.
+    """
+    runner = emulator.add_runner("r1", "m", step_seconds=0.005)
+    entry = start_entry(emulator)
+    response = ask(entry, tokens=5000)
+    response.read(64)
+    response.close()
+    until(lambda: not runner.daemon.loop.ask(lambda core: list(core.runs)))
+    until(lambda: not runner.engine.streams)
+
+
+def test_a_card_sent_again_through_another_entry_runs_once(emulator):
+    """A booking page times out and posts the same job card again.
+
+    The second post reaches another entry. Both get the first run's answer.
+    """
+    emulator.add_service("c1", "cards")
+    emulator.add_service("c2", "cards")
+    entries = [start_entry(emulator, name) for name in ("a", "b")]
+    answers = [post_card(each, "card-7") for each in entries]
+    assert [each.status for each in answers] == [200, 200]
+    assert answers[0].data == answers[1].data
+    runs = [s.service.runs_by_key["card-7"] for s in emulator.services.values()]
+    assert sum(runs) == 1
+
+
+def test_a_drain_cuts_no_stream(emulator):
+    """An entry is told to end while it passes on a long answer.
+
+    It must leave the balancer, finish the answer, and refuse what comes
+    later with a true "not run".
+    """
+    emulator.add_runner("r1", "m", step_seconds=0.005)
+    entry = start_entry(emulator, drain_seconds="0")
+    response = ask(entry, tokens=100)
+    draining = threading.Thread(target=entry.drain)
+    draining.start()
+    until(lambda: not entry.ready())
+    until(lambda: entry.loop.ask(lambda core: core.draining))
+    late = ask(entry)
+    assert late.status == 503
+    error = json.loads(late.read())["error"]
+    assert (error["code"], error["outcome"]) == ("SHUTTING_DOWN", "not_run")
+    expected = fake_engines.expected_text(PROMPT, 0, 100)
+    assert read_stream(response) == (expected, True)
+    draining.join(WAIT)
+    assert not draining.is_alive()
+
+
+def test_nothing_is_left_behind():
+    """A daemon that leaves a thread behind can't be replaced in place."""
+    before = set(threading.enumerate())
+    started = emulators.Emulator()
+    started.start()
+    started.add_runner("r1", "m")
+    started.add_service("c1", "cards")
+    started.add_entry("entry")
+    started.close()
+    left = set(threading.enumerate()) - before
+    assert not [each.name for each in left]
