--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -29,6 +29,23 @@
         self.req.server.handle(self.req)
 
 
+class ReusingServer(cheroot.server.HTTPServer):
+    """A server whose port can be bound again at once after its end.
+
+    Cheroot leaves SO_REUSEADDR off for a port that the system picked, so a
+    restart on it fails with "address in use" for as long as connections of
+    the life before are in TIME_WAIT. Connections inherit the option from the
+    listening socket; setting it only after binding can't steal a port.
+    """
+
+    @staticmethod
+    def bind_socket(socket_, bind_addr):
+        """Binds, then lets the port be bound again later."""
+        socket_.bind(bind_addr)
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return socket_
+
+
 class Server:
     """A cheroot server on a thread of its own.
 
@@ -56,7 +73,7 @@
 
     def start(self) -> None:
         """Binds the port and serves."""
-        self.http = cheroot.server.HTTPServer(
+        self.http = ReusingServer(
             (self.host, self.port), Gateway, minthreads=self.threads
         )
         self.http.handle = self.handle
--- /dev/null
+++ b/pimentoledge/operators/api.py
@@ -0,0 +1,141 @@
+"""The administration API: HTTP to typed requests and back."""
+
+from collections import abc
+import re
+import secrets
+import time
+
+import msgspec
+from returns import result
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import administration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.operators import servers
+
+ROOT = "/admin/v1/"
+KNOWN_HEADER = "Pimentoledge-Source"
+_METHODS = ("GET", "PUT", "PATCH", "DELETE")
+_VERSION = re.compile(r'"?(\d{1,18})"?')
+_TRUE = ("true", "1")
+
+# Hands a request to the state machine and waits for its answer; None when the
+# process is closing.
+Submit = abc.Callable[[events.OperatorRequest], actions.ReplyOperator | None]
+
+
+class Api:
+    """The pages below /admin/v1/.
+
+    Attributes:
+        submit: hands a request to the state machine and waits.
+    """
+
+    def __init__(self, *, submit: Submit):
+        self.submit = submit
+
+    def serve(self, request: servers.Request) -> servers.Response:
+        """Answers one request."""
+        match parse(request):
+            case result.Failure(error):
+                return _refused(error)
+            case result.Success(event):
+                reply = self.submit(event)
+        if reply is None:
+            ran = results.Ran.NOT_RUN
+            if event.method != "GET" and not event.dry_run:
+                ran = results.Ran.UNKNOWN
+            code = results.Code.SHUTTING_DOWN
+            return _refused(results.Error(code=code, ran=ran))
+        return _response(reply)
+
+
+def parse(
+    request: servers.Request,
+) -> result.Result[events.OperatorRequest, results.Error]:
+    """Reads a request."""
+    if request.method not in _METHODS:
+        return _failure(results.Code.METHOD_NOT_ALLOWED)
+    parts = request.path.removeprefix(ROOT).rstrip("/").split("/")
+    history = len(parts) == 3 and parts[2] == "history"
+    known = len(parts) <= 2 or (history and request.method == "GET")
+    if not known:
+        return _failure(results.Code.NOT_FOUND)
+    if parts[0] == administration.STATUS and len(parts) > 1:
+        return _failure(results.Code.NOT_FOUND)
+    limit = request.query.get("limit", "100")
+    if not limit.isdecimal():
+        return _failure(results.Code.BAD_FIELD, "limit must be a number")
+    match _expected(request.headers):
+        case result.Failure(error):
+            return result.Failure(error)
+        case result.Success(expected):
+            pass
+    event = events.OperatorRequest(
+        request=secrets.token_hex(12),
+        key_digest=declarations.key_digest(_key(request.headers)),
+        method=request.method,
+        kind=parts[0],
+        name=parts[1] if len(parts) > 1 else "",
+        history=history,
+        limit=int(limit),
+        cursor=request.query.get("cursor", ""),
+        body=request.body,
+        expected=expected,
+        dry_run=request.query.get("dry_run", "").lower() in _TRUE,
+        at=time.time(),
+    )
+    return result.Success(event)
+
+
+def _key(headers: dict[str, str]) -> str:
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _expected(
+    headers: dict[str, str],
+) -> result.Result[int | None, results.Error]:
+    absent = headers.get("if-none-match")
+    match = headers.get("if-match")
+    if absent is None and match is None:
+        return result.Success(None)
+    if absent is not None and (match is not None or absent.strip() != "*"):
+        text = 'If-None-Match must be "*", and without If-Match'
+        return _failure(results.Code.BAD_FIELD, text)
+    if absent is not None:
+        return result.Success(0)
+    version = _VERSION.fullmatch(match.strip())
+    if version is None or int(version[1]) == 0:
+        text = "If-Match must be the ETag of the version that was read"
+        return _failure(results.Code.BAD_FIELD, text)
+    return result.Success(int(version[1]))
+
+
+def _failure(code: results.Code, text: str = "") -> result.Failure:
+    return result.Failure(results.Error(code=code, text=text))
+
+
+def _refused(error: results.Error) -> servers.Response:
+    fields = {
+        "code": int(error.code),
+        "message": error.message(),
+        "ran": str(error.outcome()),
+    }
+    body = msgspec.json.encode({"error": fields})
+    return servers.Response(status=error.status(), body=body)
+
+
+def _response(reply: actions.ReplyOperator) -> servers.Response:
+    headers = []
+    if reply.version:
+        headers.append(("ETag", f'"{reply.version}"'))
+    if reply.known:
+        headers.append((KNOWN_HEADER, "known"))
+    return servers.Response(
+        status=reply.status,
+        body=msgspec.json.encode(reply.fields),
+        headers=headers,
+    )
--- /dev/null
+++ b/pimentoledge/operators/clients.py
@@ -0,0 +1,134 @@
+"""The operators' client of the administration API."""
+
+from collections import abc
+import urllib.parse
+
+import attrs
+import msgspec
+from returns import result
+import urllib3
+
+from pimentoledge import results
+from pimentoledge.operators import api
+
+TIMEOUT_SECONDS = 15.0
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """An answer of the administration API.
+
+    Attributes:
+        status: HTTP status.
+        fields: the JSON body.
+        version: version of the object; 0 for none.
+        known: whether this is what the entry knew, without the store.
+    """
+
+    status: int
+    fields: dict[str, object]
+    version: int = 0
+    known: bool = False
+
+
+class AdminClient:
+    """Calls the administration API of one entry; never retries.
+
+    Attributes:
+        url: the entry's address, as http://IP:PORT.
+        key: the operator's key.
+    """
+
+    def __init__(self, *, url: str, key: str):
+        self.url = url
+        self.key = key
+        self._pool: urllib3.PoolManager | None = None
+
+    def start(self) -> None:
+        """Opens the connection pool."""
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def close(self) -> None:
+        """Closes the connections."""
+        if self._pool is not None:
+            self._pool.clear()
+
+    def read(
+        self, path: str, **query: object
+    ) -> result.Result[Answer, results.Error]:
+        """Reads a path below the API's root, as "contracts/araujo"."""
+        return self._call("GET", path, query=query)
+
+    def pages(self, kind: str, limit: int) -> abc.Iterator[result.Result]:
+        """Reads all pages of a list, one after the other."""
+        cursor = ""
+        while cursor is not None:
+            answer = self.read(kind, limit=limit, cursor=cursor)
+            yield answer
+            cursor = None
+            if isinstance(answer, result.Success):
+                cursor = answer.unwrap().fields.get("cursor")
+
+    def write(
+        self,
+        method: str,
+        path: str,
+        *,
+        fields: dict[str, object] | None = None,
+        expected: int,
+        dry_run: bool = False,
+    ) -> result.Result[Answer, results.Error]:
+        """Changes an object on condition of its version.
+
+        Args:
+            method: PUT, PATCH or DELETE.
+            path: path below the API's root.
+            fields: the JSON body.
+            expected: the version that was read; 0 to create the object.
+            dry_run: check everything, and write nothing.
+        """
+        condition = {"If-Match": f'"{expected}"'}
+        if expected == 0:
+            condition = {"If-None-Match": "*"}
+        query = {"dry_run": "true"} if dry_run else {}
+        return self._call(
+            method, path, query=query, headers=condition, fields=fields
+        )
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        query: dict[str, object],
+        headers: dict[str, str] | None = None,
+        fields: dict[str, object] | None = None,
+    ) -> result.Result[Answer, results.Error]:
+        address = f"{self.url}{api.ROOT}{path}?"
+        address += urllib.parse.urlencode(query)
+        try:
+            response = self._pool.request(
+                method,
+                address,
+                headers={
+                    "Authorization": f"Bearer {self.key}",
+                    **(headers or {}),
+                },
+                body=None if fields is None else msgspec.json.encode(fields),
+                timeout=TIMEOUT_SECONDS,
+            )
+            body = msgspec.json.decode(response.data, type=dict[str, object])
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            # The change may have been accepted before the answer was lost.
+            ran = results.Ran.UNKNOWN
+            code = results.Code.UNCONFIRMED
+            text = f"no answer of {self.url}: {error}"
+            return result.Failure(results.Error(code=code, text=text, ran=ran))
+        version = response.headers.get("ETag", '"0"').strip('"')
+        answer = Answer(
+            status=response.status,
+            fields=body,
+            version=int(version),
+            known=api.KNOWN_HEADER in response.headers,
+        )
+        return result.Success(answer)
--- /dev/null
+++ b/pimentoledge/operators/servers.py
@@ -0,0 +1,170 @@
+"""The HTTP server for operators, metrics and health checks."""
+
+from collections import abc
+import threading
+import traceback
+import urllib.parse
+
+import attrs
+from cheroot import server
+from cheroot import wsgi
+import logbook
+
+logger = logbook.Logger("operators")
+
+THREADS = 8
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HEAD_BYTES = 16 * 1024
+SOCKET_SECONDS = 10.0
+CLOSE_SECONDS = 2.0
+JSON = "application/json"
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    428: "Precondition Required",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """A request as a page gets it.
+
+    Attributes:
+        method: HTTP method.
+        path: path without the query.
+        query: last value by name.
+        headers: value by lower-case name.
+        body: the whole body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = attrs.field(factory=dict)
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+
+
+@attrs.define(kw_only=True)
+class Response:
+    """A page's answer.
+
+    Attributes:
+        status: HTTP status.
+        body: the body.
+        content_type: its media type.
+        headers: further headers.
+    """
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = JSON
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+
+
+Page = abc.Callable[[Request], Response]
+
+
+class AdminServer:
+    """Serves pages by the longest prefix of the path.
+
+    Attributes:
+        listen: address as IP:PORT; port 0 takes any free one.
+        pages: Page by path; one that ends with "/" has all paths below it.
+        address: where it listens, once started.
+    """
+
+    def __init__(self, *, listen: str, pages: dict[str, Page]):
+        self.listen = listen
+        self.pages = pages
+        self.address = ""
+        self._server: wsgi.Server | None = None
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Listens and serves."""
+        host, port = self.listen.rsplit(":", 1)
+        self._server = wsgi.Server(
+            (host, int(port)),
+            self.serve,
+            numthreads=THREADS,
+            max=THREADS,
+            timeout=SOCKET_SECONDS,
+            shutdown_timeout=CLOSE_SECONDS,
+        )
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEAD_BYTES
+        self._server.prepare()
+        host, port = self._server.bind_addr[:2]
+        self.address = f"{host}:{port}"
+        self._thread = threading.Thread(target=self._server.serve, name="admin")
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops and waits for the requests that are served."""
+        if self._server is None:
+            return
+        self._server.stop()
+        self._thread.join()
+
+    def serve(
+        self, environ: dict[str, object], start_response: abc.Callable
+    ) -> list[bytes]:
+        """Serves one request, as a WSGI application."""
+        try:
+            response = self._respond(environ)
+        except server.MaxSizeExceeded:
+            response = Response(status=413)
+        except Exception:  # A defect of a page must not end the thread.
+            logger.error("defect in a page: {}", traceback.format_exc())
+            response = Response(status=500)
+        reason = _REASONS.get(response.status, "Other")
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            *response.headers,
+        ]
+        start_response(f"{response.status} {reason}", headers)
+        return [] if environ["REQUEST_METHOD"] == "HEAD" else [response.body]
+
+    def _respond(self, environ: dict[str, object]) -> Response:
+        request = _request(environ)
+        page = self._page(request.path)
+        return Response(status=404) if page is None else page(request)
+
+    def _page(self, path: str) -> Page | None:
+        if path in self.pages:
+            return self.pages[path]
+        fitting = [
+            each
+            for each in self.pages
+            if each.endswith("/") and path.startswith(each)
+        ]
+        return self.pages[max(fitting, key=len)] if fitting else None
+
+
+def _request(environ: dict[str, object]) -> Request:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        raise server.MaxSizeExceeded()
+    body = environ["wsgi.input"].read(length) if length else b""
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=dict(urllib.parse.parse_qsl(environ["QUERY_STRING"])),
+        headers={
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        },
+        body=body,
+    )
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -15,6 +15,9 @@
 _ADDRESS = re.compile(r"^tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 _HOST_PORT = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 _URL = re.compile(r"^https?://\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+_ADDRESSES = re.compile(r"^(tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}(,|$))*$")
+_DIGEST = re.compile(r"^([0-9a-f]{64})?$")
+_KEY = re.compile(r"^[!-~]{16,256}$")
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 
 
@@ -109,6 +112,37 @@
         programs=DAEMONS,
         text="address where other processes reach this one",
     ),
+    Setting(
+        name="peers",
+        kind=Text(
+            pattern=_ADDRESSES,
+            allowed="addresses as tcp://IP:PORT with commas between, or none",
+        ),
+        default="",
+        programs=DAEMONS,
+        text="mailboxes of a few entries, to find the others by",
+    ),
+    Setting(
+        name="operator-key-digest",
+        kind=Text(pattern=_DIGEST, allowed="64 hexadecimal digits, or none"),
+        default="",
+        programs=(ENTRY,),
+        text="BLAKE2b-256 digest of an admin's key that is always valid",
+    ),
+    Setting(
+        name="admin-url",
+        kind=_URL_KIND,
+        default="http://127.0.0.1:8081",
+        programs=(OPERATOR,),
+        text="administration API of any entry",
+    ),
+    Setting(
+        name="operator-key",
+        kind=Text(pattern=_KEY, allowed="16 to 256 visible characters"),
+        default=None,
+        programs=(OPERATOR,),
+        text="the operator's key; better given in the environment",
+    ),
     Setting(
         name="store",
         kind=_URL_KIND,
