Let a restarted entry wait for the newest version it was told of

Cause: an entry that restarts could take everything from one entry that is cut off and lags, count as complete, and serve from something older than before. And an entry that started after a deletion took itself for behind for ever, as it never hears of that version, and asked at each message.

The change: a starting entry that has every bucket waits up to 2 s for the newest version that any other entry told of. An entry that compares equal with another one takes over its version.

Checked by breaking it: each of the two new tests fails without its part.

--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -47,6 +47,9 @@
 FAR = 1
 # More changes than this at one time are left to the digests.
 MOST_TOLD = 64
+# How long an entry that starts, and has everything from one entry, waits for
+# a newer version that another one has told of.
+NEWER_SECONDS = 2.0
 LONG_AGO = 1e6
 
 
@@ -114,6 +117,8 @@
         self._late = self._random.uniform(0, LATE_JOIN_SPREAD_SECONDS)
         self._next_digest = float("-inf")
         self._asked = float("-inf")
+        self._heard_version = 0
+        self._has_all: float | None = None
         self._on_duty = False
         self._sweeper = False
 
@@ -132,7 +137,9 @@
         """Takes a message, an answer of the store, or a fault of a peer."""
         match event:
             case events.FromNode():
-                return self._message(event, now) + self._behind(event, now)
+                todo = self._message(event, now) + self._behind(event, now)
+                self._finish_join(now)
+                return todo
             case stores.Answer():
                 return self._answer(event, now)
             case events.Unreachable(address=address):
@@ -146,6 +153,7 @@
         """Does what is due."""
         if self._started is None:
             self._started = now
+        self._finish_join(now)
         self._on_duty = self._duty(now)
         self._sweeper = self.peers.rank(now, everywhere=True) == 0
         todo = self.watching.turn(
@@ -207,12 +215,12 @@
             case messages.Changes() as changes:
                 return self._changes(changes, sender, now)
             case messages.Digest() as digest:
-                self._heard(digest, sender, now)
+                self._heard(digest, event, now)
                 self.exchange.compare(digest)
                 summary = self.exchange.summary(digest, self._about_me(now))
                 return [actions.Send(address=sender, message=summary)]
             case messages.Summary() as summary:
-                self._heard(summary, sender, now)
+                self._heard(summary, event, now)
                 return self.exchange.repair(summary, sender, now)
             case messages.Fetch() as fetch:
                 return self.exchange.give(fetch, sender)
@@ -228,13 +236,30 @@
 
     def _behind(self, event: events.FromNode, now: float) -> Actions:
         newer = event.configuration > self.configuration.version
-        if not newer or now < self._asked + BEHIND_SECONDS:
+        if not newer or self.agents.knows(event.sender):
             return []
-        if self.agents.knows(event.sender):
+        self._heard_version = max(self._heard_version, event.configuration)
+        if now < self._asked + BEHIND_SECONDS:
             return []
         self._asked = now
         return [self._digest(event.sender, now)]
 
+    def _finish_join(self, now: float) -> None:
+        """Makes a starting entry complete, once it has all that it can get.
+
+        An entry that restarts could take everything from one that is cut off
+        and lags, and then serve from something older than before. So it
+        waits for the newest version that any other entry told of; but not
+        for ever, since that entry may be gone.
+        """
+        if self.configuration.is_whole() or not self.exchange.has_all():
+            return
+        if self._has_all is None:
+            self._has_all = now
+        up_to_date = self.configuration.version >= self._heard_version
+        if up_to_date or now >= self._has_all + NEWER_SECONDS:
+            self.exchange.finish()
+
     def _answer(self, answer: stores.Answer, now: float) -> Actions:
         before = self.configuration.known
         fresh = self.watching.handle(answer, now)
@@ -308,12 +333,19 @@
     def _heard(
         self,
         message: messages.Digest | messages.Summary,
-        sender: str,
+        event: events.FromNode,
         now: float,
     ) -> None:
+        sender = event.sender
         self.peers.hear(sender, message.name, message.data_centre, now)
         if message.data_centre == self.data_centre:
             self._watched = max(self._watched, now - message.watched)
+        view = self.configuration
+        if message.root == view.root:
+            # The sender has the same. Its version may be that of a deletion,
+            # which an entry that started later never hears of; without this
+            # it would take itself for behind for ever.
+            view.version = max(view.version, event.configuration)
 
     def _compare(self, now: float) -> Actions:
         pause = DIGEST_SECONDS * self._random.uniform(0.8, 1.2)
--- a/pimentoledge/decisions/exchange.py
+++ b/pimentoledge/decisions/exchange.py
@@ -149,10 +149,10 @@
         full = summary.known >= 0 and not view.is_whole()
         if full:
             # The digests cover what is live; deletions are wanted too.
-            numbers = [
+            numbers += [
                 number
                 for number in range(configuration.BUCKETS)
-                if number not in self.whole
+                if number not in self.whole and number not in numbers
             ]
         elif not view.is_whole():
             self.mark(_whole(summary))
@@ -217,9 +217,15 @@
         for each in held:
             if each.known >= 0 and view.buckets[each.number] == each.digest:
                 self.whole[each.number] = each.known
-        if len(self.whole) == configuration.BUCKETS:
-            view.known = min(self.whole.values())
-            self.whole.clear()
+
+    def has_all(self) -> bool:
+        """Returns whether every bucket is complete here."""
+        return len(self.whole) == configuration.BUCKETS
+
+    def finish(self) -> None:
+        """Makes the configuration complete, once every bucket is."""
+        self.configuration.known = min(self.whole.values())
+        self.whole.clear()
 
     def fetch(
         self, mailbox: str, numbers: list[int], *, answer: bool
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -109,6 +109,48 @@
     )
 
 
+def test_entry_that_restarts_does_not_stop_at_one_that_lags():
+    """An entry serves with old limits again after its restart.
+
+    It takes the configuration from the only entry that missed a change,
+    while another one that has it is there as well.
+    """
+    net = started(3)
+    lagging = net.entries()[0].address
+    net.cut = lambda sender, receiver: lagging in (sender, receiver)
+    net.apart = {lagging}
+    stored = net.declare(contract("org-1", burst=99))
+    net.run(3)
+    late = net.entry(3)
+    fresh = net.entries()[1].address
+    apart = [{lagging, fresh}]
+    net.cut = lambda sender, receiver: {sender, receiver} in apart
+    net.run(0.005)
+    apart.append({late.address, fresh})
+    net.run(1)
+    assert not late.configuration.is_whole()
+    apart.pop()
+    assert net.run(5, until=late.configuration.is_whole)
+    assert late.configuration.newest(stored.path).version == stored.version
+
+
+def test_deletion_leaves_no_entry_asking():
+    """Entries compare digests five times as often, for days.
+
+    The newest change was a deletion; an entry that started after it never
+    hears of its version and takes itself for behind.
+    """
+    net = started(2)
+    net.store.put("declared/contracts/org-3", None)
+    net.run(10)
+    net.seeds = []
+    net.entry(1, "fortaleza")
+    net.run(10)
+    asked = net.entries()[0].configuration.version
+    told = net.entries()[1].configuration.version
+    assert asked == told
+
+
 def test_all_entries_restart_while_the_store_is_down():
     """Every caller is refused as unknown until the store is back.
 
