--- /dev/null
+++ b/pimentoledge/tests/processes.py
@@ -0,0 +1,225 @@
+"""Starts the programs as processes of their own, for tests."""
+
+import json
+import os
+import queue
+import re
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import urllib3
+
+from pimentoledge import emulators
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import stores
+from pimentoledge.platform import objects
+
+WAIT = 30.0
+KEY = "process-key"
+PROMPT = "What the service manual says of this hub. " * 30
+
+
+def until(condition):
+    """Waits for a condition, with a bound; returns its value."""
+    end = time.monotonic() + WAIT
+    while not (value := condition()):
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.02)
+    return value
+
+
+class Process:
+    """One program; its lines are read so that it never blocks on them."""
+
+    def __init__(self, *arguments: str):
+        environment = {
+            name: value
+            for name, value in os.environ.items()
+            if not name.startswith("PIMENTOLEDGE_")
+        }
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "pimentoledge", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env=environment,
+        )
+        self.lines: queue.SimpleQueue[str] = queue.SimpleQueue()
+        self.seen: list[str] = []
+        self.thread = threading.Thread(target=self.read)
+        self.thread.start()
+
+    def read(self):
+        for line in self.popen.stdout:
+            self.lines.put(line)
+        self.lines.put("")
+
+    def find(self, pattern: str) -> str:
+        """Waits for a line that matches, and returns its group."""
+        while True:
+            line = self.lines.get(timeout=WAIT)
+            self.seen.append(line)
+            assert line, "".join(self.seen)
+            if match := re.search(pattern, line):
+                return match.group(1)
+
+    def end(self, number: int = signal.SIGTERM) -> int:
+        """Signals the process and returns its exit status."""
+        self.popen.send_signal(number)
+        return self.wait()
+
+    def wait(self) -> int:
+        status = self.popen.wait(WAIT)
+        self.thread.join()
+        self.popen.stdout.close()
+        return status
+
+    def close(self):
+        if self.popen.poll() is None:
+            self.end(signal.SIGKILL)
+
+
+class Deployment:
+    """A store, runners with agents, and entries, all processes."""
+
+    def __init__(self):
+        self.started: list[Process] = []
+        self.store = self.run("fake", "store")
+        self.url = self.store.find(r"(http://\S+)")
+        self.client = objects.ObjectClient(url=self.url)
+        self.client.start()
+        self.declare(declarations.Model(name="m", weights="w1"))
+        self.declare(declarations.Service(name="cards"))
+        self.declare(
+            declarations.Contract(
+                organisation="o",
+                key_digests=[emulators.key_digest(KEY)],
+                models=["m"],
+                services=["cards"],
+            )
+        )
+
+    def run(self, *arguments: str) -> Process:
+        process = Process(*arguments)
+        self.started.append(process)
+        return process
+
+    def close(self):
+        self.client.close()
+        for each in reversed(self.started):
+            each.close()
+
+    def declare(self, declaration, expected=0):
+        answer = self.client.call(
+            stores.Write(
+                call="c",
+                path=declarations.path_of(declaration),
+                value=declarations.encode(declaration),
+                expected=expected,
+                write_id=f"w{len(self.started)}",
+            )
+        )
+        assert answer.outcome == stores.Outcome.WRITTEN
+
+    def agent(self, name: str, kind: str, backend: str) -> Process:
+        process = self.run(
+            "agent",
+            f"--name={name}",
+            f"--kind={kind}",
+            f"--backend={backend}",
+            f"--store={self.url}",
+            "--mailbox=tcp://127.0.0.1:0",
+            "--admin-listen=127.0.0.1:0",
+            "--slots=8",
+        )
+        address = process.find(r"listens at (tcp://\S+)")
+        self.declare(
+            declarations.BackendServer(
+                name=name,
+                kind=declarations.ServerKind(kind),
+                serves="m" if kind == "runner" else "cards",
+                agent=address,
+            )
+        )
+        return process
+
+    def runner(self, name: str) -> tuple[Process, Process]:
+        engine = self.run(
+            "fake", "engine", f"--name={name}", "--step-seconds=0.01"
+        )
+        backend = engine.find(r"(http://\S+)")
+        return engine, self.agent(name, "runner", backend)
+
+    def service(self, name: str) -> tuple[Process, Process]:
+        service = self.run("fake", "service")
+        backend = service.find(r"(http://\S+)")
+        return service, self.agent(name, "service", backend)
+
+    def entry(self, name: str, **flags: str) -> "Entry":
+        given = [f"--{flag}={value}" for flag, value in flags.items()]
+        process = self.run(
+            "entry",
+            f"--name={name}",
+            f"--store={self.url}",
+            "--mailbox=tcp://127.0.0.1:0",
+            "--listen=127.0.0.1:0",
+            "--admin-listen=127.0.0.1:0",
+            "--drain-seconds=0.2",
+            *given,
+        )
+        return Entry(process, process.find(r"serves (\S+)"))
+
+
+class Entry:
+    """An entry process as its callers see it."""
+
+    def __init__(self, process: Process, address: str):
+        self.process = process
+        self.url = f"http://{address}"
+        self.pool = urllib3.PoolManager(retries=False, timeout=WAIT)
+        self.headers = {"Authorization": f"Bearer {KEY}"}
+
+    def ready(self) -> bool:
+        return self.pool.request("GET", self.url + "/readyz").status == 200
+
+    def ask(self, tokens: int):
+        body = {
+            "model": "m",
+            "prompt": PROMPT,
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        return self.pool.request(
+            "POST",
+            self.url + "/v1/completions",
+            json=body,
+            headers=self.headers,
+            preload_content=False,
+        )
+
+    def post_card(self, key: str):
+        return self.pool.request(
+            "POST",
+            self.url + "/services/cards/new",
+            body=b"{}",
+            headers={**self.headers, "Idempotency-Key": key},
+        )
+
+
+def read_stream(response) -> tuple[str, bool]:
+    """Returns a stream's text, and whether it ended as a whole one does."""
+    text, done = "", False
+    for line in response:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[len(b"data: ") :].strip()
+        if data == b"[DONE]":
+            done = True
+            continue
+        event = json.loads(data)
+        assert "error" not in event, event
+        text += "".join(each["text"] for each in event["choices"])
+    return text, done
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -2,7 +2,6 @@
 
 import json
 import threading
-import time
 
 import pytest
 import urllib3
@@ -10,6 +9,7 @@
 from pimentoledge import emulators
 from pimentoledge.decisions import declarations
 from pimentoledge.runners import fake_engines
+from pimentoledge.tests import processes
 
 WAIT = 20.0
 KEY = "path-key"
@@ -34,18 +34,10 @@
     started.close()
 
 
-def until(condition):
-    """Waits for a condition, with a bound."""
-    end = time.monotonic() + WAIT
-    while not condition():
-        assert time.monotonic() < end, "waited in vain"
-        time.sleep(0.01)
-
-
 def start_entry(emulator, name="entry", **flags):
     daemon = emulator.add_entry(name, **flags)
     servers = len(emulator.runners) + len(emulator.services)
-    until(
+    processes.until(
         lambda: len(
             daemon.loop.ask(
                 lambda core: core.configuration.servers("runner", "m")
@@ -54,7 +46,7 @@
         )
         == servers
     )
-    until(daemon.ready)
+    processes.until(daemon.ready)
     return daemon
 
 
@@ -75,22 +67,6 @@
     )
 
 
-def read_stream(response):
-    """Returns a stream's text, and whether it ended as a whole one does."""
-    text, done = "", False
-    for line in response:
-        if not line.startswith(b"data: "):
-            continue
-        data = line[len(b"data: ") :].strip()
-        if data == b"[DONE]":
-            done = True
-            continue
-        event = json.loads(data)
-        assert "error" not in event, event
-        text += "".join(each["text"] for each in event["choices"])
-    return text, done
-
-
 def post_card(daemon, key):
     pool = urllib3.PoolManager(retries=False, timeout=WAIT)
     return pool.request(
@@ -107,7 +83,7 @@
     entry = start_entry(emulator)
     expected = fake_engines.expected_text(PROMPT, 0, 20)
     for _ in range(2):
-        assert read_stream(ask(entry)) == (expected, True)
+        assert processes.read_stream(ask(entry)) == (expected, True)
     cached = [
         r.engine.counters.cached_tokens for r in emulator.runners.values()
     ]
@@ -125,7 +101,7 @@
     emulator.add_runner("r2", "m", step_seconds=0.01)
     entry = start_entry(emulator)
     response = ask(entry, tokens=60)
-    until(
+    processes.until(
         lambda: any(
             r.engine.counters.generated_tokens > 5
             for r in emulator.runners.values()
@@ -137,7 +113,7 @@
     )
     busy.server.crash()
     expected = fake_engines.expected_text(PROMPT, 0, 60)
-    assert read_stream(response) == (expected, True)
+    assert processes.read_stream(response) == (expected, True)
 
 
 def test_a_caller_that_goes_away_cancels_at_the_engine(emulator):
@@ -151,8 +127,10 @@
     response = ask(entry, tokens=5000)
     response.read(64)
     response.close()
-    until(lambda: not runner.daemon.loop.ask(lambda core: list(core.runs)))
-    until(lambda: not runner.engine.streams)
+    processes.until(
+        lambda: not runner.daemon.loop.ask(lambda core: list(core.runs))
+    )
+    processes.until(lambda: not runner.engine.streams)
 
 
 def test_a_card_sent_again_through_another_entry_runs_once(emulator):
@@ -181,14 +159,14 @@
     response = ask(entry, tokens=100)
     draining = threading.Thread(target=entry.drain)
     draining.start()
-    until(lambda: not entry.ready())
-    until(lambda: entry.loop.ask(lambda core: core.draining))
+    processes.until(lambda: not entry.ready())
+    processes.until(lambda: entry.loop.ask(lambda core: core.draining))
     late = ask(entry)
     assert late.status == 503
     error = json.loads(late.read())["error"]
     assert (error["code"], error["outcome"]) == ("SHUTTING_DOWN", "not_run")
     expected = fake_engines.expected_text(PROMPT, 0, 100)
-    assert read_stream(response) == (expected, True)
+    assert processes.read_stream(response) == (expected, True)
     draining.join(WAIT)
     assert not draining.is_alive()
 
