Don't let suspects of a crash wait long for one another

A crash makes up to a whole batch suspect. Tried one at a time for their whole answers on the few runners of a pool, the innocents would wait for a minute. Now the next is tried as soon as the one before has generated some text; should it crash later after all, both count one crash more, and the bound on engines is unchanged. A request waits up to 64 times for its turn, each time at most 0.5 s, and within its deadline, instead of six times.

One vanished VM no longer makes a suspect: a data centre that goes takes thousands of requests along, which would all have to run apart.

--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -93,6 +93,7 @@
         aged: whether it got its slot by age.
         pausing: whether the engine was told to stop it, so that its slot
             is as good as free.
+        proved: whether it has got past the point where suspects crash.
     """
 
     item: queues.Item
@@ -100,6 +101,7 @@
     batch: bool
     aged: bool = False
     pausing: bool = False
+    proved: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -281,6 +283,17 @@
             self._measure(now - ended.started)
             self.remembered.pop(ended.item.dispatch.fingerprint, None)
 
+    def proved(self, request: str, attempt: int) -> None:
+        """Notes that the engine has generated some text of an attempt.
+
+        A suspect that got so far no longer keeps others from being tried
+        here: they would wait for its whole answer. Should it crash the
+        engine after all, each of them counts one more crash.
+        """
+        proved = self.running.get((request, attempt))
+        if proved is not None:
+            proved.proved = True
+
     def paused(self, request: str, attempt: int, now: float) -> None:
         """Notes that the engine stopped an attempt that is to be paused.
 
@@ -407,7 +420,9 @@
             return results.Code.POISON
         if crashes == 0:
             return None
-        running = [each.item for each in self.running.values()]
+        running = [
+            each.item for each in self.running.values() if not each.proved
+        ]
         here = [*running, *self.interactive, *self.batch]
         return _BUSY if any(each.crashes for each in here) else None
 
--- a/pimentoledge/decisions/quarantine.py
+++ b/pimentoledge/decisions/quarantine.py
@@ -174,6 +174,10 @@
         end = record.until if count >= POISON_CRASHES else record.held
         if end > now:
             return Poison(error=_poison(count, end - now))
+        if count == 1 and not any(record.crashes.values()):
+            # One vanished VM says next to nothing, and a data centre that
+            # goes would have all that it ran wait for one another.
+            return Clear()
         return Suspect(crashes=count)
 
     def begin(self, fingerprint: bytes, request: str) -> bool:
--- a/pimentoledge/decisions/retries.py
+++ b/pimentoledge/decisions/retries.py
@@ -14,8 +14,10 @@
 MAX_REDIRECTS = 6
 # Of these, refusals for load: a full cluster isn't asked all over.
 MAX_LOAD_REDIRECTS = 2
+# Times that one request waits for another suspect to be done.
+MAX_WAITS = 64
 FIRST_DELAY = 0.02
-MAX_DELAY = 1.0
+MAX_DELAY = 0.5
 # Least time before the deadline in which an attempt makes sense.
 MIN_LEFT = 0.01
 DEFAULT_RETRY_AFTER = 1.0
@@ -89,6 +91,7 @@
         attempts: attempts that a server may have run, with the failed one.
         redirects: refusals followed for nothing.
         load_redirects: those of them for load.
+        waits: times it was sent away because another suspect was tried.
         avoid: servers not to be tried again.
         ran: worst of what the attempts so far say about having run.
     """
@@ -100,6 +103,7 @@
     attempts: int = 0
     redirects: int = 0
     load_redirects: int = 0
+    waits: int = 0
     avoid: set[str] = attrs.field(factory=set)
     ran: results.Ran = results.Ran.NOT_RUN
 
@@ -175,8 +179,6 @@
     {results.Code.STALE_INCARNATION, results.Code.STALE_CONFIGURATION}
 )
 _LOAD = frozenset({results.Code.OVERLOADED, results.Code.DEADLINE_UNMEETABLE})
-# Only a wait helps: the same request would be refused again at once.
-_WAIT = frozenset({results.Code.SUSPECT_BUSY, results.Code.STALE_CONFIGURATION})
 
 
 def next_step(
@@ -208,12 +210,18 @@
     if failure.code == results.Code.POISON:
         attempt.ran = results.Ran.RAN
         return _give_up(attempt, failure.code, failure.retry_after)
+    if failure.code == results.Code.SUSPECT_BUSY:
+        attempt.waits += 1
+        if attempt.waits > MAX_WAITS:
+            return _give_up(attempt, failure.code, failure.retry_after)
+        return _again(attempt, failure.code, _delay(attempt.waits), now)
     if failure.code not in _SAME_SERVER:
         attempt.avoid.add(failure.server)
     delay = 0.0
-    if failure.code in _WAIT:
+    if failure.code == results.Code.STALE_CONFIGURATION:
+        # Asked again at once it would be refused again: the entry has yet
+        # to hear of the change.
         delay = _delay(attempt.redirects)
-        attempt.avoid.discard(failure.server)
     if not _redirect(attempt, failure.code) and not budget.take(now):
         return _give_up(attempt, failure.code, failure.retry_after)
     if attempt.redirects > MAX_REDIRECTS + MAX_ATTEMPTS:
--- a/pimentoledge/tests/test_admission.py
+++ b/pimentoledge/tests/test_admission.py
@@ -201,6 +201,16 @@
     assert b"q" not in admitting.remembered
 
 
+def test_next_suspect_is_tried_once_one_has_got_going():
+    admitting = machine()
+    offer(admitting, dispatch("s", fingerprint=b"s", crashes=1))
+    other = dispatch("t", fingerprint=b"t", crashes=1)
+    assert offer(admitting, other).code == results.Code.SUSPECT_BUSY
+    admitting.proved("s", 1)
+    assert isinstance(offer(admitting, other), admission.Admit)
+    assert admitting.suspects() == [b"s", b"t"]
+
+
 def test_death_returns_what_only_waited():
     admitting = machine(slots=1, reserve=0)
     offer(admitting, dispatch("a"))
--- a/pimentoledge/tests/test_quarantine.py
+++ b/pimentoledge/tests/test_quarantine.py
@@ -116,8 +116,11 @@
     Three VMs vanish one after another, none seen by its agent to crash.
     """
     one, _ = pair()
+    seen = []
     for number in range(3):
+        seen.append(type(one.check(b"i", 0.0)))
         one.crashed([b"i"], f"r{number}", "x", 0.0, certain=False)
+    assert seen == [quarantine.Clear, quarantine.Clear, quarantine.Suspect]
     assert isinstance(one.check(b"i", 1.0), quarantine.Poison)
     assert one.check(b"i", 301.0) == quarantine.Clear()
     assert one.next_wake() is None
