Keep a reserve of slots only from batch work that can't be paused

So the reserve stays for calls to plain services and for work that may run once, neither of which can be paused.

The state machine's check that batch work leaves the reserve free holds for that work now; what can be paused is bound by the check that interactive work never waits for it, which is as strict.

--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -125,7 +125,7 @@
     Attributes:
         server: name of the backend server.
         slots: requests that the engine runs at one time.
-        reserve: slots that batch work leaves free.
+        reserve: slots that batch work leaves free if it can't be paused.
         aged_slots: slots that batch work may take by age, at one time.
         age_seconds: wait after which batch work goes before interactive.
         queue_limit: items that may wait, of each priority.
@@ -478,8 +478,7 @@
             if each.batch
             and not each.aged
             and not each.pausing
-            and each.item.dispatch.completion is not None
-            and not each.item.dispatch.key
+            and _is_pausable(each.item.dispatch)
         ]
         return max(yielding, key=lambda each: each.started, default=None)
 
@@ -493,7 +492,9 @@
         free = self._free()
         if not _is_batch(item.dispatch):
             return free > 0
-        return free > self.reserve and self.interactive.size == 0
+        if self.interactive.size:
+            return False
+        return free > (0 if _is_pausable(item.dispatch) else self.reserve)
 
     def _aged(self, now: float) -> queues.Item | None:
         # Interactive work alone could fill every slot for hours; without
@@ -554,6 +555,12 @@
     return dispatch.priority == declarations.Priority.BATCH
 
 
+def _is_pausable(dispatch: messages.Dispatch) -> bool:
+    # A plain service can't go on with half a call, and what may run once
+    # must not be started again.
+    return dispatch.completion is not None and not dispatch.key
+
+
 def _uncached(dispatch: messages.Dispatch) -> int:
     return max(0, dispatch.prompt_tokens - dispatch.expected_depth)
 
