Run entries and agents on the distributed configuration

Cause: every entry and agent scanned and watched the store by itself, so 12,000 agents would have cost 12,000 waiting watches.

The change: the entry's core hands each event to the Distributor and the Administration; the agent's to its Subscriber; the daemons lose their watcher tasks, the entry serves the administration API. An entry is ready once it lacks nothing, and refuses an unknown key with 3011 before. Seeds are new at each start, as ids of writes must not repeat those of a former life. An entry writes to agents that poll nobody, 20 a second, so that they find entries that all moved; agents need no setting to be found.

Weighed: telling the agents at once of all that a starting entry reads; it would be thousands of messages, so only news goes out. Entries that can't be reached leave every choice for 10 s, and twice as long each time, up to 640 s. Not measured yet.

--- a/pimentoledge/__main__.py
+++ b/pimentoledge/__main__.py
@@ -5,6 +5,7 @@
 from cleo import application
 
 import pimentoledge
+from pimentoledge.commands import administration
 from pimentoledge.commands import daemons
 from pimentoledge.commands import demo
 from pimentoledge.commands import fakes
@@ -20,6 +21,7 @@
         demo.DemoCommand(),
         fakes.FakeCommand(),
         shown_settings.SettingsCommand(),
+        *administration.commands(),
     ):
         program.add(each)
     return program.run()
--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -4,7 +4,6 @@
 import secrets
 import threading
 import time
-import zlib
 
 import logbook
 
@@ -18,7 +17,6 @@
 from pimentoledge.nodes import loops
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
-from pimentoledge.platform import watchers
 from pimentoledge.runners import engines
 from pimentoledge.services import clients
 
@@ -29,6 +27,8 @@
 # Threads beside those that each hold one running request.
 SPARE_THREADS = 4
 LIFE_BYTES = 8
+# New at each start: ids of writes must never be those of a former life.
+SEED_BITS = 64
 
 
 class AgentDaemon:
@@ -39,7 +39,6 @@
         core: the state machine; only the loop's thread touches it.
         loop: the thread that owns the state machine.
         store: task that calls the object API.
-        watcher: task that follows the declarations.
         backend: client of the engine or service beside this agent.
     """
 
@@ -54,8 +53,9 @@
             kind=self.kind,
             life=life,
             slots=slots,
-            seed=zlib.crc32(name.encode()),
+            seed=secrets.randbits(SEED_BITS),
             view=configuration.Configuration(),
+            seeds=chosen.listed("peers"),
         )
         self.loop = loops.Loop(
             core=self.core,
@@ -65,11 +65,6 @@
         self.store = store_tasks.StoreTask(
             client=self.object_client(), deliver=self.loop.inbox.put
         )
-        self.watcher = watchers.Watcher(
-            client=self.object_client(),
-            prefix=declarations.ROOT,
-            deliver=self.loop.inbox.put,
-        )
         self.backend = self.backend_client()
         self.pool = futures.ThreadPoolExecutor(
             max_workers=slots + SPARE_THREADS, thread_name_prefix="run"
@@ -101,7 +96,6 @@
         self.store.start()
         self.backend.start()
         self.loop.run_thread()
-        self.watcher.start()
         self.status_thread.start()
         address = self.loop.mailbox.address
         logger.info("agent {} listens at {}", self.core.name, address)
@@ -118,7 +112,6 @@
         self.closing = True
         self.ask_now.set()
         self.status_thread.join()
-        self.watcher.close()
         self.loop.close()
         self.backend.close()
         self.pool.shutdown(wait=True, cancel_futures=True)
--- a/pimentoledge/decisions/acceptance.py
+++ b/pimentoledge/decisions/acceptance.py
@@ -35,6 +35,9 @@
 ) -> result.Result[Accepted, results.Error]:
     """Checks key, permissions, existence, idempotency key and deadline."""
     contract = view.contract_by_key(event.key_digest)
+    if contract is None and not view.is_whole():
+        # An entry that has just started would call a good key unknown.
+        return _fail(results.Code.CONFIGURATION_INCOMPLETE)
     if contract is None:
         return _fail(results.Code.BAD_KEY)
     if event.completion is not None:
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -14,6 +14,7 @@
 from pimentoledge.decisions import events
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
+from pimentoledge.decisions import subscription
 from pimentoledge.nodes import messages
 
 Key = tuple[str, int]
@@ -33,6 +34,7 @@
         configuration: what operators declared, as far as known here.
         admission: decides what runs, waits and is refused.
         claims: at-most-once calls.
+        subscriber: gets the declarations from entries.
         status: what the engine or service last said of itself.
         runs: attempts that have not ended.
         received: dispatches received, by sender.
@@ -49,6 +51,7 @@
         slots: int,
         seed: int,
         view: configuration.Configuration,
+        seeds: list[str],
     ):
         self.name = name
         self.kind = kind
@@ -56,6 +59,9 @@
         self.configuration = view
         self.admission = admission.Admission(server=name, slots=slots)
         self.claims = claims.Claims(agent=name, life=life, seed=seed)
+        self.subscriber = subscription.Subscriber(
+            name=name, seed=seed, view=view, seeds=seeds
+        )
         self.status = events.EngineStatus()
         self.runs: dict[Key, runs.Run] = {}
         self.received: dict[str, int] = {}
@@ -68,7 +74,8 @@
             case events.EngineText():
                 return self.text(event)
             case events.FromNode():
-                return self.from_node(event, now)
+                todo = self.subscriber.handle(event, now)
+                return todo + self.from_node(event, now)
             case events.EngineStarted():
                 return self.started(event)
             case events.EngineEnded():
@@ -81,22 +88,26 @@
                 return self.learned(event, now)
             case stores.Answer() if self.claims.owns(event.call):
                 return self.claimed(self.claims.answer(event, now), now)
-            case stores.Answer() if event.call.startswith(declarations.ROOT):
-                self.configuration.apply(event.objects)
             case events.Unreachable():
-                return self.unreachable(event, now)
+                todo = self.subscriber.handle(event, now)
+                return todo + self.unreachable(event, now)
             case events.Drain():
                 self.draining = True
         return []
 
     def tick(self, now: float) -> Actions:
         """Does what is due."""
-        todo = self.claimed(self.claims.tick(now), now)
+        todo = self.subscriber.wake(now)
+        todo += self.claimed(self.claims.tick(now), now)
         return todo + self.advance(now)
 
     def next_wake(self) -> float | None:
         """Returns when `tick` is due next."""
-        times = (self.admission.next_wake(), self.claims.next_wake())
+        times = (
+            self.admission.next_wake(),
+            self.claims.next_wake(),
+            self.subscriber.next_wake(),
+        )
         return min((each for each in times if each is not None), default=None)
 
     def flush(self) -> Actions:
--- a/pimentoledge/decisions/agents_served.py
+++ b/pimentoledge/decisions/agents_served.py
@@ -24,6 +24,11 @@
 MOST_SEEN = 4096
 SEEN_SECONDS = 15.0
 MOST_NAMED = 20
+# An agent that has not polled for so long may know no entry that lives; the
+# entries that tell it of changes write to it, a few agents at one time.
+LOST_SECONDS = 60.0
+INTRODUCED_TOGETHER = 20
+INTRODUCE_SECONDS = 1.0
 
 Actions = list[actions.Action]
 
@@ -71,15 +76,27 @@
         self._entries: rings.Ring | None = None
         self._servers: rings.Ring | None = None
         self._held: dict[str, list[int]] = {}
+        self._mine: list[str] | None = None
+        self._written: dict[str, float] = {}
+        self._next_introduction = float("-inf")
 
     def knows(self, mailbox: str) -> bool:
         """Returns whether a mailbox is that of an agent."""
         return mailbox in self.seen
 
     def declare(self, mailboxes: list[str]) -> None:
-        """Takes the mailboxes of the declared entries."""
+        """Takes the mailboxes of the declared entries that are reachable."""
+        if mailboxes == self._declared:
+            return
         self._declared = mailboxes
         self._entries = None
+        self._mine = None
+
+    def changed(self, objects: list[stores.Object]) -> None:
+        """Notes that objects of the configuration have changed."""
+        if any(_is_server(each) for each in objects):
+            self._servers = None
+            self._mine = None
 
     def polled(self, poll: messages.Poll, sender: str, now: float) -> Actions:
         """Answers an agent."""
@@ -99,8 +116,6 @@
 
     def told(self, objects: list[stores.Object]) -> Actions:
         """Tells the agents that this entry is to tell of changes."""
-        if any(_is_server(each) for each in objects):
-            self._servers = None
         todo: Actions = []
         for each in objects:
             for server in self._concerned(each.path):
@@ -123,6 +138,37 @@
                 todo.append(send)
         return todo
 
+    def introduce(self, now: float) -> Actions:
+        """Writes to agents that poll nobody, so that they know an entry.
+
+        An agent knows the entries' addresses from its settings and from
+        their answers. When all entries were replaced at other addresses, it
+        would poll the dead ones for ever.
+        """
+        if now < self._next_introduction or not self.configuration.is_whole():
+            return []
+        self._next_introduction = now + INTRODUCE_SECONDS
+        polled = {
+            each.server
+            for each in self.seen.values()
+            if now - each.at < LOST_SECONDS
+        }
+        lost = [
+            name
+            for name in self._told_by_me()
+            if name not in polled
+            and now - self._written.get(name, float("-inf")) > LOST_SECONDS
+        ]
+        todo: Actions = []
+        for name in lost[:INTRODUCED_TOGETHER]:
+            self._written[name] = now
+            server = self.configuration.server(name)
+            path = declarations.path_of(server)
+            found = self.configuration.in_force(path)
+            changes = messages.Changes(objects=[found])
+            todo.append(actions.Send(address=server.agent, message=changes))
+        return todo
+
     def counts(self, now: float) -> tuple[int, list[str]]:
         """Returns how many agents polled lately, and who was behind."""
         lately = [
@@ -176,6 +222,20 @@
             self._entries = rings.Ring(names=names)
         return self._entries.successors(rings.point(server), count)
 
+    def _told_by_me(self) -> list[str]:
+        if self._mine is None:
+            kind = declarations.BackendServer
+            self._mine = [
+                name
+                for name in self.configuration.page(kind, after="", limit=None)
+                if self.address in self._entries_of(name, TELLERS)
+            ]
+            mine = set(self._mine)
+            self._written = {
+                name: at for name, at in self._written.items() if name in mine
+            }
+        return self._mine
+
     def _server_ring(self) -> rings.Ring:
         if self._servers is None:
             kind = declarations.BackendServer
--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -160,6 +160,7 @@
             now, duty=self._on_duty, sweeper=self._sweeper
         )
         todo += self.registration.turn(self.address, now)
+        todo += self.agents.introduce(now)
         if now >= self._next_digest:
             todo += self._compare(now)
         return todo
@@ -314,14 +315,14 @@
         if not fresh:
             return []
         if any(_is_entry(each) for each in fresh):
-            entries = self.configuration.entries()
-            self.peers.declare(entries)
-            self.agents.declare([each.mailbox for each in entries])
-        todo = self.agents.told(fresh)
-        # What came as the answer to a fetch is old news to the others, and
-        # so much at one time is better repaired by digests.
+            self.peers.declare(self.configuration.entries())
+        self.agents.changed(fresh)
+        # What a starting entry reads is no news; telling it to all agents
+        # would be thousands of messages at one time. And so much is better
+        # repaired by digests at the other entries.
         if len(fresh) > MOST_TOLD or not self.configuration.is_whole():
-            return todo
+            return []
+        todo = self.agents.told(fresh)
         changes = messages.Changes(objects=fresh, after=after, known=known)
         chosen = self.peers.choose(now, near=NEAR, far=FAR)
         return todo + [
@@ -348,6 +349,9 @@
             view.version = max(view.version, event.configuration)
 
     def _compare(self, now: float) -> Actions:
+        self.agents.declare(
+            [each.mailbox for each in self.peers.usable(now) if each.declared]
+        )
         pause = DIGEST_SECONDS * self._random.uniform(0.8, 1.2)
         self._next_digest = now + pause
         joining = not self.configuration.is_whole()
--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -10,16 +10,17 @@
 from pimentoledge import results
 from pimentoledge.decisions import acceptance
 from pimentoledge.decisions import actions
+from pimentoledge.decisions import administration
 from pimentoledge.decisions import claim_records
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import distribution
 from pimentoledge.decisions import events
 from pimentoledge.decisions import limits
 from pimentoledge.decisions import membership
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import retries
-from pimentoledge.decisions import stores
 from pimentoledge.decisions import streams
 from pimentoledge.decisions import tickets
 from pimentoledge.decisions import timers
@@ -55,6 +56,9 @@
         placer: chooses among usable servers.
         membership: tells which servers are usable.
         limits: the contracts' limits over all entries.
+        distributor: keeps the configuration complete, here and elsewhere.
+        administration: answers operators.
+        root: digest of the configuration when `declared` was last told.
         budget: bounds retries.
         tickets: requests that have not ended, by id.
         timers: what is due when.
@@ -70,6 +74,8 @@
         seed: int,
         block_bytes: int,
         view: configuration.Configuration,
+        seeds: list[str],
+        first_key: str = "",
     ):
         self.name = name
         self.address = address
@@ -78,6 +84,22 @@
         self.placer = placement.Placer(seed=seed, data_centre=data_centre)
         self.membership = membership.Membership(seed=seed)
         self.limits = limits.Limits(name=name, address=address, seed=seed)
+        self.distributor = distribution.Distributor(
+            name=name,
+            address=address,
+            data_centre=data_centre,
+            seed=seed,
+            view=view,
+            seeds=seeds,
+        )
+        self.administration = administration.Administration(
+            name=name,
+            seed=seed,
+            view=view,
+            distributor=self.distributor,
+            first_key=first_key,
+        )
+        self.root = view.root
         self.budget = retries.RetryBudget()
         self.tickets: dict[str, tickets.Ticket] = {}
         self.timers = timers.Timers()
@@ -85,30 +107,38 @@
 
     def handle(self, event: object, now: float) -> Actions:
         """Takes an event and returns what to do."""
+        todo = self.configure(event, now)
         match event:
             case events.FromNode():
-                return self.from_node(event, now)
+                todo += self.from_node(event, now)
             case events.CallerRequest():
-                return self.accept(event, now)
+                todo += self.accept(event, now)
             case events.CallerGone():
-                return self.caller_gone(event, now)
+                todo += self.caller_gone(event, now)
             case events.Unreachable():
-                return self.unreachable(event, now)
-            case stores.Answer() if event.call.startswith(declarations.ROOT):
-                return self.declared(event, now)
+                todo += self.unreachable(event, now)
             case events.Drain():
                 self.draining = True
-        return []
+        return todo
 
-    def declared(self, answer: stores.Answer, now: float) -> Actions:
-        """Takes what operators declared."""
-        self.configuration.apply(answer.objects)
+    def configure(self, event: object, now: float) -> Actions:
+        """Lets the machines of the configuration take an event."""
+        todo = self.distributor.handle(event, now)
+        todo += self.administration.handle(event, now)
+        return todo + self.declared(now)
+
+    def declared(self, now: float) -> Actions:
+        """Goes by what is declared, when that has changed."""
+        if self.root == self.configuration.root:
+            return []
+        self.root = self.configuration.root
         peers = [each.mailbox for each in self.configuration.entries()]
         return self.limited(self.limits.entries(peers, now), now)
 
     def tick(self, now: float) -> Actions:
         """Does what is due."""
-        todo: Actions = []
+        todo = self.distributor.wake(now)
+        todo += self.administration.wake(now)
         for kind, request in self.timers.due(now):
             ticket = self.tickets.get(request)
             if ticket is None:
@@ -127,7 +157,12 @@
 
     def next_wake(self) -> float | None:
         """Returns when `tick` is due next."""
-        times = (self.timers.next(), self.limits.next_wake())
+        times = (
+            self.timers.next(),
+            self.limits.next_wake(),
+            self.distributor.next_wake(),
+            self.administration.next_wake(),
+        )
         return min((each for each in times if each is not None), default=None)
 
     def flush(self) -> Actions:
--- a/pimentoledge/decisions/peers.py
+++ b/pimentoledge/decisions/peers.py
@@ -9,8 +9,10 @@
 
 # An entry that was heard of, but is not declared, is forgotten after this.
 HEARD_SECONDS = 60.0
-# One that can't be reached is left out of every choice for so long.
-SILENT_SECONDS = 10.0
+# One that can't be reached is left out of every choice for so long, and for
+# twice as long each time after it.
+SHORTEST_SILENCE_SECONDS = 10.0
+LONGEST_SILENCE_SECONDS = 640.0
 MOST_HEARD = 1024
 NEVER = float("-inf")
 
@@ -26,6 +28,7 @@
         declared: whether the configuration has it.
         heard: when it was heard last.
         silent_until: when it may be tried again.
+        silence: how long it was last left out.
     """
 
     mailbox: str
@@ -34,6 +37,7 @@
     declared: bool = False
     heard: float = NEVER
     silent_until: float = NEVER
+    silence: float = 0.0
 
 
 class Peers:
@@ -82,12 +86,17 @@
         peer.data_centre = data_centre
         peer.heard = now
         peer.silent_until = NEVER
+        peer.silence = 0.0
 
     def unreachable(self, mailbox: str, now: float) -> None:
         """Notes that an entry can't be reached."""
         if mailbox in self.seeds or mailbox in self.table:
             peer = self.table.setdefault(mailbox, Peer(mailbox=mailbox))
-            peer.silent_until = now + SILENT_SECONDS
+            if peer.silent_until > now:
+                return
+            longer = max(2 * peer.silence, SHORTEST_SILENCE_SECONDS)
+            peer.silence = min(longer, LONGEST_SILENCE_SECONDS)
+            peer.silent_until = now + peer.silence
 
     def usable(self, now: float) -> list[Peer]:
         """Returns the entries to talk to."""
--- a/pimentoledge/decisions/subscription.py
+++ b/pimentoledge/decisions/subscription.py
@@ -53,6 +53,7 @@
         match event:
             case events.FromNode(message=messages.Changes() as changes):
                 self._take(changes)
+                self._meet(event.sender, now)
             case events.FromNode(message=messages.PollAnswer() as answer):
                 return self._answered(answer, event.sender)
             case events.FromNode(message=messages.Fetch() as fetch):
@@ -80,6 +81,13 @@
         """Returns when `wake` is due next."""
         return self._next_poll
 
+    def _meet(self, entry: str, now: float) -> None:
+        """Polls an entry that wrote by itself, when no other one answers."""
+        if self._complete or entry in self.entries:
+            return
+        self.entries = [entry, *self.entries][:MOST_ENTRIES]
+        self._next_poll = now
+
     def _usable(self, now: float) -> list[str]:
         self._silent = {m: t for m, t in self._silent.items() if t > now}
         known = list(dict.fromkeys(self.entries + self._seeds))
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -1,7 +1,8 @@
 """The entry daemon: sockets and threads around the entry's state machine."""
 
+import queue
+import secrets
 import time
-import zlib
 
 import logbook
 
@@ -12,17 +13,21 @@
 from pimentoledge.callers import servers
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import configuration
-from pimentoledge.decisions import declarations
 from pimentoledge.decisions import entries
 from pimentoledge.decisions import events
 from pimentoledge.nodes import loops
+from pimentoledge.operators import api
+from pimentoledge.operators import servers as admin_servers
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
-from pimentoledge.platform import watchers
 
 logger = logbook.Logger("entry")
 
 IDLE_CHECK_SECONDS = 0.05
+# New at each start: ids of writes must never be those of a former life.
+SEED_BITS = 64
+# Longer than any update takes to be answered by the state machine.
+OPERATOR_SECONDS = 12.0
 
 
 class EntryDaemon:
@@ -33,9 +38,10 @@
         core: the state machine; only the loop's thread touches it.
         loop: the thread that owns the state machine.
         store: task that calls the object API.
-        watcher: task that follows the declarations.
+        admin: the HTTP server for operators.
         callers: the HTTP server for callers.
         replies: where the answer of each open request goes.
+        operators: where the answer to each operator goes.
         leaving: whether the balancer should send no more callers.
     """
 
@@ -46,9 +52,11 @@
             name=name,
             address=chosen.text("mailbox"),
             data_centre=chosen.text("data-centre"),
-            seed=zlib.crc32(name.encode()),
+            seed=secrets.randbits(SEED_BITS),
             block_bytes=chosen.whole("block-bytes"),
             view=configuration.Configuration(),
+            seeds=chosen.listed("peers"),
+            first_key=chosen.text("operator-key-digest"),
         )
         self.loop = loops.Loop(
             core=self.core,
@@ -58,10 +66,9 @@
         self.store = store_tasks.StoreTask(
             client=self.object_client(), deliver=self.loop.inbox.put
         )
-        self.watcher = watchers.Watcher(
-            client=self.object_client(),
-            prefix=declarations.ROOT,
-            deliver=self.loop.inbox.put,
+        self.admin = admin_servers.AdminServer(
+            listen=chosen.text("admin-listen"),
+            pages={api.ROOT: api.Api(submit=self.operate).serve},
         )
         self.callers = servers.CallerServer(
             listen=chosen.text("listen"),
@@ -74,6 +81,7 @@
             ready=self.ready,
         )
         self.replies: dict[str, replies.Replies] = {}
+        self.operators: dict[str, queue.SimpleQueue] = {}
         self.leaving = False
 
     def object_client(self) -> objects.ObjectClient:
@@ -88,9 +96,10 @@
         self.loop.start()
         self.core.address = self.loop.mailbox.address
         self.core.limits.address = self.core.address
+        self.core.distributor.address = self.core.address
         self.store.start()
         self.loop.run_thread()
-        self.watcher.start()
+        self.admin.start()
         self.callers.start()
         logger.info("entry {} serves {}", self.core.name, self.callers.address)
 
@@ -110,7 +119,9 @@
     def close(self) -> None:
         """Closes every socket and waits for every task."""
         self.callers.close()
-        self.watcher.close()
+        for answer in list(self.operators.values()):
+            answer.put(None)
+        self.admin.close()
         self.loop.close()
         self.store.close()
 
@@ -130,7 +141,21 @@
 
     def ready(self) -> bool:
         """Returns whether the balancer should send callers here."""
-        return not self.leaving and self.core.configuration.version > 0
+        return not self.leaving and self.core.configuration.is_whole()
+
+    def operate(
+        self, event: events.OperatorRequest
+    ) -> actions.ReplyOperator | None:
+        """Hands an operator's request on and waits for the answer."""
+        answer: queue.SimpleQueue = queue.SimpleQueue()
+        self.operators[event.request] = answer
+        self.loop.inbox.put(event)
+        try:
+            return answer.get(timeout=OPERATOR_SECONDS)
+        except queue.Empty:
+            return None
+        finally:
+            del self.operators[event.request]
 
     def models(self, key_digest: str) -> list[str] | None:
         """Returns the models of an API key, or None for an unknown key."""
@@ -149,6 +174,10 @@
                     self.reply(action, last=False)
                 case actions.CallStore():
                     self.store.call(action.call)
+                case actions.ReplyOperator():
+                    answer = self.operators.get(action.request)
+                    if answer is not None:
+                        answer.put(action)
                 case actions.LogDecision():
                     logs.decision(action.kind, action.fields)
                 case _:
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -48,6 +48,7 @@
     STALE_CONFIGURATION = 3008
     ADAPTER_NOT_LOADED = 3009
     SUSPECT_BUSY = 3010
+    CONFIGURATION_INCOMPLETE = 3011
     # 4xxx: the call was started.
     ENGINE_DIED = 4001
     DEADLINE_PASSED = 4002
@@ -134,6 +135,9 @@
     Code.STALE_CONFIGURATION: _row(503, _NOT, "the configuration has changed"),
     Code.ADAPTER_NOT_LOADED: _row(503, _NOT, "the adapter is not loaded"),
     Code.SUSPECT_BUSY: _row(503, _NOT, "another suspect request runs here"),
+    Code.CONFIGURATION_INCOMPLETE: _row(
+        503, _NOT, "this entry is starting and lacks the configuration"
+    ),
     Code.ENGINE_DIED: _row(502, _RAN, "the engine died while it ran this"),
     Code.DEADLINE_PASSED: _row(504, _UNKNOWN, "the deadline has passed"),
     Code.POISON: _row(
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -287,6 +287,10 @@
         """Returns a setting's value as text."""
         return self.values[name].text
 
+    def listed(self, name: str) -> list[str]:
+        """Returns the items of a setting with commas between them."""
+        return [each for each in self.values[name].text.split(",") if each]
+
     def number(self, name: str) -> float:
         """Returns a setting's value as a number."""
         return float(self.values[name].text)
--- /dev/null
+++ b/pimentoledge/tests/test_configured_path.py
@@ -0,0 +1,70 @@
+"""Configuration through real entries and agents, on loopback."""
+
+import pytest
+
+from pimentoledge import emulators
+from pimentoledge.decisions import declarations
+from pimentoledge.operators import clients
+from pimentoledge.tests import processes
+
+ADMIN_KEY = "an-admin-key-of-the-path"
+DIGEST = declarations.key_digest(ADMIN_KEY)
+
+
+@pytest.fixture
+def emulator():
+    started = emulators.Emulator()
+    started.start()
+    yield started
+    started.close()
+
+
+def client_of(daemon):
+    made = clients.AdminClient(
+        url=f"http://{daemon.admin.address}", key=ADMIN_KEY
+    )
+    made.start()
+    return made
+
+
+def test_operator_declares_and_every_node_goes_by_it(emulator):
+    runner = emulator.add_runner("r1", "m")
+    first = emulator.add_entry("entry-1", operator_key_digest=DIGEST)
+    second = emulator.add_entry("entry-2", operator_key_digest=DIGEST)
+    processes.until(lambda: first.ready() and second.ready())
+    client = client_of(first)
+    client.write("PUT", "models/m", fields={"weights": "w1"}, expected=0)
+    fields = {"models": ["m"], "keys": ["a-key-of-a-caller-1"]}
+    made = client.write("PUT", "contracts/o", fields=fields, expected=0)
+    assert made.unwrap().status == 201
+    processes.until(lambda: second.core.configuration.contracts.get("o"))
+    agent = runner.daemon.core.configuration
+    processes.until(lambda: agent.model("m") and agent.server("r1"))
+    processes.until(
+        lambda: [
+            each["same"]
+            for each in client.read("status").unwrap().fields["entries"]
+        ]
+        == [True, True]
+    )
+    client.close()
+
+
+def test_entry_that_starts_while_the_store_is_down_serves(emulator):
+    """Callers are refused as unknown after an entry was replaced.
+
+    The store is down, so the new entry can't read the contracts from it.
+    """
+    emulator.declare(declarations.Contract(organisation="o"))
+    first = emulator.add_entry("entry-1", operator_key_digest=DIGEST)
+    processes.until(first.ready)
+    emulator.store.close()
+    peers = first.loop.mailbox.address
+    late = emulator.add_entry("entry-2", peers=peers)
+    processes.until(late.ready)
+    assert "o" in late.core.configuration.contracts
+    client = client_of(first)
+    refused = client.write("DELETE", "contracts/o", expected=1).unwrap()
+    assert refused.fields["error"]["code"] in (6003, 6008)
+    assert client.read("contracts/o").unwrap().known
+    client.close()
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -268,6 +268,26 @@
     assert count <= 3
 
 
+def test_entries_that_moved_are_found_by_the_agents():
+    """Agents go by old declarations though the store is long back.
+
+    All entries were replaced at other addresses during an outage; what the
+    agents know, from settings and answers, are dead addresses.
+    """
+    net = started(2, agents=3)
+    for entry in net.entries():
+        del net.nodes[entry.address]
+    net.seeds = []
+    net.run(20)
+    net.entry(11)
+    net.run(20)
+    net.declare(declarations.Model(name="assistente", weights="v2"))
+    net.run(IN_FORCE_SECONDS)
+    agents = [n for a, n in net.nodes.items() if a.startswith("tcp://10.0.1")]
+    for agent in agents:
+        assert agent.configuration.model("assistente").weights == "v2"
+
+
 def test_two_processes_with_one_name_do_not_write_for_ever():
     net = started(1)
     twin = net.entry(9)
