Resume a stream at its engine when only the connection broke

Cause: a cut connection between agent and engine ended the attempt though the engine went on; the answer was computed again elsewhere, or, with one runner, ended in an error. Seen by cutting the fake's streams: before, the caller got NO_SERVER or STREAM_BROKEN in the stream; after, the whole answer, and the engine generated 60 tokens for a 60-token answer.

--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -87,8 +87,8 @@
         url = self.chosen.text("backend")
         if self.kind == declarations.ServerKind.SERVICE:
             return clients.ServiceClient(url=url)
-        timeout = self.chosen.number("engine-timeout")
-        return engines.EngineClient(url=url, timeout=timeout)
+        silence = self.chosen.number("engine-timeout")
+        return engines.EngineClient(url=url, silence=silence)
 
     def start(self) -> None:
         """Opens every socket and starts every task."""
@@ -140,6 +140,8 @@
                     self.pool.submit(self.run_completion, action)
                 case actions.RunCall():
                     self.pool.submit(self.run_call, action)
+                case actions.ResumeRun():
+                    self.pool.submit(self.resume, action)
                 case actions.CancelRun():
                     self.pool.submit(
                         self.backend.cancel, action.request, action.attempt
@@ -156,6 +158,13 @@
         for event in self.backend.run(action, action.salt):
             self.loop.inbox.put(event)
 
+    def resume(self, action: actions.ResumeRun) -> None:
+        """Takes up a stream again and delivers the rest of it."""
+        for event in self.backend.resume(
+            action.request, action.attempt, action.index
+        ):
+            self.loop.inbox.put(event)
+
     def run_call(self, action: actions.RunCall) -> None:
         """Runs a call at the service and delivers its answer."""
         self.loop.inbox.put(self.backend.run(action))
--- a/pimentoledge/decisions/actions.py
+++ b/pimentoledge/decisions/actions.py
@@ -127,6 +127,21 @@
     attempt: int
 
 
+@attrs.define(kw_only=True)
+class ResumeRun:
+    """Agent: take up a stream whose connection to the engine broke.
+
+    Attributes:
+        request: request id.
+        attempt: attempt number.
+        index: number of the first token that is still needed.
+    """
+
+    request: str
+    attempt: int
+    index: int
+
+
 @attrs.define(kw_only=True)
 class CheckEngine:
     """Agent: ask the engine at once who it is."""
@@ -156,6 +171,7 @@
     | RunCompletion
     | RunCall
     | CancelRun
+    | ResumeRun
     | CheckEngine
     | LogDecision
 )
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -12,6 +12,7 @@
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
+from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import subscription
@@ -20,6 +21,8 @@
 Key = tuple[str, int]
 Actions = list[actions.Action]
 
+# Times that a stream is taken up again without any new token.
+MAX_RESUMES = 3
 # Senders whose dispatches are counted.
 MAX_SENDERS = 4096
 
@@ -274,7 +277,7 @@
                 attempt=dispatch.attempt,
                 priority=dispatch.priority,
                 completion=dispatch.completion,
-                salt=dispatch.organisation,
+                salt=self.salt(dispatch),
                 trace=dispatch.trace,
             )
         return actions.RunCall(
@@ -286,6 +289,15 @@
             trace=dispatch.trace,
         )
 
+    def salt(self, dispatch: messages.Dispatch) -> str:
+        """Returns under what the engine may share cached blocks."""
+        return prefixes.salt(
+            organisation=dispatch.organisation,
+            model=dispatch.completion.model,
+            adapter=dispatch.completion.adapter,
+            weights=self.status.weights,
+        ).hex()
+
     def advance(self, now: float) -> Actions:
         """Refuses what can't be run in time, and starts what may start."""
         todo: Actions = []
@@ -356,6 +368,7 @@
         if run is None or event.index != run.tokens:
             return []
         run.tokens += event.tokens
+        run.resumes = 0
         frame = messages.Frame(
             request=event.request,
             attempt=event.attempt,
@@ -448,10 +461,28 @@
         todo: Actions = []
         for run in list(self.runs.values()):
             if run.stage == runs.Stage.BROKEN:
-                code = results.Code.STREAM_BROKEN
-                todo += self.give_up(run, code, results.Ran(run.ran), now)
+                todo += self.take_up(run, now)
         return todo + self.advance(now)
 
+    def take_up(self, run: runs.Run, now: float) -> Actions:
+        """Resumes a stream whose connection broke though its engine lives.
+
+        The engine goes on generating meanwhile, so running it elsewhere
+        would compute the same answer twice. An engine that refuses to resume
+        breaks the stream again at once, hence the bound.
+        """
+        if run.ran == results.Ran.NOT_RUN or run.resumes >= MAX_RESUMES:
+            code = results.Code.STREAM_BROKEN
+            return self.give_up(run, code, results.Ran(run.ran), now)
+        run.resumes += 1
+        run.stage = runs.Stage.RUNNING
+        request, attempt = run.key()
+        return [
+            actions.ResumeRun(
+                request=request, attempt=attempt, index=run.tokens
+            )
+        ]
+
     def died(self, now: float) -> Actions:
         """Ends what the engine ran when it died, and what waited for it."""
         suspects = self.admission.suspects()
--- a/pimentoledge/decisions/runs.py
+++ b/pimentoledge/decisions/runs.py
@@ -30,6 +30,7 @@
         sequence: number of the next frame.
         tokens: tokens that the engine has generated.
         ran: what was seen when it broke: results.Ran.
+        resumes: times that it was taken up again without a new token.
         wanted: whether its entry still waits for it.
     """
 
@@ -40,6 +41,7 @@
     sequence: int = 0
     tokens: int = 0
     ran: str = ""
+    resumes: int = 0
     wanted: bool = True
 
     def key(self) -> tuple[str, int]:
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -116,6 +116,22 @@
     assert processes.read_stream(response) == (expected, True)
 
 
+def test_a_cut_connection_to_a_living_engine_is_resumed(emulator):
+    """The connection between agent and engine breaks; the engine lives on.
+
+    The stream is taken up where it was cut. Nothing is computed twice: with
+    one runner there is no other that could have continued it.
+    """
+    runner = emulator.add_runner("r1", "m", step_seconds=0.01)
+    entry = start_entry(emulator)
+    response = ask(entry, tokens=60)
+    processes.until(lambda: runner.engine.counters.generated_tokens > 5)
+    runner.server.cut_streams()
+    expected = fake_engines.expected_text(PROMPT, 0, 60)
+    assert processes.read_stream(response) == (expected, True)
+    assert runner.engine.counters.generated_tokens == 60
+
+
 def test_a_caller_that_goes_away_cancels_at_the_engine(emulator):
     """A caller closes the connection in the middle of a long answer.
 
