Give orders to engines under a fencing number and a permit

The agent beside an engine brings it to its declared weights, adapters and role. Three machines do it, over one conditional update that reads a lost write back by its write id: a right to give orders, with a fencing number taken once in a life; permits for loads in one object for all agents; and the orders themselves, one at a time, done only when the engine's status shows them.

Weighed for engines that ignore the number: waiting out a lease (a pause between check and act passes it, and clocks differ), only reading the state back (the wrong weights serve until then). Chosen: the declared address, which one process holds alone as long as it lives, paused or not; reading the right back within a second before each order, for every engine, as one may forget the number in a crash; and the status afterwards. What remains is a pause between that read and the sending while the operator also declares another address; then the new agent sees other weights, closes the runner and loads again.

Weighed for permits: leases by wall clock (no shared clock), a heartbeat per holder (writes). Chosen: a counter moved on every 3 s, and loss of the permit when an observer has watched it stand still for 10 s, of which an unwatched stretch counts for 2.5 s at most, or an outage of the store would look like the holder's death. A lost permit's entry says "out" from then on, so that the guard of half the runners still counts it. With runners that stay out, the others go one by one: otherwise one dead VM would hold up every upgrade of a model of three.

--- /dev/null
+++ b/benches/fleets.py
@@ -0,0 +1,323 @@
+"""A few runners with their agents' order machines, in virtual time.
+
+Only what lies on the path of an order: the machines, fake engines, the fake
+object API behind a latency, and streams that keep the engines busy.
+"""
+
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import orders
+from pimentoledge.decisions import permits
+from pimentoledge.nodes import messages
+from pimentoledge.platform import fake_objects
+from pimentoledge.runners import fake_engines
+from pimentoledge.runners import fake_weight_stores
+
+STATUS_SECONDS = 0.1
+WAKE_LIMIT = 200_000
+
+
+def server_of(name: str, **fields) -> declarations.BackendServer:
+    """Returns the declaration of a runner whose agent has its own address."""
+    return declarations.BackendServer(
+        name=name, serves="m", agent=f"tcp://10.0.0.{name[1:]}:7000", **fields
+    )
+
+
+class Node:
+    """One runner, its engine and its agent's machine.
+
+    Attributes:
+        name: the server's name.
+        engine: the fake engine.
+        orders: the machine of the agent's current life; None while dead.
+        paused: whether the agent stands still; what comes for it is kept.
+        kept: callables to run when it goes on.
+    """
+
+    def __init__(self, *, name, engine):
+        self.name = name
+        self.engine = engine
+        self.orders = None
+        self.paused = False
+        self.kept = []
+        self.lives = 0
+
+
+class Fleet:
+    """Runners of one model.
+
+    Attributes:
+        now: virtual time in seconds.
+        store: the object API.
+        weight_store: what all engines load from.
+        nodes: Node by server name.
+        model: the model's declaration.
+        servers: server declarations by name.
+        given: (time, server, order) of each order that an engine got.
+        fewest: fewest runners that took new work at one time.
+        most_loading: most engines that loaded weights at one time.
+        refused: requests refused because a runner was loading.
+        unplaced: requests that no runner took.
+        ended: streams that ended as they should.
+        broken: streams that an engine broke off.
+    """
+
+    def __init__(
+        self, *, size, limit, seed=1, checks_orders=True, latency=0.003
+    ):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.latency = latency
+        self.store = fake_objects.FakeObjects(clock=lambda: self.now)
+        self.weight_store = fake_weight_stores.WeightStore(concurrent=limit)
+        self.model = declarations.Model(
+            name="m", weights="w1", concurrent_loads=limit
+        )
+        self.servers = {}
+        self.nodes = {}
+        self.given = []
+        self.fewest = size
+        self.most_loading = 0
+        self.broken = 0
+        self.refused = 0
+        self.unplaced = 0
+        self.ended = 0
+        self.heap = []
+        self.order = itertools.count()
+        for number in range(1, size + 1):
+            name = f"r{number}"
+            self.servers[name] = server_of(name, checks_orders=checks_orders)
+            engine = fake_engines.FakeEngine(
+                slots=16,
+                cache_blocks=64,
+                weight_store=self.weight_store,
+                checks_orders=checks_orders,
+                name=name,
+                seed=number,
+            )
+            self.nodes[name] = Node(name=name, engine=engine)
+        for node in self.nodes.values():
+            self.start_agent(node)
+            self.at(self.random.uniform(0, STATUS_SECONDS), self.poll, node)
+
+    def at(self, when, what, *arguments):
+        """Has something done at a time."""
+        heapq.heappush(self.heap, (when, next(self.order), what, arguments))
+
+    def run(self, until):
+        """Lets the time go on; raises when a machine asks for no rest."""
+        for _ in range(WAKE_LIMIT):
+            if not self.heap or self.heap[0][0] > until:
+                self.now = until
+                return
+            self.now, _, what, arguments = heapq.heappop(self.heap)
+            what(*arguments)
+            self.look()
+        raise AssertionError("a machine wakes again and again")
+
+    def look(self):
+        """Takes note of how many runners take work, and how many load."""
+        loading = [each for each in self.nodes.values() if each.engine.loading]
+        self.most_loading = max(self.most_loading, len(loading))
+        self.fewest = min(self.fewest, len(self.open_nodes()))
+
+    def run_until(self, condition, longest=600.0):
+        """Lets the time go on until a condition; returns the seconds."""
+        began = self.now
+        while not condition():
+            assert self.now < began + longest, "condition never held"
+            self.run(self.now + 0.05)
+        return self.now - began
+
+    def start_agent(self, node, address=None):
+        """Starts a new life of a node's agent."""
+        node.lives += 1
+        node.paused = False
+        node.kept = []
+        node.orders = orders.Orders(
+            server=node.name,
+            life=f"{node.name}-{node.lives}",
+            address=address or self.servers[node.name].agent,
+            seed=self.seed + node.lives,
+        )
+        self.declare(node)
+
+    def declare(self, node):
+        """Tells a node what is declared now."""
+        runners = [
+            each.name
+            for each in self.servers.values()
+            if each.state is declarations.ServerState.IN
+        ]
+        found = node.orders.declare(
+            server=self.servers[node.name],
+            model=self.model,
+            runners=runners,
+            now=self.now,
+        )
+        self.act(node, node.orders, found)
+
+    def upgrade(self, weights, adapters=()):
+        """Declares other weights; each agent learns it within 0.2 s."""
+        self.model = declarations.Model(
+            name="m",
+            weights=weights,
+            adapters=list(adapters),
+            concurrent_loads=self.model.concurrent_loads,
+        )
+        for node in self.nodes.values():
+            self.at(self.now + self.random.uniform(0, 0.2), self.told, node)
+
+    def told(self, node):
+        """A declaration reaches a node."""
+        if node.orders is not None:
+            self.declare(node)
+
+    def upgraded(self):
+        """Returns whether each engine has what is declared."""
+        return all(
+            each.engine.weights == self.model.weights
+            and set(each.engine.adapters) == set(self.model.adapters)
+            for each in self.nodes.values()
+        )
+
+    def open_nodes(self):
+        """Returns the nodes that take new work."""
+        return [
+            each
+            for each in self.nodes.values()
+            if each.engine.incarnation
+            and not each.engine.loading
+            and not (each.orders is not None and each.orders.closing)
+        ]
+
+    def poll(self, node):
+        """Reads an engine's status, again and again."""
+        self.at(self.now + STATUS_SECONDS, self.poll, node)
+        self.step(node)
+        self.deliver(node, node.orders, node.engine.status(self.now))
+        self.report_work(node)
+
+    def step(self, node):
+        """Lets an engine do what is due."""
+        for event in node.engine.step(self.now):
+            match event:
+                case events.EngineEnded():
+                    self.ended += 1
+                case events.EngineBroken():
+                    self.broken += 1
+
+    def report_work(self, node):
+        """Tells a node's machine how much work its engine holds."""
+        machine = node.orders
+        if machine is None or node.paused:
+            return
+        found = machine.work(
+            running=len(node.engine.streams),
+            adapters=frozenset(
+                each.adapter for each in node.engine.streams.values()
+            ),
+            now=self.now,
+        )
+        self.act(node, machine, found)
+
+    def deliver(self, node, machine, event):
+        """Gives an event to a machine, now or when it goes on."""
+        if machine is None or machine is not node.orders:
+            return
+        if node.paused:
+            node.kept.append(lambda: self.deliver(node, machine, event))
+            return
+        self.act(node, machine, machine.handle(event, self.now))
+
+    def wake(self, node, machine):
+        """Wakes a machine if its time has come."""
+        due = machine.next_wake()
+        if machine is not node.orders or node.paused or due is None:
+            return
+        if due <= self.now:
+            self.act(node, machine, machine.wake(self.now))
+
+    def act(self, node, machine, found):
+        """Carries out what a machine asks for."""
+        for each in found:
+            match each:
+                case actions.CallStore(call=call):
+                    sent = self.now + self.latency / 2
+                    self.at(sent, self.call, node, machine, call)
+                case actions.OrderEngine(order=order):
+                    self.send_order(node, machine, order)
+        due = machine.next_wake()
+        if due is not None:
+            self.at(max(due, self.now), self.wake, node, machine)
+
+    def call(self, node, machine, call):
+        """A call reaches the store; its answer comes back."""
+        answer = self.store.call(call)
+        self.at(
+            self.now + self.latency / 2, self.deliver, node, machine, answer
+        )
+
+    def send_order(self, node, machine, order):
+        """An order reaches the engine."""
+        self.given.append((self.now, node.name, order))
+        self.step(node)
+        answer = node.engine.order(order, self.now)
+        done = events.OrderDone(order=order, answer=answer)
+        self.at(self.now + 0.001, self.deliver, node, machine, done)
+
+    def go_on(self, node):
+        """Ends a pause."""
+        node.paused = False
+        kept, node.kept = node.kept, []
+        self.report_work(node)
+        for each in kept:
+            each()
+        if node.orders is not None:
+            self.act(node, node.orders, node.orders.wake(self.now))
+
+    def traffic(self, per_second, until, tokens=60):
+        """Starts streams at random times on runners that seem open."""
+        when = self.now
+        while when < until:
+            when += self.random.expovariate(per_second)
+            self.at(when, self.stream, f"q{when:.6f}", tokens)
+
+    def stream(self, request, tokens):
+        """Tries the runners in random order until one takes a stream."""
+        names = self.random.sample(sorted(self.nodes), len(self.nodes))
+        for name in names:
+            node = self.nodes[name]
+            self.step(node)
+            if node.orders is not None and node.orders.closing:
+                self.refused += 1
+                continue
+            run = actions.RunCompletion(
+                request=request,
+                attempt=1,
+                priority="interactive",
+                completion=messages.Completion(
+                    model="m", prompt=request * 10, max_tokens=tokens
+                ),
+            )
+            if node.engine.submit(run, "", self.now) is None:
+                self.report_work(node)
+                return
+        self.unplaced += 1
+
+
+def holders_of(fleet: Fleet) -> list[permits.Holder]:
+    """Returns the entries of the object of permits."""
+    found = fleet.store.objects.get(permits.PATH)
+    if found is None:
+        return []
+    return msgspec.json.decode(found.value, type=permits.Book).holders
--- /dev/null
+++ b/benches/orders.py
@@ -0,0 +1,146 @@
+"""Measures upgrades and the choice of usable servers.
+
+Run it as `python -m benches.orders` from the root of the repository. Times
+of upgrades are virtual and the same on every machine; decision times are
+this machine's.
+"""
+
+import argparse
+import statistics
+import time
+
+from benches import fleets
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import membership
+from pimentoledge.decisions import permits
+
+SEEDS = range(1, 11)
+REPEATS = 200
+# Share of the engines' slots that the traffic fills.
+FILLED = 0.5
+SLOTS = 16
+STEP_SECONDS = 0.032
+
+
+def upgrade_figures(size: int, limit: int, tokens: int, seed: int) -> list:
+    """Upgrades one fleet.
+
+    Args:
+        size: runners.
+        limit: loads at one time.
+        tokens: tokens of each stream that runs meanwhile; 0 for none.
+        seed: seed of the traffic and of the agents' jitter.
+
+    Returns:
+        Seconds until the last runner has the weights; store writes and reads
+        meanwhile; most loads at one time; fewest open runners; refusals by
+        loading runners; requests that no runner took; broken streams.
+    """
+    fleet = fleets.Fleet(size=size, limit=limit, seed=seed)
+    if tokens:
+        rate = FILLED * SLOTS * size / (tokens * STEP_SECONDS)
+        fleet.traffic(rate, 300.0, tokens)
+    fleet.run(20.0)
+    before = dict(fleet.store.counts)
+    fleet.upgrade("w2")
+    seconds = fleet.run_until(
+        lambda: fleet.upgraded() and not fleets.holders_of(fleet)
+    )
+    counts = fleet.store.counts
+    return [
+        seconds,
+        counts["writes"] - before["writes"],
+        counts["reads"] - before["reads"],
+        fleet.most_loading,
+        fleet.fewest,
+        fleet.refused,
+        fleet.unplaced,
+        fleet.broken,
+    ]
+
+
+def print_upgrades() -> None:
+    """Prints the figures of upgrades: median, and worst in parentheses."""
+    print(
+        "runners limit stream_s  seconds  writes  reads  loading  open"
+        "  refused  unplaced  broken"
+    )
+    for size, limit in ((9, 3), (5, 2), (3, 3), (3, 2), (60, 3)):
+        for tokens in (0, 60, 480):
+            rows = [
+                upgrade_figures(size, limit, tokens, seed) for seed in SEEDS
+            ]
+            columns = list(zip(*rows, strict=True))
+            middles = [statistics.median(each) for each in columns]
+            print(
+                f"{size:7} {limit:5} {tokens * STEP_SECONDS:8.1f}"
+                f" {middles[0]:6.1f} ({max(columns[0]):.1f})"
+                f" {middles[1]:4.0f} ({max(columns[1])})"
+                f" {middles[2]:5.0f} ({max(columns[2])})"
+                f" {max(columns[3]):3} {min(columns[4]):3}"
+                f" of >={size - permits.most_out(size)}"
+                f" {middles[5]:6.0f} ({max(columns[5])})"
+                f" {max(columns[6]):3} {max(columns[7]):3}"
+            )
+
+
+def usable_seconds(size: int, troubled: int, leaving_vms: int) -> float:
+    """Returns the median seconds of one call of `usable`.
+
+    Args:
+        size: declared servers.
+        troubled: servers held back.
+        leaving_vms: VMs that the platform lists as leaving.
+    """
+    servers = [
+        declarations.BackendServer(
+            name=f"r{number}",
+            serves="m",
+            agent=f"tcp://10.{number // 250}.0.{number % 250}:7000",
+        )
+        for number in range(size)
+    ]
+    members = membership.Membership(seed=1)
+    for server in servers[:troubled]:
+        members.refused(server.name, 0.0)
+    states = [
+        membership.VmState(address=membership.host_of(each.agent), leaving=True)
+        for each in servers[size - leaving_vms :]
+    ]
+    members.vms(states, 0.0)
+    times = []
+    for _ in range(REPEATS):
+        began = time.perf_counter()
+        members.usable(servers, 0.1)
+        times.append(time.perf_counter() - began)
+    return statistics.median(times)
+
+
+def print_usable() -> None:
+    """Prints the time of `usable` by number of servers."""
+    print("servers  healthy_us  1%_held_us  1%_held_1%_vms_leaving_us")
+    for size in (10, 150, 2400):
+        few = max(1, size // 100)
+        print(
+            f"{size:7}"
+            f" {usable_seconds(size, 0, 0) * 1e6:10.1f}"
+            f" {usable_seconds(size, few, 0) * 1e6:10.1f}"
+            f" {usable_seconds(size, few, few) * 1e6:10.1f}"
+        )
+
+
+def main() -> None:
+    """Prints what is asked for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "what", choices=("all", "upgrades", "usable"), nargs="?", default="all"
+    )
+    what = parser.parse_args().what
+    if what in ("all", "upgrades"):
+        print_upgrades()
+    if what in ("all", "usable"):
+        print_usable()
+
+
+if __name__ == "__main__":
+    main()
--- a/pimentoledge/decisions/actions.py
+++ b/pimentoledge/decisions/actions.py
@@ -5,6 +5,7 @@
 from pimentoledge import results
 from pimentoledge.decisions import stores
 from pimentoledge.nodes import messages
+from pimentoledge.runners import messages as runners
 
 
 @attrs.define(kw_only=True)
@@ -147,6 +148,13 @@
     """Agent: ask the engine at once who it is."""
 
 
+@attrs.define(kw_only=True)
+class OrderEngine:
+    """Agent: give an order to the engine."""
+
+    order: runners.Order
+
+
 @attrs.define(kw_only=True)
 class LogDecision:
     """Write one log line for a decision.
@@ -173,5 +181,6 @@
     | CancelRun
     | ResumeRun
     | CheckEngine
+    | OrderEngine
     | LogDecision
 )
--- a/pimentoledge/decisions/declarations.py
+++ b/pimentoledge/decisions/declarations.py
@@ -83,6 +83,7 @@
         state: what the operator wants of it.
         checks_orders: whether it refuses an old fencing number.
         slots: requests that it can run at one time.
+        role: a runner's role, "both", "prefill" or "decode".
     """
 
     name: str
@@ -94,6 +95,7 @@
     state: ServerState = ServerState.IN
     checks_orders: bool = True
     slots: int = 16
+    role: str = "both"
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/decisions/events.py
+++ b/pimentoledge/decisions/events.py
@@ -7,6 +7,7 @@
 import attrs
 
 from pimentoledge.nodes import messages
+from pimentoledge.runners import messages as runners
 
 
 @attrs.define(kw_only=True)
@@ -163,6 +164,20 @@
     fencing: int = 0
 
 
+@attrs.define(kw_only=True)
+class OrderDone:
+    """Agent: what became of an order.
+
+    Attributes:
+        order: the order.
+        answer: the engine's answer; None when none came, so that the order
+            may or may not have been carried out.
+    """
+
+    order: runners.Order
+    answer: runners.OrderAnswer | None
+
+
 @attrs.define(kw_only=True)
 class ServiceDone:
     """Agent: the plain service answered."""
--- a/pimentoledge/decisions/validation.py
+++ b/pimentoledge/decisions/validation.py
@@ -13,6 +13,7 @@
 from pimentoledge.decisions import declarations
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+ROLE = re.compile(r"both|prefill|decode")
 MAILBOX = re.compile(r"tcp://\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 DIGEST = re.compile(r"[0-9a-f]{64}")
 METHOD = re.compile(r"[A-Z]{1,16}")
@@ -76,6 +77,7 @@
     if it.data_centre:
         yield _matches("data_centre", it.data_centre, NAME, "a name")
     yield _within("slots", it.slots, 1, MOST_SLOTS)
+    yield _matches("role", it.role, ROLE, "both, prefill or decode")
 
 
 def _model(it: declarations.Model) -> abc.Iterator[Fault | None]:
--- /dev/null
+++ b/pimentoledge/tests/test_orders.py
@@ -0,0 +1,394 @@
+"""Orders to engines: upgrades, permits, fencing, and agents that pause."""
+
+import signal
+import subprocess
+import sys
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pynng
+import pytest
+
+from benches import fleets
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.decisions import permits
+from pimentoledge.runners import messages as runners
+
+
+def _loads(fleet, weights):
+    return [
+        name
+        for _, name, order in fleet.given
+        if order.kind == "load" and order.value == weights
+    ]
+
+
+def _fleet(size=5, limit=2, **fields):
+    fleet = fleets.Fleet(size=size, limit=limit, **fields)
+    fleet.run(1.0)
+    return fleet
+
+
+def _settled(fleet):
+    """Runs until the declared weights are there and no permit is left."""
+    fleet.run_until(lambda: fleet.upgraded() and not fleets.holders_of(fleet))
+
+
+@pytest.mark.parametrize(("size", "limit"), [(9, 3), (5, 2), (3, 3), (3, 2)])
+def test_upgrade_under_load(size, limit):
+    """New weights are declared while every runner has streams.
+
+    A load breaks the streams of its engine, more loads than the weight store
+    bears slow each other down, and too many at once leave callers without a
+    runner.
+    """
+    fleet = _fleet(size, limit)
+    fleet.traffic(4 * size, 30.0)
+    fleet.run(5.0)
+    fleet.upgrade("w2")
+    _settled(fleet)
+    assert sorted(_loads(fleet, "w2")) == sorted(fleet.nodes)
+    assert 0 < fleet.most_loading <= limit
+    assert fleet.fewest >= size - permits.most_out(size)
+    assert fleet.broken == fleet.unplaced == 0
+
+
+def test_the_only_runner_of_a_model_is_upgraded():
+    fleet = _fleet(1)
+    fleet.upgrade("w2", adapters=["a1"])
+    _settled(fleet)
+    fleet.upgrade("w2", adapters=["a2"])
+    _settled(fleet)
+    assert fleet.nodes["r1"].engine.adapters == ["a2"]
+
+
+@pytest.mark.parametrize("last", ["w1", "w3"])
+def test_another_declaration_amid_an_upgrade(last):
+    """An operator declares other weights, or the old ones, amid an upgrade.
+
+    The status lags: it still shows the old weights while a load runs. Taken
+    at its word, a rolled back load would count as done before it began.
+    """
+    fleet = _fleet()
+    for node in fleet.nodes.values():
+        node.engine.report_lag = 0.3
+    fleet.upgrade("w2")
+    fleet.run(fleet.now + 0.7)
+    assert 0 < len(_loads(fleet, "w2")) < 5
+    fleet.upgrade(last)
+    _settled(fleet)
+    fleet.run(fleet.now + 2.0)
+    assert fleet.upgraded()
+    assert fleet.most_loading <= 2
+
+
+@pytest.mark.parametrize("returns", [True, False])
+def test_agent_dies_amid_a_load(returns):
+    """An agent dies with its permit; it comes back, or it never does.
+
+    Kept forever, its permit would stop the upgrade. Its entry goes on to
+    count as a runner that is out, until its next life removes it.
+    """
+    fleet = _fleet()
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: len(fleet.given) == 2)
+    dead = [fleet.nodes[name] for _, name, _ in fleet.given]
+    for node in dead:
+        node.orders = None
+    if returns:
+        fleet.run(fleet.now + 5.0)
+        for node in dead:
+            fleet.start_agent(node)
+        _settled(fleet)
+        return
+    assert fleet.run_until(fleet.upgraded) > 5.0
+    assert fleet.most_loading <= 2
+    holders = fleets.holders_of(fleet)
+    kinds = {each.server: each.kind for each in holders}
+    assert [kinds[each.name] for each in dead] == ["out", "out"]
+
+
+def test_store_down_amid_an_upgrade():
+    """The store goes down after the first permits were given.
+
+    Loads that run end and their runners serve again; no other load starts,
+    or there could be more than the weight store bears; and after the outage
+    the upgrade goes on, without taking permits from agents that were only
+    unable to write.
+    """
+    fleet = _fleet()
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: fleet.given)
+    fleet.store.down = True
+    fleet.run(fleet.now + 5.0)
+    begun = len(fleet.given)
+    fleet.run(fleet.now + 600.0)
+    assert len(fleet.given) == begun < 5
+    assert len(fleet.open_nodes()) == 5
+    fleet.store.down = False
+    _settled(fleet)
+    assert fleet.most_loading <= 2
+
+
+def test_store_loses_answers_amid_an_upgrade():
+    fleet = _fleet()
+    fleet.store.lose_answers = 12
+    fleet.store.lose_requests = 3
+    fleet.upgrade("w2")
+    _settled(fleet)
+    assert fleet.most_loading <= 2
+    assert len(_loads(fleet, "w2")) == 5
+
+
+def test_engine_comes_back_with_the_weights_it_was_started_with():
+    fleet = _fleet()
+    fleet.upgrade("w2")
+    _settled(fleet)
+    fleet.nodes["r1"].engine.crash(fleet.now)
+    fleet.run(fleet.now + 8.0)
+    assert [each.kind for each in fleets.holders_of(fleet)] == ["out"]
+    fleet.nodes["r1"].engine.restart(fleet.now)
+    _settled(fleet)
+
+
+def test_runners_that_are_down_count_as_out():
+    """Two of five engines are down when new weights are declared.
+
+    Counted by loads alone, two more would go out, and one would be left. The
+    three go one by one.
+    """
+    fleet = _fleet()
+    for name in ("r1", "r2"):
+        fleet.nodes[name].engine.crash(fleet.now)
+    fleet.run(fleet.now + 8.0)
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: len(_loads(fleet, "w2")) == 3)
+    assert fleet.fewest == 2
+    for name in ("r1", "r2"):
+        fleet.nodes[name].engine.restart(fleet.now)
+    _settled(fleet)
+
+
+def test_the_last_serving_runner_is_not_taken_away():
+    fleet = _fleet(2)
+    fleet.nodes["r1"].engine.crash(fleet.now)
+    fleet.run(fleet.now + 8.0)
+    fleet.upgrade("w2")
+    fleet.run(fleet.now + 60.0)
+    assert fleet.fewest == 1
+    assert fleet.given == []
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": declarations.ServerState.LEAVING},
+        {"agent": "tcp://10.0.0.1:9999"},
+        {"kind": declarations.ServerKind.SERVICE},
+    ],
+)
+def test_only_the_declared_agent_of_a_runner_gives_orders(fields):
+    fleet = _fleet()
+    server = attrs.evolve(fleet.servers["r1"], **fields)
+    fleet.servers["r1"] = server
+    fleet.upgrade("w2")
+    fleet.run(fleet.now + 30.0)
+    assert sorted(_loads(fleet, "w2")) == ["r2", "r3", "r4", "r5"]
+
+
+def _drive(fleet, machine, found):
+    """Answers a machine's calls to the store; returns the orders it gives."""
+    given = []
+    while found:
+        match found.pop(0):
+            case actions.CallStore(call=call):
+                answer = fleet.store.call(call)
+                found += machine.handle(answer, fleet.now)
+            case actions.OrderEngine(order=order):
+                given.append(order)
+    return given
+
+
+def _take_over(fleet, node):
+    """Pauses a node's agent and starts another life beside it.
+
+    The other has the address that is declared now; the paused one does not
+    know of that declaration.
+    """
+    paused = node.orders
+    fleet.servers[node.name] = declarations.BackendServer(
+        name=node.name,
+        serves="m",
+        agent="tcp://10.0.0.1:7001",
+        checks_orders=node.engine.checks_orders,
+    )
+    fleet.start_agent(node)
+    return paused
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_order_of_a_paused_agent_comes_late(checks):
+    """An agent is paused in the instant before it sends an order.
+
+    Another one takes over and loads newer weights. Then the first goes on
+    and sends its order for the older ones. An engine that checks the number
+    refuses it. One that ignores it carries it out: the status shows that,
+    and the new agent closes the runner and loads again.
+    """
+    fleet = _fleet(1, checks_orders=checks)
+    node = fleet.nodes["r1"]
+    sent = []
+    fleet.send_order = lambda *arguments: sent.append(arguments)
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: sent)
+    del fleet.send_order
+    paused = _take_over(fleet, node)
+    fleet.upgrade("w3")
+    fleet.run_until(fleet.upgraded)
+    fleet.run(fleet.now + 1.0)
+    fleet.send_order(*sent[0])
+    if checks:
+        answer = runners.OrderAnswer(accepted=False, reason="fenced", highest=2)
+        done = events.OrderDone(order=sent[0][2], answer=answer)
+        found = paused.handle(done, fleet.now)
+        assert _drive(fleet, paused, found) == []
+        assert fleet.store.objects["orders/r1"].write_id.startswith("r1-2/")
+    fleet.run(fleet.now + 0.6)
+    assert (node.engine.weights == "w2") is not checks
+    _settled(fleet)
+    assert node.engine.weights == "w3"
+    assert len(_loads(fleet, "w3")) == (1 if checks else 2)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_agent_that_pauses_before_it_decides_gives_no_order(checks):
+    """An agent is paused for a minute while it has a permit.
+
+    Another takes over meanwhile. The first goes on where it stopped: with a
+    permit that it believes to hold and a number that it believes to be the
+    latest. Both are read back before an order, whatever the engine checks.
+    """
+    fleet = _fleet(1, checks_orders=checks)
+    node = fleet.nodes["r1"]
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: node.orders.permits.granted())
+    fleet.run_until(lambda: fleet.upgraded())
+    old = _take_over(fleet, node)
+    fleet.upgrade("w3")
+    fleet.run(fleet.now + 60.0)
+    status = node.engine.status(fleet.now)
+    found = old.handle(status, fleet.now) + old.wake(fleet.now)
+    assert _drive(fleet, old, found) == []
+    assert old.tenure.number == 0
+
+
+def test_permit_of_a_paused_agent_is_not_used_after_its_time():
+    """An agent gets a permit, is paused for a minute and goes on.
+
+    The others have counted it dead and use its permit. Started on the old
+    one, its load would be one more than the weight store bears.
+    """
+    fleet = _fleet()
+    fleet.traffic(20, 3.0)
+    fleet.run(2.5)
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: any(e.orders.closing for e in fleet.nodes.values()))
+    paused = [e for e in fleet.nodes.values() if e.orders.closing][0]
+    paused.paused = True
+    fleet.run(fleet.now + 60.0)
+    assert paused.engine.weights == "w1"
+    assert paused.orders.permits.granted()
+    assert not paused.orders.permits.fresh(fleet.now)
+    fleet.go_on(paused)
+    _settled(fleet)
+    assert fleet.most_loading <= 2
+
+
+def test_paused_process_keeps_its_address():
+    """A stopped agent still holds its mailbox, so none starts beside it.
+
+    That is what keeps a late order from an engine that checks no number: a
+    successor on the same address starts only when the stopped one is dead.
+    """
+    code = (
+        "import pynng, sys, time\n"
+        "s = pynng.Pair1(polyamorous=True)\n"
+        "s.listen('tcp://127.0.0.1:0')\n"
+        "print(s.listeners[0].local_address, flush=True)\n"
+        "time.sleep(60)\n"
+    )
+    child = subprocess.Popen([sys.executable, "-c", code], stdout=-1)
+    try:
+        address = "tcp://" + child.stdout.readline().decode().strip()
+        child.send_signal(signal.SIGSTOP)
+        with pynng.Pair1() as successor:
+            with pytest.raises(pynng.AddressInUse):
+                successor.listen(address)
+            child.kill()
+            child.wait(10)
+            successor.listen(address)
+    finally:
+        child.kill()
+        child.wait(10)
+        child.stdout.close()
+
+
+def _crash(fleet, node):
+    node.engine.crash(fleet.now)
+    fleet.at(fleet.now + 3.0, lambda: node.engine.restart(fleet.now))
+
+
+def _die(fleet, node):
+    node.orders = None
+    fleet.at(fleet.now + 3.0, fleet.start_agent, node)
+
+
+def _pause(fleet, node):
+    node.paused = True
+    fleet.at(fleet.now + 2.0, fleet.go_on, node)
+
+
+def _outage(fleet, node):
+    del node
+    fleet.store.down = True
+    fleet.at(fleet.now + 8.0, setattr, fleet.store, "down", False)
+
+
+def _lose(fleet, node):
+    del node
+    fleet.store.lose_answers += 2
+
+
+def _upgrade(fleet, node):
+    fleet.upgrade(f"w{int(fleet.now)}{node.name}")
+
+
+_FAULT = strategies.tuples(
+    strategies.sampled_from([_crash, _die, _pause, _outage, _lose, _upgrade]),
+    strategies.sampled_from(["r1", "r2", "r3", "r4", "r5"]),
+    strategies.floats(0.0, 3.0),
+)
+
+
+@hypothesis.seed(7)
+@hypothesis.settings(max_examples=60, deadline=None)
+@hypothesis.given(faults=strategies.lists(_FAULT, max_size=15))
+def test_any_faults_keep_the_limit_and_end_as_declared(faults):
+    """Crashes, deaths, pauses, outages and upgrades in any order.
+
+    None of them lasts as long as a permit, so the limit holds throughout;
+    and when all is over each engine has what is declared.
+    """
+    fleet = _fleet()
+    for fault, name, wait in faults:
+        fault(fleet, fleet.nodes[name])
+        fleet.run(fleet.now + wait)
+        assert fleet.most_loading <= 2
+    fleet.run(fleet.now + 10.0)
+    fleet.store.lose_answers = 0
+    fleet.upgrade("last")
+    _settled(fleet)
+    assert fleet.most_loading <= 2
