Let a defect cost only the event that met it

Cause: reading the loop, an exception in one event threw away the actions of its whole batch (up to 64 events): other streams would miss a frame and break, and a caller whose request met it would wait for its deadline and never learn why. Also a closing loop left arrived events unhandled. The test fails before (only 'two' or nothing handled) and passes after.

--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -8,6 +8,7 @@
 
 from pimentoledge import logs
 from pimentoledge import metrics
+from pimentoledge import results
 from pimentoledge import settings
 from pimentoledge.callers import replies
 from pimentoledge.callers import servers
@@ -62,6 +63,7 @@
             core=self.core,
             mailbox_address=chosen.text("mailbox"),
             perform=self.perform,
+            on_defect=_answer_defect,
         )
         self.store = store_tasks.StoreTask(
             client=self.object_client(), deliver=self.loop.inbox.put
@@ -195,6 +197,17 @@
             self.gone(action.request)
 
 
+def _answer_defect(event: object) -> list[actions.Action]:
+    """Answers a request that met a defect before it was taken up.
+
+    Its caller would wait for its deadline and never learn why.
+    """
+    if not isinstance(event, events.CallerRequest):
+        return []
+    error = results.Error(code=results.Code.INTERNAL, ran=results.Ran.NOT_RUN)
+    return [actions.ReplyError(request=event.request, error=error)]
+
+
 def _is_idle(core: entries.Entry) -> bool:
     return core.idle()
 
--- a/pimentoledge/nodes/loops.py
+++ b/pimentoledge/nodes/loops.py
@@ -43,6 +43,9 @@
         inbox: events from the other threads.
         mailbox: connection to the other processes.
         perform: carries out every action other than Send.
+        on_defect: what to do about an event that met a defect.
+        closing: whether `close` was called.
+        stopped: whether the thread handles nothing more.
     """
 
     def __init__(
@@ -51,15 +54,18 @@
         core: object,
         mailbox_address: str,
         perform: Callable[[list[actions.Action]], None],
+        on_defect: Callable[[object], list[actions.Action]] = lambda _: [],
     ):
         self.core = core
         self.perform = perform
+        self.on_defect = on_defect
         self.inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self.mailbox = mailboxes.Mailbox(
             address=mailbox_address, deliver=self.inbox.put
         )
         self.thread = threading.Thread(target=self.run, name="loop")
         self.closing = False
+        self.stopped = False
         self.expired = 0.0
 
     def start(self) -> None:
@@ -94,12 +100,8 @@
 
     def run(self) -> None:
         """Handles events until closed."""
-        while not self.closing:
-            batch = self.gather()
-            try:
-                self.turn(batch)
-            except Exception:  # A defect must not end the process silently.
-                logger.critical("defect: {}", traceback.format_exc())
+        while not self.stopped:
+            self.turn(self.gather())
 
     def gather(self) -> list[object]:
         """Waits for events until the next timer, and takes a batch."""
@@ -120,24 +122,44 @@
         now = time.monotonic()
         todo: list[actions.Action] = []
         for event in batch:
-            match event:
-                case None:
-                    continue
-                case Question():
-                    event.answer.put(event.function(self.core))
-                case mailboxes.PeerUp() | mailboxes.PeerDown():
-                    self.mailbox.handle(event)
-                case _:
-                    todo += self.core.handle(event, now)
+            todo += self.guarded(event, self.handle, event, now)
         wake = self.core.next_wake()
         if wake is not None and wake <= now:
-            todo += self.core.tick(now)
-        todo += self.core.flush()
-        self.carry_out(todo, now)
+            todo += self.guarded(None, self.core.tick, now)
+        todo += self.guarded(None, self.core.flush)
+        self.guarded(None, self.carry_out, todo, now)
         if now - self.expired > LONGEST_WAIT:
             self.expired = now
             self.mailbox.expire(now)
 
+    def guarded(
+        self, event: object, function: Callable, *arguments: object
+    ) -> list[actions.Action]:
+        """Calls a function; a defect costs only the event that met it.
+
+        Without this one defect would end the thread, and every stream of the
+        process would hang; or lose the actions of the whole batch, and
+        streams of others would miss a frame.
+        """
+        try:
+            return function(*arguments) or []
+        except Exception:
+            logger.critical("defect: {}", traceback.format_exc())
+            return self.on_defect(event)
+
+    def handle(self, event: object, now: float) -> list[actions.Action]:
+        """Handles one event."""
+        match event:
+            case None:
+                self.stopped = True
+            case Question():
+                event.answer.put(event.function(self.core))
+            case mailboxes.PeerUp() | mailboxes.PeerDown():
+                self.mailbox.handle(event)
+            case _:
+                return self.core.handle(event, now)
+        return []
+
     def carry_out(self, todo: list[actions.Action], now: float) -> None:
         """Sends what is to be sent and hands the rest to the daemon."""
         rest = []
--- a/pimentoledge/tests/test_nodes.py
+++ b/pimentoledge/tests/test_nodes.py
@@ -6,9 +6,11 @@
 import pynng
 from returns import result
 
+from pimentoledge.decisions import configuration
 from pimentoledge.decisions import events
 from pimentoledge.decisions import timers
 from pimentoledge.nodes import codecs
+from pimentoledge.nodes import loops
 from pimentoledge.nodes import mailboxes
 from pimentoledge.nodes import messages
 
@@ -138,3 +140,48 @@
     assert kept.due(2.5) == []
     assert kept.due(3.0) == [("a",)]
     assert kept.next() is None
+
+
+class Core:
+    """A state machine that fails on some events."""
+
+    def __init__(self):
+        self.configuration = configuration.Configuration()
+        self.handled: list[object] = []
+
+    def handle(self, event, now):
+        if event == "bad":
+            raise ValueError("a defect")
+        self.handled.append(event)
+        return []
+
+    def tick(self, now):
+        return []
+
+    def flush(self):
+        return []
+
+    def next_wake(self):
+        return None
+
+
+def test_a_defect_costs_only_the_event_that_met_it():
+    """One request meets a defect while frames of other streams arrive.
+
+    If the whole batch were lost with it, each of those streams would miss a
+    frame and break; if the thread ended, all would hang.
+    """
+    core, defects = Core(), []
+    loop = loops.Loop(
+        core=core,
+        mailbox_address="tcp://127.0.0.1:0",
+        perform=lambda todo: None,
+        on_defect=lambda event: defects.append(event) or [],
+    )
+    loop.start()
+    for event in ("one", "bad", "two"):
+        loop.inbox.put(event)
+    loop.run_thread()
+    loop.close()
+    assert core.handled == ["one", "two"]
+    assert defects == ["bad"]
