Let each shard of claims find its own write rate

The store refuses what is above its rate just as it refuses in an outage. A shard doubled its wait only within one row of failures, so shards above the budget took turns at being refused and calls ran out of patience.

Now the time between two writes itself doubles with each refusal and shrinks by a fifth with each success.

--- a/pimentoledge/decisions/claim_shards.py
+++ b/pimentoledge/decisions/claim_shards.py
@@ -39,11 +39,13 @@
         answer_bytes: largest answer that is kept.
         key_seconds: how long a key is remembered, at least.
         patience: how long a call waits for a store that fails.
-        write_gap: shortest time between the starts of two writes.
+        write_gap: shortest time between the starts of two writes of a
+            shard; it doubles with each call that the store refuses, and
+            shrinks again with each that it takes.
+        longest_gap: what it grows to at most.
+        shrink: factor by which it shrinks.
         outcome_delay: how long an outcome waits for a claim to share the
             write with.
-        backoff_low: first wait after a failed store call.
-        backoff_high: longest wait after a failed store call.
         call_seconds: time after which a store call counts as lost.
     """
 
@@ -55,9 +57,9 @@
     key_seconds: float = 86400.0
     patience: float = 2.0
     write_gap: float = 0.02
+    longest_gap: float = 1.0
+    shrink: float = 0.8
     outcome_delay: float = 0.25
-    backoff_low: float = 0.05
-    backoff_high: float = 1.0
     call_seconds: float = 30.0
 
 
@@ -155,7 +157,9 @@
             until the object has another version, that write may still take
             effect.
         not_before: earliest time of the next store call.
-        failures: failed store calls in a row.
+        gap: time between two writes now. The store refuses what is above
+            its rate as it refuses in an outage; shards that each find their
+            own gap share the rate without knowing of one another.
         down_since: when the store began to fail, or None.
     """
 
@@ -185,7 +189,7 @@
         self.proposal: claim_records.Shard | None = None
         self.doubt: int | None = None
         self.not_before = 0.0
-        self.failures = 0
+        self.gap = limits.write_gap
         self.down_since: float | None = None
 
     def idle(self) -> bool:
@@ -274,7 +278,9 @@
             case stores.Outcome.DOWN | stores.Outcome.LOST:
                 self._store_failed(call, answer.outcome, now)
             case _ if self._adopt(answer, now):
-                self.failures = 0
+                self.gap = max(
+                    self.limits.write_gap, self.gap * self.limits.shrink
+                )
                 self.down_since = None
             case _:
                 self._store_failed(call, stores.Outcome.DOWN, now)
@@ -475,10 +481,8 @@
             self.current = False
         if self.down_since is None:
             self.down_since = self.sent
-        self.failures += 1
-        wait = self.limits.backoff_low * 2 ** min(self.failures - 1, 10)
-        wait = min(wait, self.limits.backoff_high)
-        self.not_before = now + wait * self.random.uniform(0.5, 1.0)
+        self.gap = min(self.limits.longest_gap, self.gap * 2)
+        self.not_before = now + self.gap * self.random.uniform(0.5, 1.0)
         if not self._outage(now):
             return
         for claim in self.mine.values():
@@ -595,7 +599,7 @@
             write_id=f"{self.life}-{self.number}",
         )
         self.sent = now
-        self.not_before = now + self.limits.write_gap
+        self.not_before = now + self.gap
         self.proposal = shard
         return [*outputs, actions.CallStore(call=self.call)]
 
