Spread the claims of a service over 64 shards

Space binds before the rate, and every write carries its whole shard.

Bursts above about 200/s wait longer than with 16 shards; what lasts is bound by space.

In the test of a full shard 200 keys no longer give six of one shard, so it draws from 2000; what it checks is the same.

--- a/pimentoledge/decisions/claim_records.py
+++ b/pimentoledge/decisions/claim_records.py
@@ -20,7 +20,7 @@
 
 # Shards of one model or service. It is part of what the store holds: with
 # another number a key would be looked for where it was never written.
-SHARDS = 16
+SHARDS = 64
 DIGEST_BYTES = 16
 PATH = "claims/"
 
--- a/pimentoledge/decisions/claim_shards.py
+++ b/pimentoledge/decisions/claim_shards.py
@@ -49,7 +49,7 @@
         call_seconds: time after which a store call counts as lost.
     """
 
-    shards: int = 16
+    shards: int = 64
     claims: int = 1024
     object_bytes: int = 950_000
     answers_bytes: int = 700_000
--- a/pimentoledge/tests/test_claims.py
+++ b/pimentoledge/tests/test_claims.py
@@ -320,7 +320,7 @@
     store = Store()
     limits = {"object_bytes": 200, "key_seconds": 7200.0}
     agent = Agent("life-1", store, **limits)
-    keys = [f"k{n}" for n in range(200)]
+    keys = [f"k{n}" for n in range(2000)]
     shard = claim_records.shard_of("acme", "k0")
     keys = [k for k in keys if claim_records.shard_of("acme", k) == shard]
     for number, key in enumerate(keys[:6]):
