--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -127,6 +127,7 @@
         slots: requests that the engine runs at one time.
         reserve: slots that batch work leaves free if it can't be paused.
         aged_slots: slots that batch work may take by age, at one time.
+        pauses: whether the engine can stop batch work and resume it.
         age_seconds: wait after which batch work goes before interactive.
         queue_limit: items that may wait, of each priority.
         configuration_grace: seconds that an entry may lag behind a
@@ -146,6 +147,7 @@
         server: str,
         slots: int,
         reserve: int | None = None,
+        pauses: bool = True,
         age_seconds: float = 10.0,
         queue_limit: int = 256,
         configuration_grace: float = 5.0,
@@ -156,6 +158,7 @@
         self.slots = slots
         default = max(1, slots // 8) if slots > 1 else 0
         self.reserve = default if reserve is None else reserve
+        self.pauses = pauses
         self.aged_slots = max(1, slots // 8)
         self.age_seconds = age_seconds
         self.queue_limit = queue_limit
@@ -478,7 +481,7 @@
             if each.batch
             and not each.aged
             and not each.pausing
-            and _is_pausable(each.item.dispatch)
+            and self._is_pausable(each.item.dispatch)
         ]
         return max(yielding, key=lambda each: each.started, default=None)
 
@@ -494,7 +497,14 @@
             return free > 0
         if self.interactive.size:
             return False
-        return free > (0 if _is_pausable(item.dispatch) else self.reserve)
+        return free > (0 if self._is_pausable(item.dispatch) else self.reserve)
+
+    def _is_pausable(self, dispatch: messages.Dispatch) -> bool:
+        # A plain service can't go on with half a call, and what may run once
+        # must not be started again.
+        return (
+            self.pauses and dispatch.completion is not None and not dispatch.key
+        )
 
     def _aged(self, now: float) -> queues.Item | None:
         # Interactive work alone could fill every slot for hours; without
@@ -555,12 +565,6 @@
     return dispatch.priority == declarations.Priority.BATCH
 
 
-def _is_pausable(dispatch: messages.Dispatch) -> bool:
-    # A plain service can't go on with half a call, and what may run once
-    # must not be started again.
-    return dispatch.completion is not None and not dispatch.key
-
-
 def _uncached(dispatch: messages.Dispatch) -> int:
     return max(0, dispatch.prompt_tokens - dispatch.expected_depth)
 
