Serve metrics and health of every daemon to operators

Cause: metrics were counted but shown nowhere; the registry was one for the process, so the emulator's daemons counted into each other. Change: a registry for each daemon; /metrics, /healthz (the state machine's thread answers in 5 s) and /readyz (the balancer should send work) on the admin address of entries and agents; decisions are counted by kind and outcome, TTFT as a histogram with the 0.83 s target as a bound. Measured: nothing; the hot path gains one dictionary look-up a text.

--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -8,6 +8,7 @@
 import logbook
 
 from pimentoledge import logs
+from pimentoledge import metrics
 from pimentoledge import settings
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import agents
@@ -15,6 +16,8 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.nodes import loops
+from pimentoledge.operators import pages
+from pimentoledge.operators import servers as admin_servers
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
 from pimentoledge.runners import engines
@@ -40,6 +43,8 @@
         loop: the thread that owns the state machine.
         store: task that calls the object API.
         backend: client of the engine or service beside this agent.
+        metrics: what it counts.
+        admin: the HTTP server for metrics and health.
     """
 
     def __init__(self, *, chosen: settings.Settings):
@@ -69,6 +74,16 @@
         self.pool = futures.ThreadPoolExecutor(
             max_workers=slots + SPARE_THREADS, thread_name_prefix="run"
         )
+        self.metrics = metrics.AgentMetrics()
+        self.admin = admin_servers.AdminServer(
+            listen=chosen.text("admin-listen"),
+            pages=pages.pages(
+                counted=self.metrics,
+                alive=self.alive,
+                ready=self.ready,
+                refresh=self.refresh_metrics,
+            ),
+        )
         self.ask_now = threading.Event()
         self.closing = False
         self.status_thread = threading.Thread(
@@ -97,6 +112,7 @@
         self.backend.start()
         self.loop.run_thread()
         self.status_thread.start()
+        self.admin.start()
         address = self.loop.mailbox.address
         logger.info("agent {} listens at {}", self.core.name, address)
 
@@ -110,6 +126,7 @@
     def close(self) -> None:
         """Closes every socket and waits for every task."""
         self.closing = True
+        self.admin.close()
         self.ask_now.set()
         self.status_thread.join()
         self.loop.close()
@@ -132,6 +149,21 @@
         # could rely on. Its agent's life stands for it.
         return events.EngineStatus(incarnation=self.core.life)
 
+    def alive(self) -> bool:
+        """Returns whether the state machine's thread answers."""
+        return self.loop.ask(_is_idle) is not None
+
+    def ready(self) -> bool:
+        """Returns whether new work should come here."""
+        return bool(self.core.status.incarnation) and not self.core.draining
+
+    def refresh_metrics(self) -> None:
+        """Brings the gauges up to date."""
+        self.metrics.running.set(len(self.core.admission.running))
+        self.metrics.queued.set(self.core.admission.queued)
+        self.metrics.claims.set(self.core.claims.held())
+        self.metrics.configuration.set(self.core.configuration.version)
+
     def perform(self, todo: list[actions.Action]) -> None:
         """Carries out actions other than sending."""
         for action in todo:
@@ -151,6 +183,7 @@
                 case actions.CallStore():
                     self.store.call(action.call)
                 case actions.LogDecision():
+                    self.metrics.decided(action)
                     logs.decision(action.kind, action.fields)
 
     def run_completion(self, action: actions.RunCompletion) -> None:
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -18,6 +18,7 @@
 from pimentoledge.decisions import events
 from pimentoledge.nodes import loops
 from pimentoledge.operators import api
+from pimentoledge.operators import pages
 from pimentoledge.operators import servers as admin_servers
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
@@ -39,6 +40,7 @@
         core: the state machine; only the loop's thread touches it.
         loop: the thread that owns the state machine.
         store: task that calls the object API.
+        metrics: what it counts.
         admin: the HTTP server for operators.
         callers: the HTTP server for callers.
         replies: where the answer of each open request goes.
@@ -68,9 +70,18 @@
         self.store = store_tasks.StoreTask(
             client=self.object_client(), deliver=self.loop.inbox.put
         )
+        self.metrics = metrics.EntryMetrics()
         self.admin = admin_servers.AdminServer(
             listen=chosen.text("admin-listen"),
-            pages={api.ROOT: api.Api(submit=self.operate).serve},
+            pages={
+                api.ROOT: api.Api(submit=self.operate).serve,
+                **pages.pages(
+                    counted=self.metrics,
+                    alive=self.alive,
+                    ready=self.ready,
+                    refresh=self.refresh_metrics,
+                ),
+            },
         )
         self.callers = servers.CallerServer(
             listen=chosen.text("listen"),
@@ -133,6 +144,7 @@
             limit_bytes=self.chosen.whole("stream-buffer-bytes")
         )
         self.replies[event.request] = answer
+        self.metrics.arrived(event.request)
         self.loop.inbox.put(event)
         return answer
 
@@ -145,6 +157,15 @@
         """Returns whether the balancer should send callers here."""
         return not self.leaving and self.core.configuration.is_whole()
 
+    def alive(self) -> bool:
+        """Returns whether the state machine's thread answers."""
+        return self.loop.ask(_is_idle) is not None
+
+    def refresh_metrics(self) -> None:
+        """Brings the gauges up to date."""
+        self.metrics.open.set(len(self.replies))
+        self.metrics.configuration.set(self.core.configuration.version)
+
     def operate(
         self, event: events.OperatorRequest
     ) -> actions.ReplyOperator | None:
@@ -173,6 +194,7 @@
         for action in todo:
             match action:
                 case actions.ReplyText():
+                    self.metrics.text(action.request)
                     self.reply(action, last=False)
                 case actions.CallStore():
                     self.store.call(action.call)
@@ -181,6 +203,7 @@
                     if answer is not None:
                         answer.put(action)
                 case actions.LogDecision():
+                    self.metrics.decided(action)
                     logs.decision(action.kind, action.fields)
                 case _:
                     self.reply(action, last=True)
@@ -190,7 +213,7 @@
         answer = self.replies.get(action.request)
         if last:
             self.replies.pop(action.request, None)
-            _count(action)
+            self.metrics.ended(action)
         if answer is None:
             return
         if not answer.put(action) and not last:
@@ -210,17 +233,3 @@
 
 def _is_idle(core: entries.Entry) -> bool:
     return core.idle()
-
-
-def _count(action: actions.Action) -> None:
-    match action:
-        case actions.ReplyError():
-            metrics.REQUESTS.labels(action.error.code.name).inc()
-        case actions.ReplyEnd():
-            metrics.REQUESTS.labels("OK").inc()
-            cached = action.cached_tokens
-            computed = action.prompt_tokens - cached
-            metrics.PROMPT_TOKENS.labels("yes").inc(cached)
-            metrics.PROMPT_TOKENS.labels("no").inc(computed)
-        case _:
-            metrics.REQUESTS.labels("OK").inc()
--- a/pimentoledge/metrics.py
+++ b/pimentoledge/metrics.py
@@ -1,45 +1,130 @@
-"""Counters and gauges of a process, for /metrics."""
+"""Counters and gauges of one daemon, for /metrics."""
+
+import time
 
 import prometheus_client
 
-REGISTRY = prometheus_client.CollectorRegistry()
-
-REQUESTS = prometheus_client.Counter(
-    "pimentoledge_requests",
-    "Requests ended, by result code",
-    ["code"],
-    registry=REGISTRY,
-)
-RETRIES = prometheus_client.Counter(
-    "pimentoledge_retries",
-    "Attempts after the first, by the code that caused them",
-    ["code"],
-    registry=REGISTRY,
-)
-OPEN = prometheus_client.Gauge(
-    "pimentoledge_open_requests",
-    "Requests that have not ended",
-    registry=REGISTRY,
-)
-FIRST_TOKEN = prometheus_client.Histogram(
-    "pimentoledge_first_token_seconds",
-    "Time from a request's arrival to its first token",
-    buckets=(0.01, 0.03, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 60),
-    registry=REGISTRY,
-)
-PROMPT_TOKENS = prometheus_client.Counter(
-    "pimentoledge_prompt_tokens",
-    "Prompt tokens of complete answers, by whether the engine had them cached",
-    ["cached"],
-    registry=REGISTRY,
-)
-CONFIGURATION = prometheus_client.Gauge(
-    "pimentoledge_configuration_version",
-    "Newest configuration version in force here",
-    registry=REGISTRY,
-)
-
-
-def page() -> bytes:
-    """Returns all metrics in Prometheus's text form."""
-    return prometheus_client.generate_latest(REGISTRY)
+from pimentoledge.decisions import actions
+
+FIRST_TOKEN_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 60)
+
+
+class Metrics:
+    """What every daemon counts; each has a registry of its own.
+
+    Attributes:
+        registry: holds all of them.
+        decisions: decisions by kind and outcome.
+        configuration: newest configuration version in force here.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.decisions = prometheus_client.Counter(
+            "pimentoledge_decisions",
+            "Decisions, by kind and outcome",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.configuration = prometheus_client.Gauge(
+            "pimentoledge_configuration_version",
+            "Newest configuration version in force here",
+            registry=self.registry,
+        )
+
+    def decided(self, decision: actions.LogDecision) -> None:
+        """Counts a decision by the field that names its outcome."""
+        fields = decision.fields
+        for name in ("verdict", "step", "reason"):
+            if name in fields:
+                outcome = str(fields[name])
+                self.decisions.labels(decision.kind, outcome).inc()
+                return
+        self.decisions.labels(decision.kind, "").inc()
+
+    def page(self) -> bytes:
+        """Returns all of them in Prometheus's text form."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class EntryMetrics(Metrics):
+    """What an entry counts besides.
+
+    Attributes:
+        requests: requests ended, by result code.
+        open: requests that have not ended.
+        first_token: time from arrival to the first text.
+        prompt_tokens: prompt tokens, by whether the engine had them cached.
+        arrivals: time of arrival of the requests without text, by id.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.requests = prometheus_client.Counter(
+            "pimentoledge_requests",
+            "Requests ended, by result code",
+            ["code"],
+            registry=self.registry,
+        )
+        self.open = prometheus_client.Gauge(
+            "pimentoledge_open_requests",
+            "Requests that have not ended",
+            registry=self.registry,
+        )
+        self.first_token = prometheus_client.Histogram(
+            "pimentoledge_first_token_seconds",
+            "Time from a request's arrival to its first text",
+            buckets=FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
+        self.prompt_tokens = prometheus_client.Counter(
+            "pimentoledge_prompt_tokens",
+            "Prompt tokens of complete answers, by whether they were cached",
+            ["cached"],
+            registry=self.registry,
+        )
+        self.arrivals: dict[str, float] = {}
+
+    def arrived(self, request: str) -> None:
+        """Notes a request's arrival; any thread may call it."""
+        self.arrivals[request] = time.monotonic()
+
+    def text(self, request: str) -> None:
+        """Notes text of a stream; only the first counts."""
+        arrived = self.arrivals.pop(request, None)
+        if arrived is not None:
+            self.first_token.observe(time.monotonic() - arrived)
+
+    def ended(self, action: actions.Action) -> None:
+        """Notes a request's end."""
+        self.arrivals.pop(action.request, None)
+        match action:
+            case actions.ReplyError():
+                self.requests.labels(action.error.code.name).inc()
+                return
+            case actions.ReplyEnd():
+                computed = action.prompt_tokens - action.cached_tokens
+                self.prompt_tokens.labels("yes").inc(action.cached_tokens)
+                self.prompt_tokens.labels("no").inc(max(0, computed))
+        self.requests.labels("OK").inc()
+
+
+class AgentMetrics(Metrics):
+    """What an agent counts besides.
+
+    Attributes:
+        running: attempts that the engine or service runs.
+        queued: attempts that wait at this agent.
+        claims: claims that are not settled in the store.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.running = self._gauge("running", "Attempts that run")
+        self.queued = self._gauge("queued", "Attempts that wait here")
+        self.claims = self._gauge("claims", "Claims not settled in the store")
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"pimentoledge_{name}", text, registry=self.registry
+        )
--- a/pimentoledge/nodes/loops.py
+++ b/pimentoledge/nodes/loops.py
@@ -16,6 +16,8 @@
 
 # Longest sleep: how often silent connections are looked after.
 LONGEST_WAIT = 0.25
+# Longest wait of another thread for an answer.
+ASK_SECONDS = 5.0
 # Events handled before the actions are carried out: bounds the delay of the
 # first of them under a burst.
 BATCH = 64
@@ -87,11 +89,13 @@
     def ask(self, function: Callable[[object], object]) -> object:
         """Calls a function with the state machine, in its own thread.
 
-        For other threads; returns its result, or None while closing.
+        For other threads; returns its result, or None while closing and
+        when the state machine did not answer in ASK_SECONDS.
         """
         question = Question(function=function)
         self.inbox.put(question)
-        while not self.closing:
+        until = time.monotonic() + ASK_SECONDS
+        while not self.closing and time.monotonic() < until:
             try:
                 return question.answer.get(timeout=LONGEST_WAIT)
             except queue.Empty:
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -187,6 +187,30 @@
     assert not draining.is_alive()
 
 
+def test_metrics_and_health_follow_what_happens(emulator):
+    runner = emulator.add_runner("r1", "m", step_seconds=0.002)
+    entry = start_entry(emulator)
+    processes.read_stream(ask(entry))
+    pool = urllib3.PoolManager(retries=False, timeout=WAIT)
+
+    def page(daemon, path):
+        url = f"http://{daemon.admin.address}{path}"
+        return pool.request("GET", url)
+
+    text = page(entry, "/metrics").data.decode()
+    assert 'pimentoledge_requests_total{code="OK"} 1.0' in text
+    assert "pimentoledge_first_token_seconds_count 1.0" in text
+    assert "pimentoledge_open_requests 0.0" in text
+    text = page(runner.daemon, "/metrics").data.decode()
+    assert 'kind="admit",outcome="admit"} 1.0' in text
+    for daemon in (entry, runner.daemon):
+        assert page(daemon, "/healthz").status == 200
+        assert page(daemon, "/readyz").status == 200
+    entry.leaving = True
+    assert page(entry, "/readyz").status == 503
+    assert page(entry, "/healthz").status == 200
+
+
 def test_nothing_is_left_behind():
     """A daemon that leaves a thread behind can't be replaced in place."""
     before = set(threading.enumerate())
