Read all streams of an engine on one thread

Change: StreamTask waits for all sockets of one engine and gives what came in one round to each receiver in one call; EngineClient.begin takes the receiver, EngineClient.run stays as an iterator on top of it. The engine server's answers end with the connection instead of coming in chunks, for the HTTP library may hold parts of a chunked answer where a selector does not see them; a chunked answer still works, on a thread of its own. A request that the fakes can't decode gets a 400.

Weighed: reading without the HTTP library's response object, on a copy of its socket: would save a few us more, and a defect there would be ours.

--- /dev/null
+++ b/benches/fakes.py
@@ -0,0 +1,199 @@
+"""Measures the fakes: the pure engine, and engine server with client.
+
+    python -m benches.fakes engine
+    python -m benches.fakes pair --streams 64 --seconds 10
+
+The pair runs in two processes, so that each side's processor time is known.
+"""
+
+import argparse
+from collections.abc import Iterator
+import multiprocessing
+import resource
+import threading
+import time
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import events
+from pimentoledge.nodes import messages
+from pimentoledge.runners import engines
+from pimentoledge.runners import fake_engines
+from pimentoledge.runners import fake_servers
+from pimentoledge.runners import streams
+
+PROMPT_BYTES = 8192
+
+
+def run_of(*, number: int, tokens: int) -> actions.RunCompletion:
+    """Returns a completion; sixteen in a row share their prompt."""
+    prompt = f"{number // 16:08d}" + "x" * (PROMPT_BYTES - 8)
+    return actions.RunCompletion(
+        request=f"r{number}",
+        attempt=1,
+        priority="interactive",
+        completion=messages.Completion(
+            model="m", prompt=prompt, max_tokens=tokens
+        ),
+    )
+
+
+def measure_engine(*, requests: int, tokens: int) -> None:
+    """Runs completions in virtual time and prints what they cost."""
+    for every in (1, 16):
+        engine = fake_engines.FakeEngine(
+            slots=64, cache_blocks=20_000, token_seconds=1e-6
+        )
+        engine.text_every = every
+        begin = time.process_time()
+        now = 0.0
+        steps = 0
+        for number in range(requests):
+            engine.submit(run_of(number=number, tokens=tokens), "s", now)
+        while (wake := engine.next_wake()) is not None:
+            engine.step(wake)
+            steps += 1
+        spent = time.process_time() - begin
+        made = engine.counters.generated_tokens
+        print(
+            f"pure engine, text_every {every}: {requests / spent:,.0f}"
+            f" requests/s, {made / spent:,.0f} tokens/s,"
+            f" {steps / spent:,.0f} steps/s"
+        )
+
+
+def serve(pipe, streams: int, step_seconds: float) -> None:
+    """Runs an engine server until told to end; sends back its cost."""
+    engine = fake_engines.FakeEngine(
+        slots=streams,
+        cache_blocks=20_000,
+        token_seconds=1e-6,
+        step_seconds=step_seconds,
+    )
+    server = fake_servers.EngineServer(engine=engine)
+    server.start()
+    pipe.send(server.url)
+    while pipe.recv() != "end":
+        pipe.send((processor_seconds(), engine.counters.generated_tokens))
+    server.close()
+
+
+def processor_seconds() -> float:
+    """Returns the processor time of this process."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
+class Counter:
+    """Counts what the streams bring.
+
+    Attributes:
+        tokens: tokens that came.
+        pieces: events that they came in.
+        calls: calls of the receiver.
+    """
+
+    def __init__(self):
+        self.tokens = 0
+        self.pieces = 0
+        self.calls = 0
+
+    def take(self, found: list[streams.Event]) -> None:
+        """Counts events; the client's receiver."""
+        self.calls += 1
+        for event in found:
+            if isinstance(event, events.EngineText):
+                self.tokens += event.tokens
+                self.pieces += 1
+
+
+def measure_pair(
+    *, streams: int, seconds: float, step_seconds: float, by: str
+) -> None:
+    """Runs a server and its client and prints what a token costs each."""
+    ours, theirs = multiprocessing.Pipe()
+    server = multiprocessing.get_context("spawn").Process(
+        target=serve, args=(theirs, streams, step_seconds)
+    )
+    server.start()
+    client = engines.EngineClient(url=ours.recv())
+    client.start()
+    counter = Counter()
+    threads = begin(client=client, count=streams, by=by, counter=counter)
+    time.sleep(1)
+    ours.send("cost")
+    server_before, made_before = ours.recv()
+    before = (processor_seconds(), counter.tokens, counter.pieces)
+    calls = counter.calls
+    start = time.monotonic()
+    time.sleep(seconds)
+    after = (processor_seconds(), counter.tokens, counter.pieces)
+    cost, tokens, pieces = (y - x for x, y in zip(before, after, strict=True))
+    calls = counter.calls - calls
+    spent = time.monotonic() - start
+    ours.send("cost")
+    server_after, made_after = ours.recv()
+    ours.send("end")
+    server.join()
+    for thread in threads:
+        thread.join()
+    client.close()
+    theirs_cost = (server_after - server_before) / (made_after - made_before)
+    print(
+        f"pair by {by}, {streams} streams, step {step_seconds * 1000:g} ms:"
+        f" {tokens / spent:,.0f} tokens/s (due {streams / step_seconds:,.0f})"
+        f" in {pieces / spent:,.0f} events/s, {calls / spent:,.0f} calls/s;"
+        f" server {theirs_cost * 1e6:.1f} us a token,"
+        f" client {cost / tokens * 1e6:.1f} us a token"
+    )
+
+
+def begin(
+    *, client: engines.EngineClient, count: int, by: str, counter: Counter
+) -> list[threading.Thread]:
+    """Begins the streams, read by one receiver or by a thread for each."""
+    threads = []
+    for number in range(count):
+        run = run_of(number=number, tokens=1_000_000)
+        if by == "receiver":
+            client.begin(run, "s", counter.take)
+            continue
+        thread = threading.Thread(
+            target=iterate, args=(client.run(run, "s"), counter)
+        )
+        thread.start()
+        threads.append(thread)
+    return threads
+
+
+def iterate(found: Iterator[streams.Event], counter: Counter) -> None:
+    """Reads one stream to its end."""
+    for event in found:
+        counter.take([event])
+
+
+def main() -> None:
+    """Runs what the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=["engine", "pair"])
+    parser.add_argument("--streams", type=int, default=64)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--step", type=float, default=0.032)
+    parser.add_argument("--requests", type=int, default=5000)
+    parser.add_argument("--tokens", type=int, default=200)
+    parser.add_argument(
+        "--by", choices=["receiver", "iterator"], default="receiver"
+    )
+    given = parser.parse_args()
+    if given.what == "engine":
+        measure_engine(requests=given.requests, tokens=given.tokens)
+    else:
+        measure_pair(
+            streams=given.streams,
+            seconds=given.seconds,
+            step_seconds=given.step,
+            by=given.by,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -11,6 +11,7 @@
 import urllib.parse
 
 import cheroot.server
+import msgspec
 
 LISTEN_BACKLOG = 512
 SHUTDOWN_SECONDS = 5
@@ -25,8 +26,13 @@
     """Gives each request to the handler of its server."""
 
     def respond(self) -> None:
-        """Answers one request."""
-        self.req.server.handle(self.req)
+        """Answers one request; one that makes no sense with a 400."""
+        try:
+            self.req.server.handle(self.req)
+        except (msgspec.MsgspecError, KeyError, ValueError):
+            if self.req.sent_headers:
+                raise
+            answer(self.req, b"{}", status=400)
 
 
 class ReusingServer(cheroot.server.HTTPServer):
@@ -120,6 +126,15 @@
     request.sent_headers = True
 
 
+def end_with_connection(
+    request: cheroot.server.HTTPRequest, headers: list[tuple[bytes, bytes]]
+) -> None:
+    """Makes the answer's body end with the connection, without chunks."""
+    # Cheroot writes bodies of unknown length in chunks, but to HTTP/1.0.
+    request.response_protocol = "HTTP/1.0"
+    headers.append((b"Connection", b"close"))
+
+
 def answer(
     request: cheroot.server.HTTPRequest,
     body: bytes,
--- a/pimentoledge/runners/engines.py
+++ b/pimentoledge/runners/engines.py
@@ -1,8 +1,12 @@
 """Client of a model engine."""
 
+import collections
 from collections.abc import Iterator
+from concurrent import futures
+import queue
 import urllib.parse
 
+import attrs
 import msgspec
 import urllib3
 
@@ -12,11 +16,12 @@
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import events
 from pimentoledge.runners import messages
+from pimentoledge.runners import stream_tasks
 from pimentoledge.runners import streams
 from pimentoledge.runners import wires
 
 POOL_SIZE = 128
-READ_BYTES = 65536
+CLOSED = "the client was closed"
 
 
 class EngineClient:
@@ -36,15 +41,35 @@
         self.timeout = timeout
         self.silence = silence
         self.pool = None
+        self.starters = None
+        self.closing = False
+        self.opening: set[stream_tasks.Reading] = set()
+        self.task = stream_tasks.StreamTask(silence=silence)
 
     def start(self) -> None:
-        """Opens the connection pool."""
+        """Opens the connection pool and starts the reading thread."""
+        self.closing = False
         self.pool = http_pools.Pool(size=POOL_SIZE, timeout=self.timeout)
+        # A thread is needed from the sending of a completion to the first
+        # bytes of its answer.
+        self.starters = futures.ThreadPoolExecutor(
+            max_workers=POOL_SIZE, thread_name_prefix="engine-start"
+        )
+        self.task.start()
 
     def close(self) -> None:
-        """Closes the idle connections; running streams go on."""
-        if self.pool is not None:
-            self.pool.cut()
+        """Breaks the streams that still run and closes all connections."""
+        if self.pool is None or self.closing:
+            return
+        self.closing = True
+        self.pool.cut()
+        # A starter that waits for first bytes would hold up the end of the
+        # process until the engine speaks; the pool no longer knows its
+        # connection.
+        for reading in list(self.opening):
+            reading.cut()
+        self.starters.shutdown()
+        self.task.close()
 
     def run(
         self, run: actions.RunCompletion, salt: str
@@ -60,12 +85,38 @@
             salt: what its cached blocks depend on: organisation, model,
                 adapter and weights version.
         """
+        return _Events(
+            begin=lambda deliver: self.begin(run, salt, deliver),
+            abandon=self.abandon,
+        )
+
+    def begin(
+        self,
+        run: actions.RunCompletion,
+        salt: str,
+        deliver: stream_tasks.Deliver,
+    ) -> stream_tasks.Reading:
+        """Runs a completion and gives its events to a receiver.
+
+        Returns at once. The receiver is called from the client's threads, one
+        call at a time for a stream, with one or more events. A receiver that
+        is given for many streams gets what came for all of them together.
+
+        Args:
+            run: the completion.
+            salt: as for `run`.
+            deliver: the receiver; it must not block.
+        """
         reader = streams.StreamReader(request=run.request, attempt=run.attempt)
         body = wires.encode(wires.Submission(run=run, salt=salt))
         headers = {"traceparent": run.trace} if run.trace else {}
-        return self._stream(
-            reader, "POST", wires.COMPLETIONS, body=body, headers=headers
+        call = Call(
+            method="POST",
+            url=self.url + wires.COMPLETIONS,
+            body=body,
+            headers=headers,
         )
+        return self._begin(reader, call, deliver)
 
     def resume(
         self, request: str, attempt: int, index: int
@@ -77,11 +128,38 @@
             attempt: attempt number.
             index: number of the first token that is still needed.
         """
+        return _Events(
+            begin=lambda deliver: self.begin_resume(
+                request, attempt, index, deliver
+            ),
+            abandon=self.abandon,
+        )
+
+    def begin_resume(
+        self,
+        request: str,
+        attempt: int,
+        index: int,
+        deliver: stream_tasks.Deliver,
+    ) -> stream_tasks.Reading:
+        """Goes on with a stream, and gives its events to a receiver.
+
+        Args:
+            request: request id.
+            attempt: attempt number.
+            index: number of the first token that is still needed.
+            deliver: the receiver, as for `begin`.
+        """
         reader = streams.StreamReader(
             request=request, attempt=attempt, index=index
         )
         fields = {"request": request, "attempt": attempt, "index": index}
-        return self._stream(reader, "GET", wires.RESUME, fields=fields)
+        call = Call(method="GET", url=self._url(wires.RESUME, fields))
+        return self._begin(reader, call, deliver)
+
+    def abandon(self, reading: stream_tasks.Reading) -> None:
+        """Closes a stream's connection; the engine itself goes on."""
+        self.task.abandon(reading)
 
     def cancel(self, request: str, attempt: int) -> bool:
         """Cancels a stream; False when the engine did not confirm it."""
@@ -157,52 +235,100 @@
         except urllib3.exceptions.HTTPError:
             return None
 
-    def _stream(
+    def _begin(
         self,
         reader: streams.StreamReader,
-        method: str,
-        path: str,
-        *,
-        fields: dict[str, object] | None = None,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> Iterator[streams.Event]:
+        call: "Call",
+        deliver: stream_tasks.Deliver,
+    ) -> stream_tasks.Reading:
+        reading = stream_tasks.Reading(reader=reader, deliver=deliver)
+        try:
+            self.starters.submit(self._open, reading, call)
+        except RuntimeError:
+            # The executor takes nothing more: `close` was faster.
+            reading.deliver([reader.broken(CLOSED, results.Ran.NOT_RUN)])
+        return reading
+
+    def _open(self, reading: stream_tasks.Reading, call: "Call") -> None:
+        self.opening.add(reading)
+        try:
+            going_on = self._first(reading, call)
+        finally:
+            self.opening.discard(reading)
+        if going_on:
+            self.task.add(reading)
+        elif reading.answer is not None:
+            reading.answer.close()
+
+    def _first(self, reading: stream_tasks.Reading, call: "Call") -> bool:
+        """Sends a request; returns whether the stream task reads on."""
+        reader = reading.reader
+        if self.closing:
+            reading.deliver([reader.broken(CLOSED, results.Ran.NOT_RUN)])
+            return False
         timeout = urllib3.Timeout(connect=self.timeout, read=self.silence)
         try:
-            answer = self.pool.request(
-                method,
-                self._url(path, fields),
+            reading.answer = self.pool.request(
+                call.method,
+                call.url,
+                body=call.body,
+                headers=call.headers,
                 timeout=timeout,
                 preload_content=False,
-                body=body,
-                headers=headers,
             )
         except urllib3.exceptions.HTTPError as error:
             not_run = http_faults.never_sent(error)
             ran = results.Ran.NOT_RUN if not_run else results.Ran.RAN
-            yield reader.broken(str(error), ran)
-            return
-        try:
-            if answer.status != 200:
-                yield _refused(reader, answer)
-                return
-            yield from _events(reader, answer)
-        finally:
-            _release(reader, answer)
-
+            reading.deliver([reader.broken(str(error), ran)])
+            return False
+        if reading.answer.status != 200:
+            reading.deliver([_refused(reader, reading.answer)])
+            return False
+        if self.closing:
+            reading.cut()
+        chunked = "transfer-encoding" in reading.answer.headers
+        reading.read()
+        while chunked and not reader.over and not reading.abandoned:
+            reading.read()
+        return not chunked and not reader.over
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A request that is answered by a stream."""
+
+    method: str
+    url: str
+    body: bytes | None = None
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+class _Events:
+    """Iterator over the events of one stream; waits for the next."""
+
+    def __init__(self, *, begin, abandon):
+        self.queue = queue.SimpleQueue()
+        self.abandon = abandon
+        self.waiting = collections.deque()
+        self.over = False
+        self.reading = begin(self.queue.put)
+
+    def __iter__(self):
+        return self
+
+    def __next__(self) -> streams.Event:
+        if self.over:
+            raise StopIteration
+        while not self.waiting:
+            self.waiting.extend(self.queue.get())
+        event = self.waiting.popleft()
+        self.over = isinstance(event, events.EngineEnded | events.EngineBroken)
+        return event
 
-def _release(
-    reader: streams.StreamReader, answer: urllib3.BaseHTTPResponse
-) -> None:
-    # Only a connection whose answer was read to its end can serve another
-    # request; on any other, rests of this answer would be taken for the next.
-    try:
-        if reader.whole and answer.read1(1) == b"":
-            answer.release_conn()
-            return
-    except (urllib3.exceptions.HTTPError, OSError):
-        pass
-    answer.close()
+    def close(self) -> None:
+        """Gives the rest of the stream up."""
+        self.over = True
+        self.abandon(self.reading)
 
 
 def _refused(
@@ -219,21 +345,6 @@
     return reader.broken(refusal.reason, results.Ran.NOT_RUN)
 
 
-def _events(
-    reader: streams.StreamReader, answer: urllib3.BaseHTTPResponse
-) -> Iterator[streams.Event]:
-    while not reader.over:
-        try:
-            data = answer.read1(READ_BYTES)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            yield reader.broken(str(error))
-            return
-        if not data:
-            yield reader.broken("the stream stopped without its end mark")
-            return
-        yield from reader.feed(data)
-
-
 def _decoded(answer, decoder):
     if answer is None or answer.status != 200:
         return None
--- a/pimentoledge/runners/fake_servers.py
+++ b/pimentoledge/runners/fake_servers.py
@@ -27,14 +27,17 @@
 
     Attributes:
         request: the HTTP request; its thread waits on `done`.
+        chunked: whether the answer is in chunks; else it ends with the
+            connection.
         rest: bytes that the socket didn't take yet.
         gone: whether the reader went away.
         broken: whether the connection ends without an end mark.
         done: set when nothing more will be written.
     """
 
-    def __init__(self, *, request: cheroot.server.HTTPRequest):
+    def __init__(self, *, request: cheroot.server.HTTPRequest, chunked: bool):
         self.request = request
+        self.chunked = chunked
         self.socket = request.conn.socket
         self.socket.setblocking(False)
         self.rest = b""
@@ -43,8 +46,10 @@
         self.done = threading.Event()
 
     def write(self, data: bytes) -> None:
-        """Writes blocks as one HTTP chunk, as far as the socket takes it."""
-        framed = b"%x\r\n%s\r\n" % (len(data), data)
+        """Writes blocks, as far as the socket takes them."""
+        framed = data
+        if self.chunked:
+            framed = b"%x\r\n%s\r\n" % (len(data), data)
         if self.rest:
             framed = self.rest + framed
         try:
@@ -91,6 +96,7 @@
         lose_writes: number of next text writes to streams that get lost, so
             that their readers see a gap.
         latency: seconds before each answer that isn't a stream.
+        chunked: whether streams come in HTTP chunks.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         self.lock = threading.Condition()
         self.lose_writes = 0
         self.latency = 0.0
+        self.chunked = False
         self.sinks: dict[Key, Sink] = {}
         self.closing = threading.Event()
         self.thread = None
@@ -191,6 +198,9 @@
         submission = wires.submission_decoder.decode(body)
         run = submission.run
         with self.lock:
+            if self.closing.is_set():
+                fake_http.cut(request)
+                return
             refused = self.engine.submit(run, submission.salt, time.monotonic())
             if refused is None:
                 sink = self._open(request, (run.request, run.attempt))
@@ -206,6 +216,9 @@
         fields = fake_http.query_of(request)
         key = (fields["request"], int(fields["attempt"]))
         with self.lock:
+            if self.closing.is_set():
+                fake_http.cut(request)
+                return
             found = self.engine.resume(*key, int(fields["index"]))
             if found is not None:
                 if old := self.sinks.pop(key, None):
@@ -287,10 +300,12 @@
         fake_http.answer(request, body, status=status)
 
     def _open(self, request: cheroot.server.HTTPRequest, key: Key) -> Sink:
-        fake_http.begin(
-            request, 200, [(b"Content-Type", fake_http.EVENT_STREAM)]
-        )
-        sink = Sink(request=request)
+        headers = [(b"Content-Type", fake_http.EVENT_STREAM)]
+        if not self.chunked:
+            fake_http.end_with_connection(request, headers)
+        fake_http.begin(request, 200, headers)
+        sink = Sink(request=request, chunked=self.chunked)
+        sink.write(wires.ACCEPTED)
         self.sinks[key] = sink
         return sink
 
--- a/pimentoledge/runners/streams.py
+++ b/pimentoledge/runners/streams.py
@@ -49,6 +49,8 @@
         for block in blocks:
             if self.over:
                 return
+            if block.startswith(wires.COMMENT):
+                continue
             if block.startswith(wires.DATA):
                 fault = self._take(block, texts)
                 if not fault:
--- a/pimentoledge/runners/wires.py
+++ b/pimentoledge/runners/wires.py
@@ -1,7 +1,9 @@
 """The engines' form on the wire: JSON over HTTP, streams as SSE.
 
 Each block of a stream is `event: NAME` and `data: JSON`; a text block has no
-event name. A stream is complete only with its `ended` block.
+event name. A stream is complete only with its `ended` block. A block that
+begins with a colon is a comment; the first one says that the completion was
+taken in, long before it may start.
 """
 
 import attrs
@@ -27,6 +29,8 @@
 ENDED = b"event: ended\ndata: "
 BROKEN = b"event: broken\ndata: "
 BLOCK_END = b"\n\n"
+COMMENT = b":"
+ACCEPTED = b": accepted\n\n"
 
 
 @attrs.define(kw_only=True)
