Send all open streams from one thread

Cause: each token woke the thread of its stream. A caller's thread sends the first piece, hands its socket to the writer and sleeps until the end. The core's put marks the stream; the writer, woken once for a batch, sends what is ready without blocking. Answers that aren't streamed wake their thread once, at the end. Weighed: sending from the core's thread (no wake at all, but the core would own sockets and stop deciding while the kernel works); waking each thread less often by a delay (adds the delay to every token, and at 32 ms between tokens nothing coalesces).

--- a/pimentoledge/callers/answers.py
+++ b/pimentoledge/callers/answers.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
+from pimentoledge import results
 from pimentoledge.callers import completions
+from pimentoledge.callers import faults
 from pimentoledge.decisions import actions
 
 DONE = b"data: [DONE]\n\n"
@@ -115,6 +117,11 @@
         return choice
 
 
+def failure(error: results.Error) -> bytes:
+    """Returns the event that ends a stream that can't be completed."""
+    return b"data: " + faults.body(error) + b"\n\n"
+
+
 def models(names: list[str]) -> bytes:
     """Returns the answer to GET /v1/models."""
     data = [
--- a/pimentoledge/callers/gateways.py
+++ b/pimentoledge/callers/gateways.py
@@ -1,14 +1,17 @@
 """One caller's request, from its head to the last byte of its answer.
 
-Runs on one of the server's threads, which does nothing else meanwhile.
+Runs on one of the server's threads, which does nothing else meanwhile. Only
+the rest of a stream, behind its first piece, is sent by the writer's thread.
 """
 
+from collections.abc import Iterator
 import errno
 import hashlib
 import http
 import math
 import select
 import socket
+import threading
 import time
 
 import attrs
@@ -23,6 +26,7 @@
 from pimentoledge.callers import faults
 from pimentoledge.callers import passing
 from pimentoledge.callers import replies
+from pimentoledge.callers import writers
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import events
 
@@ -209,7 +213,7 @@
             raise
 
     def _answer(self, waiting: replies.Replies) -> None:
-        for reply in self._replies(waiting):
+        for reply in self._first(waiting):
             match reply:
                 case actions.ReplyAnswer():
                     self._pass_back(reply)
@@ -218,7 +222,7 @@
 
     def _whole(self, waiting: replies.Replies, answer: answers.Answer) -> None:
         texts = []
-        for reply in self._replies(waiting):
+        for reply in self._all(waiting):
             match reply:
                 case actions.ReplyText():
                     texts.append(reply.text)
@@ -231,16 +235,18 @@
                     self._fail(reply.error)
 
     def _stream(self, waiting: replies.Replies, answer: answers.Answer) -> None:
-        for reply in self._replies(waiting):
+        # Until the first reply it is open whether there will be a stream.
+        for reply in self._first(waiting):
             match reply:
                 case actions.ReplyText():
                     self._event_out(answer, answer.piece(reply.text))
                 case actions.ReplyEnd():
-                    self._event_out(answer, answer.last(reply))
+                    return self._event_out(answer, answer.last(reply))
                 case actions.ReplyAnswer():
-                    self._pass_back(reply)
+                    return self._pass_back(reply)
                 case actions.ReplyError():
-                    self._break(reply.error)
+                    return self._break(reply.error)
+        return self._rest(waiting, answer)
 
     def _event_out(self, answer: answers.Answer, piece: bytes) -> None:
         if not self.req.sent_headers:
@@ -248,11 +254,39 @@
             piece = answer.first() + piece
         self.req.write(piece)
 
-    def _replies(self, waiting: replies.Replies):
-        while True:
-            ready = waiting.take(POLL_SECONDS)
-            if not ready and not self._caller_is_there():
+    def _rest(self, waiting: replies.Replies, answer: answers.Answer) -> None:
+        """Has the writer send the rest of a stream, and waits for its end."""
+        sock = self.req.conn.socket
+        stream = writers.Stream(
+            waiting=waiting,
+            answer=answer,
+            sock=sock,
+            chunked=self.req.chunked_write,
+        )
+        timeout = sock.gettimeout()
+        sock.setblocking(False)
+        match self.owner.writer.write(stream):
+            case writers.End.WHOLE:
+                sock.settimeout(timeout)
+            case writers.End.CUT:
+                raise _CutError
+            case writers.End.GONE:
                 raise _GoneError
+
+    def _first(self, waiting: replies.Replies) -> list[replies.Reply]:
+        while not (ready := waiting.take(POLL_SECONDS)):
+            self._check_caller()
+        return ready
+
+    def _all(self, waiting: replies.Replies) -> Iterator[replies.Reply]:
+        """Gives out all replies; wakes only for the last, and now and then."""
+        over = threading.Event()
+        waiting.follow(lambda last: last and over.set())
+        while True:
+            if not over.wait(POLL_SECONDS):
+                self._check_caller()
+            over.clear()
+            ready = waiting.take_ready()
             yield from ready
             if ready and type(ready[-1]) is not actions.ReplyText:
                 return
@@ -263,7 +297,7 @@
             return self._fail(error)
         # Neither [DONE] nor the last chunk follows: a client that overlooks
         # the error still can't take what it got for a whole answer.
-        self.req.write(b"data: " + faults.body(error) + b"\n\n")
+        self.req.write(answers.failure(error))
         raise _CutError
 
     def _abort(self) -> None:
@@ -409,25 +443,18 @@
             return result.Failure(_half("the body is shorter than declared"))
         return result.Success(body)
 
-    def _caller_is_there(self) -> bool:
-        """Returns whether the caller's end of the connection is open.
+    def _check_caller(self) -> None:
+        """Ends the request if the caller's end of the connection is closed.
 
         A caller that goes away while it waits for the first token would keep
         its place in the engine's batch; nothing is written to it meanwhile,
         so only looking at the socket can tell.
         """
         poll = select.poll()
-        poll.register(self.req.conn.socket, select.POLLIN | select.POLLRDHUP)
-        ready = poll.poll(0)
-        if not ready:
-            return True
-        if ready[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
-            return False
-        try:
-            peeked = self.req.conn.socket.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return False
-        return bool(peeked)
+        poll.register(self.req.conn.socket, select.POLLRDHUP)
+        for _, seen in poll.poll(0):
+            if seen & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+                raise _GoneError
 
 
 def _half(text: str) -> results.Error:
--- a/pimentoledge/callers/replies.py
+++ b/pimentoledge/callers/replies.py
@@ -1,5 +1,6 @@
 """The way back from an entry's core thread to one caller's thread."""
 
+from collections.abc import Callable
 import queue
 
 from pimentoledge import results
@@ -30,12 +31,17 @@
         limit_bytes: most text that may wait; one character counts as one.
         overrun: whether the bound was passed.
         waiting: replies not yet taken.
+        notify: told of replies that wait, instead of whoever waits in `take`;
+            its argument says whether the last reply may be among them.
+        notified: whether `notify` was told of what waits now.
         put_bytes: text put so far; written only by the putting thread.
         taken_bytes: text taken so far; written only by the taking thread.
     """
 
     __slots__ = (
         "limit_bytes",
+        "notified",
+        "notify",
         "overrun",
         "put_bytes",
         "taken_bytes",
@@ -46,6 +52,8 @@
         self.limit_bytes = limit_bytes
         self.overrun = False
         self.waiting: queue.SimpleQueue[Reply] = queue.SimpleQueue()
+        self.notify: Callable[[bool], None] | None = None
+        self.notified = False
         self.put_bytes = 0
         self.taken_bytes = 0
 
@@ -59,14 +67,27 @@
         """
         if self.overrun:
             return False
-        if type(reply) is actions.ReplyText:
+        last = type(reply) is not actions.ReplyText
+        if not last:
             self.put_bytes += len(reply.text)
             if self.put_bytes - self.taken_bytes > self.limit_bytes:
                 self._overrun(reply.request)
                 return False
         self.waiting.put(reply)
+        if self.notify is not None and (last or not self.notified):
+            self.notified = True
+            self.notify(last)
         return True
 
+    def follow(self, notify: Callable[[bool], None]) -> None:
+        """Has a function told of replies, from now on.
+
+        Replies may have been put before, even the last one, so the function
+        is told of it at once.
+        """
+        self.notify = notify
+        notify(True)
+
     def take(self, timeout: float) -> list[Reply]:
         """Waits for replies and takes all that there are.
 
@@ -81,11 +102,23 @@
             first = self.waiting.get(timeout=timeout)
         except queue.Empty:
             return []
-        ready = [first]
+        return self._taken([first])
+
+    def take_ready(self) -> list[Reply]:
+        """Takes all that is there, as `take` does, without waiting."""
+        # Cleared first: what is put behind this line is notified again.
+        self.notified = False
+        return self._taken([])
+
+    def _taken(self, ready: list[Reply]) -> list[Reply]:
         for _ in range(self.waiting.qsize()):
             ready.append(self.waiting.get())
-        if self.overrun:
+        if self.overrun and ready:
             return [self._last(ready[-1])]
+        if len(ready) == 1:
+            if type(ready[0]) is actions.ReplyText:
+                self.taken_bytes += len(ready[0].text)
+            return ready
         return self._coalesced(ready)
 
     def _last(self, reply: Reply) -> Reply:
@@ -110,3 +143,5 @@
         self.overrun = True
         error = actions.ReplyError(request=request, error=_TOO_SLOW)
         self.waiting.put(error)
+        if self.notify is not None:
+            self.notify(True)
--- a/pimentoledge/callers/servers.py
+++ b/pimentoledge/callers/servers.py
@@ -12,6 +12,7 @@
 
 from pimentoledge.callers import gateways
 from pimentoledge.callers import replies
+from pimentoledge.callers import writers
 from pimentoledge.decisions import events
 
 # A thread that serves a stream runs a dozen small frames; the default of 8 MiB
@@ -101,6 +102,7 @@
         gone: tells the core that a request's caller went away.
         models: models that an API key's digest may use; None for no such key.
         ready: whether the balancer should send callers here.
+        writer: sends the streams.
         reading: connections a request is being read from, and since when.
         address: the address bound, once started.
     """
@@ -131,11 +133,13 @@
         self._numbers = itertools.count(1)
         self._open = threading.Semaphore(threads)
         self._closing = threading.Event()
+        self.writer = writers.Writer()
         self._server: _Server | None = None
         self._tasks: list[threading.Thread] = []
 
     def start(self) -> None:
         """Binds the address and serves from threads of its own."""
+        self.writer.start()
         host, _, port = self.listen.rpartition(":")
         self._server = _Server(owner=self, bind=(host, int(port)))
         before = threading.stack_size(STACK_BYTES)
@@ -157,6 +161,7 @@
         self._closing.set()
         if self._server is not None:
             self._server.stop()
+        self.writer.close()
         for task in self._tasks:
             task.join()
         self._tasks.clear()
--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -333,6 +333,45 @@
     assert core.left.get(timeout=WAIT) == asked.request
 
 
+def test_a_caller_that_goes_away_mid_stream_is_noticed(core):
+    """A runner goes on generating for a caller that closed its page.
+
+    The caller hangs up between two tokens that are far apart.
+    """
+    core.script = lambda request, waiting: waiting.put(text(request, "one"))
+    body = json.dumps({**CHAT, "stream": True}).encode()
+    with raw(core) as sock:
+        sock.sendall(head(len(body)) + body)
+        asked = core.asked.get(timeout=WAIT)
+        assert sock.recv(100)
+    assert core.left.get(timeout=WAIT) == asked.request
+
+
+def test_a_stream_that_trickles_comes_whole_and_in_order(core):
+    """Words are missing or doubled where one thread hands over to another.
+
+    The first piece is sent by the caller's thread and the rest by the
+    writer's, while the core's thread goes on putting.
+    """
+    words = [f"w{number} " for number in range(400)]
+
+    def pour(request, waiting):
+        for word in words:
+            waiting.put(text(request, word))
+        waiting.put(end(request, len(words)))
+
+    def script(request, waiting):
+        threading.Thread(target=pour, args=(request, waiting)).start()
+
+    core.script = script
+    for _ in range(5):
+        events = events_of(core.chat(stream=True).data)
+        assert events[-1] == "[DONE]"
+        choices = [json.loads(each)["choices"][0] for each in events[:-1]]
+        pieces = [each["delta"].get("content", "") for each in choices]
+        assert "".join(pieces) == "".join(words)
+
+
 def test_a_slow_caller_holds_back_only_its_own_stream(core):
     """One caller on a bad line makes the entry's memory grow, or all wait.
 
