Talk to sixteen entries at a time rather than to all

Cause: a connection between two processes costs 29 KB resident (100 push sockets to 100 pull sockets, one process each side, measured at the pushing one). Digests and rumours to any of 350 entries would keep up to 350 open.

The change: partners are drawn from eight near and eight far entries, drawn anew every 30 to 60 s. A rejected declaration gets a log line.

Weighed: all entries as partners (10 MB of connections, a third of what a node may spend) against sixteen.

--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -322,7 +322,8 @@
         # repaired by digests at the other entries.
         if len(fresh) > MOST_TOLD or not self.configuration.is_whole():
             return []
-        todo = self.agents.told(fresh)
+        todo = [self._rejected(each) for each in fresh if self._is_bad(each)]
+        todo += self.agents.told(fresh)
         changes = messages.Changes(objects=fresh, after=after, known=known)
         chosen = self.peers.choose(now, near=NEAR, far=FAR)
         return todo + [
@@ -331,6 +332,19 @@
             if mailbox != sender
         ]
 
+    def _is_bad(self, stored: stores.Object) -> bool:
+        return stored.path in self.configuration.rejections
+
+    def _rejected(self, stored: stores.Object) -> actions.LogDecision:
+        rejection = self.configuration.rejections[stored.path]
+        fields = {
+            "path": stored.path,
+            "version": stored.version,
+            "why": rejection.error.message(),
+            "in_force": stored.path in self.configuration.paths,
+        }
+        return actions.LogDecision(kind="reject_declaration", fields=fields)
+
     def _heard(
         self,
         message: messages.Digest | messages.Summary,
--- a/pimentoledge/decisions/peers.py
+++ b/pimentoledge/decisions/peers.py
@@ -14,6 +14,11 @@
 SHORTEST_SILENCE_SECONDS = 10.0
 LONGEST_SILENCE_SECONDS = 640.0
 MOST_HEARD = 1024
+# Messages go to so many near and far entries only, chosen anew now and then:
+# a connection costs about 30 KB, so that one to each entry would take a third
+# of what a node may spend, and a few at random connect all as well.
+VIEW_SIZE = 8
+VIEW_SECONDS = 60.0
 NEVER = float("-inf")
 
 
@@ -58,6 +63,8 @@
         self.seeds = seeds
         self.table: dict[str, Peer] = {}
         self._random = random.Random(seed)
+        self._view: set[str] = set()
+        self._view_ends = NEVER
 
     def declare(self, entries: list[declarations.EntryNode]) -> None:
         """Takes the declared entries."""
@@ -118,16 +125,10 @@
             near: how many of this data centre.
             far: how many of the others, or of all where there are few.
         """
-        usable = self.usable(now)
+        usable = self._in_view(now)
         if len(usable) <= near + far:
             return [peer.mailbox for peer in usable]
-        here = [p for p in usable if p.data_centre == self.data_centre]
-        chosen = self._random.sample(here, min(near, len(here)))
-        rest = [p for p in usable if p not in chosen and p not in here]
-        if len(rest) < far:
-            rest = [p for p in usable if p not in chosen]
-        chosen += self._random.sample(rest, min(far, len(rest)))
-        return [peer.mailbox for peer in chosen]
+        return [p.mailbox for p in self._sample(usable, near=near, far=far)]
 
     def rank(self, now: float, *, everywhere: bool = False) -> int:
         """Returns this entry's rank among those of its data centre.
@@ -145,6 +146,26 @@
             if everywhere or peer.data_centre in ("", self.data_centre)
         )
 
+    def _in_view(self, now: float) -> list[Peer]:
+        usable = self.usable(now)
+        if len(usable) <= 2 * VIEW_SIZE:
+            return usable
+        kept = [peer for peer in usable if peer.mailbox in self._view]
+        if now < self._view_ends and len(kept) >= VIEW_SIZE:
+            return kept
+        self._view_ends = now + VIEW_SECONDS * self._random.uniform(0.5, 1)
+        chosen = self._sample(usable, near=VIEW_SIZE, far=VIEW_SIZE)
+        self._view = {peer.mailbox for peer in chosen}
+        return chosen
+
+    def _sample(self, usable: list[Peer], *, near: int, far: int) -> list[Peer]:
+        here = [p for p in usable if p.data_centre == self.data_centre]
+        chosen = self._random.sample(here, min(near, len(here)))
+        rest = [p for p in usable if p.data_centre != self.data_centre]
+        if len(rest) < far:
+            rest = [p for p in usable if p not in chosen]
+        return chosen + self._random.sample(rest, min(far, len(rest)))
+
     def _counts(self, peer: Peer, now: float) -> bool:
         lately = now - peer.heard < HEARD_SECONDS
         return peer.declared or lately or peer.mailbox in self.seeds
