Answer a completion that is sent again with its idempotency key

Cause: a completion with Idempotency-Key was claimed like an order. The claim was never released, since only the answers of services are kept, and each resend got 409 CLAIM_RUNNING although nothing ran: an untrue answer. Found by the OpenAI client against a running entry. Change: the callers' side drops the key of a completion, which changes nothing and may run again; calls to services keep theirs. Weighed: keeping a completion's text in the claim (a write of the object API for each question, against several hundred writes/s).

--- a/pimentoledge/callers/gateways.py
+++ b/pimentoledge/callers/gateways.py
@@ -183,6 +183,10 @@
             case result.Success(asked):
                 pass
         request = self._event(head, asked.seconds)
+        # A completion changes nothing and may run again. With a key it would
+        # be claimed as a call that may not, and the claim, which keeps whole
+        # answers of services only, would refuse each resend as running.
+        request.idempotency_key = ""
         request.completion = asked.completion
         answer = answers.Answer(request=request.request, asked=asked)
         waiting = self.owner.submit(request)
