Free a key before its refusal lets the call go elsewhere

Tests through real entries and agents, with the fake service's count as the judge, for lost answers, a store down before, during and after, killed and paused entries and agents, two at once, and two owners.

A call whose claim was durable and whose service refused the connection was reported "not run" at once. The entry then tried the next agent, which read the claim from the store and answered "outcome unknown" for a call that nobody had run. The agent now takes the claim out first and holds its word back until that is durable, at most 2 s.

A completion with a key never ended its claim: a resend heard "in progress" for ever, and the agent never became idle, so that its shutdown waited the full 600 s. Its text is now kept as a service's answer is, if it is short, and a resend gets it as a stream of one frame.

Ruled out: that the entry tells the next agent to ignore the claim (it would make the entry's word count for more than the store's), and that a repeated request takes over its earlier attempt's claim; no entry does so, and the earlier attempt would have stayed open for ever.

--- a/benches/claims.py
+++ b/benches/claims.py
@@ -255,12 +255,13 @@
         self._take(name, self.agents[name].answer(answer, self.now))
 
     def _finish(self, name: str, request: str):
-        outputs = self.agents[name].finished(
-            request,
+        answer = claim_records.Answer(
             status=201,
             headers=[("content-type", "application/json")],
             body=b"y" * _ANSWER_BYTES,
-            now=self.now,
+        )
+        outputs = self.agents[name].finished(
+            request, answer=answer, now=self.now
         )
         self._take(name, outputs)
 
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -7,11 +7,13 @@
 from pimentoledge import results
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import admission
+from pimentoledge.decisions import claim_records
 from pimentoledge.decisions import claim_verdicts
 from pimentoledge.decisions import claims
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
+from pimentoledge.decisions import kept_completions
 from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
@@ -243,15 +245,37 @@
         self, run: runs.Run, verdict: admission.Refuse, now: float
     ) -> Actions:
         """Refuses a request, and frees its key if it had claimed one."""
-        del self.runs[run.key()]
-        todo: Actions = []
+        refusal = self.refuse(run, verdict.code, verdict.retry_after)
         if run.dispatch.key:
-            outputs = self.claims.failed(
-                run.dispatch.request, results.Ran.NOT_RUN, now
-            )
-            todo += self.claimed(outputs, now)
-        todo.append(self.refuse(run, verdict.code, verdict.retry_after))
-        return todo
+            return self.release(run, refusal.message, now)
+        del self.runs[run.key()]
+        return [refusal]
+
+    def release(
+        self,
+        run: runs.Run,
+        verdict: messages.Refused | messages.Failed,
+        now: float,
+    ) -> Actions:
+        """Frees the key of a call that was not run, then tells its entry.
+
+        The entry tries the next agent at once, and that one reads the claim
+        from the store: found there, a call that nobody ran would be answered
+        with "outcome unknown".
+        """
+        run.stage = runs.Stage.RELEASING
+        run.verdict = verdict
+        outputs = self.claims.failed(
+            run.dispatch.request, results.Ran.NOT_RUN, now
+        )
+        return self.claimed(outputs, now)
+
+    def released(self, output: claim_verdicts.Released) -> Actions:
+        """Tells an entry what was held back until its key was free."""
+        run = self.runs.pop((output.request, output.attempt), None)
+        if run is None or run.verdict is None:
+            return []
+        return self.to_entry(run.sender, run.verdict)
 
     def refuse(
         self, run: runs.Run, code: results.Code, retry_after: float = 0.0
@@ -325,6 +349,8 @@
                     todo += self.replay(output)
                 case claim_verdicts.Denied():
                     todo += self.denied(output)
+                case claim_verdicts.Released():
+                    todo += self.released(output)
                 case _:
                     todo.append(output)
         return todo
@@ -334,6 +360,11 @@
         run = self.runs.pop((output.request, output.attempt), None)
         if run is None:
             return []
+        if run.dispatch.completion is not None:
+            truth = self.truth(run.sender)
+            frames, finished = kept_completions.replay(output.body, run, truth)
+            todo = self.to_entry(run.sender, frames)
+            return todo + self.to_entry(run.sender, finished)
         message = messages.ServiceAnswer(
             request=output.request,
             attempt=output.attempt,
@@ -352,7 +383,8 @@
             return []
         if output.ran == results.Ran.NOT_RUN:
             return [self.refuse(run, output.code)]
-        return self.fail(run, output.code, output.ran)
+        verdict = self.failure(run, output.code, output.ran)
+        return self.to_entry(run.sender, verdict)
 
     def started(self, event: events.EngineStarted) -> Actions:
         """Takes the engine's word of who it is, newer than its status."""
@@ -369,6 +401,8 @@
             return []
         run.tokens += event.tokens
         run.resumes = 0
+        if run.dispatch.key:
+            self.keep(run, event.text)
         frame = messages.Frame(
             request=event.request,
             attempt=event.attempt,
@@ -380,6 +414,14 @@
         self.frames.setdefault(run.sender, []).append(frame)
         return []
 
+    def keep(self, run: runs.Run, text: str) -> None:
+        """Keeps the text of a completion with a key, while it is short."""
+        if run.text is None:
+            return
+        run.text += text
+        if len(run.text) > self.claims.limits.answer_bytes:
+            run.text = None
+
     def engine_ended(self, event: events.EngineEnded, now: float) -> Actions:
         """Ends a stream, if all of it went through here."""
         run = self.runs.get((event.request, event.attempt))
@@ -410,7 +452,14 @@
             completion_tokens=event.completion_tokens,
             truth=self.truth(run.sender),
         )
-        return self.to_entry(run.sender, message) + self.advance(now)
+        todo = self.to_entry(run.sender, message)
+        if run.dispatch.key:
+            answer = kept_completions.answer(run, message)
+            outputs = self.claims.finished(
+                event.request, answer=answer, now=now
+            )
+            todo += self.claimed(outputs, now)
+        return todo + self.advance(now)
 
     def service_done(self, event: events.ServiceDone, now: float) -> Actions:
         """Passes a service's answer on, once a claim's outcome is noted."""
@@ -420,12 +469,11 @@
         self.admission.ended(event.request, event.attempt, now, finished=True)
         todo: Actions = []
         if run.dispatch.key:
+            answer = claim_records.Answer(
+                status=event.status, headers=event.headers, body=event.body
+            )
             outputs = self.claims.finished(
-                event.request,
-                status=event.status,
-                headers=event.headers,
-                body=event.body,
-                now=now,
+                event.request, answer=answer, now=now
             )
             todo += self.claimed(outputs, now)
         message = messages.ServiceAnswer(
@@ -512,25 +560,29 @@
         suspects: list[bytes] | None = None,
     ) -> Actions:
         """Ends an attempt that did not end well."""
-        del self.runs[run.key()]
         request, attempt = run.key()
         self.admission.ended(request, attempt, now)
+        verdict = self.failure(run, code, ran, suspects)
+        if run.dispatch.key and ran == results.Ran.NOT_RUN:
+            return self.release(run, verdict, now) + self.advance(now)
+        del self.runs[run.key()]
         todo: Actions = []
         if run.dispatch.key:
             outputs = self.claims.failed(request, ran, now)
             todo += self.claimed(outputs, now)
-        return todo + self.fail(run, code, ran, suspects) + self.advance(now)
+        todo += self.to_entry(run.sender, verdict)
+        return todo + self.advance(now)
 
-    def fail(
+    def failure(
         self,
         run: runs.Run,
         code: results.Code,
         ran: results.Ran,
         suspects: list[bytes] | None = None,
-    ) -> Actions:
-        """Tells the entry how an attempt failed."""
+    ) -> messages.Failed:
+        """Returns the message that says how an attempt failed."""
         request, attempt = run.key()
-        message = messages.Failed(
+        return messages.Failed(
             request=request,
             attempt=attempt,
             code=code,
@@ -538,7 +590,6 @@
             truth=self.truth(run.sender),
             suspects=suspects or [],
         )
-        return self.to_entry(run.sender, message)
 
     def to_entry(self, sender: str, message: object) -> Actions:
         """Sends a message behind the frames that wait for its receiver."""
--- a/pimentoledge/decisions/claim_shards.py
+++ b/pimentoledge/decisions/claim_shards.py
@@ -99,6 +99,7 @@
         proposed: whether a write that holds its record was ever sent.
         answer: DONE: the answer.
         due: DONE and ABANDONED: when the store should be told.
+        tell: ABANDONED: whether the agent waits to hear that the key is free.
     """
 
     key: bytes
@@ -115,6 +116,7 @@
     proposed: bool = False
     answer: claim_records.Answer | None = None
     due: float = 0.0
+    tell: bool = False
 
     def deny(
         self, code: results.Code, ran: results.Ran = results.Ran.NOT_RUN
@@ -122,6 +124,13 @@
         """Returns a refusal; by default one that says that nothing ran."""
         return claim_verdicts.deny(self.request, self.attempt, code, ran)
 
+    def released(self) -> claim_verdicts.Released:
+        """Returns word that the key is free, once."""
+        self.tell = False
+        return claim_verdicts.Released(
+            request=self.request, attempt=self.attempt
+        )
+
     def finished(
         self, answer: claim_records.Answer | None
     ) -> claim_verdicts.Verdict:
@@ -219,28 +228,32 @@
             give_up=now + min(dispatch.seconds_left, self.limits.patience),
             outcome_seconds=outcome_seconds,
         )
+        outputs: list[Output] = []
         held = self.mine.get(key)
         if held is not None and held.phase != Phase.ABANDONED:
             return self._meet(claim, held)
         if held is not None:
+            if held.tell:
+                outputs.append(held.released())
             claim.unstarted = held.unstarted | {held.token}
         elif len(self.mine) >= self.limits.claims:
             return [claim.deny(results.Code.OVERLOADED)]
         self.mine[key] = claim
-        outputs = self._settle(now)
+        outputs += self._settle(now)
         if self._hopeless(now):
             outputs += self._give_up(claim, now)
         return outputs + self.step(now)
 
     def finished(
-        self, request: str, answer: claim_records.Answer, now: float
+        self, request: str, answer: claim_records.Answer | None, now: float
     ) -> list[Output]:
-        """Takes the answer of a granted request."""
+        """Takes the answer of a granted request; None for one not to keep."""
         claim = self._claim_of(request)
         if claim is None or claim.phase != Phase.RUNNING:
             return []
         claim.phase = Phase.DONE
-        claim.answer = answer if self._keepable(answer) else None
+        if answer is not None and self._keepable(answer):
+            claim.answer = answer
         claim.due = now + self.limits.outcome_delay
         return self.step(now)
 
@@ -262,6 +275,9 @@
                 self._abandon(claim, now)
             case Phase.RUNNING if ran == results.Ran.NOT_RUN:
                 self._abandon(claim, now)
+                claim.due = now
+                claim.tell = True
+                claim.give_up = now + self.limits.patience
             case Phase.RUNNING:
                 # Its record stays as it is, claimed and without outcome:
                 # nobody will ever know more, so nobody may run it again.
@@ -290,8 +306,11 @@
         """Settles what can be settled, and makes the next store call."""
         outputs = self._settle(now)
         for claim in list(self.mine.values()):
-            if claim.phase == Phase.WANTED and now >= claim.give_up:
-                outputs += self._give_up(claim, now)
+            if now < claim.give_up:
+                continue
+            outputs += self._give_up(claim, now)
+            if claim.tell:
+                outputs.append(claim.released())
         if (
             self.call is not None
             and now >= self.sent + self.limits.call_seconds
@@ -310,7 +329,7 @@
         times = [
             each.give_up
             for each in self.mine.values()
-            if each.phase == Phase.WANTED
+            if each.phase == Phase.WANTED or each.tell
         ]
         if self.call is not None:
             times.append(self.sent + self.limits.call_seconds)
@@ -336,11 +355,6 @@
             return [claim.deny(results.Code.KEY_REUSED)]
         if held.phase == Phase.DONE:
             return [claim.finished(held.answer)]
-        if claim.request == held.request:
-            # The entry sent the same request again: the verdict to come
-            # answers its newest attempt.
-            held.attempt = max(held.attempt, claim.attempt)
-            return []
         return [claim.deny(results.Code.CLAIM_RUNNING, results.Ran.UNKNOWN)]
 
     def _abandon(self, claim: Claim, now: float) -> None:
@@ -417,7 +431,7 @@
                 case Phase.DONE:
                     self._settle_done(claim)
                 case Phase.ABANDONED:
-                    self._settle_abandoned(claim)
+                    outputs += self._settle_abandoned(claim)
         return outputs
 
     def _settle_wanted(self, claim: Claim, now: float) -> list[Output]:
@@ -461,12 +475,14 @@
         if self._foreign(claim) is not None:
             del self.mine[claim.key]
 
-    def _settle_abandoned(self, claim: Claim) -> None:
+    def _settle_abandoned(self, claim: Claim) -> list[Output]:
         certain = self.current and self.doubt is None
         if self.call is not None or not certain:
-            return
-        if not self._is_own(claim, self.base.records.get(claim.key)):
-            del self.mine[claim.key]
+            return []
+        if self._is_own(claim, self.base.records.get(claim.key)):
+            return []
+        del self.mine[claim.key]
+        return [claim.released()] if claim.tell else []
 
     def _store_failed(
         self,
@@ -486,7 +502,7 @@
         if not self._outage(now):
             return
         for claim in self.mine.values():
-            if claim.phase == Phase.WANTED:
+            if claim.phase == Phase.WANTED or claim.tell:
                 claim.give_up = now
 
     def _adopt(self, answer: stores.Answer, now: float) -> bool:
--- a/pimentoledge/decisions/claim_verdicts.py
+++ b/pimentoledge/decisions/claim_verdicts.py
@@ -38,17 +38,27 @@
         attempt: attempt number.
         code: why.
         ran: what is true of the call that the key stands for.
-        retry_after: seconds; 0 for no advice.
     """
 
     request: str
     attempt: int
     code: results.Code
     ran: results.Ran
-    retry_after: float = 0.0
 
 
-Verdict = Granted | Replay | Denied
+@attrs.frozen(kw_only=True)
+class Released:
+    """The key of a granted call that never started is free for any agent.
+
+    Or it can't be freed now, because the store fails; then others take the
+    call for one that may have run.
+    """
+
+    request: str
+    attempt: int
+
+
+Verdict = Granted | Replay | Denied | Released
 
 
 def deny(
--- a/pimentoledge/decisions/claims.py
+++ b/pimentoledge/decisions/claims.py
@@ -92,17 +92,12 @@
         self,
         request: str,
         *,
-        status: int,
-        headers: list[tuple[str, str]],
-        body: bytes,
+        answer: claim_records.Answer | None,
         now: float,
     ) -> list[Output]:
-        """Takes the whole answer of a granted call, to be kept."""
+        """Takes the whole answer of a granted call; None if it is too long."""
         for shard in self.shards.values():
             if shard.holds(request):
-                answer = claim_records.Answer(
-                    status=status, headers=headers, body=body
-                )
                 return shard.finished(request, answer, now)
         return []
 
@@ -117,7 +112,8 @@
         Args:
             request: the request.
             ran: NOT_RUN, only if it surely never reached the server, frees
-                the key for another try; anything else keeps it for good.
+                the key for another try, which Released tells; anything else
+                keeps it for good.
             now: the time, monotonic.
         """
         for shard in self.shards.values():
--- /dev/null
+++ b/pimentoledge/decisions/kept_completions.py
@@ -0,0 +1,73 @@
+"""A finished completion as it is kept for a resend with its key."""
+
+import attrs
+import msgspec
+
+from pimentoledge.decisions import claim_records
+from pimentoledge.decisions import runs
+from pimentoledge.nodes import messages
+
+_STATUS = 200
+
+
+@attrs.frozen(kw_only=True)
+class Completed:
+    """What a caller was given.
+
+    Attributes:
+        text: the whole text.
+        reason: the engine's finish reason.
+        prompt_tokens: tokens in the prompt.
+        completion_tokens: tokens generated.
+    """
+
+    text: str
+    reason: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+def answer(
+    run: runs.Run, finished: messages.Finished
+) -> claim_records.Answer | None:
+    """Returns a completion's answer to be kept; None if it is too long."""
+    if run.text is None:
+        return None
+    completed = Completed(
+        text=run.text,
+        reason=finished.reason,
+        prompt_tokens=finished.prompt_tokens,
+        completion_tokens=finished.completion_tokens,
+    )
+    body = msgspec.msgpack.encode(completed)
+    return claim_records.Answer(status=_STATUS, headers=[], body=body)
+
+
+def replay(
+    body: bytes, run: runs.Run, truth: messages.Truth
+) -> tuple[messages.Frames, messages.Finished]:
+    """Returns a kept completion as the stream of a new request.
+
+    Raises:
+        msgspec.DecodeError: the body was not made by `answer`.
+    """
+    completed = msgspec.msgpack.decode(body, type=Completed)
+    request, attempt = run.key()
+    frame = messages.Frame(
+        request=request,
+        attempt=attempt,
+        sequence=run.sequence,
+        text=completed.text,
+        tokens=completed.completion_tokens,
+    )
+    finished = messages.Finished(
+        request=request,
+        attempt=attempt,
+        sequence=run.sequence + 1,
+        reason=completed.reason,
+        prompt_tokens=completed.prompt_tokens,
+        cached_tokens=0,
+        completion_tokens=completed.completion_tokens,
+        truth=truth,
+    )
+    return messages.Frames(frames=[frame]), finished
--- a/pimentoledge/decisions/runs.py
+++ b/pimentoledge/decisions/runs.py
@@ -14,6 +14,8 @@
     CLAIMING = "claiming"
     QUEUED = "queued"
     RUNNING = "running"
+    # It was not run; its key is being freed before its entry hears of it.
+    RELEASING = "releasing"
     # Its answer broke off; the engine is asked whether it still lives.
     BROKEN = "broken"
 
@@ -32,6 +34,9 @@
         ran: what was seen when it broke: results.Ran.
         resumes: times that it was taken up again without a new token.
         wanted: whether its entry still waits for it.
+        text: what was generated, kept for a resend of a completion with a
+            key; None once it is too long.
+        verdict: RELEASING: what its entry will be told.
     """
 
     dispatch: messages.Dispatch
@@ -43,6 +48,8 @@
     ran: str = ""
     resumes: int = 0
     wanted: bool = True
+    text: str | None = ""
+    verdict: messages.Refused | messages.Failed | None = None
 
     def key(self) -> tuple[str, int]:
         """Returns request and attempt."""
--- /dev/null
+++ b/pimentoledge/tests/claims_path.py
@@ -0,0 +1,302 @@
+"""Real entries and agents, one fake store and one fake service, by hand.
+
+Messages, store calls and service calls wait in one line; a test takes them
+one by one, kills and pauses processes in between, and moves the time.
+"""
+
+import collections
+
+import attrs
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents
+from pimentoledge.decisions import claim_records
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import entries
+from pimentoledge.decisions import events
+from pimentoledge.decisions import stores
+from pimentoledge.nodes import messages
+from pimentoledge.platform import fake_objects
+from pimentoledge.services import fake_services
+
+KEY_DIGEST = "ab" * 32
+KEY = "key-1"
+
+
+@attrs.define
+class Item:
+    """What waits to be done: a message, a store call or a service call."""
+
+    sender: str
+    receiver: str
+    what: object
+
+
+class Path:
+    """Two entries and two agents.
+
+    Attributes:
+        replies: what callers were told, by request.
+        line: what waits to be done.
+        paused: nodes that take nothing now.
+    """
+
+    def __init__(self, kind=declarations.ServerKind.SERVICE):
+        self.now = 100.0
+        self.objects = fake_objects.FakeObjects(clock=lambda: self.now)
+        self.service = fake_services.FakeService()
+        self.view = configuration.Configuration()
+        self.kind = kind
+        self.line: collections.deque[Item] = collections.deque()
+        self.nodes: dict[str, entries.Entry | agents.Agent] = {}
+        self.paused: set[str] = set()
+        self.backlog: list[Item] = []
+        self.replies: dict[str, list] = {}
+        self.lives = 0
+        self.version = 0
+        self.declare(
+            declarations.Contract(
+                organisation="o",
+                key_digests=[KEY_DIGEST],
+                services=["cards"],
+                models=["cards"],
+            )
+        )
+        self.declare(declarations.Service(name="cards"))
+        self.declare(declarations.Model(name="cards", weights="w"))
+        for name in ("a", "b"):
+            self.declare_server(name)
+            self.start_agent(name)
+        for name in ("e", "f"):
+            self.start_entry(name)
+
+    def declare(self, declaration) -> None:
+        self.version += 1
+        path = declarations.path_of(declaration)
+        value = declarations.encode(declaration)
+        found = stores.Object(path=path, version=self.version, value=value)
+        assert self.view.apply([found])
+
+    def declare_server(self, name, state=declarations.ServerState.IN) -> None:
+        self.declare(
+            declarations.BackendServer(
+                name=name,
+                kind=self.kind,
+                serves="cards",
+                agent=address(name),
+                state=state,
+            )
+        )
+
+    def start_entry(self, name: str) -> None:
+        self.nodes[address(name)] = entries.Entry(
+            name=name,
+            address=address(name),
+            data_centre="d",
+            seed=1,
+            block_bytes=256,
+            view=self.view,
+            seeds=[],
+        )
+
+    def start_agent(self, name: str) -> None:
+        self.lives += 1
+        life = f"life-{self.lives}"
+        core = agents.Agent(
+            name=name,
+            kind=self.kind,
+            life=life,
+            slots=4,
+            seed=self.lives,
+            view=self.view,
+            seeds=[],
+        )
+        self.nodes[address(name)] = core
+        status = events.EngineStatus(incarnation=life, weights="w")
+        self.give(address(name), status)
+
+    def owner(self, key: str = KEY) -> str:
+        """Returns the name of the agent that owns a key's shard."""
+        shard = claim_records.shard_of("o", key)
+        servers = self.view.servers(self.kind, "cards")
+        return claim_records.owner("cards", shard, servers).name
+
+    def post(self, entry: str, request: str, body=b"card", key=KEY) -> None:
+        call = messages.ServiceCall(
+            service="cards", method="POST", path="/new", body=body
+        )
+        self.ask(entry, request, key, call=call)
+
+    def ask(self, entry: str, request: str, key=KEY, **what) -> None:
+        event = events.CallerRequest(
+            request=request,
+            key_digest=KEY_DIGEST,
+            idempotency_key=key,
+            seconds=10.0,
+            **what,
+        )
+        self.give(address(entry), event)
+
+    def give(self, receiver: str, event: object) -> None:
+        core = self.nodes[receiver]
+        todo = core.handle(event, self.now) + core.flush()
+        self.take(receiver, todo)
+
+    def take(self, sender: str, todo: list) -> None:
+        for action in todo:
+            match action:
+                case actions.Send():
+                    item = Item(sender, action.address, action.message)
+                    self.line.append(item)
+                case actions.CallStore() if "claims/" in action.call.call:
+                    self.line.append(Item(sender, sender, action.call))
+                case actions.RunCall() | actions.RunCompletion():
+                    self.line.append(Item(sender, sender, action))
+                case (
+                    actions.ReplyAnswer()
+                    | actions.ReplyError()
+                    | actions.ReplyText()
+                    | actions.ReplyEnd()
+                ):
+                    self.replies.setdefault(action.request, []).append(action)
+
+    def kill(self, name: str) -> None:
+        """Ends a process; what it had sent to others still arrives."""
+        del self.nodes[address(name)]
+
+    def step(self) -> None:
+        """Does the first thing in the line."""
+        item = self.line.popleft()
+        if item.receiver in self.paused:
+            self.backlog.append(item)
+            return
+        match item.what:
+            case stores.Read() | stores.Write():
+                self.answer(item.sender, self.objects.call(item.what))
+            case actions.RunCall():
+                self.run_call(item)
+            case actions.RunCompletion():
+                self.run_completion(item)
+            case Event():
+                self.answer(item.receiver, item.what.event)
+            case _:
+                self.deliver(item)
+
+    def answer(self, receiver: str, event: object) -> None:
+        if receiver in self.nodes:
+            self.give(receiver, event)
+
+    def deliver(self, item: Item) -> None:
+        if item.receiver in self.nodes:
+            event = events.FromNode(sender=item.sender, message=item.what)
+            self.give(item.receiver, event)
+        elif item.sender in self.nodes:
+            lost = events.Unreachable(address=item.receiver, unsent=[item.what])
+            self.give(item.sender, lost)
+
+    def run_call(self, item: Item) -> None:
+        """Calls the service; a dead agent had not called it yet."""
+        if item.receiver not in self.nodes:
+            return
+        run = item.what
+        refused = self.service.down
+        call = fake_services.Call(
+            method=run.call.method,
+            path=run.call.path,
+            headers={"idempotency-key": run.key},
+            body=run.call.body,
+        )
+        answer = self.service.call(call)
+        if answer is None:
+            event = events.EngineBroken(
+                request=run.request,
+                attempt=run.attempt,
+                ran="not_run" if refused else "outcome_unknown",
+                text="",
+            )
+        else:
+            event = events.ServiceDone(
+                request=run.request,
+                attempt=run.attempt,
+                status=answer.status,
+                headers=answer.headers,
+                body=answer.body,
+            )
+        self.line.append(Item(item.sender, item.sender, Event(event)))
+
+    def run_completion(self, item: Item) -> None:
+        self.service.runs_by_key[KEY] += 1
+        what = item.what
+        said = events.EngineText(
+            request=what.request,
+            attempt=what.attempt,
+            index=0,
+            text="It fits.",
+            tokens=2,
+        )
+        ended = events.EngineEnded(
+            request=what.request,
+            attempt=what.attempt,
+            reason="stop",
+            prompt_tokens=3,
+            cached_tokens=0,
+            completion_tokens=2,
+        )
+        for event in (said, ended):
+            self.line.append(Item(item.sender, item.sender, Event(event)))
+
+    def until(self, kind: type) -> Item:
+        """Goes on until something of a kind is next, and returns it."""
+        for _ in range(1000):
+            if not self.line:
+                self.move(1.0)
+            elif isinstance(self.line[0].what, kind):
+                return self.line[0]
+            else:
+                self.step()
+        raise AssertionError(f"no {kind}")
+
+    def settle(self, seconds: float = 5.0) -> None:
+        """Does all that waits, and what becomes due within some seconds."""
+        end = self.now + seconds
+        while True:
+            while self.line:
+                self.step()
+            if not self.move(end - self.now):
+                self.now = end
+                return
+
+    def move(self, seconds: float) -> bool:
+        """Moves the time to the next wake-up; False if none is that near."""
+        awake = [each for each in self.nodes if each not in self.paused]
+        wakes = [self.nodes[each].next_wake() for each in awake]
+        soonest = min((w for w in wakes if w is not None), default=None)
+        if soonest is None or soonest > self.now + seconds:
+            return False
+        self.now = max(self.now + 1e-6, soonest)
+        for each in awake:
+            core = self.nodes[each]
+            self.take(each, core.tick(self.now) + core.flush())
+        return True
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process take what has come meanwhile."""
+        self.paused.discard(address(name))
+        self.line.extend(self.backlog)
+        self.backlog.clear()
+
+    def runs(self) -> int:
+        return self.service.runs_by_key[KEY]
+
+
+@attrs.define
+class Event:
+    """What a service or engine said, on its way to its agent."""
+
+    event: object
+
+
+def address(name: str) -> str:
+    """Returns the mailbox of a process."""
+    return f"tcp://10.0.0.{ord(name)}:7000"
--- a/pimentoledge/tests/test_claims.py
+++ b/pimentoledge/tests/test_claims.py
@@ -87,12 +87,15 @@
         )
         self.calls: list[stores.Read | stores.Write] = []
         self.verdicts: dict[str, list[claim_verdicts.Verdict]] = {}
+        self.released: list[str] = []
 
     def take(self, outputs: list[claims.Output]) -> None:
         for output in outputs:
             match output:
                 case actions.CallStore():
                     self.calls.append(output.call)
+                case claim_verdicts.Released():
+                    self.released.append(output.request)
                 case _:
                     self.verdicts.setdefault(output.request, []).append(output)
 
@@ -128,10 +131,10 @@
             self.take(self.claims.tick(now))
 
     def finish(self, request: str, now: float, body: bytes = b"done"):
-        outputs = self.claims.finished(
-            request, status=201, headers=[("x", "y")], body=body, now=now
+        answer = claim_records.Answer(
+            status=201, headers=[("x", "y")], body=body
         )
-        self.take(outputs)
+        self.take(self.claims.finished(request, answer=answer, now=now))
 
     def verdict(self, request: str) -> claim_verdicts.Verdict:
         (only,) = self.verdicts[request]
