End a keyed call at the first word that no other agent can change

An entry took "this key was used with another request" for a refusal like any other and asked agent after agent, until the caller was told that there is no server (test red before: NO_SERVER instead of KEY_REUSED). Such words are now final, as are those of the claim store: the next agent would write to the same shard of the same store and only add to its load.

The owner of a key is now chosen among the usable servers. It was chosen among all declared ones, so that each call of a dead agent's keys was first sent to it (test red before).

Cost: an agent that alone is cut off from the store refuses its share of the keys, truthfully, until its server is taken out.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -345,27 +345,24 @@
         else:
             kind, serves = declarations.ServerKind.SERVICE, call.service
         declared = self.configuration.servers(kind, serves)
-        if ticket.event.idempotency_key:
-            declared = self.owners(ticket, serves, declared)
         usable = self.membership.usable(declared, now)
+        if ticket.event.idempotency_key:
+            # Of the usable ones: the keys of a dead agent go to the next in
+            # line at once, instead of being tried at the dead one first.
+            usable = self.owners(ticket, serves, usable)
         return self.placer.choose(self.wanted(ticket, serves, now), usable, now)
 
     def owners(
         self,
         ticket: tickets.Ticket,
         serves: str,
-        declared: list[declarations.BackendServer],
+        usable: list[declarations.BackendServer],
     ) -> list[declarations.BackendServer]:
         """Returns the server that owns a request's idempotency key."""
         shard = claim_records.shard_of(
             ticket.contract.organisation, ticket.event.idempotency_key
         )
-        left = [
-            each
-            for each in declared
-            if each.state == declarations.ServerState.IN
-            and each.name not in ticket.tries.avoid
-        ]
+        left = [each for each in usable if each.name not in ticket.tries.avoid]
         owner = claim_records.owner(serves, shard, left)
         return [owner] if owner is not None else []
 
@@ -484,6 +481,13 @@
         code = results.Code(message.code)
         if code == results.Code.SERVER_DOWN:
             self.membership.refused(ticket.server, now)
+        if code in _FINAL:
+            error = results.Error(
+                code=code,
+                ran=ticket.tries.ran,
+                retry_after=message.retry_after,
+            )
+            return self.end_error(ticket, error, now)
         failure = retries.NotRun(
             server=ticket.server, code=code, retry_after=message.retry_after
         )
@@ -694,6 +698,10 @@
         results.Code.CLAIM_RUNNING,
         results.Code.OUTCOME_UNKNOWN,
         results.Code.KEY_REUSED,
+        results.Code.ANSWER_NOT_KEPT,
+        # Other agents write to the same shard of the same store.
+        results.Code.CLAIM_STORE_DOWN,
+        results.Code.CLAIMS_FULL,
         results.Code.POISON,
     }
 )
--- a/pimentoledge/tests/test_claims_path.py
+++ b/pimentoledge/tests/test_claims_path.py
@@ -239,6 +239,39 @@
     assert bodies <= {b"run 1 of card"}
 
 
+def test_a_refused_key_is_final():
+    """A key comes again with another body: one clear error, no search.
+
+    Asking the next agent can't change it, and the last one's "no server"
+    would hide the caller's mistake.
+    """
+    path = claims_path.Path()
+    path.post("e", "r1")
+    path.settle()
+    path.post("f", "r2", body=b"other")
+    path.settle()
+    (reply,) = path.replies["r2"]
+    assert reply.error.code == results.Code.KEY_REUSED
+
+
+def test_a_dead_owner_is_passed_over():
+    """An agent's VM is gone: its keys go to the next one at once."""
+    path = claims_path.Path()
+    owner = path.owner()
+    keys = [f"key-{n}" for n in range(20) if path.owner(f"key-{n}") == owner]
+    path.kill(owner)
+    path.post("e", keys[0], key=keys[0])
+    path.settle(1.0)
+    for key in keys[1:]:
+        path.post("e", key, key=key)
+    sent = [each.receiver for each in path.line]
+    # One of them may try whether it is back.
+    assert sent.count(claims_path.address(owner)) <= 1 < len(keys) - 1
+    path.settle(1.0)
+    replies = [path.replies[key][0] for key in keys]
+    assert all(isinstance(each, actions.ReplyAnswer) for each in replies)
+
+
 def test_a_completion_with_a_key_runs_once():
     """A caller sends a completion with a key again: the same text comes.
 
