--- a/pimentoledge/tests/processes.py
+++ b/pimentoledge/tests/processes.py
@@ -5,6 +5,7 @@
 import queue
 import re
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -22,6 +23,13 @@
 PROMPT = "What the service manual says of this hub. " * 30
 
 
+def free_mailbox() -> str:
+    """Returns a mailbox address that nobody listens at now."""
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        return f"tcp://127.0.0.1:{opened.getsockname()[1]}"
+
+
 def until(condition):
     """Waits for a condition, with a bound; returns its value."""
     end = time.monotonic() + WAIT
@@ -124,7 +132,10 @@
         )
         assert answer.outcome == stores.Outcome.WRITTEN
 
-    def agent(self, name: str, kind: str, backend: str) -> Process:
+    def agent(
+        self, name: str, kind: str, backend: str, peers: str = ""
+    ) -> Process:
+        given = [f"--peers={peers}"] if peers else []
         process = self.run(
             "agent",
             f"--name={name}",
@@ -134,8 +145,10 @@
             "--mailbox=tcp://127.0.0.1:0",
             "--admin-listen=127.0.0.1:0",
             "--slots=8",
+            *given,
         )
         address = process.find(r"listens at (tcp://\S+)")
+        process.mailbox = address
         self.declare(
             declarations.BackendServer(
                 name=name,
@@ -146,25 +159,27 @@
         )
         return process
 
-    def runner(self, name: str) -> tuple[Process, Process]:
+    def runner(self, name: str, **given: str) -> tuple[Process, Process]:
         engine = self.run(
             "fake", "engine", f"--name={name}", "--step-seconds=0.01"
         )
         backend = engine.find(r"(http://\S+)")
-        return engine, self.agent(name, "runner", backend)
+        return engine, self.agent(name, "runner", backend, **given)
 
     def service(self, name: str) -> tuple[Process, Process]:
         service = self.run("fake", "service")
         backend = service.find(r"(http://\S+)")
         return service, self.agent(name, "service", backend)
 
-    def entry(self, name: str, **flags: str) -> "Entry":
+    def entry(
+        self, name: str, mailbox: str = "tcp://127.0.0.1:0", **flags: str
+    ) -> "Entry":
         given = [f"--{flag}={value}" for flag, value in flags.items()]
         process = self.run(
             "entry",
             f"--name={name}",
             f"--store={self.url}",
-            "--mailbox=tcp://127.0.0.1:0",
+            f"--mailbox={mailbox}",
             "--listen=127.0.0.1:0",
             "--admin-listen=127.0.0.1:0",
             "--drain-seconds=0.2",
--- a/pimentoledge/tests/test_processes.py
+++ b/pimentoledge/tests/test_processes.py
@@ -90,6 +90,36 @@
     assert processes.read_stream(again.ask(20)) == expected(20)
 
 
+def test_entries_restart_with_the_store_down(deployment):
+    """The platform's store is gone, and entries are replaced all the same.
+
+    First one entry is killed and started again: the other one gives it the
+    configuration. Then both are killed at once, so that no entry is left
+    that knows it: they get it from the agents, which keep a share each.
+    """
+    addresses = [processes.free_mailbox() for _ in range(2)]
+    peers = ",".join(addresses)
+    for name in ("r1", "r2"):
+        deployment.runner(name, peers=peers)
+
+    def start(number):
+        return deployment.entry(f"e{number}", addresses[number], peers=peers)
+
+    entries = [start(0), start(1)]
+    for each in entries:
+        processes.until(lambda each=each: serves(each))
+    deployment.store.end(signal.SIGKILL)
+    entries[0].process.end(signal.SIGKILL)
+    entries[0] = start(0)
+    processes.until(lambda: serves(entries[0]))
+    for each in entries:
+        each.process.end(signal.SIGKILL)
+    entries = [start(0), start(1)]
+    for each in entries:
+        processes.until(lambda each=each: serves(each))
+        assert processes.read_stream(each.ask(20)) == expected(20)
+
+
 def test_a_card_posted_before_and_after_a_kill_runs_once(deployment):
     """The entry that took a job card is killed, and the page posts again.
 
