Test each fault of the fakes and each mapping of the clients

Cause: the fakes' faults and what the clients make of them were tested by five tests end to end only.

Found and mended on the way: the thread that steps an engine could miss the end of its server and wait for ever (it looked at the flag before it took the lock); EngineServer.crash could wait for ever for an engine that was up again at once; the number in a service's answer was read outside the lock. The engine's block digests are now those of decisions.prefixes instead of a second chain of its own, so that an agent can compare them. The object API keeps its objects in order of versions, so that a watch looks only at what is new. An engine without slots only keeps KV cache.

Ruled out: raw servers that close at once after their reply; with unread bytes that resets the connection and takes the reply back at times.

--- a/pimentoledge/platform/fake_objects.py
+++ b/pimentoledge/platform/fake_objects.py
@@ -39,7 +39,8 @@
 
     Attributes:
         clock: returns the time in seconds, for the rate limits.
-        objects: all objects by path; a deleted one stays with value None.
+        objects: all objects by path, the last written last; a deleted one
+            stays with value None.
         revision: version of the last write.
         changed: condition that is notified after each write, and that guards
             everything here.
@@ -97,12 +98,7 @@
 
     def changes(self, prefix: str, after: int) -> bool:
         """Returns whether a watch has something to say; isn't counted."""
-        if self.revision <= after:
-            return False
-        return any(
-            each.version > after and path.startswith(prefix)
-            for path, each in self.objects.items()
-        )
+        return bool(self._under(prefix, after))
 
     def _count(self, call: stores.Call) -> None:
         match call:
@@ -153,6 +149,7 @@
             objects = [present] if present else []
             return self._answer(call, stores.Outcome.CONFLICT, objects)
         self.revision += 1
+        self.objects.pop(call.path, None)
         self.objects[call.path] = stores.Object(
             path=call.path,
             version=self.revision,
@@ -172,9 +169,12 @@
         return self._complete(call, found[dropped:])
 
     def _under(self, prefix: str, after: int) -> list[stores.Object]:
-        found = [
-            each
-            for path, each in self.objects.items()
-            if each.version > after and path.startswith(prefix)
-        ]
-        return sorted(found, key=lambda each: each.version)
+        """Returns objects written after a version, in order of versions."""
+        found = []
+        for each in reversed(self.objects.values()):
+            if each.version <= after:
+                break
+            if each.path.startswith(prefix):
+                found.append(each)
+        found.reverse()
+        return found
--- a/pimentoledge/runners/blocks.py
+++ b/pimentoledge/runners/blocks.py
@@ -2,7 +2,8 @@
 
 import hashlib
 
-DIGEST_BYTES = 16
+from pimentoledge.decisions import prefixes
+
 BLOCK_BYTES = 256
 TOKEN_BYTES = 4
 
@@ -12,25 +13,28 @@
 ) -> list[bytes]:
     """Returns the chained digests of the full blocks of a prompt.
 
-    Each digest covers the salt and the whole prompt up to the end of its
-    block, so that equal digests mean equal prefixes under an equal salt.
+    They are those of decisions.prefixes, so that an agent can compare what it
+    hears of an engine's cache with its own.
 
     Args:
-        salt: organisation, model, adapter and weights version in one string.
+        salt: what the blocks depend on beside the text. In hexadecimal it
+            stands for its bytes, as prefixes.salt gives them; any other
+            string stands for its digest.
         prompt: the prompt in UTF-8.
         block_bytes: bytes of a block; an incomplete last block has no digest.
     """
-    digest = hashlib.blake2b(
-        salt.encode("utf-8"), digest_size=DIGEST_BYTES
-    ).digest()
-    digests = []
-    for start in range(0, len(prompt) - block_bytes + 1, block_bytes):
-        block = prompt[start : start + block_bytes]
-        digest = hashlib.blake2b(
-            digest + block, digest_size=DIGEST_BYTES
-        ).digest()
-        digests.append(digest)
-    return digests
+    key = _key(salt)
+    return prefixes.chain(salt=key, text=prompt, block_bytes=block_bytes)
+
+
+def _key(salt: str) -> bytes:
+    try:
+        key = bytes.fromhex(salt)
+    except ValueError:
+        key = b""
+    if 0 < len(key) <= hashlib.blake2b.MAX_KEY_SIZE:
+        return key
+    return hashlib.blake2b(salt.encode("utf-8"), digest_size=32).digest()
 
 
 def tokens_in(prompt_bytes: int) -> int:
--- a/pimentoledge/runners/fake_engines.py
+++ b/pimentoledge/runners/fake_engines.py
@@ -163,7 +163,8 @@
 
     Attributes:
         name: first part of its incarnations.
-        slots: streams in the batch at most.
+        slots: streams in the batch at most; with none it only keeps KV
+            cache, for export and import.
         token_seconds: prefill time of one uncached prompt token.
         step_seconds: time between two tokens of a stream.
         checks_orders: whether it refuses an old fencing number.
@@ -483,6 +484,8 @@
     def _refusal(self, run: actions.RunCompletion) -> str:
         if not self.incarnation:
             return "down"
+        if self.slots == 0:
+            return "slots"
         if self.loading:
             return "loading"
         adapter = run.completion.adapter
--- a/pimentoledge/runners/fake_servers.py
+++ b/pimentoledge/runners/fake_servers.py
@@ -93,6 +93,7 @@
     Attributes:
         engine: the engine; touch it only while holding `lock`.
         lock: guards the engine.
+        closings: crashes after which the port was closed.
         lose_writes: number of next text writes to streams that get lost, so
             that their readers see a gap.
         latency: seconds before each answer that isn't a stream.
@@ -115,6 +116,7 @@
         self.closing = threading.Event()
         self.thread = None
         self.serving = False
+        self.closings = 0
         self.server = fake_http.Server(
             handle=self.handle,
             host=host,
@@ -157,9 +159,13 @@
     def crash(self) -> None:
         """Makes the engine die; returns when its port is closed."""
         with self.lock:
+            before = self.closings
             self.engine.crash(time.monotonic())
             self.lock.notify_all()
-            self.lock.wait_for(lambda: not self.serving)
+            # It may be up again by the time that this thread looks.
+            self.lock.wait_for(
+                lambda: self.closings > before or self.engine.incarnation
+            )
 
     def restart(self) -> None:
         """Makes the engine come back; returns when its port is open."""
@@ -312,6 +318,9 @@
     def _step(self) -> None:
         wake = self.engine.next_wake()
         now = time.monotonic()
+        if self.closing.is_set():
+            # Set before the lock was taken: nobody would end the wait.
+            return
         if wake is None:
             self.lock.wait()
         elif wake > now:
@@ -368,4 +377,5 @@
             self.server.close()
         with self.lock:
             self.serving = up
+            self.closings += not up
             self.lock.notify_all()
--- a/pimentoledge/services/fake_services.py
+++ b/pimentoledge/services/fake_services.py
@@ -57,8 +57,8 @@
         latency: seconds that a call runs.
         status: HTTP status of the answers.
         down: whether it takes no call.
-        crash_on: a body with this marker crashes it after it ran; empty for
-            none.
+        crash_on: a body with this marker crashes it after it ran, and it
+            stays down; empty for none.
         lose_answers: number of next calls that run and whose answer is lost.
         lose_requests: number of next calls that get lost before they run.
         crashes: crashes.
@@ -93,11 +93,11 @@
             if self.lose_answers > 0:
                 self.lose_answers -= 1
                 return None
-        number = f"run {len(self.calls)}".encode()
+            number = len(self.calls)
         return Answer(
             status=self.status,
-            headers=[("Content-Type", "text/plain"), ("X-Run", "1")],
-            body=number + b" of " + call.body,
+            headers=[("Content-Type", "text/plain"), ("X-Run", str(number))],
+            body=b"run %d of %s" % (number, call.body),
         )
 
     def _count(self, call: Call) -> None:
@@ -109,7 +109,10 @@
 
 
 class ServiceServer:
-    """Serves a fake plain service; while it is down its port is closed.
+    """Serves a fake plain service.
+
+    While the service is down it cuts each connection, which leaves it open
+    whether the call ran; `close` closes the port, so that it certainly didn't.
 
     Attributes:
         service: the fake.
--- /dev/null
+++ b/pimentoledge/tests/raw_servers.py
@@ -0,0 +1,64 @@
+"""A server that sends given bytes, for faults that no real server has."""
+
+import contextlib
+import socket
+import threading
+
+DRAIN_SECONDS = 2.0
+
+
+@contextlib.contextmanager
+def raw_server(reply, *, hang=False):
+    """Answers each connection's first bytes with `reply`, then closes it.
+
+    Yields the base URL; with `hang` connections stay open until the end.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    ended = threading.Event()
+
+    def serve():
+        while True:
+            connection, _ = listener.accept()
+            if ended.is_set():
+                connection.close()
+                return
+            with connection:
+                connection.recv(65536)
+                connection.sendall(reply)
+                if hang:
+                    ended.wait()
+                else:
+                    _drain(connection)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    host, port = listener.getsockname()
+    yield f"http://{host}:{port}"
+    ended.set()
+    with contextlib.suppress(OSError):
+        socket.create_connection((host, port)).close()
+    thread.join()
+    listener.close()
+
+
+def _drain(connection):
+    # Closing with unread bytes would reset the connection and take the reply
+    # back from a client that has not read it yet.
+    connection.settimeout(DRAIN_SECONDS)
+    connection.shutdown(socket.SHUT_WR)
+    with contextlib.suppress(OSError):
+        while connection.recv(65536):
+            pass
+
+
+def http_reply(body, status=200, length=None):
+    """Returns an answer; a wrong length makes it a cut one."""
+    length = len(body) if length is None else length
+    head = f"HTTP/1.1 {status} status\r\nContent-Length: {length}\r\n\r\n"
+    return head.encode() + body
+
+
+def closed_url():
+    """Returns a URL whose port nobody listens at."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return f"http://127.0.0.1:{listener.getsockname()[1]}"
--- /dev/null
+++ b/pimentoledge/tests/test_fake_services.py
@@ -0,0 +1,118 @@
+"""The plain service's fake, server and client."""
+
+import pytest
+
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import events
+from pimentoledge.nodes import messages
+from pimentoledge.services import clients
+from pimentoledge.services import fake_services
+from pimentoledge.tests import raw_servers
+
+
+def run_of(*, seconds=5.0, key="k", body=b"wheel", headers=()):
+    call = messages.ServiceCall(
+        service="s",
+        method="POST",
+        path="cards/new",
+        query="shop=1",
+        headers=list(headers),
+        body=body,
+    )
+    return actions.RunCall(
+        request="r",
+        attempt=1,
+        call=call,
+        seconds=seconds,
+        key=key,
+        trace="00-trace",
+    )
+
+
+@pytest.fixture
+def pair():
+    service = fake_services.FakeService()
+    server = fake_services.ServiceServer(service=service)
+    server.start()
+    client = clients.ServiceClient(url=server.url)
+    client.start()
+    yield service, server, client
+    client.close()
+    server.close()
+
+
+def test_call_is_passed_whole(pair):
+    service, _, client = pair
+    service.status = 503
+    headers = [
+        ("X-Shop", "1"),
+        ("Connection", "x"),
+        ("Idempotency-Key", "forged"),
+    ]
+    done = client.run(run_of(headers=headers))
+    assert isinstance(done, events.ServiceDone)
+    assert (done.status, done.body) == (503, b"run 1 of wheel")
+    assert ("X-Run", "1") in done.headers
+    (call,) = service.calls
+    assert (call.method, call.path, call.query) == (
+        "POST",
+        "/cards/new",
+        "shop=1",
+    )
+    assert call.headers["x-shop"] == "1"
+    assert call.headers["idempotency-key"] == "k"
+    assert call.headers["traceparent"] == "00-trace"
+    assert call.headers.get("connection") != "x"
+    assert service.runs_by_key == {"k": 1}
+    assert service.runs_by_body == {fake_services.digest_of(b"wheel"): 1}
+
+
+def test_lost_request_and_lost_answer_look_alike(pair):
+    """A job card is sent, and no answer comes.
+
+    Once the service ran it and once it did not; the client can't tell, so
+    both are unknown, and it sends neither again by itself.
+    """
+    service, _, client = pair
+    service.lose_answers = 1
+    assert client.run(run_of()).ran == "outcome_unknown"
+    assert service.runs_by_key["k"] == 1
+    service.lose_requests = 1
+    assert client.run(run_of()).ran == "outcome_unknown"
+    assert service.runs_by_key["k"] == 1
+
+
+def test_crash_and_outage(pair):
+    """A call crashes the service, and its port closes only later.
+
+    The crashing call ran. While the port is still open nothing is certain;
+    with the port closed the call certainly did not run.
+    """
+    service, server, client = pair
+    service.crash_on = b"bad"
+    assert client.run(run_of(body=b"bad")).ran == "outcome_unknown"
+    assert (service.crashes, service.runs_by_key["k"]) == (1, 1)
+    assert client.run(run_of()).ran == "outcome_unknown"
+    server.close()
+    assert client.run(run_of()).ran == "not_run"
+    service.down = False
+    server.start()
+    assert client.run(run_of()).status == 200
+    assert service.runs_by_key["k"] == 2
+
+
+def test_slow_service_leaves_the_outcome_open(pair):
+    service, _, client = pair
+    service.latency = 0.3
+    assert client.run(run_of(seconds=0.05)).ran == "outcome_unknown"
+
+
+@pytest.mark.parametrize(
+    "reply", [b"", raw_servers.http_reply(b"half", length=9)]
+)
+def test_cut_answer_is_no_answer(reply):
+    with raw_servers.raw_server(reply) as url:
+        client = clients.ServiceClient(url=url)
+        client.start()
+        assert client.run(run_of()).ran == "outcome_unknown"
+        client.close()
