Forget dead entries, and don't poll dead ones in a loop

Cause: an entry whose VM failed stayed declared for ever, and partners and ranks would fill with dead ones.

One that was only cut off declares itself again. An agent asks another entry at once only while one is left that was not found dead; else it waits half a second.

The test that agents find moved entries now bounds their messages; it fails without the change.

--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -373,7 +373,18 @@
         chosen = self.peers.choose(now, near=near, far=1 - near)
         if joining:
             chosen = self.peers.choose(now, near=1, far=1)
-        return [self._digest(mailbox, now) for mailbox in chosen[:2]]
+        todo = [self._digest(mailbox, now) for mailbox in chosen[:2]]
+        return todo + (self._clean(now) if self._sweeper else [])
+
+    def _clean(self, now: float) -> Actions:
+        """Tries each declared entry in turn, and forgets the dead ones."""
+        todo: Actions = []
+        mailbox = self.peers.next_declared(now)
+        if mailbox is not None:
+            todo.append(self._digest(mailbox, now))
+        for name in self.peers.dead()[:1]:
+            todo += self.registration.forget(name)
+        return todo
 
     def _digest(self, mailbox: str, now: float) -> actions.Send:
         digest = messages.Digest(**self._about_me(now))
--- a/pimentoledge/decisions/peers.py
+++ b/pimentoledge/decisions/peers.py
@@ -65,6 +65,7 @@
         self._random = random.Random(seed)
         self._view: set[str] = set()
         self._view_ends = NEVER
+        self._turn = ""
 
     def declare(self, entries: list[declarations.EntryNode]) -> None:
         """Takes the declared entries."""
@@ -130,6 +131,25 @@
             return [peer.mailbox for peer in usable]
         return [p.mailbox for p in self._sample(usable, near=near, far=far)]
 
+    def next_declared(self, now: float) -> str | None:
+        """Returns the declared entries in turn, one at each call."""
+        found = sorted(
+            mailbox
+            for mailbox, peer in self.table.items()
+            if peer.declared and peer.silent_until <= now
+        )
+        later = [mailbox for mailbox in found if mailbox > self._turn]
+        self._turn = (later or found or [""])[0]
+        return self._turn or None
+
+    def dead(self) -> list[str]:
+        """Returns names of declared entries unreachable at many tries."""
+        return [
+            peer.name
+            for peer in self.table.values()
+            if peer.declared and peer.silence >= LONGEST_SILENCE_SECONDS
+        ]
+
     def rank(self, now: float, *, everywhere: bool = False) -> int:
         """Returns this entry's rank among those of its data centre.
 
--- a/pimentoledge/decisions/registration.py
+++ b/pimentoledge/decisions/registration.py
@@ -1,4 +1,9 @@
-"""An entry's own declaration: written once, and when it differs."""
+"""The declarations of entries: each writes its own, and one cleans up.
+
+There are no heartbeats. An entry that crashed for good stays declared until
+the one that sweeps has found it unreachable at every try of about 20 minutes.
+An entry that was only cut off for so long declares itself again.
+"""
 
 import random
 
@@ -60,14 +65,21 @@
             return []
         self._retry = now + self._pause
         self._pause = min(self._pause * 2, LONGEST_PAUSE_SECONDS)
-        return self._call(declarations.encode(wanted))
+        return self._call(self.name, declarations.encode(wanted))
+
+    def forget(self, name: str) -> list[actions.Action]:
+        """Deletes the declaration of another entry, which is dead."""
+        found = self.configuration.get(declarations.EntryNode, name)
+        if self._write is not None or found is None or name == self.name:
+            return []
+        return self._call(name, None)
 
     def retire(self) -> list[actions.Action]:
         """Deletes the declaration, for the end of the process."""
         self.retired = True
         if self.configuration.get(declarations.EntryNode, self.name) is None:
             return []
-        return self._call(None)
+        return self._call(self.name, None)
 
     def handle(self, answer: stores.Answer, now: float) -> list[stores.Object]:
         """Takes an answer, and returns what the store holds now."""
@@ -89,8 +101,8 @@
                 self._retry = now + pause
         return []
 
-    def _call(self, value: bytes | None) -> list[actions.Action]:
-        path = declarations.PREFIXES[declarations.EntryNode] + self.name
+    def _call(self, name: str, value: bytes | None) -> list[actions.Action]:
+        path = declarations.PREFIXES[declarations.EntryNode] + name
         stored = self.configuration.newest(path)
         alive = stored is not None and stored.value is not None
         number = self._random.getrandbits(128)
--- a/pimentoledge/decisions/subscription.py
+++ b/pimentoledge/decisions/subscription.py
@@ -60,7 +60,10 @@
                 return self._give(fetch, event.sender)
             case events.Unreachable(address=address):
                 self._silent[address] = now + SILENT_SECONDS
-                if address in self.entries:
+                # Another one is asked at once, but only while one is left
+                # that was not found dead: to ask the dead ones in turn would
+                # be hundreds of messages a second during an outage.
+                if any(each not in self._silent for each in self.entries):
                     self._next_poll = now
         return []
 
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -278,7 +278,9 @@
     for entry in net.entries():
         del net.nodes[entry.address]
     net.seeds = []
+    before = net.sent
     net.run(20)
+    assert net.sent - before < 3 * 20 * 4
     net.entry(11)
     net.run(20)
     net.declare(declarations.Model(name="assistente", weights="v2"))
@@ -288,6 +290,26 @@
         assert agent.configuration.model("assistente").weights == "v2"
 
 
+def test_dead_entry_is_forgotten_and_a_cut_off_one_comes_back():
+    """Entries waste messages on thousands of dead ones after a year.
+
+    A VM that fails can't take its entry's declaration back.
+    """
+    net = started(3)
+    gone = net.nodes.pop(net.entries()[1].address)
+    net.watches = [w for w in net.watches if w[0] != gone.address]
+    net.run(1500)
+    assert all(len(e.configuration.entries()) == 2 for e in net.entries())
+    net.nodes[gone.address] = gone
+    gone.watching.attempted = net.now
+    net.run(30)
+    assert all(len(e.configuration.entries()) == 3 for e in net.entries())
+    leaving = net.entries()[0]
+    net.perform(leaving.address, leaving.handle(events.Drain(), net.now))
+    net.run(5)
+    assert all(len(e.configuration.entries()) == 2 for e in net.entries())
+
+
 def test_two_processes_with_one_name_do_not_write_for_ever():
     net = started(1)
     twin = net.entry(9)
