Stop a stream at its agent when its entry knows nothing of it

Cause: an entry that was killed and replaced at its address, or a dispatch that came behind its own cancel on an older connection, left an engine generating a whole answer for nobody; the entry dropped the frames silently. Change: a frame of no open request, or of another agent's, is answered with a cancel. Weighed: telling the agent the entry's incarnation in each message, which costs bytes on every message for a rare event.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -446,6 +446,7 @@
         for frame in frames:
             ticket = self.tickets.get(frame.request)
             if ticket is None or ticket.agent != sender:
+                todo.append(_stop_orphan(frame, sender))
                 continue
             delivered = ticket.stream.accept(frame)
             if isinstance(delivered, streams.Broken):
@@ -707,6 +708,17 @@
 )
 
 
+def _stop_orphan(frame: messages.Frame, sender: str) -> actions.Send:
+    """Returns the message that stops an attempt nobody here waits for.
+
+    Its entry was killed and this one has its address, or the dispatch came
+    behind its own cancel on an older connection. Without this the engine
+    would generate the whole answer for nobody.
+    """
+    cancel = messages.Cancel(request=frame.request, attempt=frame.attempt)
+    return actions.Send(address=sender, message=cancel)
+
+
 def _is_out(ticket: tickets.Ticket) -> bool:
     """Returns whether an agent may hold the request."""
     return ticket.phase in (tickets.Phase.SENT, tickets.Phase.ADMITTED)
