Let each daemon import only its own program

Cause: every command imported every other one: an entry carried the agent, the fakes and the demo. Change: the command line imports a daemon's module alone when that daemon is asked for. Ruled out as the main part: own modules. An interpreter alone has 9.8 MB, the libraries 20 MB more (cleo 13, urllib3 13, pynng 11, each alone), and the entry's 600 caller threads about 20 KB each.

--- a/pimentoledge/commands/daemons.py
+++ b/pimentoledge/commands/daemons.py
@@ -1,8 +1,9 @@
-"""The commands that run a daemon until it is told to end."""
+"""What the commands that run a daemon have in common."""
 
 import os
 import signal
 import threading
+from typing import Protocol
 
 from cleo.commands import command
 from cleo.helpers import option
@@ -10,8 +11,6 @@
 import logbook
 from returns import result
 
-from pimentoledge import agent
-from pimentoledge import entry
 from pimentoledge import logs
 from pimentoledge import settings
 
@@ -38,7 +37,20 @@
     }
 
 
-def run_until_told(daemon: entry.EntryDaemon | agent.AgentDaemon) -> None:
+class Daemon(Protocol):
+    """What a command needs of a daemon."""
+
+    def start(self) -> None:
+        """Opens every socket and starts every task."""
+
+    def drain(self) -> None:
+        """Takes no new work and finishes what runs."""
+
+    def close(self) -> None:
+        """Closes every socket and waits for every task."""
+
+
+def run_until_told(daemon: Daemon) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then drains and closes it."""
     told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -81,23 +93,3 @@
         with handler.applicationbound():
             run_until_told(self.daemon(chosen=chosen))
         return 0
-
-
-class EntryCommand(DaemonCommand):
-    """Runs an entry."""
-
-    name = "entry"
-    description = "Runs an entry: serves callers"
-    program = settings.ENTRY
-    daemon = entry.EntryDaemon
-    options = setting_options(settings.ENTRY)
-
-
-class AgentCommand(DaemonCommand):
-    """Runs an agent."""
-
-    name = "agent"
-    description = "Runs an agent beside a backend server"
-    program = settings.AGENT
-    daemon = agent.AgentDaemon
-    options = setting_options(settings.AGENT)
--- a/pimentoledge/commands/demo.py
+++ b/pimentoledge/commands/demo.py
@@ -206,3 +206,8 @@
             first=time.monotonic() - started,
             text=response.data.decode(),
         )
+
+
+def commands() -> list[command.Command]:
+    """Returns the commands of this module."""
+    return [DemoCommand()]
--- a/pimentoledge/commands/fakes.py
+++ b/pimentoledge/commands/fakes.py
@@ -75,3 +75,8 @@
                 service = fake_services.FakeService()
                 return fake_services.ServiceServer(service=service, port=port)
         return None
+
+
+def commands() -> list[command.Command]:
+    """Returns the commands of this module."""
+    return [FakeCommand()]
--- a/pimentoledge/commands/shown_settings.py
+++ b/pimentoledge/commands/shown_settings.py
@@ -47,3 +47,8 @@
         "" if default is None else default,
         setting.text,
     ]
+
+
+def commands() -> list[command.Command]:
+    """Returns the commands of this module."""
+    return [SettingsCommand()]
