Read the platform's list of VMs at each entry

Cause: membership knew what to make of the list, but nothing read it, so a VM that the platform takes away went on getting work until its agent said so. Change: a task reads the list every vm-list-seconds (10) and hands it to the state machine; a list that can't be read changes nothing. The test lists a VM as leaving whose agent knows nothing: before, work went there; after, the entry refuses truthfully and serves again when the VM is off the list.

--- a/benches/orders.py
+++ b/benches/orders.py
@@ -11,6 +11,7 @@
 
 from benches import fleets
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
 from pimentoledge.decisions import membership
 from pimentoledge.decisions import permits
 
@@ -104,7 +105,7 @@
     for server in servers[:troubled]:
         members.refused(server.name, 0.0)
     states = [
-        membership.VmState(address=membership.host_of(each.agent), leaving=True)
+        events.ListedVm(address=membership.host_of(each.agent), leaving=True)
         for each in servers[size - leaving_vms :]
     ]
     members.vms(states, 0.0)
--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -117,6 +117,8 @@
                 todo += self.caller_gone(event, now)
             case events.Unreachable():
                 todo += self.unreachable(event, now)
+            case events.VmsListed():
+                self.membership.vms(event.vms, now)
             case events.Drain():
                 self.draining = True
         return todo
--- a/pimentoledge/decisions/events.py
+++ b/pimentoledge/decisions/events.py
@@ -39,6 +39,30 @@
     unsent: list[object] = attrs.field(factory=list)
 
 
+@attrs.frozen(kw_only=True)
+class ListedVm:
+    """One VM as the platform's lagging list shows it.
+
+    Attributes:
+        address: its IP address.
+        leaving: whether the platform is about to take it away.
+    """
+
+    address: str
+    leaving: bool = False
+
+
+@attrs.define(kw_only=True)
+class VmsListed:
+    """Entry: the platform's list of VMs was read; it lags.
+
+    Attributes:
+        vms: the whole list.
+    """
+
+    vms: list[ListedVm]
+
+
 @attrs.define(kw_only=True)
 class CallerRequest:
     """Entry: a caller asks for something.
--- a/pimentoledge/decisions/membership.py
+++ b/pimentoledge/decisions/membership.py
@@ -14,6 +14,7 @@
 import attrs
 
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
 from pimentoledge.nodes import messages
 
 # Incarnations remembered for one server; a truth that names a past one is a
@@ -21,19 +22,6 @@
 PAST_INCARNATIONS = 4
 
 
-@attrs.frozen(kw_only=True)
-class VmState:
-    """One VM as the platform's lagging list shows it.
-
-    Attributes:
-        address: its IP address.
-        leaving: whether the platform is about to take it away.
-    """
-
-    address: str
-    leaving: bool = False
-
-
 @attrs.frozen(kw_only=True)
 class Timing:
     """Times and bounds of hold-back; all times in seconds.
@@ -203,7 +191,7 @@
             self._recovered(truth.server, trouble, now)
         return heard
 
-    def vms(self, states: list[VmState], now: float) -> None:
+    def vms(self, states: list[events.ListedVm], now: float) -> None:
         """Takes in the platform's list of VMs.
 
         A VM that was listed and no longer is counts as soft evidence only:
--- a/pimentoledge/emulators.py
+++ b/pimentoledge/emulators.py
@@ -12,6 +12,7 @@
 from pimentoledge.decisions import stores
 from pimentoledge.platform import fake_objects
 from pimentoledge.platform import fake_servers as object_servers
+from pimentoledge.platform import fake_vms
 from pimentoledge.runners import fake_engines
 from pimentoledge.runners import fake_servers as engine_servers
 from pimentoledge.services import fake_services
@@ -57,7 +58,8 @@
 
     Attributes:
         objects: the fake object API.
-        store: HTTP before it.
+        vm_list: the fake list of VMs.
+        store: HTTP before both.
         runners: emulated runners by name.
         services: emulated plain services by name.
         entries: entry daemons.
@@ -65,7 +67,10 @@
 
     def __init__(self):
         self.objects = fake_objects.FakeObjects()
-        self.store = object_servers.ObjectServer(objects=self.objects)
+        self.vm_list = fake_vms.FakeVmList()
+        self.store = object_servers.ObjectServer(
+            objects=self.objects, vm_list=self.vm_list
+        )
         self.runners: dict[str, Runner] = {}
         self.services: dict[str, Plain] = {}
         self.entries: list[entry.EntryDaemon] = []
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -22,6 +22,8 @@
 from pimentoledge.operators import servers as admin_servers
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
+from pimentoledge.platform import vm_tasks
+from pimentoledge.platform import vms
 
 logger = logbook.Logger("entry")
 
@@ -40,6 +42,7 @@
         core: the state machine; only the loop's thread touches it.
         loop: the thread that owns the state machine.
         store: task that calls the object API.
+        vms: task that reads the list of VMs.
         metrics: what it counts.
         admin: the HTTP server for operators.
         callers: the HTTP server for callers.
@@ -70,6 +73,13 @@
         self.store = store_tasks.StoreTask(
             client=self.object_client(), deliver=self.loop.inbox.put
         )
+        self.vms = vm_tasks.VmTask(
+            client=vms.VmListClient(
+                url=chosen.text("store"), timeout=chosen.number("store-timeout")
+            ),
+            seconds=chosen.number("vm-list-seconds"),
+            deliver=self.loop.inbox.put,
+        )
         self.metrics = metrics.EntryMetrics()
         self.admin = admin_servers.AdminServer(
             listen=chosen.text("admin-listen"),
@@ -112,6 +122,7 @@
         self.core.distributor.address = self.core.address
         self.store.start()
         self.loop.run_thread()
+        self.vms.start()
         self.admin.start()
         self.callers.start()
         logger.info("entry {} serves {}", self.core.name, self.callers.address)
@@ -135,6 +146,7 @@
         for answer in list(self.operators.values()):
             answer.put(None)
         self.admin.close()
+        self.vms.close()
         self.loop.close()
         self.store.close()
 
--- /dev/null
+++ b/pimentoledge/platform/vm_tasks.py
@@ -0,0 +1,70 @@
+"""Reads the platform's list of VMs regularly and delivers it."""
+
+from collections.abc import Callable
+import threading
+
+import logbook
+from returns import result
+
+from pimentoledge.decisions import events
+from pimentoledge.platform import vms
+
+logger = logbook.Logger("vms")
+
+
+class VmTask:
+    """A task that reads the list of VMs.
+
+    Attributes:
+        client: the list's client.
+        seconds: time between two reads.
+        deliver: called with each events.VmsListed, from the task's thread.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: vms.VmListClient,
+        seconds: float,
+        deliver: Callable[[object], None],
+    ):
+        self.client = client
+        self.seconds = seconds
+        self.deliver = deliver
+        self.closing = threading.Event()
+        self.thread = threading.Thread(target=self.run, name="vms")
+
+    def start(self) -> None:
+        """Starts to read."""
+        self.client.start()
+        self.thread.start()
+
+    def close(self) -> None:
+        """Stops; a read that waits is cut."""
+        self.closing.set()
+        self.client.close()
+        self.thread.join()
+
+    def run(self) -> None:
+        """Reads until closed."""
+        while not self.closing.is_set():
+            match self.client.read():
+                case result.Success(listed):
+                    self.deliver(_event(listed))
+                case result.Failure(error) if not self.closing.is_set():
+                    # The last list stays in use: a list that can't be read
+                    # says nothing about any VM.
+                    logger.info("{}", error.text)
+            self.closing.wait(self.seconds)
+
+
+def _event(listed: list[vms.Vm]) -> events.VmsListed:
+    return events.VmsListed(
+        vms=[
+            events.ListedVm(
+                address=each.address,
+                leaving=each.state is vms.VmState.LEAVING,
+            )
+            for each in listed
+        ]
+    )
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -157,6 +157,13 @@
         programs=DAEMONS,
         text="seconds to wait for an answer of the object API",
     ),
+    Setting(
+        name="vm-list-seconds",
+        kind=_seconds(1, 3600),
+        default="10",
+        programs=(ENTRY,),
+        text="seconds between two reads of the platform's list of VMs",
+    ),
     Setting(
         name="listen",
         kind=_HOST_KIND,
--- a/pimentoledge/tests/test_membership.py
+++ b/pimentoledge/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Which servers an entry gives new work to, and when it takes them back."""
 
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
 from pimentoledge.decisions import membership
 from pimentoledge.nodes import messages
 
@@ -34,7 +35,7 @@
 def test_only_a_declaration_admits():
     members = membership.Membership(seed=1)
     members.answered(_truth("undeclared"), 0.0)
-    members.vms([membership.VmState(address="10.0.0.9")], 0.0)
+    members.vms([events.ListedVm(address="10.0.0.9")], 0.0)
     assert members.usable([], 0.0) == []
     assert _names(members.usable(_fleet(), 0.0)) == ["a", "b"]
     assert members.usable([_server("a", state=_LEAVING)], 0.0) == []
@@ -179,8 +180,8 @@
     """
     members = membership.Membership(seed=1)
     both = [
-        membership.VmState(address="10.0.0.1", leaving=True),
-        membership.VmState(address="10.0.0.2"),
+        events.ListedVm(address="10.0.0.1", leaving=True),
+        events.ListedVm(address="10.0.0.2"),
     ]
     members.vms(both, 0.0)
     assert _names(members.usable(_fleet(), 0.0)) == ["b"]
@@ -198,7 +199,7 @@
         members.refused(name, 0.0)
         members.answered(_truth(name, str(number)), 1.0)
         address = f"10.0.1.{number}"
-        members.vms([membership.VmState(address=address)], 2.0)
+        members.vms([events.ListedVm(address=address)], 2.0)
     assert len(members.troubles) <= 10
     assert len(members.incarnations) <= 10
     assert len(members.missing_vms) <= 10
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -8,6 +8,7 @@
 
 from pimentoledge import emulators
 from pimentoledge.decisions import declarations
+from pimentoledge.platform import vms
 from pimentoledge.runners import fake_engines
 from pimentoledge.tests import processes
 
@@ -222,3 +223,28 @@
     started.close()
     left = set(threading.enumerate()) - before
     assert not [each.name for each in left]
+
+
+def test_a_vm_that_the_platform_takes_away_gets_no_new_work(emulator):
+    """The platform lists a VM as leaving; its agent knows nothing of it.
+
+    A request sent there would be cut when the VM goes. The entry reads the
+    list and places work elsewhere, though the declaration still says "in".
+    """
+    emulator.add_runner("r1", "m", step_seconds=0.002)
+    entry = start_entry(emulator, vm_list_seconds="1")
+    vm = vms.Vm(
+        name="vm-1",
+        address="127.0.0.1",
+        data_centre="local",
+        state=vms.VmState.LEAVING,
+    )
+    emulator.vm_list.put(vm)
+    processes.until(
+        lambda: entry.loop.ask(lambda core: core.membership.leaving_vms)
+    )
+    refused = ask(entry)
+    error = json.loads(refused.read())["error"]
+    assert (error["code"], error["outcome"]) == ("NO_SERVER", "not_run")
+    emulator.vm_list.remove("vm-1")
+    processes.until(lambda: ask(entry).status == 200)
