Pause and resume batch work at the agent, and report what crashed

The agent carries out what admission decides: it cancels paused work at the engine, keeps the text of work that may be paused, and hands it back as a continuation. The order to stop may overtake the completion on its way to the engine, so it is repeated when the engine says that it started. A stream that breaks while it is being paused has the engine asked who it is.

A Failed message names the life that ended: entries that had no hint of it would count one crash under several ids. A completion that the engine refused is no suspect. After a crash that points at one request the agent itself refuses it for a while, which bounds it where no news gets through.

Measured through entry and agent with the fake engine (test_pausing): with both slots held by batch answers of 300 tokens, the first token of an interactive request came within one step (32 ms), its own prefill and four messages; both batch answers were whole.

--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -94,6 +94,7 @@
         pausing: whether the engine was told to stop it, so that its slot
             is as good as free.
         proved: whether it has got past the point where suspects crash.
+        untouched: whether the engine refused it, so that it crashes none.
     """
 
     item: queues.Item
@@ -102,6 +103,7 @@
     aged: bool = False
     pausing: bool = False
     proved: bool = False
+    untouched: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -111,10 +113,13 @@
     Attributes:
         count: engines known to have crashed on it, here or elsewhere.
         until: when to forget it.
+        held: until when it is refused though it is not certain: the last
+            crash pointed at it alone.
     """
 
     count: int
     until: float
+    held: float = 0.0
 
 
 class Admission:
@@ -132,6 +137,8 @@
         queue_limit: items that may wait, of each priority.
         configuration_grace: seconds that an entry may lag behind a
             configuration version known here.
+        hold_seconds: how long content is refused after a crash that pointed
+            at it.
         suspect_seconds: how long a suspect is remembered.
         poison_seconds: how long certain poison is remembered.
         running: Running by request and attempt.
@@ -151,6 +158,7 @@
         age_seconds: float = 10.0,
         queue_limit: int = 256,
         configuration_grace: float = 5.0,
+        hold_seconds: float = 30.0,
         suspect_seconds: float = 300.0,
         poison_seconds: float = 86400.0,
     ):
@@ -163,6 +171,7 @@
         self.age_seconds = age_seconds
         self.queue_limit = queue_limit
         self.configuration_grace = configuration_grace
+        self.hold_seconds = hold_seconds
         self.suspect_seconds = suspect_seconds
         self.poison_seconds = poison_seconds
         self.running: dict[Key, Running] = {}
@@ -201,7 +210,9 @@
     def suspects(self) -> list[bytes]:
         """Returns the fingerprints of what runs in the engine."""
         prints = [
-            each.item.dispatch.fingerprint for each in self.running.values()
+            each.item.dispatch.fingerprint
+            for each in self.running.values()
+            if not each.untouched
         ]
         return list(dict.fromkeys(each for each in prints if each))
 
@@ -220,12 +231,16 @@
         self.now = now
         self.token_seconds = truth.token_seconds
         self._learn_version(truth.configuration, now)
-        crashes = max(
-            dispatch.crashes, self._remembered(dispatch.fingerprint, now)
-        )
-        code = self._untrue(dispatch, truth) or self._suspect(crashes)
+        known = self._remembered(dispatch.fingerprint, now)
+        crashes = max(dispatch.crashes, known.count)
+        code = self._untrue(dispatch, truth)
+        if code is None and known.held > now:
+            code = results.Code.POISON
+        code = code or self._suspect(crashes)
         if code is not None:
             delay = self._slot_wait(1) if code == _BUSY else 0.0
+            if code == results.Code.POISON:
+                delay = MAX_RETRY_AFTER
             return _refuse(dispatch, sender, code, delay)
         item = queues.Item(
             dispatch=dispatch,
@@ -297,6 +312,12 @@
         if proved is not None:
             proved.proved = True
 
+    def untouched(self, request: str, attempt: int) -> None:
+        """Notes that the engine refused an attempt, or was dead by then."""
+        refused = self.running.get((request, attempt))
+        if refused is not None:
+            refused.untouched = True
+
     def paused(self, request: str, attempt: int, now: float) -> None:
         """Notes that the engine stopped an attempt that is to be paused.
 
@@ -358,13 +379,16 @@
         What ran is remembered as suspect: this process outlives the engine,
         so content that crashed it is known here though no entry knows yet.
         """
-        for fingerprint in self.suspects():
-            known = [
-                each.item.crashes
-                for each in self.running.values()
-                if each.item.dispatch.fingerprint == fingerprint
-            ]
-            self._remember(fingerprint, max(known) + 1)
+        earlier = dict.fromkeys(self.suspects(), 0)
+        for each in self.running.values():
+            fingerprint = each.item.dispatch.fingerprint
+            if fingerprint in earlier:
+                known = max(earlier[fingerprint], each.item.crashes)
+                earlier[fingerprint] = known
+        pointed = [each for each, known in earlier.items() if known]
+        for fingerprint, known in earlier.items():
+            held = pointed == [fingerprint]
+            self._remember(fingerprint, known + 1, held=held)
         self.running.clear()
         waited = self.interactive.clear() + self.batch.clear() + self.dropped
         self.dropped = []
@@ -429,21 +453,23 @@
         here = [*running, *self.interactive, *self.batch]
         return _BUSY if any(each.crashes for each in here) else None
 
-    def _remembered(self, fingerprint: bytes, now: float) -> int:
+    def _remembered(self, fingerprint: bytes, now: float) -> Crashes:
         known = self.remembered.get(fingerprint)
         if known is None:
-            return 0
+            return Crashes(count=0, until=0.0)
         if known.until <= now:
             del self.remembered[fingerprint]
-            return 0
-        return known.count
+            return Crashes(count=0, until=0.0)
+        return known
 
-    def _remember(self, fingerprint: bytes, count: int) -> None:
+    def _remember(self, fingerprint: bytes, count: int, *, held: bool) -> None:
         certain = count >= POISON_CRASHES
         seconds = self.poison_seconds if certain else self.suspect_seconds
         self.remembered.pop(fingerprint, None)
         self.remembered[fingerprint] = Crashes(
-            count=count, until=self.now + seconds
+            count=count,
+            until=self.now + seconds,
+            held=self.now + self.hold_seconds if held else 0.0,
         )
         while len(self.remembered) > MAX_REMEMBERED:
             weakest = min(
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -4,6 +4,8 @@
 service beside it, and sends the answer back to the entry that asked.
 """
 
+import attrs
+
 from pimentoledge import results
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import admission
@@ -25,10 +27,26 @@
 
 # Times that a stream is taken up again without any new token.
 MAX_RESUMES = 3
+# Tokens after which a suspect no longer keeps others from being tried: the
+# prefill and the first steps, in which content crashes an engine, are over.
+PROVED_TOKENS = 16
 # Senders whose dispatches are counted.
 MAX_SENDERS = 4096
 
 
+@attrs.define(kw_only=True)
+class Crash:
+    """The end of an engine's life.
+
+    Attributes:
+        incarnation: the life that ended.
+        suspects: fingerprints of what it ran.
+    """
+
+    incarnation: str
+    suspects: list[bytes]
+
+
 class Agent:
     """Decides for one backend server.
 
@@ -219,8 +237,9 @@
         )
         todo: Actions = [_log_admission(run, verdict)]
         match verdict:
-            case admission.Admit():
+            case admission.Admit(pause=pause):
                 todo.append(self.admitted(run))
+                todo += self.pause(pause)
                 todo.append(self.begin(run))
             case admission.Queue():
                 run.stage = runs.Stage.QUEUED
@@ -229,6 +248,29 @@
                 todo += self.turn_away(run, verdict, now)
         return todo + self.advance(now)
 
+    def pause(self, keys: list[Key]) -> Actions:
+        """Stops batch work at the engine, for interactive work."""
+        todo: Actions = []
+        for key in keys:
+            self.runs[key].stage = runs.Stage.PAUSING
+            request, attempt = key
+            todo.append(actions.CancelRun(request=request, attempt=attempt))
+            todo.append(_log_pause(self.runs[key], "pause"))
+        return todo
+
+    def paused(self, run: runs.Run, now: float) -> Actions:
+        """Puts batch work that has stopped back into the queue.
+
+        The engine is asked who it is: if it died just now, the broken stream
+        was no pause, and what ran goes back to the entry.
+        """
+        run.stage = runs.Stage.PAUSED
+        run.earlier_tokens += run.tokens
+        run.tokens = 0
+        request, attempt = run.key()
+        self.admission.paused(request, attempt, now)
+        return [actions.CheckEngine(), *self.advance(now)]
+
     def admitted(self, run: runs.Run) -> actions.Send:
         """Tells the entry that its request is accepted."""
         request, attempt = run.key()
@@ -300,7 +342,7 @@
                 request=dispatch.request,
                 attempt=dispatch.attempt,
                 priority=dispatch.priority,
-                completion=dispatch.completion,
+                completion=run.completion(),
                 salt=self.salt(dispatch),
                 trace=dispatch.trace,
             )
@@ -327,13 +369,21 @@
         todo: Actions = []
         for refused in self.admission.expired(now):
             key = (refused.dispatch.request, refused.dispatch.attempt)
-            if key in self.runs:
-                todo += self.turn_away(self.runs[key], refused, now)
+            run = self.runs.get(key)
+            if run is None:
+                continue
+            if refused.started:
+                code = results.Code.STREAM_BROKEN
+                todo += self.give_up(run, code, results.Ran.RAN, now)
+            else:
+                todo += self.turn_away(run, refused, now)
         for ready in self.admission.ready(now):
             key = (ready.dispatch.request, ready.dispatch.attempt)
             run = self.runs[key]
             run.dispatch.seconds_left = run.expires - now
             todo.append(self.begin(run))
+            if ready.resumed:
+                todo.append(_log_pause(run, "resume"))
         return todo
 
     def claimed(self, outputs: list[claims.Output], now: float) -> Actions:
@@ -388,9 +438,18 @@
 
     def started(self, event: events.EngineStarted) -> Actions:
         """Takes the engine's word of who it is, newer than its status."""
+        todo: Actions = []
+        run = self.runs.get((event.request, event.attempt))
+        if run is not None and run.stage == runs.Stage.PAUSING:
+            # The first order to stop may have overtaken the completion on
+            # its way to the engine; then it found nothing to stop.
+            stop = actions.CancelRun(
+                request=event.request, attempt=event.attempt
+            )
+            todo.append(stop)
         if event.incarnation != self.status.incarnation:
-            return [actions.CheckEngine()]
-        return []
+            todo.append(actions.CheckEngine())
+        return todo
 
     def text(self, event: events.EngineText) -> Actions:
         """Makes a frame of generated text."""
@@ -399,10 +458,14 @@
         # was cut and taken up again; passing it on would garble the stream.
         if run is None or event.index != run.tokens:
             return []
+        if run.tokens < PROVED_TOKENS <= run.tokens + event.tokens:
+            self.admission.proved(event.request, event.attempt)
         run.tokens += event.tokens
         run.resumes = 0
         if run.dispatch.key:
             self.keep(run, event.text)
+        elif run.is_pausable():
+            run.pieces.append(event.text)
         frame = messages.Frame(
             request=event.request,
             attempt=event.attempt,
@@ -435,12 +498,13 @@
             )
         del self.runs[run.key()]
         uncached = event.prompt_tokens - event.cached_tokens
+        made = run.earlier_tokens + event.completion_tokens
         self.admission.ended(
             event.request,
             event.attempt,
             now,
             finished=True,
-            tokens=uncached + event.completion_tokens,
+            tokens=uncached + made,
         )
         message = messages.Finished(
             request=event.request,
@@ -449,7 +513,7 @@
             reason=event.reason,
             prompt_tokens=event.prompt_tokens,
             cached_tokens=event.cached_tokens,
-            completion_tokens=event.completion_tokens,
+            completion_tokens=made,
             truth=self.truth(run.sender),
         )
         todo = self.to_entry(run.sender, message)
@@ -494,8 +558,12 @@
         if self.kind == declarations.ServerKind.SERVICE:
             code = results.Code.SERVICE_FAILED
             return self.give_up(run, code, results.Ran(event.ran), now)
+        if run.stage == runs.Stage.PAUSING:
+            return self.paused(run, now)
         run.stage = runs.Stage.BROKEN
         run.ran = event.ran
+        if run.ran == results.Ran.NOT_RUN:
+            self.admission.untouched(event.request, event.attempt)
         return [actions.CheckEngine()]
 
     def learned(self, status: events.EngineStatus, now: float) -> Actions:
@@ -505,7 +573,7 @@
         if status.slots:
             self.admission.slots = status.slots
         if before and status.incarnation != before:
-            return self.died(now) + self.advance(now)
+            return self.died(before, now) + self.advance(now)
         todo: Actions = []
         for run in list(self.runs.values()):
             if run.stage == runs.Stage.BROKEN:
@@ -531,17 +599,23 @@
             )
         ]
 
-    def died(self, now: float) -> Actions:
+    def died(self, incarnation: str, now: float) -> Actions:
         """Ends what the engine ran when it died, and what waited for it."""
         suspects = self.admission.suspects()
         self.admission.clear()
         todo: Actions = []
         for run in list(self.runs.values()):
             match run.stage:
-                case runs.Stage.RUNNING | runs.Stage.BROKEN:
+                case (
+                    runs.Stage.RUNNING
+                    | runs.Stage.BROKEN
+                    | runs.Stage.PAUSING
+                    | runs.Stage.PAUSED
+                ):
                     ran = results.Ran(run.ran or results.Ran.RAN)
+                    crash = Crash(incarnation=incarnation, suspects=suspects)
                     code = results.Code.ENGINE_DIED
-                    todo += self.give_up(run, code, ran, now, suspects)
+                    todo += self.give_up(run, code, ran, now, crash)
                 case runs.Stage.QUEUED:
                     refused = admission.Refuse(
                         code=results.Code.SERVER_DOWN,
@@ -557,12 +631,12 @@
         code: results.Code,
         ran: results.Ran,
         now: float,
-        suspects: list[bytes] | None = None,
+        crash: Crash | None = None,
     ) -> Actions:
         """Ends an attempt that did not end well."""
         request, attempt = run.key()
         self.admission.ended(request, attempt, now)
-        verdict = self.failure(run, code, ran, suspects)
+        verdict = self.failure(run, code, ran, crash)
         if run.dispatch.key and ran == results.Ran.NOT_RUN:
             return self.release(run, verdict, now) + self.advance(now)
         del self.runs[run.key()]
@@ -578,7 +652,7 @@
         run: runs.Run,
         code: results.Code,
         ran: results.Ran,
-        suspects: list[bytes] | None = None,
+        crash: Crash | None = None,
     ) -> messages.Failed:
         """Returns the message that says how an attempt failed."""
         request, attempt = run.key()
@@ -588,7 +662,8 @@
             code=code,
             ran=ran,
             truth=self.truth(run.sender),
-            suspects=suspects or [],
+            suspects=crash.suspects if crash else [],
+            incarnation=crash.incarnation if crash else "",
         )
 
     def to_entry(self, sender: str, message: object) -> Actions:
@@ -640,6 +715,17 @@
         return self.to_entry(sender, report)
 
 
+def _log_pause(run: runs.Run, kind: str) -> actions.LogDecision:
+    fields: dict[str, object] = {
+        "request": run.dispatch.request,
+        "attempt": run.dispatch.attempt,
+        "organisation": run.dispatch.organisation,
+        "server": run.dispatch.server,
+        "tokens": run.earlier_tokens + run.tokens,
+    }
+    return actions.LogDecision(kind=kind, fields=fields)
+
+
 def _log_admission(
     run: runs.Run, verdict: admission.Admit | admission.Queue | admission.Refuse
 ) -> actions.LogDecision:
--- a/pimentoledge/decisions/runs.py
+++ b/pimentoledge/decisions/runs.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentoledge.decisions import declarations
 from pimentoledge.nodes import messages
 
 
@@ -18,6 +19,9 @@
     RELEASING = "releasing"
     # Its answer broke off; the engine is asked whether it still lives.
     BROKEN = "broken"
+    # Told to stop at the engine, to make room for interactive work.
+    PAUSING = "pausing"
+    PAUSED = "paused"
 
 
 @attrs.define(kw_only=True)
@@ -30,7 +34,9 @@
         expires: when its time is up.
         stage: where it stands.
         sequence: number of the next frame.
-        tokens: tokens that the engine has generated.
+        tokens: tokens generated since it was last handed to the engine.
+        earlier_tokens: tokens generated before it was paused.
+        pieces: what was generated, kept for work that may be paused.
         ran: what was seen when it broke: results.Ran.
         resumes: times that it was taken up again without a new token.
         wanted: whether its entry still waits for it.
@@ -45,6 +51,8 @@
     stage: Stage = Stage.QUEUED
     sequence: int = 0
     tokens: int = 0
+    earlier_tokens: int = 0
+    pieces: list[str] = attrs.field(factory=list)
     ran: str = ""
     resumes: int = 0
     wanted: bool = True
@@ -54,3 +62,22 @@
     def key(self) -> tuple[str, int]:
         """Returns request and attempt."""
         return self.dispatch.request, self.dispatch.attempt
+
+    def is_pausable(self) -> bool:
+        """Returns whether it may be stopped and go on later."""
+        return (
+            self.dispatch.priority == declarations.Priority.BATCH
+            and self.dispatch.completion is not None
+            and not self.dispatch.key
+        )
+
+    def completion(self) -> messages.Completion:
+        """Returns what the engine has to do, behind what it has done."""
+        wanted = self.dispatch.completion
+        if not self.earlier_tokens:
+            return wanted
+        return attrs.evolve(
+            wanted,
+            continued=wanted.continued + "".join(self.pieces),
+            continued_tokens=wanted.continued_tokens + self.earlier_tokens,
+        )
--- a/pimentoledge/nodes/messages.py
+++ b/pimentoledge/nodes/messages.py
@@ -256,6 +256,7 @@
         ran: results.Ran; "not_run" only when the server never got it.
         truth: what is true here.
         suspects: fingerprints that were running when the engine died.
+        incarnation: the life that ended, if the engine died.
     """
 
     request: str
@@ -264,6 +265,7 @@
     ran: str
     truth: Truth
     suspects: list[bytes] = attrs.field(factory=list)
+    incarnation: str = ""
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/pimentoledge/tests/paths.py
@@ -0,0 +1,183 @@
+"""Entries and agents before fake engines, in one thread and virtual time."""
+
+import math
+
+from pimentoledge import results
+from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import entries
+from pimentoledge.decisions import events
+from pimentoledge.decisions import quarantine
+from pimentoledge.nodes import messages
+from pimentoledge.runners import fake_engines
+from pimentoledge.tests import network
+
+STATUS_SECONDS = 0.1
+POISON = "poison"
+
+
+class Node:
+    """A core at its address, with the engine beside it if it is an agent."""
+
+    def __init__(self, core, engine=None):
+        self.core = core
+        self.engine = engine
+        self.status_at = 0.0 if engine else math.inf
+
+    @property
+    def configuration(self):
+        return self.core.configuration
+
+    def handle(self, event, now):
+        return self.core.handle(event, now) + self.core.flush()
+
+    def next_wake(self):
+        wakes = [self.core.next_wake(), self.status_at]
+        if self.engine is not None:
+            wakes.append(self.engine.next_wake())
+        return min(each for each in wakes if each is not None)
+
+    def wake(self, now):
+        todo = self.core.tick(now)
+        for event in self.engine.step(now) if self.engine else ():
+            todo += self.core.handle(event, now)
+        if now >= self.status_at:
+            self.status_at = now + STATUS_SECONDS
+            todo += self.core.handle(self.engine.status(now), now)
+        return todo + self.core.flush()
+
+
+class Path(network.Network):
+    """Entries, runners and callers.
+
+    Attributes:
+        answers: what the caller of a request got, by request id.
+        crashed: (server, time) of each engine's death.
+    """
+
+    def __init__(self, *, entry_count, runners, slots=4, **engine):
+        super().__init__()
+        self.answers = {}
+        self.texts = {}
+        self.first = {}
+        self.restart_seconds = 1.0
+        self.entry_names = [
+            f"tcp://10.0.0.{n}:7000" for n in range(entry_count)
+        ]
+        self.seeds = self.entry_names
+        self.declare(declarations.Model(name="m", weights="w1"))
+        for organisation in ("o", "p"):
+            contract = declarations.Contract(
+                organisation=organisation,
+                key_digests=[declarations.key_digest(organisation)],
+                models=["m"],
+            )
+            self.declare(contract)
+        for address in self.entry_names:
+            self.declare(
+                declarations.EntryNode(name=address[6:-5], mailbox=address)
+            )
+        self.runners = []
+        for number in range(runners):
+            self.runner(number, slots, engine)
+        for number in range(entry_count):
+            self.start_entry(number)
+        self.run(8.0)
+
+    def runner(self, number, slots, engine):
+        name = f"r{number}"
+        address = f"tcp://10.0.1.{number}:7000"
+        fake = fake_engines.FakeEngine(
+            slots=slots, cache_blocks=1000, name=name, seed=number, **engine
+        )
+        fake.restart_seconds = self.restart_seconds
+        fake.poison = POISON
+        self.declare(
+            declarations.BackendServer(
+                name=name, serves="m", agent=address, slots=slots
+            )
+        )
+        core = agents.Agent(
+            name=name,
+            kind=declarations.ServerKind.RUNNER,
+            life="life",
+            slots=slots,
+            seed=number,
+            view=configuration.Configuration(),
+            seeds=self.entry_names,
+        )
+        self.nodes[address] = Node(core, fake)
+        self.runners.append(self.nodes[address])
+
+    def start_entry(self, number):
+        """Starts an entry, or starts it anew with nothing in memory."""
+        address = self.entry_names[number]
+        core = entries.Entry(
+            name=address[6:-5],
+            address=address,
+            data_centre="",
+            seed=next(self.numbers),
+            block_bytes=256,
+            view=configuration.Configuration(),
+            seeds=self.entry_names,
+        )
+        self.nodes[address] = Node(core)
+        self.watches = [w for w in self.watches if w[0] != address]
+
+    def request(
+        self, entry, request, prompt, *, tokens=20, batch=False, seconds=60.0
+    ):
+        """Lets a caller ask an entry."""
+        event = events.CallerRequest(
+            request=request,
+            key_digest=declarations.key_digest("o"),
+            seconds=seconds,
+            batch=batch,
+            completion=messages.Completion(
+                model="m", prompt=prompt, max_tokens=tokens
+            ),
+        )
+        address = self.entry_names[entry]
+        self.perform(address, self.nodes[address].handle(event, self.now))
+
+    def perform(self, address, todo):
+        node = self.nodes.get(address)
+        for action in todo:
+            match action:
+                case actions.RunCompletion():
+                    refused = node.engine.submit(action, action.salt, self.now)
+                    if refused is not None:
+                        self.later(address, refused)
+                case actions.CancelRun(request=request, attempt=attempt):
+                    node.engine.cancel(request, attempt, self.now)
+                case actions.CheckEngine():
+                    node.status_at = min(node.status_at, self.now)
+                case actions.ReplyText(request=request, text=text):
+                    self.first.setdefault(request, self.now)
+                    self.texts[request] = self.texts.get(request, "") + text
+                case actions.ReplyEnd(request=request):
+                    self.answered(request, results.Error(code=results.Code.OK))
+                case actions.ReplyError(request=request, error=error):
+                    self.answered(request, error)
+        super().perform(address, todo)
+
+    def answered(self, request, error):
+        assert request not in self.answers
+        self.answers[request] = (error, self.now)
+
+    def code(self, request):
+        """Returns how a request ended; None while it runs."""
+        found = self.answers.get(request)
+        return found and found[0].code
+
+    def crashes(self):
+        """Returns engines that died so far."""
+        return sum(e.engine.counters.crashes for e in self.runners)
+
+    def known_against(self, entry):
+        """Returns the quarantine's records at an entry."""
+        core = self.nodes[self.entry_names[entry]].core
+        assert isinstance(core.quarantine, quarantine.Quarantine)
+        return core.quarantine.records
--- /dev/null
+++ b/pimentoledge/tests/test_pausing.py
@@ -0,0 +1,66 @@
+"""Batch work gives way to interactive work, through entry and agent."""
+
+from pimentoledge.runners import fake_engines
+from pimentoledge.tests import paths
+
+STEP = 0.032
+CHECK = "A long lot dossier. " * 20
+QUOTE = "A quote while a customer waits. " * 20
+
+
+def text(prompt, tokens):
+    return fake_engines.expected_text(prompt, 0, tokens)
+
+
+def full_runner(path):
+    for number in range(2):
+        path.request(0, f"b{number}", CHECK, tokens=300, batch=True)
+    path.run(2.0, until=lambda: len(path.first) == 2)
+    path.run(1.0)
+
+
+def test_a_quote_waits_for_one_step_and_the_check_is_whole():
+    """A customer waits at the counter while checks fill the runner.
+
+    Both slots run long batch answers. The quote must not wait for one of
+    them to be complete; the one that gives way is complete in the end, with
+    no word lost or twice.
+    """
+    path = paths.Path(entry_count=1, runners=1, slots=2, step_seconds=STEP)
+    full_runner(path)
+    asked = path.now
+    path.request(0, "i", QUOTE, tokens=5)
+    path.run(1.0, until=lambda: "i" in path.first)
+    messages = 4 * 0.002
+    prefill = 0.0001 * len(QUOTE) / 4
+    assert path.first["i"] - asked <= STEP + prefill + messages
+    path.run(60.0, until=lambda: len(path.answers) == 3)
+    assert {path.code(each) for each in ("i", "b0", "b1")} == {0}
+    for each in ("b0", "b1"):
+        assert path.texts[each] == text(CHECK, 300)
+    assert path.runners[0].engine.counters.cancelled == 1
+    assert path.runners[0].engine.counters.wrong_continuations == 0
+
+
+def test_paused_work_goes_on_elsewhere_when_its_engine_dies():
+    """An engine dies while a batch answer is paused there.
+
+    The paused one did run, so it is not refused as "not run"; another
+    runner goes on behind what the caller has.
+    """
+    path = paths.Path(entry_count=1, runners=2, slots=1, step_seconds=STEP)
+    for number in range(2):
+        path.request(0, f"b{number}", CHECK, tokens=200, batch=True)
+    path.run(2.0, until=lambda: len(path.first) == 2)
+    for number in range(2):
+        path.request(0, f"i{number}", QUOTE, tokens=100)
+    path.run(1.0)
+    engine = path.runners[0].engine
+    assert engine.counters.cancelled == 1
+    engine.crash(path.now)
+    path.run(60.0, until=lambda: len(path.answers) == 4)
+    assert set(path.answers) == {"b0", "b1", "i0", "i1"}
+    for request, (error, _) in path.answers.items():
+        assert error.code == 0
+        prompt, count = (CHECK, 200) if request[0] == "b" else (QUOTE, 100)
+        assert path.texts[request] == text(prompt, count)
