Refuse poison requests at the entry, over all entries and resends

The entry checks content before it takes it and before each attempt, sends suspects to the server that every entry chooses for them, reports crashes to its peers and to the store, and releases what an engine completed. A watch of the store brings the crashes that peers could not tell of; one that saw a crash writes it itself if the two writers seem not to.

Peers hear of a vanished VM only when the same content was on a second one: a data centre that goes takes thousands of requests along, each of which would be told to each entry.

A request that lost its server waits some four seconds for one to come back. Found by the test of innocents: in a pool of two both had died within a second, and streams half told were given up though the servers were back soon.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -20,6 +20,7 @@
 from pimentoledge.decisions import membership
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import prefixes
+from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
 from pimentoledge.decisions import streams
 from pimentoledge.decisions import tickets
@@ -60,6 +61,7 @@
         administration: answers operators.
         root: digest of the configuration when `declared` was last told.
         budget: bounds retries.
+        quarantine: content that was in engines that died.
         tickets: requests that have not ended, by id.
         timers: what is due when.
         draining: whether the process shall end.
@@ -101,6 +103,7 @@
         )
         self.root = view.root
         self.budget = retries.RetryBudget()
+        self.quarantine = quarantine.Quarantine(name=address)
         self.tickets: dict[str, tickets.Ticket] = {}
         self.timers = timers.Timers()
         self.draining = False
@@ -108,6 +111,7 @@
     def handle(self, event: object, now: float) -> Actions:
         """Takes an event and returns what to do."""
         todo = self.configure(event, now)
+        todo += self.quarantine.handle(event, now)
         match event:
             case events.FromNode():
                 todo += self.from_node(event, now)
@@ -135,12 +139,14 @@
             return []
         self.root = self.configuration.root
         peers = [each.mailbox for each in self.configuration.entries()]
+        self.quarantine.peers = [each for each in peers if each != self.address]
         return self.limited(self.limits.entries(peers, now), now)
 
     def tick(self, now: float) -> Actions:
         """Does what is due."""
         todo = self.distributor.wake(now)
         todo += self.administration.wake(now)
+        todo += self.quarantine.wake(now)
         for kind, request in self.timers.due(now):
             ticket = self.tickets.get(request)
             if ticket is None:
@@ -164,6 +170,7 @@
             self.limits.next_wake(),
             self.distributor.next_wake(),
             self.administration.next_wake(),
+            self.quarantine.next_wake(),
         )
         return min((each for each in times if each is not None), default=None)
 
@@ -236,6 +243,9 @@
                 return [_error(event.request, error)]
             case result.Success(accepted):
                 ticket = self.ticket(event, accepted, now)
+        match self.quarantine.check(ticket.fingerprint, now):
+            case quarantine.Poison(error=error):
+                return [_error(event.request, error)]
         self.budget.request(now)
         self.tickets[event.request] = ticket
         self.timers.set((_DEADLINE, event.request), ticket.deadline)
@@ -317,6 +327,15 @@
     def place(self, ticket: tickets.Ticket, now: float) -> Actions:
         """Chooses a server and sends the request to its agent."""
         ticket.phase = tickets.Phase.PLACING
+        ticket.crashes = 0
+        match self.quarantine.check(ticket.fingerprint, now):
+            case quarantine.Poison(error=error):
+                return self.end_error(ticket, error, now)
+            case quarantine.Suspect(crashes=crashes):
+                ticket.crashes = crashes
+                request = ticket.event.request
+                if not self.quarantine.begin(ticket.fingerprint, request):
+                    return self.step(ticket, _ANOTHER_COPY, now)
         choice = self.choose(ticket, now)
         ticket.choice = choice
         log = self.log_route(ticket, choice)
@@ -352,8 +371,25 @@
             # Of the usable ones: the keys of a dead agent go to the next in
             # line at once, instead of being tried at the dead one first.
             usable = self.owners(ticket, serves, usable)
+        elif ticket.crashes:
+            return self.choose_apart(ticket, usable)
         return self.placer.choose(self.wanted(ticket, serves, now), usable, now)
 
+    def choose_apart(
+        self,
+        ticket: tickets.Ticket,
+        usable: list[declarations.BackendServer],
+    ) -> placement.Choice:
+        """Returns where a suspect shall run, the same at each entry."""
+        names = [
+            each.name for each in usable if each.name not in ticket.tries.avoid
+        ]
+        order = self.quarantine.servers(ticket.fingerprint, names)
+        return placement.Choice(
+            server=order[0] if order else None,
+            reason=f"suspect of {ticket.crashes} crashes, run apart",
+        )
+
     def owners(
         self,
         ticket: tickets.Ticket,
@@ -414,6 +450,7 @@
             expected_depth=choice.expected_depth,
             prompt_tokens=_prompt_tokens(ticket),
             fingerprint=ticket.fingerprint,
+            crashes=ticket.crashes,
             key=event.idempotency_key,
             sequence=attempt.sequence,
             completion=completion,
@@ -504,10 +541,15 @@
         if code in _FINAL:
             error = results.Error(code=code, ran=results.Ran(message.ran))
             return self.end_error(ticket, error, now)
+        todo: Actions = []
+        if code == results.Code.ENGINE_DIED:
+            todo = self.quarantine.crashed(
+                message.suspects, ticket.server, message.incarnation, now
+            )
         failure = retries.Broken(
             server=ticket.server, code=code, ran=results.Ran(message.ran)
         )
-        return self.step(ticket, failure, now)
+        return todo + self.step(ticket, failure, now)
 
     def finished(
         self, ticket: tickets.Ticket, message: messages.Finished, now: float
@@ -534,7 +576,8 @@
             cached_tokens=message.cached_tokens,
             completion_tokens=tokens,
         )
-        return [reply, *self.end(ticket, now)]
+        released = self.quarantine.survived(ticket.fingerprint, now)
+        return [reply, *released, *self.end(ticket, now)]
 
     def answered(
         self,
@@ -578,6 +621,7 @@
         """Forgets a request that has ended."""
         request = ticket.event.request
         del self.tickets[request]
+        self.quarantine.end(ticket.fingerprint, request)
         for kind in (_DEADLINE, _QUIET, _RETRY):
             self.timers.cancel((kind, request))
         return self.limited(self.limits.release(request, now), now)
@@ -641,6 +685,13 @@
         self, ticket: tickets.Ticket, ran: results.Ran, now: float
     ) -> Actions:
         """Goes on with a request whose agent can't be reached."""
+        suspected = self.quarantine.crashed(
+            [ticket.fingerprint],
+            ticket.server,
+            self.membership.incarnation(ticket.server),
+            now,
+            certain=False,
+        )
         self.membership.timed_out(ticket.server, now)
         self.placer.failed(ticket.server, now)
         if ticket.stream.tokens:
@@ -650,7 +701,8 @@
             code=results.Code.AGENT_UNREACHABLE,
             ran=ran,
         )
-        return [self.cancel(ticket), *self.step(ticket, failure, now)]
+        cancel = self.cancel(ticket)
+        return [cancel, *suspected, *self.step(ticket, failure, now)]
 
     def report(
         self, message: messages.Report, sender: str, now: float
@@ -695,6 +747,7 @@
         return todo
 
 
+_ANOTHER_COPY = retries.NotRun(server="", code=results.Code.SUSPECT_BUSY)
 # An agent's word that ends the request: nothing else may be tried.
 _FINAL = frozenset(
     {
--- a/pimentoledge/decisions/quarantine.py
+++ b/pimentoledge/decisions/quarantine.py
@@ -24,9 +24,20 @@
 CRASH_BYTES = 8
 # Entries that make one crash durable: one, and one in case that it dies.
 WRITERS = 2
+# An entry that saw a crash itself writes it after so long, unless the store
+# shows it by then: the writers may be out of its reach.
+BACKUP_SECONDS = 0.2
 MAX_RECORDS = 4096
 MAX_CRASHES = 4096
-SCAN_SECONDS = 60.0
+# How long a watch of the store waits for news.
+WATCH_SECONDS = 30.0
+# The next watch starts at once after a quiet time, so that news of the next
+# crash is quick; else after a pause, so that many come with one answer.
+WATCH_PAUSE_SECONDS = 0.5
+QUIET_SECONDS = 5.0
+EXPIRE_SECONDS = 1.0
+# An answer that has not come so long after it was due is asked for again.
+ANSWER_SECONDS = 30.0
 STORE_RETRY_SECONDS = 2.0
 
 
@@ -80,12 +91,12 @@
     Attributes:
         report: what was reported.
         version: the object's version; 0 while not known to be stored.
-        wanted: whether this entry has still to write it.
+        write_at: when this entry writes it; None if it needn't.
     """
 
     report: messages.Suspects
     version: int = 0
-    wanted: bool = False
+    write_at: float | None = None
 
 
 def fingerprint_of(organisation: str, parts: list[bytes]) -> bytes:
@@ -110,16 +121,6 @@
     return digest.digest()
 
 
-def server_order(fingerprint: bytes, servers: list[str]) -> list[str]:
-    """Orders servers for a suspect, alike at each entry.
-
-    Entries that have not yet heard of each other's crashes send copies of
-    the same content to the same server, whose agent runs one at a time and
-    remembers what it did; so they crash one engine and not one each.
-    """
-    return sorted(servers, key=lambda each: _rank(fingerprint, each))
-
-
 class Quarantine:
     """One entry's knowledge of suspects and poison.
 
@@ -129,6 +130,7 @@
         records: Record by fingerprint.
         crashes: Crash by id.
         running: request that runs now, by suspect fingerprint.
+        unwritten: ids of the crashes that this entry has still to write.
     """
 
     def __init__(
@@ -154,13 +156,14 @@
         self.writing: bytes | None = None
         self.write_call = ""
         self.write_after = 0.0
-        self.scan_call = ""
-        self.scan_at: float | None = None
-
-    def start(self, now: float) -> list[actions.Action]:
-        """Reads what earlier entries stored; serving need not wait for it."""
-        self.scan_at = now
-        return self.wake(now)
+        self.unwritten: dict[bytes, None] = {}
+        self.watch_call = ""
+        self.watched_at = 0.0
+        self.expire_at = 0.0
+        self.revision = 0
+        # Due at once, to read what earlier entries stored; serving need not
+        # wait for it.
+        self.watch_at = 0.0
 
     def check(self, fingerprint: bytes, now: float) -> Clear | Suspect | Poison:
         """Says whether content may run."""
@@ -180,6 +183,25 @@
             return Clear()
         return Suspect(crashes=count)
 
+    def servers(self, fingerprint: bytes, names: list[str]) -> list[str]:
+        """Orders servers for a suspect, alike at each entry.
+
+        Entries that have not yet heard of each other's crashes send copies
+        of the same content to the same server, whose agent runs one at a
+        time and remembers what it did; so they crash one engine and not one
+        each. Those that it crashed come last, which leaves others whole.
+        """
+        record = self.records.get(fingerprint)
+        crashed = {
+            self.crashes[each].report.server
+            for each in (record.crashes if record else ())
+            if each in self.crashes
+        }
+        return sorted(
+            names,
+            key=lambda each: (each in crashed, _rank(fingerprint, each)),
+        )
+
     def begin(self, fingerprint: bytes, request: str) -> bool:
         """Claims a suspect for one request; false while another runs."""
         return self.running.setdefault(fingerprint, request) == request
@@ -216,8 +238,14 @@
         )
         if not self._merge(report, now):
             return []
+        crash = self.crashes[crash_id(server, incarnation)]
+        if certain and crash.write_at is None and not crash.version:
+            self._want(crash, now + BACKUP_SECONDS)
+        news = [report] if certain else self._vanished_again(report)
         sends: list[actions.Action] = [
-            actions.Send(address=each, message=report) for each in self.peers
+            actions.Send(address=address, message=message)
+            for address in self.peers
+            for message in news
         ]
         return sends + self._write(now)
 
@@ -242,29 +270,70 @@
             case events.FromNode(message=messages.Released() as released):
                 self._release(released)
                 return []
-            case stores.Answer(call=call) if call and call == self.scan_call:
-                return self._scanned(event, now)
+            case stores.Answer(call=call) if call and call == self.watch_call:
+                return self._watched(event, now)
             case stores.Answer(call=call) if call and call == self.write_call:
                 return self._written(event, now)
         return []
 
     def wake(self, now: float) -> list[actions.Action]:
-        """Does what is due: the next scan, writes put off, deletions."""
+        """Does what is due: the next watch, writes put off, deletions."""
         self._expire(now)
         asked = self._write(now)
-        if self.scan_at is not None and now >= self.scan_at:
-            self.scan_at = now + SCAN_SECONDS
-            self.scan_call = self._new_call()
-            call = stores.Scan(call=self.scan_call, prefix=PREFIX)
-            asked.append(actions.CallStore(call=call))
+        if now >= self.watch_at:
+            asked.append(actions.CallStore(call=self._watch(now)))
         return asked
 
-    def next_wake(self) -> float | None:
+    def next_wake(self) -> float:
         """Returns when wake() is due."""
-        times = [] if self.scan_at is None else [self.scan_at]
-        if self.writing is None and self._next_write() is not None:
-            times.append(self.write_after)
-        return min(times, default=None)
+        if self.writing is not None:
+            return self.watch_at
+        times = [
+            max(self.write_after, self.crashes[each].write_at)
+            for each in self.unwritten
+        ]
+        return min([*times, self.watch_at])
+
+    def _watch(self, now: float) -> stores.Call:
+        """Returns the next read: all at first, then what has changed.
+
+        The store is the second way for news, beside messages: entries that
+        can't reach each other would each let a poison request crash an
+        engine of its own.
+        """
+        self.watched_at = now
+        self.watch_at = now + WATCH_SECONDS + ANSWER_SECONDS
+        self.watch_call = self._new_call()
+        if not self.revision:
+            return stores.Scan(call=self.watch_call, prefix=PREFIX)
+        return stores.Watch(
+            call=self.watch_call,
+            prefix=PREFIX,
+            after=self.revision,
+            seconds=WATCH_SECONDS,
+        )
+
+    def _vanished_again(
+        self, report: messages.Suspects
+    ) -> list[messages.Suspects]:
+        """Returns what peers need to know after a VM vanished.
+
+        A data centre that goes takes thousands of requests along, and each
+        would be told to each entry. So peers hear of content only when it
+        was on a second VM that vanished, and then of all its crashes.
+        """
+        news = []
+        for fingerprint in report.fingerprints:
+            crashes = self.records[fingerprint].crashes
+            if len(crashes) > 1:
+                news += [
+                    attrs.evolve(
+                        self.crashes[crash].report, fingerprints=[fingerprint]
+                    )
+                    for crash in crashes
+                    if crash in self.crashes
+                ]
+        return news
 
     def _merge(self, report: messages.Suspects, now: float) -> bool:
         """Adds a crash; returns whether anything was new."""
@@ -287,14 +356,12 @@
             self._add(fingerprint, crash, report.certain, now)
         if len(earlier) == 1 and report.certain:
             self.records[earlier[0]].held = now + self.hold_seconds
-        owner = self.name in self._writers(crash)
-        self.crashes[crash] = Crash(
-            report=report,
-            version=known.version if known else 0,
-            # A vanished VM isn't made durable: a data centre that goes takes
-            # hundreds at once, and the store has few writes to spare.
-            wanted=owner and report.certain,
-        )
+        merged = Crash(report=report, version=known.version if known else 0)
+        self.crashes[crash] = merged
+        # A vanished VM isn't made durable: a data centre that goes takes
+        # hundreds at once, and the store has few writes to spare.
+        if report.certain and self.name in self._writers(crash):
+            self._want(merged, now)
         self._bound()
         return True
 
@@ -334,13 +401,18 @@
             weakest = min(self.records, key=self._weight)
             del self.records[weakest]
         while len(self.crashes) > MAX_CRASHES:
-            del self.crashes[next(iter(self.crashes))]
+            oldest = next(iter(self.crashes))
+            self.unwritten.pop(oldest, None)
+            del self.crashes[oldest]
 
     def _weight(self, fingerprint: bytes) -> tuple[int, float]:
         record = self.records[fingerprint]
         return (len(record.crashes), record.until)
 
     def _expire(self, now: float) -> None:
+        if now < self.expire_at:
+            return
+        self.expire_at = now + EXPIRE_SECONDS
         late = [
             each for each, record in self.records.items() if record.until <= now
         ]
@@ -352,12 +424,23 @@
         ranked = sorted(everyone, key=lambda each: _rank(crash, each))
         return ranked[:WRITERS]
 
-    def _next_write(self) -> bytes | None:
-        for crash, each in self.crashes.items():
-            # What was released before it was ever stored has nothing to
-            # delete either.
-            if each.wanted and (each.version or self._live(crash)):
-                return crash
+    def _want(self, crash: Crash, at: float | None) -> None:
+        """Sets when this entry writes a crash."""
+        crash.write_at = at
+        key = crash_id(crash.report.server, crash.report.incarnation)
+        if at is None:
+            self.unwritten.pop(key, None)
+        else:
+            self.unwritten[key] = None
+
+    def _next_write(self, now: float) -> bytes | None:
+        for key in list(self.unwritten):
+            crash = self.crashes[key]
+            if not crash.version and not self._live(key):
+                # Released before it was ever stored: nothing to delete.
+                self._want(crash, None)
+            elif crash.write_at <= now:
+                return key
         return None
 
     def _live(self, crash: bytes) -> bool:
@@ -367,7 +450,7 @@
 
     def _write(self, now: float) -> list[actions.Action]:
         """Sends the next write; one at a time, to spare the store."""
-        crash = self._next_write()
+        crash = self._next_write(now)
         if self.writing is not None or crash is None:
             return []
         if now < self.write_after:
@@ -396,38 +479,48 @@
             return self._write(now)
         match answer.outcome:
             case stores.Outcome.WRITTEN:
-                crash.wanted = False
+                self._want(crash, None)
                 crash.version = answer.version
             case stores.Outcome.CONFLICT:
-                # Another entry stored the same crash; the next scan brings
-                # its version and whatever it names beyond ours.
-                crash.wanted = False
+                # Another entry stored the same crash; the watch brings its
+                # version and whatever it names beyond ours.
+                self._want(crash, None)
             case _:
                 # Down or lost. Writing again is safe: the path names the
                 # crash, so a write that did take effect gives a conflict.
                 self.write_after = now + STORE_RETRY_SECONDS
         return self._write(now)
 
-    def _scanned(
+    def _watched(
         self, answer: stores.Answer, now: float
     ) -> list[actions.Action]:
-        self.scan_call = ""
+        self.watch_call = ""
         if answer.outcome != stores.Outcome.FOUND:
-            self.scan_at = now + STORE_RETRY_SECONDS
+            # Read all again: a store that was down may have forgotten what
+            # changed in between.
+            self.revision = 0
+            self.watch_at = now + STORE_RETRY_SECONDS
             return []
         for each in answer.objects:
-            if each.value is not None:
+            if each.value is None:
+                gone = _crash_at(each.path)
+                self.crashes.pop(gone, None)
+                self.unwritten.pop(gone, None)
+            else:
                 self._stored(each, now)
-        found = {each.path for each in answer.objects if each.value is not None}
-        gone = [
-            crash
-            for crash, each in self.crashes.items()
-            if each.version and PREFIX + crash.hex() not in found
-        ]
-        for crash in gone:
-            del self.crashes[crash]
+        self.revision = answer.version
+        quiet = now - self.watched_at > QUIET_SECONDS
+        self.watch_at = now if quiet else now + WATCH_PAUSE_SECONDS
+        self._clean_up(now)
         return self._write(now)
 
+    def _clean_up(self, now: float) -> None:
+        """Deletes stored crashes that nothing is held against any more."""
+        for key, crash in self.crashes.items():
+            dead = crash.version and not self._live(key)
+            if dead and self.name in self._writers(key):
+                self._want(crash, now)
+
     def _stored(self, stored: stores.Object, now: float) -> None:
         try:
             report = msgspec.json.decode(stored.value, type=messages.Suspects)
@@ -441,8 +534,8 @@
         known = self.crashes[crash]
         known.version = stored.version
         missing = set(known.report.fingerprints) - set(report.fingerprints)
-        outdated = bool(missing) or not self._live(crash)
-        known.wanted = outdated and self.name in self._writers(crash)
+        owner = bool(missing) and self.name in self._writers(crash)
+        self._want(known, now if owner else None)
 
     def _new_call(self) -> str:
         self.calls += 1
@@ -464,3 +557,10 @@
     digest.update(fingerprint)
     digest.update(name.encode())
     return digest.digest()
+
+
+def _crash_at(path: str) -> bytes:
+    try:
+        return bytes.fromhex(path.removeprefix(PREFIX))
+    except ValueError:
+        return b""
--- a/pimentoledge/decisions/retries.py
+++ b/pimentoledge/decisions/retries.py
@@ -16,6 +16,9 @@
 MAX_LOAD_REDIRECTS = 2
 # Times that one request waits for another suspect to be done.
 MAX_WAITS = 64
+# Times that a request which lost its server waits for any to come back: some
+# four seconds in all.
+MAX_EMPTY = 10
 FIRST_DELAY = 0.02
 MAX_DELAY = 0.5
 # Least time before the deadline in which an attempt makes sense.
@@ -92,6 +95,7 @@
         redirects: refusals followed for nothing.
         load_redirects: those of them for load.
         waits: times it was sent away because another suspect was tried.
+        empty: times that it found no server after it had lost its own.
         avoid: servers not to be tried again.
         ran: worst of what the attempts so far say about having run.
     """
@@ -104,6 +108,7 @@
     redirects: int = 0
     load_redirects: int = 0
     waits: int = 0
+    empty: int = 0
     avoid: set[str] = attrs.field(factory=set)
     ran: results.Ran = results.Ran.NOT_RUN
 
@@ -201,7 +206,21 @@
         case Broken():
             return _after_break(attempt, failure, budget, now)
         case NoCandidate():
-            return _give_up(attempt, failure.code, failure.retry_after)
+            return _after_none(attempt, failure, now)
+
+
+def _after_none(
+    attempt: AttemptState, failure: NoCandidate, now: float
+) -> Retry | GiveUp:
+    # In a small pool a request can have been on each server that died in
+    # the last second. They come back soon; giving up would break streams
+    # that were half told. One that has not run is better sent again.
+    lost = attempt.repeatable and attempt.ran != results.Ran.NOT_RUN
+    if not lost or attempt.empty >= MAX_EMPTY:
+        return _give_up(attempt, failure.code, failure.retry_after)
+    attempt.empty += 1
+    attempt.avoid.clear()
+    return _again(attempt, failure.code, _delay(attempt.empty), now)
 
 
 def _after_refusal(
--- a/pimentoledge/decisions/tickets.py
+++ b/pimentoledge/decisions/tickets.py
@@ -36,6 +36,8 @@
         blocks: chained digests of its prompt.
         fingerprint: digest of organisation and content.
         stream: orders the frames of its attempts.
+        crashes: engines that its content is known to have crashed, as of the
+            current attempt.
         tries: what the retry policy knows of it.
         phase: where it stands.
         server: backend server of the current attempt.
@@ -55,6 +57,7 @@
     stream: streams.Stream
     tries: retries.AttemptState
     phase: Phase = Phase.LIMITED
+    crashes: int = 0
     server: str = ""
     agent: str = ""
     choice: placement.Choice | None = None
--- /dev/null
+++ b/pimentoledge/tests/test_poison.py
@@ -0,0 +1,134 @@
+"""Poison requests through entries and agents, with resends under new ids."""
+
+import pytest
+
+from pimentoledge import results
+from pimentoledge.runners import fake_engines
+from pimentoledge.tests import paths
+
+ENTRIES = 10
+RESENDS = 8
+WAIT = 40.0
+POISON = "poison " * 300
+MANUALS = [f"manual {number} " * 300 for number in range(5)]
+
+
+def path_of(**changes):
+    fields = {"entry_count": ENTRIES, "runners": 9, "slots": 4}
+    return paths.Path(**{**fields, **changes})
+
+
+def send_poison(path, number, copies=1):
+    """Sends it through the next entries and waits for the answers."""
+    names = [f"x{number}.{copy}" for copy in range(copies)]
+    for copy, name in enumerate(names):
+        path.request((number + copy) % ENTRIES, name, POISON)
+    path.run(WAIT, until=lambda: all(each in path.answers for each in names))
+    return [path.answers[each][0] for each in names]
+
+
+def send_innocents(path, number):
+    for each, manual in enumerate(MANUALS):
+        entry = (number + each) % ENTRIES
+        path.request(entry, f"i{number}.{each}", manual, tokens=60)
+
+
+def check_innocents(path, sent):
+    path.run(WAIT, until=lambda: sum("i" in e for e in path.answers) == sent)
+    wrong = {
+        each: path.code(each)
+        for each in path.answers
+        if each[0] == "i" and path.code(each) != results.Code.OK
+    }
+    assert not wrong
+    for each, text in path.texts.items():
+        if each[0] == "i":
+            manual = MANUALS[int(each[-1])]
+            assert text == fake_engines.expected_text(manual, 0, 60)
+
+
+@pytest.mark.parametrize("copies", [1, 10])
+def test_a_poison_request_crashes_three_engines_at_most(copies):
+    """One request crashes each engine that runs it, and comes again.
+
+    Its caller sends it eight times with new ids through ten entries, one
+    by one or ten copies at once, while mechanics ask for manuals on the
+    same engines. Their answers are whole in the end; the poison's answer
+    says that it ran and crashed.
+    """
+    path = path_of()
+    for number in range(RESENDS):
+        send_innocents(path, number)
+        for error in send_poison(path, number, copies):
+            assert error.code == results.Code.POISON
+            assert error.outcome() == results.Ran.RAN
+            assert error.retry_after > 0
+    check_innocents(path, RESENDS * len(MANUALS))
+    # After the hold it may try once more: the third engine, and the last.
+    path.run(31.0)
+    for number in range(RESENDS):
+        send_poison(path, number + RESENDS)
+    assert 2 <= path.crashes() <= 3
+
+
+def test_two_poison_requests_in_one_batch():
+    """Two different ones share engines, so that no crash points at one."""
+    path = path_of()
+    for number in range(RESENDS):
+        send_innocents(path, number)
+        other = f"y{number}"
+        path.request(number % ENTRIES, other, "other " + POISON)
+        send_poison(path, number)
+        path.run(WAIT, until=lambda name=other: name in path.answers)
+        assert path.code(other) == results.Code.POISON
+    check_innocents(path, RESENDS * len(MANUALS))
+    assert path.crashes() <= 6
+
+
+def test_all_entries_restart_between_two_resends():
+    """Every entry is replaced at once, with nothing in memory."""
+    path = path_of()
+    send_poison(path, 0)
+    path.run(31.0)
+    send_poison(path, 1)
+    before = path.crashes()
+    for number in range(ENTRIES):
+        path.start_entry(number)
+    path.run(8.0)
+    for number in range(RESENDS):
+        (error,) = send_poison(path, number + 2)
+        assert error.code == results.Code.POISON
+    assert before == path.crashes() <= 3
+
+
+def test_entries_that_cannot_reach_each_other_hear_through_the_store():
+    """The entries are cut off from one another; the store is there.
+
+    The caller waits two seconds between its resends, by when each entry has
+    the crashes from the store.
+    """
+    path = path_of()
+    entries = set(path.entry_names)
+    path.cut = lambda sender, receiver: entries >= {sender, receiver}
+    for number in range(RESENDS):
+        send_poison(path, number)
+        path.run(2.0)
+    assert path.crashes() <= 3
+
+
+def test_innocents_of_a_crash_are_released_soon():
+    """Four requests share the batch of an engine that a poison crashed.
+
+    All are suspects for a moment; tried one by one, all are served within
+    seconds, and nothing is held against them afterwards.
+    """
+    path = path_of(entry_count=2, runners=2)
+    for number, manual in enumerate(MANUALS[:3]):
+        path.request(0, f"i0.{number}", manual, tokens=60)
+    path.run(0.3)
+    path.request(1, "x", POISON)
+    path.run(WAIT, until=lambda: "x" in path.answers)
+    check_innocents(path, 3)
+    path.run(1.0)
+    for entry in range(2):
+        assert len(path.known_against(entry)) == 1
--- a/pimentoledge/tests/test_quarantine.py
+++ b/pimentoledge/tests/test_quarantine.py
@@ -37,12 +37,13 @@
         if self.down:
             return stores.Answer(call=call.call, outcome=stores.Outcome.DOWN)
         match call:
-            case stores.Scan():
+            case stores.Scan() | stores.Watch():
                 found = list(self.objects.values())
                 return stores.Answer(
                     call=call.call,
                     outcome=stores.Outcome.FOUND,
                     objects=found,
+                    version=self.writes + 1,
                 )
             case stores.Write():
                 self.writes += 1
@@ -123,7 +124,7 @@
     assert seen == [quarantine.Clear, quarantine.Clear, quarantine.Suspect]
     assert isinstance(one.check(b"i", 1.0), quarantine.Poison)
     assert one.check(b"i", 301.0) == quarantine.Clear()
-    assert one.next_wake() is None
+    assert not one.unwritten
 
 
 def test_knowledge_outlives_a_herd_restart_of_entries():
@@ -141,9 +142,9 @@
     assert store.writes == 3
     fresh = quarantine.Quarantine(name=B)
     assert fresh.check(b"p", 0.0) == quarantine.Clear()
-    store.serve(fresh, fresh.start(0.0), 0.0)
+    store.serve(fresh, fresh.wake(fresh.next_wake()), 0.0)
     store.down = True
-    store.serve(fresh, fresh.wake(60.0), 60.0)
+    store.serve(fresh, fresh.wake(fresh.next_wake()), 60.0)
     assert isinstance(fresh.check(b"p", 60.0), quarantine.Poison)
 
 
@@ -154,21 +155,29 @@
     store.serve(one, one.crashed([b"p"], "r1", "x", 0.0), 0.0)
     assert not store.objects
     store.down = False
-    store.serve(one, one.wake(one.next_wake()), 2.0)
+    store.serve(one, one.wake(2.0), 2.0)
     assert len(store.objects) == 1
-    one.scan_at = 400.0
     store.serve(one, one.wake(400.0), 400.0)
     assert not store.objects
     assert one.check(b"p", 400.0) == quarantine.Clear()
 
 
 def test_suspects_go_to_one_server_from_each_entry():
-    servers = [f"r{number}" for number in range(9)]
-    order = quarantine.server_order(b"p", servers)
-    assert order == quarantine.server_order(b"p", servers[::-1])
-    assert sorted(order) == servers
-    without = [each for each in servers if each != order[3]]
-    assert quarantine.server_order(b"p", without)[:3] == order[:3]
+    one, other = pair()
+    names = [f"r{number}" for number in range(9)]
+    order = one.servers(b"p", names)
+    assert order == other.servers(b"p", names[::-1])
+    assert sorted(order) == names
+    one.crashed([b"p"], order[0], "x", 0.0)
+    assert one.servers(b"p", names) == [*order[1:], order[0]]
+
+
+def test_peers_hear_of_content_that_was_on_two_vanished_vms():
+    one, other = pair()
+    assert one.crashed([b"i"], "r1", "x", 0.0, certain=False) == []
+    news = one.crashed([b"i"], "r2", "x", 1.0, certain=False)
+    deliver(news, other, 1.0)
+    assert other.check(b"i", 1.0) == quarantine.Suspect(crashes=2)
 
 
 def test_fingerprint_separates_organisations_and_parts():
--- a/pimentoledge/tests/test_retries.py
+++ b/pimentoledge/tests/test_retries.py
@@ -90,6 +90,26 @@
     assert step(state(), broken(), empty).error.retry_after > 0
 
 
+def test_request_that_lost_its_server_waits_for_one_to_come_back():
+    """Both runners of a small pool died within a second.
+
+    A new request is answered at once; one whose stream was half told waits
+    some seconds, and no longer.
+    """
+    new = step(state(), retries.NoCandidate())
+    assert new.error.outcome() == Ran.NOT_RUN
+    attempt = state(streamed=3)
+    step(attempt, broken())
+    waited = 0.0
+    while isinstance(
+        again := step(attempt, retries.NoCandidate()), retries.Retry
+    ):
+        assert again.avoid == set()
+        waited += again.delay
+    assert 2.0 < waited < 6.0
+    assert again.error.code == Code.STREAM_BROKEN
+
+
 def test_broken_stream_is_continued_or_says_so():
     assert isinstance(step(state(streamed=3), broken()), retries.Retry)
     end = step(state(streamed=3, continuable=False), broken())
