End calls whose headers can't be written or whose answer drips

Cause: three ways in which a call got no answer at all. A caller's header with a line break or a letter beyond Latin-1 made the HTTP library raise ValueError, which nobody caught, so the caller waited until its deadline. The same in an engine's starter thread. And a service that sends a byte now and then never exceeded the timeout, which bounds each wait only, so it held its thread for ever.

Change: ValueError is "not run", for the library looks at all headers before it sends anything; whatever a starter raises ends its stream as broken; the service's body is read by the clock, and what is not complete in time leaves the outcome unknown.

Ruled out: checking headers ourselves (a second copy of the library's rules).

--- a/pimentoledge/runners/engines.py
+++ b/pimentoledge/runners/engines.py
@@ -253,6 +253,11 @@
         self.opening.add(reading)
         try:
             going_on = self._first(reading, call)
+        except Exception as error:
+            # Nobody looks at what a starter raises; its receiver would wait
+            # for ever for the end of the stream.
+            going_on = False
+            reading.deliver([reading.reader.broken(f"defect: {error!r}")])
         finally:
             self.opening.discard(reading)
         if going_on:
--- a/pimentoledge/runners/stream_tasks.py
+++ b/pimentoledge/runners/stream_tasks.py
@@ -49,7 +49,8 @@
         """
         try:
             data = self.answer.read1(READ_BYTES, decode_content=False)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            # ValueError: the answer was closed already.
             return [self.reader.broken(str(error))]
         if not data:
             return [
--- a/pimentoledge/services/clients.py
+++ b/pimentoledge/services/clients.py
@@ -1,5 +1,7 @@
 """Client of a plain service."""
 
+import time
+
 import urllib3
 
 from pimentoledge import http_faults
@@ -11,6 +13,7 @@
 KEY_HEADER = "Idempotency-Key"
 CONNECT_SECONDS = 2.0
 POOL_SIZE = 64
+READ_BYTES = 65536
 # Headers that belong to one connection, and those that are set anew here.
 OWN_HEADERS = frozenset(
     {
@@ -60,38 +63,72 @@
         one, "not_run" means that no connection came about; after that the
         service may have run the call, so the outcome is unknown.
         """
-        call = run.call
-        query = "?" + call.query if call.query else ""
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_SECONDS, run.seconds), read=run.seconds
-        )
+        until = time.monotonic() + run.seconds
         try:
-            answer = self.pool.request(
-                call.method,
-                f"{self.url}/{call.path.lstrip('/')}{query}",
-                body=call.body or None,
-                headers=_headers(run),
-                timeout=timeout,
-                redirect=False,
-                decode_content=False,
-            )
+            answer = self._send(run)
         except urllib3.exceptions.HTTPError as error:
             not_run = http_faults.never_sent(error)
             ran = results.Ran.NOT_RUN if not_run else results.Ran.UNKNOWN
-            return events.EngineBroken(
-                request=run.request,
-                attempt=run.attempt,
-                ran=str(ran),
-                text=str(error),
-            )
+            return _broken(run, ran, str(error))
+        except ValueError as error:
+            # The HTTP library refuses a header that it can't write, such as
+            # one with a line break or a letter beyond Latin-1. It looks at
+            # all of them before it sends anything.
+            return _broken(run, results.Ran.NOT_RUN, str(error))
+        try:
+            body = _body(answer, until)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer.close()
+            return _broken(run, results.Ran.UNKNOWN, str(error))
         return events.ServiceDone(
             request=run.request,
             attempt=run.attempt,
             status=answer.status,
             headers=_passed(list(answer.headers.iteritems())),
-            body=answer.data,
+            body=body,
         )
 
+    def _send(self, run: actions.RunCall) -> urllib3.BaseHTTPResponse:
+        call = run.call
+        query = "?" + call.query if call.query else ""
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_SECONDS, run.seconds), read=run.seconds
+        )
+        return self.pool.request(
+            call.method,
+            f"{self.url}/{call.path.lstrip('/')}{query}",
+            body=call.body or None,
+            headers=_headers(run),
+            timeout=timeout,
+            redirect=False,
+            preload_content=False,
+        )
+
+
+def _body(answer: urllib3.BaseHTTPResponse, until: float) -> bytes:
+    """Returns the whole body, as it came.
+
+    The timeout bounds each wait for bytes, and a service that sends one byte
+    now and then never exceeds it; so the time is looked at here too.
+
+    Raises:
+        TimeoutError: it was not complete in time.
+    """
+    pieces = []
+    while piece := answer.read1(READ_BYTES, decode_content=False):
+        pieces.append(piece)
+        if time.monotonic() > until:
+            raise TimeoutError("the answer was not complete in time")
+    return b"".join(pieces)
+
+
+def _broken(
+    run: actions.RunCall, ran: results.Ran, text: str
+) -> events.EngineBroken:
+    return events.EngineBroken(
+        request=run.request, attempt=run.attempt, ran=str(ran), text=text
+    )
+
 
 def _passed(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
     return [each for each in headers if each[0].lower() not in OWN_HEADERS]
--- a/pimentoledge/tests/raw_servers.py
+++ b/pimentoledge/tests/raw_servers.py
@@ -3,15 +3,17 @@
 import contextlib
 import socket
 import threading
+import time
 
 DRAIN_SECONDS = 2.0
 
 
 @contextlib.contextmanager
-def raw_server(reply, *, hang=False):
+def raw_server(reply, *, hang=False, pause=0.0):
     """Answers each connection's first bytes with `reply`, then closes it.
 
-    Yields the base URL; with `hang` connections stay open until the end.
+    Yields the base URL; with `hang` connections stay open until the end, with
+    a `pause` the reply comes byte by byte.
     """
     listener = socket.create_server(("127.0.0.1", 0))
     ended = threading.Event()
@@ -24,7 +26,7 @@
                 return
             with connection:
                 connection.recv(65536)
-                connection.sendall(reply)
+                _send(connection, reply, pause)
                 if hang:
                     ended.wait()
                 else:
@@ -41,12 +43,22 @@
     listener.close()
 
 
+def _send(connection, reply, pause):
+    if not pause:
+        connection.sendall(reply)
+        return
+    with contextlib.suppress(OSError):
+        for number in range(len(reply)):
+            connection.sendall(reply[number : number + 1])
+            time.sleep(pause)
+
+
 def _drain(connection):
     # Closing with unread bytes would reset the connection and take the reply
     # back from a client that has not read it yet.
     connection.settimeout(DRAIN_SECONDS)
-    connection.shutdown(socket.SHUT_WR)
     with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
         while connection.recv(65536):
             pass
 
--- a/pimentoledge/tests/test_engine_clients.py
+++ b/pimentoledge/tests/test_engine_clients.py
@@ -281,6 +281,19 @@
         assert late.ran == "not_run"
 
 
+def test_defect_while_sending_ends_the_stream(pair):
+    """A header can't be written, and the HTTP library raises.
+
+    It happens on a thread that nobody looks at; without a word the caller
+    would wait until its deadline.
+    """
+    _, client = pair
+    run = run_of("r")
+    run.trace = "a\nb"
+    (broken,) = client.run(run, "s")
+    assert isinstance(broken, events.EngineBroken)
+
+
 @hypothesis.settings(max_examples=60, derandomize=True, deadline=None)
 @hypothesis.given(
     cuts=strategies.lists(strategies.integers(0, len(WHOLE)), max_size=9),
--- a/pimentoledge/tests/test_fake_services.py
+++ b/pimentoledge/tests/test_fake_services.py
@@ -116,3 +116,34 @@
         client.start()
         assert client.run(run_of()).ran == "outcome_unknown"
         client.close()
+
+
+def test_dripping_answer_ends_at_the_deadline():
+    """A sick service sends a byte now and then, and never stops.
+
+    No single wait exceeds the timeout, so the call would hold its thread for
+    ever; it ends by the clock, and may have run.
+    """
+    reply = raw_servers.http_reply(b"x" * 100_000)
+    with raw_servers.raw_server(reply, pause=0.002) as url:
+        client = clients.ServiceClient(url=url)
+        client.start()
+        broken = client.run(run_of(seconds=0.3))
+        assert (broken.ran, "in time" in broken.text) == (
+            "outcome_unknown",
+            True,
+        )
+        client.close()
+
+
+@pytest.mark.parametrize("value", ["a\nb: c", "\u20ac"])
+def test_header_that_cannot_be_written_is_not_run(pair, value):
+    """A caller's header holds a line break or a letter beyond Latin-1.
+
+    The HTTP library raises an error of its own kind; unnoticed, it would
+    leave the caller without any answer.
+    """
+    service, _, client = pair
+    broken = client.run(run_of(headers=[("X-Shop", value)]))
+    assert broken.ran == "not_run"
+    assert service.calls == []
