Wait for the test's own connection before ending late ones

Cause: test_a_request_that_arrives_too_slowly_is_ended failed once in a landing: "did not arrive in time" instead of "shorter than declared". It took the first connection that was being read, which could be one of the test before it, closing; its own then ran into the socket's timeout. Change: the test waits for the connection with its own port; what it asserts is unchanged.

--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -431,10 +431,12 @@
 
 
 def test_a_request_that_arrives_too_slowly_is_ended(core):
-    wait_until(lambda: not core.server.reading)
     with raw(core) as sock:
+        mine = sock.getsockname()[1]
         sock.sendall(head(100) + b"{")
-        wait_until(lambda: core.server.reading)
+        wait_until(
+            lambda: mine in {c.remote_port for c in list(core.server.reading)}
+        )
         core.server._end_late(float("inf"))
         answer = read_all(sock)
     assert b"400 Bad Request" in answer
