Log and count what the claims decide

Each verdict on a call with a key writes one log line of kind "claim" and counts in pimentoledge_decisions_total by verdict. A gauge shows the largest shard held, so that a shard that fills up is seen before it refuses.

--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -162,6 +162,7 @@
         self.metrics.running.set(len(self.core.admission.running))
         self.metrics.queued.set(self.core.admission.queued)
         self.metrics.claims.set(self.core.claims.held())
+        self.metrics.claim_bytes.set(self.core.claims.largest())
         self.metrics.configuration.set(self.core.configuration.version)
 
     def perform(self, todo: list[actions.Action]) -> None:
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -390,6 +390,8 @@
         """Carries out what the claims say."""
         todo: Actions = []
         for output in outputs:
+            if not isinstance(output, actions.CallStore):
+                todo.append(_log_claim(output))
             match output:
                 case claim_verdicts.Granted():
                     run = self.runs.get((output.request, output.attempt))
@@ -726,6 +728,18 @@
     return actions.LogDecision(kind=kind, fields=fields)
 
 
+def _log_claim(output: claim_verdicts.Verdict) -> actions.LogDecision:
+    fields: dict[str, object] = {
+        "request": output.request,
+        "attempt": output.attempt,
+        "verdict": type(output).__name__.lower(),
+    }
+    if isinstance(output, claim_verdicts.Denied):
+        fields["verdict"] = output.code.name
+        fields["ran"] = str(output.ran)
+    return actions.LogDecision(kind="claim", fields=fields)
+
+
 def _log_admission(
     run: runs.Run, verdict: admission.Admit | admission.Queue | admission.Refuse
 ) -> actions.LogDecision:
--- a/pimentoledge/decisions/claims.py
+++ b/pimentoledge/decisions/claims.py
@@ -137,6 +137,11 @@
         """Returns the claims not settled in the store; 0 before an exit."""
         return sum(len(shard.mine) for shard in self.shards.values())
 
+    def largest(self) -> int:
+        """Returns the size of the largest shard held here, in bytes."""
+        bases = [each.base for each in self.shards.values()]
+        return max((b.size() for b in bases if b is not None), default=0)
+
     def flush(self, now: float) -> list[Output]:
         """Hurries what the store has yet to be told, before an exit."""
         outputs = []
--- a/pimentoledge/metrics.py
+++ b/pimentoledge/metrics.py
@@ -116,6 +116,7 @@
         running: attempts that the engine or service runs.
         queued: attempts that wait at this agent.
         claims: claims that are not settled in the store.
+        claim_bytes: size of the largest shard of claims held here.
     """
 
     def __init__(self):
@@ -123,6 +124,9 @@
         self.running = self._gauge("running", "Attempts that run")
         self.queued = self._gauge("queued", "Attempts that wait here")
         self.claims = self._gauge("claims", "Claims not settled in the store")
+        self.claim_bytes = self._gauge(
+            "claim_shard_bytes", "Size of the largest shard of claims held here"
+        )
 
     def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
--- a/pimentoledge/tests/claims_path.py
+++ b/pimentoledge/tests/claims_path.py
@@ -38,6 +38,7 @@
 
     Attributes:
         replies: what callers were told, by request.
+        claimed: what the log says of the claims, in order.
         line: what waits to be done.
         paused: nodes that take nothing now.
     """
@@ -53,6 +54,7 @@
         self.paused: set[str] = set()
         self.backlog: list[Item] = []
         self.replies: dict[str, list] = {}
+        self.claimed: list[str] = []
         self.lives = 0
         self.version = 0
         self.declare(
@@ -153,6 +155,8 @@
                     self.line.append(Item(sender, sender, action.call))
                 case actions.RunCall() | actions.RunCompletion():
                     self.line.append(Item(sender, sender, action))
+                case actions.LogDecision(kind="claim", fields=fields):
+                    self.claimed.append(fields["verdict"])
                 case (
                     actions.ReplyAnswer()
                     | actions.ReplyError()
--- a/pimentoledge/tests/test_claims_path.py
+++ b/pimentoledge/tests/test_claims_path.py
@@ -252,6 +252,7 @@
     path.settle()
     (reply,) = path.replies["r2"]
     assert reply.error.code == results.Code.KEY_REUSED
+    assert path.claimed == ["granted", "KEY_REUSED"]
 
 
 def test_a_dead_owner_is_passed_over():
