--- a/pimentoledge/tests/test_fake_engines.py
+++ b/pimentoledge/tests/test_fake_engines.py
@@ -97,6 +97,10 @@
     assert engine.counters.wrong_continuations == 1
     end = engine_runs.last_of(found, "c")
     assert (end.reason, end.completion_tokens) == ("stop", 4)
+    assert engine.counters.generated_tokens == 13 + 13 + 4
+    submit(engine, run_of("d", max_tokens=7, continued_tokens=7))
+    assert engine_runs.last_of(drive(engine), "d").completion_tokens == 0
+    assert engine.counters.generated_tokens == 13 + 13 + 4
 
 
 def test_text_every_gives_the_same_text():
@@ -104,7 +108,7 @@
     engine.text_every = 16
     submit(engine, run_of("a", max_tokens=100))
     found = drive(engine)
-    assert len(found) < 12
+    assert len(found) == 2 + 1 + 7
     text = engine_runs.text_of(found, "a")
     assert text == fake_engines.expected_text("p", 0, 100)
 
@@ -342,6 +346,9 @@
     assert engine_runs.last_of(found, "a").text == "crashed"
     assert engine_runs.last_of(found, "b").text == "crashed"
     assert engine.counters.crashes == 1
+    assert engine.counters.generated_tokens == sum(
+        each.tokens for each in found if isinstance(each, events.EngineText)
+    )
     assert engine.incarnation == ""
 
 
