--- a/pimentoledge/callers/faults.py
+++ b/pimentoledge/callers/faults.py
@@ -6,23 +6,9 @@
 
 from pimentoledge import results
 
-_TYPES = {
-    401: "authentication_error",
-    403: "permission_error",
-    404: "not_found_error",
-    429: "rate_limit_error",
-}
-_FIRST_SERVER_STATUS = 500
-
 _encode = msgspec.json.Encoder().encode
 
 
-def _kind(status: int) -> str:
-    if status >= _FIRST_SERVER_STATUS:
-        return "server_error"
-    return _TYPES.get(status, "invalid_request_error")
-
-
 def body(error: results.Error, param: str | None = None) -> bytes:
     """Returns the error object as JSON.
 
@@ -30,19 +16,7 @@
         error: what went wrong.
         param: the field at fault, if one is.
     """
-    return _encode(
-        {
-            "error": {
-                "message": error.message(),
-                "type": _kind(error.status()),
-                "param": param,
-                "code": error.code.name,
-                "number": int(error.code),
-                "outcome": str(error.outcome()),
-                "retry_after": error.retry_after,
-            }
-        }
-    )
+    return _encode({"error": error.fields(param)})
 
 
 def headers(error: results.Error) -> list[tuple[str, str]]:
--- a/pimentoledge/decisions/updates.py
+++ b/pimentoledge/decisions/updates.py
@@ -409,12 +409,7 @@
     request: str, error: results.Error, **further: object
 ) -> actions.ReplyOperator:
     """Returns the answer of a request that ends with an error."""
-    fields = {
-        "code": int(error.code),
-        "message": error.message(),
-        "ran": str(error.outcome()),
-        **further,
-    }
+    fields = {**error.fields(), **further}
     return actions.ReplyOperator(
         request=request, status=error.status(), fields={"error": fields}
     )
--- a/pimentoledge/operators/api.py
+++ b/pimentoledge/operators/api.py
@@ -119,12 +119,7 @@
 
 
 def _refused(error: results.Error) -> servers.Response:
-    fields = {
-        "code": int(error.code),
-        "message": error.message(),
-        "ran": str(error.outcome()),
-    }
-    body = msgspec.json.encode({"error": fields})
+    body = msgspec.json.encode({"error": error.fields()})
     return servers.Response(status=error.status(), body=body)
 
 
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -193,6 +193,15 @@
 }
 
 
+_TYPES = {
+    401: "authentication_error",
+    403: "permission_error",
+    404: "not_found_error",
+    429: "rate_limit_error",
+}
+_FIRST_SERVER_STATUS = 500
+
+
 @attrs.frozen(kw_only=True)
 class Error:
     """An error as it is passed on and shown.
@@ -220,3 +229,29 @@
     def outcome(self) -> Ran:
         """Returns what is true of the call having run."""
         return self.ran or MEANINGS[self.code].ran
+
+    def fields(self, param: str | None = None) -> dict[str, object]:
+        """Returns the error object that every interface shows.
+
+        It is the OpenAI error object with a number, what is true of the call
+        having run, and when to come back.
+
+        Args:
+            param: the field at fault, if one is.
+        """
+        return {
+            "message": self.message(),
+            "type": error_type(self.status()),
+            "param": param,
+            "code": self.code.name,
+            "number": int(self.code),
+            "outcome": str(self.outcome()),
+            "retry_after": self.retry_after,
+        }
+
+
+def error_type(status: int) -> str:
+    """Returns the type of the OpenAI error object for an HTTP status."""
+    if status >= _FIRST_SERVER_STATUS:
+        return "server_error"
+    return _TYPES.get(status, "invalid_request_error")
--- a/pimentoledge/tests/test_docs.py
+++ b/pimentoledge/tests/test_docs.py
@@ -1,6 +1,7 @@
 """The tables in docs/ say what the code says."""
 
 import pathlib
+import re
 
 import pytest
 
@@ -17,3 +18,12 @@
 
 def test_every_code_has_a_meaning():
     assert set(results.MEANINGS) == set(results.Code)
+
+
+def test_the_tests_that_the_outages_page_names_exist():
+    page = (DOCS / "operations" / "outages.md").read_text()
+    named = set(re.findall(r"`(test_\w+)`", page))
+    folder = pathlib.Path(__file__).parent
+    text = "".join(each.read_text() for each in folder.rglob("test_*.py"))
+    missing = [each for each in named if f"def {each}(" not in text]
+    assert named and not missing
