Forget and count callers that leave before the first token

Cause: the entry kept the time of arrival of each request whose caller hung up before its first text, for ever, and such requests, like those ended for reading too slowly, were counted nowhere. Change: EntryDaemon.gone drops the time and counts CALLER_GONE; a request that ended meanwhile is not counted twice. Ruled out: counting at the state machine, which has no word for it and would need an action without a receiver.

--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -162,7 +162,9 @@
 
     def gone(self, request: str) -> None:
         """Says that the caller of a request went away."""
-        self.replies.pop(request, None)
+        if self.replies.pop(request, None) is None:
+            return  # It has ended meanwhile, and was counted.
+        self.metrics.left(request)
         self.loop.inbox.put(events.CallerGone(request=request))
 
     def ready(self) -> bool:
--- a/pimentoledge/metrics.py
+++ b/pimentoledge/metrics.py
@@ -4,6 +4,7 @@
 
 import prometheus_client
 
+from pimentoledge import results
 from pimentoledge.decisions import actions
 
 FIRST_TOKEN_BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 60)
@@ -95,6 +96,11 @@
         if arrived is not None:
             self.first_token.observe(time.monotonic() - arrived)
 
+    def left(self, request: str) -> None:
+        """Notes that a request's caller went away; any thread may call it."""
+        self.arrivals.pop(request, None)
+        self.requests.labels(results.Code.CALLER_GONE.name).inc()
+
     def ended(self, action: actions.Action) -> None:
         """Notes a request's end."""
         self.arrivals.pop(action.request, None)
--- a/pimentoledge/tests/test_openai_client.py
+++ b/pimentoledge/tests/test_openai_client.py
@@ -122,6 +122,25 @@
     until(lambda: not running(emulator))
 
 
+def test_a_caller_that_leaves_before_the_first_token_leaves_nothing(emulator):
+    """An entry's memory grows for weeks until it is killed.
+
+    Each caller that hung up before its first token left its time of arrival
+    behind, and was counted nowhere.
+    """
+    entry = emulator.entries[0]
+    prompt = "a long dossier " * 20000
+    impatient = client_of(emulator).with_options(timeout=0.2)
+    with pytest.raises(openai.APITimeoutError):
+        impatient.completions.create(model="m", prompt=prompt)
+    until(lambda: not entry.metrics.arrivals and not entry.replies)
+    counted = entry.metrics.registry.get_sample_value(
+        "pimentoledge_requests_total", {"code": "CALLER_GONE"}
+    )
+    assert counted >= 1
+    until(lambda: not running(emulator))
+
+
 @pytest.mark.parametrize(
     ("fields", "error", "code"),
     [
