Fuzz operators' races, poison and held connections; describe limits

Change: rules aim at what is busy, hold a connection so that its messages come late, lose a piece of a stream that is under way, restart agents around a keyed call, and go on asking after a leave; two operators race for one version, and what each is told is compared with every version that the store ever held; a poison request may crash three engines at most. A violation ends an example without the last checks, which would only judge a state machine stopped in the middle of a step.

The oracle was wrong in one place: a refusal of poison says that its content ran, whoever sent it; it now looks for the content, and still fails when that never ran.

--- a/benches/limits.py
+++ b/benches/limits.py
@@ -2,7 +2,7 @@
 
 Virtual time, one process, links of one millisecond. Run:
 
-    python benches/limits.py [--seconds 60] [--seed 1]
+    python -m benches.limits [--seconds 60] [--seed 1]
 """
 
 import argparse
--- a/pimentoledge/tests/fuzz/machines.py
+++ b/pimentoledge/tests/fuzz/machines.py
@@ -87,9 +87,36 @@
         )
         return self.ask(entry, organisation, call=call, idempotency_key=key)
 
+    def busy(self):
+        """Returns the present processes that have requests or runs."""
+        return [
+            each
+            for each in self.world.processes.values()
+            if (each.core.tickets if each.is_entry() else each.core.runs)
+        ]
+
+    def change_contract(self, entry, path, version):
+        """An operator changes a contract, on condition of its version."""
+        number = next(self.world.requests)
+        event = events.OperatorRequest(
+            request=f"o{number}",
+            key_digest=declarations.key_digest(worlds.OPERATOR_KEY),
+            method="PATCH",
+            kind="contracts",
+            name="trznica",
+            body=b'{"burst": %d}' % (100000 + number),
+            expected=version,
+        )
+        self.oracle.changes[event.request] = oracles.Change(
+            path=path, expected=version, mark=b"%d" % (100000 + number)
+        )
+        self.world.give(entry, event)
+
     def heal(self):
         """Ends every fault, and lets what is under way end."""
         world = self.world
+        for channel in world.channels.values():
+            channel.held = False
         world.objects.down = False
         world.objects.latency = 0.0
         world.objects.lose_answers = world.objects.lose_requests = 0
@@ -193,15 +220,42 @@
     @rule(
         entry=NUMBER,
         organisation=strategies.sampled_from(ORGANISATIONS),
-        card=strategies.integers(0, 3),
+        card=strategies.integers(0, 1),
     )
     def ask_call(self, entry, organisation, card):
         """The same few keys, so that callers send theirs again."""
         self.call(self.entry(entry), organisation, f"k{card}")
 
+    @rule(entry=NUMBER, first=strategies.integers(0, 1))
+    def ask_calls_together(self, entry, first):
+        """Several calls reach the services in any order."""
+        for card in ("x", "y", "z"):
+            self.call(self.entry(entry), "araujo", f"{card}{entry}")
+        for _ in range(6):
+            self.world.deliver_messages()
+            self.world.advance(0.01)
+        if len(self.world.work) > 1:
+            self.world.reach_backend(-1 - first)
+
+    @rule(which=NUMBER, fault=strategies.sampled_from(["answer", "call", ""]))
+    def call_and_restart(self, which, fault):
+        """A keyed call is on its way when its agent restarts."""
+        objects = self.world.objects
+        objects.lose_answers += fault == "answer"
+        objects.lose_requests += fault == "call"
+        entry = self.entry(which)
+        self.call(entry, "araujo", "k0")
+        for _ in range(1 + which % 4):
+            self.world.deliver_messages()
+            self.world.advance(0.01)
+        while self.world.work and which % 2:
+            self.world.reach_backend(0)
+        for address in self.world.services:
+            self.world.restart(self.world.processes[address])
+
     @rule(entry=NUMBER)
     def ask_poison(self, entry):
-        self.complete(self.entry(entry), "araujo", "POISON" * 100)
+        self.complete(self.entry(entry), "araujo", oracles.POISON * 100)
 
     @rule(which=NUMBER)
     def caller_goes(self, which):
@@ -234,11 +288,44 @@
 
     @rule(which=NUMBER)
     def cut_connection(self, which):
-        channel = self.pick(self.world.channels.values(), which)
+        busy = [
+            each
+            for each in self.world.channels.values()
+            if each.source in self.busy()
+        ]
+        channel = self.pick(busy or self.world.channels.values(), which)
         if channel is not None:
             self.oracle.note(f"{channel.source.name} cut off {channel.target}")
             self.world.cut(channel)
 
+    @rule(which=NUMBER)
+    def hold_connection(self, which):
+        """A connection stops for a while; what is on it comes late."""
+        channel = self.pick(self.world.channels.values(), which)
+        if channel is not None:
+            channel.held = True
+
+    @rule()
+    def release_connections(self):
+        for channel in self.world.channels.values():
+            channel.held = False
+
+    @rule(which=NUMBER)
+    def agent_lags(self, which):
+        """A stream's agent is taken for dead; its frames come later."""
+        self.world.deliver_all()
+        self.world.advance(0.05)
+        for agent in self.busy():
+            if agent.is_entry():
+                continue
+            while agent.heard and agent.acts():
+                self.world.hear(agent)
+            down = events.Unreachable(address=agent.address)
+            for channel in self.world.channels.values():
+                channel.held |= channel.source is agent
+            self.world.give(self.entry(which), down)
+            return
+
     @rule(which=NUMBER)
     def reach_backend(self, which):
         if self.world.work:
@@ -263,14 +350,17 @@
     @rule(which=NUMBER)
     def lose_word(self, which):
         """An engine's word gets lost on its way to the agent."""
+        self.world.advance(0.05)
         telling = [
-            each
-            for each in self.world.everyone()
-            if each.heard and isinstance(each.heard[0], events.EngineText)
+            (process, event)
+            for process in self.world.everyone()
+            for event in process.heard
+            if isinstance(event, events.EngineText)
         ]
-        process = self.pick(telling, which)
-        if process is not None:
-            process.heard.popleft()
+        found = self.pick(telling, which)
+        if found is not None:
+            self.oracle.note(f"lost: {found[1]}")
+            found[0].heard.remove(found[1])
 
     @rule(which=NUMBER)
     def engine_connection_breaks(self, which):
@@ -333,6 +423,8 @@
         engine = self.agent(which).backend
         if isinstance(engine, fake_engines.FakeEngine):
             self.oracle.note(f"{engine.name} crashes")
+            crash = (engine.name, engine.counters.crashes + 1)
+            self.oracle.pushed.add(crash)
             engine.crash(self.world.now)
             self.world.hear_engines()
 
@@ -384,14 +476,33 @@
 
     @rule(which=NUMBER)
     def process_drains(self, which):
-        process = self.pick(self.world.processes.values(), which)
-        if process.acts():
+        process = self.pick(self.busy() or self.world.everyone(), which)
+        if process.acts() and process.alive:
             self.world.drain(process)
 
     @rule(which=NUMBER, state=strategies.sampled_from(declarations.ServerState))
     def declare_state(self, which, state):
         self.declare(self.agent(which).name, state)
 
+    @rule(first=NUMBER, second=NUMBER)
+    def operators_race(self, first, second):
+        """Two operators change the version that both of them have read."""
+        path = declarations.PREFIXES[declarations.Contract] + "trznica"
+        version = self.world.objects.objects[path].version
+        for entry in (self.entry(first), self.entry(second)):
+            self.change_contract(entry, path, version)
+
+    @rule(which=NUMBER)
+    def leaves(self, which):
+        """A server leaves, and requests go on coming afterwards."""
+        agent = self.agent(which)
+        self.declare(agent.name, declarations.ServerState.LEAVING)
+        self.world.settle(oracles.FORCE_SECONDS + 1.0)
+        for number in range(3):
+            prompt = prompt_of(which, number)
+            self.complete(self.entry(number), "trznica", prompt)
+        self.world.settle(0.1)
+
     @rule(weights=strategies.sampled_from(["w1", "w2", "w3"]), which=NUMBER)
     def upgrade(self, weights, which):
         """The operator declares weights, and some engine loads them."""
@@ -406,4 +517,5 @@
 
     def teardown(self):
         """Ends every example without faults, and checks the rest."""
-        self.check_service()
+        if not self.oracle.failed:
+            self.check_service()
--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -22,10 +22,12 @@
 from pimentoledge.decisions import entries
 from pimentoledge.decisions import events
 from pimentoledge.decisions import placement
+from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import streams
 from pimentoledge.tests.fuzz import machines
+from pimentoledge.tests.fuzz import oracles
 
 ONE_RUNNER = {"entry_count": 1, "runners": 1, "services": 1}
 PROMPT = machines.prompt_of(0, 0)
@@ -413,6 +415,23 @@
         driver.check_service()
 
 
+def never_poison(monkeypatch):
+    """Forgets at once what ran in an engine that died."""
+    monkeypatch.setattr(quarantine.Quarantine, "_add", lambda *_: None)
+
+
+def poison(driver):
+    """A caller sends a request again and again that crashes each engine."""
+    world = driver.world
+    for number in range(6):
+        prompt = oracles.POISON * 100
+        driver.complete(driver.entry(number), "araujo", prompt)
+        world.settle(2.0)
+        for address in world.runners:
+            world.processes[address].backend.restart(world.now)
+        world.settle(1.0)
+
+
 def claim_all_cached(monkeypatch):
     """Tells callers that their whole prompt was cached."""
     real = entries.Entry.finished
@@ -562,6 +581,12 @@
         apply=place_anywhere,
         scenario=check_service,
     ),
+    Mutation(
+        name="forget what crashed an engine",
+        line="poison",
+        apply=never_poison,
+        scenario=poison,
+    ),
     Mutation(
         name="report a prompt as cached that was not",
         line="told",
--- a/pimentoledge/tests/fuzz/oracles.py
+++ b/pimentoledge/tests/fuzz/oracles.py
@@ -37,6 +37,8 @@
 FORCE_SECONDS = 5.0
 # After its deadline a request has this long to be answered.
 LATE_SECONDS = 1.0
+POISON = "POISON"
+MOST_CRASHES = 3
 HISTORY = 80
 SHORT = 180
 TOKEN_BYTES = 4
@@ -83,6 +85,25 @@
     lost: bool = False
 
 
+@attrs.define(kw_only=True)
+class Change:
+    """One operator's change of a declaration.
+
+    Attributes:
+        path: which object.
+        expected: the version that the operator had read.
+        mark: bytes that only this change writes.
+        accepted: whether the operator was told so.
+        refused: whether the operator was told that nothing was written.
+    """
+
+    path: str
+    expected: int
+    mark: bytes
+    accepted: bool = False
+    refused: bool = False
+
+
 class Oracle:
     """Sees everything and judges it.
 
@@ -94,7 +115,13 @@
             in an engine's own queue when it dies counts as run, since
             nobody outside can tell.
         key_ran: the same by idempotency key.
+        changes: operators' changes by request id.
+        contents: everything that was ever stored, by path and version.
         steps: events given to state machines.
+        crashes: engine and number of each crash by poison.
+        pushed: the same of crashes that had another cause.
+        failed: whether a violation was raised; what comes after it says
+            nothing, since a state machine was left in the middle of a step.
         history: what happened, as text.
     """
 
@@ -104,17 +131,22 @@
         self.ran = collections.Counter()
         self.reached_backend: set[str] = set()
         self.key_ran = collections.Counter()
+        self.changes: dict[str, Change] = {}
+        self.contents: dict[tuple, bytes | None] = {}
         self.steps = 0
+        self.failed = False
         self.history: list[str] = []
         self.owners: dict[tuple, object] = {}
         self.cached: dict[tuple, int] = {}
         self.prompts: dict[tuple, list] = {}
         self.left: dict[str, float] = {}
         self.versions: dict[tuple, int] = {}
-        self.crashed = collections.Counter()
+        self.crashes: set[tuple] = set()
+        self.pushed: set[tuple] = set()
 
     def fail(self, line: str, text: str) -> None:
         """Raises a violation of a line."""
+        self.failed = True
         raise ViolationError(line, text, self.history)
 
     def note(self, text: str) -> None:
@@ -172,6 +204,8 @@
         match action:
             case actions.Send(message=messages.Admitted() as admitted):
                 self.admitted(process, admitted)
+            case actions.ReplyOperator():
+                self.operator_told(action)
             case (
                 actions.ReplyText()
                 | actions.ReplyEnd()
@@ -205,6 +239,42 @@
                 self.check_outcome(asked)
         asked.ended = action
 
+    def stored(self, found: stores.Object | None) -> None:
+        """A write has reached the store."""
+        if found is None:
+            return
+        self.contents[(found.path, found.version)] = found.value
+        for change in self.changes.values():
+            if change.refused and change.mark in (found.value or b""):
+                self.fail("told", f"{change} was written after all")
+
+    def operator_told(self, reply: actions.ReplyOperator) -> None:
+        """Checks what an operator is told of a change."""
+        change = self.changes.get(reply.request)
+        if change is None:
+            return
+        versions = [
+            version
+            for (path, version), value in self.contents.items()
+            if path == change.path and change.mark in (value or b"")
+        ]
+        if reply.status == 200:
+            if reply.version not in versions:
+                self.fail("configuration", f"{reply} is not in the store")
+            change.accepted = True
+        elif reply.fields["error"].get("ran") == "not_run":
+            change.refused = True
+            if versions:
+                self.fail("told", f"{reply}, and it is in the store")
+        rivals = [
+            each
+            for each in self.changes.values()
+            if each.accepted
+            and (each.path, each.expected) == (change.path, change.expected)
+        ]
+        if len(rivals) > 1:
+            self.fail("configuration", f"two winners: {rivals}")
+
     def expected(self, asked: Asked) -> str:
         """Returns the whole text of a completion."""
         wanted = asked.event.completion
@@ -247,9 +317,22 @@
         if said == results.Ran.NOT_RUN and self.ran[request]:
             self.fail("not_run", f"{request} ran; told {asked.error}")
         claimed = asked.error.code == results.Code.CLAIM_RUNNING
-        if said == results.Ran.RAN and not self.runs(asked) and not claimed:
+        # What is said of poison is said of its content, whoever sent it.
+        poison = asked.error.code == results.Code.POISON
+        ran = self.runs(asked) or (poison and self.content_ran(asked))
+        if said == results.Ran.RAN and not ran and not claimed:
             self.fail("told", f"{request} never ran; told {asked.error}")
 
+    def content_ran(self, asked: Asked) -> bool:
+        """Returns whether the same content was ever run."""
+        wanted = asked.event.completion
+        return any(
+            each.organisation == asked.organisation
+            and each.event.completion == wanted
+            and request in self.reached_backend
+            for request, each in self.asked.items()
+        )
+
     def reached(self, process, run: actions.RunCompletion) -> None:
         """A completion reaches an engine."""
         self.owners[(id(process.backend), run.request, run.attempt)] = process
@@ -268,7 +351,7 @@
         """An engine says something of a completion."""
         self.note(f"{process.name}'s engine: {_short(event)}")
         if isinstance(event, events.EngineBroken) and event.text == "crashed":
-            self.count_crash(event)
+            self.count_crash(process, event)
         if not isinstance(event, events.EngineStarted):
             return
         asked = self.asked[event.request]
@@ -323,13 +406,18 @@
         if left is not None and self.world.now - left > FORCE_SECONDS:
             self.fail("leaving", f"{process.name} took {admitted.request}")
 
-    def count_crash(self, event: events.EngineBroken) -> None:
+    def count_crash(self, process, event: events.EngineBroken) -> None:
         """Counts the engines that a poison request crashed."""
         asked = self.asked[event.request]
-        prompt = asked.event.completion.prompt
-        if "POISON" not in prompt:
+        engine = process.backend
+        crash = (engine.name, engine.counters.crashes)
+        if not asked.event.completion.prompt.startswith(POISON):
+            return
+        if crash in self.pushed:
             return
-        self.crashed[(asked.organisation, prompt)] += 1
+        self.crashes.add(crash)
+        if len(self.crashes) > MOST_CRASHES:
+            self.fail("poison", f"{asked.event.request}: {self.crashes}")
 
     def check_configuration(self, process) -> None:
         """Checks that no declaration goes back to an older version."""
@@ -338,13 +426,13 @@
             path = declarations.PREFIXES[kind] + name
             present = view.in_force(path)
             version = present.version if present else 0
-            before = self.versions.get((id(process), path), 0)
+            before = self.versions.get((process, path), 0)
             if version < before:
                 self.fail(
                     "configuration",
                     f"{process.name} went back from {before} to {version}",
                 )
-            self.versions[(id(process), path)] = version
+            self.versions[(process, path)] = version
 
     def excuse_leaving(self) -> None:
         """Starts the time of a leave anew while nobody can hear of it."""
@@ -352,7 +440,11 @@
         for process in self.world.processes.values():
             declared = process.core.configuration.server(process.name)
             state = declared.state if declared else None
-            deaf = objects.down or objects.latency or process.paused
+            held = any(
+                each.held and each.target == process.address
+                for each in self.world.channels.values()
+            )
+            deaf = objects.down or objects.latency or process.paused or held
             known = state is declarations.ServerState.LEAVING
             if process.name in self.left and deaf and not known:
                 self.left[process.name] = self.world.now
--- a/pimentoledge/tests/fuzz/worlds.py
+++ b/pimentoledge/tests/fuzz/worlds.py
@@ -28,6 +28,7 @@
 # How long a message waits for a connection to a process that is gone.
 CONNECT_SECONDS = 1.0
 KEY = "fuzz-key-of-{}"
+OPERATOR_KEY = "fuzz-key-of-an-operator"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -69,10 +70,18 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Channel:
-    """What is on the way from one process to an address, in order."""
+    """What is on the way from one process to an address, in order.
+
+    Attributes:
+        source: who sends.
+        target: the mailbox it goes to.
+        queue: time, bytes and message of each.
+        held: whether nothing gets through for now.
+    """
 
     source: Process
     target: str
+    held: bool = False
     queue: collections.deque = attrs.field(factory=collections.deque)
 
 
@@ -124,7 +133,7 @@
                 name=f"engine{number}",
                 seed=number,
             )
-            engine.poison = "POISON"
+            engine.poison = oracles.POISON
             # Frames of different engines differ, so that crossed ones show.
             engine.text_every = 1 + number % 2
             self.start_agent(address, engine)
@@ -190,6 +199,7 @@
             block_bytes=BLOCK_BYTES,
             view=configuration.Configuration(),
             seeds=self.entries,
+            first_key=declarations.key_digest(OPERATOR_KEY),
         )
         return self.start(Process(name=name, address=address, core=core))
 
@@ -303,7 +313,7 @@
     def carry(self, channel: Channel) -> None:
         """Delivers the next message of a connection."""
         target = self.processes[channel.target]
-        if target.alive and not target.paused and channel.queue:
+        if channel.queue and self.open(channel):
             _, data, _ = channel.queue.popleft()
             self.give(target, codecs.decode(data).unwrap())
 
@@ -311,6 +321,8 @@
         """Lets a call reach the store; its answer is then on the way."""
         process, call, _ = self.calls.pop(number)
         self.answers.append((process, self.objects.call(call)))
+        if isinstance(call, stores.Write):
+            self.oracle.stored(self.objects.objects.get(call.path))
 
     def ready_calls(self) -> list[int]:
         """Returns the calls that the store does not keep waiting."""
@@ -505,7 +517,7 @@
     def open(self, channel: Channel) -> bool:
         """Returns whether a connection can deliver."""
         target = self.processes[channel.target]
-        return target.alive and not target.paused
+        return target.alive and not target.paused and not channel.held
 
     def settle(self, seconds: float) -> None:
         """Delivers everything at once while time passes."""
--- a/pimentoledge/tests/test_fuzz.py
+++ b/pimentoledge/tests/test_fuzz.py
@@ -17,6 +17,9 @@
     stateful_step_count=STEPS,
     derandomize=True,
     deadline=None,
+    # Shrinking a failure takes minutes; make fuzz does it.
+    phases=[hypothesis.Phase.generate],
+    report_multiple_bugs=False,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 
@@ -39,4 +42,4 @@
 
 def test_each_line_has_a_mutation():
     caught = {each.line for each in mutations.MUTATIONS}
-    assert caught == set(oracles.LINES) - {"poison"}
+    assert caught == set(oracles.LINES)
