Measure what an agent's poll costs an entry

Cause: 12,000 agents poll 350 entries every 4 s, 8.6 a second at each; the capacity page needs its cost.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -20,6 +20,7 @@
 
 from pimentoledge.callers import replies
 from pimentoledge.decisions import actions
+from pimentoledge.decisions import agents_served
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import entries
@@ -27,6 +28,7 @@
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import stores
 from pimentoledge.nodes import codecs
+from pimentoledge.nodes import configuration_messages
 from pimentoledge.nodes import mailboxes
 from pimentoledge.nodes import messages
 
@@ -378,6 +380,36 @@
     return [Line(what=what, unit="B", points=points)]
 
 
+def polls() -> list[Line]:
+    """Processor time and bytes of an agent's poll, by declared servers."""
+    times, sizes = [], []
+    for servers in (100, 1000, 12000):
+        served = agents_served.Agents(
+            address="tcp://10.9.0.1:7000", view=view(servers)
+        )
+        served.declare([f"tcp://10.9.0.{each}:7000" for each in range(24)])
+        own = declarations.path_of(server(5))
+        versions = [(own, 10**6), ("declared/models/m", 10**6)]
+        poll = configuration_messages.Poll(
+            server="runner-5", versions=versions, held=[]
+        )
+        sender = server(5).agent
+        one = functools.partial(served.polled, poll, sender, 1.0)
+        (answer,) = one()
+        poll.held = answer.message.held
+        times.append((servers, cpu(one, 500)))
+        both = [
+            codecs.encode(each, sender=sender, configuration=1)
+            for each in (poll, answer.message)
+        ]
+        sizes.append((servers, float(sum(map(len, both)))))
+    what = "entry: processor time of an agent's poll, by declared servers"
+    return [
+        Line(what=what, unit="us", points=times),
+        Line(what="bytes of a poll and its answer", unit="B", points=sizes),
+    ]
+
+
 def resident() -> float:
     """Returns the resident memory of this process in bytes."""
     pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
@@ -418,6 +450,7 @@
     memory_of_loads,
     memory_of_servers,
     memory_of_hints,
+    polls,
     connections,
 )
 
