Raise the price of computing with the mean queue

Cause: with a fixed price of 2 for interactive work, spills fed on themselves at 1.3 times the load: each saved its own wait and made the queues longer for all.

Change: the price rises by 1 for each 0.4 s of mean expected wait over the servers considered, up to 16. A queued token delays those behind it, and the more so the longer the queues are.

--- /dev/null
+++ b/benches/decisions.py
@@ -0,0 +1,130 @@
+"""Processor time of one placement decision, and memory of a hint.
+
+python -m benches.decisions
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+
+from benches import workloads
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import hints
+from pimentoledge.decisions import placement
+from pimentoledge.decisions import prefixes
+from pimentoledge.nodes import messages
+
+_SERVERS = (10, 150, 2400)
+_PROMPT_TOKENS = (512, 2048, 8192, 32768)
+_ROUNDS = 400
+_PREFIXES = 40
+_TAIL_BYTES = 1024
+_SALT = b"s" * 32
+
+
+def _wanted(number: int, tokens: int) -> placement.Wanted:
+    shared = random.Random(number % _PREFIXES).randbytes(
+        tokens * workloads.TOKEN_BYTES - _TAIL_BYTES
+    )
+    tail = random.Random(-1 - number).randbytes(_TAIL_BYTES)
+    blocks = prefixes.chain(
+        salt=_SALT, text=shared + tail, block_bytes=workloads.BLOCK_BYTES
+    )
+    return placement.Wanted(
+        request=str(number),
+        organisation="o",
+        model="m",
+        weights="w1",
+        blocks=blocks,
+        block_tokens=workloads.BLOCK_TOKENS,
+        prompt_tokens=tokens,
+    )
+
+
+def _fleet(count: int) -> list[declarations.BackendServer]:
+    return [
+        declarations.BackendServer(
+            name=f"s{number}", serves="m", agent="tcp://127.0.0.1:1"
+        )
+        for number in range(count)
+    ]
+
+
+def _truth(name: str) -> messages.Truth:
+    return messages.Truth(
+        server=name,
+        incarnation="i1",
+        weights="w1",
+        slots=16,
+        token_seconds=0.0001,
+    )
+
+
+def decision(servers: int, tokens: int) -> tuple[float, float]:
+    """Returns the median microseconds to choose, and for the rest.
+
+    Args:
+        servers: declared servers.
+        tokens: prompt length.
+    """
+    fleet = _fleet(servers)
+    placer = placement.Placer(seed=1, data_centre="")
+    for server in fleet:
+        placer.learned(_truth(server.name), 0.0)
+    choosing = []
+    learning = []
+    for number in range(_ROUNDS):
+        wanted = _wanted(number, tokens)
+        now = number * 0.01
+        began = time.process_time_ns()
+        choice = placer.choose(wanted, fleet, now)
+        chosen = time.process_time_ns()
+        placer.sent(choice.server, wanted.request, 100, now)
+        placer.learned(_truth(choice.server), now)
+        placer.finished(choice.server, wanted.request, wanted.blocks, 0, now)
+        ended = time.process_time_ns()
+        choosing.append((chosen - began) / 1000)
+        learning.append((ended - chosen) / 1000)
+    return statistics.median(choosing), statistics.median(learning)
+
+
+def chain_seconds() -> float:
+    """Returns the processor seconds to digest 1 MB of prompt."""
+    text = random.Random(1).randbytes(1_000_000)
+    times = []
+    for _ in range(9):
+        began = time.process_time()
+        prefixes.chain(salt=_SALT, text=text, block_bytes=workloads.BLOCK_BYTES)
+        times.append(time.process_time() - began)
+    return statistics.median(times)
+
+
+def hint_bytes(count: int) -> float:
+    """Returns the bytes that one hint takes, with 128 blocks to a prompt."""
+    table = hints.Hints(limit=count, seconds=60.0, holders=8)
+    life = hints.Life(server="s")
+    rng = random.Random(1)
+    tracemalloc.start()
+    for _ in range(count // 128):
+        blocks = [rng.randbytes(prefixes.DIGEST_BYTES) for _ in range(128)]
+        table.add(blocks, life, 0.0)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / len(table.table)
+
+
+def main():
+    """Prints the figures."""
+    print("| servers | prompt tokens | choose, us | sent to finished, us |")
+    print("| --- | --- | --- | --- |")
+    for servers in _SERVERS:
+        for tokens in _PROMPT_TOKENS:
+            choosing, learning = decision(servers, tokens)
+            print(f"| {servers} | {tokens} | {choosing:.0f} | {learning:.0f} |")
+    print(f"chain: {chain_seconds() * 1000:.1f} ms of processor per MB")
+    print(f"hint: {hint_bytes(20_000):.0f} bytes")
+
+
+if __name__ == "__main__":
+    main()
--- a/pimentoledge/decisions/placement.py
+++ b/pimentoledge/decisions/placement.py
@@ -27,6 +27,9 @@
     declarations.Priority.INTERACTIVE: 2.0,
     declarations.Priority.BATCH: 8.0,
 }
+# The price rises by one for so many seconds of mean queue.
+_WAIT_PER_PRICE = 0.4
+_HIGHEST_PRICE = 16.0
 # Share of a prompt for which a home is credited without a hint: other entries
 # send the same text there.
 _FIRST_CREDIT = 0.9
@@ -180,8 +183,11 @@
         usable, reason = self.usable(wanted, considered, servers, now)
         if not usable:
             return Choice(server=None, reason=reason)
+        price = self.price(wanted, usable, now)
         candidates = [
-            self.candidate(wanted, each, depths, ours.get(each.name), now)
+            self.candidate(
+                wanted, each, depths, ours.get(each.name), price, now
+            )
             for each in usable
         ]
         candidates.sort(key=lambda each: each.cost)
@@ -255,12 +261,33 @@
         load = self.loads.get(server)
         return load is None or now >= load.retry_at
 
+    def price(
+        self,
+        wanted: Wanted,
+        servers: Sequence[declarations.BackendServer],
+        now: float,
+    ) -> float:
+        """Returns what computing costs, in times of its seconds.
+
+        The longer the queues everywhere, the more requests a token computed
+        again delays.
+        """
+        waits = [
+            self.loads[each.name].wait_seconds(now, self.residence)
+            for each in servers
+            if each.name in self.loads
+        ]
+        mean = sum(waits) / len(waits) if waits else 0.0
+        price = _PRICES.get(wanted.priority, 1.0)
+        return min(_HIGHEST_PRICE, price + mean / _WAIT_PER_PRICE)
+
     def candidate(
         self,
         wanted: Wanted,
         server: declarations.BackendServer,
         depths: dict[str, int],
         home: homes.Home | None,
+        price: float,
         now: float,
     ) -> Candidate:
         """Returns a server with its cost."""
@@ -271,9 +298,8 @@
             share = _FIRST_CREDIT if home.first else _SPARE_CREDIT
             credit = max(credit, share * len(wanted.blocks))
         left = wanted.prompt_tokens - credit * wanted.block_tokens
-        price = _PRICES.get(wanted.priority, 1.0) * load.token_seconds()
         wait = load.wait_seconds(now, self.residence)
-        cost = wait + max(0.0, left) * price
+        cost = wait + max(0.0, left) * load.token_seconds() * price
         if server.data_centre != self.data_centre:
             cost += self.cross_seconds
         return Candidate(
--- a/pimentoledge/tests/test_placement.py
+++ b/pimentoledge/tests/test_placement.py
@@ -201,6 +201,19 @@
     assert placer.choose(batch, SERVERS, 0.0).server == home
 
 
+def test_price_of_computing_rises_with_the_queues():
+    """Without this, spills feed on themselves when all servers are busy.
+
+    Every queue is long, a spill saves its own wait, and what it computes
+    again makes the queues longer for all.
+    """
+    placer = _placer(*TRUTHS)
+    idle = placer.price(_wanted(), SERVERS, 0.0)
+    for name in "abc":
+        placer.learned(_truth(name, queued_tokens=800), 0.0)
+    assert placer.price(_wanted(), SERVERS, 0.0) == idle + 2.0
+
+
 def test_a_home_without_a_hint_is_preferred_but_not_relied_on():
     placer = _placer(*TRUTHS)
     choice = placer.choose(_wanted(), SERVERS, 0.0)
