Place what has no whole block again

Change: such a prompt has no levels to count. The new test of placement fails without it and passes with it.

--- a/pimentoledge/decisions/levels.py
+++ b/pimentoledge/decisions/levels.py
@@ -55,9 +55,10 @@
 
     def depths(self, blocks: list[bytes]) -> range:
         """Returns the counted depths of a prompt, in blocks."""
-        return range(
-            min(self.stride, len(blocks)), len(blocks) + 1, self.stride
-        )
+        if not blocks:
+            return range(0)
+        first = min(self.stride, len(blocks))
+        return range(first, len(blocks) + 1, self.stride)
 
     def add(self, model: str, blocks: list[bytes], now: float):
         """Counts a request."""
--- a/pimentoledge/tests/test_placement.py
+++ b/pimentoledge/tests/test_placement.py
@@ -314,3 +314,13 @@
         _run(placer, wanted, "a", 7.0)
     assert len(placer.hints.table) == 25
     assert attrs.asdict(wanted)["blocks"][-1] in placer.hints.table
+
+
+def test_what_has_no_whole_block_is_placed_too():
+    """A service's call or a very short prompt failed with code 9001.
+
+    Neither has a block; counting its levels looked for its first one.
+    """
+    placer = _placer(*TRUTHS)
+    wanted = attrs.evolve(_wanted(), blocks=[])
+    assert placer.choose(wanted, SERVERS, 0.0).server is not None
