Tell a node of a deletion that left no tombstone

Cause: found by the state machine of faults. The store's watch drops a deletion, then one entry starts anew and reads the store, where the object is no more. An agent that keeps the bucket fetched it at each poll and never got rid of the object.

The change: a node that is told of an object that its floor proves dead answers with a deletion of the floor's version. Entries that compare equal take the higher floor. An agent whose bucket differs from a complete answer fetches it anew. Tombstones dropped for want of room raise a second mark that proves nothing: what lies below is refused, but not called dead.

Weighed: keeping all tombstones of the store's scans; it lists none.

Checked: the new test fails without either part.

--- a/pimentoledge/decisions/configuration.py
+++ b/pimentoledge/decisions/configuration.py
@@ -272,7 +272,8 @@
         rejections: by path, what was too bad to be taken into force.
         buckets: digest of each bucket's live objects and their versions.
         root: digest of them all.
-        floor: up to this version an object that is not here was deleted.
+        floor: up to this version an object that is not here was deleted;
+            proven by a scan, here or at a node that had the same.
         shelves: newest Record by path, in each bucket.
     """
 
@@ -298,6 +299,9 @@
         self._operators = KeyIndex()
         self._tombstones: dict[str, int] = {}
         self.floor = 0
+        # As the floor, but without a scan that proves it: an object below is
+        # not taken from another node, and not called deleted either.
+        self._doubt = 0
 
     def is_whole(self) -> bool:
         """Returns whether this node lacks nothing up to some revision."""
@@ -330,7 +334,22 @@
         # Its deletion may have been forgotten here. A node that was cut off
         # meanwhile still has the object and would bring it back into force;
         # the store would not.
-        return from_store or stored.version > self.floor
+        return from_store or stored.version > max(self.floor, self._doubt)
+
+    def refuted(self, objects: list[stores.Object]) -> list[stores.Object]:
+        """Returns deletions of objects that are known to be gone.
+
+        What is not here, and not newer than the floor, was not in the store
+        when that was scanned. The node that still has it may never hear of
+        the deletion otherwise: the scan left no tombstone of it anywhere.
+        """
+        return [
+            stores.Object(path=each.path, version=self.floor, value=None)
+            for each in objects
+            if each.value is not None
+            and each.version <= self.floor
+            and self.newest(each.path) is None
+        ]
 
     def absent(self, objects: list[stores.Object], revision: int) -> list:
         """Returns deletions of what the store no longer has.
@@ -519,7 +538,7 @@
             return
         path = next(iter(self._tombstones))
         version = self._tombstones.pop(path)
-        self.floor = max(self.floor, version)
+        self._doubt = max(self._doubt, version)
         del self.shelves[bucket_of(path)][path]
 
     def _index(self, path: str, declaration: declarations.Declaration) -> None:
--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -275,7 +275,11 @@
         # one that is complete it could only bring back what was deleted.
         if view.is_whole() and self.agents.knows(sender):
             return []
+        gone = view.refuted(changes.objects) if view.is_whole() else []
         todo = self._take(changes.objects, now, sender=sender)
+        if gone:
+            refuted = messages.Changes(objects=gone)
+            todo.append(actions.Send(address=sender, message=refuted))
         return todo + self.exchange.told(changes, sender, now)
 
     def _take(
@@ -387,6 +391,7 @@
             "name": self.name,
             "data_centre": self.data_centre,
             "watched": min(now - watched, LONG_AGO),
+            "floor": self.configuration.floor,
         }
 
     def _duty(self, now: float) -> bool:
--- a/pimentoledge/decisions/exchange.py
+++ b/pimentoledge/decisions/exchange.py
@@ -119,7 +119,7 @@
     ) -> messages.Summary:
         """Returns the answer to a digest."""
         view = self.configuration
-        summary = messages.Summary(floor=view.floor, **about_me)
+        summary = messages.Summary(**about_me)
         if digest.root != view.root or digest.known == configuration.UNKNOWN:
             summary.buckets = list(view.buckets)
         if not view.is_whole():
@@ -131,6 +131,8 @@
         view = self.configuration
         if view.is_whole() and view.root == digest.root:
             view.known = max(view.known, digest.known)
+            # What is in neither of the two is gone, as the other one knows.
+            view.raise_floor(digest.floor)
 
     def repair(
         self, summary: messages.Summary, sender: str, now: float
--- a/pimentoledge/decisions/subscription.py
+++ b/pimentoledge/decisions/subscription.py
@@ -130,6 +130,12 @@
             [each for each in objects if each.path in wanted], from_store=False
         )
         self._mark(changes.done)
+        # All that the entry has of a bucket is here, and yet it differs: the
+        # entry knows of a deletion that left no tombstone. What is kept is
+        # only a copy, so it is fetched anew.
+        for each in changes.done:
+            if self.kept.buckets[each.number] != each.digest:
+                self.kept.clear_bucket(each.number)
 
     def _answered(self, answer: messages.PollAnswer, sender: str) -> Actions:
         if answer.known < 0:
--- a/pimentoledge/nodes/configuration_messages.py
+++ b/pimentoledge/nodes/configuration_messages.py
@@ -45,6 +45,8 @@
         data_centre: where the sender is.
         watched: seconds since an entry of that data centre last called the
             store for changes, as far as the sender has heard.
+        floor: up to this version the sender knows what it does not have to
+            be deleted.
     """
 
     root: int
@@ -52,6 +54,7 @@
     name: str
     data_centre: str
     watched: float
+    floor: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -67,8 +70,7 @@
         buckets: digest of each bucket; empty when the roots are equal.
         whole: number and revision of the buckets that are complete, while
             the sender is not complete itself.
-        floor: up to this version the sender takes an object that it does not
-            have for one that was deleted.
+        floor: as in Digest.
     """
 
     root: int
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -233,6 +233,36 @@
     assert "old" not in stale.configuration.contracts
 
 
+def test_deletion_without_a_tombstone_reaches_all():
+    """A deleted contract goes on working at some entries, for good.
+
+    The watch drops the deletion. An entry that starts then reads the store,
+    where the contract is no more: nobody has a tombstone of it. That entry
+    is also the one that sweeps, and finds nothing missing.
+    """
+    net = started(3, agents=3)
+    first = min(
+        net.entries(), key=lambda e: e.peers.rank(net.now, everywhere=True)
+    )
+    net.store.dropped.add(net.store.revision + 1)
+    net.store.put("declared/contracts/org-3", None)
+    net.cut = lambda sender, receiver: first.address in (sender, receiver)
+    number = int(first.name.removeprefix("entry-"))
+    again = net.entry(number, first.data_centre)
+    assert net.run(9, until=again.configuration.is_whole)
+    assert "org-3" not in again.configuration.contracts
+    net.cut = lambda sender, receiver: False
+    views = [entry.configuration for entry in net.entries()]
+    assert any("org-3" in view.contracts for view in views)
+    net.run(IN_FORCE_SECONDS)
+    assert all("org-3" not in view.contracts for view in views)
+    net.run(2 * IN_FORCE_SECONDS)
+    path = "declared/contracts/org-3"
+    for node in net.nodes.values():
+        if hasattr(node, "kept"):
+            assert node.kept.in_force(path) is None
+
+
 def test_old_copy_of_an_agent_undoes_nothing():
     """A deleted contract works again after an agent comes back.
 
@@ -328,7 +358,7 @@
 
     def __init__(self):
         super().__init__()
-        self.net = started(4, contracts=3)
+        self.net = started(4, contracts=3, agents=3)
         self.seen = {}
         self.half = False
 
@@ -341,6 +371,30 @@
         else:
             self.net.store.put(f"declared/contracts/{name}", None)
 
+    @stateful.rule(
+        number=strategies.integers(0, 3), name=strategies.sampled_from("abc")
+    )
+    def accept_at_an_entry(self, number, name):
+        if self.net.store.down:
+            return
+        stored = self.net.declare(contract(name))
+        entry = self.net.entries()[number]
+        todo = entry.publish([stored], self.net.now)
+        self.net.perform(entry.address, todo)
+
+    @stateful.rule()
+    def drop_next_change_from_watches(self):
+        self.net.store.dropped.add(self.net.store.revision + 1)
+
+    @stateful.rule()
+    def restart_all(self):
+        for number in range(1, 5):
+            self.restart(number)
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def restart_agent(self, number):
+        self.net.agent(number)
+
     @stateful.rule()
     def cut_or_heal(self):
         self.half = not self.half
