Say truly whether paused batch work ran

Cause, found by fuzzing: an agent that stops batch work for interactive work forgot what the engine said of it. A check that was to be stopped while its engine was already dead, so that no engine ever had it, was told "ran". And the other way round: one that ran, was paused, and was then refused by a dead engine was told "not run", which is false and may make its caller pay twice.

Change: a run knows whether any engine ever began it (its start, a piece of text, or a break that was no refusal). A refusal counts as "not run" only if none did, before a pause too; a break while stopping is noted like any other.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -336,6 +336,7 @@
     def begin(self, run: runs.Run) -> actions.Action:
         """Hands a request to the engine or service."""
         run.stage = runs.Stage.RUNNING
+        run.ran = ""
         dispatch = run.dispatch
         if dispatch.completion is not None:
             return actions.RunCompletion(
@@ -374,7 +375,8 @@
                 continue
             if refused.started:
                 code = results.Code.STREAM_BROKEN
-                todo += self.give_up(run, code, results.Ran.RAN, now)
+                ran = results.Ran(run.ran or results.Ran.RAN)
+                todo += self.give_up(run, code, ran, now)
             else:
                 todo += self.turn_away(run, refused, now)
         for ready in self.admission.ready(now):
@@ -442,6 +444,8 @@
         """Takes the engine's word of who it is, newer than its status."""
         todo: Actions = []
         run = self.runs.get((event.request, event.attempt))
+        if run is not None:
+            run.touched = True
         if run is not None and run.stage == runs.Stage.PAUSING:
             # The first order to stop may have overtaken the completion on
             # its way to the engine; then it found nothing to stop.
@@ -463,6 +467,7 @@
         if run.tokens < PROVED_TOKENS <= run.tokens + event.tokens:
             self.admission.proved(event.request, event.attempt)
         run.tokens += event.tokens
+        run.touched = True
         run.resumes = 0
         if run.dispatch.key:
             self.keep(run, event.text)
@@ -560,10 +565,12 @@
         if self.kind == declarations.ServerKind.SERVICE:
             code = results.Code.SERVICE_FAILED
             return self.give_up(run, code, results.Ran(event.ran), now)
+        # What an engine refuses now it may have run before a pause.
+        run.touched |= event.ran != results.Ran.NOT_RUN
+        run.ran = results.Ran.RAN if run.touched else event.ran
         if run.stage == runs.Stage.PAUSING:
             return self.paused(run, now)
         run.stage = runs.Stage.BROKEN
-        run.ran = event.ran
         if run.ran == results.Ran.NOT_RUN:
             self.admission.untouched(event.request, event.attempt)
         return [actions.CheckEngine()]
