Close idle connections after 15 s, but none that is waited on

Cause: connections kept for 120 s would take 99 MB at an entry of the size to come (3,400 agents x 29 KB, derived). And closing one while its agent holds a request loses the first sign of that agent's death: the entry would notice by silence only, after 5.5 s. Change: idle ones go after 15 s (430 agents, 12.5 MB, derived); one whose process holds or waits for a request stays. The test checks both and that a closed one comes back on use.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -143,6 +143,10 @@
             for address, frames in pending.items()
         ]
 
+    def partners(self) -> set[str]:
+        """Returns the mailboxes of the entries that wait for answers."""
+        return {each.sender for each in self.runs.values()}
+
     def idle(self) -> bool:
         """Returns whether nothing runs and every claim is settled."""
         return not self.runs and not self.claims.held()
--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -178,6 +178,10 @@
         """Returns what was held back to be sent together: nothing."""
         return []
 
+    def partners(self) -> set[str]:
+        """Returns the mailboxes of the agents that hold requests."""
+        return {each.agent for each in self.tickets.values()}
+
     def idle(self) -> bool:
         """Returns whether every request has ended."""
         return not self.tickets
--- a/pimentoledge/nodes/loops.py
+++ b/pimentoledge/nodes/loops.py
@@ -40,7 +40,7 @@
     """Gives events to a state machine and carries out its actions.
 
     Attributes:
-        core: has `handle(event, now)`, `next_wake()` and a
+        core: has `handle(event, now)`, `next_wake()`, `partners()` and a
             `configuration.version`.
         inbox: events from the other threads.
         mailbox: connection to the other processes.
@@ -134,7 +134,7 @@
         self.guarded(None, self.carry_out, todo, now)
         if now - self.expired > LONGEST_WAIT:
             self.expired = now
-            self.mailbox.expire(now)
+            self.mailbox.expire(now, self.core.partners())
 
     def guarded(
         self, event: object, function: Callable, *arguments: object
--- a/pimentoledge/nodes/mailboxes.py
+++ b/pimentoledge/nodes/mailboxes.py
@@ -24,7 +24,8 @@
 RECEIVE_BUFFER = 512
 # How long a message waits for a connection to come up.
 CONNECT_SECONDS = 1.0
-IDLE_SECONDS = 120.0
+# A connection costs some 29 KB, and an entry meets thousands of agents.
+IDLE_SECONDS = 15.0
 
 
 @attrs.define(kw_only=True)
@@ -185,11 +186,20 @@
                         return
                     self.push(event.address, peer, message, data)
 
-    def expire(self, now: float) -> None:
-        """Gives up on connections that don't come up, and on idle ones."""
+    def expire(self, now: float, partners: set[str]) -> None:
+        """Gives up on connections that don't come up, and on idle ones.
+
+        Args:
+            now: the time.
+            partners: processes that this one waits for. Their connections
+                stay, however idle: that one breaks is the first sign of a
+                partner's death.
+        """
         for address, peer in list(self.peers.items()):
             if not peer.up and now - peer.since > CONNECT_SECONDS:
                 self.drop(address, [])
+            elif address in partners:
+                continue
             elif now - peer.used > IDLE_SECONDS:
                 self.peers.pop(address)
                 peer.socket.close()
--- a/pimentoledge/tests/test_nodes.py
+++ b/pimentoledge/tests/test_nodes.py
@@ -36,7 +36,7 @@
         """Returns the next event of a kind, handling connections' news."""
         until = time.monotonic() + WAIT
         while True:
-            self.mailbox.expire(time.monotonic())
+            self.mailbox.expire(time.monotonic(), set())
             try:
                 event = self.inbox.get(timeout=0.05)
             except queue.Empty:
@@ -164,6 +164,9 @@
     def next_wake(self):
         return None
 
+    def partners(self):
+        return set()
+
 
 def test_a_defect_costs_only_the_event_that_met_it():
     """One request meets a defect while frames of other streams arrive.
@@ -185,3 +188,25 @@
     loop.close()
     assert core.handled == ["one", "two"]
     assert defects == ["bad"]
+
+
+def test_an_idle_connection_is_closed_and_opened_again_on_use():
+    """An entry meets thousands of agents a minute, each some 29 KB.
+
+    Kept for long they would take several times what a node may spend. One
+    that was closed must come back by itself, with nothing lost.
+    """
+    one, other = Owner(), Owner()
+    one.send(other.mailbox.address, 1)
+    one.next(mailboxes.PeerUp)
+    other.next(events.FromNode)
+    later = time.monotonic() + mailboxes.IDLE_SECONDS + 1
+    one.mailbox.expire(later, {other.mailbox.address})
+    assert one.mailbox.peers
+    one.mailbox.expire(later, set())
+    assert not one.mailbox.peers
+    one.send(other.mailbox.address, 2)
+    one.next(mailboxes.PeerUp)
+    assert other.next(events.FromNode).message.attempt == 2
+    one.mailbox.close()
+    other.mailbox.close()
