--- a/benches/configuration.py
+++ b/benches/configuration.py
@@ -75,6 +75,10 @@
         """Does what is due."""
         return self.distributor.wake(now)
 
+    def partners(self) -> set[str]:
+        """Returns the processes that a request waits for: none."""
+        return set()
+
     def next_wake(self) -> float | None:
         """Returns when `tick` is due."""
         return self.distributor.next_wake()
