Catch two more faults of claims by direct tests

The tests use the platform's fake store instead of one of their own, and Claims.flush, which nothing called, is gone.

--- a/pimentoledge/decisions/claim_shards.py
+++ b/pimentoledge/decisions/claim_shards.py
@@ -257,12 +257,6 @@
         claim.due = now + self.limits.outcome_delay
         return self.step(now)
 
-    def flush(self, now: float) -> list[Output]:
-        """Tells the store all that waits to be told, before an exit."""
-        for claim in self.mine.values():
-            claim.due = min(claim.due, now)
-        return self.step(now)
-
     def failed(
         self, request: str, ran: results.Ran, now: float
     ) -> list[Output]:
--- a/pimentoledge/decisions/claims.py
+++ b/pimentoledge/decisions/claims.py
@@ -149,13 +149,6 @@
         bases = [each.base for each in list(self.shards.values())]
         return max((b.size() for b in bases if b is not None), default=0)
 
-    def flush(self, now: float) -> list[Output]:
-        """Hurries what the store has yet to be told, before an exit."""
-        outputs = []
-        for shard in self.shards.values():
-            outputs += self._note(shard, shard.flush(now))
-        return outputs
-
     def _note(
         self, shard: claim_shards.ShardClaims, outputs: list[Output]
     ) -> list[Output]:
--- a/pimentoledge/tests/test_claims.py
+++ b/pimentoledge/tests/test_claims.py
@@ -1,10 +1,8 @@
 """Tests of the claims: one run for each idempotency key, true refusals.
 
-A small store in memory stands in for the object API; each call to it waits
-in a list until the test says how it ends.
+Each call to the fake store waits in a list until the test says how it ends.
 """
 
-import attrs
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -18,6 +16,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import stores
 from pimentoledge.nodes import messages
+from pimentoledge.platform import fake_objects
 
 DONE = stores.Outcome.WRITTEN
 DOWN = stores.Outcome.DOWN
@@ -26,37 +25,6 @@
 WHO = strategies.integers(0, 1)
 
 
-class Store:
-    """Objects with conditional writes."""
-
-    def __init__(self):
-        self.objects: dict[str, stores.Object] = {}
-        self.revision = 0
-
-    def perform(self, call: stores.Read | stores.Write) -> stores.Answer:
-        found = self.objects.get(call.path)
-        held = [found] if found else []
-        if isinstance(call, stores.Read):
-            outcome = stores.Outcome.FOUND if found else stores.Outcome.ABSENT
-            return _answer(call, outcome, held)
-        if call.expected != (found.version if found else 0):
-            return _answer(call, stores.Outcome.CONFLICT, held)
-        self.revision += 1
-        self.objects[call.path] = stores.Object(
-            path=call.path,
-            version=self.revision,
-            value=call.value,
-            write_id=call.write_id,
-        )
-        return _answer(call, DONE, [], self.revision)
-
-
-def _answer(call, outcome, objects=(), version=0) -> stores.Answer:
-    return stores.Answer(
-        call=call.call, outcome=outcome, objects=list(objects), version=version
-    )
-
-
 def _dispatch(request: str, key: str, **fields) -> messages.Dispatch:
     call = messages.ServiceCall(
         service="orders", method="POST", path="/", body=fields.pop("body", b"")
@@ -77,7 +45,7 @@
 class Agent:
     """One life of an agent: its claims, store calls and verdicts."""
 
-    def __init__(self, life: str, store: Store, **limits):
+    def __init__(self, life: str, store: fake_objects.FakeObjects, **limits):
         self.store = store
         self.claims = claims.Claims(
             agent="s",
@@ -113,9 +81,9 @@
     def next_call(self, now: float, outcome=DONE, effect: bool = True):
         """Ends the oldest store call; a lost one has its effect or not."""
         call = self.calls.pop(0)
-        answer = self.store.perform(call) if effect else None
+        answer = self.store.call(call) if effect else None
         if outcome in (DOWN, LOST):
-            answer = _answer(call, outcome)
+            answer = stores.Answer(call=call.call, outcome=outcome)
         self.take(self.claims.answer(answer, now))
         return call
 
@@ -141,6 +109,13 @@
         return only
 
 
+def _beside(key: str) -> str:
+    """Returns another key of the same shard."""
+    shard = claim_records.shard_of("acme", key)
+    keys = (f"{key}{number}" for number in range(10000))
+    return next(k for k in keys if claim_records.shard_of("acme", k) == shard)
+
+
 def _denied(agent: Agent, request: str) -> tuple[results.Code, results.Ran]:
     verdict = agent.verdict(request)
     assert isinstance(verdict, claim_verdicts.Denied), verdict
@@ -153,7 +128,7 @@
     The first agent leaves, so the resend goes to another one. It must read
     the outcome and not run the order again; another body is refused.
     """
-    store = Store()
+    store = fake_objects.FakeObjects()
     first, second = Agent("life-1", store), Agent("life-2", store)
     first.claim("r1", "k")
     first.settle(0.0)
@@ -183,7 +158,7 @@
     A second write, or a refusal, without looking would leave the key
     claimed by nobody who knows; the record read back grants the call.
     """
-    agent = Agent("life-1", Store())
+    agent = Agent("life-1", fake_objects.FakeObjects())
     agent.claim("r1", "k")
     agent.next_call(0.0)
     agent.next_call(0.0, LOST)
@@ -198,7 +173,7 @@
     The record then names this life, which gave the claim up: it takes the
     record out, and the caller's resend to another agent may run.
     """
-    store = Store()
+    store = fake_objects.FakeObjects()
     agent = Agent("life-1", store)
     agent.claim("r1", "k")
     agent.next_call(0.0)
@@ -209,9 +184,10 @@
     agent.take(agent.claims.tick(2.5))
     down = (results.Code.CLAIM_STORE_DOWN, results.Ran.NOT_RUN)
     assert _denied(agent, "r1") == down
-    store.perform(late)
-    now = agent.settle(2.5)
-    assert agent.claims.held() == 0
+    agent.claim("r3", _beside("k"), 2.6)
+    store.call(late)
+    now = agent.settle(2.6)
+    assert agent.claims.held() == 1
     other = Agent("life-2", store)
     other.claim("r2", "k", now)
     other.settle(now)
@@ -225,7 +201,7 @@
     Forgetting the given-up claim at the read back would let the late write
     block the key for a day; a write on the same version makes it conflict.
     """
-    store = Store()
+    store = fake_objects.FakeObjects()
     agent = Agent("life-1", store, patience=0.5)
     agent.claim("r1", "k")
     agent.next_call(0.0)
@@ -235,7 +211,7 @@
     assert _denied(agent, "r1")[1] == results.Ran.NOT_RUN
     agent.settle(1.0)
     assert agent.claims.held() == 0
-    assert store.perform(late).outcome == stores.Outcome.CONFLICT
+    assert store.call(late).outcome == stores.Outcome.CONFLICT
 
 
 def test_a_key_being_freed_is_not_granted_from_its_old_record():
@@ -244,7 +220,7 @@
     A grant from that old record would run with nothing durable: the other
     agent, which sees the key free, would run the order a second time.
     """
-    store = Store()
+    store = fake_objects.FakeObjects()
     agent, other = Agent("life-1", store), Agent("life-2", store)
     agent.claim("r1", "k")
     agent.next_call(0.0)
@@ -267,7 +243,7 @@
 
     Its entry may have told the caller by then; so it must not start.
     """
-    agent = Agent("life-1", Store())
+    agent = Agent("life-1", fake_objects.FakeObjects())
     agent.claim("r1", "k", seconds_left=5.0)
     agent.next_call(0.0)
     agent.next_call(60.0)
@@ -279,7 +255,7 @@
 
 def test_many_claims_go_into_one_write():
     """A herd of orders arrives while a write is out: one write takes all."""
-    agent = Agent("life-1", Store())
+    agent = Agent("life-1", fake_objects.FakeObjects())
     for number in range(400):
         agent.claim(f"r{number}", f"k{number}")
     shards = len(agent.calls)
@@ -298,7 +274,7 @@
     A claim that comes in the first seconds waits; later ones are refused at
     once, but one of them tries the store now and then.
     """
-    agent = Agent("life-1", Store())
+    agent = Agent("life-1", fake_objects.FakeObjects())
     agent.claim("r0", "k")
     now = 0.0
     while "r0" not in agent.verdicts:
@@ -320,7 +296,7 @@
     Only the age that writers measured themselves frees room: first the kept
     answers go, then the keys.
     """
-    store = Store()
+    store = fake_objects.FakeObjects()
     limits = {"object_bytes": 200, "key_seconds": 7200.0}
     agent = Agent("life-1", store, **limits)
     keys = [f"k{n}" for n in range(2000)]
@@ -347,7 +323,7 @@
 
 def test_a_large_answer_is_remembered_but_not_kept():
     """A call whose answer is too large ran: the resend hears just that."""
-    agent = Agent("life-1", Store())
+    agent = Agent("life-1", fake_objects.FakeObjects())
     agent.claim("r1", "k")
     agent.settle(0.0)
     agent.finish("r1", 1.0, body=bytes(5000))
@@ -361,7 +337,7 @@
 
 def test_an_unreadable_object_is_not_guessed_at():
     """Someone wrote something else there: refused, and not overwritten."""
-    store = Store()
+    store = fake_objects.FakeObjects()
     agent = Agent("life-1", store)
     path = claim_records.path_of("orders", claim_records.shard_of("acme", "k"))
     store.objects[path] = stores.Object(path=path, version=1, value=b"\xc1")
@@ -391,14 +367,6 @@
     assert claim_records.owner("other", 0, servers) is None
 
 
-@attrs.define
-class Run:
-    """What the service knows of one run."""
-
-    request: str
-    body: bytes
-
-
 class OneRun(stateful.RuleBasedStateMachine):
     """Agents, a store and a service that counts, against every order.
 
@@ -408,13 +376,13 @@
 
     def __init__(self):
         super().__init__()
-        self.store = Store()
+        self.store = fake_objects.FakeObjects()
         self.now = 0.0
         self.lives = 0
         self.requests = 0
         self.agents = [self.agent(), self.agent()]
         self.late: list[stores.Write] = []
-        self.runs: dict[str, list[Run]] = {}
+        self.runs: dict[str, list[bytes]] = {}
         self.started: set[str] = set()
         self.key_of: dict[str, str] = {}
         self.seen: dict[str, claim_verdicts.Verdict] = {}
@@ -440,7 +408,7 @@
             case claim_verdicts.Granted():
                 self.waiting.append((agent, request))
             case claim_verdicts.Replay():
-                assert [each.body for each in runs] == [verdict.body]
+                assert runs == [verdict.body]
             case claim_verdicts.Denied(ran=results.Ran.RAN):
                 assert len(runs) == 1
 
@@ -476,7 +444,7 @@
     @stateful.precondition(lambda self: self.late)
     @stateful.rule()
     def late_write_lands(self):
-        self.store.perform(self.late.pop(0))
+        self.store.call(self.late.pop(0))
 
     @stateful.rule(
         seconds=strategies.sampled_from([0.1, 0.5, 0.5, 1.0, 15.0]),
@@ -506,8 +474,8 @@
             return
         self.started.add(request)
         key = self.key_of[request]
-        run = Run(request, f"answer to {request}".encode())
-        self.runs.setdefault(key, []).append(run)
+        body = f"answer to {request}".encode()
+        self.runs.setdefault(key, []).append(body)
         self.running.append((agent, request))
 
     @stateful.precondition(lambda self: self.running)
--- a/pimentoledge/tests/test_claims_path.py
+++ b/pimentoledge/tests/test_claims_path.py
@@ -160,6 +160,12 @@
     path.service.down = False
 
 
+def service_answer_lost(path):
+    """The service runs the call, and its answer never reaches the agent."""
+    path.service.lose_answers = 1
+    path.post("e", "r1")
+
+
 FAULTS = [
     lost_claim_answer,
     lost_claim,
@@ -179,6 +185,7 @@
     both_entries_at_once,
     both_agents_at_once,
     service_refuses_the_connection,
+    service_answer_lost,
 ]
 # What the caller is told at last where no run can be known to have ended.
 UNKNOWN = {
@@ -187,6 +194,7 @@
     agent_killed_after_the_run,
     both_killed,
     killed_and_restarted_twice,
+    service_answer_lost,
 }
 # Faults that the first caller doesn't notice.
 UNNOTICED = {
