Tell a limit's owner again what runs once its connection broke

Cause: an owner that restarts at its old address has forgotten its leases, and its borrowers reported again only when those were renewed, 15 s later. Until then it lent every slot a second time: in the new test 10 more run beside the 10 of the contract.

Change: a broken connection to an owner makes the next tick report what runs there; the test then lets in none. The fuzzing gets a contract with a limit of 3 in one organisation, a check of what runs over all entries (exact while undisturbed, the stated bound of twice the limit and one for each entry afterwards), and the mutation "give each entry the whole limit". Before restarting all entries, each example now restarts one with the store down, which must serve from its peer half a second later.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -121,6 +121,7 @@
                 todo += self.caller_gone(event, now)
             case events.Unreachable():
                 todo += self.unreachable(event, now)
+                todo += self.limited(self.limits.handle(event, now), now)
             case events.VmsListed():
                 self.membership.vms(event.vms, now)
             case events.Drain():
--- a/pimentoledge/decisions/limits.py
+++ b/pimentoledge/decisions/limits.py
@@ -291,8 +291,8 @@
         """Takes in a message of another entry, or the passing of time.
 
         Args:
-            event: events.FromNode with a Borrow or a Lend; anything else
-                counts as time that passed.
+            event: events.FromNode with a Borrow or a Lend, or
+                events.Unreachable; anything else counts as time that passed.
             now: monotonic time in seconds.
         """
         match event:
@@ -300,6 +300,9 @@
                 return self._lend(event.sender, ask, now)
             case events.FromNode(message=messages.Lend() as lent):
                 return self._lent(event.sender, lent, now)
+            case events.Unreachable():
+                self._doubt(event.address, now)
+                return []
             case _:
                 return self._tick(now)
 
@@ -529,6 +532,19 @@
         self._apply(account, lent, now)
         return self._settle(account, now)
 
+    def _doubt(self, owner: str, now: float) -> None:
+        """Makes the next tick tell an owner again what runs here.
+
+        A connection that broke may mean that the owner has restarted. It
+        would know of no lease, and lend each slot a second time.
+        """
+        for account in self.accounts.values():
+            if account.owner != owner:
+                continue
+            account.asked_at = None
+            account.slots = min(account.slots, len(account.running))
+            account.slots_until = min(account.slots_until, now)
+
     def _apply(self, account: Account, lent: messages.Lend, now: float) -> None:
         asked_at = account.asked_at if account.asked_at is not None else now
         account.asked_at = None
--- a/pimentoledge/tests/fuzz/machines.py
+++ b/pimentoledge/tests/fuzz/machines.py
@@ -157,6 +157,8 @@
             self.declare(name, declarations.ServerState.IN)
         self.heal()
         self.upgrade_all()
+        if len(world.entries) > 1:
+            self.check_restart_without_store()
         for address in world.entries:
             world.restart(world.processes[address])
         world.settle(READY_SECONDS)
@@ -171,6 +173,17 @@
             if number and asked.ended.cached_tokens < wanted:
                 self.oracle.fail("shared", f"{asked.ended} computed again")
 
+    def check_restart_without_store(self):
+        """An entry restarts while the store is down; its peer knows all."""
+        self.world.objects.down = True
+        entry = self.world.restart(self.entry(0))
+        self.world.settle(0.5)
+        asked = self.complete(entry, "araujo", prompt_of(0, 0))
+        self.world.settle(1.0)
+        if not isinstance(asked.ended, actions.ReplyEnd):
+            self.oracle.fail("restart", f"{asked.event.request} not served")
+        self.world.objects.down = False
+
     def upgrade_all(self):
         """Gives every engine the declared weights."""
         model = self.world.declared(declarations.Model, "m")
@@ -283,6 +296,7 @@
         channels = [each for each in self.world.channels.values() if each.queue]
         channel = self.pick(channels, which)
         if channel is not None:
+            self.oracle.disturbed = True
             self.oracle.note(f"lost: {channel.queue[0][2]}"[:200])
             channel.queue.popleft()
 
--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -21,6 +21,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import entries
 from pimentoledge.decisions import events
+from pimentoledge.decisions import limits
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
@@ -436,6 +437,22 @@
         world.settle(1.0)
 
 
+def own_whole_limit(monkeypatch):
+    """Gives each entry the whole limit of each contract."""
+    monkeypatch.setattr(
+        limits.Limits, "owner_of", lambda self, organisation: self.address
+    )
+
+
+def many_at_once(driver):
+    """One organisation sends more than its limit through both entries."""
+    for number in range(12):
+        prompt = machines.prompt_of(number, 0)
+        driver.complete(driver.entry(number), "trznica", prompt, tokens=20)
+        driver.world.settle(0.01)
+    driver.world.settle(2.0)
+
+
 def claim_all_cached(monkeypatch):
     """Tells callers that their whole prompt was cached."""
     real = entries.Entry.finished
@@ -591,6 +608,12 @@
         apply=never_poison,
         scenario=poison,
     ),
+    Mutation(
+        name="give each entry the whole limit",
+        line="limits",
+        apply=own_whole_limit,
+        scenario=many_at_once,
+    ),
     Mutation(
         name="report a prompt as cached that was not",
         line="told",
--- a/pimentoledge/tests/fuzz/oracles.py
+++ b/pimentoledge/tests/fuzz/oracles.py
@@ -13,6 +13,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.decisions import stores
+from pimentoledge.decisions import tickets as request_tickets
 from pimentoledge.nodes import configuration_messages
 from pimentoledge.nodes import messages
 from pimentoledge.runners import fake_engines
@@ -31,6 +32,7 @@
     "answered": "every accepted request is answered in time, and once",
     "shared": "shared prompt work is not paid twice",
     "told": "nothing told to a caller is false",
+    "limits": "a contract's limit holds over all entries",
     "poison": "one poison request crashes at most three engines",
 }
 # A change is in force everywhere by then, unless the store is cut off.
@@ -120,6 +122,7 @@
         steps: events given to state machines.
         crashes: engine and number of each crash by poison.
         pushed: the same of crashes that had another cause.
+        disturbed: whether entries could not reach each other at some time.
         failed: whether a violation was raised; what comes after it says
             nothing, since a state machine was left in the middle of a step.
         history: what happened, as text.
@@ -134,6 +137,7 @@
         self.changes: dict[str, Change] = {}
         self.contents: dict[tuple, bytes | None] = {}
         self.steps = 0
+        self.disturbed = False
         self.failed = False
         self.history: list[str] = []
         self.owners: dict[tuple, object] = {}
@@ -159,6 +163,7 @@
 
     def stopped(self, process) -> None:
         """A process ends without warning: its callers see it."""
+        self.disturbed |= process.is_entry()
         self.note(f"{process.name} ends")
         for asked in self.asked.values():
             if asked.entry is process and asked.ended is None:
@@ -194,6 +199,7 @@
     def given(self, process, event) -> None:
         """A state machine is given an event."""
         self.steps += 1
+        self.disturbed |= isinstance(event, events.Unreachable)
         if not _is_noise(event):
             self.note(f"{process.name} <- {_short(event)}")
 
@@ -449,9 +455,35 @@
             if process.name in self.left and deaf and not known:
                 self.left[process.name] = self.world.now
 
+    def check_limit(self) -> None:
+        """Checks the concurrency of the organisation that has a limit.
+
+        It is exact while all entries reach each other. Once one was cut off,
+        paused or restarted, a second owner may have lent it all again, and
+        each entry has a share of its own.
+        """
+        world = self.world
+        live = [world.processes[each] for each in world.entries]
+        cut = any(each.held for each in world.channels.values())
+        silent = any(each.core.limits.silent or each.paused for each in live)
+        self.disturbed |= cut or silent
+        tickets = [one for each in live for one in each.core.tickets.values()]
+        running = [
+            each.event.request
+            for each in tickets
+            if each.contract.concurrency
+            and each.phase is not request_tickets.Phase.LIMITED
+        ]
+        most = max((each.contract.concurrency for each in tickets), default=0)
+        if self.disturbed:
+            most = 2 * most + len(live)
+        if len(running) > most:
+            self.fail("limits", f"{running} run, {most} may")
+
     def passed(self) -> None:
         """Time has passed."""
         self.excuse_leaving()
+        self.check_limit()
         for request, asked in self.asked.items():
             if asked.ended or asked.lost or asked.entry.paused:
                 continue
--- a/pimentoledge/tests/fuzz/worlds.py
+++ b/pimentoledge/tests/fuzz/worlds.py
@@ -25,6 +25,8 @@
 
 BLOCK_BYTES = 256
 STATUS_SECONDS = 0.5
+# The limit of one of the two organisations.
+CONCURRENCY = 3
 # How long a message waits for a connection to a process that is gone.
 CONNECT_SECONDS = 1.0
 KEY = "fuzz-key-of-{}"
@@ -145,13 +147,14 @@
         """Writes the declarations of the start."""
         self.declare(declarations.Model(name="m", weights="w1"))
         self.declare(declarations.Service(name="cards"))
-        for name in ("araujo", "trznica"):
+        for name, concurrency in (("araujo", 0), ("trznica", CONCURRENCY)):
             self.declare(
                 declarations.Contract(
                     organisation=name,
                     key_digests=[declarations.key_digest(KEY.format(name))],
                     models=["m"],
                     services=["cards"],
+                    concurrency=concurrency,
                 )
             )
         for kind, serves, addresses in (
--- a/pimentoledge/tests/test_limits.py
+++ b/pimentoledge/tests/test_limits.py
@@ -202,6 +202,31 @@
     assert error.code == results.Code.CONCURRENCY_LIMITED
 
 
+def test_a_restarted_owner_learns_what_runs():
+    """The owner of an organisation's limits restarts and has forgotten all.
+
+    Others would report what runs there only when their leases are renewed,
+    15 s later; until then the owner would lend every slot a second time.
+    """
+    net = Net()
+    limited = contract(concurrency=10)
+    owner = net.nodes[ENTRIES[0]].owner_of("araujo")
+    first, second = [each for each in ENTRIES if each != owner][:2]
+    for number in range(10):
+        assert net.take(first, limited, f"r{number}", 1.0) is None
+    restarted = limits.Limits(name=owner, address=owner, seed=1)
+    restarted.entries(ENTRIES, 1.1)
+    net.nodes[owner] = restarted
+    down = events.Unreachable(address=owner)
+    for address in ENTRIES:
+        net.carry(address, net.nodes[address].handle(down, 1.2), 1.2)
+    net.tick(1.3)
+    answers = [
+        net.take(second, limited, f"s{number}", 1.4) for number in range(10)
+    ]
+    assert answers.count(None) == 0
+
+
 def test_an_older_contract_is_not_taken_over():
     """An entry that is behind must not bring back the limit of before."""
     net = Net()
