--- /dev/null
+++ b/pimentoledge/tests/test_commands.py
@@ -0,0 +1,59 @@
+"""The command line, and the forms of the log."""
+
+import datetime
+import json
+
+from cleo import application
+from cleo.testers import command_tester
+import logbook
+import pytest
+
+from pimentoledge import logs
+from pimentoledge import settings
+from pimentoledge.commands import entries
+from pimentoledge.commands import shown_settings
+
+FIELDS = {"request": "r1", "choice": "s 1", "candidates": {"s 1": 0.5}}
+
+
+def run(command, arguments: str) -> tuple[int, str]:
+    """Returns a command's exit status and all that it printed."""
+    program = application.Application()
+    program.add(command)
+    tester = command_tester.CommandTester(program.find(command.name))
+    status = tester.execute(arguments)
+    return status, tester.io.fetch_output() + tester.io.fetch_error()
+
+
+def test_settings_shows_each_with_its_source(monkeypatch):
+    monkeypatch.setenv("PIMENTOLEDGE_DATA_CENTRE", "north")
+    status, printed = run(shown_settings.SettingsCommand(), "entry")
+    assert status == 0
+    for each in settings.of_program(settings.ENTRY):
+        assert each.name in printed
+    line = next(x for x in printed.splitlines() if "data-centre" in x)
+    assert "north" in line and "environment" in line
+    assert "7001" in printed  # What must be given is not.
+
+
+def test_a_bad_setting_stops_the_start_with_its_number():
+    status, printed = run(entries.EntryCommand(), "--name=e --drain-seconds=x")
+    assert status == 2
+    assert printed.startswith("7001: ")
+
+
+@pytest.mark.parametrize("form", ["plain", "json"])
+def test_a_decision_is_one_line(form, capsys):
+    with logs.handler(level="info", form=form):
+        logs.decision("route", FIELDS)
+        logbook.Logger("x").debug("left out")
+    (line,) = capsys.readouterr().err.splitlines()
+    if form == "plain":
+        assert "route request=r1 choice='s 1' candidates={" in line
+        return
+    record = json.loads(line)
+    assert record["message"] == "route"
+    assert record["level"] == "info"
+    assert {name: record[name] for name in FIELDS} == FIELDS
+    when = datetime.datetime.fromisoformat(record["time"])
+    assert when.utcoffset() == datetime.timedelta(0)
