--- a/benches/admission.py
+++ b/benches/admission.py
@@ -19,8 +19,10 @@
 from pimentoledge.decisions import events
 from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
+from pimentoledge.decisions import stores
 from pimentoledge.nodes import messages
 from pimentoledge.runners import fake_engines
+from pimentoledge.tests import paths
 
 SEEDS = (1, 2, 3)
 SLOTS = 16
@@ -548,11 +550,87 @@
     table("decision_time: offer, ended, ready, expired and next_wake", rows)
 
 
+def poison_row(name: str, *, copies: int = 1, seconds: float = 0.0) -> dict:
+    """Sends one poison request again and again through ten entries."""
+    path = paths.Path(entry_count=10, runners=9, slots=4)
+    entries = set(path.entry_names)
+    if "apart" in name:
+        path.cut = lambda sender, receiver: entries >= {sender, receiver}
+    if "no store" in name:
+        path.apart |= entries
+    if name == "no quarantine":
+        for node in path.nodes.values():
+            core = node.core
+            if node.engine is None:
+                core.quarantine.check = lambda *_: quarantine.Clear()
+            else:
+                core.admission.remembered = collections.defaultdict(
+                    lambda: admission.Crashes(count=0, until=1e9)
+                )
+                core.admission._remember = lambda *_, **__: None
+    before = len(path.store.calls)
+    innocents = []
+    asked = {}
+    for number in range(20):
+        if name == "herd restart" and number in (4, 8):
+            for each in range(10):
+                path.start_entry(each)
+            path.run(8.0)
+        for each in range(6):
+            innocent = f"i{number}.{each}"
+            innocents.append(innocent)
+            asked[innocent] = path.now
+            prompt = f"manual {each} " * 300
+            path.request((number + each) % 10, innocent, prompt, tokens=60)
+        sent = [f"x{number}.{copy}" for copy in range(copies)]
+        for copy, each in enumerate(sent):
+            path.request((number + copy) % 10, each, "poison " * 300)
+        path.run(
+            40.0, until=lambda sent=sent: all(e in path.answers for e in sent)
+        )
+        path.run(max(seconds, 2.0 if "herd" in name else 0.0))
+    path.run(30.0, until=lambda: all(e in path.answers for e in innocents))
+    late = [
+        path.answers[e][1] - asked[e] for e in innocents if e in path.answers
+    ]
+    bad = [e for e in innocents if path.code(e) != results.Code.OK]
+    writes = [e for e in path.store.calls[before:] if _is_news(e)]
+    return {
+        "case": name,
+        "engines_crashed": path.crashes(),
+        "innocents": len(innocents),
+        "not_served": len(bad),
+        "answer_p50_s": quantile(late, 0.5),
+        "answer_max_s": max(late),
+        "store_writes": len(writes),
+    }
+
+
+def _is_news(call: stores.Call) -> bool:
+    news = getattr(call, "path", "").startswith(quarantine.PREFIX)
+    return isinstance(call, stores.Write) and news
+
+
+def poison() -> None:
+    """Engines that one poison request crashes, sent again twenty times."""
+    rows = [
+        poison_row("no quarantine"),
+        poison_row("in touch"),
+        poison_row("ten copies at once", copies=10),
+        poison_row("herd restart"),
+        poison_row("entries apart, resend at once"),
+        poison_row("entries apart, resend after 2 s", seconds=2.0),
+        poison_row("entries apart, no store"),
+    ]
+    table("poison: 10 entries, 9 runners of 4 slots, 20 resends", rows)
+
+
 MEASUREMENTS = {
     "batch_delay": batch_delay,
     "starvation": starvation,
     "fairness": fairness,
     "retry_storm": retry_storm,
+    "poison": poison,
     "quarantine_cost": quarantine_cost,
     "decision_time": decision_time,
 }
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -377,6 +377,7 @@
             run = self.runs.get(key)
             if run is None:
                 continue
+            todo.append(_log_admission(run, refused))
             if refused.started:
                 code = results.Code.STREAM_BROKEN
                 ran = results.Ran(run.ran or results.Ran.RAN)
--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -250,7 +250,7 @@
                 ticket = self.ticket(event, accepted, now)
         match self.quarantine.check(ticket.fingerprint, now):
             case quarantine.Poison(error=error):
-                return [_error(event.request, error)]
+                return [_log_poison(ticket), _error(event.request, error)]
         self.budget.request(now)
         self.tickets[event.request] = ticket
         self.timers.set((_DEADLINE, event.request), ticket.deadline)
@@ -335,7 +335,8 @@
         ticket.crashes = 0
         match self.quarantine.check(ticket.fingerprint, now):
             case quarantine.Poison(error=error):
-                return self.end_error(ticket, error, now)
+                end = self.end_error(ticket, error, now)
+                return [_log_poison(ticket), *end]
             case quarantine.Suspect(crashes=crashes):
                 ticket.crashes = crashes
                 request = ticket.event.request
@@ -795,6 +796,16 @@
     return actions.ReplyError(request=request, error=error)
 
 
+def _log_poison(ticket: tickets.Ticket) -> actions.LogDecision:
+    fields: dict[str, object] = {
+        "request": ticket.event.request,
+        "organisation": ticket.contract.organisation,
+        "fingerprint": ticket.fingerprint.hex(),
+        "verdict": "refused",
+    }
+    return actions.LogDecision(kind="poison", fields=fields)
+
+
 def _log_step(
     ticket: tickets.Ticket,
     failure: retries.Failure,
--- a/pimentoledge/decisions/quarantine.py
+++ b/pimentoledge/decisions/quarantine.py
@@ -247,6 +247,8 @@
             for address in self.peers
             for message in news
         ]
+        if news:
+            sends.append(self._log_crash(report))
         return sends + self._write(now)
 
     def survived(self, fingerprint: bytes, now: float) -> list[actions.Action]:
@@ -257,9 +259,15 @@
         released = messages.Released(
             fingerprint=fingerprint, crashes=sorted(record.crashes)
         )
-        return [
+        fields: dict[str, object] = {
+            "fingerprint": fingerprint.hex(),
+            "crashes": len(record.crashes),
+        }
+        log = actions.LogDecision(kind="release", fields=fields)
+        sends = [
             actions.Send(address=each, message=released) for each in self.peers
         ]
+        return [log, *sends]
 
     def handle(self, event: object, now: float) -> list[actions.Action]:
         """Takes news of peers and answers of the store; ignores the rest."""
@@ -313,6 +321,20 @@
             seconds=WATCH_SECONDS,
         )
 
+    def _log_crash(self, report: messages.Suspects) -> actions.LogDecision:
+        counts = {
+            each.hex(): len(self.records[each].crashes)
+            for each in report.fingerprints
+            if each in self.records
+        }
+        fields: dict[str, object] = {
+            "server": report.server,
+            "incarnation": report.incarnation,
+            "verdict": "crashed" if report.certain else "vanished",
+            "suspects": counts,
+        }
+        return actions.LogDecision(kind="suspect", fields=fields)
+
     def _vanished_again(
         self, report: messages.Suspects
     ) -> list[messages.Suspects]:
@@ -503,9 +525,7 @@
             return []
         for each in answer.objects:
             if each.value is None:
-                gone = _crash_at(each.path)
-                self.crashes.pop(gone, None)
-                self.unwritten.pop(gone, None)
+                self._deleted(_crash_at(each.path))
             else:
                 self._stored(each, now)
         self.revision = answer.version
@@ -514,6 +534,14 @@
         self._clean_up(now)
         return self._write(now)
 
+    def _deleted(self, key: bytes) -> None:
+        """Forgets a crash that another entry or an operator deleted."""
+        crash = self.crashes.pop(key, None)
+        self.unwritten.pop(key, None)
+        for fingerprint in crash.report.fingerprints if crash else ():
+            released = messages.Released(fingerprint=fingerprint, crashes=[key])
+            self._release(released)
+
     def _clean_up(self, now: float) -> None:
         """Deletes stored crashes that nothing is held against any more."""
         for key, crash in self.crashes.items():
--- a/pimentoledge/tests/test_quarantine.py
+++ b/pimentoledge/tests/test_quarantine.py
@@ -148,6 +148,26 @@
     assert isinstance(fresh.check(b"p", 60.0), quarantine.Poison)
 
 
+def test_operator_releases_by_deleting_the_object():
+    one, _ = pair()
+    one.crashed([b"p"], "r1", "x", 0.0)
+    (crash,) = one.crashes
+    one.revision = 1
+    (watch,) = [each.call for each in one.wake(0.0) if each.call.call]
+    deleted = stores.Object(
+        path=quarantine.PREFIX + crash.hex(), version=2, value=None
+    )
+    answer = stores.Answer(
+        call=watch.call,
+        outcome=stores.Outcome.FOUND,
+        objects=[deleted],
+        version=2,
+    )
+    one.handle(answer, 1.0)
+    assert one.check(b"p", 1.0) == quarantine.Clear()
+    assert not one.unwritten
+
+
 def test_write_waits_for_the_store_and_is_cleaned_up():
     store = Store()
     store.down = True
