Make the test of paused work hold under any placement

The test took it for granted that two equal batch prompts and two equal interactive ones are spread over two runners. Since placement weighs shared text, equal prompts go to one runner, and nothing was paused: the test's own precondition failed. It now sends six different batch prompts, waits until both engines run one, sends two different interactive ones, and crashes the engine that has paused work; it still demands that there is one, and that all answers, eight instead of four, are whole.

--- a/pimentoledge/tests/test_pausing.py
+++ b/pimentoledge/tests/test_pausing.py
@@ -49,18 +49,21 @@
     runner goes on behind what the caller has.
     """
     path = paths.Path(entry_count=1, runners=2, slots=1, step_seconds=STEP)
-    for number in range(2):
-        path.request(0, f"b{number}", CHECK, tokens=200, batch=True)
-    path.run(2.0, until=lambda: len(path.first) == 2)
-    for number in range(2):
-        path.request(0, f"i{number}", QUOTE, tokens=100)
+    prompts = {f"b{n}": f"Lot {n}. " + CHECK for n in range(6)}
+    for request, prompt in prompts.items():
+        path.request(0, request, prompt, tokens=200, batch=True)
+    engines = [each.engine for each in path.runners]
+    assert path.run(5.0, until=lambda: all(e.decoding for e in engines))
+    prompts |= {f"i{n}": f"Bike {n}. " + QUOTE for n in range(2)}
+    for request in ("i0", "i1"):
+        path.request(0, request, prompts[request], tokens=100)
     path.run(1.0)
-    engine = path.runners[0].engine
-    assert engine.counters.cancelled == 1
-    engine.crash(path.now)
-    path.run(60.0, until=lambda: len(path.answers) == 4)
-    assert set(path.answers) == {"b0", "b1", "i0", "i1"}
+    paused = max(engines, key=lambda each: each.counters.cancelled)
+    assert paused.counters.cancelled == 1
+    paused.crash(path.now)
+    path.run(60.0, until=lambda: len(path.answers) == len(prompts))
+    assert set(path.answers) == set(prompts)
     for request, (error, _) in path.answers.items():
         assert error.code == 0
-        prompt, count = (CHECK, 200) if request[0] == "b" else (QUOTE, 100)
-        assert path.texts[request] == text(prompt, count)
+        count = 200 if request[0] == "b" else 100
+        assert path.texts[request] == text(prompts[request], count)
