--- a/pimentoledge/runners/fake_servers.py
+++ b/pimentoledge/runners/fake_servers.py
@@ -7,7 +7,9 @@
 import cheroot.server
 
 from pimentoledge import fake_http
+from pimentoledge.decisions import events
 from pimentoledge.runners import fake_engines
+from pimentoledge.runners import streams
 from pimentoledge.runners import wires
 
 # Threads beside those of the streams: status, orders, events, KV.
@@ -328,7 +330,7 @@
         else:
             self._deliver(self.engine.step(now))
 
-    def _deliver(self, output: list[fake_engines.Event]) -> None:
+    def _deliver(self, output: list[streams.Event]) -> None:
         """Writes what came out, each stream's events in one write."""
         by_stream = collections.defaultdict(list)
         for event in output:
@@ -341,7 +343,7 @@
     def _write(self, key: Key, sink: Sink, found: list) -> None:
         last = found[-1]
         crashed = (
-            isinstance(last, fake_engines.events.EngineBroken)
+            isinstance(last, events.EngineBroken)
             and last.text == fake_engines.CRASHED
         )
         if crashed:
@@ -351,7 +353,7 @@
             found = [
                 each
                 for each in found
-                if not isinstance(each, fake_engines.events.EngineText)
+                if not isinstance(each, events.EngineText)
             ]
         if found:
             sink.write(b"".join([wires.block_of(each) for each in found]))
@@ -360,7 +362,7 @@
             del self.sinks[key]
         elif not isinstance(
             last,
-            fake_engines.events.EngineText | fake_engines.events.EngineStarted,
+            events.EngineText | events.EngineStarted,
         ):
             sink.finish()
             del self.sinks[key]
