Prove the claims through an hour without store and new entries

A test through real entries and agents: the store goes down during a run, all entries restart, and an hour later a resend still gets the first answer from the agent, another order is refused as not run, and after the outage the outcome is durable: the next agent answers from it when the first is killed.

--- a/pimentoledge/tests/test_claims_path.py
+++ b/pimentoledge/tests/test_claims_path.py
@@ -166,6 +166,31 @@
     path.post("e", "r1")
 
 
+def an_hour_without_store_and_all_entries_restarted(path):
+    """The store goes down during the run; then all entries start anew.
+
+    The agent alone knows the answer for an hour. A resend gets it, another
+    order is refused as not run, and the outcome is durable in the end.
+    """
+    path.post("e", "r1")
+    path.until(actions.RunCall)
+    path.objects.down = True
+    path.settle(1.0)
+    for name in ("e", "f"):
+        path.kill(name)
+        path.start_entry(name)
+    path.settle(3600.0)
+    path.post("f", "r2")
+    path.post("e", "new", key="new")
+    path.settle(5.0)
+    assert outcome(path, "r2") == b"run 1 of card"
+    assert outcome(path, "new") == results.Ran.NOT_RUN
+    assert path.service.runs_by_key["new"] == 0
+    path.objects.down = False
+    path.settle(5.0)
+    path.kill(path.owner())
+
+
 FAULTS = [
     lost_claim_answer,
     lost_claim,
@@ -186,6 +211,7 @@
     both_agents_at_once,
     service_refuses_the_connection,
     service_answer_lost,
+    an_hour_without_store_and_all_entries_restarted,
 ]
 # What the caller is told at last where no run can be known to have ended.
 UNKNOWN = {
@@ -203,6 +229,7 @@
     lost_outcome_answer,
     store_down_during,
     store_down_after,
+    an_hour_without_store_and_all_entries_restarted,
     service_refuses_the_connection,
 }
 
