Serve both weights versions during an upgrade

Cause: an entry asked for the declared weights. At the moment an operator declared new ones no runner had them, so a model was without any runner until the first load was done. The entry now takes a runner of either version, sends the version that it believes loaded, and the agent refuses where that is no longer true; a refusal for stale weights corrects the hint, and the server stays a good choice.

The entry's chain of digests is no longer salted with a version: a hint belongs to one engine life with one version and ends with it, and the agent still salts what the engine caches. Weighed: chains for both versions (twice the hashing), and going on with the old version until all runners are through (needs every entry to know when that is).

Membership asks closed servers by a probe each second, and lets a loading one be tried where nothing else is left: its agent refuses truthfully.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -148,6 +148,7 @@
         todo = self.distributor.wake(now)
         todo += self.administration.wake(now)
         todo += self.quarantine.wake(now)
+        todo += self.ask_closed(now)
         for kind, request in self.timers.due(now):
             ticket = self.tickets.get(request)
             if ticket is None:
@@ -164,10 +165,23 @@
             todo += self.limited(self.limits.handle(None, now), now)
         return todo
 
+    def ask_closed(self, now: float) -> Actions:
+        """Asks servers that take no new work whether they do again."""
+        closed = [
+            self.configuration.server(name)
+            for name in self.membership.probes(now)
+        ]
+        return [
+            actions.Send(address=each.agent, message=messages.Probe())
+            for each in closed
+            if each is not None
+        ]
+
     def next_wake(self) -> float | None:
         """Returns when `tick` is due next."""
         times = (
             self.timers.next(),
+            self.membership.next_wake(),
             self.limits.next_wake(),
             self.distributor.next_wake(),
             self.administration.next_wake(),
@@ -296,7 +310,11 @@
             organisation=organisation,
             model=wanted.model,
             adapter=wanted.adapter,
-            weights=self.weights(wanted.model),
+            # Two versions serve at one time during an upgrade, and a request
+            # may run on either. A hint belongs to one engine life with one
+            # version, which keeps them apart; the agent salts what the
+            # engine caches with the version that is loaded.
+            weights="",
         )
         return prefixes.chain(
             salt=salt,
@@ -304,11 +322,6 @@
             block_bytes=self.block_bytes,
         )
 
-    def weights(self, name: str) -> str:
-        """Returns the declared weights version of a model."""
-        model = self.configuration.model(name)
-        return model.weights if model is not None else ""
-
     def limited(self, outputs: list[object], now: float) -> Actions:
         """Carries out what the limits say."""
         todo: Actions = []
@@ -420,7 +433,6 @@
             organisation=ticket.contract.organisation,
             model=serves,
             adapter=completion.adapter if completion is not None else "",
-            weights=self.weights(serves) if completion is not None else "",
             blocks=ticket.blocks,
             block_tokens=self.block_bytes // TOKEN_BYTES,
             prompt_tokens=_prompt_tokens(ticket),
@@ -451,7 +463,7 @@
             seconds_left=ticket.deadline - now,
             server=choice.server,
             incarnation=choice.incarnation,
-            weights=self.weights(completion.model) if completion else "",
+            weights=choice.weights if completion is not None else "",
             configuration=self.configuration.version,
             expected_depth=choice.expected_depth,
             prompt_tokens=_prompt_tokens(ticket),
--- a/pimentoledge/decisions/membership.py
+++ b/pimentoledge/decisions/membership.py
@@ -67,6 +67,7 @@
         failed_at: time of the last hard failure.
         tried_at: when the trial that is out was sent; others stay away.
         closed: whether its agent said that it takes no new work.
+        loading: whether it said so for a load only.
         left_at: when its agent last said that it is leaving.
         probe_at: when to ask a closed server again.
     """
@@ -79,6 +80,7 @@
     failed_at: float = -math.inf
     tried_at: float = -math.inf
     closed: bool = False
+    loading: bool = False
     left_at: float = -math.inf
     probe_at: float = 0.0
 
@@ -99,6 +101,7 @@
         missing_vms: addresses that were listed and no longer are, and the
             time when each was first missed.
         known_vms: addresses in the latest list.
+        next_probe: when to ask a closed server again; None for never.
     """
 
     def __init__(self, *, seed: int, timing: Timing | None = None):
@@ -112,6 +115,7 @@
         self.leaving_vms: frozenset[str] = frozenset()
         self.missing_vms: dict[str, float] = {}
         self.known_vms: frozenset[str] = frozenset()
+        self.next_probe: float | None = None
         self._random = random.Random(seed)
 
     def usable(
@@ -214,30 +218,33 @@
         }
         self.known_vms = listed
 
-    def probes(
-        self, servers: list[declarations.BackendServer], now: float
-    ) -> list[declarations.BackendServer]:
+    def probes(self, now: float) -> list[str]:
         """Returns closed servers to ask whether they take new work again.
 
         Each is returned once in every `timing.probe` seconds. A message
         asks, so that no request is spent on a server that is leaving.
 
         Args:
-            servers: all declared servers.
             now: monotonic seconds.
         """
+        if self.next_probe is None or now < self.next_probe:
+            return []
         due = []
-        if not self.troubles:
-            return due
-        for each in servers:
-            trouble = self.troubles.get(each.name)
-            if trouble is None or not trouble.closed:
+        closed = []
+        for name, trouble in self.troubles.items():
+            if not trouble.closed:
                 continue
             if now >= trouble.probe_at:
                 trouble.probe_at = now + self.timing.probe
-                due.append(each)
+                due.append(name)
+            closed.append(trouble.probe_at)
+        self.next_probe = min(closed, default=None)
         return due
 
+    def next_wake(self) -> float | None:
+        """Returns when to call `probes`; None for never."""
+        return self.next_probe
+
     def incarnation(self, server: str) -> str:
         """Returns the engine incarnation last heard of; empty for none."""
         known = self.incarnations.get(server)
@@ -281,7 +288,7 @@
         held = [
             (self.troubles[each.name], each)
             for each in servers
-            if not self.troubles[each.name].closed
+            if self._may_come_back(self.troubles[each.name])
         ]
         soft = [each for trouble, each in held if trouble.soft]
         if soft:
@@ -299,6 +306,9 @@
         longest_ago = min(due, key=lambda each: each[:2])
         return [longest_ago[2]]
 
+    def _may_come_back(self, trouble: Trouble) -> bool:
+        return trouble.loading or not trouble.closed
+
     def _trouble(self, server: str, now: float) -> Trouble:
         trouble = self.troubles.get(server)
         if trouble is None:
@@ -364,7 +374,11 @@
             trouble = self._trouble(truth.server, now)
             if not trouble.closed:
                 trouble.probe_at = now + self.timing.probe
+                self.next_probe = min(
+                    trouble.probe_at, self.next_probe or math.inf
+                )
             trouble.closed = True
+            trouble.loading = not truth.leaving
             if truth.leaving:
                 trouble.left_at = now
             return
--- a/pimentoledge/decisions/placement.py
+++ b/pimentoledge/decisions/placement.py
@@ -98,6 +98,7 @@
     Attributes:
         server: the server's name; None when there is none.
         incarnation: engine incarnation assumed; empty when not known.
+        weights: weights version assumed; empty when not known.
         expected_depth: prompt tokens expected in its cache.
         candidates: what was considered, cheapest first.
         reason: why, in a few words.
@@ -105,6 +106,7 @@
 
     server: str | None
     incarnation: str = ""
+    weights: str = ""
     expected_depth: int = 0
     candidates: list[Candidate] = attrs.field(factory=list)
     reason: str = ""
@@ -194,9 +196,11 @@
         best = candidates[0]
         self.remember(wanted)
         self.homes.add(wanted.model, wanted.blocks, now)
+        life = self.life(best.server)
         return Choice(
             server=best.server,
-            incarnation=self.life(best.server).incarnation,
+            incarnation=life.incarnation,
+            weights=life.weights,
             expected_depth=best.depth_tokens,
             candidates=candidates,
             reason=reason,
--- a/pimentoledge/decisions/retries.py
+++ b/pimentoledge/decisions/retries.py
@@ -181,7 +181,11 @@
 
 # The server stays a good choice once the entry's hint is corrected.
 _SAME_SERVER = frozenset(
-    {results.Code.STALE_INCARNATION, results.Code.STALE_CONFIGURATION}
+    {
+        results.Code.STALE_INCARNATION,
+        results.Code.STALE_WEIGHTS,
+        results.Code.STALE_CONFIGURATION,
+    }
 )
 _LOAD = frozenset({results.Code.OVERLOADED, results.Code.DEADLINE_UNMEETABLE})
 
--- a/pimentoledge/tests/test_membership.py
+++ b/pimentoledge/tests/test_membership.py
@@ -158,8 +158,10 @@
     for now in (0.5, 3.0, 600.0):
         assert _names(members.usable(_fleet(), now)) == ["b"]
     assert members.usable([_server("a")], 600.0) == []
-    assert _names(members.probes(_fleet(), 600.0)) == ["a"]
-    assert members.probes(_fleet(), 600.5) == []
+    assert members.next_wake() == 1.0
+    assert members.probes(600.0) == ["a"]
+    assert members.probes(600.5) == []
+    assert members.next_wake() == 601.0
     members.answered(_truth(), 600.5)
     assert _names(members.usable(_fleet(), 600.5)) == ["a", "b"]
 
