Let agents give the orders for what is declared

The agent's core drives the orders: it learns what is declared, asks the engine for its status each 0.1 s while it takes no work, refuses new work meanwhile with SERVER_LOADING, turns its queue away with a true "not run" so that it is served elsewhere, and ends only when no permit is held.

It tells each entry that ever sent it work when it closes and opens.

Entries now tell the number of runners with the poll's answer. An entry of the object that says "out" is checked against its own declaration when it is in the way, one read at a time. Weighed: telling agents all names (7 kB for 700 runners every four seconds), and a scan of the store for each permit (3.6 MB at 12,000 servers).

Tests through real daemons: two upgrades in a row under load, adapters that share no cached prefix, and two leaving servers, one of them known only to its agent, with the store down.

--- a/benches/fleets.py
+++ b/benches/fleets.py
@@ -15,6 +15,7 @@
 from pimentoledge.decisions import events
 from pimentoledge.decisions import orders
 from pimentoledge.decisions import permits
+from pimentoledge.decisions import stores
 from pimentoledge.nodes import messages
 from pimentoledge.platform import fake_objects
 from pimentoledge.runners import fake_engines
@@ -95,7 +96,7 @@
         self.order = itertools.count()
         for number in range(1, size + 1):
             name = f"r{number}"
-            self.servers[name] = server_of(name, checks_orders=checks_orders)
+            self.add_server(server_of(name, checks_orders=checks_orders))
             engine = fake_engines.FakeEngine(
                 slots=16,
                 cache_blocks=64,
@@ -109,6 +110,15 @@
             self.start_agent(node)
             self.at(self.random.uniform(0, STATUS_SECONDS), self.poll, node)
 
+    def add_server(self, server):
+        """Declares a server, here and in the store."""
+        self.servers[server.name] = server
+        path = declarations.path_of(server)
+        stored = stores.Object(
+            path=path, version=1, value=declarations.encode(server)
+        )
+        self.store.objects[path] = stored
+
     def at(self, when, what, *arguments):
         """Has something done at a time."""
         heapq.heappush(self.heap, (when, next(self.order), what, arguments))
@@ -154,14 +164,14 @@
     def declare(self, node):
         """Tells a node what is declared now."""
         runners = [
-            each.name
+            each
             for each in self.servers.values()
             if each.state is declarations.ServerState.IN
         ]
         found = node.orders.declare(
             server=self.servers[node.name],
             model=self.model,
-            runners=runners,
+            runners=len(runners),
             now=self.now,
         )
         self.act(node, node.orders, found)
--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -21,11 +21,14 @@
 from pimentoledge.platform import objects
 from pimentoledge.platform import store_tasks
 from pimentoledge.runners import engines
+from pimentoledge.runners import messages
 from pimentoledge.services import clients
 
 logger = logbook.Logger("agent")
 
 STATUS_SECONDS = 0.5
+# The same while the engine takes no work: each such second is lost to it.
+CLOSED_STATUS_SECONDS = 0.1
 IDLE_CHECK_SECONDS = 0.05
 # Threads beside those that each hold one running request.
 SPARE_THREADS = 4
@@ -55,6 +58,7 @@
         slots = chosen.whole("slots")
         self.core = agents.Agent(
             name=name,
+            address=chosen.text("mailbox"),
             kind=self.kind,
             life=life,
             slots=slots,
@@ -108,6 +112,7 @@
     def start(self) -> None:
         """Opens every socket and starts every task."""
         self.loop.start()
+        self.core.orders.address = self.loop.mailbox.address
         self.store.start()
         self.backend.start()
         self.loop.run_thread()
@@ -138,7 +143,10 @@
         """Asks the engine who it is, regularly and when told to."""
         while not self.closing:
             self.loop.inbox.put(self.status())
-            self.ask_now.wait(STATUS_SECONDS)
+            closed = self.core.orders.closing
+            self.ask_now.wait(
+                CLOSED_STATUS_SECONDS if closed else STATUS_SECONDS
+            )
             self.ask_now.clear()
 
     def status(self) -> events.EngineStatus:
@@ -181,6 +189,8 @@
                     )
                 case actions.CheckEngine():
                     self.ask_now.set()
+                case actions.OrderEngine():
+                    self.pool.submit(self.give_order, action.order)
                 case actions.CallStore():
                     self.store.call(action.call)
                 case actions.LogDecision():
@@ -199,6 +209,14 @@
         ):
             self.loop.inbox.put(event)
 
+    def give_order(self, order: messages.Order) -> None:
+        """Gives an order to the engine and delivers its answer."""
+        answer = self.backend.order(order)
+        if answer.reason == engines.NO_ANSWER:
+            answer = None
+        self.loop.inbox.put(events.OrderDone(order=order, answer=answer))
+        self.ask_now.set()
+
     def run_call(self, action: actions.RunCall) -> None:
         """Runs a call at the service and delivers its answer."""
         self.loop.inbox.put(self.backend.run(action))
--- a/pimentoledge/decisions/admission.py
+++ b/pimentoledge/decisions/admission.py
@@ -417,6 +417,8 @@
             return results.Code.SERVER_DOWN
         if truth.leaving:
             return results.Code.SERVER_LEAVING
+        if truth.loading:
+            return results.Code.SERVER_LOADING
         if dispatch.incarnation not in ("", truth.incarnation):
             return results.Code.STALE_INCARNATION
         if dispatch.weights not in ("", truth.weights):
--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -16,6 +16,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.decisions import kept_completions
+from pimentoledge.decisions import orders
 from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
@@ -57,6 +58,11 @@
         configuration: what operators declared, as far as known here.
         admission: decides what runs, waits and is refused.
         claims: at-most-once calls.
+        orders: brings the engine to what is declared.
+        told: digest of the configuration, and number of runners, that the
+            orders were last told.
+        announced: whether entries were last told that a load closes this
+            server.
         subscriber: gets the declarations from entries.
         status: what the engine or service last said of itself.
         runs: attempts that have not ended.
@@ -69,6 +75,7 @@
         self,
         *,
         name: str,
+        address: str = "",
         kind: declarations.ServerKind,
         life: str,
         slots: int,
@@ -82,6 +89,11 @@
         self.configuration = view
         self.admission = admission.Admission(server=name, slots=slots)
         self.claims = claims.Claims(agent=name, life=life, seed=seed)
+        self.orders = orders.Orders(
+            server=name, life=life, address=address, seed=seed
+        )
+        self.told: tuple[int, int] | None = None
+        self.announced = False
         self.subscriber = subscription.Subscriber(
             name=name, seed=seed, view=view, seeds=seeds
         )
@@ -98,6 +110,7 @@
                 return self.text(event)
             case events.FromNode():
                 todo = self.subscriber.handle(event, now)
+                todo += self.declared(now)
                 return todo + self.from_node(event, now)
             case events.EngineStarted():
                 return self.started(event)
@@ -111,16 +124,23 @@
                 return self.learned(event, now)
             case stores.Answer() if self.claims.owns(event.call):
                 return self.claimed(self.claims.answer(event, now), now)
+            case events.OrderDone():
+                return self.ordered(self.orders.handle(event, now), now)
+            case stores.Answer() if self.orders.owns(event):
+                return self.ordered(self.orders.handle(event, now), now)
             case events.Unreachable():
                 todo = self.subscriber.handle(event, now)
                 return todo + self.unreachable(event, now)
             case events.Drain():
                 self.draining = True
+                return self.ordered(self.orders.retire(now), now)
         return []
 
     def tick(self, now: float) -> Actions:
         """Does what is due."""
         todo = self.subscriber.wake(now)
+        todo += self.declared(now)
+        todo += self.ordered(self.orders.wake(now), now)
         todo += self.claimed(self.claims.tick(now), now)
         return todo + self.advance(now)
 
@@ -129,6 +149,7 @@
         times = (
             self.admission.next_wake(),
             self.claims.next_wake(),
+            self.orders.next_wake(),
             self.subscriber.next_wake(),
         )
         return min((each for each in times if each is not None), default=None)
@@ -148,8 +169,42 @@
         return {each.sender for each in self.runs.values()}
 
     def idle(self) -> bool:
-        """Returns whether nothing runs and every claim is settled."""
-        return not self.runs and not self.claims.held()
+        """Returns whether nothing runs and nothing is held in the store."""
+        held = self.claims.held() or self.orders.held()
+        return not self.runs and not held
+
+    def declared(self, now: float) -> Actions:
+        """Goes by what is declared, when that has changed."""
+        told = self.configuration.root, self.subscriber.runners
+        if self.told == told:
+            return []
+        self.told = told
+        server = self.configuration.server(self.name)
+        serves = server.serves if server is not None else ""
+        found = self.orders.declare(
+            server=server,
+            model=self.configuration.model(serves),
+            runners=self.subscriber.runners,
+            now=now,
+        )
+        return self.ordered(found, now)
+
+    def ordered(self, found: Actions, now: float) -> Actions:
+        """Carries out what the orders say; turns waiting work away."""
+        if self.announced is not self.orders.closing:
+            self.announced = self.orders.closing
+            found = found + self.announce()
+        if not self.orders.closing:
+            return found
+        for run in list(self.runs.values()):
+            if self.admission.cancel(*run.key()):
+                refused = admission.Refuse(
+                    code=results.Code.SERVER_LOADING,
+                    dispatch=run.dispatch,
+                    sender=run.sender,
+                )
+                found += self.turn_away(run, refused, now)
+        return found
 
     def truth(self, sender: str) -> messages.Truth:
         """Returns what is true here, for one receiver."""
@@ -164,6 +219,7 @@
             weights=self.status.weights,
             adapters=self.status.adapters,
             leaving=leaving,
+            loading=self.orders.closing,
             running=len(self.admission.running),
             queued=self.admission.queued,
             queued_tokens=self.admission.queued_tokens,
@@ -584,16 +640,43 @@
         """Takes the engine's status; finds out whether it died."""
         before = self.status.incarnation
         self.status = status
+        todo = self.order_by(status, now)
         if status.slots:
             self.admission.slots = status.slots
         if before and status.incarnation != before:
-            return self.died(before, now) + self.advance(now)
-        todo: Actions = []
+            return todo + self.died(before, now) + self.advance(now)
         for run in list(self.runs.values()):
             if run.stage == runs.Stage.BROKEN:
                 todo += self.take_up(run, now)
         return todo + self.advance(now)
 
+    def announce(self) -> Actions:
+        """Tells what is true here to each entry that ever sent work.
+
+        Entries hear of a server by its answers. One that is closed for half
+        a second would have none to give, and an upgrade closes many in turn:
+        entries would believe that all of them are closed.
+        """
+        return [
+            actions.Send(
+                address=each, message=messages.Report(truth=self.truth(each))
+            )
+            for each in self.received
+        ]
+
+    def order_by(self, status: events.EngineStatus, now: float) -> Actions:
+        """Gives the orders that a status calls for."""
+        adapters = {
+            each.dispatch.completion.adapter
+            for each in self.runs.values()
+            if each.dispatch.completion is not None
+        }
+        found = self.orders.work(
+            running=len(self.runs), adapters=frozenset(adapters), now=now
+        )
+        found += self.orders.handle(status, now)
+        return self.ordered(found, now)
+
     def take_up(self, run: runs.Run, now: float) -> Actions:
         """Resumes a stream whose connection broke though its engine lives.
 
--- a/pimentoledge/decisions/agents_served.py
+++ b/pimentoledge/decisions/agents_served.py
@@ -109,10 +109,21 @@
             known=self.configuration.known,
             entries=self._entries_of(poll.server, POLLED),
             held=self._held_by(poll.server),
+            runners=self._runners_like(poll.server),
         )
         todo.append(actions.Send(address=sender, message=answer))
         return todo
 
+    def _runners_like(self, name: str) -> int:
+        server = self.configuration.server(name)
+        if server is None:
+            return 0
+        like = self.configuration.servers(
+            declarations.ServerKind.RUNNER, server.serves
+        )
+        state = declarations.ServerState.IN
+        return sum(each.state is state for each in like)
+
     def told(self, objects: list[stores.Object]) -> Actions:
         """Tells the agents that this entry is to tell of changes."""
         todo: Actions = []
--- a/pimentoledge/decisions/orders.py
+++ b/pimentoledge/decisions/orders.py
@@ -83,13 +83,15 @@
         permits: the entry in the object of permits.
         declared: the server's declaration; None before it is known.
         model: the declaration of the model that it serves.
-        runners: names of all runners of the model that are declared in.
+        runners: how many runners of the model are declared in; 0 while that
+            is not known.
         status: what the engine said last.
         down_since: when the engine went down; None while it is up.
         running: requests in the engine or waiting at this agent.
         adapters_in_use: adapters of those requests.
         given: the order under way.
         closing: whether new work is refused, for a load.
+        retiring: whether the process shall end: no further order is given.
         not_before: earliest next order.
     """
 
@@ -114,13 +116,14 @@
         )
         self.declared: declarations.BackendServer | None = None
         self.model: declarations.Model | None = None
-        self.runners: frozenset[str] = frozenset()
+        self.runners = 0
         self.status: events.EngineStatus | None = None
         self.down_since: float | None = None
         self.running = 0
         self.adapters_in_use: frozenset[str] = frozenset()
         self.given: Given | None = None
         self.closing = False
+        self.retiring = False
         self.not_before = -math.inf
         self._stepped_at = -math.inf
 
@@ -129,7 +132,7 @@
         *,
         server: declarations.BackendServer | None,
         model: declarations.Model | None,
-        runners: list[str],
+        runners: int,
         now: float,
     ) -> list[actions.Action]:
         """Takes in what is declared now.
@@ -137,12 +140,13 @@
         Args:
             server: this server's declaration; None when it has none.
             model: its model's declaration; None when it has none.
-            runners: names of all runners of the model that are declared in.
+            runners: how many runners of the model are declared in; 0 for not
+                known, and then nothing is ordered.
             now: monotonic seconds.
         """
         self.declared = server
         self.model = model
-        self.runners = frozenset(runners)
+        self.runners = runners
         return self._step(now)
 
     def work(
@@ -155,11 +159,18 @@
         self.adapters_in_use = adapters
         return self._step(now) if drained or freed else []
 
+    def retire(self, now: float) -> list[actions.Action]:
+        """Gives no further order; a load that runs keeps its permit."""
+        self.retiring = True
+        return self._step(now)
+
+    def held(self) -> bool:
+        """Returns whether an order or a permit is still held."""
+        return self.given is not None or self._leaves_entry()
+
     def owns(self, answer: stores.Answer) -> bool:
         """Returns whether the store's answer is to one of its calls."""
-        return self.tenure.update.owns(answer) or self.permits.update.owns(
-            answer
-        )
+        return self.tenure.update.owns(answer) or self.permits.owns(answer)
 
     def handle(
         self,
@@ -189,9 +200,10 @@
         times = [each for each in waits if each > self._stepped_at]
         if self.given is not None:
             times.append(self.given.until)
-        for each in (self.tenure.next_wake(), self.permits.next_wake()):
-            if each is not None:
-                times.append(each)
+        calls = [self.tenure.next_wake()]
+        if self._in_charge() or self._leaves_entry():
+            calls.append(self.permits.next_wake())
+        times += [each for each in calls if each is not None]
         return min(times, default=None)
 
     def wake(self, now: float) -> list[actions.Action]:
@@ -258,6 +270,7 @@
         return (
             self.declared is not None
             and self.model is not None
+            and self.runners > 0
             and self.declared.agent == self.address
             and self.declared.state is declarations.ServerState.IN
             and self.declared.kind is declarations.ServerKind.RUNNER
@@ -265,14 +278,17 @@
 
     def _stand_back(self, now: float) -> list[actions.Action]:
         self.closing = False
-        if self.permits.mine is None or self.tenure.number == 0:
+        if not self._leaves_entry():
             return []
         self.permits.set_want(None)
         return self.permits.wake(now)
 
+    def _leaves_entry(self) -> bool:
+        return self.permits.mine is not None and self.tenure.number > 0
+
     def _target(self) -> Target | None:
         status = self.status
-        if status is None or not status.incarnation:
+        if self.retiring or status is None or not status.incarnation:
             return None
         if status.role != self.declared.role:
             return Target(kind=ROLE, value=self.declared.role)
@@ -295,7 +311,7 @@
         if self.given is not None:
             target = self.given.target
         kind = _PERMIT_KINDS.get(target.kind) if target else None
-        if self._out(now):
+        if self._out(now) and not self.retiring:
             kind = permits.Kind.OUT
         if kind is None:
             return None
--- a/pimentoledge/decisions/permits.py
+++ b/pimentoledge/decisions/permits.py
@@ -13,12 +13,15 @@
 
 import attrs
 import msgspec
+from returns import result
 
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import conditional
+from pimentoledge.decisions import declarations
 from pimentoledge.decisions import stores
 
 PATH = "permits/loads"
+_CHECK = "permit-check/"
 
 
 class Kind(enum.StrEnum):
@@ -66,7 +69,7 @@
         kind: what to say.
         model: the model that its server serves.
         limit: loads at one time.
-        runners: names of all declared runners of the model.
+        runners: how many runners of the model are declared in.
         serving: whether its engine serves now, so that a load takes a runner
             away.
     """
@@ -74,7 +77,7 @@
     kind: Kind
     model: str
     limit: int
-    runners: frozenset[str]
+    runners: int
     serving: bool = True
 
 
@@ -144,7 +147,9 @@
         inspected: whether the object was read in this life.
         reason: why a permit was not given: "limit", "guard" or "".
         superseded: whether a later life of the agent has the entry.
-        update: the calls to the store.
+        update: the calls to the store that change the object.
+        doubted: another's entry that says "out" while its server may no
+            longer be declared; None for none.
     """
 
     def __init__(
@@ -167,6 +172,9 @@
         self.update = conditional.Update(
             path=PATH, name="permits", life=life, generator=generator
         )
+        self.doubted: Holder | None = None
+        self._checks = 0
+        self._undeclared: set[tuple[str, int]] = set()
         self._random = generator
         self._next: Holder | None = None
         self._now = 0.0
@@ -215,25 +223,59 @@
 
     def handle(self, answer: stores.Answer, now: float) -> list[actions.Action]:
         """Takes the store's answer."""
+        if answer.call.startswith(_CHECK):
+            self._checked(answer)
+            return []
         self._now = now
         called, ended = self.update.handle(answer, now)
         match ended:
             case conditional.Ended.DOWN:
                 self._retry_at = now + self.timing.retry
             case conditional.Ended.WRITTEN | conditional.Ended.UNCHANGED:
-                self._settle(now)
+                called += self._settle(now)
         return called
 
-    def _settle(self, now: float) -> None:
+    def owns(self, answer: stores.Answer) -> bool:
+        """Returns whether an answer is to one of its calls."""
+        return self.update.owns(answer) or answer.call.startswith(_CHECK)
+
+    def _settle(self, now: float) -> list[actions.Action]:
         self.mine = self._next
         self.inspected = True
         self.confirmed_at = self.update.started
         self._renew_at = math.inf
         if self.reason:
             self._poll_at = now + self._poll_seconds()
+        if self.reason != "guard" or self.doubted is None:
+            return []
+        self._checks += 1
+        path = declarations.PREFIXES[declarations.BackendServer]
+        call = stores.Read(
+            call=f"{_CHECK}{self._checks}", path=path + self.doubted.server
+        )
+        return [actions.CallStore(call=call)]
+
+    def _checked(self, answer: stores.Answer) -> None:
+        """Finds out whether an entry's server is still declared.
+
+        Without this the entry of a server that is gone for good would count
+        as out for ever, and hold up every upgrade of its model.
+        """
+        doubted, self.doubted = self.doubted, None
+        if doubted is None or answer.call != f"{_CHECK}{self._checks}":
+            return
+        match answer.outcome:
+            case stores.Outcome.ABSENT:
+                counts = False
+            case stores.Outcome.FOUND:
+                counts = _counts(answer.objects[0], doubted.model)
+            case _:
+                return
+        if not counts:
+            self._undeclared.add((doubted.server, doubted.number))
 
     def _poll_seconds(self) -> float:
-        runners = len(self.want.runners) if self.want else 0
+        runners = self.want.runners if self.want else 0
         wait = self.timing.poll + self.timing.poll_runner * runners
         if any(each.still > 0 for each in self._sightings.values()):
             # Someone may be dead: to count its time it must be watched.
@@ -316,12 +358,15 @@
             for each in others
             if each.model == want.model and each.kind is not Kind.ADAPTER
         ]
-        return "" if _may_go(len(want.runners), out) else "guard"
+        if _may_go(want.runners, out):
+            return ""
+        idle = [each for each in out if each.kind is Kind.OUT]
+        self.doubted = self._random.choice(idle) if idle else None
+        return "guard"
 
     def _judge(self, holder: Holder) -> Holder | None:
         """Returns another's entry as it is to stand; None to remove it."""
-        undeclared = holder.server not in self.want.runners
-        if holder.model == self.want.model and undeclared:
+        if (holder.server, holder.number) in self._undeclared:
             return None
         sighting = self._sightings.get((holder.server, holder.number))
         if sighting is None or sighting.still < self.timing.expiry:
@@ -356,6 +401,17 @@
             )
 
 
+def _counts(stored: stores.Object, model: str) -> bool:
+    """Returns whether a stored declaration is of a runner of the model."""
+    if stored.value is None:
+        return False
+    match declarations.decode(stored.path, stored):
+        case result.Success(declarations.BackendServer() as server):
+            state = declarations.ServerState.IN
+            return server.serves == model and server.state is state
+    return True
+
+
 def _may_go(runners: int, out: list[Holder]) -> bool:
     """Returns whether one more runner of a model may go out of service."""
     if len(out) < most_out(runners):
--- a/pimentoledge/decisions/subscription.py
+++ b/pimentoledge/decisions/subscription.py
@@ -27,6 +27,8 @@
         configuration: the declarations that the agent goes by.
         kept: the buckets that it keeps for entries that restart.
         entries: mailboxes of the entries to poll.
+        runners: how many runners of its model are declared in; 0 while no
+            entry has told.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.configuration = view
         self.kept = configuration.Configuration()
         self.entries = list(seeds)
+        self.runners = 0
         self._seeds = seeds
         self._numbers: dict[int, int] = {}
         self._silent: dict[str, float] = {}
@@ -143,6 +146,7 @@
             return []
         self._complete = True
         self.entries = answer.entries[:MOST_ENTRIES]
+        self.runners = answer.runners
         wanted = {each.number for each in answer.held}
         for number in self._numbers.keys() - wanted:
             self.kept.clear_bucket(number)
--- a/pimentoledge/nodes/configuration_messages.py
+++ b/pimentoledge/nodes/configuration_messages.py
@@ -133,11 +133,13 @@
         entries: mailboxes of entries to poll.
         held: the buckets to keep, with the entry's own digests; meaningless
             while `known` is -1.
+        runners: how many runners of the agent's model are declared in.
     """
 
     known: int
     entries: list[str]
     held: list[Held]
+    runners: int = 0
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -49,6 +49,7 @@
     ADAPTER_NOT_LOADED = 3009
     SUSPECT_BUSY = 3010
     CONFIGURATION_INCOMPLETE = 3011
+    SERVER_LOADING = 3012
     # 4xxx: the call was started.
     ENGINE_DIED = 4001
     DEADLINE_PASSED = 4002
@@ -138,6 +139,7 @@
     Code.CONFIGURATION_INCOMPLETE: _row(
         503, _NOT, "this entry is starting and lacks the configuration"
     ),
+    Code.SERVER_LOADING: _row(503, _NOT, "the server is loading weights"),
     Code.ENGINE_DIED: _row(502, _RAN, "the engine died while it ran this"),
     Code.DEADLINE_PASSED: _row(504, _UNKNOWN, "the deadline has passed"),
     Code.POISON: _row(
--- a/pimentoledge/runners/engines.py
+++ b/pimentoledge/runners/engines.py
@@ -22,6 +22,8 @@
 
 POOL_SIZE = 128
 CLOSED = "the client was closed"
+# The reason given with an order that was not answered.
+NO_ANSWER = "down"
 
 
 class EngineClient:
@@ -181,7 +183,7 @@
         """
         answer = self._call("POST", wires.ORDERS, body=wires.encode(order))
         decoded = _decoded(answer, wires.order_answer_decoder)
-        return decoded or messages.OrderAnswer(accepted=False, reason="down")
+        return decoded or messages.OrderAnswer(accepted=False, reason=NO_ANSWER)
 
     def cache_events(
         self, after: int, seconds: float = 0.0
--- a/pimentoledge/tests/test_orders.py
+++ b/pimentoledge/tests/test_orders.py
@@ -14,6 +14,7 @@
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
+from pimentoledge.decisions import orders
 from pimentoledge.decisions import permits
 from pimentoledge.runners import messages as runners
 
@@ -173,6 +174,11 @@
 
 
 def test_the_last_serving_runner_is_not_taken_away():
+    """One of two runners is dead; the other must not go for an upgrade.
+
+    It may once the operator has declared the dead one as leaving: then the
+    model has one runner, which can't be upgraded otherwise.
+    """
     fleet = _fleet(2)
     fleet.nodes["r1"].engine.crash(fleet.now)
     fleet.run(fleet.now + 8.0)
@@ -180,6 +186,11 @@
     fleet.run(fleet.now + 60.0)
     assert fleet.fewest == 1
     assert fleet.given == []
+    leaving = declarations.ServerState.LEAVING
+    fleet.add_server(attrs.evolve(fleet.servers["r1"], state=leaving))
+    fleet.told(fleet.nodes["r2"])
+    fleet.run_until(lambda: fleet.nodes["r2"].engine.weights == "w2")
+    assert fleets.holders_of(fleet) == []
 
 
 @pytest.mark.parametrize(
@@ -192,13 +203,23 @@
 )
 def test_only_the_declared_agent_of_a_runner_gives_orders(fields):
     fleet = _fleet()
-    server = attrs.evolve(fleet.servers["r1"], **fields)
-    fleet.servers["r1"] = server
+    fleet.add_server(attrs.evolve(fleet.servers["r1"], **fields))
     fleet.upgrade("w2")
     fleet.run(fleet.now + 30.0)
     assert sorted(_loads(fleet, "w2")) == ["r2", "r3", "r4", "r5"]
 
 
+def test_agent_that_is_not_in_charge_sleeps():
+    """An agent of a plain service, or one that knows no declaration yet.
+
+    A wake-up that is due and never done would keep its processor busy.
+    """
+    machine = orders.Orders(server="r1", life="1", address="", seed=1)
+    assert machine.next_wake() is None
+    assert machine.wake(1.0) == []
+    assert machine.next_wake() is None
+
+
 def _drive(fleet, machine, found):
     """Answers a machine's calls to the store; returns the orders it gives."""
     given = []
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -51,10 +51,10 @@
     return daemon
 
 
-def ask(daemon, tokens=20, stream=True, **headers):
+def ask(daemon, tokens=20, stream=True, model="m", **headers):
     pool = urllib3.PoolManager(retries=False, timeout=WAIT)
     body = {
-        "model": "m",
+        "model": model,
         "prompt": PROMPT,
         "max_tokens": tokens,
         "stream": stream,
--- /dev/null
+++ b/pimentoledge/tests/test_upgrades.py
@@ -0,0 +1,165 @@
+"""New weights, adapters and leaving servers, through real daemons."""
+
+import threading
+import time
+
+import pytest
+
+from pimentoledge import emulators
+from pimentoledge.decisions import declarations
+from pimentoledge.runners import fake_engines
+from pimentoledge.runners import fake_weight_stores
+from pimentoledge.tests import processes
+from pimentoledge.tests import test_path
+
+TOKENS = 30
+LIMIT = 2
+
+
+@pytest.fixture
+def emulator():
+    started = emulators.Emulator()
+    started.start()
+    declare_model(started, "w1")
+    key = emulators.key_digest(test_path.KEY)
+    started.declare(
+        declarations.Contract(organisation="o", key_digests=[key], models=["m"])
+    )
+    yield started
+    started.close()
+
+
+def start(emulator, runners):
+    """Adds runners that share one weight store, and an entry before them."""
+    shared = fake_weight_stores.WeightStore(load_seconds=0.3, concurrent=LIMIT)
+    for number in range(1, runners + 1):
+        emulator.add_runner(
+            f"r{number}", "m", step_seconds=0.005, weight_store=shared
+        )
+    return test_path.start_entry(emulator)
+
+
+def declare_model(emulator, weights, adapters=()):
+    emulator.declare(
+        declarations.Model(
+            name="m",
+            weights=weights,
+            adapters=list(adapters),
+            concurrent_loads=LIMIT,
+        )
+    )
+
+
+def declare_leaving(emulator, name):
+    agent = emulator.runners[name].daemon.loop.mailbox.address
+    emulator.declare(
+        declarations.BackendServer(
+            name=name,
+            serves="m",
+            agent=agent,
+            state=declarations.ServerState.LEAVING,
+        )
+    )
+
+
+def weights_of(emulator):
+    return {each.engine.weights for each in emulator.runners.values()}
+
+
+class Callers:
+    """Some callers who ask one after another until they are told to stop."""
+
+    def __init__(self, entry, count):
+        self.entry = entry
+        self.answers = []
+        self.stopped = False
+        self.threads = [threading.Thread(target=self.ask) for _ in range(count)]
+
+    def __enter__(self):
+        for each in self.threads:
+            each.start()
+        return self
+
+    def __exit__(self, *fault):
+        self.stopped = True
+        for each in self.threads:
+            each.join(30.0)
+
+    def ask(self):
+        while not self.stopped:
+            response = test_path.ask(self.entry, tokens=TOKENS)
+            if response.status == 200:
+                self.answers.append(processes.read_stream(response))
+            else:
+                self.answers.append((response.read(), False))
+
+
+def check(answers):
+    """Checks that each caller got the whole answer."""
+    expected = fake_engines.expected_text(test_path.PROMPT, 0, TOKENS)
+    assert answers
+    assert [each for each in answers if each != (expected, True)] == []
+
+
+def test_upgrade_under_load_costs_no_caller_an_answer(emulator):
+    """An operator declares new weights on a busy afternoon, then newer ones.
+
+    Each engine must stop, load and come back. Callers see none of it: their
+    streams end first, others go to runners of either version, and at least
+    three of the five runners serve throughout.
+    """
+    entry = start(emulator, 5)
+    store = emulator.runners["r1"].engine.weight_store
+    with Callers(entry, 8) as callers:
+        processes.until(lambda: len(callers.answers) > 20)
+        declare_model(emulator, "w2")
+        processes.until(lambda: "w2" in weights_of(emulator))
+        declare_model(emulator, "w3")
+        processes.until(lambda: weights_of(emulator) == {"w3"})
+        done = len(callers.answers)
+        processes.until(lambda: len(callers.answers) > done + 20)
+    check(callers.answers)
+    assert store.most <= LIMIT
+    assert store.loads <= 10
+
+
+def test_adapters_share_no_cached_prefix(emulator):
+    """Two adapters get the same prompt, one after the other.
+
+    What one has cached is false for the other. The first adapter's second
+    request finds its own blocks again, or the check would prove nothing.
+    """
+    entry = start(emulator, 1)
+    declare_model(emulator, "w1", ["a1", "a2"])
+    engine = emulator.runners["r1"].engine
+    processes.until(lambda: engine.adapters == ["a1", "a2"])
+    cached = []
+    for adapter in ("a1", "a1", "a2", ""):
+        before = engine.counters.cached_tokens
+        model = f"m:{adapter}" if adapter else "m"
+        processes.read_stream(test_path.ask(entry, model=model, tokens=5))
+        cached.append(engine.counters.cached_tokens - before)
+    assert cached[0] == cached[2] == cached[3] == 0 < cached[1]
+
+
+def test_leaving_server_gets_nothing_after_three_seconds(emulator):
+    """An operator declares a server as leaving; then the store goes down.
+
+    Work that comes in after three seconds must not reach the engine, whether
+    it was declared or only its agent knows.
+    """
+    entry = start(emulator, 3)
+    with Callers(entry, 6) as callers:
+        processes.until(lambda: len(callers.answers) > 20)
+        declare_leaving(emulator, "r1")
+        emulator.runners["r2"].daemon.core.draining = True
+        until = time.monotonic() + 3.0
+        processes.until(lambda: time.monotonic() > until)
+        emulator.objects.down = True
+        engines = [emulator.runners[name].engine for name in ("r1", "r2")]
+        processes.until(lambda: not any(each.streams for each in engines))
+        runs = [each.counters.runs.total() for each in engines]
+        done = len(callers.answers)
+        processes.until(lambda: len(callers.answers) > done + 60)
+        assert [each.counters.runs.total() for each in engines] == runs
+    check(callers.answers)
