Give memory back after a large answer of the store

The change: after an answer of 2,000 objects or more the state machine asks for it, and the entry calls malloc_trim where the C library has it.

Weighed: sweeping kind by kind, which does not help, as the contracts are nearly all; decoding in a stream, which the JSON library does not offer.

--- a/benches/configuration.py
+++ b/benches/configuration.py
@@ -18,6 +18,7 @@
 import threading
 import time
 
+from pimentoledge import allocators
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
@@ -131,8 +132,11 @@
     def perform(self, todo: list[actions.Action]) -> None:
         """Makes the calls to the store."""
         for action in todo:
-            if isinstance(action, actions.CallStore):
-                self.store.call(action.call)
+            match action:
+                case actions.CallStore():
+                    self.store.call(action.call)
+                case actions.ReleaseMemory():
+                    allocators.release()
 
 
 class Bytes:
--- a/pimentoledge/decisions/actions.py
+++ b/pimentoledge/decisions/actions.py
@@ -155,6 +155,11 @@
     order: runners.Order
 
 
+@attrs.define(kw_only=True)
+class ReleaseMemory:
+    """Entry: give back memory that a large answer of the store has left."""
+
+
 @attrs.define(kw_only=True)
 class LogDecision:
     """Write one log line for a decision.
@@ -182,5 +187,6 @@
     | ResumeRun
     | CheckEngine
     | OrderEngine
+    | ReleaseMemory
     | LogDecision
 )
--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -50,6 +50,8 @@
 # How long an entry that starts, and has everything from one entry, waits for
 # a newer version that another one has told of.
 NEWER_SECONDS = 2.0
+# Objects in an answer after which memory is given back.
+LARGE_ANSWER = 2000
 LONG_AGO = 1e6
 
 
@@ -262,9 +264,11 @@
             self.exchange.finish()
 
     def _answer(self, answer: stores.Answer, now: float) -> Actions:
+        large = len(answer.objects) >= LARGE_ANSWER
         fresh = self.watching.handle(answer, now)
         if fresh is not None:
-            return self._tell(fresh, now)
+            todo = self._tell(fresh, now)
+            return todo + ([actions.ReleaseMemory()] if large else [])
         return self._take(self.registration.handle(answer, now), now)
 
     def _changes(
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from pimentoledge import allocators
 from pimentoledge import logs
 from pimentoledge import metrics
 from pimentoledge import results
@@ -216,6 +217,8 @@
                     answer = self.operators.get(action.request)
                     if answer is not None:
                         answer.put(action)
+                case actions.ReleaseMemory():
+                    allocators.release()
                 case actions.LogDecision():
                     self.metrics.decided(action)
                     logs.decision(action.kind, action.fields)
--- a/pimentoledge/tests/network.py
+++ b/pimentoledge/tests/network.py
@@ -88,6 +88,7 @@
         self.cut = lambda sender, receiver: False
         self.apart = set()
         self.sent = 0
+        self.released = 0
         self.queue = []
         self.watches = []
         self.numbers = itertools.count()
@@ -180,6 +181,8 @@
             match action:
                 case actions.Send(address=receiver, message=message):
                     self.send(address, receiver, message)
+                case actions.ReleaseMemory():
+                    self.released += 1
                 case actions.CallStore(call=stores.Watch() as call):
                     self.store.calls.append(call)
                     due = self.now + call.seconds
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -6,6 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from pimentoledge import allocators
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import distribution
 from pimentoledge.decisions import events
@@ -64,6 +65,14 @@
     assert calls[24] <= calls[6] + 2
 
 
+def test_memory_of_a_large_scan_is_given_back(monkeypatch):
+    monkeypatch.setattr(distribution, "LARGE_ANSWER", 10)
+    net = started(1)
+    scans = [c for c in net.store.calls if isinstance(c, stores.Scan)]
+    assert net.released == len(scans) > 1
+    assert allocators.release() in (True, False)
+
+
 def test_digests_repair_lost_messages():
     """One entry goes on with the old limits of a contract.
 
