Don't let a store outage hold up an agent's end

Cause: an agent that was told to end waited until its permit was given back. With the store down that never happens, so it waited for the whole of shutdown-seconds (600 s by default). It now waits for an order that runs, and for its permit only while the store answers; the entry it leaves is taken over by its next life, or turns "out" with time. Tested with the store up and down.

--- a/pimentoledge/decisions/orders.py
+++ b/pimentoledge/decisions/orders.py
@@ -165,8 +165,14 @@
         return self._step(now)
 
     def held(self) -> bool:
-        """Returns whether an order or a permit is still held."""
-        return self.given is not None or self._leaves_entry()
+        """Returns whether the process should not end yet.
+
+        It waits for an order that runs, and to give its permit back. It does
+        not wait for a store that is down: its next life, or time, frees the
+        permit.
+        """
+        leaves = self._leaves_entry() and not self.permits.unreachable
+        return self.given is not None or leaves
 
     def owns(self, answer: stores.Answer) -> bool:
         """Returns whether the store's answer is to one of its calls."""
--- a/pimentoledge/decisions/permits.py
+++ b/pimentoledge/decisions/permits.py
@@ -147,6 +147,7 @@
         inspected: whether the object was read in this life.
         reason: why a permit was not given: "limit", "guard" or "".
         superseded: whether a later life of the agent has the entry.
+        unreachable: whether the store was down at the last try.
         update: the calls to the store that change the object.
         doubted: another's entry that says "out" while its server may no
             longer be declared; None for none.
@@ -169,6 +170,7 @@
         self.inspected = False
         self.reason = ""
         self.superseded = False
+        self.unreachable = False
         self.update = conditional.Update(
             path=PATH, name="permits", life=life, generator=generator
         )
@@ -231,6 +233,7 @@
         match ended:
             case conditional.Ended.DOWN:
                 self._retry_at = now + self.timing.retry
+                self.unreachable = True
             case conditional.Ended.WRITTEN | conditional.Ended.UNCHANGED:
                 called += self._settle(now)
         return called
@@ -240,6 +243,7 @@
         return self.update.owns(answer) or answer.call.startswith(_CHECK)
 
     def _settle(self, now: float) -> list[actions.Action]:
+        self.unreachable = False
         self.mine = self._next
         self.inspected = True
         self.confirmed_at = self.update.started
--- a/pimentoledge/tests/test_orders.py
+++ b/pimentoledge/tests/test_orders.py
@@ -220,6 +220,26 @@
     assert machine.next_wake() is None
 
 
+@pytest.mark.parametrize("down", [False, True])
+def test_agent_that_ends_gives_its_permit_back(down):
+    """An agent is told to end while it loads; once the store is down too.
+
+    It ends when the load is done and its permit is back. With the store down
+    it can't be given back, and waiting for that would hold up the end.
+    """
+    fleet = _fleet()
+    fleet.upgrade("w2")
+    fleet.run_until(lambda: fleet.given)
+    node = fleet.nodes[fleet.given[0][1]]
+    fleet.store.down = down
+    node.orders.retire(fleet.now)
+    assert node.orders.held()
+    fleet.run_until(lambda: not node.orders.held(), longest=5.0)
+    assert node.engine.weights == "w2"
+    servers = [each.server for each in fleets.holders_of(fleet)]
+    assert (node.name in servers) is down
+
+
 def _drive(fleet, machine, found):
     """Answers a machine's calls to the store; returns the orders it gives."""
     given = []
