Don't claim that a request ran when only VMs vanished

Now such a refusal says that the outcome is unknown. It also lasted for the 300 s of a suspect instead of 60 s, as the later of both times was kept.

--- a/pimentoledge/decisions/quarantine.py
+++ b/pimentoledge/decisions/quarantine.py
@@ -176,7 +176,8 @@
         count = len(record.crashes)
         end = record.until if count >= POISON_CRASHES else record.held
         if end > now:
-            return Poison(error=_poison(count, end - now))
+            proved = any(record.crashes.values())
+            return Poison(error=_poison(count, end - now, proved=proved))
         if count == 1 and not any(record.crashes.values()):
             # One vanished VM says next to nothing, and a data centre that
             # goes would have all that it ran wait for one another.
@@ -400,13 +401,15 @@
             self.records[fingerprint] = Record()
         record = self.records[fingerprint]
         record.crashes[crash] = certain
-        seconds = self.suspect_seconds
-        if len(record.crashes) >= POISON_CRASHES:
+        if len(record.crashes) < POISON_CRASHES:
+            record.until = now + self.suspect_seconds
+        elif any(record.crashes.values()):
+            record.until = now + self.poison_seconds
+        else:
             # Three VMs of one failing rack look like poison; without an
-            # engine seen to die the refusal is short.
-            proved = any(record.crashes.values())
-            seconds = self.poison_seconds if proved else self.vanished_seconds
-        record.until = max(record.until, now + seconds)
+            # engine seen to die the refusal is short, shorter than the time
+            # for which a suspect is remembered.
+            record.until = now + self.vanished_seconds
 
     def _release(self, released: messages.Released) -> None:
         record = self.records.get(released.fingerprint)
@@ -570,12 +573,16 @@
         return f"{PREFIX}{self.name}/{self.calls}"
 
 
-def _poison(count: int, seconds: float) -> results.Error:
+def _poison(count: int, seconds: float, *, proved: bool) -> results.Error:
+    text = f"this request ran and {count} engines that ran it crashed"
+    if not proved:
+        # What was sent to a VM that vanished may have reached its engine or
+        # not; to say that it ran would be a guess.
+        text = f"{count} servers vanished that may have run this request"
     return results.Error(
         code=results.Code.POISON,
-        text=f"this request ran and {count} engines that ran it crashed; "
-        f"it is refused for {seconds:.0f} s",
-        ran=results.Ran.RAN,
+        text=f"{text}; it is refused for {seconds:.0f} s",
+        ran=results.Ran.RAN if proved else results.Ran.UNKNOWN,
         retry_after=seconds,
     )
 
