--- a/pimentoledge/tests/fuzz/worlds.py
+++ b/pimentoledge/tests/fuzz/worlds.py
@@ -9,6 +9,7 @@
 import itertools
 
 import attrs
+import msgspec
 
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import agents
@@ -185,10 +186,9 @@
         return self.objects.call(write)
 
     def declared(self, kind, name):
-        """Returns a declaration as the store has it."""
+        """Returns a declaration as the store has it, read independently."""
         path = declarations.PREFIXES[kind] + name
-        found = self.objects.objects[path]
-        return declarations.decode(path, found).unwrap()
+        return msgspec.json.decode(self.objects.objects[path].value, type=kind)
 
     def start_entry(self, address: str) -> Process:
         """Starts an entry, knowing nothing."""
