Read an agent's streams by one receiver

Cause: the agent waits for each stream on a thread of its own, and all of them wake at each step of the engine.

Change: the agent gives its inbox as the receiver of all streams (EngineClient.begin and begin_resume).

--- a/pimentoledge/agent.py
+++ b/pimentoledge/agent.py
@@ -178,11 +178,16 @@
         for action in todo:
             match action:
                 case actions.RunCompletion():
-                    self.pool.submit(self.run_completion, action)
+                    self.backend.begin(action, action.salt, self.take)
                 case actions.RunCall():
                     self.pool.submit(self.run_call, action)
                 case actions.ResumeRun():
-                    self.pool.submit(self.resume, action)
+                    self.backend.begin_resume(
+                        action.request,
+                        action.attempt,
+                        action.index,
+                        self.take,
+                    )
                 case actions.CancelRun():
                     self.pool.submit(
                         self.backend.cancel, action.request, action.attempt
@@ -197,16 +202,9 @@
                     self.metrics.decided(action)
                     logs.decision(action.kind, action.fields)
 
-    def run_completion(self, action: actions.RunCompletion) -> None:
-        """Runs a completion at the engine and delivers what it says."""
-        for event in self.backend.run(action, action.salt):
-            self.loop.inbox.put(event)
-
-    def resume(self, action: actions.ResumeRun) -> None:
-        """Takes up a stream again and delivers the rest of it."""
-        for event in self.backend.resume(
-            action.request, action.attempt, action.index
-        ):
+    def take(self, found: list[object]) -> None:
+        """Delivers what the engine says of its streams."""
+        for event in found:
             self.loop.inbox.put(event)
 
     def give_order(self, order: messages.Order) -> None:
