Take what an entry tells of a request out of its state machine

Cause: entries.py had grown to 839 lines; a newcomer meets the lifecycle of a request between the fields of messages and log lines. Change: placement's question, the dispatch and the log lines are functions of a ticket in requests.py (159 lines); entries.py has 710.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -19,8 +19,8 @@
 from pimentoledge.decisions import limits
 from pimentoledge.decisions import membership
 from pimentoledge.decisions import placement
-from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import quarantine
+from pimentoledge.decisions import requests
 from pimentoledge.decisions import retries
 from pimentoledge.decisions import streams
 from pimentoledge.decisions import tickets
@@ -29,16 +29,12 @@
 
 Actions = list[actions.Action]
 
-# Prompt bytes that count as one token until the engine has told.
-TOKEN_BYTES = 4
 # An agent that has not taken or refused a request by then is asked.
 ANSWER_SECONDS = 0.5
 # A stream that is silent for so long makes its agent be asked about it.
 SILENCE_SECONDS = 5.0
 # An agent that was asked and says nothing by then counts as unreachable.
 PROBE_SECONDS = 0.5
-# Candidates in a log line.
-LOGGED_CANDIDATES = 4
 
 _DEADLINE = "deadline"
 _QUIET = "quiet"
@@ -264,7 +260,10 @@
                 ticket = self.ticket(event, accepted, now)
         match self.quarantine.check(ticket.fingerprint, now):
             case quarantine.Poison(error=error):
-                return [_log_poison(ticket), _error(event.request, error)]
+                return [
+                    requests.log_poison(ticket),
+                    _error(event.request, error),
+                ]
         self.budget.request(now)
         self.tickets[event.request] = ticket
         self.timers.set((_DEADLINE, event.request), ticket.deadline)
@@ -291,7 +290,9 @@
             contract=contract,
             arrived=now,
             deadline=deadline,
-            blocks=self.blocks(event, contract.organisation),
+            blocks=requests.blocks(
+                event, contract.organisation, self.block_bytes
+            ),
             fingerprint=acceptance.fingerprint(contract.organisation, event),
             stream=streams.Stream(request=event.request),
             tries=retries.AttemptState(deadline=deadline),
@@ -299,29 +300,6 @@
         ticket.tries.repeatable = ticket.repeatable()
         return ticket
 
-    def blocks(
-        self, event: events.CallerRequest, organisation: str
-    ) -> list[bytes]:
-        """Returns the chained digests of a request's prompt."""
-        wanted = event.completion
-        if wanted is None:
-            return []
-        salt = prefixes.salt(
-            organisation=organisation,
-            model=wanted.model,
-            adapter=wanted.adapter,
-            # Two versions serve at one time during an upgrade, and a request
-            # may run on either. A hint belongs to one engine life with one
-            # version, which keeps them apart; the agent salts what the
-            # engine caches with the version that is loaded.
-            weights="",
-        )
-        return prefixes.chain(
-            salt=salt,
-            text=wanted.prompt.encode(),
-            block_bytes=self.block_bytes,
-        )
-
     def limited(self, outputs: list[object], now: float) -> Actions:
         """Carries out what the limits say."""
         todo: Actions = []
@@ -349,7 +327,7 @@
         match self.quarantine.check(ticket.fingerprint, now):
             case quarantine.Poison(error=error):
                 end = self.end_error(ticket, error, now)
-                return [_log_poison(ticket), *end]
+                return [requests.log_poison(ticket), *end]
             case quarantine.Suspect(crashes=crashes):
                 ticket.crashes = crashes
                 request = ticket.event.request
@@ -357,7 +335,7 @@
                     return self.step(ticket, _ANOTHER_COPY, now)
         choice = self.choose(ticket, now)
         ticket.choice = choice
-        log = self.log_route(ticket, choice)
+        log = requests.log_route(ticket, choice)
         server = self.configuration.server(choice.server or "")
         if server is None:
             failure = retries.NoCandidate()
@@ -368,7 +346,9 @@
         ticket.agent = server.agent
         ticket.heard = now
         ticket.probed = False
-        dispatch = self.dispatch(ticket, attempt, choice, now)
+        dispatch = requests.dispatch(
+            ticket, attempt, choice, self.configuration.version, now
+        )
         uncached = dispatch.prompt_tokens - choice.expected_depth
         request = ticket.event.request
         self.placer.sent(server.name, request, max(0, uncached), now)
@@ -392,7 +372,8 @@
             usable = self.owners(ticket, serves, usable)
         elif ticket.crashes:
             return self.choose_apart(ticket, usable)
-        return self.placer.choose(self.wanted(ticket, serves, now), usable, now)
+        wanted = requests.wanted(ticket, serves, self.block_bytes, now)
+        return self.placer.choose(wanted, usable, now)
 
     def choose_apart(
         self,
@@ -423,78 +404,6 @@
         owner = claim_records.owner(serves, shard, left)
         return [owner] if owner is not None else []
 
-    def wanted(
-        self, ticket: tickets.Ticket, serves: str, now: float
-    ) -> placement.Wanted:
-        """Returns what placement has to know of a request."""
-        completion = ticket.event.completion
-        return placement.Wanted(
-            request=ticket.event.request,
-            organisation=ticket.contract.organisation,
-            model=serves,
-            adapter=completion.adapter if completion is not None else "",
-            blocks=ticket.blocks,
-            block_tokens=self.block_bytes // TOKEN_BYTES,
-            prompt_tokens=_prompt_tokens(ticket),
-            priority=ticket.priority(),
-            seconds_left=ticket.deadline - now,
-            avoid=frozenset(ticket.tries.avoid),
-        )
-
-    def dispatch(
-        self,
-        ticket: tickets.Ticket,
-        attempt: streams.Attempt,
-        choice: placement.Choice,
-        now: float,
-    ) -> messages.Dispatch:
-        """Returns the message that asks an agent to run a request."""
-        event = ticket.event
-        completion = event.completion
-        if completion is not None:
-            completion.continued = ticket.stream.continued()
-            completion.continued_tokens = ticket.stream.continued_tokens()
-        return messages.Dispatch(
-            request=event.request,
-            attempt=attempt.number,
-            organisation=ticket.contract.organisation,
-            priority=ticket.priority(),
-            share=ticket.contract.share,
-            seconds_left=ticket.deadline - now,
-            server=choice.server,
-            incarnation=choice.incarnation,
-            weights=choice.weights if completion is not None else "",
-            configuration=self.configuration.version,
-            expected_depth=choice.expected_depth,
-            prompt_tokens=_prompt_tokens(ticket),
-            fingerprint=ticket.fingerprint,
-            crashes=ticket.crashes,
-            key=event.idempotency_key,
-            sequence=attempt.sequence,
-            completion=completion,
-            call=event.call,
-            trace=event.trace,
-        )
-
-    def log_route(
-        self, ticket: tickets.Ticket, choice: placement.Choice
-    ) -> actions.LogDecision:
-        """Returns the log line of a placement."""
-        considered = choice.candidates[:LOGGED_CANDIDATES]
-        fields: dict[str, object] = {
-            "request": ticket.event.request,
-            "organisation": ticket.contract.organisation,
-            "attempt": ticket.stream.attempt + 1,
-            "choice": choice.server,
-            "reason": choice.reason,
-            "expected_depth": choice.expected_depth,
-            "candidates": {
-                each.server: round(each.cost, 4) for each in considered
-            },
-            "considered": len(choice.candidates),
-        }
-        return actions.LogDecision(kind="route", fields=fields)
-
     def frames(
         self, frames: list[messages.Frame], sender: str, now: float
     ) -> Actions:
@@ -622,7 +531,7 @@
         tries.streamed = ticket.stream.tokens
         tries.continuable = ticket.stream.can_continue()
         next_step = retries.next_step(tries, failure, self.budget, now)
-        log = _log_step(ticket, failure, next_step)
+        log = requests.log_step(ticket, failure, next_step)
         match next_step:
             case retries.GiveUp(error=error):
                 return [log, *self.end_error(ticket, error, now)]
@@ -797,43 +706,5 @@
     return ticket.phase in (tickets.Phase.SENT, tickets.Phase.ADMITTED)
 
 
-def _prompt_tokens(ticket: tickets.Ticket) -> int:
-    completion = ticket.event.completion
-    if completion is None:
-        return 0
-    return len(completion.prompt.encode()) // TOKEN_BYTES
-
-
 def _error(request: str, error: results.Error) -> actions.ReplyError:
     return actions.ReplyError(request=request, error=error)
-
-
-def _log_poison(ticket: tickets.Ticket) -> actions.LogDecision:
-    fields: dict[str, object] = {
-        "request": ticket.event.request,
-        "organisation": ticket.contract.organisation,
-        "fingerprint": ticket.fingerprint.hex(),
-        "verdict": "refused",
-    }
-    return actions.LogDecision(kind="poison", fields=fields)
-
-
-def _log_step(
-    ticket: tickets.Ticket,
-    failure: retries.Failure,
-    step: retries.Retry | retries.GiveUp,
-) -> actions.LogDecision:
-    fields: dict[str, object] = {
-        "request": ticket.event.request,
-        "attempt": ticket.stream.attempt,
-        "server": ticket.server,
-        "failure": failure.code.name,
-    }
-    match step:
-        case retries.Retry():
-            fields["step"] = "retry"
-            fields["delay"] = step.delay
-        case retries.GiveUp():
-            fields["step"] = "give_up"
-            fields["reason"] = step.error.code.name
-    return actions.LogDecision(kind="retry", fields=fields)
