Take an agent's outbox, log lines and engine calls out of its core

The mutation that shares the salt now patches Run.salt, where the salt moved to; it is caught as before. Behaviour as before: the whole suite passes.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -17,7 +17,8 @@
 from pimentoledge.decisions import events
 from pimentoledge.decisions import kept_completions
 from pimentoledge.decisions import orders
-from pimentoledge.decisions import prefixes
+from pimentoledge.decisions import outboxes
+from pimentoledge.decisions import run_logs
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import subscription
@@ -67,7 +68,7 @@
         status: what the engine or service last said of itself.
         runs: attempts that have not ended.
         received: dispatches received, by sender.
-        frames: frames to be sent, by entry.
+        outbox: messages to entries.
         draining: whether the process shall end.
     """
 
@@ -100,7 +101,7 @@
         self.status = events.EngineStatus()
         self.runs: dict[Key, runs.Run] = {}
         self.received: dict[str, int] = {}
-        self.frames: dict[str, list[messages.Frame]] = {}
+        self.outbox = outboxes.Outbox()
         self.draining = False
 
     def handle(self, event: object, now: float) -> Actions:
@@ -156,13 +157,7 @@
 
     def flush(self) -> Actions:
         """Returns what was held back to be sent together."""
-        pending, self.frames = self.frames, {}
-        return [
-            actions.Send(
-                address=address, message=messages.Frames(frames=frames)
-            )
-            for address, frames in pending.items()
-        ]
+        return self.outbox.flush()
 
     def partners(self) -> set[str]:
         """Returns the mailboxes of the entries that wait for answers."""
@@ -295,7 +290,7 @@
         verdict = self.admission.offer(
             run.dispatch, run.sender, self.truth(run.sender), now
         )
-        todo: Actions = [_log_admission(run, verdict)]
+        todo: Actions = [run_logs.admit(run, verdict)]
         match verdict:
             case admission.Admit(pause=pause):
                 todo.append(self.admitted(run))
@@ -315,7 +310,7 @@
             self.runs[key].stage = runs.Stage.PAUSING
             request, attempt = key
             todo.append(actions.CancelRun(request=request, attempt=attempt))
-            todo.append(_log_pause(self.runs[key], "pause"))
+            todo.append(run_logs.pause(self.runs[key], "pause"))
         return todo
 
     def paused(self, run: runs.Run, now: float) -> Actions:
@@ -377,7 +372,7 @@
         run = self.runs.pop((output.request, output.attempt), None)
         if run is None or run.verdict is None:
             return []
-        return self.to_entry(run.sender, run.verdict)
+        return self.outbox.send(run.sender, run.verdict)
 
     def refuse(
         self, run: runs.Run, code: results.Code, retry_after: float = 0.0
@@ -397,33 +392,7 @@
         """Hands a request to the engine or service."""
         run.stage = runs.Stage.RUNNING
         run.ran = ""
-        dispatch = run.dispatch
-        if dispatch.completion is not None:
-            return actions.RunCompletion(
-                request=dispatch.request,
-                attempt=dispatch.attempt,
-                priority=dispatch.priority,
-                completion=run.completion(),
-                salt=self.salt(dispatch),
-                trace=dispatch.trace,
-            )
-        return actions.RunCall(
-            request=dispatch.request,
-            attempt=dispatch.attempt,
-            call=dispatch.call,
-            seconds=dispatch.seconds_left,
-            key=dispatch.key,
-            trace=dispatch.trace,
-        )
-
-    def salt(self, dispatch: messages.Dispatch) -> str:
-        """Returns under what the engine may share cached blocks."""
-        return prefixes.salt(
-            organisation=dispatch.organisation,
-            model=dispatch.completion.model,
-            adapter=dispatch.completion.adapter,
-            weights=self.status.weights,
-        ).hex()
+        return run.action(weights=self.status.weights)
 
     def advance(self, now: float) -> Actions:
         """Refuses what can't be run in time, and starts what may start."""
@@ -433,7 +402,7 @@
             run = self.runs.get(key)
             if run is None:
                 continue
-            todo.append(_log_admission(run, refused))
+            todo.append(run_logs.admit(run, refused))
             if refused.started:
                 code = results.Code.STREAM_BROKEN
                 ran = results.Ran(run.ran or results.Ran.RAN)
@@ -446,7 +415,7 @@
             run.dispatch.seconds_left = run.expires - now
             todo.append(self.begin(run))
             if ready.resumed:
-                todo.append(_log_pause(run, "resume"))
+                todo.append(run_logs.pause(run, "resume"))
         return todo
 
     def claimed(self, outputs: list[claims.Output], now: float) -> Actions:
@@ -454,7 +423,7 @@
         todo: Actions = []
         for output in outputs:
             if not isinstance(output, actions.CallStore):
-                todo.append(_log_claim(output))
+                todo.append(run_logs.claim(output))
             match output:
                 case claim_verdicts.Granted():
                     run = self.runs.get((output.request, output.attempt))
@@ -478,8 +447,8 @@
         if run.dispatch.completion is not None:
             truth = self.truth(run.sender)
             frames, finished = kept_completions.replay(output.body, run, truth)
-            todo = self.to_entry(run.sender, frames)
-            return todo + self.to_entry(run.sender, finished)
+            todo = self.outbox.send(run.sender, frames)
+            return todo + self.outbox.send(run.sender, finished)
         message = messages.ServiceAnswer(
             request=output.request,
             attempt=output.attempt,
@@ -489,7 +458,7 @@
             truth=self.truth(run.sender),
             replayed=True,
         )
-        return self.to_entry(run.sender, message)
+        return self.outbox.send(run.sender, message)
 
     def denied(self, output: claim_verdicts.Denied) -> Actions:
         """Tells the entry that a call with this key is not run now."""
@@ -499,7 +468,7 @@
         if output.ran == results.Ran.NOT_RUN:
             return [self.refuse(run, output.code)]
         verdict = self.failure(run, output.code, output.ran)
-        return self.to_entry(run.sender, verdict)
+        return self.outbox.send(run.sender, verdict)
 
     def started(self, event: events.EngineStarted) -> Actions:
         """Takes the engine's word of who it is, newer than its status."""
@@ -542,7 +511,7 @@
             tokens=event.tokens,
         )
         run.sequence += 1
-        self.frames.setdefault(run.sender, []).append(frame)
+        self.outbox.hold(run.sender, frame)
         return []
 
     def keep(self, run: runs.Run, text: str) -> None:
@@ -584,7 +553,7 @@
             completion_tokens=made,
             truth=self.truth(run.sender),
         )
-        todo = self.to_entry(run.sender, message)
+        todo = self.outbox.send(run.sender, message)
         if run.dispatch.key:
             answer = kept_completions.answer(run, message)
             outputs = self.claims.finished(
@@ -616,7 +585,7 @@
             body=event.body,
             truth=self.truth(run.sender),
         )
-        return todo + self.to_entry(run.sender, message) + self.advance(now)
+        return todo + self.outbox.send(run.sender, message) + self.advance(now)
 
     def broken(self, event: events.EngineBroken, now: float) -> Actions:
         """Finds out what a broken answer means."""
@@ -741,7 +710,7 @@
         if run.dispatch.key:
             outputs = self.claims.failed(request, ran, now)
             todo += self.claimed(outputs, now)
-        todo += self.to_entry(run.sender, verdict)
+        todo += self.outbox.send(run.sender, verdict)
         return todo + self.advance(now)
 
     def failure(
@@ -763,16 +732,6 @@
             incarnation=crash.incarnation if crash else "",
         )
 
-    def to_entry(self, sender: str, message: object) -> Actions:
-        """Sends a message behind the frames that wait for its receiver."""
-        todo: Actions = []
-        frames = self.frames.pop(sender, None)
-        if frames:
-            message_before = messages.Frames(frames=frames)
-            todo.append(actions.Send(address=sender, message=message_before))
-        todo.append(actions.Send(address=sender, message=message))
-        return todo
-
     def cancel(
         self, message: messages.Cancel, sender: str, now: float
     ) -> Actions:
@@ -797,7 +756,7 @@
 
     def unreachable(self, event: events.Unreachable, now: float) -> Actions:
         """Stops what an entry asked for that is gone."""
-        self.frames.pop(event.address, None)
+        self.outbox.drop(event.address)
         todo: Actions = []
         for run in list(self.runs.values()):
             if run.sender == event.address:
@@ -809,43 +768,4 @@
         held = {request for request, _ in self.runs}
         unknown = [each for each in message.requests if each not in held]
         report = messages.Report(truth=self.truth(sender), unknown=unknown)
-        return self.to_entry(sender, report)
-
-
-def _log_pause(run: runs.Run, kind: str) -> actions.LogDecision:
-    fields: dict[str, object] = {
-        "request": run.dispatch.request,
-        "attempt": run.dispatch.attempt,
-        "organisation": run.dispatch.organisation,
-        "server": run.dispatch.server,
-        "tokens": run.earlier_tokens + run.tokens,
-    }
-    return actions.LogDecision(kind=kind, fields=fields)
-
-
-def _log_claim(output: claim_verdicts.Verdict) -> actions.LogDecision:
-    fields: dict[str, object] = {
-        "request": output.request,
-        "attempt": output.attempt,
-        "verdict": type(output).__name__.lower(),
-    }
-    if isinstance(output, claim_verdicts.Denied):
-        fields["verdict"] = output.code.name
-        fields["ran"] = str(output.ran)
-    return actions.LogDecision(kind="claim", fields=fields)
-
-
-def _log_admission(
-    run: runs.Run, verdict: admission.Admit | admission.Queue | admission.Refuse
-) -> actions.LogDecision:
-    fields: dict[str, object] = {
-        "request": run.dispatch.request,
-        "attempt": run.dispatch.attempt,
-        "organisation": run.dispatch.organisation,
-        "server": run.dispatch.server,
-        "verdict": type(verdict).__name__.lower(),
-    }
-    if isinstance(verdict, admission.Refuse):
-        fields["reason"] = verdict.code.name
-        fields["retry_after"] = verdict.retry_after
-    return actions.LogDecision(kind="admit", fields=fields)
+        return self.outbox.send(sender, report)
--- a/pimentoledge/decisions/runs.py
+++ b/pimentoledge/decisions/runs.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from pimentoledge.decisions import actions
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import prefixes
 from pimentoledge.nodes import messages
 
 
@@ -83,3 +85,39 @@
             continued=wanted.continued + "".join(self.pieces),
             continued_tokens=wanted.continued_tokens + self.earlier_tokens,
         )
+
+    def salt(self, weights: str) -> str:
+        """Returns under what the engine may share cached blocks."""
+        return prefixes.salt(
+            organisation=self.dispatch.organisation,
+            model=self.dispatch.completion.model,
+            adapter=self.dispatch.completion.adapter,
+            weights=weights,
+        ).hex()
+
+    def action(
+        self, *, weights: str
+    ) -> actions.RunCompletion | actions.RunCall:
+        """Returns what hands this to the engine or service.
+
+        Args:
+            weights: weights version that the engine has loaded.
+        """
+        dispatch = self.dispatch
+        if dispatch.completion is None:
+            return actions.RunCall(
+                request=dispatch.request,
+                attempt=dispatch.attempt,
+                call=dispatch.call,
+                seconds=dispatch.seconds_left,
+                key=dispatch.key,
+                trace=dispatch.trace,
+            )
+        return actions.RunCompletion(
+            request=dispatch.request,
+            attempt=dispatch.attempt,
+            priority=dispatch.priority,
+            completion=self.completion(),
+            salt=self.salt(weights),
+            trace=dispatch.trace,
+        )
--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -25,6 +25,7 @@
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
+from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import streams
 from pimentoledge.tests.fuzz import machines
@@ -90,7 +91,7 @@
 
 def share_salt(monkeypatch):
     """Lets all organisations share cached blocks."""
-    monkeypatch.setattr(agents.Agent, "salt", lambda self, dispatch: "all")
+    monkeypatch.setattr(runs.Run, "salt", lambda self, weights: "all")
 
 
 def two_organisations(driver):
