Take the fingerprint of content in one place

The logic stood twice, and the one in use divided its parts by a zero byte that a path or a body may contain itself, so that two different calls could have one fingerprint and one be refused for the other's crashes. The length of each part is part of the digest now.

--- a/pimentoledge/decisions/acceptance.py
+++ b/pimentoledge/decisions/acceptance.py
@@ -1,7 +1,5 @@
 """Checks a caller's request against its organisation's contract."""
 
-import hashlib
-
 import attrs
 from returns import result
 
@@ -9,8 +7,7 @@
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
-
-FINGERPRINT_BYTES = 16
+from pimentoledge.decisions import quarantine
 
 
 @attrs.frozen(kw_only=True)
@@ -91,15 +88,14 @@
 
 def fingerprint(organisation: str, event: events.CallerRequest) -> bytes:
     """Returns a digest of organisation and content, the same on a resend."""
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    digest.update(organisation.encode() + b"\0")
-    if event.completion is not None:
-        wanted = event.completion
-        digest.update(f"{wanted.model}\0{wanted.adapter}\0".encode())
-        digest.update(wanted.prompt.encode())
-    else:
-        call = event.call
-        digest.update(f"{call.service}\0{call.method}\0".encode())
-        digest.update(f"{call.path}\0{call.query}\0".encode())
-        digest.update(call.body)
-    return digest.digest()
+    wanted = event.completion
+    if wanted is not None:
+        parts = [wanted.model, wanted.adapter, wanted.prompt]
+        return quarantine.fingerprint_of(
+            organisation, [each.encode() for each in parts]
+        )
+    call = event.call
+    parts = [call.service, call.method, call.path, call.query]
+    return quarantine.fingerprint_of(
+        organisation, [*(each.encode() for each in parts), call.body]
+    )
