--- a/benches/configuration.py
+++ b/benches/configuration.py
@@ -39,7 +39,7 @@
 BUSY_PER_SECOND = 5.0
 # Bytes that TCP, IP and pynng add to a message: 40, 12 for timestamps, 8.
 OVERHEAD_BYTES = 60
-DATA_CENTRES = ("recife", "fortaleza", "natal")
+DATA_CENTRES = ("north", "east", "south")
 WAIT_SECONDS = 60.0
 
 
--- a/pimentoledge/operators/clients.py
+++ b/pimentoledge/operators/clients.py
@@ -56,7 +56,7 @@
     def read(
         self, path: str, **query: object
     ) -> result.Result[Answer, results.Error]:
-        """Reads a path below the API's root, as "contracts/araujo"."""
+        """Reads a path below the API's root, as "contracts/acme"."""
         return self._call("GET", path, query=query)
 
     def pages(self, kind: str, limit: int) -> abc.Iterator[result.Result]:
--- a/pimentoledge/tests/network.py
+++ b/pimentoledge/tests/network.py
@@ -93,7 +93,7 @@
         self.watches = []
         self.numbers = itertools.count()
 
-    def entry(self, number, data_centre="recife"):
+    def entry(self, number, data_centre="north"):
         """Starts an entry, or starts it anew with nothing in memory."""
         address = f"tcp://10.0.0.{number}:7000"
         self.nodes[address] = distribution.Distributor(
--- a/pimentoledge/tests/test_admin_api.py
+++ b/pimentoledge/tests/test_admin_api.py
@@ -59,7 +59,7 @@
 
 
 def test_create_conflict_and_list(client):
-    path = "contracts/araujo"
+    path = "contracts/acme"
     answer = client.write("PUT", path, fields={"burst": 3}, expected=0)
     assert answer.unwrap().status == 201
     version = answer.unwrap().version
@@ -72,7 +72,7 @@
         client.write("PUT", f"contracts/c{number}", fields={}, expected=0)
     pages = [p.unwrap().fields["items"] for p in client.pages("contracts", 2)]
     names = [item["organisation"] for page in pages for item in page]
-    assert names == ["araujo", "c0", "c1", "c2", "c3", "c4"]
+    assert names == ["acme", "c0", "c1", "c2", "c3", "c4"]
     status = client.read("status").unwrap().fields
     assert status["entries"][0]["same"]
     assert client.read(f"{path}/history").unwrap().fields["former"]
--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -226,7 +226,7 @@
     core.script = script
     headers = {
         **KEY,
-        "X-Shop": "natal",
+        "X-Shop": "south",
         "Connection": "x-hop",
         "X-Hop": "1",
         "Idempotency-Key": "card-7",
--- a/pimentoledge/tests/test_configuration.py
+++ b/pimentoledge/tests/test_configuration.py
@@ -10,10 +10,10 @@
 from pimentoledge.decisions import validation
 
 KEY = "ab" * 32
-PATH = "declared/contracts/araujo"
+PATH = "declared/contracts/acme"
 
 
-def contract(name="araujo", **fields):
+def contract(name="acme", **fields):
     return declarations.Contract(organisation=name, **fields)
 
 
@@ -32,19 +32,19 @@
 def test_indexes_follow_each_change():
     view = configuration.Configuration()
     server = declarations.BackendServer(
-        name="r1", serves="assistente", agent="tcp://10.0.0.1:7000"
+        name="r1", serves="assistant", agent="tcp://10.0.0.1:7000"
     )
     view.apply([stored(contract(key_digests=[KEY]), 3), stored(server, 4)])
     assert view.version == 4
     assert view.contract_by_key(KEY).version == 3
     runner = declarations.ServerKind.RUNNER
-    assert [each.name for each in view.servers(runner, "assistente")] == ["r1"]
-    server.serves = "balcao"
+    assert [each.name for each in view.servers(runner, "assistant")] == ["r1"]
+    server.serves = "counter"
     changed = view.apply([stored(contract(key_digests=[]), 5)])
     assert changed == [PATH]
     view.apply([stored(server, 6)])
     assert view.contract_by_key(KEY) is None
-    assert view.servers(runner, "assistente") == []
+    assert view.servers(runner, "assistant") == []
     view.apply([deleted("declared/backend-servers/r1", 7)])
     assert view.server("r1") is None
 
@@ -59,14 +59,14 @@
     view.apply([stored(contract(burst=7), 3)])
     bad = stores.Object(path=PATH, version=5, value=b'{"organisation": 3}')
     assert view.apply([bad]) == []
-    assert view.contracts["araujo"].burst == 7
+    assert view.contracts["acme"].burst == 7
     assert view.rejections[PATH].version == 5
     late = configuration.Configuration()
     late.apply(view.bucket(configuration.bucket_of(PATH)), from_store=False)
-    assert late.contracts["araujo"].burst == 7
+    assert late.contracts["acme"].burst == 7
     assert late.buckets == view.buckets
     view.apply([stored(contract(burst=8), 6)])
-    assert view.contracts["araujo"].burst == 8
+    assert view.contracts["acme"].burst == 8
     assert not view.rejections
 
 
@@ -75,7 +75,7 @@
     wrong.path = PATH
     view = configuration.Configuration()
     view.apply([wrong])
-    assert "araujo" not in view.contracts and "other" not in view.contracts
+    assert "acme" not in view.contracts and "other" not in view.contracts
     assert view.rejections[PATH].error.code == (
         results.Code.INVALID_DECLARATION
     )
@@ -96,7 +96,7 @@
         view.apply([deleted(f"declared/contracts/x{version}", version)])
     assert view.newest(PATH) is None
     assert view.apply([stored(contract(), 3)], from_store=False) == []
-    assert "araujo" not in view.contracts
+    assert "acme" not in view.contracts
 
 
 def test_every_node_picks_the_same_owner_of_a_doubled_key():
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -27,17 +27,17 @@
     net = network.Network(seeds=["tcp://10.0.0.1:7000", "tcp://10.0.0.2:7000"])
     for number in range(contracts):
         net.declare(contract(f"org-{number}"))
-    net.declare(declarations.Model(name="assistente", weights="v1"))
+    net.declare(declarations.Model(name="assistant", weights="v1"))
     for number in range(agents):
         address = f"tcp://10.0.1.{number}:7000"
         net.declare(
             declarations.BackendServer(
-                name=f"r{number}", serves="assistente", agent=address
+                name=f"r{number}", serves="assistant", agent=address
             )
         )
         net.agent(number)
     for number in range(1, count + 1):
-        net.entry(number, ["recife", "fortaleza", "natal"][number % 3])
+        net.entry(number, ["north", "east", "south"][number % 3])
     net.run(30)
     assert all(len(e.configuration.entries()) == count for e in net.entries())
     return net
@@ -153,7 +153,7 @@
     net.store.put("declared/contracts/org-3", None)
     net.run(10)
     net.seeds = []
-    net.entry(1, "fortaleza")
+    net.entry(1, "east")
     net.run(10)
     asked = net.entries()[0].configuration.version
     told = net.entries()[1].configuration.version
@@ -293,12 +293,12 @@
 
 def test_agent_gets_its_own_declarations_at_once():
     net = started(4, agents=3)
-    model = declarations.Model(name="assistente", weights="v2")
+    model = declarations.Model(name="assistant", weights="v2")
     net.declare(model)
     agents = [n for a, n in net.nodes.items() if a.startswith("tcp://10.0.1")]
 
     def reached():
-        models = [n.configuration.model("assistente") for n in agents]
+        models = [n.configuration.model("assistant") for n in agents]
         return all(each and each.weights == "v2" for each in models)
 
     assert net.run(IN_FORCE_SECONDS, until=reached)
@@ -322,11 +322,11 @@
     assert net.sent - before < 3 * 20 * 4
     net.entry(11)
     net.run(20)
-    net.declare(declarations.Model(name="assistente", weights="v2"))
+    net.declare(declarations.Model(name="assistant", weights="v2"))
     net.run(IN_FORCE_SECONDS)
     agents = [n for a, n in net.nodes.items() if a.startswith("tcp://10.0.1")]
     for agent in agents:
-        assert agent.configuration.model("assistente").weights == "v2"
+        assert agent.configuration.model("assistant").weights == "v2"
 
 
 def test_dead_entry_is_forgotten_and_a_cut_off_one_comes_back():
--- a/pimentoledge/tests/test_entry_streams.py
+++ b/pimentoledge/tests/test_entry_streams.py
@@ -146,7 +146,7 @@
         self.entry = entries.Entry(
             name="entry",
             address="tcp://10.0.1.1:7000",
-            data_centre="hala-a",
+            data_centre="west",
             seed=7,
             block_bytes=64,
             view=view,
--- a/pimentoledge/tests/test_fake_engines.py
+++ b/pimentoledge/tests/test_fake_engines.py
@@ -140,7 +140,7 @@
     engine = engine_of()
     salts = [
         prefixes.salt(organisation=name, model="m", adapter="", weights="w1")
-        for name in ("araujo", "trznica")
+        for name in ("acme", "zenith")
     ]
     for number, salt in enumerate(salts):
         submit(engine, run_of(f"r{number}", LONG), salt=salt.hex())
--- a/pimentoledge/tests/test_fake_platform.py
+++ b/pimentoledge/tests/test_fake_platform.py
@@ -207,7 +207,7 @@
 
 
 def vm(name):
-    return vms.Vm(name=name, address="10.0.0.1", data_centre="recife")
+    return vms.Vm(name=name, address="10.0.0.1", data_centre="north")
 
 
 def test_list_of_vms_lags():
