Don't drop an abandoned stream twice

Cause: a stream that was abandoned in the round in which text of it came was dropped by the wake and again by its text; the KeyError ended the thread that reads all streams of the engine. Ruled out: descriptors given out again (the trace names one that is not registered).

--- a/pimentoledge/runners/stream_tasks.py
+++ b/pimentoledge/runners/stream_tasks.py
@@ -159,6 +159,10 @@
             if reading is None:
                 self._look(now)
                 continue
+            if reading not in self.readings:
+                # It was abandoned, and dropped earlier in this round. Its
+                # descriptor may already be another stream's.
+                continue
             found = reading.take()
             reading.heard = now
             if found:
@@ -185,7 +189,7 @@
             )
 
     def _drop(self, reading: Reading) -> None:
-        self.readings.discard(reading)
+        self.readings.remove(reading)
         self.selector.unregister(reading.descriptor)
         reading.answer.close()
 
--- a/pimentoledge/tests/test_engine_clients.py
+++ b/pimentoledge/tests/test_engine_clients.py
@@ -1,6 +1,7 @@
 """The engine's server and client, and what the client makes of faults."""
 
 import queue
+import time
 
 import hypothesis
 from hypothesis import strategies
@@ -309,3 +310,30 @@
     assert "w w ".startswith(engine_runs.text_of(found, "r"))
     if reader.whole:
         assert engine_runs.text_of(found, "r") == "w w "
+
+
+def test_a_stream_abandoned_as_its_text_arrives_harms_no_other(pair):
+    """Every stream of an engine hangs from one moment on.
+
+    One was abandoned, and in the same round text of it had come. It was
+    dropped twice, and the thread that reads all streams ended with that.
+    """
+    server, client = pair
+    inbox = queue.SimpleQueue()
+    other = client.begin(run_of("b", max_tokens=ENDLESS), "s", inbox.put)
+    inbox.get(timeout=10)
+    kept = queue.SimpleQueue()
+
+    def abandon_and_let_text_come(found):
+        kept.put(found)
+        if not other.abandoned:
+            client.abandon(other)
+            time.sleep(0.05)
+
+    client.begin(
+        run_of("a", max_tokens=ENDLESS), "s", abandon_and_let_text_come
+    )
+    for _ in range(20):
+        assert kept.get(timeout=10)
+    assert client.cancel("a", 1)
+    assert client.cancel("b", 1)
--- a/pimentoledge/tests/test_updates.py
+++ b/pimentoledge/tests/test_updates.py
@@ -108,10 +108,10 @@
 
 
 def test_create_change_read_list_and_history():
-    desk = created(keys=["a-key-of-acme-1"])
-    digest = declarations.key_digest("a-key-of-acme-1")
+    desk = created(keys=["a-key-of-acme-01"])
+    digest = declarations.key_digest("a-key-of-acme-01")
     assert desk.core.configuration.contract_by_key(digest)
-    assert "a-key-of-acme-1" not in str(desk.store.objects)
+    assert "a-key-of-acme-01" not in str(desk.store.objects)
     desk.ask("patch", "PATCH", expected=1, body={"burst": 2, "share": None})
     patched = desk.settle("patch")
     assert patched.fields["burst"] == 2
@@ -158,7 +158,7 @@
 
 
 def test_refusals_name_the_field_or_the_reason():
-    desk = created(keys=["a-key-of-acme-1"])
+    desk = created(keys=["a-key-of-acme-01"])
     bodies = {
         "burst": {"burst": "many"},
         "models[1]": {"models": ["m", 3]},
@@ -171,7 +171,7 @@
         reply = desk.settle(param)
         assert code(reply) == 6001
         assert reply.fields["error"]["param"] == param
-    other = {"keys": ["a-key-of-acme-1"]}
+    other = {"keys": ["a-key-of-acme-01"]}
     desk.ask("taken", "PUT", name="other", expected=0, body=other)
     error = desk.settle("taken").fields["error"]
     assert error["param"] == "key_digests[0]"
