Count prompts in prefill into what an agent says is queued

Cause: Truth.queued_tokens is 'waiting or in prefill', but only what waited at the agent was counted; a runner in the middle of a long prefill looked idle, and every entry's placement sent it more. Change: what runs and has no token yet counts with its uncached part.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -217,7 +217,7 @@
             loading=self.orders.closing,
             running=len(self.admission.running),
             queued=self.admission.queued,
-            queued_tokens=self.admission.queued_tokens,
+            queued_tokens=self.admission.queued_tokens + self.prefill_tokens(),
             slots=self.admission.slots,
             token_seconds=self.status.token_seconds,
             step_seconds=self.status.step_seconds,
@@ -225,6 +225,18 @@
             configuration=self.configuration.version,
         )
 
+    def prefill_tokens(self) -> int:
+        """Returns the uncached prompt tokens that the engine works on.
+
+        Without them a runner in the middle of a long prefill looks idle, and
+        every entry sends it more.
+        """
+        return sum(
+            max(0, each.dispatch.prompt_tokens - each.dispatch.expected_depth)
+            for each in self.runs.values()
+            if each.stage is runs.Stage.RUNNING and not each.tokens
+        )
+
     def from_node(self, event: events.FromNode, now: float) -> Actions:
         """Takes a message of another process."""
         match event.message:
--- /dev/null
+++ b/pimentoledge/tests/test_agents.py
@@ -0,0 +1,55 @@
+"""The agent's state machine by itself: what it tells of its server."""
+
+from pimentoledge.decisions import agents
+from pimentoledge.decisions import configuration
+from pimentoledge.decisions import declarations
+from pimentoledge.decisions import events
+from pimentoledge.nodes import messages
+
+ENTRY = "tcp://10.0.0.1:7000"
+
+
+def truths(todo):
+    return [
+        each.message.truth
+        for each in todo
+        if hasattr(each, "message") and hasattr(each.message, "truth")
+    ]
+
+
+def test_a_prompt_in_prefill_counts_until_its_first_token():
+    """A runner works on a long manual for seconds and looks idle.
+
+    Nothing waits at its agent, so every entry took it for the best place for
+    the next prompt, which then waited behind the first.
+    """
+    agent = agents.Agent(
+        name="r",
+        kind=declarations.ServerKind.RUNNER,
+        life="l",
+        slots=4,
+        seed=1,
+        view=configuration.Configuration(),
+        seeds=[],
+    )
+    up = events.EngineStatus(incarnation="i", weights="w", slots=4)
+    agent.handle(up, 1.0)
+    dispatch = messages.Dispatch(
+        request="q",
+        attempt=1,
+        organisation="o",
+        priority="interactive",
+        seconds_left=60.0,
+        server="r",
+        prompt_tokens=5000,
+        expected_depth=1000,
+        completion=messages.Completion(model="m", prompt="p", max_tokens=9),
+    )
+    todo = agent.handle(events.FromNode(sender=ENTRY, message=dispatch), 1.0)
+    assert agent.truth(ENTRY).queued_tokens == 4000
+    assert truths(todo)
+    text = events.EngineText(
+        request="q", attempt=1, index=0, text="a", tokens=1
+    )
+    agent.handle(text, 2.0)
+    assert agent.truth(ENTRY).queued_tokens == 0
