Let a paused process of the fuzzing do nothing at all

Cause: the machine gave requests and broken connections to processes that it had paused, and they acted. That was the world's fault, not the decisions'.

--- a/pimentoledge/tests/fuzz/worlds.py
+++ b/pimentoledge/tests/fuzz/worlds.py
@@ -49,6 +49,7 @@
         draining: whether it was told to end once it is idle.
         status_at: when its engine is asked next.
         heard: events of its backend that are on the way to it.
+        inbox: what came while it was paused.
     """
 
     name: str
@@ -61,6 +62,7 @@
     draining: bool = False
     status_at: float = 0.0
     heard: collections.deque = attrs.field(factory=collections.deque)
+    inbox: list = attrs.field(factory=list)
 
     def acts(self) -> bool:
         """Returns whether it does anything now."""
@@ -277,6 +279,9 @@
         """Gives an event to a state machine and does what it asks."""
         if not process.runs:
             return
+        if process.paused:
+            process.inbox.append(event)
+            return
         self.oracle.given(process, event)
         self.perform(process, process.core.handle(event, self.now))
         self.perform(process, process.core.flush())
@@ -466,6 +471,8 @@
 
     def turn(self, process: Process) -> None:
         """Runs a process's timers and its regular questions."""
+        while process.inbox:
+            self.give(process, process.inbox.pop(0))
         wake = process.core.next_wake()
         if wake is not None and wake <= self.now:
             self.perform(process, process.core.tick(self.now))
