Let a restarted entry count on from what the agent has counted

Cause: an entry that restarts at its address numbers its dispatches from 1, while the agent goes on from, say, 501; so each dispatch seemed covered by a report older than it, and the correction of lagging reports was lost after every restart. Found by reading. Change: the entry's count follows the agent's. The new test: backlog 0 before, 4,000 after, for a dispatch that the report does not cover yet.

--- a/pimentoledge/decisions/loads.py
+++ b/pimentoledge/decisions/loads.py
@@ -97,6 +97,11 @@
             self.count = truth.received
         while self.uncovered and self.uncovered[0].number <= truth.received:
             self.uncovered.popleft()
+        # This entry has started anew at its old address, and the agent goes
+        # on counting: without this each of our dispatches would seem covered
+        # by a report from before it, and a herd of restarted entries would
+        # send all their work to the runner that looked idle last.
+        self.count = max(self.count, truth.received)
         self.truth = truth
         self.reported_at = now
         self.drained_at = now
--- a/pimentoledge/tests/test_placement.py
+++ b/pimentoledge/tests/test_placement.py
@@ -4,6 +4,7 @@
 
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import homes
+from pimentoledge.decisions import loads
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import prefixes
 from pimentoledge.decisions import rankings
@@ -324,3 +325,19 @@
     placer = _placer(*TRUTHS)
     wanted = attrs.evolve(_wanted(), blocks=[])
     assert placer.choose(wanted, SERVERS, 0.0).server is not None
+
+
+def test_a_restarted_entry_counts_on_from_what_the_agent_has_counted():
+    """All entries restart, and all their work goes to one runner.
+
+    The agents go on counting the dispatches from an entry's address, so each
+    new one seemed covered by a report that was older than it.
+    """
+    load = loads.Load()
+    load.sent(100, 1.0)
+    load.reported(_truth("a", received=501), 1.1)
+    load.sent(4000, 1.2)
+    load.reported(_truth("a", received=501), 1.3)
+    assert load.backlog == 4000
+    load.reported(_truth("a", received=502), 1.4)
+    assert load.backlog == 0
