--- a/pimentoledge/tests/processes.py
+++ b/pimentoledge/tests/processes.py
@@ -23,6 +23,20 @@
 PROMPT = "What the service manual says of this hub. " * 30
 
 
+def basics(key: str) -> list[declarations.Declaration]:
+    """Returns a model, a service, and a contract for both with one key."""
+    return [
+        declarations.Model(name="m", weights="w1"),
+        declarations.Service(name="cards"),
+        declarations.Contract(
+            organisation="o",
+            key_digests=[emulators.key_digest(key)],
+            models=["m"],
+            services=["cards"],
+        ),
+    ]
+
+
 def free_mailbox() -> str:
     """Returns a mailbox address that nobody listens at now."""
     with socket.socket() as opened:
@@ -99,16 +113,8 @@
         self.url = self.store.find(r"(http://\S+)")
         self.client = objects.ObjectClient(url=self.url)
         self.client.start()
-        self.declare(declarations.Model(name="m", weights="w1"))
-        self.declare(declarations.Service(name="cards"))
-        self.declare(
-            declarations.Contract(
-                organisation="o",
-                key_digests=[emulators.key_digest(KEY)],
-                models=["m"],
-                services=["cards"],
-            )
-        )
+        for each in basics(KEY):
+            self.declare(each)
 
     def run(self, *arguments: str) -> Process:
         process = Process(*arguments)
--- a/pimentoledge/tests/test_outages.py
+++ b/pimentoledge/tests/test_outages.py
@@ -9,7 +9,6 @@
 import urllib3
 
 from pimentoledge import emulators
-from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.runners import fake_engines
 from pimentoledge.tests import processes
@@ -24,16 +23,8 @@
 def emulator():
     started = emulators.Emulator()
     started.start()
-    started.declare(declarations.Model(name="m", weights="w1"))
-    started.declare(declarations.Service(name="cards"))
-    started.declare(
-        declarations.Contract(
-            organisation="o",
-            key_digests=[emulators.key_digest(KEY)],
-            models=["m"],
-            services=["cards"],
-        )
-    )
+    for each in processes.basics(KEY):
+        started.declare(each)
     yield started
     started.close()
 
--- a/pimentoledge/tests/test_path.py
+++ b/pimentoledge/tests/test_path.py
@@ -7,7 +7,6 @@
 import urllib3
 
 from pimentoledge import emulators
-from pimentoledge.decisions import declarations
 from pimentoledge.platform import vms
 from pimentoledge.runners import fake_engines
 from pimentoledge.tests import processes
@@ -21,16 +20,8 @@
 def emulator():
     started = emulators.Emulator()
     started.start()
-    started.declare(declarations.Model(name="m", weights="w1"))
-    started.declare(declarations.Service(name="cards"))
-    started.declare(
-        declarations.Contract(
-            organisation="o",
-            key_digests=[emulators.key_digest(KEY)],
-            models=["m"],
-            services=["cards"],
-        )
-    )
+    for each in processes.basics(KEY):
+        started.declare(each)
     yield started
     started.close()
 
