Prove what works when all entries restart in an outage

The new test, on real daemons: two entries, an agent of a runner and one of a service; the store goes down, both entries are closed and started anew at their addresses; then completions, repeatable calls, the resend of a finished card, the true refusals (5003, 6003), reads of contracts, metrics and health are all as before. Also repeatable calls, metrics and health during a cut.

--- a/pimentoledge/emulators.py
+++ b/pimentoledge/emulators.py
@@ -63,9 +63,11 @@
         runners: emulated runners by name.
         services: emulated plain services by name.
         entries: entry daemons.
+        peers: the setting of that name for every daemon; empty for none.
     """
 
-    def __init__(self):
+    def __init__(self, *, peers: str = ""):
+        self.peers = peers
         self.objects = fake_objects.FakeObjects()
         self.vm_list = fake_vms.FakeVmList()
         self.store = object_servers.ObjectServer(
@@ -108,6 +110,7 @@
         """Returns checked settings for a daemon of this deployment."""
         given = {name.replace("_", "-"): each for name, each in flags.items()}
         given["store"] = self.store.url
+        given["peers"] = given.get("peers", self.peers)
         given["admin-listen"] = ANY_PORT
         given["mailbox"] = given.get("mailbox", LOOPBACK)
         checked = settings.check(program=program, flags=given, environment={})
--- a/pimentoledge/tests/test_outages.py
+++ b/pimentoledge/tests/test_outages.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from pimentoledge import emulators
+from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.runners import fake_engines
 from pimentoledge.tests import processes
@@ -20,8 +21,13 @@
 
 
 @pytest.fixture
-def emulator():
-    started = emulators.Emulator()
+def addresses():
+    return [processes.free_mailbox() for _ in range(2)]
+
+
+@pytest.fixture
+def emulator(addresses):
+    started = emulators.Emulator(peers=",".join(addresses))
     started.start()
     for each in processes.basics(KEY):
         started.declare(each)
@@ -64,6 +70,15 @@
         url = self.url("/services/cards/list")
         return self.pool.request("GET", url, headers=self.headers)
 
+    def serves_pages(self):
+        """Returns whether metrics and health are there."""
+        base = f"http://{self.daemon.admin.address}"
+        pages = [
+            self.pool.request("GET", base + path)
+            for path in ("/metrics", "/healthz", "/readyz")
+        ]
+        return all(each.status == 200 for each in pages)
+
     def operate(self, method, path, **headers):
         return self.pool.request(
             method,
@@ -77,6 +92,7 @@
     digest = emulators.key_digest(OPERATOR)
     daemon = emulator.add_entry(name, operator_key_digest=digest, **flags)
     caller = Caller(daemon)
+    processes.until(daemon.ready)
     processes.until(lambda: caller.ask(1).status == 200)
     processes.until(lambda: caller.get().status == 200)
     return caller
@@ -93,6 +109,20 @@
     return sum(each.service.runs_by_key[key] for each in services)
 
 
+def check_refusals(emulator, caller):
+    """Checks that what needs the store is refused, and that truly."""
+    refused = caller.post("during")
+    error = json.loads(refused.data)["error"]
+    assert (error["code"], error["outcome"]) == ("CLAIM_STORE_DOWN", "not_run")
+    assert runs_of(emulator, "during") == 0
+    read = caller.operate("GET", "contracts/o")
+    assert read.status == 200
+    match = {"If-Match": read.headers["ETag"]}
+    patched = caller.operate("PATCH", "contracts/o", **match)
+    error = json.loads(patched.data)["error"]
+    assert (error["number"], error["code"]) == (6003, "NOT_ACCEPTED")
+
+
 def test_all_that_needs_no_claim_goes_on_with_the_store_down(emulator):
     """The platform's store is down for an hour.
 
@@ -110,15 +140,8 @@
     assert caller.get().status == 200
     again = caller.post("before")
     assert (again.status, again.data) == (200, first.data)
-    refused = caller.post("during")
-    error = json.loads(refused.data)["error"]
-    assert (error["code"], error["outcome"]) == ("CLAIM_STORE_DOWN", "not_run")
-    assert runs_of(emulator, "during") == 0
-    assert caller.operate("GET", "contracts/o").status == 200
-    etag = caller.operate("GET", "contracts/o").headers["ETag"]
-    patched = caller.operate("PATCH", "contracts/o", **{"If-Match": etag})
-    error = json.loads(patched.data)["error"]
-    assert (error["number"], error["code"]) == (6003, "NOT_ACCEPTED")
+    check_refusals(emulator, caller)
+    assert caller.serves_pages()
     emulator.objects.down = False
     processes.until(lambda: caller.post("during").status == 200)
     assert runs_of(emulator, "during") == 1
@@ -179,9 +202,70 @@
         assert whole(each, 100)
     for each in callers:
         assert whole(each.ask())
+        assert each.get().status == 200
+        assert each.serves_pages()
         for number in range(6):
             assert each.post(f"{each.daemon.core.name}-{number}").status == 200
     for each in callers:
         for number in range(6):
             key = f"{each.daemon.core.name}-{number}"
             assert runs_of(emulator, key) == 1
+
+
+@pytest.mark.timeout(240)
+def test_all_entries_restarted_in_an_outage_serve(emulator, addresses):
+    """All entries are replaced while the platform's store is down.
+
+    Nobody is left that had read the contracts from it. Callers must find
+    what they found before, and what needs the store must be refused truly.
+    """
+    emulator.add_runner("r1", "m", step_seconds=0.002)
+    emulator.add_service("c1", "cards")
+    before = [
+        start(emulator, f"e{number}", mailbox=address)
+        for number, address in enumerate(addresses)
+    ]
+    first = before[0].post("before")
+    assert first.status == 200
+    kept_by_agents(emulator)
+    emulator.objects.down = True
+    for caller in before:
+        caller.daemon.close()
+    emulator.entries.clear()
+    for number, address in enumerate(addresses):
+        caller = start(emulator, f"e{number}", mailbox=address)
+        assert whole(caller.ask())
+        assert caller.get().status == 200
+        again = caller.post("before")
+        assert (again.status, again.data) == (200, first.data)
+        check_refusals(emulator, caller)
+        assert caller.serves_pages()
+
+
+def kept_by_agents(emulator):
+    """Waits until the agents together keep every declaration."""
+    wanted = {
+        declarations.path_of(each)
+        for each in [
+            *processes.basics(KEY),
+            *(each for each in servers_of(emulator)),
+        ]
+    }
+
+    def kept():
+        found = set()
+        for each in [*emulator.runners.values(), *emulator.services.values()]:
+            found |= each.daemon.loop.ask(paths_kept)
+        return wanted <= found
+
+    processes.until(kept)
+
+
+def servers_of(emulator):
+    core = emulator.entries[0].core
+    return [core.configuration.server(name) for name in ("r1", "c1")]
+
+
+def paths_kept(core):
+    shelves = core.subscriber.kept.shelves
+    return {path for shelf in shelves for path in shelf}
