Fuzz upgrades through the agents' orders; keep permits in a load

Agents of the fuzzing had no address, so their orders stood idle and the machine gave loads itself. They now have their declared address, upgrades are only declared, and orders reach the fake engines late, lost or twice. Two lines are new, each with a mutation: loads stay within the limit, and an upgrade ends and alone leaves no model without a runner.

Found: a runner declared as leaving in mid-load, and the next life of an agent that died in mid-load, gave the permit back though the engine went on loading; the next runner loaded as well, two where one is allowed. Now the permit stays until the order under way is over, and an entry of an earlier life stays for as long as its load may last (10 s). The engine's status doesn't tell of a load; adding that was ruled out here, since it changes the runners' protocol. Both tests fail without the mending.

Changed scenario: "drop the weights check" loads by hand with the store down, or the agent would load the declared weights again at once. A replaced agent has no declared address any more, since two processes never hold one mailbox (the assumption that orders.py states).

--- a/pimentoledge/decisions/orders.py
+++ b/pimentoledge/decisions/orders.py
@@ -283,10 +283,15 @@
         )
 
     def _stand_back(self, now: float) -> list[actions.Action]:
-        self.closing = False
+        # Taken out of service in mid-load, the engine goes on loading. With
+        # its permit given back at once, another runner would load as well,
+        # over the limit; so it is kept until the status shows the load.
+        loading = self.given is not None
+        self.closing = loading and self.given.target.kind == LOAD
         if not self._leaves_entry():
             return []
-        self.permits.set_want(None)
+        if not loading:
+            self.permits.set_want(None)
         return self.permits.wake(now)
 
     def _leaves_entry(self) -> bool:
--- a/pimentoledge/decisions/permits.py
+++ b/pimentoledge/decisions/permits.py
@@ -146,6 +146,8 @@
         confirmed_at: when the read was sent that the entry rests on.
         inspected: whether the object was read in this life.
         reason: why a permit was not given: "limit", "guard" or "".
+        kept_until: until when an entry of an earlier life is kept though it
+            is not wanted.
         superseded: whether a later life of the agent has the entry.
         unreachable: whether the store was down at the last try.
         update: the calls to the store that change the object.
@@ -169,6 +171,7 @@
         self.confirmed_at = -math.inf
         self.inspected = False
         self.reason = ""
+        self.kept_until = -math.inf
         self.superseded = False
         self.unreachable = False
         self.update = conditional.Update(
@@ -292,7 +295,8 @@
         if self.number == 0 or self.superseded:
             return None
         if self.want is None:
-            return self._retry_at if self.mine else None
+            due = max(self._retry_at, self.kept_until)
+            return due if self.mine else None
         if not self.granted():
             return max(self._retry_at, self._poll_at)
         if self.want.kind is Kind.OUT:
@@ -312,12 +316,27 @@
         self._next = mine[0] if mine else None
         if self._next and self._next.number > self.number > 0:
             self.superseded = True
+        self._inherit()
         if self.superseded or self.number == 0:
             return conditional.Change(write=False)
+        if self.want is None and self._now < self.kept_until:
+            return conditional.Change(write=False)
         if self.want is None:
             return self._remove(others)
         return self._enter(others)
 
+    def _inherit(self) -> None:
+        """Keeps the entry of an earlier life as long as its load may last.
+
+        The engine may still carry out that life's order, and its status
+        doesn't say so. Given back at once, when nothing is to be loaded any
+        more, the entry would let another runner load at the same time.
+        """
+        found = self._next
+        if self.inspected or found is None or found.kind is Kind.OUT:
+            return
+        self.kept_until = self._now + self.timing.expiry
+
     def _remove(self, others: list[Holder]) -> conditional.Change:
         if self._next is None:
             return conditional.Change(write=False)
--- a/pimentoledge/tests/fuzz/machines.py
+++ b/pimentoledge/tests/fuzz/machines.py
@@ -19,6 +19,9 @@
 # Entries that all restart together first look for a peer that knows the
 # configuration, and then read the store.
 READY_SECONDS = 2.5
+# A load takes half a second; a permit of an agent that has died, ten until it
+# counts no longer, and a number that another life took, ten more.
+UPGRADE_SECONDS = 60.0
 BLOCK_TOKENS = worlds.BLOCK_BYTES // 4
 NUMBER = strategies.integers(0, 11)
 rule = hypothesis.stateful.rule
@@ -128,6 +131,10 @@
             process.paused = False
             if not process.is_entry():
                 self.heal_backend(process.backend)
+        world.deliver_all()
+        for process in world.former:
+            # Whoever replaced it ends it, once it can be reached again.
+            world.end_former(process)
         for process in list(world.processes.values()):
             if not process.alive:
                 world.restart(process)
@@ -189,15 +196,19 @@
         self.world.objects.down = False
 
     def upgrade_all(self):
-        """Gives every engine the declared weights."""
-        model = self.world.declared(declarations.Model, "m")
-        for address in self.world.runners:
-            engine = self.world.processes[address].backend
-            self.load(engine, model.weights)
-        self.world.settle(3.0)
+        """Waits until every engine has the declared weights."""
+        world = self.world
+        wanted = world.declared(declarations.Model, "m").weights
+        end = world.now + UPGRADE_SECONDS
+        engines = [world.processes[each].backend for each in world.runners]
+        while any(each.weights != wanted for each in engines):
+            world.settle(1.0)
+            if world.now > end:
+                self.oracle.fail("upgrade", f"{wanted} is not everywhere")
+        world.settle(3.0)
 
     def load(self, engine, weights):
-        """Orders an engine to load weights; it refuses while it works."""
+        """Loads weights by hand; an engine refuses while it works."""
         order = runner_messages.Order(
             kind="load", value=weights, fencing=engine.fencing + 1
         )
@@ -539,11 +550,49 @@
 
     @rule(weights=strategies.sampled_from(["w1", "w2", "w3"]), which=NUMBER)
     def upgrade(self, weights, which):
-        """The operator declares weights, and some engine loads them."""
-        self.world.declare(declarations.Model(name="m", weights=weights))
-        engine = self.agent(which).backend
-        if isinstance(engine, fake_engines.FakeEngine):
-            self.load(engine, weights)
+        """The operator declares weights; faults may come at any moment."""
+        self.world.declare_weights(weights)
+        for _ in range(which % 4):
+            self.world.settle(0.3)
+
+    @rule(which=NUMBER)
+    def agent_dies_in_load(self, which):
+        """An agent ends, or stands still, while its engine loads weights."""
+        loading = self.loading()
+        if not loading:
+            self.world.declare_weights(f"w{self.oracle.steps}")
+        for _ in range(60):
+            loading = loading or self.loading()
+            if not loading:
+                self.world.settle(0.1)
+        agent = self.pick(loading, which)
+        if agent is not None and which % 3 == 0:
+            agent.paused = True
+        elif agent is not None:
+            self.world.restart(agent)
+
+    def loading(self):
+        """Returns the agents whose engines load weights."""
+        agents = [self.world.processes[each] for each in self.world.runners]
+        return [each for each in agents if each.backend.loading]
+
+    @rule(which=NUMBER, arrives=strategies.booleans())
+    def lose_order(self, which, arrives):
+        """The connection breaks after an order, or before it arrives."""
+        given = [
+            each
+            for each in self.world.work
+            if isinstance(each[1], actions.OrderEngine)
+        ]
+        lost = self.pick(given, which)
+        if lost is None:
+            return
+        process, action, since = lost
+        self.world.work.remove(lost)
+        if arrives:
+            self.world.carry_out(process, action.order, since)
+            process.heard.pop()
+        process.heard.append(events.OrderDone(order=action.order, answer=None))
 
     @rule()
     def heal_all(self):
--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -22,6 +22,7 @@
 from pimentoledge.decisions import entries
 from pimentoledge.decisions import events
 from pimentoledge.decisions import limits
+from pimentoledge.decisions import permits
 from pimentoledge.decisions import placement
 from pimentoledge.decisions import quarantine
 from pimentoledge.decisions import retries
@@ -79,8 +80,12 @@
 
 
 def older_weights(driver):
-    """The only engine loads new weights; the entry heard of the old ones."""
+    """An operator loads other weights by hand; the entry knows the old ones.
+
+    The store is down, so that the agent doesn't load the declared ones again.
+    """
     world = driver.world
+    world.objects.down = True
     driver.complete(driver.entry(0), "acme", PROMPT)
     world.settle(1.0)
     driver.load(driver.agent(0).backend, "w2")
@@ -89,6 +94,26 @@
     world.settle(3.0)
 
 
+def grant_loads(monkeypatch):
+    """Grants every permit to load, whoever else loads."""
+    monkeypatch.setattr(permits.Permits, "_denied", lambda *_: "")
+
+
+def release_early(monkeypatch):
+    """Lets any number of a model's runners be out of service at a time."""
+    monkeypatch.setattr(permits, "_may_go", lambda *_: True)
+
+
+def upgrade(loads):
+    """Returns a scenario: new weights are declared for all runners."""
+
+    def scenario(driver):
+        driver.world.declare_weights("w2", loads)
+        driver.upgrade_all()
+
+    return scenario
+
+
 def share_salt(monkeypatch):
     """Lets all organisations share cached blocks."""
     monkeypatch.setattr(runs.Run, "salt", lambda self, weights: "all")
@@ -618,6 +643,18 @@
         apply=own_whole_limit,
         scenario=many_at_once,
     ),
+    Mutation(
+        name="grant every permit to load",
+        line="loads",
+        apply=grant_loads,
+        scenario=upgrade(1),
+    ),
+    Mutation(
+        name="let all runners of a model load at one time",
+        line="upgrade",
+        apply=release_early,
+        scenario=upgrade(3),
+    ),
     Mutation(
         name="report a prompt as cached that was not",
         line="told",
--- a/pimentoledge/tests/fuzz/oracles.py
+++ b/pimentoledge/tests/fuzz/oracles.py
@@ -32,11 +32,17 @@
     "answered": "every accepted request is answered in time, and once",
     "shared": "shared prompt work is not paid twice",
     "told": "nothing told to a caller is false",
+    "loads": "loads at one time stay within the limit",
+    "upgrade": "an upgrade ends, and alone leaves no model without a runner",
     "limits": "a contract's limit holds over all entries",
     "poison": "one poison request crashes at most three engines",
 }
 # A change is in force everywhere by then, unless the store is cut off.
 FORCE_SECONDS = 5.0
+# An order that was longer on its way may reach its engine when the permit
+# has been counted as lost: ten seconds, less two from its last confirmation
+# to the order, and less the load itself.
+ORDER_SECONDS = 5.0
 # After its deadline a request has this long to be answered.
 LATE_SECONDS = 1.0
 POISON = "POISON"
@@ -123,6 +129,7 @@
         crashes: engine and number of each crash by poison.
         pushed: the same of crashes that had another cause.
         disturbed: whether entries could not reach each other at some time.
+        late: engines whose load was ordered too long ago to be counted.
         failed: whether a violation was raised; what comes after it says
             nothing, since a state machine was left in the middle of a step.
         history: what happened, as text.
@@ -138,6 +145,7 @@
         self.contents: dict[tuple, bytes | None] = {}
         self.steps = 0
         self.disturbed = False
+        self.late: set[str] = set()
         self.failed = False
         self.history: list[str] = []
         self.owners: dict[tuple, object] = {}
@@ -483,8 +491,48 @@
         if len(running) > most:
             self.fail("limits", f"{running} run, {most} may")
 
+    def ordered(self, process, order, answer, age: float) -> None:
+        """An order reached an engine.
+
+        Args:
+            process: the agent that gave it.
+            order: the order.
+            answer: the engine's answer.
+            age: seconds that it was on its way.
+        """
+        self.note(f"{process.name}'s engine {order}: {answer}"[:SHORT])
+        engine = process.backend
+        if answer.accepted and engine.loading and age > ORDER_SECONDS:
+            self.late.add(engine.name)
+        self.check_loads()
+
+    def check_loads(self) -> None:
+        """Checks how many runners load, and that one is left that serves.
+
+        It may be none that serves where an operator took others out, or they
+        are down: only an upgrade that nothing came in the way of is judged.
+        """
+        world = self.world
+        engines = [world.processes[each].backend for each in world.runners]
+        loading = {each.name for each in engines if each.loading}
+        self.late &= loading
+        model = world.declared(declarations.Model, "m")
+        if len(loading - self.late) > model.concurrent_loads:
+            self.fail("loads", f"{loading} load at one time")
+        kind = declarations.BackendServer
+        declared = [
+            world.declared(kind, world.processes[each].name)
+            for each in world.runners
+        ]
+        state = declarations.ServerState.IN
+        alone = all(each.state is state for each in declared)
+        alone = alone and all(each.incarnation for each in engines)
+        if alone and not self.late and len(engines) == len(loading) > 1:
+            self.fail("upgrade", f"all runners of m load: {loading}")
+
     def passed(self) -> None:
         """Time has passed."""
+        self.check_loads()
         self.excuse_leaving()
         self.check_limit()
         for request, asked in self.asked.items():
--- a/pimentoledge/tests/fuzz/worlds.py
+++ b/pimentoledge/tests/fuzz/worlds.py
@@ -21,6 +21,7 @@
 from pimentoledge.nodes import codecs
 from pimentoledge.platform import fake_objects
 from pimentoledge.runners import fake_engines
+from pimentoledge.runners import messages as runner_messages
 from pimentoledge.services import fake_services
 from pimentoledge.tests.fuzz import oracles
 
@@ -28,6 +29,8 @@
 STATUS_SECONDS = 0.5
 # The limit of one of the two organisations.
 CONCURRENCY = 3
+# Runners that may load weights at one time.
+LOADS = 1
 # How long a message waits for a connection to a process that is gone.
 CONNECT_SECONDS = 1.0
 KEY = "fuzz-key-of-{}"
@@ -102,7 +105,8 @@
         calls: store calls that have not reached the store: process, call,
             when it was made.
         answers: answers of the store on the way: process, answer.
-        work: runs that have not reached a backend: process, action.
+        work: runs and orders that have not reached a backend: process,
+            action, when it was given.
         answered: answers of the store that were delivered lately.
         disconnected: streams whose connection to the engine has broken, by
             engine, request and attempt.
@@ -148,7 +152,7 @@
 
     def declare_all(self) -> None:
         """Writes the declarations of the start."""
-        self.declare(declarations.Model(name="m", weights="w1"))
+        self.declare_weights("w1")
         self.declare(declarations.Service(name="cards"))
         for name, concurrency in (("acme", 0), ("zenith", CONCURRENCY)):
             self.declare(
@@ -187,6 +191,13 @@
         )
         return self.objects.call(write)
 
+    def declare_weights(self, weights: str, loads: int = LOADS) -> None:
+        """Writes which weights the model's runners should have."""
+        model = declarations.Model(
+            name="m", weights=weights, concurrent_loads=loads
+        )
+        self.declare(model)
+
     def declared(self, kind, name):
         """Returns a declaration as the store has it, read independently."""
         path = declarations.PREFIXES[kind] + name
@@ -215,6 +226,7 @@
         kinds = declarations.ServerKind
         core = agents.Agent(
             name=name_of(address),
+            address=address,
             kind=kinds.RUNNER if is_engine else kinds.SERVICE,
             life=f"life{life}",
             slots=2,
@@ -244,12 +256,22 @@
     def replace(self, process: Process) -> Process:
         """Starts a new life while the old one, paused, may still act."""
         process.alive = False
+        if not process.is_entry():
+            # A process holds its mailbox alone as long as it lives: the new
+            # one has it, so the old one has another, that isn't declared.
+            process.core.orders.address = ""
         self.former.append(process)
         self.oracle.stopped(process)
         if process.is_entry():
             return self.start_entry(process.address)
         return self.start_agent(process.address, process.backend)
 
+    def end_former(self, process: Process) -> None:
+        """Ends a life that was replaced."""
+        if process.runs:
+            process.runs = False
+            self.oracle.note(f"{process.name}'s former life ends")
+
     def drain(self, process: Process) -> None:
         """Tells a process to finish what runs, and then to end."""
         process.draining = True
@@ -302,7 +324,7 @@
                     | actions.ResumeRun()
                     | actions.OrderEngine()
                 ):
-                    self.work.append((process, action))
+                    self.work.append((process, action, self.now))
                 case actions.CheckEngine():
                     process.status_at = self.now
 
@@ -350,8 +372,8 @@
         self.give(process, answer)
 
     def reach_backend(self, number: int) -> None:
-        """Lets a run reach its engine or service."""
-        process, action = self.work.pop(number)
+        """Lets a run or an order reach its engine or service."""
+        process, action, since = self.work.pop(number)
         match action:
             case actions.RunCompletion():
                 self.oracle.reached(process, action)
@@ -363,14 +385,21 @@
             case actions.ResumeRun():
                 self.resume(process, action)
             case actions.OrderEngine():
-                done = process.backend.order(action.order, self.now)
-                order = action.order
-                event = events.OrderDone(order=order, answer=done)
-                process.heard.append(event)
+                self.carry_out(process, action.order, since)
             case actions.RunCall():
                 process.heard.append(self.call_service(process, action))
         self.hear_engines()
 
+    def carry_out(
+        self, process: Process, order: runner_messages.Order, since: float
+    ) -> None:
+        """Gives an order to an engine; its answer is then on the way."""
+        answer = process.backend.order(order, self.now)
+        self.oracle.ordered(process, order, answer, self.now - since)
+        process.heard.append(events.OrderDone(order=order, answer=answer))
+        # Whoever gave an order asks at once what came of it.
+        process.status_at = self.now
+
     def resume(self, process: Process, action: actions.ResumeRun) -> None:
         """Takes up a stream at its engine."""
         key = (id(process.backend), action.request, action.attempt)
--- a/pimentoledge/tests/test_orders.py
+++ b/pimentoledge/tests/test_orders.py
@@ -377,6 +377,56 @@
         child.stdout.close()
 
 
+def _loading_node(fleet):
+    nodes = fleet.nodes.values()
+    fleet.run_until(lambda: any(each.engine.loading for each in nodes))
+    (node,) = [each for each in nodes if each.engine.loading]
+    return node
+
+
+def test_runner_that_leaves_in_mid_load_keeps_its_permit():
+    """An operator takes a runner out while it loads weights.
+
+    Its agent was no longer in charge and gave the permit back at once,
+    though the engine went on loading. The next runner got it and loaded as
+    well: two at one time, where one is allowed.
+    """
+    fleet = _fleet(3, 1)
+    fleet.upgrade("w2")
+    node = _loading_node(fleet)
+    fleet.servers[node.name].state = declarations.ServerState.LEAVING
+    for each in fleet.nodes.values():
+        fleet.declare(each)
+    fleet.run_until(fleet.upgraded)
+    assert fleet.most_loading == 1
+
+
+def test_permit_of_an_agent_that_died_outlasts_its_load():
+    """An agent dies in mid-load, and the old weights are declared again.
+
+    Its next life saw them in the engine's status, which doesn't tell of the
+    load, and gave the permit back. The next upgrade began on another runner
+    while the load went on: two at one time, where one is allowed.
+    """
+    fleet = _fleet(3, 1)
+    fleet.upgrade("w2")
+    node = _loading_node(fleet)
+    fleet.model.weights = "w1"
+    fleet.start_agent(node)
+    for each in fleet.nodes.values():
+        fleet.declare(each)
+    fleet.run(fleet.now + 0.05)
+    assert node.engine.loading
+    fleet.model.weights = "w3"
+    for each in fleet.nodes.values():
+        if each is not node:
+            fleet.declare(each)
+    fleet.run(fleet.now + 0.3)
+    fleet.declare(node)
+    fleet.run_until(fleet.upgraded)
+    assert fleet.most_loading == 1
+
+
 def _crash(fleet, node):
     node.engine.crash(fleet.now)
     fleet.at(fleet.now + 3.0, lambda: node.engine.restart(fleet.now))
