Run the real admission and retries in the placement bench

Cause: make measure drove the real placement, but agents and retries of the bench's own, so it showed neither pausing nor fair share nor what is refused. A refusal also passed unseen if a first token had come before.

Change: each agent of the bench asks decisions/admission (offer, ready, expired, paused, ended, clear), each entry decisions/retries, for every policy alike. Reports count prompts in prefill as the agents do. The bench's queue, deadline check and retry loop are gone. A request counts as refused if it never completes; attempts refused are counted too, both over the whole run, since a crash hits what came before it. benches/paths.py, easily taken for path.py, is now placement_runs.py.

Weighed: keeping the bench's retries. The project's fake engine is not used yet: left.

--- a/benches/baselines.py
+++ b/benches/baselines.py
@@ -148,10 +148,10 @@
     """The cheapest server, with every cache and queue known at once.
 
     Attributes:
-        engines: the engines by name, set by the bench.
+        agents: the agents by name, set by the bench.
     """
 
-    engines: dict = {}
+    agents: dict = {}
 
     def pick(
         self, wanted: placement.Wanted, names: list[str], now: float
@@ -159,12 +159,13 @@
         """Returns one of the names."""
 
         def cost(name: str) -> tuple[float, float]:
-            engine = self.engines[name]
-            cached = engine.depth(wanted.blocks) * wanted.block_tokens
-            left = wanted.prompt_tokens - cached + engine.queued_tokens()
-            over = len(engine.batch) + engine.queued() - engine.pool.slots + 1
-            slot = max(0, over) * self.residence / engine.pool.slots
-            return (max(left * engine.pool.token_seconds, slot), len(name))
+            agent = self.agents[name]
+            pool = agent.engine.pool
+            cached = agent.engine.depth(wanted.blocks) * wanted.block_tokens
+            left = wanted.prompt_tokens - cached + agent.left_tokens()
+            over = len(agent.jobs) - pool.slots + 1
+            slot = max(0, over) * self.residence / pool.slots
+            return (max(left * pool.token_seconds, slot), len(name))
 
         return min(names, key=cost)
 
@@ -178,8 +179,9 @@
         """Returns one of the names."""
 
         def key(name: str) -> tuple[int, int]:
-            engine = self.engines[name]
-            return (-engine.depth(wanted.blocks), engine.queued_tokens())
+            agent = self.agents[name]
+            depth = agent.engine.depth(wanted.blocks)
+            return (-depth, agent.left_tokens())
 
         return min(names, key=key)
 
--- a/benches/engines.py
+++ b/benches/engines.py
@@ -1,9 +1,9 @@
 """A runner's engine as a step machine in virtual time.
 
-It batches continuously: each step gives one token to every request past its
-prefill and spends a budget of prompt tokens on the others, interactive ones
-first. Its cache of prompt blocks is limited; the least recently used block
-goes first.
+It runs what it is given; the agent's admission decides what that is. Each
+step gives one token to every request past its prefill and spends a budget of
+prompt tokens on the others, interactive ones first. Its cache of prompt blocks
+is limited; the least recently used block goes first.
 """
 
 import collections
@@ -13,8 +13,6 @@
 from benches import workloads
 
 _CHUNK_TOKENS = 512
-# Batch work leaves this many slots to interactive work.
-_KEPT_SLOTS = 2
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -25,8 +23,9 @@
         arrival: the request.
         attempt: number of its attempt.
         expected: cached tokens that the entry expected.
+        crashes: engines known to have crashed on it.
         cached: prompt tokens found in the cache; None before it starts.
-        left: prompt tokens still to compute.
+        left: tokens still to compute before the next one is generated.
         stored: blocks of it already put into the cache.
         generated: tokens generated.
     """
@@ -34,6 +33,7 @@
     arrival: workloads.Arrival
     attempt: int
     expected: int
+    crashes: int = 0
     cached: int | None = None
     left: int = 0
     stored: int = 0
@@ -76,7 +76,6 @@
         name: its runner's name.
         pool: its sizes and speeds.
         holders: shared count of held blocks, for the wasted tokens.
-        waiting: jobs outside the batch, by priority.
         batch: jobs in the batch.
         cache: blocks held, least recently used first.
         prefilled: prompt tokens of the running step, by job.
@@ -87,10 +86,6 @@
         self.name = name
         self.pool = pool
         self.holders = holders
-        self.waiting: dict[str, collections.deque[Job]] = {
-            workloads.INTERACTIVE: collections.deque(),
-            workloads.BATCH: collections.deque(),
-        }
         self.batch: list[Job] = []
         self.cache: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
@@ -99,25 +94,23 @@
         self.started: list[tuple[Job, int]] = []
 
     def submit(self, job: Job):
-        """Queues a job."""
-        self.waiting[job.arrival.priority].append(job)
+        """Takes a job into the batch, anew or after a pause."""
+        job.cached = None
+        job.left = job.arrival.prompt_tokens - job.expected + job.generated
+        self.batch.append(job)
+
+    def cancel(self, job: Job):
+        """Takes a job out of the batch and of the running step."""
+        self.batch.remove(job)
+        self.prefilled = [each for each in self.prefilled if each[0] is not job]
 
     def idle(self) -> bool:
         """Returns whether there is nothing to do."""
-        return not self.batch and not any(self.waiting.values())
-
-    def queued(self) -> int:
-        """Returns the number of jobs outside the batch."""
-        return sum(len(each) for each in self.waiting.values())
-
-    def queued_tokens(self) -> int:
-        """Returns the uncached prompt tokens waiting or in prefill."""
-        outside = sum(
-            max(0, job.arrival.prompt_tokens - job.expected)
-            for queue in self.waiting.values()
-            for job in queue
-        )
-        return outside + sum(job.left for job in self.batch)
+        return not self.batch
+
+    def left_tokens(self) -> int:
+        """Returns the prompt tokens still to compute."""
+        return sum(job.left for job in self.batch)
 
     def depth(self, blocks: list[bytes]) -> int:
         """Returns how many leading blocks are in the cache."""
@@ -125,7 +118,6 @@
 
     def start_step(self) -> float:
         """Begins a step and returns how long it takes."""
-        self.fill()
         budget = _CHUNK_TOKENS
         self.prefilled = []
         order = sorted(
@@ -143,16 +135,6 @@
         spent = (_CHUNK_TOKENS - budget) * self.pool.token_seconds
         return self.pool.step_seconds + spent
 
-    def fill(self):
-        """Moves waiting jobs into the batch."""
-        for priority, kept in (
-            (workloads.INTERACTIVE, 0),
-            (workloads.BATCH, _KEPT_SLOTS),
-        ):
-            queue = self.waiting[priority]
-            while queue and len(self.batch) < self.pool.slots - kept:
-                self.batch.append(queue.popleft())
-
     def look_up(self, job: Job):
         """Takes what the cache has of a job's prompt."""
         depth = self.depth(job.arrival.blocks)
@@ -161,7 +143,9 @@
         job.cached = depth * workloads.BLOCK_TOKENS
         job.stored = depth
         # One token at least is computed, to have the first answer's token.
-        job.left = max(1, job.arrival.prompt_tokens - job.cached)
+        # Of a resumed job, what it had generated is computed again too.
+        known = job.arrival.prompt_tokens + job.generated
+        job.left = max(1, known - job.cached)
         self.touch(job.arrival.blocks[:depth])
         self.started.append((job, wasted))
 
@@ -189,7 +173,7 @@
             job.left -= tokens
             self.store(job)
             if not job.left:
-                job.generated = 1
+                job.generated += 1
                 first.append(job)
         for job in self.batch:
             if job.generated >= job.arrival.output_tokens:
@@ -201,7 +185,7 @@
 
     def store(self, job: Job):
         """Puts the blocks that a job has computed into the cache."""
-        known = job.arrival.prompt_tokens - job.left
+        known = max(0, job.arrival.prompt_tokens - job.left)
         depth = min(len(job.arrival.blocks), known // workloads.BLOCK_TOKENS)
         for block in job.arrival.blocks[job.stored : depth]:
             if block not in self.cache:
@@ -214,15 +198,10 @@
             block, _ = self.cache.popitem(last=False)
             self.holders.remove(block)
 
-    def crash(self) -> list[Job]:
-        """Loses all state; returns the jobs that were in it."""
-        lost = [*self.batch, *self.waiting["interactive"]]
-        lost.extend(self.waiting["batch"])
+    def crash(self):
+        """Loses all state."""
         for block in self.cache:
             self.holders.remove(block)
         self.cache.clear()
         self.batch = []
         self.prefilled = []
-        for queue in self.waiting.values():
-            queue.clear()
-        return lost
--- a/benches/measure.py
+++ b/benches/measure.py
@@ -1,6 +1,7 @@
 """Runs every policy on every workload and fault, and prints the figures.
 
-The first seconds are left out; with a sudden fault, all before it is.
+The first seconds are left out; with a sudden fault, all before it is. Refusals
+count over the whole run.
 
 python -m benches.measure [--seeds N] [--policies a,b] [--faults x,y]
 """
@@ -15,7 +16,7 @@
 import attrs
 
 from benches import baselines
-from benches import paths
+from benches import placement_runs
 from benches import plots
 from benches import workloads
 
@@ -28,7 +29,7 @@
     """One run."""
 
     deployment: workloads.Deployment
-    fault: paths.Fault
+    fault: placement_runs.Fault
     seed: int
     policy: str
 
@@ -41,7 +42,8 @@
         prompt_tokens: prompt tokens of all starts.
         cached_tokens: of these, taken from a cache.
         wasted_tokens: of these, computed though a live engine held them.
-        refused: requests refused or never served.
+        refused: requests never completed.
+        refusals: attempts that an agent refused.
         requests: all requests.
         interactive: seconds to the first token of each.
         batch: seconds to the first token of each.
@@ -51,6 +53,7 @@
     cached_tokens: int = 0
     wasted_tokens: int = 0
     refused: int = 0
+    refusals: int = 0
     requests: int = 0
     interactive: list[float] = attrs.field(factory=list)
     batch: list[float] = attrs.field(factory=list)
@@ -61,14 +64,20 @@
             total = getattr(self, field.name) + getattr(other, field.name)
             setattr(self, field.name, total)
 
-    def count(self, measured: paths.Measured):
-        """Adds one request."""
+    def count(self, measured: placement_runs.Measured, *, timed: bool):
+        """Adds one request; its refusals and its failure always count.
+
+        A sudden fault hits what came before it too.
+        """
         self.requests += 1
+        self.refusals += measured.refusals
+        self.refused += not measured.done
+        if not timed:
+            return
         self.prompt_tokens += measured.prompt_tokens
         self.cached_tokens += measured.cached_tokens
         self.wasted_tokens += measured.wasted_tokens
-        if not measured.first_at:
-            self.refused += 1
+        if not measured.done:
             return
         seconds = measured.first_at - measured.arrival.at
         if measured.arrival.priority == workloads.INTERACTIVE:
@@ -84,6 +93,7 @@
             "wasted": self.wasted_tokens / prompt,
             "wasted_tokens": self.wasted_tokens,
             "refused": self.refused,
+            "refusals": self.refusals,
             "requests": self.requests,
         }
         for name in ("interactive", "batch"):
@@ -102,7 +112,7 @@
 def run(task: Task) -> tuple[Task, Figures, float]:
     """Makes one run; returns its figures and its processor seconds."""
     began = time.process_time()
-    path = paths.Path(
+    made = placement_runs.Run(
         deployment=task.deployment,
         policy=task.policy,
         fault=task.fault,
@@ -110,19 +120,18 @@
     )
     figures = Figures()
     start = workloads.WARM_UP
-    if task.fault in paths.SUDDEN:
+    if task.fault in placement_runs.SUDDEN:
         start = workloads.FAULT_AT
-    for measured in path.run():
-        if measured.arrival.at >= start:
-            figures.count(measured)
+    for measured in made.run():
+        figures.count(measured, timed=measured.arrival.at >= start)
     return task, figures, time.process_time() - began
 
 
 def _table(group: list[tuple[str, dict[str, float]]]) -> list[str]:
     lines = [
         "| policy | hit rate | wasted | interactive p50/p95/p99 s "
-        "| batch p50/p95/p99 s | refused |",
-        "| --- | --- | --- | --- | --- | --- |",
+        "| batch p50/p95/p99 s | refused | attempts refused |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
     ]
     for policy, row in group:
         cells = [policy, f"{row['hit_rate']:.1%}", f"{row['wasted']:.2%}"]
@@ -130,6 +139,7 @@
             shares = [row[f"{name}_p{each}"] for each in (50, 95, 99)]
             cells.append(" / ".join(f"{each:.3f}" for each in shares))
         cells.append(f"{row['refused']} of {row['requests']}")
+        cells.append(str(row["refusals"]))
         lines.append("| " + " | ".join(cells) + " |")
     return lines
 
@@ -166,7 +176,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--policies", default=",".join(baselines.POLICIES))
-    parser.add_argument("--faults", default=",".join(paths.Fault))
+    parser.add_argument("--faults", default=",".join(placement_runs.Fault))
     parser.add_argument("--deployments", default=",".join(workloads.Deployment))
     parser.add_argument("--processes", type=int, default=_PROCESSES)
     options = parser.parse_args()
@@ -174,7 +184,7 @@
     tasks = [
         Task(
             deployment=workloads.Deployment(deployment),
-            fault=paths.Fault(fault),
+            fault=placement_runs.Fault(fault),
             seed=seed,
             policy=policy,
         )
--- a/benches/paths.py
+++ b/benches/placement_runs.py
@@ -1,7 +1,7 @@
-"""The path of a request in virtual time: entries, agents, engines.
+"""Runs of placement in virtual time: entries, agents, engines.
 
-One process, one heap of events. The entries' decisions are the real ones;
-the agents here only queue, refuse and report.
+One process, one heap of events. Placement and retries at the entries and
+admission at the agents are the real decisions; the engines are the bench's.
 """
 
 import collections
@@ -15,8 +15,11 @@
 from benches import baselines
 from benches import engines
 from benches import workloads
+from pimentoledge import results
+from pimentoledge.decisions import admission
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import placement
+from pimentoledge.decisions import retries
 from pimentoledge.nodes import messages
 
 _HOP_SECONDS = 0.001
@@ -25,7 +28,6 @@
 _LONG_LAG_SECONDS = 3.0
 _LOST_SHARE = 0.3
 _DOWN_SECONDS = 3.0
-_ATTEMPTS = 4
 _CRASHES = 2
 _RUSH_LOAD = 1.3
 
@@ -52,7 +54,11 @@
     Attributes:
         arrival: the request.
         first_at: when its first token reached the entry; 0 for never.
-        refused: whether it was refused in the end.
+        done: whether it was completed.
+        tries: what the entry's retries know of it.
+        sent: attempts of it so far.
+        crashes: engines that died while they ran it.
+        refusals: attempts of it that an agent refused.
         prompt_tokens: prompt tokens of all its starts in an engine.
         cached_tokens: of these, taken from a cache.
         wasted_tokens: of these, computed though a live engine held them.
@@ -61,7 +67,11 @@
 
     arrival: workloads.Arrival
     first_at: float = 0.0
-    refused: bool = False
+    done: bool = False
+    tries: retries.AttemptState
+    sent: int = 0
+    crashes: int = 0
+    refusals: int = 0
     prompt_tokens: int = 0
     cached_tokens: int = 0
     wasted_tokens: int = 0
@@ -70,18 +80,26 @@
 
 @attrs.define(kw_only=True)
 class Entry:
-    """An entry: its policy and its restarts."""
+    """An entry: its policy, its retries and its restarts."""
 
     number: int
     placer: placement.Placer
+    budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     life: int = 0
 
 
+def _key(job: engines.Job) -> admission.Key:
+    return (job.arrival.request, job.attempt)
+
+
 class Agent:
     """The process beside one engine.
 
     Attributes:
         engine: its engine.
+        admission: decides what runs, waits and is refused.
+        jobs: what runs or waits here.
+        wake: when admission wants to be asked again.
         incarnation: number of the engine's life; 0 while it is down.
         lives: lives so far.
         stepping: whether a step is under way.
@@ -91,6 +109,11 @@
 
     def __init__(self, *, engine: engines.Engine):
         self.engine = engine
+        self.admission = admission.Admission(
+            server=engine.name, slots=engine.pool.slots
+        )
+        self.jobs: dict[admission.Key, engines.Job] = {}
+        self.wake = 0.0
         self.incarnation = 1
         self.lives = 1
         self.stepping = False
@@ -101,13 +124,28 @@
             collections.deque()
         )
 
+    def queued_tokens(self) -> int:
+        """Returns the uncached prompt tokens waiting or in prefill.
+
+        Counted as the real agent does, which doesn't see how far a prefill is
+        nor what the cache really had.
+        """
+        return self.admission.queued_tokens + sum(
+            max(0, job.arrival.prompt_tokens - job.expected)
+            for job in self.engine.batch
+            if job.left
+        )
+
+    def left_tokens(self) -> int:
+        """Returns the same with all known, for the oracles."""
+        return self.admission.queued_tokens + self.engine.left_tokens()
+
     def note(self, now: float, lag: float):
         """Keeps the load of this moment for the reports to come."""
-        engine = self.engine
         load = {
-            "running": len(engine.batch),
-            "queued": engine.queued(),
-            "queued_tokens": engine.queued_tokens(),
+            "running": len(self.admission.running),
+            "queued": self.admission.queued,
+            "queued_tokens": self.queued_tokens(),
             "received": dict(self.received),
         }
         self.history.append((now, load))
@@ -130,7 +168,7 @@
         )
 
 
-class Path:
+class Run:
     """One run of one policy over one workload with one fault."""
 
     def __init__(
@@ -158,7 +196,11 @@
             _RUSH_LOAD if fault == Fault.RUSH else 1.0,
         )
         self.measured = {
-            each.request: Measured(arrival=each) for each in self.arrivals
+            each.request: Measured(
+                arrival=each,
+                tries=retries.AttemptState(deadline=each.at + each.deadline),
+            )
+            for each in self.arrivals
         }
         self.servers: dict[str, list[declarations.BackendServer]] = {}
         self.agents: dict[str, Agent] = {}
@@ -196,9 +238,7 @@
             data_centre=workloads.DATA_CENTRES[place],
         )
         if self.policy in baselines.ORACLES:
-            made.engines = {
-                name: agent.engine for name, agent in self.agents.items()
-            }
+            made.agents = self.agents
         return made
 
     def at(self, time: float, act, *args):
@@ -226,13 +266,14 @@
 
     def arrive(self, arrival: workloads.Arrival):
         """A request reaches its entry."""
-        self.place(arrival, 1, frozenset())
+        entry = self.entries[arrival.entry]
+        entry.budget.request(self.now)
+        self.place(entry.placer, arrival)
 
-    def place(
-        self, arrival: workloads.Arrival, attempt: int, avoid: frozenset[str]
-    ):
+    def place(self, placer: placement.Placer, arrival: workloads.Arrival):
         """An entry chooses a server and sends the request there."""
         entry = self.entries[arrival.entry]
+        measured = self.measured[arrival.request]
         left = arrival.at + arrival.deadline - self.now
         wanted = placement.Wanted(
             request=arrival.request,
@@ -244,17 +285,21 @@
             prompt_tokens=arrival.prompt_tokens,
             priority=arrival.priority,
             seconds_left=left,
-            avoid=avoid,
+            avoid=frozenset(measured.tries.avoid),
         )
         servers = self.servers[arrival.model]
-        choice = entry.placer.choose(wanted, servers, self.now)
-        if choice.server is None or attempt > _ATTEMPTS or left <= 0:
-            self.measured[arrival.request].refused = True
+        choice = placer.choose(wanted, servers, self.now)
+        if choice.server is None:
+            self.retry(arrival, retries.NoCandidate())
             return
         tokens = arrival.prompt_tokens - choice.expected_depth
-        entry.placer.sent(choice.server, arrival.request, tokens, self.now)
+        placer.sent(choice.server, arrival.request, tokens, self.now)
+        measured.sent += 1
         job = engines.Job(
-            arrival=arrival, attempt=attempt, expected=choice.expected_depth
+            arrival=arrival,
+            attempt=measured.sent,
+            expected=choice.expected_depth,
+            crashes=measured.crashes,
         )
         sender = (entry.number, entry.life)
         self.at(
@@ -263,7 +308,29 @@
             choice,
             job,
             sender,
-            avoid,
+        )
+
+    def dispatch(self, choice, job: engines.Job) -> messages.Dispatch:
+        """Returns what an agent's admission is offered."""
+        arrival = job.arrival
+        return messages.Dispatch(
+            request=arrival.request,
+            attempt=job.attempt,
+            organisation=arrival.organisation,
+            priority=arrival.priority,
+            seconds_left=arrival.at + arrival.deadline - self.now,
+            server=choice.server,
+            incarnation=choice.incarnation,
+            weights=workloads.WEIGHTS,
+            expected_depth=job.expected,
+            prompt_tokens=arrival.prompt_tokens,
+            fingerprint=arrival.request.encode(),
+            crashes=job.crashes,
+            completion=messages.Completion(
+                model=arrival.model,
+                prompt="",
+                max_tokens=arrival.output_tokens,
+            ),
         )
 
     def tell(self, sender: tuple[int, int], act, *args, lossy: bool = False):
@@ -283,10 +350,20 @@
         """A report reached an entry."""
         placer.learned(truth, self.now)
 
-    def refused(self, placer, truth, arrival, attempt, avoid):
-        """An entry's dispatch was refused; it tries elsewhere."""
+    def failed(self, placer, truth, job: engines.Job, failure: retries.Failure):
+        """An entry's dispatch was refused, or broke."""
         placer.learned(truth, self.now)
-        self.place(arrival, attempt + 1, avoid)
+        self.retry(job.arrival, failure)
+
+    def retry(self, arrival: workloads.Arrival, failure: retries.Failure):
+        """An entry tries again, or gives up."""
+        entry = self.entries[arrival.entry]
+        tries = self.measured[arrival.request].tries
+        match retries.next_step(tries, failure, entry.budget, self.now):
+            case retries.Retry(delay=delay):
+                sender = (entry.number, entry.life)
+                at = self.now + delay
+                self.at(at, self.told, sender, self.place, (arrival,))
 
     def finished(self, placer, truth, job: engines.Job):
         """A request's end reached its entry."""
@@ -318,36 +395,69 @@
         if self.now < workloads.SECONDS:
             self.at(self.now + _REPORT_SECONDS, self.report, name)
 
-    def dispatched(self, choice, job: engines.Job, sender, avoid):
+    def dispatched(self, choice, job: engines.Job, sender):
         """A request reached an agent."""
         agent = self.agents[choice.server]
         agent.received[sender] += 1
-        assumed = choice.incarnation
-        stale = assumed and assumed != str(agent.incarnation)
-        if not agent.incarnation or stale or self.late(agent, job):
-            agent.note(self.now, self.lag)
-            if not stale:
-                avoid = avoid | {choice.server}
-            self.tell(
-                sender,
-                self.refused,
-                agent.truth(sender),
-                job.arrival,
-                job.attempt,
-                avoid,
-            )
-            return
-        agent.engine.submit(job)
-        self.measured[job.arrival.request].sender = sender
+        measured = self.measured[job.arrival.request]
+        measured.sender = sender
+        verdict = agent.admission.offer(
+            self.dispatch(choice, job),
+            f"{sender}",
+            agent.truth(sender),
+            self.now,
+        )
+        match verdict:
+            case admission.Refuse():
+                self.refuse(agent, job, verdict.code)
+            case admission.Queue():
+                agent.jobs[_key(job)] = job
+            case admission.Admit(pause=pause):
+                for key in pause:
+                    agent.engine.cancel(agent.jobs[key])
+                    agent.admission.paused(*key, self.now)
+                agent.jobs[_key(job)] = job
+                agent.engine.submit(job)
+        self.tend(choice.server)
+        if _key(job) in agent.jobs:
+            truth = agent.truth(sender)
+            self.tell(sender, self.learned, truth, lossy=True)
+
+    def refuse(self, agent: Agent, job: engines.Job, code: results.Code):
+        """An agent gives back a request that didn't run."""
+        self.measured[job.arrival.request].refusals += 1
+        server = agent.engine.name
+        self.give_back(agent, job, retries.NotRun(server=server, code=code))
+
+    def broke(self, agent: Agent, job: engines.Job, code: results.Code):
+        """An agent gives back a request that had run."""
+        server = agent.engine.name
+        ran = results.Ran.RAN
+        failure = retries.Broken(server=server, code=code, ran=ran)
+        self.give_back(agent, job, failure)
+
+    def give_back(self, agent: Agent, job: engines.Job, failure):
+        """An agent tells an entry that a request won't be answered here."""
         agent.note(self.now, self.lag)
-        self.tell(sender, self.learned, agent.truth(sender), lossy=True)
-        self.step(choice.server)
+        sender = self.measured[job.arrival.request].sender
+        self.tell(sender, self.failed, agent.truth(sender), job, failure)
 
-    def late(self, agent: Agent, job: engines.Job) -> bool:
-        """Returns whether a request's deadline can't be met here."""
-        engine = agent.engine
-        wait = engine.queued_tokens() * engine.pool.token_seconds
-        return self.now + wait > job.arrival.at + job.arrival.deadline
+    def tend(self, name: str):
+        """Has an agent refuse what is too late and start what may start."""
+        agent = self.agents[name]
+        for refused in agent.admission.expired(self.now):
+            key = (refused.dispatch.request, refused.dispatch.attempt)
+            give_back = self.broke if refused.started else self.refuse
+            give_back(agent, agent.jobs.pop(key), refused.code)
+        for ready in agent.admission.ready(self.now):
+            key = (ready.dispatch.request, ready.dispatch.attempt)
+            agent.engine.submit(agent.jobs[key])
+        agent.note(self.now, self.lag)
+        wake = agent.admission.next_wake()
+        if wake is not None and not self.now < agent.wake <= wake:
+            agent.wake = wake
+            self.at(wake, self.tend, name)
+        self.step(name)
 
     def step(self, name: str):
         """Begins a step of an engine that isn't in one."""
@@ -371,36 +481,44 @@
             return
         agent.stepping = False
         first, done = agent.engine.end_step()
-        agent.note(self.now, self.lag)
         for job in first:
             measured = self.measured[job.arrival.request]
             if not measured.first_at:
                 measured.first_at = self.now + _HOP_SECONDS
+            agent.admission.proved(*_key(job))
         for job in done:
-            sender = self.measured[job.arrival.request].sender
-            truth = agent.truth(sender)
-            self.tell(sender, self.finished, truth, job, lossy=True)
-        self.step(name)
+            del agent.jobs[_key(job)]
+            uncached = job.arrival.prompt_tokens - job.cached
+            agent.admission.ended(
+                *_key(job),
+                self.now,
+                finished=True,
+                tokens=uncached + job.generated,
+            )
+        self.tend(name)
+        for job in done:
+            measured = self.measured[job.arrival.request]
+            measured.done = True
+            truth = agent.truth(measured.sender)
+            self.tell(measured.sender, self.finished, truth, job, lossy=True)
 
     def crash(self, name: str):
         """An engine dies; what it ran is run again elsewhere."""
         agent = self.agents[name]
-        lost = agent.engine.crash()
+        agent.engine.crash()
+        waited = {each.request for each in agent.admission.clear()}
+        lost = list(agent.jobs.values())
+        agent.jobs.clear()
         agent.incarnation = 0
         agent.lives += 1
         agent.stepping = False
-        agent.note(self.now, self.lag)
         self.at(self.now + _DOWN_SECONDS, self.reboot, name)
         for job in lost:
-            sender = self.measured[job.arrival.request].sender
-            self.tell(
-                sender,
-                self.refused,
-                agent.truth(sender),
-                job.arrival,
-                job.attempt,
-                frozenset([name]),
-            )
+            if job.arrival.request in waited:
+                self.refuse(agent, job, results.Code.SERVER_DOWN)
+                continue
+            self.measured[job.arrival.request].crashes += 1
+            self.broke(agent, job, results.Code.ENGINE_DIED)
 
     def reboot(self, name: str):
         """An engine is back, empty."""
