Show by runs that either guard of a call is enough

That an entry doesn't try a call again which a service may have run was no mutation, since its claim stops the second run; this was only said, not run. Now a service's answer is lost with one guard taken away at a time: without the entry's, the call is dispatched again and its claim stops it; without the claim, no second dispatch comes. Each time it runs once. With both gone it runs twice, and the "once" check stops it: that pair is the new mutation. A scenario in which the claim alone doesn't save the call was not found and not searched for further.

--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -29,6 +29,7 @@
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import streams
+from pimentoledge.decisions import tickets as request_tickets
 from pimentoledge.tests.fuzz import machines
 from pimentoledge.tests.fuzz import oracles
 
@@ -318,6 +319,26 @@
     world.settle(3.0)
 
 
+def retry_calls(monkeypatch):
+    """Tries each call again, though a service may have run it."""
+    monkeypatch.setattr(request_tickets.Ticket, "repeatable", lambda _: True)
+
+
+def retry_unclaimed(monkeypatch):
+    """Takes both guards of a call away."""
+    retry_calls(monkeypatch)
+    skip_claim(monkeypatch)
+
+
+def lost_service_answer(driver):
+    """A service runs a call, and its answer is lost."""
+    world = driver.world
+    for address in world.services:
+        world.processes[address].backend.lose_answers = 1
+    driver.call(driver.entry(0), "acme", "k")
+    world.settle(8.0)
+
+
 def resend(driver):
     """A caller sends its call again with the same key."""
     for _ in range(2):
@@ -586,6 +607,12 @@
         scenario=lost_claim,
         sizes=ONE_RUNNER,
     ),
+    Mutation(
+        name="retry a call that may have run, and skip its claim",
+        line="once",
+        apply=retry_unclaimed,
+        scenario=lost_service_answer,
+    ),
     Mutation(
         name="ignore leaving",
         line="leaving",
--- a/pimentoledge/tests/test_fuzz.py
+++ b/pimentoledge/tests/test_fuzz.py
@@ -40,6 +40,25 @@
     assert caught.value.line == mutation.line
 
 
+@pytest.mark.parametrize(
+    ("apply", "again"),
+    [(mutations.retry_calls, True), (mutations.skip_claim, False)],
+)
+def test_one_guard_of_a_call_is_enough(apply, again, monkeypatch):
+    """A service ran a call and its answer is lost; one guard is missing.
+
+    An entry that tries it again meets the first attempt's claim; without
+    claims no second attempt is made. Only with both gone it runs twice.
+    """
+    apply(monkeypatch)
+    driver = machines.Driver()
+    mutations.lost_service_answer(driver)
+    history = driver.oracle.history
+    sent = [each for each in history if " -> Dispatch(" in each]
+    assert (len(sent) > 1) is again
+    assert sum(driver.oracle.key_ran.values()) == 1
+
+
 def test_each_line_has_a_mutation():
     caught = {each.line for each in mutations.MUTATIONS}
     assert caught == set(oracles.LINES)
