Let entries that all restart read the store at once

Cause: an entry that starts waited a fixed second (JOIN_SECONDS) for a complete peer before it read the store, low ranks 4 to 8 s, and heard only by its next digest, a second later, that a peer had become complete. Ranks were taken among the few peers known, mostly seeds, so that they bounded nothing: nearly every entry of a herd read the store.

Change: an entry that starts asks the first two seeds as well. While they are not complete themselves they let one entry of each data centre scan, in the summary that answers (field scan), and another one after a second. Who has scanned tells its data centre, and all tell those that asked them before, 16 each 0.1 s. Who can reach nobody scans at once.

--- a/pimentoledge/decisions/distribution.py
+++ b/pimentoledge/decisions/distribution.py
@@ -22,6 +22,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.decisions import exchange
+from pimentoledge.decisions import joining
 from pimentoledge.decisions import peers
 from pimentoledge.decisions import registration
 from pimentoledge.decisions import stores
@@ -38,8 +39,8 @@
 DIGEST_SECONDS = 1.0
 # Least time between two questions to an entry that turned out to be ahead.
 BEHIND_SECONDS = 0.2
-# How long an entry that starts waits for another one to have everything; an
-# entry of a lower rank waits longer, so that a herd makes few scans.
+# How long an entry that starts waits for an answer of any other one; one of a
+# lower rank, or that was told that others scan, waits longer.
 JOIN_SECONDS = 1.0
 LATE_JOIN_SECONDS = 4.0
 LATE_JOIN_SPREAD_SECONDS = 4.0
@@ -81,6 +82,7 @@
         exchange: repairs differences with another entry.
         agents: the agents that it serves.
         registration: declares this entry itself.
+        joining: its part in a start of many.
         told: Told by mailbox.
     """
 
@@ -112,6 +114,7 @@
             view=view,
             seed=seed + 2,
         )
+        self.joining = joining.Joining()
         self.told: dict[str, Told] = {}
         self._random = random.Random(seed)
         self._watched = float("-inf")
@@ -147,6 +150,8 @@
             case events.Unreachable(address=address):
                 self.peers.unreachable(address, now)
                 self.exchange.drop(address)
+                # With nobody left to ask it scans at once.
+                self._on_duty = self._duty(now)
             case events.Drain():
                 return self.registration.retire()
         return []
@@ -163,6 +168,9 @@
         )
         todo += self.registration.turn(self.address, now)
         todo += self.agents.introduce(now)
+        if self.configuration.is_whole():
+            told = self.joining.tell(now)
+            todo += [self._digest(mailbox, now) for mailbox in told]
         if now >= self._next_digest:
             todo += self._compare(now)
         return todo
@@ -174,7 +182,9 @@
         follow = self.watching.next_wake(
             duty=self._on_duty, sweeper=self._sweeper
         )
-        times = (self._next_digest, follow)
+        times = [self._next_digest, follow]
+        if self.configuration.is_whole():
+            times.append(self.joining.next_tell())
         return min(each for each in times if each is not None)
 
     def publish(self, objects: list[stores.Object], now: float) -> Actions:
@@ -219,11 +229,10 @@
                 return self._changes(changes, sender, now)
             case messages.Digest() as digest:
                 self._heard(digest, event, now)
-                self.exchange.compare(digest)
-                summary = self.exchange.summary(digest, self._about_me(now))
-                return [actions.Send(address=sender, message=summary)]
+                return self._compared(digest, sender, now)
             case messages.Summary() as summary:
                 self._heard(summary, event, now)
+                self._answered(summary, now)
                 return self.exchange.repair(summary, sender, now)
             case messages.Fetch() as fetch:
                 return self.exchange.give(fetch, sender)
@@ -237,6 +246,33 @@
                 self.told[sender] = Told(tell=tell, at=now)
         return []
 
+    def _compared(
+        self, digest: messages.Digest, sender: str, now: float
+    ) -> Actions:
+        view = self.configuration
+        complete = digest.known >= 0
+        if complete and not view.is_whole():
+            # Its snapshot is asked for; to a summary it would answer by
+            # asking for what is here.
+            if self.exchange.snapshots(now):
+                return []
+            return [self._digest(sender, now)]
+        self.exchange.compare(digest)
+        summary = self.exchange.summary(digest, self._about_me(now))
+        if not (complete or view.is_whole()):
+            self.joining.asked(sender)
+            if self.address in self.peers.first_seeds(now):
+                summary.scan = self.joining.grant(
+                    sender, digest.data_centre, now
+                )
+        return [actions.Send(address=sender, message=summary)]
+
+    def _answered(self, summary: messages.Summary, now: float) -> None:
+        if summary.known >= 0 or self.configuration.is_whole():
+            return
+        self.joining.answered(summary.scan)
+        self._on_duty = self._duty(now)
+
     def _behind(self, event: events.FromNode, now: float) -> Actions:
         newer = event.configuration > self.configuration.version
         if not newer or self.agents.knows(event.sender):
@@ -265,9 +301,12 @@
 
     def _answer(self, answer: stores.Answer, now: float) -> Actions:
         large = len(answer.objects) >= LARGE_ANSWER
+        joins = not self.configuration.is_whole()
         fresh = self.watching.handle(answer, now)
         if fresh is not None:
             todo = self._tell(fresh, now)
+            if joins:
+                self.joining.scanned(self._near(now))
             return todo + ([actions.ReleaseMemory()] if large else [])
         return self._take(self.registration.handle(answer, now), now)
 
@@ -361,16 +400,34 @@
         self.agents.declare(
             [each.mailbox for each in self.peers.usable(now) if each.declared]
         )
-        pause = DIGEST_SECONDS * self._random.uniform(0.8, 1.2)
-        self._next_digest = now + pause
-        joining = not self.configuration.is_whole()
+        joins = not self.configuration.is_whole()
+        pause = joining.RETRY_SECONDS if joins else DIGEST_SECONDS
+        self._next_digest = now + pause * self._random.uniform(0.8, 1.2)
         near = self._random.randrange(2)
         chosen = self.peers.choose(now, near=near, far=1 - near)
-        if joining:
-            chosen = self.peers.choose(now, near=1, far=1)
+        if joins:
+            return self._ask_to_join(now)
         todo = [self._digest(mailbox, now) for mailbox in chosen[:2]]
         return todo + (self._clean(now) if self._sweeper else [])
 
+    def _ask_to_join(self, now: float) -> Actions:
+        if self.exchange.snapshots(now) >= exchange.SNAPSHOTS:
+            return []
+        asked = self.peers.choose(now, near=1, far=1)[:2]
+        asked += self.peers.first_seeds(now)
+        return [
+            self._digest(mailbox, now)
+            for mailbox in dict.fromkeys(asked)
+            if mailbox != self.address
+        ]
+
+    def _near(self, now: float) -> list[str]:
+        return [
+            peer.mailbox
+            for peer in self.peers.usable(now)
+            if peer.data_centre == self.data_centre
+        ]
+
     def _clean(self, now: float) -> Actions:
         """Tries each declared entry in turn, and forgets the dead ones."""
         todo: Actions = []
@@ -412,10 +469,10 @@
     def _scans(self, rank: int, now: float) -> bool:
         if self._started is None or self.exchange.busy(now):
             return False
-        if not self.peers.usable(now):
+        if self.joining.granted or not self.peers.usable(now):
             return True
         wait = JOIN_SECONDS
-        if rank >= WATCHERS:
+        if rank >= WATCHERS or self.joining.refused:
             wait = LATE_JOIN_SECONDS + self._late
         return now >= self._started + wait
 
--- a/pimentoledge/decisions/exchange.py
+++ b/pimentoledge/decisions/exchange.py
@@ -13,6 +13,8 @@
 MESSAGE_BYTES = 200_000
 # A node that answered nothing for so long is not waited for.
 REPAIR_SECONDS = 2.0
+# Snapshots that an entry that starts takes at one time.
+SNAPSHOTS = 2
 
 Actions = list[actions.Action]
 
@@ -110,6 +112,10 @@
         """Returns whether a repair makes progress."""
         return any(now < each.ends for each in self.repairs.values())
 
+    def snapshots(self, now: float) -> int:
+        """Returns how many snapshots make progress."""
+        return sum(r.full and now < r.ends for r in self.repairs.values())
+
     def drop(self, mailbox: str) -> None:
         """Gives up a repair with a node that can't be reached."""
         self.repairs.pop(mailbox, None)
@@ -149,6 +155,8 @@
             if digest != view.buckets[number]
         ]
         full = summary.known >= 0 and not view.is_whole()
+        if full and self.snapshots(now) >= SNAPSHOTS:
+            return []
         if full:
             # The digests cover what is live; deletions are wanted too.
             numbers += [
@@ -175,6 +183,13 @@
         repair = self.repairs.get(sender)
         if repair is None:
             return []
+        # The other node has restarted since its summary, and now gives what
+        # it has, which may be nothing. To raise the floor after that would
+        # make all objects count as deleted here, so that no other node's were
+        # taken and this entry never became complete.
+        if repair.full and any(each.known < 0 for each in changes.done):
+            del self.repairs[sender]
+            return []
         if repair.left:
             return self._ask(sender, now)
         del self.repairs[sender]
--- a/pimentoledge/decisions/peers.py
+++ b/pimentoledge/decisions/peers.py
@@ -19,6 +19,8 @@
 # of what a node may spend, and a few at random connect all as well.
 VIEW_SIZE = 8
 VIEW_SECONDS = 60.0
+# Seeds that let entries that start read the store.
+GRANTERS = 2
 NEVER = float("-inf")
 
 
@@ -118,6 +120,15 @@
                 found.append(Peer(mailbox=seed))
         return found
 
+    def first_seeds(self, now: float) -> list[str]:
+        """Returns the seeds that grant scans; all that know them agree."""
+        usable = [
+            seed
+            for seed in sorted(self.seeds)
+            if seed not in self.table or self.table[seed].silent_until <= now
+        ]
+        return usable[:GRANTERS]
+
     def choose(self, now: float, *, near: int, far: int) -> list[str]:
         """Returns some entries at random.
 
--- a/pimentoledge/nodes/configuration_messages.py
+++ b/pimentoledge/nodes/configuration_messages.py
@@ -71,6 +71,8 @@
         whole: number and revision of the buckets that are complete, while
             the sender is not complete itself.
         floor: as in Digest.
+        scan: whether the receiver, which lacks objects, shall read the store
+            for its data centre.
     """
 
     root: int
@@ -81,6 +83,7 @@
     buckets: list[int] = attrs.field(factory=list)
     whole: list[tuple[int, int]] = attrs.field(factory=list)
     floor: int = 0
+    scan: bool = False
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/tests/fuzz/machines.py
+++ b/pimentoledge/tests/fuzz/machines.py
@@ -16,9 +16,8 @@
 ORGANISATIONS = ("acme", "zenith")
 MANUAL = "A service manual of brand {} says how the part fits a frame. "
 DEADLINE_SECONDS = 6.0
-# Entries that all restart together first look for a peer that knows the
-# configuration, and then read the store.
-READY_SECONDS = 2.5
+# Entries that all restart together ask each other, and one reads the store.
+READY_SECONDS = 0.2
 # A load takes half a second; a permit of an agent that has died, ten until it
 # counts no longer, and a number that another life took, ten more.
 UPGRADE_SECONDS = 60.0
--- a/pimentoledge/tests/test_distribution.py
+++ b/pimentoledge/tests/test_distribution.py
@@ -95,6 +95,8 @@
     change of that object comes.
     """
     net = started(3)
+    # A sweep has just begun; the next one is 10 s off.
+    net.run(3)
     net.store.dropped.add(net.store.revision + 1)
     net.store.put("declared/contracts/org-3", None)
     net.declare(contract("later"))
@@ -187,6 +189,29 @@
         assert entry.configuration.contracts["org-1"].burst == 77
 
 
+def test_all_entries_restart_and_few_read_the_store():
+    """Every caller is refused as unknown for seconds after a release.
+
+    All entries restart together with the store up. Each waits a fixed time
+    for another one to be complete before it reads the store, and the others
+    hear only by their next digest that one is. One begins to take a snapshot
+    from another one just before that restarts, which then gives it nothing.
+    """
+    count = 60
+    net = started(count)
+    net.store.calls.clear()
+    for number in range(1, count + 1):
+        net.entry(number, ["north", "east", "south"][number % 3])
+    joined = net.run(
+        0.3,
+        until=lambda: all(e.configuration.is_whole() for e in net.entries()),
+    )
+    scans = [c for c in net.store.calls if isinstance(c, stores.Scan)]
+    assert joined
+    # Each of the two seeds lets one entry of each data centre read it.
+    assert 3 <= len(scans) <= 2 * 3
+
+
 def test_store_outage_of_minutes():
     net = started(6)
     net.store.down = True
