Don't say that what met a dead engine ran

Cause: an attempt handed to an engine that had just died was reported as 'ran' when the status told of the death before the refused connection did; it may never have run. Change: 'ran' only if the engine said something of the attempt, else 'outcome unknown'. Ruled out: holding the answer back until the refused connection comes, which may take its timeout.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -690,7 +690,7 @@
                     | runs.Stage.PAUSING
                     | runs.Stage.PAUSED
                 ):
-                    ran = results.Ran(run.ran or results.Ran.RAN)
+                    ran = results.Ran(run.ran or _has_run(run))
                     crash = Crash(incarnation=incarnation, suspects=suspects)
                     code = results.Code.ENGINE_DIED
                     todo += self.give_up(run, code, ran, now, crash)
@@ -781,3 +781,12 @@
         unknown = [each for each in message.requests if each not in held]
         report = messages.Report(truth=self.truth(sender), unknown=unknown)
         return self.outbox.send(sender, report)
+
+
+def _has_run(run: runs.Run) -> results.Ran:
+    """Returns what is known of an attempt whose engine has died.
+
+    It was handed to the engine. Unless the engine said something of it, it
+    may have met one that was down already; "ran" could then be false.
+    """
+    return results.Ran.RAN if run.touched else results.Ran.UNKNOWN
--- a/pimentoledge/tests/test_agents.py
+++ b/pimentoledge/tests/test_agents.py
@@ -1,5 +1,6 @@
 """The agent's state machine by itself: what it tells of its server."""
 
+from pimentoledge import results
 from pimentoledge.decisions import agents
 from pimentoledge.decisions import configuration
 from pimentoledge.decisions import declarations
@@ -17,12 +18,8 @@
     ]
 
 
-def test_a_prompt_in_prefill_counts_until_its_first_token():
-    """A runner works on a long manual for seconds and looks idle.
-
-    Nothing waits at its agent, so every entry took it for the best place for
-    the next prompt, which then waited behind the first.
-    """
+def agent_with_dispatch():
+    """Returns an agent whose engine was given one completion."""
     agent = agents.Agent(
         name="r",
         kind=declarations.ServerKind.RUNNER,
@@ -45,7 +42,17 @@
         expected_depth=1000,
         completion=messages.Completion(model="m", prompt="p", max_tokens=9),
     )
-    todo = agent.handle(events.FromNode(sender=ENTRY, message=dispatch), 1.0)
+    event = events.FromNode(sender=ENTRY, message=dispatch)
+    return agent, agent.handle(event, 1.0)
+
+
+def test_a_prompt_in_prefill_counts_until_its_first_token():
+    """A runner works on a long manual for seconds and looks idle.
+
+    Nothing waits at its agent, so every entry took it for the best place for
+    the next prompt, which then waited behind the first.
+    """
+    agent, todo = agent_with_dispatch()
     assert agent.truth(ENTRY).queued_tokens == 4000
     assert truths(todo)
     text = events.EngineText(
@@ -53,3 +60,20 @@
     )
     agent.handle(text, 2.0)
     assert agent.truth(ENTRY).queued_tokens == 0
+
+
+def test_what_met_a_dead_engine_is_not_said_to_have_run():
+    """A caller is told that its request ran, and it never did.
+
+    The agent hands it to an engine that has just died; the status tells of
+    the death before the refused connection does. Nothing shows that it ran.
+    """
+    agent, _ = agent_with_dispatch()
+    todo = agent.handle(events.EngineStatus(), 1.1)
+    (failed,) = [
+        each.message
+        for each in todo
+        if isinstance(getattr(each, "message", None), messages.Failed)
+    ]
+    assert failed.code == results.Code.ENGINE_DIED
+    assert failed.ran == results.Ran.UNKNOWN
