Fuzz a restart of all entries while the store is down

Only a restart of all entries with the store up was checked. Now each example also ends with one while the store is down: every entry must serve from the agents' copies 2.5 s later. A rule does the same in the middle of an example. The new mutation, agents that give nobody their copies, fails that check.

--- a/pimentoledge/tests/fuzz/machines.py
+++ b/pimentoledge/tests/fuzz/machines.py
@@ -18,6 +18,8 @@
 DEADLINE_SECONDS = 6.0
 # Entries that all restart together ask each other, and one reads the store.
 READY_SECONDS = 0.2
+# With the store down they have to find agents that have a copy of it.
+OUTAGE_SECONDS = 2.5
 # A load takes half a second; a permit of an agent that has died, ten until it
 # counts no longer, and a number that another life took, ten more.
 UPGRADE_SECONDS = 60.0
@@ -169,6 +171,7 @@
         self.upgrade_all()
         if len(world.entries) > 1:
             self.check_restart_without_store()
+        self.check_all_restart_without_store()
         for address in world.entries:
             world.restart(world.processes[address])
         world.settle(READY_SECONDS)
@@ -194,6 +197,21 @@
             self.oracle.fail("restart", f"{asked.event.request} not served")
         self.world.objects.down = False
 
+    def check_all_restart_without_store(self):
+        """All entries restart while the store is down; the agents know all."""
+        world = self.world
+        world.objects.down = True
+        for address in world.entries:
+            world.restart(world.processes[address])
+        world.settle(OUTAGE_SECONDS)
+        for address in world.entries:
+            entry = world.processes[address]
+            asked = self.complete(entry, "acme", prompt_of(0, 0))
+            world.settle(1.0)
+            if not isinstance(asked.ended, actions.ReplyEnd):
+                self.oracle.fail("restart", f"{asked.event.request} not served")
+        world.objects.down = False
+
     def upgrade_all(self):
         """Waits until every engine has the declared weights."""
         world = self.world
@@ -499,6 +517,11 @@
         for address in self.world.entries:
             self.world.restart(self.world.processes[address])
 
+    @rule()
+    def entries_restart_without_store(self):
+        self.store_fault("down")
+        self.entries_restart()
+
     @rule(which=NUMBER)
     def process_pauses(self, which):
         process = self.pick(self.world.processes.values(), which)
--- a/pimentoledge/tests/fuzz/mutations.py
+++ b/pimentoledge/tests/fuzz/mutations.py
@@ -29,6 +29,7 @@
 from pimentoledge.decisions import runs
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import streams
+from pimentoledge.decisions import subscription
 from pimentoledge.decisions import tickets as request_tickets
 from pimentoledge.tests.fuzz import machines
 from pimentoledge.tests.fuzz import oracles
@@ -530,6 +531,16 @@
     monkeypatch.setattr(entries.Entry, "accept", accept)
 
 
+def keep_copies(monkeypatch):
+    """Makes agents give nobody the declarations that they have."""
+    monkeypatch.setattr(subscription.Subscriber, "_give", lambda *_: [])
+
+
+def all_restart(driver):
+    """All entries restart while the store is down."""
+    driver.check_all_restart_without_store()
+
+
 def drop_incarnation(monkeypatch):
     """Admits whatever engine life the entry meant."""
     evolve_dispatch(monkeypatch, incarnation="")
@@ -580,6 +591,12 @@
         apply=start_slowly,
         scenario=check_service,
     ),
+    Mutation(
+        name="keep the agents' copies from restarted entries",
+        line="restart",
+        apply=keep_copies,
+        scenario=all_restart,
+    ),
     Mutation(
         name="give an answer to another request",
         line="own",
