Take out what a ticket kept and nobody read

Cause: reading the whole change again: a ticket's choice, first and arrived were written and never read (the time to the first token is measured in EntryMetrics, the choice is in the log line), one of them on the path of each frame; entries._LIMITS was unused. Change: gone; behaviour is as before.

--- a/pimentoledge/decisions/entries.py
+++ b/pimentoledge/decisions/entries.py
@@ -39,7 +39,6 @@
 _DEADLINE = "deadline"
 _QUIET = "quiet"
 _RETRY = "retry"
-_LIMITS = ("limits",)
 
 
 class Entry:
@@ -288,7 +287,6 @@
         ticket = tickets.Ticket(
             event=event,
             contract=contract,
-            arrived=now,
             deadline=deadline,
             blocks=requests.blocks(
                 event, contract.organisation, self.block_bytes
@@ -334,7 +332,6 @@
                 if not self.quarantine.begin(ticket.fingerprint, request):
                     return self.step(ticket, _ANOTHER_COPY, now)
         choice = self.choose(ticket, now)
-        ticket.choice = choice
         log = requests.log_route(ticket, choice)
         server = self.configuration.server(choice.server or "")
         if server is None:
@@ -422,8 +419,6 @@
                 continue
             ticket.heard = now
             ticket.probed = False
-            if not ticket.first:
-                ticket.first = now
             for each in delivered:
                 todo.append(
                     actions.ReplyText(
--- a/pimentoledge/decisions/tickets.py
+++ b/pimentoledge/decisions/tickets.py
@@ -6,7 +6,6 @@
 
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
-from pimentoledge.decisions import placement
 from pimentoledge.decisions import retries
 from pimentoledge.decisions import streams
 
@@ -31,7 +30,6 @@
     Attributes:
         event: what the caller asked for.
         contract: its organisation's contract when it was accepted.
-        arrived: when it came.
         deadline: when its time is up.
         blocks: chained digests of its prompt.
         fingerprint: digest of organisation and content.
@@ -42,15 +40,12 @@
         phase: where it stands.
         server: backend server of the current attempt.
         agent: mailbox of that server's agent.
-        choice: why that server was chosen.
-        first: when its first text came; 0 before.
         heard: when its agent was last heard of.
         probed: whether its agent was asked about it since.
     """
 
     event: events.CallerRequest
     contract: declarations.Contract
-    arrived: float
     deadline: float
     blocks: list[bytes]
     fingerprint: bytes
@@ -60,8 +55,6 @@
     crashes: int = 0
     server: str = ""
     agent: str = ""
-    choice: placement.Choice | None = None
-    first: float = 0.0
     heard: float = 0.0
     probed: bool = False
 
