Make the admission bench's two kinds of jobs in one place

Cause: batch_delay and starvation wrote the same two workloads out in full. Change: one function, given the rates. Ruled out: a change of the random draws; python -m benches.admission starvation batch_delay prints the same tables before and after (virtual time, compared line by line).

--- a/benches/admission.py
+++ b/benches/admission.py
@@ -217,6 +217,31 @@
     return jobs
 
 
+def both_kinds(
+    *, chance: random.Random, rate: float, batch_rate: float, seconds: float
+) -> tuple[list[Job], list[Job]]:
+    """Returns short interactive jobs and long batch jobs, by their rates."""
+    counter = jobs_of(
+        chance=chance,
+        organisation="counter",
+        batch=False,
+        rate=rate,
+        seconds=seconds,
+        prompt_tokens=500,
+        tokens=100,
+    )
+    checks = jobs_of(
+        chance=chance,
+        organisation="checks",
+        batch=True,
+        rate=batch_rate,
+        seconds=seconds,
+        prompt_tokens=2000,
+        tokens=300,
+    )
+    return counter, checks
+
+
 def merged(*groups: list[Job]) -> list[Job]:
     """Returns copies of all jobs in order of arrival."""
     jobs = [attrs.evolve(job) for group in groups for job in group]
@@ -289,23 +314,8 @@
             runners = []
             for seed in SEEDS:
                 chance = random.Random(seed)
-                counter = jobs_of(
-                    chance=chance,
-                    organisation="counter",
-                    batch=False,
-                    rate=rate,
-                    seconds=until,
-                    prompt_tokens=500,
-                    tokens=100,
-                )
-                checks = jobs_of(
-                    chance=chance,
-                    organisation="checks",
-                    batch=True,
-                    rate=2.0,
-                    seconds=until,
-                    prompt_tokens=2000,
-                    tokens=300,
+                counter, checks = both_kinds(
+                    chance=chance, rate=rate, batch_rate=2.0, seconds=until
                 )
                 admitting = admission.Admission(
                     server="r1",
@@ -335,23 +345,8 @@
     rows = []
     for age in (5.0, 10.0, 1e9):
         chance = random.Random(1)
-        counter = jobs_of(
-            chance=chance,
-            organisation="counter",
-            batch=False,
-            rate=6.0,
-            seconds=until,
-            prompt_tokens=500,
-            tokens=100,
-        )
-        checks = jobs_of(
-            chance=chance,
-            organisation="checks",
-            batch=True,
-            rate=0.1,
-            seconds=until,
-            prompt_tokens=2000,
-            tokens=300,
+        counter, checks = both_kinds(
+            chance=chance, rate=6.0, batch_rate=0.1, seconds=until
         )
         admitting = admission.Admission(
             server="r1", slots=SLOTS, queue_limit=100_000, age_seconds=age
