--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -57,6 +57,7 @@
         wanted: wanted weights by model.
         members: how many entries there are, this one included.
         leaving: whether it was told to end.
+        refusing: whether it begins no request any more.
         repeats: budget of repeats by service.
     """
 
@@ -69,6 +70,7 @@
     wanted: dict[str, Wanted] = attrs.field(factory=dict)
     members: int = 1
     leaving: bool = False
+    refusing: bool = False
     repeats: dict[str, budgets.Budget] = attrs.field(factory=dict)
 
     def budget(self, service: str) -> budgets.Budget:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -196,6 +196,8 @@
         told = clocks.now()
         until = told + self.believed.bounds.grace_seconds - END_MARGIN_SECONDS
         while clocks.now() < until:
+            self._tick()
+            self.believed.refusing = clocks.now() - told > LEAVE_SECONDS
             busy = any(each.exchange for each in self.connections)
             if not busy and clocks.now() - told > LEAVE_SECONDS:
                 break
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -152,6 +152,9 @@
 
     def _accept(self, ask: asks.Ask) -> results.Code | None:
         """Checks the request; returns why it is refused, or None."""
+        if self.believed.refusing:
+            # A request begun now could be cut by the end of the grace time.
+            return results.Code.SHUTTING_DOWN
         configuration = self.believed.configuration
         if configuration is None:
             return results.Code.CONFIGURATION_INCOMPLETE
