Let a leaving holder finish, and age named weights over restarts

Change: a holder that leaves goes on while its rollout lasts, leaving routers rank last instead of never, and heartbeats carry how long weights and lease have been known.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -36,7 +36,7 @@
 
     Attributes:
         version: the newest that was named.
-        since: when this process learnt of it.
+        since: when it was named, as far as this process knows.
     """
 
     version: int
@@ -86,12 +86,23 @@
             self.repeats[service] = found
         return found
 
-    def want(self, model: str, version: int, now: float) -> bool:
-        """Takes a named version; returns whether it is news."""
+    def want(self, model: str, version: int, since: float) -> bool:
+        """Takes a named version; returns whether it is news.
+
+        Args:
+            model: which model.
+            version: the version that it is to have.
+            since: when it was named, as far as known. Of two times the
+                earlier holds: a process that has just started would else
+                send requests to old weights for too long.
+        """
         known = self.wanted.get(model)
-        if known is not None and known.version >= version:
+        if known is not None and known.version > version:
+            return False
+        if known is not None and known.version == version:
+            known.since = min(known.since, since)
             return False
-        self.wanted[model] = Wanted(version=version, since=now)
+        self.wanted[model] = Wanted(version=version, since=since)
         return True
 
     def ready(self) -> bool:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -199,6 +199,7 @@
             self._tick()
             self.believed.refusing = clocks.now() - told > LEAVE_SECONDS
             busy = any(each.exchange for each in self.connections)
+            busy = busy or self.holder.busy()
             if not busy and clocks.now() - told > LEAVE_SECONDS:
                 break
             await asyncio.sleep(TICK_SECONDS)
--- a/pimentoledge/routing/holders.py
+++ b/pimentoledge/routing/holders.py
@@ -85,7 +85,7 @@
             await asyncio.sleep(STEP_SECONDS)
 
     async def _step(self, now: float) -> None:
-        if self.believed.leaving or not self.rollout.needed():
+        if not self.rollout.needed():
             self._due_since = None
             return
         if not self._is_turn(now):
@@ -121,15 +121,22 @@
     def _rank(self, present: dict[str, peers_module.Peer]) -> int:
         if self.lease.held_by == self.lease.holder:
             return 0
+        mine = (self.believed.leaving, self.peers.address)
         better = [
             address
             for address, peer in present.items()
-            if peer.beat.store_reached
-            and not peer.beat.leaving
-            and address < self.peers.address
+            if peer.beat.store_reached and (peer.beat.leaving, address) < mine
         ]
         return len(better) + (1 if self.lease.held_by else 0)
 
+    def busy(self) -> bool:
+        """Returns whether this router is the one that gives orders now.
+
+        One that ends then goes on as long as it may: its successor would
+        have to wait until no order of it could come close to its own.
+        """
+        return self.lease.holds(clocks.now()) and self.rollout.needed()
+
     async def _read(self) -> None:
         found = await self.store.read(KIND, NAME)
         if isinstance(found, registrations.Unavailable):
--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -82,14 +82,16 @@
         if self.held_by != self.holder:
             self.term_ends = 0.0
 
-    def told(self, revision: int, held_by: str, now: float) -> None:
-        """Takes what another process knows of the lease."""
+    def told(self, revision: int, held_by: str, learnt: float) -> None:
+        """Takes what another process knows of the lease, and since when."""
         self.learn(
             registrations.Stored(
                 name="", revision=revision, value={"holder": held_by}
             ),
-            now,
+            learnt,
         )
+        if revision == self.revision:
+            self.learnt = min(self.learnt, learnt)
 
     def unsure(self) -> None:
         """Takes a write whose outcome is unknown."""
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -11,11 +11,13 @@
 
     Attributes:
         members: mailboxes of the routers that it knows.
-        wanted: wanted version of each model's weights.
+        wanted: wanted version of each model's weights, and for how many ms
+            that has been known.
         servers_revision: up to which it knows the servers, or -1.
         store_reached: whether the store answers it.
         lease_revision: of the lease, or -1.
         lease_holder: its holder.
+        lease_ms: for how long that has been known.
         holds: whether the sender may give orders now.
         leaving: whether it ends.
         loading: servers about to load or loading, with ms left.
@@ -23,11 +25,12 @@
     """
 
     members: list[str]
-    wanted: dict[str, int]
+    wanted: dict[str, tuple[int, int]]
     servers_revision: int
     store_reached: bool
     lease_revision: int
     lease_holder: str
+    lease_ms: int
     holds: bool
     leaving: bool
     loading: dict[str, int] = attrs.field(factory=dict)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -154,13 +154,14 @@
                 if now - peer.heard < MEMBER_SECONDS
             ],
             wanted={
-                model: wanted.version
+                model: (wanted.version, int((now - wanted.since) * 1000))
                 for model, wanted in self.believed.wanted.items()
             },
             servers_revision=-1 if servers is None else servers,
             store_reached=self.store_reached(),
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
+            lease_ms=int((now - lease.learnt) * 1000),
             holds=lease.holds(now),
             leaving=self.believed.leaving,
             loading=self.loading(now),
@@ -207,10 +208,14 @@
         self._loop.call_later(PATIENCE_SECONDS, self._catch_up, event.sender)
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
-        for model, version in beat.wanted.items():
-            self.takers.want(model, version, source="router")
+        for model, (version, age) in beat.wanted.items():
+            self.takers.want(model, version, now - age / 1000, "router")
         if beat.lease_revision > 0:
-            self.lease.told(beat.lease_revision, beat.lease_holder, now)
+            self.lease.told(
+                beat.lease_revision,
+                beat.lease_holder,
+                now - beat.lease_ms / 1000,
+            )
         for incarnation, milliseconds in beat.loading.items():
             backend = self.believed.servers.by_incarnation.get(incarnation)
             if backend is not None:
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -21,6 +21,11 @@
 RETRY_SECONDS = 0.5
 # Changes that follow each other closely are read by one call.
 GATHER_SECONDS = 0.05
+# Weights that are read so soon after the start may have been named before.
+START_SECONDS = 1.0
+# They are taken to have been named this part of the bound ago, unless another
+# router knows: too old would refuse requests, too young break the bound.
+UNKNOWN_AGE_SHARE = 0.5
 
 
 class Watcher:
@@ -139,11 +144,23 @@
         """Takes named weights, if they are newer."""
         for each in changed:
             named = objects.named_weights(each)
-            self.want(named.model, named.version, source="store")
+            self.want(named.model, named.version, self._named(), "store")
 
-    def want(self, model: str, version: int, *, source: str) -> None:
+    def _named(self) -> float:
+        """Returns since when weights read now may have been named.
+
+        What is read at the start may be old; what is told later is new.
+        """
+        now = clocks.now()
+        if now - self.believed.born < START_SECONDS:
+            return (
+                now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
+            )
+        return now
+
+    def want(self, model: str, version: int, since: float, source: str) -> None:
         """Takes a named version, from the store or another router."""
-        if self.believed.want(model, version, clocks.now()):
+        if self.believed.want(model, version, since):
             self.lines.write(
                 "weights_named", model=model, version=version, source=source
             )
