--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -21,10 +21,9 @@
 RETRY_SECONDS = 0.5
 # Changes that follow each other closely are read by one call.
 GATHER_SECONDS = 0.05
-# Weights that are read so soon after the start may have been named before.
-START_SECONDS = 1.0
-# They are taken to have been named this part of the bound ago, unless another
-# router knows: too old would refuse requests, too young break the bound.
+# Weights that a process meets at its start are taken to have been named this
+# part of the bound ago, unless another router knows: too old would refuse
+# requests, too young break the bound.
 UNKNOWN_AGE_SHARE = 0.5
 
 
@@ -144,19 +143,18 @@
         """Takes named weights, if they are newer."""
         for each in changed:
             named = objects.named_weights(each)
-            self.want(named.model, named.version, self._named(), "store")
+            since = self._named_since(named.model)
+            self.want(named.model, named.version, since, "store")
 
-    def _named(self) -> float:
+    def _named_since(self, model: str) -> float:
         """Returns since when weights read now may have been named.
 
-        What is read at the start may be old; what is told later is new.
+        What is read first may be old; what is told later is new.
         """
         now = clocks.now()
-        if now - self.believed.born < START_SECONDS:
-            return (
-                now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
-            )
-        return now
+        if model in self.believed.wanted:
+            return now
+        return now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
 
     def want(self, model: str, version: int, since: float, source: str) -> None:
         """Takes a named version, from the store or another router."""
