Read a shared part first at one runner that all routers agree on

Change: a large part met twice in 10 s that isn't known as saved is sent to one runner, by rendezvous.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -5,6 +5,7 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import budgets
 from pimentoledge.routing import configurations
+from pimentoledge.routing import homes as prefix_homes
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +60,7 @@
         leaving: whether it was told to end.
         refusing: whether it begins no request any more.
         repeats: budget of repeats by service.
+        homes: what is known of shared parts.
     """
 
     name: str
@@ -72,6 +74,7 @@
     leaving: bool = False
     refusing: bool = False
     repeats: dict[str, budgets.Budget] = attrs.field(factory=dict)
+    homes: prefix_homes.Homes = attrs.field(factory=prefix_homes.Homes)
 
     def budget(self, service: str) -> budgets.Budget:
         """Returns the budget of a service."""
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -66,6 +66,8 @@
         organisation: whose key it is, or None.
         last_event: number of the last event sent to the client.
         head_sent: whether the answer's head was sent to the client.
+        first_seconds: time to the first event, or None before it.
+        gap_seconds: longest pause between two events.
     """
 
     def __init__(
@@ -89,6 +91,8 @@
         self.last_event: int | None = None
         self.head_sent = False
         self.first_seconds: float | None = None
+        self.gap_seconds = 0.0
+        self._event_at = 0.0
         self._ends_at = 0.0
         self._task: asyncio.Task | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
@@ -135,6 +139,8 @@
             self._refuse(code)
             return
         self.last_event = ask.resume_after
+        if self.route.by_prefix:
+            self.believed.homes.used(ask.parts[:-1], ask.arrived)
         try:
             async with asyncio.timeout(
                 self._ends_at + ANSWER_GRACE_SECONDS - clocks.now()
@@ -246,7 +252,7 @@
             seconds_left=self._ends_at - clocks.now(),
         )
         held = self.ask.prompt_tokens + self.ask.answer_tokens
-        work = _Work(backend=backend, held=held)
+        work = _Work(backend=backend, held=held, dispatch=dispatch)
         work.begin(self._uncached(backend, dispatch))
         selections.note_sent(self.believed, self.ask, backend, dispatch)
         self.history.sends += 1
@@ -393,7 +399,7 @@
         while True:
             match await connection.next():
                 case server_connections.Piece(data=data):
-                    work.reads_no_more()
+                    self._prompt_read(work)
                     for event in splitter.feed(data):
                         self._pass_event(event, answer)
                     await self.client.drained()
@@ -410,11 +416,21 @@
                         server=work.backend.registration.incarnation,
                         last=self.last_event,
                         first_ms=_ms(self.first_seconds),
+                        gap_ms=_ms(self.gap_seconds),
                     )
                     return True
                 case server_connections.Broke(reason=reason):
                     raise BrokenError(verdicts.Outcome.BROKE, reason)
 
+    def _prompt_read(self, work: "_Work") -> None:
+        """Takes the first piece as proof that the prompt was read."""
+        if work.reading_over:
+            return
+        work.reads_no_more()
+        selections.note_read(
+            self.believed, self.ask, work.dispatch, clocks.now()
+        )
+
     def _pass_event(
         self, event: event_streams.Event, answer: asks.Answer
     ) -> None:
@@ -424,8 +440,12 @@
                 return
             self.last_event = event.number
         self._send_stream_head(answer)
+        now = clocks.now()
         if self.first_seconds is None:
-            self.first_seconds = clocks.now() - self.ask.arrived
+            self.first_seconds = now - self.ask.arrived
+        else:
+            self.gap_seconds = max(self.gap_seconds, now - self._event_at)
+        self._event_at = now
         self.client.send(b"%x\r\n%b\r\n" % (len(event.data), event.data))
 
     def _send_stream_head(self, answer: asks.Answer) -> None:
@@ -488,10 +508,18 @@
 class _Work:
     """What a server has of one request, for its expected wait."""
 
-    def __init__(self, *, backend: backends.Backend, held: int):
+    def __init__(
+        self,
+        *,
+        backend: backends.Backend,
+        held: int,
+        dispatch: asks.Dispatch,
+    ):
         self.backend = backend
         self.held = held
+        self.dispatch = dispatch
         self.reading = 0
+        self.reading_over = False
 
     def begin(self, reading: int) -> None:
         """Counts it."""
@@ -504,6 +532,7 @@
         """Notes that the prompt has been read."""
         self.backend.reading -= self.reading
         self.reading = 0
+        self.reading_over = True
 
     def end(self) -> None:
         """Counts it out."""
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -20,6 +20,9 @@
 OLDER_WEIGHTS_MS = 150.0
 # Keeps requests that share a prompt together when all else is alike.
 HOME_MS = 6.0
+# A token of a shared part that is read by a second runner: it is paid for, and
+# weighs more than the wait.
+READ_TWICE_MS = 0.1
 # Part of an engine's memory that is believed to stay cached.
 KEPT_SHARE = 0.7
 
@@ -36,8 +39,11 @@
         cache_tokens: an engine's memory, or None.
         model: the model asked for, or "".
         newest: newest version of its weights, or None.
-        namespaces: version of weights to cache namespace.
+        isolated_by: organisation that shares no cached part, or "".
         fetches: whether parts can be fetched.
+        home: incarnation of the runner that is to read a part that is not
+            kept anywhere yet, or None.
+        home_tokens: tokens of that part.
     """
 
     data_centre: str
@@ -49,6 +55,8 @@
     newest: int | None = None
     isolated_by: str = ""
     fetches: bool = False
+    home: str | None = None
+    home_tokens: int = 0
 
 
 def namespace(version: int, isolated_by: str) -> str:
@@ -86,6 +94,8 @@
     version = weights_of(backend, terms.model)
     if terms.newest is not None and version != terms.newest:
         total += OLDER_WEIGHTS_MS
+    if terms.home not in (None, backend.registration.incarnation):
+        total += READ_TWICE_MS * terms.home_tokens
     return total + _prompt_cost(backend, terms, version)
 
 
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -1,11 +1,13 @@
 """From a request and what is believed to a server and a dispatch."""
 
+import attrs
 import xxhash
 
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import configurations
+from pimentoledge.routing import homes
 from pimentoledge.routing import placements
 
 # A request must begin well before its server's weights count as too old:
@@ -50,6 +52,7 @@
             and _weights_allow(believed, ask.model, each, now)
         ]
         terms = _terms(believed, ask, organisation, name)
+        terms = _with_home(believed, terms, candidates, now)
         found = placements.choose(candidates=candidates, terms=terms, now=now)
         if found is not None:
             return found
@@ -96,6 +99,46 @@
     )
 
 
+def _with_home(
+    believed: beliefs.Beliefs,
+    terms: placements.Terms,
+    candidates: list[backends.Backend],
+    now: float,
+) -> placements.Terms:
+    """Returns the terms with the runner that reads a part first, if any."""
+    if not terms.parts or terms.newest is None:
+        return terms
+    namespace = placements.namespace(terms.newest, terms.isolated_by)
+    part = believed.homes.unsaved(namespace, terms.parts, now)
+    if part is None:
+        return terms
+    runners = [
+        each
+        for each in candidates
+        if each.usable(now)
+        and placements.weights_of(each, terms.model) == terms.newest
+    ]
+    found = homes.home(namespace, part, runners)
+    if found is None:
+        return terms
+    return attrs.evolve(
+        terms,
+        home=found.registration.incarnation,
+        home_tokens=part.tokens,
+    )
+
+
+def note_read(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    sent: asks.Dispatch,
+    now: float,
+) -> None:
+    """Notes that a request's shared parts have been read."""
+    if sent.namespace is not None and sent.save_to is not None:
+        believed.homes.was_read(sent.namespace, ask.parts[:-1], now)
+
+
 def _isolated_by(
     organisation: configurations.Organisation | None,
 ) -> str:
