Remember crashing content, take changed settings, count for a page

Cause: parts of the whole path were missing. Change: content that was in two servers that were found dead is refused with 'not run', at all routers; SIGHUP and a changed settings file are taken up; decisions and times to the first event are counted and shown at the metrics address.

--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -37,6 +37,7 @@
     DEADLINE_UNMEETABLE = 2003
     OVERLOADED = 2004
     SHUTTING_DOWN = 2005
+    CRASHES = 2006
     # 3xxx: routing; what an agent refuses, and what an entry can't place.
     NO_SERVER = 3001
     STALE_INCARNATION = 3002
@@ -126,6 +127,9 @@
     ),
     Code.OVERLOADED: _row(503, _NOT, "all servers are full"),
     Code.SHUTTING_DOWN: _row(503, _NOT, "this process is shutting down"),
+    Code.CRASHES: _row(
+        503, _NOT, "requests with this content crashed servers; not run"
+    ),
     Code.NO_SERVER: _row(503, _NOT, "no server can take this call now"),
     Code.STALE_INCARNATION: _row(503, _NOT, "the engine has restarted"),
     Code.STALE_WEIGHTS: _row(503, _NOT, "the weights have changed"),
--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -6,6 +6,7 @@
 from pimentoledge.routing import budgets
 from pimentoledge.routing import configurations
 from pimentoledge.routing import homes as prefix_homes
+from pimentoledge.routing import suspects as suspects_module
 
 
 @attrs.frozen(kw_only=True)
@@ -61,6 +62,7 @@
         refusing: whether it begins no request any more.
         repeats: budget of repeats by service.
         homes: what is known of shared parts.
+        suspects: content that was in servers that crashed.
     """
 
     name: str
@@ -74,6 +76,9 @@
     leaving: bool = False
     refusing: bool = False
     repeats: dict[str, budgets.Budget] = attrs.field(factory=dict)
+    suspects: suspects_module.Suspects = attrs.field(
+        factory=suspects_module.Suspects
+    )
     homes: prefix_homes.Homes = attrs.field(factory=prefix_homes.Homes)
 
     def budget(self, service: str) -> budgets.Budget:
@@ -89,6 +94,13 @@
             self.repeats[service] = found
         return found
 
+    def rebound(self) -> None:
+        """Brings the budgets to changed bounds; what was spent stays."""
+        for budget in self.repeats.values():
+            budget.ratio = self.bounds.budget_ratio
+            budget.slack = self.bounds.budget_slack
+            budget.window_seconds = self.bounds.budget_seconds
+
     def want(self, model: str, version: int, since: float) -> bool:
         """Takes a named version; returns whether it is news.
 
--- /dev/null
+++ b/pimentoledge/routing/counters.py
@@ -0,0 +1,85 @@
+"""Counts of decisions and of times to the first event, as a page of text.
+
+The counts are plain numbers; prometheus_client is only imported when the page
+is asked for, as it holds 5 MB that no request needs.
+"""
+
+import bisect
+
+# Upper bounds in seconds: around the objectives of 0.2 to 0.8 s.
+BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0)
+
+
+class Counters:
+    """What a router counts.
+
+    Attributes:
+        decisions: by kind and outcome.
+        first_events: streams by bucket of the time to their first event; the
+            last holds those beyond all bounds.
+        first_seconds: sum of those times.
+    """
+
+    def __init__(self):
+        self.decisions: dict[tuple[str, str], int] = {}
+        self.first_events = [0] * (len(BUCKETS) + 1)
+        self.first_seconds = 0.0
+
+    def decided(self, kind: str, outcome: str) -> None:
+        """Counts a decision."""
+        key = (kind, outcome)
+        self.decisions[key] = self.decisions.get(key, 0) + 1
+
+    def first_event(self, seconds: float) -> None:
+        """Counts a stream's time to its first event."""
+        self.first_events[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.first_seconds += seconds
+
+    def page(self, gauges: dict[str, float]) -> bytes:
+        """Returns all in Prometheus's text form.
+
+        Args:
+            gauges: further values, by name.
+        """
+        import prometheus_client  # noqa: PLC0415
+        from prometheus_client import core  # noqa: PLC0415
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(_Collector(self, gauges, core))
+        return prometheus_client.generate_latest(registry)
+
+
+class _Collector:
+
+    def __init__(self, counters: Counters, gauges: dict[str, float], core):
+        self.counters = counters
+        self.gauges = gauges
+        self.core = core
+
+    def collect(self):
+        """Yields all families."""
+        family = self.core.CounterMetricFamily(
+            "pimentoledge_router_decisions",
+            "Decisions, by kind and outcome",
+            labels=["kind", "outcome"],
+        )
+        for (kind, outcome), count in self.counters.decisions.items():
+            family.add_metric([kind, outcome], count)
+        yield family
+        buckets = []
+        total = 0
+        for bound, count in zip(
+            (*BUCKETS, "+Inf"), self.counters.first_events, strict=True
+        ):
+            total += count
+            buckets.append((str(bound), total))
+        yield self.core.HistogramMetricFamily(
+            "pimentoledge_router_first_event_seconds",
+            "Time from a request's arrival to its first event",
+            buckets=buckets,
+            sum_value=self.counters.first_seconds,
+        )
+        for name, value in self.gauges.items():
+            yield self.core.GaugeMetricFamily(
+                f"pimentoledge_router_{name}", name, value=value
+            )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -17,11 +17,13 @@
 from pimentoledge.routing import client_connections
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
+from pimentoledge.routing import counters
 from pimentoledge.routing import exchanges
 from pimentoledge.routing import holders
 from pimentoledge.routing import leases
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import mirrors
+from pimentoledge.routing import pages
 from pimentoledge.routing import peers
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_connections
@@ -36,6 +38,8 @@
 # Before SIGKILL all must be over.
 END_MARGIN_SECONDS = 0.6
 BACKLOG = 512
+# Settings may change without a signal.
+LOOK_SECONDS = 1.0
 BAD_SETTING_EXIT = 2
 
 
@@ -45,6 +49,7 @@
     Attributes:
         chosen: its checked settings.
         believed: what it believes.
+        counters: what it counts.
         lines: where decisions are written.
         pool: connections to backend servers.
         connections: open connections of clients.
@@ -52,7 +57,8 @@
 
     def __init__(self, *, chosen: settings.Settings):
         self.chosen = chosen
-        self.lines = log_lines.Lines()
+        self.counters = counters.Counters()
+        self.lines = log_lines.Lines(counters=self.counters)
         self.believed = beliefs.Beliefs(
             name=chosen.text("name"),
             data_centre=chosen.text("data-centre"),
@@ -66,7 +72,10 @@
             address=chosen.text("store-address"), caller=self.caller
         )
         takers = watchers.Takers(
-            believed=self.believed, lines=self.lines, news=self._news
+            believed=self.believed,
+            lines=self.lines,
+            news=self._news,
+            died=self._died,
         )
         kinds = {
             "configuration": mirrors.Mirror(
@@ -107,8 +116,9 @@
             lines=self.lines,
         )
         self._servers: list[asyncio.Server] = []
+        self._written = _written(chosen.text("config"))
+        self._next_look = 0.0
         self._told: asyncio.Event | None = None
-        self._closing = False
 
     async def start(self) -> None:
         """Opens every socket and starts every task."""
@@ -119,12 +129,14 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for each in self.watchers:
             each.start()
-        for name in ("listen", "ready-listen"):
+        for name, make in (
+            ("listen", self._connection),
+            ("ready-listen", self._connection),
+            ("metrics-listen", lambda: pages.PageConnection(page=self._page)),
+        ):
             host, _, port = self.chosen.text(name).rpartition(":")
             self._servers.append(
-                await loop.create_server(
-                    self._connection, host, int(port), backlog=BACKLOG
-                )
+                await loop.create_server(make, host, int(port), backlog=BACKLOG)
             )
         self.peers.start()
         self.holder.start()
@@ -133,6 +145,22 @@
     def _news(self) -> None:
         self.peers.news()
 
+    def _died(self, incarnation: str) -> None:
+        self.peers.server_died(incarnation)
+
+    def _page(self) -> bytes:
+        configuration = self.believed.configuration
+        return self.counters.page(
+            {
+                "open_connections": len(self.connections),
+                "configuration_version": configuration.version
+                if configuration
+                else 0,
+                "routers": self.believed.members,
+                "server_connections_opened": self.pool.opened,
+            }
+        )
+
     def _loading(self, now: float) -> dict[str, int]:
         """Returns the servers that load on this router's order."""
         if not self.lease.holds(now):
@@ -144,7 +172,34 @@
         }
 
     def _reload(self) -> None:
-        self.lines.write("reload")
+        """Takes changed settings; what is bound at the start stays."""
+        match read_settings(dict(os.environ)):
+            case result.Failure(error):
+                self.lines.write("reload_refused", why=error.text)
+                return
+            case result.Success(chosen):
+                pass
+        changed = [
+            name
+            for name, value in chosen.values.items()
+            if value.text != self.chosen.text(name)
+        ]
+        self.chosen = chosen
+        self.believed.bounds = _bounds(chosen)
+        self.believed.rebound()
+        self.store.address = chosen.text("store-address")
+        self.peers.add_seeds(chosen.listed("peer-seeds"))
+        self.lines.write("reload", changed=",".join(changed))
+
+    def _reload_if_changed(self, now: float) -> None:
+        """Reads the settings file again when it changed without a signal."""
+        if now < self._next_look:
+            return
+        self._next_look = now + LOOK_SECONDS
+        written = _written(self.chosen.text("config"))
+        if written != self._written:
+            self._written = written
+            self._reload()
 
     def _connection(self) -> client_connections.ClientConnection:
         return client_connections.ClientConnection(
@@ -167,6 +222,7 @@
             believed=self.believed,
             pool=self.pool,
             lines=self.lines,
+            died=self._died,
         )
 
     async def run(self) -> None:
@@ -187,6 +243,7 @@
         for each in list(self.connections):
             each.close_if_idle(now)
         self.peers.tick(now)
+        self._reload_if_changed(now)
 
     async def drain(self) -> None:
         """Leaves the balancer, finishes what was read, then stops."""
@@ -228,6 +285,15 @@
     )
 
 
+def _written(path: str) -> float:
+    """Returns when a settings file was written; 0 without one."""
+    try:
+        return os.stat(path).st_mtime if path else 0.0
+    except OSError as error:
+        logger.warning("settings file: {}", error)
+        return 0.0
+
+
 def read_settings(
     environment: dict[str, str],
 ) -> result.Result[settings.Settings, results.Error]:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -1,6 +1,7 @@
 """One request from its acceptance to its whole answer, by one task."""
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 from returns import result
@@ -18,6 +19,7 @@
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_connections
+from pimentoledge.routing import suspects
 from pimentoledge.routing import verdicts
 
 logger = logbook.Logger("exchanges")
@@ -61,6 +63,8 @@
         believed: what the process believes.
         pool: connections to servers.
         lines: where decisions are written.
+        died: called with a server that was found dead.
+        content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
         organisation: whose key it is, or None.
@@ -78,12 +82,15 @@
         believed: beliefs.Beliefs,
         pool: server_connections.Pool,
         lines: log_lines.Lines,
+        died: Callable[[str], None],
     ):
         self.decoded = decoded
+        self.died = died
         self.client = client
         self.believed = believed
         self.pool = pool
         self.lines = lines
+        self.content = ""
         self.history = verdicts.History()
         self.ask: asks.Ask | None = None
         self.route: configurations.Route | None = None
@@ -176,6 +183,9 @@
         if wait is None:
             wait = DEFAULT_WAIT_SECONDS
         self._ends_at = ask.arrived + min(wait, route.timeout_seconds)
+        self.content = suspects.fingerprint(ask)
+        if self.believed.suspects.is_barred(self.content, ask.arrived):
+            return results.Code.CRASHES
         return None
 
     async def _try_servers(self) -> None:
@@ -192,9 +202,7 @@
                 if await self._attempt(backend):
                     return
             except BrokenError as broken:
-                self.history.met(
-                    backend.registration.incarnation, broken.outcome
-                )
+                self._met(backend, broken.outcome)
                 self._log(
                     "attempt_ended",
                     server=backend.registration.incarnation,
@@ -205,6 +213,16 @@
                 self._give_up(verdicts.final_code(self.history))
                 return
 
+    def _met(
+        self, backend: backends.Backend, outcome: verdicts.Outcome
+    ) -> None:
+        incarnation = backend.registration.incarnation
+        self.history.met(incarnation, outcome)
+        if outcome is verdicts.Outcome.BROKE:
+            self.believed.suspects.broke(
+                self.content, incarnation, clocks.now()
+            )
+
     def _may_send(self, backend: backends.Backend) -> bool:
         service = backend.registration.service
         budget = self.believed.budget(service)
@@ -241,6 +259,7 @@
             connection = await self.pool.acquire(address)
         except server_connections.CannotConnectError as error:
             backend.failed(clocks.now())
+            self.died(backend.registration.incarnation)
             raise BrokenError(verdicts.Outcome.UNSENT, str(error)) from error
         dispatch = selections.dispatch(
             believed=self.believed,
@@ -364,6 +383,7 @@
         if answer.status < 300 and not answer.signed:
             raise BrokenError(verdicts.Outcome.BROKE, "no signature")
         backend.served()
+        self.believed.suspects.served(self.content)
         if answer.status >= 500 and self._would_retry():
             self._failed_answer = (answer, body)
             raise BrokenError(
@@ -410,6 +430,7 @@
                             verdicts.Outcome.BROKE, "ended within an event"
                         )
                     work.backend.served()
+                    self.believed.suspects.served(self.content)
                     self._release(connection, answer)
                     self._end_stream(answer)
                     self._log(
@@ -447,6 +468,7 @@
         now = clocks.now()
         if self.first_seconds is None:
             self.first_seconds = now - self.ask.arrived
+            self.lines.counters.first_event(self.first_seconds)
         else:
             gap = now - self._event_at
             self.gap_seconds = max(self.gap_seconds, gap)
--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import counters as counters_module
 
 # A kind of line beyond this rate is counted instead of written: 100 lines of
 # 200 bytes a second cost about half a percent of a core.
@@ -65,13 +66,20 @@
 
 
 class Lines:
-    """Decisions as log lines, at most so many of a kind in a second."""
+    """Decisions as log lines, at most so many of a kind in a second.
 
-    def __init__(self):
+    Attributes:
+        counters: where every decision is counted, written or not.
+    """
+
+    def __init__(self, *, counters: counters_module.Counters):
+        self.counters = counters
         self._windows: dict[str, _Window] = {}
 
     def write(self, message: str, **fields: object) -> None:
         """Writes a decision, or counts it if its kind came too often."""
+        outcome = fields.get("code") or fields.get("verdict") or ""
+        self.counters.decided(message, str(outcome))
         now = clocks.now()
         window = self._windows.setdefault(message, _Window())
         if now - window.started >= 1.0:
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -85,18 +85,23 @@
         self.lines = lines
         self.loading = loading
         self.known: dict[str, Peer] = {}
-        self.seeds = [f"tcp://{each}" for each in seeds]
+        self.seeds: list[str] = []
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_beat = 0.0
         self._wished: dict[str, float] = {}
         self._mailbox = mailboxes.Mailbox(
             address=f"tcp://{listen}", deliver=self._deliver, codec=CODEC
         )
+        self.add_seeds(seeds)
 
     def start(self) -> None:
         """Listens."""
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
+
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Takes addresses, as IP:PORT, to find routers by."""
+        self.seeds = [f"tcp://{each}" for each in seeds]
         for each in self.seeds:
             self._meet(each)
 
@@ -185,11 +190,29 @@
                 self._give(event.sender, wish.kind)
             case events.FromNode(message=peer_messages.Gift() as gift):
                 self._take(event.sender, gift)
+            case events.FromNode(message=peer_messages.Crashed() as crash):
+                self._crashed(crash)
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
             case events.Unreachable():
                 pass  # The next heartbeat tries anew; silence is judged there.
 
+    def server_died(self, incarnation: str) -> None:
+        """Tells the others which content a dead server had."""
+        now = clocks.now()
+        for content in self.believed.suspects.died(incarnation, now):
+            self.lines.write("crashed", content=content, server=incarnation)
+            crash = peer_messages.Crashed(
+                content=content, incarnation=incarnation
+            )
+            for address in self.known:
+                self._send(address, crash, now)
+
+    def _crashed(self, crash: peer_messages.Crashed) -> None:
+        self.believed.suspects.crashed(
+            crash.content, crash.incarnation, clocks.now()
+        )
+
     def _heard(self, event: events.FromNode, beat: peer_messages.Beat) -> None:
         now = clocks.now()
         self._meet(event.sender)
--- /dev/null
+++ b/pimentoledge/routing/suspects.py
@@ -0,0 +1,103 @@
+"""Content that was in servers that crashed.
+
+A request may crash each server that begins to run it, and comes again from
+its client with a new id, at any router. Without a memory of its content it
+would take down one server after the other.
+"""
+
+import collections
+
+import attrs
+import xxhash
+
+from pimentoledge.routing import asks
+
+# The users' pages allow three servers; what is stopped after the second
+# crash leaves one for a router that hasn't heard yet.
+MOST_CRASHES = 2
+# A connection that broke counts against its content only if the server is
+# found dead so soon after; most broken connections have other causes.
+DEATH_SECONDS = 3.0
+# After so long without a crash the content is innocent again.
+MEMORY_SECONDS = 60.0
+# How many contents are remembered: some 300 bytes each.
+MOST_CONTENTS = 2000
+
+
+def fingerprint(ask: asks.Ask) -> str:
+    """Returns what is the same for a request that comes again."""
+    digest = xxhash.xxh3_128(ask.method)
+    for part in (ask.host.encode(), ask.target, (ask.key or "").encode()):
+        digest.update(b"\0" + part)
+    digest.update(b"\0" + ask.body)
+    return digest.hexdigest()
+
+
+@attrs.define
+class _Suspect:
+    crashed: dict[str, float] = attrs.field(factory=dict)
+    newest: float = 0.0
+
+
+@attrs.frozen
+class _Break:
+    content: str
+    when: float
+
+
+class Suspects:
+    """What this router knows of such content.
+
+    Attributes:
+        contents: crashes by content, the newest last.
+        breaks: connections that broke under content, by server.
+    """
+
+    def __init__(self):
+        self.contents: collections.OrderedDict[str, _Suspect] = (
+            collections.OrderedDict()
+        )
+        self.breaks: dict[str, list[_Break]] = {}
+
+    def broke(self, content: str, incarnation: str, now: float) -> None:
+        """Notes that the connection to a server broke under content."""
+        recent = [
+            each
+            for each in self.breaks.get(incarnation, ())
+            if now - each.when < DEATH_SECONDS
+        ]
+        self.breaks[incarnation] = [*recent, _Break(content, now)]
+
+    def died(self, incarnation: str, now: float) -> list[str]:
+        """Takes proof that a server died; returns the contents it had."""
+        found = [
+            each.content
+            for each in self.breaks.pop(incarnation, ())
+            if now - each.when < DEATH_SECONDS
+        ]
+        for content in found:
+            self.crashed(content, incarnation, now)
+        return found
+
+    def crashed(self, content: str, incarnation: str, now: float) -> None:
+        """Notes that content was in a server when it died."""
+        suspect = self.contents.setdefault(content, _Suspect())
+        suspect.crashed[incarnation] = now
+        suspect.newest = now
+        self.contents.move_to_end(content)
+        while len(self.contents) > MOST_CONTENTS:
+            self.contents.popitem(last=False)
+
+    def served(self, content: str) -> None:
+        """Takes a whole answer as proof of innocence."""
+        self.contents.pop(content, None)
+
+    def is_barred(self, content: str, now: float) -> bool:
+        """Returns whether content crashed too many servers to run again."""
+        suspect = self.contents.get(content)
+        if suspect is None:
+            return False
+        if now - suspect.newest > MEMORY_SECONDS:
+            del self.contents[content]
+            return False
+        return len(suspect.crashed) >= MOST_CRASHES
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -105,6 +105,7 @@
         believed: what the process believes.
         lines: where changes of belief are written.
         news: called when something changed that other routers should hear.
+        died: called with a server that is gone without having left.
     """
 
     def __init__(
@@ -113,10 +114,12 @@
         believed: beliefs.Beliefs,
         lines: log_lines.Lines,
         news=lambda: None,
+        died=lambda incarnation: None,
     ):
         self.believed = believed
         self.lines = lines
         self.news = news
+        self.died = died
 
     def configuration(
         self, changed: list[registrations.Stored], removed: list[str]
@@ -179,5 +182,7 @@
                 weights=registration.weights,
             )
         for name in removed:
-            self.believed.servers.remove(name)
+            gone = self.believed.servers.remove(name)
+            if gone is not None and not gone.registration.leaving:
+                self.died(name)
             self.lines.write("server_gone", server=name)
