Test the router before stand-ins of the platform, and its decisions

Cause: the path had been measured and not tested. A test found that a part met for the first time counted as popular; mended.

--- /dev/null
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -0,0 +1,250 @@
+"""Backend servers of the platform as stand-ins, with their faults."""
+
+import threading
+import time
+
+import attrs
+import cheroot.server
+import msgspec
+
+from pimentoledge import fake_http
+from pimentoledge.platform import names
+
+THREADS = 32
+SIGNATURE = b"stand.in"
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A request as the server got it.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query.
+        headers: by lower-case name.
+        body: its bytes.
+        ran: whether the server worked on it.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = False
+
+
+class StandInServer:
+    """One backend server.
+
+    Attributes:
+        incarnation: id of its life.
+        service: service that it serves.
+        data_centre: where it stands.
+        weights: version of each of its models.
+        calls: requests that it got, in order.
+        orders: orders that it got, in order.
+        taken: orders that it has taken.
+        events: events of a stream.
+        event_seconds: pause between them.
+        refuse: number of next requests that it doesn't run.
+        fail: number of next requests that it fails with a 500.
+        cut_after: events after which the next stream is cut, or None.
+        lose: number of next requests that it runs without an answer.
+        misnumber: number of next answers that bear another request's id.
+        load_seconds: how long weights take to load.
+        silent_orders: number of next orders that it takes without an answer.
+        at_work: requests that it works on now.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        service: str,
+        data_centre: str = "a",
+        weights: dict[str, int] | None = None,
+    ):
+        self.incarnation = incarnation
+        self.service = service
+        self.data_centre = data_centre
+        self.weights = dict(weights or {})
+        self.calls: list[Call] = []
+        self.orders: list[dict] = []
+        self.taken = 0
+        self.events = 5
+        self.event_seconds = 0.0
+        self.refuse = 0
+        self.fail = 0
+        self.cut_after: int | None = None
+        self.lose = 0
+        self.misnumber = 0
+        self.load_seconds = 0.05
+        self.silent_orders = 0
+        self.at_work = 0
+        self.on_loaded = lambda: None
+        self._lock = threading.Lock()
+        self._server = fake_http.Server(
+            handle=self.handle, host="127.0.0.1", port=0, threads=THREADS
+        )
+
+    @property
+    def address(self) -> str:
+        """IP:PORT of the server."""
+        return f"127.0.0.1:{self._server.port}"
+
+    def start(self) -> None:
+        """Listens."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stops."""
+        self._server.close()
+
+    def entry(self, *, leaving: bool = False) -> dict:
+        """Returns what it writes of itself into the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if leaving else "ready",
+            "coldRemainingMs": 0,
+            "models": [
+                {"name": name, "version": version, "adapters": []}
+                for name, version in self.weights.items()
+            ],
+            "seq": 1,
+        }
+
+    def handle(self, request: cheroot.server.HTTPRequest) -> None:
+        """Answers one request."""
+        headers = {
+            name.decode().lower(): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        path = fake_http.path_of(request)
+        body = fake_http.body_of(request)
+        expected = headers.get(names.INCARNATION_ONLY.decode())
+        if expected not in (None, self.incarnation):
+            self._not_run(request, headers, 421)
+        elif path == names.ORDER_PATH:
+            self._order(request, msgspec.json.decode(body))
+        elif path == names.REPORT_PATH:
+            self._report(request)
+        else:
+            call = Call(
+                method=request.method.decode(),
+                target=request.uri.decode(),
+                headers=headers,
+                body=body,
+            )
+            self.calls.append(call)
+            self._serve(request, call)
+
+    def _next(self, name: str) -> bool:
+        """Returns whether one of the next faults of a kind is due."""
+        with self._lock:
+            left = getattr(self, name)
+            if left <= 0:
+                return False
+            setattr(self, name, left - 1)
+            return True
+
+    def _serve(self, request, call: Call) -> None:
+        wanted = call.headers.get(names.WEIGHTS_ONLY.decode())
+        model = call.headers.get(names.MODEL.decode(), "")
+        if wanted is not None and int(wanted) != self.weights.get(model):
+            self._not_run(request, call.headers, 421)
+            return
+        if self._next("refuse"):
+            self._not_run(request, call.headers, 503)
+            return
+        call.ran = True
+        self.at_work += 1
+        try:
+            self._run(request, call)
+        finally:
+            self.at_work -= 1
+
+    def _run(self, request, call: Call) -> None:
+        if self._next("lose"):
+            fake_http.cut(request)
+            return
+        head = self._head(call.headers)
+        if self._next("misnumber"):
+            head[0] = (names.REQUEST, b"another-one")
+        if self._next("fail"):
+            fake_http.answer(request, b"failed", status=500, headers=head)
+            return
+        if model_named(call):
+            self._stream(request, call, head)
+            return
+        fake_http.answer(request, b"answer of " + call.body, headers=head)
+
+    def _head(self, headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+        identity = headers.get(names.REQUEST.decode(), "").encode()
+        return [
+            (names.REQUEST, identity),
+            (names.SIGNATURE, SIGNATURE),
+            (names.LOAD, b"%d,0,8" % self.at_work),
+        ]
+
+    def _stream(self, request, call: Call, head: list) -> None:
+        first = int(call.headers.get(names.LAST_EVENT.decode(), 0)) + 1
+        fake_http.begin(
+            request,
+            200,
+            [*head, (b"Content-Type", b"text/event-stream")],
+        )
+        cut_after, self.cut_after = self.cut_after, None
+        for number in range(first, self.events + 1):
+            if cut_after is not None and number > cut_after:
+                request.conn.wfile.write(b"6\r\nid: 9\n\r\n")
+                fake_http.cut(request)
+                return
+            piece = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            request.conn.wfile.write(b"%x\r\n%b\r\n" % (len(piece), piece))
+            if self.event_seconds:
+                time.sleep(self.event_seconds)
+        request.conn.wfile.write(b"0\r\n\r\n")
+        request.chunked_write = False
+
+    def _not_run(self, request, headers: dict[str, str], status: int) -> None:
+        head = self._head(headers)
+        head.append((names.NOT_RUN, b"1"))
+        fake_http.answer(request, b"", status=status, headers=head)
+
+    def _order(self, request, body: dict) -> None:
+        self.orders.append(body)
+        if self._next("silent_orders"):
+            fake_http.cut(request)
+            return
+        with self._lock:
+            if body.get("precondition", self.taken) != self.taken:
+                fake_http.answer(request, b"{}", status=409)
+                return
+            self.taken += 1
+        fake_http.answer(request, b"{}", status=202)
+        timer = threading.Timer(self.load_seconds, self._loaded, [body])
+        timer.start()
+
+    def _loaded(self, body: dict) -> None:
+        self.weights[body["model"]] = body["version"]
+        self.on_loaded()
+
+    def _report(self, request) -> None:
+        body = {
+            "models": [
+                {"name": name, "version": version, "adapters": []}
+                for name, version in self.weights.items()
+            ],
+            "busy": False,
+            "seq": self.taken,
+        }
+        fake_http.answer(request, msgspec.json.encode(body))
+
+
+def model_named(call: Call) -> bool:
+    """Returns whether a request is for a model, whose answers are streams."""
+    return names.MODEL.decode() in call.headers
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -229,7 +229,7 @@
         """Runs until told to end, then finishes what was begun."""
         await self.start()
         while not self._told.is_set():
-            self._tick()
+            self.tick()
             try:
                 async with asyncio.timeout(TICK_SECONDS):
                     await self._told.wait()
@@ -238,7 +238,8 @@
         await self.drain()
         self.close()
 
-    def _tick(self) -> None:
+    def tick(self) -> None:
+        """Does what is due: heartbeats, idle connections, settings."""
         now = clocks.now()
         for each in list(self.connections):
             each.close_if_idle(now)
@@ -253,7 +254,7 @@
         told = clocks.now()
         until = told + self.believed.bounds.grace_seconds - END_MARGIN_SECONDS
         while clocks.now() < until:
-            self._tick()
+            self.tick()
             self.believed.refusing = clocks.now() - told > LEAVE_SECONDS
             busy = any(each.exchange for each in self.connections)
             busy = busy or self.holder.busy()
--- a/pimentoledge/routing/homes.py
+++ b/pimentoledge/routing/homes.py
@@ -29,7 +29,7 @@
 
 @attrs.define
 class _Use:
-    last: float = 0.0
+    last: float = -1e9
     before: float = -1e9
 
 
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -40,12 +40,12 @@
     """Another router.
 
     Attributes:
-        heard: when it was last heard; 0 before the first time.
+        heard: when it was last heard; long ago before the first time.
         beat: its last heartbeat, or None.
         configuration: its newest configuration version.
     """
 
-    heard: float = 0.0
+    heard: float = -1e9
     beat: peer_messages.Beat | None = None
     configuration: int = 0
 
@@ -289,12 +289,17 @@
         )
 
     def _count_members(self, now: float) -> None:
+        """Counts the routers that share the budget of repeats.
+
+        One that has heard nobody yet goes by its seeds: to take itself for
+        the only one would spend the whole budget beside the others.
+        """
         heard = sum(
             now - each.heard < MEMBER_SECONDS for each in self.known.values()
         )
-        self.believed.members = 1 + max(heard, len(self.known) and 1)
         if not heard:
-            self.believed.members = max(1, len(self.seeds))
+            heard = len(self.known)
+        self.believed.members = 1 + heard
 
     def present(self, now: float) -> dict[str, Peer]:
         """Returns the routers that were heard just now, by mailbox."""
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -54,7 +54,7 @@
             each
             for each in believed.servers.of_service(name)
             if each.registration.incarnation not in without
-            and _weights_allow(believed, ask.model, each, now)
+            and weights_allow(believed, ask.model, each, now)
         ]
         terms = _terms(believed, ask, organisation, name)
         terms = _with_home(believed, terms, candidates, now)
@@ -64,7 +64,7 @@
     return None
 
 
-def _weights_allow(
+def weights_allow(
     believed: beliefs.Beliefs,
     model: str,
     backend: backends.Backend,
--- /dev/null
+++ b/pimentoledge/tests/router_world.py
@@ -0,0 +1,325 @@
+"""Routers before stand-ins of the platform, for tests of the whole path."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+
+from returns import result
+
+from pimentoledge import settings
+from pimentoledge.platform import stand_in_servers
+from pimentoledge.platform import stand_in_stores
+from pimentoledge.routing import daemons
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+MODEL = "m"
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def route(name, *, service, kind, **more):
+    found = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": kind == "stream",
+        "resumable": False,
+    }
+    found.update(more)
+    return found
+
+
+def configuration(version=1, routes=None, **more):
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route("cards", service="plain", kind="unsafe", maxAttempts=1),
+            route("notices", service="plain", kind="safe"),
+            route("lookups", service="runners", kind="stream", resumable=True),
+            route("drafts", service="runners", kind="stream", maxAttempts=1),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 50},
+            {
+                "name": "runners",
+                "maxConns": 50,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 70000,
+                    "models": [{"name": MODEL}],
+                },
+            },
+            {"name": "kept", "kvStore": "127.0.0.1:9", "zone": "a"},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "acme", "apiKeys": [KEY], "priority": 2},
+            {"name": "walled", "apiKeys": ["key-of-walled"], "isolated": True},
+        ],
+        **more,
+    }
+
+
+class World:
+    """A store, servers and routers.
+
+    Attributes:
+        store: the stand-in of the store.
+        servers: the stand-ins of backend servers, by incarnation.
+        routers: the routers; their loop is the test's.
+    """
+
+    def __init__(self):
+        self.store = stand_in_stores.StandInStore()
+        self.servers = {}
+        self.routers = []
+        self._tasks = []
+
+    async def start(self, *, routers=1, plain=2, runners=2):
+        self.store.start()
+        self.store.put("config", "main", configuration())
+        self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
+        for number in range(plain):
+            self.add_server(f"p{number}", service="plain")
+        for number in range(runners):
+            self.add_server(f"r{number}", service="runners", weights={MODEL: 1})
+        ports = [free_port() for _ in range(routers)]
+        for number in range(routers):
+            await self.add_router(f"router-{number}", ports[number], ports)
+        await self.until(
+            lambda: all(each.believed.ready() for each in self.routers)
+        )
+        await self.until(self.all_known)
+
+    def all_known(self):
+        return all(
+            len(each.believed.servers.by_incarnation) == len(self.servers)
+            and each.believed.wanted
+            for each in self.routers
+        )
+
+    def add_server(self, incarnation, **more):
+        server = stand_in_servers.StandInServer(incarnation=incarnation, **more)
+        server.start()
+        server.on_loaded = lambda: self.tell(server)
+        self.servers[incarnation] = server
+        self.tell(server)
+        return server
+
+    def tell(self, server, **more):
+        """Writes a server's entry into the store."""
+        self.store.put("servers", server.incarnation, server.entry(**more))
+
+    async def add_router(self, name, port, ports):
+        flags = {
+            "name": name,
+            "data-centre": "a",
+            "listen": f"127.0.0.1:{free_port()}",
+            "ready-listen": f"127.0.0.1:{free_port()}",
+            "metrics-listen": f"127.0.0.1:{free_port()}",
+            "peer-listen": f"127.0.0.1:{port}",
+            "peer-seeds": ",".join(f"127.0.0.1:{each}" for each in ports),
+            "store-address": self.store.address,
+            "lease-ms": "200",
+        }
+        checked = settings.check(
+            program=settings.ROUTER, flags={}, environment={}, file=flags
+        )
+        match checked:
+            case result.Success(chosen):
+                router = daemons.Router(chosen=chosen)
+        self.routers.append(router)
+        await router.start()
+        self._tasks.append(asyncio.ensure_future(self._tick(router)))
+        return router
+
+    async def _tick(self, router):
+        while True:
+            router.tick()
+            await asyncio.sleep(daemons.TICK_SECONDS)
+
+    async def until(self, condition, seconds=5.0):
+        """Waits for a condition; fails the test if it doesn't come."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def close(self):
+        for each in self._tasks:
+            each.cancel()
+        for router in self.routers:
+            router.close()
+        self.store.close()
+        for server in self.servers.values():
+            server.close()
+        await asyncio.sleep(0)
+
+    def client(self, number=0, **more):
+        return Client(self.routers[number].chosen.text("listen"), **more)
+
+    async def ask(self, path, number=0, **more):
+        """Sends one request on a connection of its own."""
+        client = self.client(number)
+        await client.open()
+        try:
+            return await client.ask(path, **more)
+        finally:
+            client.close()
+
+    def ran(self, service):
+        """Returns the requests that servers of a service worked on."""
+        return [
+            call
+            for server in self.servers.values()
+            if server.service == service
+            for call in server.calls
+            if call.ran
+        ]
+
+
+class Answer:
+    """What a client got.
+
+    Attributes:
+        status: HTTP status, or None without an answer.
+        headers: by lower-case name.
+        body: the body as far as it came.
+        whole: whether the answer has its end.
+    """
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, address):
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.number = 0
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            self.host, self.port
+        )
+
+    def close(self):
+        self.writer.close()
+
+    def send(self, path, *, method="POST", body=b"", key=KEY, headers=()):
+        """Sends a request's bytes."""
+        self.number += 1
+        given = {
+            "Host": HOST,
+            "Request-Id": f"q-{id(self)}-{self.number}",
+            "Deadline-Ms": "2500",
+            "Content-Length": str(len(body)),
+        }
+        if key is not None:
+            given["Authorization"] = f"Bearer {key}"
+        given.update(headers)
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in given.items()]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def ask(self, path, **more):
+        """Sends a request and reads its answer."""
+        self.send(path, **more)
+        async with asyncio.timeout(8):
+            return await self.read()
+
+    async def read(self):
+        """Reads an answer to its end, or to the connection's."""
+        head = await self._head()
+        if head is None:
+            return Answer(None, {}, b"", whole=False)
+        status, headers = head
+        if "transfer-encoding" in headers:
+            body, whole = await self._chunks()
+        else:
+            length = int(headers.get("content-length", 0))
+            body = await self.reader.read(0)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                body = await self.reader.readexactly(length)
+            whole = len(body) == length
+        return Answer(status, headers, body, whole)
+
+    async def _head(self):
+        try:
+            raw = await self.reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        first, *rest = raw.decode("latin-1").rstrip("\r\n").split("\r\n")
+        headers = {}
+        for line in rest:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        return int(first.split()[1]), headers
+
+    async def _chunks(self):
+        body = b""
+        while True:
+            try:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                piece = await self.reader.readexactly(size + 2)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return body, False
+            if not size:
+                return body, True
+            body += piece[:-2]
+
+
+def played(**sizes):
+    """Makes a test of a coroutine that is given a started world."""
+
+    def decorate(test):
+        def run():
+            async def whole():
+                world = World()
+                try:
+                    await world.start(**sizes)
+                    await test(world)
+                finally:
+                    await world.close()
+
+            asyncio.run(whole())
+            # A thread left behind would hold up the next test's ports.
+            assert threading.active_count() < 200
+
+        run.__name__ = test.__name__
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+def stream_headers(parts="aa:600,bb:900,own:40", **more):
+    """Returns the headers of a request for a model."""
+    return {
+        "Model": MODEL,
+        "Token-Usage": "1540,20",
+        "Prompt-Prefix": parts,
+        **more,
+    }
--- /dev/null
+++ b/pimentoledge/tests/test_rollouts.py
@@ -0,0 +1,86 @@
+"""Which runner is told to load which weights, and when."""
+
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import registrations
+from pimentoledge.routing import rollouts
+
+MODEL = "m"
+
+
+def registration(number, version=1, place="a", leaving=False):
+    return registrations.Registration(
+        incarnation=f"r{number}",
+        service="runners",
+        address=f"10.0.0.{number}:80",
+        data_centre=place,
+        slots=8,
+        leaving=leaving,
+        weights={MODEL: version},
+    )
+
+
+def world(count, version=2):
+    believed = beliefs.Beliefs(name="x", data_centre="a", born=0.0)
+    for number in range(count):
+        believed.servers.put(registration(number, place="abc"[number % 3]))
+    believed.want(MODEL, version, 0.0)
+    return believed, rollouts.Rollout(believed=believed)
+
+
+def tell(rollout, due, verdict, now):
+    for each in due:
+        progress = rollout.of(each.backend)
+        progress.calling = True
+        progress.orders_taken = progress.orders_taken or 0
+        rollout.told(each, verdict, now)
+
+
+def test_a_part_of_the_runners_loads_at_once_from_all_data_centres():
+    _, rollout = world(9)
+    due = rollout.due(1.0)
+    assert len(due) == 3
+    places = {each.backend.registration.data_centre for each in due}
+    assert places == {"a", "b", "c"}
+    tell(rollout, due, rollouts.Verdict.TAKEN, 1.0)
+    assert not rollout.due(1.1)
+
+
+def test_the_next_is_told_as_soon_as_one_has_the_weights():
+    believed, rollout = world(9)
+    due = rollout.due(1.0)
+    tell(rollout, due, rollouts.Verdict.TAKEN, 1.0)
+    done = int(due[0].backend.registration.incarnation[1:])
+    believed.servers.put(registration(done, version=2, place="abc"[done % 3]))
+    assert len(rollout.due(1.5)) == 1
+
+
+def test_a_load_that_is_not_seen_to_end_is_asked_for_again():
+    """A runner that restarted in mid-load must not hold up the rollout."""
+    _, rollout = world(9)
+    tell(rollout, rollout.due(1.0), rollouts.Verdict.TAKEN, 1.0)
+    later = 1.0 + rollouts.LOAD_SECONDS + 0.1
+    assert len(rollout.due(later)) == 3
+
+
+def test_weights_that_were_superseded_are_not_loaded():
+    believed, rollout = world(2)
+    believed.want(MODEL, 5, 0.5)
+    assert {each.version for each in rollout.due(1.0)} == {5}
+
+
+def test_runners_that_leave_or_are_over_are_left_alone():
+    believed, rollout = world(3)
+    believed.servers.put(registration(0, leaving=True))
+    believed.servers.by_incarnation["r1"].over = True
+    told = {each.backend.registration.incarnation for each in rollout.due(1.0)}
+    assert told == {"r2"}
+
+
+def test_an_order_without_an_answer_makes_the_count_unknown():
+    """The runner may have taken it, or may carry it out seconds later."""
+    _, rollout = world(1)
+    due = rollout.due(1.0)
+    tell(rollout, due, rollouts.Verdict.UNKNOWN, 1.0)
+    assert rollout.of(due[0].backend).orders_taken is None
+    assert not rollout.due(1.1)
+    assert rollout.due(1.0 + rollouts.AGAIN_SECONDS)
--- /dev/null
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -0,0 +1,442 @@
+"""The router's smaller decisions, each by itself."""
+
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from pimentoledge import results
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import budgets
+from pimentoledge.routing import configurations
+from pimentoledge.routing import event_streams
+from pimentoledge.routing import homes
+from pimentoledge.routing import http_messages
+from pimentoledge.routing import mirrors
+from pimentoledge.routing import placements
+from pimentoledge.routing import registrations
+from pimentoledge.routing import selections
+from pimentoledge.routing import suspects
+from pimentoledge.routing import verdicts
+
+
+def registration(name, place="a", weights=None, slots=8):
+    return registrations.Registration(
+        incarnation=name,
+        service="s",
+        address="10.0.0.1:80",
+        data_centre=place,
+        slots=slots,
+        leaving=False,
+        weights=weights or {},
+    )
+
+
+def backend(name, **more):
+    return backends.Backend(registration=registration(name, **more))
+
+
+def route(kind=configurations.Kind.UNSAFE, most=1, resumable=False):
+    return configurations.Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=kind,
+        timeout_seconds=1.0,
+        objective_seconds=0.2,
+        urgency=0,
+        shares=(configurations.Share(service="s", weight=1),),
+        most_servers=most,
+        open=False,
+        by_prefix=False,
+        resumable=resumable,
+        gap_seconds=None,
+    )
+
+
+class TestBudgets:
+    """How often requests may be repeated."""
+
+    def budget(self, born=-100.0):
+        return budgets.Budget(ratio=0.2, slack=40, window_seconds=10, born=born)
+
+    def test_all_entries_together_keep_to_the_bound(self):
+        """Four entries, each with its part, stay below the common bound."""
+        entries = [self.budget() for _ in range(4)]
+        spent = 0
+        for tick in range(1000):
+            now = tick / 100
+            for entry in entries:
+                if tick % 10 == 0:
+                    entry.asked(now)
+                spent += entry.take(now, 4)
+        assert spent <= 0.2 * 400 + 40
+
+    def test_a_restarted_entry_leaves_room_for_its_former_life(self):
+        old, new = self.budget(), self.budget(born=0.0)
+        assert new.allowance(0.0, 1) == old.allowance(0.0, 1) / 2
+
+    def test_what_was_spent_comes_back_after_the_window(self):
+        entry = self.budget()
+        while entry.take(0.0, 1):
+            pass
+        assert not entry.take(9.9, 1)
+        assert entry.take(10.1, 1)
+
+
+class TestVerdicts:
+    """What follows from an attempt."""
+
+    def test_what_may_have_run_is_sent_nowhere_else(self):
+        history = verdicts.History(sends=1)
+        history.met("i", verdicts.Outcome.BROKE)
+        assert not verdicts.may_go_on(history, route())
+        assert verdicts.final_code(history) is results.Code.SERVICE_FAILED
+
+    def test_what_did_not_run_may_go_elsewhere_and_is_refused_truly(self):
+        history = verdicts.History(sends=1)
+        history.met("i", verdicts.Outcome.NOT_RUN)
+        assert verdicts.may_go_on(history, route())
+        code = verdicts.final_code(history)
+        assert results.MEANINGS[code].ran is results.Ran.NOT_RUN
+
+    def test_a_repeatable_call_runs_on_no_more_servers_than_allowed(self):
+        safe = route(kind=configurations.Kind.SAFE, most=2)
+        history = verdicts.History(sends=1)
+        history.met("i", verdicts.Outcome.FAILED)
+        assert verdicts.may_go_on(history, safe)
+        history.met("j", verdicts.Outcome.FAILED)
+        assert not verdicts.may_go_on(history, safe)
+
+    def test_a_refusal_after_a_run_is_no_promise(self):
+        history = verdicts.History(sends=2)
+        history.met("i", verdicts.Outcome.BROKE)
+        history.met("j", verdicts.Outcome.NOT_RUN)
+        code = verdicts.final_code(history)
+        assert results.MEANINGS[code].status == 502
+
+
+class TestEvents:
+    """Streams cut into events."""
+
+    @given(strategies.data())
+    def test_only_whole_events_come_out_however_they_are_cut(self, data):
+        whole = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(6))
+        cuts = data.draw(
+            strategies.lists(strategies.integers(0, len(whole)), max_size=8)
+        )
+        splitter = event_streams.Splitter()
+        events = []
+        last = 0
+        for cut in [*sorted(cuts), len(whole)]:
+            events += splitter.feed(whole[last:cut])
+            last = cut
+        assert [event.number for event in events] == list(range(6))
+        assert b"".join(event.data for event in events) == whole
+        assert not splitter.rest
+
+    def test_a_part_of_an_event_is_held_back(self):
+        splitter = event_streams.Splitter()
+        assert not splitter.feed(b"id: 1\ndata: half")
+        assert splitter.rest
+
+
+class TestParsing:
+    """What clients send."""
+
+    def parser(self):
+        return http_messages.RequestParser(
+            max_header_bytes=1000, max_body_bytes=100
+        )
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            "Content-Length: 3\r\nContent-Length: 4",
+            "Content-Length: 3\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+            "Host: b",
+            "Content-Length: -1",
+            "Content-Length : 3",
+        ],
+    )
+    def test_what_two_readers_could_frame_in_two_ways_is_refused(self, head):
+        """A request smuggled inside another must not reach a server."""
+        raw = f"POST / HTTP/1.1\r\nHost: a\r\n{head}\r\n\r\nGET / HTTP/1.1"
+        with pytest.raises(http_messages.BadMessageError):
+            self.parser().feed(raw.encode())
+
+    @given(strategies.lists(strategies.integers(1, 90), max_size=6))
+    def test_requests_come_out_whole_however_they_are_cut(self, cuts):
+        raw = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+        parser = self.parser()
+        whole = raw + raw
+        last = 0
+        for cut in [*sorted(cuts), len(whole)]:
+            parser.feed(whole[last:cut])
+            last = cut
+        assert [body for _, body in parser.requests] == [b"body", b"body"]
+
+    def test_the_largest_head_and_body_are_bounded(self):
+        parser = self.parser()
+        with pytest.raises(http_messages.BadMessageError) as caught:
+            parser.feed(b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 2000)
+            parser.feed(b"y" * 2000 + b"\r\n\r\n")
+        assert caught.value.status == 431
+        parser = self.parser()
+        with pytest.raises(http_messages.BadMessageError) as caught:
+            parser.feed(
+                b"POST / HTTP/1.1\r\nHost: a\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                b"c8\r\n" + b"z" * 200 + b"\r\n"
+            )
+        assert caught.value.status == 413
+
+
+class TestBeliefs:
+    """What a router believes, and how old it is."""
+
+    def believed(self):
+        return beliefs.Beliefs(name="x", data_centre="a", born=0.0)
+
+    def test_of_two_times_at_which_weights_were_named_the_earlier_holds(self):
+        """A restarted router would send requests to old weights too long."""
+        believed = self.believed()
+        believed.want("m", 2, 50.0)
+        assert not believed.want("m", 2, 42.0)
+        assert believed.wanted["m"].since == 42.0
+        assert not believed.want("m", 1, 10.0)
+        assert believed.wanted["m"].version == 2
+
+    def test_requests_don_t_begin_on_weights_that_are_too_old(self):
+        believed = self.believed()
+        old = believed.servers.put(registration("i", weights={"m": 1}))
+        believed.want("m", 2, 100.0)
+        most = believed.bounds.weights_seconds
+        margin = selections.WEIGHTS_MARGIN_SECONDS
+        allow = selections.weights_allow
+        assert allow(believed, "m", old, 100.0 + most - margin - 0.1)
+        assert not allow(believed, "m", old, 100.0 + most - margin + 0.1)
+
+    def test_new_weights_empty_what_a_runner_is_believed_to_hold(self):
+        believed = self.believed()
+        held = believed.servers.put(registration("i", weights={"m": 1}))
+        part = asks.Part(name="p", tokens=100)
+        held.note_parts("1", (part,), 1000)
+        believed.servers.put(registration("i", weights={"m": 2}))
+        assert held.cached_tokens("1", (part,)) == 0
+
+
+class TestPlacement:
+    """Which server a request goes to."""
+
+    def terms(self, **more):
+        return placements.Terms(data_centre="a", **more)
+
+    def choose(self, *candidates, **more):
+        found = placements.choose(
+            candidates=list(candidates), terms=self.terms(**more), now=10.0
+        )
+        return None if found is None else found.registration.incarnation
+
+    def test_the_own_data_centre_goes_first_until_it_is_full(self):
+        here, there = backend("h"), backend("t", place="b")
+        assert self.choose(here, there) == "h"
+        here.open = 40
+        assert self.choose(here, there) == "t"
+
+    def test_a_prompt_goes_where_its_parts_are(self):
+        parts = (asks.Part(name="p", tokens=6000),)
+        one, two = (backend(n, weights={"m": 1}) for n in ("1", "2"))
+        two.note_parts("1", parts, 50000)
+        assert self.choose(one, two, parts=parts, model="m", newest=1) == "2"
+
+    def test_parts_of_another_namespace_do_not_count(self):
+        parts = (asks.Part(name="p", tokens=6000),)
+        one, two = (backend(n, weights={"m": 1}) for n in ("1", "2"))
+        two.note_parts("1.walled", parts, 50000)
+        two.open = 1
+        assert self.choose(one, two, parts=parts, model="m", newest=1) == "1"
+
+    def test_a_server_that_failed_is_left_alone_and_tried_again(self):
+        only = backend("o")
+        only.failed(10.0)
+        assert self.choose(only) is None
+        assert only.usable(10.0 + backends.FAILED_SECONDS)
+        for _ in range(9):
+            only.failed(20.0)
+        assert only.avoid_until <= 20.0 + backends.MOST_FAILED_SECONDS
+
+    def test_long_prompts_avoid_runners_that_are_slow_by_their_own_pace(self):
+        """Four chunks of a long prompt stretch a slow runner's pauses.
+
+        Streams there pause for over 250 ms and count as late.
+        """
+        slow, quick = backend("s", slots=48), backend("q", slots=48)
+        for _ in range(200):
+            slow.paused(0.052)
+            quick.paused(0.040)
+        quick.open = 8
+        assert self.choose(slow, quick, unshared=3000) == "q"
+        assert self.choose(slow, quick, unshared=600) == "s"
+
+
+class TestHomes:
+    """Who reads a shared part first."""
+
+    def test_all_routers_agree_on_who_reads_a_part_first(self):
+        part = asks.Part(name="p", tokens=2000)
+        runners = [backend(str(n)) for n in range(9)]
+        first = homes.home("3", part, runners)
+        assert homes.home("3", part, runners[::-1]) is first
+
+    def test_a_part_that_is_saved_or_rare_has_no_home(self):
+        known = homes.Homes()
+        parts = (asks.Part(name="p", tokens=2000),)
+        known.used(parts, 1.0)
+        assert known.unsaved("3", parts, 1.0) is None
+        known.used(parts, 2.0)
+        assert known.unsaved("3", parts, 2.0) is parts[0]
+        known.was_read("3", parts, 2.5)
+        assert known.unsaved("3", parts, 2.5 + homes.SAVE_SECONDS) is None
+        assert known.unsaved("4", parts, 3.0) is parts[0]
+
+
+class TestSuspects:
+    """Content that crashes servers."""
+
+    def test_content_in_two_dead_servers_is_barred_for_a_while(self):
+        known = suspects.Suspects()
+        for name, when in (("i", 1.0), ("j", 2.0)):
+            known.broke("c", name, when)
+            assert known.died(name, when + 0.5) == ["c"]
+        assert known.is_barred("c", 3.0)
+        assert not known.is_barred("d", 3.0)
+        assert not known.is_barred("c", 3.0 + suspects.MEMORY_SECONDS)
+
+    def test_a_broken_connection_to_a_server_that_lives_proves_nothing(self):
+        """Lost answers must not bar an innocent client's requests."""
+        known = suspects.Suspects()
+        for number in range(9):
+            known.broke("c", f"i{number}", 1.0)
+        assert not known.is_barred("c", 2.0)
+        assert not known.died("i1", 1.0 + suspects.DEATH_SECONDS + 0.1)
+
+    def test_a_whole_answer_proves_innocence(self):
+        known = suspects.Suspects()
+        known.crashed("c", "i", 1.0)
+        known.served("c")
+        known.crashed("c", "j", 2.0)
+        assert not known.is_barred("c", 3.0)
+
+
+class TestMirrors:
+    """Copies of the store's objects."""
+
+    def mirror(self):
+        seen = []
+        held = mirrors.Mirror(
+            kind="k",
+            take=lambda changed, removed: seen.append(
+                ([each.name for each in changed], removed)
+            ),
+        )
+        return held, seen
+
+    def stored(self, name, revision):
+        return registrations.Stored(name=name, revision=revision, value={})
+
+    def test_an_older_listing_of_another_router_changes_nothing(self):
+        held, seen = self.mirror()
+        listing = registrations.Listing
+        held.apply(listing(objects=[self.stored("a", 5)], revision=9))
+        held.apply(listing(objects=[], revision=8))
+        assert list(held.objects) == ["a"]
+        assert len(seen) == 1
+
+    def test_what_a_new_listing_lacks_is_gone(self):
+        held, seen = self.mirror()
+        listing = registrations.Listing
+        held.apply(listing(objects=[self.stored("a", 5)], revision=9))
+        held.apply(listing(objects=[self.stored("b", 10)], revision=10))
+        assert seen[-1] == (["b"], ["a"])
+
+    def test_changes_out_of_order_keep_the_newest(self):
+        held, seen = self.mirror()
+        change = registrations.Changes
+        held.apply(
+            change(changed=[self.stored("a", 9)], removed=[], revision=9)
+        )
+        held.apply(
+            change(changed=[self.stored("a", 7)], removed=[], revision=9)
+        )
+        assert held.objects["a"].revision == 9
+        assert seen[-1] == ([], [])
+
+
+class TestRoutes:
+    """Routes and splits."""
+
+    def test_the_longest_prefix_wins_and_hosts_are_apart(self):
+        def one(name, host, prefix):
+            return configurations.Route(
+                name=name,
+                host=host,
+                path_prefix=prefix,
+                kind=configurations.Kind.SAFE,
+                timeout_seconds=1,
+                objective_seconds=1,
+                urgency=0,
+                shares=(),
+                most_servers=1,
+                open=True,
+                by_prefix=False,
+                resumable=False,
+                gap_seconds=None,
+            )
+
+        built = configurations.build(
+            version=1,
+            routes=[
+                one("short", "h", "/a/"),
+                one("long", "h", "/a/b/"),
+                one("other", "i", "/a/b/c/"),
+            ],
+            organisations=None,
+            services=[],
+            limits=configurations.Limits(),
+        )
+        assert built.match("h", "/a/b/c/d").name == "long"
+        assert built.match("h", "/a/bc").name == "short"
+        assert built.match("h", "/b/") is None
+
+    def test_a_split_follows_its_weights_and_is_the_same_for_a_request(self):
+        shares = (
+            configurations.Share(service="x", weight=90),
+            configurations.Share(service="y", weight=10),
+        )
+        split = configurations.Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            kind=configurations.Kind.SAFE,
+            timeout_seconds=1,
+            objective_seconds=1,
+            urgency=0,
+            shares=shares,
+            most_servers=1,
+            open=True,
+            by_prefix=False,
+            resumable=False,
+            gap_seconds=None,
+        )
+        firsts = [
+            selections.service_of(split, f"q{number}")[0]
+            for number in range(2000)
+        ]
+        assert 0.86 < firsts.count("x") / 2000 < 0.94
+        assert selections.service_of(split, "q1") == selections.service_of(
+            split, "q1"
+        )
--- /dev/null
+++ b/pimentoledge/tests/test_router_path.py
@@ -0,0 +1,327 @@
+"""The router's whole path, before stand-ins of the platform."""
+
+import asyncio
+
+from pimentoledge.tests import router_world
+
+played = router_world.played
+stream_headers = router_world.stream_headers
+
+
+@played()
+async def test_a_call_gets_the_servers_own_answer_and_the_servers_headers(
+    world,
+):
+    got = await world.ask(
+        "/cards/1?x=2",
+        body=b"card",
+        headers={
+            "Tenant": "somebody",
+            "Cache-Salt": "mine",
+            "Kv-From": "1.2.3.4:5/x",
+            "Expect-Version": "7",
+            "X-Trace": "kept",
+        },
+    )
+    assert (got.status, got.body, got.whole) == (200, b"answer of card", True)
+    assert got.headers["server-stamp"] == "stand.in"
+    [call] = world.ran("plain")
+    assert (call.method, call.target, call.body) == (
+        "POST",
+        "/cards/1?x=2",
+        b"card",
+    )
+    assert call.headers["tenant"] == "acme"
+    assert call.headers["x-trace"] == "kept"
+    assert call.headers["expect-instance"] in world.servers
+    assert 0 < int(call.headers["deadline-ms"]) <= 2500
+    for name in ("authorization", "cache-salt", "kv-from", "expect-version"):
+        assert name not in call.headers
+
+
+@played()
+async def test_what_the_configuration_does_not_allow_is_refused(world):
+    cases = [
+        ("/nowhere/", {}, 404),
+        ("/cards/", {"key": None}, 401),
+        ("/cards/", {"key": "unknown"}, 401),
+        ("/cards/", {"body": b"x" * 20000}, 413),
+        ("/cards/", {"headers": {"X": "y" * 9000}}, 431),
+        ("/cards/", {"headers": {"Transfer-Encoding": "chunked"}}, 400),
+    ]
+    for path, more, status in cases:
+        got = await world.ask(path, **more)
+        assert got.status == status, (path, more)
+    assert not world.ran("plain")
+
+
+def test_a_router_without_a_configuration_promises_not_run():
+    """A client must hear "come back" from a router that knows nothing yet.
+
+    The router starts while the store is down; a 404 or 401 would be false.
+    """
+
+    async def play():
+        world = router_world.World()
+        world.store.start()
+        world.store.objects.down = True
+        try:
+            port = router_world.free_port()
+            await world.add_router("router", port, [port])
+            got = await world.ask("/cards/")
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            ready = await world.ask("/-/ready")
+            assert ready.status == 503
+        finally:
+            await world.close()
+
+    asyncio.run(play())
+
+
+@played()
+async def test_a_call_that_may_not_be_repeated_runs_once_though_unanswered(
+    world,
+):
+    """A job card whose answer is lost must not be posted a second time.
+
+    The server runs the call and its connection breaks; sent on to another
+    server, two mechanics would strip the same wheel.
+    """
+    for server in world.servers.values():
+        server.lose = 1
+    got = await world.ask("/cards/", body=b"card")
+    assert got.status == 502
+    assert len(world.ran("plain")) == 1
+
+
+@played()
+async def test_a_call_that_did_not_run_goes_elsewhere(world):
+    world.servers["p0"].refuse = 1
+    world.servers["p1"].refuse = 0
+    for _ in range(3):
+        got = await world.ask("/cards/", body=b"card")
+        assert got.status == 200
+    assert len(world.ran("plain")) == 3
+
+
+@played()
+async def test_when_nobody_runs_it_the_refusal_says_when_to_come_back(world):
+    for server in world.servers.values():
+        server.refuse = 9
+    got = await world.ask("/cards/", body=b"card")
+    assert got.status == 503
+    assert 0 < float(got.headers["retry-after"]) < 2
+    assert b"not_run" in got.body
+    assert not world.ran("plain")
+
+
+@played()
+async def test_a_repeatable_call_that_failed_is_tried_elsewhere(world):
+    for server in world.servers.values():
+        server.fail = 1
+    got = await world.ask("/notices/", method="GET")
+    assert got.status == 500  # Both failed, and two servers are allowed.
+    assert len(world.ran("plain")) == 2
+    got = await world.ask("/notices/", method="GET")
+    assert got.status == 200
+
+
+@played(plain=1)
+async def test_another_requests_late_answer_is_not_passed_on(world):
+    """An answer that belongs to another request must reach no client.
+
+    The server answers with another id: what comes is no answer to this one.
+    """
+    world.servers["p0"].misnumber = 1
+    got = await world.ask("/cards/", body=b"card")
+    assert got.status == 504 or got.status == 502
+    got = await world.ask("/cards/", body=b"next")
+    assert got.body == b"answer of next"
+
+
+@played()
+async def test_a_stream_is_passed_on_whole(world):
+    got = await world.ask("/drafts/", headers=stream_headers())
+    assert got.status == 200 and got.whole
+    assert [int(n) for n in _numbers(got.body)] == [1, 2, 3, 4, 5]
+    [call] = world.ran("runners")
+    assert call.headers["expect-version"] == "1"
+    assert call.headers["cache-salt"] == "1"
+    assert call.headers["kv-save"] == "127.0.0.1:9"
+    assert call.headers["request-priority"] == "2"
+
+
+@played()
+async def test_isolated_organisations_share_no_namespace(world):
+    await world.ask("/drafts/", key="key-of-walled", headers=stream_headers())
+    [call] = world.ran("runners")
+    assert call.headers["cache-salt"] == "1.walled"
+
+
+def _numbers(body):
+    return [
+        line[3:].strip()
+        for line in body.decode().split("\n")
+        if line.startswith("id:")
+    ]
+
+
+@played()
+async def test_a_stream_that_breaks_goes_on_elsewhere_without_a_gap(world):
+    """A client must get each event once though the runner dies in an event.
+
+    The first runner is cut within its fourth event; another goes on behind
+    the third, in the same answer.
+    """
+    for server in world.servers.values():
+        server.cut_after = 3 if server.service == "runners" else None
+    got = await world.ask("/lookups/", headers=stream_headers())
+    # The second runner is cut as well, after all its events but two.
+    assert _numbers(got.body)[:3] == ["1", "2", "3"]
+    assert got.status == 200
+    resumed = [
+        call.headers["last-event-id"]
+        for call in world.ran("runners")
+        if "last-event-id" in call.headers
+    ]
+    assert resumed == ["3"]
+
+
+@played()
+async def test_a_stream_that_may_not_be_resumed_never_looks_whole(world):
+    """A draft that breaks off must not look complete, nor run again."""
+    for server in world.servers.values():
+        server.cut_after = 3
+    got = await world.ask("/drafts/", headers=stream_headers())
+    assert not got.whole
+    assert _numbers(got.body) == ["1", "2", "3"]
+    assert len(world.ran("runners")) == 1
+
+
+@played(runners=1)
+async def test_a_client_that_leaves_stops_its_stream(world):
+    """A runner must not make tokens for a client that has gone."""
+    runner = world.servers["r0"]
+    runner.events, runner.event_seconds = 1000, 0.02
+    client = world.client()
+    await client.open()
+    client.send("/drafts/", headers=stream_headers())
+    await world.until(lambda: runner.at_work == 1)
+    client.close()
+    await world.until(lambda: runner.at_work == 0, seconds=1.0)
+
+
+@played(plain=1)
+async def test_a_posted_call_is_finished_though_its_client_left(world):
+    client = world.client()
+    await client.open()
+    client.send("/cards/", body=b"card")
+    await world.until(lambda: len(world.servers["p0"].calls) == 1)
+    client.close()
+    await world.until(lambda: world.servers["p0"].at_work == 0)
+    got = await world.ask("/cards/", body=b"next")
+    assert got.body == b"answer of next"
+
+
+@played()
+async def test_a_new_configuration_is_in_force_at_once(world):
+    first = router_world.configuration()
+    moved = router_world.configuration(
+        version=5,
+        routes=[router_world.route("new", service="plain", kind="safe")],
+        tenants=[{"name": "acme", "apiKeys": ["fresh"]}],
+    )
+    world.store.put("config", "main", moved)
+    [router] = world.routers
+    await world.until(lambda: router.believed.configuration.version == 5)
+    assert (await world.ask("/cards/")).status == 404
+    assert (await world.ask("/new/", method="GET")).status == 401
+    assert (await world.ask("/new/", method="GET", key="fresh")).status == 200
+    # An older one that comes late changes nothing.
+    world.store.put("config", "main", {**first, "version": 3})
+    await asyncio.sleep(0.2)
+    assert router.believed.configuration.version == 5
+
+
+@played()
+async def test_a_leaving_server_gets_no_new_work(world):
+    world.tell(world.servers["p0"], leaving=True)
+    [router] = world.routers
+    await world.until(
+        lambda: router.believed.servers.by_incarnation[
+            "p0"
+        ].registration.leaving
+    )
+    for _ in range(4):
+        assert (await world.ask("/cards/", body=b"c")).status == 200
+    assert not world.servers["p0"].calls
+
+
+@played(plain=2)
+async def test_a_dead_server_costs_no_call(world):
+    """A job card sent to a dead server goes to another: nothing was sent."""
+    world.servers["p0"].close()
+    for _ in range(4):
+        assert (await world.ask("/cards/", body=b"c")).status == 200
+
+
+@played(plain=1)
+async def test_another_server_at_the_address_runs_nothing(world):
+    """An address is used again by another server after a crash.
+
+    The router still believes in the first life; the server says that it is
+    another one, and the router leaves the first alone for good.
+    """
+    server = world.servers["p0"]
+    server.incarnation = "somebody-else"
+    got = await world.ask("/cards/", body=b"c")
+    assert got.status == 503
+    assert not world.ran("plain")
+
+
+@played(plain=1)
+async def test_leaving_router_finishes_what_it_read_and_takes_nothing_late(
+    world,
+):
+    """A call read before SIGTERM is answered; the balancer is told at once.
+
+    Later than the balancer needs, a new call is refused with "not run", so
+    that none is cut when the grace time ends.
+    """
+    [router] = world.routers
+    kept = world.client()
+    await kept.open()
+    assert (await kept.ask("/cards/", body=b"a")).status == 200
+    drain = asyncio.ensure_future(router.drain())
+    await asyncio.sleep(0.3)
+    assert (await world.ask("/-/ready")).status == 503
+    got = await world.ask("/cards/", body=b"b")
+    assert (got.status, got.headers["connection"]) == (200, "close")
+    assert (await kept.read()).status is None  # Closed while it was idle.
+    router.believed.refusing = True
+    got = await world.ask("/cards/", body=b"c")
+    assert got.status == 503
+    drain.cancel()
+
+
+@played(plain=1)
+async def test_requests_on_one_connection_are_answered_in_order(world):
+    client = world.client()
+    await client.open()
+    for body in (b"one", b"two", b"three"):
+        client.send("/cards/", body=body)
+    for body in (b"one", b"two", b"three"):
+        assert (await client.read()).body == b"answer of " + body
+    client.close()
+
+
+@played(plain=1)
+async def test_the_page_of_counters_counts_decisions(world):
+    await world.ask("/cards/", body=b"c")
+    [router] = world.routers
+    client = router_world.Client(router.chosen.text("metrics-listen"))
+    await client.open()
+    got = await client.ask("/metrics", method="GET")
+    client.close()
+    assert b'kind="answered",outcome=""' in got.body
--- /dev/null
+++ b/pimentoledge/tests/test_router_peers.py
@@ -0,0 +1,134 @@
+"""Several routers: what they tell each other, and who gives orders."""
+
+import asyncio
+
+from pimentoledge.routing import clocks
+from pimentoledge.tests import router_world
+
+played = router_world.played
+MODEL = router_world.MODEL
+
+
+def _hear(*routers):
+    """Returns whether all routers hear each other."""
+    now = clocks.now()
+    return all(
+        len(each.peers.present(now)) == len(routers) - 1 for each in routers
+    )
+
+
+def _cut_from_store(router):
+    """Lets a router reach the store no more."""
+    for each in router.watchers:
+        each.close()
+        each.reached = False
+
+
+@played(routers=2, runners=5)
+async def test_new_weights_reach_each_runner_by_one_holder(world):
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    runners = [
+        each for each in world.servers.values() if each.service == "runners"
+    ]
+    await world.until(
+        lambda: all(each.weights[MODEL] == 2 for each in runners), seconds=9
+    )
+    orders = [order for each in runners for order in each.orders]
+    assert len(orders) == len(runners)
+    assert len({order["holder"] for order in orders}) == 1
+    assert len({order["fence"] for order in orders}) == 1
+    assert all(order["version"] == 2 for order in orders)
+
+
+@played(routers=1, runners=1)
+async def test_an_order_that_comes_late_cannot_bring_old_weights_back(world):
+    """Requests must not fall back to old weights seconds after a rollout.
+
+    A runner takes an order for version 2 without an answer; the next one,
+    for the same count of orders, replaces it, and the late one then finds
+    another count.
+    """
+    runner = world.servers["r0"]
+    runner.silent_orders = 1
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: runner.weights[MODEL] == 2, seconds=9)
+    first, second = runner.orders[:2]
+    assert first["precondition"] == second["precondition"] == 0
+    assert runner.taken == 1
+
+
+@played(routers=2)
+async def test_a_router_cut_from_the_store_hears_of_changes(world):
+    """A revoked key must stop working at a router that the store turns away.
+
+    The store answers one router only; the other learns of the configuration,
+    the weights and the servers from it.
+    """
+    first, second = world.routers
+    await world.until(lambda: _hear(first, second))
+    _cut_from_store(second)
+    world.store.put(
+        "config", "main", router_world.configuration(version=9, tenants=[])
+    )
+    world.tell(world.servers["p0"], leaving=True)
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: second.believed.configuration.version == 9)
+    await world.until(lambda: second.believed.wanted[MODEL].version == 2)
+    await world.until(
+        lambda: second.believed.servers.by_incarnation[
+            "p0"
+        ].registration.leaving
+    )
+    assert (await world.ask("/cards/", 1, body=b"c")).status == 401
+
+
+@played(routers=2)
+async def test_a_restarted_router_takes_the_age_of_weights_from_others(world):
+    """A router that has just started must not take old news for new.
+
+    It would send requests to runners with old weights for as long again.
+    """
+    first, second = world.routers
+    first.believed.wanted[MODEL].since -= 100
+    second.believed.wanted[MODEL].since += 1
+    await world.until(
+        lambda: second.believed.wanted[MODEL].since
+        < first.believed.wanted[MODEL].since + 1
+    )
+
+
+@played(routers=2)
+async def test_content_that_killed_servers_is_refused_by_all_routers(world):
+    """A request that crashes its server comes again through other routers.
+
+    After two dead servers no router sends it to a third; other content is
+    served.
+    """
+    first, second = world.routers
+    await world.until(lambda: _hear(first, second))
+    for incarnation in ("p0", "p1"):
+        server = world.servers[incarnation]
+        other = world.servers["p1" if incarnation == "p0" else "p0"]
+        other_entry = other.incarnation
+        world.tell(other, leaving=True)
+        await world.until(
+            lambda name=other_entry: first.believed.servers.by_incarnation[
+                name
+            ].registration.leaving
+        )
+        server.lose = 1
+        assert (await world.ask("/cards/", body=b"bad")).status == 502
+        first.believed.servers.by_incarnation[incarnation].avoid_until = 0.0
+        first.peers.server_died(incarnation)
+        world.tell(other)
+        await world.until(
+            lambda name=other_entry: not first.believed.servers.by_incarnation[
+                name
+            ].registration.leaving
+        )
+    await asyncio.sleep(0.2)
+    for number in (0, 1):
+        got = await world.ask("/cards/", number, body=b"bad")
+        assert (number, got.status) == (number, 503)
+        got = await world.ask("/cards/", number, body=b"good")
+        assert got.status == 200
