Let runs that may run once go on from a copy; ask runners that refuse

Change: such runs send their memory to a second runner as it grows and go on there if the first takes no connection; a runner that refuses with room left is asked for its report and left alone meanwhile; nine tenths instead of three quarters of the budget of repeats are used.

--- a/pimentoledge/routing/budgets.py
+++ b/pimentoledge/routing/budgets.py
@@ -4,7 +4,7 @@
 
 # Part of the common allowance that is used: other entries may believe in
 # fewer members than there are, and windows slide.
-PRUDENCE = 0.75
+PRUDENCE = 0.9
 
 
 class Budget:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -25,6 +25,7 @@
 from pimentoledge.routing import mirrors
 from pimentoledge.routing import pages
 from pimentoledge.routing import peers
+from pimentoledge.routing import rechecks
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import watchers
@@ -106,12 +107,14 @@
             lines=self.lines,
             loading=self._loading,
         )
+        runners = orders.Runners(caller=self.caller, holder=holder)
+        self.rechecks = rechecks.Rechecks(runners=runners, lines=self.lines)
         self.holder = holders.Holder(
             believed=self.believed,
             lease=self.lease,
             rollout=rollouts.Rollout(believed=self.believed),
             store=self.store,
-            runners=orders.Runners(caller=self.caller, holder=holder),
+            runners=runners,
             peers=self.peers,
             lines=self.lines,
         )
@@ -223,6 +226,7 @@
             pool=self.pool,
             lines=self.lines,
             died=self._died,
+            doubt=self.rechecks.doubt,
         )
 
     async def run(self) -> None:
@@ -267,6 +271,7 @@
         for each in self._servers:
             each.close()
         self.holder.close()
+        self.rechecks.close()
         for each in self.watchers:
             each.close()
         self.peers.close()
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -17,6 +17,7 @@
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import own_answers
+from pimentoledge.routing import placements
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import suspects
@@ -64,6 +65,7 @@
         pool: connections to servers.
         lines: where decisions are written.
         died: called with a server that was found dead.
+        doubt: called with a server that is not as it was believed to be.
         content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
@@ -83,9 +85,11 @@
         pool: server_connections.Pool,
         lines: log_lines.Lines,
         died: Callable[[str], None],
+        doubt: Callable[[backends.Backend], None],
     ):
         self.decoded = decoded
         self.died = died
+        self.doubt = doubt
         self.client = client
         self.believed = believed
         self.pool = pool
@@ -102,6 +106,8 @@
         self._event_at = 0.0
         self._ends_at = 0.0
         self._task: asyncio.Task | None = None
+        self._backup: backends.Backend | None = None
+        self._backup_weights: int | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
     def start(self) -> None:
@@ -209,6 +215,9 @@
                     outcome=broken.outcome,
                     reason=broken.reason,
                 )
+                broke = broken.outcome is verdicts.Outcome.BROKE
+                if broke and await self._goes_on_from_copy(backend):
+                    return
             if not verdicts.may_go_on(self.history, self.route):
                 self._give_up(verdicts.final_code(self.history))
                 return
@@ -249,7 +258,73 @@
                 return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
-    async def _attempt(self, backend: backends.Backend) -> bool:
+    def _dispatch(
+        self, backend: backends.Backend, *, copy: bool
+    ) -> asks.Dispatch:
+        """Returns what goes to a server besides the request."""
+        now = clocks.now()
+        found = selections.dispatch(
+            believed=self.believed,
+            ask=self.ask,
+            route=self.route,
+            organisation=self.organisation,
+            backend=backend,
+            resume_after=self.last_event,
+            seconds_left=self._ends_at - now,
+            now=now,
+        )
+        if copy:
+            found.copy_at = backend.registration.address
+            found.weights = self._backup_weights
+            return found
+        if self.route.kind is not configurations.Kind.STREAM:
+            return found
+        self._backup = selections.choose_backup(
+            believed=self.believed,
+            ask=self.ask,
+            route=self.route,
+            backend=backend,
+            now=now,
+        )
+        if self._backup is not None:
+            found.back_up_to = self._backup.registration.address
+            self._backup_weights = found.weights
+        return found
+
+    async def _goes_on_from_copy(self, first: backends.Backend) -> bool:
+        """Lets a run whose server died go on where its memory was copied to.
+
+        Such a run counts as the same one, so also what may run only once may
+        go on. It must not run at two servers: that the first is dead is shown
+        by its refusing, or not answering, a new connection. A server that
+        answers may be at work on it still.
+
+        Returns whether the request is answered.
+        """
+        backup, self._backup = self._backup, None
+        if backup is None or backup.over or not backup.usable(clocks.now()):
+            return False
+        if await self.pool.answers(first.registration.address):
+            return False
+        self.died(first.registration.incarnation)
+        budget = self.believed.budget(first.registration.service)
+        if not budget.take(clocks.now(), self.believed.members):
+            return False
+        self._log(
+            "goes_on_from_copy",
+            server=backup.registration.incarnation,
+            first=first.registration.incarnation,
+            last=self.last_event,
+        )
+        try:
+            return await self._attempt(backup, copy=True)
+        except BrokenError as broken:
+            self._log("copy_failed", reason=broken.reason)
+            return False
+
+    async def _attempt(
+        self, backend: backends.Backend, *, copy: bool = False
+    ) -> bool:
         """Sends the request to a server; returns whether it is answered.
 
         Raises BrokenError where the attempt gave no answer to pass on.
@@ -261,16 +336,7 @@
             backend.failed(clocks.now())
             self.died(backend.registration.incarnation)
             raise BrokenError(verdicts.Outcome.UNSENT, str(error)) from error
-        dispatch = selections.dispatch(
-            believed=self.believed,
-            ask=self.ask,
-            route=self.route,
-            organisation=self.organisation,
-            backend=backend,
-            resume_after=self.last_event,
-            seconds_left=self._ends_at - clocks.now(),
-            now=clocks.now(),
-        )
+        dispatch = self._dispatch(backend, copy=copy)
         held = self.ask.prompt_tokens + self.ask.answer_tokens
         work = _Work(backend=backend, held=held, dispatch=dispatch)
         work.begin(self._uncached(backend, dispatch))
@@ -372,9 +438,10 @@
         """Passes a whole answer on, or raises BrokenError."""
         now = clocks.now()
         if answer.not_run:
-            backend.was_full(now)
+            self._refused_by(backend, answer, now)
             raise BrokenError(
-                verdicts.Outcome.NOT_RUN, f"{answer.status}: not run"
+                verdicts.Outcome.NOT_RUN,
+                f"{answer.status}: not run, load {_load_text(answer.load)}",
             )
         if answer.status in own_answers.PROMISES or answer.encoded:
             # It bears no "not run", so passing on a status that promises as
@@ -397,6 +464,18 @@
         )
         return True
 
+    def _refused_by(
+        self, backend: backends.Backend, answer: asks.Answer, now: float
+    ) -> None:
+        """Takes a server's word that it did not run the request."""
+        backend.was_full(now)
+        load = answer.load
+        full = load is not None and load.running + load.waiting >= load.slots
+        weights = placements.weights_of(backend, self.ask.model)
+        if weights is not None and not full and not backend.over:
+            # It loads weights, or has others than believed.
+            self.doubt(backend)
+
     def _would_retry(self) -> bool:
         more = len(self.history.ran_on) + 1 < self.route.most_servers
         return self.route.kind is configurations.Kind.SAFE and more
@@ -529,6 +608,12 @@
         self.lines.write(message, **fields)
 
 
+def _load_text(load: asks.Load | None) -> str:
+    if load is None:
+        return "unknown"
+    return f"{load.running}+{load.waiting} of {load.slots}"
+
+
 def _ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
 
--- /dev/null
+++ b/pimentoledge/routing/rechecks.py
@@ -0,0 +1,74 @@
+"""Asks a runner what it has, when an answer showed that beliefs are wrong."""
+
+import asyncio
+
+import attrs
+
+from pimentoledge.platform import orders
+from pimentoledge.routing import backends
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import registrations
+
+# No work is sent there while the question is under way.
+ASK_SECONDS = 0.3
+# A runner that loads is asked again by the next request that meets it.
+LOADING_SECONDS = 0.4
+
+
+class Rechecks:
+    """Questions to runners, at most one at a time for each.
+
+    Attributes:
+        runners: makes the calls.
+        lines: where changes of belief are written.
+        asking: servers that are being asked, by incarnation.
+    """
+
+    def __init__(self, *, runners: orders.Runners, lines: log_lines.Lines):
+        self.runners = runners
+        self.lines = lines
+        self.asking: dict[str, asyncio.Task] = {}
+
+    def close(self) -> None:
+        """Gives up all questions."""
+        for each in self.asking.values():
+            each.cancel()
+
+    def doubt(self, backend: backends.Backend) -> None:
+        """Leaves a runner alone until it has said which weights it has.
+
+        The store tells of changed weights late, or not at all where it turns
+        this router away: each request would be refused by the same runner
+        again, and each refusal counts against the budget of repeats.
+        """
+        incarnation = backend.registration.incarnation
+        now = clocks.now()
+        backend.loading_until = max(backend.loading_until, now + ASK_SECONDS)
+        if incarnation in self.asking:
+            return
+        task = asyncio.get_running_loop().create_task(self._ask(backend))
+        self.asking[incarnation] = task
+        task.add_done_callback(lambda _: self.asking.pop(incarnation, None))
+
+    async def _ask(self, backend: backends.Backend) -> None:
+        found = await self.runners.report(backend.registration)
+        if isinstance(found, registrations.Unavailable):
+            return
+        if found.loading:
+            backend.loading_until = clocks.now() + LOADING_SECONDS
+            return
+        before = backend.registration.weights
+        backend.loading_until = 0.0
+        if before == found.weights:
+            return
+        backend.registration = attrs.evolve(
+            backend.registration, weights=found.weights
+        )
+        backend.forget_parts()
+        self.lines.write(
+            "server_reported",
+            server=backend.registration.incarnation,
+            weights=found.weights,
+            before=before,
+        )
