--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -106,7 +106,6 @@
         or entry.get("kvCapacityTokens"),
         cache_address=entry.get("kvStore"),
         data_centre=entry.get("zone"),
-        backs_up=bool(engine.get("backups")),
     )
 
 
--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -113,16 +113,13 @@
     """Returns a client's request as it goes to a server."""
     lines = [b"%b %b HTTP/1.1" % (ask.method, ask.target)]
     lines += [b"%b: %b" % pair for pair in ask.passed_on]
-    lines += [b"%b: %b" % pair for pair in _system_headers(ask, dispatch)]
+    lines += [b"%b: %b" % pair for pair in _system_headers(dispatch)]
     if ask.body or ask.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(ask.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + ask.body
 
 
-def _system_headers(
-    ask: asks.Ask, dispatch: asks.Dispatch
-) -> list[tuple[bytes, bytes]]:
-    copy = dispatch.copy_at
+def _system_headers(dispatch: asks.Dispatch) -> list[tuple[bytes, bytes]]:
     milliseconds = max(1, int(dispatch.seconds_left * 1000))
     pairs: list[tuple[bytes, object]] = [
         (names.DEADLINE, milliseconds),
@@ -134,8 +131,6 @@
         (names.FETCH, dispatch.fetch_from),
         (names.SAVE, dispatch.save_to),
         (names.LAST_EVENT, dispatch.resume_after),
-        (names.BACKUP, dispatch.back_up_to),
-        (names.FROM_COPY, copy and f"{copy}/{ask.request}"),
     ]
     return [
         (name, str(value).encode("latin-1"))
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -69,10 +69,6 @@
         fetch_from: address of a server that may hold parts, or None.
         save_to: address of the KV cache server that keeps parts, or None.
         resume_after: number of the last event already passed on, or None.
-        back_up_to: address of a server that keeps a copy of the run's memory
-            as it grows, or None.
-        copy_at: address of the server that has such a copy, or None; the run
-            goes on there.
     """
 
     incarnation: str
@@ -84,8 +80,6 @@
     fetch_from: str | None = None
     save_to: str | None = None
     resume_after: int | None = None
-    back_up_to: str | None = None
-    copy_at: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -89,8 +89,6 @@
         cache_tokens: an engine's or KV cache server's memory, or None.
         cache_address: address of a KV cache server, or None.
         data_centre: where a KV cache server stands, or None.
-        backs_up: whether its engines send a run's memory to another one as
-            it grows.
     """
 
     name: str
@@ -100,7 +98,6 @@
     cache_tokens: int | None
     cache_address: str | None
     data_centre: str | None
-    backs_up: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -106,8 +106,6 @@
         self._event_at = 0.0
         self._ends_at = 0.0
         self._task: asyncio.Task | None = None
-        self._backup: backends.Backend | None = None
-        self._backup_weights: int | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
     def start(self) -> None:
@@ -215,9 +213,6 @@
                     outcome=broken.outcome,
                     reason=broken.reason,
                 )
-                broke = broken.outcome is verdicts.Outcome.BROKE
-                if broke and await self._goes_on_from_copy(backend):
-                    return
             if not verdicts.may_go_on(self.history, self.route):
                 self._give_up(verdicts.final_code(self.history))
                 return
@@ -258,73 +253,7 @@
                 return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
-    def _dispatch(
-        self, backend: backends.Backend, *, copy: bool
-    ) -> asks.Dispatch:
-        """Returns what goes to a server besides the request."""
-        now = clocks.now()
-        found = selections.dispatch(
-            believed=self.believed,
-            ask=self.ask,
-            route=self.route,
-            organisation=self.organisation,
-            backend=backend,
-            resume_after=self.last_event,
-            seconds_left=self._ends_at - now,
-            now=now,
-        )
-        if copy:
-            found.copy_at = backend.registration.address
-            found.weights = self._backup_weights
-            return found
-        if self.route.kind is not configurations.Kind.STREAM:
-            return found
-        self._backup = selections.choose_backup(
-            believed=self.believed,
-            ask=self.ask,
-            route=self.route,
-            backend=backend,
-            now=now,
-        )
-        if self._backup is not None:
-            found.back_up_to = self._backup.registration.address
-            self._backup_weights = found.weights
-        return found
-
-    async def _goes_on_from_copy(self, first: backends.Backend) -> bool:
-        """Lets a run whose server died go on where its memory was copied to.
-
-        Such a run counts as the same one, so also what may run only once may
-        go on. It must not run at two servers: that the first is dead is shown
-        by its refusing, or not answering, a new connection. A server that
-        answers may be at work on it still.
-
-        Returns whether the request is answered.
-        """
-        backup, self._backup = self._backup, None
-        if backup is None or backup.over or not backup.usable(clocks.now()):
-            return False
-        if await self.pool.answers(first.registration.address):
-            return False
-        self.died(first.registration.incarnation)
-        budget = self.believed.budget(first.registration.service)
-        if not budget.take(clocks.now(), self.believed.members):
-            return False
-        self._log(
-            "goes_on_from_copy",
-            server=backup.registration.incarnation,
-            first=first.registration.incarnation,
-            last=self.last_event,
-        )
-        try:
-            return await self._attempt(backup, copy=True)
-        except BrokenError as broken:
-            self._log("copy_failed", reason=broken.reason)
-            return False
-
-    async def _attempt(
-        self, backend: backends.Backend, *, copy: bool = False
-    ) -> bool:
+    async def _attempt(self, backend: backends.Backend) -> bool:
         """Sends the request to a server; returns whether it is answered.
 
         Raises BrokenError where the attempt gave no answer to pass on.
@@ -336,7 +265,17 @@
             backend.failed(clocks.now())
             self.died(backend.registration.incarnation)
             raise BrokenError(verdicts.Outcome.UNSENT, str(error)) from error
-        dispatch = self._dispatch(backend, copy=copy)
+        now = clocks.now()
+        dispatch = selections.dispatch(
+            believed=self.believed,
+            ask=self.ask,
+            route=self.route,
+            organisation=self.organisation,
+            backend=backend,
+            resume_after=self.last_event,
+            seconds_left=self._ends_at - now,
+            now=now,
+        )
         held = self.ask.prompt_tokens + self.ask.answer_tokens
         work = _Work(backend=backend, held=held, dispatch=dispatch)
         work.begin(self._uncached(backend, dispatch))
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -213,37 +213,6 @@
     return servers[0].cache_address if servers else None
 
 
-def choose_backup(
-    *,
-    believed: beliefs.Beliefs,
-    ask: asks.Ask,
-    route: configurations.Route,
-    backend: backends.Backend,
-    now: float,
-) -> backends.Backend | None:
-    """Returns the server that keeps a copy of a run's memory, or None.
-
-    Only runs that could not go on elsewhere otherwise are backed up: a copy
-    of 900 tokens costs a fiftieth of what a broken stream loses.
-    """
-    service = believed.configuration.services.get(backend.registration.service)
-    if route.resumable or service is None or not service.backs_up:
-        return None
-    version = placements.weights_of(backend, ask.model)
-    same = [
-        each
-        for each in believed.servers.of_service(service.name)
-        if each is not backend
-        and placements.weights_of(each, ask.model) == version
-    ]
-    terms = placements.Terms(
-        data_centre=backend.registration.data_centre,
-        held=ask.prompt_tokens + ask.answer_tokens,
-        cache_tokens=service.cache_tokens,
-    )
-    return placements.choose(candidates=same, terms=terms, now=now)
-
-
 def note_sent(
     believed: beliefs.Beliefs,
     ask: asks.Ask,
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -21,8 +21,6 @@
 # Servers are a few ms away; an opening packet that is lost comes again after
 # a second, so waiting longer than this gains nothing over another server.
 CONNECT_SECONDS = 0.6
-# A connection that carried nothing yet may be used this long.
-FRESH_SECONDS = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -242,15 +240,6 @@
             raise CannotConnectError(f"{address}: {error!r}") from error
         return connection
 
-    async def answers(self, address: str) -> bool:
-        """Returns whether a server takes a new connection now."""
-        try:
-            connection = await self._open(address, CONNECT_SECONDS)
-        except CannotConnectError:
-            return False
-        self.release(connection, idle_seconds=FRESH_SECONDS)
-        return True
-
     def release(
         self, connection: ServerConnection, *, idle_seconds: float
     ) -> None:
