Start routers by the command line, and test the adapter

Cause: the router ran only through the deployment's settings, and nothing checked that the platform's names stay in the adapter.

--- a/pimentoledge/__main__.py
+++ b/pimentoledge/__main__.py
@@ -10,7 +10,12 @@
 _PACKAGE = "pimentoledge.commands."
 # A daemon must not carry the modules of the other programs: an entry with
 # those of the agent, the fakes and the demo held several megabytes more.
-_ALONE = {"entry": "entries", "agent": "agents", "fake": "fakes"}
+_ALONE = {
+    "entry": "entries",
+    "agent": "agents",
+    "fake": "fakes",
+    "router": "routers",
+}
 _OTHERS = ("administration", "demo", "shown_settings")
 
 
--- a/pimentoledge/commands/fakes.py
+++ b/pimentoledge/commands/fakes.py
@@ -7,6 +7,7 @@
 from cleo.helpers import argument
 from cleo.helpers import option
 
+from pimentoledge.platform import stand_in_platforms
 from pimentoledge.runners import fake_engines
 from pimentoledge.runners import fake_servers as engine_servers
 from pimentoledge.services import fake_services
@@ -17,6 +18,7 @@
     object_servers.ObjectServer
     | engine_servers.EngineServer
     | fake_services.ServiceServer
+    | stand_in_platforms.StandInPlatform
 )
 
 
@@ -24,9 +26,11 @@
     """Runs a fake until it is told to end; prints its URL first."""
 
     name = "fake"
-    description = "Runs a fake object API, engine or plain service"
+    description = "Runs a fake object API, engine, service or platform"
     hidden = True
-    arguments = [argument("what", description="store, engine or service")]
+    arguments = [
+        argument("what", description="store, engine, service or platform")
+    ]
     options = [
         option("port", description="port on loopback", flag=False, default="0"),
         option("name", description="name", flag=False, default="engine"),
@@ -47,10 +51,14 @@
             signal.signal(number, lambda *_: told.set())
         server = self.server()
         if server is None:
-            self.line_error("what to run: store, engine or service")
+            self.line_error("what to run: store, engine, service or platform")
             return 2
         server.start()
-        self.line(server.url)
+        match server:
+            case stand_in_platforms.StandInPlatform():
+                self.line(server.store.address)
+            case _:
+                self.line(server.url)
         told.wait()
         server.close()
         return 0
@@ -71,6 +79,8 @@
                     step_seconds=float(self.option("step-seconds")),
                 )
                 return engine_servers.EngineServer(engine=engine, port=port)
+            case "platform":
+                return stand_in_platforms.StandInPlatform(port=port)
             case "service":
                 service = fake_services.FakeService()
                 return fake_services.ServiceServer(service=service, port=port)
--- /dev/null
+++ b/pimentoledge/platform/stand_in_platforms.py
@@ -0,0 +1,149 @@
+"""A whole platform as a stand-in: store, servers and a configuration."""
+
+from pimentoledge.platform import names
+from pimentoledge.platform import stand_in_servers
+from pimentoledge.platform import stand_in_stores
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+WALLED_KEY = "key-of-walled"
+MODEL = "m"
+
+
+def route(name: str, *, service: str, kind: str, **more: object) -> dict:
+    """Returns a route as the operator writes it.
+
+    Args:
+        name: its name; the path prefix as well.
+        service: where it goes.
+        kind: what may be repeated.
+        **more: fields that differ from the usual.
+    """
+    found = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": kind == "stream",
+        "resumable": False,
+    }
+    found.update(more)
+    return found
+
+
+def configuration(
+    version: int = 1,
+    routes: list[dict] | None = None,
+    kept: str = "127.0.0.1:9",
+    **more: object,
+) -> dict:
+    """Returns a configuration as the operator writes it.
+
+    Args:
+        version: its version.
+        routes: other routes than the usual four.
+        kept: address of the KV cache server.
+        **more: fields that differ from the usual.
+    """
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route("cards", service="plain", kind="unsafe", maxAttempts=1),
+            route("notices", service="plain", kind="safe"),
+            route("lookups", service="runners", kind="stream", resumable=True),
+            route("drafts", service="runners", kind="stream", maxAttempts=1),
+        ],
+        "services": [
+            {"name": "plain", "maxConns": 50},
+            {
+                "name": "runners",
+                "maxConns": 50,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacityTokens": 70000,
+                    "models": [{"name": MODEL}],
+                },
+            },
+            {"name": "kept", "kvStore": kept, "zone": "a"},
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "acme", "apiKeys": [KEY], "priority": 2},
+            {"name": "walled", "apiKeys": [WALLED_KEY], "isolated": True},
+        ],
+        **more,
+    }
+
+
+class StandInPlatform:
+    """A store, a KV cache server and backend servers.
+
+    Attributes:
+        store: the stand-in of the store.
+        kept: the stand-in of the KV cache server.
+        servers: the stand-ins of backend servers, by incarnation.
+    """
+
+    def __init__(self, *, port: int = 0):
+        self.store = stand_in_stores.StandInStore(port=port)
+        self.kept = stand_in_servers.StandInServer(
+            incarnation="kept", service="kept"
+        )
+        self.servers: dict[str, stand_in_servers.StandInServer] = {}
+
+    def start(self, *, plain: int = 2, runners: int = 2) -> None:
+        """Listens, and writes what a router needs into the store."""
+        self.store.start()
+        self.kept.start()
+        first = configuration(kept=self.kept.address)
+        self.store.put(names.CONFIGURATIONS, names.CONFIGURATION, first)
+        weights = {"model": MODEL, "version": 1}
+        self.store.put(names.WEIGHTS_NAMED, MODEL, weights)
+        for number in range(plain):
+            self.add_server(f"p{number}", service="plain")
+        for number in range(runners):
+            self.add_server(f"r{number}", service="runners", weights={MODEL: 1})
+
+    def close(self) -> None:
+        """Stops everything."""
+        self.store.close()
+        self.kept.close()
+        for each in self.servers.values():
+            each.close()
+
+    def add_server(
+        self,
+        incarnation: str,
+        *,
+        service: str,
+        weights: dict[str, int] | None = None,
+    ) -> stand_in_servers.StandInServer:
+        """Starts a backend server, which registers itself."""
+        server = stand_in_servers.StandInServer(
+            incarnation=incarnation, service=service, weights=weights
+        )
+        server.start()
+        server.on_loaded = lambda: self.tell(server)
+        self.servers[incarnation] = server
+        self.tell(server)
+        return server
+
+    def tell(
+        self, server: stand_in_servers.StandInServer, *, leaving: bool = False
+    ) -> None:
+        """Writes a server's entry into the store."""
+        self.store.put(
+            names.SERVERS, server.incarnation, server.entry(leaving=leaving)
+        )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -45,6 +45,7 @@
 # Settings may change without a signal.
 LOOK_SECONDS = 1.0
 BAD_SETTING_EXIT = 2
+CONFIG_VARIABLE = settings.ENVIRONMENT_PREFIX + "CONFIG"
 
 
 class Router:
@@ -192,7 +193,7 @@
 
     def _reload(self) -> None:
         """Takes changed settings; what is bound at the start stays."""
-        match read_settings(dict(os.environ)):
+        match read_settings(dict(os.environ), flags=self.chosen.flags()):
             case result.Failure(error):
                 self.lines.write("reload_refused", why=error.text)
                 return
@@ -337,14 +338,16 @@
 
 
 def read_settings(
-    environment: dict[str, str],
+    environment: dict[str, str], *, flags: dict[str, str] | None = None
 ) -> result.Result[settings.Settings, results.Error]:
     """Returns the router's settings, checked.
 
     Args:
         environment: names the settings file, and may set others.
+        flags: settings of the command line.
     """
-    path = environment.get(settings.ENVIRONMENT_PREFIX + "CONFIG")
+    flags = flags or {}
+    path = flags.get("config") or environment.get(CONFIG_VARIABLE)
     file: dict[str, str] = {}
     if path:
         match settings.read_file(path):
@@ -353,7 +356,10 @@
             case result.Success(found):
                 file = found
     return settings.check(
-        program=settings.ROUTER, flags={}, environment=environment, file=file
+        program=settings.ROUTER,
+        flags=flags,
+        environment=environment,
+        file=file,
     )
 
 
@@ -365,6 +371,11 @@
             return BAD_SETTING_EXIT
         case result.Success(chosen):
             pass
+    return run(chosen)
+
+
+def run(chosen: settings.Settings) -> int:
+    """Runs a router until it is told to end; returns its status."""
     handler = log_lines.to_standard_output()
     with handler.applicationbound():
         asyncio.run(Router(chosen=chosen).run())
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -397,6 +397,14 @@
     def __init__(self, *, values: dict[str, Value]):
         self.values = values
 
+    def flags(self) -> dict[str, str]:
+        """Returns the values that came from the command line."""
+        return {
+            name: each.text
+            for name, each in self.values.items()
+            if each.source == "flag"
+        }
+
     def text(self, name: str) -> str:
         """Returns a setting's value as text."""
         return self.values[name].text
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -8,13 +8,14 @@
 from returns import result
 
 from pimentoledge import settings
-from pimentoledge.platform import stand_in_servers
-from pimentoledge.platform import stand_in_stores
+from pimentoledge.platform import stand_in_platforms
 from pimentoledge.routing import daemons
 
-HOST = "shop.example"
-KEY = "key-of-acme"
-MODEL = "m"
+HOST = stand_in_platforms.HOST
+KEY = stand_in_platforms.KEY
+MODEL = stand_in_platforms.MODEL
+route = stand_in_platforms.route
+configuration = stand_in_platforms.configuration
 
 
 def free_port():
@@ -22,62 +23,6 @@
         return listener.getsockname()[1]
 
 
-def route(name, *, service, kind, **more):
-    found = {
-        "name": name,
-        "host": HOST,
-        "pathPrefix": f"/{name}/",
-        "kind": kind,
-        "timeoutMs": 3000,
-        "targetLatencyMs": 500,
-        "priority": 1,
-        "service": service,
-        "maxAttempts": 2,
-        "public": False,
-        "sticky": kind == "stream",
-        "resumable": False,
-    }
-    found.update(more)
-    return found
-
-
-def configuration(version=1, routes=None, kept="127.0.0.1:9", **more):
-    return {
-        "version": version,
-        "routes": routes
-        or [
-            route("cards", service="plain", kind="unsafe", maxAttempts=1),
-            route("notices", service="plain", kind="safe"),
-            route("lookups", service="runners", kind="stream", resumable=True),
-            route("drafts", service="runners", kind="stream", maxAttempts=1),
-        ],
-        "services": [
-            {"name": "plain", "maxConns": 50},
-            {
-                "name": "runners",
-                "maxConns": 50,
-                "engine": {
-                    "slots": 8,
-                    "kvCapacityTokens": 70000,
-                    "models": [{"name": MODEL}],
-                },
-            },
-            {"name": "kept", "kvStore": kept, "zone": "a"},
-        ],
-        "limits": {
-            "maxHeaderBytes": 4096,
-            "maxBodyBytes": 10000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [
-            {"name": "acme", "apiKeys": [KEY], "priority": 2},
-            {"name": "walled", "apiKeys": ["key-of-walled"], "isolated": True},
-        ],
-        **more,
-    }
-
-
 class World:
     """A store, servers and routers.
 
@@ -89,25 +34,16 @@
     """
 
     def __init__(self):
-        self.store = stand_in_stores.StandInStore()
-        self.servers = {}
+        self.platform = stand_in_platforms.StandInPlatform()
+        self.store = self.platform.store
+        self.servers = self.platform.servers
+        self.kept = self.platform.kept
+        self.tell = self.platform.tell
         self.routers = []
-        self.kept = None
         self._tasks = []
 
     async def start(self, *, routers=1, plain=2, runners=2):
-        self.store.start()
-        kept = self.add_server("kept", service="kept")
-        self.store.remove("servers", "kept")  # It stands on no list.
-        del self.servers["kept"]
-        self.kept = kept
-        first = configuration(kept=kept.address)
-        self.store.put("config", "main", first)
-        self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
-        for number in range(plain):
-            self.add_server(f"p{number}", service="plain")
-        for number in range(runners):
-            self.add_server(f"r{number}", service="runners", weights={MODEL: 1})
+        self.platform.start(plain=plain, runners=runners)
         ports = [free_port() for _ in range(routers)]
         for number in range(routers):
             await self.add_router(f"router-{number}", ports[number], ports)
@@ -123,18 +59,6 @@
             for each in self.routers
         )
 
-    def add_server(self, incarnation, **more):
-        server = stand_in_servers.StandInServer(incarnation=incarnation, **more)
-        server.start()
-        server.on_loaded = lambda: self.tell(server)
-        self.servers[incarnation] = server
-        self.tell(server)
-        return server
-
-    def tell(self, server, **more):
-        """Writes a server's entry into the store."""
-        self.store.put("servers", server.incarnation, server.entry(**more))
-
     async def add_router(self, name, port, ports):
         flags = {
             "name": name,
@@ -177,11 +101,7 @@
         # Lets cancelled tasks close their connections, for which the
         # stand-ins' ends would wait.
         await asyncio.sleep(0.05)
-        self.store.close()
-        if self.kept is not None:
-            self.kept.close()
-        for server in self.servers.values():
-            server.close()
+        self.platform.close()
         await asyncio.sleep(0)
 
     def client(self, number=0, **more):
--- /dev/null
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -0,0 +1,262 @@
+"""The adapter: what is spoken on the platform, and that only it knows it."""
+
+import ast
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from returns import result
+
+from pimentoledge import settings
+from pimentoledge.platform import names
+from pimentoledge.platform import objects
+from pimentoledge.platform import requests
+from pimentoledge.platform import stand_in_platforms
+from pimentoledge.routing import asks
+from pimentoledge.routing import daemons
+from pimentoledge.routing import http_messages
+from pimentoledge.routing import registrations
+
+PACKAGE = pathlib.Path(__file__).parents[1]
+# Fields of the platform's bodies that mean nothing elsewhere.
+FIELDS = [
+    "pathPrefix",
+    "trafficSplit",
+    "timeoutMs",
+    "targetLatencyMs",
+    "maxAttempts",
+    "resumable",
+    "sticky",
+    "gapAimMs",
+    "apiKeys",
+    "isolated",
+    "tenants",
+    "healthPath",
+    "maxConns",
+    "kvStore",
+    "kvCapacityTokens",
+    "maxHeaderBytes",
+    "maxBodyBytes",
+    "headerTimeoutMs",
+    "idleTimeoutMs",
+    "coldRemainingMs",
+    "storeRevision",
+    "createRev",
+    "finalizers",
+    "deleting",
+    "allowStale",
+    "waitMs",
+    "switchMode",
+    "precondition",
+    "bootEpoch",
+    "draining",
+]
+# Of HTTP itself, or common words.
+COMMON = {"host", "model", "hold", "connection", "keep-alive", "expect"}
+
+
+def literals(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Constant):
+            match node.value:
+                case str() as text:
+                    yield text.lower()
+                case bytes() as data:
+                    yield data.decode("latin-1").lower()
+
+
+def spelled():
+    found = set()
+    for value in vars(names).values():
+        match value:
+            case bytes():
+                found.add(value.decode().lower())
+            case str() if value.startswith("/"):
+                found.add(value.lower())
+    return (found | {each.lower() for each in FIELDS}) - COMMON
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    platform_names = spelled()
+    assert len(platform_names) > 40
+    for path in (PACKAGE / "routing").glob("*.py"):
+        known = platform_names & set(literals(path))
+        assert not known, (path.name, known)
+
+
+def head(*lines, method=b"POST", target=b"/a/b?c=1"):
+    pairs = [tuple(each.split(b": ", 1)) for each in lines]
+    return http_messages.RequestHead(
+        method=method, target=target, headers=pairs, keep_alive=True
+    )
+
+
+def test_a_request_is_decoded_into_typed_fields():
+    decoded = requests.decode_request(
+        head(
+            b"Host: Shop.Example:80",
+            b"Request-Id: q1",
+            b"Deadline-Ms: 1500",
+            b"Authorization: Bearer secret",
+            b"Model: m",
+            b"Token-Usage: 1460,80",
+            b"Prompt-Prefix: aa:800, bb:650,cc:10",
+            b"Last-Event-Id: 12",
+            b"Connection: keep-alive",
+            b"X-Own: kept",
+        ),
+        b"body",
+        3.0,
+    )
+    match decoded:
+        case result.Success(ask):
+            pass
+    assert (ask.host, ask.path, ask.key) == ("shop.example", "/a/b", "secret")
+    assert (ask.wait_seconds, ask.resume_after) == (1.5, 12)
+    assert (ask.prompt_tokens, ask.answer_tokens) == (1460, 80)
+    assert [part.tokens for part in ask.parts] == [800, 650, 10]
+    kept = {name.lower() for name, _ in ask.passed_on}
+    assert b"x-own" in kept and b"request-id" in kept
+    assert not kept & {b"authorization", b"connection", b"deadline-ms"}
+
+
+def test_a_request_without_one_id_is_refused():
+    for lines in ((), (b"Request-Id: a", b"Request-Id: b")):
+        decoded = requests.decode_request(head(b"Host: h", *lines), b"", 0.0)
+        assert isinstance(decoded, result.Failure)
+
+
+def test_what_goes_to_a_server_says_who_alone_may_run_it():
+    match requests.decode_request(
+        head(b"Host: h", b"Request-Id: q", b"Hold: forged"), b"xyz", 0.0
+    ):
+        case result.Success(ask):
+            pass
+    raw = requests.encode_request(
+        ask,
+        asks.Dispatch(
+            incarnation="i-1",
+            organisation="acme",
+            seconds_left=0.25,
+            weights=3,
+            namespace="3",
+        ),
+    )
+    text = raw.decode().lower()
+    for line in (
+        "expect-instance: i-1",
+        "tenant: acme",
+        "deadline-ms: 250",
+        "expect-version: 3",
+        "cache-salt: 3",
+        "content-length: 3",
+    ):
+        assert line in text
+    assert "forged" not in text
+    assert raw.endswith(b"\r\n\r\nxyz")
+
+
+def test_an_answer_says_whether_it_ran():
+    def decode(status, **headers):
+        pairs = [
+            (name.replace("_", "-").encode(), value)
+            for name, value in headers.items()
+        ]
+        return requests.decode_answer(
+            http_messages.ResponseHead(
+                status=status,
+                headers=pairs,
+                keep_alive=True,
+                ends_by_close=False,
+            )
+        )
+
+    assert decode(503, not_run=b"1").not_run
+    assert decode(421).not_run
+    assert not decode(503).not_run
+    answer = decode(200, server_load=b"3,1,8", keep_alive=b"timeout=7, max=3")
+    assert answer.load == asks.Load(running=3, waiting=1, slots=8)
+    assert answer.idle_seconds == 7
+    assert decode(200, server_load=b"x").load is None
+
+
+def test_a_configuration_is_decoded_into_typed_fields():
+    spec = stand_in_platforms.configuration(version=4)
+    built = objects.configuration(
+        registrations.Stored(name="main", revision=1, value=spec)
+    )
+    route = built.match("shop.example", "/lookups/1")
+    assert (route.resumable, route.timeout_seconds) == (True, 3.0)
+    assert built.by_key["key-of-walled"].isolated
+    assert built.services["runners"].models == ("m",)
+    assert [each.name for each in built.cache_servers()] == ["kept"]
+
+
+def test_a_settings_file_is_checked_like_flags(tmp_path):
+    path = tmp_path / "router.toml"
+    path.write_text('name = "r"\nstore-address = "1.2.3.4:5"\n')
+    variable = {daemons.CONFIG_VARIABLE: str(path)}
+    match daemons.read_settings(variable):
+        case result.Success(chosen):
+            assert chosen.text("store-address") == "1.2.3.4:5"
+    for text in ("lease-ms = -1\n", "unheard-of = 1\n", "not toml"):
+        path.write_text('name = "r"\nstore-address = "1.2.3.4:5"\n' + text)
+        assert isinstance(daemons.read_settings(variable), result.Failure)
+
+
+def test_the_deployments_template_names_only_settings_that_exist():
+    root = PACKAGE.parent
+    for line in (root / "deploy" / "router.toml").read_text().splitlines():
+        name = line.partition(" = ")[0]
+        known = {each.name for each in settings.of_program(settings.ROUTER)}
+        assert name in known
+
+
+def test_the_program_of_the_deployment_serves_and_ends(tmp_path):
+    platform = stand_in_platforms.StandInPlatform()
+    platform.start(plain=1, runners=0)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+    path = tmp_path / "router.toml"
+    path.write_text(
+        f'name = "r"\nstore-address = "{platform.store.address}"\n'
+        f'listen = "127.0.0.1:{port}"\nready-listen = "127.0.0.1:0"\n'
+        'metrics-listen = "127.0.0.1:0"\npeer-listen = "127.0.0.1:0"\n'
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "pimentoledge.router"],
+        env={**os.environ, daemons.CONFIG_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        assert _ask(port).startswith(b"HTTP/1.1 200")
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=15)
+    finally:
+        process.kill()
+        process.wait()
+        platform.close()
+    assert process.returncode == 0
+    assert b'"message":"ended"' in output
+
+
+def _ask(port):
+    until = time.monotonic() + 10
+    answer = b""
+    while not answer.startswith(b"HTTP/1.1 200") and time.monotonic() < until:
+        time.sleep(0.1)
+        try:
+            with socket.create_connection(("127.0.0.1", port), 5) as client:
+                client.sendall(
+                    b"GET /notices/ HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"Request-Id: q\r\nAuthorization: Bearer key-of-acme\r\n"
+                    b"Connection: close\r\n\r\n"
+                )
+                answer = client.recv(65536)
+        except OSError:
+            continue
+    return answer
