--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -527,7 +527,7 @@
     def _refuse(self, code: results.Code) -> None:
         meaning = results.MEANINGS[code]
         promises = meaning.status in own_answers.PROMISES
-        self._log("refused", code=code.name)
+        self._log("refused", code=code.name, **self._grounds())
         self.client.send(
             own_answers.encode(
                 code=code,
@@ -538,6 +538,27 @@
         )
         self.client.finished()
 
+    def _grounds(self) -> dict[str, object]:
+        """Returns what decided a refusal, for its log line."""
+        configuration = self.believed.configuration
+        if configuration is None or self.route is None:
+            return {"configuration": configuration and configuration.version}
+        now = clocks.now()
+        servers = [
+            each
+            for share in self.route.shares
+            for each in self.believed.servers.of_service(share.service)
+        ]
+        budget = self.believed.budget(self.route.shares[0].service)
+        left = budget.allowance(now, self.believed.members)
+        return {
+            "configuration": configuration.version,
+            "servers": len(servers),
+            "usable": sum(each.usable(now) for each in servers),
+            "tried": len(self.history.tried()),
+            "repeats_left": round(left, 1),
+        }
+
     def _log(self, message: str, **fields: object) -> None:
         if self.ask is not None:
             fields["request"] = self.ask.request
