--- a/pimentoledge/routing/homes.py
+++ b/pimentoledge/routing/homes.py
@@ -23,6 +23,8 @@
 # server: 2,520 tokens of 131 KB take some 15 ms, twice that between data
 # centres.
 SAVE_SECONDS = 0.05
+# A part that was saved so long ago may have yielded in the KV cache server.
+AGAIN_SECONDS = 20.0
 # How many parts are remembered: some 200 bytes each.
 MOST_PARTS = 4000
 
@@ -64,11 +66,26 @@
         """Notes that a runner has read these parts, and saves them."""
         for part in parts:
             key = (namespace, part.name)
-            self.saved.setdefault(key, now + SAVE_SECONDS)
+            self.saved[key] = now + SAVE_SECONDS
             self.saved.move_to_end(key)
         while len(self.saved) > MOST_PARTS:
             self.saved.popitem(last=False)
 
+    def needs_saving(
+        self, namespace: str, parts: tuple[asks.Part, ...], now: float
+    ) -> bool:
+        """Returns whether a request should save its prompt.
+
+        Saving takes along the part that no other request shares. Saved each
+        time, those push the shared ones out: 15 prompts a second fill a KV
+        cache server of 839,000 tokens within 20 s.
+        """
+        for part in parts:
+            saved = self.saved.get((namespace, part.name))
+            if saved is None or now - saved > AGAIN_SECONDS:
+                return True
+        return False
+
     def unsaved(
         self, namespace: str, parts: tuple[asks.Part, ...], now: float
     ) -> asks.Part | None:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -192,7 +192,8 @@
         found.fetch_from = address or _holder_address(
             believed, ask, backend, found.namespace, now
         )
-        found.save_to = address
+        if believed.homes.needs_saving(found.namespace, ask.parts[:-1], now):
+            found.save_to = address
     elif now - wanted.since < SAFE_FETCH_SECONDS:
         found.fetch_from = address
     return found
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -465,3 +465,17 @@
         for _ in range(40):
             grey.served()
         assert chosen() is grey
+
+
+class TestSaving:
+    """What is sent to the KV cache server."""
+
+    def test_a_prompt_is_saved_only_for_shared_parts_that_are_not_saved(self):
+        """Own parts of every prompt would push the shared ones out."""
+        known = homes.Homes()
+        parts = (asks.Part(name="p", tokens=2000),)
+        assert known.needs_saving("3", parts, 1.0)
+        known.was_read("3", parts, 1.0)
+        assert not known.needs_saving("3", parts, 2.0)
+        assert known.needs_saving("4", parts, 2.0)
+        assert known.needs_saving("3", parts, 2.0 + homes.AGAIN_SECONDS)
