Never promise 'not run' for a call that a server has

Cause: found by reading: with one server that took no connection and a second at work, a request whose deadline came was answered 503 'not run', as the count of sends was compared with servers that had refused it. Its client would post the job card again. Change: the history names the server that has the request now; such a request ends with 504. Conclusion: a real fault, mended.

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -46,6 +46,7 @@
         taken: orders that it has taken.
         events: events of a stream.
         event_seconds: pause between them.
+        work_seconds: how long a plain call takes.
         refuse: number of next requests that it doesn't run.
         fail: number of next requests that it fails with a 500.
         cut_after: events after which the next stream is cut, or None.
@@ -73,6 +74,7 @@
         self.taken = 0
         self.events = 5
         self.event_seconds = 0.0
+        self.work_seconds = 0.0
         self.refuse = 0
         self.fail = 0
         self.cut_after: int | None = None
@@ -171,6 +173,8 @@
         if self._next("lose"):
             fake_http.cut(request)
             return
+        if self.work_seconds:
+            time.sleep(self.work_seconds)
         head = self._head(call.headers)
         if self._next("misnumber"):
             head[0] = (names.REQUEST, b"another-one")
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -158,14 +158,7 @@
             ):
                 await self._try_servers()
         except TimeoutError:
-            self._give_up(self._late_code())
-
-    def _late_code(self) -> results.Code:
-        if self.history.ran_on or self.history.sends > len(
-            self.history.refused_by
-        ):
-            return results.Code.DEADLINE_PASSED
-        return results.Code.DEADLINE_UNMEETABLE
+            self._give_up(verdicts.late_code(self.history))
 
     def _accept(self, ask: asks.Ask) -> results.Code | None:
         """Checks the request; returns why it is refused, or None."""
@@ -281,7 +274,7 @@
         work = _Work(backend=backend, held=held, dispatch=dispatch)
         work.begin(self._uncached(backend, dispatch))
         selections.note_sent(self.believed, self.ask, backend, dispatch)
-        self.history.sends += 1
+        self.history.sent(backend.registration.incarnation)
         try:
             connection.send(requests.encode_request(self.ask, dispatch))
             return await self._receive(connection, work)
--- a/pimentoledge/routing/verdicts.py
+++ b/pimentoledge/routing/verdicts.py
@@ -30,15 +30,23 @@
         ran_on: servers that may have run it, by incarnation.
         refused_by: servers that didn't run it, by incarnation.
         unsent: how often no connection could be opened.
+        pending: the server that has it now, by incarnation, or None.
     """
 
     sends: int = 0
     ran_on: set[str] = attrs.field(factory=set)
     refused_by: set[str] = attrs.field(factory=set)
     unsent: int = 0
+    pending: str | None = None
+
+    def sent(self, incarnation: str) -> None:
+        """Notes that the request is being sent to a server."""
+        self.sends += 1
+        self.pending = incarnation
 
     def met(self, incarnation: str, outcome: Outcome) -> None:
         """Takes the end of an attempt."""
+        self.pending = None
         match outcome:
             case Outcome.UNSENT:
                 self.unsent += 1
@@ -80,3 +88,14 @@
     if history.ran_on:
         return results.Code.SERVICE_FAILED
     return results.Code.OVERLOADED if history.sends else results.Code.NO_SERVER
+
+
+def late_code(history: History) -> results.Code:
+    """Returns the code of a request whose time is over.
+
+    One that a server has now, or may have run before, is never promised as
+    not run: its client would ask for it a second time.
+    """
+    if history.ran_on or history.pending is not None:
+        return results.Code.DEADLINE_PASSED
+    return results.Code.DEADLINE_UNMEETABLE
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -405,3 +405,24 @@
     router.tick()
     got = await client.ask("/cards/", body=b"c")
     assert (got.status, got.headers["connection"]) == (200, "close")
+
+
+@played(plain=2)
+async def test_a_call_under_way_at_its_deadline_is_not_promised_as_not_run(
+    world,
+):
+    """A refusal that says "not run" would make the client post it again.
+
+    The first server takes no connection; the second has the job card when
+    the deadline comes, and works on it still.
+    """
+    [router] = world.routers
+    dead, slow = world.servers["p0"], world.servers["p1"]
+    router.believed.servers.by_incarnation["p1"].trouble = 1.0
+    dead.close()
+    slow.work_seconds = 1.5
+    got = await world.ask(
+        "/cards/", body=b"card", headers={"Deadline-Ms": "400"}
+    )
+    assert got.status == 504
+    assert len(world.ran("plain")) == 1
