Never put a second answer into a stream; split the exchange

Change: such a stream ends as broken; attempts.py reads one server, client_answers.py answers the client. Streams that may be resumed are tried elsewhere after an error too. Conclusion: a real fault, mended.

--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -7,14 +7,14 @@
 from returns import result
 
 from pimentoledge import results
-from pimentoledge.platform import requests
 from pimentoledge.routing import asks
+from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
+from pimentoledge.routing import client_answers
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import event_streams
-from pimentoledge.routing import http_messages
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import placements
@@ -28,11 +28,6 @@
 # The server gives its own answer at the deadline; this much later it is
 # given here.
 ANSWER_GRACE_SECONDS = 0.05
-# How long an idle connection to a server is kept if the server says nothing.
-IDLE_SECONDS = 3.0
-# A connection is not used in the last part of its idle time: the server may
-# be closing it while the request is on its way.
-IDLE_MARGIN_SECONDS = 1.0
 # Share of the latency objective for which a request waits here for a server
 # to become free before it is refused.
 WAIT_SHARE = 0.12
@@ -41,26 +36,12 @@
 DEFAULT_WAIT_SECONDS = 60.0
 
 
-class BrokenError(Exception):
-    """An attempt ended without a whole answer.
-
-    Attributes:
-        outcome: what is known of it.
-        reason: what was met.
-    """
-
-    def __init__(self, outcome: verdicts.Outcome, reason: str):
-        super().__init__(reason)
-        self.outcome = outcome
-        self.reason = reason
-
-
 class Exchange:
     """Serves one request.
 
     Attributes:
         decoded: the request, or why it can't be told.
-        client: the client's connection.
+        answer: what the client is sent.
         believed: what the process believes.
         pool: connections to servers.
         lines: where decisions are written.
@@ -70,10 +51,6 @@
         history: what was done so far.
         route: the route in force when it was accepted.
         organisation: whose key it is, or None.
-        last_event: number of the last event sent to the client.
-        head_sent: whether the answer's head was sent to the client.
-        first_seconds: time to the first event, or None before it.
-        gap_seconds: longest pause between two events.
     """
 
     def __init__(
@@ -90,7 +67,7 @@
         self.decoded = decoded
         self.died = died
         self.doubt = doubt
-        self.client = client
+        self.answer = client_answers.ClientAnswer(client=client)
         self.believed = believed
         self.pool = pool
         self.lines = lines
@@ -99,11 +76,6 @@
         self.ask: asks.Ask | None = None
         self.route: configurations.Route | None = None
         self.organisation: configurations.Organisation | None = None
-        self.last_event: int | None = None
-        self.head_sent = False
-        self.first_seconds: float | None = None
-        self.gap_seconds = 0.0
-        self._event_at = 0.0
         self._ends_at = 0.0
         self._task: asyncio.Task | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
@@ -133,7 +105,7 @@
             await self._serve()
         except asyncio.CancelledError:
             self._log("client_left")
-            self.client.finished()
+            self.answer.client.finished()
         except Exception:
             logger.exception("defect")
             self._give_up(results.Code.INTERNAL)
@@ -145,11 +117,11 @@
                 return
             case result.Success(ask):
                 self.ask = ask
+                self.answer.begin(ask)
         code = self._accept(ask)
         if code is not None:
             self._refuse(code)
             return
-        self.last_event = ask.resume_after
         if self.route.by_prefix:
             self.believed.homes.used(ask.parts[:-1], ask.arrived)
         try:
@@ -198,7 +170,7 @@
             try:
                 if await self._attempt(backend):
                     return
-            except BrokenError as broken:
+            except attempts.BrokenError as broken:
                 self._met(backend, broken.outcome)
                 self._log(
                     "attempt_ended",
@@ -206,10 +178,14 @@
                     outcome=broken.outcome,
                     reason=broken.reason,
                 )
-            if not verdicts.may_go_on(self.history, self.route):
+            if not self._may_go_on():
                 self._give_up(verdicts.final_code(self.history))
                 return
 
+    def _may_go_on(self) -> bool:
+        more = verdicts.may_go_on(self.history, self.route)
+        return more and self.answer.can_resume()
+
     def _met(
         self, backend: backends.Backend, outcome: verdicts.Outcome
     ) -> None:
@@ -258,101 +234,50 @@
         except server_connections.CannotConnectError as error:
             backend.failed(clocks.now())
             self.died(backend.registration.incarnation)
-            raise BrokenError(verdicts.Outcome.UNSENT, str(error)) from error
+            raise attempts.BrokenError(
+                verdicts.Outcome.UNSENT, str(error)
+            ) from error
+        attempt = attempts.Attempt(
+            ask=self.ask,
+            backend=backend,
+            dispatch=self._dispatch(backend),
+            pool=self.pool,
+            connection=connection,
+        )
+        self.history.sent(backend.registration.incarnation)
+        try:
+            attempt.start()
+            return await self._receive(attempt)
+        finally:
+            attempt.close()
+
+    def _dispatch(self, backend: backends.Backend) -> asks.Dispatch:
+        """Returns what goes to a server, and notes what it will hold."""
         now = clocks.now()
-        dispatch = selections.dispatch(
+        found = selections.dispatch(
             believed=self.believed,
             ask=self.ask,
             route=self.route,
             organisation=self.organisation,
             backend=backend,
-            resume_after=self.last_event,
+            resume_after=self.answer.last_event,
             seconds_left=self._ends_at - now,
             now=now,
         )
-        held = self.ask.prompt_tokens + self.ask.answer_tokens
-        work = _Work(backend=backend, held=held, dispatch=dispatch)
-        work.begin(self._uncached(backend, dispatch))
-        selections.note_sent(self.believed, self.ask, backend, dispatch)
-        self.history.sent(backend.registration.incarnation)
-        try:
-            connection.send(requests.encode_request(self.ask, dispatch))
-            return await self._receive(connection, work)
-        finally:
-            work.end()
-            if connection.busy:
-                connection.abort()
-
-    def _uncached(
-        self, backend: backends.Backend, dispatch: asks.Dispatch
-    ) -> int:
-        if dispatch.namespace is None:
-            return 0
-        cached = backend.cached_tokens(dispatch.namespace, self.ask.parts)
-        return max(0, self.ask.prompt_tokens - cached)
-
-    async def _receive(
-        self, connection: server_connections.ServerConnection, work: "_Work"
-    ) -> bool:
-        answer, head = await self._read_head(connection)
-        self._learn(work.backend, answer)
+        selections.note_sent(self.believed, self.ask, backend, found)
+        return found
+
+    async def _receive(self, attempt: attempts.Attempt) -> bool:
+        answer, _ = await attempt.read_head()
+        self._learn(attempt.backend, answer)
         streams = self.route.kind is configurations.Kind.STREAM
         if streams and answer.status == 200 and answer.signed:
-            return await self._stream(connection, work, answer)
-        body = await self._read_body(connection, head)
-        self._release(connection, answer)
-        return self._judge(work.backend, answer, body)
-
-    async def _read_head(
-        self, connection: server_connections.ServerConnection
-    ) -> tuple[asks.Answer, http_messages.ResponseHead]:
-        """Returns the head of this request's answer.
-
-        A server may send a second answer late, where the next one is due; it
-        bears another request's id and is read over.
-        """
-        foreign = False
-        while True:
-            match await connection.next():
-                case server_connections.Headed(head=head):
-                    answer = requests.decode_answer(head)
-                    foreign = answer.request != self.ask.request
-                    if not foreign:
-                        return answer, head
-                    connection.reusable = False
-                    if head.ends_by_close or answer.request is None:
-                        raise BrokenError(
-                            verdicts.Outcome.BROKE, "another request's answer"
-                        )
-                case server_connections.Broke(reason=reason):
-                    raise BrokenError(verdicts.Outcome.BROKE, reason)
-
-    async def _read_body(
-        self,
-        connection: server_connections.ServerConnection,
-        head: http_messages.ResponseHead,
-    ) -> bytes:
-        pieces = []
-        while True:
-            match await connection.next():
-                case server_connections.Piece(data=data):
-                    pieces.append(data)
-                case server_connections.Ended():
-                    return b"".join(pieces)
-                case server_connections.Broke(reason=reason):
-                    raise BrokenError(verdicts.Outcome.BROKE, reason)
-
-    def _release(
-        self,
-        connection: server_connections.ServerConnection,
-        answer: asks.Answer,
-    ) -> None:
-        idle = answer.idle_seconds
-        if idle is None:
-            idle = IDLE_SECONDS + IDLE_MARGIN_SECONDS
-        self.pool.release(
-            connection, idle_seconds=max(0.0, idle - IDLE_MARGIN_SECONDS)
-        )
+            await self._stream(attempt, answer)
+            return True
+        body = await attempt.read_body()
+        attempt.release(answer)
+        self._judge(attempt.backend, answer, body)
+        return True
 
     def _learn(self, backend: backends.Backend, answer: asks.Answer) -> None:
         """Takes what an answer's head says of its server."""
@@ -367,35 +292,40 @@
 
     def _judge(
         self, backend: backends.Backend, answer: asks.Answer, body: bytes
-    ) -> bool:
+    ) -> None:
         """Passes a whole answer on, or raises BrokenError."""
-        now = clocks.now()
         if answer.not_run:
-            self._refused_by(backend, answer, now)
-            raise BrokenError(
+            self._refused_by(backend, answer, clocks.now())
+            raise attempts.BrokenError(
                 verdicts.Outcome.NOT_RUN,
                 f"{answer.status}: not run, load {_load_text(answer.load)}",
             )
         if answer.status in own_answers.PROMISES or answer.encoded:
             # It bears no "not run", so passing on a status that promises as
             # much could be untrue.
-            raise BrokenError(verdicts.Outcome.BROKE, f"status {answer.status}")
+            raise _broke(f"status {answer.status}")
         if answer.status < 300 and not answer.signed:
-            raise BrokenError(verdicts.Outcome.BROKE, "no signature")
-        backend.served()
-        self.believed.suspects.served(self.content)
+            raise _broke("no signature")
+        if self.answer.head_sent:
+            # Another answer's head must not follow a stream's first events.
+            raise _broke(f"status {answer.status} instead of a stream's rest")
+        self._served(backend)
         if answer.status >= 500 and self._would_retry():
             self._failed_answer = (answer, body)
-            raise BrokenError(
+            raise attempts.BrokenError(
                 verdicts.Outcome.FAILED, f"status {answer.status}"
             )
-        self._pass_on(answer, body)
+        self.answer.pass_on(answer, body)
         self._log(
             "answered",
             server=backend.registration.incarnation,
             status=answer.status,
         )
-        return True
+
+    def _served(self, backend: backends.Backend) -> None:
+        """Takes a whole answer as proof that server and content are sound."""
+        backend.served()
+        self.believed.suspects.served(self.content)
 
     def _refused_by(
         self, backend: backends.Backend, answer: asks.Answer, now: float
@@ -411,125 +341,65 @@
 
     def _would_retry(self) -> bool:
         more = len(self.history.ran_on) + 1 < self.route.most_servers
-        return self.route.kind is configurations.Kind.SAFE and more
-
-    def _pass_on(self, answer: asks.Answer, body: bytes) -> None:
-        closes = self.client.closes
-        self.client.send(
-            requests.encode_answer_head(answer, length=len(body), closes=closes)
-            + body
-        )
-        self.client.finished()
+        return self.route.repeatable() and more
 
     async def _stream(
-        self,
-        connection: server_connections.ServerConnection,
-        work: "_Work",
-        answer: asks.Answer,
-    ) -> bool:
-        """Passes events on as they come; returns whether all were."""
+        self, attempt: attempts.Attempt, answer: asks.Answer
+    ) -> None:
+        """Passes events on as they come; raises BrokenError."""
         splitter = event_streams.Splitter()
-        while True:
-            match await connection.next():
-                case server_connections.Piece(data=data):
-                    self._prompt_read(work)
-                    for event in splitter.feed(data):
-                        self._pass_event(event, answer, work.backend)
-                    await self.client.drained()
-                case server_connections.Ended():
-                    if splitter.rest:
-                        raise BrokenError(
-                            verdicts.Outcome.BROKE, "ended within an event"
-                        )
-                    work.backend.served()
-                    self.believed.suspects.served(self.content)
-                    self._release(connection, answer)
-                    self._end_stream(answer)
-                    self._log(
-                        "streamed",
-                        server=work.backend.registration.incarnation,
-                        last=self.last_event,
-                        first_ms=_ms(self.first_seconds),
-                        gap_ms=_ms(self.gap_seconds),
-                    )
-                    return True
-                case server_connections.Broke(reason=reason):
-                    raise BrokenError(verdicts.Outcome.BROKE, reason)
-
-    def _prompt_read(self, work: "_Work") -> None:
-        """Takes the first piece as proof that the prompt was read."""
-        if work.reading_over:
-            return
-        work.reads_no_more()
-        selections.note_read(
-            self.believed, self.ask, work.dispatch, clocks.now()
+        while (piece := await attempt.next_piece()) is not None:
+            self._prompt_read(attempt)
+            for event in splitter.feed(piece):
+                pause = self.answer.pass_event(event, answer)
+                if pause is not None:
+                    attempt.backend.paused(pause)
+            await self.answer.client.drained()
+        if splitter.rest:
+            raise _broke("ended within an event")
+        self._served(attempt.backend)
+        attempt.release(answer)
+        self.answer.end_stream(answer)
+        self._streamed(attempt.backend)
+
+    def _streamed(self, backend: backends.Backend) -> None:
+        first = self.answer.first_seconds
+        if first is not None:
+            self.lines.counters.first_event(first)
+        self._log(
+            "streamed",
+            server=backend.registration.incarnation,
+            last=self.answer.last_event,
+            first_ms=_ms(first),
+            gap_ms=_ms(self.answer.gap_seconds),
         )
 
-    def _pass_event(
-        self,
-        event: event_streams.Event,
-        answer: asks.Answer,
-        backend: backends.Backend,
-    ) -> None:
-        """Sends an event to the client unless it has it."""
-        if event.number is not None:
-            if self.last_event is not None and event.number <= self.last_event:
-                return
-            self.last_event = event.number
-        self._send_stream_head(answer)
-        now = clocks.now()
-        if self.first_seconds is None:
-            self.first_seconds = now - self.ask.arrived
-            self.lines.counters.first_event(self.first_seconds)
-        else:
-            gap = now - self._event_at
-            self.gap_seconds = max(self.gap_seconds, gap)
-            backend.paused(gap)
-        self._event_at = now
-        self.client.send(b"%x\r\n%b\r\n" % (len(event.data), event.data))
-
-    def _send_stream_head(self, answer: asks.Answer) -> None:
-        if self.head_sent:
+    def _prompt_read(self, attempt: attempts.Attempt) -> None:
+        """Takes the first piece as proof that the prompt was read."""
+        if attempt.prompt_read:
             return
-        self.head_sent = True
-        self.client.send(
-            requests.encode_answer_head(
-                answer, length=None, closes=self.client.closes
-            )
+        attempt.reads_no_more()
+        selections.note_read(
+            self.believed, self.ask, attempt.dispatch, clocks.now()
         )
 
-    def _end_stream(self, answer: asks.Answer) -> None:
-        self._send_stream_head(answer)
-        self.client.send(b"0\r\n\r\n")
-        self.client.finished()
-
     def _give_up(self, code: results.Code) -> None:
         """Gives the final answer of a request that has none."""
-        if self.head_sent:
+        if self.answer.head_sent:
             # An answer that ends early must not look whole.
             self._log("broken_off", code=code.name)
-            self.client.abort()
+            self.answer.break_off()
             return
         if self._failed_answer is not None:
             answer, body = self._failed_answer
             self._log("answered", status=answer.status, again=True)
-            self._pass_on(answer, body)
+            self.answer.pass_on(answer, body)
             return
         self._refuse(code)
 
     def _refuse(self, code: results.Code) -> None:
-        meaning = results.MEANINGS[code]
-        promises = meaning.status in own_answers.PROMISES
         self._log("refused", code=code.name, **self._grounds())
-        self.client.send(
-            own_answers.encode(
-                code=code,
-                request="" if self.ask is None else self.ask.request,
-                retry_seconds=own_answers.RETRY_SECONDS if promises else None,
-                closes=self.client.closes,
-            )
-        )
-        self.client.finished()
+        self.answer.refuse(code)
 
     def _grounds(self) -> dict[str, object]:
         """Returns what decided a refusal, for its log line."""
@@ -562,6 +432,10 @@
         self.lines.write(message, **fields)
 
 
+def _broke(reason: str) -> attempts.BrokenError:
+    return attempts.BrokenError(verdicts.Outcome.BROKE, reason)
+
+
 def _load_text(load: asks.Load | None) -> str:
     if load is None:
         return "unknown"
@@ -570,39 +444,3 @@
 
 def _ms(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
-
-
-class _Work:
-    """What a server has of one request, for its expected wait."""
-
-    def __init__(
-        self,
-        *,
-        backend: backends.Backend,
-        held: int,
-        dispatch: asks.Dispatch,
-    ):
-        self.backend = backend
-        self.held = held
-        self.dispatch = dispatch
-        self.reading = 0
-        self.reading_over = False
-
-    def begin(self, reading: int) -> None:
-        """Counts it."""
-        self.reading = reading
-        self.backend.open += 1
-        self.backend.reading += reading
-        self.backend.held += self.held
-
-    def reads_no_more(self) -> None:
-        """Notes that the prompt has been read."""
-        self.backend.reading -= self.reading
-        self.reading = 0
-        self.reading_over = True
-
-    def end(self) -> None:
-        """Counts it out."""
-        self.reads_no_more()
-        self.backend.open -= 1
-        self.backend.held -= self.held
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -426,3 +426,28 @@
     )
     assert got.status == 504
     assert len(world.ran("plain")) == 1
+
+
+@played(runners=2)
+async def test_a_failed_resumption_never_puts_a_second_answer_into_a_stream(
+    world,
+):
+    """A stream that breaks must end as broken, not with another answer in it.
+
+    The first runner is cut after three events; the one that should go on
+    answers with an error of its own.
+    """
+    [router] = world.routers
+    for server in world.servers.values():
+        server.cut_after = 3 if server.service == "runners" else None
+    first, second = (
+        router.believed.servers.by_incarnation[name] for name in ("r0", "r1")
+    )
+    second.trouble = 1.0
+    world.servers["r1"].cut_after = None
+    world.servers["r1"].fail = 9
+    first.trouble = 0.0
+    got = await world.ask("/lookups/", headers=stream_headers())
+    assert not got.whole
+    assert _numbers(got.body) == ["1", "2", "3"]
+    assert b"failed" not in got.body
