Take configurations with less, and unknown kinds, and skip bad objects

Cause: found by reading for deployments not seen: a configuration without limits or with a kind of route unknown here was refused as a whole, again and again, and one unreadable server hid the others. Change: usual limits, unknown kinds treated as what may run once, each object decoded by itself.

--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -54,7 +54,7 @@
         organisations=None
         if organisations is None
         else [_organisation(entry) for entry in organisations],
-        services=[_service(entry) for entry in spec["services"]],
+        services=[_service(entry) for entry in spec.get("services") or ()],
         limits=_limits(spec.get("limits") or {}),
     )
 
@@ -73,9 +73,10 @@
         name=entry["name"],
         host=entry["host"].lower(),
         path_prefix=entry["pathPrefix"],
-        kind=configurations.Kind(entry["kind"]),
-        timeout_seconds=entry["timeoutMs"] / 1000,
-        objective_seconds=(entry.get("targetLatencyMs") or 0) / 1000,
+        kind=_kind(entry),
+        timeout_seconds=_seconds(entry, "timeoutMs")
+        or configurations.USUAL_TIMEOUT_SECONDS,
+        objective_seconds=_seconds(entry, "targetLatencyMs"),
         urgency=entry.get("priority") or 0,
         shares=shares,
         most_servers=entry.get("maxAttempts") or 1,
@@ -89,7 +90,7 @@
 def _organisation(entry: dict) -> configurations.Organisation:
     return configurations.Organisation(
         name=entry["name"],
-        keys=tuple(entry["apiKeys"]),
+        keys=tuple(entry.get("apiKeys") or ()),
         urgency=entry.get("priority"),
         isolated=bool(entry.get("isolated")),
     )
@@ -110,9 +111,28 @@
 
 
 def _limits(entry: dict) -> configurations.Limits:
+    usual = configurations.Limits()
     return configurations.Limits(
-        header_bytes=entry["maxHeaderBytes"],
-        body_bytes=entry["maxBodyBytes"],
-        header_seconds=entry["headerTimeoutMs"] / 1000,
-        idle_seconds=entry["idleTimeoutMs"] / 1000,
+        header_bytes=entry.get("maxHeaderBytes") or usual.header_bytes,
+        body_bytes=entry.get("maxBodyBytes") or usual.body_bytes,
+        header_seconds=_seconds(entry, "headerTimeoutMs")
+        or usual.header_seconds,
+        idle_seconds=_seconds(entry, "idleTimeoutMs") or usual.idle_seconds,
     )
+
+
+def _seconds(entry: dict, name: str) -> float:
+    """Returns a field given in milliseconds as seconds; 0 without it."""
+    return (entry.get(name) or 0) / 1000
+
+
+def _kind(entry: dict) -> configurations.Kind:
+    """Returns a route's kind.
+
+    What is not known here is treated as what may run only once: that is true
+    of every kind.
+    """
+    try:
+        return configurations.Kind(entry.get("kind"))
+    except ValueError:
+        return configurations.Kind.UNSAFE
--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# For a route that states none; the clients' own deadlines are shorter.
+USUAL_TIMEOUT_SECONDS = 60.0
+
 
 class Kind(enum.StrEnum):
     """What may be repeated."""
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -155,8 +155,24 @@
             if each.name == names.CONFIGURATION:
                 self._configure(each)
 
+    def _decoded(self, decode, each: registrations.Stored):
+        """Returns an object decoded, or None if it can't be.
+
+        One bad object must not hide the others of its kind; what was known
+        before stays in force.
+        """
+        try:
+            return decode(each)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self.lines.write(
+                "unreadable", object=each.name, why=repr(error)[:200]
+            )
+            return None
+
     def _configure(self, each: registrations.Stored) -> None:
-        fresh = objects.configuration(each)
+        fresh = self._decoded(objects.configuration, each)
+        if fresh is None:
+            return
         held = self.believed.configuration
         if held is not None and held.version >= fresh.version:
             return
@@ -171,7 +187,9 @@
     ) -> None:
         """Takes named weights, if they are newer."""
         for each in changed:
-            named = objects.named_weights(each)
+            named = self._decoded(objects.named_weights, each)
+            if named is None:
+                continue
             since = self._named_since(named.model)
             self.want(named.model, named.version, since, "store")
 
@@ -198,7 +216,9 @@
     ) -> None:
         """Takes registrations of backend servers."""
         for each in changed:
-            registration = objects.registration(each)
+            registration = self._decoded(objects.registration, each)
+            if registration is None:
+                continue
             self.lapsed.pop(each.name, None)
             self.believed.servers.put(registration)
             self.lines.write(
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -17,9 +17,14 @@
 from pimentoledge.platform import requests
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.routing import asks
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import configurations
+from pimentoledge.routing import counters
 from pimentoledge.routing import daemons
 from pimentoledge.routing import http_messages
+from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
+from pimentoledge.routing import watchers
 
 PACKAGE = pathlib.Path(__file__).parents[1]
 # Fields of the platform's bodies that mean nothing elsewhere.
@@ -196,6 +201,48 @@
     assert [each.name for each in built.cache_servers()] == ["kept"]
 
 
+def test_a_configuration_with_less_and_with_unknown_kinds_is_taken():
+    """A deployment of another kind must not be refused as a whole."""
+    spec = {
+        "version": 2,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "pathPrefix": "/",
+                "kind": "unheard-of",
+                "service": "s",
+            }
+        ],
+    }
+    built = objects.configuration(
+        registrations.Stored(name="main", revision=1, value=spec)
+    )
+    route = built.match("h", "/x")
+    assert route.kind is configurations.Kind.UNSAFE
+    assert not route.repeatable()
+    assert built.by_key is None
+    assert built.limits == configurations.Limits()
+
+
+def test_one_bad_server_does_not_hide_the_others():
+    believed = beliefs.Beliefs(name="x", data_centre="a", born=0.0)
+    takers = watchers.Takers(
+        believed=believed,
+        lines=log_lines.Lines(counters=counters.Counters()),
+    )
+    good = {"service": "s", "address": "1.2.3.4:5", "zone": "a"}
+    takers.servers(
+        [
+            registrations.Stored(name="bad", revision=1, value=None),
+            registrations.Stored(name="odd", revision=2, value={"zone": 1}),
+            registrations.Stored(name="good", revision=3, value=good),
+        ],
+        [],
+    )
+    assert list(believed.servers.by_incarnation) == ["good"]
+
+
 def test_a_settings_file_is_checked_like_flags(tmp_path):
     path = tmp_path / "router.toml"
     path.write_text('name = "r"\nstore-address = "1.2.3.4:5"\n')
