--- a/pimentoledge/routing/homes.py
+++ b/pimentoledge/routing/homes.py
@@ -102,6 +102,12 @@
         return None
 
 
+def last_large(parts: tuple[asks.Part, ...]) -> asks.Part | None:
+    """Returns the last part that is worth sending a request for."""
+    large = [part for part in parts if part.tokens >= LEAST_TOKENS]
+    return large[-1] if large else None
+
+
 def home(
     namespace: str, part: asks.Part, runners: list[backends.Backend]
 ) -> backends.Backend | None:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -59,7 +59,7 @@
             and weights_allow(believed, ask.model, each, now)
         ]
         terms = _terms(believed, ask, organisation, name)
-        terms = _with_home(believed, terms, candidates, now)
+        terms = with_home(believed, terms, candidates, now)
         found = placements.choose(candidates=candidates, terms=terms, now=now)
         if found is not None:
             return found
@@ -105,7 +105,7 @@
     )
 
 
-def _with_home(
+def with_home(
     believed: beliefs.Beliefs,
     terms: placements.Terms,
     candidates: list[backends.Backend],
@@ -115,7 +115,11 @@
     if not terms.parts or terms.newest is None:
         return terms
     namespace = placements.namespace(terms.newest, terms.isolated_by)
-    part = believed.homes.unsaved(namespace, terms.parts, now)
+    if terms.fetches:
+        part = believed.homes.unsaved(namespace, terms.parts, now)
+    else:
+        # Nowhere to fetch from: a prompt goes where its parts are, always.
+        part = homes.last_large(terms.parts)
     if part is None:
         return terms
     runners = [
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -514,3 +514,16 @@
                 chosen.setdefault(number, set()).add(found)
         assert all(len(found) == 1 for found in chosen.values())
         assert len(set.union(*chosen.values())) == 3
+
+    def test_without_a_kv_cache_server_a_prompt_goes_to_its_parts_home(self):
+        """Nothing can be fetched, so a part would be read at each runner."""
+        runners = [backend(str(n), weights={"m": 1}) for n in range(6)]
+        part = asks.Part(name="manual", tokens=4000)
+        terms = placements.Terms(
+            data_centre="b", parts=(part,), model="m", newest=1
+        )
+        believed = beliefs.Beliefs(name="x", data_centre="b", born=0.0)
+        found = selections.with_home(believed, terms, runners, 10.0)
+        expected = homes.home("1", part, runners)
+        assert found.home == expected.registration.incarnation
+        assert found.home_tokens == 4000
