Give final answers at the end of the grace time; drop unread settings

Cause: found by reading: requests still open shortly before SIGKILL lost their connections without an answer, a job card whose client had left was cut by the process's end, and two settings and the log level were never read. Change: open requests are counted by themselves and get 504 or break off at the end; settings drain-ms and configuration-ms are gone, log-level works.

--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -39,6 +39,8 @@
 LEAVE_SECONDS = 2.6
 # Before SIGKILL all must be over.
 END_MARGIN_SECONDS = 0.6
+# For the last answers to leave.
+LAST_SECONDS = 0.1
 BACKLOG = 512
 # A tick that comes so late shows that the process did not run.
 PAUSE_SECONDS = 1.0
@@ -58,6 +60,7 @@
         lines: where decisions are written.
         pool: connections to backend servers.
         connections: open connections of clients.
+        exchanges: requests being served, also those whose clients left.
     """
 
     def __init__(self, *, chosen: settings.Settings):
@@ -73,6 +76,7 @@
         self.pool = server_connections.Pool()
         self.caller = calls.Caller()
         self.connections: set[client_connections.ClientConnection] = set()
+        self.exchanges: set[exchanges.Exchange] = set()
         self.store = stores.Store(
             address=chosen.text("store-address"), caller=self.caller
         )
@@ -207,6 +211,7 @@
         self.chosen = chosen
         self.believed.bounds = _bounds(chosen)
         self.believed.rebound()
+        self.lease.lease_seconds = self.believed.bounds.lease_seconds
         self.store.address = chosen.text("store-address")
         self.peers.add_seeds(chosen.listed("peer-seeds"))
         self.lines.write("reload", changed=",".join(changed))
@@ -242,6 +247,7 @@
             believed=self.believed,
             pool=self.pool,
             lines=self.lines,
+            everyone=self.exchanges,
             died=self._died,
             doubt=self.rechecks.doubt,
         )
@@ -296,11 +302,14 @@
         while clocks.now() < until:
             self.tick()
             self.believed.refusing = clocks.now() - told > LEAVE_SECONDS
-            busy = any(each.exchange for each in self.connections)
-            busy = busy or self.holder.busy()
+            busy = self.exchanges or self.holder.busy()
             if not busy and clocks.now() - told > LEAVE_SECONDS:
                 break
             await asyncio.sleep(TICK_SECONDS)
+        for each in list(self.exchanges):
+            each.end_now()
+        # Lets the last answers leave.
+        await asyncio.sleep(LAST_SECONDS)
 
     def close(self) -> None:
         """Closes every socket."""
@@ -376,7 +385,7 @@
 
 def run(chosen: settings.Settings) -> int:
     """Runs a router until it is told to end; returns its status."""
-    handler = log_lines.to_standard_output()
+    handler = log_lines.to_standard_output(level=chosen.text("log-level"))
     with handler.applicationbound():
         asyncio.run(Router(chosen=chosen).run())
     return 0
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -45,6 +45,7 @@
         believed: what the process believes.
         pool: connections to servers.
         lines: where decisions are written.
+        everyone: all exchanges under way; this one is in it while it runs.
         died: called with a server that was found dead.
         doubt: called with a server that is not as it was believed to be.
         content: fingerprint of the request, or "" before it is known.
@@ -61,6 +62,7 @@
         believed: beliefs.Beliefs,
         pool: server_connections.Pool,
         lines: log_lines.Lines,
+        everyone: set["Exchange"],
         died: Callable[[str], None],
         doubt: Callable[[backends.Backend], None],
     ):
@@ -71,17 +73,20 @@
         self.believed = believed
         self.pool = pool
         self.lines = lines
+        self.everyone = everyone
         self.content = ""
         self.history = verdicts.History()
         self.ask: asks.Ask | None = None
         self.route: configurations.Route | None = None
         self.organisation: configurations.Organisation | None = None
         self._ends_at = 0.0
+        self._ending = False
         self._task: asyncio.Task | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
     def start(self) -> None:
         """Begins; the client's connection is told when it has ended."""
+        self.everyone.add(self)
         self._task = asyncio.get_running_loop().create_task(self.run())
 
     def client_left(self) -> None:
@@ -104,11 +109,24 @@
         try:
             await self._serve()
         except asyncio.CancelledError:
-            self._log("client_left")
-            self.answer.client.finished()
+            self._cancelled()
         except Exception:
             logger.exception("defect")
             self._give_up(results.Code.INTERNAL)
+        finally:
+            self.everyone.discard(self)
+
+    def _cancelled(self) -> None:
+        if self._ending:
+            self._give_up(verdicts.late_code(self.history))
+            return
+        self._log("client_left")
+        self.answer.client.finished()
+
+    def end_now(self) -> None:
+        """Gives the final answer at once, since the process ends."""
+        self._ending = True
+        self._task.cancel()
 
     async def _serve(self) -> None:
         match self.decoded:
--- a/pimentoledge/routing/holders.py
+++ b/pimentoledge/routing/holders.py
@@ -70,7 +70,9 @@
 
     def close(self) -> None:
         """Stops; orders under way are not waited for."""
-        for each in (self._task, *self._orders):
+        if self._task is not None:
+            self._task.cancel()
+        for each in self._orders:
             each.cancel()
 
     async def _run(self) -> None:
--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -60,9 +60,13 @@
             self.dropped += 1
 
 
-def to_standard_output() -> LineHandler:
-    """Returns the handler of a daemon."""
-    return LineHandler(descriptor=sys.stdout.fileno())
+def to_standard_output(*, level: str) -> LineHandler:
+    """Returns the handler of a daemon.
+
+    Args:
+        level: lowest level, by logbook's name in any case.
+    """
+    return LineHandler(descriptor=sys.stdout.fileno(), level=level.upper())
 
 
 class Lines:
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -65,7 +65,8 @@
 
     def close(self) -> None:
         """Stops."""
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
 
     def lapse_ends(self) -> float:
         """Returns until when what is gone may have lapsed in an outage.
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -355,20 +355,6 @@
         programs=(ROUTER,),
         text="seconds from SIGTERM to SIGKILL",
     ),
-    Setting(
-        name="drain-ms",
-        kind=Number(low=0, high=3600000),
-        default="2000",
-        programs=(ROUTER,),
-        text="how long a leaving server goes on, in milliseconds",
-    ),
-    Setting(
-        name="configuration-ms",
-        kind=Number(low=0, high=3600000),
-        default="2000",
-        programs=(ROUTER,),
-        text="a configuration must be in force after so many milliseconds",
-    ),
 )
 
 
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import threading
 
@@ -18,9 +19,24 @@
 configuration = stand_in_platforms.configuration
 
 
+# Below the ports that the system gives to clients' connections: one of those
+# could be taken between its choice and its use.
+PORTS = range(20000, 32000)
+_given = set()
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+    """Returns a port that nobody listens at, and that was not given before."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given:
+            continue
+        _given.add(port)
+        try:
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+        except OSError:
+            continue
 
 
 class World:
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from pimentoledge.routing import clocks
 from pimentoledge.tests import router_world
 
@@ -471,3 +473,47 @@
     begun = clocks.now()
     await world.until(lambda: "p0" not in known)
     assert clocks.now() - begun < 1.0
+
+
+@played(plain=1, runners=1)
+async def test_at_the_end_of_the_grace_time_nothing_looks_whole_or_unanswered(
+    world,
+):
+    """What can't be finished before SIGKILL gets its final answer.
+
+    A job card at work is answered 504, as it may have run; a stream breaks
+    off without the end mark that would make it look complete.
+    """
+    [router] = world.routers
+    world.servers["p0"].work_seconds = 3.0
+    world.servers["r0"].events, world.servers["r0"].event_seconds = 99, 0.05
+    call, stream = world.client(), world.client()
+    await call.open()
+    await stream.open()
+    call.send("/cards/", body=b"card")
+    stream.send("/drafts/", headers=stream_headers())
+    await world.until(lambda: len(router.exchanges) == 2)
+    await world.until(lambda: world.servers["r0"].at_work)
+    router.believed.bounds = attrs.evolve(
+        router.believed.bounds, grace_seconds=1.0
+    )
+    await router.drain()
+    assert (await call.read()).status == 504
+    router.close()
+    got = await stream.read()
+    assert got.status == 200 and not got.whole
+
+
+@played(plain=1)
+async def test_a_leaving_router_finishes_the_call_of_a_client_that_left(world):
+    """A job card whose client left must not be cut by the process's end."""
+    [router] = world.routers
+    world.servers["p0"].work_seconds = 0.6
+    client = world.client()
+    await client.open()
+    client.send("/cards/", body=b"card")
+    await world.until(lambda: world.servers["p0"].at_work)
+    client.close()
+    await world.until(lambda: not router.connections)
+    assert len(router.exchanges) == 1
+    await world.until(lambda: not router.exchanges)
