Forget routers that are gone for good

Cause: found by reading: replaced VMs' addresses stayed known for ever and got a connection and a heartbeat twice a second; each heartbeat set a timer though nothing was to be asked. Change: forgotten after a minute unless they are seeds; timers only where the sender is ahead.

--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -30,6 +30,9 @@
 AWAY_SECONDS = 1.6
 # One that was heard within this still counts as a user of the shared budget.
 MEMBER_SECONDS = 30.0
+# One that was not heard for so long, and is no seed, is forgotten: VMs that
+# were replaced would be written to for ever.
+FORGET_SECONDS = 60.0
 # A newer copy is asked of another router only if the store has not brought
 # it by then.
 PATIENCE_SECONDS = 0.25
@@ -44,11 +47,13 @@
     """Another router.
 
     Attributes:
+        met: when it became known.
         heard: when it was last heard; long ago before the first time.
         beat: its last heartbeat, or None.
         configuration: its newest configuration version.
     """
 
+    met: float = 0.0
     heard: float = -1e9
     beat: peer_messages.Beat | None = None
     configuration: int = 0
@@ -111,7 +116,7 @@
             self._meet(each)
 
     def close(self) -> None:
-        """Says that this router ends, and closes all connections."""
+        """Closes all connections."""
         self._mailbox.close()
 
     def _deliver(self, event: object) -> None:
@@ -124,15 +129,22 @@
 
     def _meet(self, address: str) -> None:
         if address != self._mailbox.address and address not in self.known:
-            self.known[address] = Peer()
+            self.known[address] = Peer(met=clocks.now())
 
     def tick(self, now: float) -> None:
         """Sends heartbeats when they are due."""
+        self._forget_gone(now)
         self._mailbox.expire(now, set(self.known))
         if now >= self._next_beat:
             self.beat(now)
         self._count_members(now)
 
+    def _forget_gone(self, now: float) -> None:
+        for address, peer in list(self.known.items()):
+            since = max(peer.heard, peer.met)
+            if address not in self.seeds and now - since > FORGET_SECONDS:
+                del self.known[address]
+
     def news(self) -> None:
         """Sends a heartbeat at once, since something changed."""
         if self._loop is not None:
@@ -236,7 +248,9 @@
         for address in beat.members:
             self._meet(address)
         self._learn(beat, now)
-        self._loop.call_later(PATIENCE_SECONDS, self._catch_up, event.sender)
+        if self._is_behind(peer):
+            later = self._loop.call_later
+            later(PATIENCE_SECONDS, self._catch_up, event.sender)
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
         for model, (version, age) in beat.wanted.items():
@@ -252,15 +266,28 @@
             if backend is not None:
                 backend.loading_until = now + milliseconds / 1000
 
+    def _is_behind(self, peer: Peer) -> bool:
+        """Returns whether a router knows a newer configuration or servers."""
+        return self._lacks_configuration(peer) or self._lacks_servers(peer)
+
+    def _lacks_configuration(self, peer: Peer) -> bool:
+        held = self.believed.configuration
+        return peer.configuration > (held.version if held else 0)
+
+    def _lacks_servers(self, peer: Peer) -> bool:
+        if self.store_reached():
+            return False
+        servers = self.kinds["servers"].revision
+        return servers is None or peer.beat.servers_revision > servers
+
     def _catch_up(self, address: str) -> None:
         """Asks a router for what it knows newer, if the store is silent."""
-        peer = self.known[address]
-        held = self.believed.configuration
-        if peer.configuration > (held.version if held else 0):
+        peer = self.known.get(address)
+        if peer is None:
+            return
+        if self._lacks_configuration(peer):
             self._wish(address, "configuration")
-        servers = self.kinds["servers"].revision
-        behind = servers is None or peer.beat.servers_revision > servers
-        if behind and not self.store_reached():
+        if self._lacks_servers(peer):
             self._wish(address, "servers")
 
     def _wish(self, address: str, kind: str) -> None:
--- a/pimentoledge/tests/test_router_peers.py
+++ b/pimentoledge/tests/test_router_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import peers
 from pimentoledge.tests import router_world
 
 played = router_world.played
@@ -132,3 +133,18 @@
         assert (number, got.status) == (number, 503)
         got = await world.ask("/cards/", number, body=b"good")
         assert got.status == 200
+
+
+@played(routers=2)
+async def test_a_router_that_is_gone_for_good_is_forgotten(world):
+    """VMs are replaced every day; their addresses must not pile up."""
+    first, second = world.routers
+    await world.until(lambda: _hear(first, second))
+    gone = "tcp://127.0.0.1:9"
+    first.peers.known[gone] = peers.Peer(met=clocks.now() - 1)
+    first.tick()
+    assert gone in first.peers.known
+    first.peers.known[gone].met -= peers.FORGET_SECONDS
+    first.tick()
+    assert gone not in first.peers.known
+    assert second.peers.address in first.peers.known
