--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -41,7 +41,11 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes a record, or counts it where the reader doesn't keep up."""
-        line = {"channel": record.channel, "message": record.message}
+        line = {
+            "time": record.time.isoformat(timespec="milliseconds") + "Z",
+            "channel": record.channel,
+            "message": record.message,
+        }
         line.update(record.extra.get("fields") or {})
         if record.level >= logbook.WARNING:
             line["level"] = record.level_name.lower()
