Name the placement's figures; give orders at one place of a step

Cause: reading the change as a newcomer: two numbers stood without names, a server with newer weights than named counted as older, and a step of the holder gave orders twice over.

--- a/pimentoledge/routing/holders.py
+++ b/pimentoledge/routing/holders.py
@@ -97,9 +97,7 @@
                 await self._read()
             case leases.Step.WRITE:
                 await self._write(now)
-            case leases.Step.ORDER:
-                self._order(now)
-            case leases.Step.WAIT:
+            case leases.Step.ORDER | leases.Step.WAIT:
                 pass
         if self.lease.may_order(clocks.now()):
             self._order(clocks.now())
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -10,10 +10,14 @@
 # server holds: read off the engines' figures on the users' pages.
 READ_MS = 0.031
 FETCH_MS = 0.006
-# Added wait for each request that a server has, while it has free slots.
+# Added wait for each request that a server has while it has free slots, at a
+# server of ten slots; a larger batch shares its step among more.
 SHARED_STEP_MS = 1.5
-# For each request beyond its slots.
+SHARED_STEP_SLOTS = 10
+# For each request beyond its slots, at a server of eight; more slots are free
+# sooner.
 QUEUE_MS = 60.0
+QUEUE_SLOTS = 8
 # Another data centre: its bytes are dear, so it is worth a queue.
 ELSEWHERE_MS = 120.0
 # Requests that begin on older weights lose a part of their worth.
@@ -40,7 +44,7 @@
     """What a choice takes into account besides the servers.
 
     Attributes:
-        data_centre: this entry's.
+        data_centre: this router's.
         parts: the shared parts of the prompt.
         unshared: tokens that no other request shares.
         held: tokens that the request will hold.
@@ -113,18 +117,24 @@
     if backend.registration.data_centre != terms.data_centre:
         total += ELSEWHERE_MS
     version = weights_of(backend, terms.model)
-    if terms.newest is not None and version != terms.newest:
+    if _is_older(version, terms):
         total += OLDER_WEIGHTS_MS
     if terms.home not in (None, backend.registration.incarnation):
         total += READ_TWICE_MS * terms.home_tokens
     return total + _prompt_cost(backend, terms, version)
 
 
+def _is_older(version: int | None, terms: Terms) -> bool:
+    """Returns whether newer weights than these are named."""
+    return None not in (version, terms.newest) and version < terms.newest
+
+
 def _load_cost(backend: backends.Backend, terms: Terms) -> float:
     slots = max(1, backend.registration.slots)
     busy = backend.busyness()
-    total = SHARED_STEP_MS * min(busy, slots) * 10 / max(10, slots)
-    total += QUEUE_MS * max(0, busy + 1 - slots) * 8 / slots
+    shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
+    total = SHARED_STEP_MS * min(busy, slots) * shared
+    total += QUEUE_MS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
     total += READ_MS * backend.reading
     if terms.cache_tokens:
         over = backend.held + terms.held - KEPT_SHARE * terms.cache_tokens
@@ -141,7 +151,7 @@
     cached = backend.cached_tokens(found, terms.parts)
     missing = sum(part.tokens for part in terms.parts) - cached
     each = FETCH_MS if terms.fetches else READ_MS
-    if terms.newest is not None and version != terms.newest:
+    if _is_older(version, terms):
         # Nothing of older weights is fetched, so it would be read again.
         each = READ_TWICE_MS
     name = terms.parts[-1].name + backend.registration.incarnation
