--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -281,6 +281,8 @@
     )
     try:
         assert _ask(port).startswith(b"HTTP/1.1 200")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
         process.send_signal(signal.SIGTERM)
         output, _ = process.communicate(timeout=15)
     finally:
@@ -288,6 +290,7 @@
         process.wait()
         platform.close()
     assert process.returncode == 0
+    assert b'"message":"reload"' in output
     assert b'"message":"ended"' in output
 
 
--- /dev/null
+++ b/pimentoledge/tests/test_router_faults.py
@@ -0,0 +1,149 @@
+"""What a router makes of answers that no good server gives."""
+
+import asyncio
+import contextlib
+import os
+
+from returns import result
+
+from pimentoledge.platform import stand_in_servers
+from pimentoledge.routing import daemons
+from pimentoledge.tests import raw_servers
+from pimentoledge.tests import router_world
+
+IDENTITY = {"Request-Id": "q-raw"}
+
+
+def reply(body=b"answer", *, length=None, status=200):
+    """Returns a signed answer to the request of these tests."""
+    head = (
+        f"HTTP/1.1 {status} X\r\nRequest-Id: q-raw\r\nServer-Stamp: s\r\n"
+    ).encode()
+    if length is not None:
+        head += b"Content-Length: %d\r\n" % length
+    return head + b"\r\n" + body
+
+
+def before(answer, **how):
+    """Makes a test of a coroutine with one server that sends given bytes."""
+
+    def decorate(test):
+        def run():
+            async def whole(address):
+                world = router_world.World()
+                try:
+                    await world.start(plain=0, runners=0)
+                    server = stand_in_servers.StandInServer(
+                        incarnation="raw", service="plain"
+                    )
+                    spec = {**server.entry(), "address": address}
+                    world.store.put("servers", "raw", spec)
+                    known = world.routers[0].believed.servers.by_incarnation
+                    await world.until(lambda: known)
+                    await test(world)
+                finally:
+                    await world.close()
+
+            with raw_servers.raw_server(answer, **how) as url:
+                asyncio.run(whole(url.removeprefix("http://")))
+
+        run.__name__ = test.__name__
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+def ask(world, path="/cards/", **more):
+    headers = {**IDENTITY, **more}
+    return world.ask(path, body=b"card", headers=headers)
+
+
+@before(reply(b"until the end"))
+async def test_an_answer_without_a_length_ends_with_its_connection(world):
+    got = await ask(world)
+    assert (got.status, got.body, got.whole) == (200, b"until the end", True)
+
+
+@before(reply(b"half", length=9))
+async def test_an_answer_that_is_cut_is_not_passed_on(world):
+    """Half an answer must not reach a client as a whole one."""
+    assert (await ask(world)).status == 502
+
+
+@before(b"this is no answer\r\n\r\n")
+async def test_bytes_that_are_no_answer_are_not_passed_on(world):
+    assert (await ask(world)).status == 502
+
+
+@before(reply(b"first", length=5) + reply(b"second", length=6), hang=True)
+async def test_a_second_answer_reaches_nobody(world):
+    """A server sends two answers; the second belongs to no request.
+
+    The connection is closed, so that the next request's answer can't be
+    taken from what was left on it.
+    """
+    got = await ask(world)
+    assert got.body == b"first"
+    [router] = world.routers
+    await asyncio.sleep(0.1)
+    assert not any(router.pool.idle.values())
+
+
+@before(reply(b"", length=0).replace(b"Server-Stamp: s\r\n", b""))
+async def test_a_success_without_a_signature_is_not_passed_on(world):
+    assert (await ask(world)).status == 502
+
+
+@before(reply(b"no", length=2, status=503))
+async def test_a_servers_unpromised_503_is_not_passed_on_as_a_promise(world):
+    """A 503 tells a client that its request never ran.
+
+    This server doesn't say so; passed on, the client would post again what
+    may have run.
+    """
+    assert (await ask(world)).status == 502
+
+
+@before(b"", hang=True)
+async def test_a_silent_server_holds_a_request_only_to_its_deadline(world):
+    """A server that takes a request and falls silent must not hold clients."""
+    async with asyncio.timeout(1.5):
+        got = await ask(world, **{"Deadline-Ms": "400"})
+    assert got.status == 504
+
+
+@router_world.played(plain=1)
+async def test_a_client_that_reads_nothing_holds_up_no_other(world):
+    """A slow client's answer waits for it alone."""
+    slow = world.client()
+    await slow.open()
+    for _ in range(6):
+        slow.send("/cards/", body=b"x" * 9000)
+    for _ in range(3):
+        assert (await world.ask("/cards/", body=b"c")).status == 200
+    slow.close()
+
+
+def test_a_changed_settings_file_is_taken_up_without_a_signal(
+    tmp_path, monkeypatch
+):
+    path = tmp_path / "router.toml"
+    usual = 'name = "r"\nstore-address = "127.0.0.1:9"\n'
+    path.write_text(usual + 'retry-slack = "20"\n')
+    monkeypatch.setenv(daemons.CONFIG_VARIABLE, str(path))
+    monkeypatch.setattr(daemons, "LOOK_SECONDS", 0.0)
+    match daemons.read_settings(dict(os.environ)):
+        case result.Success(chosen):
+            router = daemons.Router(chosen=chosen)
+    router.tick()
+    assert router.believed.bounds.budget_slack == 20
+    path.write_text(usual + 'retry-slack = "50"\n')
+    os.utime(path, (1, 1))
+    router.tick()
+    assert router.believed.bounds.budget_slack == 50
+    path.write_text("not settings")
+    os.utime(path, (2, 2))
+    with contextlib.suppress(OSError):
+        router.tick()
+    assert router.believed.bounds.budget_slack == 50
