Test silence, and a router's start in an outage

Change: four tests; they pass on the code as it is. A server that acknowledges nothing can't be brought about on loopback, so there the test looks at the probes and the time-out that are set.

--- a/pimentoledge/tests/test_router_faults.py
+++ b/pimentoledge/tests/test_router_faults.py
@@ -3,11 +3,16 @@
 import asyncio
 import contextlib
 import os
+import socket
 
 from returns import result
 
 from pimentoledge.platform import stand_in_servers
+from pimentoledge.platform import stores
+from pimentoledge.routing import calls
 from pimentoledge.routing import daemons
+from pimentoledge.routing import registrations
+from pimentoledge.routing import server_connections
 from pimentoledge.tests import raw_servers
 from pimentoledge.tests import router_world
 
@@ -147,3 +152,40 @@
     with contextlib.suppress(OSError):
         router.tick()
     assert router.believed.bounds.budget_slack == 50
+
+
+def test_a_store_that_falls_silent_is_given_up_and_asked_anew():
+    """A connection may go silent for good while new ones work.
+
+    A watch that gets no answer well after its time must not wait for ever,
+    and its connection is not used again.
+    """
+
+    async def play(address):
+        caller = calls.Caller()
+        store = stores.Store(address=address, caller=caller)
+        async with asyncio.timeout(4):
+            found = await store.watch("servers", 1, 0.1)
+        assert isinstance(found, registrations.Unavailable)
+        assert not found.maybe_done
+        assert not any(caller.pool.idle.values())
+
+    with raw_servers.raw_server(b"", hang=True) as url:
+        asyncio.run(play(url.removeprefix("http://")))
+
+
+@router_world.played(plain=1)
+async def test_idle_connections_are_watched_for_silence(world):
+    """A server without power sends no end; only probes show that it is dark."""
+    await world.ask("/cards/", body=b"c")
+    [router] = world.routers
+    [connection] = next(filter(None, router.pool.idle.values()))
+    sock = connection._transport.get_extra_info("socket")
+    tcp = socket.IPPROTO_TCP
+    assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    unacknowledged = sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+    assert unacknowledged == server_connections.UNACKNOWLEDGED_MS
+    probing = sock.getsockopt(tcp, socket.TCP_KEEPIDLE) + sock.getsockopt(
+        tcp, socket.TCP_KEEPINTVL
+    ) * sock.getsockopt(tcp, socket.TCP_KEEPCNT)
+    assert probing <= 3
--- a/pimentoledge/tests/test_router_peers.py
+++ b/pimentoledge/tests/test_router_peers.py
@@ -148,3 +148,27 @@
     first.tick()
     assert gone not in first.peers.known
     assert second.peers.address in first.peers.known
+
+
+@played(routers=2)
+async def test_a_router_started_in_an_outage_takes_all_from_the_others(world):
+    """A VM that restarts while the store is down must serve, not refuse."""
+    first, second = world.routers
+    await world.until(lambda: _hear(first, second))
+    world.store.objects.down = True
+    port = router_world.free_port()
+    seeds = [int(each.rpartition(":")[2]) for each in first.peers.seeds]
+    third = await world.add_router("router-2", port, seeds)
+    await world.until(
+        lambda: third.believed.ready() and third.believed.servers.by_incarnation
+    )
+    assert (await world.ask("/cards/", 2, body=b"c")).status == 200
+
+
+@played(routers=2)
+async def test_a_router_that_falls_silent_is_not_waited_for(world):
+    """A holder that is frozen or cut off must not keep others from orders."""
+    first, second = world.routers
+    await world.until(lambda: _hear(first, second))
+    later = clocks.now() + peers.AWAY_SECONDS + 0.1
+    assert not first.peers.present(later)
