Don't count a body as head when the head comes in two segments

Cause: found by reading: bytes of a segment counted as head when the head before it was not whole, with the body in it; a proper request of 24 KB whose head was split would get 431. Change: only bytes of a head that is still not whole after them count. Measured: the new test failed before with 431. Conclusion: a real fault, mended.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -93,14 +93,13 @@
         self._target = b""
         self._headers: Headers = []
         self._header_bytes = 0
+        self._unread_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head: RequestHead | None = None
 
     def feed(self, data: bytes) -> None:
         """Takes bytes; after BadMessageError nothing may follow."""
-        if self.unread_head or not self.begun:
-            self._header_bytes += len(data) if self.unread_head else 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -109,6 +108,20 @@
             if self._fault is not None:
                 raise self._fault from error
             raise BadMessageError(str(error)) from error
+        self._bound_unread_head(len(data))
+
+    def _bound_unread_head(self, size: int) -> None:
+        """Refuses a head that grows without an end.
+
+        Lines of a head are counted when they are whole; one that never ends
+        would be kept in memory uncounted. What follows a whole head in the
+        same bytes is body and doesn't count.
+        """
+        if not self.unread_head:
+            return
+        self._unread_bytes += size
+        if self._unread_bytes > self.max_header_bytes:
+            raise BadMessageError("the head is too large", 431)
 
     def _refuse(self, text: str, status: int) -> None:
         self._fault = BadMessageError(text, status)
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -179,6 +179,21 @@
             last = cut
         assert [body for _, body in parser.requests] == [b"body", b"body"]
 
+    def test_a_body_behind_the_rest_of_a_head_does_not_count_as_head(self):
+        """A proper request must not be refused for how its bytes arrive.
+
+        The head comes in two segments, and the second holds the body too,
+        which is larger than a head may be.
+        """
+        parser = http_messages.RequestParser(
+            max_header_bytes=200, max_body_bytes=5000
+        )
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n"
+        parser.feed(head[:30])
+        parser.feed(head[30:] + b"X: y\r\n\r\n" + b"b" * 4000)
+        [(_, body)] = parser.requests
+        assert len(body) == 4000
+
     def test_the_largest_head_and_body_are_bounded(self):
         parser = self.parser()
         with pytest.raises(http_messages.BadMessageError) as caught:
