Take out state that nothing reads

Cause: reading the change again: a connection's count of answers and a runner's last ordered version were written and never read, and a parameter of the rollout was not used. Change: gone; behaviour is as before. Left, decoded and not read yet: a route's pause between events and a service's most connections.

--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -76,14 +76,12 @@
     """How far one runner is.
 
     Attributes:
-        version: version that was last ordered, or 0.
         ends: when a load that was ordered counts as failed.
         not_before: when it may be asked or told again.
         orders_taken: orders that it has taken, or None if not known.
         calling: whether a call to it is under way.
     """
 
-    version: int = 0
     ends: float = 0.0
     not_before: float = 0.0
     orders_taken: int | None = None
@@ -138,9 +136,7 @@
         found = []
         for model, wanted in self.believed.wanted.items():
             behind = self.behind(model)
-            loading = [
-                each for each in behind if self._is_loading(each, wanted, now)
-            ]
+            loading = [each for each in behind if self._is_loading(each, now)]
             room = self._at_once(model) - len(loading)
             waiting = [
                 each
@@ -170,9 +166,7 @@
         incarnation = backend.registration.incarnation
         return self.progress.setdefault(incarnation, Progress())
 
-    def _is_loading(
-        self, backend: backends.Backend, wanted: beliefs.Wanted, now: float
-    ) -> bool:
+    def _is_loading(self, backend: backends.Backend, now: float) -> bool:
         progress = self.of(backend)
         return progress.calling or now < progress.ends
 
@@ -187,7 +181,6 @@
         progress.not_before = now + AGAIN_SECONDS
         match verdict:
             case Verdict.TAKEN:
-                progress.version = due.version
                 progress.ends = now + LOAD_SECONDS
                 progress.orders_taken += 1
             case Verdict.HOLDS:
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -75,7 +75,6 @@
         busy: whether an answer is awaited.
         reusable: whether another request may be sent on it.
         idle_until: when the server may close it, in seconds of clocks.now.
-        answers: answers that it has carried.
     """
 
     def __init__(self, *, address: str, on_lost=lambda connection: None):
@@ -84,7 +83,6 @@
         self.busy = False
         self.reusable = True
         self.idle_until = 0.0
-        self.answers = 0
         self._transport: asyncio.Transport | None = None
         self._parser = http_messages.ResponseParser(
             heads=self._on_head, pieces=self._on_piece, ends=self._on_end
@@ -160,7 +158,6 @@
     def _on_end(self) -> None:
         if not self.busy:
             return
-        self.answers += 1
         self._happen(Ended())
 
     def finish(self, *, idle_seconds: float) -> None:
