Give leave to send a body to clients that ask for it

Cause: Expect was stripped and never answered, so a client that waits for the interim answer sent its body only when its own patience was over. Now 100 Continue goes out when the head is accepted, no body has come and no earlier answer is due on the connection; a body refused by its length is not asked for.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -20,6 +20,9 @@
 MOST_WAITING = 8
 # A client sends its request within some ms of opening a connection.
 FIRST_SECONDS = 1.0
+# Clients that ask for it send no body before it, or only after a wait of
+# their own; it is sent once no earlier answer is due on the connection.
+GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class ClientConnection(asyncio.Protocol):
@@ -110,6 +113,9 @@
             self._serve(head, body)
         elif self._refused is not None:
             self._refuse_bytes(self._refused)
+        elif self._parser.awaits_go_ahead:
+            self._parser.awaits_go_ahead = False
+            self.send(GO_AHEAD)
 
     def _serve(self, head: http_messages.RequestHead, body: bytes) -> None:
         self._keep = head.keep_alive
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -77,6 +77,8 @@
         requests: whole requests not yet taken, oldest first.
         begun: whether part of a request was read.
         unread_head: whether a request's head is not complete yet.
+        awaits_go_ahead: whether the client holds its body back until it gets
+            an interim answer.
     """
 
     def __init__(self, *, max_header_bytes: int, max_body_bytes: int):
@@ -85,6 +87,7 @@
         self.requests: list[tuple[RequestHead, bytes]] = []
         self.begun = False
         self.unread_head = False
+        self.awaits_go_ahead = False
         self._parser = httptools.HttpRequestParser(self)
         self._fault: BadMessageError | None = None
         self._reset()
@@ -154,6 +157,18 @@
             keep_alive=self._parser.should_keep_alive(),
         )
         self._check_framing(self._head)
+        self.awaits_go_ahead = self._wants_go_ahead(self._head)
+
+    def _wants_go_ahead(self, head: RequestHead) -> bool:
+        """Returns whether a head asks for an interim answer.
+
+        RFC 9110, 10.1.1: not in HTTP/1.0, whose clients can't read one.
+        """
+        if self._parser.get_http_version() != "1.1":
+            return False
+        return b"100-continue" in (
+            value.strip().lower() for value in head.values(b"expect")
+        )
 
     def _check_framing(self, head: RequestHead) -> None:
         """Refuses what two readers could frame in two ways."""
@@ -169,6 +184,7 @@
             self._refuse("the body is too large", 413)
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
+        self.awaits_go_ahead = False
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self.max_body_bytes:
@@ -176,6 +192,7 @@
 
     def on_message_complete(self) -> None:  # noqa: D102
         self.requests.append((self._head, b"".join(self._body)))
+        self.awaits_go_ahead = False
         self.begun = False
         self._reset()
 
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -517,3 +517,55 @@
     await world.until(lambda: not router.connections)
     assert len(router.exchanges) == 1
     await world.until(lambda: not router.exchanges)
+
+
+@played()
+async def test_a_client_that_waits_for_leave_to_send_its_body_gets_it(world):
+    """A mechanic's upload hangs for a second before each job card.
+
+    The client sends the head with "Expect: 100-continue" and waits; without
+    an interim answer it sends the body only when its own patience is over.
+    """
+    client = world.client()
+    await client.open()
+    expects = {"Expect": "100-continue", "Content-Length": "4"}
+    client.send("/cards/1", headers=expects)
+    async with asyncio.timeout(0.5):
+        interim = await client.reader.readuntil(b"\r\n\r\n")
+    assert interim == b"HTTP/1.1 100 Continue\r\n\r\n"
+    client.writer.write(b"card")
+    got = await client.read()
+    client.close()
+    assert (got.status, got.body) == (200, b"answer of card")
+    [call] = world.ran("plain")
+    assert "expect" not in call.headers
+
+
+@played()
+async def test_leave_to_send_waits_until_earlier_answers_are_out(world):
+    """An interim answer before an earlier request's answer would be its own.
+
+    A client sends a whole request and at once the head of the next, which
+    waits for leave: the first answer must come first.
+    """
+    client = world.client()
+    await client.open()
+    client.send("/cards/1", body=b"one")
+    expects = {"Expect": "100-continue", "Content-Length": "3"}
+    client.send("/cards/2", headers=expects)
+    first = await client.read()
+    assert first.body == b"answer of one"
+    interim = await client.reader.readuntil(b"\r\n\r\n")
+    assert interim.startswith(b"HTTP/1.1 100 ")
+    client.writer.write(b"two")
+    second = await client.read()
+    client.close()
+    assert second.body == b"answer of two"
+
+
+@played()
+async def test_a_body_that_is_refused_by_its_length_is_not_asked_for(world):
+    """A client must not send 20 KB to hear that they are too many."""
+    expects = {"Expect": "100-continue", "Content-Length": "20000"}
+    got = await world.ask("/cards/1", headers=expects)
+    assert got.status == 413
