Tell in each answered and streamed line what its server was chosen by

Cause: the lines of served requests named the server, not why it was taken nor how old that knowledge was, so a slow answer could not be traced to its choice. Each now has the versions in force with their age, the servers usable and declared, the cost taken and the next best, the server's load and its age; streams also whether they were late by their route's terms, which the counters count. What goes into the lines has a module.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -31,6 +31,7 @@
         held: tokens of all requests of this process that it has.
         load: what it last said of its load, or None.
         load_open: `open` of this process when it said so.
+        load_at: when it said so.
         avoid_until: when it is tried again.
         failures: failures in a row.
         over: whether something showed that this life has ended.
@@ -48,6 +49,7 @@
     held: int = 0
     load: asks.Load | None = None
     load_open: int = 0
+    load_at: float = 0.0
     avoid_until: float = 0.0
     failures: int = 0
     over: bool = False
@@ -88,10 +90,11 @@
         said = self.load.running + self.load.waiting
         return max(self.open, said + self.open - self.load_open)
 
-    def told_load(self, load: asks.Load) -> None:
+    def told_load(self, load: asks.Load, now: float) -> None:
         """Takes what it says of its load."""
         self.load = load
         self.load_open = self.open
+        self.load_at = now
 
     def was_full(self, now: float) -> None:
         """Leaves it alone for a moment."""
--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -53,6 +53,7 @@
         born: when it started.
         bounds: figures that the deployment sets.
         configuration: newest configuration, or None before the first.
+        configured: when that came into force here.
         servers: the backend servers.
         wanted: wanted weights by model.
         caches_down: addresses of KV cache servers that don't answer.
@@ -69,6 +70,7 @@
     born: float
     bounds: Bounds = attrs.field(factory=Bounds)
     configuration: configurations.Configuration | None = None
+    configured: float = 0.0
     servers: backends.Backends = attrs.field(factory=backends.Backends)
     wanted: dict[str, Wanted] = attrs.field(factory=dict)
     caches_down: set[str] = attrs.field(factory=set)
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -15,6 +15,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import event_streams
+from pimentoledge.routing import grounds
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import placements
@@ -81,6 +82,7 @@
         self.organisation: configurations.Organisation | None = None
         self._ends_at = 0.0
         self._ending = False
+        self._chosen: dict[str, object] = {}
         self._task: asyncio.Task | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
@@ -178,10 +180,11 @@
     async def _try_servers(self) -> None:
         """Sends the request to servers until there is an answer."""
         while True:
-            backend = await self._choose()
-            if backend is None:
+            choice = await self._choose()
+            if choice is None:
                 self._give_up(verdicts.final_code(self.history))
                 return
+            backend = self._take(choice)
             if not self._may_send(backend):
                 self._give_up(verdicts.final_code(self.history))
                 return
@@ -195,6 +198,7 @@
                     server=backend.registration.incarnation,
                     outcome=broken.outcome,
                     reason=broken.reason,
+                    chosen=self._chosen,
                 )
             if not self._may_go_on():
                 self._give_up(verdicts.final_code(self.history))
@@ -224,7 +228,14 @@
             return True
         return budget.take(now, self.believed.members)
 
-    async def _choose(self) -> backends.Backend | None:
+    def _take(self, choice: placements.Choice) -> backends.Backend:
+        """Keeps what a choice went by, as it was then, for the log."""
+        self._chosen = grounds.of_choice(
+            self.believed, self.ask, choice, clocks.now()
+        )
+        return choice.backend
+
+    async def _choose(self) -> placements.Choice | None:
         """Returns the server to send to; waits a moment for a free one."""
         until = clocks.now() + WAIT_SHARE * self.route.objective_seconds
         while True:
@@ -300,7 +311,7 @@
     def _learn(self, backend: backends.Backend, answer: asks.Answer) -> None:
         """Takes what an answer's head says of its server."""
         if answer.load is not None:
-            backend.told_load(answer.load)
+            backend.told_load(answer.load, clocks.now())
         incarnation = answer.incarnation
         known = backend.registration.incarnation
         if incarnation is not None and incarnation != known:
@@ -338,6 +349,7 @@
             "answered",
             server=backend.registration.incarnation,
             status=answer.status,
+            chosen=self._chosen,
         )
 
     def _served(self, backend: backends.Backend) -> None:
@@ -390,8 +402,20 @@
             last=self.answer.last_event,
             first_ms=_ms(first),
             gap_ms=_ms(self.answer.gap_seconds),
+            late=self._lateness(),
+            chosen=self._chosen,
         )
 
+    def _lateness(self) -> str | None:
+        """Returns why a whole stream came late by its route's terms."""
+        first = self.answer.first_seconds
+        if first is not None and first > self.route.objective_seconds:
+            return "first"
+        most = self.route.gap_seconds
+        if most is not None and self.answer.gap_seconds > most:
+            return "pause"
+        return None
+
     def _prompt_read(self, attempt: attempts.Attempt) -> None:
         """Takes the first piece as proof that the prompt was read."""
         if attempt.prompt_read:
@@ -416,30 +440,18 @@
         self._refuse(code)
 
     def _refuse(self, code: results.Code) -> None:
-        self._log("refused", code=code.name, **self._grounds())
+        self._log(
+            "refused",
+            code=code.name,
+            **grounds.of_refusal(
+                self.believed,
+                self.route,
+                len(self.history.tried()),
+                clocks.now(),
+            ),
+        )
         self.answer.refuse(code)
 
-    def _grounds(self) -> dict[str, object]:
-        """Returns what decided a refusal, for its log line."""
-        configuration = self.believed.configuration
-        if configuration is None or self.route is None:
-            return {"configuration": configuration and configuration.version}
-        now = clocks.now()
-        servers = [
-            each
-            for share in self.route.shares
-            for each in self.believed.servers.of_service(share.service)
-        ]
-        budget = self.believed.budget(self.route.shares[0].service)
-        left = budget.allowance(now, self.believed.members)
-        return {
-            "configuration": configuration.version,
-            "servers": len(servers),
-            "usable": sum(each.usable(now) for each in servers),
-            "tried": len(self.history.tried()),
-            "repeats_left": round(left, 1),
-        }
-
     def _log(self, message: str, **fields: object) -> None:
         if self.ask is not None:
             fields["request"] = self.ask.request
--- /dev/null
+++ b/pimentoledge/routing/grounds.py
@@ -0,0 +1,70 @@
+"""What decided a request's way, with its age, for the log lines."""
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import configurations
+from pimentoledge.routing import placements
+
+
+def of_choice(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    choice: placements.Choice,
+    now: float,
+) -> dict[str, object]:
+    """Returns what a choice of a server went by.
+
+    Costs are expected waits in ms; ages are in seconds, None where nothing
+    was ever heard.
+    """
+    backend = choice.backend
+    found = {
+        "configuration": believed.configuration.version,
+        "configuration_age": _age(believed.configured, now),
+        "usable": choice.usable,
+        "declared": choice.declared,
+        "cost": round(choice.cost, 1),
+        "second": None if choice.second is None else round(choice.second, 1),
+        "busy": backend.busyness(),
+        "load_age": _age(backend.load_at, now),
+    }
+    wanted = believed.wanted.get(ask.model)
+    if wanted is not None:
+        found["weights"] = placements.weights_of(backend, ask.model)
+        found["newest"] = wanted.version
+        found["newest_age"] = _age(wanted.since, now)
+    return found
+
+
+def of_refusal(
+    believed: beliefs.Beliefs,
+    route: configurations.Route | None,
+    tried: int,
+    now: float,
+) -> dict[str, object]:
+    """Returns what a refusal went by."""
+    configuration = believed.configuration
+    if configuration is None:
+        return {"configuration": None}
+    found = {
+        "configuration": configuration.version,
+        "configuration_age": _age(believed.configured, now),
+    }
+    if route is None:
+        return found
+    servers = [
+        each
+        for share in route.shares
+        for each in believed.servers.of_service(share.service)
+    ]
+    budget = believed.budget(route.shares[0].service)
+    return found | {
+        "servers": len(servers),
+        "usable": sum(each.usable(now) for each in servers),
+        "tried": tried,
+        "repeats_left": round(budget.allowance(now, believed.members), 1),
+    }
+
+
+def _age(since: float, now: float) -> float | None:
+    return round(now - since, 2) if since else None
--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -86,8 +86,10 @@
 
     def write(self, message: str, **fields: object) -> None:
         """Writes a decision, or counts it if its kind came too often."""
-        outcome = fields.get("code") or fields.get("verdict") or ""
-        self.counters.decided(message, str(outcome))
+        outcome = (
+            fields.get("code") or fields.get("verdict") or fields.get("late")
+        )
+        self.counters.decided(message, str(outcome or ""))
         now = clocks.now()
         window = self._windows.setdefault(message, _Window())
         if now - window.started >= 1.0:
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -85,19 +85,46 @@
     return backend.registration.weights.get(model)
 
 
+@attrs.frozen(kw_only=True)
+class Choice:
+    """The server chosen for a request, and against what.
+
+    Attributes:
+        backend: the server.
+        cost: its expected wait, in ms.
+        second: that of the next best, or None if no other was usable.
+        usable: how many could have been chosen.
+        declared: how many were declared and not yet tried.
+    """
+
+    backend: backends.Backend
+    cost: float
+    second: float | None
+    usable: int
+    declared: int
+
+
 def choose(
     *,
     candidates: list[backends.Backend],
     terms: Terms,
     now: float,
-) -> backends.Backend | None:
+) -> Choice | None:
     """Returns the server with the least expected wait, or None."""
     usable = [each for each in candidates if each.usable(now)]
     if not usable:
         return None
     paces = [each.pace for each in usable if each.pace]
     best = min(paces, default=0.0)
-    return min(usable, key=lambda each: cost(each, terms, best))
+    costs = [cost(each, terms, best) for each in usable]
+    least, *others = sorted(costs)
+    return Choice(
+        backend=usable[costs.index(least)],
+        cost=least,
+        second=others[0] if others else None,
+        usable=len(usable),
+        declared=len(candidates),
+    )
 
 
 def cost(
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -49,7 +49,7 @@
     organisation: configurations.Organisation | None,
     without: set[str],
     now: float,
-) -> backends.Backend | None:
+) -> placements.Choice | None:
     """Returns the server to send a request to, or None."""
     for name in service_of(route, ask.request):
         candidates = [
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -178,6 +178,7 @@
         if held is not None and held.version >= fresh.version:
             return
         self.believed.configuration = fresh
+        self.believed.configured = clocks.now()
         self.lines.write(
             "configuration", version=fresh.version, revision=each.revision
         )
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -254,7 +254,7 @@
         found = placements.choose(
             candidates=list(candidates), terms=self.terms(**more), now=10.0
         )
-        return None if found is None else found.registration.incarnation
+        return None if found is None else found.backend.registration.incarnation
 
     def test_the_own_data_centre_goes_first_until_it_is_full(self):
         here, there = backend("h"), backend("t", place="b")
@@ -474,7 +474,7 @@
         def chosen():
             return placements.choose(
                 candidates=[grey, good], terms=terms, now=10.0
-            )
+            ).backend
 
         assert chosen() is good
         for _ in range(40):
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -1,11 +1,17 @@
 """The router's log lines: bounded, and never in a request's way."""
 
+import contextlib
 import os
 
+import attrs
+import logbook
 import msgspec
 
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.tests import router_world
+
+played = router_world.played
 
 
 def lines_of(reader):
@@ -50,3 +56,65 @@
         os.read(reader, 1 << 20)
         lines.write("after")
     assert lines_of(reader)[-1]["dropped_lines"] == dropped
+
+
+@contextlib.contextmanager
+def fields_of_lines():
+    """Gives the fields of the lines written within, by message."""
+    handler = logbook.TestHandler(level="INFO")
+    found = {}
+    with handler.applicationbound():
+        yield found
+    for record in handler.records:
+        fields = record.extra.get("fields") or {}
+        found.setdefault(record.message, []).append(fields)
+
+
+@played()
+async def test_an_answer_tells_what_its_server_was_chosen_by_and_how_old(
+    world,
+):
+    """Why did this lookup go to that slow server?
+
+    A line that names only the server can't tell: it needs the costs that were
+    compared, the load and the versions believed, and how old each was.
+    """
+    with fields_of_lines() as lines:
+        await world.ask("/cards/1", body=b"a")
+        await world.ask("/drafts/", headers=router_world.stream_headers())
+        await world.ask("/nowhere/")
+    [call], [stream] = lines["answered"], lines["streamed"]
+    for line in (call, stream):
+        chosen = line["chosen"]
+        assert chosen["configuration"] == 1
+        assert 0 <= chosen["configuration_age"] < 60
+        assert chosen["usable"] == chosen["declared"] == 2
+        assert chosen["cost"] <= chosen["second"]
+        assert line["server"] in world.servers
+    assert stream["chosen"]["weights"] == stream["chosen"]["newest"]
+    assert stream["chosen"]["newest_age"] >= 0
+    assert "weights" not in call["chosen"]
+    [refused] = lines["refused"]
+    assert refused["code"] == "NOT_FOUND"
+    assert refused["configuration"] == 1
+    assert refused["configuration_age"] >= 0
+
+
+@played()
+async def test_a_stream_that_came_late_by_its_routes_terms_is_counted(world):
+    """Riders complain of slow drafts, yet every stream was whole.
+
+    The count of late streams, by what was late, shows it without a search.
+    """
+    [router] = world.routers
+    routes = router.believed.configuration.routes
+    for host, found in routes.items():
+        routes[host] = [
+            attrs.evolve(each, objective_seconds=30.0, gap_seconds=1e-6)
+            for each in found
+        ]
+    with fields_of_lines() as lines:
+        await world.ask("/drafts/", headers=router_world.stream_headers())
+    [stream] = lines["streamed"]
+    assert stream["late"] == "pause"
+    assert router.counters.decisions[("streamed", "pause")] == 1
