Let two routers of each data centre watch the servers for the others

Now, with more than 9 routers, two of each data centre watch and tell what changed to their neighbours there, who pass on what is news to them. Each telling names the change before it; who lacks that asks the store once. Signs of who watches go with heartbeats: at 1.5 s without one a router watches for itself. The first four by rank stand in for one that died. After a freeze the list is asked for anew. Heartbeats now go on a circle per data centre, with about one link to each other data centre.

--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -116,10 +116,13 @@
             believed=self.believed,
             lease=self.lease,
             kinds=kinds,
-            watching=self.watchers,
+            watching=self.kinds,
             takers=self.takers,
             lines=self.lines,
         )
+        for name in ("servers", "weights"):
+            self.kinds[name].follows = self.peers.follows
+        self.kinds["servers"].told = self.peers.tell_changes
         runners = orders.Runners(caller=self.caller, holder=holder)
         self.rechecks = rechecks.Rechecks(runners=runners, lines=self.lines)
         self.cache_links = cache_links.CacheLinks(
@@ -166,7 +169,7 @@
         self.peers.news()
 
     def _lapse_ends(self) -> float:
-        return self.kinds["servers"].lapse_ends()
+        return max(self.kinds["servers"].lapse_ends(), self.peers.lapse_told)
 
     def _died(self, incarnation: str) -> None:
         self.peers.server_died(incarnation)
@@ -242,7 +245,7 @@
         )
 
     def look_for_a_pause(self, now: float) -> None:
-        """Trusts no connection that is older than a pause of this process.
+        """Trusts no connection or list older than a pause of this process.
 
         A VM that was frozen finds its idle connections open though servers
         closed them meanwhile; what is sent on one may have run, or not. The
@@ -254,6 +257,8 @@
         if paused > PAUSE_SECONDS:
             self.pool.close()
             self.caller.close()
+            for each in self.watchers:
+                each.catch_up()
             self.lines.write("paused", seconds=round(paused, 2))
 
     async def run(self) -> None:
--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -16,44 +16,62 @@
         take: called with (changed, names of the removed).
         objects: by name.
         revision: up to which they are known, or None before the first.
+        changed_at: revision of the newest change that is known.
     """
 
     kind: str
     take: Callable[[list[registrations.Stored], list[str]], None]
     objects: dict[str, registrations.Stored] = attrs.field(factory=dict)
     revision: int | None = None
+    changed_at: int = 0
 
     def apply(
         self, found: registrations.Listing | registrations.Changes
-    ) -> None:
-        """Takes a listing or changes, unless newer ones were taken."""
+    ) -> bool:
+        """Takes a listing or changes, unless newer ones were taken.
+
+        Returns whether that changed anything.
+        """
         if self.revision is not None and found.revision < self.revision:
-            return
+            return False
         match found:
             case registrations.Listing(objects=objects):
                 present = {each.name for each in objects}
                 removed = [name for name in self.objects if name not in present]
                 changed = [each for each in objects if self._is_news(each)]
+                newest = objects
             case registrations.Changes():
                 changed = [
                     each for each in found.changed if self._is_news(each)
                 ]
                 removed = [
-                    each.name
-                    for each in found.removed
-                    if each.name in self.objects
+                    each.name for each in found.removed if self._is_held(each)
                 ]
+                newest = found.changed + found.removed
         for each in changed:
             self.objects[each.name] = each
         for name in removed:
             del self.objects[name]
         self.revision = found.revision
+        self.changed_at = max(
+            [self.changed_at, *(each.revision for each in newest)]
+        )
         self.take(changed, removed)
+        return bool(changed or removed)
 
     def _is_news(self, each: registrations.Stored) -> bool:
         held = self.objects.get(each.name)
         return held is None or held.revision < each.revision
 
+    def _is_held(self, gone: registrations.Stored) -> bool:
+        """Returns whether what is gone is what is held.
+
+        Changes come from several tellers: one that came back meanwhile, with
+        a later revision, must not be taken away by the news of its going.
+        """
+        held = self.objects.get(gone.name)
+        return held is not None and held.revision <= gone.revision
+
     def listing(self) -> registrations.Listing:
         """Returns all objects as of the mirror's revision."""
         return registrations.Listing(
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -10,10 +10,12 @@
     """A heartbeat with what is newest at its sender.
 
     Attributes:
+        data_centre: where its sender is.
         counted: most routers that anyone counts, and the count's age in ms.
         wanted: wanted version of each model's weights, and for how many ms
             that has been known.
-        servers_revision: up to which it knows the servers, or -1.
+        servers_changed: revision of the newest change of the servers that it
+            knows, or -1 before the first.
         store_reached: whether the store answers it.
         lease_revision: of the lease, or -1.
         lease_holder: its holder.
@@ -25,11 +27,14 @@
         holding: whether the holder held the lease then.
         loading: servers about to load or loading at that sign of life, with
             ms left.
+        watchers: some of its data centre that watch the servers for others,
+            by mailbox, with the age of the last sign of each in ms.
     """
 
+    data_centre: str
     counted: tuple[int, int]
     wanted: dict[str, tuple[int, int]]
-    servers_revision: int
+    servers_changed: int
     store_reached: bool
     lease_revision: int
     lease_holder: str
@@ -38,6 +43,7 @@
     pulse: tuple[int, int] = (0, 0)
     holding: bool = False
     loading: dict[str, int] = attrs.field(factory=dict)
+    watchers: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -56,6 +62,28 @@
     objects: list[registrations.Stored]
 
 
+@attrs.define(kw_only=True)
+class Told:
+    """What a watch of the servers brought.
+
+    It goes on from router to router within a data centre.
+
+    Attributes:
+        after: revision of the newest change that the watcher knew before: who
+            doesn't know that one has missed something.
+        revision: up to which the changes are complete.
+        changed: objects as they are now.
+        removed: objects that are gone.
+        lapse_ms: for how long yet what is gone may come back.
+    """
+
+    after: int
+    revision: int
+    changed: list[registrations.Stored]
+    removed: list[registrations.Stored]
+    lapse_ms: int
+
+
 @attrs.define(kw_only=True)
 class Crashed:
     """Content that was in servers that died.
@@ -71,9 +99,13 @@
 
 @attrs.define(kw_only=True)
 class Ages:
-    """For how many ms each router was not heard, by mailbox."""
+    """For how many ms each router was not heard.
+
+    Attributes:
+        ages: by data centre and mailbox.
+    """
 
-    ages: dict[str, int]
+    ages: dict[str, dict[str, int]]
 
 
 NUMBERS: dict[int, type] = {
@@ -82,4 +114,5 @@
     3: Gift,
     4: Crashed,
     5: Ages,
+    6: Told,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -18,6 +18,7 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rings
 from pimentoledge.routing import rosters
+from pimentoledge.routing import watch_shares
 from pimentoledge.routing import watchers
 
 logger = logbook.Logger("peers")
@@ -46,11 +47,13 @@
         believed: what the process believes.
         lease: what it knows of the lease.
         kinds: copies of the store's objects, by kind.
-        watching: the tasks that follow the store.
+        watching: the tasks that follow the store, by kind.
         takers: turn what is told into beliefs.
         lines: where changes of belief are written.
         pulses: signs of life of the router that gives orders.
         roster: the other routers.
+        shares: who watches the servers for others.
+        lapse_told: until when a server that is gone may come back, as told.
     """
 
     def __init__(
@@ -61,7 +64,7 @@
         believed: beliefs.Beliefs,
         lease: leases.Lease,
         kinds: dict[str, mirrors.Mirror],
-        watching: list[watchers.Watcher],
+        watching: dict[str, watchers.Watcher],
         takers: watchers.Takers,
         lines: log_lines.Lines,
     ):
@@ -72,7 +75,11 @@
         self.takers = takers
         self.lines = lines
         self.pulses = pulses.Pulses(lease=lease, believed=believed)
-        self.roster = rosters.Roster(own=f"tcp://{listen}")
+        self.roster = rosters.Roster(
+            own=f"tcp://{listen}", data_centre=believed.data_centre
+        )
+        self.shares = watch_shares.WatchShares(own=f"tcp://{listen}")
+        self.lapse_told = 0.0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_beat = 0.0
         self._next_ages = 0.0
@@ -134,6 +141,8 @@
         """Sends a heartbeat to each partner."""
         self._next_beat = now + BEAT_SECONDS
         self.pulses.own(now)
+        if self.watching["servers"].watching:
+            self.shares.watches(now)
         beat = self._own_beat(now)
         for address in self.roster.partners:
             self._send(address, beat, now)
@@ -141,11 +150,11 @@
     def _tell_ages(self, now: float) -> None:
         """Tells one router how long ago each was heard."""
         self._next_ages = now + AGES_SECONDS
-        ages = self.roster.ages(now)
-        if not ages:
+        members = list(self.roster.members(now))
+        if not members:
             return
-        address = random.choice(list(ages))
-        self._send(address, peer_messages.Ages(ages=ages), now)
+        told = peer_messages.Ages(ages=self.roster.ages(now))
+        self._send(random.choice(members), told, now)
 
     def _send(self, address: str, message: object, now: float) -> None:
         configuration = self.believed.configuration
@@ -157,15 +166,18 @@
         )
 
     def _own_beat(self, now: float) -> peer_messages.Beat:
-        servers = self.kinds["servers"].revision
+        servers = self.kinds["servers"]
         lease = self.lease
         return peer_messages.Beat(
+            data_centre=self.believed.data_centre,
             counted=self.roster.tell_count(now),
             wanted={
                 model: (wanted.version, int((now - wanted.since) * 1000))
                 for model, wanted in self.believed.wanted.items()
             },
-            servers_revision=-1 if servers is None else servers,
+            servers_changed=-1
+            if servers.revision is None
+            else servers.changed_at,
             store_reached=self.store_reached(),
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
@@ -174,11 +186,60 @@
             pulse=self.pulses.newest,
             holding=self.pulses.holding,
             loading=self.pulses.to_tell(now),
+            watchers=self.shares.to_tell(now),
         )
 
     def store_reached(self) -> bool:
         """Returns whether the store answers this router."""
-        return all(each.reached for each in self.watching)
+        return all(each.reached for each in self.watching.values())
+
+    def follows(self) -> bool:
+        """Returns whether others watch the servers for this router."""
+        if self._reaches_all():
+            return False
+        return self.shares.are_enough(self.roster.rank, clocks.now())
+
+    def tell_changes(self, after: int, found: registrations.Changes) -> None:
+        """Passes on what this router's watch of the servers brought."""
+        if self._reaches_all() or not (found.changed or found.removed):
+            return
+        lapse_ends = self.takers.lapse_ends()
+        self._tell(
+            self.roster.near,
+            peer_messages.Told(
+                after=after,
+                revision=found.revision,
+                changed=found.changed,
+                removed=found.removed,
+                lapse_ms=max(0, int((lapse_ends - clocks.now()) * 1000)),
+            ),
+        )
+
+    def _tell(self, addresses: list[str], message: object) -> None:
+        for address in addresses:
+            self._send(address, message, clocks.now())
+
+    def _take_changes(self, sender: str, told: peer_messages.Told) -> None:
+        """Takes and passes on what another's watch brought."""
+        servers = self.kinds["servers"]
+        if servers.revision is None:
+            return
+        if told.after > servers.revision:
+            self.watching["servers"].catch_up()
+            return
+        self.lapse_told = max(
+            self.lapse_told, clocks.now() + told.lapse_ms / 1000
+        )
+        is_news = servers.apply(
+            registrations.Changes(
+                changed=told.changed,
+                removed=told.removed,
+                revision=told.revision,
+            )
+        )
+        if is_news:
+            others = [each for each in self.roster.near if each != sender]
+            self._tell(others, told)
 
     def handle(self, event: object) -> None:
         """Takes an event of the mailbox; on the loop."""
@@ -193,6 +254,8 @@
                 self._crashed(crash)
             case events.FromNode(message=peer_messages.Ages(ages=ages)):
                 self.roster.take_ages(ages, clocks.now())
+            case events.FromNode(message=peer_messages.Told() as told):
+                self._take_changes(event.sender, told)
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
             case events.Unreachable():
@@ -202,20 +265,17 @@
         """Tells the others which content a dead server had."""
         for content in self.believed.suspects.died(incarnation, clocks.now()):
             self.lines.write("crashed", content=content, server=incarnation)
-            self._tell_crash(
-                peer_messages.Crashed(content=content, incarnation=incarnation)
+            self._tell(
+                self.roster.partners,
+                peer_messages.Crashed(content=content, incarnation=incarnation),
             )
 
-    def _tell_crash(self, crash: peer_messages.Crashed) -> None:
-        for address in self.roster.partners:
-            self._send(address, crash, clocks.now())
-
     def _crashed(self, crash: peer_messages.Crashed) -> None:
         is_news = self.believed.suspects.crashed(
             crash.content, crash.incarnation, clocks.now()
         )
         if is_news and not self._reaches_all():
-            self._tell_crash(crash)
+            self._tell(self.roster.partners, crash)
 
     def _reaches_all(self) -> bool:
         """Returns whether every router hears the others itself."""
@@ -232,7 +292,10 @@
         peer.heard = peer.alive = now
         peer.beat = beat
         peer.configuration = event.configuration
+        peer.data_centre = beat.data_centre
         self.roster.take_count(*beat.counted, now)
+        if beat.data_centre == self.believed.data_centre:
+            self.shares.take(beat.watchers, now)
         self._learn(beat, now)
         if self._is_behind(peer):
             later = self._loop.call_later
@@ -266,19 +329,21 @@
         return peer.configuration > (held.version if held else 0)
 
     def _lacks_servers(self, peer: rosters.Peer) -> bool:
-        if self.store_reached():
+        if self.store_reached() and self.watching["servers"].watching:
             return False
-        servers = self.kinds["servers"].revision
-        return servers is None or peer.beat.servers_revision > servers
+        revision = self.kinds["servers"].revision
+        return revision is None or peer.beat.servers_changed > revision
 
     def _catch_up(self, address: str) -> None:
-        """Asks a router for what it knows newer, if the store is silent."""
+        """Asks the store, or a router, for what that router knows newer."""
         peer = self.roster.known.get(address)
         if peer is None:
             return
         if self._lacks_configuration(peer):
             self._wish(address, "configuration")
-        if self._lacks_servers(peer):
+        if self._lacks_servers(peer) and self.store_reached():
+            self.watching["servers"].catch_up()
+        elif self._lacks_servers(peer):
             self._wish(address, "servers")
 
     def _wish(self, address: str, kind: str) -> None:
--- a/pimentoledge/routing/rings.py
+++ b/pimentoledge/routing/rings.py
@@ -6,10 +6,12 @@
 
 import xxhash
 
-# Up to so many others each is written to. With 23 routers on a calm day
-# written to one by one, heartbeats were 12 MB between data centres.
+# Up to so many others, each is written to. With 23 routers on a calm day each
+# written to by all, heartbeats were some 10 MB between data centres.
 ALL_TO_ALL = 8
 CIRCLE = 2**64
+# Links to those beside a router, to each side.
+BESIDE = 2
 
 
 @functools.lru_cache(maxsize=4096)
@@ -18,26 +20,62 @@
     return xxhash.xxh3_64_intdigest(address.encode())
 
 
-def partners(own: str, others: list[str]) -> list[str]:
+def partners(
+    own: str, data_centre: str, others: dict[str, str]
+) -> tuple[list[str], list[str]]:
     """Returns those of the others to write to.
 
-    Each router is linked with the next on a circle and with those half, an
-    eighth, a thirty-second of it further on, and with those that are so
-    linked with it. So each has some log2(n) links, news that is passed on at
-    once reaches all of n routers in about as many steps, and the death of a
-    third parts nobody: who lost one link has a handful of others.
+    Within a data centre each router is linked with the next two on a circle
+    and with those half, an eighth, a thirty-second of it further on, and with
+    those that are so linked with it. So each has some log2(n) links, news that
+    is passed on at once reaches all of n routers in about as many steps, and
+    the death of a third parts nobody: who lost one link has a handful of
+    others. Bytes between data centres are dear, so a router has about one link
+    to each other data centre.
 
     Args:
         own: this router's mailbox.
-        others: the mailboxes of routers that are believed to live.
+        data_centre: where it is.
+        others: the data centres of routers that are believed to live, by
+            mailbox.
+
+    Returns:
+        those of the own data centre, and those of others.
     """
+    places: dict[str, list[str]] = {}
+    for address, where in others.items():
+        places.setdefault(where, []).append(address)
+    near = places.pop(data_centre, [])
+    if len(others) <= ALL_TO_ALL:
+        return near, [each for each in others if each not in near]
+    far = set()
+    for where, there in places.items():
+        if where > data_centre:
+            far.update(_next(own, there))
+        else:
+            here = [own, *near]
+            far.update(each for each in there if own in _next(each, here))
+    return _near(own, near), sorted(far, key=place)
+
+
+def _next(address: str, ring: list[str]) -> list[str]:
+    """Returns the router of a ring that comes next on the circle."""
+    after = [each for each in ring if place(each) > place(address)]
+    return [min(after or ring, key=place)]
+
+
+def _near(own: str, others: list[str]) -> list[str]:
+    """Returns those of the own data centre to write to."""
     if len(others) <= ALL_TO_ALL:
         return list(others)
     ring = sorted(others, key=place)
     places = [place(each) for each in ring]
     here = place(own)
-    before = places[bisect.bisect_left(places, here) - 1]
-    found: set[str] = set()
+    index = bisect.bisect_left(places, here)
+    before = places[index - 1]
+    found = {
+        ring[(index + offset) % len(ring)] for offset in range(-BESIDE, BESIDE)
+    }
     for span in _spans(len(others)):
         at = bisect.bisect_left(places, (here + span) % CIRCLE)
         found.add(ring[at % len(ring)])
@@ -47,10 +85,7 @@
 
 def _spans(count: int) -> list[int]:
     """Returns how far on the circle the linked routers are."""
-    return [
-        1,
-        *(CIRCLE >> n for n in range(1, math.ceil(math.log2(count)) + 1, 2)),
-    ]
+    return [CIRCLE >> n for n in range(1, math.ceil(math.log2(count)) + 1, 2)]
 
 
 def _between(
--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -31,6 +31,7 @@
         alive: when any router last heard it, as far as is told.
         beat: its last heartbeat, or None.
         configuration: its newest configuration version.
+        data_centre: where it is, or "" if that isn't known yet.
     """
 
     met: float = 0.0
@@ -38,6 +39,7 @@
     alive: float = -1e9
     beat: peer_messages.Beat | None = None
     configuration: int = 0
+    data_centre: str = ""
 
 
 class Roster:
@@ -45,17 +47,24 @@
 
     Attributes:
         own: this router's mailbox.
+        data_centre: where it is.
         seeds: mailboxes that the settings name.
         known: every router that this one knows of.
         partners: those that it writes to.
+        near: those of them in its own data centre.
+        rank: how many routers of its data centre come before it on the
+            circle.
         counted: most routers that another counted lately, and when.
     """
 
-    def __init__(self, *, own: str):
+    def __init__(self, *, own: str, data_centre: str):
         self.own = own
+        self.data_centre = data_centre
         self.seeds: list[str] = []
         self.known: dict[str, Peer] = {}
         self.partners: list[str] = []
+        self.near: list[str] = []
+        self.rank = 0
         self.counted = (0, -1e9)
 
     def add_seeds(self, seeds: list[str], now: float) -> None:
@@ -69,34 +78,55 @@
         if address != self.own and address not in self.known:
             self.known[address] = Peer(met=now)
 
-    def ages(self, now: float, most: int | None = None) -> dict[str, int]:
+    def members(self, now: float) -> dict[str, Peer]:
+        """Returns the other routers that are believed to live."""
+        return {
+            address: peer
+            for address, peer in self.known.items()
+            if now - peer.alive < MEMBER_SECONDS
+        }
+
+    def ages(
+        self, now: float, most: int | None = None
+    ) -> dict[str, dict[str, int]]:
         """Returns for how many ms each member was not heard.
 
         Args:
             now: the time.
             most: how many to return, drawn at random; None for all.
-        """
-        found = {
-            address: int((now - peer.alive) * 1000)
-            for address, peer in self.known.items()
-            if now - peer.alive < MEMBER_SECONDS
-        }
-        if most is None or len(found) <= most:
-            return found
-        return {each: found[each] for each in random.sample(list(found), most)}
 
-    def take_ages(self, ages: dict[str, int], now: float) -> None:
+        Returns:
+            the ages by data centre and mailbox.
+        """
+        members = self.members(now)
+        told = list(members)
+        if most is not None and len(told) > most:
+            told = random.sample(told, most)
+        found: dict[str, dict[str, int]] = {}
+        for address in told:
+            peer = members[address]
+            ages = found.setdefault(peer.data_centre, {})
+            ages[address] = int((now - peer.alive) * 1000)
+        return found
+
+    def take_ages(self, ages: dict[str, dict[str, int]], now: float) -> None:
         """Takes how long ago another router heard each."""
-        for address, age in ages.items():
-            self.meet(address, now)
-            if address == self.own:
-                continue
-            peer = self.known[address]
-            peer.alive = max(peer.alive, now - age / 1000)
+        for data_centre, found in ages.items():
+            for address, age in found.items():
+                if address != self.own:
+                    self._take_age(address, data_centre, now - age / 1000, now)
+
+    def _take_age(
+        self, address: str, data_centre: str, when: float, now: float
+    ) -> None:
+        self.meet(address, now)
+        peer = self.known[address]
+        peer.alive = max(peer.alive, when)
+        peer.data_centre = peer.data_centre or data_centre
 
     def tell_count(self, now: float) -> tuple[int, int]:
         """Returns the most routers that anyone counts, and its age in ms."""
-        own = 1 + len(self.ages(now))
+        own = 1 + len(self.members(now))
         most, when = self.counted
         if own >= most or now - when > COUNT_SECONDS:
             return own, 0
@@ -128,15 +158,24 @@
         heard is written to in any case: two halves that were cut apart for
         long find each other again by it.
         """
-        members, hopes = [], []
-        for address, peer in self.known.items():
-            if now - peer.alive < MEMBER_SECONDS:
-                members.append(address)
-            elif address in self.seeds or now - peer.met < MEMBER_SECONDS:
-                hopes.append(address)
+        members = self.members(now)
+        hopes = [
+            address
+            for address, peer in self.known.items()
+            if address not in members
+            and (address in self.seeds or now - peer.met < MEMBER_SECONDS)
+        ]
         room = max(1, rings.ALL_TO_ALL - len(members))
         hoped = random.sample(hopes, min(room, len(hopes)))
-        self.partners = rings.partners(self.own, members) + hoped
+        where = {each: peer.data_centre for each, peer in members.items()}
+        self.near, far = rings.partners(self.own, self.data_centre, where)
+        self.partners = self.near + far + hoped
+        here = rings.place(self.own)
+        self.rank = sum(
+            rings.place(each) < here
+            for each, at in where.items()
+            if at == self.data_centre
+        )
 
     def count(self, now: float) -> int:
         """Returns how many routers share the budget of repeats.
@@ -145,7 +184,7 @@
         the only one would spend the whole budget beside the others. One that
         has just started has heard few, and goes by what it is told.
         """
-        alive = len(self.ages(now)) or len(self.known)
+        alive = len(self.members(now)) or len(self.known)
         most, when = self.counted
         if now - when > COUNT_SECONDS:
             most = 0
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -1,6 +1,7 @@
 """Keeps what is believed in step with the store."""
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -19,6 +20,8 @@
 WATCH_SECONDS = 20.0
 # Between calls of a store that gives no answer.
 RETRY_SECONDS = 0.5
+# Between two looks at whether others still watch.
+FOLLOW_SECONDS = 0.1
 # Changes that follow each other closely are read by one call.
 GATHER_SECONDS = 0.05
 # How long after the store's return entries that lapsed in the outage are waited
@@ -38,7 +41,11 @@
         mirror: the copy that it keeps.
         store: the store's client.
         lines: where changes of belief are written.
+        follows: returns whether others watch for this router.
+        told: called with what a watch brought, and the newest change that
+            was known before.
         reached: whether the store answered the last call.
+        watching: whether a watch of its own is under way or just was.
         lost_at: when it last ceased to answer.
         back_at: when it last answered again.
     """
@@ -49,11 +56,19 @@
         mirror: mirrors.Mirror,
         store: stores.Store,
         lines: log_lines.Lines,
+        follows: Callable[[], bool] = lambda: False,
+        told: Callable[[int, registrations.Changes], None] = (
+            lambda after, changes: None
+        ),
     ):
         self.mirror = mirror
         self.store = store
         self.lines = lines
+        self.follows = follows
+        self.told = told
         self.reached = True
+        self.watching = False
+        self._behind = asyncio.Event()
         self.lost_at = 0.0
         self.back_at = 0.0
         self._relist = True
@@ -89,26 +104,55 @@
                 self._relist = True
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def catch_up(self) -> None:
+        """Makes one call for what others told incompletely, or too long ago."""
+        self._behind.set()
+
     async def _step(self) -> None:
-        kind = self.mirror.kind
-        if self._relist or self.mirror.revision is None:
-            found = await self.store.list(kind)
+        since = self.mirror.revision
+        after = self.mirror.changed_at
+        if self._relist or since is None:
+            found = await self.store.list(self.mirror.kind)
+        elif self.reached and self.follows():
+            found = await self._follow()
         else:
+            self.watching = True
             found = await self.store.watch(
-                kind, self.mirror.revision, WATCH_SECONDS
+                self.mirror.kind, since, WATCH_SECONDS
             )
+        if found is None:
+            return
+        await self._take(found)
+        if isinstance(found, registrations.Changes):
+            self.told(after, found)
+        await asyncio.sleep(GATHER_SECONDS)
+
+    async def _follow(self) -> registrations.Changes | None:
+        """Lets others watch; returns what a call of its own brought, if any."""
+        self.watching = False
+        try:
+            async with asyncio.timeout(FOLLOW_SECONDS):
+                await self._behind.wait()
+        except TimeoutError:
+            return None
+        self._behind.clear()
+        return await self.store.watch(
+            self.mirror.kind, self.mirror.revision, 0.0
+        )
+
+    async def _take(self, found: object) -> None:
+        kind = self.mirror.kind
         match found:
             case registrations.Unavailable(reason=reason):
                 if self.reached:
                     self.lines.write("store_lost", kind=kind, why=reason)
                     self.lost_at = clocks.now()
                 self.reached = False
+                self.watching = False
                 await asyncio.sleep(RETRY_SECONDS)
-                return
             case registrations.HistoryGone():
                 self.lines.write("history_gone", kind=kind)
                 self._relist = True
-                return
             case registrations.Listing() | registrations.Changes():
                 if not self.reached:
                     self.lines.write("store_back", kind=kind)
@@ -116,7 +160,6 @@
                     self.back_at = clocks.now()
                 self.mirror.apply(found)
                 self._relist = False
-        await asyncio.sleep(GATHER_SECONDS)
 
 
 class Takers:
