Split heartbeats, copies and the taking of objects

Heartbeats stay in peers, what is told of the store's objects is in copies, what objects become in takers. No behaviour changed; the router's tests pass.

--- /dev/null
+++ b/pimentoledge/routing/copies.py
@@ -0,0 +1,187 @@
+"""Keeps the copies of the store's objects in step with other routers.
+
+Two of each data centre watch the servers and tell the others; a router that
+the store turns away asks one that knows more.
+"""
+
+from collections.abc import Callable
+
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import mirrors
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import registrations
+from pimentoledge.routing import rosters
+from pimentoledge.routing import takers as takers_module
+from pimentoledge.routing import watch_shares
+from pimentoledge.routing import watchers
+
+# A newer copy is asked for only if nothing has brought it by then.
+PATIENCE_SECONDS = 0.25
+# Between two wishes for the same kind.
+WISH_SECONDS = 0.6
+
+
+class Copies:
+    """What a router tells and hears of the store's objects.
+
+    Attributes:
+        believed: what the process believes.
+        watching: the tasks that follow the store, by kind.
+        roster: the other routers.
+        takers: turn what is told into beliefs.
+        lines: where changes of belief are written.
+        send: sends a message to a mailbox.
+        shares: who watches the servers for others.
+        lapse_told: until when a server that is gone may come back, as told.
+    """
+
+    def __init__(
+        self,
+        *,
+        believed: beliefs.Beliefs,
+        watching: dict[str, watchers.Watcher],
+        roster: rosters.Roster,
+        takers: takers_module.Takers,
+        lines: log_lines.Lines,
+        send: Callable[[str, object], None],
+    ):
+        self.believed = believed
+        self.watching = watching
+        self.roster = roster
+        self.takers = takers
+        self.lines = lines
+        self.send = send
+        self.shares = watch_shares.WatchShares(own=roster.own)
+        self.lapse_told = 0.0
+        self._wished: dict[str, float] = {}
+
+    def store_reached(self) -> bool:
+        """Returns whether the store answers this router."""
+        return all(each.reached for each in self.watching.values())
+
+    def servers_changed(self) -> int:
+        """Returns the revision of the newest change known, or -1."""
+        servers = self._mirror("servers")
+        return -1 if servers.revision is None else servers.changed_at
+
+    def _mirror(self, kind: str) -> mirrors.Mirror | None:
+        found = self.watching.get(kind)
+        return None if found is None else found.mirror
+
+    def follows(self) -> bool:
+        """Returns whether others watch the servers for this router."""
+        if self.roster.reaches_all():
+            return False
+        return self.shares.are_enough(self.roster.rank, clocks.now())
+
+    def sign(self, now: float) -> dict[str, int]:
+        """Returns who watches, this router included if it does."""
+        if self.watching["servers"].watching:
+            self.shares.watches(now)
+        return self.shares.to_tell(now)
+
+    def tell(self, after: int, found: registrations.Changes) -> None:
+        """Passes on what this router's watch of the servers brought.
+
+        Args:
+            after: revision of the newest change known before.
+            found: what it brought.
+        """
+        if self.roster.reaches_all() or not (found.changed or found.removed):
+            return
+        lapse_seconds = self.takers.lapse_ends() - clocks.now()
+        told = peer_messages.Told(
+            after=after,
+            revision=found.revision,
+            changed=found.changed,
+            removed=found.removed,
+            lapse_ms=max(0, int(lapse_seconds * 1000)),
+        )
+        for address in self.roster.near:
+            self.send(address, told)
+
+    def take(self, sender: str, told: peer_messages.Told) -> None:
+        """Takes and passes on what another's watch brought."""
+        servers = self._mirror("servers")
+        if servers.revision is None:
+            return
+        if told.after > servers.revision:
+            self.watching["servers"].catch_up()
+            return
+        lapse_ends = clocks.now() + told.lapse_ms / 1000
+        self.lapse_told = max(self.lapse_told, lapse_ends)
+        is_news = servers.apply(
+            registrations.Changes(
+                changed=told.changed,
+                removed=told.removed,
+                revision=told.revision,
+            )
+        )
+        if not is_news:
+            return
+        for address in self.roster.near:
+            if address != sender:
+                self.send(address, told)
+
+    def is_behind(self, peer: rosters.Peer) -> bool:
+        """Returns whether a router knows a newer configuration or servers."""
+        return self._lacks_configuration(peer) or self._lacks_servers(peer)
+
+    def _lacks_configuration(self, peer: rosters.Peer) -> bool:
+        held = self.believed.configuration
+        return peer.configuration > (held.version if held else 0)
+
+    def _lacks_servers(self, peer: rosters.Peer) -> bool:
+        if self.store_reached() and self.watching["servers"].watching:
+            return False
+        revision = self._mirror("servers").revision
+        return revision is None or peer.beat.servers_changed > revision
+
+    def catch_up(self, address: str) -> None:
+        """Asks the store, or a router, for what that router knows newer."""
+        peer = self.roster.known.get(address)
+        if peer is None:
+            return
+        if self._lacks_configuration(peer):
+            self._wish(address, "configuration")
+        if self._lacks_servers(peer) and self.store_reached():
+            self.watching["servers"].catch_up()
+        elif self._lacks_servers(peer):
+            self._wish(address, "servers")
+
+    def _wish(self, address: str, kind: str) -> None:
+        now = clocks.now()
+        if now - self._wished.get(kind, 0.0) < WISH_SECONDS:
+            return
+        self._wished[kind] = now
+        self.send(address, peer_messages.Wish(kind=kind))
+
+    def give(self, address: str, kind: str) -> None:
+        """Sends a router all objects of a kind."""
+        mirror = self._mirror(kind)
+        if mirror is None or mirror.revision is None:
+            return
+        gift = peer_messages.Gift(
+            kind=kind,
+            revision=mirror.revision,
+            objects=mirror.listing().objects,
+        )
+        self.send(address, gift)
+
+    def take_all(self, sender: str, gift: peer_messages.Gift) -> None:
+        """Takes all objects of a kind from another router."""
+        mirror = self._mirror(gift.kind)
+        if mirror is None:
+            return
+        self.lines.write(
+            "told_by_router",
+            router=sender,
+            kind=gift.kind,
+            revision=gift.revision,
+            held=mirror.revision,
+        )
+        mirror.apply(
+            registrations.Listing(objects=gift.objects, revision=gift.revision)
+        )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -29,6 +29,7 @@
 from pimentoledge.routing import rechecks
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_connections
+from pimentoledge.routing import takers as takers_module
 from pimentoledge.routing import watchers
 
 logger = logbook.Logger("router")
@@ -80,7 +81,7 @@
         self.store = stores.Store(
             address=chosen.text("store-address"), caller=self.caller
         )
-        self.takers = watchers.Takers(
+        self.takers = takers_module.Takers(
             believed=self.believed,
             lines=self.lines,
             news=self._news,
@@ -115,14 +116,13 @@
             seeds=chosen.listed("peer-seeds"),
             believed=self.believed,
             lease=self.lease,
-            kinds=kinds,
             watching=self.kinds,
             takers=self.takers,
             lines=self.lines,
         )
         for name in ("servers", "weights"):
-            self.kinds[name].follows = self.peers.follows
-        self.kinds["servers"].told = self.peers.tell_changes
+            self.kinds[name].follows = self.peers.copies.follows
+        self.kinds["servers"].told = self.peers.copies.tell
         runners = orders.Runners(caller=self.caller, holder=holder)
         self.rechecks = rechecks.Rechecks(runners=runners, lines=self.lines)
         self.cache_links = cache_links.CacheLinks(
@@ -169,7 +169,9 @@
         self.peers.news()
 
     def _lapse_ends(self) -> float:
-        return max(self.kinds["servers"].lapse_ends(), self.peers.lapse_told)
+        return max(
+            self.kinds["servers"].lapse_ends(), self.peers.copies.lapse_told
+        )
 
     def _died(self, incarnation: str) -> None:
         self.peers.server_died(incarnation)
--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -190,6 +190,10 @@
             most = 0
         return max(1 + alive, most)
 
+    def reaches_all(self) -> bool:
+        """Returns whether every router hears the others itself."""
+        return len(self.known) <= rings.ALL_TO_ALL
+
     def present(self, now: float) -> dict[str, Peer]:
         """Returns the routers that this one heard just now, by mailbox."""
         return {
--- /dev/null
+++ b/pimentoledge/routing/takers.py
@@ -0,0 +1,150 @@
+"""Turns objects of the store, as they come, into beliefs."""
+
+import logbook
+
+from pimentoledge.platform import names
+from pimentoledge.platform import objects
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import registrations
+
+logger = logbook.Logger("takers")
+
+# Weights that a process meets at its start are taken to have been named this
+# part of the bound ago, unless another router knows: too old would refuse
+# requests, too young break the bound.
+UNKNOWN_AGE_SHARE = 0.5
+
+
+class Takers:
+    """Turns objects of the store into beliefs.
+
+    Attributes:
+        believed: what the process believes.
+        lines: where changes of belief are written.
+        news: called when something changed that other routers should hear.
+        died: called with a server that is gone without having left.
+        lapse_ends: returns until when a server that is gone may come back.
+        lapsed: servers that are gone from the store and still used, with the
+            time at which they are gone for good.
+    """
+
+    def __init__(
+        self,
+        *,
+        believed: beliefs.Beliefs,
+        lines: log_lines.Lines,
+        news=lambda: None,
+        died=lambda incarnation: None,
+        lapse_ends=lambda: 0.0,
+    ):
+        self.believed = believed
+        self.lines = lines
+        self.news = news
+        self.died = died
+        self.lapse_ends = lapse_ends
+        self.lapsed: dict[str, float] = {}
+
+    def configuration(
+        self, changed: list[registrations.Stored], removed: list[str]
+    ) -> None:
+        """Takes the configuration, if it is newer."""
+        for each in changed:
+            if each.name == names.CONFIGURATION:
+                self._configure(each)
+
+    def _decoded(self, decode, each: registrations.Stored):
+        """Returns an object decoded, or None if it can't be.
+
+        One bad object must not hide the others of its kind; what was known
+        before stays in force.
+        """
+        try:
+            return decode(each)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self.lines.write(
+                "unreadable", object=each.name, why=repr(error)[:200]
+            )
+            return None
+
+    def _configure(self, each: registrations.Stored) -> None:
+        fresh = self._decoded(objects.configuration, each)
+        if fresh is None:
+            return
+        held = self.believed.configuration
+        if held is not None and held.version >= fresh.version:
+            return
+        self.believed.configuration = fresh
+        self.believed.configured = clocks.now()
+        self.lines.write(
+            "configuration", version=fresh.version, revision=each.revision
+        )
+        self.news()
+
+    def weights(
+        self, changed: list[registrations.Stored], removed: list[str]
+    ) -> None:
+        """Takes named weights, if they are newer."""
+        for each in changed:
+            named = self._decoded(objects.named_weights, each)
+            if named is None:
+                continue
+            since = self._named_since(named.model)
+            self.want(named.model, named.version, since, "store")
+
+    def _named_since(self, model: str) -> float:
+        """Returns since when weights read now may have been named.
+
+        What is read first may be old; what is told later is new.
+        """
+        now = clocks.now()
+        if model in self.believed.wanted:
+            return now
+        return now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
+
+    def want(self, model: str, version: int, since: float, source: str) -> None:
+        """Takes a named version, from the store or another router."""
+        if self.believed.want(model, version, since):
+            self.lines.write(
+                "weights_named", model=model, version=version, source=source
+            )
+            self.news()
+
+    def servers(
+        self, changed: list[registrations.Stored], removed: list[str]
+    ) -> None:
+        """Takes registrations of backend servers."""
+        for each in changed:
+            registration = self._decoded(objects.registration, each)
+            if registration is None:
+                continue
+            self.lapsed.pop(each.name, None)
+            self.believed.servers.put(registration)
+            self.lines.write(
+                "server",
+                server=each.name,
+                service=registration.service,
+                leaving=registration.leaving,
+                weights=registration.weights,
+            )
+        ends = self.lapse_ends()
+        for name in removed:
+            if clocks.now() < ends:
+                self.lapsed[name] = ends
+                self.lines.write("server_lapsed", server=name)
+            else:
+                self._gone(name)
+
+    def _gone(self, name: str) -> None:
+        gone = self.believed.servers.remove(name)
+        if gone is not None and not gone.registration.leaving:
+            self.died(name)
+        self.lines.write("server_gone", server=name)
+
+    def tick(self, now: float) -> None:
+        """Takes away servers that lapsed and did not come back."""
+        for name, until in list(self.lapsed.items()):
+            if now >= until:
+                del self.lapsed[name]
+                self._gone(name)
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
-from pimentoledge.routing import watchers
+from pimentoledge.routing import takers as takers_module
 
 PACKAGE = pathlib.Path(__file__).parents[1]
 # Fields of the platform's bodies that mean nothing elsewhere.
@@ -227,7 +227,7 @@
 
 def test_one_bad_server_does_not_hide_the_others():
     believed = beliefs.Beliefs(name="x", data_centre="a", born=0.0)
-    takers = watchers.Takers(
+    takers = takers_module.Takers(
         believed=believed,
         lines=log_lines.Lines(counters=counters.Counters()),
     )
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -331,7 +331,7 @@
     members = len(world.routers)
     await world.until(
         lambda: all(
-            each.believed.members == members and each.peers.follows()
+            each.believed.members == members and each.peers.copies.follows()
             for each in world.routers
             if each.peers.roster.rank >= watch_shares.RESERVE
         ),
