Count 500s and silence against a server; pull told changes; keep pages

Both now count; old evidence halves every 2 s, since a server that gets nothing could never show that it recovered. Pages are asked for again, and pauses are drawn at random.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -1,5 +1,7 @@
 """Calls to the platform's store."""
 
+import asyncio
+import random
 from urllib import parse
 
 from pimentoledge.platform import names
@@ -11,6 +13,11 @@
 CALL_SECONDS = 2.5
 # A watch may be answered this much later than it asked for.
 WATCH_GRACE_SECONDS = 2.0
+# How often a further page of a listing is asked for.
+PAGE_TRIES = 6
+# Longest pause before it is asked for again; drawn at random, since others
+# were turned away at the same moment.
+PAGE_RETRY_SECONDS = 0.5
 
 
 class Store:
@@ -59,10 +66,7 @@
         revision = None
         after = ""
         while True:
-            target = kind
-            if after:
-                target += "?after=" + parse.quote(after, safe="")
-            reply = await self._call("GET", target)
+            reply = await self._page(kind, after)
             if isinstance(reply, registrations.Unavailable):
                 return reply
             if reply.status != 200:
@@ -75,6 +79,30 @@
                 return registrations.Listing(objects=found, revision=revision)
             after = found[-1].name
 
+    async def _page(
+        self, kind: str, after: str
+    ) -> calls.Reply | registrations.Unavailable:
+        """Reads one page of a listing; asks again where it was turned away.
+
+        When hundreds of routers start at once, the store turns part of their
+        calls away. One that began anew each time would hardly ever meet six
+        good answers in a row.
+        """
+        target = kind
+        if after:
+            target += "?after=" + parse.quote(after, safe="")
+        reply = await self._call("GET", target)
+        tries = 1
+        while (
+            after
+            and isinstance(reply, registrations.Unavailable)
+            and tries < PAGE_TRIES
+        ):
+            await asyncio.sleep(PAGE_RETRY_SECONDS * random.random())
+            reply = await self._call("GET", target)
+            tries += 1
+        return reply
+
     async def watch(
         self, kind: str, revision: int, seconds: float
     ) -> (
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -14,6 +14,8 @@
 MOST_FAILED_SECONDS = 4.0
 # Weight of the newest request in the share of those that failed.
 TROUBLE_SHARE = 0.15
+# A failure counts half as much after so long.
+TROUBLE_HALF_SECONDS = 2.0
 # Weight of the newest pause in the mean: some 30 events back still count.
 PACE_SHARE = 0.03
 # Longer pauses tell of changes of weights, not of a runner's speed.
@@ -39,7 +41,8 @@
         parts: parts believed cached, by namespace and name, with tokens; the
             least recently used first.
         part_tokens: sum of them.
-        trouble: recent share of requests that it failed.
+        trouble: share of its last requests that it failed.
+        troubled_at: when that was last so.
         pace: mean pause between its events, in seconds; 0 if none was seen.
     """
 
@@ -59,6 +62,7 @@
     )
     part_tokens: int = 0
     trouble: float = 0.0
+    troubled_at: float = 0.0
     pace: float = 0.0
 
     def paused(self, seconds: float) -> None:
@@ -102,7 +106,7 @@
 
     def failed(self, now: float) -> None:
         """Leaves it alone, longer with each failure in a row."""
-        self.troubled()
+        self.troubled(now)
         pause = FAILED_SECONDS * 2**self.failures
         self.failures = min(self.failures + 1, 4)
         self.avoid_until = now + min(pause, MOST_FAILED_SECONDS)
@@ -112,9 +116,21 @@
         self.failures = 0
         self.trouble -= TROUBLE_SHARE * self.trouble
 
-    def troubled(self) -> None:
+    def troubled(self, now: float) -> None:
         """Takes a request that failed; a status check would tell nothing."""
+        self.trouble = self.trouble_by(now)
         self.trouble += TROUBLE_SHARE * (1 - self.trouble)
+        self.troubled_at = now
+
+    def trouble_by(self, now: float) -> float:
+        """Returns its trouble; old evidence counts less.
+
+        One that failed gets no requests while others are free, so nothing
+        else would ever show that it has recovered.
+        """
+        return self.trouble * 0.5 ** (
+            (now - self.troubled_at) / TROUBLE_HALF_SECONDS
+        )
 
     def cached_tokens(self, namespace: str, parts: tuple) -> int:
         """Returns how many of a prompt's first tokens it holds."""
--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -4,6 +4,7 @@
 the store turns away asks one that knows more.
 """
 
+import collections
 from collections.abc import Callable
 
 from pimentoledge.routing import beliefs
@@ -19,6 +20,10 @@
 
 # A newer copy is asked for only if nothing has brought it by then.
 PATIENCE_SECONDS = 0.25
+# Who was asked for changes has sent them by then, or another is asked.
+ASKED_SECONDS = 0.05
+# Changes kept for those that ask for them; each is some hundred bytes.
+MOST_OFFERED = 50
 # Between two wishes for the same kind.
 WISH_SECONDS = 0.6
 
@@ -56,6 +61,10 @@
         self.shares = watch_shares.WatchShares(own=roster.own)
         self.lapse_told = 0.0
         self._wished: dict[str, float] = {}
+        self._asked = (0, 0.0)
+        self._offered: collections.OrderedDict[int, peer_messages.Told] = (
+            collections.OrderedDict()
+        )
 
     def store_reached(self) -> bool:
         """Returns whether the store answers this router."""
@@ -99,8 +108,35 @@
             removed=found.removed,
             lapse_ms=max(0, int(lapse_seconds * 1000)),
         )
+        self._offer(told, without="")
+
+    def _offer(self, told: peer_messages.Told, without: str) -> None:
+        """Offers changes to the neighbours in the data centre."""
+        newest = max(each.revision for each in told.changed + told.removed)
+        self._offered[newest] = told
+        while len(self._offered) > MOST_OFFERED:
+            self._offered.popitem(last=False)
         for address in self.roster.near:
-            self.send(address, told)
+            if address != without:
+                self.send(address, peer_messages.Offer(changed_at=newest))
+
+    def offered(self, sender: str, offer: peer_messages.Offer) -> None:
+        """Asks for changes that are news, of the first that offers them."""
+        now = clocks.now()
+        servers = self._mirror("servers")
+        if servers.revision is None or offer.changed_at <= servers.revision:
+            return
+        asked, when = self._asked
+        if offer.changed_at <= asked and now - when < ASKED_SECONDS:
+            return
+        self._asked = (offer.changed_at, now)
+        self.send(sender, peer_messages.Want(changed_at=offer.changed_at))
+
+    def hand_over(self, sender: str, want: peer_messages.Want) -> None:
+        """Sends changes that were offered."""
+        told = self._offered.get(want.changed_at)
+        if told is not None:
+            self.send(sender, told)
 
     def take(self, sender: str, told: peer_messages.Told) -> None:
         """Takes and passes on what another's watch brought."""
@@ -119,11 +155,8 @@
                 revision=told.revision,
             )
         )
-        if not is_news:
-            return
-        for address in self.roster.near:
-            if address != sender:
-                self.send(address, told)
+        if is_news:
+            self._offer(told, without=sender)
 
     def is_behind(self, peer: rosters.Peer) -> bool:
         """Returns whether a router knows a newer configuration or servers."""
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -29,6 +29,7 @@
 # The server gives its own answer at the deadline; this much later it is
 # given here.
 ANSWER_GRACE_SECONDS = 0.05
+GATEWAY_TIMEOUT = 504
 # Share of the latency objective for which a request waits here for a server
 # to become free before it is refused.
 WAIT_SHARE = 0.12
@@ -150,8 +151,16 @@
             ):
                 await self._try_servers()
         except TimeoutError:
+            self._unanswered()
             self._give_up(verdicts.late_code(self.history))
 
+    def _unanswered(self) -> None:
+        """Takes a deadline without an answer as evidence about a server."""
+        pending = self.history.pending
+        backend = self.believed.servers.by_incarnation.get(pending)
+        if backend is not None and not self.answer.head_sent:
+            backend.troubled(clocks.now())
+
     def _accept(self, ask: asks.Ask) -> results.Code | None:
         """Checks the request; returns why it is refused, or None."""
         if self.believed.refusing:
@@ -214,7 +223,7 @@
         incarnation = backend.registration.incarnation
         self.history.met(incarnation, outcome)
         if outcome is verdicts.Outcome.BROKE:
-            backend.troubled()
+            backend.troubled(clocks.now())
             self.believed.suspects.broke(
                 self.content, incarnation, clocks.now()
             )
@@ -338,7 +347,7 @@
         if self.answer.head_sent:
             # Another answer's head must not follow a stream's first events.
             raise _broke(f"status {answer.status} instead of a stream's rest")
-        self._served(backend)
+        self._answered(backend, answer.status)
         if answer.status >= 500 and self._would_retry():
             self._failed_answer = (answer, body)
             raise attempts.BrokenError(
@@ -352,6 +361,19 @@
             chosen=self._chosen,
         )
 
+    def _answered(self, backend: backends.Backend, status: int) -> None:
+        """Takes a whole answer as evidence about its server.
+
+        A server that looks healthy may fail part of its requests, and is the
+        quickest for it: left alone it would draw them all. Its own time-out
+        says no more of it than a request's own deadline does.
+        """
+        if status >= 500 and status != GATEWAY_TIMEOUT:
+            backend.troubled(clocks.now())
+            self.believed.suspects.served(self.content)
+        else:
+            self._served(backend)
+
     def _served(self, backend: backends.Backend) -> None:
         """Takes a whole answer as proof that server and content are sound."""
         backend.served()
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -62,6 +62,27 @@
     objects: list[registrations.Stored]
 
 
+@attrs.define(kw_only=True)
+class Offer:
+    """Says that its sender has heard of changes of the servers.
+
+    What changed goes only to those that lack it: a neighbour that hears of it
+    from ten others gets it once.
+
+    Attributes:
+        changed_at: revision of the newest of them.
+    """
+
+    changed_at: int
+
+
+@attrs.define(kw_only=True)
+class Want:
+    """Asks for what was offered."""
+
+    changed_at: int
+
+
 @attrs.define(kw_only=True)
 class Told:
     """What a watch of the servers brought.
@@ -115,4 +136,6 @@
     4: Crashed,
     5: Ages,
     6: Told,
+    7: Offer,
+    8: Want,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -194,6 +194,10 @@
                 self.roster.take_ages(ages, clocks.now())
             case events.FromNode(message=peer_messages.Told() as told):
                 self.copies.take(event.sender, told)
+            case events.FromNode(message=peer_messages.Offer() as offer):
+                self.copies.offered(event.sender, offer)
+            case events.FromNode(message=peer_messages.Want() as want):
+                self.copies.hand_over(event.sender, want)
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
             case events.Unreachable():
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -116,7 +116,10 @@
         return None
     paces = [each.pace for each in usable if each.pace]
     best = min(paces, default=0.0)
-    costs = [cost(each, terms, best) for each in usable]
+    costs = [
+        cost(each, terms, best) + TROUBLE_MS * each.trouble_by(now)
+        for each in usable
+    ]
     least, *others = sorted(costs)
     return Choice(
         backend=usable[costs.index(least)],
@@ -137,7 +140,7 @@
         terms: what else counts.
         best_pace: least pace of all that could be chosen, or 0.
     """
-    total = _load_cost(backend, terms) + TROUBLE_MS * backend.trouble
+    total = _load_cost(backend, terms)
     if terms.unshared > CHUNK_TOKENS and backend.pace and best_pace:
         slower = backend.pace / best_pace - 1
         total += SLOWNESS_MS * terms.unshared * slower
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 import logbook
 
@@ -15,7 +16,9 @@
 
 # Longest time that a watch waits: each call is paid for.
 WATCH_SECONDS = 20.0
-# Between calls of a store that gives no answer.
+# Mean time between calls of a store that gives no answer; drawn at random
+# from half to one and a half of it: routers that start together would else be
+# turned away together each time.
 RETRY_SECONDS = 0.5
 # Between two looks at whether others still watch.
 FOLLOW_SECONDS = 0.1
@@ -142,7 +145,7 @@
                     self.lost_at = clocks.now()
                 self.reached = False
                 self.watching = False
-                await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.sleep(RETRY_SECONDS * (0.5 + random.random()))
             case registrations.HistoryGone():
                 self.lines.write("history_gone", kind=kind)
                 self._relist = True
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -1,6 +1,7 @@
 """The adapter: what is spoken on the platform, and that only it knows it."""
 
 import ast
+import asyncio
 import os
 import pathlib
 import signal
@@ -16,8 +17,10 @@
 from pimentoledge.platform import objects
 from pimentoledge.platform import requests
 from pimentoledge.platform import stand_in_platforms
+from pimentoledge.platform import stores
 from pimentoledge.routing import asks
 from pimentoledge.routing import beliefs
+from pimentoledge.routing import calls
 from pimentoledge.routing import configurations
 from pimentoledge.routing import counters
 from pimentoledge.routing import daemons
@@ -310,3 +313,67 @@
         except OSError:
             continue
     return answer
+
+
+class Pages:
+    """A caller before a store whose listing has several pages.
+
+    Attributes:
+        turned_away: how many of the next calls are answered with 429.
+        asked: the targets of all calls.
+    """
+
+    def __init__(self, count):
+        self.count = count
+        self.turned_away = 0
+        self.asked = []
+
+    async def call(self, *, target, **_):
+        self.asked.append(target)
+        if self.turned_away:
+            self.turned_away -= 1
+            return calls.Reply(status=429, body={})
+        _, _, after = target.partition("?after=")
+        number = int(after) if after else 0
+        item = {
+            "metadata": {"name": str(number + 1), "rev": number + 1},
+            "spec": {},
+        }
+        return calls.Reply(
+            status=200,
+            body={
+                "items": [item],
+                "more": number + 1 < self.count,
+                "storeRevision": 50 + number,
+            },
+        )
+
+
+def test_a_page_that_is_turned_away_does_not_begin_the_list_anew():
+    """All VMs are back after a loss of power, and for 30 s few are served.
+
+    Hundreds of routers list the servers at once; the store turns part of the
+    calls away. Who began anew each time met too few good answers in a row.
+    """
+    pages = Pages(4)
+    store = stores.Store(address="s", caller=pages)
+
+    async def play():
+        first = await store.list("servers")
+        assert [each.name for each in first.objects] == ["1", "2", "3", "4"]
+        assert first.revision == 50
+        pages.asked.clear()
+        pages.count = 3
+        call = pages.call
+
+        async def turns_away(**how):
+            if how["target"].endswith("after=2"):
+                pages.turned_away = 2 if len(pages.asked) < 4 else 0
+            return await call(**how)
+
+        pages.call = turns_away
+        second = await store.list("servers")
+        assert len(second.objects) == 3
+        assert pages.asked.count("/-/objects/servers") == 1
+
+    asyncio.run(play())
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -467,7 +467,7 @@
         """
         grey, good = backend("g", slots=48), backend("o", slots=48)
         for _ in range(8):
-            grey.troubled()
+            grey.troubled(10.0)
         good.open = 20
         terms = placements.Terms(data_centre="a")
 
--- /dev/null
+++ b/pimentoledge/tests/test_router_evidence.py
@@ -0,0 +1,155 @@
+"""What counts as evidence: requests, not status checks nor old beliefs."""
+
+from pimentoledge.routing import backends
+from pimentoledge.routing import clocks
+from pimentoledge.routing import daemons
+from pimentoledge.routing import leases
+from pimentoledge.routing import registrations
+from pimentoledge.tests import router_world
+
+played = router_world.played
+MODEL = router_world.MODEL
+
+
+def registration(name):
+    return registrations.Registration(
+        incarnation=name,
+        service="s",
+        address="1.1.1.1:1",
+        data_centre="a",
+        slots=8,
+        leaving=False,
+        weights={},
+    )
+
+
+@played(plain=2)
+async def test_a_healthy_look_brings_no_failing_server_back(world):
+    """Pickup notices go to a server that fails them all and looks healthy.
+
+    Its status check is good, and the store shows it as ready; what counts is
+    that requests failed there. The other server must get nearly all.
+    """
+    grey = world.servers["p0"]
+    grey.fail = 1000
+    for _ in range(60):
+        got = await world.ask("/notices/", body=b"n")
+        assert got.status == 200
+    failed = [call for call in grey.calls if call.ran]
+    assert 0 < len(failed) <= 6
+    checks = [
+        call
+        for server in world.servers.values()
+        for call in server.calls
+        if not call.target.startswith("/notices/")
+    ]
+    assert not checks
+
+
+@played(plain=2)
+async def test_a_server_that_recovers_is_found_by_requests_alone(world):
+    """A server whose status check stays bad after it recovered is wasted.
+
+    Nobody asks its status check: once its failures are old, requests try it
+    again, and one that is served brings it back.
+    """
+    once = world.servers["p0"]
+    [router] = world.routers
+    held = router.believed.servers.by_incarnation["p0"]
+    for _ in range(12):
+        held.troubled(clocks.now())
+    held.troubled_at -= 10 * backends.TROUBLE_HALF_SECONDS
+    other = router.believed.servers.by_incarnation["p1"]
+    other.open = 7
+    for _ in range(60):
+        await world.ask("/notices/", body=b"n")
+    assert sum(call.ran for call in once.calls) > 20
+    assert held.trouble_by(clocks.now()) < 0.01
+
+
+def test_a_flapping_server_costs_a_few_requests_each_turn():
+    """A server goes down and up by turns of two seconds.
+
+    Each time it is down, the first request finds that out, and only a few
+    more may be spent on finding it still down; when it is up it is used.
+    """
+    server = backends.Backend(registration=registration("f"))
+    for turn in range(10):
+        start = turn * 4.0
+        tries = {False: 0, True: 0}
+        for step in range(400):
+            now = start + step / 100
+            up = step >= 200
+            if not server.usable(now):
+                continue
+            tries[up] += 1
+            if up:
+                server.served()
+            else:
+                server.failed(now)
+        assert tries[False] <= 4
+        assert tries[True] >= 40
+
+
+def test_a_flapping_server_is_avoided_for_longer_while_it_stays_down():
+    """One that is down for a minute must not cost a request each second."""
+    server = backends.Backend(registration=registration("f"))
+    tries = 0
+    for step in range(6000):
+        if server.usable(step / 100):
+            tries += 1
+            server.failed(step / 100)
+    assert tries <= 4 + 60 / backends.MOST_FAILED_SECONDS
+
+
+@played(plain=2)
+async def test_after_a_freeze_no_connection_or_list_from_before_is_used(
+    world,
+):
+    """A VM wakes from a freeze and cuts the first card after it.
+
+    Its idle connections were closed by servers meanwhile: a card sent on one
+    may have run or not. Its list of servers is as old as the freeze.
+    """
+    [router] = world.routers
+    await world.ask("/cards/", body=b"before")
+    assert any(router.pool.idle.values())
+    watches = world.store.counts["GET servers"]
+    router._ticked = clocks.now() - daemons.PAUSE_SECONDS - 5
+    router.look_for_a_pause(clocks.now())
+    assert not any(router.pool.idle.values())
+    opened = router.pool.opened
+    got = await world.ask("/cards/", body=b"after")
+    assert got.status == 200
+    assert router.pool.opened == opened + 1
+    await world.until(lambda: world.store.counts["GET servers"] > watches)
+
+
+def test_after_a_freeze_the_lease_is_over_before_anything_is_done():
+    """A frozen holder wakes while its successor gives orders.
+
+    Two holders' orders within the lease's time break the one-holder rule; the
+    term is counted by a clock that goes on while the VM is frozen.
+    """
+    lease = leases.Lease(holder="me", lease_seconds=3.0, revision=0)
+    sent = 100.0
+    lease.wrote(registrations.Stored(name="", revision=7, value=None), sent)
+    assert lease.may_order(sent + 0.5)
+    woke = sent + 4.0
+    assert not lease.may_order(woke)
+    assert not lease.holds(woke)
+    assert lease.step(woke) is leases.Step.WRITE
+    assert not lease.may_order(sent + leases.TERM_SECONDS)
+
+
+@played(routers=3, plain=1, runners=1)
+async def test_after_a_freeze_other_routers_count_as_unheard(world):
+    """A router that wakes must not wait for a holder that died meanwhile."""
+    first = world.routers[0]
+    await world.until(
+        lambda: len(first.peers.roster.present(clocks.now())) == 2
+    )
+    woke = clocks.now() + 5.0
+    assert not first.peers.roster.present(woke)
+    assert not first.peers.pulses.hears_holder(woke)
+    assert first.peers.copies.shares.to_tell(woke) == {}
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -349,6 +349,7 @@
         if each.parts
     )
     holder.trouble = 1.0
+    holder.troubled_at = clocks.now()
     await world.ask("/drafts/", headers=stream_headers())
     second = next(call for call in world.ran("runners") if call is not first)
     assert "kv-save" not in second.headers
@@ -422,6 +423,7 @@
     [router] = world.routers
     dead, slow = world.servers["p0"], world.servers["p1"]
     router.believed.servers.by_incarnation["p1"].trouble = 1.0
+    router.believed.servers.by_incarnation["p1"].troubled_at = clocks.now()
     dead.close()
     slow.work_seconds = 1.5
     got = await world.ask(
@@ -447,6 +449,7 @@
         router.believed.servers.by_incarnation[name] for name in ("r0", "r1")
     )
     second.trouble = 1.0
+    second.troubled_at = clocks.now()
     world.servers["r1"].cut_after = None
     world.servers["r1"].fail = 9
     first.trouble = 0.0
