Share a server's connections among all routers

Cause: a server resets connections beyond its bound, counted over all callers, and nothing bounded what one router leaves idle: 300 routers with two each exceed 460. A router now keeps its part of half of the bound, one at least. The bound was decoded and not used. Test: one, failed first (4 idle where 1 may be).

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -39,6 +39,7 @@
         dispatch: what is sent besides the request.
         pool: where the connection goes back to.
         connection: carries the attempt alone.
+        most_idle: connections to the server that may wait for a request.
         prompt_read: whether the server has read the prompt.
     """
 
@@ -50,12 +51,14 @@
         dispatch: asks.Dispatch,
         pool: server_connections.Pool,
         connection: server_connections.ServerConnection,
+        most_idle: int | None,
     ):
         self.ask = ask
         self.backend = backend
         self.dispatch = dispatch
         self.pool = pool
         self.connection = connection
+        self.most_idle = most_idle
         self.prompt_read = False
         self._held = ask.prompt_tokens + ask.answer_tokens
         self._reading = 0
@@ -135,5 +138,7 @@
         if idle is None:
             idle = IDLE_SECONDS + IDLE_MARGIN_SECONDS
         self.pool.release(
-            self.connection, idle_seconds=max(0.0, idle - IDLE_MARGIN_SECONDS)
+            self.connection,
+            idle_seconds=max(0.0, idle - IDLE_MARGIN_SECONDS),
+            most_idle=self.most_idle,
         )
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -281,6 +281,9 @@
             dispatch=self._dispatch(backend),
             pool=self.pool,
             connection=connection,
+            most_idle=selections.most_idle(
+                self.believed, backend.registration.service
+            ),
         )
         self.history.sent(backend.registration.incarnation)
         try:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -14,6 +14,8 @@
 # it may wait there for its turn.
 WEIGHTS_MARGIN_SECONDS = 1.5
 MOST_URGENCY = 9
+# Part of a server's connections that all routers together may leave idle.
+IDLE_SHARE = 0.5
 # Fewer tokens are read sooner than fetched from another runner.
 LEAST_FETCH_TOKENS = 256
 # No runner has loaded weights so soon after they were named: a load takes
@@ -293,6 +295,20 @@
     return best
 
 
+def most_idle(believed: beliefs.Beliefs, service_name: str) -> int | None:
+    """Returns how many connections to a server may wait for a request.
+
+    A server counts the connections of all routers and resets those beyond its
+    bound. Each router may leave its part of half of them idle; the other half
+    is for requests under way.
+    """
+    service = believed.configuration.services.get(service_name)
+    if service is None or not service.max_connections:
+        return None
+    part = IDLE_SHARE * service.max_connections / max(1, believed.members)
+    return max(1, int(part))
+
+
 def note_sent(
     believed: beliefs.Beliefs,
     ask: asks.Ask,
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -238,14 +238,27 @@
         return connection
 
     def release(
-        self, connection: ServerConnection, *, idle_seconds: float
+        self,
+        connection: ServerConnection,
+        *,
+        idle_seconds: float,
+        most_idle: int | None = None,
     ) -> None:
-        """Takes back a connection whose answer is complete."""
+        """Takes back a connection whose answer is complete.
+
+        Args:
+            connection: the connection.
+            idle_seconds: for how long it may be used again.
+            most_idle: how many may wait to its server, this one included; a
+                server resets what all routers hold beyond its own bound.
+        """
         connection.finish(idle_seconds=idle_seconds)
-        if not connection.reusable:
+        waiting = self.idle.setdefault(connection.address, [])
+        full = most_idle is not None and len(waiting) >= most_idle
+        if full or not connection.reusable:
             connection.abort()
             return
-        self.idle.setdefault(connection.address, []).append(connection)
+        waiting.append(connection)
 
     def _lost(self, connection: ServerConnection) -> None:
         waiting = self.idle.get(connection.address)
--- a/pimentoledge/tests/test_router_evidence.py
+++ b/pimentoledge/tests/test_router_evidence.py
@@ -1,10 +1,13 @@
 """What counts as evidence: requests, not status checks nor old beliefs."""
 
+import asyncio
+
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import daemons
 from pimentoledge.routing import leases
 from pimentoledge.routing import registrations
+from pimentoledge.routing import selections
 from pimentoledge.tests import router_world
 
 played = router_world.played
@@ -153,3 +156,32 @@
     assert not first.peers.roster.present(woke)
     assert not first.peers.pulses.hears_holder(woke)
     assert first.peers.copies.shares.to_tell(woke) == {}
+
+
+@played(plain=1)
+async def test_idle_connections_are_shared_among_all_routers(world):
+    """A server resets connections beyond its bound, counted over all callers.
+
+    Three hundred routers that each keep a few idle would use them up, and
+    requests would be reset.
+    """
+    [router] = world.routers
+
+    async def four_at_once():
+        await asyncio.gather(
+            *(world.ask("/notices/", body=b"n") for _ in range(4))
+        )
+
+    world.servers["p0"].work_seconds = 0.05
+    await four_at_once()
+    [idle] = router.pool.idle.values()
+    assert len(idle) > 1
+    most = selections.most_idle(router.believed, "plain")
+    assert most == 25
+    router.believed.members = 100
+    router.peers.tick = lambda now: None
+    assert selections.most_idle(router.believed, "plain") == 1
+    router.pool.close()
+    await four_at_once()
+    [idle] = router.pool.idle.values()
+    assert len(idle) == 1
