--- a/pimentoledge/decisions/configuration.py
+++ b/pimentoledge/decisions/configuration.py
@@ -8,7 +8,6 @@
 many, are decoded when they are asked for; the few hot ones stay decoded.
 """
 
-import bisect
 from collections import abc
 import zlib
 
@@ -18,6 +17,8 @@
 
 from pimentoledge import results
 from pimentoledge.decisions import declarations
+from pimentoledge.decisions import key_indexes
+from pimentoledge.decisions import path_indexes
 from pimentoledge.decisions import stores
 from pimentoledge.decisions import validation
 
@@ -121,102 +122,6 @@
     error: results.Error
 
 
-class KeyIndex:
-    """Whose key a digest is.
-
-    One key in two declarations is an operators' mistake that two racing
-    updates can make; every node then picks the same owner, whatever the
-    order in which it heard of them.
-
-    Attributes:
-        first: the first owner by name, by digest.
-        others: sorted further owners, by digest; mostly empty.
-    """
-
-    def __init__(self):
-        self.first: dict[bytes, str] = {}
-        self.others: dict[bytes, list[str]] = {}
-
-    def add(self, digest: str, name: str) -> None:
-        """Adds an owner of a key, given its hexadecimal digest."""
-        self._set(bytes.fromhex(digest), self._owners(digest) | {name})
-
-    def drop(self, digest: str, name: str) -> None:
-        """Removes an owner of a key."""
-        self._set(bytes.fromhex(digest), self._owners(digest) - {name})
-
-    def find(self, digest: str) -> str | None:
-        """Returns the owner's name; None for an unknown or malformed key."""
-        try:
-            return self.first.get(bytes.fromhex(digest))
-        except ValueError:
-            return None
-
-    def _owners(self, digest: str) -> set[str]:
-        key = bytes.fromhex(digest)
-        if key not in self.first:
-            return set()
-        return {self.first[key], *self.others.get(key, ())}
-
-    def _set(self, key: bytes, owners: set[str]) -> None:
-        self.first.pop(key, None)
-        self.others.pop(key, None)
-        if owners:
-            self.first[key], *others = sorted(owners)
-            if others:
-                self.others[key] = others
-
-
-class Paths:
-    """The paths that are in force, in order; sorted when they are read.
-
-    A sort of a list that is sorted but for its end costs one pass.
-    """
-
-    def __init__(self):
-        self._paths: list[str] = []
-        self._sorted = True
-
-    def __contains__(self, path: str) -> bool:
-        """Returns whether a path is in force."""
-        self._sort()
-        place = bisect.bisect_left(self._paths, path)
-        return self._paths[place : place + 1] == [path]
-
-    def __len__(self) -> int:
-        """Returns the number of paths."""
-        return len(self._paths)
-
-    def add(self, path: str) -> None:
-        """Adds a path that is not there yet."""
-        self._paths.append(path)
-        self._sorted = False
-
-    def remove(self, path: str) -> None:
-        """Removes a path that is there."""
-        self._sort()
-        del self._paths[bisect.bisect_left(self._paths, path)]
-
-    def below(
-        self, prefix: str, *, after: str = "", limit: int | None = None
-    ) -> list[str]:
-        """Returns paths that start with a prefix, behind one, in order."""
-        self._sort()
-        first = bisect.bisect_left(self._paths, prefix)
-        if after:
-            first = max(first, bisect.bisect_right(self._paths, after))
-        # No path holds a character above the last of Unicode.
-        last = bisect.bisect_left(self._paths, prefix + "\U0010ffff")
-        if limit is not None:
-            last = min(last, first + limit)
-        return self._paths[first:last]
-
-    def _sort(self) -> None:
-        if not self._sorted:
-            self._paths.sort()
-            self._sorted = True
-
-
 class Contracts(abc.Mapping):
     """The contracts in force by organisation, decoded on use.
 
@@ -280,7 +185,7 @@
     def __init__(self):
         self.version = 0
         self.known = UNKNOWN
-        self.paths = Paths()
+        self.paths = path_indexes.Paths()
         self.contracts = Contracts(configuration=self)
         self.rejections: dict[str, Rejection] = {}
         self.buckets = [0] * BUCKETS
@@ -295,8 +200,8 @@
         self._servers: dict[
             tuple[str, str], dict[str, declarations.BackendServer]
         ] = {}
-        self._keys = KeyIndex()
-        self._operators = KeyIndex()
+        self._keys = key_indexes.KeyIndex()
+        self._operators = key_indexes.KeyIndex()
         self._tombstones: dict[str, int] = {}
         self.floor = 0
         # As the floor, but without a scan that proves it: an object below is
--- a/pimentoledge/decisions/limits.py
+++ b/pimentoledge/decisions/limits.py
@@ -18,6 +18,7 @@
 from pimentoledge.decisions import declarations
 from pimentoledge.decisions import events
 from pimentoledge.decisions import lending
+from pimentoledge.decisions import limit_accounts
 from pimentoledge.nodes import messages
 
 SHORTEST_RETRY_SECONDS = 0.02
@@ -104,63 +105,6 @@
 Taken = Granted | Refused | Waiting
 
 
-@attrs.define(kw_only=True)
-class Account:
-    """What this entry holds of one organisation's limits.
-
-    Attributes:
-        contract: newest contract seen here.
-        owner: mailbox of the entry that owns the limits.
-        tokens: tokens lent and not yet spent.
-        tokens_until: when they lapse.
-        slots: concurrent requests that the owner allows here.
-        slots_until: when that lapses.
-        own_level: tokens of the own share.
-        own_at: time up to which `own_level` counts.
-        debt: requests let in from the own share and not yet reported.
-        running: start time by request id.
-        waiting: time of arrival by request id, in that order.
-        rate_denied_until: the owner has said that there is no token before.
-        slots_denied_until: the same for slots.
-        promised_until: a caller refused earlier was told to come back then.
-        scarce: whether the owner has no slot left.
-        number: that of the last Borrow.
-        asked_at: when it was sent; None when it is answered.
-        needed: slots that it needed for what ran and waited.
-        arrival_seconds: moving average of the time between requests.
-        hold_seconds: moving average of the time that a request runs.
-        used_at: when the last request came.
-    """
-
-    contract: declarations.Contract
-    owner: str
-    tokens: int = 0
-    tokens_until: float = 0.0
-    slots: int = 0
-    slots_until: float = 0.0
-    own_level: float = 0.0
-    own_at: float = 0.0
-    debt: int = 0
-    running: dict[str, float] = attrs.field(factory=dict)
-    waiting: dict[str, float] = attrs.field(factory=dict)
-    rate_denied_until: float = 0.0
-    slots_denied_until: float = 0.0
-    promised_until: float = 0.0
-    scarce: bool = False
-    number: int = 0
-    asked_at: float | None = None
-    needed: int = 0
-    arrival_seconds: float = 1.0
-    hold_seconds: float = 1.0
-    used_at: float = 0.0
-
-    def chunk(self, seconds: float) -> int:
-        """Returns how many tokens to borrow ahead."""
-        wanted = seconds / max(self.arrival_seconds, 1e-6)
-        most = max(1.0, self.contract.burst / 2)
-        return math.ceil(max(1.0, min(wanted, most)))
-
-
 class Limits:
     """The limits of all contracts, as one entry sees and keeps them.
 
@@ -197,7 +141,7 @@
         self.seed = seed
         self.policy = policy or Policy()
         self.peers: list[str] = [address]
-        self.accounts: dict[str, Account] = {}
+        self.accounts: dict[str, limit_accounts.Account] = {}
         self.ledgers: dict[str, lending.Ledger] = {}
         self.organisations: dict[str, str] = {}
         self.silent: dict[str, float] = {}
@@ -316,10 +260,12 @@
         """Returns the mailbox of the entry that owns the limits."""
         return max(self.peers, key=lambda peer: _score(organisation, peer))
 
-    def _account(self, contract: declarations.Contract, now: float) -> Account:
+    def _account(
+        self, contract: declarations.Contract, now: float
+    ) -> limit_accounts.Account:
         account = self.accounts.get(contract.organisation)
         if account is None:
-            account = Account(
+            account = limit_accounts.Account(
                 contract=contract,
                 owner=self.owner_of(contract.organisation),
                 own_at=now,
@@ -334,17 +280,17 @@
         account.used_at = now
         return account
 
-    def _own_burst(self, account: Account) -> float:
+    def _own_burst(self, account: limit_accounts.Account) -> float:
         if not self.policy.own_share:
             return 0.0
         part = self.policy.own_share * account.contract.burst
         return max(1.0, part / len(self.peers))
 
-    def _own_slots(self, account: Account) -> int:
+    def _own_slots(self, account: limit_accounts.Account) -> int:
         part = self.policy.own_share * account.contract.concurrency
         return max(1, math.floor(part / len(self.peers)))
 
-    def _fill_own(self, account: Account, now: float) -> None:
+    def _fill_own(self, account: limit_accounts.Account, now: float) -> None:
         rate = account.contract.requests_per_second
         rate *= self.policy.own_share / len(self.peers)
         passed = max(0.0, now - account.own_at)
@@ -352,14 +298,16 @@
         account.own_level = min(level, self._own_burst(account))
         account.own_at = max(now, account.own_at)
 
-    def _lacking(self, account: Account, now: float) -> object:
+    def _lacking(self, account: limit_accounts.Account, now: float) -> object:
         """Returns None, a results.Code, or _ASK where the owner must say."""
         lacking = self._lacking_slot(account, now)
         if isinstance(lacking, results.Code):
             return lacking
         return self._lacking_token(account, now) or lacking
 
-    def _lacking_slot(self, account: Account, now: float) -> object:
+    def _lacking_slot(
+        self, account: limit_accounts.Account, now: float
+    ) -> object:
         if not account.contract.concurrency:
             return None
         running = len(account.running)
@@ -373,7 +321,9 @@
             return None
         return results.Code.CONCURRENCY_LIMITED if silent else _ASK
 
-    def _lacking_token(self, account: Account, now: float) -> object:
+    def _lacking_token(
+        self, account: limit_accounts.Account, now: float
+    ) -> object:
         if not account.contract.requests_per_second:
             return None
         if account.tokens and now < account.tokens_until:
@@ -386,7 +336,9 @@
         silent = account.owner in self.silent
         return results.Code.RATE_LIMITED if silent else _ASK
 
-    def _let_in(self, account: Account, request: str, now: float) -> None:
+    def _let_in(
+        self, account: limit_accounts.Account, request: str, now: float
+    ) -> None:
         account.running[request] = now
         self.organisations[request] = account.contract.organisation
         if not account.contract.requests_per_second:
@@ -398,7 +350,7 @@
         account.debt += 1
 
     def _refusal(
-        self, account: Account, code: results.Code, now: float
+        self, account: limit_accounts.Account, code: results.Code, now: float
     ) -> results.Error:
         """Returns an error that says when coming back is worth it.
 
@@ -423,7 +375,7 @@
         return results.Error(code=code, retry_after=retry)
 
     def _ask_ahead(
-        self, account: Account, now: float
+        self, account: limit_accounts.Account, now: float
     ) -> list[actions.Action | Decided]:
         """Asks for more before the last token and slot are used."""
         contract = account.contract
@@ -444,7 +396,7 @@
         return self._ask(account, now)
 
     def _ask(
-        self, account: Account, now: float, waiting: int = 0
+        self, account: limit_accounts.Account, now: float, waiting: int = 0
     ) -> list[actions.Action | Decided]:
         """Sends a Borrow, unless one is under way."""
         if account.asked_at is not None:
@@ -455,7 +407,7 @@
         return [actions.Send(address=account.owner, message=ask)]
 
     def _borrow(
-        self, account: Account, now: float, waiting: int
+        self, account: limit_accounts.Account, now: float, waiting: int
     ) -> messages.Borrow:
         contract = account.contract
         waiting += len(account.waiting)
@@ -545,7 +497,9 @@
             account.slots = min(account.slots, len(account.running))
             account.slots_until = min(account.slots_until, now)
 
-    def _apply(self, account: Account, lent: messages.Lend, now: float) -> None:
+    def _apply(
+        self, account: limit_accounts.Account, lent: messages.Lend, now: float
+    ) -> None:
         asked_at = account.asked_at if account.asked_at is not None else now
         account.asked_at = None
         if lent.tokens:
@@ -564,7 +518,7 @@
             account.slots_denied_until = now + min(pause, 1.0)
 
     def _settle(
-        self, account: Account, now: float
+        self, account: limit_accounts.Account, now: float
     ) -> list[actions.Action | Decided]:
         """Decides what it can of the requests that wait, in their order."""
         done: list[actions.Action | Decided] = []
@@ -597,7 +551,7 @@
         return done
 
     def _look_at(
-        self, account: Account, now: float
+        self, account: limit_accounts.Account, now: float
     ) -> list[actions.Action | Decided]:
         policy = self.policy
         if account.asked_at is not None:
