--- a/pimentoledge/routing/client_answers.py
+++ b/pimentoledge/routing/client_answers.py
@@ -31,6 +31,10 @@
         self.gap_seconds = 0.0
         self._event_at = 0.0
 
+    def silent_seconds(self, now: float) -> float:
+        """Returns for how long the client has got nothing."""
+        return now - (self._event_at or self.arrived)
+
     def begin(self, ask: asks.Ask) -> None:
         """Takes the request that it answers."""
         self.request = ask.request
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -123,7 +123,12 @@
         if self._ending:
             self._give_up(verdicts.late_code(self.history))
             return
-        self._log("client_left")
+        self._log(
+            "client_left",
+            server=self.history.pending,
+            silent_ms=_ms(self.answer.silent_seconds(clocks.now())),
+            chosen=self._chosen,
+        )
         self.answer.client.finished()
 
     def end_now(self) -> None:
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -1,5 +1,6 @@
 """The router's log lines: bounded, and never in a request's way."""
 
+import asyncio
 import contextlib
 import os
 
@@ -118,3 +119,26 @@
     [stream] = lines["streamed"]
     assert stream["late"] == "pause"
     assert router.counters.decisions[("streamed", "pause")] == 1
+
+
+@played(runners=1)
+async def test_a_client_that_leaves_is_told_with_the_server_that_had_it(world):
+    """Clients leave by the dozen in the same two seconds: because of whom?
+
+    The line names the server that had the request, and for how long the
+    client had got nothing.
+    """
+    world.servers["r0"].event_seconds = 0.6
+    [router] = world.routers
+    client = world.client()
+    await client.open()
+    with fields_of_lines() as lines:
+        client.send("/drafts/", headers=router_world.stream_headers())
+        await world.until(lambda: router.exchanges)
+        await asyncio.sleep(0.1)
+        client.close()
+        await world.until(lambda: not router.exchanges)
+    [left] = lines["client_left"]
+    assert left["server"] == "r0"
+    assert 50 < left["silent_ms"] < 5000
+    assert left["chosen"]["usable"] == 1
