--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -22,6 +22,21 @@
 MOST_PACE_SECONDS = 0.4
 
 
+@attrs.frozen(kw_only=True)
+class Share:
+    """What another router has at a server, by its last report.
+
+    Attributes:
+        open: requests that have not ended.
+        unbegun: those of them that have no event yet.
+        unread: prompt tokens of theirs that the server has yet to read.
+    """
+
+    open: int
+    unbegun: int
+    unread: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Backend:
     """One life of a backend server.
@@ -36,6 +51,8 @@
         load_open: `open` of this process when it said so.
         load_unbegun: `unbegun` of this process when it said so.
         load_at: when it said so.
+        load_first_hand: whether it said so to this process.
+        others: what other routers have there, by mailbox.
         avoid_until: when it is tried again.
         failures: failures in a row.
         over: whether something showed that this life has ended.
@@ -57,6 +74,8 @@
     load_open: int = 0
     load_unbegun: int = 0
     load_at: float = 0.0
+    load_first_hand: bool = False
+    others: dict[str, Share] = attrs.field(factory=dict)
     avoid_until: float = 0.0
     failures: int = 0
     over: bool = False
@@ -108,21 +127,31 @@
 
     def busyness(self) -> int:
         """Returns how many requests it is believed to have."""
+        known = self.open + sum(each.open for each in self.others.values())
         if self.load is None:
-            return self.open
+            return known
         said = self.load.running + self.load.waiting
-        return max(self.open, said + self.open - self.load_open)
+        return max(known, said + self.open - self.load_open)
 
     def queued(self) -> int:
         """Returns how many requests it is believed to have not yet begun."""
+        others = sum(each.unbegun for each in self.others.values())
+        known = self.unbegun + others
         if self.load is None:
-            return self.unbegun
+            return known
         since = self.unbegun - self.load_unbegun
-        return max(self.unbegun, self.load.waiting + since)
+        return max(known, self.load.waiting + since)
+
+    def unread(self) -> int:
+        """Returns how many prompt tokens it is believed to have yet to read."""
+        return self.reading + sum(each.unread for each in self.others.values())
 
-    def told_load(self, load: asks.Load, now: float) -> None:
-        """Takes what it says of its load."""
+    def told_load(
+        self, load: asks.Load, now: float, *, first_hand: bool = True
+    ) -> None:
+        """Takes what it says of its load, to this process or to another."""
         self.load = load
+        self.load_first_hand = first_hand
         self.load_open = self.open
         self.load_unbegun = self.unbegun
         self.load_at = now
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -329,6 +329,7 @@
             seconds_left=self._ends_at - now,
             now=now,
         )
+        self._chosen |= grounds.of_dispatch(self.ask, backend, found)
         selections.note_sent(self.believed, self.ask, backend, found)
         return found
 
--- a/pimentoledge/routing/grounds.py
+++ b/pimentoledge/routing/grounds.py
@@ -1,6 +1,7 @@
 """What decided a request's way, with its age, for the log lines."""
 
 from pimentoledge.routing import asks
+from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import configurations
 from pimentoledge.routing import placements
@@ -34,6 +35,27 @@
     return found
 
 
+def of_dispatch(
+    ask: asks.Ask, backend: backends.Backend, sent: asks.Dispatch
+) -> dict[str, object]:
+    """Returns what a server was told of a prompt's cached parts.
+
+    By it a reader of many routers' lines finds which part was read where, and
+    whether it could have been fetched.
+    """
+    if sent.namespace is None or not ask.parts:
+        return {}
+    shared = ask.parts[:-1]
+    return {
+        "namespace": sent.namespace,
+        "parts": [f"{each.name}:{each.tokens}" for each in shared],
+        "unshared": ask.prompt_tokens - sum(each.tokens for each in shared),
+        "held": backend.cached_tokens(sent.namespace, shared),
+        "fetch": sent.fetch_from,
+        "save": sent.save_to is not None,
+    }
+
+
 def of_refusal(
     believed: beliefs.Beliefs,
     route: configurations.Route | None,
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -124,6 +124,21 @@
     ages: dict[str, dict[str, int]]
 
 
+@attrs.define(kw_only=True)
+class Work:
+    """What its sender has at servers, and what they said to it.
+
+    Attributes:
+        has: by server, requests that have not ended, those of them without
+            an event, and prompt tokens yet to be read.
+        said: by server, the requests that it said run and wait, its slots,
+            and how many ms ago it said so.
+    """
+
+    has: dict[str, tuple[int, int, int]]
+    said: dict[str, tuple[int, int, int, int]]
+
+
 NUMBERS: dict[int, type] = {
     1: Beat,
     2: Wish,
@@ -133,4 +148,5 @@
     6: Told,
     7: Offer,
     8: Want,
+    9: Work,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -12,6 +12,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import copies
 from pimentoledge.routing import leases
+from pimentoledge.routing import load_reports
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import pulses
@@ -43,6 +44,7 @@
         pulses: signs of life of the router that gives orders.
         roster: the other routers.
         copies: keeps the copies of the store's objects in step with theirs.
+        load_reports: tell and take what routers have at servers.
     """
 
     def __init__(
@@ -72,6 +74,9 @@
             lines=lines,
             send=self._send,
         )
+        self.load_reports = load_reports.LoadReports(
+            believed=believed, roster=self.roster, send=self._send
+        )
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_beat = 0.0
         self._next_ages = 0.0
@@ -110,6 +115,7 @@
             self.beat(now)
         if now >= self._next_ages:
             self._tell_ages(now)
+        self.load_reports.tick(now)
         self.believed.members = self.roster.count(now)
 
     def news(self) -> None:
@@ -198,6 +204,8 @@
                 self.copies.offered(event.sender, offer)
             case events.FromNode(message=peer_messages.Want() as want):
                 self.copies.hand_over(event.sender, want)
+            case events.FromNode(message=peer_messages.Work() as work):
+                self.load_reports.take(event.sender, work, clocks.now())
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
             case events.Unreachable():
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -169,7 +169,7 @@
     shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
     total = SHARED_STEP_MS * min(busy, slots) * shared
     total += QUEUE_MS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
-    total += READ_MS * backend.reading
+    total += READ_MS * backend.unread()
     # An engine says how many wait, and that counts most: a fit over 3,611 first
     # events gives 42 ms for each of those and 0.7 ms for one that runs.
     total += terms.queued_ms * backend.queued()
