--- a/pimentoledge/nodes/mailboxes.py
+++ b/pimentoledge/nodes/mailboxes.py
@@ -130,15 +130,27 @@
         self, address: str, message: object, *, configuration: int, now: float
     ) -> None:
         """Sends a message, or reports events.Unreachable later."""
-        peer = self.peers.get(address) or self.open(address, now)
-        peer.used = now
+        self.send_all([address], message, configuration=configuration, now=now)
+
+    def send_all(
+        self,
+        addresses: list[str],
+        message: object,
+        *,
+        configuration: int,
+        now: float,
+    ) -> None:
+        """Sends a message to several; it is encoded once."""
         data = self.codec.encode(
             message, sender=self.address, configuration=configuration
         )
-        if not peer.up:
-            peer.waiting.append((message, data))
-            return
-        self.push(address, peer, message, data)
+        for address in addresses:
+            peer = self.peers.get(address) or self.open(address, now)
+            peer.used = now
+            if peer.up:
+                self.push(address, peer, message, data)
+            else:
+                peer.waiting.append((message, data))
 
     def open(self, address: str, now: float) -> Peer:
         """Starts a connection without waiting for it."""
--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -184,9 +184,17 @@
         or entry.get("kvCapacityTokens"),
         cache_address=entry.get("kvStore"),
         data_centre=entry.get("zone"),
+        token_bytes=engine.get("kvBytes"),
+        link_bytes=_link_bytes(engine) or _link_bytes(entry),
     )
 
 
+def _link_bytes(entry: dict) -> float | None:
+    """Returns bytes in a second of a link given in Mbit/s, or None."""
+    found = entry.get("linkMbps")
+    return found * 1_000_000 / 8 if found else None
+
+
 def _limits(entry: dict) -> configurations.Limits:
     usual = configurations.Limits()
     return configurations.Limits(
--- /dev/null
+++ b/pimentoledge/routing/accounts.py
@@ -0,0 +1,73 @@
+"""What one attempt adds to what its server is believed to have."""
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import first_events
+from pimentoledge.routing import waits
+
+
+class Account:
+    """Counts an attempt at its server while it is open.
+
+    Attributes:
+        ask: the request.
+        backend: the server.
+        dispatch: what is sent besides the request.
+        prompt_read: whether the server has read the prompt.
+    """
+
+    def __init__(
+        self,
+        *,
+        ask: asks.Ask,
+        backend: backends.Backend,
+        dispatch: asks.Dispatch,
+    ):
+        self.ask = ask
+        self.backend = backend
+        self.dispatch = dispatch
+        self.prompt_read = False
+        self._held = ask.prompt_tokens + ask.answer_tokens
+        self._reading = 0
+        self._unbegun = False
+        self._ahead = 0
+        self._sent = 0.0
+
+    def start(self, speeds: waits.Speeds, now: float) -> None:
+        """Takes that the request is being sent.
+
+        Args:
+            speeds: what first events have shown.
+            now: the time.
+        """
+        backend = self.backend
+        self._reading = self.dispatch.to_read
+        self._ahead = int(waits.ahead_at(backend, self._reading, speeds, now))
+        self._sent = now
+        if not backend.outstanding():
+            backend.read_since = now
+        backend.open += 1
+        backend.unbegun += 1
+        self._unbegun = True
+        backend.reading += self._reading
+        backend.held += self._held
+
+    def began(self, found: first_events.FirstEvents, now: float) -> None:
+        """Takes the first event: the server has read the prompt."""
+        found.note(now - self._sent, self._reading + self._ahead)
+        self.backend.read_since = now
+        self.reads_no_more()
+
+    def reads_no_more(self) -> None:
+        """Notes that the server does not, or no longer, read the prompt."""
+        self.backend.unbegun -= self._unbegun
+        self._unbegun = False
+        self.backend.reading -= self._reading
+        self._reading = 0
+        self.prompt_read = True
+
+    def close(self) -> None:
+        """Takes the end of the attempt."""
+        self.reads_no_more()
+        self.backend.open -= 1
+        self.backend.held -= self._held
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+MOST_URGENT = 0
+
 
 @attrs.frozen(kw_only=True)
 class Part:
@@ -67,6 +69,7 @@
         weights: the only version of the weights it may begin on, or None.
         namespace: under which cached parts are found, or None.
         fetch_from: address of a server that may hold parts, or None.
+        to_read: tokens of the prompt that the server is believed to read.
         save_to: address of the KV cache server that keeps parts, or None.
         resume_after: number of the last event already passed on, or None.
     """
@@ -78,6 +81,7 @@
     weights: int | None = None
     namespace: str | None = None
     fetch_from: str | None = None
+    to_read: int = 0
     save_to: str | None = None
     resume_after: int | None = None
 
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -1,13 +1,14 @@
 """One attempt of a request at one server: what is sent and what comes back."""
 
 from pimentoledge.platform import requests
+from pimentoledge.routing import accounts
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
-from pimentoledge.routing import queue_waits
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import verdicts
+from pimentoledge.routing import waits
 
 # How long an idle connection to a server is kept if the server says nothing.
 IDLE_SECONDS = 3.0
@@ -33,8 +34,6 @@
 class Attempt:
     """Sends a request to a server and reads its answer.
 
-    While it is open it counts into what the server is believed to have.
-
     Attributes:
         ask: the request.
         backend: the server.
@@ -42,7 +41,8 @@
         pool: where the connection goes back to.
         connection: carries the attempt alone.
         most_idle: connections to the server that may wait for a request.
-        prompt_read: whether the server has read the prompt.
+        speeds: what first events have shown.
+        account: counts it into what the server is believed to have.
     """
 
     def __init__(
@@ -54,6 +54,7 @@
         pool: server_connections.Pool,
         connection: server_connections.ServerConnection,
         most_idle: int | None,
+        speeds: waits.Speeds,
     ):
         self.ask = ask
         self.backend = backend
@@ -61,53 +62,22 @@
         self.pool = pool
         self.connection = connection
         self.most_idle = most_idle
-        self.prompt_read = False
-        self._held = ask.prompt_tokens + ask.answer_tokens
-        self._reading = 0
-        self._unbegun = False
-        self._queued = 0
-        self._sent = 0.0
+        self.speeds = speeds
+        self.account = accounts.Account(
+            ask=ask, backend=backend, dispatch=dispatch
+        )
 
     def start(self) -> None:
         """Sends the request."""
-        self._reading = self._uncached()
-        self._queued = self.backend.queued()
-        self._sent = clocks.now()
-        self.backend.open += 1
-        self.backend.unbegun += 1
-        self._unbegun = True
-        self.backend.reading += self._reading
-        self.backend.held += self._held
+        self.account.start(self.speeds, clocks.now())
         self.connection.send(requests.encode_request(self.ask, self.dispatch))
 
     def close(self) -> None:
         """Ends the attempt; a server still at work on it is stopped."""
-        self.reads_no_more()
-        self.backend.open -= 1
-        self.backend.held -= self._held
+        self.account.close()
         if self.connection.busy:
             self.connection.abort()
 
-    def began(self, wait: queue_waits.QueueWait) -> None:
-        """Takes the first event: the server has read the prompt."""
-        wait.note(clocks.now() - self._sent, self._queued)
-        self.reads_no_more()
-
-    def reads_no_more(self) -> None:
-        """Notes that the server does not, or no longer, read the prompt."""
-        self.backend.unbegun -= self._unbegun
-        self._unbegun = False
-        self.backend.reading -= self._reading
-        self._reading = 0
-        self.prompt_read = True
-
-    def _uncached(self) -> int:
-        namespace = self.dispatch.namespace
-        if namespace is None:
-            return 0
-        cached = self.backend.cached_tokens(namespace, self.ask.parts)
-        return max(0, self.ask.prompt_tokens - cached)
-
     async def read_head(
         self,
     ) -> tuple[asks.Answer, http_messages.ResponseHead]:
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -9,6 +9,11 @@
 
 # How long a server is left alone after it said that it is full.
 FULL_SECONDS = 0.15
+# What a server says of its load holds for so long: a prompt of 9,000 tokens is
+# read in 0.3 s.
+TOLD_SECONDS = 0.5
+# Nothing of it holds after so long: most answers have ended by then.
+OLD_SECONDS = 3.0
 # After a connection that failed; doubles with each further one.
 FAILED_SECONDS = 0.5
 MOST_FAILED_SECONDS = 4.0
@@ -22,6 +27,19 @@
 MOST_PACE_SECONDS = 0.4
 
 
+@attrs.define
+class Held:
+    """A part that a server is believed to keep.
+
+    Attributes:
+        tokens: its length.
+        ready_at: when it will have been read there, and can be fetched.
+    """
+
+    tokens: int
+    ready_at: float
+
+
 @attrs.frozen(kw_only=True)
 class Share:
     """What another router has at a server, by its last report.
@@ -45,6 +63,7 @@
         registration: what it last said of itself.
         open: requests of this process that it has and has not ended.
         reading: prompt tokens of this process that it has yet to read.
+        read_since: since when it reads what is next, as far as is known.
         held: tokens of all requests of this process that it has.
         unbegun: those of them that have no event yet.
         load: what it last said of its load, or None.
@@ -68,6 +87,7 @@
     registration: registrations.Registration
     open: int = 0
     reading: int = 0
+    read_since: float = 0.0
     held: int = 0
     unbegun: int = 0
     load: asks.Load | None = None
@@ -80,7 +100,7 @@
     failures: int = 0
     over: bool = False
     loading_until: float = 0.0
-    parts: collections.OrderedDict[tuple[str, str], int] = attrs.field(
+    parts: collections.OrderedDict[tuple[str, str], Held] = attrs.field(
         factory=collections.OrderedDict
     )
     part_tokens: int = 0
@@ -125,26 +145,55 @@
             and now >= self.loading_until
         )
 
-    def busyness(self) -> int:
+    def _told_share(self, now: float) -> float:
+        """Returns how much of what it last said of its load still holds.
+
+        It is told by its answers alone: one that said that many wait there
+        is sent nothing, and so would count as full for good.
+        """
+        age = now - self.load_at - TOLD_SECONDS
+        return min(1.0, max(0.0, 1 - age / (OLD_SECONDS - TOLD_SECONDS)))
+
+    def busyness(self, now: float) -> float:
         """Returns how many requests it is believed to have."""
         known = self.open + sum(each.open for each in self.others.values())
         if self.load is None:
             return known
-        said = self.load.running + self.load.waiting
-        return max(known, said + self.open - self.load_open)
+        said = self.load.running + self.load.waiting - self.load_open
+        return max(known, said * self._told_share(now) + self.open)
 
-    def queued(self) -> int:
+    def queued(self, now: float) -> float:
         """Returns how many requests it is believed to have not yet begun."""
         others = sum(each.unbegun for each in self.others.values())
         known = self.unbegun + others
         if self.load is None:
             return known
-        since = self.unbegun - self.load_unbegun
-        return max(known, self.load.waiting + since)
+        said = self.load.waiting - self.load_unbegun
+        return max(known, said * self._told_share(now) + self.unbegun)
+
+    def outstanding(self) -> int:
+        """Returns the prompt tokens of requests without an event yet."""
+        others = self.others.values()
+        return self.reading + sum(each.unread for each in others)
+
+    def unread(self, mean: float, now: float, token_seconds: float) -> int:
+        """Returns how many prompt tokens it is believed to have yet to read.
+
+        Of what is next it has read a part already. Requests of routers that
+        don't report here show in what it says waits.
 
-    def unread(self) -> int:
-        """Returns how many prompt tokens it is believed to have yet to read."""
-        return self.reading + sum(each.unread for each in self.others.values())
+        Args:
+            mean: tokens that such a request is to have read.
+            now: the time.
+            token_seconds: in which it reads a token; 0 if that isn't known.
+        """
+        known = self.outstanding()
+        if known and token_seconds:
+            read = (now - self.read_since) / token_seconds
+            known = max(0, known - int(read))
+        others = self.others.values()
+        unbegun = self.unbegun + sum(each.unbegun for each in others)
+        return known + int(mean * max(0, self.queued(now) - unbegun))
 
     def told_load(
         self, load: asks.Load, now: float, *, first_hand: bool = True
@@ -192,27 +241,54 @@
             (now - self.troubled_at) / TROUBLE_HALF_SECONDS
         )
 
-    def cached_tokens(self, namespace: str, parts: tuple) -> int:
-        """Returns how many of a prompt's first tokens it holds."""
+    def cached_tokens(
+        self, namespace: str, parts: tuple, ready_by: float | None = None
+    ) -> int:
+        """Returns how many of a prompt's first tokens it holds.
+
+        Args:
+            namespace: under which they are found.
+            parts: the prompt's parts.
+            ready_by: counts only those that can be fetched by then, or None.
+        """
         total = 0
         for part in parts:
-            if (namespace, part.name) not in self.parts:
+            held = self.parts.get((namespace, part.name))
+            if held is None:
+                break
+            if ready_by is not None and held.ready_at > ready_by:
                 break
             total += part.tokens
         return total
 
-    def note_parts(self, namespace: str, parts: tuple, most: int) -> None:
-        """Notes that it will hold a prompt's shared parts."""
+    def note_parts(
+        self, namespace: str, parts: tuple, most: int, ready_at: float
+    ) -> None:
+        """Notes that it will hold these parts of a prompt.
+
+        Args:
+            namespace: under which they are found.
+            parts: the parts.
+            most: tokens of parts that it is believed to keep.
+            ready_at: when it will have read them.
+        """
         for part in parts:
             key = (namespace, part.name)
             if key in self.parts:
                 self.parts.move_to_end(key)
                 continue
-            self.parts[key] = part.tokens
+            self.parts[key] = Held(part.tokens, ready_at)
             self.part_tokens += part.tokens
         while self.part_tokens > most and self.parts:
-            _, tokens = self.parts.popitem(last=False)
-            self.part_tokens -= tokens
+            _, held = self.parts.popitem(last=False)
+            self.part_tokens -= held.tokens
+
+    def has_read(self, namespace: str, parts: tuple, now: float) -> None:
+        """Notes that it has read these parts."""
+        for part in parts:
+            held = self.parts.get((namespace, part.name))
+            if held is not None:
+                held.ready_at = min(held.ready_at, now)
 
     def forget_parts(self) -> None:
         """Notes that it holds nothing."""
--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -5,10 +5,13 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import budgets
 from pimentoledge.routing import configurations
-from pimentoledge.routing import homes as prefix_homes
+from pimentoledge.routing import first_events as first_events_module
 from pimentoledge.routing import memories
-from pimentoledge.routing import queue_waits as queue_waits_module
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import saved_parts
+from pimentoledge.routing import sources
 from pimentoledge.routing import suspects as suspects_module
+from pimentoledge.routing import waits
 
 
 @attrs.frozen(kw_only=True)
@@ -63,9 +66,14 @@
         leaving: whether it was told to end.
         refusing: whether it begins no request any more.
         repeats: budget of repeats by service.
-        queue_waits: how long requests wait for those before them, by model.
+        first_events: how long what is to be read keeps them, by model.
         unshared: tokens that a request doesn't share, by model.
-        homes: what is known of shared parts.
+        saved: which shared parts the KV cache servers keep.
+        links: how busy those servers' links are.
+        prompts_sent: what the other routers are yet to be told of prompts.
+        hears_all: whether every router tells this one what it has at servers;
+            else those of its data centre do.
+        elsewhere: what runners of other data centres have, in the mean.
         suspects: content that was in servers that crashed.
     """
 
@@ -85,11 +93,15 @@
     suspects: suspects_module.Suspects = attrs.field(
         factory=suspects_module.Suspects
     )
-    queue_waits: dict[str, queue_waits_module.QueueWait] = attrs.field(
+    first_events: dict[str, first_events_module.FirstEvents] = attrs.field(
         factory=dict
     )
     unshared: dict[str, memories.MeanTokens] = attrs.field(factory=dict)
-    homes: prefix_homes.Homes = attrs.field(factory=prefix_homes.Homes)
+    prompts_sent: list[peer_messages.Prompt] = attrs.field(factory=list)
+    hears_all: bool = True
+    elsewhere: dict[str, waits.Mean] = attrs.field(factory=dict)
+    saved: saved_parts.SavedParts = attrs.field(factory=saved_parts.SavedParts)
+    links: sources.Links = attrs.field(factory=sources.Links)
 
     def budget(self, service: str) -> budgets.Budget:
         """Returns the budget of a service."""
@@ -104,19 +116,15 @@
             self.repeats[service] = found
         return found
 
-    def queue_wait(self, model: str) -> queue_waits_module.QueueWait:
-        """Returns how long a model's requests wait for those before them."""
-        found = self.queue_waits.get(model)
-        if found is None:
-            found = self.queue_waits[model] = queue_waits_module.QueueWait()
-        return found
+    def first_event(self, model: str) -> first_events_module.FirstEvents:
+        """Returns what is known of a model's first events."""
+        return self.first_events.setdefault(
+            model, first_events_module.FirstEvents()
+        )
 
     def mean_unshared(self, model: str) -> memories.MeanTokens:
         """Returns what a model's requests don't share, in the mean."""
-        found = self.unshared.get(model)
-        if found is None:
-            found = self.unshared[model] = memories.MeanTokens()
-        return found
+        return self.unshared.setdefault(model, memories.MeanTokens())
 
     def rebound(self) -> None:
         """Brings the budgets to changed bounds; what was spent stays."""
--- a/pimentoledge/routing/cache_links.py
+++ b/pimentoledge/routing/cache_links.py
@@ -73,7 +73,7 @@
     def _set_down(self, address: str, why: str) -> None:
         if address not in self.believed.caches_down:
             self.believed.caches_down.add(address)
-            self.believed.homes.lost()
+            self.believed.saved.lost()
             self.lines.write("cache_server_down", address=address, why=why)
 
     def _set_up(self, address: str) -> None:
--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -92,6 +92,9 @@
         cache_tokens: an engine's or KV cache server's memory, or None.
         cache_address: address of a KV cache server, or None.
         data_centre: where a KV cache server stands, or None.
+        token_bytes: cached memory of a token, or None.
+        link_bytes: bytes in a second that an engine's or KV cache server's
+            link carries, or None.
     """
 
     name: str
@@ -101,6 +104,8 @@
     cache_tokens: int | None
     cache_address: str | None
     data_centre: str | None
+    token_bytes: int | None = None
+    link_bytes: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -256,6 +256,7 @@
             everyone=self.exchanges,
             died=self._died,
             doubt=self.rechecks.doubt,
+            prompt_changed=self.peers.work_reports.prompt_changed,
         )
 
     def look_for_a_pause(self, now: float) -> None:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -20,6 +20,7 @@
 from pimentoledge.routing import memories
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import placements
+from pimentoledge.routing import rooms
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import suspects
@@ -51,6 +52,8 @@
         everyone: all exchanges under way; this one is in it while it runs.
         died: called with a server that was found dead.
         doubt: called with a server that is not as it was believed to be.
+        prompt_changed: called with the length of a prompt that was sent, or
+            read, and the time.
         content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
@@ -68,10 +71,12 @@
         everyone: set["Exchange"],
         died: Callable[[str], None],
         doubt: Callable[[backends.Backend], None],
+        prompt_changed: Callable[[int, float], None],
     ):
         self.decoded = decoded
         self.died = died
         self.doubt = doubt
+        self.prompt_changed = prompt_changed
         self.answer = client_answers.ClientAnswer(client=client)
         self.believed = believed
         self.pool = pool
@@ -85,6 +90,7 @@
         self._ends_at = 0.0
         self._ending = False
         self._chosen: dict[str, object] = {}
+        self._lacks: dict[rooms.Lack, int] = {}
         self._task: asyncio.Task | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
@@ -149,8 +155,6 @@
         if code is not None:
             self._refuse(code)
             return
-        if self.route.by_prefix:
-            self.believed.homes.used(ask.parts[:-1], ask.arrived)
         try:
             async with asyncio.timeout(
                 self._ends_at + ANSWER_GRACE_SECONDS - clocks.now()
@@ -200,8 +204,9 @@
         """Sends the request to servers until there is an answer."""
         while True:
             choice = await self._choose()
-            if choice is None:
-                self._give_up(self._code_without_choice())
+            if isinstance(choice, placements.NoRoom):
+                self._lacks = choice.lacks
+                self._give_up(self._code_without_choice(choice))
                 return
             backend = self._take(choice)
             if not self._may_send(backend):
@@ -223,19 +228,12 @@
                 self._give_up(verdicts.final_code(self.history))
                 return
 
-    def _code_without_choice(self) -> results.Code:
+    def _code_without_choice(self, found: placements.NoRoom) -> results.Code:
         """Returns why no server could be chosen."""
         code = verdicts.final_code(self.history)
-        if code is not results.Code.NO_SERVER:
+        if code is not results.Code.NO_SERVER or not found.lacks:
             return code
-        full = selections.are_full(
-            believed=self.believed,
-            ask=self.ask,
-            route=self.route,
-            organisation=self.organisation,
-            now=clocks.now(),
-        )
-        return results.Code.OVERLOADED if full else code
+        return results.Code.OVERLOADED
 
     def _may_go_on(self) -> bool:
         more = verdicts.may_go_on(self.history, self.route)
@@ -268,7 +266,7 @@
         )
         return choice.backend
 
-    async def _choose(self) -> placements.Choice | None:
+    async def _choose(self) -> placements.Choice | placements.NoRoom:
         """Returns the server to send to; waits a moment for a free one."""
         until = clocks.now() + WAIT_SHARE * self.route.objective_seconds
         while True:
@@ -281,7 +279,7 @@
                 without=self.history.tried(),
                 now=now,
             )
-            if found is not None or now >= until:
+            if isinstance(found, placements.Choice) or now >= until:
                 return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
@@ -308,10 +306,14 @@
             most_idle=selections.most_idle(
                 self.believed, backend.registration.service
             ),
+            speeds=selections.speeds_of(
+                self.believed, self.ask.model, backend.registration.service
+            ),
         )
         self.history.sent(backend.registration.incarnation)
         try:
             attempt.start()
+            self.prompt_changed(self.ask.prompt_tokens, clocks.now())
             return await self._receive(attempt)
         finally:
             attempt.close()
@@ -330,7 +332,7 @@
             now=now,
         )
         self._chosen |= grounds.of_dispatch(self.ask, backend, found)
-        selections.note_sent(self.believed, self.ask, backend, found)
+        selections.note_sent(self.believed, self.ask, backend, found, now)
         return found
 
     async def _receive(self, attempt: attempts.Attempt) -> bool:
@@ -471,12 +473,18 @@
 
     def _prompt_read(self, attempt: attempts.Attempt) -> None:
         """Takes the first piece as proof that the prompt was read."""
-        if attempt.prompt_read:
+        if attempt.account.prompt_read:
             return
-        attempt.began(self.believed.queue_wait(self.ask.model))
+        known = self.believed.first_event(self.ask.model)
+        attempt.account.began(known, clocks.now())
         selections.note_read(
-            self.believed, self.ask, attempt.dispatch, clocks.now()
+            self.believed,
+            self.ask,
+            attempt.backend,
+            attempt.dispatch,
+            clocks.now(),
         )
+        self.prompt_changed(self.ask.prompt_tokens, clocks.now())
 
     def _give_up(self, code: results.Code) -> None:
         """Gives the final answer of a request that has none."""
@@ -502,6 +510,7 @@
                 len(self.history.tried()),
                 clocks.now(),
             ),
+            lacks={each.value: count for each, count in self._lacks.items()},
         )
         self.answer.refuse(code)
 
--- a/pimentoledge/routing/grounds.py
+++ b/pimentoledge/routing/grounds.py
@@ -22,9 +22,10 @@
     found = _configuration(believed, now) | {
         "usable": choice.usable,
         "declared": choice.declared,
-        "cost": round(choice.cost, 1),
+        "cost": round(choice.offer.cost, 1),
+        "first_ms": round(1000 * choice.offer.first_seconds, 1),
         "second": None if choice.second is None else round(choice.second, 1),
-        "busy": backend.busyness(),
+        "busy": round(backend.busyness(now), 1),
         "load_age": _age(backend.load_at, now),
     }
     wanted = believed.wanted.get(ask.model)
@@ -47,6 +48,7 @@
         return {}
     shared = ask.parts[:-1]
     return {
+        "urgency": sent.urgency,
         "namespace": sent.namespace,
         "parts": [f"{each.name}:{each.tokens}" for each in shared],
         "unshared": ask.prompt_tokens - sum(each.tokens for each in shared),
--- a/pimentoledge/routing/own_answers.py
+++ b/pimentoledge/routing/own_answers.py
@@ -21,8 +21,8 @@
 # After which a client may come back to a router that has no configuration: it
 # has just started, and knows nothing before the store has answered it, which
 # is asked every half second. Clients have one try more, so one that comes
-# back before that gets nothing: refused for good on a day that begins anew
-# within an outage 148, 47, 107 (0.3 s) and 108, 30, 65 (1 s), three seeds.
+# back before that gets nothing: where all routers started within an outage,
+# 148, 47, 107 clients were refused for good with 0.3 s, 108, 30, 65 with 1 s.
 DARK_RETRY_SECONDS = 1.0
 # Clients that were refused together must not come back together.
 DARK_RETRY_SPREAD = 0.25
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -124,6 +124,26 @@
     ages: dict[str, dict[str, int]]
 
 
+@attrs.define(kw_only=True)
+class Prompt:
+    """A prompt that was sent to a runner, which will keep its parts.
+
+    Attributes:
+        server: the runner, by incarnation.
+        namespace: under which the parts are found.
+        parts: the parts in order, as name and tokens; the last is shared with
+            no other request.
+        saved_to: address of the KV cache server that is to keep them, or "".
+        read: whether the runner has read them; else it is about to.
+    """
+
+    server: str
+    namespace: str
+    parts: list[tuple[str, int]]
+    saved_to: str = ""
+    read: bool = False
+
+
 @attrs.define(kw_only=True)
 class Work:
     """What its sender has at servers, and what they said to it.
@@ -133,10 +153,16 @@
             an event, and prompt tokens yet to be read.
         said: by server, the requests that it said run and wait, its slots,
             and how many ms ago it said so.
+        prompts: those sent, or read and saved, since the last report.
+        means: by data centre, what a runner of it has in the mean: requests,
+            those of them without an event, and prompt tokens yet to be read;
+            with the age in ms.
     """
 
     has: dict[str, tuple[int, int, int]]
     said: dict[str, tuple[int, int, int, int]]
+    prompts: list[Prompt]
+    means: dict[str, tuple[float, float, int, int]]
 
 
 NUMBERS: dict[int, type] = {
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -12,13 +12,13 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import copies
 from pimentoledge.routing import leases
-from pimentoledge.routing import load_reports
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import pulses
 from pimentoledge.routing import rosters
 from pimentoledge.routing import takers as takers_module
 from pimentoledge.routing import watchers
+from pimentoledge.routing import work_reports
 
 logger = logbook.Logger("peers")
 
@@ -44,7 +44,7 @@
         pulses: signs of life of the router that gives orders.
         roster: the other routers.
         copies: keeps the copies of the store's objects in step with theirs.
-        load_reports: tell and take what routers have at servers.
+        work_reports: tell and take what routers have at servers.
     """
 
     def __init__(
@@ -74,8 +74,8 @@
             lines=lines,
             send=self._send,
         )
-        self.load_reports = load_reports.LoadReports(
-            believed=believed, roster=self.roster, send=self._send
+        self.work_reports = work_reports.WorkReports(
+            believed=believed, roster=self.roster, send_all=self._tell
         )
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_beat = 0.0
@@ -115,7 +115,7 @@
             self.beat(now)
         if now >= self._next_ages:
             self._tell_ages(now)
-        self.load_reports.tick(now)
+        self.work_reports.tick(now)
         self.believed.members = self.roster.count(now)
 
     def news(self) -> None:
@@ -138,9 +138,7 @@
         """Sends a heartbeat to each partner."""
         self._next_beat = now + BEAT_SECONDS
         self.pulses.own(now)
-        beat = self._own_beat(now)
-        for address in self.roster.partners:
-            self._send(address, beat)
+        self._tell(self.roster.partners, self._own_beat(now))
 
     def _tell_ages(self, now: float) -> None:
         """Tells one router how long ago each was heard."""
@@ -152,13 +150,7 @@
         self._send(random.choice(members), told)
 
     def _send(self, address: str, message: object) -> None:
-        configuration = self.believed.configuration
-        self._mailbox.send(
-            address,
-            message,
-            configuration=configuration.version if configuration else 0,
-            now=clocks.now(),
-        )
+        self._tell([address], message)
 
     def _own_beat(self, now: float) -> peer_messages.Beat:
         lease = self.lease
@@ -182,8 +174,13 @@
         )
 
     def _tell(self, addresses: list[str], message: object) -> None:
-        for address in addresses:
-            self._send(address, message)
+        configuration = self.believed.configuration
+        self._mailbox.send_all(
+            addresses,
+            message,
+            configuration=configuration.version if configuration else 0,
+            now=clocks.now(),
+        )
 
     def handle(self, event: object) -> None:
         """Takes an event of the mailbox; on the loop."""
@@ -205,7 +202,7 @@
             case events.FromNode(message=peer_messages.Want() as want):
                 self.copies.hand_over(event.sender, want)
             case events.FromNode(message=peer_messages.Work() as work):
-                self.load_reports.take(event.sender, work, clocks.now())
+                self.work_reports.take(event.sender, work, clocks.now())
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
             case events.Unreachable():
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -1,23 +1,16 @@
 """Which server a request is sent to."""
 
+import collections
+
 import attrs
 import xxhash
 
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
+from pimentoledge.routing import rooms
+from pimentoledge.routing import sources as sources_module
+from pimentoledge.routing import waits
 
-# Time to read a token, and to fetch one that another server or the KV cache
-# server holds: read off the engines' figures on the users' pages.
-READ_MS = 0.031
-FETCH_MS = 0.006
-# Added wait for each request that a server has while it has free slots, at a
-# server of ten slots; a larger batch shares its step among more.
-SHARED_STEP_MS = 1.5
-SHARED_STEP_SLOTS = 10
-# For each request beyond its slots, at a server of eight; more slots are free
-# sooner.
-QUEUE_MS = 60.0
-QUEUE_SLOTS = 8
 # Another data centre: its bytes are dear, so it is worth a queue.
 ELSEWHERE_MS = 120.0
 # Requests that begin on older weights lose a part of their worth.
@@ -47,31 +40,26 @@
         data_centre: this router's.
         parts: the shared parts of the prompt.
         unshared: tokens that no other request shares.
-        held: tokens that the request will hold.
-        cache_tokens: an engine's memory, or None.
+        need: what the request needs of a runner, or None where requests are
+            not read before they begin.
         model: the model asked for, or "".
         newest: newest version of its weights, or None.
         isolated_by: organisation that shares no cached part, or "".
-        fetches: whether parts can be fetched.
-        queued_ms: expected wait for each request that has not begun; 0 where
-            requests are not read before they begin.
-        home: incarnation of the runner that is to read a part that is not
-            kept anywhere yet, or None.
-        home_tokens: tokens of that part.
+        sources: what can be fetched, under the newest weights.
+        speeds: what first events have shown.
+        near: whether servers of the own data centre go before all others.
     """
 
     data_centre: str
     parts: tuple[asks.Part, ...] = ()
     unshared: int = 0
-    held: int = 0
-    cache_tokens: int | None = None
+    need: rooms.Need | None = None
     model: str = ""
     newest: int | None = None
     isolated_by: str = ""
-    fetches: bool = False
-    queued_ms: float = 0.0
-    home: str | None = None
-    home_tokens: int = 0
+    sources: sources_module.Sources = sources_module.Sources()
+    speeds: waits.Speeds = waits.Speeds()
+    near: bool = False
 
 
 def namespace(version: int, isolated_by: str) -> str:
@@ -88,55 +76,98 @@
     return backend.registration.weights.get(model)
 
 
+@attrs.frozen(kw_only=True)
+class Offer:
+    """What a server offers a request.
+
+    Attributes:
+        backend: the server.
+        first_seconds: expected time to the first event.
+        loses_ms: what else is lost there, as a wait that would be worth it.
+        lacks: what it has too little of, or None.
+    """
+
+    backend: backends.Backend
+    first_seconds: float
+    loses_ms: float
+    lacks: rooms.Lack | None
+
+    @property
+    def cost(self) -> float:
+        """The expected wait, in ms, with what it loses."""
+        return 1000 * self.first_seconds + self.loses_ms
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """The server chosen for a request, and against what.
 
     Attributes:
-        backend: the server.
-        cost: its expected wait, in ms.
-        second: that of the next best, or None if no other was usable.
+        offer: the server's.
+        second: cost of the next best, or None if no other had room.
         usable: how many could have been chosen.
         declared: how many were declared and not yet tried.
     """
 
-    backend: backends.Backend
-    cost: float
+    offer: Offer
     second: float | None
     usable: int
     declared: int
 
+    @property
+    def backend(self) -> backends.Backend:
+        """The server."""
+        return self.offer.backend
+
+
+@attrs.frozen(kw_only=True)
+class NoRoom:
+    """That no server should get a request now.
+
+    Attributes:
+        lacks: what usable servers have too little of, with how many lack it.
+    """
+
+    lacks: dict[rooms.Lack, int]
+
 
 def choose(
     *,
     candidates: list[backends.Backend],
     terms: Terms,
     now: float,
-) -> Choice | None:
-    """Returns the server with the least expected wait, or None."""
+) -> Choice | NoRoom:
+    """Returns the server with room that costs least, if any."""
     usable = [each for each in candidates if each.usable(now)]
-    if not usable:
-        return None
     paces = [each.pace for each in usable if each.pace]
     best = min(paces, default=0.0)
-    costs = [cost(each, terms, now, best) for each in usable]
-    least, *others = sorted(costs)
+    offers = [offer(each, terms, now, best) for each in usable]
+    free = [each for each in offers if each.lacks is None]
+    if not free:
+        lacks = collections.Counter(each.lacks for each in offers)
+        return NoRoom(lacks=dict(lacks))
+    free.sort(
+        key=lambda each: (terms.near and _is_elsewhere(each, terms), each.cost)
+    )
     return Choice(
-        backend=usable[costs.index(least)],
-        cost=least,
-        second=others[0] if others else None,
+        offer=free[0],
+        second=free[1].cost if len(free) > 1 else None,
         usable=len(usable),
         declared=len(candidates),
     )
 
 
-def cost(
+def _is_elsewhere(found: Offer, terms: Terms) -> bool:
+    return found.backend.registration.data_centre != terms.data_centre
+
+
+def offer(
     backend: backends.Backend,
     terms: Terms,
     now: float,
     best_pace: float = 0.0,
-) -> float:
-    """Returns the expected wait at a server, in ms, with what it loses.
+) -> Offer:
+    """Returns what a server offers a request.
 
     Args:
         backend: the server.
@@ -144,18 +175,40 @@
         now: the time.
         best_pace: least pace of all that could be chosen, or 0.
     """
-    total = _load_cost(backend, terms) + TROUBLE_MS * backend.trouble_by(now)
+    version = weights_of(backend, terms.model)
+    older = _is_older(version, terms)
+    prompt = _prompt_at(backend, terms, version, older)
+    seconds = waits.first_event(backend, prompt, terms.speeds, now)
+    losses = TROUBLE_MS * backend.trouble_by(now)
     if terms.unshared > CHUNK_TOKENS and backend.pace and best_pace:
         slower = backend.pace / best_pace - 1
-        total += SLOWNESS_MS * terms.unshared * slower
+        losses += SLOWNESS_MS * terms.unshared * slower
     if backend.registration.data_centre != terms.data_centre:
-        total += ELSEWHERE_MS
-    version = weights_of(backend, terms.model)
-    if _is_older(version, terms):
-        total += OLDER_WEIGHTS_MS
-    if terms.home not in (None, backend.registration.incarnation):
-        total += READ_TWICE_MS * terms.home_tokens
-    return total + _prompt_cost(backend, terms, version)
+        losses += ELSEWHERE_MS
+    if older:
+        losses += OLDER_WEIGHTS_MS
+    losses += READ_TWICE_MS * prompt.twice
+    # What waits there waits as long for this one as this one for it.
+    losses += 1000 * waits.for_readers(
+        backend, prompt.to_read, terms.speeds, now
+    )
+    lacks = None
+    if terms.need is not None:
+        lacks = rooms.lacks(
+            backend.registration.slots,
+            terms.need,
+            busy=waits.busy_at(backend, terms.speeds, now),
+            first_seconds=seconds,
+            wait_seconds=waits.for_others(
+                backend, prompt.to_read, terms.speeds, now
+            ),
+        )
+    return Offer(
+        backend=backend,
+        first_seconds=seconds,
+        loses_ms=losses + _drawn_ms(backend, terms),
+        lacks=lacks,
+    )
 
 
 def _is_older(version: int | None, terms: Terms) -> bool:
@@ -163,34 +216,39 @@
     return None not in (version, terms.newest) and version < terms.newest
 
 
-def _load_cost(backend: backends.Backend, terms: Terms) -> float:
-    slots = max(1, backend.registration.slots)
-    busy = backend.busyness()
-    shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
-    total = SHARED_STEP_MS * min(busy, slots) * shared
-    total += QUEUE_MS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
-    total += READ_MS * backend.unread()
-    # An engine says how many wait, and that counts most: a fit over 3,611 first
-    # events gives 42 ms for each of those and 0.7 ms for one that runs.
-    total += terms.queued_ms * backend.queued()
-    if terms.cache_tokens:
-        over = backend.held + terms.held - KEPT_SHARE * terms.cache_tokens
-        total += READ_MS * max(0.0, over)
-    return total
-
-
-def _prompt_cost(
-    backend: backends.Backend, terms: Terms, version: int | None
-) -> float:
+def _prompt_at(
+    backend: backends.Backend,
+    terms: Terms,
+    version: int | None,
+    older: bool,
+) -> waits.Prompt:
+    """Returns what a runner has to do for the prompt."""
     if not terms.parts or version is None:
-        return 0.0
+        return waits.Prompt(to_read=terms.unshared)
     found = namespace(version, terms.isolated_by)
-    cached = backend.cached_tokens(found, terms.parts)
-    missing = sum(part.tokens for part in terms.parts) - cached
-    each = FETCH_MS if terms.fetches else READ_MS
-    if _is_older(version, terms):
+    held = backend.cached_tokens(found, terms.parts)
+    shared = sum(part.tokens for part in terms.parts)
+    prompt = waits.prompt_at(
+        data_centre=backend.registration.data_centre,
+        held=held,
+        shared=shared,
+        unshared=terms.unshared,
+        sources=sources_module.Sources() if older else terms.sources,
+        speeds=terms.speeds,
+    )
+    if older:
         # Nothing of older weights is fetched, so it would be read again.
-        each = READ_TWICE_MS
+        return attrs.evolve(prompt, twice=shared - held)
+    return prompt
+
+
+def _drawn_ms(backend: backends.Backend, terms: Terms) -> float:
+    """Returns what decides where all else is alike.
+
+    Requests that share a prompt stay together, and routers that see the same
+    don't all choose the same.
+    """
+    if not terms.parts:
+        return 0.0
     name = terms.parts[-1].name + backend.registration.incarnation
-    home = xxhash.xxh3_64_intdigest(name.encode()) / 2**64
-    return each * missing + READ_MS * terms.unshared + HOME_MS * home
+    return HOME_MS * xxhash.xxh3_64_intdigest(name.encode()) / 2**64
--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -145,7 +145,7 @@
                 for each in behind
                 if each not in loading and self._may_tell(each, now)
             ]
-            chosen = _spread(waiting, loading, room)
+            chosen = _spread(waiting, loading, room, now)
             found += [
                 Due(backend=each, model=model, version=wanted.version)
                 for each in chosen
@@ -220,6 +220,7 @@
     waiting: list[backends.Backend],
     loading: list[backends.Backend],
     room: int,
+    now: float,
 ) -> list[backends.Backend]:
     """Returns up to `room` runners, from as many data centres as can be.
 
@@ -231,7 +232,7 @@
         place = each.registration.data_centre
         taken[place] = taken.get(place, 0) + 1
     chosen: list[backends.Backend] = []
-    rest = sorted(waiting, key=lambda each: each.busyness())
+    rest = sorted(waiting, key=lambda each: each.busyness(now))
     while rest and len(chosen) < room:
         best = min(
             rest, key=lambda each: taken.get(each.registration.data_centre, 0)
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -1,33 +1,43 @@
 """From a request and what is believed to a server and a dispatch."""
 
-import attrs
 import xxhash
 
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import configurations
-from pimentoledge.routing import homes
-from pimentoledge.routing import memories
+from pimentoledge.routing import peer_messages
 from pimentoledge.routing import placements
+from pimentoledge.routing import rooms
+from pimentoledge.routing import sources
+from pimentoledge.routing import waits
 
 # A request must begin well before its server's weights count as too old:
 # it may wait there for its turn.
 WEIGHTS_MARGIN_SECONDS = 1.5
 MOST_URGENCY = 9
+# Urgencies of routes that are told apart within an organisation's.
+ROUTE_URGENCIES = 3
 # Part of a server's connections that all routers together may leave idle.
 IDLE_SHARE = 0.5
 # Fewer tokens are read sooner than fetched from another runner.
 LEAST_FETCH_TOKENS = 256
+# From so busy a link of a KV cache server on, a prompt is saved only if the
+# server lacks so many tokens of its shared parts for each token of its own,
+# which are carried and kept for nobody. Otherwise a link of 340 Gbit/s is given
+# more than it carries, what is saved comes two seconds late, and three in four
+# parts asked for meanwhile are read again.
+BUSY_SHARE = 1.0
+SAVE_SHARE = 2.0
 # No runner has loaded weights so soon after they were named: a load takes
 # 0.55 s and more. Until then any part of older weights may be fetched, which
-# saves a quarter of what is read again: 139,742 to 104,606 tokens on a calm
-# day with five rollouts, 84,464 to 53,985 on another.
+# saves a quarter of what is read again: 139,742 to 104,606 tokens over five
+# changes of weights in 50 s, played once each.
 SAFE_FETCH_SECONDS = 0.45
 # Parts saved in the last second before this router heard of newer weights may
 # have been saved after they were named. Parts saved before are fetched all
-# through a change: 250,606 to 197,000 tokens read again on a day with four
-# changes, 386,527 to 360,000 on one with three, two plays each.
+# through a change: 250,606 to 197,000 tokens read again over four changes,
+# 386,527 to 360,000 over three, two plays each.
 HEARD_LATE_SECONDS = 1.0
 
 
@@ -57,58 +67,21 @@
     organisation: configurations.Organisation | None,
     without: set[str],
     now: float,
-) -> placements.Choice | None:
-    """Returns the server to send a request to, or None."""
-    urgency = _urgency(route, organisation)
+) -> placements.Choice | placements.NoRoom:
+    """Returns the server to send a request to, if one has room."""
+    found = placements.NoRoom(lacks={})
     for name in service_of(route, ask.request):
         candidates = [
             each
             for each in believed.servers.of_service(name)
             if each.registration.incarnation not in without
             and weights_allow(believed, ask.model, each, now)
-            and _has_memory(believed, ask.model, urgency, each)
         ]
-        terms = _terms(believed, ask, organisation, name)
-        terms = with_home(believed, terms, candidates, now)
+        terms = _terms(believed, ask, route, organisation, name, now)
         found = placements.choose(candidates=candidates, terms=terms, now=now)
-        if found is not None:
+        if isinstance(found, placements.Choice):
             return found
-    return None
-
-
-def _has_memory(
-    believed: beliefs.Beliefs,
-    model: str,
-    urgency: int,
-    backend: backends.Backend,
-) -> bool:
-    """Returns whether a server has memory for a request."""
-    if not model:
-        return True
-    service = believed.configuration.services.get(backend.registration.service)
-    return memories.has_room(
-        backend,
-        mean=believed.mean_unshared(model),
-        urgency=urgency,
-        memory=None if service is None else service.cache_tokens,
-    )
-
-
-def are_full(
-    *,
-    believed: beliefs.Beliefs,
-    ask: asks.Ask,
-    route: configurations.Route,
-    organisation: configurations.Organisation | None,
-    now: float,
-) -> int:
-    """Returns how many servers are usable but for lack of memory."""
-    urgency = _urgency(route, organisation)
-    return sum(
-        each.usable(now) and not _has_memory(believed, ask.model, urgency, each)
-        for share in route.shares
-        for each in believed.servers.of_service(share.service)
-    )
+    return found
 
 
 def weights_allow(
@@ -131,8 +104,10 @@
 def _terms(
     believed: beliefs.Beliefs,
     ask: asks.Ask,
+    route: configurations.Route,
     organisation: configurations.Organisation | None,
     service_name: str,
+    now: float,
 ) -> placements.Terms:
     service = believed.configuration.services.get(service_name)
     wanted = believed.wanted.get(ask.model)
@@ -141,60 +116,109 @@
         data_centre=believed.data_centre,
         parts=shared,
         unshared=ask.prompt_tokens - sum(part.tokens for part in shared),
-        held=ask.prompt_tokens + ask.answer_tokens,
-        cache_tokens=None if service is None else service.cache_tokens,
         model=ask.model,
         newest=None if wanted is None else wanted.version,
         isolated_by=_isolated_by(organisation),
-        fetches=cache_address(believed, ask.parts) is not None,
-        queued_ms=1000 * believed.queue_wait(ask.model).each_seconds
-        if ask.model
-        else 0.0,
+        sources=_newest_sources(believed, ask, organisation, service_name, now),
+        speeds=speeds_of(believed, ask.model, service_name),
+        need=_need(believed, ask, route, service),
+        near=bool(ask.model) and not believed.hears_all,
+    )
+
+
+def speeds_of(
+    believed: beliefs.Beliefs, model: str, service_name: str
+) -> waits.Speeds:
+    """Returns what first events of a model have shown."""
+    if not model:
+        return waits.Speeds()
+    known = believed.first_event(model)
+    return waits.Speeds(
+        base_seconds=known.expected_seconds(0),
+        token_seconds=known.token_seconds,
+        fetch_seconds=sources.transfer_seconds(
+            1,
+            service=believed.configuration.services.get(service_name),
+            link_bytes=None,
+            apart=False,
+        ),
+        mean_unread=believed.mean_unshared(model).known(),
+        elsewhere=believed.elsewhere,
+    )
+
+
+def _need(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    route: configurations.Route,
+    service: configurations.Service | None,
+) -> rooms.Need | None:
+    if not ask.model:
+        return None
+    return rooms.Need(
+        urgent=route.urgency == asks.MOST_URGENT,
+        mean_tokens=believed.mean_unshared(ask.model).known(),
+        memory=None if service is None else service.cache_tokens,
+        objective_seconds=route.objective_seconds,
     )
 
 
-def with_home(
+def shared_tokens(ask: asks.Ask) -> int:
+    """Returns the tokens of a prompt that other requests share."""
+    return sum(part.tokens for part in ask.parts[:-1])
+
+
+def _newest_sources(
     believed: beliefs.Beliefs,
-    terms: placements.Terms,
-    candidates: list[backends.Backend],
+    ask: asks.Ask,
+    organisation: configurations.Organisation | None,
+    service_name: str,
     now: float,
-) -> placements.Terms:
-    """Returns the terms with the runner that reads a part first, if any."""
-    if not terms.parts or terms.newest is None:
-        return terms
-    namespace = placements.namespace(terms.newest, terms.isolated_by)
-    if terms.fetches:
-        part = believed.homes.unsaved(namespace, terms.parts, now)
-    else:
-        # Nowhere to fetch from: a prompt goes where its parts are, always.
-        part = homes.last_large(terms.parts)
-    if part is None:
-        return terms
-    runners = [
-        each
-        for each in candidates
-        if each.usable(now)
-        and placements.weights_of(each, terms.model) == terms.newest
-    ]
-    found = homes.home(namespace, part, runners)
-    if found is None:
-        return terms
-    return attrs.evolve(
-        terms,
-        home=found.registration.incarnation,
-        home_tokens=part.tokens,
+) -> sources.Sources:
+    wanted = believed.wanted.get(ask.model)
+    if wanted is None or shared_tokens(ask) < LEAST_FETCH_TOKENS:
+        return sources.Sources()
+    return sources_of(
+        believed,
+        ask,
+        service_name=service_name,
+        version=wanted.version,
+        namespace=placements.namespace(
+            wanted.version, _isolated_by(organisation)
+        ),
+        now=now,
     )
 
 
-def note_read(
+def sources_of(
     believed: beliefs.Beliefs,
     ask: asks.Ask,
-    sent: asks.Dispatch,
+    *,
+    service_name: str,
+    version: int,
+    namespace: str,
     now: float,
-) -> None:
-    """Notes that a request's shared parts have been read."""
-    if sent.namespace is not None and sent.save_to is not None:
-        believed.homes.was_read(sent.namespace, ask.parts[:-1], now)
+) -> sources.Sources:
+    """Returns what can be fetched of a prompt under a version's namespace."""
+    cache = cache_server(believed, ask.parts)
+    stored = None
+    if cache is not None:
+        stored = sources.Source(
+            address=cache.cache_address,
+            data_centre=cache.data_centre,
+            tokens=believed.saved.tokens(
+                cache.cache_address, namespace, ask.parts[:-1], now
+            ),
+        )
+    return sources.find(
+        runners=believed.servers.of_service(service_name),
+        stored=stored,
+        model=ask.model,
+        version=version,
+        namespace=namespace,
+        parts=ask.parts[:-1],
+        now=now,
+    )
 
 
 def _isolated_by(
@@ -234,28 +258,76 @@
     version = placements.weights_of(backend, ask.model)
     if version is None:
         return found
-    found.urgency = _urgency(route, organisation)
+    found.urgency = urgency_of(route, organisation)
     found.weights = version
     found.namespace = placements.namespace(version, _isolated_by(organisation))
+    found.to_read = ask.prompt_tokens
     if not ask.parts:
         return found
-    address = cache_address(believed, ask.parts)
+    held = backend.cached_tokens(found.namespace, ask.parts[:-1])
+    found.to_read -= held
+    cache = cache_server(believed, ask.parts)
+    address = None if cache is None else cache.cache_address
     wanted = believed.wanted.get(ask.model)
     if wanted is None or version >= wanted.version:
-        found.fetch_from = address or _holder_address(
-            believed, ask, backend, found.namespace, now
-        )
-        if believed.homes.needs_saving(found.namespace, ask.parts[:-1], now):
-            found.save_to = address
-    elif _may_fetch_older(
-        believed, found.namespace, ask.parts[:-1], now, wanted.since
+        _fetch_newest(believed, ask, backend, cache, found, now)
+        found.save_to = _save_to(believed, ask, found.namespace, cache, now)
+    elif address is not None and _may_fetch_older(
+        believed, address, found.namespace, ask.parts[:-1], now, wanted.since
     ):
         found.fetch_from = address
     return found
 
 
+def _fetch_newest(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    backend: backends.Backend,
+    cache: configurations.Service | None,
+    found: asks.Dispatch,
+    now: float,
+) -> None:
+    """Has the runner fetch what another server is believed to keep."""
+    registration = backend.registration
+    held = backend.cached_tokens(found.namespace, ask.parts[:-1])
+    source = sources_of(
+        believed,
+        ask,
+        service_name=registration.service,
+        version=found.weights,
+        namespace=found.namespace,
+        now=now,
+    ).for_runner(registration.data_centre, held)
+    if source is not None:
+        found.fetch_from = source.address
+        found.to_read -= source.tokens - held
+    elif cache is not None:
+        # It may keep more than is known here; a miss costs a ms.
+        found.fetch_from = cache.cache_address
+
+
+def _save_to(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    namespace: str,
+    cache: configurations.Service | None,
+    now: float,
+) -> str | None:
+    """Returns the KV cache server that is to keep a prompt's parts, or None."""
+    if cache is None:
+        return None
+    address = cache.cache_address
+    parts = ask.parts[:-1]
+    lacks = believed.saved.lacks(address, namespace, parts, now)
+    least = 1
+    if believed.links.busy_share(address, now) > BUSY_SHARE:
+        least = SAVE_SHARE * (ask.prompt_tokens - shared_tokens(ask))
+    return address if lacks and lacks >= least else None
+
+
 def _may_fetch_older(
     believed: beliefs.Beliefs,
+    address: str,
     namespace: str,
     parts: tuple[asks.Part, ...],
     now: float,
@@ -265,6 +337,7 @@
 
     Args:
         believed: what the process believes.
+        address: of the KV cache server.
         namespace: of the older weights.
         parts: the shared parts.
         now: the time.
@@ -273,22 +346,29 @@
     if now - since < SAFE_FETCH_SECONDS:
         return True
     moment = since - HEARD_LATE_SECONDS
-    return believed.homes.saved_before(namespace, parts, moment, now)
+    return believed.saved.saved_before(address, namespace, parts, moment, now)
 
 
-def _urgency(
+def urgency_of(
     route: configurations.Route,
     organisation: configurations.Organisation | None,
 ) -> int:
-    urgency = route.urgency
-    if organisation is not None and organisation.urgency is not None:
-        urgency = organisation.urgency
+    """Returns the urgency at the runner, from 0 to 9.
+
+    That of the organisation goes first; among its requests that of the route.
+    With the organisation's alone, as most of them have the same, long prompts
+    were as urgent as the short ones that someone waits for at the counter.
+    """
+    own = min(route.urgency, ROUTE_URGENCIES - 1)
+    if organisation is None or organisation.urgency is None:
+        return min(own, MOST_URGENCY)
+    urgency = ROUTE_URGENCIES * organisation.urgency + own
     return min(urgency, MOST_URGENCY)
 
 
-def cache_address(
+def cache_server(
     believed: beliefs.Beliefs, parts: tuple[asks.Part, ...]
-) -> str | None:
+) -> configurations.Service | None:
     """Returns the KV cache server of a prompt, among those that live.
 
     All routers agree on it by the last shared part, wherever they are: with
@@ -298,44 +378,17 @@
     name = parts[-2].name if len(parts) > 1 else ""
     return max(
         (
-            each.cache_address
+            each
             for each in believed.configuration.cache_servers()
             if each.cache_address not in believed.caches_down
         ),
-        key=lambda address: xxhash.xxh3_64_intdigest(
-            f"{name}/{address}".encode()
+        key=lambda each: xxhash.xxh3_64_intdigest(
+            f"{name}/{each.cache_address}".encode()
         ),
         default=None,
     )
 
 
-def _holder_address(
-    believed: beliefs.Beliefs,
-    ask: asks.Ask,
-    backend: backends.Backend,
-    namespace: str,
-    now: float,
-) -> str | None:
-    """Returns another runner that holds more of a prompt, or None.
-
-    It must have the same weights: what its runs leave under the namespace
-    after a change would be made on others.
-    """
-    parts = ask.parts[:-1]
-    version = placements.weights_of(backend, ask.model)
-    least = backend.cached_tokens(namespace, parts) + LEAST_FETCH_TOKENS
-    best = None
-    for each in believed.servers.of_service(backend.registration.service):
-        if each is backend or not each.usable(now):
-            continue
-        if placements.weights_of(each, ask.model) != version:
-            continue
-        tokens = each.cached_tokens(namespace, parts)
-        if tokens >= least:
-            least, best = tokens, each.registration.address
-    return best
-
-
 def most_idle(believed: beliefs.Beliefs, service_name: str) -> int | None:
     """Returns how many connections to a server may wait for a request.
 
@@ -355,11 +408,98 @@
     ask: asks.Ask,
     backend: backends.Backend,
     sent: asks.Dispatch,
+    now: float,
 ) -> None:
-    """Notes which parts a server will hold."""
+    """Notes which parts a server will hold, for this router and the others."""
     if sent.namespace is None or len(ask.parts) < 2:
         return
+    prompt = peer_messages.Prompt(
+        server=backend.registration.incarnation,
+        namespace=sent.namespace,
+        parts=[(part.name, part.tokens) for part in ask.parts],
+        saved_to=sent.save_to or "",
+    )
+    believed.prompts_sent.append(prompt)
+    heard_prompt(believed, prompt, now)
+
+
+def note_read(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    backend: backends.Backend,
+    sent: asks.Dispatch,
+    now: float,
+) -> None:
+    """Notes that a request's shared parts have been read."""
+    if sent.namespace is None:
+        return
+    backend.has_read(sent.namespace, ask.parts, now)
+    if sent.save_to is None:
+        return
+    prompt = peer_messages.Prompt(
+        server=backend.registration.incarnation,
+        namespace=sent.namespace,
+        parts=[(part.name, part.tokens) for part in ask.parts],
+        saved_to=sent.save_to,
+        read=True,
+    )
+    believed.prompts_sent.append(prompt)
+    heard_prompt(believed, prompt, now)
+
+
+def heard_prompt(
+    believed: beliefs.Beliefs, prompt: peer_messages.Prompt, now: float
+) -> None:
+    """Takes that a prompt was sent to a runner, or read by it."""
+    parts = tuple(
+        asks.Part(name=name, tokens=tokens) for name, tokens in prompt.parts
+    )
+    shared = parts[:-1]
+    saved = believed.saved
+    if prompt.read:
+        saved.was_read(prompt.saved_to, prompt.namespace, shared, now)
+        return
+    backend = believed.servers.by_incarnation.get(prompt.server)
+    if backend is None:
+        return
+    _keep(believed, backend, prompt.namespace, parts, now)
+    if prompt.saved_to:
+        _note_saving(believed, backend, prompt, parts, now)
+
+
+def _note_saving(
+    believed: beliefs.Beliefs,
+    backend: backends.Backend,
+    prompt: peer_messages.Prompt,
+    parts: tuple[asks.Part, ...],
+    now: float,
+) -> None:
+    """Takes that a prompt goes to a KV cache server, and what its link has."""
+    address, namespace = prompt.saved_to, prompt.namespace
+    tokens = believed.saved.lacks(address, namespace, parts, now)
+    believed.saved.will_be_read(address, namespace, parts[:-1], now)
+    services = believed.configuration.services
+    place = backend.registration.data_centre
+    for each in believed.configuration.cache_servers():
+        if each.cache_address == address:
+            seconds = sources.transfer_seconds(
+                tokens,
+                service=services.get(backend.registration.service),
+                link_bytes=each.link_bytes,
+                apart=each.data_centre != place,
+            )
+            believed.links.carries(address, seconds, now)
+
+
+def _keep(
+    believed: beliefs.Beliefs,
+    backend: backends.Backend,
+    namespace: str,
+    parts: tuple[asks.Part, ...],
+    now: float,
+) -> None:
     service = believed.configuration.services.get(backend.registration.service)
     tokens = 0 if service is None else service.cache_tokens or 0
     most = int(tokens * placements.KEPT_SHARE)
-    backend.note_parts(sent.namespace, ask.parts[:-1], most)
+    ready_at = now + sources.READY_SECONDS
+    backend.note_parts(namespace, parts, most, ready_at)
--- /dev/null
+++ b/pimentoledge/tests/test_router_first_events.py
@@ -0,0 +1,194 @@
+"""What is to be read before a first event costs, and how a router learns it."""
+
+import random
+
+import pytest
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import first_events
+from pimentoledge.routing import placements
+from pimentoledge.routing import registrations
+from pimentoledge.routing import sources
+from pimentoledge.routing import waits
+
+
+def runner(name, *, running=0, waiting=0, place="a", slots=32):
+    found = backends.Backend(
+        registration=registrations.Registration(
+            server=name,
+            service="s",
+            address=f"10.0.0.1:{name}",
+            data_centre=place,
+            slots=slots,
+            leaving=False,
+            weights={"m": 1},
+        )
+    )
+    load = asks.Load(running=running, waiting=waiting, slots=slots)
+    found.told_load(load, 1.0)
+    return found
+
+
+SPEEDS = waits.Speeds(
+    base_seconds=0.09, token_seconds=3e-5, fetch_seconds=2e-6, mean_unread=1500
+)
+
+
+def test_a_prompt_goes_where_fewest_wait_rather_than_where_fewest_run():
+    """A quarter of the streams came late while runners next door were free.
+
+    A runner said that 12 requests waited there and 4 ran; the other that none
+    waited and 18 ran. By requests alone the first looked the better, and a
+    prompt waited 560 ms there; it would have begun in 70 at the other.
+    """
+    piled = runner("piled", running=4, waiting=12)
+    free = runner("free", running=18)
+    found = placements.choose(
+        candidates=[piled, free],
+        terms=placements.Terms(
+            data_centre="a", model="m", unshared=2000, speeds=SPEEDS
+        ),
+        now=1.0,
+    )
+    assert found.backend is free
+
+
+def test_requests_sent_since_a_runner_spoke_count_as_queued_there():
+    found = runner("r", waiting=3)
+    assert found.queued(1.0) == 3
+    found.unbegun += 2
+    assert found.queued(1.0) == 5
+    found.told_load(asks.Load(running=5, waiting=2, slots=32), 2.0)
+    assert found.queued(1.0) == 2
+    found.unbegun -= 2
+    assert found.queued(1.0) == 0
+
+
+def test_requests_of_routers_that_do_not_report_show_in_what_waits():
+    found = runner("r", waiting=3)
+    found.unbegun, found.reading = 1, 4000
+    found.load_unbegun = 1
+    assert found.unread(1500, 1.0, 0.0) == 4000 + 2 * 1500
+
+
+def test_what_other_routers_have_there_counts_as_their_own_word():
+    found = runner("r")
+    found.others["x"] = backends.Share(open=3, unbegun=2, unread=9000)
+    assert found.busyness(1.0) == 3
+    assert found.queued(1.0) == 2
+    assert found.unread(1500, 1.0, 0.0) == 9000
+
+
+def test_of_what_is_next_a_part_is_read_already():
+    """A router kept away from runners that were nearly done."""
+    found = runner("r")
+    found.reading, found.read_since = 9000, 1.0
+    assert found.unread(0.0, 1.0, 3e-5) == 9000
+    assert found.unread(0.0, 1.12, 3e-5) == pytest.approx(5000, abs=2)
+    assert found.unread(0.0, 9.0, 3e-5) == 0
+
+
+@pytest.mark.parametrize("token_seconds", [6e-6, 3e-5, 1.5e-4])
+def test_the_reading_is_learnt_of_engines_fast_and_slow(token_seconds):
+    """Five times as fast and five times as slow as the usual engine."""
+    drawn = random.Random(7)
+    known = first_events.FirstEvents()
+    for _ in range(300):
+        tokens = drawn.choice((300, 800, 3000, 7000, 15000))
+        usual = 0.06 + token_seconds * tokens
+        known.note(usual * drawn.uniform(0.7, 1.3), tokens)
+    assert known.token_seconds == pytest.approx(token_seconds, rel=0.3)
+    expected = 0.06 + 10000 * token_seconds
+    assert known.expected_seconds(10000) == pytest.approx(expected, rel=0.3)
+
+
+def test_one_stream_that_hung_does_not_spoil_what_was_learnt():
+    known = first_events.FirstEvents()
+    for _ in range(20):
+        known.note(0.09 + 3e-5 * 3000, 3000)
+    known.note(30.0, 3000)
+    assert known.expected_seconds(3000) < 0.3
+    assert known.token_seconds < 2 * first_events.FIRST_TOKEN_SECONDS
+
+
+def test_streams_of_one_length_leave_the_slope_to_the_first_guess():
+    known = first_events.FirstEvents()
+    for _ in range(200):
+        known.note(0.18, 3000)
+    assert known.expected_seconds(3000) == pytest.approx(0.18, rel=0.1)
+    assert known.token_seconds == pytest.approx(3e-5, rel=0.5)
+
+
+class TestPromptAt:
+    """What a runner has to do for a prompt."""
+
+    SOURCES = sources.Sources(
+        best=(
+            sources.Source(address="near", data_centre="a", tokens=2500),
+            sources.Source(address="far", data_centre="b", tokens=6000),
+        ),
+        coming=6000,
+    )
+
+    def at(self, place, held, found=SOURCES):
+        return waits.prompt_at(
+            data_centre=place,
+            held=held,
+            shared=6000,
+            unshared=3000,
+            sources=found,
+            speeds=SPEEDS,
+        )
+
+    def test_it_reads_only_what_nobody_keeps(self):
+        found = self.at("a", 0)
+        assert found.to_read == 3000
+        assert found.fetch_seconds == pytest.approx(2 * 6000 * 2e-6)
+        assert found.twice == 0
+
+    def test_a_fetch_within_the_data_centre_takes_half(self):
+        assert self.at("b", 0).fetch_seconds == pytest.approx(6000 * 2e-6)
+
+    def test_what_it_keeps_is_neither_read_nor_fetched(self):
+        found = self.at("a", 6000)
+        assert (found.to_read, found.fetch_seconds) == (3000, 0.0)
+
+    def test_what_another_is_about_to_have_would_be_read_twice(self):
+        found = self.at("a", 2500, sources.Sources(coming=6000))
+        assert found.to_read == 6500
+        assert found.twice == 3500
+
+
+def test_a_short_prompt_waits_little_for_a_long_one():
+    """Short prompts were refused, or sent far, for long ones read beside them.
+
+    Chunks are read in turn: what is to be read before a short prompt is as
+    much of each other as it has itself.
+    """
+    found = runner("r")
+    found.reading, found.unbegun, found.read_since = 20000, 2, 1.0
+    assert waits.ahead_at(found, 800, SPEEDS, 1.0) == 1600
+    assert waits.ahead_at(found, 90000, SPEEDS, 1.0) == 20000
+
+
+def test_a_runner_elsewhere_is_not_idle_because_nothing_is_known_of_it():
+    """Four of five prompts were sent to data centres that looked idle.
+
+    Each router knew what those of its own had sent where, and of the others
+    nothing, so their runners seemed free: prompts piled up there unseen.
+    """
+    here, there = runner("h"), runner("t", place="b")
+    here.reading, here.unbegun, here.read_since = 6000, 1, 1.0
+    unknown = waits.first_event(there, waits.Prompt(to_read=3000), SPEEDS, 1.0)
+    assert unknown < waits.first_event(
+        here, waits.Prompt(to_read=3000), SPEEDS, 1.0
+    )
+    mean = waits.Mean(busy=5, queued=3, unread=9000, since=1.0)
+    told = waits.Speeds(
+        base_seconds=0.09, token_seconds=3e-5, elsewhere={"b": mean}
+    )
+    known = waits.first_event(there, waits.Prompt(to_read=3000), told, 1.0)
+    assert known > waits.first_event(
+        here, waits.Prompt(to_read=3000), told, 1.0
+    )
