--- a/pimentoledge/routing/accounts.py
+++ b/pimentoledge/routing/accounts.py
@@ -27,7 +27,6 @@
         self.backend = backend
         self.dispatch = dispatch
         self.prompt_read = False
-        self._held = ask.prompt_tokens + ask.answer_tokens
         self._reading = 0
         self._unbegun = False
         self._ahead = 0
@@ -50,7 +49,6 @@
         backend.unbegun += 1
         self._unbegun = True
         backend.reading += self._reading
-        backend.held += self._held
 
     def began(self, found: first_events.FirstEvents, now: float) -> None:
         """Takes the first event: the server has read the prompt."""
@@ -70,4 +68,3 @@
         """Takes the end of the attempt."""
         self.reads_no_more()
         self.backend.open -= 1
-        self.backend.held -= self._held
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -64,7 +64,6 @@
         open: requests of this process that it has and has not ended.
         reading: prompt tokens of this process that it has yet to read.
         read_since: since when it reads what is next, as far as is known.
-        held: tokens of all requests of this process that it has.
         unbegun: those of them that have no event yet.
         load: what it last said of its load, or None.
         load_open: `open` of this process when it said so.
@@ -88,7 +87,6 @@
     open: int = 0
     reading: int = 0
     read_since: float = 0.0
-    held: int = 0
     unbegun: int = 0
     load: asks.Load | None = None
     load_open: int = 0
--- a/pimentoledge/routing/rooms.py
+++ b/pimentoledge/routing/rooms.py
@@ -7,6 +7,9 @@
 # Part of a runner's slots that less urgent requests may fill. What reads long
 # prompts slows all answers of its runner: with every slot open to them, short
 # answers take ten times as long, keep their slots, and nothing ends in time.
+# With a quarter of 60 runners dark and more asked than the rest can read, this
+# and the bound on time brought the short answers in time from 37 to 84 of 100,
+# and prompts of 9,000 tokens from 37 to 53 (played once each).
 LESS_URGENT_SLOTS = 0.7
 # The same for the most urgent.
 URGENT_SLOTS = 1.0
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -450,7 +450,13 @@
 def heard_prompt(
     believed: beliefs.Beliefs, prompt: peer_messages.Prompt, now: float
 ) -> None:
-    """Takes that a prompt was sent to a runner, or read by it."""
+    """Takes that a prompt was sent to a runner, or read by it.
+
+    A router that has just started may know servers and no configuration yet;
+    how much they keep is not known to it.
+    """
+    if believed.configuration is None:
+        return
     parts = tuple(
         asks.Part(name=name, tokens=tokens) for name, tokens in prompt.parts
     )
--- a/pimentoledge/tests/test_router_work_reports.py
+++ b/pimentoledge/tests/test_router_work_reports.py
@@ -217,6 +217,23 @@
     assert not alone.believed.elsewhere
 
 
+def test_a_router_without_a_configuration_takes_reports(many):
+    """A router that had just started lost what the others told it.
+
+    It knew servers from another router and no configuration yet; each report
+    that named a prompt ended in an error, and what it told of load with it.
+    """
+    started = many.routers["tcp://r2"]
+    started.believed.configuration = None
+    sender = many.routers["tcp://r0"]
+    sender.believed.prompts_sent.append(
+        peer_messages.Prompt(server="h", namespace="1", parts=PARTS)
+    )
+    many.server("tcp://r0").open = 2
+    many.tick()
+    assert many.server("tcp://r2").busyness(10.0) == 2
+
+
 def test_few_routers_tell_each_other_everything():
     few = Net(rings.ALL_TO_ALL)
     sender = few.server("tcp://r0")
