--- a/benches/fleet_engines.py
+++ b/benches/fleet_engines.py
@@ -263,6 +263,7 @@
         kept: cached parts.
         loading: whether it loads weights.
         up: whether it answers.
+        version: of the weights that it has.
     """
 
     def __init__(
@@ -288,6 +289,7 @@
         self.used: collections.Counter = collections.Counter()
         self.loading = False
         self.up = True
+        self.version = 1
         self._stepping = False
         self._turns = itertools.count(1)
         sources[address] = self
--- a/benches/fleet_runs.py
+++ b/benches/fleet_runs.py
@@ -19,22 +19,22 @@
 from pimentoledge.routing import asks
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import configurations
+from pimentoledge.routing import daemons
+from pimentoledge.routing import exchanges
 from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rings
+from pimentoledge.routing import rollouts
 from pimentoledge.routing import rosters
 from pimentoledge.routing import selections
+from pimentoledge.routing import verdicts
 from pimentoledge.routing import work_reports
 
 MODEL = "m"
 SERVICE = "runners"
 # One way between VMs, and to a client.
 HOP_SECONDS = 0.001
-TICK_SECONDS = 0.1
-WAIT_STEP_SECONDS = 0.02
-WAIT_SHARE = 0.12
 RETRY_SECONDS = 0.5
-MOST_SENDS = 4
 CACHE_SERVERS = 2
 
 
@@ -400,7 +400,7 @@
         for work in plan.works:
             self._plan_arrival(work)
         for number, router in enumerate(self.routers):
-            offset = TICK_SECONDS * number / len(self.routers)
+            offset = daemons.TICK_SECONDS * number / len(self.routers)
             self.agenda.at(offset, lambda router=router: self._tick(router))
         for when in plan.weights_at:
             self.agenda.at(when, self._name_weights)
@@ -415,7 +415,7 @@
     def _tick(self, router: Router) -> None:
         router.reports.tick(self.agenda.now)
         if self.agenda.now < self.plan.seconds:
-            self.agenda.after(TICK_SECONDS, lambda: self._tick(router))
+            self.agenda.after(daemons.TICK_SECONDS, lambda: self._tick(router))
 
     def _plan_arrival(self, work: Work) -> None:
         wait = self._drawn.expovariate(self.plan.rate * work.share)
@@ -524,11 +524,12 @@
             now=now,
         )
         chosen = isinstance(choice, placements.Choice)
-        if chosen and len(client.tried) < MOST_SENDS:
+        if chosen and len(client.tried) < verdicts.MOST_SENDS:
             self._send(router, client, route, choice)
-        elif now - since < WAIT_SHARE * route.objective_seconds:
+        elif now - since < exchanges.WAIT_SHARE * route.objective_seconds:
             self.agenda.after(
-                WAIT_STEP_SECONDS, lambda: self._route(router, client, since)
+                exchanges.WAIT_STEP_SECONDS,
+                lambda: self._route(router, client, since),
             )
         else:
             self._end(client, again_after=RETRY_SECONDS, refused=True)
@@ -580,7 +581,7 @@
         if client.over or client.run is not run or not engine.up:
             return
         version = router.believed.servers.by_server[engine.name]
-        right = version.registration.weights[MODEL] == self._has(engine)
+        right = version.registration.weights[MODEL] == engine.version
         if not right or not engine.submit(run):
             client.account.close()
             client.account = None
@@ -590,9 +591,6 @@
             client.tried.add(backend.registration.incarnation)
             self._route(router, client, self.agenda.now)
 
-    def _has(self, engine: fleet_engines.Engine) -> int:
-        return getattr(engine, "version", 1)
-
     def _began(self, router, client, load: asks.Load) -> None:
         now = self.agenda.now
         client.first = now
@@ -652,7 +650,7 @@
         for router in self.routers:
             router.believed.want(MODEL, self.version, now)
         waves = list(self.engines.values())
-        size = max(1, int(len(waves) * 0.4))
+        size = max(1, int(len(waves) * rollouts.AT_ONCE_SHARE))
         load = self.plan.shape.load_seconds
         for number in range(0, len(waves), size):
             for engine in waves[number : number + size]:
@@ -664,7 +662,8 @@
     def _load(self, engine: fleet_engines.Engine) -> None:
         version = self.version
         for router in self.routers:
-            run_backend(router, engine).loading_until = self.agenda.now + 1.5
+            found = run_backend(router, engine)
+            found.loading_until = self.agenda.now + rollouts.LOAD_SECONDS
 
         def done() -> None:
             engine.version = version
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -56,6 +56,19 @@
     body: bytes
     arrived: float
 
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that other requests share."""
+        return self.parts[:-1]
+
+    def shared_tokens(self) -> int:
+        """Returns the tokens of the prompt that other requests share."""
+        return sum(part.tokens for part in self.shared)
+
+    def unshared_tokens(self) -> int:
+        """Returns the tokens of the prompt that no other request shares."""
+        return self.prompt_tokens - self.shared_tokens()
+
 
 @attrs.define(kw_only=True)
 class Dispatch:
--- a/pimentoledge/routing/grounds.py
+++ b/pimentoledge/routing/grounds.py
@@ -46,13 +46,12 @@
     """
     if sent.namespace is None or not ask.parts:
         return {}
-    shared = ask.parts[:-1]
     return {
         "urgency": sent.urgency,
         "namespace": sent.namespace,
-        "parts": [f"{each.name}:{each.tokens}" for each in shared],
-        "unshared": ask.prompt_tokens - sum(each.tokens for each in shared),
-        "held": backend.cached_tokens(sent.namespace, shared),
+        "parts": [f"{each.name}:{each.tokens}" for each in ask.shared],
+        "unshared": ask.unshared_tokens(),
+        "held": backend.cached_tokens(sent.namespace, ask.shared),
         "fetch": sent.fetch_from,
         "save": sent.save_to is not None,
     }
--- a/pimentoledge/routing/memories.py
+++ b/pimentoledge/routing/memories.py
@@ -10,8 +10,7 @@
 
 def unshared_tokens(ask: asks.Ask) -> int:
     """Returns the tokens of a request that no other request shares."""
-    shared = sum(part.tokens for part in ask.parts[:-1])
-    return max(0, ask.prompt_tokens - shared) + ask.answer_tokens
+    return max(0, ask.unshared_tokens()) + ask.answer_tokens
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -147,7 +147,10 @@
         lacks = collections.Counter(each.lacks for each in offers)
         return NoRoom(lacks=dict(lacks))
     free.sort(
-        key=lambda each: (terms.near and _is_elsewhere(each, terms), each.cost)
+        key=lambda each: (
+            terms.near and _is_elsewhere(each.backend, terms),
+            each.cost,
+        )
     )
     return Choice(
         offer=free[0],
@@ -157,8 +160,8 @@
     )
 
 
-def _is_elsewhere(found: Offer, terms: Terms) -> bool:
-    return found.backend.registration.data_centre != terms.data_centre
+def _is_elsewhere(backend: backends.Backend, terms: Terms) -> bool:
+    return backend.registration.data_centre != terms.data_centre
 
 
 def offer(
@@ -178,34 +181,30 @@
     version = weights_of(backend, terms.model)
     older = _is_older(version, terms)
     prompt = _prompt_at(backend, terms, version, older)
-    seconds = waits.first_event(backend, prompt, terms.speeds, now)
+    first = waits.first_event(backend, prompt, terms.speeds, now)
     losses = TROUBLE_MS * backend.trouble_by(now)
     if terms.unshared > CHUNK_TOKENS and backend.pace and best_pace:
         slower = backend.pace / best_pace - 1
         losses += SLOWNESS_MS * terms.unshared * slower
-    if backend.registration.data_centre != terms.data_centre:
+    if _is_elsewhere(backend, terms):
         losses += ELSEWHERE_MS
     if older:
         losses += OLDER_WEIGHTS_MS
     losses += READ_TWICE_MS * prompt.twice
     # What waits there waits as long for this one as this one for it.
-    losses += 1000 * waits.for_readers(
-        backend, prompt.to_read, terms.speeds, now
-    )
+    losses += 1000 * first.reader_seconds
     lacks = None
     if terms.need is not None:
         lacks = rooms.lacks(
             backend.registration.slots,
             terms.need,
-            busy=waits.busy_at(backend, terms.speeds, now),
-            first_seconds=seconds,
-            wait_seconds=waits.for_others(
-                backend, prompt.to_read, terms.speeds, now
-            ),
+            busy=first.busy,
+            first_seconds=first.seconds,
+            wait_seconds=first.others_seconds,
         )
     return Offer(
         backend=backend,
-        first_seconds=seconds,
+        first_seconds=first.seconds,
         loses_ms=losses + _drawn_ms(backend, terms),
         lacks=lacks,
     )
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -111,11 +111,10 @@
 ) -> placements.Terms:
     service = believed.configuration.services.get(service_name)
     wanted = believed.wanted.get(ask.model)
-    shared = ask.parts[:-1]
     return placements.Terms(
         data_centre=believed.data_centre,
-        parts=shared,
-        unshared=ask.prompt_tokens - sum(part.tokens for part in shared),
+        parts=ask.shared,
+        unshared=ask.unshared_tokens(),
         model=ask.model,
         newest=None if wanted is None else wanted.version,
         isolated_by=_isolated_by(organisation),
@@ -163,11 +162,6 @@
     )
 
 
-def shared_tokens(ask: asks.Ask) -> int:
-    """Returns the tokens of a prompt that other requests share."""
-    return sum(part.tokens for part in ask.parts[:-1])
-
-
 def _newest_sources(
     believed: beliefs.Beliefs,
     ask: asks.Ask,
@@ -176,7 +170,7 @@
     now: float,
 ) -> sources.Sources:
     wanted = believed.wanted.get(ask.model)
-    if wanted is None or shared_tokens(ask) < LEAST_FETCH_TOKENS:
+    if wanted is None or ask.shared_tokens() < LEAST_FETCH_TOKENS:
         return sources.Sources()
     return sources_of(
         believed,
@@ -207,7 +201,7 @@
             address=cache.cache_address,
             data_centre=cache.data_centre,
             tokens=believed.saved.tokens(
-                cache.cache_address, namespace, ask.parts[:-1], now
+                cache.cache_address, namespace, ask.shared, now
             ),
         )
     return sources.find(
@@ -216,7 +210,7 @@
         model=ask.model,
         version=version,
         namespace=namespace,
-        parts=ask.parts[:-1],
+        parts=ask.shared,
         now=now,
     )
 
@@ -264,16 +258,18 @@
     found.to_read = ask.prompt_tokens
     if not ask.parts:
         return found
-    held = backend.cached_tokens(found.namespace, ask.parts[:-1])
+    held = backend.cached_tokens(found.namespace, ask.shared)
     found.to_read -= held
     cache = cache_server(believed, ask.parts)
     address = None if cache is None else cache.cache_address
     wanted = believed.wanted.get(ask.model)
     if wanted is None or version >= wanted.version:
-        _fetch_newest(believed, ask, backend, cache, found, now)
+        # It may keep more than is known here; a miss costs a ms.
+        found.fetch_from = address
+        _fetch_newest(believed, ask, backend, held, found, now)
         found.save_to = _save_to(believed, ask, found.namespace, cache, now)
     elif address is not None and _may_fetch_older(
-        believed, address, found.namespace, ask.parts[:-1], now, wanted.since
+        believed, address, found.namespace, ask.shared, now, wanted.since
     ):
         found.fetch_from = address
     return found
@@ -283,13 +279,12 @@
     believed: beliefs.Beliefs,
     ask: asks.Ask,
     backend: backends.Backend,
-    cache: configurations.Service | None,
+    held: int,
     found: asks.Dispatch,
     now: float,
 ) -> None:
     """Has the runner fetch what another server is believed to keep."""
     registration = backend.registration
-    held = backend.cached_tokens(found.namespace, ask.parts[:-1])
     source = sources_of(
         believed,
         ask,
@@ -301,9 +296,6 @@
     if source is not None:
         found.fetch_from = source.address
         found.to_read -= source.tokens - held
-    elif cache is not None:
-        # It may keep more than is known here; a miss costs a ms.
-        found.fetch_from = cache.cache_address
 
 
 def _save_to(
@@ -317,11 +309,10 @@
     if cache is None:
         return None
     address = cache.cache_address
-    parts = ask.parts[:-1]
-    lacks = believed.saved.lacks(address, namespace, parts, now)
+    lacks = believed.saved.lacks(address, namespace, ask.shared, now)
     least = 1
     if believed.links.busy_share(address, now) > BUSY_SHARE:
-        least = SAVE_SHARE * (ask.prompt_tokens - shared_tokens(ask))
+        least = SAVE_SHARE * ask.unshared_tokens()
     return address if lacks and lacks >= least else None
 
 
@@ -413,14 +404,7 @@
     """Notes which parts a server will hold, for this router and the others."""
     if sent.namespace is None or len(ask.parts) < 2:
         return
-    prompt = peer_messages.Prompt(
-        server=backend.registration.incarnation,
-        namespace=sent.namespace,
-        parts=[(part.name, part.tokens) for part in ask.parts],
-        saved_to=sent.save_to or "",
-    )
-    believed.prompts_sent.append(prompt)
-    heard_prompt(believed, prompt, now)
+    _tell(believed, ask, backend, sent, read=False, now=now)
 
 
 def note_read(
@@ -436,12 +420,25 @@
     backend.has_read(sent.namespace, ask.parts, now)
     if sent.save_to is None:
         return
+    _tell(believed, ask, backend, sent, read=True, now=now)
+
+
+def _tell(
+    believed: beliefs.Beliefs,
+    ask: asks.Ask,
+    backend: backends.Backend,
+    sent: asks.Dispatch,
+    *,
+    read: bool,
+    now: float,
+) -> None:
+    """Takes for this router, and tells the others, where a prompt went."""
     prompt = peer_messages.Prompt(
         server=backend.registration.incarnation,
         namespace=sent.namespace,
         parts=[(part.name, part.tokens) for part in ask.parts],
-        saved_to=sent.save_to,
-        read=True,
+        saved_to=sent.save_to or "",
+        read=read,
     )
     believed.prompts_sent.append(prompt)
     heard_prompt(believed, prompt, now)
--- a/pimentoledge/routing/waits.py
+++ b/pimentoledge/routing/waits.py
@@ -102,43 +102,50 @@
     )
 
 
-def first_event(
-    backend: backends.Backend, prompt: Prompt, speeds: Speeds, now: float
-) -> float:
-    """Returns the expected seconds until a first event.
+@attrs.frozen(kw_only=True)
+class FirstEvent:
+    """The expected time to a first event at a server, and what it is made of.
 
-    What is queued and what is to be read is read one after the other.
+    Attributes:
+        busy: requests that the server has.
+        own_seconds: for the prompt itself.
+        step_seconds: for the steps of what runs, and for a slot.
+        reader_seconds: for others' prompts, which are read meanwhile.
     """
-    own = speeds.base_seconds + prompt.fetch_seconds
-    own += speeds.token_seconds * prompt.to_read
-    return own + for_others(backend, prompt.to_read, speeds, now)
 
+    busy: float
+    own_seconds: float
+    step_seconds: float
+    reader_seconds: float
 
-def for_others(
-    backend: backends.Backend, to_read: int, speeds: Speeds, now: float
-) -> float:
-    """Returns the expected seconds that a request waits for others.
+    @property
+    def others_seconds(self) -> float:
+        """What others take of it."""
+        return self.step_seconds + self.reader_seconds
 
-    Args:
-        backend: the server.
-        to_read: tokens that it must read for the request.
-        speeds: what first events have shown.
-        now: the time.
-    """
+    @property
+    def seconds(self) -> float:
+        """All of it: what is to be read is read one after the other."""
+        return self.own_seconds + self.others_seconds
+
+
+def first_event(
+    backend: backends.Backend, prompt: Prompt, speeds: Speeds, now: float
+) -> FirstEvent:
+    """Returns the expected time until a first event."""
     slots = max(1, backend.registration.slots)
     busy = busy_at(backend, speeds, now)
     shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
     steps = SHARED_STEP_SECONDS * min(busy, slots) * shared
     queued = QUEUE_SECONDS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
-    return steps + queued + for_readers(backend, to_read, speeds, now)
-
-
-def for_readers(
-    backend: backends.Backend, to_read: int, speeds: Speeds, now: float
-) -> float:
-    """Returns the expected seconds that are spent on others' prompts."""
-    ahead = ahead_at(backend, to_read, speeds, now)
-    return speeds.token_seconds * ahead
+    ahead = ahead_at(backend, prompt.to_read, speeds, now)
+    own = speeds.base_seconds + prompt.fetch_seconds
+    return FirstEvent(
+        busy=busy,
+        own_seconds=own + speeds.token_seconds * prompt.to_read,
+        step_seconds=steps + queued,
+        reader_seconds=speeds.token_seconds * ahead,
+    )
 
 
 def busy_at(backend: backends.Backend, speeds: Speeds, now: float) -> float:
--- a/pimentoledge/tests/test_router_first_events.py
+++ b/pimentoledge/tests/test_router_first_events.py
@@ -180,15 +180,23 @@
     """
     here, there = runner("h"), runner("t", place="b")
     here.reading, here.unbegun, here.read_since = 6000, 1, 1.0
-    unknown = waits.first_event(there, waits.Prompt(to_read=3000), SPEEDS, 1.0)
-    assert unknown < waits.first_event(
-        here, waits.Prompt(to_read=3000), SPEEDS, 1.0
+    unknown = waits.first_event(
+        there, waits.Prompt(to_read=3000), SPEEDS, 1.0
+    ).seconds
+    assert (
+        unknown
+        < waits.first_event(
+            here, waits.Prompt(to_read=3000), SPEEDS, 1.0
+        ).seconds
     )
     mean = waits.Mean(busy=5, queued=3, unread=9000, since=1.0)
     told = waits.Speeds(
         base_seconds=0.09, token_seconds=3e-5, elsewhere={"b": mean}
     )
-    known = waits.first_event(there, waits.Prompt(to_read=3000), told, 1.0)
-    assert known > waits.first_event(
-        here, waits.Prompt(to_read=3000), told, 1.0
+    known = waits.first_event(
+        there, waits.Prompt(to_read=3000), told, 1.0
+    ).seconds
+    assert (
+        known
+        > waits.first_event(here, waits.Prompt(to_read=3000), told, 1.0).seconds
     )
