--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -7,6 +7,7 @@
 from pimentoledge.routing import configurations
 from pimentoledge.routing import first_events as first_events_module
 from pimentoledge.routing import memories
+from pimentoledge.routing import mirrors
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import saved_parts
 from pimentoledge.routing import sources
@@ -59,6 +60,8 @@
         bounds: figures that the deployment sets.
         configuration: newest configuration, or None before the first.
         configured: when that came into force here.
+        copied: the copies of the store's objects that all this comes from, by
+            name.
         servers: the backend servers.
         wanted: wanted weights by model.
         caches_down: addresses of KV cache servers that don't answer.
@@ -83,6 +86,7 @@
     bounds: Bounds = attrs.field(factory=Bounds)
     configuration: configurations.Configuration | None = None
     configured: float = 0.0
+    copied: dict[str, mirrors.Mirror] = attrs.field(factory=dict)
     servers: backends.Backends = attrs.field(factory=backends.Backends)
     wanted: dict[str, Wanted] = attrs.field(factory=dict)
     caches_down: set[str] = attrs.field(factory=set)
@@ -103,6 +107,11 @@
     saved: saved_parts.SavedParts = attrs.field(factory=saved_parts.SavedParts)
     links: sources.Links = attrs.field(factory=sources.Links)
 
+    def known_at(self, name: str) -> float:
+        """Returns as of when a kind of the store's objects is known, or 0."""
+        found = self.copied.get(name)
+        return found.known_at if found is not None else 0.0
+
     def budget(self, service: str) -> budgets.Budget:
         """Returns the budget of a service."""
         found = self.repeats.get(service)
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -101,6 +101,7 @@
                 kind=names.WEIGHTS_NAMED, take=self.takers.weights
             ),
         }
+        self.believed.copied = kinds
         answers = second_calls.Answers()
         self.kinds = {
             name: watchers.Watcher(
@@ -190,8 +191,15 @@
 
     def _page(self) -> bytes:
         configuration = self.believed.configuration
+        now = clocks.now()
+        ages = {
+            f"{name}_age_seconds": now - each.known_at
+            for name, each in self.believed.copied.items()
+            if each.known_at
+        }
         return self.counters.page(
-            {
+            ages
+            | {
                 "open_connections": len(self.connections),
                 "configuration_version": configuration.version
                 if configuration
--- a/pimentoledge/routing/grounds.py
+++ b/pimentoledge/routing/grounds.py
@@ -22,6 +22,7 @@
     found = _configuration(believed, now) | {
         "usable": choice.usable,
         "declared": choice.declared,
+        "servers_age": _age(believed.known_at("servers"), now),
         "cost": round(choice.offer.cost, 1),
         "first_ms": round(1000 * choice.offer.first_seconds, 1),
         "second": None if choice.second is None else round(choice.second, 1),
--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -17,6 +17,8 @@
         objects: by name.
         revision: up to which they are known, or None before the first.
         changed_at: revision of the newest change that is known.
+        known_at: as of when all changes are known, in seconds of clocks.now;
+            0 before the first.
     """
 
     kind: str
@@ -24,6 +26,11 @@
     objects: dict[str, registrations.Stored] = attrs.field(factory=dict)
     revision: int | None = None
     changed_at: int = 0
+    known_at: float = 0.0
+
+    def prove(self, when: float) -> None:
+        """Takes that all changes up to a time are known."""
+        self.known_at = max(self.known_at, when)
 
     def apply(
         self, found: registrations.Listing | registrations.Changes
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -129,9 +129,7 @@
             found = await self._follow()
         else:
             self.watching = True
-            found = await self.store.watch(
-                self.mirror.kind, since, WATCH_SECONDS
-            )
+            found = await self._watch(since)
         if found is None:
             return
         await self._take(found)
@@ -139,6 +137,22 @@
             self.told(after, found)
         await asyncio.sleep(GATHER_SECONDS)
 
+    async def _watch(
+        self, since: int
+    ) -> (
+        registrations.Changes
+        | registrations.HistoryGone
+        | registrations.Unavailable
+    ):
+        self.lines.write(
+            "store_watched",
+            kind=self.mirror.kind,
+            since=since,
+            wait_s=WATCH_SECONDS,
+            known_age=round(clocks.now() - self.mirror.known_at, 2),
+        )
+        return await self.store.watch(self.mirror.kind, since, WATCH_SECONDS)
+
     async def _list(
         self,
     ) -> registrations.Listing | registrations.Unavailable:
@@ -215,4 +229,5 @@
                 self._found()
                 self._name_unreadable(found.unreadable)
                 self.mirror.apply(found)
+                self.mirror.prove(clocks.now())
                 self._relist = False
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -10,6 +10,7 @@
 
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import watchers
 from pimentoledge.tests import router_world
 
 played = router_world.played
@@ -90,6 +91,7 @@
         assert chosen["configuration"] == 1
         assert 0 <= chosen["configuration_age"] < 60
         assert chosen["usable"] == chosen["declared"] == 2
+        assert 0 <= chosen["servers_age"] < 60
         assert chosen["cost"] <= chosen["second"]
         assert line["server"] in world.servers
     assert stream["chosen"]["weights"] == stream["chosen"]["newest"]
@@ -101,6 +103,28 @@
     assert refused["configuration_age"] >= 0
 
 
+@played(plain=1, runners=1)
+async def test_it_shows_how_old_what_is_known_of_the_servers_is(world):
+    """Requests went to a server that had left: was that known there or not?
+
+    Each call that waits for changes is told as it begins, with the age of what
+    was known; the page of counters has the ages of all kinds.
+    """
+    [router] = world.routers
+    with fields_of_lines() as lines:
+        world.tell(world.servers["p0"], leaving=True)
+        known = router.believed.servers.by_incarnation["p0"]
+        await world.until(lambda: known.registration.leaving)
+        await asyncio.sleep(watchers.GATHER_SECONDS + 0.05)
+    calls = [e for e in lines["store_watched"] if e["kind"] == "servers"]
+    call = calls[-1]
+    assert call["since"] == router.kinds["servers"].mirror.revision
+    assert 0 <= call["known_age"] < 5
+    page = router._page().decode()
+    for kind in ("servers", "weights", "configuration"):
+        assert f"pimentoledge_router_{kind}_age_seconds" in page
+
+
 @played()
 async def test_a_stream_that_came_late_by_its_routes_terms_is_counted(world):
     """Riders complain of slow drafts, yet every stream was whole.
