--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -24,6 +24,7 @@
         headers: by lower-case name.
         body: its bytes.
         ran: whether the server worked on it.
+        at: when it came, in seconds of time.monotonic.
     """
 
     method: str
@@ -31,6 +32,7 @@
     headers: dict[str, str]
     body: bytes
     ran: bool = False
+    at: float = attrs.field(factory=time.monotonic)
 
 
 class StandInServer:
