Look for changes that a silent wait at the store may have missed

What callers saw: requests at a server 2,041 ms after it said that it leaves, later failures by it once it was gone. Cause: after a failed call a router asked the silent store anew with a wait of 20 s; a call that comes into an outage is never answered, and nothing else told the router that it heard nothing. The same holds for connections that the network forgot, for the configuration and for named weights, and for routers for whom others watch. Change: each kind has a time as of which it is known whole, proved by calls that are answered at once and passed on by heartbeats; older than a share of the kind's bound, it is proved anew. A store that gave no answer is asked by looks. A look that is overdue goes by a new connection. A paused router's look, which a router that watches never made, is made. Why it holds: a belief's age is bounded by time alone, whatever way the news were lost.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -32,6 +32,10 @@
         self.address = address
         self.caller = caller
 
+    def forget_connections(self) -> None:
+        """Lets the next call go by a new connection."""
+        self.caller.pool.forget(self.address)
+
     async def _call(
         self,
         method: str,
--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -26,6 +26,8 @@
         weights_seconds: until when a request may begin on older weights.
         lease_seconds: no two holders' orders may be closer than this.
         grace_seconds: from SIGTERM to SIGKILL.
+        drain_seconds: for how long a server that leaves may get requests.
+        configuration_seconds: in which a new configuration is to be in force.
     """
 
     budget_ratio: float = 0.2
@@ -34,6 +36,8 @@
     weights_seconds: float = 8.0
     lease_seconds: float = 3.0
     grace_seconds: float = 8.0
+    drain_seconds: float = 2.0
+    configuration_seconds: float = 2.0
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -70,10 +70,41 @@
         """Returns whether the store answers this router."""
         return all(each.reached for each in self.watching.values())
 
-    def servers_changed(self) -> int:
-        """Returns the revision of the newest change known, or -1."""
-        servers = self._mirror("servers")
-        return -1 if servers.revision is None else servers.changed_at
+    def known(self, now: float) -> dict[str, tuple[int, int]]:
+        """Returns what is known of each kind, as heartbeats tell it."""
+        return {
+            name: (
+                each.mirror.changed_at,
+                int((now - each.mirror.known_at) * 1000),
+            )
+            for name, each in self.watching.items()
+            if each.mirror.revision is not None and each.mirror.known_at
+        }
+
+    def take_known(self, beat: peer_messages.Beat, now: float) -> None:
+        """Takes another router's proof that nothing newer is to be known.
+
+        It holds here only where all that it knows is known here.
+        """
+        for name, (changed_at, age) in beat.known.items():
+            mirror = self._mirror(name)
+            if mirror is None or mirror.revision is None:
+                continue
+            if changed_at <= mirror.revision:
+                mirror.prove(now - age / 1000)
+
+    def looks_first(self) -> bool:
+        """Returns whether this router proves for others what is known.
+
+        Of few routers it is one of those that the store answers, of many the
+        first by rank of each data centre.
+        """
+        if not self.roster.reaches_all():
+            return self.roster.rank < watch_shares.WATCHERS
+        return all(
+            address > self.roster.own or not peer.beat.store_reached
+            for address, peer in self.roster.present(clocks.now()).items()
+        )
 
     def _mirror(self, kind: str) -> mirrors.Mirror | None:
         found = self.watching.get(kind)
@@ -163,8 +194,9 @@
     def _lacks_servers(self, peer: rosters.Peer) -> bool:
         if self.store_reached() and self.watching["servers"].watching:
             return False
+        changed_at, _ = peer.beat.known.get("servers", (-1, 0))
         revision = self._mirror("servers").revision
-        return revision is None or peer.beat.servers_changed > revision
+        return revision is None or changed_at > revision
 
     def catch_up(self, address: str) -> None:
         """Asks the store, or a router, for what that router knows newer."""
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -102,12 +102,20 @@
             ),
         }
         self.believed.copied = kinds
+        bounds = {
+            "configuration": lambda: (
+                self.believed.bounds.configuration_seconds
+            ),
+            "servers": lambda: self.believed.bounds.drain_seconds,
+            "weights": lambda: self.believed.bounds.weights_seconds,
+        }
         answers = second_calls.Answers()
         self.kinds = {
             name: watchers.Watcher(
                 mirror=each,
                 store=self.store,
                 lines=self.lines,
+                bound_seconds=bounds[name],
                 answers=answers,
                 # Without a configuration nothing can be served.
                 leads=name == "configuration",
@@ -129,6 +137,8 @@
             takers=self.takers,
             lines=self.lines,
         )
+        for each in self.watchers:
+            each.first = self.peers.copies.looks_first
         for name in ("servers", "weights"):
             self.kinds[name].follows = self.peers.copies.follows
         self.kinds["servers"].told = self.peers.copies.tell
@@ -351,6 +361,8 @@
         weights_seconds=chosen.number("weights-ms") / 1000,
         lease_seconds=chosen.number("lease-ms") / 1000,
         grace_seconds=chosen.number("grace-s"),
+        drain_seconds=chosen.number("drain-ms") / 1000,
+        configuration_seconds=chosen.number("config-ms") / 1000,
     )
 
 
--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -47,6 +47,9 @@
                 removed = [name for name in self.objects if name not in present]
                 changed = [each for each in objects if self._is_news(each)]
                 newest = objects
+                if removed:
+                    # When they went is not told; it was by then.
+                    self.changed_at = max(self.changed_at, found.revision)
             case registrations.Changes():
                 changed = [
                     each for each in found.changed if self._is_news(each)
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -14,8 +14,9 @@
         counted: most routers that anyone counts, and the count's age in ms.
         wanted: wanted version of each model's weights, and for how many ms
             that has been known.
-        servers_changed: revision of the newest change of the servers that it
-            knows, or -1 before the first.
+        known: by kind of the store's objects, revision of the newest change
+            that it knows, and for how many ms nothing has shown that there is
+            no newer one; without the kinds that it knows nothing of.
         store_reached: whether the store answers it.
         lease_revision: of the lease, or -1.
         lease_holder: its holder.
@@ -34,7 +35,7 @@
     data_centre: str
     counted: tuple[int, int]
     wanted: dict[str, tuple[int, int]]
-    servers_changed: int
+    known: dict[str, tuple[int, int]]
     store_reached: bool
     lease_revision: int
     lease_holder: str
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -161,7 +161,7 @@
                 model: (wanted.version, int((now - wanted.since) * 1000))
                 for model, wanted in self.believed.wanted.items()
             },
-            servers_changed=self.copies.servers_changed(),
+            known=self.copies.known(now),
             store_reached=self.copies.store_reached(),
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
@@ -239,6 +239,7 @@
         self.roster.take_count(*beat.counted, now)
         if beat.data_centre == self.believed.data_centre:
             self.copies.shares.take(beat.watchers, now)
+        self.copies.take_known(beat, now)
         self._learn(beat, now)
         if self.copies.is_behind(peer):
             later = self._loop.call_later
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -28,6 +28,17 @@
 OVERDUE_SECONDS = 0.5
 # Between two looks at whether others still watch.
 FOLLOW_SECONDS = 0.1
+# A wait for changes that hears nothing shows nothing: a call that came into an
+# outage, or whose connection the network forgot, is never answered, and a
+# router that trusted it heard of no server that left for 22 s. So a router
+# looks, by a call that is answered at once, when what it knows is so old, in
+# parts of how old it may be: one router early, the others only where its
+# heartbeats (0.5 s apart) have not told them that nothing is new. A look that
+# is lost is made again within 0.5 s, which leaves a tenth and more of the time.
+# On a calm day of three routers it costs 0.003 of the worth: 314 calls, 160 to
+# 168 without (two plays each).
+EARLY_SHARE = 0.4
+LATE_SHARE = 0.7
 # Longest time that a watcher waits for another to be answered by a store that
 # gives none: what turns one kind of calls away need not turn away the others.
 FOLLOWER_RETRY_SECONDS = 1.0
@@ -46,6 +57,8 @@
         mirror: the copy that it keeps.
         store: the store's client.
         lines: where changes of belief are written.
+        bound_seconds: returns how old what is known of the kind may be.
+        first: returns whether this router looks before the others do.
         follows: returns whether others watch for this router.
         told: called with what a watch brought, and the newest change that
             was known before.
@@ -64,6 +77,8 @@
         mirror: mirrors.Mirror,
         store: stores.Store,
         lines: log_lines.Lines,
+        bound_seconds: Callable[[], float],
+        first: Callable[[], bool] = lambda: True,
         follows: Callable[[], bool] = lambda: False,
         told: Callable[[int, registrations.Changes], None] = (
             lambda after, changes: None
@@ -74,6 +89,8 @@
         self.mirror = mirror
         self.store = store
         self.lines = lines
+        self.bound_seconds = bound_seconds
+        self.first = first
         self.follows = follows
         self.told = told
         self.answers = answers
@@ -83,6 +100,8 @@
         self._behind = asyncio.Event()
         self.lost_at = 0.0
         self.back_at = 0.0
+        # When the newest call was sent whose answer shows all changes.
+        self._proved = 0.0
         self._relist = True
         self._task: asyncio.Task | None = None
 
@@ -117,7 +136,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
 
     def catch_up(self) -> None:
-        """Makes one call for what others told incompletely, or too long ago."""
+        """Makes one call now, since something may have been missed."""
         self._behind.set()
 
     async def _step(self) -> None:
@@ -125,10 +144,11 @@
         after = self.mirror.changed_at
         if self._relist or since is None:
             found = await self._list()
-        elif self.reached and self.follows():
+        elif not self.reached:
+            found = await self._look()
+        elif self.follows():
             found = await self._follow()
         else:
-            self.watching = True
             found = await self._watch(since)
         if found is None:
             return
@@ -144,23 +164,105 @@
         | registrations.HistoryGone
         | registrations.Unavailable
     ):
+        """Waits for changes; looks for some while it may have missed them."""
+        self.watching = True
         self.lines.write(
             "store_watched",
             kind=self.mirror.kind,
             since=since,
             wait_s=WATCH_SECONDS,
-            known_age=round(clocks.now() - self.mirror.known_at, 2),
+            known_age=self._known_age(),
         )
-        return await self.store.watch(self.mirror.kind, since, WATCH_SECONDS)
+        kind = self.mirror.kind
+        wait = self.store.watch(kind, since, WATCH_SECONDS)
+        waiting = asyncio.ensure_future(wait)
+        try:
+            while not await self._heard_until_doubt(waiting):
+                found = await self._look()
+                if not _is_nothing(found):
+                    # A wait that is sound has heard of it as well.
+                    return found
+                await self._take(found)
+            return waiting.result()
+        finally:
+            waiting.cancel()
+
+    async def _heard_until_doubt(self, waiting: asyncio.Future) -> bool:
+        """Returns whether a wait has ended before its silence is doubted."""
+        behind = asyncio.ensure_future(self._behind.wait())
+        try:
+            while not waiting.done():
+                left = self._doubted_at() - clocks.now()
+                if left <= 0 or self._behind.is_set():
+                    return False
+                await asyncio.wait(
+                    {waiting, behind},
+                    timeout=left,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            return True
+        finally:
+            behind.cancel()
+
+    def _doubted_at(self) -> float:
+        """Returns from when on what is known may be too old."""
+        share = EARLY_SHARE if self.first() else LATE_SHARE
+        return self.mirror.known_at + share * self.bound_seconds()
+
+    def _known_age(self) -> float:
+        return round(clocks.now() - self.mirror.known_at, 2)
+
+    async def _look(
+        self,
+    ) -> (
+        registrations.Changes
+        | registrations.HistoryGone
+        | registrations.Unavailable
+    ):
+        """Asks for changes by a call that is answered at once."""
+        self._behind.clear()
+        sent = clocks.now()
+        found = await second_calls.first_answer(
+            call=lambda: self.store.watch(
+                self.mirror.kind, self.mirror.revision, 0.0
+            ),
+            overdue=self._look_overdue,
+            failed=self._lost,
+        )
+        if not _is_nothing(found):
+            self.lines.write(
+                "store_looked",
+                kind=self.mirror.kind,
+                found=type(found).__name__,
+                known_age=self._known_age(),
+            )
+        if isinstance(found, registrations.Changes):
+            self._proved = sent
+        return found
+
+    async def _look_overdue(self) -> None:
+        """Returns when a look's answer is overdue.
+
+        Idle connections may be as dead as the one that it went by.
+        """
+        if self.reached:
+            await asyncio.sleep(OVERDUE_SECONDS)
+        else:
+            await self._overdue()
+        self.store.forget_connections()
 
     async def _list(
         self,
     ) -> registrations.Listing | registrations.Unavailable:
-        return await second_calls.first_answer(
+        sent = clocks.now()
+        found = await second_calls.first_answer(
             call=lambda: self.store.list(self.mirror.kind),
             overdue=self._overdue,
             failed=self._lost,
         )
+        if isinstance(found, registrations.Listing):
+            self._proved = sent
+        return found
 
     async def _overdue(self) -> None:
         """Returns when it is worth asking the store once more."""
@@ -203,18 +305,23 @@
         for why in reasons:
             self.lines.write("unreadable", object=self.mirror.kind, why=why)
 
-    async def _follow(self) -> registrations.Changes | None:
+    async def _follow(
+        self,
+    ) -> (
+        registrations.Changes
+        | registrations.HistoryGone
+        | registrations.Unavailable
+        | None
+    ):
         """Lets others watch; returns what a call of its own brought, if any."""
         self.watching = False
         try:
             async with asyncio.timeout(FOLLOW_SECONDS):
                 await self._behind.wait()
         except TimeoutError:
-            return None
-        self._behind.clear()
-        return await self.store.watch(
-            self.mirror.kind, self.mirror.revision, 0.0
-        )
+            if clocks.now() < self._doubted_at():
+                return None
+        return await self._look()
 
     async def _take(self, found: object) -> None:
         kind = self.mirror.kind
@@ -229,5 +336,12 @@
                 self._found()
                 self._name_unreadable(found.unreadable)
                 self.mirror.apply(found)
-                self.mirror.prove(clocks.now())
+                self.mirror.prove(self._proved)
                 self._relist = False
+
+
+def _is_nothing(found: object) -> bool:
+    """Returns whether the store said that nothing has changed."""
+    if not isinstance(found, registrations.Changes):
+        return False
+    return not (found.changed or found.removed or found.unreadable)
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -348,6 +348,21 @@
         programs=(ROUTER,),
         text="milliseconds between the orders of two holders",
     ),
+    Setting(
+        name="drain-ms",
+        kind=Number(low=100, high=3600000),
+        default="2000",
+        programs=(ROUTER,),
+        text="a backend server that says that it leaves may get requests for"
+        " so many milliseconds",
+    ),
+    Setting(
+        name="config-ms",
+        kind=Number(low=100, high=3600000),
+        default="2000",
+        programs=(ROUTER,),
+        text="milliseconds in which a new configuration is to be in force",
+    ),
     Setting(
         name="grace-s",
         kind=_seconds(0.5, 3600),
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -132,6 +132,7 @@
     """
     first, second = world.routers
     await world.until(lambda: first.peers.roster.present(clocks.now()))
+    await _all_wait(world)
     _silence(second)
     # Ends the wait that was begun before.
     world.tell(world.servers["r0"], leaving=True)
@@ -250,6 +251,7 @@
         mirror=mirrors.Mirror(kind="servers", take=lambda changed, gone: None),
         store=None,
         lines=log_lines.Lines(counters=counters.Counters()),
+        bound_seconds=lambda: DRAIN_SECONDS,
         answers=second_calls.Answers(),
         leads=False,
     )
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -172,7 +172,7 @@
             data_centre="a",
             counted=(1, 0),
             wanted={},
-            servers_changed=1,
+            known={"servers": (1, 0)},
             store_reached=True,
             lease_revision=1,
             lease_holder="",
--- a/pimentoledge/tests/test_router_store.py
+++ b/pimentoledge/tests/test_router_store.py
@@ -31,6 +31,9 @@
         await asyncio.sleep(self.answer_seconds)
         return registrations.Listing(objects=[], revision=7)
 
+    def forget_connections(self):
+        """Has none."""
+
     async def watch(self, kind, revision, seconds):
         await asyncio.sleep(seconds)
         return registrations.Changes(changed=[], removed=[], revision=7)
@@ -46,6 +49,7 @@
             mirror=mirrors.Mirror(kind=kind, take=lambda new, gone: None),
             store=store,
             lines=lines,
+            bound_seconds=lambda: 2.0,
             answers=answers,
             leads=kind == "configuration",
         )
