Heed other routers' news of servers also where the store seems to be heard

What callers saw: requests at a server of which other routers knew that it leaves. Cause: a router with a wait of its own at the store took itself to hear all, and asked nobody for the newer change that heartbeats showed it. Change: who is behind for 0.25 s asks, whatever it waits for: of few routers the one that knows, of many the store by a look. Why it holds: a router that hears from the store has the change within ms, so being behind after 0.25 s shows that it does not.

--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -192,14 +192,17 @@
         return peer.configuration > (held.version if held else 0)
 
     def _lacks_servers(self, peer: rosters.Peer) -> bool:
-        if self.store_reached() and self.watching["servers"].watching:
-            return False
         changed_at, _ = peer.beat.known.get("servers", (-1, 0))
         revision = self._mirror("servers").revision
         return revision is None or changed_at > revision
 
     def catch_up(self, address: str) -> None:
-        """Asks the store, or a router, for what that router knows newer."""
+        """Asks the store, or a router, for what that router knows newer.
+
+        A router that waits at the store itself is no exception. One whose wait
+        was never heard trusted it beside the heartbeats of others that knew of
+        a server's leaving; who hears from the store isn't behind by now.
+        """
         peer = self.roster.known.get(address)
         if peer is None:
             return
@@ -207,7 +210,10 @@
             self._wish(address, "configuration")
         if not self._lacks_servers(peer):
             return
-        if self.store_reached() and self._mirror("servers").revision:
+        listed = self._mirror("servers").revision is not None
+        many = not self.roster.reaches_all()
+        if many and listed and self.store_reached():
+            # All servers of so many routers are too long a list to be sent.
             self.watching["servers"].catch_up()
         else:
             self._wish(address, "servers")
