Send nothing to a server that began to leave while it was being reached

What callers saw: a request at a server that had said it leaves before the request was sent. Cause: a choice holds while a connection is opened, up to 0.6 s; what was heard meanwhile was not looked at. Change: the server's state is looked at once more before the request is sent; the attempt ends as unsent and another server is chosen. Before and after: the test's call ran at the leaving server; now at the other. Why it holds: nothing is awaited between that look and the send.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -134,11 +134,14 @@
         self.forget_parts()
         self.loading_until = 0.0
 
+    def is_leaving(self) -> bool:
+        """Returns whether it asks for no new work, or has ended."""
+        return self.over or self.registration.leaving
+
     def usable(self, now: float) -> bool:
         """Returns whether new work may be sent to it."""
         return (
-            not self.over
-            and not self.registration.leaving
+            not self.is_leaving()
             and now >= self.avoid_until
             and now >= self.loading_until
         )
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -297,6 +297,13 @@
             raise attempts.BrokenError(
                 verdicts.Outcome.UNSENT, str(error)
             ) from error
+        if backend.is_leaving():
+            # Opening a connection takes up to 0.6 s; what was heard meanwhile
+            # is newer than the choice, and nothing has been sent yet.
+            connection.abort()
+            raise attempts.BrokenError(
+                verdicts.Outcome.UNSENT, "it began to leave meanwhile"
+            )
         attempt = attempts.Attempt(
             ask=self.ask,
             backend=backend,
