Take entries for lapsed only after an outage long enough for it

What callers saw: requests at a server 1.6 s after its entry had gone, on top of the time in which a dead connection was found out: past what is allowed. Cause: any call without an answer, also one that was cut or turned away, counted as an outage in which servers could not write; what was gone afterwards was used until it would be back. Change: entries count as lapsed only where nothing proved the list whole for two of the intervals at which servers write (2.4 s).

--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -48,6 +48,11 @@
 # for: the users' pages say about two seconds. A server that left meanwhile must
 # get no request two seconds after it, so a part is left for those on their way.
 LAPSE_SECONDS = 1.6
+# Only then may an entry have lapsed: servers write some 1.2 s apart, and one
+# lapses after three such intervals of silence, so two after an outage began.
+# Taken after any call that was lost, a server that left while a router's own
+# connection was dead got requests for 1.6 s more, past what is allowed.
+LAPSE_AFTER_SECONDS = 2.4
 
 
 class Watcher:
@@ -100,6 +105,9 @@
         self._behind = asyncio.Event()
         self.lost_at = 0.0
         self.back_at = 0.0
+        # As of when the kind was known when the first call was lost since the
+        # last answer, or None.
+        self._missing_since: float | None = None
         # When the newest call was sent whose answer shows all changes.
         self._proved = 0.0
         self._relist = True
@@ -249,6 +257,7 @@
             await asyncio.sleep(OVERDUE_SECONDS)
         else:
             await self._overdue()
+        self._miss()
         self.store.forget_connections()
 
     async def _list(
@@ -290,15 +299,25 @@
                 "store_lost", kind=self.mirror.kind, why=unavailable.reason
             )
             self.lost_at = clocks.now()
+        self._miss()
         self.reached = False
         self.watching = False
 
+    def _miss(self) -> None:
+        """Takes that an answer is missing."""
+        if self._missing_since is None:
+            self._missing_since = self.mirror.known_at
+
     def _found(self) -> None:
         """Takes that the store answered."""
+        now = clocks.now()
         if not self.reached:
             self.lines.write("store_back", kind=self.mirror.kind)
             self.reached = True
-            self.back_at = clocks.now()
+        if self._missing_since is not None:
+            if now - self._missing_since >= LAPSE_AFTER_SECONDS:
+                self.back_at = now
+            self._missing_since = None
         self.answers.answered()
 
     def _name_unreadable(self, reasons: tuple[str, ...]) -> None:
