Let one router of each data centre prove what is known for the others

Cause: of many routers two of each data centre looked early, for the same proof, and routers that let others wait for named weights looked once for each new version, which heartbeats had told them whole. Change: the first of each data centre looks early; a heartbeat that tells all named weights proves them. Tests: one of three routers looks for all, and no list gets older than the share; a proof counts only where all is known that it stands on.

--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -84,23 +84,24 @@
     def take_known(self, beat: peer_messages.Beat, now: float) -> None:
         """Takes another router's proof that nothing newer is to be known.
 
-        It holds here only where all that it knows is known here.
+        It holds here only where all that it knows is known here; of named
+        weights the heartbeat itself tells all.
         """
         for name, (changed_at, age) in beat.known.items():
             mirror = self._mirror(name)
             if mirror is None or mirror.revision is None:
                 continue
-            if changed_at <= mirror.revision:
+            if name == "weights" or changed_at <= mirror.revision:
                 mirror.prove(now - age / 1000)
 
     def looks_first(self) -> bool:
         """Returns whether this router proves for others what is known.
 
         Of few routers it is one of those that the store answers, of many the
-        first by rank of each data centre.
+        first of each data centre.
         """
         if not self.roster.reaches_all():
-            return self.roster.rank < watch_shares.WATCHERS
+            return self.roster.rank == 0
         return all(
             address > self.roster.own or not peer.beat.store_reached
             for address, peer in self.roster.present(clocks.now()).items()
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -259,3 +259,51 @@
     servers._lost(registrations.Unavailable(reason="cut", maybe_done=False))
     servers._found()
     assert (servers.lapse_ends() > clocks.now()) is lapsed
+
+
+@played(routers=3, plain=1, runners=1)
+async def test_one_router_proves_for_all_that_nothing_is_new(world):
+    """Each call to the store is paid for, and each router would look.
+
+    One looks, its heartbeats tell the others, and what all know stays young.
+    """
+    await world.until(
+        lambda: all(
+            len(each.peers.roster.present(clocks.now())) == 2
+            for each in world.routers
+        )
+    )
+    await asyncio.sleep(1.0)
+    before = world.store.counts["GET servers"]
+    oldest = 0.0
+    began = clocks.now()
+    while clocks.now() < began + 4.0:
+        await asyncio.sleep(0.05)
+        ages = [
+            clocks.now() - each.kinds["servers"].mirror.known_at
+            for each in world.routers
+        ]
+        oldest = max(oldest, *ages)
+    assert oldest < watchers.LATE_SHARE * DRAIN_SECONDS + 0.3
+    early = watchers.EARLY_SHARE * DRAIN_SECONDS
+    assert world.store.counts["GET servers"] - before <= 4.0 / early + 2
+
+
+@played(routers=2, plain=1, runners=1)
+async def test_a_proof_counts_only_where_all_is_known_that_it_stands_on(world):
+    """A router that lacks a change must not take its list for whole.
+
+    One that has heard of the change proves that there is none newer.
+    """
+    first, second = world.routers
+    await world.until(lambda: second.peers.roster.present(clocks.now()))
+    await _all_wait(world)
+    copies = second.peers.copies
+    mirror = copies.watching["servers"].mirror
+    beat = first.peers._own_beat(clocks.now())
+    for ahead, age in ((1, -60_000), (0, -120_000)):
+        # Ages from the time to come, which no other proof has.
+        beat.known = {"servers": (mirror.revision + ahead, age)}
+        now = clocks.now()
+        copies.take_known(beat, now)
+        assert (mirror.known_at > now + 1) is (ahead == 0)
