Failing test: lapsed entries dropped on another router's word

What callers would see: refusals after an outage while the servers live. Found by reading: a list that one router has from another comes without the time for which that one waits for lapsed entries; since more routers now notice an outage, more of them take such a list.

--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -313,3 +313,29 @@
         now = clocks.now()
         copies.take_known(beat, now)
         assert (mirror.known_at > now + 1) is (ahead == 0)
+
+
+@played(routers=2, plain=2, runners=1)
+async def test_lapsed_entries_are_not_dropped_on_another_routers_word(world):
+    """Calls were refused after an outage, though the servers lived.
+
+    A router that heard first from the store kept those whose entries had lapsed
+    until they would be back. One that had the list from it dropped them at
+    once: the list came without the time for which that router waits.
+    """
+    first, second = world.routers
+    await world.until(lambda: first.peers.roster.present(clocks.now()))
+    await _all_wait(world)
+    for each in second.watchers:
+        each.close()
+        each.reached = False
+    first.kinds["servers"].back_at = clocks.now()
+    world.store.remove("servers", "p0")
+    mirror = second.kinds["servers"].mirror
+    await world.until(lambda: "p0" in first.takers.lapsed)
+    await world.until(lambda: "p0" not in mirror.objects)
+    assert "p0" in second.believed.servers.by_incarnation
+    await world.until(
+        lambda: "p0" not in second.believed.servers.by_incarnation,
+        seconds=DRAIN_SECONDS,
+    )
