Tell for how long lapsed entries may come back with a whole list, too

What callers would see: refusals after an outage while the servers live. Cause: a router's list came to another without the time for which its sender waits for entries that the outage took; the other dropped those servers. Change: the list carries that time, as tellings of changes do. Before and after: dropped at once; kept until the time is over. Why it holds: only who heard the store come back can tell an entry that lapsed from a server that left, and its time goes with what it tells.

--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -135,14 +135,21 @@
         """
         if self.roster.reaches_all() or not (found.changed or found.removed):
             return
-        lapse_seconds = self.takers.lapse_ends() - clocks.now()
         told = peer_messages.Told(
-            after=after,
-            changes=found,
-            lapse_ms=max(0, int(lapse_seconds * 1000)),
+            after=after, changes=found, lapse_ms=self._lapse_ms()
         )
         self._offer(told, without="")
 
+    def _lapse_ms(self) -> int:
+        """Returns for how long yet what is gone may come back."""
+        lapse_seconds = self.takers.lapse_ends() - clocks.now()
+        return max(0, int(lapse_seconds * 1000))
+
+    def _take_lapse(self, lapse_ms: int) -> None:
+        """Takes for how long another router waits for what is gone."""
+        lapse_ends = clocks.now() + lapse_ms / 1000
+        self.lapse_told = max(self.lapse_told, lapse_ends)
+
     def _offer(self, told: peer_messages.Told, without: str) -> None:
         """Offers changes to the neighbours in the data centre."""
         changes = told.changes
@@ -182,8 +189,7 @@
         if told.after > servers.revision:
             self.watching["servers"].catch_up()
             return
-        lapse_ends = clocks.now() + told.lapse_ms / 1000
-        self.lapse_told = max(self.lapse_told, lapse_ends)
+        self._take_lapse(told.lapse_ms)
         if servers.apply(told.changes):
             self._offer(told, without=sender)
 
@@ -234,9 +240,10 @@
         mirror = self._mirror(kind)
         if mirror is None or mirror.revision is None:
             return
-        self.send(
-            address, peer_messages.Gift(kind=kind, listing=mirror.listing())
+        gift = peer_messages.Gift(
+            kind=kind, listing=mirror.listing(), lapse_ms=self._lapse_ms()
         )
+        self.send(address, gift)
 
     def take_all(self, sender: str, gift: peer_messages.Gift) -> None:
         """Takes all objects of a kind from another router."""
@@ -250,4 +257,7 @@
             revision=gift.listing.revision,
             held=mirror.revision,
         )
+        # A server whose entry lapsed lives; dropped on another router's word it
+        # was missing here until it had written again.
+        self._take_lapse(gift.lapse_ms)
         mirror.apply(gift.listing)
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -56,10 +56,17 @@
 
 @attrs.define(kw_only=True)
 class Gift:
-    """All objects of a kind."""
+    """All objects of a kind.
+
+    Attributes:
+        kind: which kind.
+        listing: the objects.
+        lapse_ms: for how long yet what is gone may come back.
+    """
 
     kind: str
     listing: registrations.Listing
+    lapse_ms: int = 0
 
 
 @attrs.define(kw_only=True)
