Ask a silent store less often at routers whose turn is late

Cause: in 8 s of a silent store each of 68 routers looked on for each kind; one of each data centre is enough, whose heartbeats tell the others. Change: only routers that look before the rest ask on; the pause before a store that gave no answer is asked again grows with the turn.

--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -251,10 +251,12 @@
         """Returns when it is worth looking once more.
 
         The first time for each kind, since its connection alone may be dead;
-        after that the store is silent, and one kind asks on, ever more slowly.
-        Idle connections may be as dead as the one that the look went by.
+        after that the store is silent, and one kind asks on, ever more slowly,
+        at routers that look before the rest. Idle connections may be as dead
+        as the one that the look went by.
         """
-        if self.leads or not self._repeated:
+        asks_on = self.leads and self.turn() < len(LOOK_SHARES) - 1
+        if asks_on or not self._repeated:
             await asyncio.sleep(OVERDUE_SECONDS * (1 + self._repeated))
         else:
             await self.answers.next()
@@ -283,13 +285,20 @@
             await self.answers.next()
 
     async def _pause(self) -> None:
-        """Waits before a store that gave no answer is asked again."""
-        seconds = RETRY_SECONDS * (0.5 + random.random())
+        """Waits before a store that gave no answer is asked again.
+
+        The longer the later the router's turn: others tell it that the store
+        is back, and what has changed.
+        """
+        longer = 1 + self.turn()
+        seconds = longer * RETRY_SECONDS * (0.5 + random.random())
         if self.leads:
             await asyncio.sleep(seconds)
             return
         try:
-            async with asyncio.timeout(FOLLOWER_RETRY_SECONDS + seconds):
+            async with asyncio.timeout(
+                longer * FOLLOWER_RETRY_SECONDS + seconds
+            ):
                 await self.answers.next()
         except TimeoutError:
             return
