--- a/pimentoledge/routing/copies.py
+++ b/pimentoledge/routing/copies.py
@@ -82,7 +82,7 @@
         }
 
     def take_known(self, beat: peer_messages.Beat, now: float) -> None:
-        """Takes another router's proof that nothing newer is to be known.
+        """Takes that another router lately saw that nothing is newer.
 
         It holds here only where all that it knows is known here; of named
         weights the heartbeat itself tells all.
@@ -92,10 +92,10 @@
             if mirror is None or mirror.revision is None:
                 continue
             if name == "weights" or changed_at <= mirror.revision:
-                mirror.prove(now - age / 1000)
+                mirror.freshen(now - age / 1000)
 
     def look_turn(self) -> int:
-        """Returns when this router proves what is known: 0 first, 2 last.
+        """Returns when this router looks, as an index of LOOK_SHARES.
 
         Of few routers the first is one that the store answers, of many the
         first of each data centre. It may have died up to 30 s ago without
--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -28,7 +28,7 @@
     changed_at: int = 0
     known_at: float = 0.0
 
-    def prove(self, when: float) -> None:
+    def freshen(self, when: float) -> None:
         """Takes that all changes up to a time are known."""
         self.known_at = max(self.known_at, when)
 
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -109,7 +109,7 @@
         # How often the look under way was made again.
         self._repeated = 0
         # When the newest call was sent whose answer shows all changes.
-        self._proved = 0.0
+        self._fresh_at = 0.0
         self._relist = True
         self._task: asyncio.Task | None = None
 
@@ -244,7 +244,7 @@
                 known_age=self._known_age(),
             )
         if isinstance(found, registrations.Changes):
-            self._proved = sent
+            self._fresh_at = sent
         return found
 
     async def _look_overdue(self) -> None:
@@ -274,7 +274,7 @@
             failed=self._lost,
         )
         if isinstance(found, registrations.Listing):
-            self._proved = sent
+            self._fresh_at = sent
         return found
 
     async def _overdue(self) -> None:
@@ -365,7 +365,7 @@
                 self._found()
                 self._name_unreadable(found.unreadable)
                 self.mirror.apply(found)
-                self.mirror.prove(self._proved)
+                self.mirror.freshen(self._fresh_at)
                 self._relist = False
 
 
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -255,12 +255,12 @@
         answers=second_calls.Answers(),
         leads=False,
     )
-    servers.mirror.prove(clocks.now() - away)
+    servers.mirror.freshen(clocks.now() - away)
     servers._lost(registrations.Unavailable(reason="cut", maybe_done=False))
     servers._found()
     assert (servers.lapse_ends() > clocks.now()) is lapsed
     # A further call that is lost soon after takes nothing back.
-    servers.mirror.prove(clocks.now())
+    servers.mirror.freshen(clocks.now())
     servers._lost(registrations.Unavailable(reason="cut", maybe_done=False))
     assert (servers.lapse_ends() > clocks.now()) is lapsed
     servers._found()
@@ -268,7 +268,7 @@
 
 
 @played(routers=3, plain=1, runners=1)
-async def test_one_router_proves_for_all_that_nothing_is_new(world):
+async def test_one_router_looks_for_all(world):
     """Each call to the store is paid for, and each router would look.
 
     One looks, its heartbeats tell the others, and what all know stays young.
@@ -296,10 +296,10 @@
 
 
 @played(routers=2, plain=1, runners=1)
-async def test_a_proof_counts_only_where_all_is_known_that_it_stands_on(world):
+async def test_a_heartbeat_freshens_only_where_all_it_knows_is_known(world):
     """A router that lacks a change must not take its list for whole.
 
-    One that has heard of the change proves that there is none newer.
+    One that has heard of the change shows that there is none newer.
     """
     first, second = world.routers
     await world.until(lambda: second.peers.roster.present(clocks.now()))
@@ -308,7 +308,7 @@
     mirror = copies.watching["servers"].mirror
     beat = first.peers._own_beat(clocks.now())
     for ahead, age in ((1, -60_000), (0, -120_000)):
-        # Ages from the time to come, which no other proof has.
+        # Ages from the time to come, which nothing else has.
         beat.known = {"servers": (mirror.revision + ahead, age)}
         now = clocks.now()
         copies.take_known(beat, now)
