--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -122,6 +122,10 @@
     maybe_done: bool
 
 
+# What a call for changes may bring.
+Watched = Changes | HistoryGone | Unavailable
+
+
 @attrs.frozen(kw_only=True)
 class Conflict:
     """A conditional write met another revision.
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -21,8 +21,8 @@
 # from half to one and a half of it: routers that start together would else be
 # turned away together each time.
 RETRY_SECONDS = 0.5
-# A listing is asked for once more, on a new connection, when its answer is so
-# much overdue: answers take 4 ms, and some 360 where the store is slow. A call
+# A listing or a look is made once more, on a new connection, when its answer is
+# so much overdue: answers take 4 ms, some 360 where the store is slow. A call
 # sent into an outage is never answered, so each router waited out the limit
 # of its first call, 2.5 s, after all had started in one.
 OVERDUE_SECONDS = 0.5
@@ -163,13 +163,7 @@
             self.told(after, found)
         await asyncio.sleep(GATHER_SECONDS)
 
-    async def _watch(
-        self, since: int
-    ) -> (
-        registrations.Changes
-        | registrations.HistoryGone
-        | registrations.Unavailable
-    ):
+    async def _watch(self, since: int) -> registrations.Watched:
         """Waits for changes; looks for some while it may have missed them."""
         self.watching = True
         self.lines.write(
@@ -220,11 +214,7 @@
 
     async def _look(
         self,
-    ) -> (
-        registrations.Changes
-        | registrations.HistoryGone
-        | registrations.Unavailable
-    ):
+    ) -> registrations.Watched:
         """Asks for changes by a call that is answered at once."""
         self._behind.clear()
         self._repeated = 0
@@ -336,12 +326,7 @@
 
     async def _follow(
         self,
-    ) -> (
-        registrations.Changes
-        | registrations.HistoryGone
-        | registrations.Unavailable
-        | None
-    ):
+    ) -> registrations.Watched | None:
         """Lets others watch; returns what a call of its own brought, if any."""
         self.watching = False
         try:
