--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -170,6 +170,23 @@
         keys=tuple(entry.get("apiKeys") or ()),
         urgency=entry.get("priority"),
         isolated=bool(entry.get("isolated")),
+        quota=_quota(entry),
+    )
+
+
+def _quota(entry: dict) -> configurations.Quota | None:
+    """Returns an organisation's limit; None for no rate, or one of 0."""
+    rate = entry.get("ratePerS")
+    if not rate:
+        return None
+    by_tokens = entry.get("unit") == "tokens"
+    return configurations.Quota(
+        unit=configurations.Unit.TOKENS
+        if by_tokens
+        else configurations.Unit.REQUESTS,
+        per_second=rate,
+        burst=entry.get("burst") or rate,
+        plain_tokens=entry.get("plainTokens") or 1,
     )
 
 
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -38,6 +38,7 @@
     OVERLOADED = 2004
     SHUTTING_DOWN = 2005
     CRASHES = 2006
+    LIMIT_UNKNOWN = 2007
     # 3xxx: routing; what an agent refuses, and what an entry can't place.
     NO_SERVER = 3001
     STALE_INCARNATION = 3002
@@ -130,6 +131,9 @@
     Code.CRASHES: _row(
         503, _NOT, "requests with this content crashed servers; not run"
     ),
+    Code.LIMIT_UNKNOWN: _row(
+        503, _NOT, "what the contract's rate has left cannot be told now"
+    ),
     Code.NO_SERVER: _row(503, _NOT, "no server can take this call now"),
     Code.STALE_INCARNATION: _row(503, _NOT, "the engine has restarted"),
     Code.STALE_WEIGHTS: _row(503, _NOT, "the weights have changed"),
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -65,6 +65,10 @@
         """Returns the tokens of the prompt that other requests share."""
         return sum(part.tokens for part in self.shared)
 
+    def tokens(self) -> int:
+        """Returns the tokens to read and the most to make; 0 if not told."""
+        return self.prompt_tokens + self.answer_tokens
+
     def unshared_tokens(self) -> int:
         """Returns the tokens of the prompt that no other request shares."""
         return self.prompt_tokens - self.shared_tokens()
--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import sources
 from pimentoledge.routing import suspects as suspects_module
 from pimentoledge.routing import waits
+from pimentoledge.routing.quotas import ledgers
 
 
 @attrs.frozen(kw_only=True)
@@ -28,6 +29,7 @@
         grace_seconds: from SIGTERM to SIGKILL.
         drain_seconds: for how long a server that leaves may get requests.
         configuration_seconds: in which a new configuration is to be in force.
+        limits: by how much organisations' limits may be exceeded.
     """
 
     budget_ratio: float = 0.2
@@ -38,6 +40,7 @@
     grace_seconds: float = 8.0
     drain_seconds: float = 2.0
     configuration_seconds: float = 2.0
+    limits: ledgers.Bounds = ledgers.Bounds()
 
 
 @attrs.define(kw_only=True)
@@ -165,6 +168,10 @@
         self.wanted[model] = Wanted(version=version, since=since)
         return True
 
+    def has_quotas(self) -> bool:
+        """Returns whether some organisation has a limit."""
+        return self.configuration is not None and self.configuration.has_quotas
+
     def ready(self) -> bool:
         """Returns whether clients should be sent here."""
         return self.configuration is not None and not self.leaving
--- /dev/null
+++ b/pimentoledge/routing/charges.py
@@ -0,0 +1,70 @@
+"""What one request has acquired of its organisation's limit."""
+
+import asyncio
+
+from pimentoledge.routing import clocks
+from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.quotas import limiters
+
+# Below this part of all rights a ledger's refusal says little of the limit.
+KNOWN_SHARE = 0.5
+
+
+class Charge:
+    """A request's part of a limit: one for each time that it may have run.
+
+    Attributes:
+        limiter: asks for it.
+        organisation: whose request it is.
+        limit: as this router knows it.
+        cost: of the request, in the limit's unit.
+        owners: routers that granted it, by mailbox, one for each grant.
+    """
+
+    def __init__(
+        self,
+        *,
+        limiter: limiters.Limiter,
+        organisation: str,
+        limit: ledgers.Limit,
+        cost: float,
+    ):
+        self.limiter = limiter
+        self.organisation = organisation
+        self.limit = limit
+        self.cost = cost
+        self.owners: list[str] = []
+
+    async def acquire(self) -> limiters.Answer:
+        """Asks for the cost of one run."""
+        future = asyncio.get_running_loop().create_future()
+        number = self.limiter.acquire(
+            self.organisation,
+            self.limit,
+            self.cost,
+            clocks.now(),
+            lambda answer: self._decided(answer, future),
+        )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.limiter.cancel(number)
+            raise
+
+    def _decided(self, answer: limiters.Answer, future: asyncio.Future) -> None:
+        if answer.decision.granted:
+            self.owners.append(answer.owner)
+        if not future.done():
+            future.set_result(answer)
+
+    def settle(self, runs: int) -> None:
+        """Gives back what was acquired for runs that never were."""
+        while len(self.owners) > runs:
+            self.limiter.give_back(
+                self.organisation, self.cost, self.owners.pop(), clocks.now()
+            )
+
+
+def is_known(answer: limiters.Answer) -> bool:
+    """Returns whether a refusal tells that the limit is used up."""
+    return answer.decision.share >= KNOWN_SHARE
--- a/pimentoledge/routing/client_answers.py
+++ b/pimentoledge/routing/client_answers.py
@@ -103,13 +103,18 @@
         """Ends a stream so that it doesn't look whole."""
         self.client.abort()
 
-    def refuse(self, code: results.Code) -> None:
-        """Sends an answer of the system's own."""
+    def refuse(self, code: results.Code, retry_seconds: float | None) -> None:
+        """Sends an answer of the system's own.
+
+        Args:
+            code: what happened.
+            retry_seconds: when to come back, or None.
+        """
         self.client.send(
             own_answers.encode(
                 code=code,
                 request=self.request,
-                retry_seconds=own_answers.retry_seconds(code),
+                retry_seconds=retry_seconds,
                 closes=self.client.closes,
             )
         )
--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -63,6 +63,38 @@
         return self.kind is Kind.SAFE or self.resumable
 
 
+class Unit(enum.StrEnum):
+    """What an organisation's limit counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+@attrs.frozen(kw_only=True)
+class Quota:
+    """An organisation's limit over all routers.
+
+    Attributes:
+        unit: what it counts.
+        per_second: its rate.
+        burst: what may come at once.
+        plain_tokens: what a request counts that tells no tokens.
+    """
+
+    unit: Unit
+    per_second: float
+    burst: float
+    plain_tokens: int = 1
+
+    def cost(self, tokens: int) -> float:
+        """Returns what a request counts, by the tokens that it tells, or 0."""
+        match self.unit:
+            case Unit.TOKENS:
+                return tokens or self.plain_tokens
+            case Unit.REQUESTS:
+                return 1
+
+
 @attrs.frozen(kw_only=True)
 class Organisation:
     """Whose keys they are, and its contract's terms.
@@ -72,12 +104,14 @@
         keys: its API keys.
         urgency: goes before the route's, or None.
         isolated: whether it shares no cached part with others.
+        quota: its limit, or None.
     """
 
     name: str
     keys: tuple[str, ...]
     urgency: int | None
     isolated: bool
+    quota: Quota | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -136,6 +170,7 @@
         services: by name.
         limits: bounds on what clients send.
         by_key: the organisation of each key; None where there are no keys.
+        has_quotas: whether some organisation has a limit.
     """
 
     version: int
@@ -144,6 +179,7 @@
     services: dict[str, Service]
     limits: Limits
     by_key: dict[str, Organisation] | None
+    has_quotas: bool = False
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, or None."""
@@ -185,4 +221,5 @@
         services={each.name: each for each in services},
         limits=limits,
         by_key=by_key,
+        has_quotas=any(each.quota for each in organisations or ()),
     )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -32,6 +32,7 @@
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import takers as takers_module
 from pimentoledge.routing import watchers
+from pimentoledge.routing.quotas import ledgers
 
 logger = logbook.Logger("router")
 
@@ -135,6 +136,7 @@
             lease=self.lease,
             watching=self.kinds,
             takers=self.takers,
+            store=self.store,
             lines=self.lines,
         )
         for each in self.watchers:
@@ -235,6 +237,7 @@
         self.chosen = chosen
         self.believed.bounds = _bounds(chosen)
         self.believed.rebound()
+        self.peers.limiter.rebound(self.believed.bounds.limits)
         self.lease.lease_seconds = self.believed.bounds.lease_seconds
         self.store.address = chosen.text("store-address")
         self.peers.add_seeds(chosen.listed("peer-seeds"))
@@ -275,6 +278,7 @@
             died=self._died,
             doubt=self.rechecks.doubt,
             prompt_changed=self.peers.work_reports.prompt_changed,
+            limiter=self.peers.limiter,
         )
 
     def look_for_a_pause(self, now: float) -> None:
@@ -323,6 +327,7 @@
         """Leaves the balancer, finishes what was read, then stops."""
         self.lines.write("leaving")
         self.believed.leaving = True
+        self.peers.limiter.leave()
         self.peers.news()
         told = clocks.now()
         until = told + self.believed.bounds.grace_seconds - END_MARGIN_SECONDS
@@ -363,6 +368,11 @@
         grace_seconds=chosen.number("grace-s"),
         drain_seconds=chosen.number("drain-ms") / 1000,
         configuration_seconds=chosen.number("config-ms") / 1000,
+        limits=ledgers.Bounds(
+            window_seconds=chosen.number("limit-window-s"),
+            over=chosen.number("limit-over"),
+            slack=chosen.number("limit-slack"),
+        ),
     )
 
 
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -11,6 +11,7 @@
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
+from pimentoledge.routing import charges
 from pimentoledge.routing import client_answers
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
@@ -25,6 +26,8 @@
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import suspects
 from pimentoledge.routing import verdicts
+from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.quotas import limiters
 
 logger = logbook.Logger("exchanges")
 
@@ -54,10 +57,12 @@
         doubt: called with a server that is not as it was believed to be.
         prompt_changed: called with the length of a prompt that was sent, or
             read, and the time.
+        limiter: holds organisations' limits.
         content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
         organisation: whose key it is, or None.
+        charge: its part of the organisation's limit, or None without one.
     """
 
     def __init__(
@@ -72,11 +77,13 @@
         died: Callable[[str], None],
         doubt: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
+        limiter: limiters.Limiter,
     ):
         self.decoded = decoded
         self.died = died
         self.doubt = doubt
         self.prompt_changed = prompt_changed
+        self.limiter = limiter
         self.answer = client_answers.ClientAnswer(client=client)
         self.believed = believed
         self.pool = pool
@@ -87,6 +94,7 @@
         self.ask: asks.Ask | None = None
         self.route: configurations.Route | None = None
         self.organisation: configurations.Organisation | None = None
+        self.charge: charges.Charge | None = None
         self._ends_at = 0.0
         self._ending = False
         self._chosen: dict[str, object] = {}
@@ -124,6 +132,8 @@
             logger.exception("defect")
             self._give_up(results.Code.INTERNAL)
         finally:
+            if self.charge is not None:
+                self.charge.settle(self.history.runs())
             self.everyone.discard(self)
 
     def _cancelled(self) -> None:
@@ -186,6 +196,7 @@
             self.organisation = configuration.by_key.get(ask.key)
             if self.organisation is None:
                 return results.Code.BAD_KEY
+            self.charge = self._charge(configuration.version)
         self.route = route
         wait = ask.wait_seconds
         if wait is None:
@@ -200,9 +211,67 @@
             return results.Code.CRASHES
         return None
 
+    def _charge(self, version: int) -> charges.Charge | None:
+        """Returns what the request has to acquire; None without a limit."""
+        quota = self.organisation.quota
+        if quota is None:
+            return None
+        return charges.Charge(
+            limiter=self.limiter,
+            organisation=self.organisation.name,
+            limit=ledgers.Limit(
+                version=version,
+                per_second=quota.per_second,
+                burst=quota.burst,
+            ),
+            cost=quota.cost(self.ask.tokens()),
+        )
+
+    async def _is_charged(self) -> bool:
+        """Returns whether the limit allows a run; else ends the request."""
+        if self.charge is None:
+            return True
+        if len(self.charge.owners) > self.history.runs():
+            return True
+        answer = await self.charge.acquire()
+        if answer.decision.granted:
+            return True
+        self._limited(answer)
+        return False
+
+    def _limited(self, answer: limiters.Answer) -> None:
+        """Ends a request for which the limit has no room."""
+        decision = answer.decision
+        known = charges.is_known(answer)
+        code = results.Code.RATE_LIMITED
+        if not known:
+            code = results.Code.LIMIT_UNKNOWN
+        self.lines.counters.decided(
+            "limited", f"urgency {self.organisation.urgency}"
+        )
+        self._log(
+            "limited",
+            code=code.name,
+            organisation=self.organisation.name,
+            cost=self.charge.cost,
+            left=round(decision.left),
+            share=round(decision.share, 3),
+            owner=answer.owner,
+            answer_ms=_ms(answer.seconds),
+            limit_version=self.charge.limit.version,
+            wait_s=decision.wait_seconds,
+        )
+        if self.history.runs():
+            self._give_up(verdicts.final_code(self.history))
+            return
+        wait = decision.wait_seconds
+        self.answer.refuse(code, own_answers.limit_retry_seconds(wait))
+
     async def _try_servers(self) -> None:
         """Sends the request to servers until there is an answer."""
         while True:
+            if not await self._is_charged():
+                return
             choice = await self._choose()
             if isinstance(choice, placements.NoRoom):
                 self._lacks = choice.lacks
@@ -519,7 +588,7 @@
             ),
             lacks={each.value: count for each, count in self._lacks.items()},
         )
-        self.answer.refuse(code)
+        self.answer.refuse(code, own_answers.retry_seconds(code))
 
     def _log(self, message: str, **fields: object) -> None:
         if self.ask is not None:
--- /dev/null
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -0,0 +1,142 @@
+"""How many routers there are, also for one that has just started.
+
+A router's part of an organisation's limit follows from it. One that starts
+beside others that have just started as well hears of few, and would take too
+much; so the number lies in the store.
+"""
+
+import asyncio
+
+import logbook
+
+from pimentoledge.platform import stores
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import registrations
+from pimentoledge.routing import rings
+from pimentoledge.routing import rosters
+
+logger = logbook.Logger("fleet_sizes")
+
+KIND = "router-leases"
+NAME = "fleet"
+# Between two looks at whether the store's number is still right.
+LOOK_SECONDS = 1.0
+# A number must differ for so many looks before it is written.
+LOOKS = 3
+# Without the store's word a router that has just started knows nothing of the
+# others for so long.
+UNKNOWN_SECONDS = 1.5
+# For so long after its start a router hears of too few.
+STARTING_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+
+
+class FleetSize:
+    """The number of routers, by the store and by those that are heard.
+
+    Attributes:
+        roster: the other routers.
+        store: the store's client.
+        lines: where changes of belief are written.
+        wanted: returns whether anybody needs the number.
+        born: when this router started.
+        stored: the store's number, 0 if it has none, None if not read.
+        revision: of the store's object, 0 if there is none.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: rosters.Roster,
+        store: stores.Store,
+        lines: log_lines.Lines,
+        wanted,
+        born: float,
+    ):
+        self.roster = roster
+        self.store = store
+        self.lines = lines
+        self.wanted = wanted
+        self.born = born
+        self.stored: int | None = None
+        self.revision = 0
+        self._differed = 0
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begins to read, and to keep the store's number right."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self) -> None:
+        """Stops."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def share(self, now: float) -> float:
+        """Returns this router's part of what all share; 0 if not known."""
+        count = self.roster.count(now)
+        if now - self.born >= STARTING_SECONDS:
+            return 1 / count
+        if self.stored is None and now - self.born < UNKNOWN_SECONDS:
+            return 0.0
+        return 1 / max(count, self.stored or 0)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step(clocks.now())
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                logger.exception("defect")
+            starting = self.stored is None
+            await asyncio.sleep(RETRY_SECONDS if starting else LOOK_SECONDS)
+
+    async def _step(self, now: float) -> None:
+        if self.stored is None:
+            self._learn(await self.store.read(KIND, NAME))
+            return
+        count = self.roster.count(now)
+        differs = (
+            self.wanted() and self._is_writer(now) and count != self.stored
+        )
+        self._differed = self._differed + 1 if differs else 0
+        if self._differed >= LOOKS:
+            self._differed = 0
+            await self._write(count)
+
+    def _is_writer(self, now: float) -> bool:
+        """Returns whether this router comes first of all that live."""
+        if now - self.born < STARTING_SECONDS / 2:
+            return False
+        here = rings.place(self.roster.own)
+        return all(
+            rings.place(each) > here for each in self.roster.members(now)
+        )
+
+    async def _write(self, count: int) -> None:
+        found = await self.store.write(
+            KIND, NAME, {"routers": count}, revision=self.revision or None
+        )
+        self._learn(found)
+
+    def _learn(self, found: object) -> None:
+        match found:
+            case None:
+                self.stored, self.revision = 0, 0
+            case registrations.Stored(value=value, revision=revision):
+                self.stored, self.revision = _number(value), revision
+                self.lines.write("fleet_size", routers=self.stored)
+            case registrations.Conflict(found=held):
+                self._learn(held)
+            case registrations.Unavailable(reason=reason):
+                self.lines.write("fleet_size_unknown", why=reason)
+
+
+def _number(value: object) -> int:
+    """Returns the number that an object holds, 0 for one that holds none."""
+    if not isinstance(value, dict):
+        return 0
+    found = value.get("routers")
+    return found if isinstance(found, int) and found > 0 else 0
--- a/pimentoledge/routing/own_answers.py
+++ b/pimentoledge/routing/own_answers.py
@@ -6,6 +6,7 @@
 
 from pimentoledge import results
 from pimentoledge.platform import requests
+from pimentoledge.routing.quotas import ledgers
 
 # Statuses by which a client is promised that its request did not run and
 # never will.
@@ -26,6 +27,8 @@
 DARK_RETRY_SECONDS = 1.0
 # Clients that were refused together must not come back together.
 DARK_RETRY_SPREAD = 0.25
+# Of clients that are told the longest wait.
+LIMIT_RETRY_SPREAD = 0.2
 
 
 def retry_seconds(code: results.Code) -> float | None:
@@ -43,6 +46,19 @@
     return RETRY_SECONDS
 
 
+def limit_retry_seconds(wait_seconds: float | None) -> float | None:
+    """Returns after how long a client beyond its limit may come back, or None.
+
+    Args:
+        wait_seconds: when there will be room for it, or None if never.
+    """
+    if wait_seconds is None:
+        return None
+    if wait_seconds < ledgers.LONGEST_WAIT_SECONDS:
+        return wait_seconds
+    return _spread(wait_seconds, LIMIT_RETRY_SPREAD)
+
+
 def _spread(seconds: float, share: float) -> float:
     return seconds * random.uniform(1 - share, 1 + share)
 
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from pimentoledge.routing import registrations
+from pimentoledge.routing.quotas import messages as quota_messages
 
 
 @attrs.define(kw_only=True)
@@ -183,4 +184,9 @@
     7: Offer,
     8: Want,
     9: Work,
+    10: quota_messages.LeaseRights,
+    11: quota_messages.RightsLeased,
+    12: quota_messages.Acquire,
+    13: quota_messages.Acquired,
+    14: quota_messages.GiveBack,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -8,9 +8,11 @@
 from pimentoledge.decisions import events
 from pimentoledge.nodes import codecs
 from pimentoledge.nodes import mailboxes
+from pimentoledge.platform import stores
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import clocks
 from pimentoledge.routing import copies
+from pimentoledge.routing import fleet_sizes
 from pimentoledge.routing import leases
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
@@ -19,6 +21,7 @@
 from pimentoledge.routing import takers as takers_module
 from pimentoledge.routing import watchers
 from pimentoledge.routing import work_reports
+from pimentoledge.routing.quotas import limiters
 
 logger = logbook.Logger("peers")
 
@@ -45,6 +48,8 @@
         roster: the other routers.
         copies: keeps the copies of the store's objects in step with theirs.
         work_reports: tell and take what routers have at servers.
+        fleet_size: how many routers there are.
+        limiter: holds organisations' limits over all routers.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         lease: leases.Lease,
         watching: dict[str, watchers.Watcher],
         takers: takers_module.Takers,
+        store: stores.Store,
         lines: log_lines.Lines,
     ):
         self.believed = believed
@@ -77,6 +83,21 @@
         self.work_reports = work_reports.WorkReports(
             believed=believed, roster=self.roster, send_all=self._tell
         )
+        self.fleet_size = fleet_sizes.FleetSize(
+            roster=self.roster,
+            store=store,
+            lines=lines,
+            wanted=believed.has_quotas,
+            born=believed.born,
+        )
+        self.limiter = limiters.Limiter(
+            own=self.roster.own,
+            life=random.getrandbits(31),
+            bounds=believed.bounds.limits,
+            share=self.fleet_size.share,
+            routers=lambda now: list(self.roster.members(now)),
+            send=self._send,
+        )
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_beat = 0.0
         self._next_ages = 0.0
@@ -90,6 +111,7 @@
         """Listens."""
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
+        self.fleet_size.start()
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Takes addresses, as IP:PORT, to find routers by."""
@@ -97,6 +119,7 @@
 
     def close(self) -> None:
         """Closes all connections."""
+        self.fleet_size.close()
         self._mailbox.close()
 
     def _deliver(self, event: object) -> None:
@@ -116,6 +139,8 @@
         if now >= self._next_ages:
             self._tell_ages(now)
         self.work_reports.tick(now)
+        if self.believed.has_quotas():
+            self.limiter.tick(now)
         self.believed.members = self.roster.count(now)
 
     def news(self) -> None:
@@ -205,8 +230,11 @@
                 self.work_reports.take(event.sender, work, clocks.now())
             case mailboxes.PeerUp() | mailboxes.PeerDown():
                 self._mailbox.handle(event)
-            case events.Unreachable():
-                pass  # The next heartbeat tries anew; silence is judged there.
+            case events.FromNode(message=message):
+                self.limiter.handle(event.sender, message, clocks.now())
+            case events.Unreachable(address=address):
+                # The next heartbeat tries anew; silence is judged there.
+                self.limiter.unreachable(address, clocks.now())
 
     def server_died(self, incarnation: str) -> None:
         """Tells the others which content a dead server had."""
--- /dev/null
+++ b/pimentoledge/routing/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations' limits, held over all routers together."""
--- /dev/null
+++ b/pimentoledge/routing/quotas/ledgers.py
@@ -0,0 +1,351 @@
+"""What an owner has of organisations' limits, by the rights lent to it.
+
+Every router has a right to an equal part of each limit, which is in one
+ledger at a time: its own, or that of the owner that it lent the right to. A
+ledger lets in no more than the rights in it allow, so that the sum over all
+ledgers never exceeds the limit, whoever is cut off from whom. (The idea is
+that of a bounded counter, a CRDT whose replicas hand rights to each other.)
+"""
+
+import attrs
+import xxhash
+
+# Organisations are dealt to so many slots, each with one owner: so many
+# owners share the work, and a router lends its rights to no more than that.
+SLOTS = 8
+# Longest wait told to a client that was refused.
+LONGEST_WAIT_SECONDS = 5.0
+# A pool that is full and was not used for so long is forgotten.
+IDLE_SECONDS = 30.0
+# Part of the tolerance that rights bring when they come to a ledger whose
+# past is unknown: a new owner can let requests in at once.
+ALLOWANCE_SHARE = 1 / 6
+# Part of the tolerance by which one request that is larger than a full pool
+# may overdraw it: else it could never run.
+OVERDRAFT_SHARE = 1 / 3
+# Parts of the tolerance by which a pool refills faster, and holds more, than
+# the limit says: requests come to it in another order than they were sent, and
+# what is below the limit must not be refused for that.
+FASTER_SHARE = 0.5
+HIGHER_SHARE = 1 / 6
+# A level so near the top counts as full.
+FULL_SHARE = 0.999
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """By how much the sum over all routers may exceed a limit.
+
+    Attributes:
+        window_seconds: of the window in which it is looked at.
+        over: part of what a limit allows in a window.
+        slack: besides, in the unit of the limits.
+    """
+
+    window_seconds: float = 8.0
+    over: float = 0.0
+    slack: float = 0.0
+
+    def rate(self, limit: "Limit") -> float:
+        """Returns how much a pool with all rights earns in a second."""
+        return limit.per_second * (1 + FASTER_SHARE * self.over)
+
+    def top(self, limit: "Limit") -> float:
+        """Returns the most that a pool with all rights holds."""
+        return limit.burst + HIGHER_SHARE * self.tolerance(limit)
+
+    def tolerance(self, limit: "Limit") -> float:
+        """Returns how much more may run in a window than a limit allows."""
+        allowed = limit.per_second * self.window_seconds + limit.burst
+        return self.over * allowed + self.slack
+
+
+@attrs.frozen(kw_only=True)
+class Limit:
+    """One organisation's limit.
+
+    Attributes:
+        version: of the configuration that it is from.
+        per_second: its rate, in its unit.
+        burst: what may come at once.
+    """
+
+    version: int
+    per_second: float
+    burst: float
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """What a ledger says of a request.
+
+    Attributes:
+        granted: whether it may run.
+        wait_seconds: else, when there will be room for it; None if never.
+        left: what the limit had left before, in its unit.
+        share: part of all rights that the ledger had.
+    """
+
+    granted: bool
+    wait_seconds: float | None = None
+    left: float = 0.0
+    share: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Lease:
+    """A router's rights, as a ledger holds them.
+
+    Attributes:
+        share: part of each limit.
+        until: when they lapse.
+    """
+
+    share: float
+    until: float
+
+
+@attrs.define(kw_only=True)
+class Pool:
+    """What is left of one organisation's limit in a ledger.
+
+    Attributes:
+        limit: the newest known.
+        level: what is left, in the limit's unit; below zero after a request
+            that was larger than the pool.
+        earned: share-seconds of the slot up to which `level` counts.
+        brought: the slot's allowances up to which `level` counts.
+        promised_until: what refills until then was promised to clients that
+            were refused.
+        used_at: when it was last asked.
+    """
+
+    limit: Limit
+    level: float
+    earned: float
+    brought: float
+    promised_until: float = 0.0
+    used_at: float = 0.0
+
+
+class Slot:
+    """The rights of one slot and the pools that they fill.
+
+    Attributes:
+        bounds: by how much a limit may be exceeded.
+        leases: rights by router.
+        share: their sum.
+        earned: integral of the share over time.
+        brought: sum of the shares that came with an allowance.
+        pools: by organisation.
+    """
+
+    def __init__(self, *, bounds: Bounds):
+        self.bounds = bounds
+        self.leases: dict[str, Lease] = {}
+        self.share = 0.0
+        self.earned = 0.0
+        self.brought = 0.0
+        self.pools: dict[str, Pool] = {}
+        self._counted_at = 0.0
+        # Share before the newest change of it, and what had been earned by
+        # it: a limit that nobody has asked for yet has filled by so much.
+        self._before = (0.0, 0.0)
+        self._changed_earned = 0.0
+
+    def advance(self, now: float) -> None:
+        """Lets time pass."""
+        self.earned += self.share * max(0.0, now - self._counted_at)
+        self._counted_at = max(now, self._counted_at)
+
+    def put(
+        self, router: str, lease: Lease, *, allowance: bool, now: float
+    ) -> None:
+        """Takes a router's rights, or changes them."""
+        self.advance(now)
+        if allowance:
+            self.brought += lease.share
+        held = self.leases.get(router)
+        self.leases[router] = lease
+        if held is None or held.share != lease.share:
+            self._changed()
+
+    def remove(self, router: str, now: float) -> None:
+        """Takes a router's rights away, with their part of what is left."""
+        if router not in self.leases:
+            return
+        self.advance(now)
+        self._settle_all()
+        gone = self.leases.pop(router)
+        kept = 1 - gone.share / self.share if self.share else 0.0
+        for pool in self.pools.values():
+            if pool.level > 0:
+                pool.level *= max(0.0, kept)
+        self._changed()
+
+    def expire(self, now: float) -> None:
+        """Takes away rights that have lapsed, and forgets idle pools."""
+        for router in [
+            name for name, each in self.leases.items() if now >= each.until
+        ]:
+            self.remove(router, now)
+        self.advance(now)
+        for name, pool in list(self.pools.items()):
+            if now - pool.used_at < IDLE_SECONDS:
+                continue
+            self._refill(pool)
+            if self.is_full(pool):
+                del self.pools[name]
+
+    def _settle_all(self) -> None:
+        for pool in self.pools.values():
+            self._refill(pool)
+
+    def _changed(self) -> None:
+        share = sum(each.share for each in self.leases.values())
+        earned = self.earned - self._changed_earned
+        if share < self.share:
+            earned *= share / self.share
+        self._before = (min(share, self.share), earned)
+        self._changed_earned = self.earned
+        self.share = share
+
+    def _refill(self, pool: Pool) -> None:
+        """Adds what the rights have earned; an allowance may exceed the top."""
+        rate = self.bounds.rate(pool.limit)
+        refill = rate * (self.earned - pool.earned)
+        pool.earned = self.earned
+        self.add(pool, refill)
+
+    def add(self, pool: Pool, tokens: float) -> None:
+        """Adds to what a limit has left, up to what it may hold."""
+        top = self.top(pool)
+        pool.level = max(pool.level, min(pool.level + tokens, top))
+
+    def top(self, pool: Pool) -> float:
+        """Returns the most that a pool may hold."""
+        return self.bounds.top(pool.limit) * self.share
+
+    def is_full(self, pool: Pool) -> bool:
+        """Returns whether a limit has all that it can have here."""
+        return pool.level >= FULL_SHARE * self.top(pool)
+
+    def pool(self, organisation: str, limit: Limit, now: float) -> Pool:
+        """Returns an organisation's pool as it is now."""
+        self.advance(now)
+        pool = self.pools.get(organisation)
+        if pool is None:
+            pool = Pool(
+                limit=limit,
+                level=self._level_unasked(limit),
+                earned=self.earned,
+                brought=0.0,
+            )
+            self.pools[organisation] = pool
+        self._refill(pool)
+        if limit.version > pool.limit.version:
+            pool.limit = limit
+            pool.level = min(pool.level, self.top(pool))
+        allowance = ALLOWANCE_SHARE * self.bounds.tolerance(pool.limit)
+        pool.level += allowance * min(1.0, self.brought - pool.brought)
+        pool.brought = self.brought
+        pool.used_at = now
+        return pool
+
+    def _level_unasked(self, limit: Limit) -> float:
+        """Returns what a limit holds that nobody has used here yet."""
+        share, earned = self._before
+        top, rate = self.bounds.top(limit), self.bounds.rate(limit)
+        before = min(top * share, rate * earned)
+        since = rate * (self.earned - self._changed_earned)
+        return min(top * self.share, before + since)
+
+
+class Ledger:
+    """All slots of one router.
+
+    Attributes:
+        bounds: by how much a limit may be exceeded.
+        slots: by number.
+    """
+
+    def __init__(self, *, bounds: Bounds):
+        self.bounds = bounds
+        self.slots = [Slot(bounds=bounds) for _ in range(SLOTS)]
+
+    def rebound(self, bounds: Bounds) -> None:
+        """Takes changed bounds."""
+        self.bounds = bounds
+        for each in self.slots:
+            each.bounds = bounds
+
+    def acquire(
+        self, organisation: str, limit: Limit, cost: float, now: float
+    ) -> Decision:
+        """Decides on a request, and counts it if it may run."""
+        slot = self.slots[slot_of(organisation)]
+        pool = slot.pool(organisation, limit, now)
+        left = pool.level
+        if self._has_room(slot, pool, cost):
+            pool.level -= cost
+            return Decision(granted=True, left=left, share=slot.share)
+        return Decision(
+            granted=False,
+            wait_seconds=self._wait(slot, pool, cost, now),
+            left=left,
+            share=slot.share,
+        )
+
+    def _has_room(self, slot: Slot, pool: Pool, cost: float) -> bool:
+        if pool.level >= cost:
+            return True
+        return slot.is_full(pool) and cost <= self._most(slot, pool)
+
+    def _most(self, slot: Slot, pool: Pool) -> float:
+        """Returns the largest request that can ever run."""
+        tolerance = self.bounds.tolerance(pool.limit)
+        overdraft = OVERDRAFT_SHARE * tolerance * slot.share
+        return slot.top(pool) + overdraft
+
+    def _wait(
+        self, slot: Slot, pool: Pool, cost: float, now: float
+    ) -> float | None:
+        """Returns when a refused client finds room.
+
+        Clients refused one after another are told times one after another.
+        """
+        if cost > self._most(slot, pool) and slot.share >= 1:
+            return None
+        rate = self.bounds.rate(pool.limit) * slot.share
+        if not rate:
+            return LONGEST_WAIT_SECONDS
+        start = now + (min(cost, slot.top(pool)) - pool.level) / rate
+        if pool.promised_until > now:
+            start = max(start, pool.promised_until + cost / rate)
+        start = min(start, now + LONGEST_WAIT_SECONDS)
+        pool.promised_until = start
+        return start - now
+
+    def give_back(self, organisation: str, cost: float, now: float) -> None:
+        """Takes back what was granted to a request that never ran."""
+        slot = self.slots[slot_of(organisation)]
+        pool = slot.pools.get(organisation)
+        if pool is None:
+            return
+        slot.advance(now)
+        slot.add(pool, cost)
+
+    def expire(self, now: float) -> None:
+        """Takes away what has lapsed."""
+        for each in self.slots:
+            each.expire(now)
+
+    def remove(self, router: str, now: float) -> None:
+        """Takes away all rights of a router."""
+        for each in self.slots:
+            each.remove(router, now)
+
+
+def slot_of(organisation: str) -> int:
+    """Returns the slot that an organisation is dealt to."""
+    return xxhash.xxh3_64_intdigest(organisation.encode()) % SLOTS
--- /dev/null
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -0,0 +1,338 @@
+"""One router's part of holding organisations' limits over all routers.
+
+A pure state machine. A request is asked for at the owner of its organisation's
+slot, which answers from its ledger; nothing else is agreed. While no owner
+answers, the router goes by the rights that it has itself.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.quotas import messages
+from pimentoledge.routing.quotas import rights as rights_module
+
+# An owner that has not answered a question by then is asked no more for a
+# while, and the next one is asked.
+ANSWER_SECONDS = 0.15
+# How many owners are asked about a request before the own rights decide.
+MOST_ASKED = 2
+# Answers that come so late are of no use; what they granted is given back.
+FORGET_SECONDS = 10.0
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What became of a request that asked for its part of a limit.
+
+    Attributes:
+        decision: what a ledger said.
+        owner: mailbox of the router whose ledger that was.
+        seconds: how long the answer took.
+    """
+
+    decision: ledgers.Decision
+    owner: str
+    seconds: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Question:
+    """A request that waits for an owner's answer.
+
+    Attributes:
+        organisation: whose it is.
+        limit: as this router knows it.
+        cost: in the limit's unit.
+        decided: called with the answer; None when nobody waits any more.
+        owner: who is asked.
+        began: when the request came.
+        asked_at: when that owner was asked.
+        asked: how many owners were asked.
+    """
+
+    organisation: str
+    limit: ledgers.Limit
+    cost: float
+    decided: Callable[[Answer], None] | None
+    owner: str
+    began: float
+    asked_at: float
+    asked: int = 1
+
+
+class Limiter:
+    """Limits of organisations, as one router keeps them.
+
+    Attributes:
+        own: this router's mailbox.
+        ledger: what it owns.
+        rights: where its own rights lie.
+        share: returns its part of every limit; 0 while that is not known.
+        routers: returns the mailboxes of the others believed to live.
+        send: sends a message to a mailbox.
+        questions: requests that wait, by number.
+        leaving: whether this router ends.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        life: int,
+        bounds: ledgers.Bounds,
+        share: Callable[[float], float],
+        routers: Callable[[float], list[str]],
+        send: Callable[[str, object], None],
+    ):
+        self.own = own
+        self.ledger = ledgers.Ledger(bounds=bounds)
+        self.rights = rights_module.Rights(
+            own=own, ledger=self.ledger, life=life
+        )
+        self.share = share
+        self.routers = routers
+        self.send = send
+        self.questions: dict[int, Question] = {}
+        self.leaving = False
+        self._number = 0
+        self._next_talk = 0.0
+        self._heard: dict[str, tuple[int, int]] = {}
+
+    def rebound(self, bounds: ledgers.Bounds) -> None:
+        """Takes changed bounds; what is left of each limit stays."""
+        self.ledger.rebound(bounds)
+
+    def acquire(
+        self,
+        organisation: str,
+        limit: ledgers.Limit,
+        cost: float,
+        now: float,
+        decided: Callable[[Answer], None],
+    ) -> int:
+        """Asks to let a request in; `decided` may be called at once.
+
+        Returns the number of the question, for `cancel`.
+        """
+        question = Question(
+            organisation=organisation,
+            limit=limit,
+            cost=cost,
+            decided=decided,
+            owner=self._target(organisation, now),
+            began=now,
+            asked_at=now,
+        )
+        return self._ask(question, now)
+
+    def _target(self, organisation: str, now: float) -> str:
+        return self.rights.target(ledgers.slot_of(organisation), now)
+
+    def _ask(self, question: Question, now: float) -> int:
+        self._number += 1
+        if question.owner == self.own:
+            self._decide_here(question, now)
+            return self._number
+        question.asked_at = now
+        self.questions[self._number] = question
+        limit = question.limit
+        self.send(
+            question.owner,
+            messages.Acquire(
+                number=self._number,
+                organisation=question.organisation,
+                cost=question.cost,
+                version=limit.version,
+                per_second=limit.per_second,
+                burst=limit.burst,
+            ),
+        )
+        return self._number
+
+    def _decide_here(self, question: Question, now: float) -> None:
+        decision = self.ledger.acquire(
+            question.organisation, question.limit, question.cost, now
+        )
+        question.decided(
+            Answer(
+                decision=decision, owner=self.own, seconds=now - question.began
+            )
+        )
+
+    def cancel(self, number: int) -> None:
+        """Takes that nobody waits for an answer any more."""
+        question = self.questions.get(number)
+        if question is not None:
+            question.decided = None
+
+    def give_back(
+        self, organisation: str, cost: float, owner: str, now: float
+    ) -> None:
+        """Returns what was granted to a request that never ran."""
+        if owner == self.own:
+            self.ledger.give_back(organisation, cost, now)
+            return
+        self.send(
+            owner, messages.GiveBack(organisation=organisation, cost=cost)
+        )
+
+    def tick(self, now: float) -> None:
+        """Does what is due: late answers, rights, and telling owners."""
+        self.ledger.expire(now)
+        self._look_at_questions(now)
+        if now < self._next_talk:
+            return
+        share = 0.0 if self.leaving else self.share(now)
+        self._next_talk = now + rights_module.talk_seconds(share)
+        self._step(now)
+
+    def _step(self, now: float) -> None:
+        share = self.share(now)
+        for owner, message in self.rights.step(share, self.routers(now), now):
+            self.send(owner, message)
+
+    def _look_at_questions(self, now: float) -> None:
+        for number, question in list(self.questions.items()):
+            late = now - question.asked_at
+            if question.decided is not None and late >= ANSWER_SECONDS:
+                self.rights.doubt(question.owner, now)
+                self._ask_another(number, question, now)
+            elif late >= FORGET_SECONDS:
+                del self.questions[number]
+
+    def _ask_another(self, number: int, question: Question, now: float) -> None:
+        """Asks the next owner, or decides by the own rights."""
+        again = attrs.evolve(question, asked=question.asked + 1)
+        # A late answer still finds the question: what it grants is given back.
+        question.decided = None
+        again.owner = self._target(question.organisation, now)
+        if again.asked > MOST_ASKED or again.owner == question.owner:
+            again.owner = self.own
+        self._ask(again, now)
+
+    def unreachable(self, address: str, now: float) -> None:
+        """Takes that a connection to another router broke."""
+        if address not in self.rights.talks:
+            return
+        self.rights.doubt(address, now)
+        for number, question in list(self.questions.items()):
+            if question.owner == address and question.decided is not None:
+                self._ask_another(number, question, now)
+
+    def leave(self) -> None:
+        """Lets go of all rights of others, since this router ends."""
+        self.leaving = True
+        lenders = {
+            each for slot in self.ledger.slots for each in slot.leases
+        } - {self.own}
+        for each in lenders:
+            self.send(each, self._leaving_answer(0))
+
+    def _leaving_answer(self, number: int) -> messages.RightsLeased:
+        return messages.RightsLeased(number=number, clock_ms=0, leaving=True)
+
+    def handle(self, sender: str, message: object, now: float) -> None:
+        """Takes a message of another router."""
+        match message:
+            case messages.LeaseRights():
+                self._leased(sender, message, now)
+            case messages.RightsLeased():
+                self._answered(sender, message, now)
+            case messages.Acquire():
+                self._acquire_for(sender, message, now)
+            case messages.Acquired():
+                self._acquired(sender, message, now)
+            case messages.GiveBack(organisation=organisation, cost=cost):
+                self.ledger.give_back(organisation, cost, now)
+
+    def _leased(
+        self, sender: str, lent: messages.LeaseRights, now: float
+    ) -> None:
+        """Takes another router's rights as they are from now on."""
+        if self.leaving:
+            self.ledger.remove(sender, now)
+            self.send(sender, self._leaving_answer(lent.number))
+            return
+        life, number = self._heard.get(sender, (0, 0))
+        if life == lent.life and lent.number <= number:
+            return
+        self._heard[sender] = (lent.life, lent.number)
+        age_ms = int(1000 * now) - lent.echo_ms
+        timely = lent.echo_ms > 0 and 0 <= age_ms < lent.term_ms
+        until = (lent.echo_ms + lent.term_ms) / 1000
+        for number, slot in enumerate(self.ledger.slots):
+            fresh = number in lent.fresh
+            if number in lent.slots and timely:
+                lease = ledgers.Lease(share=lent.share, until=until)
+                new = sender not in slot.leases
+                slot.put(sender, lease, allowance=fresh and new, now=now)
+            elif number not in lent.slots:
+                slot.remove(sender, now)
+                if fresh:
+                    slot.brought += lent.share
+        answer = messages.RightsLeased(
+            number=lent.number, clock_ms=int(1000 * now)
+        )
+        self.send(sender, answer)
+
+    def _answered(
+        self, sender: str, answer: messages.RightsLeased, now: float
+    ) -> None:
+        first = sender not in self.rights.talks or (
+            not self.rights.talk(sender).answered
+        )
+        self.rights.answered(sender, answer, now)
+        if first or answer.leaving:
+            # Rights that waited for a new owner's clock go there at once.
+            self._step(now)
+
+    def _acquire_for(
+        self, sender: str, asked: messages.Acquire, now: float
+    ) -> None:
+        limit = ledgers.Limit(
+            version=asked.version,
+            per_second=asked.per_second,
+            burst=asked.burst,
+        )
+        decision = self.ledger.acquire(
+            asked.organisation, limit, asked.cost, now
+        )
+        wait = decision.wait_seconds
+        self.send(
+            sender,
+            messages.Acquired(
+                number=asked.number,
+                granted=decision.granted,
+                wait_ms=-1 if wait is None else int(1000 * wait),
+                left=decision.left,
+                share=decision.share,
+            ),
+        )
+
+    def _acquired(
+        self, sender: str, answer: messages.Acquired, now: float
+    ) -> None:
+        question = self.questions.pop(answer.number, None)
+        if question is None:
+            return
+        if question.decided is None:
+            if answer.granted:
+                self.give_back(
+                    question.organisation, question.cost, sender, now
+                )
+            return
+        wait = None if answer.wait_ms < 0 else answer.wait_ms / 1000
+        question.decided(
+            Answer(
+                decision=ledgers.Decision(
+                    granted=answer.granted,
+                    wait_seconds=wait,
+                    left=answer.left,
+                    share=answer.share,
+                ),
+                owner=sender,
+                seconds=now - question.began,
+            )
+        )
--- /dev/null
+++ b/pimentoledge/routing/quotas/messages.py
@@ -0,0 +1,98 @@
+"""Messages between routers about organisations' limits."""
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class LeaseRights:
+    """Lends the sender's rights of some slots to the receiver.
+
+    It names all slots whose rights the receiver has from then on.
+
+    Attributes:
+        number: grows with each message of a life to this receiver.
+        life: the sender's life.
+        echo_ms: the receiver's clock as in the newest answer, or 0: the rights
+            lapse a term after it.
+        term_ms: that term.
+        share: the sender's part of every limit.
+        slots: those lent.
+        fresh: slots, lent or about to be, that bring the sender's part of the
+            allowance.
+    """
+
+    number: int
+    life: int
+    echo_ms: int
+    term_ms: int
+    share: float
+    slots: list[int]
+    fresh: list[int]
+
+
+@attrs.define(kw_only=True)
+class RightsLeased:
+    """Answers LeaseRights.
+
+    Attributes:
+        number: of the message that it answers.
+        clock_ms: the sender's clock.
+        leaving: whether the sender ends, and holds nobody's rights any more.
+    """
+
+    number: int
+    clock_ms: int
+    leaving: bool = False
+
+
+@attrs.define(kw_only=True)
+class Acquire:
+    """Asks the owner of a slot to let a request in.
+
+    Attributes:
+        number: of the question.
+        organisation: whose request it is.
+        cost: in the unit of the limit.
+        version: of the configuration that the limit is from.
+        per_second: the limit's rate.
+        burst: the limit's burst.
+    """
+
+    number: int
+    organisation: str
+    cost: float
+    version: int
+    per_second: float
+    burst: float
+
+
+@attrs.define(kw_only=True)
+class Acquired:
+    """Answers Acquire.
+
+    Attributes:
+        number: of the question.
+        granted: whether the request may run.
+        wait_ms: else, when there will be room for it; -1 if never.
+        left: what the limit had left, in its unit.
+        share: part of all rights that the owner had.
+    """
+
+    number: int
+    granted: bool
+    wait_ms: int
+    left: float
+    share: float
+
+
+@attrs.define(kw_only=True)
+class GiveBack:
+    """Returns what was acquired for a request that never ran.
+
+    Attributes:
+        organisation: whose request it was.
+        cost: what was acquired.
+    """
+
+    organisation: str
+    cost: float
--- /dev/null
+++ b/pimentoledge/routing/quotas/rights.py
@@ -0,0 +1,319 @@
+"""Where a router's rights lie: in its own ledger, or lent to an owner.
+
+Rights are lent for a term that counts from a reading of the owner's own clock,
+which the owner sends and the lender sends back. So the owner never counts on
+rights that the lender has taken back, however late a message comes.
+"""
+
+import attrs
+
+from pimentoledge.routing import rings
+from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.quotas import messages
+
+# Between two messages to an owner; of many routers each sends fewer.
+TALK_SECONDS = 0.25
+# An owner hears so many of these in a second at most.
+MOST_TALKS = 300
+# Rights are lent for so many intervals between messages.
+TERM_TALKS = 4
+# An owner that leaves so many intervals' messages unanswered is silent.
+SILENT_TALKS = 2.4
+# A silent owner is not chosen again for so long, at first.
+AVOID_SECONDS = 2.0
+# At most; each time that it stays silent the time doubles.
+MOST_AVOID_SECONDS = 16.0
+# The same for an owner that ends.
+LEAVING_SECONDS = 10.0
+# An owner that left a question unanswered is asked none for so long.
+DOUBT_SECONDS = 0.5
+NEVER = float("inf")
+
+
+@attrs.define(kw_only=True)
+class Talk:
+    """What was said between this router and an owner.
+
+    Attributes:
+        number: of the newest message to it.
+        answered: the newest of these that it answered.
+        echo_ms: its clock at that answer, or 0.
+        echo_at: when that answer came.
+        waiting_since: when the first message without an answer was sent.
+        avoided_until: before this no rights are lent to it.
+        avoided_seconds: for how long it was avoided the last time.
+        doubted_until: before this it is asked nothing.
+    """
+
+    number: int = 0
+    answered: int = 0
+    echo_ms: int = 0
+    echo_at: float = -NEVER
+    waiting_since: float | None = None
+    avoided_until: float = -NEVER
+    avoided_seconds: float = 0.0
+    doubted_until: float = -NEVER
+
+    def avoid(self, seconds: float, now: float) -> None:
+        """Lends it nothing for a time."""
+        self.avoided_seconds = seconds
+        self.avoided_until = now + seconds
+        self.waiting_since = None
+
+
+@attrs.define(kw_only=True)
+class Home:
+    """Where the rights of a slot lie.
+
+    Attributes:
+        owner: mailbox of the router that has them.
+        until: when they lapse there.
+        fresh: whether they are to bring an allowance.
+        ending: whether they are to be taken back.
+        left_out: number of the first message to the owner that leaves the slot
+            out, or None.
+        brought_at: when an allowance was last brought anywhere.
+    """
+
+    owner: str
+    until: float = NEVER
+    fresh: bool = False
+    ending: bool = False
+    left_out: int | None = None
+    brought_at: float = -NEVER
+
+
+def talk_seconds(share: float) -> float:
+    """Returns the time between messages, by a router's part of all."""
+    return max(TALK_SECONDS, 1 / share / MOST_TALKS) if share else TALK_SECONDS
+
+
+def owner_of(slot: int, routers: list[str]) -> str:
+    """Returns the router that comes next on the circle after a slot."""
+    here = rings.place(f"quota-slot-{slot}")
+    return min(
+        routers, key=lambda each: (rings.place(each) - here) % rings.CIRCLE
+    )
+
+
+class Rights:
+    """This router's rights, slot by slot.
+
+    Attributes:
+        own: this router's mailbox.
+        ledger: its own ledger.
+        life: tells messages of this process from those of an earlier one.
+        homes: where the rights of each slot lie.
+        wanted: the router that is to have them.
+        talks: by owner.
+        share: this router's part of every limit; 0 while it is not known.
+    """
+
+    def __init__(self, *, own: str, ledger: ledgers.Ledger, life: int):
+        self.own = own
+        self.ledger = ledger
+        self.life = life
+        self.homes = [Home(owner=own) for _ in range(ledgers.SLOTS)]
+        self.wanted = [own] * ledgers.SLOTS
+        self.talks: dict[str, Talk] = {}
+        self.share = 0.0
+
+    @property
+    def term_seconds(self) -> float:
+        """For how long rights are lent."""
+        return TERM_TALKS * talk_seconds(self.share)
+
+    def talk(self, owner: str) -> Talk:
+        """Returns what was said between this router and an owner."""
+        return self.talks.setdefault(owner, Talk())
+
+    def target(self, slot: int, now: float) -> str:
+        """Returns whom to ask about a slot's organisations."""
+        owner = self.homes[slot].owner
+        if owner == self.own or not self._is_doubted(owner, now):
+            return owner
+        wanted = self.wanted[slot]
+        return wanted if self._is_heard(wanted, now) else self.own
+
+    def doubt(self, owner: str, now: float) -> None:
+        """Takes that an owner gave no answer to a question."""
+        self.talk(owner).doubted_until = now + DOUBT_SECONDS
+
+    def _is_doubted(self, owner: str, now: float) -> bool:
+        talk = self.talk(owner)
+        return now < max(talk.doubted_until, talk.avoided_until)
+
+    def _is_heard(self, owner: str, now: float) -> bool:
+        """Returns whether an owner's newest answer is new enough to lend by."""
+        if owner == self.own:
+            return True
+        return now - self.talk(owner).echo_at < self.term_seconds / 2
+
+    def step(
+        self, share: float, routers: list[str], now: float
+    ) -> list[tuple[str, messages.LeaseRights]]:
+        """Moves rights where that is due; returns messages to owners.
+
+        Args:
+            share: this router's part of every limit, or 0.
+            routers: mailboxes of the others that are believed to live.
+            now: the time.
+        """
+        self.share = share
+        self._avoid_silent(now)
+        trusted = [
+            each for each in routers if now >= self.talk(each).avoided_until
+        ]
+        sure = [
+            each for each in trusted if now >= self.talk(each).doubted_until
+        ]
+        for slot in range(ledgers.SLOTS):
+            self.wanted[slot] = owner_of(slot, [*sure, self.own])
+            self._step_slot(slot, now)
+        return self._messages(now)
+
+    def _avoid_silent(self, now: float) -> None:
+        most = SILENT_TALKS * talk_seconds(self.share)
+        for talk in self.talks.values():
+            if talk.waiting_since is None or now - talk.waiting_since < most:
+                continue
+            seconds = max(AVOID_SECONDS, 2 * talk.avoided_seconds)
+            talk.avoid(min(seconds, MOST_AVOID_SECONDS), now)
+
+    def _step_slot(self, slot: int, now: float) -> None:
+        home, wanted = self.homes[slot], self.wanted[slot]
+        if home.owner == self.own:
+            if (
+                wanted != self.own
+                and self.share
+                and self._is_heard(wanted, now)
+            ):
+                self._lend(slot, wanted, now)
+            else:
+                self._keep(slot, now)
+            return
+        talk = self.talk(home.owner)
+        if wanted != home.owner:
+            home.ending = now < talk.avoided_until or (
+                now >= talk.doubted_until and self._is_heard(wanted, now)
+            )
+        else:
+            home.ending = False
+            home.left_out = None
+        let_go = home.left_out is not None and talk.answered >= home.left_out
+        if let_go or now >= home.until:
+            self.take_back(slot, now)
+
+    def _keep(self, slot: int, now: float) -> None:
+        """Puts the rights into the own ledger, or changes them there."""
+        held = self.ledger.slots[slot].leases.get(self.own)
+        if self.share and (held is None or held.share != self.share):
+            self._put(slot, now)
+
+    def _put(self, slot: int, now: float) -> None:
+        home = self.homes[slot]
+        held = self.ledger.slots[slot]
+        due = self._allowance_due(home, now)
+        if due:
+            home.brought_at = now
+        lease = ledgers.Lease(share=self.share, until=NEVER)
+        held.put(self.own, lease, allowance=due, now=now)
+
+    def _allowance_due(self, home: Home, now: float) -> bool:
+        window = self.ledger.bounds.window_seconds
+        return now - home.brought_at >= window
+
+    def _lend(self, slot: int, owner: str, now: float) -> None:
+        home = self.homes[slot]
+        held = self.ledger.slots[slot]
+        # Brought to the own ledger and not used there, it may go on.
+        unused = self.own in held.leases and not held.pools
+        home.fresh = unused or self._allowance_due(home, now)
+        if home.fresh:
+            home.brought_at = now
+        held.remove(self.own, now)
+        home.owner = owner
+        home.until = self.talk(owner).echo_at + self.term_seconds
+        home.ending = False
+        home.left_out = None
+
+    def take_back(self, slot: int, now: float) -> None:
+        """Takes the rights of a slot back into the own ledger."""
+        home = self.homes[slot]
+        home.owner = self.own
+        home.until = NEVER
+        home.fresh = False
+        home.ending = False
+        home.left_out = None
+        if self.share:
+            self._put(slot, now)
+
+    def _messages(self, now: float) -> list[tuple[str, messages.LeaseRights]]:
+        owners = {home.owner for home in self.homes} | set(self.wanted)
+        owners.discard(self.own)
+        return [(each, self._message(each, now)) for each in sorted(owners)]
+
+    def _message(self, owner: str, now: float) -> messages.LeaseRights:
+        talk = self.talk(owner)
+        talk.number += 1
+        if talk.waiting_since is None:
+            talk.waiting_since = now
+        lent, fresh = [], []
+        for slot, home in enumerate(self.homes):
+            if home.owner == owner and not home.ending:
+                lent.append(slot)
+                home.until = max(home.until, talk.echo_at + self.term_seconds)
+                if home.fresh:
+                    fresh.append(slot)
+            elif home.owner == owner and home.left_out is None:
+                home.left_out = talk.number
+            elif self._brings_allowance(slot, owner, now):
+                home.brought_at = now
+                fresh.append(slot)
+        return messages.LeaseRights(
+            number=talk.number,
+            life=self.life,
+            echo_ms=talk.echo_ms,
+            term_ms=int(1000 * self.term_seconds),
+            share=self.share,
+            slots=lent,
+            fresh=fresh,
+        )
+
+    def _brings_allowance(self, slot: int, owner: str, now: float) -> bool:
+        """Returns whether an owner is asked before the rights can come."""
+        home = self.homes[slot]
+        return (
+            self.wanted[slot] == owner
+            and home.owner not in (owner, self.own)
+            and self._is_doubted(home.owner, now)
+            and self._allowance_due(home, now)
+        )
+
+    def answered(
+        self, owner: str, answer: messages.RightsLeased, now: float
+    ) -> None:
+        """Takes an owner's answer."""
+        talk = self.talk(owner)
+        if answer.leaving:
+            self._left(owner, now)
+            return
+        if not talk.answered < answer.number <= talk.number:
+            return
+        talk.answered = answer.number
+        talk.echo_ms = answer.clock_ms
+        talk.echo_at = now
+        talk.waiting_since = None
+        talk.avoided_seconds = 0.0
+        for home in self.homes:
+            if home.owner == owner:
+                home.fresh = False
+
+    def _left(self, owner: str, now: float) -> None:
+        """Takes that an owner ends, and holds no rights any more."""
+        talk = self.talk(owner)
+        talk.avoid(LEAVING_SECONDS, now)
+        talk.echo_at = -NEVER
+        for slot, home in enumerate(self.homes):
+            if home.owner == owner:
+                self.take_back(slot, now)
--- a/pimentoledge/routing/verdicts.py
+++ b/pimentoledge/routing/verdicts.py
@@ -31,6 +31,7 @@
         refused_by: servers that didn't run it, by incarnation.
         unsent: how often no connection could be opened.
         pending: the server that has it now, by incarnation, or None.
+        undone: how often it was sent and surely not run.
     """
 
     sends: int = 0
@@ -38,6 +39,11 @@
     refused_by: set[str] = attrs.field(factory=set)
     unsent: int = 0
     pending: str | None = None
+    undone: int = 0
+
+    def runs(self) -> int:
+        """Returns how often it may have run."""
+        return self.sends - self.undone
 
     def sent(self, incarnation: str) -> None:
         """Notes that the request is being sent to a server."""
@@ -46,6 +52,9 @@
 
     def met(self, incarnation: str, outcome: Outcome) -> None:
         """Takes the end of an attempt."""
+        never_ran = outcome in (Outcome.UNSENT, Outcome.NOT_RUN)
+        if self.pending is not None and never_ran:
+            self.undone += 1
         self.pending = None
         match outcome:
             case Outcome.UNSENT:
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -333,6 +333,28 @@
         programs=(ROUTER,),
         text="window of the two, in seconds",
     ),
+    Setting(
+        name="limit-window-s",
+        kind=_seconds(0.1, 3600),
+        default="8",
+        programs=(ROUTER,),
+        text="window in which organisations' limits are looked at, in seconds",
+    ),
+    Setting(
+        name="limit-over",
+        kind=Number(low=0, high=10),
+        default="0",
+        programs=(ROUTER,),
+        text="part by which a limit may be exceeded in a window, over all"
+        " routers",
+    ),
+    Setting(
+        name="limit-slack",
+        kind=Number(low=0, high=1000000000),
+        default="0",
+        programs=(ROUTER,),
+        text="what may run besides in a window, in the limits' unit",
+    ),
     Setting(
         name="weights-ms",
         kind=Number(low=100, high=3600000),
--- /dev/null
+++ b/pimentoledge/tests/test_router_quotas.py
@@ -0,0 +1,373 @@
+"""Limits of organisations over many routers: what may run, what is refused."""
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from benches import quota_ways
+from benches import quotas
+from pimentoledge.routing import own_answers
+from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.quotas import limiters
+
+LIMIT = ledgers.Limit(version=1, per_second=1000.0, burst=1000.0)
+BOUNDS = ledgers.Bounds(window_seconds=8.0, over=0.1, slack=600.0)
+TOP = BOUNDS.top(LIMIT)
+# Below the limits at most this part may be refused on a calm or a hot day.
+MOST_BELOW = 0.003
+
+
+def played(case, *, routers=22, seed=1, seconds=24.0, **more):
+    world = quotas.World(
+        way=quota_ways.WAYS["lent rights"],
+        routers=routers,
+        case=case,
+        seed=seed,
+        **more,
+    )
+    return world.play(seconds=seconds)
+
+
+@pytest.mark.parametrize("routers", [3, 22, 68])
+def test_what_is_below_the_limits_is_not_refused(routers):
+    """Guards against requests below a limit being refused on a calm day."""
+    found = played(quotas.CASES["calm"], routers=routers, seconds=12.0)
+    assert found.refused_below < MOST_BELOW
+    assert found.worst < 1
+
+
+@pytest.mark.parametrize("name", ["hot", "hot-one"])
+def test_a_hot_organisation_gets_its_limit_and_no_more(name):
+    """Guards against a hot organisation running 2.1 times its limit."""
+    found = played(quotas.CASES[name])
+    assert found.refused_below < MOST_BELOW
+    assert found.worst < 1
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "hot-alone",
+        "hot-halves",
+        "hot-one-way",
+        "hot-kills",
+        "hot-owner-dies",
+        "hot-rolling",
+    ],
+)
+def test_no_fault_lets_more_run_than_the_limit(name):
+    """Guards against two sides of a cut, or two lives, spending one limit."""
+    assert played(quotas.CASES[name]).worst < 1
+
+
+def test_a_lowered_limit_binds_a_window_later():
+    """Guards against an owner that goes on by the older configuration."""
+    world = quotas.World(
+        way=quota_ways.WAYS["lent rights"],
+        routers=22,
+        case=quotas.CASES["hot-lowered"],
+    )
+    world.play(seconds=26.0)
+    first = world.organisations[0]
+    third = attrs.evolve(
+        first, per_second=first.per_second / 3, burst=first.burst / 3
+    )
+    binds = 4.0 + 12.0 + quotas.WINDOW_SECONDS
+    later = [each for each in world.ran[first.name] if each.ran > binds]
+    assert later
+    assert quotas.worst_window(third, later) < 1
+
+
+def test_an_owner_that_dies_costs_its_organisations_little():
+    """Guards against a limit that nobody grants until its owner is back."""
+    found = played(quotas.CASES["owner-dies"])
+    assert found.refused_below < 0.05
+
+
+def test_rights_of_routers_that_were_killed_are_not_spent_twice():
+    """Guards against full buckets after each start, twice within a window."""
+    case = attrs.evolve(
+        quotas.CASES["hot-kills"], kills=(9.0, 11.5, 14.0, 16.5)
+    )
+    assert played(case).worst < 1
+
+
+@settings(max_examples=15, deadline=None)
+@given(
+    seed=strategies.integers(0, 10**6),
+    routers=strategies.sampled_from([3, 8, 22]),
+    hot=strategies.floats(1.0, 12.0),
+    share=strategies.floats(0.1, 0.7),
+    begins=strategies.floats(4.0, 9.0),
+    lasts=strategies.floats(0.3, 9.0),
+    alone=strategies.booleans(),
+    one_way=strategies.booleans(),
+    kills=strategies.lists(strategies.floats(5.0, 16.0), max_size=2),
+    lowered=strategies.sampled_from([0.0, 9.0]),
+)
+def test_the_sum_over_routers_stays_below_the_limit(
+    seed, routers, hot, share, begins, lasts, alone, one_way, kills, lowered
+):
+    """Guards against any order of cuts, kills and changes that adds rights."""
+    case = quotas.Case(
+        name="drawn",
+        hot=(hot, 3.0, 18.0),
+        cuts=(share, begins, begins + lasts),
+        alone=alone,
+        one_way=one_way,
+        kills=tuple(kills),
+        lowered_at=lowered,
+    )
+    found = played(case, routers=routers, seed=seed, seconds=18.0)
+    assert found.worst < 1
+
+
+class TestLedger:
+    """An owner's accounts."""
+
+    def ledger(self, shares=(1.0,), filled=True):
+        ledger = ledgers.Ledger(bounds=BOUNDS)
+        for number, share in enumerate(shares):
+            lease = ledgers.Lease(share=share, until=1e9)
+            for slot in ledger.slots:
+                slot.put(f"r{number}", lease, allowance=False, now=0.0)
+        if filled:
+            ledger.expire(10.0)
+        return ledger
+
+    def spend(self, ledger, now, cost=100.0, name="acme"):
+        """Asks until there is no more; returns how much was granted."""
+        found = 0.0
+        while ledger.acquire(name, LIMIT, cost, now).granted:
+            found += cost
+        return found
+
+    def test_rights_that_just_came_have_earned_nothing(self):
+        """Guards against a limit that a new owner takes for full."""
+        ledger = self.ledger(filled=False)
+        assert not ledger.acquire("acme", LIMIT, 100.0, 0.0).granted
+        assert self.spend(ledger, 0.5) == pytest.approx(500.0, abs=100)
+
+    def test_a_pool_fills_to_its_top_and_no_further(self):
+        ledger = self.ledger()
+        assert self.spend(ledger, 10.0) == pytest.approx(TOP, abs=100)
+        assert self.spend(ledger, 60.0) == pytest.approx(TOP, abs=100)
+
+    def test_part_of_the_rights_earns_that_part(self):
+        ledger = self.ledger(shares=(0.25,))
+        assert self.spend(ledger, 10.0, 10.0) == pytest.approx(TOP / 4, abs=20)
+
+    def test_rights_that_leave_take_their_part_along(self):
+        """Guards against the same tokens at an owner and at who left it."""
+        ledger = self.ledger(shares=(0.5, 0.5))
+        ledger.acquire("acme", LIMIT, 1.0, 10.0)
+        ledger.remove("r1", 10.0)
+        assert self.spend(ledger, 10.0, 10.0) <= TOP / 2
+
+    def test_rights_lapse(self):
+        ledger = ledgers.Ledger(bounds=BOUNDS)
+        lease = ledgers.Lease(share=1.0, until=5.0)
+        for slot in ledger.slots:
+            slot.put("r0", lease, allowance=False, now=0.0)
+        ledger.expire(5.0)
+        assert not ledger.acquire("acme", LIMIT, 1.0, 6.0).granted
+
+    def test_a_request_larger_than_the_pool_runs_when_it_is_full(self):
+        """Guards against a prompt that can never run."""
+        ledger = self.ledger()
+        assert ledger.acquire("acme", LIMIT, TOP + 200, 10.0).granted
+        assert not ledger.acquire("acme", LIMIT, 10.0, 10.1).granted
+        refused = ledger.acquire("acme", LIMIT, TOP + 200, 10.1)
+        assert 1.0 < refused.wait_seconds < 2.0
+
+    def test_a_request_larger_than_all_is_never_told_to_come_back(self):
+        ledger = self.ledger()
+        found = ledger.acquire("acme", LIMIT, 10 * TOP, 10.0)
+        assert not found.granted
+        assert found.wait_seconds is None
+
+    def test_what_never_ran_is_given_back(self):
+        ledger = self.ledger()
+        spent = self.spend(ledger, 10.0)
+        ledger.give_back("acme", 300.0, 10.0)
+        assert self.spend(ledger, 10.0) == 300.0
+        ledger.give_back("acme", 10 * spent, 10.0)
+        assert self.spend(ledger, 10.0) <= TOP
+
+    def test_refused_clients_are_told_times_one_after_another(self):
+        """Guards against all refused clients coming back at once."""
+        ledger = self.ledger()
+        self.spend(ledger, 10.0)
+        waits = [
+            ledger.acquire("acme", LIMIT, 200.0, 10.0).wait_seconds
+            for _ in range(4)
+        ]
+        apart = 200.0 / BOUNDS.rate(LIMIT)
+        for one, next_one in zip(waits, waits[1:], strict=False):
+            assert next_one - one == pytest.approx(apart)
+
+    def test_who_comes_back_when_told_finds_room(self):
+        """Guards against a Retry-After at which the limit is used up."""
+        ledger = self.ledger()
+        self.spend(ledger, 10.0)
+        wait = ledger.acquire("acme", LIMIT, 500.0, 10.0).wait_seconds
+        assert ledger.acquire("acme", LIMIT, 500.0, 10.0 + wait).granted
+
+    def test_an_older_limit_does_not_replace_a_newer_one(self):
+        """Guards against a router with an older configuration."""
+        ledger = self.ledger()
+        ledger.acquire("acme", attrs.evolve(LIMIT, version=3), 1.0, 10.0)
+        higher = attrs.evolve(LIMIT, version=2, burst=1e6, per_second=1e6)
+        assert not ledger.acquire("acme", higher, 5000.0, 60.0).granted
+
+    def test_no_other_organisation_pays(self):
+        ledger = self.ledger()
+        self.spend(ledger, 10.0, name="acme")
+        assert self.spend(ledger, 10.0, name="zebra") > 0
+
+
+class TestLimiters:
+    """Two or three routers, with their messages in the test's hand."""
+
+    def build(self, count=2):
+        self.mail = []
+        self.now = 100.0
+        self.limiters = {}
+        names = [f"tcp://r{number}" for number in range(count)]
+        for name in names:
+            others = [each for each in names if each != name]
+            self.limiters[name] = limiters.Limiter(
+                own=name,
+                life=1,
+                bounds=BOUNDS,
+                share=lambda now: 1 / count,
+                routers=lambda now, others=others: others,
+                send=lambda to, message, name=name: self.mail.append(
+                    (name, to, message)
+                ),
+            )
+        self.dead = set()
+
+    def run(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.now += 0.05
+            for name, each in self.limiters.items():
+                if name not in self.dead:
+                    each.tick(self.now)
+            self.deliver()
+
+    def deliver(self):
+        while self.mail:
+            sender, to, message = self.mail.pop(0)
+            if to not in self.dead and sender not in self.dead:
+                self.limiters[to].handle(sender, message, self.now)
+
+    def acquire(self, name, cost=100.0):
+        found = []
+        number = self.limiters[name].acquire(
+            "acme", LIMIT, cost, self.now, found.append
+        )
+        return found, number
+
+    def left(self, name):
+        """Returns what an owner's limit has left."""
+        found = self.limiters[name].ledger.acquire(
+            "acme", LIMIT, 0.0, self.now
+        )
+        return found.left
+
+    def spend(self, name):
+        """Uses the allowance that rights bring beyond a full pool."""
+        self.limiters[name].ledger.acquire("acme", LIMIT, 900.0, self.now)
+
+    def owner(self):
+        slot = ledgers.slot_of("acme")
+        for name, each in self.limiters.items():
+            if each.ledger.slots[slot].share == pytest.approx(1.0):
+                return name
+        return None
+
+    def other(self):
+        return next(each for each in self.limiters if each != self.owner())
+
+    def test_all_rights_of_a_slot_come_to_one_owner(self):
+        self.build(3)
+        self.run(2.0)
+        assert self.owner()
+
+    def test_an_answer_that_comes_too_late_is_given_back(self):
+        """Guards against tokens that a slow owner granted to nobody."""
+        self.build()
+        self.run(3.0)
+        owner, other = self.owner(), self.other()
+        self.spend(owner)
+        self.acquire(other)
+        held, self.mail = self.mail, []
+        self.run(0.4)
+        before = self.left(owner)
+        self.mail = held
+        self.deliver()
+        assert self.left(owner) == pytest.approx(before)
+
+    def test_a_client_that_left_gives_back_what_it_was_granted(self):
+        """Guards against the cost of requests that were never sent."""
+        self.build()
+        self.run(3.0)
+        owner, other = self.owner(), self.other()
+        self.spend(owner)
+        before = self.left(owner)
+        found, number = self.acquire(other)
+        self.limiters[other].cancel(number)
+        self.deliver()
+        assert not found
+        assert self.left(owner) == before
+
+    def test_a_silent_owner_holds_a_request_up_briefly(self):
+        """Guards against requests that wait for an owner that is gone."""
+        self.build()
+        self.run(3.0)
+        other = self.other()
+        self.dead.add(self.owner())
+        found, _ = self.acquire(other, cost=10.0)
+        self.run(2 * limiters.ANSWER_SECONDS + 0.1)
+        assert found
+
+    def test_an_owner_that_ends_is_replaced_at_once(self):
+        """Guards against limits that nobody holds in a rolling restart."""
+        self.build()
+        self.run(3.0)
+        owner, other = self.owner(), self.other()
+        self.limiters[owner].leave()
+        self.deliver()
+        assert self.limiters[other].rights.homes[
+            ledgers.slot_of("acme")
+        ].owner in (other, owner)
+        self.run(0.3)
+        found, _ = self.acquire(other, cost=10.0)
+        self.deliver()
+        assert found
+
+    def test_rights_lent_by_an_old_message_are_not_held(self):
+        """Guards against a message that a cut held up for seconds."""
+        self.build()
+        self.run(3.0)
+        owner, other = self.owner(), self.other()
+        self.limiters[other].tick(self.now + 0.3)
+        held, self.mail = self.mail, []
+        self.now += 5.0
+        self.limiters[owner].ledger.expire(self.now)
+        self.mail = held
+        self.deliver()
+        slot = self.limiters[owner].ledger.slots[ledgers.slot_of("acme")]
+        assert other not in slot.leases
+
+
+def test_the_longest_wait_is_spread():
+    """Guards against clients told the same longest wait coming together."""
+    longest = ledgers.LONGEST_WAIT_SECONDS
+    waits = {own_answers.limit_retry_seconds(longest) for _ in range(20)}
+    assert len(waits) > 10
+    assert own_answers.limit_retry_seconds(0.7) == 0.7
+    assert own_answers.limit_retry_seconds(None) is None
