Let a limit's pool hold half of the tolerance instead of refilling faster

Cause: the pool held the burst and a sixth of the tolerance, and refilled 5% faster than the limit to follow the order of arrival. Now it refills by the limit, holds half of the tolerance besides the burst, and leaves a ninth for each start, a sixth for one request larger than a full pool.

--- a/pimentoledge/routing/quotas/ledgers.py
+++ b/pimentoledge/routing/quotas/ledgers.py
@@ -19,15 +19,14 @@
 IDLE_SECONDS = 30.0
 # Part of the tolerance that rights bring when they come to a ledger whose
 # past is unknown: a new owner can let requests in at once.
-ALLOWANCE_SHARE = 1 / 6
+ALLOWANCE_SHARE = 1 / 9
 # Part of the tolerance by which one request that is larger than a full pool
 # may overdraw it: else it could never run.
-OVERDRAFT_SHARE = 1 / 3
-# Parts of the tolerance by which a pool refills faster, and holds more, than
-# the limit says: requests come to it in another order than they were sent, and
-# what is below the limit must not be refused for that.
-FASTER_SHARE = 0.5
-HIGHER_SHARE = 1 / 6
+OVERDRAFT_SHARE = 1 / 6
+# Part of the tolerance that a pool holds besides the burst. Prompts come in
+# clumps, and one may be half of a small organisation's burst: what a limit
+# allows in a window isn't refused for coming together.
+HIGHER_SHARE = 1 / 2
 # A level so near the top counts as full.
 FULL_SHARE = 0.999
 
@@ -46,10 +45,6 @@
     over: float = 0.0
     slack: float = 0.0
 
-    def rate(self, limit: "Limit") -> float:
-        """Returns how much a pool with all rights earns in a second."""
-        return limit.per_second * (1 + FASTER_SHARE * self.over)
-
     def top(self, limit: "Limit") -> float:
         """Returns the most that a pool with all rights holds."""
         return limit.burst + HIGHER_SHARE * self.tolerance(limit)
@@ -212,7 +207,7 @@
 
     def _refill(self, pool: Pool) -> None:
         """Adds what the rights have earned; an allowance may exceed the top."""
-        rate = self.bounds.rate(pool.limit)
+        rate = pool.limit.per_second
         refill = rate * (self.earned - pool.earned)
         pool.earned = self.earned
         self.add(pool, refill)
@@ -255,7 +250,7 @@
     def _level_unasked(self, limit: Limit) -> float:
         """Returns what a limit holds that nobody has used here yet."""
         share, earned = self._before
-        top, rate = self.bounds.top(limit), self.bounds.rate(limit)
+        top, rate = self.bounds.top(limit), limit.per_second
         before = min(top * share, rate * earned)
         since = rate * (self.earned - self._changed_earned)
         return min(top * self.share, before + since)
@@ -316,7 +311,7 @@
         """
         if cost > self._most(slot, pool) and slot.share >= 1:
             return None
-        rate = self.bounds.rate(pool.limit) * slot.share
+        rate = pool.limit.per_second * slot.share
         if not rate:
             return LONGEST_WAIT_SECONDS
         start = now + (min(cost, slot.top(pool)) - pool.level) / rate
