Find the owners of limits by the store after all routers were killed

Part of the cause: routers that start together know few others, so each lends its rights to another owner, and an owner with a hundredth of the rights refuses nearly all. Now the object that tells how many routers there are names the owners too, and a router that has few rights asks the owner to which they are about to go. Where no ledger knows the limit the answer is 503 and says 0.4 s, not the time that a small part of the rights would take. A grant that comes after its client left is given back. Of many routers each tells an owner half as often.

--- a/pimentoledge/routing/charges.py
+++ b/pimentoledge/routing/charges.py
@@ -52,17 +52,23 @@
             raise
 
     def _decided(self, answer: limiters.Answer, future: asyncio.Future) -> None:
-        if answer.decision.granted:
+        granted = answer.decision.granted
+        if granted and not future.done():
             self.owners.append(answer.owner)
+        elif granted:
+            self._give_back(answer.owner)
         if not future.done():
             future.set_result(answer)
 
+    def _give_back(self, owner: str) -> None:
+        self.limiter.give_back(
+            self.organisation, self.cost, owner, clocks.now()
+        )
+
     def settle(self, runs: int) -> None:
         """Gives back what was acquired for runs that never were."""
         while len(self.owners) > runs:
-            self.limiter.give_back(
-                self.organisation, self.cost, self.owners.pop(), clocks.now()
-            )
+            self._give_back(self.owners.pop())
 
 
 def is_known(answer: limiters.Answer) -> bool:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -264,8 +264,11 @@
         if self.history.runs():
             self._give_up(verdicts.final_code(self.history))
             return
-        wait = decision.wait_seconds
-        self.answer.refuse(code, own_answers.limit_retry_seconds(wait))
+        if known:
+            wait = own_answers.limit_retry_seconds(decision.wait_seconds)
+        else:
+            wait = own_answers.retry_seconds(code)
+        self.answer.refuse(code, wait)
 
     async def _try_servers(self) -> None:
         """Sends the request to servers until there is an answer."""
--- a/pimentoledge/routing/fleet_sizes.py
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -2,10 +2,12 @@
 
 A router's part of an organisation's limit follows from it. One that starts
 beside others that have just started as well hears of few, and would take too
-much; so the number lies in the store.
+much; so the number lies in the store, with the owners of the limits, which all
+then find at once.
 """
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -40,8 +42,10 @@
         store: the store's client.
         lines: where changes of belief are written.
         wanted: returns whether anybody needs the number.
+        owners: returns the owners of the limits as this router knows them.
         born: when this router started.
         stored: the store's number, 0 if it has none, None if not read.
+        stored_owners: mailboxes of the owners by the store.
         revision: of the store's object, 0 if there is none.
     """
 
@@ -51,15 +55,18 @@
         roster: rosters.Roster,
         store: stores.Store,
         lines: log_lines.Lines,
-        wanted,
+        wanted: Callable[[], bool],
+        owners: Callable[[], list[str]],
         born: float,
     ):
         self.roster = roster
         self.store = store
         self.lines = lines
         self.wanted = wanted
+        self.owners = owners
         self.born = born
         self.stored: int | None = None
+        self.stored_owners: list[str] = []
         self.revision = 0
         self._differed = 0
         self._task: asyncio.Task | None = None
@@ -82,6 +89,18 @@
             return 0.0
         return 1 / max(count, self.stored or 0)
 
+    def routers(self, now: float) -> list[str]:
+        """Returns the mailboxes of the others believed to live.
+
+        One that has just started counts the owners among them, of which it
+        may not have heard yet.
+        """
+        found = set(self.roster.members(now))
+        if now - self.born < STARTING_SECONDS:
+            found.update(self.stored_owners)
+        found.discard(self.roster.own)
+        return list(found)
+
     async def _run(self) -> None:
         while True:
             try:
@@ -97,14 +116,15 @@
         if self.stored is None:
             self._learn(await self.store.read(KIND, NAME))
             return
-        count = self.roster.count(now)
-        differs = (
-            self.wanted() and self._is_writer(now) and count != self.stored
-        )
-        self._differed = self._differed + 1 if differs else 0
+        if not self.wanted() or not self._is_writer(now):
+            self._differed = 0
+            return
+        count, owners = self.roster.count(now), sorted(set(self.owners()))
+        same = count == self.stored and owners == self.stored_owners
+        self._differed = 0 if same else self._differed + 1
         if self._differed >= LOOKS:
             self._differed = 0
-            await self._write(count)
+            await self._write(count, owners)
 
     def _is_writer(self, now: float) -> bool:
         """Returns whether this router comes first of all that live."""
@@ -115,9 +135,12 @@
             rings.place(each) > here for each in self.roster.members(now)
         )
 
-    async def _write(self, count: int) -> None:
+    async def _write(self, count: int, owners: list[str]) -> None:
         found = await self.store.write(
-            KIND, NAME, {"routers": count}, revision=self.revision or None
+            KIND,
+            NAME,
+            {"routers": count, "owners": owners},
+            revision=self.revision or None,
         )
         self._learn(found)
 
@@ -127,6 +150,7 @@
                 self.stored, self.revision = 0, 0
             case registrations.Stored(value=value, revision=revision):
                 self.stored, self.revision = _number(value), revision
+                self.stored_owners = _owners(value)
                 self.lines.write("fleet_size", routers=self.stored)
             case registrations.Conflict(found=held):
                 self._learn(held)
@@ -140,3 +164,11 @@
         return 0
     found = value.get("routers")
     return found if isinstance(found, int) and found > 0 else 0
+
+
+def _owners(value: object) -> list[str]:
+    """Returns the owners that an object names."""
+    found = value.get("owners") if isinstance(value, dict) else None
+    if not isinstance(found, list):
+        return []
+    return [each for each in found if isinstance(each, str)]
--- a/pimentoledge/routing/own_answers.py
+++ b/pimentoledge/routing/own_answers.py
@@ -25,6 +25,9 @@
 # back before that gets nothing: where all routers started within an outage,
 # 148, 47, 107 clients were refused for good with 0.3 s, 108, 30, 65 with 1 s.
 DARK_RETRY_SECONDS = 1.0
+# After which a router that has just started, or was cut off, has found out who
+# keeps an organisation's limit.
+UNKNOWN_RETRY_SECONDS = 0.4
 # Clients that were refused together must not come back together.
 DARK_RETRY_SPREAD = 0.25
 # Of clients that are told the longest wait.
@@ -41,6 +44,8 @@
     match code:
         case results.Code.CONFIGURATION_INCOMPLETE:
             return _spread(DARK_RETRY_SECONDS, DARK_RETRY_SPREAD)
+        case results.Code.LIMIT_UNKNOWN:
+            return _spread(UNKNOWN_RETRY_SECONDS, DARK_RETRY_SPREAD)
         case results.Code.OVERLOADED:
             return _spread(FULL_RETRY_SECONDS, FULL_RETRY_SPREAD)
     return RETRY_SECONDS
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -88,6 +88,7 @@
             store=store,
             lines=lines,
             wanted=believed.has_quotas,
+            owners=lambda: self.limiter.rights.wanted,
             born=believed.born,
         )
         self.limiter = limiters.Limiter(
@@ -95,7 +96,7 @@
             life=random.getrandbits(31),
             bounds=believed.bounds.limits,
             share=self.fleet_size.share,
-            routers=lambda now: list(self.roster.members(now)),
+            routers=self.fleet_size.routers,
             send=self._send,
         )
         self._loop: asyncio.AbstractEventLoop | None = None
--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -155,12 +155,27 @@
         decision = self.ledger.acquire(
             question.organisation, question.limit, question.cost, now
         )
+        if not decision.granted and self._asks_wanted(question, now):
+            return
         question.decided(
             Answer(
                 decision=decision, owner=self.own, seconds=now - question.began
             )
         )
 
+    def _asks_wanted(self, question: Question, now: float) -> bool:
+        """Asks the owner to which the own rights are about to go, if any.
+
+        A router that has just started has few rights; who is to have them may
+        have those of others already.
+        """
+        slot = ledgers.slot_of(question.organisation)
+        owner = self.rights.about_to_go(slot, now)
+        if owner is None or question.asked > 1:
+            return False
+        self._ask(attrs.evolve(question, owner=owner, asked=2), now)
+        return True
+
     def cancel(self, number: int) -> None:
         """Takes that nobody waits for an answer any more."""
         question = self.questions.get(number)
--- a/pimentoledge/routing/quotas/rights.py
+++ b/pimentoledge/routing/quotas/rights.py
@@ -14,7 +14,7 @@
 # Between two messages to an owner; of many routers each sends fewer.
 TALK_SECONDS = 0.25
 # An owner hears so many of these in a second at most.
-MOST_TALKS = 300
+MOST_TALKS = 150
 # Rights are lent for so many intervals between messages.
 TERM_TALKS = 4
 # An owner that leaves so many intervals' messages unanswered is silent.
@@ -135,6 +135,14 @@
         wanted = self.wanted[slot]
         return wanted if self._is_heard(wanted, now) else self.own
 
+    def about_to_go(self, slot: int, now: float) -> str | None:
+        """Returns where the rights of a slot go next, if not here."""
+        wanted = self.wanted[slot]
+        lies_here = self.homes[slot].owner == self.own
+        if not lies_here or wanted == self.own or self._is_doubted(wanted, now):
+            return None
+        return wanted
+
     def doubt(self, owner: str, now: float) -> None:
         """Takes that an owner gave no answer to a question."""
         self.talk(owner).doubted_until = now + DOUBT_SECONDS
