Ask the next owner of a limit at once when one is silent, or all have just started

Causes, from the routers' lines: a silent owner was still taken for the one to ask for up to 0.25 s, since owners were chosen anew only then; a router that had just started asked itself until its first look; the allowance with which a new ledger begins went to the own ledger, and was a ninth of the tolerance. Now owners are chosen anew when one gives no answer; a router chooses them at its first request; the allowance goes to the owner with the first message, and is a third (what is held besides the burst is two fifths instead of a half). Rights that wait for an owner are offered it twice a second, however many routers.

--- a/pimentoledge/routing/quotas/ledgers.py
+++ b/pimentoledge/routing/quotas/ledgers.py
@@ -19,14 +19,14 @@
 IDLE_SECONDS = 30.0
 # Part of the tolerance that rights bring when they come to a ledger whose
 # past is unknown: a new owner can let requests in at once.
-ALLOWANCE_SHARE = 1 / 9
+ALLOWANCE_SHARE = 1 / 3
 # Part of the tolerance by which one request that is larger than a full pool
 # may overdraw it: else it could never run.
 OVERDRAFT_SHARE = 1 / 6
 # Part of the tolerance that a pool holds besides the burst. Prompts come in
 # clumps, and one may be half of a small organisation's burst: what a limit
 # allows in a window isn't refused for coming together.
-HIGHER_SHARE = 1 / 2
+HIGHER_SHARE = 2 / 5
 # A level so near the top counts as full.
 FULL_SHARE = 0.999
 
--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -97,6 +97,7 @@
         self.questions: dict[int, Question] = {}
         self.leaving = False
         self._number = 0
+        self._stepped = False
         self._next_talk = 0.0
         self._heard: dict[str, tuple[int, int]] = {}
 
@@ -116,6 +117,8 @@
 
         Returns the number of the question, for `cancel`.
         """
+        if not self._stepped:
+            self._step(now)
         question = Question(
             organisation=organisation,
             limit=limit,
@@ -199,11 +202,11 @@
         self._look_at_questions(now)
         if now < self._next_talk:
             return
-        share = 0.0 if self.leaving else self.share(now)
-        self._next_talk = now + rights_module.talk_seconds(share)
         self._step(now)
+        self._next_talk = now + self.rights.pause_seconds()
 
     def _step(self, now: float) -> None:
+        self._stepped = True
         share = self.share(now)
         for owner, message in self.rights.step(share, self.routers(now), now):
             self.send(owner, message)
@@ -212,7 +215,7 @@
         for number, question in list(self.questions.items()):
             late = now - question.asked_at
             if question.decided is not None and late >= ANSWER_SECONDS:
-                self.rights.doubt(question.owner, now)
+                self._doubt(question.owner, now)
                 self._ask_another(number, question, now)
             elif late >= FORGET_SECONDS:
                 del self.questions[number]
@@ -227,11 +230,16 @@
             again.owner = self.own
         self._ask(again, now)
 
+    def _doubt(self, owner: str, now: float) -> None:
+        """Tells the next owners at once that they will be asked."""
+        if self.rights.doubt(owner, now):
+            self._step(now)
+
     def unreachable(self, address: str, now: float) -> None:
         """Takes that a connection to another router broke."""
         if address not in self.rights.talks:
             return
-        self.rights.doubt(address, now)
+        self._doubt(address, now)
         for number, question in list(self.questions.items()):
             if question.owner == address and question.decided is not None:
                 self._ask_another(number, question, now)
--- a/pimentoledge/routing/quotas/rights.py
+++ b/pimentoledge/routing/quotas/rights.py
@@ -15,6 +15,8 @@
 TALK_SECONDS = 0.25
 # An owner hears so many of these in a second at most.
 MOST_TALKS = 150
+# The same while rights wait for an owner that has not answered yet.
+WAITING_TALK_SECONDS = 0.5
 # Rights are lent for so many intervals between messages.
 TERM_TALKS = 4
 # An owner that leaves so many intervals' messages unanswered is silent.
@@ -123,6 +125,15 @@
         """For how long rights are lent."""
         return TERM_TALKS * talk_seconds(self.share)
 
+    def pause_seconds(self) -> float:
+        """Returns for how long owners need not be written to."""
+        pause = talk_seconds(self.share)
+        waits = any(
+            home.owner == self.own and wanted != self.own
+            for home, wanted in zip(self.homes, self.wanted, strict=True)
+        )
+        return min(pause, WAITING_TALK_SECONDS) if waits else pause
+
     def talk(self, owner: str) -> Talk:
         """Returns what was said between this router and an owner."""
         return self.talks.setdefault(owner, Talk())
@@ -133,7 +144,7 @@
         if owner == self.own or not self._is_doubted(owner, now):
             return owner
         wanted = self.wanted[slot]
-        return wanted if self._is_heard(wanted, now) else self.own
+        return self.own if self._is_doubted(wanted, now) else wanted
 
     def about_to_go(self, slot: int, now: float) -> str | None:
         """Returns where the rights of a slot go next, if not here."""
@@ -143,11 +154,15 @@
             return None
         return wanted
 
-    def doubt(self, owner: str, now: float) -> None:
-        """Takes that an owner gave no answer to a question."""
+    def doubt(self, owner: str, now: float) -> bool:
+        """Takes that an owner gave no answer; returns whether it is news."""
+        news = not self._is_doubted(owner, now)
         self.talk(owner).doubted_until = now + DOUBT_SECONDS
+        return news
 
     def _is_doubted(self, owner: str, now: float) -> bool:
+        if owner == self.own:
+            return False
         talk = self.talk(owner)
         return now < max(talk.doubted_until, talk.avoided_until)
 
@@ -221,7 +236,8 @@
     def _put(self, slot: int, now: float) -> None:
         home = self.homes[slot]
         held = self.ledger.slots[slot]
-        due = self._allowance_due(home, now)
+        stays = self.wanted[slot] == self.own
+        due = stays and self._allowance_due(home, now)
         if due:
             home.brought_at = now
         lease = ledgers.Lease(share=self.share, until=NEVER)
@@ -291,10 +307,12 @@
     def _brings_allowance(self, slot: int, owner: str, now: float) -> bool:
         """Returns whether an owner is asked before the rights can come."""
         home = self.homes[slot]
+        waits = home.owner == self.own or self._is_doubted(home.owner, now)
         return (
             self.wanted[slot] == owner
-            and home.owner not in (owner, self.own)
-            and self._is_doubted(home.owner, now)
+            and home.owner != owner
+            and self.share > 0
+            and waits
             and self._allowance_due(home, now)
         )
 
--- a/pimentoledge/tests/test_router_quotas.py
+++ b/pimentoledge/tests/test_router_quotas.py
@@ -334,6 +334,36 @@
         self.run(2 * limiters.ANSWER_SECONDS + 0.1)
         assert found
 
+    def test_the_next_owner_is_asked_of_one_that_is_silent(self):
+        """Guards against refusals until the rights of a dead owner lapse."""
+        self.build(3)
+        self.run(10.0)
+        owner = self.owner()
+        others = [each for each in self.limiters if each != owner]
+        self.dead.add(owner)
+        found, _ = self.acquire(others[0], cost=50.0)
+        self.run(limiters.ANSWER_SECONDS + 0.11)
+        assert [each.decision.granted for each in found] == [True]
+        assert found[0].owner in others
+
+    def test_a_router_that_has_just_started_asks_the_owner_at_once(self):
+        """Guards against refusals in the first moments of a new router."""
+        self.build(3)
+        self.run(10.0)
+        owner, other = self.owner(), self.other()
+        fresh = limiters.Limiter(
+            own=other,
+            life=2,
+            bounds=BOUNDS,
+            share=lambda now: 0.0,
+            routers=lambda now: [owner],
+            send=lambda to, message: self.mail.append((other, to, message)),
+        )
+        self.limiters[other] = fresh
+        found, _ = self.acquire(other, cost=50.0)
+        self.deliver()
+        assert [each.decision.granted for each in found] == [True]
+
     def test_an_owner_that_ends_is_replaced_at_once(self):
         """Guards against limits that nobody holds in a rolling restart."""
         self.build()
