An owner of limits that ends lets go of the rights of others at once

Found by reading the diff: a router told to end said so to those that had lent it rights, and went on granting by them until their next message, while they had taken the rights back. What users could see: an organisation above its limit in a rolling restart. Test that failed first: test_an_owner_that_ends_grants_by_no_rights_of_others (its ledger had all rights). Whoever asks an owner without rights is told so, and now asks the next.

--- a/benches/quota_ways.py
+++ b/benches/quota_ways.py
@@ -67,7 +67,7 @@
     def unreachable(self, address, now):
         """Keeps no connections."""
 
-    def leave(self):
+    def leave(self, now):
         """Has nobody's rights."""
         self.leaving = True
 
--- a/benches/quotas.py
+++ b/benches/quotas.py
@@ -311,7 +311,7 @@
         """Tells a router to end; it comes back later."""
         if router.way is None:
             return
-        router.way.leave()
+        router.way.leave(self.now)
         self.at(self.now + 2.7, self.kill, router)
 
     def kill(self, router):
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -327,7 +327,7 @@
         """Leaves the balancer, finishes what was read, then stops."""
         self.lines.write("leaving")
         self.believed.leaving = True
-        self.peers.limiter.leave()
+        self.peers.limiter.leave(clocks.now())
         self.peers.news()
         told = clocks.now()
         until = told + self.believed.bounds.grace_seconds - END_MARGIN_SECONDS
--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -225,8 +225,11 @@
         again = attrs.evolve(question, asked=question.asked + 1)
         # A late answer still finds the question: what it grants is given back.
         question.decided = None
-        again.owner = self._target(question.organisation, now)
-        if again.asked > MOST_ASKED or again.owner == question.owner:
+        self._ask_again(again, question.owner, now)
+
+    def _ask_again(self, again: Question, before: str, now: float) -> None:
+        again.owner = self._target(again.organisation, now)
+        if again.asked > MOST_ASKED or again.owner == before:
             again.owner = self.own
         self._ask(again, now)
 
@@ -244,13 +247,14 @@
             if question.owner == address and question.decided is not None:
                 self._ask_another(number, question, now)
 
-    def leave(self) -> None:
+    def leave(self, now: float) -> None:
         """Lets go of all rights of others, since this router ends."""
         self.leaving = True
         lenders = {
             each for slot in self.ledger.slots for each in slot.leases
         } - {self.own}
         for each in lenders:
+            self.ledger.remove(each, now)
             self.send(each, self._leaving_answer(0))
 
     def _leaving_answer(self, number: int) -> messages.RightsLeased:
@@ -346,6 +350,12 @@
                     question.organisation, question.cost, sender, now
                 )
             return
+        if not answer.granted and not answer.share:
+            # Who holds no rights knows nothing of the limit.
+            self._doubt(sender, now)
+            again = attrs.evolve(question, asked=question.asked + 1)
+            self._ask_again(again, sender, now)
+            return
         wait = None if answer.wait_ms < 0 else answer.wait_ms / 1000
         question.decided(
             Answer(
--- a/pimentoledge/tests/test_router_quotas.py
+++ b/pimentoledge/tests/test_router_quotas.py
@@ -369,7 +369,7 @@
         self.build()
         self.run(3.0)
         owner, other = self.owner(), self.other()
-        self.limiters[owner].leave()
+        self.limiters[owner].leave(self.now)
         self.deliver()
         assert self.limiters[other].rights.homes[
             ledgers.slot_of("acme")
@@ -379,6 +379,21 @@
         self.deliver()
         assert found
 
+    def test_an_owner_that_ends_grants_by_no_rights_of_others(self):
+        """Guards against rights spent by an owner and by who took them back."""
+        self.build(3)
+        self.run(10.0)
+        owner, other = self.owner(), self.other()
+        self.limiters[owner].leave(self.now)
+        self.mail.clear()
+        slot = self.limiters[owner].ledger.slots[ledgers.slot_of("acme")]
+        assert slot.share <= 1 / 3
+        found, _ = self.acquire(other, cost=900.0)
+        self.deliver()
+        assert not any(
+            each.decision.granted and each.owner == owner for each in found
+        )
+
     def test_rights_lent_by_an_old_message_are_not_held(self):
         """Guards against a message that a cut held up for seconds."""
         self.build()
