Log how old a version of the weights may be when it is learnt

By the lines as they were a version that was learnt late could not be told from one that had just been named: 'weights_named' now bears the age that is counted from, and how long ago at most the change came about that no wait had told of.

--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -19,6 +19,8 @@
         changed_at: revision of the newest change that is known.
         known_at: as of when all changes are known, in seconds of clocks.now;
             0 before the first.
+        unseen_seconds: how long ago at most the newest changes came about
+            that nothing had told of; 0 where a wait brought them.
     """
 
     kind: str
@@ -27,20 +29,29 @@
     revision: int | None = None
     changed_at: int = 0
     known_at: float = 0.0
+    unseen_seconds: float = 0.0
 
     def freshen(self, when: float) -> None:
         """Takes that all changes up to a time are known."""
         self.known_at = max(self.known_at, when)
 
     def apply(
-        self, found: registrations.Listing | registrations.Changes
+        self,
+        found: registrations.Listing | registrations.Changes,
+        unseen_seconds: float = 0.0,
     ) -> bool:
         """Takes a listing or changes, unless newer ones were taken.
 
-        Returns whether that changed anything.
+        Args:
+            found: the listing or the changes.
+            unseen_seconds: how long ago at most they came about.
+
+        Returns:
+            Whether that changed anything.
         """
         if self.revision is not None and found.revision < self.revision:
             return False
+        self.unseen_seconds = unseen_seconds
         match found:
             case registrations.Listing(objects=objects):
                 present = {each.name for each in objects}
--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -114,11 +114,21 @@
             return now
         return now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
 
+    def _unseen_seconds(self) -> float:
+        """Returns how long ago at most the store's newest naming came about."""
+        copied = self.believed.copied.get("weights")
+        return copied.unseen_seconds if copied is not None else 0.0
+
     def want(self, model: str, version: int, since: float, source: str) -> None:
         """Takes a named version, from the store or another router."""
         if self.believed.want(model, version, since):
             self.lines.write(
-                "weights_named", model=model, version=version, source=source
+                "weights_named",
+                model=model,
+                version=version,
+                source=source,
+                age=round(clocks.now() - since, 2),
+                unseen_s=round(self._unseen_seconds(), 2),
             )
             self.news()
 
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -109,6 +109,8 @@
         self._repeated = 0
         # When the newest call was sent whose answer shows all changes.
         self._fresh_at = 0.0
+        # What the newest wait brought, or None.
+        self._waited: registrations.Watched | None = None
         self._relist = True
         self._task: asyncio.Task | None = None
 
@@ -182,7 +184,8 @@
                     # A wait that is sound has heard of it as well.
                     return found
                 await self._take(found)
-            return waiting.result()
+            self._waited = waiting.result()
+            return self._waited
         finally:
             waiting.cancel()
 
@@ -319,6 +322,16 @@
             self._missing_since = None
         self.answers.answered()
 
+    def _unseen_seconds(self, found: registrations.Watched) -> float:
+        """Returns how long ago at most what was found came about.
+
+        A wait is answered when something changes; a look or a listing may
+        bring what happened at any time since the kind was last whole.
+        """
+        if found is self._waited or not self.mirror.known_at:
+            return 0.0
+        return clocks.now() - self.mirror.known_at
+
     def _name_unreadable(self, reasons: tuple[str, ...]) -> None:
         for why in reasons:
             self.lines.write("unreadable", object=self.mirror.kind, why=why)
@@ -348,7 +361,7 @@
             case registrations.Listing() | registrations.Changes():
                 self._found()
                 self._name_unreadable(found.unreadable)
-                self.mirror.apply(found)
+                self.mirror.apply(found, self._unseen_seconds(found))
                 self.mirror.freshen(self._fresh_at)
                 self._relist = False
 
