Failing tests: requests begin on older weights past their bound

Stand-in servers can let a request wait before they begin it, and drop it where its caller has left meanwhile.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import select
 import socket
 import threading
 import urllib.parse
@@ -168,3 +169,14 @@
 def query_of(request: cheroot.server.HTTPRequest) -> dict[str, str]:
     """Returns the query's fields; of a repeated field the last."""
     return dict(urllib.parse.parse_qsl(request.qs.decode("ascii")))
+
+
+def has_left(connection: socket.socket) -> bool:
+    """Returns whether the caller has closed its connection."""
+    readable, _, _ = select.select([connection], [], [], 0)
+    if not readable:
+        return False
+    try:
+        return not connection.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -12,6 +12,8 @@
 
 THREADS = 32
 SIGNATURE = b"stand.in"
+# Between two looks at whether a caller that waits is still there.
+QUEUE_STEP_SECONDS = 0.02
 
 
 @attrs.define(kw_only=True)
@@ -25,6 +27,8 @@
         body: its bytes.
         ran: whether the server worked on it.
         at: when it came, in seconds of time.monotonic.
+        began: when the server began to work on it, the same; 0 if it didn't.
+        weights: version of the model's weights that it began on, or None.
     """
 
     method: str
@@ -33,6 +37,8 @@
     body: bytes
     ran: bool = False
     at: float = attrs.field(factory=time.monotonic)
+    began: float = 0.0
+    weights: int | None = None
 
 
 class StandInServer:
@@ -48,6 +54,7 @@
         taken: orders that it has taken.
         events: events of a stream.
         event_seconds: pause between them.
+        queue_seconds: how long a request waits before it begins.
         work_seconds: how long a plain call takes.
         refuse: number of next requests that it doesn't run.
         fail: number of next requests that it fails with a 500.
@@ -76,6 +83,7 @@
         self.taken = 0
         self.events = 5
         self.event_seconds = 0.0
+        self.queue_seconds = 0.0
         self.work_seconds = 0.0
         self.refuse = 0
         self.fail = 0
@@ -164,13 +172,27 @@
         if self._next("refuse"):
             self._not_run(request, call.headers, 503)
             return
+        if not self._queue(request):
+            fake_http.cut(request)
+            return
         call.ran = True
+        call.began = time.monotonic()
+        call.weights = self.weights.get(model)
         self.at_work += 1
         try:
             self._run(request, call)
         finally:
             self.at_work -= 1
 
+    def _queue(self, request) -> bool:
+        """Waits for a turn; returns whether the caller is still there."""
+        until = time.monotonic() + self.queue_seconds
+        while time.monotonic() < until:
+            if fake_http.has_left(request.conn.socket):
+                return False
+            time.sleep(QUEUE_STEP_SECONDS)
+        return True
+
     def _run(self, request, call: Call) -> None:
         if self._next("lose"):
             fake_http.cut(request)
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -1,7 +1,5 @@
 """The platform's store as a stand-in: its wire over the object API's fake."""
 
-import select
-import socket
 import time
 import urllib.parse
 
@@ -79,7 +77,7 @@
 
     def _hang(self, request) -> None:
         """Keeps a connection open without an answer."""
-        while not self.closing and not _has_left(request.conn.socket):
+        while not self.closing and not fake_http.has_left(request.conn.socket):
             time.sleep(WAIT_SECONDS)
         fake_http.cut(request)
 
@@ -221,14 +219,3 @@
 
     def _send(self, request, body: object, status: int = 200) -> None:
         fake_http.answer(request, msgspec.json.encode(body), status=status)
-
-
-def _has_left(connection: socket.socket) -> bool:
-    """Returns whether the caller has closed its connection."""
-    readable, _, _ = select.select([connection], [], [], 0)
-    if not readable:
-        return False
-    try:
-        return not connection.recv(1, socket.MSG_PEEK)
-    except OSError:
-        return True
--- /dev/null
+++ b/pimentoledge/tests/test_router_weights.py
@@ -0,0 +1,243 @@
+"""Until when requests may begin on weights that have been superseded."""
+
+import asyncio
+
+import attrs
+
+from pimentoledge.routing import backends
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import clocks
+from pimentoledge.routing import registrations
+from pimentoledge.routing import rollouts
+from pimentoledge.routing import selections
+from pimentoledge.tests import router_world
+from pimentoledge.tests import test_router_decisions
+
+played = router_world.played
+MODEL = router_world.MODEL
+# Bound of the tests on the whole path.
+WEIGHTS_SECONDS = 3.0
+
+
+def registration(number, version):
+    return registrations.Registration(
+        server=f"r{number}",
+        service="runners",
+        address=f"10.0.0.{number}:80",
+        data_centre="abc"[number % 3],
+        slots=8,
+        leaving=False,
+        weights={MODEL: version},
+    )
+
+
+def believed_of(*versions):
+    """Returns a router's beliefs of runners with these versions."""
+    believed = beliefs.Beliefs(name="x", data_centre="a", born=0.0)
+    for number, version in enumerate(versions):
+        believed.servers.put(registration(number, version))
+    return believed
+
+
+class TestFurtherVersions:
+    """Versions that are named before the one before is in place."""
+
+    def allowed(self, believed, server, now):
+        backend = believed.servers.by_server[server]
+        return selections.weights_allow(believed, MODEL, backend, now)
+
+    def test_a_further_version_does_not_prolong_the_use_of_the_first(self):
+        believed = believed_of(1, 2)
+        most = believed.bounds.weights_seconds
+        believed.want(MODEL, 2, 100.0)
+        believed.want(MODEL, 3, 105.0)
+        assert not self.allowed(believed, "r0", 100.0 + most)
+        assert self.allowed(believed, "r1", 100.0 + most)
+        assert not self.allowed(believed, "r1", 105.0 + most)
+
+    def test_a_version_heard_of_after_a_newer_one_counts_too(self):
+        believed = believed_of(1, 2)
+        most = believed.bounds.weights_seconds
+        believed.want(MODEL, 3, 105.0)
+        believed.want(MODEL, 2, 100.0)
+        assert not self.allowed(believed, "r0", 100.0 + most)
+        assert self.allowed(believed, "r1", 100.0 + most)
+
+    def test_of_many_versions_none_is_used_past_its_own_bound(self):
+        believed = believed_of(1)
+        most = believed.bounds.weights_seconds
+        for version in range(2, 40):
+            believed.want(MODEL, version, 100.0 + 0.1 * version)
+        for version in range(1, 39):
+            believed.servers.put(registration(0, version))
+            late = 100.0 + 0.1 * (version + 1) + most
+            assert not self.allowed(believed, "r0", late)
+
+    def test_parts_of_the_first_are_not_fetched_once_runs_may_have_mixed(self):
+        older = test_router_decisions.TestOlderWeights()
+        believed = older.believed(saved=None)
+        believed.want("m", 3, 14.0)
+        assert older.fetched(believed, 14.1) is None
+
+    def test_parts_saved_between_two_versions_are_not_fetched(self):
+        older = test_router_decisions.TestOlderWeights()
+        believed = older.believed(saved=12.0)
+        believed.want("m", 3, 14.0)
+        assert older.fetched(believed, 15.0) is None
+
+
+@played(routers=2)
+async def test_all_versions_named_are_told_to_a_router_that_missed_one(world):
+    """A router that knows the newest alone would use the first for too long."""
+    first, second = world.routers
+    now = clocks.now()
+    first.believed.want(MODEL, 2, now - 5.0)
+    first.believed.want(MODEL, 3, now - 1.0)
+    await world.until(lambda: second.believed.wanted[MODEL].version == 3)
+    second.believed.servers.put(
+        attrs.evolve(registration(0, 1), server="r0", slots=8)
+    )
+    backend = second.believed.servers.by_server["r0"]
+    most = second.believed.bounds.weights_seconds
+    assert not selections.weights_allow(
+        second.believed, MODEL, backend, now - 5.0 + most
+    )
+
+
+@played(routers=1, runners=1)
+async def test_a_version_found_by_a_look_counts_from_when_it_may_be_named(
+    world,
+):
+    """Counted from the look, older weights served past their bound."""
+    [router] = world.routers
+    await asyncio.sleep(0.3)
+    world.store.forget_watches()
+    await asyncio.sleep(0.1)
+    named = clocks.now()
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(
+        lambda: router.believed.wanted[MODEL].version == 2, seconds=6.0
+    )
+    assert clocks.now() - named > 1.0
+    assert router.believed.wanted[MODEL].since <= named + 0.1
+
+
+@played(routers=1, runners=1)
+async def test_a_version_heard_by_a_wait_counts_from_then(world):
+    """Taken for older, it would shut runners out before they could load."""
+    [router] = world.routers
+    await asyncio.sleep(1.5)
+    named = clocks.now()
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: router.believed.wanted[MODEL].version == 2)
+    assert router.believed.wanted[MODEL].since >= named - 0.1
+
+
+async def _ask_before_the_bound(world, path, server):
+    """Sends a request that waits at its runner until older weights are over.
+
+    Returns the task that asks, and when the newer weights were named.
+    """
+    [router] = world.routers
+    router.believed.bounds = attrs.evolve(
+        router.believed.bounds, weights_seconds=WEIGHTS_SECONDS
+    )
+    for each in world.servers.values():
+        each.silent_orders = 1000
+        each.queue_seconds = 2.5
+    named = clocks.now()
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: router.believed.wanted[MODEL].version == 2)
+    margin = selections.WEIGHTS_MARGIN_SECONDS
+    await asyncio.sleep(WEIGHTS_SECONDS - margin - 0.3)
+    headers = router_world.stream_headers(**{"Deadline-Ms": "5000"})
+    asked = asyncio.ensure_future(world.ask(path, headers=headers))
+    await world.until(lambda: server(world) is not None)
+    return asked, named
+
+
+def _asked_runner(world):
+    """Returns the first runner that got a request, or None."""
+    found = [each for each in world.servers.values() if each.calls]
+    return found[0] if found else None
+
+
+def _begun_late(world, named):
+    """Returns the requests that began on older weights past the bound."""
+    return [
+        call
+        for call in world.ran("runners")
+        if call.weights == 1 and call.began > named + WEIGHTS_SECONDS
+    ]
+
+
+@played(routers=1, runners=1)
+async def test_no_request_that_waits_begins_on_older_weights_past_the_bound(
+    world,
+):
+    """A runner that was slowed began requests seconds after they were sent."""
+    asked, named = await _ask_before_the_bound(world, "/drafts/", _asked_runner)
+    answer = await asked
+    await asyncio.sleep(1.0)
+    assert not _begun_late(world, named)
+    # It was sent, so nothing may promise that it has not run.
+    assert answer.status not in (408, 421, 429, 503)
+
+
+@played(routers=1, runners=2)
+async def test_a_resumable_request_that_waits_too_long_goes_to_newer_weights(
+    world,
+):
+    """It would end unserved while other runners have the newer weights."""
+    asked, named = await _ask_before_the_bound(
+        world, "/lookups/", _asked_runner
+    )
+    first = _asked_runner(world)
+    for each in world.servers.values():
+        if each is not first:
+            each.silent_orders = 0
+            each.queue_seconds = 0.0
+    answer = await asked
+    assert answer.status == 200
+    assert not _begun_late(world, named)
+
+
+class TestRollout:
+    """Which runners load first, when the bound comes near."""
+
+    def told(self, rollout, now):
+        return [
+            each.backend.registration.incarnation for each in rollout.due(now)
+        ]
+
+    def test_runners_that_may_begin_nothing_load_whatever_the_others_do(self):
+        """They serve nobody, and wait for their turn to load all the same."""
+        believed = believed_of(*[1] * 9)
+        rollout = rollouts.Rollout(believed=believed)
+        believed.want(MODEL, 2, 0.0)
+        assert len(self.told(rollout, 1.0)) == 3
+        late = believed.bounds.weights_seconds
+        assert len(self.told(rollout, late)) == 9
+
+    def test_the_runners_with_the_oldest_weights_load_first(self):
+        """The least busy went first, and the oldest were used to the bound."""
+        believed = believed_of(2, 2, 2, 2, 2, 2, 1, 1, 1)
+        for each in believed.servers.by_incarnation.values():
+            each.open = 3 if each.registration.weights[MODEL] == 1 else 0
+        believed.want(MODEL, 2, 0.0)
+        believed.want(MODEL, 3, 2.0)
+        rollout = rollouts.Rollout(believed=believed)
+        assert sorted(self.told(rollout, 2.5)) == ["r6", "r7", "r8"]
+
+    def test_a_runner_that_is_down_does_not_hold_up_what_may_begin_nothing(
+        self,
+    ):
+        """With a third down no second load began, and the bound passed."""
+        believed = believed_of(*[1] * 9)
+        late = believed.bounds.weights_seconds
+        for number in (0, 1, 2):
+            believed.servers.by_server[f"r{number}"].failed(late - 0.1)
+        believed.want(MODEL, 2, 0.0)
+        rollout = rollouts.Rollout(believed=believed)
+        assert len(self.told(rollout, late)) == 6
+        assert len(self.told(rollout, late + backends.FAILED_SECONDS)) == 9
