Bind each version of the weights by the first that was named after it

Cause: of each model a router kept the newest version and since when it is named. A third version that is named before all runners have the second put the time of the second out of mind, at that router and, as heartbeats told the newest alone, at all others. A runner with the first was then used until 6.5 s after the third. The same count let any cached part of the first be fetched from the KV cache server once more for 0.45 s after the third was named, though runs that went on under the second may have left mixed parts.

Now a router keeps, and heartbeats tell, each version that some runner's weights may yet be judged by; what supersedes a version is the earliest of all newer ones. Of more than nine the oldest two count as one, named when the older was: that shuts out sooner, never later.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import sources
 from pimentoledge.routing import suspects as suspects_module
 from pimentoledge.routing import waits
+from pimentoledge.routing import wanted_weights
 from pimentoledge.routing.quotas import ledgers
 
 
@@ -43,19 +44,6 @@
     limits: ledgers.Bounds = ledgers.Bounds()
 
 
-@attrs.define(kw_only=True)
-class Wanted:
-    """The version of a model's weights that is wanted.
-
-    Attributes:
-        version: the newest that was named.
-        since: when it was named, as far as this process knows.
-    """
-
-    version: int
-    since: float
-
-
 @attrs.define(kw_only=True)
 class Beliefs:
     """What one process believes; only its loop touches it.
@@ -95,7 +83,7 @@
     configured: float = 0.0
     copied: dict[str, mirrors.Mirror] = attrs.field(factory=dict)
     servers: backends.Backends = attrs.field(factory=backends.Backends)
-    wanted: dict[str, Wanted] = attrs.field(factory=dict)
+    wanted: dict[str, wanted_weights.Wanted] = attrs.field(factory=dict)
     caches_down: set[str] = attrs.field(factory=set)
     members: int = 1
     leaving: bool = False
@@ -160,14 +148,26 @@
                 send requests to old weights for too long.
         """
         known = self.wanted.get(model)
-        if known is not None and known.version > version:
-            return False
-        if known is not None and known.version == version:
-            known.since = min(known.since, since)
-            return False
-        self.wanted[model] = Wanted(version=version, since=since)
+        if known is not None:
+            return known.take(version, since)
+        self.wanted[model] = wanted_weights.Wanted(version=version, since=since)
         return True
 
+    def begins_until(self, model: str, version: int | None) -> float | None:
+        """Returns until when requests may begin on a version of the weights.
+
+        None is for any time; the time is in seconds of clocks.now. Each
+        version is bound by the first that was named after it: a runner may
+        have missed several.
+        """
+        wanted = self.wanted.get(model)
+        if wanted is None or version is None:
+            return None
+        superseded = wanted.superseded(version)
+        if superseded is None:
+            return None
+        return superseded + self.bounds.weights_seconds
+
     def has_quotas(self) -> bool:
         """Returns whether some organisation has a limit."""
         return self.configuration is not None and self.configuration.has_quotas
--- a/pimentoledge/routing/grounds.py
+++ b/pimentoledge/routing/grounds.py
@@ -32,6 +32,9 @@
     wanted = believed.wanted.get(ask.model)
     if wanted is not None:
         found["weights"] = placements.weights_of(backend, ask.model)
+        superseded = wanted.superseded(found["weights"] or wanted.version)
+        if superseded is not None:
+            found["superseded_age"] = _age(superseded, now)
         found["newest"] = wanted.version
         found["newest_age"] = _age(wanted.since, now)
     return found
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -13,8 +13,8 @@
     Attributes:
         data_centre: where its sender is.
         counted: most routers that anyone counts, and the count's age in ms.
-        wanted: wanted version of each model's weights, and for how many ms
-            that has been known.
+        wanted: versions of each model's weights that were named, the newest
+            last, and for how many ms each has been known.
         known: by kind of the store's objects, revision of the newest change
             that it knows, and for how many ms nothing has shown that there is
             no newer one; without the kinds that it knows nothing of.
@@ -35,7 +35,7 @@
 
     data_centre: str
     counted: tuple[int, int]
-    wanted: dict[str, tuple[int, int]]
+    wanted: dict[str, list[tuple[int, int]]]
     known: dict[str, tuple[int, int]]
     store_reached: bool
     lease_revision: int
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -184,7 +184,10 @@
             data_centre=self.believed.data_centre,
             counted=self.roster.tell_count(now),
             wanted={
-                model: (wanted.version, int((now - wanted.since) * 1000))
+                model: [
+                    (each.version, int((now - each.since) * 1000))
+                    for each in wanted.named()
+                ]
                 for model, wanted in self.believed.wanted.items()
             },
             known=self.copies.known(now),
@@ -282,8 +285,9 @@
         self._send(address, self._own_beat(now))
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
-        for model, (version, age) in beat.wanted.items():
-            self.takers.want(model, version, now - age / 1000, "router")
+        for model, named in beat.wanted.items():
+            for version, age in reversed(named):
+                self.takers.want(model, version, now - age / 1000, "router")
         if beat.lease_revision > 0:
             self.lease.told(
                 beat.lease_revision,
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -91,14 +91,9 @@
     now: float,
 ) -> bool:
     """Returns whether a server's weights are new enough to begin on."""
-    wanted = believed.wanted.get(model)
-    if wanted is None:
-        return True
     version = placements.weights_of(backend, model)
-    if version is None or version >= wanted.version:
-        return True
-    most = believed.bounds.weights_seconds - WEIGHTS_MARGIN_SECONDS
-    return now - wanted.since < most
+    until = believed.begins_until(model, version)
+    return until is None or now < until - WEIGHTS_MARGIN_SECONDS
 
 
 def _terms(
@@ -263,13 +258,14 @@
     cache = cache_server(believed, ask.parts)
     address = None if cache is None else cache.cache_address
     wanted = believed.wanted.get(ask.model)
-    if wanted is None or version >= wanted.version:
+    superseded = None if wanted is None else wanted.superseded(version)
+    if superseded is None:
         # It may keep more than is known here; a miss costs a ms.
         found.fetch_from = address
         _fetch_newest(believed, ask, backend, held, found, now)
         found.save_to = _save_to(believed, ask, found.namespace, cache, now)
     elif address is not None and _may_fetch_older(
-        believed, address, found.namespace, ask.shared, now, wanted.since
+        believed, address, found.namespace, ask.shared, now, superseded
     ):
         found.fetch_from = address
     return found
@@ -332,7 +328,7 @@
         namespace: of the older weights.
         parts: the shared parts.
         now: the time.
-        since: when the newer weights were named.
+        since: when the first newer weights were named.
     """
     if now - since < SAFE_FETCH_SECONDS:
         return True
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies
 
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
@@ -10,6 +12,7 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import selections
+from pimentoledge.routing import wanted_weights
 from pimentoledge.tests import router_world
 from pimentoledge.tests import test_router_decisions
 
@@ -86,6 +89,30 @@
         assert older.fetched(believed, 15.0) is None
 
 
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(1, 20), strategies.floats(0, 50)),
+        min_size=1,
+        max_size=30,
+    ),
+    strategies.integers(0, 20),
+)
+def test_in_any_order_of_news_no_version_outlives_the_first_after_it(
+    news, version
+):
+    wanted = wanted_weights.Wanted(version=news[0][0], since=news[0][1])
+    for number, since in news:
+        wanted.take(number, since)
+    later = [since for number, since in news if number > version]
+    found = wanted.superseded(version)
+    if not later:
+        assert found is None
+        return
+    assert found <= min(later)
+    if len({number for number, _ in news}) <= wanted_weights.MOST_EARLIER:
+        assert found == min(later)
+
+
 @played(routers=2)
 async def test_all_versions_named_are_told_to_a_router_that_missed_one(world):
     """A router that knows the newest alone would use the first for too long."""
