Count a version that a look found from when it may have been named

Cause: whatever a router learnt of the store counted as new at that moment. A wait for changes that came into an outage, or whose connection the network forgot, is unheard; the next look, up to 0.7 of the bound later, finds the version, and older weights were used for 6.5 s from the look on.

Now the watcher says how long ago at most a change came about: 0 for what a wait brought, else the time since the kind was last known to be whole. A version that only a look showed counts from then.

Evidence: test_a_version_found_by_a_look... failed before (counted from 2.7 s after it was named) and passes.

--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -103,15 +103,13 @@
     def _named_since(self) -> float:
         """Returns since when weights read now may have been named.
 
-        What a process lists at its start may be old; what comes later is new,
-        also the first version that is ever named of a model. Taken for half of
-        the bound old, it shut out all runners that had yet to load 4.5 s after
-        it was named, of 10.5 s: three of nine were left on a day on which the
-        lease could not be written for 5 s.
+        What a process lists at its start may be old. What a wait brings later
+        is new; what a look finds may have been named at any time since the
+        kind was last known to be whole.
         """
         now = clocks.now()
         if self._weights_listed:
-            return now
+            return now - self._unseen_seconds()
         return now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
 
     def _unseen_seconds(self) -> float:
