Withdraw requests that would begin on weights that are too old

Callers' requests began on older weights past weights-ms (third of three ways that tests show).

Cause: until 1.5 s before the bound a request could be sent to a runner with older weights, and nothing looked at it again. A runner that is slowed, or has many waiting, begins it seconds later. The margin is a guess at the wait, not a bound on it.

Now a router looks at what it has sent and has no answer of: 0.3 s before the bound it ends the connection, and the runner drops what it has not begun. The outcome is one of its own: it may have run, so nothing promises that it has not, but it is no evidence against the server or the content. What may be repeated goes to another runner within the budget of repeats.

What it costs: a stream that may not be resumed fails where it would have begun too late. The bound leaves no other end.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -43,6 +43,8 @@
         most_idle: connections to the server that may wait for a request.
         speeds: what first events have shown.
         account: counts it into what the server is believed to have.
+        begun: whether the server has begun to answer.
+        withdrawn: whether it was given up before that.
     """
 
     def __init__(
@@ -66,6 +68,8 @@
         self.account = accounts.Account(
             ask=ask, backend=backend, dispatch=dispatch
         )
+        self.begun = False
+        self.withdrawn = False
 
     def start(self) -> None:
         """Sends the request."""
@@ -78,6 +82,11 @@
         if self.connection.busy:
             self.connection.abort()
 
+    def withdraw(self, reason: str) -> None:
+        """Gives the attempt up, so that the server doesn't begin it."""
+        self.withdrawn = True
+        self.connection.break_off(reason)
+
     async def read_head(
         self,
     ) -> tuple[asks.Answer, http_messages.ResponseHead]:
@@ -91,6 +100,7 @@
                 case server_connections.Headed(head=head):
                     answer = requests.decode_answer(head)
                     if answer.request == self.ask.request:
+                        self.begun = True
                         return answer, head
                     self.connection.reusable = False
                     if head.ends_by_close or answer.request is None:
@@ -98,7 +108,10 @@
                             verdicts.Outcome.BROKE, "another request's answer"
                         )
                 case server_connections.Broke(reason=reason):
-                    raise BrokenError(verdicts.Outcome.BROKE, reason)
+                    outcome = verdicts.Outcome.BROKE
+                    if self.withdrawn:
+                        outcome = verdicts.Outcome.WITHDRAWN
+                    raise BrokenError(outcome, reason)
 
     async def next_piece(self) -> bytes | None:
         """Returns the next bytes of the body, or None at its whole end."""
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -318,6 +318,8 @@
         now = clocks.now()
         for each in list(self.connections):
             each.close_if_idle(now)
+        for each in list(self.exchanges):
+            each.withdraw_if_late(now)
         self.peers.tick(now)
         self.cache_links.tick()
         self.takers.tick(now)
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -39,6 +39,9 @@
 # to become free before it is refused.
 WAIT_SHARE = 0.12
 WAIT_STEP_SECONDS = 0.02
+# So long before the bound a request that has not begun on older weights is
+# withdrawn: the server has to hear of it.
+WITHDRAW_SECONDS = 0.3
 # Without a stated wait, a client is taken to wait so long.
 DEFAULT_WAIT_SECONDS = 60.0
 
@@ -100,6 +103,7 @@
         self._chosen: dict[str, object] = {}
         self._lacks: dict[rooms.Lack, int] = {}
         self._task: asyncio.Task | None = None
+        self._under_way: attempts.Attempt | None = None
         self._failed_answer: tuple[asks.Answer, bytes] | None = None
 
     def start(self) -> None:
@@ -390,13 +394,30 @@
             ),
         )
         self.history.sent(backend.registration.incarnation)
+        self._under_way = attempt
         try:
             attempt.start()
             self.prompt_changed(self.ask.prompt_tokens, clocks.now())
             return await self._receive(attempt)
         finally:
+            self._under_way = None
             attempt.close()
 
+    def withdraw_if_late(self, now: float) -> None:
+        """Gives up an attempt that would begin on weights that are too old.
+
+        A runner that is slowed or full begins a request seconds after it was
+        sent. It is told by the end of its connection.
+        """
+        attempt = self._under_way
+        if attempt is None or attempt.begun or attempt.withdrawn:
+            return
+        until = self.believed.begins_until(
+            self.ask.model, attempt.dispatch.weights
+        )
+        if until is not None and now >= until - WITHDRAW_SECONDS:
+            attempt.withdraw("not begun before its weights were too old")
+
     def _dispatch(self, backend: backends.Backend) -> asks.Dispatch:
         """Returns what goes to a server, and notes what it will hold."""
         now = clocks.now()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -140,7 +140,7 @@
         try:
             self._parser.feed(data)
         except http_messages.BadMessageError as error:
-            self._break(f"not an answer: {error}")
+            self.break_off(f"not an answer: {error}")
 
     def _on_head(self, head: http_messages.ResponseHead) -> None:
         if not self.busy:
@@ -168,7 +168,8 @@
             # An answer followed the answer.
             self.abort()
 
-    def _break(self, reason: str) -> None:
+    def break_off(self, reason: str) -> None:
+        """Ends the connection at once, and tells whoever awaits an answer."""
         if self._over:
             return
         self._over = True
--- a/pimentoledge/routing/verdicts.py
+++ b/pimentoledge/routing/verdicts.py
@@ -19,6 +19,8 @@
     FAILED = "failed"
     # It was sent; what became of it is unknown.
     BROKE = "broke"
+    # It was sent, and the router gave it up before it was known to have begun.
+    WITHDRAWN = "withdrawn"
 
 
 @attrs.define(kw_only=True)
@@ -62,7 +64,7 @@
                 self.refused_by.add(incarnation)
             case Outcome.NOT_RUN:
                 self.refused_by.add(incarnation)
-            case Outcome.FAILED | Outcome.BROKE:
+            case Outcome.FAILED | Outcome.BROKE | Outcome.WITHDRAWN:
                 self.ran_on.add(incarnation)
 
     def tried(self) -> set[str]:
