Load the runners with the oldest weights first

Callers' requests ran on weights replaced twice while runners that had missed one version alone loaded.

Cause: of the runners that lack the newest version the least busy were told to load first. With versions named some seconds apart those that had missed two were as likely to be last, until the bound of the first of the two shut them out. Now runners go by the version they have, the oldest first, and by how busy they are among equals.

Evidence: test_the_runners_with_the_oldest_weights_load_first failed before.

--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -145,13 +145,26 @@
                 for each in behind
                 if each not in loading and self._may_tell(each, now)
             ]
-            chosen = _spread(waiting, loading, room, now)
+            chosen: list[backends.Backend] = []
+            for group in self._by_age(model, waiting):
+                taken = loading + chosen
+                chosen += _spread(group, taken, room - len(chosen), now)
             found += [
                 Due(backend=each, model=model, version=wanted.version)
                 for each in chosen
             ]
         return found
 
+    def _by_age(
+        self, model: str, waiting: list[backends.Backend]
+    ) -> list[list[backends.Backend]]:
+        """Returns the runners by the version they have, the oldest first."""
+        by_version: dict[int, list[backends.Backend]] = {}
+        for each in waiting:
+            version = each.registration.weights[model]
+            by_version.setdefault(version, []).append(each)
+        return [by_version[version] for version in sorted(by_version)]
+
     def _forget_gone(self) -> None:
         known = self.believed.servers.by_incarnation
         for incarnation in list(self.progress):
