Load runners that may begin nothing whatever the others do

A rollout that was held up (a holder of the lease that died, runners that were out of reach) left runners on older weights past the bound: no request may begin there, and they waited all the same until their part of the runners had loaded, one at a time while a third was down.

Cause: the share of runners that load at once is there so that the others carry the requests; it counted runners that carry none. Now a runner on whose weights no request may begin any more is told to load at once.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -16,6 +16,10 @@
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing.quotas import ledgers
 
+# A request must begin well before its server's weights count as too old: it
+# may wait there for its turn.
+WEIGHTS_MARGIN_SECONDS = 1.5
+
 
 @attrs.frozen(kw_only=True)
 class Bounds:
@@ -168,6 +172,11 @@
             return None
         return superseded + self.bounds.weights_seconds
 
+    def may_begin(self, model: str, version: int | None, now: float) -> bool:
+        """Returns whether requests may be sent to begin on a version."""
+        until = self.begins_until(model, version)
+        return until is None or now < until - WEIGHTS_MARGIN_SECONDS
+
     def has_quotas(self) -> bool:
         """Returns whether some organisation has a limit."""
         return self.configuration is not None and self.configuration.has_quotas
--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -145,16 +145,32 @@
                 for each in behind
                 if each not in loading and self._may_tell(each, now)
             ]
-            chosen: list[backends.Backend] = []
+            chosen = self._idle(model, waiting, now)
             for group in self._by_age(model, waiting):
+                rest = [each for each in group if each not in chosen]
                 taken = loading + chosen
-                chosen += _spread(group, taken, room - len(chosen), now)
+                chosen += _spread(rest, taken, room - len(chosen), now)
             found += [
                 Due(backend=each, model=model, version=wanted.version)
                 for each in chosen
             ]
         return found
 
+    def _idle(
+        self, model: str, waiting: list[backends.Backend], now: float
+    ) -> list[backends.Backend]:
+        """Returns the runners on which no request may begin any more.
+
+        They serve nobody until they have loaded, so others need not wait.
+        """
+        return [
+            each
+            for each in waiting
+            if not self.believed.may_begin(
+                model, each.registration.weights[model], now
+            )
+        ]
+
     def _by_age(
         self, model: str, waiting: list[backends.Backend]
     ) -> list[list[backends.Backend]]:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -12,9 +12,6 @@
 from pimentoledge.routing import sources
 from pimentoledge.routing import waits
 
-# A request must begin well before its server's weights count as too old:
-# it may wait there for its turn.
-WEIGHTS_MARGIN_SECONDS = 1.5
 MOST_URGENCY = 9
 # Urgencies of routes that are told apart within an organisation's.
 ROUTE_URGENCIES = 3
@@ -92,8 +89,7 @@
 ) -> bool:
     """Returns whether a server's weights are new enough to begin on."""
     version = placements.weights_of(backend, model)
-    until = believed.begins_until(model, version)
-    return until is None or now < until - WEIGHTS_MARGIN_SECONDS
+    return believed.may_begin(model, version, now)
 
 
 def _terms(
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -239,7 +239,7 @@
         old = believed.servers.put(registration("i", weights={"m": 1}))
         believed.want("m", 2, 100.0)
         most = believed.bounds.weights_seconds
-        margin = selections.WEIGHTS_MARGIN_SECONDS
+        margin = beliefs.WEIGHTS_MARGIN_SECONDS
         allow = selections.weights_allow
         assert allow(believed, "m", old, 100.0 + most - margin - 0.1)
         assert not allow(believed, "m", old, 100.0 + most - margin + 0.1)
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -175,7 +175,7 @@
     named = clocks.now()
     world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
     await world.until(lambda: router.believed.wanted[MODEL].version == 2)
-    margin = selections.WEIGHTS_MARGIN_SECONDS
+    margin = beliefs.WEIGHTS_MARGIN_SECONDS
     await asyncio.sleep(WEIGHTS_SECONDS - margin - 0.3)
     headers = router_world.stream_headers(**{"Deadline-Ms": "5000"})
     asked = asyncio.ensure_future(world.ask(path, headers=headers))
