Take a runner's newer weights as proof that they were named

Callers' requests could go to older weights without an end at a router that heard of servers and not of named weights (its wait for these dead, or turned away for one kind): nothing there says that newer ones exist.

Cause: named weights were learnt from their own kind of objects and from other routers alone. But a runner loads only what was named, and new ones come with the newest version; its entry tells. The version counts from when named weights were last known to be whole.

Evidence: test_a_runner_with_newer_weights_shows_that_they_were_named failed before (never learnt) and passes.

--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -153,6 +153,7 @@
                 leaving=registration.leaving,
                 weights=registration.weights,
             )
+            self._weights_shown(registration)
         ends = self.lapse_ends()
         for name in removed:
             if clocks.now() < ends:
@@ -161,6 +162,18 @@
             else:
                 self._gone(name)
 
+    def _weights_shown(self, shown: registrations.Registration) -> None:
+        """Takes a runner's weights as proof that their version was named.
+
+        It may have been at any time since named weights were known to be
+        whole.
+        """
+        for model, version in shown.weights.items():
+            wanted = self.believed.wanted.get(model)
+            if wanted is not None and wanted.version < version:
+                since = self.believed.known_at("weights") or clocks.now()
+                self.want(model, version, since, "runner")
+
     def _started_again(self, former: backends.Backend) -> None:
         """Takes that a server has begun another life under its id.
 
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -120,15 +120,18 @@
     now = clocks.now()
     first.believed.want(MODEL, 2, now - 5.0)
     first.believed.want(MODEL, 3, now - 1.0)
-    await world.until(lambda: second.believed.wanted[MODEL].version == 3)
     second.believed.servers.put(
-        attrs.evolve(registration(0, 1), server="r0", slots=8)
+        attrs.evolve(registration(0, 1), server="other")
     )
-    backend = second.believed.servers.by_server["r0"]
-    most = second.believed.bounds.weights_seconds
-    assert not selections.weights_allow(
-        second.believed, MODEL, backend, now - 5.0 + most
+    backend = second.believed.servers.by_server["other"]
+    late = now - 5.0 + second.believed.bounds.weights_seconds
+    await world.until(
+        lambda: not selections.weights_allow(
+            second.believed, MODEL, backend, late
+        ),
+        seconds=2.0,
     )
+    assert second.believed.wanted[MODEL].version == 3
 
 
 @played(routers=1, runners=1)
@@ -149,6 +152,17 @@
     assert router.believed.wanted[MODEL].since <= named + 0.1
 
 
+@played(routers=1, runners=2)
+async def test_a_runner_with_newer_weights_shows_that_they_were_named(world):
+    """A router that heard nothing of them used the others without end."""
+    [router] = world.routers
+    _cut_off_from_named_weights(router)
+    runner = world.servers["r0"]
+    runner.weights[MODEL] = 2
+    world.tell(runner)
+    await world.until(lambda: router.believed.wanted[MODEL].version == 2)
+
+
 @played(routers=1, runners=1)
 async def test_a_version_heard_by_a_wait_counts_from_then(world):
     """Taken for older, it would shut runners out before they could load."""
@@ -160,6 +174,11 @@
     assert router.believed.wanted[MODEL].since >= named - 0.1
 
 
+def _cut_off_from_named_weights(router):
+    """Lets a router hear of servers and of no named weights any more."""
+    router.kinds["weights"].close()
+
+
 async def _ask_before_the_bound(world, path, server):
     """Sends a request that waits at its runner until older weights are over.
 
