Don't tell a guess at the age of weights as known

Each start of a router amid a rollout shut out, at all routers, the runners that had yet to load: callers were refused while runners could still serve.

Cause: a router that starts takes the weights it lists for half of the bound old. Heartbeats told that guess as if it had been heard, and of two times the earlier held, so all others took it over and kept it. What a look finds was told the same way.

Now a time bears whether some router heard the version as it was named. What was heard goes before what may have been, at a router and in heartbeats.

Evidence: three tests failed before; on the whole path a start made the others take the weights for 3.97 s older than they were. Tests that set a time of weights by hand now do so by the class, as the time is no plain field any more; what they check is the same.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -141,20 +141,22 @@
             budget.slack = self.bounds.budget_slack
             budget.window_seconds = self.bounds.budget_seconds
 
-    def want(self, model: str, version: int, since: float) -> bool:
+    def want(
+        self, model: str, version: int, since: float, *, sure: bool = True
+    ) -> bool:
         """Takes a named version; returns whether it is news.
 
         Args:
             model: which model.
             version: the version that it is to have.
-            since: when it was named, as far as known. Of two times the
-                earlier holds: a process that has just started would else
-                send requests to old weights for too long.
+            since: when it was named, or may have been.
+            sure: whether it was heard as it was named, here or elsewhere.
         """
+        named = wanted_weights.Named(version=version, since=since, sure=sure)
         known = self.wanted.get(model)
         if known is not None:
-            return known.take(version, since)
-        self.wanted[model] = wanted_weights.Wanted(version=version, since=since)
+            return known.take(named)
+        self.wanted[model] = wanted_weights.Wanted(named)
         return True
 
     def begins_until(self, model: str, version: int | None) -> float | None:
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -14,7 +14,8 @@
         data_centre: where its sender is.
         counted: most routers that anyone counts, and the count's age in ms.
         wanted: versions of each model's weights that were named, the newest
-            last, and for how many ms each has been known.
+            last, with how many ms ago each was, and whether some router heard
+            it then; else it may have been so long ago.
         known: by kind of the store's objects, revision of the newest change
             that it knows, and for how many ms nothing has shown that there is
             no newer one; without the kinds that it knows nothing of.
@@ -35,7 +36,7 @@
 
     data_centre: str
     counted: tuple[int, int]
-    wanted: dict[str, list[tuple[int, int]]]
+    wanted: dict[str, list[tuple[int, int, bool]]]
     known: dict[str, tuple[int, int]]
     store_reached: bool
     lease_revision: int
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -185,8 +185,12 @@
             counted=self.roster.tell_count(now),
             wanted={
                 model: [
-                    (each.version, int((now - each.since) * 1000))
-                    for each in wanted.named()
+                    (
+                        each.version,
+                        int((now - each.since) * 1000),
+                        each.sure,
+                    )
+                    for each in wanted.named
                 ]
                 for model, wanted in self.believed.wanted.items()
             },
@@ -286,8 +290,9 @@
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
         for model, named in beat.wanted.items():
-            for version, age in reversed(named):
-                self.takers.want(model, version, now - age / 1000, "router")
+            for version, age, sure in reversed(named):
+                since = now - age / 1000
+                self.takers.want(model, version, since, "router", sure=sure)
         if beat.lease_revision > 0:
             self.lease.told(
                 beat.lease_revision,
--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -92,41 +92,59 @@
         self, changed: list[registrations.Stored], removed: list[str]
     ) -> None:
         """Takes named weights, if they are newer."""
-        since = self._named_since()
+        since, sure = self._named_since()
         self._weights_listed = True
         for each in changed:
             named = self._decoded(objects.named_weights, each)
             if named is None:
                 continue
-            self.want(named.model, named.version, since, "store")
+            self.want(named.model, named.version, since, "store", sure=sure)
 
-    def _named_since(self) -> float:
-        """Returns since when weights read now may have been named.
+    def _named_since(self) -> tuple[float, bool]:
+        """Returns since when weights read now are named, and if that is sure.
 
-        What a process lists at its start may be old. What a wait brings later
-        is new; what a look finds may have been named at any time since the
-        kind was last known to be whole.
+        What a wait brings is new. What a look finds may have been named at any
+        time since the kind was last known to be whole, and what is listed at
+        the start at any time.
         """
         now = clocks.now()
-        if self._weights_listed:
-            return now - self._unseen_seconds()
-        return now - UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
+        if not self._weights_listed:
+            return self._unknown_since(), False
+        unseen_seconds = self._unseen_seconds()
+        return now - unseen_seconds, not unseen_seconds
+
+    def _unknown_since(self) -> float:
+        """Returns since when weights of unknown age count as named.
+
+        Taken for older, runners that have yet to load would serve nobody in
+        the first seconds; taken for younger, the bound would be passed.
+        """
+        seconds = UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
+        return clocks.now() - seconds
 
     def _unseen_seconds(self) -> float:
         """Returns how long ago at most the store's newest naming came about."""
         copied = self.believed.copied.get("weights")
         return copied.unseen_seconds if copied is not None else 0.0
 
-    def want(self, model: str, version: int, since: float, source: str) -> None:
+    def want(
+        self,
+        model: str,
+        version: int,
+        since: float,
+        source: str,
+        *,
+        sure: bool,
+    ) -> None:
         """Takes a named version, from the store or another router."""
-        if self.believed.want(model, version, since):
+        if self.believed.want(model, version, since, sure=sure):
             self.lines.write(
                 "weights_named",
                 model=model,
                 version=version,
                 source=source,
                 age=round(clocks.now() - since, 2),
-                unseen_s=round(self._unseen_seconds(), 2),
+                sure=sure,
             )
             self.news()
 
@@ -171,8 +189,9 @@
         for model, version in shown.weights.items():
             wanted = self.believed.wanted.get(model)
             if wanted is not None and wanted.version < version:
-                since = self.believed.known_at("weights") or clocks.now()
-                self.want(model, version, since, "runner")
+                known_at = self.believed.known_at("weights")
+                since = known_at or self._unknown_since()
+                self.want(model, version, since, "runner", sure=False)
 
     def _started_again(self, former: backends.Backend) -> None:
         """Takes that a server has begun another life under its id.
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -13,67 +13,86 @@
 
     Attributes:
         version: its number.
-        since: when it was named, as far as known, in seconds of clocks.now.
+        since: when it was named, in seconds of clocks.now.
+        sure: whether some router heard it as it was named; else `since` is
+            the earliest time at which that may have been.
     """
 
     version: int
     since: float
+    sure: bool = True
+
+    def or_better(self, other: "Named") -> "Named":
+        """Returns what is known of a version by two accounts of it.
+
+        What was heard goes before what may have been; of two alike the
+        earlier holds.
+        """
+        if self.sure != other.sure:
+            return self if self.sure else other
+        return self if self.since <= other.since else other
 
 
-@attrs.define(kw_only=True)
 class Wanted:
     """The version of a model's weights that is wanted.
 
     Attributes:
-        version: the newest that was named.
-        since: when it was named, as far as known, in seconds of clocks.now.
-        earlier: versions that were named before, oldest first; of those
-            named no earlier than a newer one nothing is kept.
+        named: versions that were named, oldest first. One that can't bind any
+            runner sooner than a newer one does is left out.
     """
 
-    version: int
-    since: float
-    earlier: list[Named] = attrs.field(factory=list)
+    def __init__(self, first: Named):
+        self.named = [first]
+
+    @property
+    def newest(self) -> Named:
+        """The newest that was named."""
+        return self.named[-1]
 
-    def named(self) -> list[Named]:
-        """Returns the versions that were named, oldest first."""
-        return [*self.earlier, Named(version=self.version, since=self.since)]
+    @property
+    def version(self) -> int:
+        """Number of the newest that was named."""
+        return self.newest.version
+
+    @property
+    def since(self) -> float:
+        """When the newest was named, or may have been."""
+        return self.newest.since
 
     def superseded(self, version: int) -> float | None:
         """Returns when a version newer than this was first named, or None."""
-        for each in self.named():
-            if each.version > version:
-                return each.since
-        return None
-
-    def take(self, version: int, since: float) -> bool:
-        """Takes a named version; returns whether it is the newest, and new.
+        times = [each.since for each in self.named if each.version > version]
+        return min(times, default=None)
 
-        Of two times at which it may have been named the earlier holds.
-        """
-        is_news = version > self.version
-        if is_news:
-            self.earlier.append(Named(version=self.version, since=self.since))
-            self.version, self.since = version, since
-        elif version == self.version:
-            self.since = min(self.since, since)
-        else:
-            self.earlier.append(Named(version=version, since=since))
-        self._settle()
+    def take(self, named: Named) -> bool:
+        """Takes a named version; returns whether it is the newest, and new."""
+        is_news = named.version > self.version
+        by_version = {each.version: each for each in self.named}
+        known = by_version.get(named.version)
+        better = named if known is None else known.or_better(named)
+        by_version[named.version] = better
+        self.named = _settled(
+            [by_version[version] for version in sorted(by_version)]
+        )
         return is_news
 
-    def _settle(self) -> None:
-        """Keeps what some runner's weights may yet be judged by."""
-        kept: list[Named] = []
-        earliest = self.since
-        for each in sorted(
-            self.earlier, key=lambda each: (-each.version, each.since)
-        ):
-            if each.since < earliest:
-                kept.append(each)
+
+def _settled(named: list[Named]) -> list[Named]:
+    """Returns the versions that some runner's weights may be judged by.
+
+    A time that may yet turn out to be later makes no other needless.
+    """
+    *earlier, newest = named
+    kept = [newest]
+    earliest = newest.since if newest.sure else None
+    for each in reversed(earlier):
+        if earliest is None or each.since < earliest:
+            kept.append(each)
+            if each.sure:
                 earliest = each.since
-        kept.reverse()
-        while len(kept) > MOST_EARLIER:
-            oldest, second, *rest = kept
-            kept = [attrs.evolve(second, since=oldest.since), *rest]
-        self.earlier = kept
+    kept.reverse()
+    while len(kept) > MOST_EARLIER + 1:
+        oldest, second, *rest = kept
+        since = min(oldest.since, second.since)
+        kept = [attrs.evolve(second, since=since), *rest]
+    return kept
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -28,6 +28,7 @@
 from pimentoledge.routing import takers
 from pimentoledge.routing import verdicts
 from pimentoledge.routing import waits
+from pimentoledge.routing import wanted_weights
 
 
 def registration(name, place="a", weights=None, slots=8):
@@ -619,7 +620,9 @@
         """
         older = TestOlderWeights()
         believed = older.believed(saved=None)
-        believed.wanted["m"].version = 1
+        believed.wanted["m"] = wanted_weights.Wanted(
+            wanted_weights.Named(version=1, since=10.0)
+        )
         believed.servers.put(registration("r", weights={"m": 1}))
         assert older.sent(believed, 10.0).save_to == "10.0.0.1:80"
         prompt = peer_messages.Prompt(
@@ -814,7 +817,9 @@
         """A part that yielded may have been saved again, mixed."""
         believed = self.believed(saved=5.0)
         late = 5.0 + saved_parts.AGAIN_SECONDS + 0.2
-        believed.wanted["m"].since = late - 2.0
+        believed.wanted["m"] = wanted_weights.Wanted(
+            wanted_weights.Named(version=2, since=late - 2.0)
+        )
         assert self.fetched(believed, late) is None
 
     def test_a_kv_cache_server_that_went_away_keeps_nothing(self):
--- a/pimentoledge/tests/test_router_peers.py
+++ b/pimentoledge/tests/test_router_peers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import attrs
+
 from pimentoledge.routing import clocks
 from pimentoledge.routing import rosters
+from pimentoledge.routing import wanted_weights
 from pimentoledge.tests import router_world
 
 played = router_world.played
@@ -82,8 +85,11 @@
     It would send requests to runners with old weights for as long again.
     """
     first, second = world.routers
-    first.believed.wanted[MODEL].since -= 100
-    second.believed.wanted[MODEL].since += 1
+    for router, seconds in ((first, -100.0), (second, 1.0)):
+        named = router.believed.wanted[MODEL].newest
+        router.believed.wanted[MODEL] = wanted_weights.Wanted(
+            attrs.evolve(named, since=named.since + seconds)
+        )
     await world.until(
         lambda: second.believed.wanted[MODEL].since
         < first.believed.wanted[MODEL].since + 1
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -9,9 +9,12 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import clocks
+from pimentoledge.routing import counters
+from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import selections
+from pimentoledge.routing import takers
 from pimentoledge.routing import wanted_weights
 from pimentoledge.tests import router_world
 from pimentoledge.tests import test_router_decisions
@@ -100,9 +103,13 @@
 def test_in_any_order_of_news_no_version_outlives_the_first_after_it(
     news, version
 ):
-    wanted = wanted_weights.Wanted(version=news[0][0], since=news[0][1])
-    for number, since in news:
-        wanted.take(number, since)
+    named = [
+        wanted_weights.Named(version=number, since=since)
+        for number, since in news
+    ]
+    wanted = wanted_weights.Wanted(named[0])
+    for each in named:
+        wanted.take(each)
     later = [since for number, since in news if number > version]
     found = wanted.superseded(version)
     if not later:
@@ -113,6 +120,72 @@
         assert found == min(later)
 
 
+class TestStarts:
+    """What a router takes that has just started, and heard nobody."""
+
+    BOUND = 12.0
+
+    def started(self):
+        """Returns what a router with long bounds believes at its start."""
+        now = clocks.now()
+        believed = beliefs.Beliefs(name="x", data_centre="a", born=now)
+        believed.bounds = attrs.evolve(
+            believed.bounds, weights_seconds=self.BOUND
+        )
+        believed.servers.put(registration(0, 1))
+        return believed
+
+    def taken(self, believed):
+        return takers.Takers(
+            believed=believed,
+            lines=log_lines.Lines(counters=counters.Counters()),
+        )
+
+    def list_second(self, believed):
+        value = {"model": MODEL, "version": 2}
+        stored = registrations.Stored(name=MODEL, revision=2, value=value)
+        self.taken(believed).weights([stored], [])
+
+    def test_another_router_s_word_goes_before_the_guess_of_a_start(self):
+        """Runners were shut out though their weights were still in time."""
+        believed = self.started()
+        self.list_second(believed)
+        believed.want(MODEL, 2, believed.born - 1.0)
+        assert believed.begins_until(MODEL, 1) == believed.born + 11.0
+
+    def test_the_guess_of_a_start_does_not_go_before_another_router_s_word(
+        self,
+    ):
+        """One router that started shut runners out at all others."""
+        believed = self.started()
+        believed.want(MODEL, 2, believed.born - 1.0)
+        believed.want(MODEL, 2, believed.born - 9.0, sure=False)
+        assert believed.begins_until(MODEL, 1) == believed.born + 11.0
+
+
+@played(routers=2)
+async def test_a_start_amid_a_rollout_shuts_out_no_runner_elsewhere(world):
+    """Heartbeats told the guess of the router that had started as known."""
+    first, second = world.routers
+    for each in world.servers.values():
+        each.silent_orders = 1000
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: first.believed.wanted[MODEL].version == 2)
+    named = first.believed.wanted[MODEL].since
+    late = await world.add_router(
+        "router-2",
+        router_world.free_port(),
+        [
+            int(each.chosen.text("peer-listen").rpartition(":")[2])
+            for each in world.routers
+        ],
+    )
+    await world.until(lambda: late.believed.wanted)
+    await asyncio.sleep(1.5)
+    for each in (first, second, late):
+        assert abs(each.believed.wanted[MODEL].since - named) < 0.2
+
+
 @played(routers=2)
 async def test_all_versions_named_are_told_to_a_router_that_missed_one(world):
     """A router that knows the newest alone would use the first for too long."""
