Bound the use of weights of unknown age from a router's start

Callers' requests could begin on older weights past weights-ms when all routers had been killed amid a rollout (found by thinking the trace through).

Cause: weights that a router lists at its start were taken for half of the bound old, whatever had passed before. With a bound of 12 s, named 9 s before a start, they were used until 15 s after they were named, by a router that the rule binds from 3 s after its start on.

Now they are used until 3 s after the start, unless another router knows since when; by then the users' rule binds a router that has started.

What it costs: after all routers were killed amid a rollout, runners that have yet to load serve for 1.5 s and get requests again once they have loaded.

Evidence: test_weights_of_unknown_age_are_over_soon_after_the_start failed before (6 s after the start instead of 3). The former test of the share now demands the same of the start: older than before for every bound over 6 s.

--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -12,10 +12,10 @@
 
 logger = logbook.Logger("takers")
 
-# Weights that a process meets at its start are taken to have been named this
-# part of the bound ago, unless another router knows: too old would refuse
-# requests, too young break the bound.
-UNKNOWN_AGE_SHARE = 0.5
+# For so long after its start a router lets requests begin on weights that may
+# have been superseded at any time before, unless another router knows since
+# when.
+START_SECONDS = 3.0
 
 
 class Takers:
@@ -119,8 +119,8 @@
         Taken for older, runners that have yet to load would serve nobody in
         the first seconds; taken for younger, the bound would be passed.
         """
-        seconds = UNKNOWN_AGE_SHARE * self.believed.bounds.weights_seconds
-        return clocks.now() - seconds
+        over = self.believed.born + START_SECONDS
+        return over - self.believed.bounds.weights_seconds
 
     def _unseen_seconds(self) -> float:
         """Returns how long ago at most the store's newest naming came about."""
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -889,6 +889,7 @@
 
     def test_a_version_read_at_the_start_may_be_old(self):
         taken = self.takers()
+        taken.believed.born = clocks.now()
         taken.weights([self.named(2)], [])
         bound = taken.believed.bounds.weights_seconds
-        assert self.age(taken) >= takers.UNKNOWN_AGE_SHARE * bound
+        assert self.age(taken) >= bound - takers.START_SECONDS
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -146,6 +146,14 @@
         stored = registrations.Stored(name=MODEL, revision=2, value=value)
         self.taken(believed).weights([stored], [])
 
+    def test_weights_of_unknown_age_are_over_soon_after_the_start(self):
+        """Half of a long bound was added to all that had passed before."""
+        believed = self.started()
+        self.list_second(believed)
+        until = believed.begins_until(MODEL, 1)
+        # From then on the users' rules bind a router that has started.
+        assert until <= believed.born + 3.0
+
     def test_another_router_s_word_goes_before_the_guess_of_a_start(self):
         """Runners were shut out though their weights were still in time."""
         believed = self.started()
