Don't withdraw a request whose answer has arrived

A stream whose first bytes lay unread when its weights came to their bound was broken off, and a sound runner and its content were blamed for it: the head was taken for begun only once the request's own task had read it.

Now an attempt has begun when its connection has heard anything.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -82,6 +82,10 @@
         if self.connection.busy:
             self.connection.abort()
 
+    def has_begun(self) -> bool:
+        """Returns whether the server has begun to answer, or broke off."""
+        return self.begun or self.connection.is_heard()
+
     def withdraw(self, reason: str) -> None:
         """Gives the attempt up, so that the server doesn't begin it."""
         self.withdrawn = True
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -410,7 +410,7 @@
         sent. It is told by the end of its connection.
         """
         attempt = self._under_way
-        if attempt is None or attempt.begun or attempt.withdrawn:
+        if attempt is None or attempt.withdrawn or attempt.has_begun():
             return
         until = self.believed.begins_until(
             self.ask.model, attempt.dispatch.weights
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -103,6 +103,10 @@
         self.busy = True
         self._transport.write(data)
 
+    def is_heard(self) -> bool:
+        """Returns whether something came that has not been looked at."""
+        return bool(self._happenings)
+
     def abort(self) -> None:
         """Ends the connection at once, so that the server stops its work."""
         self.reusable = False
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from pimentoledge.routing import asks
+from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import clocks
@@ -14,7 +16,9 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import selections
+from pimentoledge.routing import server_connections
 from pimentoledge.routing import takers
+from pimentoledge.routing import waits
 from pimentoledge.routing import wanted_weights
 from pimentoledge.tests import router_world
 from pimentoledge.tests import test_router_decisions
@@ -368,3 +372,25 @@
         rollout = rollouts.Rollout(believed=believed)
         assert len(self.told(rollout, late)) == 6
         assert len(self.told(rollout, late + backends.FAILED_SECONDS)) == 9
+
+
+def test_an_answer_that_has_arrived_is_not_withdrawn():
+    """Its head waited to be read by the request's task."""
+    connection = server_connections.ServerConnection(address="10.0.0.1:80")
+    connection.busy = True
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    believed = believed_of(1)
+    ask = test_router_decisions.TestOlderWeights().ask(0.0)
+    attempt = attempts.Attempt(
+        ask=ask,
+        backend=believed.servers.by_server["r0"],
+        dispatch=asks.Dispatch(server="r0", organisation=None, seconds_left=1),
+        pool=server_connections.Pool(),
+        connection=connection,
+        most_idle=None,
+        speeds=waits.Speeds(),
+    )
+    assert attempt.has_begun()
