Let routers of the former build read heartbeats, and be read

Amid a rolling update of the routers each half would have taken the other half for gone (shares of the budget of repeats, turns at the lease, servers that load): since each version of the weights is told, the field of the wanted weights had another type under the same number. Found by review.

Now that field is as it was, and the versions come in one of their own with a default. The test failed before on the former build's heartbeat.

--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -13,9 +13,8 @@
     Attributes:
         data_centre: where its sender is.
         counted: most routers that anyone counts, and the count's age in ms.
-        wanted: versions of each model's weights that were named, the newest
-            last, with how many ms ago each was, and whether some router heard
-            it then; else it may have been so long ago.
+        wanted: wanted version of each model's weights, and for how many ms
+            that has been known; all that routers of former builds tell.
         known: by kind of the store's objects, revision of the newest change
             that it knows, and for how many ms nothing has shown that there is
             no newer one; without the kinds that it knows nothing of.
@@ -32,11 +31,14 @@
             ms left.
         watchers: some of its data centre that watch the servers for others,
             by mailbox, with the age of the last sign of each in ms.
+        named: versions of each model's weights that were named, the newest
+            last, with how many ms ago each was, and whether some router heard
+            it then; else it may have been so long ago.
     """
 
     data_centre: str
     counted: tuple[int, int]
-    wanted: dict[str, list[tuple[int, int, bool]]]
+    wanted: dict[str, tuple[int, int]]
     known: dict[str, tuple[int, int]]
     store_reached: bool
     lease_revision: int
@@ -47,6 +49,7 @@
     holding: bool = False
     loading: dict[str, int] = attrs.field(factory=dict)
     watchers: dict[str, int] = attrs.field(factory=dict)
+    named: dict[str, list[tuple[int, int, bool]]] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -184,14 +184,7 @@
             data_centre=self.believed.data_centre,
             counted=self.roster.tell_count(now),
             wanted={
-                model: [
-                    (
-                        each.version,
-                        int((now - each.since) * 1000),
-                        each.sure,
-                    )
-                    for each in wanted.named
-                ]
+                model: (wanted.version, int((now - wanted.since) * 1000))
                 for model, wanted in self.believed.wanted.items()
             },
             known=self.copies.known(now),
@@ -204,6 +197,17 @@
             holding=self.pulses.holding,
             loading=self.pulses.to_tell(now),
             watchers=self.copies.sign(now),
+            named={
+                model: [
+                    (
+                        each.version,
+                        int((now - each.since) * 1000),
+                        each.sure,
+                    )
+                    for each in wanted.named
+                ]
+                for model, wanted in self.believed.wanted.items()
+            },
         )
 
     def _tell(self, addresses: list[str], message: object) -> None:
@@ -289,7 +293,8 @@
         self._send(address, self._own_beat(now))
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
-        for model, named in beat.wanted.items():
+        for model, newest in beat.wanted.items():
+            named = beat.named.get(model) or [(*newest, True)]
             for version, age, sure in reversed(named):
                 since = now - age / 1000
                 self.takers.want(model, version, since, "router", sure=sure)
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -3,7 +3,6 @@
 import math
 import random
 
-import attrs
 import pytest
 
 from pimentoledge.routing import beliefs
@@ -462,4 +461,4 @@
 async def test_one_of_many_routers_gives_the_orders(world):
     """Each runner must load once, however many routers see that it is due."""
     await world.roll_out(2)
-    assert attrs.asdict(world.routers[0].believed.wanted[MODEL])["version"] == 2
+    assert world.routers[0].believed.wanted[MODEL].version == 2
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -5,7 +5,9 @@
 import attrs
 from hypothesis import given
 from hypothesis import strategies
+from returns import result
 
+from pimentoledge.nodes import codecs
 from pimentoledge.routing import asks
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
@@ -13,6 +15,8 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import peers
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import selections
@@ -394,3 +398,40 @@
         speeds=waits.Speeds(),
     )
     assert attempt.has_begun()
+
+
+@attrs.define(kw_only=True)
+class FormerBeat:
+    """A heartbeat of a build that tells the newest version alone."""
+
+    data_centre: str
+    counted: tuple[int, int]
+    wanted: dict[str, tuple[int, int]]
+    known: dict[str, tuple[int, int]]
+    store_reached: bool
+    lease_revision: int
+    lease_holder: str
+    lease_ms: int
+    leaving: bool
+
+
+def test_heartbeats_of_the_former_build_are_read_and_the_other_way_round():
+    """Amid a rolling update each half took the other half for gone."""
+    told = {
+        "data_centre": "a",
+        "counted": (2, 0),
+        "wanted": {MODEL: (2, 300)},
+        "known": {},
+        "store_reached": True,
+        "lease_revision": -1,
+        "lease_holder": "",
+        "lease_ms": 0,
+        "leaving": False,
+    }
+    former = codecs.Codec(numbers={1: FormerBeat})
+    given = {"sender": "tcp://x", "configuration": 1}
+    old = former.encode(FormerBeat(**told), **given)
+    assert isinstance(peers.CODEC.decode(old), result.Success)
+    beat = peer_messages.Beat(**told, named={MODEL: [(2, 300, True)]})
+    new = peers.CODEC.encode(beat, **given)
+    assert isinstance(former.decode(new), result.Success)
