Let runners show the first version ever named, too

Before any version of a model has been named, a router that doesn't hear of the first knew of none, and used the older weights without end: a runner's newer weights counted as proof only beside a version known before. Found by review, whose test failed before.

--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -188,7 +188,7 @@
         """
         for model, version in shown.weights.items():
             wanted = self.believed.wanted.get(model)
-            if wanted is not None and wanted.version < version:
+            if wanted is None or wanted.version < version:
                 known_at = self.believed.known_at("weights")
                 since = known_at or self._unknown_since()
                 self.want(model, version, since, "runner", sure=False)
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -435,3 +435,30 @@
     beat = peer_messages.Beat(**told, named={MODEL: [(2, 300, True)]})
     new = peers.CODEC.encode(beat, **given)
     assert isinstance(former.decode(new), result.Success)
+
+
+def test_a_first_version_ever_named_is_shown_by_a_runner_too():
+    """Nothing is named in the store until an operator does."""
+    believed = beliefs.Beliefs(name="x", data_centre="a", born=clocks.now())
+    taken = takers.Takers(
+        believed=believed,
+        lines=log_lines.Lines(counters=counters.Counters()),
+    )
+    entries = [
+        registrations.Stored(
+            name=f"r{version}",
+            revision=version,
+            value={
+                "service": "runners",
+                "address": f"10.0.0.{version}:80",
+                "zone": "a",
+                "models": [{"name": MODEL, "version": version}],
+            },
+        )
+        for version in (1, 2)
+    ]
+    taken.servers(entries, [])
+    late = clocks.now() + believed.bounds.weights_seconds
+    assert not selections.weights_allow(
+        believed, MODEL, believed.servers.by_server["r1"], late
+    )
