Tell a lower bound on the time of named weights from a guess

Callers were refused at runners that might still serve: of two routers that found a version by a look the one that had looked longest ago decided for all, and the guess of a router that starts counted like a bound. Found by review.

Cause: 'not sure' stood for two things. 'Named no earlier than then' is a bound: of two of these the later holds. What a router assumes at its start is none.

Now each time says where it comes from: heard as it was named, not before then, or guessed; the better goes first. Two versions that count as one keep what is known of the earlier. The review's test (the earlier of two bounds held) failed before; a second one plays the guess beside a bound.

--- a/pimentoledge/routing/beliefs.py
+++ b/pimentoledge/routing/beliefs.py
@@ -142,17 +142,24 @@
             budget.window_seconds = self.bounds.budget_seconds
 
     def want(
-        self, model: str, version: int, since: float, *, sure: bool = True
+        self,
+        model: str,
+        version: int,
+        since: float,
+        *,
+        source: wanted_weights.Source = wanted_weights.Source.HEARD,
     ) -> bool:
         """Takes a named version; returns whether it is news.
 
         Args:
             model: which model.
             version: the version that it is to have.
-            since: when it was named, or may have been.
-            sure: whether it was heard as it was named, here or elsewhere.
+            since: when it was named, as far as known.
+            source: where that time comes from.
         """
-        named = wanted_weights.Named(version=version, since=since, sure=sure)
+        named = wanted_weights.Named(
+            version=version, since=since, source=source
+        )
         known = self.wanted.get(model)
         if known is not None:
             return known.take(named)
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -32,8 +32,8 @@
         watchers: some of its data centre that watch the servers for others,
             by mailbox, with the age of the last sign of each in ms.
         named: versions of each model's weights that were named, the newest
-            last, with how many ms ago each was, and whether some router heard
-            it then; else it may have been so long ago.
+            last, with how many ms ago each was, and where that time comes
+            from, as the number of a Source.
     """
 
     data_centre: str
@@ -49,7 +49,7 @@
     holding: bool = False
     loading: dict[str, int] = attrs.field(factory=dict)
     watchers: dict[str, int] = attrs.field(factory=dict)
-    named: dict[str, list[tuple[int, int, bool]]] = attrs.field(factory=dict)
+    named: dict[str, list[tuple[int, int, int]]] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -19,6 +19,7 @@
 from pimentoledge.routing import pulses
 from pimentoledge.routing import rosters
 from pimentoledge.routing import takers as takers_module
+from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
 from pimentoledge.routing import work_reports
 from pimentoledge.routing.quotas import limiters
@@ -202,7 +203,7 @@
                     (
                         each.version,
                         int((now - each.since) * 1000),
-                        each.sure,
+                        int(each.source),
                     )
                     for each in wanted.named
                 ]
@@ -294,10 +295,15 @@
 
     def _learn(self, beat: peer_messages.Beat, now: float) -> None:
         for model, newest in beat.wanted.items():
-            named = beat.named.get(model) or [(*newest, True)]
-            for version, age, sure in reversed(named):
-                since = now - age / 1000
-                self.takers.want(model, version, since, "router", sure=sure)
+            named = beat.named.get(model) or [(*newest, 0)]
+            for version, age, source in reversed(named):
+                self.takers.want(
+                    model,
+                    version,
+                    now - age / 1000,
+                    "router",
+                    source=wanted_weights.Source(source),
+                )
         if beat.lease_revision > 0:
             self.lease.told(
                 beat.lease_revision,
--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
+from pimentoledge.routing import wanted_weights
 
 logger = logbook.Logger("takers")
 
@@ -92,16 +93,16 @@
         self, changed: list[registrations.Stored], removed: list[str]
     ) -> None:
         """Takes named weights, if they are newer."""
-        since, sure = self._named_since()
+        since, source = self._named_since()
         self._weights_listed = True
         for each in changed:
             named = self._decoded(objects.named_weights, each)
             if named is None:
                 continue
-            self.want(named.model, named.version, since, "store", sure=sure)
+            self.want(named.model, named.version, since, "store", source=source)
 
-    def _named_since(self) -> tuple[float, bool]:
-        """Returns since when weights read now are named, and if that is sure.
+    def _named_since(self) -> tuple[float, wanted_weights.Source]:
+        """Returns since when weights read now are named, and how that is known.
 
         What a wait brings is new. What a look finds may have been named at any
         time since the kind was last known to be whole, and what is listed at
@@ -109,9 +110,11 @@
         """
         now = clocks.now()
         if not self._weights_listed:
-            return self._unknown_since(), False
+            return self._unknown_since(), wanted_weights.Source.GUESSED
         unseen_seconds = self._unseen_seconds()
-        return now - unseen_seconds, not unseen_seconds
+        if not unseen_seconds:
+            return now, wanted_weights.Source.HEARD
+        return now - unseen_seconds, wanted_weights.Source.NOT_BEFORE
 
     def _unknown_since(self) -> float:
         """Returns since when weights of unknown age count as named.
@@ -132,19 +135,19 @@
         model: str,
         version: int,
         since: float,
-        source: str,
+        teller: str,
         *,
-        sure: bool,
+        source: wanted_weights.Source,
     ) -> None:
-        """Takes a named version, from the store or another router."""
-        if self.believed.want(model, version, since, sure=sure):
+        """Takes a named version, from the store, a router or a runner."""
+        if self.believed.want(model, version, since, source=source):
             self.lines.write(
                 "weights_named",
                 model=model,
                 version=version,
-                source=source,
+                teller=teller,
                 age=round(clocks.now() - since, 2),
-                sure=sure,
+                source=source.name,
             )
             self.news()
 
@@ -189,9 +192,12 @@
         for model, version in shown.weights.items():
             wanted = self.believed.wanted.get(model)
             if wanted is None or wanted.version < version:
-                known_at = self.believed.known_at("weights")
-                since = known_at or self._unknown_since()
-                self.want(model, version, since, "runner", sure=False)
+                since = self.believed.known_at("weights")
+                source = wanted_weights.Source.NOT_BEFORE
+                if not since:
+                    since = self._unknown_since()
+                    source = wanted_weights.Source.GUESSED
+                self.want(model, version, since, "runner", source=source)
 
     def _started_again(self, former: backends.Backend) -> None:
         """Takes that a server has begun another life under its id.
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -1,5 +1,7 @@
 """Which version of a model's weights is wanted, and since when."""
 
+import enum
+
 import attrs
 
 # Versions kept besides the newest. Of more, the two oldest count as one that
@@ -7,6 +9,17 @@
 MOST_EARLIER = 8
 
 
+class Source(enum.IntEnum):
+    """Where the time at which a version was named comes from, best first."""
+
+    # Some router heard the version as it was named.
+    HEARD = 0
+    # Some router knew all versions then, and this was none of them.
+    NOT_BEFORE = 1
+    # A router found the version as it started.
+    GUESSED = 2
+
+
 @attrs.frozen(kw_only=True)
 class Named:
     """A version that was named.
@@ -14,23 +27,29 @@
     Attributes:
         version: its number.
         since: when it was named, in seconds of clocks.now.
-        sure: whether some router heard it as it was named; else `since` is
-            the earliest time at which that may have been.
+        source: where that time comes from.
     """
 
     version: int
     since: float
-    sure: bool = True
+    source: Source = Source.HEARD
 
     def or_better(self, other: "Named") -> "Named":
         """Returns what is known of a version by two accounts of it.
 
-        What was heard goes before what may have been; of two alike the
-        earlier holds.
+        Of two times before which it was not named the later holds, of others
+        the earlier.
         """
-        if self.sure != other.sure:
-            return self if self.sure else other
-        return self if self.since <= other.since else other
+        if self.source != other.source:
+            return min(self, other, key=lambda each: each.source)
+        if self.source is Source.NOT_BEFORE:
+            return max(self, other, key=lambda each: each.since)
+        return min(self, other, key=lambda each: each.since)
+
+    @property
+    def is_sure(self) -> bool:
+        """Whether nothing better can show that it was named later."""
+        return self.source is Source.HEARD
 
 
 class Wanted:
@@ -84,15 +103,15 @@
     """
     *earlier, newest = named
     kept = [newest]
-    earliest = newest.since if newest.sure else None
+    earliest = newest.since if newest.is_sure else None
     for each in reversed(earlier):
         if earliest is None or each.since < earliest:
             kept.append(each)
-            if each.sure:
+            if each.is_sure:
                 earliest = each.since
     kept.reverse()
     while len(kept) > MOST_EARLIER + 1:
         oldest, second, *rest = kept
-        since = min(oldest.since, second.since)
-        kept = [attrs.evolve(second, since=since), *rest]
+        earlier = min(oldest, second, key=lambda each: each.since)
+        kept = [attrs.evolve(earlier, version=second.version), *rest]
     return kept
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -175,7 +175,35 @@
         """One router that started shut runners out at all others."""
         believed = self.started()
         believed.want(MODEL, 2, believed.born - 1.0)
-        believed.want(MODEL, 2, believed.born - 9.0, sure=False)
+        believed.want(
+            MODEL,
+            2,
+            believed.born - 9.0,
+            source=wanted_weights.Source.GUESSED,
+        )
+        assert believed.begins_until(MODEL, 1) == believed.born + 11.0
+
+    def test_the_guess_of_a_start_does_not_go_before_a_bound_that_is_known(
+        self,
+    ):
+        believed = self.started()
+        for since, source in (
+            (-1.0, wanted_weights.Source.NOT_BEFORE),
+            (-9.0, wanted_weights.Source.GUESSED),
+        ):
+            believed.want(MODEL, 2, believed.born + since, source=source)
+        assert believed.begins_until(MODEL, 1) == believed.born + 11.0
+
+    def test_of_two_times_before_which_it_was_not_named_the_later_holds(self):
+        """Runners were shut out by the one who had looked longest ago."""
+        believed = self.started()
+        for since in (-8.0, -1.0, -5.0):
+            believed.want(
+                MODEL,
+                2,
+                believed.born + since,
+                source=wanted_weights.Source.NOT_BEFORE,
+            )
         assert believed.begins_until(MODEL, 1) == believed.born + 11.0
 
 
@@ -432,7 +460,7 @@
     given = {"sender": "tcp://x", "configuration": 1}
     old = former.encode(FormerBeat(**told), **given)
     assert isinstance(peers.CODEC.decode(old), result.Success)
-    beat = peer_messages.Beat(**told, named={MODEL: [(2, 300, True)]})
+    beat = peer_messages.Beat(**told, named={MODEL: [(2, 300, 0)]})
     new = peers.CODEC.encode(beat, **given)
     assert isinstance(former.decode(new), result.Success)
 
