Count what a wait brought as new only where that can be told

Callers' requests could begin on older weights past the bound, and fetch cached parts that runs under changed weights had left, at routers whose VM had stood still: a version that was named meanwhile lay in their sockets, and counted as named when they woke. All the more at all routers once one of them told it as heard. Found by review.

Cause: whatever a wait for changes brought counted as made that moment. That holds for a wait that was under way, at a process that runs.

Now a router knows when it last stood still. What it reads on waking counts from the beginning of the pause, heartbeats too, and is told as a bound and not as heard. A wait that is answered at once may bring what is older, and counts like a look. A look that finds something gives a sound wait 50 ms to tell the same.

--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -25,6 +25,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import mirrors
 from pimentoledge.routing import pages
+from pimentoledge.routing import pauses
 from pimentoledge.routing import peers
 from pimentoledge.routing import rechecks
 from pimentoledge.routing import rollouts
@@ -110,6 +111,7 @@
             "servers": lambda: self.believed.bounds.drain_seconds,
             "weights": lambda: self.believed.bounds.weights_seconds,
         }
+        self.pauses = pauses.Pauses()
         answers = second_calls.Answers()
         self.kinds = {
             name: watchers.Watcher(
@@ -120,6 +122,7 @@
                 answers=answers,
                 # Without a configuration nothing can be served.
                 leads=name == "configuration",
+                arrived=self.pauses.arrived,
             )
             for name, each in kinds.items()
         }
@@ -138,6 +141,7 @@
             takers=self.takers,
             store=self.store,
             lines=self.lines,
+            arrived=self.pauses.arrived,
         )
         for each in self.watchers:
             each.turn = self.peers.copies.look_turn
@@ -316,6 +320,7 @@
     def tick(self) -> None:
         """Does what is due: heartbeats, idle connections, settings."""
         now = clocks.now()
+        self.pauses.tick(now)
         for each in list(self.connections):
             each.close_if_idle(now)
         for each in list(self.exchanges):
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -1,6 +1,7 @@
 """What routers tell each other, over pynng."""
 
 import asyncio
+from collections.abc import Callable
 import random
 
 import logbook
@@ -51,6 +52,8 @@
         work_reports: tell and take what routers have at servers.
         fleet_size: how many routers there are.
         limiter: holds organisations' limits over all routers.
+        arrived: returns as of when what is read at a time may have lain in a
+            socket, since the process stood still.
     """
 
     def __init__(
@@ -64,8 +67,10 @@
         takers: takers_module.Takers,
         store: stores.Store,
         lines: log_lines.Lines,
+        arrived: Callable[[float], float] = lambda now: now,
     ):
         self.believed = believed
+        self.arrived = arrived
         self.lease = lease
         self.takers = takers
         self.lines = lines
@@ -280,7 +285,9 @@
         self.roster.take_count(*beat.counted, now)
         if beat.data_centre == self.believed.data_centre:
             self.copies.shares.take(beat.watchers, now)
-        self.copies.take_known(beat, now)
+        arrived = self.arrived(now)
+        self.copies.take_known(beat, arrived)
+        self._learn_weights(beat, arrived, now)
         self._learn(beat, now)
         if self.copies.is_behind(peer):
             later = self._loop.call_later
@@ -293,17 +300,25 @@
         self._send(address, peer_messages.Ages(ages=ages))
         self._send(address, self._own_beat(now))
 
-    def _learn(self, beat: peer_messages.Beat, now: float) -> None:
+    def _learn_weights(
+        self, beat: peer_messages.Beat, arrived: float, now: float
+    ) -> None:
+        least = wanted_weights.Source.HEARD
+        if arrived < now:
+            # When it was sent isn't known to within the pause.
+            least = wanted_weights.Source.NOT_BEFORE
         for model, newest in beat.wanted.items():
             named = beat.named.get(model) or [(*newest, 0)]
             for version, age, source in reversed(named):
                 self.takers.want(
                     model,
                     version,
-                    now - age / 1000,
+                    arrived - age / 1000,
                     "router",
-                    source=wanted_weights.Source(source),
+                    source=wanted_weights.Source(max(source, least)),
                 )
+
+    def _learn(self, beat: peer_messages.Beat, now: float) -> None:
         if beat.lease_revision > 0:
             self.lease.told(
                 beat.lease_revision,
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -42,6 +42,12 @@
 FOLLOWER_RETRY_SECONDS = 1.0
 # Changes that follow each other closely are read by one call.
 GATHER_SECONDS = 0.05
+# A wait that is answered sooner than this may bring what had changed before it
+# was sent; one that is answered later tells of a change as it is made.
+AT_ONCE_SECONDS = 0.5
+# For so long a wait is heard beside a look that found a change: one that is
+# sound tells of it as well.
+BESIDE_SECONDS = 0.05
 # How long after the store's return entries that lapsed in the outage are waited
 # for: the users' pages say about two seconds. A server that left meanwhile must
 # get no request two seconds after it, so a part is left for those on their way.
@@ -66,6 +72,8 @@
         told: called with what a watch brought, and the newest change that
             was known before.
         answers: tells the watchers of one store that it answered one of them.
+        arrived: returns as of when what is read at a time may have lain in a
+            socket, since the process stood still.
         leads: whether this one asks on while the store is silent; the others
             wait until it was answered, since each call is paid for.
         reached: whether the store answered the last call.
@@ -88,6 +96,7 @@
         ),
         answers: second_calls.Answers,
         leads: bool,
+        arrived: Callable[[float], float] = lambda now: now,
     ):
         self.mirror = mirror
         self.store = store
@@ -98,6 +107,7 @@
         self.told = told
         self.answers = answers
         self.leads = leads
+        self.arrived = arrived
         self.reached = True
         self.watching = False
         self._behind = asyncio.Event()
@@ -109,8 +119,9 @@
         self._repeated = 0
         # When the newest call was sent whose answer shows all changes.
         self._fresh_at = 0.0
-        # What the newest wait brought, or None.
+        # What the newest wait brought, or None, and when it was sent.
         self._waited: registrations.Watched | None = None
+        self._wait_sent = 0.0
         self._relist = True
         self._task: asyncio.Task | None = None
 
@@ -175,14 +186,17 @@
             known_age=self._known_age(),
         )
         kind = self.mirror.kind
+        self._wait_sent = clocks.now()
         wait = self.store.watch(kind, since, WATCH_SECONDS)
         waiting = asyncio.ensure_future(wait)
         try:
             while not await self._heard_until_doubt(waiting):
                 found = await self._look()
                 if not _is_nothing(found):
-                    # A wait that is sound has heard of it as well.
-                    return found
+                    await asyncio.wait({waiting}, timeout=BESIDE_SECONDS)
+                    if not waiting.done():
+                        return found
+                    break
                 await self._take(found)
             self._waited = waiting.result()
             return self._waited
@@ -325,12 +339,19 @@
     def _unseen_seconds(self, found: registrations.Watched) -> float:
         """Returns how long ago at most what was found came about.
 
-        A wait is answered when something changes; a look or a listing may
-        bring what happened at any time since the kind was last whole.
+        A wait is answered when something changes; a look, a listing or a wait
+        that had just been sent may bring what happened at any time since the
+        kind was last whole.
         """
-        if found is self._waited or not self.mirror.known_at:
+        now = clocks.now()
+        if not self.mirror.known_at:
             return 0.0
-        return clocks.now() - self.mirror.known_at
+        arrived = self.arrived(now)
+        if found is self._waited and (
+            arrived - self._wait_sent >= AT_ONCE_SECONDS
+        ):
+            return now - arrived
+        return now - self.mirror.known_at
 
     def _name_unreadable(self, reasons: tuple[str, ...]) -> None:
         for why in reasons:
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -1,6 +1,7 @@
 """Until when requests may begin on weights that have been superseded."""
 
 import asyncio
+import time
 
 import attrs
 from hypothesis import given
@@ -8,6 +9,7 @@
 from returns import result
 
 from pimentoledge.nodes import codecs
+from pimentoledge.platform import stores
 from pimentoledge.routing import asks
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
@@ -15,15 +17,18 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import mirrors
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import peers
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
+from pimentoledge.routing import second_calls
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import takers
 from pimentoledge.routing import waits
 from pimentoledge.routing import wanted_weights
+from pimentoledge.routing import watchers
 from pimentoledge.tests import router_world
 from pimentoledge.tests import test_router_decisions
 
@@ -213,6 +218,7 @@
     first, second = world.routers
     for each in world.servers.values():
         each.silent_orders = 1000
+    await asyncio.sleep(0.8)
     world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
     await world.until(lambda: first.believed.wanted[MODEL].version == 2)
     named = first.believed.wanted[MODEL].since
@@ -490,3 +496,113 @@
     assert not selections.weights_allow(
         believed, MODEL, believed.servers.by_server["r1"], late
     )
+
+
+def _stand_still(seconds):
+    """Lets the loop, so all routers, stand still."""
+    time.sleep(seconds)
+
+
+@played(routers=2, runners=1)
+async def test_a_version_named_while_all_routers_stood_still_counts_from_then(
+    world,
+):
+    """The answer lay in the socket; old weights were used 10 s after it."""
+    await asyncio.sleep(0.8)
+    named = clocks.now()
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    _stand_still(2.5)
+    await world.until(
+        lambda: all(
+            each.believed.wanted[MODEL].version == 2 for each in world.routers
+        )
+    )
+    await asyncio.sleep(1.0)
+    for each in world.routers:
+        assert each.believed.wanted[MODEL].since < named + 0.5
+
+
+@played(routers=2, runners=2)
+async def test_a_router_that_stood_still_ages_no_weights_elsewhere(world):
+    """What it read on waking was taken for as old as its pause."""
+    first, second = world.routers
+    for each in world.servers.values():
+        each.silent_orders = 1000
+    await asyncio.sleep(0.8)
+    now = clocks.now()
+    second.pauses.began, second.pauses.ended = now - 5.0, now + 0.8
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: second.believed.wanted[MODEL].version == 2)
+    await asyncio.sleep(1.5)
+    for each in (first, second):
+        assert abs(each.believed.wanted[MODEL].since - now) < 0.3
+
+
+@played(routers=1, runners=1)
+async def test_after_a_pause_no_part_of_older_weights_is_fetched(world):
+    """Runners may have changed meanwhile, and left mixed parts."""
+    [router] = world.routers
+    await asyncio.sleep(0.8)
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    _stand_still(2.5)
+    await world.until(lambda: router.believed.wanted[MODEL].version == 2)
+    since = router.believed.wanted[MODEL].since
+    assert clocks.now() - since >= selections.SAFE_FETCH_SECONDS
+
+
+class TestWatchers:
+    """How old what a call brought may be."""
+
+    CHANGES = registrations.Changes(
+        changed=[
+            registrations.Stored(
+                name=MODEL, revision=9, value={"model": MODEL, "version": 2}
+            )
+        ],
+        removed=[],
+        revision=9,
+    )
+
+    def unseen_seconds(self, *, known_age, wait_seconds, look_seconds=0.0):
+        """Plays one step of a watcher; returns how old its news may be."""
+
+        async def watch(kind, revision, seconds):
+            await asyncio.sleep(wait_seconds if seconds else look_seconds)
+            return self.CHANGES
+
+        async def play():
+            mirror = mirrors.Mirror(
+                kind="versions", take=lambda changed, removed: None
+            )
+            mirror.revision = 5
+            mirror.known_at = clocks.now() - known_age
+            store = stores.Store(address="127.0.0.1:9", caller=None)
+            store.watch = watch
+            watcher = watchers.Watcher(
+                mirror=mirror,
+                store=store,
+                lines=log_lines.Lines(counters=counters.Counters()),
+                bound_seconds=lambda: 8.0,
+                answers=second_calls.Answers(),
+                leads=False,
+            )
+            watcher._relist = False
+            await watcher._step()
+            return mirror.unseen_seconds
+
+        return asyncio.run(play())
+
+    def test_a_wait_that_is_answered_at_once_may_bring_what_is_old(self):
+        """A router followed others, which died; its own wait began then."""
+        found = self.unseen_seconds(known_age=3.0, wait_seconds=0.0)
+        assert found > 2.5
+
+    def test_a_wait_that_is_answered_later_brings_what_is_new(self):
+        assert self.unseen_seconds(known_age=2.0, wait_seconds=0.6) < 0.1
+
+    def test_a_look_beside_a_sound_wait_does_not_age_what_was_just_named(self):
+        """A look came 10 ms before the wait, and went before it."""
+        found = self.unseen_seconds(
+            known_age=2.6, wait_seconds=0.65, look_seconds=0.04
+        )
+        assert found < 0.1
