Log when an answer says that its server leaves

No line told what an answer said of its server, so a router that read the header and let the store's entry overrule it could not be told from one that never read it. The header is decoded in the platform's adapter and noted beside the registration; nothing is chosen by it yet. One line per server and life. A 421 without an id may be another server's at the address, so it tells of none.

--- a/pimentoledge/platform/names.py
+++ b/pimentoledge/platform/names.py
@@ -14,6 +14,8 @@
 LOAD = b"server-load"
 NOT_RUN = b"not-run"
 RETRY_AFTER = b"retry-after"
+# "1" in all answers of a server that leaves.
+LEAVING = b"server-leaving"
 INCARNATION = b"instance-id"
 MODEL = b"model"
 # Two numbers: tokens of the prompt, most tokens of the answer.
--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -152,6 +152,7 @@
         weights=_number(head.value(names.WEIGHTS)),
         server=_text(head.value(names.INCARNATION)) or None,
         idle_seconds=_idle_seconds(head.value(b"keep-alive")),
+        leaving=_text(head.value(names.LEAVING)) == "1",
         passed_on=[
             (name, value)
             for name, value in head.headers
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -57,6 +57,7 @@
         load_seconds: how long weights take to load.
         silent_orders: number of next orders that it takes without an answer.
         at_work: requests that it works on now.
+        leaving: whether all its answers say that it leaves.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self.load_seconds = 0.05
         self.silent_orders = 0
         self.at_work = 0
+        self.leaving = False
         self.on_loaded = lambda: None
         self._lock = threading.Lock()
         self._server = fake_http.Server(
@@ -194,8 +196,13 @@
             (names.REQUEST, identity),
             (names.SIGNATURE, SIGNATURE),
             (names.LOAD, b"%d,0,8" % self.at_work),
+            *self._notice(),
         ]
 
+    def _notice(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of all its answers, whatever was asked."""
+        return [(names.LEAVING, b"1")] if self.leaving else []
+
     def _stream(self, request, call: Call, head: list) -> None:
         first = int(call.headers.get(names.LAST_EVENT.decode(), 0)) + 1
         fake_http.begin(
@@ -228,10 +235,12 @@
             return
         with self._lock:
             if body.get("precondition", self.taken) != self.taken:
-                fake_http.answer(request, b"{}", status=409)
+                fake_http.answer(
+                    request, b"{}", status=409, headers=self._notice()
+                )
                 return
             self.taken += 1
-        fake_http.answer(request, b"{}", status=202)
+        fake_http.answer(request, b"{}", status=202, headers=self._notice())
         timer = threading.Timer(self.load_seconds, self._loaded, [body])
         timer.start()
 
@@ -248,7 +257,9 @@
             "busy": False,
             "seq": self.taken,
         }
-        fake_http.answer(request, msgspec.json.encode(body))
+        fake_http.answer(
+            request, msgspec.json.encode(body), headers=self._notice()
+        )
 
 
 def model_named(call: Call) -> bool:
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -132,6 +132,7 @@
         weights: version of the weights it began on, or None.
         server: id of the server that answered, or None.
         idle_seconds: how long the connection may stay idle, or None.
+        leaving: whether the server says that it leaves.
         passed_on: headers that go to the client.
     """
 
@@ -144,4 +145,5 @@
     weights: int | None
     server: str | None
     idle_seconds: float | None
+    leaving: bool
     passed_on: list[tuple[bytes, bytes]]
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -55,12 +55,24 @@
     unread: int
 
 
+@attrs.define(kw_only=True)
+class Notice:
+    """What one life of a server has said of itself in answers.
+
+    Attributes:
+        leaving: whether it leaves; it never takes that back.
+    """
+
+    leaving: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class Backend:
     """One life of a backend server.
 
     Attributes:
-        registration: what it last said of itself.
+        registration: what it last said of itself in the store.
+        notice: what it has said of itself in answers to this process.
         open: requests of this process that it has and has not ended.
         reading: prompt tokens of this process that it has yet to read.
         read_since: since when it reads what is next, as far as is known.
@@ -84,6 +96,7 @@
     """
 
     registration: registrations.Registration
+    notice: Notice = attrs.field(factory=Notice)
     open: int = 0
     reading: int = 0
     read_since: float = 0.0
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -24,6 +24,7 @@
 from pimentoledge.routing import leases
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import mirrors
+from pimentoledge.routing import notices
 from pimentoledge.routing import pages
 from pimentoledge.routing import peers
 from pimentoledge.routing import rechecks
@@ -61,6 +62,7 @@
         believed: what it believes.
         counters: what it counts.
         lines: where decisions are written.
+        notices: takes what answers say of their servers.
         pool: connections to backend servers.
         connections: open connections of clients.
         exchanges: requests being served, also those whose clients left.
@@ -76,6 +78,9 @@
             born=clocks.now(),
             bounds=_bounds(chosen),
         )
+        self.notices = notices.Notices(
+            servers=self.believed.servers, lines=self.lines
+        )
         self.pool = server_connections.Pool()
         self.caller = calls.Caller()
         self.connections: set[client_connections.ClientConnection] = set()
@@ -279,6 +284,7 @@
             doubt=self.rechecks.doubt,
             prompt_changed=self.peers.work_reports.prompt_changed,
             limiter=self.peers.limiter,
+            notices=self.notices,
         )
 
     def look_for_a_pause(self, now: float) -> None:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -19,6 +19,7 @@
 from pimentoledge.routing import grounds
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import memories
+from pimentoledge.routing import notices as notices_module
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import placements
 from pimentoledge.routing import rooms
@@ -58,6 +59,7 @@
         prompt_changed: called with the length of a prompt that was sent, or
             read, and the time.
         limiter: holds organisations' limits.
+        notices: takes what answers say of their servers.
         content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
@@ -78,12 +80,14 @@
         doubt: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
         limiter: limiters.Limiter,
+        notices: notices_module.Notices,
     ):
         self.decoded = decoded
         self.died = died
         self.doubt = doubt
         self.prompt_changed = prompt_changed
         self.limiter = limiter
+        self.notices = notices
         self.answer = client_answers.ClientAnswer(client=client)
         self.believed = believed
         self.pool = pool
@@ -428,6 +432,7 @@
 
     def _learn(self, backend: backends.Backend, answer: asks.Answer) -> None:
         """Takes what an answer's head says of its server."""
+        self.notices.take(backend, answer)
         if answer.load is not None:
             backend.told_load(answer.load, clocks.now())
         found = answer.server
--- /dev/null
+++ b/pimentoledge/routing/notices.py
@@ -0,0 +1,53 @@
+"""What servers say of themselves in the heads of their answers."""
+
+import attrs
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import log_lines
+
+# Status of a server that is not the one that was meant, or that has other
+# weights than were asked for.
+MISDIRECTED = 421
+
+
+@attrs.frozen(kw_only=True)
+class Notices:
+    """Takes what answers say of the servers that gave them.
+
+    Attributes:
+        servers: the servers that are believed to be.
+        lines: where changes of belief are written.
+    """
+
+    servers: backends.Backends
+    lines: log_lines.Lines
+
+    def take(self, asked: backends.Backend, answer: asks.Answer) -> None:
+        """Takes the head of an answer.
+
+        Args:
+            asked: the server to which the request was sent.
+            answer: what came back.
+        """
+        backend = self._answerer(asked, answer)
+        if backend is None:
+            return
+        if answer.leaving and not backend.notice.leaving:
+            backend.notice.leaving = True
+            self.lines.write(
+                "server_leaving",
+                server=backend.registration.incarnation,
+                status=answer.status,
+                declared=backend.registration.leaving,
+            )
+
+    def _answerer(
+        self, asked: backends.Backend, answer: asks.Answer
+    ) -> backends.Backend | None:
+        """Returns the server that gave an answer, or None if unknown."""
+        if answer.server is not None:
+            if answer.server == asked.registration.server:
+                return asked
+            return self.servers.by_server.get(answer.server)
+        return None if answer.status == MISDIRECTED else asked
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -166,3 +166,19 @@
     assert left["server"] == "r0"
     assert 50 < left["silent_ms"] < 5000
     assert left["chosen"]["usable"] == 1
+
+
+@played(plain=1, runners=1)
+async def test_an_answer_that_tells_of_its_servers_leaving_is_logged_once(
+    world,
+):
+    """A request reached a server that had said so: had this router heard it?"""
+    server = world.servers["p0"]
+    with fields_of_lines() as lines:
+        await world.ask("/notices/", body=b"n")
+        assert "server_leaving" not in lines
+        server.leaving = True
+        for _ in range(3):
+            await world.ask("/notices/", body=b"n")
+    [line] = lines["server_leaving"]
+    assert line == {"server": "p0", "status": 200, "declared": False}
