Failing tests: requests follow an answer that says that its server leaves

What callers could see: requests to a server that ends, which are then cut off. With the store silent and the header in all answers of a stand-in, requests go on to it after a 200, a 500, a refusal and a stream, on a connection that was being opened, and orders to load weights:

--- /dev/null
+++ b/pimentoledge/tests/test_router_notices.py
@@ -0,0 +1,146 @@
+"""What servers say of themselves in answers is heeded.
+
+A server says in the store and in its answers that it leaves; the store may be
+down, or behind.
+"""
+
+import asyncio
+
+import attrs
+import pytest
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import clocks
+from pimentoledge.routing import counters
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import notices
+from pimentoledge.routing import registrations
+from pimentoledge.routing import rollouts
+from pimentoledge.tests import router_world
+
+played = router_world.played
+MODEL = router_world.MODEL
+REGISTRATION = registrations.Registration(
+    server="s0",
+    service="runners",
+    address="10.0.0.1:80",
+    data_centre="a",
+    slots=8,
+    leaving=False,
+    weights={MODEL: 1},
+    born=100,
+)
+
+
+def answer(**more):
+    fields = {
+        "status": 200,
+        "request": "q",
+        "not_run": False,
+        "signed": True,
+        "encoded": False,
+        "load": None,
+        "weights": None,
+        "server": None,
+        "idle_seconds": None,
+        "leaving": False,
+        "passed_on": [],
+    }
+    return asks.Answer(**{**fields, **more})
+
+
+def taker(servers):
+    return notices.Notices(
+        servers=servers,
+        lines=log_lines.Lines(counters=counters.Counters()),
+    )
+
+
+def leaving_server():
+    """Returns servers and the one of them that has said that it leaves."""
+    servers = backends.Backends()
+    backend = servers.put(REGISTRATION)
+    taker(servers).take(backend, answer(leaving=True))
+    return servers, backend
+
+
+@pytest.mark.parametrize(
+    ("path", "fault"),
+    [
+        pytest.param("/notices/", None, id="served"),
+        pytest.param("/notices/", "fail", id="failed"),
+        pytest.param("/notices/", "refuse", id="refused"),
+        pytest.param("/lookups/", None, id="streamed"),
+    ],
+)
+def test_no_request_follows_an_answer_by_which_its_server_leaves(path, fault):
+    @played(plain=2, runners=2)
+    async def test(world):
+        kind, headers = "p", {}
+        if path == "/lookups/":
+            kind, headers = "r", router_world.stream_headers()
+        server = world.servers[f"{kind}0"]
+        [router] = world.routers
+        world.store.silent = True
+        server.leaving = True
+        if fault is not None:
+            setattr(server, fault, 1)
+        while not server.calls:
+            await world.ask(path, body=b"n", headers=headers)
+        got = len(server.calls)
+        other = router.believed.servers.by_incarnation[f"{kind}1"]
+        other.avoid_until = clocks.now() + 60.0
+        for _ in range(4):
+            await world.ask(path, body=b"n", headers=headers)
+        assert len(server.calls) == got
+
+    test()
+
+
+@played(plain=2, runners=1)
+async def test_a_server_that_says_it_leaves_while_it_is_reached_gets_nothing(
+    world,
+):
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation
+    opened = asyncio.Event()
+    open_connection = router.pool._open
+
+    async def slowly(address, seconds):
+        connection = await open_connection(address, seconds)
+        if address == known["p0"].registration.address:
+            opened.set()
+            await asyncio.sleep(0.2)
+        return connection
+
+    router.pool._open = slowly
+    known["p1"].avoid_until = clocks.now() + 0.1
+    asked = asyncio.ensure_future(world.ask("/cards/", body=b"c"))
+    await opened.wait()
+    router.notices.take(known["p0"], answer(leaving=True))
+    assert (await asked).status == 200
+    assert not world.servers["p0"].calls
+
+
+def test_an_entry_that_says_ready_brings_no_leaving_server_back():
+    servers, backend = leaving_server()
+    servers.put(attrs.evolve(REGISTRATION, slots=9))
+    assert not backend.usable(1.0)
+
+
+def test_an_entry_that_lapsed_and_is_back_brings_no_leaving_server_back():
+    servers, _ = leaving_server()
+    servers.remove("s0")
+    assert not servers.put(REGISTRATION).usable(1.0)
+
+
+def test_no_order_goes_to_a_runner_that_said_it_leaves():
+    believed = beliefs.Beliefs(name="b", data_centre="a", born=0.0)
+    believed.want(MODEL, 2, 0.0)
+    leaves = believed.servers.put(REGISTRATION)
+    stays = believed.servers.put(attrs.evolve(REGISTRATION, server="s1"))
+    taker(believed.servers).take(leaves, answer(leaving=True))
+    rollout = rollouts.Rollout(believed=believed)
+    assert rollout.behind(MODEL) == [stays]
