Heed a server's word in its answers that it leaves

What callers saw: requests went to a server that ends, 3.2 s and more after an answer of it had said so, and would be cut off with it.

Cause: who leaves was known by the store's entries alone.

Now what a life of a server says of itself in answers is kept beside its entry, from heads of answers to requests, reports and orders, before anything is passed on. No entry takes it back, an entry that lapsed and came back has it again, a new life begins without it. All places that asked the entry alone ask both: choices, a connection that was being opened, orders, means told to other routers, what a server's end proves of its content. Not told to other routers: each hears it by its own next answer.

Added here, failing before on the same code:

test_a_report_by_which_its_runner_leaves_ends_requests_to_it assert False: is_leaving() test_an_order_by_whose_answer_a_runner_leaves_ends_requests_to_it TimeoutError test_an_answer_that_came_after_its_entry_lapsed_still_counts assert not True: usable(1.0) test_another_server_at_the_address_leaves_alone assert False: is_leaving()

and two guards that passed before as well, on new lives.

--- a/pimentoledge/platform/orders.py
+++ b/pimentoledge/platform/orders.py
@@ -1,10 +1,15 @@
 """Orders to runners, and what runners report of themselves."""
 
+from collections.abc import Callable
+
 import attrs
 
 from pimentoledge.platform import names
 from pimentoledge.platform import objects
+from pimentoledge.platform import requests
+from pimentoledge.routing import asks
 from pimentoledge.routing import calls
+from pimentoledge.routing import http_messages
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 
@@ -25,10 +30,14 @@
     Attributes:
         caller: makes the calls.
         holder: the name under which this process gives orders.
+        heard: called with the runner that was called and its answer's head.
     """
 
     caller: calls.Caller
     holder: str
+    heard: Callable[[registrations.Registration, asks.Answer], None] = (
+        lambda runner, answer: None
+    )
 
     async def report(
         self, runner: registrations.Registration
@@ -46,6 +55,7 @@
             return registrations.Unavailable(
                 reason=str(error), maybe_done=False
             )
+        self._hear(runner, reply)
         if reply.status != 200:
             return registrations.Unavailable(
                 reason=f"status {reply.status}", maybe_done=False
@@ -82,8 +92,20 @@
             if not error.sent:
                 return rollouts.Verdict.UNREACHED
             return rollouts.Verdict.UNKNOWN
+        self._hear(runner, reply)
         return _VERDICTS.get(reply.status, rollouts.Verdict.REFUSED)
 
+    def _hear(
+        self, runner: registrations.Registration, reply: calls.Reply
+    ) -> None:
+        head = http_messages.ResponseHead(
+            status=reply.status,
+            headers=reply.headers,
+            keep_alive=True,
+            ends_by_close=False,
+        )
+        self.heard(runner, requests.decode_answer(head))
+
 
 _VERDICTS = {
     202: rollouts.Verdict.TAKEN,
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -25,6 +25,9 @@
 PACE_SHARE = 0.03
 # Longer pauses tell of changes of weights, not of a runner's speed.
 MOST_PACE_SECONDS = 0.4
+# Lives that are gone of which it is kept what they said of themselves: an entry
+# that an outage took comes back within seconds.
+MOST_GONE = 1000
 
 
 @attrs.define
@@ -147,9 +150,16 @@
         self.forget_parts()
         self.loading_until = 0.0
 
+    def says_it_leaves(self) -> bool:
+        """Returns whether it has said that it leaves, here or in the store.
+
+        The store may be behind: its entry doesn't take back an answer.
+        """
+        return self.registration.leaving or self.notice.leaving
+
     def is_leaving(self) -> bool:
         """Returns whether it asks for no new work, or has ended."""
-        return self.over or self.registration.leaving
+        return self.over or self.says_it_leaves()
 
     def usable(self, now: float) -> bool:
         """Returns whether new work may be sent to it."""
@@ -323,6 +333,9 @@
         self.by_incarnation: dict[str, Backend] = {}
         self.by_server: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
+        self._gone: collections.OrderedDict[str, Notice] = (
+            collections.OrderedDict()
+        )
 
     def put(self, registration: registrations.Registration) -> Backend:
         """Takes a registration, new or changed; returns the present life.
@@ -347,7 +360,8 @@
         return found
 
     def _add(self, registration: registrations.Registration) -> Backend:
-        found = Backend(registration=registration)
+        notice = self._gone.pop(registration.incarnation, None) or Notice()
+        found = Backend(registration=registration, notice=notice)
         self.by_incarnation[registration.incarnation] = found
         self.by_server[registration.server] = found
         self.by_service.setdefault(registration.service, []).append(found)
@@ -360,6 +374,9 @@
             del self.by_incarnation[found.registration.incarnation]
             self.by_service[found.registration.service].remove(found)
             found.over = True
+            self._gone[found.registration.incarnation] = found.notice
+            while len(self._gone) > MOST_GONE:
+                self._gone.popitem(last=False)
         return found
 
     def of_service(self, service: str) -> list[Backend]:
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from pimentoledge.routing import http_messages
 from pimentoledge.routing import server_connections
 
 # How long an idle connection to a peer of calls is kept.
@@ -18,10 +19,12 @@
     Attributes:
         status: HTTP status.
         body: decoded JSON, or None.
+        headers: names in lower case, and values, in order.
     """
 
     status: int
     body: object
+    headers: http_messages.Headers = attrs.field(factory=list)
 
 
 class CallError(Exception):
@@ -113,7 +116,9 @@
                 pieces.append(data)
             case server_connections.Ended():
                 return Reply(
-                    status=head.status, body=_decoded(b"".join(pieces))
+                    status=head.status,
+                    body=_decoded(b"".join(pieces)),
+                    headers=head.headers,
                 )
             case server_connections.Broke(reason=reason):
                 raise CallError(reason, sent=True)
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -149,7 +149,9 @@
         for name in ("servers", "weights"):
             self.kinds[name].follows = self.peers.copies.follows
         self.kinds["servers"].told = self.peers.copies.tell
-        runners = orders.Runners(caller=self.caller, holder=holder)
+        runners = orders.Runners(
+            caller=self.caller, holder=holder, heard=self.notices.take_reply
+        )
         self.rechecks = rechecks.Rechecks(runners=runners, lines=self.lines)
         self.cache_links = cache_links.CacheLinks(
             believed=self.believed, lines=self.lines
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -504,7 +504,7 @@
         load = answer.load
         full = load is not None and load.running + load.waiting >= load.slots
         weights = placements.weights_of(backend, self.ask.model)
-        if weights is not None and not full and not backend.over:
+        if weights is not None and not full and not backend.is_leaving():
             # It loads weights, or has others than believed.
             self.doubt(backend)
 
--- a/pimentoledge/routing/holders.py
+++ b/pimentoledge/routing/holders.py
@@ -221,6 +221,8 @@
             progress.orders_taken = reported.orders_taken
             if reported.weights.get(due.model, 0) >= due.version:
                 return rollouts.Verdict.HOLDS
+        if due.backend.is_leaving():
+            return rollouts.Verdict.UNREACHED
         # The lease is looked at last: the report may have taken long.
         if not self.lease.may_order(clocks.now()):
             return rollouts.Verdict.UNREACHED
--- a/pimentoledge/routing/notices.py
+++ b/pimentoledge/routing/notices.py
@@ -5,6 +5,7 @@
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import registrations
 
 # Status of a server that is not the one that was meant, or that has other
 # weights than were asked for.
@@ -42,6 +43,14 @@
                 declared=backend.registration.leaving,
             )
 
+    def take_reply(
+        self, asked: registrations.Registration, answer: asks.Answer
+    ) -> None:
+        """Takes the head of an answer to a call of the system's own."""
+        backend = self.servers.by_incarnation.get(asked.incarnation)
+        if backend is not None:
+            self.take(backend, answer)
+
     def _answerer(
         self, asked: backends.Backend, answer: asks.Answer
     ) -> backends.Backend | None:
--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -123,8 +123,7 @@
         return [
             each
             for each in self.believed.servers.by_incarnation.values()
-            if not each.over
-            and not each.registration.leaving
+            if not each.is_leaving()
             and each.registration.weights.get(model, wanted) < wanted
         ]
 
--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -160,7 +160,7 @@
         would be lost with it, and could not be sent again.
         """
         self.restarted(former.registration.address)
-        if not former.registration.leaving:
+        if not former.says_it_leaves():
             self.died(former.registration.incarnation)
         self.lines.write(
             "server_restarted", server=former.registration.incarnation
@@ -171,7 +171,7 @@
         if gone is None:
             self.lines.write("server_gone", server=name)
             return
-        if not gone.registration.leaving:
+        if not gone.says_it_leaves():
             self.died(gone.registration.incarnation)
         self.lines.write("server_gone", server=gone.registration.incarnation)
 
--- a/pimentoledge/routing/work_reports.py
+++ b/pimentoledge/routing/work_reports.py
@@ -141,7 +141,7 @@
             for each in self.believed.servers.by_incarnation.values()
             if each.registration.weights
             and each.registration.data_centre == self.believed.data_centre
-            and not each.registration.leaving
+            and not each.says_it_leaves()
         ]
         if not runners:
             return None
--- a/pimentoledge/tests/test_router_notices.py
+++ b/pimentoledge/tests/test_router_notices.py
@@ -124,6 +124,30 @@
     assert not world.servers["p0"].calls
 
 
+@played(plain=2, runners=2)
+async def test_a_report_by_which_its_runner_leaves_ends_requests_to_it(world):
+    [router] = world.routers
+    runner = world.servers["r0"]
+    known = router.believed.servers.by_incarnation["r0"]
+    runner.leaving = True
+    router.rechecks.doubt(known)
+    await world.until(lambda: not router.rechecks.asking)
+    assert known.is_leaving()
+
+
+@played(plain=1, runners=2)
+async def test_an_order_by_whose_answer_a_runner_leaves_ends_requests_to_it(
+    world,
+):
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation
+    world.servers["r0"].leaving = True
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: known["r0"].is_leaving())
+    await world.until(lambda: world.servers["r1"].weights[MODEL] == 2)
+    assert not known["r1"].is_leaving()
+
+
 def test_an_entry_that_says_ready_brings_no_leaving_server_back():
     servers, backend = leaving_server()
     servers.put(attrs.evolve(REGISTRATION, slots=9))
@@ -136,6 +160,42 @@
     assert not servers.put(REGISTRATION).usable(1.0)
 
 
+def test_an_answer_that_came_after_its_entry_lapsed_still_counts():
+    servers = backends.Backends()
+    before = servers.put(REGISTRATION)
+    servers.remove("s0")
+    present = servers.put(REGISTRATION)
+    taker(servers).take(before, answer(leaving=True))
+    assert not present.usable(1.0)
+
+
+def test_a_new_life_of_a_server_that_left_is_used():
+    servers, _ = leaving_server()
+    present = servers.put(attrs.evolve(REGISTRATION, born=200))
+    assert present.usable(1.0)
+
+
+def test_an_answer_to_a_former_life_says_nothing_of_the_present_one():
+    servers = backends.Backends()
+    former = servers.put(REGISTRATION)
+    present = servers.put(attrs.evolve(REGISTRATION, born=200))
+    taker(servers).take(former, answer(leaving=True))
+    assert present.usable(1.0)
+
+
+def test_another_server_at_the_address_leaves_alone():
+    servers = backends.Backends()
+    asked = servers.put(REGISTRATION)
+    other = servers.put(attrs.evolve(REGISTRATION, server="s1"))
+    found = answer(status=421, not_run=True, leaving=True)
+    taker(servers).take(asked, found)
+    assert not asked.is_leaving()
+    assert not other.is_leaving()
+    taker(servers).take(asked, attrs.evolve(found, server="s1"))
+    assert not asked.notice.leaving
+    assert other.is_leaving()
+
+
 def test_no_order_goes_to_a_runner_that_said_it_leaves():
     believed = beliefs.Beliefs(name="b", data_centre="a", born=0.0)
     believed.want(MODEL, 2, 0.0)
