Log for how long a server that refuses asks for no request

No line told what a refusal asked for, so a router that read Retry-After and let something else overrule it could not be told from one that never read it. The header is decoded in the platform's adapter, in seconds with or without a fraction, and noted for the life of the server; nothing is chosen by it yet. Another form of it is told by a line of its own.

--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -19,6 +19,16 @@
     return int(text)
 
 
+def _seconds(value: bytes | None) -> float | None:
+    """Returns seconds, whole or with a fraction; None for all else."""
+    if value is None:
+        return None
+    whole, _, fraction = value.strip().partition(b".")
+    if not (whole + fraction).isdigit() or len(whole) > _MAX_NUMBER_DIGITS:
+        return None
+    return float(value)
+
+
 def _text(value: bytes | None) -> str:
     return "" if value is None else value.strip().decode("latin-1")
 
@@ -153,6 +163,8 @@
         server=_text(head.value(names.INCARNATION)) or None,
         idle_seconds=_idle_seconds(head.value(b"keep-alive")),
         leaving=_text(head.value(names.LEAVING)) == "1",
+        retry_seconds=_seconds(head.value(names.RETRY_AFTER)),
+        retry_text=_text(head.value(names.RETRY_AFTER)),
         passed_on=[
             (name, value)
             for name, value in head.headers
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -58,6 +58,7 @@
         silent_orders: number of next orders that it takes without an answer.
         at_work: requests that it works on now.
         leaving: whether all its answers say that it leaves.
+        retry_after: for how long its refusals ask for no request, or "".
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         self.silent_orders = 0
         self.at_work = 0
         self.leaving = False
+        self.retry_after = ""
         self.on_loaded = lambda: None
         self._lock = threading.Lock()
         self._server = fake_http.Server(
@@ -226,6 +228,8 @@
     def _not_run(self, request, headers: dict[str, str], status: int) -> None:
         head = self._head(headers)
         head.append((names.NOT_RUN, b"1"))
+        if status == 503 and self.retry_after:
+            head.append((names.RETRY_AFTER, self.retry_after.encode()))
         fake_http.answer(request, b"", status=status, headers=head)
 
     def _order(self, request, body: dict) -> None:
--- a/pimentoledge/routing/asks.py
+++ b/pimentoledge/routing/asks.py
@@ -133,6 +133,8 @@
         server: id of the server that answered, or None.
         idle_seconds: how long the connection may stay idle, or None.
         leaving: whether the server says that it leaves.
+        retry_seconds: for how long it asks for no request, or None.
+        retry_text: how it says so, or "".
         passed_on: headers that go to the client.
     """
 
@@ -146,4 +148,6 @@
     server: str | None
     idle_seconds: float | None
     leaving: bool
+    retry_seconds: float | None
+    retry_text: str
     passed_on: list[tuple[bytes, bytes]]
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -64,9 +64,11 @@
 
     Attributes:
         leaving: whether it leaves; it never takes that back.
+        retry_at: until when it asked this process for no request, or 0.
     """
 
     leaving: bool = False
+    retry_at: float = 0.0
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/pimentoledge/routing/notices.py
+++ b/pimentoledge/routing/notices.py
@@ -4,12 +4,17 @@
 
 from pimentoledge.routing import asks
 from pimentoledge.routing import backends
+from pimentoledge.routing import clocks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
 
 # Status of a server that is not the one that was meant, or that has other
 # weights than were asked for.
 MISDIRECTED = 421
+# Statuses by which a server asks to be left alone for a while.
+BUSY_STATUSES = frozenset((429, 503))
+# Characters of an unreadable header in a line.
+MOST_SHOWN = 40
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +47,32 @@
                 status=answer.status,
                 declared=backend.registration.leaving,
             )
+        if answer.status in BUSY_STATUSES and answer.retry_text:
+            self._take_retry(backend, answer)
+
+    def _take_retry(
+        self, backend: backends.Backend, answer: asks.Answer
+    ) -> None:
+        """Takes for how long a server that is busy asks for no request."""
+        server = backend.registration.incarnation
+        if answer.retry_seconds is None:
+            self.lines.write(
+                "retry_after_unreadable",
+                server=server,
+                value=answer.retry_text[:MOST_SHOWN],
+            )
+            return
+        until = clocks.now() + answer.retry_seconds
+        if until <= backend.notice.retry_at:
+            # An answer that was on its way meanwhile asks for less.
+            return
+        backend.notice.retry_at = until
+        self.lines.write(
+            "server_busy",
+            server=server,
+            status=answer.status,
+            retry_after_s=answer.retry_seconds,
+        )
 
     def take_reply(
         self, asked: registrations.Registration, answer: asks.Answer
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -182,3 +182,20 @@
             await world.ask("/notices/", body=b"n")
     [line] = lines["server_leaving"]
     assert line == {"server": "p0", "status": 200, "declared": False}
+
+
+@played(plain=1, runners=1)
+async def test_a_refusal_with_retry_after_is_logged_with_its_seconds(world):
+    """A server got requests that it had asked not to: was that read?"""
+    server = world.servers["p0"]
+    server.refuse = 2
+    server.retry_after = "0.25"
+    with fields_of_lines() as lines:
+        await world.ask("/notices/", body=b"n")
+        server.retry_after = "Thu, 01 Jan 1970 00:00:00 GMT"
+        await asyncio.sleep(0.3)
+        await world.ask("/notices/", body=b"n")
+    [line] = lines["server_busy"]
+    assert line == {"server": "p0", "status": 503, "retry_after_s": 0.25}
+    [line] = lines["retry_after_unreadable"]
+    assert line["value"].startswith("Thu, 01 Jan 1970")
--- a/pimentoledge/tests/test_router_notices.py
+++ b/pimentoledge/tests/test_router_notices.py
@@ -46,6 +46,8 @@
         "server": None,
         "idle_seconds": None,
         "leaving": False,
+        "retry_seconds": None,
+        "retry_text": "",
         "passed_on": [],
     }
     return asks.Answer(**{**fields, **more})
