Failing tests: requests reach a server before its Retry-After

What callers could see: requests refused while other servers take work, since the server that wants none is tried first and each of its refusals uses up a repeat. A stand-in refuses once with Retry-After; requests and orders go on to it, also on a connection that was being opened, and clients are not told when it is back:

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -55,6 +55,7 @@
         lose: number of next requests that it runs without an answer.
         misnumber: number of next answers that bear another request's id.
         load_seconds: how long weights take to load.
+        refuse_orders: number of next orders that it turns away with a 503.
         silent_orders: number of next orders that it takes without an answer.
         at_work: requests that it works on now.
         leaving: whether all its answers say that it leaves.
@@ -85,6 +86,7 @@
         self.lose = 0
         self.misnumber = 0
         self.load_seconds = 0.05
+        self.refuse_orders = 0
         self.silent_orders = 0
         self.at_work = 0
         self.leaving = False
@@ -237,6 +239,9 @@
         if self._next("silent_orders"):
             fake_http.cut(request)
             return
+        if self._next("refuse_orders"):
+            self._not_run(request, {}, 503)
+            return
         with self._lock:
             if body.get("precondition", self.taken) != self.taken:
                 fake_http.answer(
--- /dev/null
+++ b/pimentoledge/tests/test_router_backoffs.py
@@ -0,0 +1,155 @@
+"""A server that refuses with Retry-After gets nothing before that time."""
+
+import asyncio
+import time
+
+import pytest
+
+from pimentoledge.routing import backends
+from pimentoledge.routing import beliefs
+from pimentoledge.routing import clocks
+from pimentoledge.routing import rollouts
+from pimentoledge.tests import router_world
+from pimentoledge.tests import test_router_notices
+
+played = router_world.played
+answer = test_router_notices.answer
+taker = test_router_notices.taker
+MODEL = router_world.MODEL
+REGISTRATION = test_router_notices.REGISTRATION
+# A request waits here for a server for 0.12 of this.
+OBJECTIVE_MS = 10_000
+
+
+def busy(seconds, **more):
+    """Returns an answer by which a server backs off for some seconds."""
+    return answer(
+        status=503,
+        not_run=True,
+        signed=False,
+        retry_seconds=seconds,
+        retry_text=str(seconds),
+        **more,
+    )
+
+
+def server_backed_off(seconds=60.0):
+    """Returns servers and the one of them that backs off."""
+    servers = backends.Backends()
+    backend = servers.put(REGISTRATION)
+    taker(servers).take(backend, busy(seconds))
+    return servers, backend
+
+
+async def _patient_route(world):
+    """Configures the route so that a request waits over a second."""
+    route = router_world.route(
+        "notices", service="plain", kind="safe", targetLatencyMs=OBJECTIVE_MS
+    )
+    changed = router_world.configuration(
+        version=2, routes=[route], kept=world.kept.address
+    )
+    world.store.put("config", "main", changed)
+    [router] = world.routers
+    await world.until(lambda: router.believed.configuration.version == 2)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        pytest.param("/notices/", id="plain"),
+        pytest.param("/lookups/", id="streamed"),
+    ],
+)
+def test_no_request_reaches_a_server_before_its_retry_after(path):
+    @played(plain=2, runners=2)
+    async def test(world):
+        kind, headers = "p", {}
+        if path == "/lookups/":
+            kind, headers = "r", router_world.stream_headers()
+        server = world.servers[f"{kind}0"]
+        server.refuse, server.retry_after = 1, "2.0"
+        while not server.calls:
+            await world.ask(path, body=b"n", headers=headers)
+        refused = clocks.now()
+        [router] = world.routers
+        other = router.believed.servers.by_incarnation[f"{kind}1"]
+        other.avoid_until = clocks.now() + 60.0
+        while clocks.now() < refused + 1.0:
+            await world.ask(path, body=b"n", headers=headers)
+        assert len(server.calls) == 1
+        await asyncio.sleep(refused + 2.1 - clocks.now())
+        got = await world.ask(path, body=b"n", headers=headers)
+        assert got.status == 200
+        assert len(server.calls) == 2
+
+    test()
+
+
+@played(plain=2, runners=1)
+async def test_a_server_that_backs_off_while_it_is_reached_gets_nothing(world):
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation
+    opened = asyncio.Event()
+    open_connection = router.pool._open
+
+    async def slowly(address, seconds):
+        connection = await open_connection(address, seconds)
+        if address == known["p0"].registration.address:
+            opened.set()
+            await asyncio.sleep(0.2)
+        return connection
+
+    router.pool._open = slowly
+    known["p1"].avoid_until = clocks.now() + 0.1
+    asked = asyncio.ensure_future(world.ask("/cards/", body=b"c"))
+    await opened.wait()
+    router.notices.take(known["p0"], busy(60.0))
+    assert (await asked).status == 200
+    assert not world.servers["p0"].calls
+
+
+@played(plain=2, runners=1)
+async def test_a_request_is_not_held_while_all_servers_back_off(world):
+    await _patient_route(world)
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation
+    router.notices.take(known["p0"], busy(5.0))
+    router.notices.take(known["p1"], busy(2.0))
+    waits = set()
+    began = time.monotonic()
+    for _ in range(5):
+        got = await world.ask("/notices/", body=b"n")
+        assert got.status == 503
+        waits.add(float(got.headers["retry-after"]))
+    assert time.monotonic() - began < 0.5
+    assert min(waits) > 1.4
+    assert max(waits) < 3.0
+    assert len(waits) == 5
+    assert not world.ran("plain")
+
+
+@played(plain=1, runners=1)
+async def test_a_request_refused_by_the_last_server_is_told_when_to_return(
+    world,
+):
+    await _patient_route(world)
+    server = world.servers["p0"]
+    server.refuse, server.retry_after = 1, "2"
+    began = time.monotonic()
+    got = await world.ask("/notices/", body=b"n")
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 1.9
+    assert time.monotonic() - began < 0.5
+
+
+def test_no_runner_is_told_to_load_before_its_retry_after():
+    believed = beliefs.Beliefs(name="b", data_centre="a", born=0.0)
+    believed.want(MODEL, 2, 0.0)
+    backend = believed.servers.put(REGISTRATION)
+    taker(believed.servers).take(backend, busy(60.0))
+    rollout = rollouts.Rollout(believed=believed)
+    now = clocks.now()
+    assert not rollout.due(now)
+    [due] = rollout.due(now + 61.0)
+    assert due.backend is backend
