Send a server nothing before the time of its Retry-After

What callers saw: 23 requests refused in 6 s while at least six of nine servers took work, and late ones besides. Three servers turned 149 requests away; two of them got ten each from one router in the 3 s for which they had asked for none.

Cause: Retry-After of a server was not read.

Now the time is kept with what the server says of itself, beside its entry, and no request or order of this router goes there before. It is no failure and no load of weights, so nothing else that is believed of the server changes. Where all servers of a route back off, clients are refused at once and told when the first is back, spread.

Added here, failing before on the same code:

test_a_runner_that_backs_off_gets_no_report_call_either assert not [Backend(...)] test_an_order_that_is_refused_with_retry_after_is_not_repeated assert 3 == 1 test_nothing_but_time_ends_what_a_server_asked_for assert not True: usable(now + 59.0)

and guards for what must stay as it was.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -163,10 +163,18 @@
         """Returns whether it asks for no new work, or has ended."""
         return self.over or self.says_it_leaves()
 
+    def backs_off(self, now: float) -> bool:
+        """Returns whether it has asked this process for no request yet.
+
+        Others may be served there meanwhile, so it doesn't count as down.
+        """
+        return now < self.notice.retry_at
+
     def usable(self, now: float) -> bool:
         """Returns whether new work may be sent to it."""
         return (
             not self.is_leaving()
+            and not self.backs_off(now)
             and now >= self.avoid_until
             and now >= self.loading_until
         )
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -10,6 +10,7 @@
 from pimentoledge.routing import asks
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import backoffs
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import charges
 from pimentoledge.routing import client_answers
@@ -40,6 +41,8 @@
 # to become free before it is refused.
 WAIT_SHARE = 0.12
 WAIT_STEP_SECONDS = 0.02
+# Refusals for want of a server that takes the request.
+SERVERS_WANTED = frozenset((results.Code.NO_SERVER, results.Code.OVERLOADED))
 # Without a stated wait, a client is taken to wait so long.
 DEFAULT_WAIT_SECONDS = 60.0
 
@@ -357,6 +360,11 @@
             )
             if isinstance(found, placements.Choice) or now >= until:
                 return found
+            back_at = backoffs.back_at(
+                self.believed, self.route, now, self.history.tried()
+            )
+            if back_at is not None and back_at > until:
+                return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
     async def _attempt(self, backend: backends.Backend) -> bool:
@@ -373,13 +381,12 @@
             raise attempts.BrokenError(
                 verdicts.Outcome.UNSENT, str(error)
             ) from error
-        if backend.is_leaving():
+        unwanted = _unwanted(backend)
+        if unwanted is not None:
             # Opening a connection takes up to 0.6 s; what was heard meanwhile
             # is newer than the choice, and nothing has been sent yet.
             connection.abort()
-            raise attempts.BrokenError(
-                verdicts.Outcome.UNSENT, "it began to leave meanwhile"
-            )
+            raise attempts.BrokenError(verdicts.Outcome.UNSENT, unwanted)
         attempt = attempts.Attempt(
             ask=self.ask,
             backend=backend,
@@ -504,7 +511,8 @@
         load = answer.load
         full = load is not None and load.running + load.waiting >= load.slots
         weights = placements.weights_of(backend, self.ask.model)
-        if weights is not None and not full and not backend.is_leaving():
+        wanted = not backend.is_leaving() and not backend.backs_off(now)
+        if weights is not None and not full and wanted:
             # It loads weights, or has others than believed.
             self.doubt(backend)
 
@@ -585,9 +593,11 @@
         self._refuse(code)
 
     def _refuse(self, code: results.Code) -> None:
+        wait = self._retry_seconds(code, clocks.now())
         self._log(
             "refused",
             code=code.name,
+            retry_s=None if wait is None else round(wait, 3),
             **grounds.of_refusal(
                 self.believed,
                 self.route,
@@ -596,7 +606,15 @@
             ),
             lacks={each.value: count for each, count in self._lacks.items()},
         )
-        self.answer.refuse(code, own_answers.retry_seconds(code))
+        self.answer.refuse(code, wait)
+
+    def _retry_seconds(self, code: results.Code, now: float) -> float | None:
+        """Returns after how long the client may come back, or None."""
+        if code in SERVERS_WANTED:
+            back_at = backoffs.back_at(self.believed, self.route, now)
+            if back_at is not None:
+                return own_answers.backoff_retry_seconds(back_at - now)
+        return own_answers.retry_seconds(code)
 
     def _log(self, message: str, **fields: object) -> None:
         if self.ask is not None:
@@ -612,6 +630,15 @@
     return attempts.BrokenError(verdicts.Outcome.BROKE, reason)
 
 
+def _unwanted(backend: backends.Backend) -> str | None:
+    """Returns why a server must get no request now, or None."""
+    if backend.is_leaving():
+        return "it began to leave meanwhile"
+    if backend.backs_off(clocks.now()):
+        return "it asked for no request meanwhile"
+    return None
+
+
 def _load_text(load: asks.Load | None) -> str:
     if load is None:
         return "unknown"
--- a/pimentoledge/routing/holders.py
+++ b/pimentoledge/routing/holders.py
@@ -221,10 +221,11 @@
             progress.orders_taken = reported.orders_taken
             if reported.weights.get(due.model, 0) >= due.version:
                 return rollouts.Verdict.HOLDS
-        if due.backend.is_leaving():
+        now = clocks.now()
+        if due.backend.is_leaving() or due.backend.backs_off(now):
             return rollouts.Verdict.UNREACHED
         # The lease is looked at last: the report may have taken long.
-        if not self.lease.may_order(clocks.now()):
+        if not self.lease.may_order(now):
             return rollouts.Verdict.UNREACHED
         return await self.runners.load(
             registration,
--- a/pimentoledge/routing/notices.py
+++ b/pimentoledge/routing/notices.py
@@ -62,8 +62,9 @@
                 value=answer.retry_text[:MOST_SHOWN],
             )
             return
-        until = clocks.now() + answer.retry_seconds
-        if until <= backend.notice.retry_at:
+        now = clocks.now()
+        until = now + answer.retry_seconds
+        if until <= max(now, backend.notice.retry_at):
             # An answer that was on its way meanwhile asks for less.
             return
         backend.notice.retry_at = until
--- a/pimentoledge/routing/own_answers.py
+++ b/pimentoledge/routing/own_answers.py
@@ -30,6 +30,9 @@
 UNKNOWN_RETRY_SECONDS = 0.4
 # Clients that were refused together must not come back together.
 DARK_RETRY_SPREAD = 0.25
+# Added to the time until the first of the servers that asked for no request is
+# back, as a part of it: clients must not come back before it, nor together.
+BACKOFF_RETRY_SPREAD = 0.25
 # Of clients that are told the longest wait.
 LIMIT_RETRY_SPREAD = 0.2
 
@@ -51,6 +54,16 @@
     return RETRY_SECONDS
 
 
+def backoff_retry_seconds(wait_seconds: float) -> float:
+    """Returns after how long a client refused by all servers may come back.
+
+    Args:
+        wait_seconds: when the first server takes requests again.
+    """
+    spread = max(BACKOFF_RETRY_SPREAD * wait_seconds, RETRY_SECONDS)
+    return wait_seconds + random.uniform(0.0, spread)
+
+
 def limit_retry_seconds(wait_seconds: float | None) -> float | None:
     """Returns after how long a client beyond its limit may come back, or None.
 
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -377,3 +377,20 @@
         assert pages.asked.count("/-/objects/servers") == 1
 
     asyncio.run(play())
+
+
+def test_retry_after_is_read_in_seconds_and_in_no_other_form():
+    def seconds(value):
+        head = http_messages.ResponseHead(
+            status=503,
+            headers=[(b"retry-after", value)],
+            keep_alive=True,
+            ends_by_close=False,
+        )
+        return requests.decode_answer(head).retry_seconds
+
+    assert seconds(b" 3 ") == 3.0
+    assert seconds(b"0.25") == 0.25
+    unreadable = [b"", b".", b"-1", b"1e3", b"inf", b"nan", b"1_0", b"1.2.3"]
+    for value in [*unreadable, b"Thu, 01 Jan 1970 00:00:00 GMT", b"9" * 400]:
+        assert seconds(value) is None
--- a/pimentoledge/tests/test_router_backoffs.py
+++ b/pimentoledge/tests/test_router_backoffs.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import attrs
 import pytest
 
 from pimentoledge.routing import backends
@@ -143,6 +144,70 @@
     assert time.monotonic() - began < 0.5
 
 
+@played(plain=2, runners=1)
+async def test_a_request_that_failed_is_not_held_while_the_others_back_off(
+    world,
+):
+    await _patient_route(world)
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation
+    world.servers["p0"].fail = 1
+    router.notices.take(known["p1"], busy(60.0))
+    began = time.monotonic()
+    assert (await world.ask("/notices/", body=b"n")).status == 500
+    assert time.monotonic() - began < 0.5
+
+
+@played(plain=1, runners=1)
+async def test_a_request_waits_for_a_server_that_is_back_in_time(world):
+    await _patient_route(world)
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation["p0"]
+    router.notices.take(known, busy(0.3))
+    assert (await world.ask("/notices/", body=b"n")).status == 200
+
+
+@played(routers=2, plain=1, runners=1)
+async def test_a_server_backs_off_from_the_router_alone_that_it_told(world):
+    server = world.servers["p0"]
+    server.refuse, server.retry_after = 1, "60"
+    assert (await world.ask("/notices/", 0, body=b"n")).status == 503
+    assert (await world.ask("/notices/", 1, body=b"n")).status == 200
+    assert (await world.ask("/notices/", 0, body=b"n")).status == 503
+    assert len(server.calls) == 2
+
+
+@played(plain=1, runners=2)
+async def test_a_runner_that_backs_off_gets_no_report_call_either(world):
+    [router] = world.routers
+    doubted = []
+    router.rechecks.doubt = doubted.append
+    runner = world.servers["r0"]
+    runner.refuse, runner.retry_after = 1, "60"
+    while not runner.calls:
+        await world.ask("/lookups/", headers=router_world.stream_headers())
+    assert not doubted
+
+
+@played(plain=1, runners=2)
+async def test_an_order_that_is_refused_with_retry_after_is_not_repeated(
+    world,
+):
+    """Weights wait for the end of the time that the runner asked for."""
+    [router] = world.routers
+    known = router.believed.servers.by_incarnation["r0"]
+    runner = world.servers["r0"]
+    runner.retry_after = "1"
+    runner.refuse_orders = 100
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: known.notice.retry_at)
+    refused = len(runner.orders)
+    await asyncio.sleep(0.7)
+    assert len(runner.orders) == refused == 1
+    runner.refuse_orders = 0
+    await world.until(lambda: runner.weights[MODEL] == 2)
+
+
 def test_no_runner_is_told_to_load_before_its_retry_after():
     believed = beliefs.Beliefs(name="b", data_centre="a", born=0.0)
     believed.want(MODEL, 2, 0.0)
@@ -153,3 +218,44 @@
     assert not rollout.due(now)
     [due] = rollout.due(now + 61.0)
     assert due.backend is backend
+
+
+def test_nothing_but_time_ends_what_a_server_asked_for():
+    servers, backend = server_backed_off()
+    now = clocks.now()
+    backend.served()
+    backend.loaded()
+    taker(servers).take(backend, answer())
+    taker(servers).take(backend, busy(1.0))
+    servers.put(attrs.evolve(REGISTRATION, slots=9))
+    assert not backend.usable(now + 59.0)
+    servers.remove("s0")
+    assert not servers.put(REGISTRATION).usable(now + 59.0)
+    assert servers.put(REGISTRATION).usable(now + 61.0)
+
+
+def test_a_server_that_backs_off_does_not_count_as_down():
+    _, backend = server_backed_off()
+    now = clocks.now()
+    assert not backend.unreached(now)
+    assert not backend.is_leaving()
+
+
+def test_a_retry_after_of_zero_asks_for_nothing():
+    _, backend = server_backed_off(0.0)
+    assert not backend.notice.retry_at
+
+
+def test_a_new_life_does_not_back_off():
+    servers, _ = server_backed_off()
+    present = servers.put(attrs.evolve(REGISTRATION, born=200))
+    assert present.usable(clocks.now())
+
+
+@pytest.mark.parametrize("status", [200, 500, 421])
+def test_only_a_refusal_for_load_counts(status):
+    servers = backends.Backends()
+    backend = servers.put(REGISTRATION)
+    found = attrs.evolve(busy(60.0), status=status, server="s0")
+    taker(servers).take(backend, found)
+    assert backend.usable(clocks.now())
