--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -62,8 +62,11 @@
         lose: number of next requests that it runs without an answer.
         misnumber: number of next answers that bear another request's id.
         load_seconds: how long weights take to load.
+        refuse_orders: number of next orders that it turns away with a 503.
         silent_orders: number of next orders that it takes without an answer.
         at_work: requests that it works on now.
+        leaving: whether all its answers say that it leaves.
+        retry_after: for how long its refusals ask for no request, or "".
     """
 
     def __init__(
@@ -91,8 +94,11 @@
         self.lose = 0
         self.misnumber = 0
         self.load_seconds = 0.05
+        self.refuse_orders = 0
         self.silent_orders = 0
         self.at_work = 0
+        self.leaving = False
+        self.retry_after = ""
         self.on_loaded = lambda: None
         self._lock = threading.Lock()
         self._server = fake_http.Server(
@@ -216,8 +222,13 @@
             (names.REQUEST, identity),
             (names.SIGNATURE, SIGNATURE),
             (names.LOAD, b"%d,0,8" % self.at_work),
+            *self._notice(),
         ]
 
+    def _notice(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of all its answers, whatever was asked."""
+        return [(names.LEAVING, b"1")] if self.leaving else []
+
     def _stream(self, request, call: Call, head: list) -> None:
         first = int(call.headers.get(names.LAST_EVENT.decode(), 0)) + 1
         fake_http.begin(
@@ -241,6 +252,8 @@
     def _not_run(self, request, headers: dict[str, str], status: int) -> None:
         head = self._head(headers)
         head.append((names.NOT_RUN, b"1"))
+        if status == 503 and self.retry_after:
+            head.append((names.RETRY_AFTER, self.retry_after.encode()))
         fake_http.answer(request, b"", status=status, headers=head)
 
     def _order(self, request, body: dict) -> None:
@@ -248,12 +261,17 @@
         if self._next("silent_orders"):
             fake_http.cut(request)
             return
+        if self._next("refuse_orders"):
+            self._not_run(request, {}, 503)
+            return
         with self._lock:
             if body.get("precondition", self.taken) != self.taken:
-                fake_http.answer(request, b"{}", status=409)
+                fake_http.answer(
+                    request, b"{}", status=409, headers=self._notice()
+                )
                 return
             self.taken += 1
-        fake_http.answer(request, b"{}", status=202)
+        fake_http.answer(request, b"{}", status=202, headers=self._notice())
         timer = threading.Timer(self.load_seconds, self._loaded, [body])
         timer.start()
 
@@ -270,7 +288,9 @@
             "busy": False,
             "seq": self.taken,
         }
-        fake_http.answer(request, msgspec.json.encode(body))
+        fake_http.answer(
+            request, msgspec.json.encode(body), headers=self._notice()
+        )
 
 
 def model_named(call: Call) -> bool:
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -25,6 +25,9 @@
 PACE_SHARE = 0.03
 # Longer pauses tell of changes of weights, not of a runner's speed.
 MOST_PACE_SECONDS = 0.4
+# Lives that are gone of which it is kept what they said of themselves: an entry
+# that an outage took comes back within seconds.
+MOST_GONE = 1000
 
 
 @attrs.define
@@ -55,12 +58,26 @@
     unread: int
 
 
+@attrs.define(kw_only=True)
+class Notice:
+    """What one life of a server has said of itself in answers.
+
+    Attributes:
+        leaving: whether it leaves; it never takes that back.
+        retry_at: until when it asked this process for no request, or 0.
+    """
+
+    leaving: bool = False
+    retry_at: float = 0.0
+
+
 @attrs.define(kw_only=True, eq=False)
 class Backend:
     """One life of a backend server.
 
     Attributes:
-        registration: what it last said of itself.
+        registration: what it last said of itself in the store.
+        notice: what it has said of itself in answers to this process.
         open: requests of this process that it has and has not ended.
         reading: prompt tokens of this process that it has yet to read.
         read_since: since when it reads what is next, as far as is known.
@@ -84,6 +101,7 @@
     """
 
     registration: registrations.Registration
+    notice: Notice = attrs.field(factory=Notice)
     open: int = 0
     reading: int = 0
     read_since: float = 0.0
@@ -134,14 +152,29 @@
         self.forget_parts()
         self.loading_until = 0.0
 
+    def says_it_leaves(self) -> bool:
+        """Returns whether it has said that it leaves, here or in the store.
+
+        The store may be behind: its entry doesn't take back an answer.
+        """
+        return self.registration.leaving or self.notice.leaving
+
     def is_leaving(self) -> bool:
         """Returns whether it asks for no new work, or has ended."""
-        return self.over or self.registration.leaving
+        return self.over or self.says_it_leaves()
+
+    def backs_off(self, now: float) -> bool:
+        """Returns whether it has asked this process for no request yet.
+
+        Others may be served there meanwhile, so it doesn't count as down.
+        """
+        return now < self.notice.retry_at
 
     def usable(self, now: float) -> bool:
         """Returns whether new work may be sent to it."""
         return (
             not self.is_leaving()
+            and not self.backs_off(now)
             and now >= self.avoid_until
             and now >= self.loading_until
         )
@@ -310,6 +343,9 @@
         self.by_incarnation: dict[str, Backend] = {}
         self.by_server: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
+        self._gone: collections.OrderedDict[str, Notice] = (
+            collections.OrderedDict()
+        )
 
     def put(self, registration: registrations.Registration) -> Backend:
         """Takes a registration, new or changed; returns the present life.
@@ -334,7 +370,8 @@
         return found
 
     def _add(self, registration: registrations.Registration) -> Backend:
-        found = Backend(registration=registration)
+        notice = self._gone.pop(registration.incarnation, None) or Notice()
+        found = Backend(registration=registration, notice=notice)
         self.by_incarnation[registration.incarnation] = found
         self.by_server[registration.server] = found
         self.by_service.setdefault(registration.service, []).append(found)
@@ -347,6 +384,9 @@
             del self.by_incarnation[found.registration.incarnation]
             self.by_service[found.registration.service].remove(found)
             found.over = True
+            self._gone[found.registration.incarnation] = found.notice
+            while len(self._gone) > MOST_GONE:
+                self._gone.popitem(last=False)
         return found
 
     def of_service(self, service: str) -> list[Backend]:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -24,6 +24,7 @@
 from pimentoledge.routing import leases
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import mirrors
+from pimentoledge.routing import notices
 from pimentoledge.routing import pages
 from pimentoledge.routing import pauses
 from pimentoledge.routing import peers
@@ -62,6 +63,7 @@
         believed: what it believes.
         counters: what it counts.
         lines: where decisions are written.
+        notices: takes what answers say of their servers.
         pool: connections to backend servers.
         connections: open connections of clients.
         exchanges: requests being served, also those whose clients left.
@@ -77,6 +79,9 @@
             born=clocks.now(),
             bounds=_bounds(chosen),
         )
+        self.notices = notices.Notices(
+            servers=self.believed.servers, lines=self.lines
+        )
         self.pool = server_connections.Pool()
         self.caller = calls.Caller()
         self.connections: set[client_connections.ClientConnection] = set()
@@ -148,7 +153,9 @@
         for name in ("servers", "weights"):
             self.kinds[name].follows = self.peers.copies.follows
         self.kinds["servers"].told = self.peers.copies.tell
-        runners = orders.Runners(caller=self.caller, holder=holder)
+        runners = orders.Runners(
+            caller=self.caller, holder=holder, heard=self.notices.take_reply
+        )
         self.rechecks = rechecks.Rechecks(runners=runners, lines=self.lines)
         self.cache_links = cache_links.CacheLinks(
             believed=self.believed, lines=self.lines
@@ -283,6 +290,7 @@
             doubt=self.rechecks.doubt,
             prompt_changed=self.peers.work_reports.prompt_changed,
             limiter=self.peers.limiter,
+            notices=self.notices,
         )
 
     def look_for_a_pause(self, now: float) -> None:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -10,6 +10,7 @@
 from pimentoledge.routing import asks
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import backoffs
 from pimentoledge.routing import beliefs
 from pimentoledge.routing import charges
 from pimentoledge.routing import client_answers
@@ -19,6 +20,7 @@
 from pimentoledge.routing import grounds
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import memories
+from pimentoledge.routing import notices as notices_module
 from pimentoledge.routing import own_answers
 from pimentoledge.routing import placements
 from pimentoledge.routing import rooms
@@ -42,6 +44,8 @@
 # So long before the bound a request that has not begun on older weights is
 # withdrawn: the server has to hear of it.
 WITHDRAW_SECONDS = 0.3
+# Refusals for want of a server that takes the request.
+SERVERS_WANTED = frozenset((results.Code.NO_SERVER, results.Code.OVERLOADED))
 # Without a stated wait, a client is taken to wait so long.
 DEFAULT_WAIT_SECONDS = 60.0
 
@@ -61,6 +65,7 @@
         prompt_changed: called with the length of a prompt that was sent, or
             read, and the time.
         limiter: holds organisations' limits.
+        notices: takes what answers say of their servers.
         content: fingerprint of the request, or "" before it is known.
         history: what was done so far.
         route: the route in force when it was accepted.
@@ -81,12 +86,14 @@
         doubt: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
         limiter: limiters.Limiter,
+        notices: notices_module.Notices,
     ):
         self.decoded = decoded
         self.died = died
         self.doubt = doubt
         self.prompt_changed = prompt_changed
         self.limiter = limiter
+        self.notices = notices
         self.answer = client_answers.ClientAnswer(client=client)
         self.believed = believed
         self.pool = pool
@@ -357,6 +364,11 @@
             )
             if isinstance(found, placements.Choice) or now >= until:
                 return found
+            back_at = backoffs.back_at(
+                self.believed, self.route, now, self.history.tried()
+            )
+            if back_at is not None and back_at > until:
+                return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
     async def _attempt(self, backend: backends.Backend) -> bool:
@@ -373,13 +385,12 @@
             raise attempts.BrokenError(
                 verdicts.Outcome.UNSENT, str(error)
             ) from error
-        if backend.is_leaving():
+        unwanted = _unwanted(backend)
+        if unwanted is not None:
             # Opening a connection takes up to 0.6 s; what was heard meanwhile
             # is newer than the choice, and nothing has been sent yet.
             connection.abort()
-            raise attempts.BrokenError(
-                verdicts.Outcome.UNSENT, "it began to leave meanwhile"
-            )
+            raise attempts.BrokenError(verdicts.Outcome.UNSENT, unwanted)
         attempt = attempts.Attempt(
             ask=self.ask,
             backend=backend,
@@ -449,6 +460,7 @@
 
     def _learn(self, backend: backends.Backend, answer: asks.Answer) -> None:
         """Takes what an answer's head says of its server."""
+        self.notices.take(backend, answer)
         if answer.load is not None:
             backend.told_load(answer.load, clocks.now())
         found = answer.server
@@ -520,7 +532,8 @@
         load = answer.load
         full = load is not None and load.running + load.waiting >= load.slots
         weights = placements.weights_of(backend, self.ask.model)
-        if weights is not None and not full and not backend.over:
+        wanted = not backend.is_leaving() and not backend.backs_off(now)
+        if weights is not None and not full and wanted:
             # It loads weights, or has others than believed.
             self.doubt(backend)
 
@@ -601,9 +614,11 @@
         self._refuse(code)
 
     def _refuse(self, code: results.Code) -> None:
+        wait = self._retry_seconds(code, clocks.now())
         self._log(
             "refused",
             code=code.name,
+            retry_s=None if wait is None else round(wait, 3),
             **grounds.of_refusal(
                 self.believed,
                 self.route,
@@ -612,7 +627,15 @@
             ),
             lacks={each.value: count for each, count in self._lacks.items()},
         )
-        self.answer.refuse(code, own_answers.retry_seconds(code))
+        self.answer.refuse(code, wait)
+
+    def _retry_seconds(self, code: results.Code, now: float) -> float | None:
+        """Returns after how long the client may come back, or None."""
+        if code in SERVERS_WANTED:
+            back_at = backoffs.back_at(self.believed, self.route, now)
+            if back_at is not None:
+                return own_answers.backoff_retry_seconds(back_at - now)
+        return own_answers.retry_seconds(code)
 
     def _log(self, message: str, **fields: object) -> None:
         if self.ask is not None:
@@ -628,6 +651,15 @@
     return attempts.BrokenError(verdicts.Outcome.BROKE, reason)
 
 
+def _unwanted(backend: backends.Backend) -> str | None:
+    """Returns why a server must get no request now, or None."""
+    if backend.is_leaving():
+        return "it began to leave meanwhile"
+    if backend.backs_off(clocks.now()):
+        return "it asked for no request meanwhile"
+    return None
+
+
 def _load_text(load: asks.Load | None) -> str:
     if load is None:
         return "unknown"
--- /dev/null
+++ b/pimentoledge/routing/notices.py
@@ -0,0 +1,94 @@
+"""What servers say of themselves in the heads of their answers."""
+
+import attrs
+
+from pimentoledge.routing import asks
+from pimentoledge.routing import backends
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import registrations
+
+# Status of a server that is not the one that was meant, or that has other
+# weights than were asked for.
+MISDIRECTED = 421
+# Statuses by which a server asks to be left alone for a while.
+BUSY_STATUSES = frozenset((429, 503))
+# Characters of an unreadable header in a line.
+MOST_SHOWN = 40
+
+
+@attrs.frozen(kw_only=True)
+class Notices:
+    """Takes what answers say of the servers that gave them.
+
+    Attributes:
+        servers: the servers that are believed to be.
+        lines: where changes of belief are written.
+    """
+
+    servers: backends.Backends
+    lines: log_lines.Lines
+
+    def take(self, asked: backends.Backend, answer: asks.Answer) -> None:
+        """Takes the head of an answer.
+
+        Args:
+            asked: the server to which the request was sent.
+            answer: what came back.
+        """
+        backend = self._answerer(asked, answer)
+        if backend is None:
+            return
+        if answer.leaving and not backend.notice.leaving:
+            backend.notice.leaving = True
+            self.lines.write(
+                "server_leaving",
+                server=backend.registration.incarnation,
+                status=answer.status,
+                declared=backend.registration.leaving,
+            )
+        if answer.status in BUSY_STATUSES and answer.retry_text:
+            self._take_retry(backend, answer)
+
+    def _take_retry(
+        self, backend: backends.Backend, answer: asks.Answer
+    ) -> None:
+        """Takes for how long a server that is busy asks for no request."""
+        server = backend.registration.incarnation
+        if answer.retry_seconds is None:
+            self.lines.write(
+                "retry_after_unreadable",
+                server=server,
+                value=answer.retry_text[:MOST_SHOWN],
+            )
+            return
+        now = clocks.now()
+        until = now + answer.retry_seconds
+        if until <= max(now, backend.notice.retry_at):
+            # An answer that was on its way meanwhile asks for less.
+            return
+        backend.notice.retry_at = until
+        self.lines.write(
+            "server_busy",
+            server=server,
+            status=answer.status,
+            retry_after_s=answer.retry_seconds,
+        )
+
+    def take_reply(
+        self, asked: registrations.Registration, answer: asks.Answer
+    ) -> None:
+        """Takes the head of an answer to a call of the system's own."""
+        backend = self.servers.by_incarnation.get(asked.incarnation)
+        if backend is not None:
+            self.take(backend, answer)
+
+    def _answerer(
+        self, asked: backends.Backend, answer: asks.Answer
+    ) -> backends.Backend | None:
+        """Returns the server that gave an answer, or None if unknown."""
+        if answer.server is not None:
+            if answer.server == asked.registration.server:
+                return asked
+            return self.servers.by_server.get(answer.server)
+        return None if answer.status == MISDIRECTED else asked
--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -123,8 +123,7 @@
         return [
             each
             for each in self.believed.servers.by_incarnation.values()
-            if not each.over
-            and not each.registration.leaving
+            if not each.is_leaving()
             and each.registration.weights.get(model, wanted) < wanted
         ]
 
@@ -221,7 +220,7 @@
 
     def _may_tell(self, backend: backends.Backend, now: float) -> bool:
         progress = self.of(backend)
-        if backend.unreached(now):
+        if backend.unreached(now) or backend.backs_off(now):
             return False
         return not progress.calling and now >= progress.not_before
 
