Don't count an outage of the store into the age of weights found after it

Callers got 503 after an outage of the store in which newer weights were named, until runners had loaded them: the version counted from before the outage, so all runners were past the bound at once. Made by counting what a look finds from when all was last known; found by review.

Cause: the bound runs while the store answers. When a look or a listing, each made beside another on a new connection, gets no answer in time, the store is silent, and a version found later counts from then at the latest. The same for what a router lists at its start. A process that stood still shows nothing.

Evidence: test_a_version_named_in_an_outage_does_not_shut_all_runners_out failed before with 503.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -54,7 +54,9 @@
             )
         except calls.CallError as error:
             return registrations.Unavailable(
-                reason=str(error), maybe_done=writes and error.sent
+                reason=str(error),
+                maybe_done=writes and error.sent,
+                overdue=error.overdue,
             )
         if reply.status in (429, 503):
             return registrations.Unavailable(
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -32,11 +32,13 @@
 
     Attributes:
         sent: whether the request may have arrived.
+        overdue: whether nothing came in time.
     """
 
-    def __init__(self, reason: str, *, sent: bool):
+    def __init__(self, reason: str, *, sent: bool, overdue: bool = False):
         super().__init__(reason)
         self.sent = sent
+        self.overdue = overdue
 
 
 class Caller:
@@ -84,7 +86,9 @@
         except server_connections.CannotConnectError as error:
             raise CallError(str(error), sent=False) from error
         except TimeoutError as error:
-            raise CallError("no answer in time", sent=sent) from error
+            raise CallError(
+                "no answer in time", sent=sent, overdue=True
+            ) from error
         finally:
             if connection is not None and connection.busy:
                 done = "reply" in locals()
--- a/pimentoledge/routing/mirrors.py
+++ b/pimentoledge/routing/mirrors.py
@@ -21,6 +21,8 @@
             0 before the first.
         unseen_seconds: how long ago at most the newest changes came about
             that nothing had told of; 0 where a wait brought them.
+        silent_at: when the store was last found to answer nothing, in seconds
+            of clocks.now, or 0.
     """
 
     kind: str
@@ -30,6 +32,7 @@
     changed_at: int = 0
     known_at: float = 0.0
     unseen_seconds: float = 0.0
+    silent_at: float = 0.0
 
     def freshen(self, when: float) -> None:
         """Takes that all changes up to a time are known."""
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -116,10 +116,12 @@
     Attributes:
         reason: what was met.
         maybe_done: whether a write may have been or may yet be carried out.
+        overdue: whether nothing came in time.
     """
 
     reason: str
     maybe_done: bool
+    overdue: bool = False
 
 
 # What a call for changes may bring.
--- a/pimentoledge/routing/takers.py
+++ b/pimentoledge/routing/takers.py
@@ -122,7 +122,9 @@
         Taken for older, runners that have yet to load would serve nobody in
         the first seconds; taken for younger, the bound would be passed.
         """
-        over = self.believed.born + START_SECONDS
+        copied = self.believed.copied.get("weights")
+        silent_at = copied.silent_at if copied is not None else 0.0
+        over = max(self.believed.born, silent_at) + START_SECONDS
         return over - self.believed.bounds.weights_seconds
 
     def _unseen_seconds(self) -> float:
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -240,7 +240,7 @@
                 self.mirror.kind, self.mirror.revision, 0.0
             ),
             overdue=self._look_overdue,
-            failed=self._lost,
+            failed=self._unanswered,
         )
         if not _is_nothing(found):
             self.lines.write(
@@ -277,7 +277,7 @@
         found = await second_calls.first_answer(
             call=lambda: self.store.list(self.mirror.kind),
             overdue=self._overdue,
-            failed=self._lost,
+            failed=self._unanswered,
         )
         if isinstance(found, registrations.Listing):
             self._fresh_at = sent
@@ -290,6 +290,17 @@
         else:
             await self.answers.next()
 
+    def _unanswered(self, unavailable: registrations.Unavailable) -> None:
+        """Takes that a look or a listing had no answer.
+
+        Another was made beside it on a new connection, so the store was
+        silent, unless this process stood still and has read nothing.
+        """
+        now = clocks.now()
+        if unavailable.overdue and self.arrived(now) == now:
+            self.mirror.silent_at = now
+        self._lost(unavailable)
+
     async def _pause(self) -> None:
         """Waits before a store that gave no answer is asked again.
 
@@ -341,7 +352,8 @@
 
         A wait is answered when something changes; a look, a listing or a wait
         that had just been sent may bring what happened at any time since the
-        kind was last whole.
+        kind was last whole. While the store answers nobody the bounds on what
+        is known from it don't run.
         """
         now = clocks.now()
         if not self.mirror.known_at:
@@ -351,7 +363,7 @@
             arrived - self._wait_sent >= AT_ONCE_SECONDS
         ):
             return now - arrived
-        return now - self.mirror.known_at
+        return now - max(self.mirror.known_at, self.mirror.silent_at)
 
     def _name_unreadable(self, reasons: tuple[str, ...]) -> None:
         for why in reasons:
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -611,3 +611,23 @@
             known_age=2.6, wait_seconds=0.65, look_seconds=0.04
         )
         assert found < 0.1
+
+
+@played(routers=1, runners=2)
+async def test_a_version_named_in_an_outage_does_not_shut_all_runners_out(
+    world,
+):
+    """All counted as too old when the store was back, and callers got 503."""
+    [router] = world.routers
+    router.believed.bounds = attrs.evolve(
+        router.believed.bounds, weights_seconds=WEIGHTS_SECONDS
+    )
+    for each in world.servers.values():
+        each.load_seconds = 1.0
+    world.store.silent = True
+    await asyncio.sleep(4.0)
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    world.store.silent = False
+    await world.until(lambda: router.believed.wanted[MODEL].version == 2)
+    answer = await world.ask("/lookups/", headers=router_world.stream_headers())
+    assert answer.status == 200
