Bring a router's allowance to one owner of a limit in a window

What callers saw: nothing refused; an owner of a limit that had just come, or been handed one over, could let in up to 1.67 allowances (each a third of the tolerance) instead of one.

Cause: whether rights bring an allowance was decided anew at each lending, and guessed. `_lend` took an own ledger that nobody had asked for one in which the allowance still lies, though it had gone out with the first message, or with an earlier lending. The same guess gave one to the next owner after one that left or died, to an owner's new life, and after a cut of seconds. Passed on, it was left behind in the own ledger, too. A change of the number of routers brought one for rights that were there before; a router's new life brought two more; and an owner of long ago still gave the whole allowance to who had not asked before.

Now a router knows whom its newest allowance went to: it says so to that owner until it answers, passes on only what lies unused in its own ledger (and takes it out), and brings the next a window and two seconds later. An owner takes one from each router in a window, whichever life sends it. After two seconds it lapses for organisations that did not ask.

--- a/pimentoledge/routing/quotas/ledgers.py
+++ b/pimentoledge/routing/quotas/ledgers.py
@@ -20,6 +20,9 @@
 # Part of the tolerance that rights bring when they come to a ledger whose
 # past is unknown: a new owner can let requests in at once.
 ALLOWANCE_SHARE = 1 / 3
+# An allowance is for organisations that are asked for within this time: later
+# the rights have earned more.
+ALLOWANCE_SECONDS = 2.0
 # Part of the tolerance by which one request that is larger than a full pool
 # may overdraw it: else it could never run.
 OVERDRAFT_SHARE = 1 / 6
@@ -100,6 +103,21 @@
     until: float
 
 
+@attrs.define(kw_only=True)
+class Allowance:
+    """What a router's rights brought to a slot beside what they earn.
+
+    Attributes:
+        share: part of the whole allowance.
+        at: when it came.
+        lapsed: whether it is too old for pools that have not counted it.
+    """
+
+    share: float
+    at: float
+    lapsed: bool = False
+
+
 @attrs.define(kw_only=True)
 class Pool:
     """What is left of one organisation's limit in a ledger.
@@ -131,7 +149,9 @@
         leases: rights by router.
         share: their sum.
         earned: integral of the share over time.
-        brought: sum of the shares that came with an allowance.
+        brought: sum of the shares of all allowances.
+        lapsed: of that, what lapsed.
+        allowances: by router, those of the last window.
         pools: by organisation.
     """
 
@@ -141,6 +161,8 @@
         self.share = 0.0
         self.earned = 0.0
         self.brought = 0.0
+        self.lapsed = 0.0
+        self.allowances: dict[str, Allowance] = {}
         self.pools: dict[str, Pool] = {}
         self._counted_at = 0.0
         # Share before the newest change of it, and what had been earned by
@@ -159,12 +181,44 @@
         """Takes a router's rights, or changes them."""
         self.advance(now)
         if allowance:
-            self.brought += lease.share
+            self.bring(router, lease.share, now)
         held = self.leases.get(router)
         self.leases[router] = lease
         if held is None or held.share != lease.share:
             self._changed()
 
+    def bring(self, router: str, share: float, now: float) -> None:
+        """Takes a router's allowance, unless it brought one in this window.
+
+        A message may repeat it, and a new life of a router knows of none.
+        """
+        held = self.allowances.get(router)
+        if held is not None and now - held.at < self.bounds.window_seconds:
+            return
+        if held is not None:
+            self._lapse(held)
+        self.allowances[router] = Allowance(share=share, at=now)
+        self.brought += share
+
+    def withdraw(self, router: str) -> None:
+        """Takes away a router's allowance, which no pool has counted."""
+        held = self.allowances.pop(router, None)
+        if held is not None and not held.lapsed:
+            self.brought -= held.share
+
+    def _lapse(self, allowance: Allowance) -> None:
+        if not allowance.lapsed:
+            allowance.lapsed = True
+            self.lapsed += allowance.share
+
+    def _lapse_old(self, now: float) -> None:
+        for router, each in list(self.allowances.items()):
+            if now - each.at >= ALLOWANCE_SECONDS:
+                self._lapse(each)
+            in_window = now - each.at < self.bounds.window_seconds
+            if each.lapsed and not in_window:
+                del self.allowances[router]
+
     def remove(self, router: str, now: float) -> None:
         """Takes a router's rights away, with their part of what is left."""
         if router not in self.leases:
@@ -185,6 +239,7 @@
         ]:
             self.remove(router, now)
         self.advance(now)
+        self._lapse_old(now)
         for name, pool in list(self.pools.items()):
             if now - pool.used_at < IDLE_SECONDS:
                 continue
@@ -241,12 +296,17 @@
         if limit.version > pool.limit.version:
             pool.limit = limit
             pool.level = min(pool.level, self.top(pool))
-        allowance = ALLOWANCE_SHARE * self.bounds.tolerance(pool.limit)
-        pool.level += allowance * min(1.0, self.brought - pool.brought)
-        pool.brought = self.brought
+        self._allow(pool)
         pool.used_at = now
         return pool
 
+    def _allow(self, pool: Pool) -> None:
+        """Adds the allowances that came since a pool was asked."""
+        share = self.brought - max(pool.brought, self.lapsed)
+        allowance = ALLOWANCE_SHARE * self.bounds.tolerance(pool.limit)
+        pool.level += allowance * min(1.0, max(0.0, share))
+        pool.brought = self.brought
+
     def _level_unasked(self, limit: Limit) -> float:
         """Returns what a limit holds that nobody has used here yet."""
         share, earned = self._before
--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -293,12 +293,11 @@
             fresh = number in lent.fresh
             if number in lent.slots and timely:
                 lease = ledgers.Lease(share=lent.share, until=until)
-                new = sender not in slot.leases
-                slot.put(sender, lease, allowance=fresh and new, now=now)
+                slot.put(sender, lease, allowance=fresh, now=now)
             elif number not in lent.slots:
                 slot.remove(sender, now)
                 if fresh:
-                    slot.brought += lent.share
+                    slot.bring(sender, lent.share, now)
         answer = messages.RightsLeased(
             number=lent.number, clock_ms=int(1000 * now)
         )
--- a/pimentoledge/routing/quotas/messages.py
+++ b/pimentoledge/routing/quotas/messages.py
@@ -18,7 +18,7 @@
         share: the sender's part of every limit.
         slots: those lent.
         fresh: slots, lent or about to be, that bring the sender's part of the
-            allowance.
+            allowance; said until it is answered, and counts once in a window.
     """
 
     number: int
--- a/pimentoledge/routing/quotas/rights.py
+++ b/pimentoledge/routing/quotas/rights.py
@@ -70,19 +70,27 @@
     Attributes:
         owner: mailbox of the router that has them.
         until: when they lapse there.
-        fresh: whether they are to bring an allowance.
         ending: whether they are to be taken back.
         left_out: number of the first message to the owner that leaves the slot
             out, or None.
-        brought_at: when an allowance was last brought anywhere.
+        brought_to: mailbox of the router that the newest allowance went to.
+        brought_at: when it was last said to go there.
+        fresh: whether that router has not answered yet.
     """
 
     owner: str
     until: float = NEVER
-    fresh: bool = False
     ending: bool = False
     left_out: int | None = None
+    brought_to: str | None = None
     brought_at: float = -NEVER
+    fresh: bool = False
+
+    def bring(self, router: str, now: float, *, fresh: bool) -> None:
+        """Takes that the allowance goes to a router from now on."""
+        self.brought_to = router
+        self.brought_at = now
+        self.fresh = fresh
 
 
 def talk_seconds(share: float) -> float:
@@ -236,25 +244,30 @@
     def _put(self, slot: int, now: float) -> None:
         home = self.homes[slot]
         held = self.ledger.slots[slot]
+        comes = self.own not in held.leases
         stays = self.wanted[slot] == self.own
-        due = stays and self._allowance_due(home, now)
+        due = comes and stays and self._allowance_due(home, now)
         if due:
-            home.brought_at = now
+            home.bring(self.own, now, fresh=False)
         lease = ledgers.Lease(share=self.share, until=NEVER)
         held.put(self.own, lease, allowance=due, now=now)
 
     def _allowance_due(self, home: Home, now: float) -> bool:
+        """Returns whether no allowance can be spent with that of before.
+
+        It may have been counted anywhere until it lapsed.
+        """
         window = self.ledger.bounds.window_seconds
-        return now - home.brought_at >= window
+        return now - home.brought_at >= window + ledgers.ALLOWANCE_SECONDS
 
     def _lend(self, slot: int, owner: str, now: float) -> None:
         home = self.homes[slot]
         held = self.ledger.slots[slot]
-        # Brought to the own ledger and not used there, it may go on.
-        unused = self.own in held.leases and not held.pools
-        home.fresh = unused or self._allowance_due(home, now)
-        if home.fresh:
-            home.brought_at = now
+        unused = home.brought_to == self.own and not held.pools
+        if unused:
+            held.withdraw(self.own)
+        if unused or self._allowance_due(home, now):
+            home.bring(owner, now, fresh=True)
         held.remove(self.own, now)
         home.owner = owner
         home.until = self.talk(owner).echo_at + self.term_seconds
@@ -266,7 +279,6 @@
         home = self.homes[slot]
         home.owner = self.own
         home.until = NEVER
-        home.fresh = False
         home.ending = False
         home.left_out = None
         if self.share:
@@ -287,11 +299,12 @@
             if home.owner == owner and not home.ending:
                 lent.append(slot)
                 home.until = max(home.until, talk.echo_at + self.term_seconds)
-                if home.fresh:
-                    fresh.append(slot)
             elif home.owner == owner and home.left_out is None:
                 home.left_out = talk.number
             elif self._brings_allowance(slot, owner, now):
+                home.bring(owner, now, fresh=True)
+            asked = owner in (home.owner, self.wanted[slot])
+            if home.fresh and home.brought_to == owner and asked:
                 home.brought_at = now
                 fresh.append(slot)
         return messages.LeaseRights(
@@ -332,7 +345,7 @@
         talk.waiting_since = None
         talk.avoided_seconds = 0.0
         for home in self.homes:
-            if home.owner == owner:
+            if home.brought_to == owner:
                 home.fresh = False
 
     def _left(self, owner: str, now: float) -> None:
--- a/pimentoledge/tests/test_router_quotas.py
+++ b/pimentoledge/tests/test_router_quotas.py
@@ -166,6 +166,18 @@
         ledger.remove("r1", 10.0)
         assert self.spend(ledger, 10.0, 10.0) <= TOP / 2
 
+    def test_an_allowance_that_nobody_asked_for_lapses(self):
+        """Guards against a whole allowance at an owner of long ago."""
+        ledger = self.ledger(shares=())
+        slot = ledger.slots[ledgers.slot_of("acme")]
+        lease = ledgers.Lease(share=1.0, until=5.0)
+        slot.put("r0", lease, allowance=True, now=0.0)
+        ledger.expire(5.0)
+        part = ledgers.Lease(share=0.1, until=1e9)
+        slot.put("r0", part, allowance=False, now=5.0)
+        ledger.expire(40.0)
+        assert self.spend(ledger, 40.0, 10.0) <= TOP / 10
+
     def test_rights_lapse(self):
         ledger = ledgers.Ledger(bounds=BOUNDS)
         lease = ledgers.Lease(share=1.0, until=5.0)
@@ -237,21 +249,35 @@
         self.mail = []
         self.now = 100.0
         self.limiters = {}
-        names = [f"tcp://r{number}" for number in range(count)]
-        for name in names:
-            others = [each for each in names if each != name]
-            self.limiters[name] = limiters.Limiter(
-                own=name,
-                life=1,
-                bounds=BOUNDS,
-                share=lambda now: 1 / count,
-                routers=lambda now, others=others: others,
-                send=lambda to, message, name=name: self.mail.append(
-                    (name, to, message)
-                ),
-            )
+        self.share = 1 / count
+        self.names = [f"tcp://r{number}" for number in range(count)]
+        # Routers that have met none.
+        self.alone = set()
+        for name in self.names:
+            self.start(name)
         self.dead = set()
 
+    def start(self, name, life=1):
+        """Starts a router, which knows nothing."""
+        self.limiters[name] = limiters.Limiter(
+            own=name,
+            life=life,
+            bounds=BOUNDS,
+            share=lambda now: self.share,
+            routers=lambda now: self.known(name),
+            send=lambda to, message: self.mail.append((name, to, message)),
+        )
+
+    def known(self, name):
+        """Returns whom a router believes to live."""
+        if name in self.alone:
+            return []
+        return [
+            each
+            for each in self.names
+            if each != name and each not in self.alone
+        ]
+
     def run(self, seconds):
         for _ in range(int(seconds / 0.05)):
             self.now += 0.05
@@ -263,7 +289,7 @@
     def deliver(self):
         while self.mail:
             sender, to, message = self.mail.pop(0)
-            if to not in self.dead and sender not in self.dead:
+            if not {to, sender} & (self.dead | self.alone):
                 self.limiters[to].handle(sender, message, self.now)
 
     def acquire(self, name, cost=100.0):
@@ -304,6 +330,94 @@
         slot = self.limiters[self.owner()].ledger.slots[ledgers.slot_of("acme")]
         assert slot.brought <= 1.001
 
+    def brought(self):
+        """Returns the allowances that lie in all ledgers together."""
+        slot = ledgers.slot_of("acme")
+        return sum(
+            each.ledger.slots[slot].brought for each in self.limiters.values()
+        )
+
+    def test_an_owner_that_ends_passes_no_allowance_on(self):
+        """Guards against one allowance for each of two owners."""
+        self.build(3)
+        self.run(3.0)
+        before = self.brought()
+        self.limiters[self.owner()].leave(self.now)
+        self.run(3.0)
+        assert self.brought() == pytest.approx(before)
+
+    def test_the_next_owner_of_a_dead_one_gets_no_second_allowance(self):
+        """Guards against an allowance for each owner that dies soon."""
+        self.build(3)
+        self.run(3.0)
+        before = self.brought()
+        self.dead.add(self.owner())
+        self.run(4.0)
+        assert self.brought() == pytest.approx(before)
+
+    def test_a_new_life_of_an_owner_gets_no_second_allowance_of_others(self):
+        """Guards against the allowances of all for each life of an owner."""
+        self.build(3)
+        self.run(1.0)
+        owner = self.owner()
+        before = self.brought()
+        lost = self.limiters[owner].ledger.slots[ledgers.slot_of("acme")]
+        self.dead.add(owner)
+        self.run(2.0)
+        self.dead.clear()
+        self.start(owner, life=2)
+        self.run(4.0)
+        assert self.owner() == owner
+        assert self.brought() <= before - lost.brought + self.share + 0.001
+
+    def test_a_router_that_restarts_brings_an_owner_no_second_allowance(self):
+        """Guards against an allowance for each life of a lender."""
+        self.build(3)
+        self.run(3.0)
+        other = self.other()
+        before = self.brought()
+        self.start(other, life=2)
+        self.run(3.0)
+        assert self.brought() == pytest.approx(before)
+
+    def test_a_router_that_comes_back_brings_no_second_allowance(self):
+        """Guards against an allowance after each short cut."""
+        self.build(3)
+        self.run(3.0)
+        before = self.brought()
+        self.alone.add(self.other())
+        self.run(2.0)
+        self.alone.clear()
+        self.run(2.0)
+        assert self.brought() == pytest.approx(before)
+
+    def test_an_allowance_that_goes_on_is_not_left_behind(self):
+        """Guards against one allowance in the own ledger and at the owner."""
+        self.build(3)
+        self.alone.update(self.names)
+        self.run(1.0)
+        self.alone.clear()
+        self.run(3.0)
+        assert self.brought() <= 1.001
+
+    def test_a_changed_number_of_routers_brings_no_allowance(self):
+        """Guards against an allowance for rights that were there before."""
+        self.build(3)
+        self.run(20.0)
+        before = self.brought()
+        self.share = 1 / 4
+        self.run(1.0)
+        assert self.brought() == pytest.approx(before)
+
+    def test_an_allowance_whose_message_was_lost_is_brought_again(self):
+        """Guards against an owner that begins without an allowance."""
+        self.build(3)
+        for each in self.limiters.values():
+            each.tick(self.now)
+        self.mail.clear()
+        self.run(3.0)
+        assert self.brought() == pytest.approx(1.0)
+
     def test_an_answer_that_comes_too_late_is_given_back(self):
         """Guards against tokens that a slow owner granted to nobody."""
         self.build()
