--- a/benches/quotas.py
+++ b/benches/quotas.py
@@ -149,6 +149,9 @@
         messages: a second and router.
         kilobytes: a second and router.
         wait_p99_ms: time until an answer.
+        owner_messages: a second, sent and received by the router that has most
+            of them, while the first organisation is hot, or else all the time.
+        owner_kilobytes: the same in kilobytes.
     """
 
     worst: float
@@ -156,6 +159,8 @@
     messages: float
     kilobytes: float
     wait_p99_ms: float
+    owner_messages: float
+    owner_kilobytes: float
 
 
 class World:
@@ -194,6 +199,10 @@
         self.asked = collections.defaultdict(list)
         self.sent_messages = 0
         self.sent_bytes = 0
+        self.load_since = 0.0
+        self.load_seconds = 1.0
+        self.load_messages = collections.Counter()
+        self.load_bytes = collections.Counter()
         self.waits = []
         self.lives = itertools.count(1)
         self.cut = set()
@@ -223,6 +232,9 @@
         for each in self.organisations:
             self.at(lead, self.request, each, lead)
         end = lead + seconds
+        _, since, until = case.hot if case.hot[0] > 1 else (1, 0, seconds)
+        self.load_since = lead + since
+        self.load_seconds = min(until, seconds) - since
         while self.heap and self.heap[0][0] < end:
             self.now, _, what, arguments = heapq.heappop(self.heap)
             what(*arguments)
@@ -285,6 +297,10 @@
         data = len(msgspec.msgpack.encode(message)) + ENVELOPE_BYTES
         self.sent_messages += 1
         self.sent_bytes += data
+        if 0 <= self.now - self.load_since < self.load_seconds:
+            for each in (router.name, to):
+                self.load_messages[each] += 1
+                self.load_bytes[each] += data
         delay = IN_CENTRE_SECONDS
         if router.number % 3 != self.routers[to].number % 3:
             delay = APART_SECONDS
@@ -411,9 +427,16 @@
             messages=self.sent_messages / seconds / routers,
             kilobytes=self.sent_bytes / seconds / routers / 1000,
             wait_p99_ms=1000 * waits[int(0.99 * len(waits))],
+            owner_messages=most(self.load_messages) / self.load_seconds,
+            owner_kilobytes=most(self.load_bytes) / self.load_seconds / 1000,
         )
 
 
+def most(counter):
+    """Returns the highest count, or 0."""
+    return max(counter.values(), default=0)
+
+
 def usual(rate):
     """Returns sixteen organisations, a few of them large."""
     weights = [1 / rank for rank in range(1, 17)]
@@ -470,8 +493,11 @@
     parser.add_argument("--ways", default=",".join(quota_ways.WAYS))
     parser.add_argument("--seed", type=int, default=1)
     chosen = parser.parse_args()
-    print("| routers | case | way | worst | below % | msg/s | kB/s | p99 ms |")
-    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print(
+        "| routers | case | way | worst | below % | msg/s | kB/s | p99 ms |"
+        " owner msg/s | owner kB/s |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for routers in map(int, chosen.routers.split(",")):
         for case in chosen.cases.split(","):
             for way in chosen.ways.split(","):
@@ -485,7 +511,9 @@
                     f"| {routers} | {case} | {way} | {found.worst:.2f} |"
                     f" {100 * found.refused_below:.2f} |"
                     f" {found.messages:.0f} | {found.kilobytes:.1f} |"
-                    f" {found.wait_p99_ms:.1f} |",
+                    f" {found.wait_p99_ms:.1f} |"
+                    f" {found.owner_messages:.0f} |"
+                    f" {found.owner_kilobytes:.0f} |",
                     flush=True,
                 )
 
