Soak of router processes under seeded faults: stand-ins, plan and checks

The stand-in of the store gets further addresses with faults of their own, and that of the servers a method for a stream's event.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,12 @@
 EXAMPLES ?= 200
 STEPS ?= 50
 SEED ?=
+SECONDS ?= 25
+FAULTS ?=
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test check tables measure fuzz clean
+.PHONY: demo test check tables measure fuzz soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -34,5 +36,10 @@
 	$(BIN)/python -m pimentoledge.tests.fuzz --examples $(EXAMPLES) \
 		--steps $(STEPS) $(if $(SEED),--seed $(SEED))
 
+# Without FAULTS, all kinds.
+soak: $(STAMP)
+	$(BIN)/python -m pimentoledge.tests.soak --seconds $(SECONDS) \
+		$(if $(SEED),--seed $(SEED)) $(if $(FAULTS),--faults $(FAULTS))
+
 clean:
 	rm -rf $(VENV) build results *.egg-info
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -209,13 +209,17 @@
                 request.conn.wfile.write(b"6\r\nid: 9\n\r\n")
                 fake_http.cut(request)
                 return
-            piece = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            piece = self._piece(call, number)
             request.conn.wfile.write(b"%x\r\n%b\r\n" % (len(piece), piece))
             if self.event_seconds:
                 time.sleep(self.event_seconds)
         request.conn.wfile.write(b"0\r\n\r\n")
         request.chunked_write = False
 
+    def _piece(self, call: Call, number: int) -> bytes:
+        """Returns an event of a stream."""
+        return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
     def _not_run(self, request, headers: dict[str, str], status: int) -> None:
         head = self._head(headers)
         head.append((names.NOT_RUN, b"1"))
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -52,6 +52,13 @@
         """IP:PORT of the store."""
         return f"{self._server.host}:{self._server.port}"
 
+    def another_address(self) -> "StandInStore":
+        """Returns a store of the same objects with calls' faults of its own."""
+        other = StandInStore(host=self._server.host)
+        other.objects = self.objects
+        other._made = self._made
+        return other
+
     def start(self) -> None:
         """Listens."""
         self.closing = False
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -229,7 +229,9 @@
         else:
             length = int(headers.get("content-length", 0))
             body = await self.reader.read(0)
-            with contextlib.suppress(asyncio.IncompleteReadError):
+            with contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError
+            ):
                 body = await self.reader.readexactly(length)
             whole = len(body) == length
         return Answer(status, headers, body, whole)
--- /dev/null
+++ b/pimentoledge/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real router processes before stand-ins, under seeded faults."""
--- /dev/null
+++ b/pimentoledge/tests/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Soaks with a fresh seed: python -m pimentoledge.tests.soak."""
+
+import argparse
+import pathlib
+import secrets
+import sys
+
+from pimentoledge.tests.soak import plans
+from pimentoledge.tests.soak import runs
+
+SEED_BITS = 32
+RESULTS = pathlib.Path("results")
+
+
+def main() -> int:
+    """Plays one run; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=25.0)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument(
+        "--faults",
+        default=",".join(plans.KINDS),
+        help="kinds of faults, with commas between",
+    )
+    chosen = parser.parse_args()
+    kinds = tuple(chosen.faults.split(","))
+    unknown = set(kinds) - set(plans.KINDS)
+    if unknown:
+        parser.error(f"unknown faults {unknown}; known: {plans.KINDS}")
+    seed = chosen.seed
+    if seed is None:
+        seed = secrets.randbits(SEED_BITS)
+    again = f"SECONDS={chosen.seconds:g} SEED={seed} FAULTS={chosen.faults}"
+    print(f"soaking; to replay: make soak {again}", flush=True)
+    run = runs.Run(seed=seed, seconds=chosen.seconds, kinds=kinds)
+    folder = RESULTS / f"soak-{seed}"
+    found = run.play(folder)
+    print(run.summary())
+    for text in found[: runs.MOST_PRINTED]:
+        print(text)
+    if found:
+        print(f"FAILED with {len(found)} findings; logs: {folder}")
+        print(f"to replay: make soak {again}")
+        return 1
+    print("passed")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentoledge/tests/soak/servers.py
@@ -0,0 +1,126 @@
+"""Backend servers that keep a record of what reaches them."""
+
+import threading
+import time
+
+from pimentoledge import fake_http
+from pimentoledge.platform import names
+from pimentoledge.platform import stand_in_servers
+from pimentoledge.tests.soak import records
+
+# Bears the incarnation of the server that answers.
+SERVER = b"Soak-Server"
+LEAVING = b"Server-Leaving"
+
+
+class Server(stand_in_servers.StandInServer):
+    """A stand-in that can crash, leave, and ask for a rest.
+
+    Attributes:
+        record: where arrivals are kept.
+        leaving: whether its entry in the store says that it leaves.
+        says_leaving: whether its answers do.
+        rest_seconds: rest that its refusals ask for, or None.
+        alive: whether its process runs.
+    """
+
+    def __init__(self, *, record: records.Record, **given):
+        super().__init__(**given)
+        self.record = record
+        self.leaving = False
+        self.says_leaving = False
+        self.rest_seconds: int | None = None
+        self.alive = False
+        self._present: dict[object, records.Arrival] = {}
+        self._guard = threading.Lock()
+
+    def start(self) -> None:
+        """Listens."""
+        self.alive = True
+        super().start()
+
+    def crash(self) -> None:
+        """Cuts all connections and stops listening."""
+        self.alive = False
+        self.record.gone.setdefault(self.incarnation, []).append(
+            time.monotonic()
+        )
+        with self._guard:
+            present = list(self._present.items())
+        for request, arrival in present:
+            arrival.harmed = True
+            fake_http.cut_socket(request.conn.socket)
+        self.close()
+
+    def entry(self, *, leaving: bool = False) -> dict:
+        """Returns what it writes of itself into the store."""
+        return super().entry(leaving=leaving or self.leaving)
+
+    def handle(self, request) -> None:
+        """Answers one request and records it."""
+        path = fake_http.path_of(request)
+        if path in (names.ORDER_PATH, names.REPORT_PATH):
+            super().handle(request)
+            return
+        headers = {
+            name.lower(): value for name, value in request.inheaders.items()
+        }
+        arrival = records.Arrival(
+            request=headers.get(names.REQUEST, b"").decode(),
+            server=self.incarnation,
+            service=self.service,
+            at=time.monotonic(),
+            resumed=names.LAST_EVENT in headers,
+        )
+        with self._guard:
+            self._present[request] = arrival
+        self.record.arrivals.append(arrival)
+        try:
+            if self.alive:
+                super().handle(request)
+            else:
+                arrival.harmed = True
+                fake_http.cut(request)
+        finally:
+            arrival.harmed |= request.close_connection
+            with self._guard:
+                del self._present[request]
+
+    def _run(self, request, call) -> None:
+        arrival = self._present[request]
+        if self.lose:
+            arrival.harmed = True
+        if stand_in_servers.model_named(call):
+            arrival.weights = self.weights.get(
+                call.headers[names.MODEL.decode()]
+            )
+        arrival.ran = True
+        super()._run(request, call)
+
+    def _stream(self, request, call, head) -> None:
+        if self.cut_after is not None:
+            self._present[request].harmed = True
+        super()._stream(request, call, head)
+
+    def _head(self, headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+        head = super()._head(headers)
+        head.append((SERVER, self.incarnation.encode()))
+        if self.says_leaving:
+            head.append((LEAVING, b"1"))
+        return head
+
+    def _piece(self, call, number: int) -> bytes:
+        return piece(number, call.body)
+
+    def _not_run(self, request, headers, status: int) -> None:
+        head = [*self._head(headers), (names.NOT_RUN, b"1")]
+        rest = self.rest_seconds
+        if status == 503 and rest is not None:
+            self._present[request].rest_seconds = rest
+            head.append((names.RETRY_AFTER, b"%d" % rest))
+        fake_http.answer(request, b"", status=status, headers=head)
+
+
+def piece(number: int, body: bytes) -> bytes:
+    """Returns an event of the stream that answers a body."""
+    return b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
