--- /dev/null
+++ b/pimentoledge/tests/soak/fleets.py
@@ -0,0 +1,216 @@
+"""Router processes: started, signalled, and started again when they end."""
+
+import asyncio
+import pathlib
+import signal
+import time
+
+import attrs
+
+from pimentoledge.platform import names
+from pimentoledge.platform import stand_in_stores
+from pimentoledge.tests import processes
+from pimentoledge.tests import router_world
+from pimentoledge.tests.soak import records
+
+SETTINGS = {
+    "weights-ms": "5000",
+    "drain-ms": "2000",
+    "config-ms": "2000",
+    "lease-ms": "1000",
+    "grace-s": "8",
+    "data-centre": "a",
+}
+START_SECONDS = 30.0
+RESTART_SECONDS = 0.2
+LOOK_SECONDS = 0.02
+
+
+@attrs.define(kw_only=True)
+class Router:
+    """A router and the address at which it reaches the store.
+
+    Attributes:
+        name: its name.
+        address: IP:PORT for clients.
+        settings: path of its settings file.
+        store: its address of the store.
+        lives: what is recorded of its processes.
+        process: the process that runs, or the last one.
+        stops: how many faults keep that process stopped.
+    """
+
+    name: str
+    address: str
+    settings: pathlib.Path
+    store: stand_in_stores.StandInStore
+    lives: list[records.Life]
+    process: processes.Process | None = None
+    stops: int = 0
+
+    def life(self) -> records.Life | None:
+        """Returns its process if that runs."""
+        if self.process.popen.poll() is not None:
+            return None
+        return self.lives[-1]
+
+
+class Fleet:
+    """The routers of a run.
+
+    Attributes:
+        routers: the routers.
+        logs: lines of each process, by name of its log.
+    """
+
+    def __init__(self, *, record: records.Record):
+        self.routers: list[Router] = []
+        self.logs: dict[str, list[str]] = {}
+        self._record = record
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(
+        self,
+        addresses: list[stand_in_stores.StandInStore],
+        folder: pathlib.Path,
+    ) -> None:
+        """Starts a router for each address of the store; all are ready then.
+
+        Args:
+            addresses: the addresses of the store.
+            folder: where settings are written.
+        """
+        ports = [router_world.free_port() for _ in addresses]
+        for number, store in enumerate(addresses):
+            self._add(f"router-{number}", store, folder, number, ports)
+        for router in self.routers:
+            self._launch(router)
+            self._tasks.append(asyncio.create_task(self._keep(router)))
+        async with asyncio.timeout(START_SECONDS):
+            for router in self.routers:
+                while not await _is_ready(router):
+                    await asyncio.sleep(0.1)
+
+    async def close(self) -> None:
+        """Kills all processes."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for router in self.routers:
+            if router.process is not None:
+                await asyncio.to_thread(router.process.close)
+                _read_rest(router.process)
+
+    def _add(
+        self,
+        name: str,
+        store: stand_in_stores.StandInStore,
+        folder: pathlib.Path,
+        number: int,
+        ports: list[int],
+    ) -> None:
+        address = f"127.0.0.1:{router_world.free_port()}"
+        chosen = SETTINGS | {
+            "name": name,
+            "listen": address,
+            "ready-listen": f"127.0.0.1:{router_world.free_port()}",
+            "metrics-listen": f"127.0.0.1:{router_world.free_port()}",
+            "peer-listen": f"127.0.0.1:{ports[number]}",
+            "peer-seeds": ",".join(f"127.0.0.1:{each}" for each in ports),
+            "store-address": store.address,
+        }
+        path = folder / f"{name}.toml"
+        path.write_text(
+            "".join(f'{key} = "{value}"\n' for key, value in chosen.items())
+        )
+        lives = self._record.lives.setdefault(name, [])
+        self.routers.append(
+            Router(
+                name=name,
+                address=address,
+                settings=path,
+                store=store,
+                lives=lives,
+            )
+        )
+
+    def _launch(self, router: Router) -> None:
+        router.lives.append(records.Life(started=time.monotonic()))
+        router.stops = 0
+        router.process = processes.Process(
+            "router", f"--config={router.settings}"
+        )
+        log = f"{router.name}-{len(router.lives)}"
+        self.logs[log] = router.process.seen
+
+    async def _keep(self, router: Router) -> None:
+        """Starts a router again whenever its process has ended."""
+        while True:
+            process, life = router.process, router.lives[-1]
+            while process.popen.poll() is None:
+                await asyncio.sleep(LOOK_SECONDS)
+            ended = time.monotonic()
+            life.status = await asyncio.to_thread(process.wait)
+            life.ended = ended
+            _read_rest(process)
+            self._record.note(f"{router.name} ended with {life.status}")
+            await asyncio.sleep(RESTART_SECONDS)
+            self._launch(router)
+
+    async def terminate(self, router: Router) -> None:
+        """Sends SIGTERM; returns when another process was started."""
+        life = router.life()
+        if life is not None:
+            self._record.note(f"SIGTERM to {router.name}")
+            life.told = life.told or time.monotonic()
+            router.process.popen.send_signal(signal.SIGTERM)
+            await _succeeded(router, life)
+
+    async def kill(self, router: Router) -> None:
+        """Sends SIGKILL; returns when another process was started."""
+        life = router.life()
+        if life is not None:
+            self._record.note(f"SIGKILL to {router.name}")
+            life.killed = life.killed or time.monotonic()
+            router.process.popen.send_signal(signal.SIGKILL)
+            await _succeeded(router, life)
+
+    async def stop(self, router: Router, seconds: float) -> None:
+        """Stops a router's process for some seconds, or until it ends."""
+        life, process = router.life(), router.process
+        if life is None:
+            return
+        self._record.note(f"SIGSTOP to {router.name} for {seconds:.1f} s")
+        span = records.Span(router=router.name, begin=time.monotonic())
+        self._record.freezes.append(span)
+        router.stops += 1
+        process.popen.send_signal(signal.SIGSTOP)
+        while time.monotonic() < span.begin + seconds and router.life() is life:
+            await asyncio.sleep(LOOK_SECONDS)
+        if router.process is process:
+            router.stops -= 1
+            if not router.stops:
+                process.popen.send_signal(signal.SIGCONT)
+        span.end = time.monotonic()
+
+
+def _read_rest(process: processes.Process) -> None:
+    while not process.lines.empty():
+        process.seen.append(process.lines.get())
+
+
+async def _succeeded(router: Router, life: records.Life) -> None:
+    while router.lives[-1] is life:
+        await asyncio.sleep(LOOK_SECONDS)
+
+
+async def _is_ready(router: Router) -> bool:
+    connection = router_world.Client(router.address)
+    try:
+        await connection.open()
+        path = names.READY_PATH.decode()
+        answer = await connection.ask(path, method="GET")
+    except OSError:
+        return False
+    connection.close()
+    return answer.status == 200
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import time
 
 import attrs
 
@@ -159,3 +160,7 @@
     faults: list[tuple[float, str]] = attrs.field(factory=list)
     quiet_from: float | None = None
     stopped: float | None = None
+
+    def note(self, text: str) -> None:
+        """Notes what a fault does."""
+        self.faults.append((time.monotonic(), text))
