--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -286,13 +286,13 @@
         )
         if by_answer or by_store:
             since = told if by_answer else wrote
+            teller = "an answer" if by_answer else "the store"
             yield Violation(
                 line="drain",
                 at=arrival.at,
-                about=f"{arrival.server} {router}",
+                about=f"{arrival.server} {router} by {teller}",
                 text=f"{request.identity} came"
-                f" {arrival.at - since:.3f} s after "
-                f"{'an answer' if by_answer else 'the store'} had told",
+                f" {arrival.at - since:.3f} s after its word",
             )
 
 
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -14,6 +14,7 @@
     "server_refuses",
     "server_loses",
     "stream_cut",
+    "orders_lost",
 )
 CHANGE_KINDS = ("version", "versions", "key", "route")
 # A server that leaves says so in its answers only.
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -271,6 +271,14 @@
         self.record.note(f"{server.incarnation} cuts after {fault.count}")
         server.cut_after = fault.count
 
+    async def _orders_lost(self, fault: plans.Fault) -> None:
+        server = self._runner(fault)
+        seconds = OUTAGE_FACTOR * fault.seconds
+        self.record.note(f"{server.incarnation}: no orders, {seconds:.1f} s")
+        server.silent_orders = plans.TARGETS
+        await asyncio.sleep(seconds)
+        server.silent_orders = 0
+
     async def _rest(self, fault: plans.Fault) -> None:
         server = self._runner(fault)
         seconds = SHORTEST_REST_SECONDS + fault.count // 2
