--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -29,7 +29,6 @@
 DRAIN_SECONDS = 2.0
 WEIGHTS_SECONDS = 5.0
 CONFIGURATION_SECONDS = 2.0
-GRACE_SECONDS = 8.0
 # A rest is to be known so long after its word.
 REST_KNOWN_SECONDS = 0.5
 MOST_IN_REST = 2
@@ -241,7 +240,7 @@
     used = _used(record)
     for router, lives in record.lives.items():
         for number, life in enumerate(list(lives)):
-            if life.ended is None or life.killed is not None:
+            if life.ended is None:
                 continue
             # Told before it had set the signal's handler and its sockets.
             unborn = (
@@ -249,11 +248,12 @@
                 and life.status == -signal.SIGTERM
                 and (router, number) not in used
             )
-            late = life.told is None or (
-                life.ended - life.told > GRACE_SECONDS
-                and not frozen(record, router, life.told, life.ended)
+            wrong = life.overdue and not frozen(
+                record, router, life.told, life.ended
             )
-            if late or not (life.status == 0 or unborn):
+            if life.killed is None:
+                wrong = life.told is None or not (life.status == 0 or unborn)
+            if wrong:
                 yield Violation(
                     line="exit",
                     at=life.ended,
--- a/pimentoledge/tests/soak/fleets.py
+++ b/pimentoledge/tests/soak/fleets.py
@@ -13,12 +13,13 @@
 from pimentoledge.tests import router_world
 from pimentoledge.tests.soak import records
 
+GRACE_SECONDS = 8.0
 SETTINGS = {
     "weights-ms": "5000",
     "drain-ms": "2000",
     "config-ms": "2000",
     "lease-ms": "1000",
-    "grace-s": "8",
+    "grace-s": str(GRACE_SECONDS),
     "data-centre": "a",
 }
 START_SECONDS = 30.0
@@ -148,6 +149,7 @@
         while True:
             process, life = router.process, router.lives[-1]
             while process.popen.poll() is None:
+                self._end_overdue(router, life)
                 await asyncio.sleep(LOOK_SECONDS)
             ended = time.monotonic()
             life.status = await asyncio.to_thread(process.wait)
@@ -157,6 +159,19 @@
             await asyncio.sleep(RESTART_SECONDS)
             self._launch(router)
 
+    def _end_overdue(self, router: Router, life: records.Life) -> None:
+        """Kills a process that has not ended within its grace time."""
+        if life.told is None or life.killed is not None:
+            return
+        if time.monotonic() > life.told + GRACE_SECONDS:
+            self._record.note(f"{router.name} is overdue")
+            life.overdue = True
+            self._send_kill(router, life)
+
+    def _send_kill(self, router: Router, life: records.Life) -> None:
+        life.killed = life.killed or time.monotonic()
+        router.process.popen.send_signal(signal.SIGKILL)
+
     async def terminate(self, router: Router) -> None:
         """Sends SIGTERM; returns when another process was started."""
         life = router.life()
@@ -171,8 +186,7 @@
         life = router.life()
         if life is not None:
             self._record.note(f"SIGKILL to {router.name}")
-            life.killed = life.killed or time.monotonic()
-            router.process.popen.send_signal(signal.SIGKILL)
+            self._send_kill(router, life)
             await _succeeded(router, life)
 
     async def stop(self, router: Router, seconds: float) -> None:
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -83,6 +83,7 @@
         started: when it was started.
         told: when it was first sent SIGTERM, or None.
         killed: when it was sent SIGKILL, or None.
+        overdue: whether it was sent SIGKILL since it had not ended in time.
         ended: when it was found ended, or None.
         status: its exit status, or None.
     """
@@ -90,6 +91,7 @@
     started: float
     told: float | None = None
     killed: float | None = None
+    overdue: bool = False
     ended: float | None = None
     status: int | None = None
 
