--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -13,6 +13,7 @@
     "server_restarts",
     "server_refuses",
     "server_loses",
+    "server_slow",
     "stream_cut",
     "orders_lost",
 )
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -21,6 +21,8 @@
 SERVICES = ("plain", "plain", "runners", "runners", "runners")
 EVENT_SECONDS = 0.02
 WORK_SECONDS = 0.01
+# Longer than clients wait.
+LATE_SECONDS = 3.0
 # How long a server goes on serving after it began to leave.
 LEAVE_SECONDS = 4.5
 # After that, when only its answers have said so before.
@@ -266,6 +268,13 @@
         self.record.note(f"{server.incarnation} loses an answer")
         server.lose += 1
 
+    async def _server_slow(self, fault: plans.Fault) -> None:
+        server = self._server(fault)
+        self.record.note(f"{server.incarnation} is late, {fault.seconds:.1f} s")
+        server.work_seconds = LATE_SECONDS
+        await asyncio.sleep(fault.seconds)
+        server.work_seconds = WORK_SECONDS
+
     async def _stream_cut(self, fault: plans.Fault) -> None:
         server = self._runner(fault)
         self.record.note(f"{server.incarnation} cuts after {fault.count}")
