--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -59,7 +59,7 @@
         self._moved = False
         self._lives = collections.Counter()
         self._telling = threading.Lock()
-        # How many faults disturb the store, by kind and router.
+        # How many faults act, by kind and by router or server.
         self._acting = collections.Counter()
 
     async def start(self, count: int, folder: pathlib.Path) -> None:
@@ -224,6 +224,16 @@
         self._tell(server)
         self.record.leaving[server.incarnation] = time.monotonic()
 
+    async def _is_last(
+        self, kind: str, server: servers.Server, seconds: float
+    ) -> bool:
+        """Waits; returns whether no other fault of the kind acts then."""
+        key = (kind, server.incarnation)
+        self._acting[key] += 1
+        await asyncio.sleep(seconds)
+        self._acting[key] -= 1
+        return not self._acting[key]
+
     async def _server_leaves(self, fault: plans.Fault) -> None:
         server = self._spare(fault)
         if server is not None:
@@ -272,8 +282,8 @@
         server = self._server(fault)
         self.record.note(f"{server.incarnation} is late, {fault.seconds:.1f} s")
         server.work_seconds = LATE_SECONDS
-        await asyncio.sleep(fault.seconds)
-        server.work_seconds = WORK_SECONDS
+        if await self._is_last("late", server, fault.seconds):
+            server.work_seconds = WORK_SECONDS
 
     async def _stream_cut(self, fault: plans.Fault) -> None:
         server = self._runner(fault)
@@ -285,8 +295,8 @@
         seconds = OUTAGE_FACTOR * fault.seconds
         self.record.note(f"{server.incarnation}: no orders, {seconds:.1f} s")
         server.silent_orders = plans.TARGETS
-        await asyncio.sleep(seconds)
-        server.silent_orders = 0
+        if await self._is_last("orders", server, seconds):
+            server.silent_orders = 0
 
     async def _rest(self, fault: plans.Fault) -> None:
         server = self._runner(fault)
@@ -294,9 +304,9 @@
         self.record.note(f"{server.incarnation} asks for {seconds} s of rest")
         server.rest_seconds = seconds
         server.refuse = plans.TARGETS
-        await asyncio.sleep(seconds)
-        server.rest_seconds = None
-        server.refuse = 0
+        if await self._is_last("rest", server, seconds):
+            server.rest_seconds = None
+            server.refuse = 0
 
     # The operator.
 
