--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -18,7 +18,7 @@
 
     Attributes:
         record: where arrivals are kept.
-        leaving: whether its entry in the store says that it leaves.
+        draining: whether its entry in the store says that it leaves.
         says_leaving: whether its answers do.
         rest_seconds: rest that its refusals ask for, or None.
         alive: whether its process runs.
@@ -27,7 +27,7 @@
     def __init__(self, *, record: records.Record, **given):
         super().__init__(**given)
         self.record = record
-        self.leaving = False
+        self.draining = False
         self.says_leaving = False
         self.rest_seconds: int | None = None
         self.alive = False
@@ -54,7 +54,7 @@
 
     def entry(self, *, leaving: bool = False) -> dict:
         """Returns what it writes of itself into the store."""
-        return super().entry(leaving=leaving or self.leaving)
+        return super().entry(leaving=leaving or self.draining)
 
     def handle(self, request) -> None:
         """Answers one request and records it."""
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -220,7 +220,7 @@
 
     def _leave(self, server: servers.Server) -> None:
         """Lets a server's entry say that it leaves."""
-        server.leaving = True
+        server.draining = True
         self._tell(server)
         self.record.leaving[server.incarnation] = time.monotonic()
 
