--- a/pimentoledge/tests/soak/__main__.py
+++ b/pimentoledge/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import pathlib
 import secrets
+import signal
 import sys
 
 from pimentoledge.tests.soak import plans
@@ -32,6 +33,8 @@
         seed = secrets.randbits(SEED_BITS)
     again = f"SECONDS={chosen.seconds:g} SEED={seed} FAULTS={chosen.faults}"
     print(f"soaking; to replay: make soak {again}", flush=True)
+    # Ends the routers, too, when the soak is told to end.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     run = runs.Run(seed=seed, seconds=chosen.seconds, kinds=kinds)
     folder = RESULTS / f"soak-{seed}"
     found = run.play(folder)
