--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -1,17 +1,25 @@
-"""Two short runs of the soak with fixed plans."""
+"""Short runs of the soak with fixed plans."""
 
 import pytest
 
 from pimentoledge.tests.soak import plans
 from pimentoledge.tests.soak import runs
 
-SEED = 32
-SECONDS = 7.0
 SERVERS = (*plans.ROUTER_KINDS, *plans.SERVER_KINDS, *plans.CHANGE_KINDS)
 STORE = (*plans.ROUTER_KINDS, *plans.STORE_KINDS, *plans.CHANGE_KINDS)
+NOTICES = (*plans.ANSWER_KINDS, *plans.REST_KINDS)
+WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
-@pytest.mark.parametrize("kinds", [SERVERS, STORE], ids=["servers", "store"])
-def test_clients_and_servers_see_every_promise_kept(kinds):
-    run = runs.Run(seed=SEED, seconds=SECONDS, kinds=kinds)
+@pytest.mark.parametrize(
+    ("seed", "seconds", "kinds"),
+    [
+        pytest.param(32, 7.0, SERVERS, id="servers"),
+        pytest.param(32, 7.0, STORE, id="store"),
+        pytest.param(7, 10.0, NOTICES, id="notices"),
+        pytest.param(1, 20.0, WEIGHTS, id="weights"),
+    ],
+)
+def test_clients_and_servers_see_every_promise_kept(seed, seconds, kinds):
+    run = runs.Run(seed=seed, seconds=seconds, kinds=kinds)
     assert not run.play(), run.summary()
