Leave out once the runners that a rollout has already chosen

Found on reading the change again: for each group of runners of one version the ones already chosen were looked for anew. They are left out before grouping; who is told, and in which order, is the same.

Tests of rollouts and weights pass unchanged.

--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -145,10 +145,10 @@
                 if each not in loading and self._may_tell(each, now)
             ]
             chosen = self._idle(model, waiting, now)
-            for group in self._by_age(model, waiting):
-                rest = [each for each in group if each not in chosen]
+            rest = [each for each in waiting if each not in chosen]
+            for group in self._by_age(model, rest):
                 taken = loading + chosen
-                chosen += _spread(rest, taken, room - len(chosen), now)
+                chosen += _spread(group, taken, room - len(chosen), now)
             found += [
                 Due(backend=each, model=model, version=wanted.version)
                 for each in chosen
