--- a/pimentoledge/tests/test_router_backoffs.py
+++ b/pimentoledge/tests/test_router_backoffs.py
@@ -18,7 +18,7 @@
 taker = test_router_notices.taker
 MODEL = router_world.MODEL
 REGISTRATION = test_router_notices.REGISTRATION
-# A request waits here for a server for 0.12 of this.
+# Long, as a request waits for a server for a part of it.
 OBJECTIVE_MS = 10_000
 
 
