Use the stand-in's own leaving and Retry-After in the soak

It uses the stand-in's now, so a leaving server says so in answers to reports and orders too, as the users' pages have it.

No check changed but for where the header's name comes from.

--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pimentoledge.platform import names
 from pimentoledge.routing import own_answers
 from pimentoledge.tests.soak import clients
 from pimentoledge.tests.soak import records
@@ -271,7 +272,7 @@
     """
     found: dict[tuple[str, str, int], float] = {}
     for request in list(record.requests.values()):
-        name = servers.LEAVING.decode().lower()
+        name = names.LEAVING.decode()
         if request.headed is None or name not in request.headers:
             continue
         server = request.headers.get(servers.SERVER.decode().lower())
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -10,7 +10,6 @@
 
 # Bears the incarnation of the server that answers.
 SERVER = b"Soak-Server"
-LEAVING = b"Server-Leaving"
 
 
 class Server(stand_in_servers.StandInServer):
@@ -19,8 +18,6 @@
     Attributes:
         record: where arrivals are kept.
         draining: whether its entry in the store says that it leaves.
-        says_leaving: whether its answers do.
-        rest_seconds: rest that its refusals ask for, or None.
         alive: whether its process runs.
     """
 
@@ -28,8 +25,6 @@
         super().__init__(**given)
         self.record = record
         self.draining = False
-        self.says_leaving = False
-        self.rest_seconds: int | None = None
         self.alive = False
         self._present: dict[object, records.Arrival] = {}
         self._guard = threading.Lock()
@@ -90,10 +85,7 @@
         arrival = self._present[request]
         if self.lose:
             arrival.harmed = True
-        if stand_in_servers.model_named(call):
-            arrival.weights = self.weights.get(
-                call.headers[names.MODEL.decode()]
-            )
+        arrival.weights = call.weights
         arrival.ran = True
         super()._run(request, call)
 
@@ -105,20 +97,15 @@
     def _head(self, headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
         head = super()._head(headers)
         head.append((SERVER, self.incarnation.encode()))
-        if self.says_leaving:
-            head.append((LEAVING, b"1"))
         return head
 
     def _piece(self, call, number: int) -> bytes:
         return piece(number, call.body)
 
     def _not_run(self, request, headers, status: int) -> None:
-        head = [*self._head(headers), (names.NOT_RUN, b"1")]
-        rest = self.rest_seconds
-        if status == 503 and rest is not None:
-            self._present[request].rest_seconds = rest
-            head.append((names.RETRY_AFTER, b"%d" % rest))
-        fake_http.answer(request, b"", status=status, headers=head)
+        if status == 503 and self.retry_after:
+            self._present[request].rest_seconds = float(self.retry_after)
+        super()._not_run(request, headers, status)
 
 
 def piece(number: int, body: bytes) -> bytes:
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -192,7 +192,7 @@
         return [
             each
             for each in self.platform.servers.values()
-            if each.service == service and each.alive and not each.says_leaving
+            if each.service == service and each.alive and not each.leaving
         ]
 
     def _server(self, fault: plans.Fault) -> servers.Server:
@@ -238,7 +238,7 @@
         server = self._spare(fault)
         if server is not None:
             self.record.note(f"{server.incarnation} leaves")
-            server.says_leaving = True
+            server.leaving = True
             self._leave(server)
             await asyncio.sleep(LEAVE_SECONDS)
             await self._replace(server)
@@ -247,7 +247,7 @@
         server = self._spare(fault)
         if server is not None:
             self.record.note(f"{server.incarnation} leaves, by answers only")
-            server.says_leaving = True
+            server.leaving = True
             await asyncio.sleep(LEAVE_SECONDS)
             self._leave(server)
             await asyncio.sleep(TOLD_SECONDS)
@@ -302,10 +302,10 @@
         server = self._runner(fault)
         seconds = SHORTEST_REST_SECONDS + fault.count // 2
         self.record.note(f"{server.incarnation} asks for {seconds} s of rest")
-        server.rest_seconds = seconds
+        server.retry_after = str(seconds)
         server.refuse = plans.TARGETS
         if await self._is_last("rest", server, seconds):
-            server.rest_seconds = None
+            server.retry_after = ""
             server.refuse = 0
 
     # The operator.
