Read the store's era, and log results that are dropped as older

Results of the store's client carry the era now, history_gone names it, and a dropped result writes store_result_older with both revisions.

--- a/pimentoledge/platform/names.py
+++ b/pimentoledge/platform/names.py
@@ -20,6 +20,8 @@
 # Requests a second that an overloaded server accepts from all routers.
 SERVER_LIMIT = b"server-limit"
 INCARNATION = b"instance-id"
+# Number in every response of the store; rises when the store is restored.
+STORE_ERA = b"store-era"
 MODEL = b"model"
 # Two numbers: tokens of the prompt, maximum of generated tokens.
 TOKEN_USAGE = b"token-usage"
--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -18,8 +18,13 @@
 _MAX_PORT = 65535
 
 
-def decode_stored(item: Any) -> registrations.Stored:
-    """Decodes an object of the store; raises ValueError if it is invalid."""
+def decode_stored(item: Any, era: int = 0) -> registrations.Stored:
+    """Decodes an object of the store; raises ValueError if it is invalid.
+
+    Args:
+        item: the decoded JSON.
+        era: era of the store in the response that contains it.
+    """
     if not isinstance(item, dict):
         raise ValueError("stored object is not a JSON object")
     meta = _field(item, "metadata", dict)
@@ -29,6 +34,7 @@
         revision=_field(meta, "rev", int),
         value=item.get("spec"),
         leaving=bool(meta.get("deleting")),
+        era=era,
     )
 
 
--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -4,6 +4,8 @@
 import random
 from urllib import parse
 
+import attrs
+
 from pimentoledge.platform import names
 from pimentoledge.platform import objects
 from pimentoledge.routing import calls
@@ -20,17 +22,34 @@
 MAX_PAGE_RETRY_SECONDS = 0.5
 
 
+@attrs.frozen(kw_only=True)
+class _Answer:
+    """A response of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: decoded JSON, or None.
+        era: era of the store.
+    """
+
+    status: int
+    body: object
+    era: int
+
+
 class StoreClient:
     """Client of the store; every method returns a typed result.
 
     Attributes:
         address: IP:PORT of the store.
         caller: makes the calls.
+        era: latest era of the store in any response.
     """
 
     def __init__(self, *, address: str, caller: calls.Caller):
         self.address = address
         self.caller = caller
+        self.era = 0
 
     def forget_connections(self) -> None:
         """Makes the next call open a new connection."""
@@ -42,7 +61,7 @@
         target: str,
         body: object = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> calls.Reply | registrations.Unavailable:
+    ) -> _Answer | registrations.Unavailable:
         writes = method != "GET"
         try:
             reply = await self.caller.call(
@@ -62,15 +81,25 @@
             return registrations.Unavailable(
                 reason=f"status {reply.status}", maybe_done=False
             )
-        return reply
+        try:
+            era = _decode_era(reply)
+        except ValueError as error:
+            return registrations.Unavailable(
+                reason=f"unreadable era: {error}", maybe_done=writes
+            )
+        self.era = max(self.era, era)
+        return _Answer(status=reply.status, body=reply.body, era=era)
 
     async def list(
         self, kind: str
     ) -> registrations.Listing | registrations.Unavailable:
-        """Returns all objects of a kind, as of the first page's revision."""
+        """Returns all objects of a kind, as of the first page's revision.
+
+        Pages of two eras are not one listing.
+        """
         listed: list[registrations.Stored] = []
         unreadable: list[str] = []
-        revision = None
+        revision = era = None
         after = ""
         while True:
             reply = await self._read_page(kind, after)
@@ -78,7 +107,13 @@
                 return reply
             if reply.status != 200 or not _is_page(reply.body, "items"):
                 return _unexpected_response(reply)
-            page, errors = decode_items(reply.body["items"])
+            if era not in (None, reply.era):
+                return registrations.Unavailable(
+                    reason=f"era {reply.era} after a page of era {era}",
+                    maybe_done=False,
+                )
+            era = reply.era
+            page, errors = decode_items(reply.body["items"], era)
             listed += page
             unreadable += errors
             if revision is None:
@@ -89,12 +124,13 @@
                     objects=listed,
                     revision=revision,
                     unreadable=tuple(unreadable),
+                    era=era,
                 )
             after = page[-1].name
 
     async def _read_page(
         self, kind: str, after: str
-    ) -> calls.Reply | registrations.Unavailable:
+    ) -> _Answer | registrations.Unavailable:
         """Reads a page of a listing; retries any page but the first.
 
         When hundreds of routers start at once, the store refuses part of their
@@ -127,23 +163,25 @@
         if isinstance(reply, registrations.Unavailable):
             return reply
         if reply.status == 410:
-            return registrations.HistoryGone()
+            return registrations.HistoryGone(era=reply.era)
         if reply.status != 200 or not _is_page(reply.body, "events"):
             return _unexpected_response(reply)
-        return _decode_changes(reply.body)
+        return _decode_changes(reply)
 
     async def read(
         self, kind: str, name: str
-    ) -> registrations.Stored | None | registrations.Unavailable:
-        """Returns one object, or None if there is none."""
+    ) -> (
+        registrations.Stored | registrations.Absent | registrations.Unavailable
+    ):
+        """Returns one object, or Absent if there is none."""
         reply = await self._call("GET", f"{kind}/{name}")
         if isinstance(reply, registrations.Unavailable):
             return reply
         if reply.status == 404:
-            return None
+            return registrations.Absent(era=reply.era)
         if reply.status != 200:
             return _unexpected_response(reply)
-        return objects.decode_stored(reply.body)
+        return objects.decode_stored(reply.body, reply.era)
 
     async def write(
         self, kind: str, name: str, value: object, *, revision: int | None
@@ -171,15 +209,15 @@
         if isinstance(reply, registrations.Unavailable):
             return reply
         if reply.status in (200, 201):
-            return objects.decode_stored(reply.body)
+            return objects.decode_stored(reply.body, reply.era)
         if reply.status == 409:
             try:
-                found = objects.decode_stored(reply.body)
+                found = objects.decode_stored(reply.body, reply.era)
             except (KeyError, TypeError):
                 found = None
-            return registrations.Conflict(found=found)
+            return registrations.Conflict(found=found, era=reply.era)
         if reply.status == 404:
-            return registrations.Conflict(found=None)
+            return registrations.Conflict(found=None, era=reply.era)
         return _unexpected_response(reply)
 
 
@@ -193,7 +231,7 @@
 
 
 def decode_items(
-    items: list,
+    items: list, era: int = 0
 ) -> tuple[list[registrations.Stored], list[str]]:
     """Returns the readable objects, and the errors of all others.
 
@@ -202,19 +240,19 @@
     decoded, errors = [], []
     for item in items:
         try:
-            decoded.append(objects.decode_stored(item))
+            decoded.append(objects.decode_stored(item, era))
         except ValueError as error:
             errors.append(str(error))
     return decoded, errors
 
 
-def _decode_changes(body: dict) -> registrations.Changes:
+def _decode_changes(reply: _Answer) -> registrations.Changes:
     changed, removed, unreadable = {}, {}, []
-    for event in body["events"]:
+    for event in reply.body["events"]:
         if not isinstance(event, dict):
             unreadable.append("event is not a JSON object")
             continue
-        page, errors = decode_items([event.get("object")])
+        page, errors = decode_items([event.get("object")], reply.era)
         unreadable += errors
         target, opposite = changed, removed
         if event.get("deleted"):
@@ -225,12 +263,21 @@
     return registrations.Changes(
         changed=list(changed.values()),
         removed=list(removed.values()),
-        revision=body["storeRevision"],
+        revision=reply.body["storeRevision"],
         unreadable=tuple(unreadable),
+        era=reply.era,
     )
 
 
-def _unexpected_response(reply: calls.Reply) -> registrations.Unavailable:
+def _decode_era(reply: calls.Reply) -> int:
+    """Returns the store's era, 0 if it has none; raises ValueError."""
+    for name, value in reply.headers:
+        if name == names.STORE_ERA:
+            return int(value)
+    return 0
+
+
+def _unexpected_response(reply: _Answer) -> registrations.Unavailable:
     return registrations.Unavailable(
         reason=f"status {reply.status}: {str(reply.body)[:200]}",
         maybe_done=False,
--- a/pimentoledge/routing/fleet_sizes.py
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -151,7 +151,7 @@
 
     def _apply(self, answer: object) -> None:
         match answer:
-            case None:
+            case None | registrations.Absent():
                 self.stored, self.revision = 0, 0
             case registrations.Stored(value=value, revision=revision):
                 self.stored, self.revision = _read_number(value), revision
--- a/pimentoledge/routing/lease_holders.py
+++ b/pimentoledge/routing/lease_holders.py
@@ -153,6 +153,8 @@
         if isinstance(stored, registrations.Unavailable):
             await asyncio.sleep(RETRY_SECONDS)
             return
+        if isinstance(stored, registrations.Absent):
+            stored = None
         self.lease.learn(stored, clocks.now())
 
     async def _write(self, now: float) -> None:
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -1,4 +1,9 @@
-"""Objects of the platform's store: registrations, weights, changes."""
+"""Objects of the platform's store: registrations, weights, changes.
+
+A store that is restored from an older copy gives revisions out again and starts
+a new era. A revision is comparable only within its era; a position is an era
+and a revision in it. Stores that number no eras are in era 0.
+"""
 
 import attrs
 
@@ -65,12 +70,30 @@
         revision: revision of its last change.
         value: content, as decoded JSON.
         leaving: whether it is marked for deletion.
+        era: era of the revision.
     """
 
     name: str
     revision: int
     value: object
     leaving: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision of its last change."""
+        return self.era, self.revision
+
+
+@attrs.frozen(kw_only=True)
+class Absent:
+    """The requested object doesn't exist.
+
+    Attributes:
+        era: era of the store.
+    """
+
+    era: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -81,11 +104,18 @@
         objects: the readable objects.
         revision: revision of the listing.
         unreadable: for each unreadable object, why it can't be read.
+        era: era of the revision.
     """
 
     objects: list[Stored]
     revision: int
     unreadable: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision of the listing."""
+        return self.era, self.revision
 
 
 @attrs.define(kw_only=True)
@@ -97,17 +127,30 @@
         removed: deleted objects.
         revision: revision from which the next watch continues.
         unreadable: for each unreadable object, why it can't be read.
+        era: era of the revision.
     """
 
     changed: list[Stored]
     removed: list[Stored]
     revision: int
     unreadable: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision from which the next watch continues."""
+        return self.era, self.revision
 
 
 @attrs.frozen(kw_only=True)
 class HistoryGone:
-    """The requested changes are no longer kept; a new listing is needed."""
+    """The requested changes are not kept; a new listing is needed.
+
+    Attributes:
+        era: era of the store.
+    """
+
+    era: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -135,6 +178,8 @@
 
     Attributes:
         found: the stored object, or None if it doesn't exist.
+        era: era of the store.
     """
 
     found: Stored | None
+    era: int = 0
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -380,6 +380,21 @@
         for why in reasons:
             self.lines.write("unreadable", object=self.cache.kind, why=why)
 
+    def _log_older_position(
+        self, found: registrations.Listing | registrations.Changes
+    ) -> None:
+        """Logs that a result is dropped because newer ones were applied."""
+        held = self.cache.revision
+        if held is not None and found.revision < held:
+            self.lines.write(
+                "store_result_older",
+                kind=self.cache.kind,
+                found=type(found).__name__,
+                revision=found.revision,
+                held=held,
+                era=found.era,
+            )
+
     async def _follow(
         self,
     ) -> registrations.WatchResult | None:
@@ -400,11 +415,12 @@
                 self._record_failure(found)
                 await self._pause()
             case registrations.HistoryGone():
-                self.lines.write("history_gone", kind=kind)
+                self.lines.write("history_gone", kind=kind, era=found.era)
                 self._relist = True
             case registrations.Listing() | registrations.Changes():
                 self._record_answer()
                 self._log_unreadable(found.unreadable)
+                self._log_older_position(found)
                 self.cache.apply(found, self._change_age_seconds(found))
                 self.cache.advance_known_at(self._complete_at)
                 self._relist = False
