Compare revisions of the store only within an era

Cause: copies, and routers among each other, compared revisions over a restore: a listing of the restored store looked late and was dropped until as many revisions had been given out again, and a peer's heartbeat of the former era confirmed the blind copy.

A position is now an era and a revision. Changes of another era lead to a listing; the first listing of an era replaces the copy, but for what is newer by its content: the higher version of a configuration or of named weights, of one incarnation of a server the entry with more heartbeats or the leaving. A removed server that a restored store lists again is withheld for 4.5 s, by which its entry lapses unless it lives; entries that the restored store lacks are kept as after an outage. Heartbeats, offers and listings name their era.

The stand-in's entries count heartbeats, as the platform's do.

--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -74,6 +74,24 @@
     )
 
 
+def heartbeat_count(stored: registrations.Stored) -> int:
+    """Returns the number of heartbeats that a server's entry counts."""
+    # In the store, `seq` counts heartbeats; in a report, orders taken.
+    return _field(stored.value, "seq", int, 0)
+
+
+def weights_version(stored: registrations.Stored) -> int:
+    """Returns the version in a weights entry; raises ValueError."""
+    return decode_named_weights(stored).version
+
+
+def configuration_version(stored: registrations.Stored) -> int:
+    """Returns the version of a configuration; raises ValueError."""
+    if not isinstance(stored.value, dict):
+        raise ValueError("configuration is not a JSON object")
+    return _field(stored.value, "version", int)
+
+
 def decode_runner_report(body: Any) -> rollouts.RunnerReport:
     """Decodes a runner's report of its state; raises ValueError."""
     if not isinstance(body, dict):
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -54,6 +54,7 @@
             of time.monotonic.
         orders: received orders, in order.
         orders_taken: number of orders that it has taken.
+        heartbeats: number of entries that it has written.
         events: number of events of a stream.
         event_seconds: delay after each event.
         queue_seconds: how long a request is queued.
@@ -92,6 +93,7 @@
         self.arrival_times: list[float] = []
         self.orders: list[dict] = []
         self.orders_taken = 0
+        self.heartbeats = 0
         self.events = 5
         self.event_seconds = 0.0
         self.queue_seconds = 0.0
@@ -129,7 +131,8 @@
         self._server.close()
 
     def entry(self, *, leaving: bool = False) -> dict:
-        """Returns its own entry in the store."""
+        """Returns its own entry in the store, as of the next heartbeat."""
+        self.heartbeats += 1
         return {
             "service": self.service,
             "address": self.address,
@@ -142,7 +145,7 @@
                 {"name": name, "version": version, "adapters": []}
                 for name, version in self.weights.items()
             ],
-            "seq": 1,
+            "seq": self.heartbeats,
         }
 
     def handle(self, request: cheroot.server.HTTPRequest) -> None:
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -61,10 +61,11 @@
 
 @attrs.define(kw_only=True)
 class ServerNotice:
-    """What one incarnation of a server has announced in its responses.
+    """What one incarnation of a server has announced.
 
     Attributes:
-        leaving: whether it is leaving; this is never revoked.
+        leaving: whether it is leaving, by a response, or by its entry when that
+            was removed; this is never revoked.
         retry_at: end of the backoff that it requested of this process, or 0.
     """
 
@@ -78,7 +79,7 @@
 
     Attributes:
         registration: its last registration in the store.
-        notice: what it has announced in its responses to this process.
+        notice: what it has announced, also before its entry was removed.
         open: requests of this process that it has not ended.
         unread_tokens: prompt tokens of this process that it has not prefilled
             yet.
@@ -160,10 +161,7 @@
         self.loading_until = 0.0
 
     def announced_leaving(self) -> bool:
-        """Returns whether its leaving was announced, here or in the store.
-
-        The store may be out of date, so its entry doesn't override a response.
-        """
+        """Returns whether its leaving was announced, here or in the store."""
         return self.registration.leaving or self.notice.leaving
 
     def is_leaving(self) -> bool:
@@ -414,6 +412,7 @@
             del self.by_incarnation[backend.registration.incarnation]
             self.by_service[backend.registration.service].remove(backend)
             backend.ended = True
+            backend.notice.leaving |= backend.registration.leaving
             self._former_notices[backend.registration.incarnation] = (
                 backend.notice
             )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -10,6 +10,7 @@
 from pimentoledge import results
 from pimentoledge import settings
 from pimentoledge.platform import names
+from pimentoledge.platform import objects
 from pimentoledge.platform import orders
 from pimentoledge.platform import stores
 from pimentoledge.routing import cache_monitors
@@ -25,6 +26,7 @@
 from pimentoledge.routing import leases
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
+from pimentoledge.routing import object_merges
 from pimentoledge.routing import pages
 from pimentoledge.routing import pauses
 from pimentoledge.routing import peers
@@ -109,13 +111,21 @@
             "configuration": object_caches.ObjectCache(
                 kind=names.CONFIGURATION_KIND,
                 on_change=self.updater.apply_configuration,
+                merge=object_merges.by_version(objects.configuration_version),
+                keeps_missing=True,
             ),
             "servers": object_caches.ObjectCache(
-                kind=names.SERVER_KIND, on_change=self.updater.apply_servers
+                kind=names.SERVER_KIND,
+                on_change=self.updater.apply_servers,
+                merge=object_merges.registrations_merge(
+                    objects.decode_registration, objects.heartbeat_count
+                ),
             ),
             "weights": object_caches.ObjectCache(
                 kind=names.WEIGHT_VERSION_KIND,
                 on_change=self.updater.apply_weights,
+                merge=object_merges.by_version(objects.weights_version),
+                keeps_missing=True,
             ),
         }
         self.view.caches_by_kind = kinds
--- a/pimentoledge/routing/object_caches.py
+++ b/pimentoledge/routing/object_caches.py
@@ -4,21 +4,28 @@
 
 import attrs
 
+from pimentoledge.routing import object_merges
 from pimentoledge.routing import registrations
 
 
 @attrs.define(kw_only=True)
 class ObjectCache:
-    """A copy of all objects of one kind, as of a revision.
+    """A copy of all objects of one kind, as of a position in the store.
 
     Attributes:
         kind: kind of the objects.
         on_change: called with the changed objects and the names of the removed
             ones.
+        merge: chooses between two records of an object.
+        keeps_missing: whether objects that a listing lacks are kept, for kinds
+            of which nothing is withdrawn by removal.
         objects: objects by name.
+        era: era of `revision` and `changed_at`.
         revision: revision up to which changes are known, or None before the
             first listing.
         changed_at: revision of the newest known change.
+        restored: whether the newest changes were those between the copy and
+            the first listing of a later era, which may contain older data.
         known_at: time up to which all changes are known, in seconds of
             clocks.now; 0 before the first listing.
         change_age_seconds: greatest possible age of the newest changes when
@@ -29,17 +36,40 @@
 
     kind: str
     on_change: Callable[[list[registrations.Stored], list[str]], None]
+    merge: object_merges.Merge = object_merges.keep_later
+    keeps_missing: bool = False
     objects: dict[str, registrations.Stored] = attrs.field(factory=dict)
+    era: int = 0
     revision: int | None = None
     changed_at: int = 0
+    restored: bool = False
     known_at: float = 0.0
     change_age_seconds: float = 0.0
     silent_at: float = 0.0
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision up to which changes are known; (-1, 0) if none."""
+        return (-1, 0) if self.revision is None else (self.era, self.revision)
+
     def advance_known_at(self, when: float) -> None:
         """Records that all changes up to a time are known."""
         self.known_at = max(self.known_at, when)
 
+    def is_older(
+        self, found: registrations.Listing | registrations.Changes
+    ) -> bool:
+        """Returns whether the copy is newer than a listing or changes."""
+        return found.position < self.position
+
+    def continues(self, found: registrations.Changes) -> bool:
+        """Returns whether changes are of the copy's era.
+
+        The changes between two eras are not known, only the listing of the
+        later one shows them.
+        """
+        return self.revision is not None and found.era == self.era
+
     def apply(
         self,
         found: registrations.Listing | registrations.Changes,
@@ -47,50 +77,81 @@
     ) -> bool:
         """Applies a listing or changes, unless newer ones were applied.
 
+        An older listing still shows content that the store has forgotten.
+
         Args:
-            found: the listing or the changes.
+            found: the listing, or changes that continue the copy.
             change_age_seconds: greatest possible age of the changes.
 
         Returns:
             Whether any object changed.
         """
-        if self.revision is not None and found.revision < self.revision:
-            return False
+        if self.is_older(found):
+            return self._apply_forgotten(found)
         self.change_age_seconds = change_age_seconds
+        self.restored = self.revision is not None and found.era > self.era
+        if found.era != self.era:
+            self.changed_at = 0
         match found:
             case registrations.Listing(objects=objects):
                 present = {each.name for each in objects}
                 removed = [name for name in self.objects if name not in present]
-                changed = [each for each in objects if self._is_newer(each)]
+                if self.keeps_missing:
+                    removed = []
                 newest = objects
                 if removed:
                     # A listing doesn't show the revision of a removal; it is at
                     # most that of the listing.
                     self.changed_at = max(self.changed_at, found.revision)
             case registrations.Changes():
-                changed = [
-                    each for each in found.changed if self._is_newer(each)
-                ]
+                objects = found.changed
                 removed = [
                     each.name
                     for each in found.removed
                     if self._is_removal_current(each)
                 ]
                 newest = found.changed + found.removed
-        for each in changed:
-            self.objects[each.name] = each
+        changed = [each for each in objects if self._merge(each)]
         for name in removed:
             del self.objects[name]
-        self.revision = found.revision
+        self.era, self.revision = found.position
         self.changed_at = max(
             [self.changed_at, *(each.revision for each in newest)]
         )
-        self.on_change(changed, removed)
-        return bool(changed or removed)
+        return self._notify([each.name for each in changed], removed)
 
-    def _is_newer(self, each: registrations.Stored) -> bool:
-        cached = self.objects.get(each.name)
-        return cached is None or cached.revision < each.revision
+    def _apply_forgotten(
+        self, found: registrations.Listing | registrations.Changes
+    ) -> bool:
+        """Applies the newer contents in an older listing, if there are any."""
+        if not isinstance(found, registrations.Listing):
+            return False
+        names = [
+            each.name
+            for each in found.objects
+            if (self.keeps_missing or each.name in self.objects)
+            and self._merge(each)
+        ]
+        return bool(names) and self._notify(names, [])
+
+    def _notify(self, names: list[str], removed: list[str]) -> bool:
+        self.on_change([self.objects[name] for name in names], removed)
+        return bool(names or removed)
+
+    def _merge(self, found: registrations.Stored) -> bool:
+        """Merges a record of an object; returns whether its content changed."""
+        cached = self.objects.get(found.name)
+        if cached is None:
+            self.objects[found.name] = found
+            return True
+        if cached.position == found.position:
+            return False
+        if cached.position < found.position:
+            kept = self.merge(cached, found)
+        else:
+            kept = self.merge(found, cached)
+        self.objects[found.name] = kept
+        return (kept.value, kept.leaving) != (cached.value, cached.leaving)
 
     def _is_removal_current(self, gone: registrations.Stored) -> bool:
         """Returns whether a removal applies to the cached object.
@@ -99,10 +160,12 @@
         not remove an object that was created again at a later revision.
         """
         cached = self.objects.get(gone.name)
-        return cached is not None and cached.revision <= gone.revision
+        return cached is not None and cached.position <= gone.position
 
     def listing(self) -> registrations.Listing:
-        """Returns all objects as of the cached revision."""
+        """Returns all objects as of the cached position."""
         return registrations.Listing(
-            objects=list(self.objects.values()), revision=self.revision
+            objects=list(self.objects.values()),
+            revision=self.revision,
+            era=self.era,
         )
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -19,6 +19,7 @@
         known: by kind of stored object, revision of the newest change known,
             and ms since the copy was last confirmed to be current. Kinds
             without a copy are absent.
+        eras: by kind of stored object, era of the revision in `known`.
         store_reached: whether the store responds to the sender.
         lease_revision: revision of the lease, or -1 if unknown.
         lease_holder: holder of the lease.
@@ -57,6 +58,13 @@
     named: dict[str, list[tuple[int, int, int]]] = attrs.field(factory=dict)
     clock: tuple[int, int] = (0, 0)
     unheard: list[str] = attrs.field(factory=list)
+    eras: dict[str, int] = attrs.field(factory=dict)
+
+    def known_position(self, kind: str) -> tuple[int, int]:
+        """Returns era and revision of the newest known change, or (-1, 0)."""
+        if kind not in self.known:
+            return (-1, 0)
+        return self.eras.get(kind, 0), self.known[kind][0]
 
 
 @attrs.define(kw_only=True)
@@ -90,9 +98,16 @@
 
     Attributes:
         changed_at: revision of the newest of the changes.
+        era: era of that revision.
     """
 
     changed_at: int
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision of the newest of the changes."""
+        return self.era, self.changed_at
 
 
 @attrs.define(kw_only=True)
@@ -101,9 +116,16 @@
 
     Attributes:
         changed_at: the revision in the offer.
+        era: era of that revision.
     """
 
     changed_at: int
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision in the offer."""
+        return self.era, self.changed_at
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -217,6 +217,7 @@
                 for model, wanted in self.view.wanted.items()
             },
             known=self.replicator.known(now),
+            eras=self.replicator.eras(),
             store_reached=self.replicator.store_reached(),
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -64,9 +64,9 @@
         self.shares = watch_shares.WatchShares(own=roster.own)
         self.peer_lapse_ends = 0.0
         self._listing_requested_at: dict[str, float] = {}
-        self._last_request = (0, 0.0)
+        self._last_request = ((-1, 0), 0.0)
         self._offered: collections.OrderedDict[
-            int, peer_messages.WatchedChanges
+            tuple[int, int], peer_messages.WatchedChanges
         ] = collections.OrderedDict()
 
     def store_reached(self) -> bool:
@@ -89,20 +89,28 @@
             if each.cache.revision is not None and each.cache.known_at
         }
 
+    def eras(self) -> dict[str, int]:
+        """Returns the era of the copy of each kind, for heartbeats."""
+        return {name: each.cache.era for name, each in self.watching.items()}
+
     def merge_known(
         self, heartbeat: peer_messages.Heartbeat, now: float
     ) -> None:
         """Marks copies as current that a peer has confirmed to be current.
 
         This applies only to kinds of which this router has every change that
-        the peer has. Weights always qualify, as the heartbeat itself carries
-        all of their versions.
+        the peer has, which the revisions of another era don't show. Weights
+        always qualify, as the heartbeat itself carries all of their versions.
         """
         for name, (changed_at, age) in heartbeat.known.items():
             cache = self._cache(name)
             if cache is None or cache.revision is None:
                 continue
-            if name == "weights" or changed_at <= cache.revision:
+            has_changes = (
+                heartbeat.eras.get(name, 0) == cache.era
+                and changed_at <= cache.revision
+            )
+            if name == "weights" or has_changes:
                 cache.advance_known_at(now - age / 1000)
 
     def poll_rank(self) -> int:
@@ -178,14 +186,13 @@
         newest = max(
             each.revision for each in changes.changed + changes.removed
         )
-        self._offered[newest] = watched
+        offer = peer_messages.ChangesOffer(changed_at=newest, era=changes.era)
+        self._offered[offer.position] = watched
         while len(self._offered) > MAX_OFFERED:
             self._offered.popitem(last=False)
         for address in self.roster.near:
             if address != excluded:
-                self.send(
-                    address, peer_messages.ChangesOffer(changed_at=newest)
-                )
+                self.send(address, offer)
 
     def request_changes(
         self, sender: str, offer: peer_messages.ChangesOffer
@@ -193,24 +200,24 @@
         """Requests new changes from the first peer that offers them."""
         now = clocks.now()
         servers = self._cache("servers")
-        if servers.revision is None or offer.changed_at <= servers.revision:
+        if servers.revision is None or offer.position <= servers.position:
             return
         requested, when = self._last_request
-        if (
-            offer.changed_at <= requested
-            and now - when < CHANGES_TIMEOUT_SECONDS
-        ):
+        if offer.position <= requested and now - when < CHANGES_TIMEOUT_SECONDS:
             return
-        self._last_request = (offer.changed_at, now)
+        self._last_request = (offer.position, now)
         self.send(
-            sender, peer_messages.ChangesRequest(changed_at=offer.changed_at)
+            sender,
+            peer_messages.ChangesRequest(
+                changed_at=offer.changed_at, era=offer.era
+            ),
         )
 
     def send_changes(
         self, sender: str, request: peer_messages.ChangesRequest
     ) -> None:
         """Sends offered changes to a peer that requests them."""
-        watched = self._offered.get(request.changed_at)
+        watched = self._offered.get(request.position)
         if watched is not None:
             self.send(sender, watched)
 
@@ -219,13 +226,14 @@
     ) -> None:
         """Applies and forwards changes that a peer's watch returned."""
         servers = self._cache("servers")
-        if servers.revision is None:
+        changes = watched.changes
+        if servers.revision is None or servers.is_older(changes):
             return
-        if watched.after > servers.revision:
+        if not servers.continues(changes) or watched.after > servers.revision:
             self.watching["servers"].catch_up()
             return
         self._merge_lapse(watched.lapse_ms)
-        if servers.apply(watched.changes):
+        if servers.apply(changes):
             self._offer(watched, excluded=sender)
 
     def is_behind(self, peer: rosters.Peer) -> bool:
@@ -239,9 +247,9 @@
         )
 
     def _lacks_servers(self, peer: rosters.Peer) -> bool:
-        changed_at, _ = peer.heartbeat.known.get("servers", (-1, 0))
-        revision = self._cache("servers").revision
-        return revision is None or changed_at > revision
+        servers = self._cache("servers")
+        known = peer.heartbeat.known_position("servers")
+        return servers.revision is None or known > servers.position
 
     def catch_up(self, address: str) -> None:
         """Requests what a peer has newer, from the store or from that peer.
@@ -297,8 +305,8 @@
             "told_by_router",
             router=sender,
             kind=full.kind,
-            revision=full.listing.revision,
-            held=cache.revision,
+            position=full.listing.position,
+            held=cache.position,
         )
         # A server whose entry expired may still be alive. If it were dropped
         # because a peer's listing lacks it, it would be missing here until it
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -1,5 +1,7 @@
 """Applies changed objects of the store to the cluster view."""
 
+import collections
+
 import logbook
 
 from pimentoledge.platform import names
@@ -17,6 +19,12 @@
 # been superseded at any earlier time, unless another router reports when they
 # were superseded.
 STARTUP_SECONDS = 3.0
+# For how long a removed server is not used if a restored store contains its
+# entry again. The entry of a server that has ended lapses after three
+# intervals of some 1.2 s without a heartbeat.
+RESTORED_ENTRY_SECONDS = 4.5
+# Removed incarnations that are remembered.
+MAX_REMOVED = 1000
 
 
 class ViewUpdater:
@@ -34,6 +42,8 @@
             written again.
         lapsed: servers whose entries lapsed and that are still used, with the
             time at which they are removed.
+        withheld: registrations of removed servers that a restored store
+            contains again, with the time at which they are used.
     """
 
     def __init__(
@@ -53,6 +63,10 @@
         self.lapse_ends = lapse_ends
         self.on_restart = on_restart
         self.lapsed: dict[str, float] = {}
+        self.withheld: dict[str, tuple[registrations.Registration, float]] = {}
+        self._removed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._weights_listed = False
 
     def apply_configuration(
@@ -170,26 +184,51 @@
                     self._remove_server(each.name)
                 continue
             self.lapsed.pop(each.name, None)
-            former = self.view.servers.by_server.get(each.name)
-            present = self.view.servers.put(registration)
-            if former not in (None, present):
-                self._handle_restart(former)
-            self.lines.write(
-                "server",
-                server=present.registration.incarnation,
-                service=registration.service,
-                leaving=registration.leaving,
-                weights=registration.weights,
-            )
-            self._infer_named_weights(registration)
+            if self._was_removed(registration):
+                self._withhold(registration)
+                continue
+            self.withheld.pop(each.name, None)
+            self._put_server(registration)
         ends = self.lapse_ends()
         for name in removed:
-            if clocks.now() < ends:
+            if self.withheld.pop(name, None) is not None:
+                self.lines.write("server_gone", server=name)
+            elif clocks.now() < ends:
                 self.lapsed[name] = ends
                 self.lines.write("server_lapsed", server=name)
             else:
                 self._remove_server(name)
 
+    def _was_removed(self, registration: registrations.Registration) -> bool:
+        """Returns whether an entry is there only because of a restore."""
+        cache = self.view.caches_by_kind.get("servers")
+        return (
+            cache is not None
+            and cache.restored
+            and registration.incarnation in self._removed
+        )
+
+    def _withhold(self, registration: registrations.Registration) -> None:
+        """Keeps a removed server unused, unless its entry stays."""
+        until = clocks.now() + RESTORED_ENTRY_SECONDS
+        self.withheld[registration.server] = (registration, until)
+        self.lines.write("server_withheld", server=registration.incarnation)
+
+    def _put_server(self, registration: registrations.Registration) -> None:
+        former = self.view.servers.by_server.get(registration.server)
+        present = self.view.servers.put(registration)
+        self._removed.pop(registration.incarnation, None)
+        if former not in (None, present):
+            self._handle_restart(former)
+        self.lines.write(
+            "server",
+            server=present.registration.incarnation,
+            service=registration.service,
+            leaving=registration.leaving,
+            weights=registration.weights,
+        )
+        self._infer_named_weights(registration)
+
     def _infer_named_weights(
         self, registration: registrations.Registration
     ) -> None:
@@ -228,13 +267,23 @@
         if removed is None:
             self.lines.write("server_gone", server=name)
             return
+        self._removed[removed.registration.incarnation] = None
+        while len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
         if not removed.announced_leaving():
             self.on_death(removed.registration.incarnation)
         self.lines.write("server_gone", server=removed.registration.incarnation)
 
     def tick(self, now: float) -> None:
-        """Removes lapsed servers whose entries did not return in time."""
+        """Handles servers whose entries did not change for some time.
+
+        Removes lapsed ones, and uses those withheld.
+        """
         for name, until in list(self.lapsed.items()):
             if now >= until:
                 del self.lapsed[name]
                 self._remove_server(name)
+        for name, (registration, until) in list(self.withheld.items()):
+            if now >= until:
+                del self.withheld[name]
+                self._put_server(registration)
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -179,8 +179,9 @@
             found = await self._watch(since)
         if found is None:
             return
-        await self._apply(found)
-        if isinstance(found, registrations.Changes):
+        if await self._apply(found) and isinstance(
+            found, registrations.Changes
+        ):
             self.on_changes(after, found)
         await asyncio.sleep(BATCH_SECONDS)
 
@@ -201,7 +202,7 @@
         try:
             while not await self._wait_until_poll_due(waiting):
                 found = await self._poll()
-                if not _is_unchanged(found):
+                if not self._is_unchanged(found):
                     await asyncio.wait({waiting}, timeout=WATCH_GRACE_SECONDS)
                     if not waiting.done():
                         return found
@@ -251,7 +252,7 @@
             overdue=self._poll_overdue,
             failed=self._unanswered,
         )
-        if not _is_unchanged(found):
+        if not self._is_unchanged(found):
             self.lines.write(
                 "store_looked",
                 kind=self.cache.kind,
@@ -380,21 +381,6 @@
         for why in reasons:
             self.lines.write("unreadable", object=self.cache.kind, why=why)
 
-    def _log_older_position(
-        self, found: registrations.Listing | registrations.Changes
-    ) -> None:
-        """Logs that a result is dropped because newer ones were applied."""
-        held = self.cache.revision
-        if held is not None and found.revision < held:
-            self.lines.write(
-                "store_result_older",
-                kind=self.cache.kind,
-                found=type(found).__name__,
-                revision=found.revision,
-                held=held,
-                era=found.era,
-            )
-
     async def _follow(
         self,
     ) -> registrations.WatchResult | None:
@@ -408,26 +394,75 @@
                 return None
         return await self._poll()
 
-    async def _apply(self, found: object) -> None:
-        kind = self.cache.kind
+    async def _apply(self, found: registrations.WatchResult) -> bool:
+        """Applies a result; returns whether the copy includes it."""
         match found:
             case registrations.Unavailable():
                 self._record_failure(found)
                 await self._pause()
+                return False
             case registrations.HistoryGone():
-                self.lines.write("history_gone", kind=kind, era=found.era)
+                self.lines.write(
+                    "history_gone", kind=self.cache.kind, era=found.era
+                )
                 self._relist = True
-            case registrations.Listing() | registrations.Changes():
-                self._record_answer()
-                self._log_unreadable(found.unreadable)
-                self._log_older_position(found)
-                self.cache.apply(found, self._change_age_seconds(found))
-                self.cache.advance_known_at(self._complete_at)
-                self._relist = False
-
-
-def _is_unchanged(found: object) -> bool:
-    """Returns whether a result shows that nothing changed."""
-    if not isinstance(found, registrations.Changes):
-        return False
-    return not (found.changed or found.removed or found.unreadable)
+                return False
+        self._record_answer()
+        self._log_unreadable(found.unreadable)
+        if self.cache.is_older(found):
+            await self._drop(found)
+            return False
+        if not self._continue_era(found):
+            return False
+        self.cache.apply(found, self._change_age_seconds(found))
+        self.cache.advance_known_at(self._complete_at)
+        self._relist = False
+        return True
+
+    async def _drop(
+        self, found: registrations.Listing | registrations.Changes
+    ) -> None:
+        """Drops a result that is older than the copy, and backs off."""
+        self.lines.write(
+            "store_result_older",
+            kind=self.cache.kind,
+            found=type(found).__name__,
+            position=found.position,
+            held=self.cache.position,
+        )
+        self._relist = self._relist and not isinstance(
+            found, registrations.Listing
+        )
+        await self._pause()
+
+    def _continue_era(
+        self, found: registrations.Listing | registrations.Changes
+    ) -> bool:
+        """Returns whether a result can be applied, as it is of the copy's era.
+
+        Only a listing begins another era. The store was restored then, and
+        servers whose entries it lost register again.
+        """
+        cache = self.cache
+        if cache.revision is None or found.era == cache.era:
+            return True
+        self.lines.write(
+            "store_restored",
+            kind=cache.kind,
+            found=type(found).__name__,
+            position=found.position,
+            held=cache.position,
+        )
+        if isinstance(found, registrations.Changes):
+            self._relist = True
+            return False
+        self.recovered_at = clocks.now()
+        return True
+
+    def _is_unchanged(self, found: object) -> bool:
+        """Returns whether a result shows that nothing changed."""
+        if not isinstance(found, registrations.Changes):
+            return False
+        if not self.cache.continues(found):
+            return False
+        return not (found.changed or found.removed or found.unreadable)
