Hold the lease and give fencing tokens by the store's era

Each write of the lease expected a revision that the restored store lacks, 26 refused writes a second, and the lower revisions in the answers were ignored as old. The token was the plain revision, so a later holder could have had the same one again.

Lease states are ordered by era and revision; a token is the era above 32 bits of revision. Whoever writes first in an era, where the lease itself was not written in it, orders only after the term of a holder that the restored store may have forgotten, counted from when the era became known, and the lease time; a holder in its term goes on, since nobody that succeeded it could order yet. A write that a former era acknowledged gives no term, and one whose expected revision was given out again counts as the first in its era.

--- a/pimentoledge/routing/lease_holders.py
+++ b/pimentoledge/routing/lease_holders.py
@@ -153,8 +153,6 @@
         if isinstance(stored, registrations.Unavailable):
             await asyncio.sleep(RETRY_SECONDS)
             return
-        if isinstance(stored, registrations.Absent):
-            stored = None
         self.lease.learn(stored, clocks.now())
 
     async def _write(self, now: float) -> None:
@@ -162,13 +160,18 @@
         outcome = await self.store.write(
             KIND,
             NAME,
-            {"holder": self.lease.holder, "sent": now},
+            {
+                "holder": self.lease.holder,
+                "sent": now,
+                "era": self.lease.era,
+            },
             revision=self.lease.revision or None,
         )
         match outcome:
             case registrations.Stored():
+                self.lease.learn_era(outcome.era, clocks.now())
                 self.lease.record_write(outcome, now)
-                if before != self.lease.holder:
+                if before != self.lease.holder and self.lease.holds(now):
                     self.lines.write(
                         "lease_taken",
                         before=before,
@@ -178,9 +181,15 @@
                         ),
                     )
                     self.peers.send_heartbeat_soon()
-            case registrations.Conflict(found=current):
-                self.lines.write("lease_conflict", before=before)
+            case registrations.Conflict(found=current, era=era):
+                self.lines.write(
+                    "lease_conflict",
+                    before=before,
+                    era=era,
+                    held_era=self.lease.era,
+                )
                 if current is None:
+                    self.lease.learn_era(era, clocks.now())
                     self.lease.mark_unknown()
                 else:
                     self.lease.learn(current, clocks.now())
--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -3,6 +3,9 @@
 A pure state machine. A holder gives orders only for a short term after it
 sent a successful write; a successor's write makes the holder's next write
 fail. So an idle holder needs no calls, and can be replaced at once.
+
+A store that is restored from an older copy forgets the newest writes, and with
+them possibly a holder. Revisions count only within an era of the store.
 """
 
 import enum
@@ -18,6 +21,8 @@
 RENEW_SECONDS = 0.8
 # No order is sent in the last part of the term, as it takes time to arrive.
 ORDER_MARGIN_SECONDS = 0.25
+# Fencing tokens consist of an era and, in this many bits, a revision.
+REVISION_BITS = 32
 
 
 class Step(enum.StrEnum):
@@ -36,9 +41,13 @@
     Attributes:
         holder: name of this process's VM in the lease.
         lease_seconds: minimum time between orders of two different holders.
-        revision: the lease's newest known revision; 0 if the object does not
-            exist; None if unknown.
+        era: the store's newest known era.
+        era_learnt_at: when that era became known to this process.
+        revision: the lease's newest known revision in that era; 0 if the object
+            does not exist; None if unknown.
         held_by: its holder at that revision, or "".
+        written_in_era: whether that revision was written in that era, so that
+            no later write was lost.
         learnt_at: when that revision became known to this process, or to a peer
             that knew it earlier.
         term_ends: when this process's term ends.
@@ -49,8 +58,11 @@
 
     holder: str
     lease_seconds: float
+    era: int = 0
+    era_learnt_at: float = 0.0
     revision: int | None = None
     held_by: str = ""
+    written_in_era: bool = False
     learnt_at: float = 0.0
     term_ends: float = 0.0
     quiet_until: float = 0.0
@@ -73,32 +85,57 @@
         """Returns whether this process is the holder now."""
         return now < self.term_ends
 
-    def learn(self, stored: registrations.Stored | None, now: float) -> None:
-        """Updates the state from a read or from a peer's report."""
-        revision = 0 if stored is None else stored.revision
-        if self.revision is not None and revision <= self.revision:
+    def learn_era(self, era: int, now: float) -> None:
+        """Updates the state from the era in a response, or that a peer knows.
+
+        An own term stays valid: its write was the newest one, so whoever
+        succeeded it in the lost writes doesn't order before the term is over.
+        """
+        if era <= self.era:
+            return
+        self.era = era
+        self.era_learnt_at = now
+        self.revision = None
+        self.written_in_era = False
+
+    def learn(
+        self, stored: registrations.Stored | registrations.Absent, now: float
+    ) -> None:
+        """Updates the state from a read or a conflict."""
+        self.learn_era(stored.era, now)
+        self._learn_revision(stored, _written_era(stored) == stored.era, now)
+
+    def _learn_revision(
+        self,
+        stored: registrations.Stored | registrations.Absent,
+        written_in_era: bool,
+        now: float,
+    ) -> None:
+        revision = getattr(stored, "revision", 0)
+        if stored.era < self.era or (
+            self.revision is not None and revision <= self.revision
+        ):
             return
         self.revision = revision
         self.held_by = _holder(stored)
+        self.written_in_era = written_in_era
         self.learnt_at = now
         if self.held_by != self.holder:
             self.term_ends = 0.0
 
-    def merge_peer(self, revision: int, held_by: str, learnt: float) -> None:
+    def merge_peer(
+        self, known: registrations.Stored, learnt: float, now: float
+    ) -> None:
         """Merges another process's state of the lease.
 
         Args:
-            revision: the newest revision that it knows.
-            held_by: the holder at that revision.
+            known: the newest revision that it knows.
             learnt: when it learnt that revision.
+            now: the time.
         """
-        self.learn(
-            registrations.Stored(
-                name="", revision=revision, value={"holder": held_by}
-            ),
-            learnt,
-        )
-        if revision == self.revision:
+        self.learn_era(known.era, now)
+        self._learn_revision(known, False, learnt)
+        if known.position == (self.era, self.revision):
             self.learnt_at = min(self.learnt_at, learnt)
 
     def mark_unknown(self) -> None:
@@ -112,21 +149,48 @@
             stored: the lease after the write.
             sent: when the write was sent; the term starts then.
         """
-        if self.held_by not in ("", self.holder):
-            # The former holder's last successful write was sent before its
-            # revision became known here, so its term ends no later than this.
-            last_order = self.learnt_at + TERM_SECONDS
-            quiet = last_order + self.lease_seconds
-            self.quiet_until = max(self.quiet_until, quiet)
-        if self.held_by != self.holder or not self.fence:
-            self.fence = stored.revision
+        if stored.era < self.era:
+            # The store has lost this write.
+            self.mark_unknown()
+            return
+        self.learn_era(stored.era, sent)
+        self.quiet_until = max(self.quiet_until, self._former_quiet(sent))
+        token = (stored.era << REVISION_BITS) + stored.revision
+        is_first_in_era = self.fence >> REVISION_BITS < stored.era
+        if self.held_by != self.holder or not self.fence or is_first_in_era:
+            self.fence = token
         self.revision = stored.revision
         self.held_by = self.holder
+        self.written_in_era = True
         self.learnt_at = sent
         self.term_ends = sent + TERM_SECONDS
 
+    def _former_quiet(self, sent: float) -> float:
+        """Returns until when orders may be too close to a former holder's.
+
+        A former holder's last successful write was sent before its revision
+        became known here, so its term ends no later than TERM_SECONDS after
+        that. A holder whose writes were lost sent its last one before the new
+        era became known.
+        """
+        known = []
+        if self.held_by not in ("", self.holder):
+            known.append(self.learnt_at)
+        if self.era and not self.written_in_era and not self.holds(sent):
+            known.append(self.era_learnt_at)
+        return max(
+            (each + TERM_SECONDS + self.lease_seconds for each in known),
+            default=0.0,
+        )
+
+
+def _written_era(stored: registrations.Stored | registrations.Absent) -> int:
+    """Returns the era that the lease's last writer knew, or -1 if unknown."""
+    value = getattr(stored, "value", None)
+    era = value.get("era", 0) if isinstance(value, dict) else -1
+    return era if isinstance(era, int) else -1
+
 
-def _holder(stored: registrations.Stored | None) -> str:
-    if stored is None or not isinstance(stored.value, dict):
-        return ""
-    return str(stored.value.get("holder", ""))
+def _holder(stored: registrations.Stored | registrations.Absent) -> str:
+    value = getattr(stored, "value", None)
+    return str(value.get("holder", "")) if isinstance(value, dict) else ""
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -20,6 +20,7 @@
             and ms since the copy was last confirmed to be current. Kinds
             without a copy are absent.
         eras: by kind of stored object, era of the revision in `known`.
+        lease_era: era of `lease_revision`.
         store_reached: whether the store responds to the sender.
         lease_revision: revision of the lease, or -1 if unknown.
         lease_holder: holder of the lease.
@@ -59,6 +60,7 @@
     clock: tuple[int, int] = (0, 0)
     unheard: list[str] = attrs.field(factory=list)
     eras: dict[str, int] = attrs.field(factory=dict)
+    lease_era: int = 0
 
     def known_position(self, kind: str) -> tuple[int, int]:
         """Returns era and revision of the newest known change, or (-1, 0)."""
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -20,6 +20,7 @@
 from pimentoledge.routing import load_reports
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
+from pimentoledge.routing import registrations
 from pimentoledge.routing import replicators
 from pimentoledge.routing import rosters
 from pimentoledge.routing import server_notices
@@ -221,6 +222,7 @@
             store_reached=self.replicator.store_reached(),
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
+            lease_era=lease.era,
             lease_ms=int((now - lease.learnt_at) * 1000),
             leaving=self.view.leaving,
             pulse=self.holder_heartbeats.newest,
@@ -401,9 +403,14 @@
     ) -> None:
         if heartbeat.lease_revision > 0:
             self.lease.merge_peer(
-                heartbeat.lease_revision,
-                heartbeat.lease_holder,
+                registrations.Stored(
+                    name="",
+                    revision=heartbeat.lease_revision,
+                    value={"holder": heartbeat.lease_holder},
+                    era=heartbeat.lease_era,
+                ),
                 now - heartbeat.lease_ms / 1000,
+                now,
             )
         if (
             self.holder_heartbeats.merge(heartbeat, now)
--- a/pimentoledge/tests/test_leases.py
+++ b/pimentoledge/tests/test_leases.py
@@ -19,7 +19,7 @@
 def test_the_first_holder_orders_at_once_and_only_for_its_term():
     mine = lease()
     assert mine.step(0.0) is leases.Step.READ
-    mine.learn(None, 0.0)
+    mine.learn(registrations.Absent(), 0.0)
     assert mine.step(0.0) is leases.Step.WRITE
     mine.record_write(stored(5, "a"), 0.0)
     assert mine.step(0.1) is leases.Step.ORDER
@@ -59,25 +59,25 @@
     """
     mine = lease("b")
     mine.learn(stored(7, "a"), 100.0)
-    mine.merge_peer(7, "a", 40.0)
+    mine.merge_peer(stored(7, "a"), 40.0, 100.1)
     mine.record_write(stored(8, "b"), 100.2)
     assert mine.may_order(100.3)
 
 
 def test_a_holder_that_was_succeeded_gives_no_more_orders():
     mine = lease()
-    mine.learn(None, 0.0)
+    mine.learn(registrations.Absent(), 0.0)
     mine.record_write(stored(5, "a"), 0.0)
-    mine.merge_peer(6, "b", 0.2)
+    mine.merge_peer(stored(6, "b"), 0.2, 0.2)
     assert not mine.may_order(0.3)
     # A late report of an older revision changes nothing.
-    mine.merge_peer(5, "a", 0.4)
+    mine.merge_peer(stored(5, "a"), 0.4, 0.4)
     assert mine.held_by == "b"
 
 
 def test_a_write_of_unknown_outcome_gives_no_term():
     mine = lease()
-    mine.learn(None, 0.0)
+    mine.learn(registrations.Absent(), 0.0)
     mine.mark_unknown()
     assert mine.step(0.1) is leases.Step.READ
     assert not mine.may_order(0.1)
