Write the fleet's size again after a restore of the store

A restored store may lack the number of routers and the owners of limits, or hold older ones. The writer compared them with what it had once written and wrote nothing, so that a router that started then took its share of limits by the few others that it knew. The writer reads the object again when an answer shows a later era.

--- a/pimentoledge/routing/fleet_sizes.py
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -48,6 +48,7 @@
         stored: the stored number, 0 if there is none, None if not read yet.
         stored_owners: mailboxes of the stored owners.
         revision: revision of the stored object, 0 if there is none.
+        era: era of the store in which the object was last read or written.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         self.stored: int | None = None
         self.stored_owners: list[str] = []
         self.revision = 0
+        self.era = 0
         self._differed = 0
         self._task: asyncio.Task | None = None
 
@@ -120,6 +122,10 @@
         if not self.is_needed() or not self._is_writer(now):
             self._differed = 0
             return
+        if self.store.era > self.era:
+            # A restored store may lack the object, or its newest content.
+            self._apply(await self.store.read(KIND, NAME))
+            return
         count, owners = self.roster.count(now), sorted(set(self.owners()))
         same = count == self.stored and owners == self.stored_owners
         self._differed = 0 if same else self._differed + 1
@@ -151,12 +157,15 @@
 
     def _apply(self, answer: object) -> None:
         match answer:
-            case None | registrations.Absent():
-                self.stored, self.revision = 0, 0
-            case registrations.Stored(value=value, revision=revision):
+            case registrations.Absent(era=era):
+                self.stored, self.revision, self.era = 0, 0, era
+            case registrations.Stored(value=value, revision=revision, era=era):
                 self.stored, self.revision = _read_number(value), revision
+                self.era = era
                 self.stored_owners = _read_owners(value)
                 self.lines.write("fleet_size", routers=self.stored)
+            case registrations.Conflict(found=None, era=era):
+                self._apply(registrations.Absent(era=era))
             case registrations.Conflict(found=current):
                 self._apply(current)
             case registrations.Unavailable(reason=reason):
