Soak: a store that is restored from an older copy

The new fault takes the store away, restores a copy some seconds old under the next era, and lets the operator and the servers write again. A process that knew of a leaving or a configuration is bound by it for good; orders of two holders must be apart and their tokens rise (new check).

--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -101,9 +101,12 @@
         self._write(path, msgspec.json.encode(spec), expected)
 
     def remove(self, kind: str, name: str) -> None:
-        """Deletes an object."""
+        """Deletes an object, if it exists."""
         path = f"{kind}/{name}"
-        self._write(path, None, self.objects.objects[path].version)
+        with self.objects.changed:
+            current = self.objects.objects.get(path)
+        if current is not None:
+            self._write(path, None, current.version)
 
     def _write(
         self, path: str, value: bytes | None, expected: int
--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -25,6 +25,7 @@
     "limit": "routers that know a server's limit together send no more than it",
     "weights": "no request begins on old weights later than weights-ms",
     "configuration": "no request uses a configuration replaced config-ms ago",
+    "orders": "holders order lease-ms apart, each with a higher fencing token",
     "recovery": "every request is served some seconds after the last fault",
 }
 # A router that was restarted, frozen or disconnected from the store within this
@@ -33,6 +34,9 @@
 DRAIN_SECONDS = 2.0
 WEIGHTS_SECONDS = 5.0
 CONFIGURATION_SECONDS = 2.0
+LEASE_SECONDS = 1.0
+# Time after a freeze in which orders sent before it may still arrive.
+LATE_ORDER_SECONDS = 1.0
 # Time after a refusal from which the router must observe its Retry-After.
 BACKOFF_APPLY_SECONDS = 0.5
 MAX_IN_BACKOFF = 2
@@ -106,6 +110,32 @@
     return any(each.overlaps(router, begin, end) for each in record.freezes)
 
 
+def knows_since(
+    record: records.SoakRecord,
+    request: records.Request,
+    at: float,
+    seconds: float,
+) -> float | None:
+    """Returns when a process surely knew what the store took at a time.
+
+    That is None unless it was undisturbed then. It doesn't forget, whatever
+    happens to the store later.
+
+    Args:
+        record: the record of the run.
+        request: a request that the process got.
+        at: when the store took it.
+        seconds: the time within which routers must know.
+    """
+    known_at = at + seconds
+    process_run = record.process_runs[request.router][request.process_run]
+    if process_run.started > at or known_at > request.sent:
+        return None
+    if not was_undisturbed(record, request.router, known_at):
+        return None
+    return known_at
+
+
 def _arrivals_with_requests(
     record: records.SoakRecord,
 ) -> Iterator[tuple[records.Arrival, records.Request]]:
@@ -340,7 +370,10 @@
         ):
             known["an answer"] = relayed_at
         stored_at = record.leaving.get(server)
-        if stored_at and was_undisturbed(record, router, arrival.at):
+        if stored_at and (
+            was_undisturbed(record, router, arrival.at)
+            or knows_since(record, request, stored_at, DRAIN_SECONDS)
+        ):
             known["the store"] = stored_at
         for source, since in known.items():
             if request.sent > since + DRAIN_SECONDS:
@@ -510,10 +543,10 @@
 def check_configuration(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that requests use a configuration that may be current."""
     for arrival, request in _arrivals_with_requests(record):
-        if not was_undisturbed(record, request.router, arrival.at):
-            continue
-        begin = request.sent - CONFIGURATION_SECONDS
         changes = record.changes
+        begin = request.sent - CONFIGURATION_SECONDS
+        if not was_undisturbed(record, request.router, arrival.at):
+            begin = _newest_known_change(record, request)
         in_force = [
             each
             for each, after in zip(changes, [*changes[1:], None], strict=True)
@@ -534,6 +567,48 @@
             )
 
 
+def _newest_known_change(
+    record: records.SoakRecord, request: records.Request
+) -> float:
+    """Returns the time of the newest change that a process surely knew."""
+    known = [
+        each.at
+        for each in record.changes
+        if knows_since(record, request, each.at, CONFIGURATION_SECONDS)
+    ]
+    return max(known, default=-math.inf)
+
+
+def check_orders(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks that orders of two holders exclude each other."""
+    previous = None
+    holders: dict[int, str] = {}
+    for order in list(record.orders):
+        router = order.holder.partition("@")[0]
+        if was_frozen(record, router, order.at - LATE_ORDER_SECONDS, order.at):
+            continue
+        wrong = None
+        if holders.setdefault(order.fence, order.holder) != order.holder:
+            wrong = f"has the token of {holders[order.fence]}"
+        elif previous is not None and order.fence < previous.fence:
+            wrong = f"came after {previous.fence} of {previous.holder}"
+        elif (
+            previous is not None
+            and order.holder != previous.holder
+            and order.at - previous.at < LEASE_SECONDS
+        ):
+            wrong = f"came {order.at - previous.at:.3f} s after one of"
+            wrong += f" {previous.holder}"
+        if wrong is not None:
+            yield Violation(
+                invariant="orders",
+                at=order.at,
+                subject=order.holder,
+                text=f"an order with token {order.fence} {wrong}",
+            )
+        previous = order
+
+
 def check_recovery(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that every request is served again after the last fault."""
     if record.quiet_from is None:
@@ -565,5 +640,6 @@
     check_limits,
     check_weights,
     check_configuration,
+    check_orders,
     check_recovery,
 )
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -34,6 +34,8 @@
 LINK_KINDS = ("link_slow", "link_mute", "link_silent", "link_resets")
 # The store drops its history of changes, or applies writes without answering.
 HISTORY_KINDS = ("store_forgets", "store_loses")
+# The store is unavailable, and then restored from a copy some seconds old.
+RESTORE_KINDS = ("store_restored",)
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
@@ -47,6 +49,7 @@
     *JOIN_KINDS,
     *LINK_KINDS,
     *HISTORY_KINDS,
+    *RESTORE_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -131,6 +131,21 @@
     services: dict[str, str]
 
 
+@attrs.frozen(kw_only=True)
+class Order:
+    """An order that a runner received.
+
+    Attributes:
+        at: when it arrived.
+        holder: name of the router that sent it.
+        fence: its fencing token.
+    """
+
+    at: float
+    holder: str
+    fence: int
+
+
 @attrs.define(kw_only=True)
 class SoakRecord:
     """Everything that was observed in a run.
@@ -149,6 +164,7 @@
             incarnation; the value is None when a limit ends.
         own_calls: arrival times of orders to a server and of requests for its
             report, by incarnation.
+        orders: orders that any runner received, in order.
         changes: configurations in order.
         faults: time and description of each fault, in order.
         quiet_from: when the last fault had ended, or None.
@@ -167,6 +183,7 @@
         factory=dict
     )
     own_calls: dict[str, list[float]] = attrs.field(factory=dict)
+    orders: list[Order] = attrs.field(factory=list)
     changes: list[ConfigurationChange] = attrs.field(factory=list)
     faults: list[tuple[float, str]] = attrs.field(factory=list)
     quiet_from: float | None = None
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -102,6 +102,14 @@
             with self._in_progress_lock:
                 del self._in_progress[request]
 
+    def _handle_order(self, request, body: dict) -> None:
+        self.record.orders.append(
+            records.Order(
+                at=time.monotonic(), holder=body["holder"], fence=body["fence"]
+            )
+        )
+        super()._handle_order(request, body)
+
     def _run_request(self, request, call) -> None:
         arrival = self._in_progress[request]
         if self.lose:
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -45,6 +45,15 @@
 SILENCE_BEFORE_VERSION_SECONDS = 0.2
 # Time between two changes of the wanted weights.
 VERSION_GAP_SECONDS = 0.4
+# Interval between copies of the store, and number of copies that are kept.
+BACKUP_SECONDS = 0.5
+MAX_BACKUPS = 16
+# Age of the copy that a fault restores, for each of its count.
+BACKUP_AGE_SECONDS = 1.5
+# Time from a restore until the operator and the servers have written again,
+# and until the entries of servers that have ended are removed again.
+WRITE_AGAIN_SECONDS = 0.6
+ENTRY_LAPSE_SECONDS = 1.5
 
 
 class World:
@@ -72,6 +81,10 @@
         self._notices_moved = False
         self._incarnation_counts = collections.Counter()
         self._registration_lock = threading.Lock()
+        self._configuration: dict = {}
+        self._backups: collections.deque = collections.deque(maxlen=MAX_BACKUPS)
+        self._backup_task: asyncio.Task | None = None
+        self._restore_lock = asyncio.Lock()
         # Number of active faults, by kind and by router or server.
         self._active_faults = collections.Counter()
 
@@ -88,6 +101,7 @@
             await self._add_server(service)
         stores = [self._add_store() for _ in range(count)]
         await self.fleet.start(stores, folder)
+        self._backup_task = asyncio.create_task(self._back_up())
 
     def _add_store(self) -> stand_in_stores.StandInStore:
         """Starts and returns another address of the store."""
@@ -98,6 +112,8 @@
 
     async def close(self) -> None:
         """Ends all processes and stand-ins."""
+        if self._backup_task is not None:
+            self._backup_task.cancel()
         await self.fleet.close()
         for server in self.platform.servers.values():
             if server.link is not None:
@@ -208,6 +224,63 @@
         self.record.add_fault(f"answers to {fault.count} writes get lost")
         self.platform.store.objects.lose_answers += fault.count
 
+    async def _back_up(self) -> None:
+        """Copies the store at regular intervals."""
+        while True:
+            backup = self.platform.store.objects.back_up()
+            self._backups.append((time.monotonic(), backup))
+            await asyncio.sleep(BACKUP_SECONDS)
+
+    async def _store_restored(self, fault: plans.Fault) -> None:
+        kind = "silent" if fault.count % 2 else "refuses"
+        age = BACKUP_AGE_SECONDS * fault.count
+        async with self._restore_lock:
+            self.record.add_fault(
+                f"store away {fault.seconds:.1f} s ({kind}),"
+                f" back from a copy {age:.1f} s old"
+            )
+            span = records.Span(router=None, begin=time.monotonic())
+            self.record.outages.append(span)
+            disturbed = list(self.fleet.routers)
+            for each in disturbed:
+                self._disturb(each, kind, 1)
+                each.store.cut_watches()
+            await asyncio.sleep(fault.seconds)
+            self._restore(age)
+            for each in disturbed:
+                self._disturb(each, kind, -1)
+            await self._write_again()
+            span.end = time.monotonic()
+
+    def _restore(self, age: float) -> None:
+        """Restores the newest copy of at least an age, in seconds."""
+        until = time.monotonic() - age
+        old_enough = [each for at, each in self._backups if at <= until]
+        _, oldest = self._backups[0]
+        self.platform.store.objects.restore(
+            old_enough[-1] if old_enough else oldest
+        )
+        self._backups.clear()
+        self._backups.append(
+            (time.monotonic(), self.platform.store.objects.back_up())
+        )
+        for each in self._stores:
+            each.history_from = 0
+
+    async def _write_again(self) -> None:
+        """Writes what the operator and the servers wrote last."""
+        await asyncio.sleep(WRITE_AGAIN_SECONDS)
+        self._store_configuration()
+        self._store_weights()
+        for server in list(self.platform.servers.values()):
+            self._write_registration(server)
+        await asyncio.sleep(ENTRY_LAPSE_SECONDS)
+        objects = self.platform.store.objects.objects
+        for path in list(objects):
+            kind, _, name = path.partition("/")
+            if kind == names.SERVER_KIND and name not in self.platform.servers:
+                self.platform.store.remove(kind, name)
+
     # Servers.
 
     async def _add_server(self, service: str) -> None:
@@ -424,9 +497,12 @@
     async def _version(self, fault: plans.Fault) -> None:
         self._weights += 1
         self.record.add_fault(f"weights {self._weights} named")
+        self._store_weights()
+        self.record.named.append((self._weights, time.monotonic()))
+
+    def _store_weights(self) -> None:
         named = {"model": MODEL, "version": self._weights}
         self.platform.store.put(names.WEIGHT_VERSION_KIND, MODEL, named)
-        self.record.named.append((self._weights, time.monotonic()))
 
     async def _versions(self, fault: plans.Fault) -> None:
         await self._version(fault)
@@ -462,9 +538,8 @@
         for route in configuration["routes"]:
             if route["name"] == "notices":
                 route["service"] = notices_service
-        self.platform.store.put(
-            names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, configuration
-        )
+        self._configuration = configuration
+        self._store_configuration()
         change = records.ConfigurationChange(
             at=time.monotonic(),
             keys=frozenset(each["apiKeys"][0] for each in tenants),
@@ -477,3 +552,10 @@
         self.record.add_fault(
             f"notices to {notices_service}, keys: {sorted(change.keys)}"
         )
+
+    def _store_configuration(self) -> None:
+        self.platform.store.put(
+            names.CONFIGURATION_KIND,
+            names.CONFIGURATION_NAME,
+            self._configuration,
+        )
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -15,6 +15,15 @@
     *plans.JOIN_KINDS,
     "version",
 )
+RESTORES = (
+    *plans.RESTORE_KINDS,
+    *plans.RESTORE_KINDS,
+    *plans.ROUTER_KINDS,
+    *plans.CHANGE_KINDS,
+    "server_leaves",
+    "server_crashes",
+    "watches_cut",
+)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -26,6 +35,7 @@
         pytest.param(7, 10.0, NOTICES, id="notices"),
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
+        pytest.param(3, 12.0, RESTORES, id="restores"),
     ],
 )
 def test_soak_run_violates_no_invariant(seed, seconds, kinds):
