Test: a restored store before a fleet whose routers follow others' watches

13 routers, two of which watch. The bound is now the time after a disturbance of the store from which bounds count again (contactMs, 3 s).

--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -13,6 +13,7 @@
 from pimentoledge.tests import router_world
 from pimentoledge.tests.test_router_leaving import _silence
 from pimentoledge.tests.test_router_leaving import has_seen_leaving
+from pimentoledge.tests.test_router_rings import _few_watch
 from pimentoledge.tests.test_router_store import following
 
 with_world = router_world.with_world
@@ -21,6 +22,9 @@
 LOST_ROUNDS = 20
 # Within this time of a restore each router must know the restored state.
 RESTORED_SECONDS = 1.5
+# The same for a fleet in which most routers follow the watches of others: from
+# then on bounds count again after a disturbance of the store.
+FLEET_RESTORED_SECONDS = 3.0
 
 
 async def _spend_revisions(world, rounds=LOST_ROUNDS):
@@ -292,3 +296,26 @@
         clocks.now() + view_updaters.RESTORED_ENTRY_SECONDS + 0.1
     )
     assert "p0" in router.view.servers.by_server
+
+
+@with_world(routers=13, plain=2, runners=2)
+async def test_all_of_many_routers_know_a_restored_store(world):
+    """Guards against routers that follow the copies of a former era."""
+    await _few_watch(world)
+    backup = world.store.objects.back_up()
+    for number in range(LOST_ROUNDS):
+        entry = world.servers["p1"].entry()
+        world.store.put("servers", "other", entry | {"slots": number + 1})
+    begin = world.store.objects.revision
+    await world.until(
+        lambda: all(
+            each.kinds["servers"].cache.revision >= begin
+            for each in world.routers
+        )
+    )
+    await _restore(world, backup)
+    _leaves(world)
+    await world.until(
+        lambda: all(map(has_seen_leaving, world.routers)),
+        seconds=FLEET_RESTORED_SECONDS,
+    )
