Round an owner's wait up to whole milliseconds

Callers: a request that a router held back for exactly the owner's wait was refused once more and waited a second time. The wait was cut down to whole ms in the message, so the router came up to 1 ms before there was room.

--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import math
 
 import attrs
 
@@ -366,7 +367,7 @@
             messages.Acquired(
                 number=acquire.number,
                 granted=decision.granted,
-                wait_ms=-1 if wait is None else int(1000 * wait),
+                wait_ms=-1 if wait is None else math.ceil(1000 * wait),
                 left=decision.left,
                 share=decision.share,
             ),
