Drop a refusal for a server's limit that ended or changed meanwhile

Callers: 503 for up to 2 s from a server that had no limit any more. A router that waited for the owner's answer didn't look at the limit again: the wait of a refusal for the former limit shut the server out. After a refusal the limit is compared with the one that was asked about, and asked anew if it differs.

--- a/pimentoledge/routing/server_permits.py
+++ b/pimentoledge/routing/server_permits.py
@@ -57,16 +57,31 @@
     ) -> Permit:
         """Acquires a permit for one call, if the server's limit has room.
 
+        A refusal for a limit that changed or ended during the wait doesn't
+        count.
+
         Args:
             backend: the server.
             request: id of the client's request, or "" for an internal call.
         """
         server = backend.registration.incarnation
-        per_second = self.limits.get(server)
-        if per_second is None:
-            return Permit(granted=True)
-        if clocks.now() < backend.limited_until:
-            return Permit(granted=False)
+        while True:
+            per_second = self.limits.get(server)
+            if per_second is None:
+                return Permit(granted=True)
+            if clocks.now() < backend.limited_until:
+                return Permit(granted=False)
+            charge, answer = await self._acquire_charge(server, per_second)
+            if answer.decision.granted:
+                return Permit(granted=True, charge=charge)
+            if self.limits.get(server) == per_second:
+                self._refused(backend, answer, per_second, request)
+                return Permit(granted=False)
+
+    async def _acquire_charge(
+        self, server: str, per_second: float
+    ) -> tuple[charges.Charge, limiters.AcquireResult]:
+        """Requests one call within a limit; returns the charge and answer."""
         charge = charges.Charge(
             limiter=self.limiter,
             organisation=ledgers.SERVER_PREFIX + server,
@@ -75,11 +90,7 @@
             ),
             cost=1.0,
         )
-        answer = await charge.acquire()
-        if answer.decision.granted:
-            return Permit(granted=True, charge=charge)
-        self._refused(backend, answer, per_second, request)
-        return Permit(granted=False)
+        return charge, await charge.acquire()
 
     def is_missing(self, backend: backends.Backend, permit: Permit) -> bool:
         """Returns whether a server advertised a limit after the permit."""
