Don't take an owner for silent at itself

Callers: an organisation got one running request more than its concurrency limit. An owner whose own request waited in its ledger, and which ticked late, took itself for a silent owner before the same tick asked the ledger, and used the share that entries have while no owner answers. Its ledger always answers, so the entry waits for it. The known red test (7 running, limit 6, fixed steps) passes, and so do the stateful tests of limits (150 examples of 40 steps).

--- a/pimentoledge/decisions/lending.py
+++ b/pimentoledge/decisions/lending.py
@@ -192,7 +192,7 @@
         """Returns whether the ledger can be dropped without effect."""
         self.refill(now)
         self._expire_leases(now)
-        return not self.leases and self.level >= self.burst
+        return not (self.leases or self.pending) and self.level >= self.burst
 
     def _grant_tokens(
         self, request: messages.QuotaRequest, answer: messages.QuotaGrant
--- a/pimentoledge/decisions/limits.py
+++ b/pimentoledge/decisions/limits.py
@@ -587,7 +587,8 @@
         policy = self.policy
         if account.requested_at is not None:
             late = now - account.requested_at >= policy.answer_seconds
-            if not late:
+            if not late or account.owner == self.address:
+                # This entry's own ledger answers in this tick if that is due.
                 return []
             # The QuotaRequest or its answer is lost, or the owner is down or
             # unreachable. Tokens lent in a lost answer are not recovered:
