Cancel an attempt at a restarted engine that may have begun it

Callers: a drained agent ended while its engine still ran an attempt of it. The engine had crashed and restarted while the attempt was on its way; the agent failed it as ENGINE_DIED, forgot it, and never cancelled it at the new incarnation. Each attempt that a death fails is cancelled there as well, and an engine that says that it began an attempt which the agent doesn't know is told to cancel it.

Left: content of such an attempt is still named as a suspect of the crash.

--- a/pimentoledge/decisions/agents.py
+++ b/pimentoledge/decisions/agents.py
@@ -496,7 +496,7 @@
         run = self.runs.get((event.request, event.attempt))
         if run is not None:
             run.begun = True
-        if run is not None and run.stage == runs.RunStage.PAUSING:
+        if run is None or run.stage == runs.RunStage.PAUSING:
             # The first cancellation may have reached the engine before the
             # completion did, and then had no effect.
             stop = actions.CancelRun(
@@ -691,7 +691,11 @@
         ]
 
     def engine_died(self, incarnation: str, now: float) -> Actions:
-        """Fails the attempts that the engine ran, and refuses queued ones."""
+        """Fails the attempts that the engine ran, and refuses queued ones.
+
+        A restarted engine may have begun an attempt that was on its way when
+        the former one died, so each is also cancelled there.
+        """
         suspects = self.admission.suspects()
         self.admission.clear()
         todo: Actions = []
@@ -707,6 +711,10 @@
                     crash = Crash(incarnation=incarnation, suspects=suspects)
                     code = results.Code.ENGINE_DIED
                     todo += self.fail(run, code, ran, now, crash)
+                    request, attempt = run.key()
+                    todo.append(
+                        actions.CancelRun(request=request, attempt=attempt)
+                    )
                 case runs.RunStage.QUEUED:
                     refused = admission.Refuse(
                         code=results.Code.SERVER_DOWN,
