--- a/pimentoledge/tests/test_router_silent_peers.py
+++ b/pimentoledge/tests/test_router_silent_peers.py
@@ -1,13 +1,19 @@
 """Tests that silent connections between routers are reopened."""
 
+import asyncio
+import random
+
 import pytest
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import watch_shares
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
 # Time limit for routers to reconnect after their connections went silent.
 TOUCH_SECONDS = 3.0
+# Time within which routers must know that a server leaves.
+DRAIN_SECONDS = 2.0
 
 
 class SilentSocket:
@@ -81,3 +87,26 @@
         for box in boxes
     ]
     assert after == before
+
+
+@with_world(routers=13, plain=2, runners=1)
+async def test_followers_know_of_changes_after_connections_went_silent(world):
+    """Guards against routers that follow watchers they no longer hear."""
+    await world.until(
+        lambda: sum(each.peers.replicator.follows() for each in world.routers)
+        >= len(world.routers) - watch_shares.STANDBYS,
+        seconds=15,
+    )
+    for each in random.sample(world.routers, 9):
+        silence(each)
+    await asyncio.sleep(TOUCH_SECONDS)
+    world.store.put("config", "main", router_world.configuration(9))
+    world.write_registration(world.servers["p0"], leaving=True)
+    await world.until(
+        lambda: all(
+            each.view.configuration.version == 9
+            and each.view.servers.by_server["p0"].is_leaving()
+            for each in world.routers
+        ),
+        seconds=DRAIN_SECONDS,
+    )
