--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -111,7 +111,7 @@
         written_in_era: bool,
         now: float,
     ) -> None:
-        revision = getattr(stored, "revision", 0)
+        revision = _revision(stored)
         if stored.era < self.era or (
             self.revision is not None and revision <= self.revision
         ):
@@ -184,13 +184,28 @@
         )
 
 
+def _revision(stored: registrations.Stored | registrations.Absent) -> int:
+    match stored:
+        case registrations.Stored(revision=revision):
+            return revision
+        case registrations.Absent():
+            return 0
+
+
 def _written_era(stored: registrations.Stored | registrations.Absent) -> int:
     """Returns the era that the lease's last writer knew, or -1 if unknown."""
-    value = getattr(stored, "value", None)
-    era = value.get("era", 0) if isinstance(value, dict) else -1
-    return era if isinstance(era, int) else -1
+    match stored:
+        case registrations.Stored(value={"era": int(era)}):
+            return era
+        case registrations.Stored(value=dict()):
+            return 0
+        case _:
+            return -1
 
 
 def _holder(stored: registrations.Stored | registrations.Absent) -> str:
-    value = getattr(stored, "value", None)
-    return str(value.get("holder", "")) if isinstance(value, dict) else ""
+    match stored:
+        case registrations.Stored(value={"holder": holder}):
+            return str(holder)
+        case _:
+            return ""
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -410,7 +410,7 @@
         self._record_answer()
         self._log_unreadable(found.unreadable)
         if self.cache.is_older(found):
-            await self._drop(found)
+            self._drop(found)
             return False
         if not self._continue_era(found):
             return False
@@ -419,10 +419,10 @@
         self._relist = False
         return True
 
-    async def _drop(
+    def _drop(
         self, found: registrations.Listing | registrations.Changes
     ) -> None:
-        """Drops a result that is older than the copy, and backs off."""
+        """Drops a result that a peer's copy has overtaken."""
         self.lines.write(
             "store_result_older",
             kind=self.cache.kind,
@@ -430,10 +430,8 @@
             position=found.position,
             held=self.cache.position,
         )
-        self._relist = self._relist and not isinstance(
-            found, registrations.Listing
-        )
-        await self._pause()
+        if isinstance(found, registrations.Listing):
+            self._relist = False
 
     def _continue_era(
         self, found: registrations.Listing | registrations.Changes
