Count the wait for a connection into the delay of a router's messages

Callers: requests began on older weights for up to 1 s too long after a partition: the first messages of a router wait up to 1 s until their connection is up, so the shortest delay of that sender was too high by as much until a timely message came, and a message that a partition had held up looked that much younger (4.1 s of 4.5). Until a message has arrived that was sent a second after the first, a delay counts one second more.

The new test fails on the former code (2.0 for 3.0, fixed steps). One old assertion measured a sender whose first messages alone were known; it now sends one more first and keeps its figure. Tests of delays pass.

--- a/pimentoledge/routing/delays.py
+++ b/pimentoledge/routing/delays.py
@@ -6,8 +6,14 @@
 
 import attrs
 
+from pimentoledge.nodes import mailboxes
+
 # Least excess over the shortest recent delay that counts as delayed.
 MIN_EXCESS_SECONDS = 0.25
+# Messages wait up to this long until their connection is up. So the shortest
+# delay may be too high by as much until a message has arrived that was sent so
+# long after the first.
+CONNECT_SECONDS = mailboxes.CONNECT_TIMEOUT_SECONDS
 # Window of the shortest delay. Two clocks drift apart by about 30 ms within it.
 WINDOW_SECONDS = 300.0
 
@@ -18,15 +24,19 @@
 
     Attributes:
         started_ms: start of the process by its own clock, in ms.
+        first_sent: when its first message was sent, by its own clock, in ms.
+        settled: whether a message was among them that found its connection up.
         before: shortest delay of the previous window, in seconds.
         least: shortest delay of this window, in seconds.
         since: start of this window.
     """
 
     started_ms: int
+    first_sent: int
     before: float
     least: float
     since: float
+    settled: bool = False
 
 
 class Delays:
@@ -58,14 +68,22 @@
         if known is None or known.started_ms != started_ms:
             self._forget(now)
             self.shortest[sender] = ShortestDelay(
-                started_ms=started_ms, before=delay, least=delay, since=now
+                started_ms=started_ms,
+                first_sent=sent,
+                before=delay,
+                least=delay,
+                since=now,
             )
             return 0.0
         if now - known.since > WINDOW_SECONDS:
             known.before, known.least, known.since = known.least, delay, now
         known.least = min(known.least, delay)
         excess = delay - min(known.before, known.least)
-        return excess if excess >= MIN_EXCESS_SECONDS else 0.0
+        was_settled = known.settled
+        known.settled |= sent - known.first_sent >= 1000 * CONNECT_SECONDS
+        if excess < MIN_EXCESS_SECONDS:
+            return 0.0
+        return excess if was_settled else excess + CONNECT_SECONDS
 
     def _forget(self, now: float) -> None:
         """Removes routers that have sent nothing for two windows."""
--- a/pimentoledge/tests/test_router_delays.py
+++ b/pimentoledge/tests/test_router_delays.py
@@ -48,7 +48,15 @@
         found = delays.Delays()
         found.excess_seconds("r", (1, 70_000), 10.0)
         assert found.excess_seconds("r", (2, 1_000), 11.0) == 0.0
-        assert found.excess_seconds("r", (2, 2_000), 13.0) == 1.0
+        assert found.excess_seconds("r", (2, 2_000), 12.0) == 0.0
+        assert found.excess_seconds("r", (2, 3_000), 14.0) == 1.0
+
+    def test_a_first_message_may_have_waited_for_its_connection(self):
+        found = delays.Delays()
+        assert found.excess_seconds("r", (1, 70_000), 10.0) == 0.0
+        assert found.excess_seconds("r", (1, 70_500), 12.5) == 3.0
+        assert found.excess_seconds("r", (1, 71_000), 11.0) == 0.0
+        assert found.excess_seconds("r", (1, 72_000), 14.0) == 2.0
 
     def test_clock_drift_does_not_count_as_a_delay(self):
         found = delays.Delays()
