Request a listing where a watch was asked for in another era

Review of the change of eras: while a watch or a poll of a former era waits, a peer's listing may bring the copy into the next era; the answer, of that era by then, but since a revision of the former one, was applied to it, and changes between the two were missed. Such an answer counts as lost history now, which also replaces the check at the place where results are applied. The new test failed before (one listing instead of two) and passes.

--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -195,14 +195,12 @@
             wait_s=WATCH_SECONDS,
             known_age=self._known_age(),
         )
-        kind = self.cache.kind
         self._watch_sent_at = clocks.now()
-        watch = self.store.watch(kind, since, WATCH_SECONDS)
-        waiting = asyncio.ensure_future(watch)
+        waiting = asyncio.ensure_future(self._request_changes(WATCH_SECONDS))
         try:
             while not await self._wait_until_poll_due(waiting):
                 found = await self._poll()
-                if not self._is_unchanged(found):
+                if not _is_unchanged(found):
                     await asyncio.wait({waiting}, timeout=WATCH_GRACE_SECONDS)
                     if not waiting.done():
                         return found
@@ -213,6 +211,20 @@
         finally:
             waiting.cancel()
 
+    async def _request_changes(
+        self, seconds: float
+    ) -> registrations.WatchResult:
+        """Requests the changes since the copy's position.
+
+        A store of another era would return those since a revision that it gave
+        out again.
+        """
+        era, revision = self.cache.position
+        found = await self.store.watch(self.cache.kind, revision, seconds)
+        if isinstance(found, registrations.Changes) and found.era != era:
+            return registrations.HistoryGone(era=found.era)
+        return found
+
     async def _wait_until_poll_due(self, waiting: asyncio.Future) -> bool:
         """Returns whether a watch ended before a poll became due."""
         requested = asyncio.ensure_future(self._poll_requested.wait())
@@ -246,13 +258,11 @@
         self._poll_repeats = 0
         sent = clocks.now()
         found = await hedged_calls.first_answer(
-            call=lambda: self.store.watch(
-                self.cache.kind, self.cache.revision, 0.0
-            ),
+            call=lambda: self._request_changes(0.0),
             overdue=self._poll_overdue,
             failed=self._unanswered,
         )
-        if not self._is_unchanged(found):
+        if not _is_unchanged(found):
             self.lines.write(
                 "store_looked",
                 kind=self.cache.kind,
@@ -412,8 +422,8 @@
         if self.cache.is_older(found):
             self._drop(found)
             return False
-        if not self._continue_era(found):
-            return False
+        if self.cache.revision is not None and found.era != self.cache.era:
+            self._begin_era(found)
         self.cache.apply(found, self._change_age_seconds(found))
         self.cache.advance_known_at(self._complete_at)
         self._relist = False
@@ -433,34 +443,22 @@
         if isinstance(found, registrations.Listing):
             self._relist = False
 
-    def _continue_era(
-        self, found: registrations.Listing | registrations.Changes
-    ) -> bool:
-        """Returns whether a result can be applied, as it is of the copy's era.
+    def _begin_era(self, found: registrations.Listing) -> None:
+        """Notes that the store was restored from an older copy.
 
-        Only a listing begins another era. The store was restored then, and
-        servers whose entries it lost register again.
+        Servers whose entries it lost register again.
         """
-        cache = self.cache
-        if cache.revision is None or found.era == cache.era:
-            return True
+        self.recovered_at = clocks.now()
         self.lines.write(
             "store_restored",
-            kind=cache.kind,
-            found=type(found).__name__,
+            kind=self.cache.kind,
             position=found.position,
-            held=cache.position,
+            held=self.cache.position,
         )
-        if isinstance(found, registrations.Changes):
-            self._relist = True
-            return False
-        self.recovered_at = clocks.now()
-        return True
 
-    def _is_unchanged(self, found: object) -> bool:
-        """Returns whether a result shows that nothing changed."""
-        if not isinstance(found, registrations.Changes):
-            return False
-        if not self.cache.continues(found):
-            return False
-        return not (found.changed or found.removed or found.unreadable)
+
+def _is_unchanged(found: object) -> bool:
+    """Returns whether a result shows that nothing changed."""
+    if not isinstance(found, registrations.Changes):
+        return False
+    return not (found.changed or found.removed or found.unreadable)
--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -7,6 +7,7 @@
 
 from pimentoledge.platform import objects as platform_objects
 from pimentoledge.routing import clocks
+from pimentoledge.routing import object_caches
 from pimentoledge.routing import object_merges
 from pimentoledge.routing import registrations
 from pimentoledge.routing import view_updaters
@@ -128,6 +129,7 @@
     )
     await _restore(world, backup)
     await _spend_revisions(world)
+    assert "p0" not in router.view.servers.by_server
     for _ in range(10):
         await world.request("/notices/", body=b"n")
     assert not world.servers["p0"].calls
@@ -319,3 +321,73 @@
         lambda: all(map(has_seen_leaving, world.routers)),
         seconds=FLEET_RESTORED_SECONDS,
     )
+
+
+class OvertakenStore(RestoredStore):
+    """A store whose second era a peer's listing shows before its own answer.
+
+    Attributes:
+        overtake: called while a watch waits.
+    """
+
+    async def list(self, kind):
+        self.listings[kind] += 1
+        return registrations.Listing(
+            objects=[], revision=78, era=min(2, self.listings[kind])
+        )
+
+    async def watch(self, kind, revision, seconds):
+        await asyncio.sleep(0.05)
+        self.overtake(kind)
+        return registrations.Changes(changed=[], removed=[], revision=80, era=2)
+
+
+def test_a_watch_from_a_former_era_does_not_continue_a_peers_listing():
+    """Guards against changes that are missed between a listing and a watch."""
+
+    async def play():
+        store = OvertakenStore()
+        async with following(store) as found:
+            peers = registrations.Listing(objects=[], revision=60, era=2)
+            store.overtake = lambda kind: found[kind].cache.apply(peers)
+            await asyncio.sleep(0.4)
+        assert set(store.listings.values()) == {2}
+
+    asyncio.run(play())
+
+
+def test_of_one_incarnation_the_entry_with_more_heartbeats_is_kept():
+    """Guards against weights of a server that an older entry takes back."""
+    merge = object_merges.registrations_merge(
+        platform_objects.decode_registration, platform_objects.heartbeat_count
+    )
+    before = _entry(1, leaving=False, heartbeats=7)
+    before.value["slots"] = 9
+    kept = merge(before, _entry(2, leaving=False, heartbeats=6))
+    assert platform_objects.decode_registration(kept).slots == 9
+
+
+def test_weights_that_the_restored_store_lacks_are_kept_for_peers():
+    """Guards against a named version that a router no longer passes on."""
+    cache = object_caches.ObjectCache(
+        kind="weights", on_change=lambda new, gone: None, keeps_missing=True
+    )
+    named = registrations.Stored(name="m", revision=9, value={}, era=1)
+    cache.apply(registrations.Listing(objects=[named], revision=9, era=1))
+    cache.apply(registrations.Listing(objects=[], revision=7, era=2))
+    assert cache.position == (2, 7)
+    assert cache.listing().objects == [named]
+
+
+@with_world(routers=2, plain=1, runners=1)
+async def test_a_heartbeat_counts_only_for_a_copy_of_its_era(world):
+    """Guards against a copy that another era's heartbeat shows as current."""
+    first, second = world.routers
+    heartbeat = second.peers._own_heartbeat(clocks.now())
+    cache = first.kinds["servers"].cache
+    for era, is_confirmed in ((cache.era + 1, False), (cache.era, True)):
+        heartbeat.eras["servers"] = era
+        heartbeat.known["servers"] = (0, 0)
+        later = clocks.now() + 100.0
+        first.peers.replicator.merge_known(heartbeat, later)
+        assert (cache.known_at == later) is is_confirmed
