Count an overtaken poll as proof of its time again

Review of the change of eras: a poll that a peer's newer copy had overtaken was dropped without its time, so the copy looked as old as before and the next poll followed at once. Within an era the copy has all that the poll has, so its time counts.

--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -440,7 +440,9 @@
             position=found.position,
             held=self.cache.position,
         )
-        if isinstance(found, registrations.Listing):
+        if found.era == self.cache.era:
+            # The copy has all that the result has.
+            self.cache.advance_known_at(self._complete_at)
             self._relist = False
 
     def _begin_era(self, found: registrations.Listing) -> None:
--- a/pimentoledge/tests/test_router_store.py
+++ b/pimentoledge/tests/test_router_store.py
@@ -117,3 +117,36 @@
             assert store.calls["configuration"] == 2
 
     asyncio.run(play())
+
+
+class OvertakenStore(SilentStore):
+    """A store whose polls a peer's newer copy always overtakes."""
+
+    overtake = None
+
+    async def watch(self, kind, revision, seconds):
+        self.calls[kind] += 1
+        await asyncio.sleep(seconds or self.answer_seconds)
+        self.overtake(kind, revision)
+        return registrations.Changes(changed=[], removed=[], revision=revision)
+
+
+def test_a_poll_that_a_peers_copy_overtakes_still_shows_its_time():
+    """Guards against polls one after the other that confirm nothing."""
+
+    async def play():
+        store = OvertakenStore()
+        store.silent = False
+        async with following(store) as found:
+
+            def overtake(kind, revision):
+                listing = registrations.Listing(
+                    objects=[], revision=revision + 1
+                )
+                found[kind].cache.apply(listing)
+
+            store.overtake = overtake
+            await asyncio.sleep(2.5)
+        assert max(store.calls.values()) < 10
+
+    asyncio.run(play())
