--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import object_merges
+from pimentoledge.routing import peer_messages
 from pimentoledge.routing import registrations
 from pimentoledge.routing import view_updaters
 from pimentoledge.tests import router_world
@@ -391,3 +392,21 @@
         later = clocks.now() + 100.0
         first.peers.replicator.merge_known(heartbeat, later)
         assert (cache.known_at == later) is is_confirmed
+
+
+@with_world(routers=1, plain=1, runners=1)
+async def test_forwarded_changes_of_another_era_are_not_applied(world):
+    """Guards against a follower that misses what lies between two eras."""
+    [router] = world.routers
+    cache = router.kinds["servers"].cache
+    position = cache.position
+    watched = peer_messages.WatchedChanges(
+        after=0,
+        changes=registrations.Changes(
+            changed=[], removed=[], revision=90, era=cache.era + 1
+        ),
+        lapse_ms=0,
+    )
+    router.peers.replicator.receive_changes("tcp://127.0.0.1:9", watched)
+    assert cache.position == position
+    assert router.kinds["servers"]._poll_requested.is_set()
