--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -57,6 +57,23 @@
     world.store.objects.down = False
 
 
+async def _restore_removed_server(world, router):
+    """Restores a copy of the store from before a server was removed."""
+    backup = world.store.objects.back_up()
+    world.store.remove("servers", "p0")
+    await world.until(
+        lambda: "p0" not in router.view.servers.by_server, seconds=3
+    )
+    await _restore(world, backup)
+
+
+async def _check_unused(world):
+    """Checks that requests reach the other server only."""
+    for _ in range(10):
+        await world.request("/notices/", body=b"n")
+    assert not world.servers["p0"].calls
+
+
 def _leaves(world, server="p0"):
     world.write_registration(world.servers[server], leaving=True)
 
@@ -114,26 +131,17 @@
     await _restore(world, backup)
     await _spend_revisions(world)
     assert has_seen_leaving(router)
-    for _ in range(10):
-        await world.request("/notices/", body=b"n")
-    assert not world.servers["p0"].calls
+    await _check_unused(world)
 
 
 @with_world(routers=1, runners=1)
 async def test_a_restored_entry_of_a_removed_server_is_not_used(world):
     """Guards against requests to a server whose removal the store forgot."""
     [router] = world.routers
-    backup = world.store.objects.back_up()
-    world.store.remove("servers", "p0")
-    await world.until(
-        lambda: "p0" not in router.view.servers.by_server, seconds=3
-    )
-    await _restore(world, backup)
+    await _restore_removed_server(world, router)
     await _spend_revisions(world)
     assert "p0" not in router.view.servers.by_server
-    for _ in range(10):
-        await world.request("/notices/", body=b"n")
-    assert not world.servers["p0"].calls
+    await _check_unused(world)
 
 
 @with_world(routers=1, runners=1)
@@ -288,12 +296,7 @@
 async def test_a_removed_server_whose_restored_entry_stays_is_used(world):
     """Guards against a server that is never used again after a restore."""
     [router] = world.routers
-    backup = world.store.objects.back_up()
-    world.store.remove("servers", "p0")
-    await world.until(
-        lambda: "p0" not in router.view.servers.by_server, seconds=3
-    )
-    await _restore(world, backup)
+    await _restore_removed_server(world, router)
     await world.until(lambda: router.updater.withheld, seconds=RESTORED_SECONDS)
     router.updater.tick(
         clocks.now() + view_updaters.RESTORED_ENTRY_SECONDS + 0.1
