--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -23,6 +23,8 @@
 # entry again. The entry of a server that has ended lapses after three
 # intervals of some 1.2 s without a heartbeat.
 RESTORED_ENTRY_SECONDS = 4.5
+# Least change of a naming's time that is logged.
+MOVED_SECONDS = 0.1
 # Removed incarnations that are remembered.
 MAX_REMOVED = 1000
 
@@ -161,6 +163,7 @@
         source: wanted_weights.Source,
     ) -> None:
         """Records a wanted version from the store, a router or a runner."""
+        before = self._named_since(model, version)
         if self.view.set_wanted_version(model, version, since, source=source):
             self.lines.write(
                 "weights_named",
@@ -171,6 +174,35 @@
                 source=source.name,
             )
             self.on_change()
+        self._log_moved_time(model, version, before, reporter, source)
+
+    def _named_since(self, model: str, version: int) -> float | None:
+        """Returns when a version was named, or None without a record of it."""
+        wanted = self.view.wanted.get(model)
+        return None if wanted is None else wanted.since_of(version)
+
+    def _log_moved_time(
+        self,
+        model: str,
+        version: int,
+        before: float | None,
+        reporter: str,
+        source: wanted_weights.Source,
+    ) -> None:
+        """Logs that evidence has moved the time of a naming."""
+        after = self._named_since(model, version)
+        if before is None or after is None:
+            return
+        if abs(after - before) > MOVED_SECONDS:
+            self.lines.write(
+                "weights_time_moved",
+                model=model,
+                version=version,
+                teller=reporter,
+                source=source.name,
+                by=round(after - before, 2),
+                age=round(clocks.now() - after, 2),
+            )
 
     def apply_servers(
         self, changed: list[registrations.Stored], removed: list[str]
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -78,6 +78,13 @@
         """When the newest version was named, or may have been."""
         return self.newest.since
 
+    def since_of(self, version: int) -> float | None:
+        """Returns when a version was named, or None without a record of it."""
+        for each in self.named:
+            if each.version == version:
+                return each.since
+        return None
+
     def superseded(self, version: int) -> float | None:
         """Returns when a newer version was first named, or None."""
         times = [each.since for each in self.named if each.version > version]
