Don't move a version's naming past the time at which a router had it

Callers saw requests begin on older weights past the bound. The bound counts from the naming of the next version. A router that read a version again (after a pause, a dead watch, or a cut of its own) took it for not named before its copy was last confirmed, or the store last silent; peers had confirmed the copy in the meantime, with that version in the same heartbeats. Of two lower bounds the later one wins, and heartbeats told it to all routers, so the bound began anew everywhere. A watch's answer that a cut held up counted as received as it was made, with the same effect.

A record now keeps the earliest time at which any router had the version, and heartbeats carry it (a field of its own, that older builds skip): evidence of a later naming is wrong and dropped. A read gives no lower bound for a version that heartbeats had brought; a router's own bound counts when it first hears of it.

--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -1,5 +1,7 @@
 """A router process's view of the cluster, with the age of its parts."""
 
+import math
+
 import attrs
 
 from pimentoledge.routing import backends
@@ -160,6 +162,7 @@
         since: float,
         *,
         source: wanted_weights.Source = wanted_weights.Source.HEARD,
+        known_at: float = math.inf,
     ) -> bool:
         """Records the wanted version of a model; returns whether that is new.
 
@@ -169,9 +172,11 @@
             since: when it was named, in seconds of clocks.now, as far as
                 known.
             source: where that time comes from.
+            known_at: when some router had the version, in seconds of
+                clocks.now; infinite if unknown.
         """
         named = wanted_weights.NamedVersion(
-            version=version, since=since, source=source
+            version=version, since=since, source=source, known_at=known_at
         )
         known = self.wanted.get(model)
         if known is not None:
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -37,6 +37,9 @@
         named: by model, announced versions of the weights, the newest last,
             each with its age in ms and the origin of that time, as the number
             of a Source.
+        named_known: by model, announced versions of the weights, each with the
+            ms since some router is known to have had it. Absent from older
+            builds.
         clock: when the sender started and when the message was sent, in ms of
             the sender's clock; zeros from older builds.
         unheard: mailboxes of routers to which the sender sends heartbeats but
@@ -61,6 +64,7 @@
     unheard: list[str] = attrs.field(factory=list)
     eras: dict[str, int] = attrs.field(factory=dict)
     lease_era: int = 0
+    named_known: dict[str, list[tuple[int, int]]] = attrs.field(factory=dict)
 
     def known_position(self, kind: str) -> tuple[int, int]:
         """Returns era and revision of the newest known change, or (-1, 0)."""
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -240,6 +240,14 @@
                 ]
                 for model, wanted in self.view.wanted.items()
             },
+            named_known={
+                model: [
+                    (each.version, int((now - each.latest()) * 1000))
+                    for each in wanted.named
+                    if each.latest() <= now
+                ]
+                for model, wanted in self.view.wanted.items()
+            },
             clock=self.view.clock(now),
             unheard=self.roster.silent_partners(now),
         )
@@ -336,8 +344,9 @@
         if heartbeat.data_centre == self.view.data_centre:
             self.replicator.shares.merge_ages(heartbeat.watchers, now)
         sent = self._sent_at(event.sender, heartbeat.clock, now)
-        self.replicator.merge_known(heartbeat, sent)
+        # The weights come first: what is known here up to now lacks them.
         self._merge_weights(heartbeat, sent, now)
+        self.replicator.merge_known(heartbeat, sent)
         self._merge_lease(heartbeat, now)
         if self.replicator.is_behind(peer):
             later = self._loop.call_later
@@ -389,13 +398,18 @@
             least = wanted_weights.Source.NOT_BEFORE
         for model, newest in heartbeat.wanted.items():
             named = heartbeat.named.get(model) or [(*newest, 0)]
+            known_ms = dict(heartbeat.named_known.get(model, ()))
             for version, age, source in reversed(named):
-                self.updater.set_wanted_version(
+                known_seconds = known_ms.get(version, 0) / 1000
+                self.updater.merge_peer_weights(
                     model,
-                    version,
-                    sent - age / 1000,
-                    "router",
-                    source=wanted_weights.Source(max(source, least)),
+                    wanted_weights.NamedVersion(
+                        version=version,
+                        since=sent - age / 1000,
+                        source=wanted_weights.Source(max(source, least)),
+                        known_at=now - known_seconds,
+                    ),
+                    sent - known_seconds,
                 )
 
     def _merge_lease(
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -117,10 +117,53 @@
             named = self._decode(objects.decode_named_weights, each)
             if named is None:
                 continue
+            is_bound = source is wanted_weights.Source.NOT_BEFORE
+            known = self._named_since(named.model, named.version)
+            if is_bound and known is not None:
+                # The copy was older than what other routers have reported.
+                continue
             self.set_wanted_version(
                 named.model, named.version, since, "store", source=source
             )
 
+    def merge_peer_weights(
+        self,
+        model: str,
+        named: wanted_weights.NamedVersion,
+        earliest_known_at: float,
+    ) -> None:
+        """Records a version that another router has.
+
+        If it is newer than all that this router knows, it was not named before
+        these were last known to be all.
+
+        Args:
+            model: the model.
+            named: the version.
+            earliest_known_at: earliest time at which `named.known_at` may be,
+                given that the message may have been delayed.
+        """
+        wanted = self.view.wanted.get(model)
+        complete_at = self.view.known_at("weights")
+        is_new = wanted is None or named.version > wanted.version
+        if is_new and 0 < complete_at <= earliest_known_at:
+            named = named.merge(
+                wanted_weights.NamedVersion(
+                    version=named.version,
+                    since=complete_at,
+                    source=wanted_weights.Source.NOT_BEFORE,
+                    known_at=clocks.now(),
+                )
+            )
+        self.set_wanted_version(
+            model,
+            named.version,
+            named.since,
+            "router",
+            source=named.source,
+            known_at=named.known_at,
+        )
+
     def _named_at(self) -> tuple[float, wanted_weights.Source]:
         """Returns when weights read now were named, and the source of the time.
 
@@ -161,10 +204,27 @@
         reporter: str,
         *,
         source: wanted_weights.Source,
+        known_at: float | None = None,
     ) -> None:
-        """Records a wanted version from the store, a router or a runner."""
+        """Records a wanted version from the store, a router or a runner.
+
+        Args:
+            model: the model.
+            version: the version of its weights.
+            since: when it was named, in seconds of clocks.now.
+            reporter: who reported it, for the log.
+            source: source of that time.
+            known_at: when some router had it; None for now.
+        """
         before = self._named_since(model, version)
-        if self.view.set_wanted_version(model, version, since, source=source):
+        is_new = self.view.set_wanted_version(
+            model,
+            version,
+            since,
+            source=source,
+            known_at=clocks.now() if known_at is None else known_at,
+        )
+        if is_new:
             self.lines.write(
                 "weights_named",
                 model=model,
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -1,12 +1,16 @@
 """The wanted version of a model's weights, and when it was named."""
 
 import enum
+import math
 
 import attrs
 
 # Number of versions kept in addition to the newest. If there are more, the two
 # oldest are merged into one with the earlier of their times.
 MAX_EARLIER = 8
+# Routers that receive a version at the same time know it within this time of
+# each other.
+SPREAD_SECONDS = 0.25
 
 
 class Source(enum.IntEnum):
@@ -28,24 +32,49 @@
         version: its number.
         since: when it was named, in seconds of clocks.now.
         source: source of that time.
+        known_at: earliest time at which a router is known to have had this
+            version, in seconds of clocks.now; infinite if unknown.
     """
 
     version: int
     since: float
     source: Source = Source.HEARD
+    known_at: float = math.inf
 
     def merge(self, other: "NamedVersion") -> "NamedVersion":
         """Merges two records of the same version.
 
         The better source wins. With equal sources the earlier time wins, but
-        of two lower bounds the later.
+        of two lower bounds the later. A time at which some router had the
+        version already is wrong and doesn't count.
         """
+        known_at = min(self.latest(), other.latest())
+        possible = [
+            each
+            for each in (self, other)
+            if each.since <= known_at + SPREAD_SECONDS
+        ]
+        if not possible:
+            best = min(self, other, key=lambda each: each.since)
+        elif len(possible) == 1:
+            [best] = possible
+        else:
+            best = self._better(other)
+        return attrs.evolve(best, known_at=known_at)
+
+    def _better(self, other: "NamedVersion") -> "NamedVersion":
         if self.source != other.source:
             return min(self, other, key=lambda each: each.source)
         if self.source is Source.NOT_BEFORE:
             return max(self, other, key=lambda each: each.since)
         return min(self, other, key=lambda each: each.since)
 
+    def latest(self) -> float:
+        """Returns the latest time at which the version can have been named."""
+        if self.source is Source.HEARD:
+            return min(self.known_at, self.since)
+        return self.known_at
+
     @property
     def is_exact(self) -> bool:
         """Whether no better source can show a later time."""
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -700,3 +700,68 @@
         "/lookups/", headers=router_world.stream_headers()
     )
     assert answer.status == 200
+
+
+class TestLaterEvidence:
+    """Evidence of a naming that arrives when the version is known already."""
+
+    def applied(self, *, change_age):
+        """Returns when version 2 counts as named, and what a peer told before.
+
+        Args:
+            change_age: greatest possible age of the change that the store
+                returned, in seconds.
+        """
+        view = view_of(1)
+        updater = view_updaters.ViewUpdater(
+            view=view, lines=log_lines.Lines(counters=counters.Counters())
+        )
+        cache = object_caches.ObjectCache(
+            kind="versions", on_change=updater.apply_weights
+        )
+        view.caches_by_kind["weights"] = cache
+        cache.apply(registrations.Listing(objects=[], revision=1))
+        named = clocks.now() - 6.0
+        updater.set_wanted_version(
+            MODEL, 2, named, "router", source=wanted_weights.Source.NOT_BEFORE
+        )
+        time.sleep(0.5)
+        value = {"model": MODEL, "version": 2}
+        stored = registrations.Stored(name=MODEL, revision=2, value=value)
+        cache.apply(
+            registrations.Changes(changed=[stored], removed=[], revision=2),
+            change_age,
+        )
+        return view.wanted[MODEL].since, named
+
+    def test_a_later_read_does_not_prolong_the_use_of_older_weights(self):
+        """Guards against a bound that restarts when a router is back."""
+        since, named = self.applied(change_age=0.1)
+        assert since == named
+
+    def test_a_delayed_change_does_not_prolong_the_use_of_older_weights(self):
+        """Guards against a delayed answer that counts as just made."""
+        since, named = self.applied(change_age=0.0)
+        assert since == named
+
+
+@with_world(routers=2, runners=1)
+async def test_a_router_that_reads_a_version_again_prolongs_no_use(world):
+    """Guards against a bound that restarts at all routers."""
+    await asyncio.sleep(0.8)
+    world.store.silence_watches()
+    await asyncio.sleep(0.1)
+    named = clocks.now()
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(
+        lambda: all(
+            each.view.wanted[MODEL].version == 2 for each in world.routers
+        ),
+        seconds=8.0,
+    )
+    for router in world.routers:
+        for watcher in router.watchers:
+            watcher.catch_up()
+    await asyncio.sleep(1.0)
+    for router in world.routers:
+        assert router.view.wanted[MODEL].since <= named + 0.1
