Don't let heartbeats make the time of a naming later

Callers saw requests begin on older weights past the bound. A lower bound of a version's naming travels as an age, which lacks the time that the message takes; the receiver takes the bound for as much later, and of two lower bounds the later one won. So two routers that told each other the same bound made it later with each heartbeat: with 20 ms a way by 40 ms twice a second, until the bound of 8 s had moved on by most of the margin of 1.5 s; busy routers more. Lower bounds now win only if they are later by more than messages there and back may take undetected.

--- a/pimentoledge/routing/delays.py
+++ b/pimentoledge/routing/delays.py
@@ -10,6 +10,9 @@
 
 # Least excess over the shortest recent delay that counts as delayed.
 MIN_EXCESS_SECONDS = 0.25
+# Ages lack the time that undelayed messages take. Times that two routers report
+# to each other may differ by this and still be the same.
+ROUND_TRIP_SECONDS = 2 * MIN_EXCESS_SECONDS
 # Messages wait up to this long until their connection is up. So the shortest
 # delay may be too high by as much until a message has arrived that was sent so
 # long after the first.
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -5,12 +5,11 @@
 
 import attrs
 
+from pimentoledge.routing import delays
+
 # Number of versions kept in addition to the newest. If there are more, the two
 # oldest are merged into one with the earlier of their times.
 MAX_EARLIER = 8
-# Routers that receive a version at the same time know it within this time of
-# each other.
-SPREAD_SECONDS = 0.25
 
 
 class Source(enum.IntEnum):
@@ -45,14 +44,14 @@
         """Merges two records of the same version.
 
         The better source wins. With equal sources the earlier time wins, but
-        of two lower bounds the later. A time at which some router had the
-        version already is wrong and doesn't count.
+        of two lower bounds that clearly differ the later. A time at which some
+        router had the version already is wrong and doesn't count.
         """
         known_at = min(self.latest(), other.latest())
         possible = [
             each
             for each in (self, other)
-            if each.since <= known_at + SPREAD_SECONDS
+            if each.since <= known_at + delays.ROUND_TRIP_SECONDS
         ]
         if not possible:
             best = min(self, other, key=lambda each: each.since)
@@ -65,9 +64,12 @@
     def _better(self, other: "NamedVersion") -> "NamedVersion":
         if self.source != other.source:
             return min(self, other, key=lambda each: each.source)
-        if self.source is Source.NOT_BEFORE:
-            return max(self, other, key=lambda each: each.since)
-        return min(self, other, key=lambda each: each.since)
+        earlier, later = sorted((self, other), key=lambda each: each.since)
+        if self.source is not Source.NOT_BEFORE:
+            return earlier
+        # Each heartbeat would add its way to the later of two equal bounds.
+        differ = later.since - earlier.since > delays.ROUND_TRIP_SECONDS
+        return later if differ else earlier
 
     def latest(self) -> float:
         """Returns the latest time at which the version can have been named."""
