Don't let heartbeats renew the age of a copy

What callers may see: requests to a leaving server, or under an old configuration, while a router's watch is dead. Routers tell each other as of when a copy is known to be whole, as an age that lacks the message's way; the later time wins, so two routers that tell each other the same time make it later with each heartbeat, and the poll that would find the dead watch is put off: at 20 ms a way by a twelfth, at 0.25 s a way for ever. A confirmation now counts if it is later by more than messages there and back may take undetected; polls are at least 0.8 s apart, so none of their results is lost.

--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -10,6 +10,7 @@
 
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
+from pimentoledge.routing import delays
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import peer_messages
@@ -110,8 +111,11 @@
                 heartbeat.eras.get(name, 0) == cache.era
                 and changed_at <= cache.revision
             )
-            if name == "weights" or has_changes:
-                cache.advance_known_at(now - age / 1000)
+            confirmed_at = now - age / 1000
+            # Each heartbeat would add its way to the same time.
+            is_later = confirmed_at - cache.known_at > delays.ROUND_TRIP_SECONDS
+            if is_later and (name == "weights" or has_changes):
+                cache.advance_known_at(confirmed_at)
 
     def poll_rank(self) -> int:
         """Returns when this router polls the store, as an index of POLL_SHARES.
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -316,6 +316,24 @@
         assert (cache.known_at > now + 1) is (ahead == 0)
 
 
+@with_world(routers=2, plain=1, runners=1)
+async def test_heartbeats_to_and_fro_do_not_renew_a_copy(world):
+    """Guards against a dead watch that heartbeats keep hidden."""
+    way = 0.2
+    await _all_wait(world)
+    known_at = clocks.now() + 60.0
+    for each in world.routers:
+        each.kinds["servers"].cache.known_at = known_at
+    now = known_at
+    for _ in range(20):
+        for sender, receiver in (world.routers, reversed(world.routers)):
+            heartbeat = sender.peers._own_heartbeat(now)
+            now += way
+            receiver.peers.replicator.merge_known(heartbeat, now)
+    for each in world.routers:
+        assert each.kinds["servers"].cache.known_at < known_at + 0.5
+
+
 @with_world(routers=2, plain=2, runners=1)
 async def test_lapsed_entries_in_a_peers_listing_are_kept(world):
     """Guards against refusals after an outage although the servers run.
