Count a version found after an outage from the last call that was lost

What callers saw: 503 from all runners after an outage in which newer weights were announced; and, without any sign, older weights used past their bound when newer ones were announced just after an outage.

Cause: the store's last proof of silence was the end of a call's timeout, by kind. A call that is sent in an outage is never answered, so its timeout may end up to 2.5 s after the store's return: a version announced in that time counted as later than it was. And a timeout that ended in a pause of the router, or in the second after it, proved nothing, so the version counted from before the outage.

Fix: a lost call shows that the store was silent when it was sent. Calls of all kinds count, those still open too if they are overdue, but only if a call of the same kind was lost as well and only if they were sent before the call that is answered. A pause counts only for calls that were sent before its end. So the time is never later than the store's return, and a pause loses little of it.

Evidence: `test_a_version_announced_after_an_outage_counts_from_then` failed before (`assert 1889.83 <= 1889.00`, 0.83 s late).

--- a/pimentoledge/routing/hedged_calls.py
+++ b/pimentoledge/routing/hedged_calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from pimentoledge.routing import registrations
+from pimentoledge.routing import unanswered_calls
 
 # Most open calls of one hedged call. With 0.5 s between calls and a timeout of
 # 2.5 s, a store that doesn't respond never has more of them open.
@@ -60,9 +61,14 @@
 
 
 class AnswerSignal:
-    """Wakes tasks that wait for a peer when it answers any call."""
+    """Wakes tasks that wait for a peer when it answers any call.
+
+    Attributes:
+        unanswered: the calls that it did not answer.
+    """
 
     def __init__(self):
+        self.unanswered = unanswered_calls.UnansweredCalls()
         self._answered = asyncio.Event()
 
     def answered(self) -> None:
--- a/pimentoledge/routing/object_caches.py
+++ b/pimentoledge/routing/object_caches.py
@@ -30,8 +30,8 @@
             clocks.now; 0 before the first listing.
         change_age_seconds: greatest possible age of the newest changes when
             they were read; 0 if a watch returned them as they were made.
-        silent_at: when the store was last found not to respond, in seconds of
-            clocks.now, or 0.
+        silent_at: when the newest call was sent that the store is known not to
+            have answered, in seconds of clocks.now, or 0.
     """
 
     kind: str
--- a/pimentoledge/routing/pauses.py
+++ b/pimentoledge/routing/pauses.py
@@ -27,8 +27,15 @@
             self.began, self.ended = self.ticked, now
         self.ticked = now
 
-    def arrived(self, now: float) -> float:
-        """Returns the earliest time at which data read now may have arrived."""
+    def arrived(self, now: float, sent: float = 0.0) -> float:
+        """Returns the earliest time at which data read now may have arrived.
+
+        Args:
+            now: the time.
+            sent: when the call was sent that the data answers, if known. A
+                pause before it had no effect on the data.
+        """
         if now - self.ticked > PAUSE_SECONDS:
             return self.ticked
-        return self.began if now - self.ended < SETTLE_SECONDS else now
+        settled = now - self.ended >= SETTLE_SECONDS or sent >= self.ended
+        return now if settled else self.began
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -1,6 +1,7 @@
 """Keeps local copies of the store's objects up to date."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
@@ -76,8 +77,9 @@
             and the changes.
         answers: signals to the watchers of a store that it answered one of
             them.
-        arrived: returns the earliest time at which data read at a given time
-            may have arrived, which is earlier if the process was paused.
+        arrived: returns the earliest time at which data read at a given time,
+            in answer to a call of a given time, may have arrived, which is
+            earlier if the process was paused.
         polls_in_outage: whether this watcher retries while the store doesn't
             respond. The others wait until it gets a response, since each call
             has a cost.
@@ -101,7 +103,7 @@
         ),
         answers: hedged_calls.AnswerSignal,
         polls_in_outage: bool,
-        arrived: Callable[[float], float] = lambda now: now,
+        arrived: Callable[..., float] = lambda now, sent=0.0: now,
     ):
         self.cache = cache
         self.store = store
@@ -124,6 +126,8 @@
         self._poll_repeats = 0
         # Send time of the newest call whose response covers all changes.
         self._complete_at = 0.0
+        # Send time of the poll or listing that was answered last.
+        self._answered_sent_at = 0.0
         # Result of the newest watch, or None, and its send time.
         self._watch_result: registrations.WatchResult | None = None
         self._watch_sent_at = 0.0
@@ -258,7 +262,7 @@
         self._poll_repeats = 0
         sent = clocks.now()
         found = await hedged_calls.first_answer(
-            call=lambda: self._request_changes(0.0),
+            call=self._request_poll,
             overdue=self._poll_overdue,
             failed=self._unanswered,
         )
@@ -273,6 +277,26 @@
             self._complete_at = sent
         return found
 
+    async def _request_poll(self) -> registrations.WatchResult:
+        """Sends a poll; an idle connection that is dead shows no silence."""
+        if not self._poll_repeats:
+            self._answered_sent_at = clocks.now()
+            return await self._request_changes(0.0)
+        return await self._track(self._request_changes(0.0))
+
+    async def _track(self, call: Awaitable[object]) -> object:
+        """Makes a call that shows the store's silence if it is lost."""
+        with self.answers.unanswered.track(
+            self.cache.kind, self.arrived
+        ) as tracked:
+            found = await call
+            if not isinstance(found, registrations.Unavailable):
+                self._answered_sent_at = tracked.sent
+                tracked.answered = True
+            else:
+                tracked.answered = not found.overdue
+        return found
+
     async def _poll_overdue(self) -> None:
         """Waits until the poll should be sent again.
 
@@ -297,7 +321,7 @@
     ) -> registrations.Listing | registrations.Unavailable:
         sent = clocks.now()
         found = await hedged_calls.first_answer(
-            call=lambda: self.store.list(self.cache.kind),
+            call=lambda: self._track(self.store.list(self.cache.kind)),
             overdue=self._list_overdue,
             failed=self._unanswered,
         )
@@ -313,15 +337,23 @@
             await self.answers.next()
 
     def _unanswered(self, unavailable: registrations.Unavailable) -> None:
-        """Records that a poll or a listing got no response.
+        """Records that a poll or a listing got no response."""
+        self._record_silence(clocks.now())
+        self._record_failure(unavailable)
+
+    def _record_silence(self, before: float) -> None:
+        """Records when the store was last shown to be silent.
 
-        It was also retried on a new connection, so the store did not respond,
-        unless this process was paused and read nothing.
+        Args:
+            before: when the call was sent that was answered now.
         """
-        now = clocks.now()
-        if unavailable.overdue and self.arrived(now) == now:
-            self.cache.silent_at = now
-        self._record_failure(unavailable)
+        silent_at = self.answers.unanswered.silent_at(
+            self.cache.kind,
+            since=self.cache.known_at,
+            before=before,
+            arrived=self.arrived,
+        )
+        self.cache.silent_at = max(self.cache.silent_at, silent_at)
 
     async def _pause(self) -> None:
         """Backs off before the next call to a store that didn't respond.
@@ -418,6 +450,11 @@
                 self._relist = True
                 return False
         self._record_answer()
+        self._record_silence(
+            self._watch_sent_at
+            if found is self._watch_result
+            else self._answered_sent_at
+        )
         self._log_unreadable(found.unreadable)
         if self.cache.is_older(found):
             self._drop(found)
