Check the weights again before a request is sent

What callers saw: a request began on older weights past the bound, though the router knew the bound when it sent the request.

Cause: the weights of a runner were checked when it was chosen. A permit of a limited runner and a connection (up to 0.6 s) follow. If the router learns meanwhile that newer weights were named earlier than it had taken for granted, or the time runs out, the request was sent all the same; an idle runner begins it before the next tick withdraws it.

Evidence: test_a_bound_that_becomes_known_while_connecting_stops_the_request failed before: status 200 from a runner on version 1 instead of 503.

Why the fix works: leaving, backoff and limits are checked again on the open connection, and now the weights are too, with the same margin as at the choice. Nothing has been sent by then, so the request goes to another runner.

--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -443,20 +443,35 @@
             raise attempts.BrokenError(
                 retry_rules.AttemptOutcome.UNSENT, str(error)
             ) from error
-        unavailable_reason = _unavailable_reason(backend)
-        if unavailable_reason is None and self.permits.is_missing(
-            backend, permit
-        ):
-            unavailable_reason = "it announced a limit meanwhile"
+        unavailable_reason = self._unavailable_reason(backend, permit)
         if unavailable_reason is not None:
-            # Opening a connection takes up to 0.6 s, in which newer reports
-            # about the server may arrive. Nothing has been sent yet.
+            # Nothing has been sent yet.
             connection.abort()
             raise attempts.BrokenError(
                 retry_rules.AttemptOutcome.UNSENT, unavailable_reason
             )
         return connection
 
+    def _unavailable_reason(
+        self, backend: backends.Backend, permit: server_permits.Permit
+    ) -> str | None:
+        """Returns why a chosen server must not get the request, or None.
+
+        A permit and a connection take up to a second, in which newer reports
+        about the server may arrive.
+        """
+        now = clocks.now()
+        if backend.is_leaving():
+            return "it started to drain meanwhile"
+        if backend.is_backing_off(now):
+            return "it announced a backoff meanwhile"
+        if self.permits.is_missing(backend, permit):
+            return "it announced a limit meanwhile"
+        model = self.client_request.model
+        if not selections.weights_allow(self.view, model, backend, now):
+            return "its weights became too old meanwhile"
+        return None
+
     async def _attempt(
         self, backend: backends.Backend, permit: server_permits.Permit
     ) -> bool:
@@ -762,15 +777,6 @@
     return attempts.BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
 
 
-def _unavailable_reason(backend: backends.Backend) -> str | None:
-    """Returns why a server must not get a request now, or None."""
-    if backend.is_leaving():
-        return "it started to drain meanwhile"
-    if backend.is_backing_off(clocks.now()):
-        return "it announced a backoff meanwhile"
-    return None
-
-
 def _load_text(load: request_types.ServerLoad | None) -> str:
     if load is None:
         return "unknown"
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -148,11 +148,19 @@
         finally:
             client.close()
 
-    async def request_while_connecting(self, server, other):
+    async def request_while_connecting(
+        self, server, other, path="/cards/", **more
+    ):
         """Starts a request and waits until it is connecting to `server`.
 
         The other server of the service is avoided for the first 0.3 s.
 
+        Args:
+            server: incarnation of the server.
+            other: incarnation of the other server.
+            path: path of the request.
+            **more: further arguments of `request`.
+
         Returns:
             The task of the request.
         """
@@ -170,7 +178,9 @@
 
         router.pool._open = open_slowly
         backends[other].avoid_until = clocks.now() + 0.3
-        request_task = asyncio.ensure_future(self.request("/cards/", body=b"c"))
+        request_task = asyncio.ensure_future(
+            self.request(path, **({"body": b"c"} | more))
+        )
         await opened.wait()
         return request_task
 
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -396,6 +396,24 @@
     assert not _begun_late(world, named)
 
 
+@with_world(routers=1, runners=2)
+async def test_a_bound_that_becomes_known_while_connecting_stops_the_request(
+    world,
+):
+    """Guards against a request sent on weights that ended since the choice."""
+    [router] = world.routers
+    for each in world.servers.values():
+        each.silent_orders = 1000
+    request_task = await world.request_while_connecting(
+        "r0", "r1", path="/lookups/", headers=router_world.stream_headers()
+    )
+    router.view.set_wanted_version(
+        MODEL, 2, clocks.now() - router.view.bounds.weights_seconds
+    )
+    assert (await request_task).status == 503
+    assert not world.executed_requests("runners")
+
+
 class TestRollout:
     """Which runners load first as the bound approaches."""
 
