Take no older weights from the report of a runner

What callers saw: 503, or requests refused by a runner and sent once more, while a runner with new enough weights was free.

Cause: a report is as of some hundred ms before. One that a refusal led to replaced what the entry of the runner had said in the meantime. The router then named the older version with each request, or past the bound excluded the runner, until its next entry (1.2 s, or the end of an outage of the store).

Evidence: test_a_late_report_does_not_bring_older_weights_back failed before: version 1 instead of 2.

Why the fix works: one incarnation loads only newer versions, as each order has a precondition and routers keep the highest version that was named. So of two statements of one incarnation the one with the higher version is the later.

--- a/pimentoledge/routing/rechecks.py
+++ b/pimentoledge/routing/rechecks.py
@@ -75,16 +75,29 @@
             backend.loading_until = clocks.now() + LOADING_SECONDS
             return
         before = backend.registration.weights
-        if before == report.weights:
+        weights = _newest(before, report.weights)
+        if weights == before:
             backend.loading_until = 0.0
             return
         backend.registration = attrs.evolve(
-            backend.registration, weights=report.weights
+            backend.registration, weights=weights
         )
         backend.finish_loading()
         self.lines.write(
             "server_reported",
             server=backend.registration.incarnation,
-            weights=report.weights,
+            weights=weights,
             before=before,
         )
+
+
+def _newest(known: dict[str, int], reported: dict[str, int]) -> dict[str, int]:
+    """Returns the weights of a runner by what is known and a report.
+
+    One incarnation of a runner loads only newer versions, so a report of an
+    older one is late.
+    """
+    return {
+        model: max(version, known.get(model, version))
+        for model, version in reported.items()
+    }
--- a/pimentoledge/tests/test_router_notices.py
+++ b/pimentoledge/tests/test_router_notices.py
@@ -4,6 +4,8 @@
 store may be down, or behind.
 """
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -12,11 +14,13 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import rechecks
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_limits
 from pimentoledge.routing import server_notices
+from pimentoledge.routing import server_permits
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -141,6 +145,44 @@
     assert known.is_leaving()
 
 
+def rechecks_with(report_of):
+    """Returns rechecks whose reports come from a function of the runner."""
+
+    class Runners:
+
+        async def report(self, runner):
+            return report_of(runner)
+
+    class Permits:
+
+        async def acquire(self, backend):
+            return server_permits.Permit(granted=True)
+
+    return rechecks.Rechecks(
+        runners=Runners(),
+        permits=Permits(),
+        lines=log_lines.Lines(counters=counters.Counters()),
+    )
+
+
+def test_a_late_report_does_not_bring_older_weights_back():
+    """Guards against exclusion of a runner whose weights are new enough."""
+
+    async def play():
+        backend = backends.Backend(
+            registration=attrs.evolve(REGISTRATION, weights={MODEL: 2})
+        )
+        late = rollouts.RunnerReport(
+            weights={MODEL: 1}, loading=False, orders_taken=0
+        )
+        rechecked = rechecks_with(lambda runner: late)
+        rechecked.recheck(backend)
+        await asyncio.gather(*rechecked.pending.values())
+        return backend.registration.weights
+
+    assert asyncio.run(play()) == {MODEL: 2}
+
+
 @with_world(plain=1, runners=2)
 async def test_an_order_answer_with_a_leaving_header_ends_requests(
     world,
