Name the newest weights to a runner whose version is unknown

What callers saw: a request began on older weights past the bound.

Cause: a runner whose entry does not name the model got no version with the request, so it began on whatever it had. Nothing withdrew such a request, and no order was given to the runner, as it counted as having the newest.

Evidence: test_a_runner_whose_entry_names_no_version_begins_on_the_newest failed before: the request began on version 1 with 2 named.

Why the fix works: if the service runs the model, the request names the newest version. A runner with an older one refuses it, its report follows, and by that it gets its order. Services that do not list the model get no version, as before.

--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -647,7 +647,9 @@
         backend.back_off_full(now)
         load = answer.load
         full = load is not None and load.running + load.waiting >= load.slots
-        weights = placements.weights_of(backend, self.client_request.model)
+        weights = selections.expected_weights(
+            self.view, self.client_request.model, backend
+        )
         wanted = not backend.is_leaving() and not backend.is_unavailable(now)
         if weights is not None and not full and wanted:
             # It loads weights, or its weights differ from the cached state.
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -245,6 +245,23 @@
     return organisation.name
 
 
+def expected_weights(
+    view: cluster_views.ClusterView, model: str, backend: backends.Backend
+) -> int | None:
+    """Returns the version of the weights that a request is to begin on.
+
+    A runner whose version is unknown gets the newest, so that it refuses the
+    request if it has an older one.
+    """
+    version = placements.weights_of(backend, model)
+    wanted = view.wanted.get(model)
+    if version is not None or wanted is None:
+        return version
+    service = view.configuration.services.get(backend.registration.service)
+    runs_model = service is not None and model in service.models
+    return wanted.version if runs_model else None
+
+
 def dispatch(
     *,
     view: cluster_views.ClusterView,
@@ -272,7 +289,7 @@
         seconds_left=seconds_left,
         resume_after=resume_after,
     )
-    version = placements.weights_of(backend, client_request.model)
+    version = expected_weights(view, client_request.model, backend)
     if version is None:
         return sent
     sent.urgency = urgency_of(route, organisation)
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -414,6 +414,29 @@
     assert not world.executed_requests("runners")
 
 
+@with_world(routers=1, runners=1)
+async def test_a_runner_whose_entry_names_no_version_begins_on_the_newest(
+    world,
+):
+    """Guards against older weights used without end, as none are named."""
+    [router] = world.routers
+    runner = world.servers["r0"]
+    entry = runner.entry
+    runner.entry = lambda **more: {**entry(**more), "models": []}
+    world.write_registration(runner)
+    known = router.view.servers.by_server["r0"]
+    await world.until(lambda: not known.registration.weights)
+    world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
+    await world.until(lambda: router.view.wanted[MODEL].version == 2)
+    headers = router_world.stream_headers()
+    await world.request("/lookups/", headers=headers)
+    assert not world.executed_requests("runners")
+    await world.until(lambda: runner.weights[MODEL] == 2)
+    await world.until(lambda: known.usable(clocks.now()))
+    answer = await world.request("/lookups/", headers=headers)
+    assert answer.status == 200
+
+
 class TestRollout:
     """Which runners load first as the bound approaches."""
 
