Infer named weights from the reports of runners too

What callers saw: requests begun on older weights without end, at a router that gets no news of the weights and of the servers.

Cause: a runner with newer weights proves that they were named. That was inferred from entries of the store alone, not from a report that a refusal led to.

Evidence: test_a_report_of_newer_weights_shows_that_they_were_named failed before: version 2 not known after 5 s.

Why the fix works: a report that changes the weights of a runner goes the same way as its entry, with the same lower bound of the time.

--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -183,7 +183,10 @@
             on_response=self.notices.apply_reply,
         )
         self.rechecks = rechecks.Rechecks(
-            runners=runners, permits=self.permits, lines=self.lines
+            runners=runners,
+            permits=self.permits,
+            lines=self.lines,
+            on_weights=self.updater.infer_named_weights,
         )
         self.cache_links = cache_monitors.CacheMonitor(
             view=self.view, lines=self.lines
--- a/pimentoledge/routing/rechecks.py
+++ b/pimentoledge/routing/rechecks.py
@@ -1,6 +1,7 @@
 """Requests a runner's report after a response contradicted its known state."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -25,6 +26,8 @@
         runners: client for calls to runners.
         permits: enforce the rate limits that runners announced.
         lines: log of changes of the view.
+        on_weights: called with a runner's registration when a report has
+            changed its weights.
         pending: tasks of open report requests, by incarnation.
     """
 
@@ -34,10 +37,14 @@
         runners: orders.RunnerClient,
         permits: server_permits.Permits,
         lines: log_lines.Lines,
+        on_weights: Callable[
+            [registrations.Registration], None
+        ] = lambda registration: None,
     ):
         self.runners = runners
         self.permits = permits
         self.lines = lines
+        self.on_weights = on_weights
         self.pending: dict[str, asyncio.Task] = {}
 
     def close(self) -> None:
@@ -89,6 +96,7 @@
             weights=weights,
             before=before,
         )
+        self.on_weights(backend.registration)
 
 
 def _newest(known: dict[str, int], reported: dict[str, int]) -> dict[str, int]:
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -319,9 +319,9 @@
             leaving=registration.leaving,
             weights=registration.weights,
         )
-        self._infer_named_weights(registration)
+        self.infer_named_weights(registration)
 
-    def _infer_named_weights(
+    def infer_named_weights(
         self, registration: registrations.Registration
     ) -> None:
         """Infers wanted versions from the weights that a runner has loaded.
--- a/pimentoledge/tests/test_router_notices.py
+++ b/pimentoledge/tests/test_router_notices.py
@@ -183,6 +183,17 @@
     assert asyncio.run(play()) == {MODEL: 2}
 
 
+@with_world(plain=1, runners=2)
+async def test_a_report_of_newer_weights_shows_that_they_were_named(world):
+    """Guards against older weights used without end where no news arrive."""
+    [router] = world.routers
+    for name in ("weights", "servers"):
+        router.kinds[name].close()
+    world.servers["r0"].weights[MODEL] = 2
+    router.rechecks.recheck(router.view.servers.by_incarnation["r0"])
+    await world.until(lambda: router.view.wanted[MODEL].version == 2)
+
+
 @with_world(plain=1, runners=2)
 async def test_an_order_answer_with_a_leaving_header_ends_requests(
     world,
