Choose no runner whose weights end before the request would begin

What callers saw: streams that may not be resumed failed, as they were withdrawn shortly before the bound; at a runner that does not drop what it has not begun, requests begun on older weights past it.

Cause: up to 1.5 s before the bound any runner with older weights could be chosen, also where the first token takes longer than that by the router's own estimate. A request begins with its first token.

Evidence: two tests of TestLongPrompts failed before, with a prompt of 60,000 tokens (1.9 s) 1.6 s before the bound: the runner on version 1 was chosen, alone and beside one on version 2 with one such prompt ahead.

Why the fix works: a runner lacks weights for a request whose expected first token comes when it would be withdrawn. The margin of 1.5 s stays for what the estimate does not know. Refused requests were sent nowhere and say so.

--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -36,6 +36,8 @@
     SLOTS = "slots"
     MEMORY = "memory"
     TIME = "time"
+    # Its weights would be too old before the request begins.
+    WEIGHTS = "weights"
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -23,6 +23,10 @@
 # before those weights expire, because a request may queue there before it
 # begins.
 WEIGHTS_MARGIN_SECONDS = 1.5
+# A request that has not started on superseded weights is withdrawn this long
+# before the time limit for those weights, since the connection's end takes
+# time to reach the server.
+WITHDRAW_SECONDS = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -204,6 +208,11 @@
         until = self.begins_until(model, version)
         return until is None or now < until - WEIGHTS_MARGIN_SECONDS
 
+    def withdrawn_at(self, model: str, version: int | None) -> float | None:
+        """Returns when requests not begun on a version are withdrawn."""
+        until = self.begins_until(model, version)
+        return None if until is None else until - WITHDRAW_SECONDS
+
     def has_quotas(self) -> bool:
         """Returns whether any organisation has a limit."""
         return self.configuration is not None and self.configuration.has_quotas
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -42,10 +42,6 @@
 # for a free server before it is refused.
 WAIT_SHARE = 0.12
 WAIT_STEP_SECONDS = 0.02
-# A request that has not started on superseded weights is withdrawn this long
-# before the time limit for those weights, since the connection's end takes
-# time to reach the server.
-WITHDRAW_SECONDS = 0.3
 # After this many refused permits, a request excludes all servers with a limit.
 MAX_PERMIT_REFUSALS = 3
 # Codes of refusals because no server can accept the request.
@@ -519,10 +515,10 @@
         attempt = self._current_attempt
         if attempt is None or attempt.withdrawn or attempt.has_begun():
             return
-        until = self.view.begins_until(
+        withdrawn_at = self.view.withdrawn_at(
             self.client_request.model, attempt.dispatch.weights
         )
-        if until is not None and now >= until - WITHDRAW_SECONDS:
+        if withdrawn_at is not None and now >= withdrawn_at:
             attempt.withdraw("not begun before its weights were too old")
 
     def _dispatch(self, backend: backends.Backend) -> request_types.Dispatch:
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -1,6 +1,7 @@
 """Ranks backend servers for a request by cost."""
 
 import collections
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -48,6 +49,8 @@
             without a prefill phase.
         model: the requested model, or "".
         newest: newest version of its weights, or None.
+        withdrawn_at: returns when requests that have not begun on a version are
+            withdrawn, or None.
         isolated_by: organisation that shares no cached parts, or "".
         sources: where cached parts of the newest weights can be fetched.
         speeds: speeds estimated from first events.
@@ -61,6 +64,7 @@
     demand: capacity_checks.Demand | None = None
     model: str = ""
     newest: int | None = None
+    withdrawn_at: Callable[[int | None], float | None] = lambda version: None
     isolated_by: str = ""
     sources: cache_sources.Sources = cache_sources.Sources()
     speeds: wait_estimates.Speeds = wait_estimates.Speeds()
@@ -214,6 +218,9 @@
             first_seconds=wait.seconds,
             wait_seconds=wait.others_seconds,
         )
+    withdrawn_at = criteria.withdrawn_at(version)
+    if withdrawn_at is not None and now + wait.seconds >= withdrawn_at:
+        shortage = capacity_checks.Shortage.WEIGHTS
     return ServerCandidate(
         backend=backend,
         first_seconds=wait.seconds,
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -113,6 +113,9 @@
         unshared=client_request.unshared_tokens(),
         model=client_request.model,
         newest=None if wanted is None else wanted.version,
+        withdrawn_at=lambda version: view.withdrawn_at(
+            client_request.model, version
+        ),
         isolated_by=_isolated_by(organisation),
         sources=_newest_sources(
             view, client_request, organisation, service_name, now
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -15,12 +15,14 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
+from pimentoledge.routing import configurations
 from pimentoledge.routing import counters
 from pimentoledge.routing import hedged_calls
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import peers
+from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
 from pimentoledge.routing import rollouts
@@ -137,6 +139,66 @@
         assert found == min(later)
 
 
+class TestLongPrompts:
+    """Prompts whose first token takes longer than the margin of a choice."""
+
+    PROMPT = 60_000
+    NAMED = 100.0
+
+    def chosen(self, view, seconds_left):
+        """Returns the runner chosen this long before version 1 ends."""
+        view.configuration = configurations.build(
+            version=1,
+            routes=[],
+            organisations=None,
+            services=[],
+            limits=configurations.ClientLimits(),
+        )
+        view.set_wanted_version(MODEL, 2, self.NAMED)
+        older = test_router_decisions.TestOlderWeights()
+        route = test_router_decisions.route()
+        found = selections.select(
+            view=view,
+            client_request=attrs.evolve(
+                older.new_request(0.0),
+                model=MODEL,
+                parts=(),
+                prompt_tokens=self.PROMPT,
+            ),
+            route=attrs.evolve(
+                route,
+                objective_seconds=4.0,
+                shares=(
+                    configurations.ServiceShare(service="runners", weight=1),
+                ),
+            ),
+            organisation=None,
+            without=set(),
+            now=self.NAMED + view.bounds.weights_seconds - seconds_left,
+        )
+        if isinstance(found, placements.NoCapacity):
+            return None
+        return found.backend.registration.server
+
+    def test_a_prompt_that_cannot_begin_in_time_is_not_sent(self):
+        """Guards against streams that are sent to be withdrawn and fail."""
+        assert self.chosen(view_of(1), 1.6) is None
+
+    def test_a_prompt_that_can_begin_in_time_is_sent(self):
+        assert self.chosen(view_of(1), 3.0) == "r0"
+
+    def test_a_prompt_that_cannot_begin_in_time_goes_to_newer_weights(self):
+        """Guards against the choice of an idle runner whose weights end."""
+        view = view_of(1, 2)
+        newer = view.servers.by_server["r1"]
+        newer.open = newer.unbegun = 1
+        newer.unread_tokens = self.PROMPT
+        newer.read_since = self.NAMED + view.bounds.weights_seconds
+        for each in view.servers.by_server.values():
+            each.registration = attrs.evolve(each.registration, data_centre="a")
+        assert self.chosen(view, 1.6) == "r1"
+
+
 class TestStarts:
     """State of a router that has just started, without peers' messages."""
 
