Record the verdict of a runner whose entry lapsed during the order

What callers saw: nothing yet; the line of the order was missing, with a TypeError of a task in its place.

Cause: progress is kept by incarnation and forgotten with its entry. An entry that lapses and returns while an order is in flight has progress without a count of orders, to which the verdict added one.

Evidence: test_a_verdict_on_a_runner_that_lapsed_meanwhile_is_recorded failed before with that TypeError.

Why the fix works: an unknown count stays unknown; the next order asks the runner for it first, as after its start.

--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -251,7 +251,8 @@
             case OrderVerdict.TAKEN:
                 progress.ends = now + LOAD_SECONDS
                 progress.load = due
-                progress.orders_taken += 1
+                if progress.orders_taken is not None:
+                    progress.orders_taken += 1
             case OrderVerdict.HOLDS:
                 # The store's notification that the runner has the weights has
                 # not arrived yet.
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -546,6 +546,20 @@
         view.servers.put(registration(number, 2))
         assert len(self.ordered(rollout, 0.6)) == 1
 
+    def test_a_verdict_on_a_runner_that_lapsed_meanwhile_is_recorded(self):
+        """Guards against an order whose end is lost with its runner's entry."""
+        view = view_of(1)
+        rollout = rollouts.Rollout(view=view)
+        view.set_wanted_version(MODEL, 2, 0.0)
+        [due] = rollout.due(0.0)
+        rollout.progress_of(due.backend).orders_taken = 0
+        view.servers.remove("r0")
+        assert not rollout.due(0.1)
+        view.servers.put(registration(0, 1))
+        rollout.note_verdict(due, rollouts.OrderVerdict.TAKEN, 0.2)
+        assert not self.ordered(rollout, 0.3)
+        assert self.ordered(rollout, 0.2 + rollouts.LOAD_SECONDS) == ["r0"]
+
     def test_a_runner_that_is_down_does_not_delay_idle_runners(
         self,
     ):
