Take the word of a runner that it has the ordered version

What callers saw: runners kept older weights up to the bound while the holder of the lease ordered.

Cause: a runner that answers that it has the version already, but whose entry has not arrived, counted as loading for 0.3 s and then as behind again. As the least busy it got the next order too, so with one load at a time the others got none.

Evidence: test_a_runner_that_has_the_version_already_does_not_delay_others failed before: no order to another runner after that answer.

Why the fix works: the answer is applied as a report is, by the same function: an older version in it changes nothing. An older entry that arrives later makes the runner behind again, as before.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -160,6 +160,23 @@
         self.forget_parts()
         self.loading_until = 0.0
 
+    def note_weights(self, reported: dict[str, int]) -> bool:
+        """Applies the weights that it has reported; returns whether any is new.
+
+        One incarnation loads only newer versions, so a report of an older one
+        is late.
+        """
+        known = self.registration.weights
+        weights = {
+            model: max(version, known.get(model, version))
+            for model, version in reported.items()
+        }
+        if weights == known:
+            return False
+        self.registration = attrs.evolve(self.registration, weights=weights)
+        self.finish_loading()
+        return True
+
     def announced_leaving(self) -> bool:
         """Returns whether its leaving was announced, here or in the store."""
         return self.registration.leaving or self.notice.leaving
--- a/pimentoledge/routing/rechecks.py
+++ b/pimentoledge/routing/rechecks.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import attrs
-
 from pimentoledge.platform import orders
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
@@ -82,30 +80,13 @@
             backend.loading_until = clocks.now() + LOADING_SECONDS
             return
         before = backend.registration.weights
-        weights = _newest(before, report.weights)
-        if weights == before:
+        if not backend.note_weights(report.weights):
             backend.loading_until = 0.0
             return
-        backend.registration = attrs.evolve(
-            backend.registration, weights=weights
-        )
-        backend.finish_loading()
         self.lines.write(
             "server_reported",
             server=backend.registration.incarnation,
-            weights=weights,
+            weights=backend.registration.weights,
             before=before,
         )
         self.on_weights(backend.registration)
-
-
-def _newest(known: dict[str, int], reported: dict[str, int]) -> dict[str, int]:
-    """Returns the weights of a runner by what is known and a report.
-
-    One incarnation of a runner loads only newer versions, so a report of an
-    older one is late.
-    """
-    return {
-        model: max(version, known.get(model, version))
-        for model, version in reported.items()
-    }
--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -256,8 +256,9 @@
             case OrderVerdict.HOLDS:
                 # The store's notification that the runner has the weights has
                 # not arrived yet.
-                progress.ends = now + RETRY_SECONDS
-                progress.load = None
+                due.backend.note_weights(
+                    due.backend.registration.weights | {due.model: due.version}
+                )
             case OrderVerdict.WRONG_SERVER:
                 due.backend.ended = True
             case (
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -560,6 +560,16 @@
         assert not self.ordered(rollout, 0.3)
         assert self.ordered(rollout, 0.2 + rollouts.LOAD_SECONDS) == ["r0"]
 
+    def test_a_runner_that_has_the_version_already_does_not_delay_others(self):
+        """Guards against orders to it alone until its entry arrives."""
+        view = view_of(1, 1, 1)
+        rollout = rollouts.Rollout(view=view)
+        view.set_wanted_version(MODEL, 2, 0.0)
+        [first] = rollout.due(0.0)
+        rollout.note_verdict(first, rollouts.OrderVerdict.HOLDS, 0.0)
+        [second] = rollout.due(0.1)
+        assert second.backend is not first.backend
+
     def test_a_runner_that_is_down_does_not_delay_idle_runners(
         self,
     ):
