--- a/pimentoledge/routing/rollouts.py
+++ b/pimentoledge/routing/rollouts.py
@@ -75,21 +75,6 @@
     orders_taken: int
 
 
-@attrs.frozen(kw_only=True)
-class DueLoad:
-    """An order that is due.
-
-    Attributes:
-        backend: the runner that gets the order.
-        model: the model to load.
-        version: the version of its weights.
-    """
-
-    backend: backends.Backend
-    model: str
-    version: int
-
-
 @attrs.define(kw_only=True)
 class Progress:
     """Progress of one runner in the rollout.
@@ -98,20 +83,28 @@
         ends: when a load that was ordered counts as failed.
         not_before: when the next call to it is allowed.
         orders_taken: number of orders that it has taken, or None if unknown.
-        load: the newest load that it accepted, or None.
         calling: whether a call to it is in flight.
     """
 
     ends: float = 0.0
     not_before: float = 0.0
     orders_taken: int | None = None
-    load: DueLoad | None = None
     calling: bool = False
 
-    def has_loaded(self, weights: dict[str, int]) -> bool:
-        """Returns whether weights that it reports include its newest load."""
-        load = self.load
-        return load is not None and weights.get(load.model, 0) >= load.version
+
+@attrs.frozen(kw_only=True)
+class DueLoad:
+    """An order that is due.
+
+    Attributes:
+        backend: the runner that gets the order.
+        model: the model to load.
+        version: the version of its weights.
+    """
+
+    backend: backends.Backend
+    model: str
+    version: int
 
 
 class Rollout:
@@ -229,10 +222,7 @@
 
     def _is_loading(self, backend: backends.Backend, now: float) -> bool:
         progress = self.progress_of(backend)
-        if progress.calling:
-            return True
-        loaded = progress.has_loaded(backend.registration.weights)
-        return now < progress.ends and not loaded
+        return progress.calling or now < progress.ends
 
     def _may_order(self, backend: backends.Backend, now: float) -> bool:
         progress = self.progress_of(backend)
@@ -250,7 +240,6 @@
         match verdict:
             case OrderVerdict.TAKEN:
                 progress.ends = now + LOAD_SECONDS
-                progress.load = due
                 if progress.orders_taken is not None:
                     progress.orders_taken += 1
             case OrderVerdict.HOLDS:
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -529,23 +529,6 @@
         rollout = rollouts.Rollout(view=view)
         assert sorted(self.ordered(rollout, 2.5)) == ["r6", "r7", "r8"]
 
-    def test_a_load_that_has_ended_does_not_delay_the_next_version(self):
-        """Guards against slower rollouts of versions in quick succession.
-
-        A runner that had loaded one counted as loading for 0.9 s more.
-        """
-        view = view_of(1, 1, 1)
-        rollout = rollouts.Rollout(view=view)
-        view.set_wanted_version(MODEL, 2, 0.0)
-        [first] = rollout.due(0.0)
-        rollout.progress_of(first.backend).orders_taken = 0
-        rollout.note_verdict(first, rollouts.OrderVerdict.TAKEN, 0.0)
-        view.set_wanted_version(MODEL, 3, 0.1)
-        assert not self.ordered(rollout, 0.5)
-        number = int(first.backend.registration.server[1:])
-        view.servers.put(registration(number, 2))
-        assert len(self.ordered(rollout, 0.6)) == 1
-
     def test_a_verdict_on_a_runner_that_lapsed_meanwhile_is_recorded(self):
         """Guards against an order whose end is lost with its runner's entry."""
         view = view_of(1)
