Deduct every delay of a heartbeat from what it confirms

What callers saw: none yet. Seen as a test that failed now and then: `test_other_routers_poll_when_watching_ones_reach_no_store`, in which a server's leaving must be known within 2 s though all watches are dead.

Cause: a heartbeat says how long ago a copy was known to be current, and the receiver counts from the arrival unless the message is 0.25 s late. Routers repeat this to each other, so each exchange made the same proof younger by the time under way. In a failing run the watches died at 3.47 s, nobody polled before 4.90 s, yet at 5.47 s all 13 routers took their copies as current at 4.21 to 4.31 s (event loop late by up to 0.26 s); at 4.90 s the first poller was due.

Fix: what a heartbeat confirms is dated back by its whole delay over the shortest recent one. Other uses of the delay are as before.

--- a/pimentoledge/routing/delays.py
+++ b/pimentoledge/routing/delays.py
@@ -53,7 +53,11 @@
         self.shortest: dict[str, ShortestDelay] = {}
 
     def excess_seconds(
-        self, sender: str, clock: tuple[int, int], now: float
+        self,
+        sender: str,
+        clock: tuple[int, int],
+        now: float,
+        least: float = MIN_EXCESS_SECONDS,
     ) -> float:
         """Returns by how many seconds a message was delayed, or 0.
 
@@ -62,6 +66,7 @@
             clock: when the sender started and when it sent the message, in ms
                 of its own clock; zeros if the sender doesn't report them.
             now: when the message arrived.
+            least: shortest delay that counts.
         """
         started_ms, sent = clock
         if not sent:
@@ -84,9 +89,11 @@
         excess = delay - min(known.before, known.least)
         was_settled = known.settled
         known.settled |= sent - known.first_sent >= 1000 * CONNECT_SECONDS
-        if excess < MIN_EXCESS_SECONDS:
+        if excess < least:
             return 0.0
-        return excess if was_settled else excess + CONNECT_SECONDS
+        if was_settled or excess < MIN_EXCESS_SECONDS:
+            return excess
+        return excess + CONNECT_SECONDS
 
     def _forget(self, now: float) -> None:
         """Removes routers that have sent nothing for two windows."""
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -346,7 +346,12 @@
         sent = self._sent_at(event.sender, heartbeat.clock, now)
         # The weights come first: what is known here up to now lacks them.
         self._merge_weights(heartbeat, sent, now)
-        self.replicator.merge_known(heartbeat, sent)
+        # Routers repeat to each other as of when copies are known, so even the
+        # shortest delay that isn't deducted would add up.
+        delay = self.delays.excess_seconds(
+            event.sender, heartbeat.clock, now, least=0.0
+        )
+        self.replicator.merge_known(heartbeat, min(sent, now - delay))
         self._merge_lease(heartbeat, now)
         if self.replicator.is_behind(peer):
             later = self._loop.call_later
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -334,6 +334,37 @@
         assert each.kinds["servers"].cache.known_at < known_at + 0.5
 
 
+@with_world(routers=2, plain=1, runners=1)
+async def test_copies_do_not_stay_current_by_late_heartbeats(world):
+    """Guards against routers that confirm each other's blind copies."""
+    await world.until(
+        lambda: all(
+            each.peers.roster.present(clocks.now()) for each in world.routers
+        )
+    )
+    await asyncio.sleep(1.0)
+    caches = [each.kinds["servers"].cache for each in world.routers]
+    for each in world.routers:
+        _silence(each)
+        _delay_heartbeats(each, 0.2)
+    # Time for a poll that was sent before.
+    await asyncio.sleep(0.3)
+    newest = max(each.known_at for each in caches)
+    await asyncio.sleep(3.0)
+    assert max(each.known_at for each in caches) < newest + 0.1
+
+
+def _delay_heartbeats(router, seconds):
+    """Delays all heartbeats that a router receives."""
+    handle = router.peers._handle_heartbeat
+    loop = asyncio.get_running_loop()
+
+    def handle_later(event, heartbeat):
+        loop.call_later(seconds, handle, event, heartbeat)
+
+    router.peers._handle_heartbeat = handle_later
+
+
 @with_world(routers=2, plain=2, runners=1)
 async def test_lapsed_entries_in_a_peers_listing_are_kept(world):
     """Guards against refusals after an outage although the servers run.
