Don't count a naming as later than when a router had the version

What callers may see: requests on older weights past the bound, and prompt parts of mixed weights. Of a version that a poll had found, a watch's answer that came up to 0.5 s later (a slow store) counted as the exact time: later than a router is known to have had the version, by more than the 0.3 s that a waiting request is withdrawn before the bound, and than the 0.1 s between the end of free fetches and the earliest end of a load. The threshold is there so that such an answer isn't dropped for a bound some seconds old; it says nothing of the time itself.

The earliest time at which a router had the version is never too early, since its way over heartbeats only makes it later. So the merged time ends there.

--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -59,7 +59,9 @@
             [best] = possible
         else:
             best = self._better(other)
-        return attrs.evolve(best, known_at=known_at)
+        # Undelayed evidence may be late too, if by less than what shows it.
+        since = min(best.since, known_at)
+        return attrs.evolve(best, since=since, known_at=known_at)
 
     def _better(self, other: "NamedVersion") -> "NamedVersion":
         if self.source != other.source:
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -962,6 +962,20 @@
                 receiver.add(told)
         assert max(each.since for each in routers) < 100.5
 
+    def test_a_slow_answer_does_not_prolong_the_use_of_older_weights(self):
+        """Guards against a naming later than a router had the version."""
+        read = wanted_weights.NamedVersion(
+            version=2,
+            since=100.0,
+            source=wanted_weights.Source.NOT_BEFORE,
+            known_at=105.0,
+        )
+        heard = wanted_weights.NamedVersion(
+            version=2, since=105.45, known_at=105.45
+        )
+        assert read.merge(heard).since <= 105.0
+        assert heard.merge(read).since <= 105.0
+
 
 @with_world(routers=2, runners=1)
 async def test_a_router_that_reads_a_version_again_prolongs_no_use(world):
