Don't let echoes make a server's former limit newer

What callers may see: refusals under a limit that a server has raised, or more 429 of a server that has lowered it. Of two limits the later counts. The time of a limit travels as an age that lacks the message's way; an echo moved it on if it came back more than 0.25 s later, though each way may take nearly that undetected. Two routers 0.2 s apart so made a former limit newer without end, and a newer one lost against it at all routers, until the server's next answer there.

The threshold is now the one of other ages that routers tell each other.

--- a/pimentoledge/routing/server_limits.py
+++ b/pimentoledge/routing/server_limits.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from pimentoledge.routing import delays
+
 # Encodes "no limit" in messages between routers.
 NO_LIMIT = -1.0
 # Lower bound of a limit. Only an answer can show that a limit has ended, so a
@@ -14,7 +16,7 @@
 FORGET_SECONDS = 60.0
 # Smaller differences between the times of one limit are caused by its
 # transmission between routers.
-ECHO_SECONDS = 0.25
+ECHO_SECONDS = delays.ROUND_TRIP_SECONDS
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/tests/test_router_server_limits.py
+++ b/pimentoledge/tests/test_router_server_limits.py
@@ -219,6 +219,21 @@
         assert not limits.merge("s", echo)
         assert limits.advertised["s"].received_at == 10.0
 
+    def test_echoes_do_not_outlive_a_newer_limit(self):
+        """Guards against a former limit that each echo makes newer."""
+        way = 0.2
+        first, second = self.limits(), self.limits(received_at=10.0 + way)
+        for _ in range(10):
+            for sender, receiver in ((first, second), (second, first)):
+                told = sender.advertised["s"]
+                receiver.merge(
+                    "s",
+                    attrs.evolve(told, received_at=told.received_at + way),
+                )
+        newer = server_limits.AdvertisedLimit(per_second=5.0, received_at=11.0)
+        assert first.merge("s", newer)
+        assert first.get("s") == 5.0
+
     def test_the_end_of_an_unknown_limit_is_not_a_change(self):
         assert not self.limits(per_second=None).advertised
 
