Don't let heartbeats renew the count of routers

What callers may see: refusals, as each router takes a smaller share of budgets and limits than it has. A count that is too high is to expire everywhere 5 s after it was counted. Its time travels as an age that lacks the message's way, and of equal counts the later wins, so routers that told each other the same one made it later with each heartbeat. Of equal counts the later now wins only if it is later than messages there and back may take undetected.

--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentoledge.routing import delays
 from pimentoledge.routing import heartbeat_rings
 from pimentoledge.routing import peer_messages
 
@@ -146,7 +147,13 @@
         """
         most, when = self.counted
         counted_at = now - age / 1000
-        if now - when > COUNT_SECONDS or (count, counted_at) > (most, when):
+        # Each heartbeat would add its way to the time of the same count.
+        is_later = counted_at - when > delays.ROUND_TRIP_SECONDS
+        if (
+            now - when > COUNT_SECONDS
+            or count > most
+            or (count == most and is_later)
+        ):
             self.counted = (count, counted_at)
 
     def tick(self, now: float) -> None:
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -152,6 +152,19 @@
         assert roster.count_report(101.0) == (300, 2000)
         assert roster.count(100.0 + rosters.COUNT_SECONDS) == 2
 
+    def test_a_count_that_routers_tell_each_other_expires(self):
+        """Guards against a budget divided by routers that are long gone."""
+        way = 0.2
+        pair = [self.roster(), self.roster()]
+        pair[0].merge_count(300, 0, 100.0)
+        now = 100.0
+        while now < 100.0 + 2 * rosters.COUNT_SECONDS:
+            for sender, receiver in (pair, reversed(pair)):
+                told = sender.count_report(now)
+                receiver.merge_count(*told, now + way)
+            now += 0.5
+        assert max(each.count(now) for each in pair) < 300
+
     def test_a_router_without_heartbeats_is_still_probed(self):
         """Two halves must reconnect after a partition of some minutes."""
         roster = self.roster()
