Count watchers in a delayed heartbeat as of when it was sent

What callers may see: requests to a leaving server for longer. In a large fleet routers rely on two watchers of their data centre, whose announcements go with heartbeats, as ages. A heartbeat that a cut held up counted as just sent in this alone, so a watcher that had died in the cut was relied on for 1.5 s more, up to the next poll. It now counts as of when the heartbeat was sent, as weights and copies do; a router that takes a watcher for too old watches for itself.

--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -341,9 +341,9 @@
         if self.roster.own in heartbeat.unheard:
             self._reconnect(event.sender, now)
         self.roster.merge_count(*heartbeat.counted, now)
-        if heartbeat.data_centre == self.view.data_centre:
-            self.replicator.shares.merge_ages(heartbeat.watchers, now)
         sent = self._sent_at(event.sender, heartbeat.clock, now)
+        if heartbeat.data_centre == self.view.data_centre:
+            self.replicator.shares.merge_ages(heartbeat.watchers, sent)
         # The weights come first: what is known here up to now lacks them.
         self._merge_weights(heartbeat, sent, now)
         # Routers repeat to each other as of when copies are known, so even the
--- a/pimentoledge/tests/test_router_delays.py
+++ b/pimentoledge/tests/test_router_delays.py
@@ -119,3 +119,15 @@
     assert newest.version == 2
     assert newest.since < now - HELD_SECONDS + 0.5
     assert newest.source is wanted_weights.Source.NOT_BEFORE
+
+
+@with_world(routers=2, plain=1, runners=1)
+async def test_a_delayed_heartbeat_revives_no_watcher(world):
+    """Guards against relying on a watcher that died in a partition."""
+    first, second = await meet(world)
+    now = clocks.now()
+    heartbeat = first.peers._own_heartbeat(now)
+    watchers = {"tcp://gone:1": 0}
+    deliver(second, first, attrs.evolve(heartbeat, watchers=watchers))
+    ages = second.peers.replicator.shares.watcher_ages(now)
+    assert "tcp://gone:1" not in ages
