Don't let routers prolong each other's wait for lapsed entries

What callers may see: requests to a server that is gone, after an outage of the store. Its entry may lapse in the outage though it lives, so it is kept for 1.6 s from the recovery. Routers tell each other the time that is left, which lacks the message's way; the later end wins, and each tells on what others have told it. So two routers that told each other changes moved the end on each time. An end now counts if it is later than the known one by more than messages there and back may take undetected.

--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -175,7 +175,10 @@
     def _merge_lapse(self, lapse_ms: int) -> None:
         """Merges the time for which a peer waits for removed servers."""
         lapse_ends = clocks.now() + lapse_ms / 1000
-        self.peer_lapse_ends = max(self.peer_lapse_ends, lapse_ends)
+        known = max(self.peer_lapse_ends, self.updater.lapse_ends())
+        # Each message would add its way to the same time.
+        if lapse_ends - known > delays.ROUND_TRIP_SECONDS:
+            self.peer_lapse_ends = lapse_ends
 
     def _offer(
         self, watched: peer_messages.WatchedChanges, excluded: str
--- a/pimentoledge/tests/test_router_delays.py
+++ b/pimentoledge/tests/test_router_delays.py
@@ -1,5 +1,7 @@
 """Tests of peer messages that a network partition delayed."""
 
+import asyncio
+
 import attrs
 
 from pimentoledge.decisions import events
@@ -131,3 +133,21 @@
     deliver(second, first, attrs.evolve(heartbeat, watchers=watchers))
     ages = second.peers.replicator.shares.watcher_ages(now)
     assert "tcp://gone:1" not in ages
+
+
+@with_world(routers=2, plain=1, runners=1)
+async def test_routers_do_not_prolong_each_other_s_wait_for_lapsed_entries(
+    world,
+):
+    """Guards against requests to a server that is gone, after an outage."""
+    first, second = world.routers
+    watcher = first.kinds["servers"]
+    watcher.recovered_at = clocks.now()
+    ends = watcher.lapse_ends()
+    pair = first.peers.replicator, second.peers.replicator
+    for _ in range(20):
+        for sender, receiver in (pair, reversed(pair)):
+            left = sender._lapse_ms()
+            await asyncio.sleep(0.02)
+            receiver._merge_lapse(left)
+    assert max(each.updater.lapse_ends() for each in pair) < ends + 0.5
