Bound each version that a heartbeat brings, not only the newest

What callers may see: 503, as runners with older weights are shut out early. A router that missed two versions bounds what a peer tells by its own copy: what is newer than all that it knew was not named before that copy was whole. It took the newest first, so the one before it was no longer newer than all, and the guess of a peer that had just started counted for it unbounded. It takes the oldest first now.

--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -404,7 +404,7 @@
         for model, newest in heartbeat.wanted.items():
             named = heartbeat.named.get(model) or [(*newest, 0)]
             known_ms = dict(heartbeat.named_known.get(model, ()))
-            for version, age, source in reversed(named):
+            for version, age, source in named:
                 known_seconds = known_ms.get(version, 0) / 1000
                 self.updater.merge_peer_weights(
                     model,
--- a/pimentoledge/tests/test_router_delays.py
+++ b/pimentoledge/tests/test_router_delays.py
@@ -151,3 +151,27 @@
             await asyncio.sleep(0.02)
             receiver._merge_lapse(left)
     assert max(each.updater.lapse_ends() for each in pair) < ends + 0.5
+
+
+@with_world(routers=2, plain=1, runners=1)
+async def test_a_guess_of_a_start_is_bounded_for_each_unknown_version(world):
+    """Guards against excluding all runners by a peer that just started."""
+    first, second = await meet(world)
+    now = clocks.now()
+    bound = second.view.bounds.weights_seconds
+    complete_at = second.view.known_at("weights")
+    for version, since, source in (
+        (2, now - bound, wanted_weights.Source.GUESSED),
+        (3, now, wanted_weights.Source.HEARD),
+    ):
+        first.view.set_wanted_version(
+            MODEL, version, since, source=source, known_at=now
+        )
+    second.peers.handle(
+        events.FromNode(
+            sender=first.peers.address,
+            message=first.peers._own_heartbeat(clocks.now()),
+            configuration=1,
+        )
+    )
+    assert second.view.begins_until(MODEL, 1) >= complete_at + bound
