Don't take a first heartbeat's bounds for later than they are

What callers may see: requests on older weights past the bound, after a router has restarted. A message may wait up to 1 s until its connection is up, which shows only once a later one has come. A lower bound of a naming in the first heartbeat from a router counted as later by that wait, and of two lower bounds that clearly differ the later wins, so the restarted router moved it on at all others. Until a sender's usual delay is known, its lower bounds now count as that much earlier; a second later its next heartbeat brings them as they are.

--- a/pimentoledge/routing/delays.py
+++ b/pimentoledge/routing/delays.py
@@ -95,6 +95,11 @@
             return excess
         return excess + CONNECT_SECONDS
 
+    def is_settled(self, sender: str) -> bool:
+        """Returns whether a message of a sender found its connection up."""
+        known = self.shortest.get(sender)
+        return known is not None and known.settled
+
     def _forget(self, now: float) -> None:
         """Removes routers that have sent nothing for two windows."""
         for sender, known in list(self.shortest.items()):
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -345,7 +345,7 @@
         if heartbeat.data_centre == self.view.data_centre:
             self.replicator.shares.merge_ages(heartbeat.watchers, sent)
         # The weights come first: what is known here up to now lacks them.
-        self._merge_weights(heartbeat, sent, now)
+        self._merge_weights(event.sender, heartbeat, sent, now)
         # Routers repeat to each other as of when copies are known, so even the
         # shortest delay that isn't deducted would add up.
         delay = self.delays.excess_seconds(
@@ -395,28 +395,43 @@
         self.limit_reports.send_all_limits(address, now)
 
     def _merge_weights(
-        self, heartbeat: peer_messages.Heartbeat, sent: float, now: float
+        self,
+        sender: str,
+        heartbeat: peer_messages.Heartbeat,
+        sent: float,
+        now: float,
     ) -> None:
         least = wanted_weights.Source.HEARD
         if sent < now:
             # The exact time of sending is not known.
             least = wanted_weights.Source.NOT_BEFORE
+        waited = self._undetected_wait(sender, sent, now)
         for model, newest in heartbeat.wanted.items():
             named = heartbeat.named.get(model) or [(*newest, 0)]
             known_ms = dict(heartbeat.named_known.get(model, ()))
-            for version, age, source in named:
+            for version, age, number in named:
+                source = wanted_weights.Source(max(number, least))
+                since = sent - age / 1000
+                if source is wanted_weights.Source.NOT_BEFORE:
+                    since -= waited
                 known_seconds = known_ms.get(version, 0) / 1000
                 self.updater.merge_peer_weights(
                     model,
                     wanted_weights.NamedVersion(
                         version=version,
-                        since=sent - age / 1000,
-                        source=wanted_weights.Source(max(source, least)),
+                        since=since,
+                        source=source,
                         known_at=now - known_seconds,
                     ),
                     sent - known_seconds,
                 )
 
+    def _undetected_wait(self, sender: str, sent: float, now: float) -> float:
+        """Returns how long a message may have waited for its connection."""
+        if sent < now or self.delays.is_settled(sender):
+            return 0.0
+        return delays.CONNECT_SECONDS
+
     def _merge_lease(
         self, heartbeat: peer_messages.Heartbeat, now: float
     ) -> None:
--- a/pimentoledge/tests/test_router_delays.py
+++ b/pimentoledge/tests/test_router_delays.py
@@ -175,3 +175,33 @@
         )
     )
     assert second.view.begins_until(MODEL, 1) >= complete_at + bound
+
+
+@with_world(routers=2, plain=1, runners=1)
+async def test_a_first_message_that_waited_prolongs_no_use_of_older_weights(
+    world,
+):
+    """Guards against a bound that moves on when a router restarts."""
+    first, second = await meet(world)
+    second.peers.delays.shortest.clear()
+    now = clocks.now()
+    first.view.set_wanted_version(
+        MODEL,
+        2,
+        now - 4.0,
+        source=wanted_weights.Source.NOT_BEFORE,
+        known_at=now - 2.0,
+    )
+    waited = 0.9
+    for sender, receiver, sent in (
+        (first, second, now - waited),
+        (second, first, now),
+    ):
+        receiver.peers.handle(
+            events.FromNode(
+                sender=sender.peers.address,
+                message=sender.peers._own_heartbeat(sent),
+                configuration=1,
+            )
+        )
+    assert first.view.wanted[MODEL].since < now - 4.0 + 0.5
