--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -61,6 +61,18 @@
     return view
 
 
+def _shorten_bound(router):
+    """Sets a short time bound for requests on superseded weights."""
+    router.view.bounds = attrs.evolve(
+        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
+    )
+
+
+def _slow_loads(world):
+    for each in world.servers.values():
+        each.load_seconds = 1.0
+
+
 class TestFurtherVersions:
     """Versions announced before the previous one is loaded everywhere."""
 
@@ -390,9 +402,7 @@
     Returns the task of the request, and when the newer weights were announced.
     """
     [router] = world.routers
-    router.view.bounds = attrs.evolve(
-        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
-    )
+    _shorten_bound(router)
     for each in world.servers.values():
         each.silent_orders = 1000
         each.queue_seconds = 2.5
@@ -814,11 +824,8 @@
     All weights counted as too old then.
     """
     [router] = world.routers
-    router.view.bounds = attrs.evolve(
-        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
-    )
-    for each in world.servers.values():
-        each.load_seconds = 1.0
+    _shorten_bound(router)
+    _slow_loads(world)
     world.store.silent = True
     await asyncio.sleep(4.0)
     world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
@@ -834,11 +841,8 @@
 async def test_slow_retries_in_an_outage_do_not_exclude_all_runners(world):
     """Guards against 503 when the store returns between two retries."""
     [router] = world.routers
-    router.view.bounds = attrs.evolve(
-        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
-    )
-    for each in world.servers.values():
-        each.load_seconds = 1.0
+    _shorten_bound(router)
+    _slow_loads(world)
     with mock.patch.object(watchers.random, "random", return_value=1.0):
         await _outage_until_poll(world, number=4)
         world.store.objects.latency = 0.1
@@ -867,9 +871,7 @@
 async def test_a_version_announced_after_an_outage_counts_from_then(world):
     """Guards against older weights used past their bound after an outage."""
     [router] = world.routers
-    router.view.bounds = attrs.evolve(
-        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
-    )
+    _shorten_bound(router)
     await _outage_until_poll(world, number=6)
     named = clocks.now()
     world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
@@ -881,11 +883,8 @@
 async def test_a_pause_in_an_outage_does_not_exclude_all_runners(world):
     """Guards against 503 if the router stood still as its calls timed out."""
     [router] = world.routers
-    router.view.bounds = attrs.evolve(
-        router.view.bounds, weights_seconds=WEIGHTS_SECONDS
-    )
-    for each in world.servers.values():
-        each.load_seconds = 1.0
+    _shorten_bound(router)
+    _slow_loads(world)
     asyncio.get_running_loop().call_later(3.0, _block_loop, 0.6)
     await _outage_until_poll(world, number=7)
     world.store.put("versions", MODEL, {"model": MODEL, "version": 2})
