--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -344,10 +344,10 @@
         sent = self._sent_at(event.sender, heartbeat.clock, now)
         if heartbeat.data_centre == self.view.data_centre:
             self.replicator.shares.merge_ages(heartbeat.watchers, sent)
-        # The weights come first: what is known here up to now lacks them.
+        # The weights come first: the copies confirmed so far lack them.
         self._merge_weights(event.sender, heartbeat, sent, now)
-        # Routers repeat to each other as of when copies are known, so even the
-        # shortest delay that isn't deducted would add up.
+        # Routers forward these times to each other, so even short delays that
+        # are not deducted would add up.
         delay = self.delays.excess_seconds(
             event.sender, heartbeat.clock, now, least=0.0
         )
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -112,7 +112,7 @@
                 and changed_at <= cache.revision
             )
             confirmed_at = now - age / 1000
-            # Each heartbeat would add its way to the same time.
+            # Each heartbeat would add its transit time to the same time.
             is_later = confirmed_at - cache.known_at > delays.ROUND_TRIP_SECONDS
             if is_later and (name == "weights" or has_changes):
                 cache.advance_known_at(confirmed_at)
@@ -176,7 +176,7 @@
         """Merges the time for which a peer waits for removed servers."""
         lapse_ends = clocks.now() + lapse_ms / 1000
         known = max(self.peer_lapse_ends, self.updater.lapse_ends())
-        # Each message would add its way to the same time.
+        # Each message would add its transit time to the same time.
         if lapse_ends - known > delays.ROUND_TRIP_SECONDS:
             self.peer_lapse_ends = lapse_ends
 
--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -147,7 +147,7 @@
         """
         most, when = self.counted
         counted_at = now - age / 1000
-        # Each heartbeat would add its way to the time of the same count.
+        # Each heartbeat would add its transit time to that of the same count.
         is_later = counted_at - when > delays.ROUND_TRIP_SECONDS
         if (
             now - when > COUNT_SECONDS
--- a/pimentoledge/routing/wanted_weights.py
+++ b/pimentoledge/routing/wanted_weights.py
@@ -69,7 +69,7 @@
         earlier, later = sorted((self, other), key=lambda each: each.since)
         if self.source is not Source.NOT_BEFORE:
             return earlier
-        # Each heartbeat would add its way to the later of two equal bounds.
+        # Each heartbeat would add its transit time to the later of two bounds.
         differ = later.since - earlier.since > delays.ROUND_TRIP_SECONDS
         return later if differ else earlier
 
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -319,7 +319,7 @@
 @with_world(routers=2, plain=1, runners=1)
 async def test_heartbeats_to_and_fro_do_not_renew_a_copy(world):
     """Guards against a dead watch that heartbeats keep hidden."""
-    way = 0.2
+    transit = 0.2
     await _all_wait(world)
     known_at = clocks.now() + 60.0
     for each in world.routers:
@@ -328,7 +328,7 @@
     for _ in range(20):
         for sender, receiver in (world.routers, reversed(world.routers)):
             heartbeat = sender.peers._own_heartbeat(now)
-            now += way
+            now += transit
             receiver.peers.replicator.merge_known(heartbeat, now)
     for each in world.routers:
         assert each.kinds["servers"].cache.known_at < known_at + 0.5
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -154,14 +154,14 @@
 
     def test_a_count_that_routers_tell_each_other_expires(self):
         """Guards against a budget divided by routers that are long gone."""
-        way = 0.2
+        transit = 0.2
         pair = [self.roster(), self.roster()]
         pair[0].merge_count(300, 0, 100.0)
         now = 100.0
         while now < 100.0 + 2 * rosters.COUNT_SECONDS:
             for sender, receiver in (pair, reversed(pair)):
                 told = sender.count_report(now)
-                receiver.merge_count(*told, now + way)
+                receiver.merge_count(*told, now + transit)
             now += 0.5
         assert max(each.count(now) for each in pair) < 300
 
--- a/pimentoledge/tests/test_router_server_limits.py
+++ b/pimentoledge/tests/test_router_server_limits.py
@@ -221,14 +221,14 @@
 
     def test_echoes_do_not_outlive_a_newer_limit(self):
         """Guards against a former limit that each echo makes newer."""
-        way = 0.2
-        first, second = self.limits(), self.limits(received_at=10.0 + way)
+        transit = 0.2
+        first, second = self.limits(), self.limits(received_at=10.0 + transit)
         for _ in range(10):
             for sender, receiver in ((first, second), (second, first)):
                 told = sender.advertised["s"]
                 receiver.merge(
                     "s",
-                    attrs.evolve(told, received_at=told.received_at + way),
+                    attrs.evolve(told, received_at=told.received_at + transit),
                 )
         newer = server_limits.AdvertisedLimit(per_second=5.0, received_at=11.0)
         assert first.merge("s", newer)
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -899,7 +899,7 @@
     """Evidence of a naming that arrives when the version is known already."""
 
     def applied(self, *, change_age):
-        """Returns when version 2 counts as named, and what a peer told before.
+        """Returns when version 2 counts as named, and what a peer reported.
 
         Args:
             change_age: greatest possible age of the change that the store
@@ -941,7 +941,7 @@
         self,
     ):
         """Guards against a lower bound that each heartbeat makes later."""
-        way = 0.2
+        transit = 0.2
         routers = [
             wanted_weights.WantedWeights(
                 wanted_weights.NamedVersion(
@@ -955,10 +955,10 @@
         first, second = routers
         for _ in range(100):
             for sender, receiver in ((first, second), (second, first)):
-                told = attrs.evolve(
-                    sender.newest, since=sender.newest.since + way
+                report = attrs.evolve(
+                    sender.newest, since=sender.newest.since + transit
                 )
-                receiver.add(told)
+                receiver.add(report)
         assert max(each.since for each in routers) < 100.5
 
     def test_a_slow_answer_does_not_prolong_the_use_of_older_weights(self):
