--- a/pimentoledge/routing/unanswered_calls.py
+++ b/pimentoledge/routing/unanswered_calls.py
@@ -9,8 +9,10 @@
 
 from pimentoledge.routing import clocks
 
-# A call without an answer for this time is overdue. Responses take 4 ms, or
-# about 360 ms from a slow store.
+# A call without a response for this time is overdue, and is sent again on a new
+# connection. Responses take 4 ms, or about 360 ms from a slow store. A call
+# sent during an outage is never answered, so routers that started in one would
+# otherwise wait for the timeout of the first call, 2.5 s.
 OVERDUE_SECONDS = 0.5
 # Number of calls without an answer that are remembered.
 MAX_LOST = 64
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import registrations
+from pimentoledge.routing import unanswered_calls
 
 logger = logbook.Logger("watchers")
 
@@ -22,11 +23,6 @@
 # of it either way: without it, routers that start together would be rejected
 # together each time.
 RETRY_SECONDS = 0.5
-# After this time without a response a listing or a poll is sent again on a new
-# connection. Responses take 4 ms, or about 360 ms from a slow store. A call
-# sent during an outage is never answered, so routers that started in one would
-# otherwise wait for the timeout of the first call, 2.5 s.
-OVERDUE_SECONDS = 0.5
 # Interval at which a router checks that peers still watch for it.
 FOLLOW_SECONDS = 0.1
 # Ages of a copy at which a router polls the store, as shares of the allowed
@@ -312,7 +308,7 @@
             self.polls_in_outage and self.poll_rank() < len(POLL_SHARES) - 1
         )
         if retries or not self._poll_repeats:
-            await asyncio.sleep(OVERDUE_SECONDS)
+            await asyncio.sleep(unanswered_calls.OVERDUE_SECONDS)
         else:
             await self.answers.next()
         self._poll_repeats += 1
@@ -335,7 +331,7 @@
     async def _list_overdue(self) -> None:
         """Waits until the listing should be requested again."""
         if self.polls_in_outage:
-            await asyncio.sleep(OVERDUE_SECONDS)
+            await asyncio.sleep(unanswered_calls.OVERDUE_SECONDS)
         else:
             await self.answers.next()
 
