--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -337,6 +337,7 @@
                     server=backend.registration.incarnation,
                     outcome=broken.outcome,
                     reason=broken.reason,
+                    content=self.content,
                     chosen=self._chosen,
                 )
             if not self._may_retry():
@@ -624,13 +625,26 @@
         """
         if status >= 500 and status != GATEWAY_TIMEOUT:
             backend.note_request_failure(clocks.now())
-            self.view.suspects.clear(self.content)
+            self._clear_suspicion(status)
         else:
-            self._record_success(backend)
+            self._record_success(backend, status)
 
-    def _record_success(self, backend: backends.Backend) -> None:
+    def _record_success(self, backend: backends.Backend, status: int) -> None:
         """Counts a success for the server and for the request's content."""
         backend.note_success()
+        self._clear_suspicion(status)
+
+    def _clear_suspicion(self, status: int) -> None:
+        """Clears the request's content of suspicion."""
+        crashes = self.view.suspects.contents.get(self.content)
+        if crashes is None:
+            return
+        self._log(
+            "suspicion_cleared",
+            content=self.content,
+            status=status,
+            crashes=len(crashes.crashed),
+        )
         self.view.suspects.clear(self.content)
 
     def _record_refusal(
@@ -673,7 +687,7 @@
             await self.answer.client.drained()
         if splitter.rest:
             raise _broken_error("ended within an event")
-        self._record_success(attempt.backend)
+        self._record_success(attempt.backend, answer.status)
         attempt.release(answer)
         self.answer.end_stream(answer)
         self._log_stream(attempt.backend)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -306,10 +306,22 @@
 
     def server_died(self, incarnation: str) -> None:
         """Reports the requests of a crashed server to the other routers."""
-        for content in self.view.suspects.record_death(
-            incarnation, clocks.now()
-        ):
-            self.lines.write("crashed", content=content, server=incarnation)
+        now = clocks.now()
+        breaks = self.view.suspects.breaks.get(incarnation, ())
+        if breaks:
+            self.lines.write(
+                "server_died",
+                server=incarnation,
+                breaks=len(breaks),
+                oldest_s=round(now - breaks[0].when, 2),
+            )
+        for content in self.view.suspects.record_death(incarnation, now):
+            self.lines.write(
+                "crashed",
+                content=content,
+                server=incarnation,
+                quarantined=self.view.suspects.is_quarantined(content, now),
+            )
             self._send_all(
                 self.roster.partners,
                 peer_messages.CrashReport(
@@ -318,9 +330,19 @@
             )
 
     def _handle_crash_report(self, crash: peer_messages.CrashReport) -> None:
+        now = clocks.now()
         is_new = self.view.suspects.record_crash(
-            crash.content, crash.incarnation, clocks.now()
+            crash.content, crash.incarnation, now
         )
+        if is_new:
+            self.lines.write(
+                "crash_reported",
+                content=crash.content,
+                server=crash.incarnation,
+                quarantined=self.view.suspects.is_quarantined(
+                    crash.content, now
+                ),
+            )
         if is_new and not self.roster.reaches_all():
             self._send_all(self.roster.partners, crash)
 
