--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -107,6 +107,11 @@
         self.http = None
         self.thread = None
 
+    def is_listening(self) -> bool:
+        """Returns whether connections are accepted."""
+        http = self.http
+        return http is not None and http.socket is not None
+
 
 def read_body(request: cheroot.server.HTTPRequest) -> bytes:
     """Returns the complete body of a request."""
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -14,6 +14,7 @@
 SIGNATURE = b"stand.in"
 # Interval at which a queued request's connection is checked.
 QUEUE_POLL_SECONDS = 0.02
+POLL_SECONDS = 0.001
 
 
 @attrs.define(kw_only=True)
@@ -75,6 +76,8 @@
         retry_after: backoff requested by its refusals, in seconds, or "".
         limit: limit in requests a second that its responses state, or "".
         on_loaded: called after weights were loaded.
+        crashes_on: body of requests that crash it, or b"".
+        crashes: requests that have crashed it, in order.
     """
 
     def __init__(
@@ -112,6 +115,9 @@
         self.retry_after = ""
         self.limit = ""
         self.on_loaded = lambda: None
+        self.crashes_on = b""
+        self.crashes: list[ReceivedRequest] = []
+        self._crash_thread: threading.Thread | None = None
         self._lock = threading.Lock()
         self._server = fake_http.HttpServer(
             handle=self.handle, host="127.0.0.1", port=0, threads=THREADS
@@ -128,6 +134,9 @@
 
     def close(self) -> None:
         """Stops listening."""
+        if self._crash_thread is not None:
+            self._crash_thread.join()
+            self._crash_thread = None
         self._server.close()
 
     def entry(self, *, leaving: bool = False) -> dict:
@@ -213,7 +222,25 @@
             time.sleep(QUEUE_POLL_SECONDS)
         return True
 
+    def _crash(self, request, call: ReceivedRequest) -> None:
+        """Ends the server while it runs a request."""
+        with self._lock:
+            self.crashes.append(call)
+            if self._crash_thread is None:
+                self._crash_thread = threading.Thread(target=self.end)
+                self._crash_thread.start()
+        while self._server.is_listening():
+            time.sleep(POLL_SECONDS)
+        fake_http.cut_connection(request)
+
+    def end(self) -> None:
+        """Closes all sockets, as the end of the process does."""
+        self._server.close()
+
     def _run_request(self, request, call: ReceivedRequest) -> None:
+        if self.crashes_on and call.body == self.crashes_on:
+            self._crash(request, call)
+            return
         if self._consume_fault("lose"):
             fake_http.cut_connection(request)
             return
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -24,6 +24,7 @@
 from pimentoledge.routing import hedged_calls
 from pimentoledge.routing import lease_holders
 from pimentoledge.routing import leases
+from pimentoledge.routing import liveness_checks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import object_merges
@@ -188,6 +189,9 @@
             lines=self.lines,
             on_weights=self.updater.infer_named_weights,
         )
+        self.liveness_checks = liveness_checks.LivenessChecks(
+            pool=self.pool, died=self._on_death, lines=self.lines
+        )
         self.cache_links = cache_monitors.CacheMonitor(
             view=self.view, lines=self.lines
         )
@@ -320,6 +324,7 @@
             lines=self.lines,
             active_exchanges=self.exchanges,
             died=self._on_death,
+            check_alive=self.liveness_checks.check,
             recheck=self.rechecks.recheck,
             prompt_changed=self.peers.load_reports.prompt_changed,
             limiter=self.peers.limiter,
@@ -410,6 +415,7 @@
             each.close()
         self.holder.close()
         self.rechecks.close()
+        self.liveness_checks.close()
         self.cache_links.close()
         for each in self.watchers:
             each.close()
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -61,7 +61,9 @@
         lines: writes the decision log.
         active_exchanges: all exchanges in progress; contains this one while it
             runs.
-        died: called with the incarnation of an unreachable server.
+        died: called with the incarnation of a server that has ended, or that
+            accepts no connections.
+        check_alive: called with a server of which a connection broke.
         recheck: called with a server whose state differs from the cached one.
         prompt_changed: called with the number of tokens of a prompt that was
             sent to or read by a server, and the time.
@@ -87,6 +89,7 @@
         lines: log_lines.Lines,
         active_exchanges: set["Exchange"],
         died: Callable[[str], None],
+        check_alive: Callable[[backends.Backend], None],
         recheck: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
         limiter: limiters.Limiter,
@@ -95,6 +98,7 @@
     ):
         self.decoded = decoded
         self.died = died
+        self.check_alive = check_alive
         self.recheck = recheck
         self.prompt_changed = prompt_changed
         self.limiter = limiter
@@ -200,6 +204,7 @@
         backend = self.view.servers.by_incarnation.get(pending)
         if backend is not None and not self.answer.head_sent:
             backend.note_request_failure(clocks.now())
+            self._record_break(backend)
 
     def _accept(
         self, client_request: request_types.ClientRequest
@@ -231,9 +236,7 @@
             self.view.mean_unshared(client_request.model).note(
                 memory_estimates.unshared_tokens(client_request)
             )
-        if self.view.suspects.is_quarantined(
-            self.content, client_request.arrived
-        ):
+        if self.view.suspects.is_quarantined(self.content, clocks.now()):
             return results.Code.CRASHES
         return None
 
@@ -365,9 +368,13 @@
         self.history.note_outcome(incarnation, outcome)
         if outcome is retry_rules.AttemptOutcome.BROKE:
             backend.note_request_failure(clocks.now())
-            self.view.suspects.record_break(
-                self.content, incarnation, clocks.now()
-            )
+            self._record_break(backend)
+
+    def _record_break(self, backend: backends.Backend) -> None:
+        """Records that a server gave no response, which may be a crash."""
+        incarnation = backend.registration.incarnation
+        self.view.suspects.record_break(self.content, incarnation, clocks.now())
+        self.check_alive(backend)
 
     def _consume_retry_budget(self, backend: backends.Backend) -> bool:
         """Counts a first send or a retry; returns whether it may be sent."""
@@ -568,11 +575,21 @@
             # Another incarnation, or another service's server, now uses the
             # address.
             backend.ended = True
+            if not backend.announced_leaving():
+                self.died(backend.registration.incarnation)
             self._log(
                 "server_over",
                 server=backend.registration.incarnation,
                 found=reported,
             )
+        elif answer.status != server_notices.MISDIRECTED:
+            self._record_life(backend, attempt.sent)
+
+    def _record_life(self, backend: backends.Backend, sent_at: float) -> None:
+        """Records that a server has answered a request."""
+        incarnation = backend.registration.incarnation
+        for content in self.view.suspects.record_life(incarnation, sent_at):
+            self._log("crash_refuted", content=content, server=incarnation)
 
     def _handle_response(
         self,
@@ -643,7 +660,7 @@
             "suspicion_cleared",
             content=self.content,
             status=status,
-            crashes=len(crashes.crashed),
+            crashes=len(crashes.counted()),
         )
         self.view.suspects.clear(self.content)
 
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -41,6 +41,8 @@
 # With 300 routers each then knows the others' ages to within some 15 s, at a
 # cost of 4 KB/s.
 AGES_SECONDS = 2.0
+# Interval between checks for crashes that are too old to count.
+EXPIRY_SECONDS = 1.0
 CODEC = codecs.Codec(numbers=peer_messages.NUMBERS)
 
 
@@ -129,6 +131,7 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_heartbeat = 0.0
         self._next_ages = 0.0
+        self._next_expiry = 0.0
         self._heartbeat_scheduled = False
         self._mailbox = mailboxes.Mailbox(
             address=f"tcp://{listen}", deliver=self._deliver, codec=CODEC
@@ -168,6 +171,9 @@
             self.send_heartbeat(now)
         if now >= self._next_ages:
             self._send_ages(now)
+        if now >= self._next_expiry:
+            self._next_expiry = now + EXPIRY_SECONDS
+            self.view.suspects.expire(now)
         self.load_reports.tick(now)
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -236,6 +236,14 @@
             connection.abort()
         return await self._open(address, connect_seconds)
 
+    async def open(self, address: str) -> ServerConnection:
+        """Opens a connection to an address.
+
+        Raises:
+            CannotConnectError: no connection could be opened.
+        """
+        return await self._open(address, CONNECT_SECONDS)
+
     async def _open(self, address: str, seconds: float) -> ServerConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -0,0 +1,96 @@
+"""Requests that crash servers, before real routers."""
+
+import asyncio
+
+from pimentoledge.routing import clocks
+from pimentoledge.routing import server_connections
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+BODY = b"crashes"
+CRASHED = 502
+QUARANTINED = 503
+
+
+def _crashed(world):
+    """Returns the incarnations of the servers that have crashed."""
+    return [each.incarnation for each in world.servers.values() if each.crashes]
+
+
+def _crash_on_request(world):
+    for each in world.servers.values():
+        each.crashes_on = BODY
+
+
+async def _send(world, number=0, path="/cards/"):
+    """Sends a request that crashes servers; returns the response."""
+    answer = await world.request(path, number=number, body=BODY)
+    await asyncio.sleep(0.1)
+    return answer
+
+
+def _forget_to_check(router):
+    """Makes a router open no connection after one broke."""
+    router.liveness_checks.check = lambda backend: None
+
+
+@with_world(plain=6, runners=0)
+async def test_a_crash_counts_without_another_request_to_the_server(world):
+    """Guards against crashes that count only if somebody sends there again."""
+    _crash_on_request(world)
+    statuses = [(await _send(world)).status for _ in range(4)]
+    assert statuses == [CRASHED] * 2 + [QUARANTINED] * 2
+    assert len(_crashed(world)) == 2
+
+
+@with_world(plain=6, runners=0)
+async def test_an_entry_that_lapses_later_proves_a_crash(world):
+    """Guards against crashes whose server is found dead after some seconds."""
+    [router] = world.routers
+    _forget_to_check(router)
+    _crash_on_request(world)
+    for _ in range(2):
+        assert (await _send(world)).status == CRASHED
+    await asyncio.sleep(3.6)
+    for each in _crashed(world):
+        world.store.remove("servers", each)
+    await world.until(
+        lambda: len(router.view.servers.by_incarnation)
+        == len(world.servers) - 2
+    )
+    assert (await _send(world)).status == QUARANTINED
+
+
+@with_world(plain=2, runners=0)
+async def test_lost_responses_of_live_servers_quarantine_nothing(world):
+    """Guards against the refusal of harmless content."""
+    for _ in range(4):
+        for each in world.servers.values():
+            each.lose = 1
+        assert (await _send(world)).status == CRASHED
+    for each in world.servers.values():
+        each.lose = 0
+    assert (await _send(world)).status == 200
+
+
+@with_world(plain=2, runners=0)
+async def test_a_server_that_answers_has_not_crashed(world):
+    """Guards against harmless content that is refused after a cut."""
+    [router] = world.routers
+    open_connection = router.pool.open
+
+    async def refuse(address):
+        raise server_connections.CannotConnectError(address)
+
+    router.pool.open = refuse
+    for each in world.servers.values():
+        each.lose = 1
+    for _ in range(2):
+        assert (await _send(world)).status == CRASHED
+    assert (await _send(world)).status == QUARANTINED
+    router.pool.open = open_connection
+    for each in router.view.servers.by_incarnation.values():
+        each.avoid_until = 0.0
+    for number in range(20):
+        await world.request("/cards/", body=b"other %d" % number)
+    assert (await _send(world)).status == 200
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -448,7 +448,25 @@
             assert known.record_death(name, when + 0.5) == ["c"]
         assert known.is_quarantined("c", 3.0)
         assert not known.is_quarantined("d", 3.0)
-        assert not known.is_quarantined("c", 3.0 + suspects.MEMORY_SECONDS)
+        assert not known.is_quarantined("c", 3.0 + suspects.QUARANTINE_SECONDS)
+
+    def test_each_further_crash_lengthens_the_quarantine(self):
+        """Guards against content that crashes two servers each minute."""
+        known = suspects.Suspects()
+        for name in ("i", "j", "k"):
+            known.record_crash("c", name, 1.0)
+        until = known.quarantined_until("c")
+        assert until == 1.0 + 10 * suspects.QUARANTINE_SECONDS
+        known.expire(until + suspects.QUARANTINE_SECONDS)
+        known.record_crash("c", "l", until + suspects.QUARANTINE_SECONDS)
+        later = until + 90 * suspects.QUARANTINE_SECONDS
+        assert known.is_quarantined("c", later)
+
+    def test_crashes_are_forgotten(self):
+        known = suspects.Suspects()
+        known.record_crash("c", "i", 1.0)
+        assert not known.expire(1.0 + suspects.MEMORY_SECONDS)
+        assert known.expire(1.1 + suspects.MEMORY_SECONDS) == ["c"]
 
     def test_broken_connections_to_a_live_server_do_not_quarantine(self):
         """Guards against refusing harmless requests after lost responses."""
@@ -456,7 +474,23 @@
         for number in range(9):
             known.record_break("c", f"i{number}", 1.0)
         assert not known.is_quarantined("c", 2.0)
-        assert not known.record_death("i1", 1.0 + suspects.DEATH_SECONDS + 0.1)
+        known.record_life("i1", 1.1)
+        assert not known.record_death("i1", 1.2)
+        assert not known.record_death("i2", 1.0 + suspects.BREAK_SECONDS)
+
+    def test_a_break_after_the_known_death_counts(self):
+        known = suspects.Suspects()
+        assert not known.record_death("i", 1.0)
+        assert known.record_break("c", "i", 1.1) == ["c"]
+
+    def test_a_response_to_an_earlier_request_proves_no_life(self):
+        """Guards against a late response that refutes a real crash."""
+        known = suspects.Suspects()
+        known.record_break("c", "i", 2.0)
+        known.record_life("i", 1.9)
+        assert known.record_death("i", 2.1) == ["c"]
+        assert not known.record_life("i", 2.1)
+        assert known.record_life("i", 2.2) == ["c"]
 
     def test_a_complete_response_clears_the_suspicion(self):
         known = suspects.Suspects()
@@ -465,6 +499,26 @@
         known.record_crash("c", "j", 2.0)
         assert not known.is_quarantined("c", 3.0)
 
+    def test_a_late_report_of_a_released_crash_does_not_count(self):
+        """Guards against a clearance that the next report takes back."""
+        known = suspects.Suspects()
+        for name in ("i", "j"):
+            known.record_crash("c", name, 1.0)
+        known.clear("c")
+        for name in ("i", "j"):
+            assert not known.record_crash("c", name, 1.0)
+        assert not known.is_quarantined("c", 2.0)
+
+    def test_a_lost_data_centre_displaces_no_quarantined_content(self):
+        """Guards against a memory that harmless content fills."""
+        known = suspects.Suspects()
+        for name in ("i", "j"):
+            known.record_crash("c", name, 1.0)
+        for number in range(2 * suspects.MAX_CONTENTS):
+            known.record_crash(f"d{number}", f"k{number % 40}", 2.0)
+        assert len(known.contents) == suspects.MAX_CONTENTS
+        assert known.is_quarantined("c", 3.0)
+
 
 class TestObjectCaches:
     """Cached copies of the store's objects."""
