--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -197,6 +197,8 @@
         except TimeoutError:
             self._note_timeout()
             self._give_up(retry_rules.timeout_code(self.history))
+        except suspects.QuarantinedError:
+            self._give_up(retry_rules.quarantine_code(self.history))
 
     def _note_timeout(self) -> None:
         """Counts a deadline that passed without a response as a failure."""
@@ -376,6 +378,15 @@
         self.view.suspects.record_break(self.content, incarnation, clocks.now())
         self.check_alive(backend)
 
+    def _check_quarantine(self) -> None:
+        """Raises QuarantinedError if the content must not be sent any more.
+
+        It may have crashed servers while it waited here, or by its own
+        attempts.
+        """
+        if self.view.suspects.is_quarantined(self.content, clocks.now()):
+            raise suspects.QuarantinedError(self.content)
+
     def _consume_retry_budget(self, backend: backends.Backend) -> bool:
         """Counts a first send or a retry; returns whether it may be sent."""
         service = backend.registration.service
@@ -402,6 +413,7 @@
             until: end of the wait, in seconds of clocks.now.
         """
         while True:
+            self._check_quarantine()
             now = clocks.now()
             choice = selections.select(
                 view=self.view,
@@ -447,6 +459,11 @@
             raise attempts.BrokenError(
                 retry_rules.AttemptOutcome.UNSENT, str(error)
             ) from error
+        try:
+            self._check_quarantine()
+        except suspects.QuarantinedError:
+            connection.abort()
+            raise
         unavailable_reason = self._unavailable_reason(backend, permit)
         if unavailable_reason is not None:
             # Nothing has been sent yet.
@@ -786,6 +803,8 @@
 
     def _retry_seconds(self, code: results.Code, now: float) -> float | None:
         """Returns the seconds until the client may retry, or None."""
+        if code is results.Code.CRASHES:
+            return self.view.suspects.quarantined_until(self.content) - now
         if code in NO_CAPACITY_CODES:
             back_at = backoffs.back_at(self.view, self.route, now)
             if back_at is not None:
--- a/pimentoledge/routing/retry_rules.py
+++ b/pimentoledge/routing/retry_rules.py
@@ -107,6 +107,13 @@
     return results.Code.OVERLOADED if history.sends else results.Code.NO_SERVER
 
 
+def quarantine_code(history: AttemptHistory) -> results.Code:
+    """Returns the code of a request whose content was quarantined meanwhile."""
+    if history.ran_on:
+        return results.Code.SERVICE_FAILED
+    return results.Code.CRASHES
+
+
 def timeout_code(history: AttemptHistory) -> results.Code:
     """Returns the code of a request whose deadline has passed.
 
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -61,6 +61,48 @@
     assert (await _send(world)).status == QUARANTINED
 
 
+@with_world(plain=2, runners=0)
+async def test_a_request_that_waits_is_not_sent_once_quarantined(world):
+    """Guards against a check of the content on arrival only."""
+    [router] = world.routers
+    for each in router.view.servers.by_incarnation.values():
+        each.avoid_until = clocks.now() + 0.05
+    waiting = asyncio.ensure_future(_send(world))
+    await world.until(lambda: router.exchanges)
+    [exchange] = router.exchanges
+    for server in ("a", "b"):
+        router.view.suspects.record_crash(
+            exchange.content, server, clocks.now()
+        )
+    answer = await waiting
+    assert answer.status == QUARANTINED
+    assert float(answer.headers["retry-after"]) > 50
+    assert not world.executed_requests("plain")
+
+
+@with_world(plain=2, runners=0)
+async def test_a_request_is_not_sent_if_quarantined_while_connecting(world):
+    """Guards against a last server that gets content of two crashes."""
+    [router] = world.routers
+    request = await world.request_while_connecting("p0", "p1", body=BODY)
+    [exchange] = router.exchanges
+    for server in ("a", "b"):
+        router.view.suspects.record_crash(
+            exchange.content, server, clocks.now()
+        )
+    assert (await request).status == QUARANTINED
+    assert not world.executed_requests("plain")
+
+
+@with_world(plain=6, runners=0)
+async def test_a_request_that_ran_is_not_refused_as_not_run(world):
+    """Guards against a false "not run" after an attempt that crashed."""
+    _crash_on_request(world)
+    statuses = [(await _send(world, path="/notices/")).status for _ in range(2)]
+    assert statuses == [CRASHED, QUARANTINED]
+    assert len(_crashed(world)) == 2
+
+
 @with_world(plain=2, runners=0)
 async def test_lost_responses_of_live_servers_quarantine_nothing(world):
     """Guards against the refusal of harmless content."""
