--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -659,27 +659,19 @@
         """
         if status >= 500 and status != GATEWAY_TIMEOUT:
             backend.note_request_failure(clocks.now())
-            self._clear_suspicion(status)
         else:
-            self._record_success(backend, status)
+            backend.note_success()
+        if status < 300:
+            self._clear_suspicion()
 
-    def _record_success(self, backend: backends.Backend, status: int) -> None:
-        """Counts a success for the server and for the request's content."""
-        backend.note_success()
-        self._clear_suspicion(status)
+    def _clear_suspicion(self) -> None:
+        """Clears the request's content, since a server has completed it.
 
-    def _clear_suspicion(self, status: int) -> None:
-        """Clears the request's content of suspicion."""
-        crashes = self.view.suspects.contents.get(self.content)
-        if crashes is None:
-            return
-        self._log(
-            "suspicion_cleared",
-            content=self.content,
-            status=status,
-            crashes=len(crashes.counted()),
-        )
-        self.view.suspects.clear(self.content)
+        Other complete responses prove nothing: a faulty server may fail any
+        request without running it.
+        """
+        if self.view.suspects.clear(self.content):
+            self._log("suspicion_cleared", content=self.content)
 
     def _record_refusal(
         self,
@@ -721,7 +713,8 @@
             await self.answer.client.drained()
         if splitter.rest:
             raise _broken_error("ended within an event")
-        self._record_success(attempt.backend, answer.status)
+        attempt.backend.note_success()
+        self._clear_suspicion()
         attempt.release(answer)
         self.answer.end_stream(answer)
         self._log_stream(attempt.backend)
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -103,6 +103,19 @@
     assert len(_crashed(world)) == 2
 
 
+@with_world(plain=6, runners=0)
+async def test_a_failure_response_clears_no_content(world):
+    """Guards against a 500 of a faulty server that counts as completion."""
+    _crash_on_request(world)
+    assert (await _send(world)).status == CRASHED
+    for each in world.servers.values():
+        each.crashes_on, each.fail = b"", 1
+    assert (await _send(world)).status == 500
+    _crash_on_request(world)
+    statuses = [(await _send(world)).status for _ in range(2)]
+    assert statuses == [CRASHED, QUARANTINED]
+
+
 @with_world(plain=2, runners=0)
 async def test_lost_responses_of_live_servers_quarantine_nothing(world):
     """Guards against the refusal of harmless content."""
