--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -375,7 +375,10 @@
     def _record_break(self, backend: backends.Backend) -> None:
         """Records that a server gave no response, which may be a crash."""
         incarnation = backend.registration.incarnation
-        self.view.suspects.record_break(self.content, incarnation, clocks.now())
+        for content in self.view.suspects.record_break(
+            self.content, incarnation, clocks.now()
+        ):
+            self._log("crashed", content=content, server=incarnation)
         self.check_alive(backend)
 
     def _check_quarantine(self) -> None:
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -40,6 +40,8 @@
         named_known: by model, announced versions of the weights, each with the
             ms since some router is known to have had it. Absent from older
             builds.
+        records: the sender's log of records and the number of the newest one
+            there that it has sent; zeros from older builds.
         clock: when the sender started and when the message was sent, in ms of
             the sender's clock; zeros from older builds.
         unheard: mailboxes of routers to which the sender sends heartbeats but
@@ -65,6 +67,7 @@
     eras: dict[str, int] = attrs.field(factory=dict)
     lease_era: int = 0
     named_known: dict[str, list[tuple[int, int]]] = attrs.field(factory=dict)
+    records: tuple[int, int] = (0, 0)
 
     def known_position(self, kind: str) -> tuple[int, int]:
         """Returns era and revision of the newest known change, or (-1, 0)."""
@@ -156,6 +159,8 @@
 class CrashReport:
     """Reports a request that was running on a server that crashed.
 
+    Sent by former builds only; see CrashRecord.
+
     Attributes:
         content: fingerprint of the request.
         incarnation: the server that crashed.
@@ -235,6 +240,55 @@
     means: dict[str, tuple[float, float, int, int]]
 
 
+@attrs.define(kw_only=True)
+class CrashRecord:
+    """A server that died while it ran some content.
+
+    Attributes:
+        content: fingerprint of the content.
+        incarnation: the server.
+        age: ms since it died.
+        released: whether this doesn't count any more.
+    """
+
+    content: str
+    incarnation: str
+    age: int
+    released: bool = False
+
+
+@attrs.define(kw_only=True)
+class Records:
+    """Some records of the sender's log, as of sending.
+
+    Attributes:
+        life: the log.
+        after: number after which they begin.
+        upto: number up to which they are complete.
+        clock: as in a heartbeat.
+        crashes: servers that died, and what they ran.
+    """
+
+    life: int
+    after: int
+    upto: int
+    clock: tuple[int, int]
+    crashes: list[CrashRecord] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class RecordsRequest:
+    """Requests the records of the receiver's log after a number.
+
+    Attributes:
+        life: the log.
+        after: the number.
+    """
+
+    life: int
+    after: int
+
+
 NUMBERS: dict[int, type] = {
     1: Heartbeat,
     2: ListingRequest,
@@ -251,4 +305,6 @@
     13: quota_messages.Acquired,
     14: quota_messages.GiveBack,
     15: LimitReport,
+    16: Records,
+    17: RecordsRequest,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -12,6 +12,7 @@
 from pimentoledge.platform import stores
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
+from pimentoledge.routing import crash_reports
 from pimentoledge.routing import delays
 from pimentoledge.routing import fleet_sizes
 from pimentoledge.routing import holder_heartbeats
@@ -20,6 +21,7 @@
 from pimentoledge.routing import load_reports
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
+from pimentoledge.routing import record_logs
 from pimentoledge.routing import registrations
 from pimentoledge.routing import replicators
 from pimentoledge.routing import rosters
@@ -59,6 +61,8 @@
         replicator: synchronises the copies of stored objects with peers.
         load_reports: exchange the routers' load at servers.
         limit_reports: exchange the limits that servers advertise.
+        crash_reports: exchange which content crashed servers.
+        records: replicate the records that every router must have.
         fleet_size: number of routers.
         limiter: enforces organisations' limits across all routers.
         arrived: returns the earliest time at which data that is read at a
@@ -111,6 +115,18 @@
             notices=notices,
             send_all=self._send_all,
         )
+        self.crash_reports = crash_reports.CrashReports(
+            suspects=view.suspects,
+            lines=lines,
+            changed=self._note_record,
+            forgotten=self._discard_record,
+        )
+        self.records = record_logs.RecordExchange(
+            kinds=[self.crash_reports.kind()],
+            send=self._send_all,
+            partners=lambda: self.roster.partners,
+            clock=view.clock,
+        )
         self.fleet_size = fleet_sizes.FleetSize(
             roster=self.roster,
             store=store,
@@ -133,6 +149,7 @@
         self._next_ages = 0.0
         self._next_expiry = 0.0
         self._heartbeat_scheduled = False
+        self._records_scheduled = False
         self._mailbox = mailboxes.Mailbox(
             address=f"tcp://{listen}", deliver=self._deliver, codec=CODEC
         )
@@ -174,6 +191,7 @@
         if now >= self._next_expiry:
             self._next_expiry = now + EXPIRY_SECONDS
             self.view.suspects.expire(now)
+            self.records.forget(set(self.roster.known))
         self.load_reports.tick(now)
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
@@ -256,6 +274,7 @@
             },
             clock=self.view.clock(now),
             unheard=self.roster.silent_partners(now),
+            records=self.records.position(),
         )
 
     def _send_all(self, addresses: list[str], message: object) -> None:
@@ -281,7 +300,15 @@
             case events.FromNode(message=peer_messages.FullListing() as full):
                 self.replicator.receive_listing(event.sender, full)
             case events.FromNode(message=peer_messages.CrashReport() as crash):
-                self._handle_crash_report(crash)
+                self.crash_reports.receive_former(
+                    event.sender, crash, clocks.now()
+                )
+            case events.FromNode(message=peer_messages.Records() as records):
+                self._receive_records(event.sender, records)
+            case events.FromNode(
+                message=peer_messages.RecordsRequest() as wanted
+            ):
+                self.records.receive_request(event.sender, wanted, clocks.now())
             case events.FromNode(
                 message=peer_messages.HeartbeatAges(ages=ages)
             ):
@@ -311,46 +338,30 @@
                 self.limiter.unreachable(address, clocks.now())
 
     def server_died(self, incarnation: str) -> None:
-        """Reports the requests of a crashed server to the other routers."""
-        now = clocks.now()
-        breaks = self.view.suspects.breaks.get(incarnation, ())
-        if breaks:
-            self.lines.write(
-                "server_died",
-                server=incarnation,
-                breaks=len(breaks),
-                oldest_s=round(now - breaks[0].when, 2),
-            )
-        for content in self.view.suspects.record_death(incarnation, now):
-            self.lines.write(
-                "crashed",
-                content=content,
-                server=incarnation,
-                quarantined=self.view.suspects.is_quarantined(content, now),
-            )
-            self._send_all(
-                self.roster.partners,
-                peer_messages.CrashReport(
-                    content=content, incarnation=incarnation
-                ),
-            )
+        """Records the end of a server, which what it ran may have caused."""
+        self.crash_reports.server_died(incarnation, clocks.now())
+
+    def _note_record(self, kind: str, key: object) -> None:
+        """Sends a new or changed record to the partners."""
+        self.records.log.note((kind, key))
+        if self._loop is not None and not self._records_scheduled:
+            self._records_scheduled = True
+            self._loop.call_soon(self._send_records)
+
+    def _discard_record(self, kind: str, key: object) -> None:
+        self.records.log.discard((kind, key))
+
+    def _send_records(self) -> None:
+        self._records_scheduled = False
+        self.records.send_new(clocks.now())
 
-    def _handle_crash_report(self, crash: peer_messages.CrashReport) -> None:
+    def _receive_records(
+        self, sender: str, records: peer_messages.Records
+    ) -> None:
         now = clocks.now()
-        is_new = self.view.suspects.record_crash(
-            crash.content, crash.incarnation, now
-        )
-        if is_new:
-            self.lines.write(
-                "crash_reported",
-                content=crash.content,
-                server=crash.incarnation,
-                quarantined=self.view.suspects.is_quarantined(
-                    crash.content, now
-                ),
-            )
-        if is_new and not self.roster.reaches_all():
-            self._send_all(self.roster.partners, crash)
+        sent_at = self._sent_at(sender, records.clock, now)
+        self.records.receive(sender, records, sent_at)
+        self.records.request_missing(sender, now)
 
     def _handle_heartbeat(
         self, event: events.FromNode, heartbeat: peer_messages.Heartbeat
@@ -380,6 +391,7 @@
             event.sender, heartbeat.clock, now, least=0.0
         )
         self.replicator.merge_known(heartbeat, min(sent, now - delay))
+        self.records.receive_position(event.sender, heartbeat.records, now)
         self._merge_lease(heartbeat, now)
         if self.replicator.is_behind(peer):
             later = self._loop.call_later
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -149,3 +149,88 @@
     for number in range(20):
         await world.request("/cards/", body=b"other %d" % number)
     assert (await _send(world)).status == 200
+
+
+def _quarantine(router, content="c"):
+    for server in ("a", "b"):
+        router.view.suspects.record_crash(content, server, clocks.now())
+
+
+def _all_quarantine(routers, content="c"):
+    return all(
+        each.view.suspects.is_quarantined(content, clocks.now())
+        for each in routers
+    )
+
+
+def _cut_off(router, *others):
+    """Loses all messages between a router and others; returns the end."""
+    ends = []
+    for one, two in [(router, each) for each in others]:
+        for sender, receiver in ((one, two), (two, one)):
+            ends.append(_lose_messages(sender, receiver))
+
+    def heal():
+        for each in ends:
+            each()
+
+    return heal
+
+
+def _lose_messages(sender, receiver):
+    mailbox, address = sender.peers._mailbox, receiver.peers.address
+    send_all = mailbox.send_all
+
+    def send_some(addresses, message, **more):
+        rest = [each for each in addresses if each != address]
+        send_all(rest, message, **more)
+
+    mailbox.send_all = send_some
+    return lambda: setattr(mailbox, "send_all", send_all)
+
+
+async def _join(world):
+    ports = [
+        int(each.chosen.text("peer-listen").rpartition(":")[2])
+        for each in world.routers
+    ]
+    return await world.add_router("late", router_world.free_port(), ports)
+
+
+@with_world(routers=3, plain=1, runners=0)
+async def test_a_router_that_joins_learns_what_is_quarantined(world):
+    """Guards against crashes that are told to the partners of then only."""
+    _quarantine(world.routers[0])
+    await world.until(lambda: _all_quarantine(world.routers))
+    joined = await _join(world)
+    await world.until(lambda: _all_quarantine([joined]), seconds=3)
+
+
+@with_world(routers=3, plain=1, runners=0)
+async def test_a_router_learns_after_a_cut_what_is_quarantined(world):
+    """Guards against crashes that are told once, whoever receives it."""
+    first, second, third = world.routers
+    heal = _cut_off(third, first, second)
+    _quarantine(first)
+    await world.until(lambda: _all_quarantine([first, second]))
+    await asyncio.sleep(1)
+    assert not _all_quarantine([third])
+    heal()
+    await world.until(lambda: _all_quarantine([third]), seconds=3)
+
+
+@with_world(routers=3, plain=1, runners=0)
+async def test_a_clearance_reaches_a_router_that_was_cut_off(world):
+    """Guards against harmless content that some routers go on refusing."""
+    first, second, third = world.routers
+    _quarantine(first)
+    await world.until(lambda: _all_quarantine(world.routers))
+    heal = _cut_off(third, first, second)
+    first.view.suspects.clear("c")
+    await asyncio.sleep(0.5)
+    heal()
+    await world.until(
+        lambda: not any(_all_quarantine([each]) for each in world.routers),
+        seconds=3,
+    )
+    assert not first.view.suspects.record_crash("c", "a", clocks.now())
--- a/pimentoledge/tests/test_router_peers.py
+++ b/pimentoledge/tests/test_router_peers.py
@@ -95,7 +95,7 @@
     )
 
 
-@with_world(routers=2)
+@with_world(routers=2, plain=4)
 async def test_content_that_crashed_servers_is_refused_by_all_routers(world):
     """A request that crashes servers may be repeated through other routers.
 
@@ -104,32 +104,19 @@
     """
     first, second = world.routers
     await world.until(lambda: _connected(first, second))
-    for incarnation in ("p0", "p1"):
-        server = world.servers[incarnation]
-        other = world.servers["p1" if incarnation == "p0" else "p0"]
-        other_entry = other.incarnation
-        world.write_registration(other, leaving=True)
-        await world.until(
-            lambda name=other_entry: first.view.servers.by_incarnation[
-                name
-            ].registration.leaving
-        )
-        server.lose = 1
-        assert (await world.request("/cards/", body=b"bad")).status == 502
-        first.view.servers.by_incarnation[incarnation].avoid_until = 0.0
-        first.peers.server_died(incarnation)
-        world.write_registration(other)
-        await world.until(
-            lambda name=other_entry: not first.view.servers.by_incarnation[
-                name
-            ].registration.leaving
-        )
-    await asyncio.sleep(0.2)
+    for server in world.servers.values():
+        server.crashes_on = b"bad"
+    for number in (0, 1):
+        got = await world.request("/cards/", number, body=b"bad")
+        assert got.status == 502
+        await asyncio.sleep(0.2)
     for number in (0, 1):
         got = await world.request("/cards/", number, body=b"bad")
         assert (number, got.status) == (number, 503)
         got = await world.request("/cards/", number, body=b"good")
         assert got.status == 200
+    crashed = [each for each in world.servers.values() if each.crashes]
+    assert len(crashed) == 2
 
 
 @with_world(routers=2)
