--- a/pimentoledge/platform/names.py
+++ b/pimentoledge/platform/names.py
@@ -81,6 +81,8 @@
 ORDER_PATH = "/-/order"
 REPORT_PATH = "/-/report"
 OBJECTS_PATH = "/-/objects/"
+# Query field of a read that may be some seconds old.
+ALLOW_STALE = "allowStale"
 
 # Kinds of objects in the store.
 CONFIGURATION_KIND = "config"
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -146,6 +146,8 @@
             self._send_changes(request, kind, query)
         elif method == "GET":
             self._send_listing(request, kind)
+        elif method == "DELETE":
+            self._apply_delete(request, kind, name, query)
         else:
             self._apply_write(request, method, kind, msgspec.json.decode(body))
 
@@ -243,6 +245,24 @@
             case _:
                 self._send_json(request, {}, status=503)
 
+    def _apply_delete(
+        self, request, kind: str, name: str, query: dict[str, str]
+    ) -> None:
+        path = f"{kind}/{urllib.parse.unquote(name)}"
+        if not self._exists(path):
+            self._send_json(request, {}, status=404)
+            return
+        written = self._write(path, None, int(query["rev"]))
+        match written.outcome:
+            case stores.Outcome.WRITTEN:
+                self._send_json(request, {})
+            case stores.Outcome.CONFLICT:
+                self._send_json(request, {}, status=409)
+            case stores.Outcome.LOST:
+                fake_http.cut_connection(request)
+            case _:
+                self._send_json(request, {}, status=503)
+
     def _encode_object(self, stored: stores.Object) -> dict:
         create_revision = self._create_revisions.setdefault(
             stored.path, stored.version
--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -91,18 +91,23 @@
         return _Answer(status=reply.status, body=reply.body, era=era)
 
     async def list(
-        self, kind: str
+        self, kind: str, *, allow_stale: bool = False
     ) -> registrations.Listing | registrations.Unavailable:
         """Returns all objects of a kind, as of the first page's revision.
 
         Pages of two eras are not one listing.
+
+        Args:
+            kind: the kind.
+            allow_stale: whether the listing may be some seconds old, which
+                costs a tenth.
         """
         listed: list[registrations.Stored] = []
         unreadable: list[str] = []
         revision = era = None
         after = ""
         while True:
-            reply = await self._read_page(kind, after)
+            reply = await self._read_page(kind, after, allow_stale)
             if isinstance(reply, registrations.Unavailable):
                 return reply
             if reply.status != 200 or not _is_page(reply.body, "items"):
@@ -129,7 +134,7 @@
             after = page[-1].name
 
     async def _read_page(
-        self, kind: str, after: str
+        self, kind: str, after: str, allow_stale: bool
     ) -> _Answer | registrations.Unavailable:
         """Reads a page of a listing; retries any page but the first.
 
@@ -137,9 +142,10 @@
         calls. A router that restarted the listing after each refusal would
         hardly ever get six successful responses in a row.
         """
-        target = kind
+        query = {names.ALLOW_STALE: "1"} if allow_stale else {}
         if after:
-            target += "?after=" + parse.quote(after, safe="")
+            query["after"] = after
+        target = f"{kind}?{parse.urlencode(query)}" if query else kind
         reply = await self._call("GET", target)
         attempts = 1
         while (
@@ -220,6 +226,23 @@
             return registrations.Conflict(found=None, era=reply.era)
         return _unexpected_response(reply)
 
+    async def delete(
+        self, kind: str, name: str, revision: int
+    ) -> (
+        registrations.Absent
+        | registrations.Conflict
+        | registrations.Unavailable
+    ):
+        """Deletes an object if its revision matches."""
+        reply = await self._call("DELETE", f"{kind}/{name}?rev={revision}")
+        if isinstance(reply, registrations.Unavailable):
+            return reply
+        if reply.status in (200, 204, 404):
+            return registrations.Absent(era=reply.era)
+        if reply.status == 409:
+            return registrations.Conflict(found=None, era=reply.era)
+        return _unexpected_response(reply)
+
 
 def _is_page(body: object, name: str) -> bool:
     """Returns whether a body is a page of a listing or of a watch."""
--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -6,6 +6,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import record_logs
+from pimentoledge.routing import stored_quarantines
 from pimentoledge.routing import suspects as suspects_module
 
 KIND = "crashes"
@@ -16,6 +17,7 @@
 
     Attributes:
         suspects: the content that is suspected.
+        stored: the store's record of quarantined content.
         lines: log of changes of what is known.
         changed: called with the kind and the key of a record that is new or
             has changed.
@@ -27,11 +29,15 @@
         self,
         *,
         suspects: suspects_module.Suspects,
+        stored: stored_quarantines.StoredQuarantines,
         lines: log_lines.Lines,
         changed: Callable[[str, object], None],
         forgotten: Callable[[str, object], None],
     ):
         self.suspects = suspects
+        self.stored = stored
+        # Contents whose crashes this router saw itself.
+        self._observed: set[str] = set()
         self.lines = lines
         self.changed = changed
         self.forgotten = forgotten
@@ -46,9 +52,13 @@
 
     def _note(self, content: str, incarnation: str) -> None:
         self.changed(KIND, (content, incarnation))
+        if content in self._observed:
+            self.stored.crashed(content, clocks.now())
 
     def _discard(self, content: str, incarnation: str) -> None:
         self.forgotten(KIND, (content, incarnation))
+        self._observed.discard(content)
+        self.stored.forgotten(content)
 
     def encode(
         self, keys: list[tuple[str, str]], now: float
@@ -126,9 +136,17 @@
                 oldest_s=round(now - breaks[0].when, 2),
             )
         for content in self.suspects.record_death(incarnation, now):
-            self._log_crash(content, incarnation, now)
+            self.observe(content, incarnation, now)
 
-    def _log_crash(self, content: str, incarnation: str, now: float) -> None:
+    def server_broke(self, content: str, incarnation: str, now: float) -> None:
+        """Records that a server gave no response to content."""
+        for each in self.suspects.record_break(content, incarnation, now):
+            self.observe(each, incarnation, now)
+
+    def observe(self, content: str, incarnation: str, now: float) -> None:
+        """Records that this router saw content crash a server."""
+        self._observed.add(content)
+        self.stored.crashed(content, now)
         self.lines.write(
             "crashed",
             content=content,
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -324,6 +324,7 @@
             lines=self.lines,
             active_exchanges=self.exchanges,
             died=self._on_death,
+            broke=self.peers.server_broke,
             check_alive=self.liveness_checks.check,
             recheck=self.rechecks.recheck,
             prompt_changed=self.peers.load_reports.prompt_changed,
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -63,6 +63,8 @@
             runs.
         died: called with the incarnation of a server that has ended, or that
             accepts no connections.
+        broke: called with the content and the incarnation of a server that
+            gave no response to it.
         check_alive: called with a server of which a connection broke.
         recheck: called with a server whose state differs from the cached one.
         prompt_changed: called with the number of tokens of a prompt that was
@@ -89,6 +91,7 @@
         lines: log_lines.Lines,
         active_exchanges: set["Exchange"],
         died: Callable[[str], None],
+        broke: Callable[[str, str], None],
         check_alive: Callable[[backends.Backend], None],
         recheck: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
@@ -98,6 +101,7 @@
     ):
         self.decoded = decoded
         self.died = died
+        self.broke = broke
         self.check_alive = check_alive
         self.recheck = recheck
         self.prompt_changed = prompt_changed
@@ -375,10 +379,7 @@
     def _record_break(self, backend: backends.Backend) -> None:
         """Records that a server gave no response, which may be a crash."""
         incarnation = backend.registration.incarnation
-        for content in self.view.suspects.record_break(
-            self.content, incarnation, clocks.now()
-        ):
-            self._log("crashed", content=content, server=incarnation)
+        self.broke(self.content, incarnation)
         self.check_alive(backend)
 
     def _check_quarantine(self) -> None:
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -26,6 +26,7 @@
 from pimentoledge.routing import replicators
 from pimentoledge.routing import rosters
 from pimentoledge.routing import server_notices
+from pimentoledge.routing import stored_quarantines
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
@@ -117,6 +118,12 @@
         )
         self.crash_reports = crash_reports.CrashReports(
             suspects=view.suspects,
+            stored=stored_quarantines.StoredQuarantines(
+                suspects=view.suspects,
+                store=store,
+                lines=lines,
+                started_at=view.started_at,
+            ),
             lines=lines,
             changed=self._note_record,
             forgotten=self._discard_record,
@@ -160,6 +167,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
         self.fleet_size.start()
+        self.crash_reports.stored.start()
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Adds addresses, as IP:PORT, for the discovery of routers."""
@@ -168,6 +176,7 @@
     def close(self) -> None:
         """Closes all connections."""
         self.fleet_size.close()
+        self.crash_reports.stored.close()
         self._mailbox.close()
 
     def _deliver(self, event: object) -> None:
@@ -341,6 +350,10 @@
         """Records the end of a server, which what it ran may have caused."""
         self.crash_reports.server_died(incarnation, clocks.now())
 
+    def server_broke(self, content: str, incarnation: str) -> None:
+        """Records that a server gave no response to content."""
+        self.crash_reports.server_broke(content, incarnation, clocks.now())
+
     def _note_record(self, kind: str, key: object) -> None:
         """Sends a new or changed record to the partners."""
         self.records.log.note((kind, key))
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -1,6 +1,9 @@
 """Requests that crash servers, before real routers."""
 
 import asyncio
+import time
+
+import msgspec
 
 from pimentoledge.routing import clocks
 from pimentoledge.routing import server_connections
@@ -234,3 +237,93 @@
         seconds=3,
     )
     assert not first.view.suspects.record_crash("c", "a", clocks.now())
+
+
+async def _restart_all(world):
+    """Starts new routers in the place of all, which end without notice."""
+    for router in world.routers:
+        router.close()
+    world.routers.clear()
+    port = router_world.free_port()
+    router = await world.add_router("after", port, [port])
+    await world.until(router.view.ready)
+    return router
+
+
+@with_world(plain=6, runners=0)
+async def test_quarantined_content_is_known_after_all_routers_restart(world):
+    """Guards against two more crashes after each restart of all routers."""
+    _crash_on_request(world)
+    for _ in range(2):
+        assert (await _send(world)).status == CRASHED
+    await world.until(lambda: "POST quarantines" in world.store.counts)
+    router = await _restart_all(world)
+    await world.until(lambda: router.view.suspects.contents)
+    await world.until(world.all_servers_known)
+    assert (await _send(world)).status == QUARANTINED
+
+
+@with_world(plain=6, runners=0)
+async def test_quarantined_content_is_stored_after_an_outage(world):
+    """Guards against content that is stored only if the store answers then."""
+    _crash_on_request(world)
+    world.store.refused = {"127.0.0.1"}
+    for _ in range(2):
+        assert (await _send(world)).status == CRASHED
+    await asyncio.sleep(0.5)
+    world.store.refused = set()
+    await world.until(
+        lambda: any(
+            each.startswith("quarantines/")
+            for each in world.store.objects.objects
+        )
+    )
+
+
+@with_world(routers=2, plain=6, runners=0)
+async def test_crashes_seen_by_two_routers_are_stored_once(world):
+    first, second = world.routers
+    _crash_on_request(world)
+    for number in (0, 1):
+        assert (await _send(world, number)).status == CRASHED
+    await world.until(
+        lambda: _stored(world) and not first.peers.crash_reports.stored.pending
+    )
+    await world.until(lambda: not second.peers.crash_reports.stored.pending)
+    [value] = _stored(world)
+    assert set(value["crashes"]) == set(_crashed(world))
+
+
+def _stored(world):
+    return [
+        msgspec.json.decode(each.value)
+        for path, each in world.store.objects.objects.items()
+        if path.startswith("quarantines/") and each.value is not None
+    ]
+
+
+@with_world(plain=6, runners=0)
+async def test_released_content_is_removed_from_the_store(world):
+    """Guards against harmless content that is refused after a restart."""
+    [router] = world.routers
+    _crash_on_request(world)
+    for _ in range(2):
+        assert (await _send(world)).status == CRASHED
+    await world.until(lambda: _stored(world))
+    [content] = router.view.suspects.contents
+    router.view.suspects.clear(content)
+    await world.until(lambda: not _stored(world))
+
+
+@with_world(plain=2, runners=0)
+async def test_expired_quarantines_are_not_read(world):
+    """Guards against content that each restart quarantines anew."""
+    old = {"crashes": {"a": 1000, "b": 2000}}
+    world.store.put("quarantines", "c", old)
+    recent = int(time.time() * 1000)
+    world.store.put("quarantines", "d", {"crashes": {"a": recent, "b": recent}})
+    world.store.put("quarantines", "e", ["unreadable"])
+    router = await _restart_all(world)
+    await world.until(lambda: router.view.suspects.contents)
+    assert list(router.view.suspects.contents) == ["d"]
+    await world.until(lambda: len(_stored(world)) == 2)
