--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -23,12 +23,20 @@
     Attributes:
         outcome: how the attempt ended.
         reason: text for the log.
+        silent: whether the server acknowledged nothing for too long.
     """
 
-    def __init__(self, outcome: retry_rules.AttemptOutcome, reason: str):
+    def __init__(
+        self,
+        outcome: retry_rules.AttemptOutcome,
+        reason: str,
+        *,
+        silent: bool = False,
+    ):
         super().__init__(reason)
         self.outcome = outcome
         self.reason = reason
+        self.silent = silent
 
 
 class Attempt:
@@ -125,11 +133,13 @@
                             retry_rules.AttemptOutcome.BROKE,
                             "response to another request",
                         )
-                case server_connections.ConnectionBroken(reason=reason):
+                case server_connections.ConnectionBroken() as broken:
                     outcome = retry_rules.AttemptOutcome.BROKE
                     if self.withdrawn:
                         outcome = retry_rules.AttemptOutcome.WITHDRAWN
-                    raise BrokenError(outcome, reason)
+                    raise BrokenError(
+                        outcome, broken.reason, silent=broken.silent
+                    )
 
     async def next_chunk(self) -> bytes | None:
         """Returns the next bytes of the body, or None at its regular end.
@@ -143,8 +153,12 @@
                     return data
                 case server_connections.ResponseEnded():
                     return None
-                case server_connections.ConnectionBroken(reason=reason):
-                    raise BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
+                case server_connections.ConnectionBroken() as broken:
+                    raise BrokenError(
+                        retry_rules.AttemptOutcome.BROKE,
+                        broken.reason,
+                        silent=broken.silent,
+                    )
 
     async def read_body(self) -> bytes:
         """Returns the complete body.
--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -73,6 +73,7 @@
                     incarnation=incarnation,
                     age=max(0, int((now - crash.when) * 1000)),
                     released=crash.released,
+                    silent=crash.silent,
                 )
             )
         return records
@@ -101,6 +102,7 @@
             record.incarnation,
             now - record.age / 1000,
             released=record.released,
+            silent=record.silent,
         )
         if is_new:
             self.lines.write(
@@ -127,20 +129,30 @@
 
     def server_died(self, incarnation: str, now: float) -> None:
         """Records the end of a server, which what it ran may have caused."""
-        breaks = self.suspects.breaks.get(incarnation, ())
-        if breaks:
+        breaks = self.suspects.breaks.get(incarnation)
+        if breaks is not None:
             self.lines.write(
                 "server_died",
                 server=incarnation,
-                breaks=len(breaks),
-                oldest_s=round(now - breaks[0].when, 2),
+                breaks=len(breaks.connections),
+                oldest_s=round(now - breaks.connections[0].when, 2),
             )
         for content in self.suspects.record_death(incarnation, now):
             self.observe(content, incarnation, now)
 
-    def server_broke(self, content: str, incarnation: str, now: float) -> None:
+    def server_broke(
+        self,
+        content: str,
+        incarnation: str,
+        *,
+        sent: float,
+        now: float,
+        silent: bool,
+    ) -> None:
         """Records that a server gave no response to content."""
-        for each in self.suspects.record_break(content, incarnation, now):
+        for each in self.suspects.record_break(
+            content, incarnation, sent=sent, now=now, silent=silent
+        ):
             self.observe(each, incarnation, now)
 
     def observe(self, content: str, incarnation: str, now: float) -> None:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -190,7 +190,12 @@
             on_weights=self.updater.infer_named_weights,
         )
         self.liveness_checks = liveness_checks.LivenessChecks(
-            pool=self.pool, died=self._on_death, lines=self.lines
+            pool=self.pool,
+            died=self._on_death,
+            accepted=lambda server: self.view.suspects.record_accepted(
+                server, clocks.now()
+            ),
+            lines=self.lines,
         )
         self.cache_links = cache_monitors.CacheMonitor(
             view=self.view, lines=self.lines
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -63,8 +63,9 @@
             runs.
         died: called with the incarnation of a server that has ended, or that
             accepts no connections.
-        broke: called with the content and the incarnation of a server that
-            gave no response to it.
+        broke: called with the content, the incarnation of a server that gave
+            no response to it, when it was sent, and whether the server was
+            silent rather than closed the connection.
         check_alive: called with a server of which a connection broke.
         recheck: called with a server whose state differs from the cached one.
         prompt_changed: called with the number of tokens of a prompt that was
@@ -91,7 +92,7 @@
         lines: log_lines.Lines,
         active_exchanges: set["Exchange"],
         died: Callable[[str], None],
-        broke: Callable[[str, str], None],
+        broke: Callable[[str, str, float, bool], None],
         check_alive: Callable[[backends.Backend], None],
         recheck: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
@@ -124,6 +125,8 @@
         self._chosen: dict[str, object] = {}
         self._shortages: dict[capacity_checks.Shortage, int] = {}
         self._limit_refusals = 0
+        # When the newest attempt was sent.
+        self._sent_at = 0.0
         self._task: asyncio.Task | None = None
         self._current_attempt: attempts.Attempt | None = None
         self._failed_answer: (
@@ -210,7 +213,7 @@
         backend = self.view.servers.by_incarnation.get(pending)
         if backend is not None and not self.answer.head_sent:
             backend.note_request_failure(clocks.now())
-            self._record_break(backend)
+            self._record_break(backend, silent=True)
 
     def _accept(
         self, client_request: request_types.ClientRequest
@@ -340,7 +343,7 @@
                 if await self._attempt(backend, permit):
                     return
             except attempts.BrokenError as broken:
-                self._record_outcome(backend, broken.outcome)
+                self._record_outcome(backend, broken.outcome, broken.silent)
                 self._log(
                     "attempt_ended",
                     server=backend.registration.incarnation,
@@ -368,18 +371,21 @@
         return more and self.answer.can_resume()
 
     def _record_outcome(
-        self, backend: backends.Backend, outcome: retry_rules.AttemptOutcome
+        self,
+        backend: backends.Backend,
+        outcome: retry_rules.AttemptOutcome,
+        silent: bool,
     ) -> None:
         incarnation = backend.registration.incarnation
         self.history.note_outcome(incarnation, outcome)
         if outcome is retry_rules.AttemptOutcome.BROKE:
             backend.note_request_failure(clocks.now())
-            self._record_break(backend)
+            self._record_break(backend, silent)
 
-    def _record_break(self, backend: backends.Backend) -> None:
+    def _record_break(self, backend: backends.Backend, silent: bool) -> None:
         """Records that a server gave no response, which may be a crash."""
         incarnation = backend.registration.incarnation
-        self.broke(self.content, incarnation)
+        self.broke(self.content, incarnation, self._sent_at, silent)
         self.check_alive(backend)
 
     def _check_quarantine(self) -> None:
@@ -526,6 +532,7 @@
             ),
         )
         self.history.sent(backend.registration.incarnation)
+        self._sent_at = clocks.now()
         self._current_attempt = attempt
         try:
             attempt.start()
--- a/pimentoledge/routing/liveness_checks.py
+++ b/pimentoledge/routing/liveness_checks.py
@@ -23,6 +23,7 @@
     Attributes:
         pool: receives the connections that were opened.
         died: called with the incarnation of a server that accepts none.
+        accepted: called with the incarnation of a server that accepted one.
         lines: log of changes of the view.
         pending: tasks of open checks, by incarnation.
     """
@@ -32,10 +33,12 @@
         *,
         pool: server_connections.ConnectionPool,
         died: Callable[[str], None],
+        accepted: Callable[[str], None],
         lines: log_lines.Lines,
     ):
         self.pool = pool
         self.died = died
+        self.accepted = accepted
         self.lines = lines
         self.pending: dict[str, asyncio.Task] = {}
 
@@ -70,4 +73,5 @@
             backend.note_connection_failure(clocks.now())
             self.died(registration.incarnation)
             return
+        self.accepted(registration.incarnation)
         self.pool.release(connection, idle_seconds=IDLE_SECONDS)
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -249,12 +249,14 @@
         incarnation: the server.
         age: ms since it died.
         released: whether this doesn't count any more.
+        silent: whether the server was only silent.
     """
 
     content: str
     incarnation: str
     age: int
     released: bool = False
+    silent: bool = False
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -350,9 +350,21 @@
         """Records the end of a server, which what it ran may have caused."""
         self.crash_reports.server_died(incarnation, clocks.now())
 
-    def server_broke(self, content: str, incarnation: str) -> None:
-        """Records that a server gave no response to content."""
-        self.crash_reports.server_broke(content, incarnation, clocks.now())
+    def server_broke(
+        self, content: str, incarnation: str, sent: float, silent: bool
+    ) -> None:
+        """Records that a server gave no response to a request.
+
+        Args:
+            content: fingerprint of the request.
+            incarnation: the server.
+            sent: when the request was sent.
+            silent: whether the server was silent, rather than closed the
+                connection.
+        """
+        self.crash_reports.server_broke(
+            content, incarnation, sent=sent, now=clocks.now(), silent=silent
+        )
 
     def _note_record(self, kind: str, key: object) -> None:
         """Sends a new or changed record to the partners."""
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import select
 import socket
 
 import attrs
@@ -46,9 +47,15 @@
 
 @attrs.frozen(kw_only=True)
 class ConnectionBroken:
-    """The connection ended, or carried bytes that are no HTTP response."""
+    """The connection ended, or carried bytes that are no HTTP response.
+
+    Attributes:
+        reason: text for the log.
+        silent: whether the peer acknowledged nothing for too long.
+    """
 
     reason: str
+    silent: bool = False
 
 
 ConnectionEvent = HeadReceived | BodyReceived | ResponseEnded | ConnectionBroken
@@ -109,6 +116,20 @@
         """Returns whether an event is queued that `next` hasn't returned."""
         return bool(self._events)
 
+    def is_reusable(self, now: float) -> bool:
+        """Returns whether another request may be sent on it now.
+
+        The end of the connection may have arrived and not been read yet. A
+        request that is sent then is lost, and whether it ran is unknown.
+        """
+        if not self.reusable or now >= self.idle_until:
+            return False
+        poll = select.poll()
+        poll.register(
+            self._transport.get_extra_info("socket").fileno(), select.POLLIN
+        )
+        return not poll.poll(0)
+
     def abort(self) -> None:
         """Aborts the connection, so that the server cancels the request."""
         self.reusable = False
@@ -198,7 +219,10 @@
         if not self._ended:
             self._ended = True
             self._push_event(
-                ConnectionBroken(reason=str(error) if error else "closed")
+                ConnectionBroken(
+                    reason=str(error) if error else "closed",
+                    silent=isinstance(error, TimeoutError),
+                )
             )
         self.on_lost(self)
 
@@ -231,7 +255,7 @@
         now = clocks.now()
         while waiting:
             connection = waiting.pop()
-            if connection.reusable and now < connection.idle_until:
+            if connection.is_reusable(now):
                 return connection
             connection.abort()
         return await self._open(address, connect_seconds)
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -6,11 +6,13 @@
 
 A broken connection alone shows no crash: most break for other reasons. It
 counts once its server is found dead, and until a later response shows that the
-server lives.
+server lives. Where servers die together, little of what ran there is the cause.
 """
 
 import collections
 from collections.abc import Callable
+import itertools
+import math
 
 import attrs
 import xxhash
@@ -20,6 +22,13 @@
 # At most three servers may crash from one content. Quarantine after the second
 # crash leaves one for a router that has not yet received the report.
 MAX_CRASHES = 2
+# Weight of a crash that something else may explain: the server was only silent,
+# as behind a partition, or servers that did not run the content died within the
+# time below. Two such crashes don't reach the least sum of weights for
+# quarantine.
+WEAK_WEIGHT = 0.5
+MASS_LOSS_SECONDS = 0.5
+MIN_WEIGHT = 1.5
 # How long content of two crashes is quarantined; each further crash multiplies
 # the time by the factor, up to the maximum.
 QUARANTINE_SECONDS = 60.0
@@ -31,9 +40,11 @@
 # How long a broken connection may count after it broke. The entry of a dead
 # server lapses some seconds later, and after an outage of the store only then.
 BREAK_SECONDS = 30.0
-# Most contents and broken connections remembered, at some 300 bytes each.
+# Most contents remembered, at some 300 bytes each.
 MAX_CONTENTS = 2000
-MAX_BREAKS = 2000
+# Most servers with broken connections, and connections of each.
+MAX_BROKEN_SERVERS = 500
+MAX_BREAKS = 100
 # Most dead servers remembered.
 MAX_DEAD = 1000
 
@@ -60,13 +71,16 @@
     """A server that died while it ran some content.
 
     Attributes:
-        when: when it died at the latest, in seconds of clocks.now.
+        when: when its connection broke, in seconds of clocks.now; never before
+            the server died.
         released: whether it no longer counts, because the content was completed
             or the server turned out to live. This is never revoked.
+        silent: whether the server did not close the connection.
     """
 
     when: float
     released: bool = False
+    silent: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -79,9 +93,13 @@
 
     crashes: dict[str, Crash] = attrs.field(factory=dict)
 
-    def counted(self) -> list[Crash]:
+    def counted(self) -> dict[str, Crash]:
         """Returns the crashes that count."""
-        return [each for each in self.crashes.values() if not each.released]
+        return {
+            incarnation: each
+            for incarnation, each in self.crashes.items()
+            if not each.released
+        }
 
     def newest(self) -> float:
         """Returns the time of the newest crash, released or not."""
@@ -90,10 +108,41 @@
 
 @attrs.frozen
 class BrokenConnection:
-    """A connection that broke while a server ran some content."""
+    """A connection that broke while a server ran some content.
+
+    Attributes:
+        content: the content.
+        sent: when the request was sent.
+        when: when the connection broke.
+        silent: whether the server did not close it.
+    """
 
     content: str
+    sent: float
     when: float
+    silent: bool
+
+
+@attrs.define
+class ServerBreaks:
+    """Connections to a server that broke and may show its death.
+
+    Attributes:
+        connections: the connections, the latest to break last.
+        accepted_at: when the server last accepted a new connection.
+    """
+
+    connections: list[BrokenConnection] = attrs.field(factory=list)
+    accepted_at: float = 0.0
+
+    def died_at(self, found_at: float) -> float:
+        """Returns when the server died if it was found dead at some time."""
+        later = (
+            each.when
+            for each in self.connections
+            if each.when >= self.accepted_at
+        )
+        return min(later, default=found_at)
 
 
 def quarantine_seconds(crashes: int) -> float:
@@ -122,7 +171,7 @@
         self.contents: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
-        self.breaks: collections.OrderedDict[str, list[BrokenConnection]] = (
+        self.breaks: collections.OrderedDict[str, ServerBreaks] = (
             collections.OrderedDict()
         )
         self.dead: collections.OrderedDict[str, float] = (
@@ -131,39 +180,68 @@
         self.on_change: Callable[[str, str], None] = lambda *_: None
         self.on_forget: Callable[[str, str], None] = lambda *_: None
         self._contents_by_incarnation: dict[str, set[str]] = {}
+        # When the servers of all known crashes died.
+        self._deaths: dict[str, float] = {}
 
     def record_break(
-        self, content: str, incarnation: str, now: float
+        self,
+        content: str,
+        incarnation: str,
+        *,
+        sent: float,
+        now: float,
+        silent: bool = False,
     ) -> list[str]:
         """Records that a connection broke while the server ran content.
 
+        Args:
+            content: the content.
+            incarnation: the server.
+            sent: when the request was sent.
+            now: the time.
+            silent: whether the server was silent, rather than closed the
+                connection.
+
         Returns:
             the contents that crashed the server, if it is known to be dead.
         """
-        self.breaks.setdefault(incarnation, []).append(
-            BrokenConnection(content, now)
-        )
+        breaks = self.breaks.setdefault(incarnation, ServerBreaks())
+        breaks.connections.append(BrokenConnection(content, sent, now, silent))
         self.breaks.move_to_end(incarnation)
-        while sum(map(len, self.breaks.values())) > MAX_BREAKS:
+        while len(self.breaks) > MAX_BROKEN_SERVERS:
             self.breaks.popitem(last=False)
+        del breaks.connections[:-MAX_BREAKS]
         if incarnation in self.dead:
             return self.record_death(incarnation, now)
         return []
 
+    def record_accepted(self, incarnation: str, now: float) -> None:
+        """Records that a server accepted a new connection after one broke."""
+        breaks = self.breaks.get(incarnation)
+        if breaks is not None:
+            breaks.accepted_at = now
+
     def record_death(self, incarnation: str, now: float) -> list[str]:
-        """Records that a server died; returns the contents that it ran."""
-        self.dead[incarnation] = now
+        """Records that a server died; returns the contents that it ran.
+
+        A request that was sent when the server had died did not end it.
+        """
+        breaks = self.breaks.pop(incarnation, ServerBreaks())
+        died_at = min(self.dead.get(incarnation, now), breaks.died_at(now))
+        self.dead[incarnation] = died_at
         self.dead.move_to_end(incarnation)
         while len(self.dead) > MAX_DEAD:
             self.dead.popitem(last=False)
-        contents = {
-            each.content
-            for each in self.breaks.pop(incarnation, ())
-            if now - each.when < BREAK_SECONDS
+        causes = {
+            each.content: each
+            for each in breaks.connections
+            if each.sent <= died_at and now - each.when < BREAK_SECONDS
         }
-        for content in contents:
-            self.record_crash(content, incarnation, now)
-        return sorted(contents)
+        for content, each in causes.items():
+            self.record_crash(
+                content, incarnation, each.when, silent=each.silent
+            )
+        return sorted(causes)
 
     def record_life(self, incarnation: str, sent_at: float) -> list[str]:
         """Records that a server has answered a request.
@@ -181,11 +259,14 @@
         if self.dead.get(incarnation, sent_at) < sent_at:
             del self.dead[incarnation]
         breaks = self.breaks.get(incarnation)
-        if breaks:
-            later = [each for each in breaks if each.when >= sent_at]
-            self.breaks[incarnation] = later
-            if not later:
+        if breaks is not None:
+            breaks.connections = [
+                each for each in breaks.connections if each.when >= sent_at
+            ]
+            if not breaks.connections:
                 del self.breaks[incarnation]
+        if self._deaths.get(incarnation, sent_at) < sent_at:
+            del self._deaths[incarnation]
         return [
             content
             for content in list(
@@ -202,6 +283,7 @@
         when: float,
         *,
         released: bool = False,
+        silent: bool = False,
     ) -> bool:
         """Records that a server died while it ran content.
 
@@ -209,10 +291,13 @@
         """
         suspect = self.contents.setdefault(content, Suspect())
         crash = suspect.crashes.get(incarnation)
+        self._deaths[incarnation] = min(
+            self._deaths.get(incarnation, when), when
+        )
         if crash is not None:
             crash.when = min(crash.when, when)
             return released and self._release(content, incarnation)
-        suspect.crashes[incarnation] = Crash(when, released)
+        suspect.crashes[incarnation] = Crash(when, released, silent)
         self._contents_by_incarnation.setdefault(incarnation, set()).add(
             content
         )
@@ -251,11 +336,25 @@
     def quarantined_until(self, content: str) -> float:
         """Returns the end of a content's quarantine, or 0."""
         suspect = self.contents.get(content)
-        counted = suspect.counted() if suspect is not None else []
+        counted = suspect.counted() if suspect is not None else {}
         if len(counted) < MAX_CRASHES:
             return 0.0
-        newest = max(each.when for each in counted)
-        return newest + quarantine_seconds(len(counted))
+        weight = sum(map(self._weight, counted, itertools.repeat(counted)))
+        if weight < MIN_WEIGHT:
+            return 0.0
+        newest = max(each.when for each in counted.values())
+        crashes = max(MAX_CRASHES, math.floor(weight))
+        return newest + quarantine_seconds(crashes)
+
+    def _weight(self, incarnation: str, counted: dict[str, Crash]) -> float:
+        """Returns the weight of one of the crashes of some content."""
+        crash = counted[incarnation]
+        is_weak = crash.silent or any(
+            abs(died_at - crash.when) < MASS_LOSS_SECONDS
+            for other, died_at in self._deaths.items()
+            if other not in counted
+        )
+        return WEAK_WEIGHT if is_weak else 1.0
 
     def _least_suspected(self) -> str:
         """Returns the oldest content of those with the fewest crashes.
@@ -275,6 +374,7 @@
             contents.discard(content)
             if not contents:
                 del self._contents_by_incarnation[incarnation]
+                self._deaths.pop(incarnation, None)
             self.on_forget(content, incarnation)
 
     def expire(self, now: float) -> list[str]:
@@ -287,7 +387,7 @@
         for content in expired:
             self._forget(content)
         for incarnation, breaks in list(self.breaks.items()):
-            if now - breaks[-1].when >= BREAK_SECONDS:
+            if now - breaks.connections[-1].when >= BREAK_SECONDS:
                 del self.breaks[incarnation]
         return expired
 
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -444,7 +444,7 @@
     def test_content_of_two_crashed_servers_is_quarantined_for_a_while(self):
         known = suspects.Suspects()
         for name, when in (("i", 1.0), ("j", 2.0)):
-            known.record_break("c", name, when)
+            known.record_break("c", name, sent=when - 0.1, now=when)
             assert known.record_death(name, when + 0.5) == ["c"]
         assert known.is_quarantined("c", 3.0)
         assert not known.is_quarantined("d", 3.0)
@@ -472,7 +472,7 @@
         """Guards against refusing harmless requests after lost responses."""
         known = suspects.Suspects()
         for number in range(9):
-            known.record_break("c", f"i{number}", 1.0)
+            known.record_break("c", f"i{number}", sent=0.9, now=1.0)
         assert not known.is_quarantined("c", 2.0)
         known.record_life("i1", 1.1)
         assert not known.record_death("i1", 1.2)
@@ -481,16 +481,69 @@
     def test_a_break_after_the_known_death_counts(self):
         known = suspects.Suspects()
         assert not known.record_death("i", 1.0)
-        assert known.record_break("c", "i", 1.1) == ["c"]
+        assert known.record_break("c", "i", sent=0.9, now=1.1) == ["c"]
 
     def test_a_response_to_an_earlier_request_proves_no_life(self):
         """Guards against a late response that refutes a real crash."""
         known = suspects.Suspects()
-        known.record_break("c", "i", 2.0)
+        known.record_break("c", "i", sent=1.5, now=2.0)
         known.record_life("i", 1.9)
         assert known.record_death("i", 2.1) == ["c"]
-        assert not known.record_life("i", 2.1)
-        assert known.record_life("i", 2.2) == ["c"]
+        assert not known.record_life("i", 2.0)
+        assert known.record_life("i", 2.1) == ["c"]
+
+    def test_a_request_sent_to_a_dead_server_did_not_end_it(self):
+        """Guards against content resent while a data centre is lost."""
+        known = suspects.Suspects()
+        known.record_break("c", "i", sent=1.0, now=2.0)
+        known.record_break("d", "i", sent=2.1, now=2.2)
+        assert known.record_death("i", 2.3) == ["c"]
+        assert not known.record_break("e", "i", sent=2.1, now=2.4)
+
+    def test_a_break_before_an_accepted_connection_is_not_the_death(self):
+        """Guards against a crash that an earlier lost response hides."""
+        known = suspects.Suspects()
+        known.record_break("d", "i", sent=1.0, now=2.0)
+        known.record_accepted("i", 2.1)
+        known.record_break("c", "i", sent=2.2, now=3.0)
+        assert "c" in known.record_death("i", 3.1)
+
+    def test_content_of_two_mass_losses_is_not_quarantined(self):
+        """Guards against the refusal of what ran where racks were lost."""
+        known = suspects.Suspects()
+        for when, servers in ((1.0, "ijk"), (5.0, "lmn")):
+            for server in servers:
+                known.record_crash(f"on {server}", server, when)
+            known.record_crash("c", servers[0], when)
+        assert not known.is_quarantined("c", 6.0)
+        known.record_crash("c", "o", 7.0)
+        assert known.is_quarantined("c", 8.0)
+
+    def test_content_of_two_silent_servers_is_not_quarantined(self):
+        """Guards against the refusal of what ran at unreachable servers."""
+        known = suspects.Suspects()
+        for when, server in enumerate("ijk"):
+            assert not known.is_quarantined("c", when)
+            known.record_break("c", server, sent=when, now=when, silent=True)
+            assert known.record_death(server, when) == ["c"]
+        assert known.is_quarantined("c", 3.0)
+
+    def test_content_of_all_servers_that_died_together_is_quarantined(self):
+        """Guards against copies that crash two servers at the same time."""
+        known = suspects.Suspects()
+        for server in "ij":
+            known.record_crash(f"on {server}", server, 1.0)
+            known.record_crash("c", server, 1.1)
+        assert known.is_quarantined("c", 2.0)
+        assert not known.is_quarantined("on i", 2.0)
+
+    def test_content_that_crashes_servers_amid_mass_losses_is_quarantined(self):
+        """Guards against a fourth server that such content crashes."""
+        known = suspects.Suspects()
+        for number in range(3):
+            known.record_crash("c", f"i{number}", number)
+            known.record_crash("d", f"j{number}", number + 0.1)
+        assert known.is_quarantined("c", 4.0)
 
     def test_a_complete_response_clears_the_suspicion(self):
         known = suspects.Suspects()
--- a/pimentoledge/tests/test_router_faults.py
+++ b/pimentoledge/tests/test_router_faults.py
@@ -10,6 +10,7 @@
 from pimentoledge.platform import stand_in_servers
 from pimentoledge.platform import stores
 from pimentoledge.routing import calls
+from pimentoledge.routing import clocks
 from pimentoledge.routing import daemons
 from pimentoledge.routing import registrations
 from pimentoledge.routing import server_connections
@@ -188,3 +189,23 @@
         tcp, socket.TCP_KEEPINTVL
     ) * sock.getsockopt(tcp, socket.TCP_KEEPCNT)
     assert probing <= 3
+
+
+def test_an_idle_connection_that_has_ended_is_not_used():
+    """Guards against a request lost on a connection that is already closed."""
+
+    async def play():
+        pool = server_connections.ConnectionPool()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await pool.acquire(address)
+            accepted, _ = listener.accept()
+            pool.release(connection, idle_seconds=10)
+            assert connection.is_reusable(clocks.now())
+            # Its end arrives before the event loop runs again.
+            accepted.close()
+            other = await pool.acquire(address)
+            assert other is not connection
+            other.abort()
+
+    asyncio.run(play())
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -482,7 +482,10 @@
     ]
     assert far
     for incarnation in ("p0", "p1"):
-        first.view.suspects.record_break("content", incarnation, clocks.now())
+        now = clocks.now()
+        first.view.suspects.record_break(
+            "content", incarnation, sent=now, now=now
+        )
         first.peers.server_died(incarnation)
     await world.until(
         lambda: all(
