--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -26,6 +26,8 @@
     "weights": "no request begins on old weights later than weights-ms",
     "configuration": "no request uses a configuration replaced config-ms ago",
     "orders": "holders order lease-ms apart, each with a higher fencing token",
+    "crashes": "content that crashed three servers reaches at most three more",
+    "harmless": "no content is refused as crashing that crashed no server",
     "recovery": "every request is served some seconds after the last fault",
 }
 # A router that was restarted, frozen or disconnected from the store within this
@@ -35,6 +37,12 @@
 WEIGHTS_SECONDS = 5.0
 CONFIGURATION_SECONDS = 2.0
 LEASE_SECONDS = 1.0
+# Servers that content may crash before the bound on its retries applies, the
+# time after which it does, and the bound.
+MAX_CRASHES = 3
+CRASHES_APPLY_SECONDS = 3.0
+MAX_RETRIES_AFTER_CRASHES = 3
+CRASHES_MARK = b"crashed servers; not run"
 # Time after a freeze in which orders sent before it may still arrive.
 LATE_ORDER_SECONDS = 1.0
 # Time after a refusal from which the router must observe its Retry-After.
@@ -609,6 +617,49 @@
         previous = order
 
 
+def check_crashes(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks that content which crashes servers is kept from others."""
+    by_content: dict[bytes, list[records.Arrival]] = {}
+    for arrival in list(record.arrivals):
+        request = record.crashing.get(arrival.request)
+        if request is not None:
+            by_content.setdefault(request.body, []).append(arrival)
+    for content, arrivals in by_content.items():
+        crashes = [each.at for each in arrivals if each.ran]
+        if len(crashes) < MAX_CRASHES:
+            continue
+        applies_from = crashes[MAX_CRASHES - 1] + CRASHES_APPLY_SECONDS
+        later = [
+            each
+            for each in arrivals
+            if each.at > applies_from
+            and was_undisturbed(
+                record, record.crashing[each.request].router, each.at
+            )
+        ]
+        if len(later) > MAX_RETRIES_AFTER_CRASHES:
+            yield Violation(
+                invariant="crashes",
+                at=later[MAX_RETRIES_AFTER_CRASHES].at,
+                subject=content.decode(),
+                text=f"reached {len(later)} servers later than"
+                f" {CRASHES_APPLY_SECONDS} s after the third crash;"
+                f" {len(crashes)} crashes in all",
+            )
+
+
+def check_harmless(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks that content which crashes no server is not quarantined."""
+    for request in list(record.requests.values()):
+        if request.status == 503 and CRASHES_MARK in request.answer:
+            yield Violation(
+                invariant="harmless",
+                at=request.ended,
+                subject=request.identity,
+                text=f"refused by {request.router}",
+            )
+
+
 def check_recovery(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that every request is served again after the last fault."""
     if record.quiet_from is None:
@@ -641,5 +692,7 @@
     check_weights,
     check_configuration,
     check_orders,
+    check_crashes,
+    check_harmless,
     check_recovery,
 )
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -118,25 +118,77 @@
     async def _send(
         self, connection: Connection, request: records.Request
     ) -> None:
-        headers = {"Request-Id": request.identity}
-        if request.route in STREAMS:
-            count = self.chooser.randint(1, len(PROMPT_BLOCKS))
-            headers |= router_world.stream_headers(
-                ",".join(PROMPT_BLOCKS[:count])
-            )
-        try:
-            answer = await connection.request(
-                f"/{request.route}/",
-                body=request.body,
-                key=request.key,
-                headers=headers,
-            )
-        except TimeoutError:
-            request.timed_out = True
-        else:
-            request.status = answer.status
-            request.headers = answer.headers
-            request.answer = answer.body
-            request.whole = answer.complete
-        request.headed = connection.head_at
-        request.ended = time.monotonic()
+        count = self.chooser.randint(1, len(PROMPT_BLOCKS))
+        await send(connection, request, count)
+
+
+async def send(
+    connection: Connection, request: records.Request, blocks: int
+) -> None:
+    """Sends a request and records its response.
+
+    Args:
+        connection: an open connection to the request's router.
+        request: the request.
+        blocks: number of parts of the prompt, for routes to a model.
+    """
+    headers = {"Request-Id": request.identity}
+    if request.route in STREAMS:
+        headers |= router_world.stream_headers(",".join(PROMPT_BLOCKS[:blocks]))
+    try:
+        answer = await connection.request(
+            f"/{request.route}/",
+            body=request.body,
+            key=request.key,
+            headers=headers,
+        )
+    except TimeoutError:
+        request.timed_out = True
+    else:
+        request.status = answer.status
+        request.headers = answer.headers
+        request.answer = answer.body
+        request.whole = answer.complete
+    request.headed = connection.head_at
+    request.ended = time.monotonic()
+
+
+async def send_crashing(
+    record: records.SoakRecord,
+    *,
+    router: str,
+    address: str,
+    route: str,
+    body: bytes,
+) -> None:
+    """Sends a request whose content crashes servers, on a new connection.
+
+    Args:
+        record: the record of the run, to which the request is added.
+        router: name of the router.
+        address: IP:PORT of the router.
+        route: name of the route.
+        body: the content.
+    """
+    number = len(record.crashing)
+    request = records.Request(
+        identity=f"crashing-{number}",
+        route=route,
+        key=router_world.KEY,
+        body=body,
+        router=router,
+        process_run=len(record.process_runs[router]) - 1,
+        first=True,
+        sent=time.monotonic(),
+    )
+    record.crashing[request.identity] = request
+    connection = Connection(address)
+    try:
+        await connection.open()
+        await send(connection, request, 1)
+    except OSError:
+        # The router is restarting.
+        return
+    finally:
+        if hasattr(connection, "writer"):
+            connection.close()
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -36,6 +36,10 @@
 HISTORY_KINDS = ("store_forgets", "store_loses")
 # The store is unavailable, and then restored from a copy some seconds old.
 RESTORE_KINDS = ("store_restored",)
+# A client sends content that crashes servers again and again, by any router.
+CRASH_KINDS = ("content_crashes",)
+# All routers are killed at the same moment.
+HERD_KINDS = ("kill_all",)
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
@@ -50,6 +54,8 @@
     *LINK_KINDS,
     *HISTORY_KINDS,
     *RESTORE_KINDS,
+    *CRASH_KINDS,
+    *HERD_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -152,6 +152,8 @@
 
     Attributes:
         requests: requests of clients, by id.
+        crashing: requests whose content crashes servers, by id. They are not
+            among `requests`.
         arrivals: arrivals at servers, in order.
         process_runs: processes of each router in order, by name of the router.
         freezes: periods in which routers were stopped.
@@ -172,6 +174,7 @@
     """
 
     requests: dict[str, Request] = attrs.field(factory=dict)
+    crashing: dict[str, Request] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     process_runs: dict[str, list[ProcessRun]] = attrs.field(factory=dict)
     freezes: list[Span] = attrs.field(factory=list)
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -11,6 +11,8 @@
 
 # Response header with the incarnation of the server.
 INCARNATION_HEADER = b"Soak-Server"
+# Begin of the bodies of requests that crash each server that runs them.
+CRASHING_PREFIX = b"crashes "
 
 
 class Server(stand_in_servers.StandInServer):
@@ -21,6 +23,7 @@
         draining: whether its registration in the store says that it leaves.
         running: whether its simulated process runs.
         link: the proxy through which routers reach it, or None.
+        on_crashed: called from a thread when a request has crashed it.
     """
 
     def __init__(self, *, record: records.SoakRecord, **options):
@@ -29,6 +32,7 @@
         self.link: links.Link | None = None
         self.draining = False
         self.running = False
+        self.on_crashed = lambda: None
         self._in_progress: dict[object, records.Arrival] = {}
         self._in_progress_lock = threading.Lock()
 
@@ -37,6 +41,11 @@
         self.running = True
         super().start()
 
+    def end(self) -> None:
+        """Ends the process, as a request has crashed it."""
+        self.crash()
+        self.on_crashed()
+
     def crash(self) -> None:
         """Cuts all connections and stops listening."""
         self.running = False
@@ -45,7 +54,7 @@
         )
         for request in self.mark_harmed():
             fake_http.cut_socket(request.conn.socket)
-        self.close()
+        self._server.close()
 
     def mark_harmed(self) -> list:
         """Marks all requests in progress as harmed and returns them."""
@@ -116,6 +125,9 @@
             arrival.harmed = True
         arrival.weights = call.weights
         arrival.ran = True
+        if call.body.startswith(CRASHING_PREFIX):
+            self._crash(request, call)
+            return
         super()._run_request(request, call)
 
     def _send_stream(self, request, call, head) -> None:
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -10,6 +10,7 @@
 from pimentoledge.platform import names
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.platform import stand_in_stores
+from pimentoledge.tests.soak import clients
 from pimentoledge.tests.soak import fleets
 from pimentoledge.tests.soak import links
 from pimentoledge.tests.soak import plans
@@ -32,10 +33,15 @@
 ANNOUNCED_SECONDS = 1.0
 # Time for which a crashed server's registration stays in the store.
 STALE_ENTRY_SECONDS = 0.5
+# The same for one that a request has crashed: three intervals of heartbeats.
+LAPSED_ENTRY_SECONDS = 3.6
 MIN_BACKOFF_SECONDS = 2
 # Factor by which outages of the store are longer than a fault's duration.
 OUTAGE_FACTOR = 2.5
 STORE_LATENCY_SECONDS = 0.4
+# How often a client sends content that crashes servers, and the mean interval.
+CRASHING_SENDS = 16
+CRASHING_GAP_SECONDS = 0.8
 # Limits that servers announce, in requests per second.
 LIMITS_PER_SECOND = (0.3, 1.0, 1.1, 2.0, 5.0)
 # Duration of a limit, in addition to that of an outage of the store.
@@ -78,9 +84,12 @@
         self._weights = 1
         self._configurations = 1
         self._guest_allowed = True
+        self._crashing_contents = 0
         self._notices_moved = False
         self._incarnation_counts = collections.Counter()
         self._registration_lock = threading.Lock()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._replacements: set[asyncio.Task] = set()
         self._configuration: dict = {}
         self._backups: collections.deque = collections.deque(maxlen=MAX_BACKUPS)
         self._backup_task: asyncio.Task | None = None
@@ -95,6 +104,7 @@
             count: number of routers.
             folder: directory to write settings files to.
         """
+        self._loop = asyncio.get_running_loop()
         self.platform.start(plain=0, runners=0)
         self._apply_next_configuration()
         for service in SERVICES:
@@ -114,6 +124,8 @@
         """Ends all processes and stand-ins."""
         if self._backup_task is not None:
             self._backup_task.cancel()
+        for each in self._replacements:
+            each.cancel()
         await self.fleet.close()
         for server in self.platform.servers.values():
             if server.link is not None:
@@ -143,6 +155,9 @@
     async def _kill(self, fault: plans.Fault) -> None:
         await self.fleet.kill(self._choose_router(fault))
 
+    async def _kill_all(self, fault: plans.Fault) -> None:
+        await asyncio.gather(*map(self.fleet.kill, self.fleet.routers))
+
     async def _stop(self, fault: plans.Fault) -> None:
         await self.fleet.freeze(self._choose_router(fault), fault.seconds)
 
@@ -294,6 +309,9 @@
         server.event_seconds = EVENT_INTERVAL_SECONDS
         server.work_seconds = WORK_SECONDS
         server.on_loaded = lambda: self._write_registration(server)
+        server.on_crashed = lambda: self._loop.call_soon_threadsafe(
+            self._replace_crashed, server
+        )
         server.start()
         if self.proxied:
             server.link = links.Link(lambda: server.address)
@@ -332,10 +350,34 @@
     async def _replace(self, server: servers.Server) -> None:
         """Crashes a server, then removes its entry and starts another one."""
         await asyncio.to_thread(server.crash)
+        await self._start_another(server)
+
+    def _replace_crashed(self, server: servers.Server) -> None:
+        """Replaces a server that a request has crashed."""
+        self.record.add_fault(f"a request crashed {server.incarnation}")
+        task = asyncio.ensure_future(self._restart_crashed(server))
+        self._replacements.add(task)
+        task.add_done_callback(self._replacements.discard)
+
+    async def _restart_crashed(self, server: servers.Server) -> None:
+        """Starts another server, and lets the entry of a crashed one lapse."""
+        if self.platform.servers.pop(server.incarnation, None) is None:
+            return
+        await asyncio.sleep(STALE_ENTRY_SECONDS)
+        await self._add_server(server.service)
+        await asyncio.sleep(LAPSED_ENTRY_SECONDS - STALE_ENTRY_SECONDS)
+        with self._registration_lock:
+            self.platform.store.remove(names.SERVER_KIND, server.incarnation)
+        if server.link is not None:
+            await server.link.close()
+
+    async def _start_another(self, server: servers.Server) -> None:
+        """Removes the entry of a server that ended, and starts another one."""
+        if self.platform.servers.pop(server.incarnation, None) is None:
+            return
         await asyncio.sleep(STALE_ENTRY_SECONDS)
         with self._registration_lock:
             self.platform.store.remove(names.SERVER_KIND, server.incarnation)
-        del self.platform.servers[server.incarnation]
         if server.link is not None:
             await server.link.close()
         await self._add_server(server.service)
@@ -394,6 +436,32 @@
             await asyncio.to_thread(server.start)
             self._write_registration(server)
 
+    async def _content_crashes(self, fault: plans.Fault) -> None:
+        """Sends content that crashes servers by one router after the other."""
+        self._crashing_contents += 1
+        body = servers.CRASHING_PREFIX + b"%d" % self._crashing_contents
+        route = clients.ROUTES[fault.target % len(clients.ROUTES)]
+        self.record.add_fault(f"{route} with {body.decode()!r} is sent")
+        for number in range(CRASHING_SENDS):
+            copies = 2 if fault.count % 2 else 1
+            routers = self.fleet.routers
+            await asyncio.gather(
+                *(
+                    clients.send_crashing(
+                        self.record,
+                        router=each.name,
+                        address=each.address,
+                        route=route,
+                        body=body,
+                    )
+                    for each in (
+                        routers[(fault.target + number + copy) % len(routers)]
+                        for copy in range(copies)
+                    )
+                )
+            )
+            await asyncio.sleep(CRASHING_GAP_SECONDS * fault.seconds / 2)
+
     async def _server_refuses(self, fault: plans.Fault) -> None:
         server = self._choose_server(fault)
         self.record.add_fault(f"{server.incarnation} refuses {fault.count}")
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -24,6 +24,17 @@
     "server_crashes",
     "watches_cut",
 )
+CRASHES = (
+    *plans.CRASH_KINDS,
+    *plans.CRASH_KINDS,
+    *plans.HERD_KINDS,
+    "term",
+    "kill",
+    *plans.JOIN_KINDS,
+    "store_silent",
+    "store_refuses",
+    "server_crashes",
+)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -36,6 +47,7 @@
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
         pytest.param(3, 12.0, RESTORES, id="restores"),
+        pytest.param(11, 18.0, CRASHES, id="crashes"),
     ],
 )
 def test_soak_run_violates_no_invariant(seed, seconds, kinds):
