--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -38,7 +38,12 @@
     )
 
 
-def _field(fields: dict, name: str, kind: type, default: Any = None) -> Any:
+def _field(
+    fields: dict,
+    name: str,
+    kind: type | tuple[type, ...],
+    default: Any = None,
+) -> Any:
     """Returns a field; raises ValueError if it is missing or of another type.
 
     If `default` is given, it is returned for a missing or null field.
@@ -156,7 +161,7 @@
     spec = stored.value
     organisations = spec.get("tenants")
     return configurations.build(
-        version=spec["version"],
+        version=configuration_version(stored),
         routes=[_route(route) for route in spec["routes"]],
         organisations=None
         if organisations is None
@@ -171,26 +176,34 @@
     if split:
         shares = tuple(
             configurations.ServiceShare(
-                service=part["service"], weight=part["weight"]
+                service=_field(part, "service", str),
+                weight=_amount(part, "weight"),
             )
             for part in split
         )
     else:
         shares = (
-            configurations.ServiceShare(service=entry["service"], weight=1.0),
+            configurations.ServiceShare(
+                service=_field(entry, "service", str), weight=1.0
+            ),
         )
-    gap_milliseconds = entry.get("gapAimMs")
+    if not any(each.weight for each in shares):
+        raise ValueError("no service gets a part of the traffic")
+    prefix = _field(entry, "pathPrefix", str)
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise ValueError(f"pathPrefix is {prefix!r}"[:100])
+    gap_milliseconds = _amount(entry, "gapAimMs") or None
     return configurations.Route(
-        name=entry["name"],
-        host=entry["host"].lower(),
-        path_prefix=entry["pathPrefix"],
+        name=_field(entry, "name", str),
+        host=_field(entry, "host", str).lower(),
+        path_prefix=prefix,
         kind=_repeatability(entry),
         timeout_seconds=_seconds(entry, "timeoutMs")
         or configurations.USUAL_TIMEOUT_SECONDS,
         objective_seconds=_seconds(entry, "targetLatencyMs"),
-        urgency=entry.get("priority") or 0,
+        urgency=_amount(entry, "priority"),
         shares=shares,
-        most_servers=entry.get("maxAttempts") or 1,
+        most_servers=_amount(entry, "maxAttempts") or 1,
         open=bool(entry.get("public")),
         by_prefix=bool(entry.get("sticky")),
         resumable=bool(entry.get("resumable")),
@@ -202,9 +215,11 @@
 
 def _organisation(entry: dict) -> configurations.Organisation:
     return configurations.Organisation(
-        name=entry["name"],
-        keys=tuple(entry.get("apiKeys") or ()),
-        urgency=entry.get("priority"),
+        name=_field(entry, "name", str),
+        keys=tuple(_texts(entry, "apiKeys")),
+        urgency=None
+        if entry.get("priority") is None
+        else _amount(entry, "priority"),
         isolated=bool(entry.get("isolated")),
         quota=_quota(entry),
     )
@@ -212,7 +227,7 @@
 
 def _quota(entry: dict) -> configurations.Quota | None:
     """Returns an organisation's rate limit; None without a rate or with 0."""
-    rate = entry.get("ratePerS")
+    rate = _amount(entry, "ratePerS")
     if not rate:
         return None
     by_tokens = entry.get("unit") == "tokens"
@@ -221,8 +236,8 @@
         if by_tokens
         else configurations.Unit.REQUESTS,
         per_second=rate,
-        burst=entry.get("burst") or rate,
-        plain_tokens=entry.get("plainTokens") or 1,
+        burst=_amount(entry, "burst") or rate,
+        plain_tokens=_amount(entry, "plainTokens") or 1,
     )
 
 
@@ -262,7 +277,23 @@
 
 def _seconds(entry: dict, name: str) -> float:
     """Returns a field given in milliseconds as seconds; 0 without it."""
-    return (entry.get(name) or 0) / 1000
+    return _amount(entry, name) / 1000
+
+
+def _amount(entry: dict, name: str) -> float:
+    """Returns a number that is not negative; 0 without it."""
+    value = _field(entry, name, (int, float), 0)
+    if value < 0:
+        raise ValueError(f"{name} is {value!r}")
+    return value
+
+
+def _texts(entry: dict, name: str) -> list[str]:
+    """Returns a list of texts; empty without it."""
+    values = _field(entry, name, list, [])
+    if not all(isinstance(each, str) for each in values):
+        raise ValueError(f"{name} contains something else than texts")
+    return values
 
 
 def _repeatability(entry: dict) -> configurations.Repeatability:
--- /dev/null
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -0,0 +1,132 @@
+"""Configurations: at the edge of their bound, invalid ones, large ones."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from pimentoledge.platform import objects
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import registrations
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+CONFIGURATION_SECONDS = 2.0
+
+
+def _store(world, version, **overrides):
+    value = router_world.configuration(version=version, **overrides)
+    world.store.put("config", "main", value)
+
+
+async def _in_force(world, version, routers, seconds=CONFIGURATION_SECONDS):
+    await world.until(
+        lambda: all(
+            each.view.configuration.version == version for each in routers
+        ),
+        seconds=seconds,
+    )
+
+
+@with_world()
+async def test_a_change_is_in_force_in_time_though_the_watch_is_dead(world):
+    """Guards against an older configuration behind a watch gone silent."""
+    await asyncio.sleep(0.6)
+    world.store.silence_watches()
+    _store(world, 9)
+    await _in_force(world, 9, world.routers)
+
+
+@with_world(routers=2)
+async def test_a_change_is_in_force_in_time_though_all_watches_are_dead(world):
+    """Guards against routers that confirm each other's older copies."""
+    await asyncio.sleep(1.0)
+    world.store.silence_watches()
+    _store(world, 9)
+    await _in_force(world, 9, world.routers)
+
+
+@with_world(routers=3)
+async def test_a_change_reaches_a_router_that_the_store_refuses(world):
+    """Guards against a refused router that waits for the store."""
+    first, second, third = world.routers
+    await asyncio.sleep(1.0)
+    for each in third.watchers:
+        each.close()
+        each.reached = False
+    _store(world, 9)
+    await _in_force(world, 9, [first, second])
+    await _in_force(world, 9, [third])
+
+
+@with_world(routers=2)
+async def test_an_older_listing_of_a_router_is_not_taken(world):
+    """Guards against a configuration that comes back older."""
+    first, second = world.routers
+    old = attrs.evolve(first.kinds["configuration"].cache.listing())
+    _store(world, 9)
+    await _in_force(world, 9, world.routers)
+    second.peers.replicator.receive_listing(
+        first.peers.address,
+        peer_messages.FullListing(kind="configuration", listing=old),
+    )
+    newer = attrs.evolve(old, revision=old.revision + 100)
+    second.peers.replicator.receive_listing(
+        first.peers.address,
+        peer_messages.FullListing(kind="configuration", listing=newer),
+    )
+    assert second.view.configuration.version == 9
+
+
+ROUTE = router_world.route("cards", service="plain", kind="unsafe")
+INVALID = {
+    "no version": {"version": None},
+    "a version in words": {"version": "9"},
+    "a version of the wrong type": {"version": True},
+    "no routes": {"routes": None},
+    "a prefix without a slash": {"routes": [ROUTE | {"pathPrefix": "/cards"}]},
+    "a prefix of the wrong type": {"routes": [ROUTE | {"pathPrefix": 5}]},
+    "a host of the wrong type": {"routes": [ROUTE | {"host": None}]},
+    "a service of the wrong type": {"routes": [ROUTE | {"service": 5}]},
+    "no weights": {
+        "routes": [
+            ROUTE | {"trafficSplit": [{"service": "plain", "weight": 0}]}
+        ]
+    },
+    "a negative weight": {
+        "routes": [
+            ROUTE | {"trafficSplit": [{"service": "plain", "weight": -1}]}
+        ]
+    },
+    "a negative timeout": {"routes": [ROUTE | {"timeoutMs": -5}]},
+    "a timeout in words": {"routes": [ROUTE | {"timeoutMs": "5"}]},
+    "a key of the wrong type": {"tenants": [{"name": "a", "apiKeys": [5]}]},
+    "a rate in words": {
+        "tenants": [{"name": "a", "apiKeys": ["k"], "ratePerS": "5"}]
+    },
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_configuration_is_not_decoded(name):
+    """Guards against an invalid configuration that comes into force."""
+    value = router_world.configuration(version=9) | INVALID[name]
+    stored = registrations.Stored(name="main", revision=5, value=value)
+    with pytest.raises((KeyError, TypeError, ValueError, AttributeError)):
+        objects.decode_configuration(stored)
+
+
+@with_world()
+async def test_after_an_invalid_configuration_the_next_one_is_taken(world):
+    """Guards against a router that stays on what it has for good."""
+    [router] = world.routers
+    before = router.view.configuration.version
+    world.store.put("config", "main", {"version": 8, "routes": [{}]})
+    world.store.put("config", "other", router_world.configuration(version=99))
+    await asyncio.sleep(0.3)
+    assert router.view.configuration.version == before
+    assert (await world.request("/cards/", body=b"c")).status == 200
+    added = router_world.route("added", service="plain", kind="safe")
+    _store(world, 9, routes=[ROUTE, added])
+    await _in_force(world, 9, [router])
+    assert (await world.request("/added/", body=b"c")).status == 200
