--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -15,6 +15,8 @@
 CALL_TIMEOUT_SECONDS = 2.5
 # How long after its requested duration a watch may still be answered.
 WATCH_GRACE_SECONDS = 2.0
+# A response of which nothing has arrived for this long has stalled.
+STALLED_SECONDS = 0.3
 # Attempts to read each page of a listing after the first.
 MAX_PAGE_ATTEMPTS = 6
 # Longest delay before a page is requested again. The delay is random, because
@@ -55,6 +57,23 @@
         """Makes the next call open a new connection."""
         self.caller.pool.forget(self.address)
 
+    def is_receiving(self, kind: str, now: float, most_seconds: float) -> bool:
+        """Returns whether a response with objects of a kind is arriving.
+
+        Args:
+            kind: the kind.
+            now: the time.
+            most_seconds: time after its begin for which a response counts.
+        """
+        target = names.OBJECTS_PATH + kind
+        return any(
+            each.target.startswith(target)
+            and each.head_at is not None
+            and now - each.head_at < most_seconds
+            and now - each.connection.received_at < STALLED_SECONDS
+            for each in self.caller.open_calls
+        )
+
     async def _call(
         self,
         method: str,
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import server_connections
 
@@ -41,15 +42,32 @@
         self.overdue = overdue
 
 
+@attrs.define(kw_only=True, eq=False)
+class OpenCall:
+    """A call whose response is pending.
+
+    Attributes:
+        target: path and query.
+        connection: its connection.
+        head_at: when the head of its response arrived, or None.
+    """
+
+    target: str
+    connection: server_connections.ServerConnection
+    head_at: float | None = None
+
+
 class Caller:
     """Makes calls over its own connection pool.
 
     Attributes:
         pool: the connection pool.
+        open_calls: the calls whose response is pending.
     """
 
     def __init__(self):
         self.pool = server_connections.ConnectionPool()
+        self.open_calls: set[OpenCall] = set()
 
     def close(self) -> None:
         """Closes the connections."""
@@ -77,12 +95,15 @@
         """
         sent = False
         connection = None
+        open_call = None
         try:
             async with asyncio.timeout(seconds):
                 connection = await self.pool.acquire(address)
                 sent = True
                 connection.send(_encode(address, method, target, body, headers))
-                reply = await _read(connection)
+                open_call = OpenCall(target=target, connection=connection)
+                self.open_calls.add(open_call)
+                reply = await _read(open_call)
         except server_connections.CannotConnectError as error:
             raise CallError(str(error), sent=False) from error
         except TimeoutError as error:
@@ -90,6 +111,7 @@
                 "no response in time", sent=sent, overdue=True
             ) from error
         finally:
+            self.open_calls.discard(open_call)
             if connection is not None and connection.busy:
                 done = "reply" in locals()
                 if done:
@@ -109,13 +131,14 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + data
 
 
-async def _read(connection: server_connections.ServerConnection) -> Reply:
+async def _read(open_call: OpenCall) -> Reply:
     head = None
     pieces = []
     while True:
-        match await connection.next():
+        match await open_call.connection.next():
             case server_connections.HeadReceived(head=found):
                 head = found
+                open_call.head_at = clocks.now()
             case server_connections.BodyReceived(data=data):
                 pieces.append(data)
             case server_connections.ResponseEnded():
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -27,8 +27,11 @@
 CHANGES_TIMEOUT_SECONDS = 0.05
 # Number of offered changes kept for requests; each takes some hundred bytes.
 MAX_OFFERED = 50
-# Minimum interval between two requests for listings of the same kind.
+# Minimum interval between two requests for listings of the same kind. It
+# doubles with each request that is not answered yet, up to the maximum: several
+# copies of a large listing on a slow link would delay each other and all else.
 LISTING_REQUEST_SECONDS = 0.6
+MAX_LISTING_REQUEST_SECONDS = 2.4
 
 
 class Replicator:
@@ -64,7 +67,9 @@
         self.send = send
         self.shares = watch_shares.WatchShares(own=roster.own)
         self.peer_lapse_ends = 0.0
-        self._listing_requested_at: dict[str, float] = {}
+        # By kind, the earliest time of the next request for a listing, and the
+        # interval after it.
+        self._listing_requests: dict[str, tuple[float, float]] = {}
         self._last_request = ((-1, 0), 0.0)
         self._offered: collections.OrderedDict[
             tuple[int, int], peer_messages.WatchedChanges
@@ -269,7 +274,9 @@
         peer = self.roster.known.get(address)
         if peer is None:
             return
-        if self._lacks_configuration(peer):
+        if self._lacks_configuration(peer) and not self.watching[
+            "configuration"
+        ].is_receiving(clocks.now()):
             self._request_listing(address, "configuration")
         if not self._lacks_servers(peer):
             return
@@ -283,12 +290,15 @@
 
     def _request_listing(self, address: str, kind: str) -> None:
         now = clocks.now()
-        if (
-            now - self._listing_requested_at.get(kind, 0.0)
-            < LISTING_REQUEST_SECONDS
-        ):
+        next_at, interval = self._listing_requests.get(
+            kind, (now, LISTING_REQUEST_SECONDS)
+        )
+        if now < next_at:
             return
-        self._listing_requested_at[kind] = now
+        self._listing_requests[kind] = (
+            now + interval,
+            min(2 * interval, MAX_LISTING_REQUEST_SECONDS),
+        )
         self.send(address, peer_messages.ListingRequest(kind=kind))
 
     def send_listing(self, address: str, kind: str) -> None:
@@ -308,6 +318,8 @@
         cache = self._cache(full.kind)
         if cache is None:
             return
+        next_at, _ = self._listing_requests.get(full.kind, (0.0, 0.0))
+        self._listing_requests[full.kind] = (next_at, LISTING_REQUEST_SECONDS)
         self.lines.write(
             "told_by_router",
             router=sender,
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -84,6 +84,7 @@
         busy: whether a response is pending.
         reusable: whether another request may be sent on it.
         idle_until: until when it may be reused, in seconds of clocks.now.
+        received_at: when data last arrived, in seconds of clocks.now.
     """
 
     def __init__(self, *, address: str, on_lost=lambda connection: None):
@@ -92,6 +93,7 @@
         self.busy = False
         self.reusable = True
         self.idle_until = 0.0
+        self.received_at = 0.0
         self._transport: asyncio.Transport | None = None
         self._parser = http_messages.ResponseParser(
             heads=self._on_head, pieces=self._on_chunk, ends=self._on_end
@@ -162,6 +164,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        self.received_at = clocks.now()
         if not self.busy:
             # Bytes after a complete response belong to no request. Data that
             # follows could be taken for the response to another request.
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -34,6 +34,11 @@
 # is sent again within 0.5 s, which leaves at least a twentieth of the allowed
 # age.
 POLL_SHARES = (0.4, 0.6, 0.7)
+# Part of the allowed age for which a response may take to arrive until the same
+# content is requested elsewhere.
+RECEIVING_SHARE = 0.4
+# Interval between checks whether a response is still arriving.
+RECEIVING_CHECK_SECONDS = 0.1
 # Longest time that a watcher waits for another one to get a response from a
 # store that doesn't respond: what rejects calls of one kind need not reject
 # those of the others.
@@ -139,6 +144,12 @@
         if self._task is not None:
             self._task.cancel()
 
+    def is_receiving(self, now: float) -> bool:
+        """Returns whether the store's response to a call is arriving."""
+        return self.store.is_receiving(
+            self.cache.kind, now, RECEIVING_SHARE * self.bound_seconds()
+        )
+
     def lapse_ends(self) -> float:
         """Returns until when a missing entry may have lapsed in an outage.
 
@@ -230,7 +241,11 @@
         requested = asyncio.ensure_future(self._poll_requested.wait())
         try:
             while not waiting.done():
-                left = self._poll_due_at() - clocks.now()
+                now = clocks.now()
+                left = self._poll_due_at() - now
+                if self.is_receiving(now):
+                    # A poll would carry the same objects once more.
+                    left = max(left, RECEIVING_CHECK_SECONDS)
                 if left <= 0 or self._poll_requested.is_set():
                     return False
                 await asyncio.wait(
@@ -308,7 +323,7 @@
             self.polls_in_outage and self.poll_rank() < len(POLL_SHARES) - 1
         )
         if retries or not self._poll_repeats:
-            await asyncio.sleep(unanswered_calls.OVERDUE_SECONDS)
+            await self._answer_overdue()
         else:
             await self.answers.next()
         self._poll_repeats += 1
@@ -331,10 +346,19 @@
     async def _list_overdue(self) -> None:
         """Waits until the listing should be requested again."""
         if self.polls_in_outage:
-            await asyncio.sleep(unanswered_calls.OVERDUE_SECONDS)
+            await self._answer_overdue()
         else:
             await self.answers.next()
 
+    async def _answer_overdue(self) -> None:
+        """Waits until an answer should have arrived.
+
+        Copies of a large answer that is arriving would delay each other.
+        """
+        await asyncio.sleep(unanswered_calls.OVERDUE_SECONDS)
+        while self.is_receiving(clocks.now()):
+            await asyncio.sleep(RECEIVING_CHECK_SECONDS)
+
     def _unanswered(self, unavailable: registrations.Unavailable) -> None:
         """Records that a poll or a listing got no response."""
         self._record_silence(clocks.now())
--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -1,13 +1,20 @@
 """Configurations: at the edge of their bound, invalid ones, large ones."""
 
 import asyncio
+import contextlib
 
 import attrs
 import pytest
 
+from pimentoledge.platform import names
 from pimentoledge.platform import objects
+from pimentoledge.platform import stores
+from pimentoledge.routing import calls
+from pimentoledge.routing import clocks
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import registrations
+from pimentoledge.routing import replicators
+from pimentoledge.tests import raw_servers
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -130,3 +137,104 @@
     _store(world, 9, routes=[ROUTE, added])
     await _in_force(world, 9, [router])
     assert (await world.request("/added/", body=b"c")).status == 200
+
+
+@with_world(routers=2)
+async def test_unanswered_requests_for_a_listing_become_rarer(world):
+    """Guards against copies of a large configuration that fill a link."""
+    first, second = world.routers
+    sent = []
+    replicator = second.peers.replicator
+    replicator.send = lambda address, message: sent.append(clocks.now())
+    began = clocks.now()
+    while clocks.now() < began + 2.5:
+        replicator._request_listing(first.peers.address, "configuration")
+        await asyncio.sleep(0.02)
+    assert [round(each - began, 1) for each in sent] == [0.0, 0.6, 1.8]
+    replicator.receive_listing(
+        first.peers.address,
+        peer_messages.FullListing(
+            kind="configuration",
+            listing=second.kinds["configuration"].cache.listing(),
+        ),
+    )
+    _, interval = replicator._listing_requests["configuration"]
+    assert interval == replicators.LISTING_REQUEST_SECONDS
+
+
+@with_world(routers=2)
+async def test_what_the_store_is_sending_is_not_requested_from_a_router(world):
+    """Guards against a second copy of what a slow link is busy with."""
+    first, second = world.routers
+    await world.until(lambda: second.peers.roster.present(clocks.now()))
+    sent = []
+    replicator = second.peers.replicator
+    replicator.send = lambda address, message: sent.append(message)
+    [peer] = second.peers.roster.known.values()
+    peer.configuration = 99
+    watcher = second.kinds["configuration"]
+    watcher.is_receiving = lambda now: True
+    replicator.catch_up(first.peers.address)
+    assert not sent
+    del watcher.is_receiving
+    replicator.catch_up(first.peers.address)
+    assert sent == [peer_messages.ListingRequest(kind="configuration")]
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+
+
+def test_a_response_counts_as_arriving_while_its_bytes_arrive():
+    """Guards against a stalled response that nobody requests elsewhere."""
+
+    async def play(address):
+        caller = calls.Caller()
+        store = stores.StoreClient(address=address, caller=caller)
+        call = asyncio.ensure_future(
+            caller.call(
+                address=address,
+                method="GET",
+                target=names.OBJECTS_PATH + "config?watch=1",
+                seconds=5,
+            )
+        )
+        seen = []
+        for _ in range(60):
+            await asyncio.sleep(0.02)
+            now = clocks.now()
+            seen.append(store.is_receiving("config", now, 0.5))
+            assert not store.is_receiving("servers", now, 0.5)
+        call.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await call
+        caller.close()
+        assert True in seen
+        assert not seen[-1]
+        assert not store.is_receiving("config", clocks.now(), 0.5)
+
+    with raw_servers.raw_server(HEAD + b"1" * 20, hang=True, pause=0.01) as url:
+        asyncio.run(play(url.removeprefix("http://")))
+
+
+@with_world()
+async def test_a_large_answer_that_is_arriving_is_requested_once(world):
+    """Guards against polls that each carry a copy over a slow link."""
+    [router] = world.routers
+    watcher = router.kinds["configuration"]
+    await asyncio.sleep(0.6)
+    polls = []
+    request_poll = watcher._request_poll
+
+    def count_poll():
+        polls.append(clocks.now())
+        return request_poll()
+
+    watcher._request_poll = count_poll
+    began = clocks.now()
+    watcher.is_receiving = lambda now: now - began < 1.2
+    world.store.silence_watches()
+    watcher.cache.known_at = began - 1.0
+    await asyncio.sleep(1.0)
+    assert not polls
+    await world.until(lambda: polls)
+    assert polls[0] - began < 1.5
