--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -240,7 +240,10 @@
         self._ends_at = client_request.arrived + min(
             wait, route.timeout_seconds
         )
-        self.content = suspects.fingerprint(client_request)
+        self.content = suspects.fingerprint(
+            client_request,
+            "" if self.organisation is None else self.organisation.name,
+        )
         if client_request.model:
             self.view.mean_unshared(client_request.model).note(
                 memory_estimates.unshared_tokens(client_request)
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -53,13 +53,20 @@
     """A request's content is quarantined, so it must not be sent."""
 
 
-def fingerprint(client_request: request_types.ClientRequest) -> str:
-    """Returns a hash that is the same for repetitions of a request."""
+def fingerprint(
+    client_request: request_types.ClientRequest, organisation: str
+) -> str:
+    """Returns a hash that is the same for repetitions of a request.
+
+    Args:
+        client_request: the request.
+        organisation: name of the organisation, "" if none; its keys may change.
+    """
     digest = xxhash.xxh3_128(client_request.method)
     for part in (
         client_request.host.encode(),
         client_request.target,
-        (client_request.key or "").encode(),
+        organisation.encode(),
     ):
         digest.update(b"\0" + part)
     digest.update(b"\0" + client_request.body)
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -106,6 +106,26 @@
     assert len(_crashed(world)) == 2
 
 
+@with_world(plain=6, runners=0)
+async def test_content_is_recognised_with_another_key_of_the_organisation(
+    world,
+):
+    """Guards against content that crashes two servers for each new key."""
+    keys = [router_world.KEY, "second"]
+    tenants = [{"name": "acme", "apiKeys": keys}]
+    value = router_world.configuration(version=9, tenants=tenants)
+    world.store.put("config", "main", value)
+    [router] = world.routers
+    await world.until(lambda: router.view.configuration.version == 9)
+    _crash_on_request(world)
+    statuses = []
+    for key in (*keys, *keys):
+        answer = await world.request("/cards/", body=BODY, key=key)
+        statuses.append(answer.status)
+        await asyncio.sleep(0.1)
+    assert statuses == [CRASHED] * 2 + [QUARANTINED] * 2
+
+
 @with_world(plain=6, runners=0)
 async def test_a_failure_response_clears_no_content(world):
     """Guards against a 500 of a faulty server that counts as completion."""
