--- a/pimentoledge/tests/test_router_store.py
+++ b/pimentoledge/tests/test_router_store.py
@@ -31,6 +31,10 @@
         await asyncio.sleep(self.answer_seconds)
         return registrations.Listing(objects=[], revision=7)
 
+    def is_receiving(self, kind, now, most_seconds):
+        """Returns whether an answer is arriving; here they arrive at once."""
+        return False
+
     def forget_connections(self):
         """Does nothing: this store has no connections."""
 
--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -253,6 +253,10 @@
             objects=[], revision=7, era=min(2, self.listings[kind])
         )
 
+    def is_receiving(self, kind, now, most_seconds):
+        """Returns whether an answer is arriving; here they arrive at once."""
+        return False
+
     def forget_connections(self):
         """Does nothing: this store has no connections."""
 
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -13,6 +13,7 @@
 from pimentoledge.platform import stores
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import calls
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
@@ -776,7 +777,9 @@
             )
             cache.revision = 5
             cache.known_at = clocks.now() - known_age
-            store = stores.StoreClient(address="127.0.0.1:9", caller=None)
+            store = stores.StoreClient(
+                address="127.0.0.1:9", caller=calls.Caller()
+            )
             store.watch = watch
             watcher = watchers.Watcher(
                 cache=cache,
