--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -70,7 +70,7 @@
 async def test_an_older_listing_of_a_router_is_not_taken(world):
     """Guards against a configuration that comes back older."""
     first, second = world.routers
-    old = attrs.evolve(first.kinds["configuration"].cache.listing())
+    old = first.kinds["configuration"].cache.listing()
     _store(world, 9)
     await _in_force(world, 9, world.routers)
     second.peers.replicator.receive_listing(
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -152,7 +152,7 @@
         assert roster.count_report(101.0) == (300, 2000)
         assert roster.count(100.0 + rosters.COUNT_SECONDS) == 2
 
-    def test_a_count_that_routers_tell_each_other_expires(self):
+    def test_a_count_that_routers_forward_to_each_other_expires(self):
         """Guards against a budget divided by routers that are long gone."""
         transit = 0.2
         pair = [self.roster(), self.roster()]
