Log what a broken attempt may have crashed its server with

attempt_ended names the organisation, the model and the number of events that had arrived. Without them the lines of an incident can't tell a prompt part from a caller that the requests share, nor a request that had begun its answer from one that may have ended the server.

--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -127,6 +127,8 @@
         self._limit_refusals = 0
         # When the newest attempt was sent.
         self._sent_at = 0.0
+        # Complete events of the newest attempt.
+        self._received_events = 0
         self._task: asyncio.Task | None = None
         self._current_attempt: attempts.Attempt | None = None
         self._failed_answer: (
@@ -241,8 +243,7 @@
             wait, route.timeout_seconds
         )
         self.content = suspects.fingerprint(
-            client_request,
-            "" if self.organisation is None else self.organisation.name,
+            client_request, self._organisation_name()
         )
         if client_request.model:
             self.view.mean_unshared(client_request.model).note(
@@ -252,6 +253,9 @@
             return results.Code.CRASHES
         return None
 
+    def _organisation_name(self) -> str:
+        return "" if self.organisation is None else self.organisation.name
+
     def _charge(self, version: int) -> charges.Charge | None:
         """Returns what the request has to acquire, or None without a limit."""
         quota = self.organisation.quota
@@ -353,6 +357,9 @@
                     outcome=broken.outcome,
                     reason=broken.reason,
                     content=self.content,
+                    organisation=self._organisation_name(),
+                    model=self.client_request.model,
+                    events=self._received_events,
                     chosen=self._chosen,
                 )
             if not self._may_retry():
@@ -537,6 +544,7 @@
         self.history.sent(backend.registration.incarnation)
         self._sent_at = clocks.now()
         self._current_attempt = attempt
+        self._received_events = 0
         try:
             attempt.start()
             self.prompt_changed(self.client_request.prompt_tokens, clocks.now())
@@ -721,6 +729,7 @@
         while (chunk := await attempt.next_chunk()) is not None:
             self._record_first_event(attempt)
             for event in splitter.feed(chunk):
+                self._received_events += 1
                 pause = self.answer.pass_event(event, answer)
                 if pause is not None:
                     attempt.backend.note_event_gap(pause)
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -208,3 +208,16 @@
     assert line == {"server": "p0", "status": 503, "retry_after_s": 0.25}
     [line] = lines["retry_after_unreadable"]
     assert line["value"].startswith("Thu, 01 Jan 1970")
+
+
+@with_world(plain=1, runners=1)
+async def test_a_broken_attempt_is_logged_with_what_it_may_have_crashed(world):
+    """Guards against crashes whose caller, parts and progress nobody can see."""
+    world.servers["r0"].cut_after = 2
+    with fields_of_lines() as lines:
+        await world.request("/drafts/", headers=router_world.stream_headers())
+    [line] = lines["attempt_ended"]
+    assert line["organisation"] == "acme"
+    assert line["model"] == router_world.MODEL
+    assert line["events"] == 2
+    assert line["chosen"]["parts"] == ["aa:600", "bb:900"]
