--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -77,6 +77,11 @@
         limit: limit in requests a second that its responses state, or "".
         on_loaded: called after weights were loaded.
         crashes_on: body of requests that crash it, or b"".
+        crashes_on_part: name of a prompt part that crashes it, or "".
+        crashes_after_head: whether it sends a response's head before it
+            crashes.
+        unframed: whether its streams have no chunks and end with their
+            connections.
         crashes: requests that have crashed it, in order.
     """
 
@@ -116,6 +121,9 @@
         self.limit = ""
         self.on_loaded = lambda: None
         self.crashes_on = b""
+        self.crashes_on_part = ""
+        self.crashes_after_head = False
+        self.unframed = False
         self.crashes: list[ReceivedRequest] = []
         self._crash_thread: threading.Thread | None = None
         self._lock = threading.Lock()
@@ -224,6 +232,8 @@
 
     def _crash(self, request, call: ReceivedRequest) -> None:
         """Ends the server while it runs a request."""
+        if self.crashes_after_head:
+            self._begin_stream(request, self._response_headers(call.headers))
         with self._lock:
             self.crashes.append(call)
             if self._crash_thread is None:
@@ -237,8 +247,15 @@
         """Closes all sockets, as the end of the process does."""
         self._server.close()
 
-    def _run_request(self, request, call: ReceivedRequest) -> None:
+    def _is_crashed_by(self, call: ReceivedRequest) -> bool:
         if self.crashes_on and call.body == self.crashes_on:
+            return True
+        parts = call.headers.get(names.PROMPT_PREFIX.decode(), "").split(",")
+        shared = [each.partition(":")[0] for each in parts[:-1]]
+        return self.crashes_on_part in shared
+
+    def _run_request(self, request, call: ReceivedRequest) -> None:
+        if self._is_crashed_by(call):
             self._crash(request, call)
             return
         if self._consume_fault("lose"):
@@ -281,24 +298,30 @@
 
     def _send_stream(self, request, call: ReceivedRequest, head: list) -> None:
         first = int(call.headers.get(names.LAST_EVENT_ID.decode(), 0)) + 1
-        fake_http.begin_response(
-            request,
-            200,
-            [*head, (b"Content-Type", b"text/event-stream")],
-        )
+        self._begin_stream(request, head)
         cut_after, self.cut_after = self.cut_after, None
         for number in range(first, self.events + 1):
             if cut_after is not None and number > cut_after:
                 request.conn.wfile.write(b"6\r\nid: 9\n\r\n")
                 fake_http.cut_connection(request)
                 return
-            event = self._encode_event(call, number)
-            request.conn.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+            self._write_chunk(request, self._encode_event(call, number))
             if self.event_seconds:
                 time.sleep(self.event_seconds)
-        request.conn.wfile.write(b"0\r\n\r\n")
+        self._write_chunk(request, b"")
         request.chunked_write = False
 
+    def _begin_stream(self, request, head: list) -> None:
+        head = [*head, (b"Content-Type", b"text/event-stream")]
+        if self.unframed:
+            fake_http.end_with_connection(request, head)
+        fake_http.begin_response(request, 200, head)
+
+    def _write_chunk(self, request, data: bytes) -> None:
+        if not self.unframed:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        request.conn.wfile.write(data)
+
     def _encode_event(self, call: ReceivedRequest, number: int) -> bytes:
         """Returns an event of a stream."""
         return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- /dev/null
+++ b/pimentoledge/tests/test_router_unframed.py
@@ -0,0 +1,55 @@
+"""Responses that end with their connections, before real routers."""
+
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+
+
+@with_world(plain=0, runners=1)
+async def test_a_stream_that_ends_with_its_connection_is_whole(world):
+    """Guards against streams without chunks that are taken for broken."""
+    server = world.servers["r0"]
+    server.unframed = True
+    answer = await world.request(
+        "/drafts/", headers=router_world.stream_headers()
+    )
+    assert answer.status == 200
+    assert answer.complete
+    assert answer.body.count(b"id:") == server.events
+
+
+@with_world(plain=0, runners=1)
+async def test_a_stream_that_ends_within_an_event_is_broken_off(world):
+    """Guards against a stream that looks whole without its last event."""
+    server = world.servers["r0"]
+    server.unframed = True
+    server.cut_after = 2
+    answer = await world.request(
+        "/drafts/", headers=router_world.stream_headers()
+    )
+    assert answer.status == 200
+    assert not answer.complete
+
+
+@with_world(plain=0, runners=1)
+async def test_an_empty_stream_that_ends_with_its_connection_has_failed(world):
+    """Guards against a crash after the head that is passed on as a success."""
+    server = world.servers["r0"]
+    server.unframed = True
+    server.events = 0
+    [router] = world.routers
+    answer = await world.request(
+        "/drafts/", headers=router_world.stream_headers()
+    )
+    assert answer.status == 502
+    assert router.view.servers.by_incarnation["r0"].failure_rate
+
+
+@with_world(plain=0, runners=1)
+async def test_an_empty_stream_that_has_an_end_is_whole(world):
+    """Guards against an empty answer that is refused though it is complete."""
+    world.servers["r0"].events = 0
+    answer = await world.request(
+        "/drafts/", headers=router_world.stream_headers()
+    )
+    assert (answer.status, answer.complete) == (200, True)
