--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -212,7 +212,7 @@
 
 @with_world(plain=1, runners=1)
 async def test_a_broken_attempt_is_logged_with_what_it_may_have_crashed(world):
-    """Guards against crashes whose caller, parts and progress nobody can see."""
+    """Guards against crashes whose caller and parts nobody can see."""
     world.servers["r0"].cut_after = 2
     with fields_of_lines() as lines:
         await world.request("/drafts/", headers=router_world.stream_headers())
