--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -1,23 +1,27 @@
-"""Exchange between routers of which content crashed servers."""
+"""Exchange between routers of what crashed servers, and what did not."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import math
 
 from pimentoledge.routing import clocks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import record_logs
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import stored_quarantines
 from pimentoledge.routing import suspects as suspects_module
 
-KIND = "crashes"
+CRASHES = "crashes"
+SUCCESSES = "successes"
 
 
 class CrashReports:
-    """Records of crashes: this router's own, and those of others.
+    """Records of crashes and successes: this router's own, and others'.
 
     Attributes:
-        suspects: the content that is suspected.
-        stored: the store's record of quarantined content.
+        suspects: what is suspected.
+        stored: the store's record of what is quarantined.
         lines: log of changes of what is known.
         changed: called with the kind and the key of a record that is new or
             has changed.
@@ -36,48 +40,117 @@
     ):
         self.suspects = suspects
         self.stored = stored
-        # Contents whose crashes this router saw itself.
+        # Suspects whose crashes this router saw itself.
         self._observed: set[str] = set()
         self.lines = lines
         self.changed = changed
         self.forgotten = forgotten
         suspects.on_change = self._note
+        suspects.on_success = self._note_success
         suspects.on_forget = self._discard
-
-    def kind(self) -> record_logs.RecordKind:
-        """Returns the kind of these records."""
-        return record_logs.RecordKind(
-            name=KIND, encode=self.encode, merge=self.merge
+        suspects.on_verdict = self._note_verdict
+
+    def kinds(self) -> list[record_logs.RecordKind]:
+        """Returns the kinds of these records."""
+        return [
+            record_logs.RecordKind(
+                name=CRASHES, encode=self.encode, merge=self.merge
+            ),
+            record_logs.RecordKind(
+                name=SUCCESSES,
+                encode=self.encode_successes,
+                merge=self.merge_successes,
+            ),
+        ]
+
+    def _note(self, subject: str, incarnation: str) -> None:
+        self.changed(CRASHES, (subject, incarnation))
+        if subject in self._observed:
+            self.stored.changed(subject)
+
+    def _note_success(self, subject: str) -> None:
+        self.changed(SUCCESSES, subject)
+        if subject in self._observed:
+            self.stored.changed(subject)
+
+    def _note_verdict(self, subject: str) -> None:
+        quarantine = self.suspects.quarantines.get(subject)
+        suspect = self.suspects.subjects.get(subject)
+        self.lines.write(
+            "released" if quarantine is None else "quarantined",
+            subject=subject,
+            depth=None if suspect is None else suspect.depth,
+            crashes=None if suspect is None else len(suspect.counted()),
+            seconds=None
+            if quarantine is None
+            else round(quarantine.until - clocks.now(), 1),
         )
+        if subject in self._observed:
+            self.stored.changed(subject)
 
-    def _note(self, content: str, incarnation: str) -> None:
-        self.changed(KIND, (content, incarnation))
-        if content in self._observed:
-            self.stored.crashed(content, clocks.now())
-
-    def _discard(self, content: str, incarnation: str) -> None:
-        self.forgotten(KIND, (content, incarnation))
-        self._observed.discard(content)
-        self.stored.forgotten(content)
+    def _discard(self, subject: str, incarnations: Iterable[str]) -> None:
+        for each in incarnations:
+            self.forgotten(CRASHES, (subject, each))
+        self.forgotten(SUCCESSES, subject)
+        self._observed.discard(subject)
+        self.stored.changed(subject)
 
     def encode(
         self, keys: list[tuple[str, str]], now: float
     ) -> list[peer_messages.CrashRecord]:
         """Returns the records of some crashes."""
         records = []
-        for content, incarnation in keys:
-            crash = self.suspects.contents[content].crashes[incarnation]
+        for subject, incarnation in keys:
+            suspect = self.suspects.subjects[subject]
+            crash = suspect.crashes[incarnation]
             records.append(
                 peer_messages.CrashRecord(
-                    content=content,
+                    content=subject,
                     incarnation=incarnation,
                     age=max(0, int((now - crash.when) * 1000)),
                     released=crash.released,
                     silent=crash.silent,
+                    depth=suspect.depth,
                 )
             )
         return records
 
+    def encode_successes(
+        self, keys: list[str], now: float
+    ) -> list[peer_messages.SuccessRecord]:
+        """Returns the records of some successes."""
+        return [
+            peer_messages.SuccessRecord(
+                subject=key,
+                age=math.ceil(
+                    (now - self.suspects.subjects[key].succeeded_at) * 1000
+                ),
+            )
+            for key in keys
+        ]
+
+    def merge_successes(
+        self,
+        records: list[peer_messages.SuccessRecord],
+        sender: str,
+        sent_at: float,
+    ) -> None:
+        """Merges the successes that another router saw.
+
+        The time of a success may come out too early, never too late, so that it
+        releases no crash after it.
+        """
+        for each in records:
+            if self.suspects.record_success(
+                each.subject, sent_at - each.age / 1000
+            ):
+                self.lines.write(
+                    "success_reported",
+                    subject=each.subject,
+                    router=sender,
+                    age=each.age,
+                )
+
     def merge(
         self,
         records: list[peer_messages.CrashRecord],
@@ -98,7 +171,7 @@
         self, record: peer_messages.CrashRecord, sender: str, now: float
     ) -> None:
         is_new = self.suspects.record_crash(
-            record.content,
+            server_deaths.Subject(key=record.content, depth=record.depth),
             record.incarnation,
             now - record.age / 1000,
             released=record.released,
@@ -107,7 +180,8 @@
         if is_new:
             self.lines.write(
                 "crash_reported",
-                content=record.content,
+                subject=record.content,
+                depth=record.depth,
                 server=record.incarnation,
                 router=sender,
                 age=record.age,
@@ -129,7 +203,7 @@
 
     def server_died(self, incarnation: str, now: float) -> None:
         """Records the end of a server, which what it ran may have caused."""
-        breaks = self.suspects.breaks.get(incarnation)
+        breaks = self.suspects.deaths.breaks.get(incarnation)
         if breaks is not None:
             self.lines.write(
                 "server_died",
@@ -137,31 +211,33 @@
                 breaks=len(breaks.connections),
                 oldest_s=round(now - breaks.connections[0].when, 2),
             )
-        for content in self.suspects.record_death(incarnation, now):
-            self.observe(content, incarnation, now)
+        for subject in self.suspects.record_death(incarnation, now):
+            self.observe(subject, incarnation, now)
 
     def server_broke(
         self,
-        content: str,
+        subjects: Iterable[server_deaths.Subject],
         incarnation: str,
         *,
         sent: float,
         now: float,
         silent: bool,
     ) -> None:
-        """Records that a server gave no response to content."""
+        """Records that a server gave no complete response to a request."""
         for each in self.suspects.record_break(
-            content, incarnation, sent=sent, now=now, silent=silent
+            subjects, incarnation, sent=sent, now=now, silent=silent
         ):
             self.observe(each, incarnation, now)
 
-    def observe(self, content: str, incarnation: str, now: float) -> None:
-        """Records that this router saw content crash a server."""
-        self._observed.add(content)
-        self.stored.crashed(content, now)
+    def observe(self, subject: str, incarnation: str, now: float) -> None:
+        """Records that this router saw a subject on a server that died."""
+        self._observed.add(subject)
+        self.stored.changed(subject)
+        suspect = self.suspects.subjects.get(subject)
         self.lines.write(
             "crashed",
-            content=content,
+            subject=subject,
+            depth=None if suspect is None else suspect.depth,
             server=incarnation,
-            quarantined=self.suspects.is_quarantined(content, now),
+            quarantined=self.suspects.is_quarantined(subject, now),
         )
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -192,7 +192,7 @@
         self.liveness_checks = liveness_checks.LivenessChecks(
             pool=self.pool,
             died=self._on_death,
-            accepted=lambda server: self.view.suspects.record_accepted(
+            accepted=lambda server: self.view.suspects.deaths.record_accepted(
                 server, clocks.now()
             ),
             lines=self.lines,
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -26,6 +26,7 @@
 from pimentoledge.routing import router_responses
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_connections
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import suspects
@@ -46,6 +47,9 @@
 MAX_PERMIT_REFUSALS = 3
 # Codes of refusals because no server can accept the request.
 NO_CAPACITY_CODES = frozenset((results.Code.NO_SERVER, results.Code.OVERLOADED))
+# An answer that has gone on to this many events shows that the request's parts
+# don't crash the server: that happens as it begins to write.
+PROVING_EVENTS = 2
 # Assumed for clients that send no deadline.
 DEFAULT_WAIT_SECONDS = 60.0
 
@@ -63,9 +67,9 @@
             runs.
         died: called with the incarnation of a server that has ended, or that
             accepts no connections.
-        broke: called with the content, the incarnation of a server that gave
-            no response to it, when it was sent, and whether the server was
-            silent rather than closed the connection.
+        broke: called with the subjects of the request, the incarnation of a
+            server that gave no complete response to it, when it was sent, and
+            whether the server was silent rather than closed the connection.
         check_alive: called with a server of which a connection broke.
         recheck: called with a server whose state differs from the cached one.
         prompt_changed: called with the number of tokens of a prompt that was
@@ -73,7 +77,8 @@
         limiter: enforces the organisations' limits.
         notices: applies what responses report about their servers.
         permits: enforces the limits that servers have announced.
-        content: fingerprint of the request, or "" before it is computed.
+        subjects: what the request may crash servers by, its content first;
+            empty before it is accepted.
         history: the attempts made so far.
         client_request: the decoded request, or None before it is available.
         route: the route that matched when the request was accepted.
@@ -92,7 +97,9 @@
         lines: log_lines.Lines,
         active_exchanges: set["Exchange"],
         died: Callable[[str], None],
-        broke: Callable[[str, str, float, bool], None],
+        broke: Callable[
+            [tuple[server_deaths.Subject, ...], str, float, bool], None
+        ],
         check_alive: Callable[[backends.Backend], None],
         recheck: Callable[[backends.Backend], None],
         prompt_changed: Callable[[int, float], None],
@@ -114,7 +121,7 @@
         self.pool = pool
         self.lines = lines
         self.active_exchanges = active_exchanges
-        self.content = ""
+        self.subjects: tuple[server_deaths.Subject, ...] = ()
         self.history = retry_rules.AttemptHistory()
         self.client_request: request_types.ClientRequest | None = None
         self.route: configurations.Route | None = None
@@ -242,17 +249,20 @@
         self._ends_at = client_request.arrived + min(
             wait, route.timeout_seconds
         )
-        self.content = suspects.fingerprint(
+        self.subjects = suspects.subjects_of(
             client_request, self._organisation_name()
         )
         if client_request.model:
             self.view.mean_unshared(client_request.model).note(
                 memory_estimates.unshared_tokens(client_request)
             )
-        if self.view.suspects.is_quarantined(self.content, clocks.now()):
+        if self._blocking_subject() is not None:
             return results.Code.CRASHES
         return None
 
+    def _blocking_subject(self) -> str | None:
+        return self.view.suspects.blocking(self.subjects, clocks.now())
+
     def _organisation_name(self) -> str:
         return "" if self.organisation is None else self.organisation.name
 
@@ -356,7 +366,7 @@
                     server=backend.registration.incarnation,
                     outcome=broken.outcome,
                     reason=broken.reason,
-                    content=self.content,
+                    subjects=[each.key for each in self.subjects],
                     organisation=self._organisation_name(),
                     model=self.client_request.model,
                     events=self._received_events,
@@ -393,19 +403,29 @@
             self._record_break(backend, silent)
 
     def _record_break(self, backend: backends.Backend, silent: bool) -> None:
-        """Records that a server gave no response, which may be a crash."""
+        """Records that a server gave no response, which may be a crash.
+
+        A server begins an answer before what it may crash by, so that a request
+        whose answer went on is not the cause.
+        """
         incarnation = backend.registration.incarnation
-        self.broke(self.content, incarnation, self._sent_at, silent)
+        subjects = () if self._has_proved_sound() else self.subjects
+        self.broke(subjects, incarnation, self._sent_at, silent)
         self.check_alive(backend)
 
     def _check_quarantine(self) -> None:
-        """Raises QuarantinedError if the content must not be sent any more.
+        """Raises QuarantinedError if the request must not be sent any more.
 
-        It may have crashed servers while it waited here, or by its own
-        attempts.
+        Its subjects may have crashed servers while it waited here, or by its
+        own attempts.
         """
-        if self.view.suspects.is_quarantined(self.content, clocks.now()):
-            raise suspects.QuarantinedError(self.content)
+        subject = self._blocking_subject()
+        if subject is not None:
+            raise suspects.QuarantinedError(subject)
+
+    def _has_proved_sound(self) -> bool:
+        """Returns whether the server's answer has gone on after it began."""
+        return self._received_events >= PROVING_EVENTS
 
     def _consume_retry_budget(self, backend: backends.Backend) -> bool:
         """Counts a first send or a retry; returns whether it may be sent."""
@@ -543,6 +563,7 @@
         )
         self.history.sent(backend.registration.incarnation)
         self._sent_at = clocks.now()
+        self.view.suspects.start_trial(self.subjects, self._sent_at)
         self._current_attempt = attempt
         self._received_events = 0
         try:
@@ -590,15 +611,17 @@
         return dispatch
 
     async def _receive(self, attempt: attempts.Attempt) -> bool:
-        answer, _ = await attempt.read_head()
+        answer, head = await attempt.read_head()
         self._update_server_state(attempt, answer)
         streams = self.route.kind is configurations.Repeatability.STREAM
         if streams and answer.status == 200 and answer.signed:
-            await self._stream(attempt, answer)
+            await self._stream(attempt, answer, framed=not head.ends_by_close)
             return True
         body = await attempt.read_body()
         attempt.release(answer)
-        self._handle_response(attempt.backend, answer, body)
+        self._handle_response(
+            attempt.backend, answer, body, framed=not head.ends_by_close
+        )
         return True
 
     def _update_server_state(
@@ -627,17 +650,25 @@
     def _record_life(self, backend: backends.Backend, sent_at: float) -> None:
         """Records that a server has answered a request."""
         incarnation = backend.registration.incarnation
-        for content in self.view.suspects.record_life(incarnation, sent_at):
-            self._log("crash_refuted", content=content, server=incarnation)
+        for subject in self.view.suspects.record_life(incarnation, sent_at):
+            self._log("crash_refuted", subject=subject, server=incarnation)
 
     def _handle_response(
         self,
         backend: backends.Backend,
         answer: request_types.ServerResponse,
         body: bytes,
+        *,
+        framed: bool,
     ) -> None:
         """Relays a complete response.
 
+        Args:
+            backend: the server.
+            answer: its response.
+            body: the whole body.
+            framed: whether the response told where it ends.
+
         Raises:
             BrokenError: the response must not be relayed.
         """
@@ -658,7 +689,7 @@
             raise _broken_error(
                 f"status {answer.status} instead of a stream's rest"
             )
-        self._record_status(backend, answer.status)
+        self._record_status(backend, answer.status, framed=framed)
         if answer.status >= 500 and self._would_retry():
             self._failed_answer = (answer, body)
             raise attempts.BrokenError(
@@ -672,7 +703,9 @@
             chosen=self._chosen,
         )
 
-    def _record_status(self, backend: backends.Backend, status: int) -> None:
+    def _record_status(
+        self, backend: backends.Backend, status: int, *, framed: bool
+    ) -> None:
         """Counts a complete response as a success or failure of its server.
 
         A server that fails requests responds fast and would attract all
@@ -683,17 +716,19 @@
             backend.note_request_failure(clocks.now())
         else:
             backend.note_success()
-        if status < 300:
-            self._clear_suspicion()
+        if status < 300 and framed:
+            self._record_success()
 
-    def _clear_suspicion(self) -> None:
-        """Clears the request's content, since a server has completed it.
+    def _record_success(self) -> None:
+        """Records that a server has run the request without a crash.
 
-        Other complete responses prove nothing: a faulty server may fail any
-        request without running it.
+        Other responses prove nothing: a faulty server may fail any request
+        without running it, and one that crashes may end its response early.
         """
-        if self.view.suspects.clear(self.content):
-            self._log("suspicion_cleared", content=self.content)
+        now = clocks.now()
+        for each in self.subjects:
+            if self.view.suspects.record_success(each.key, now):
+                self._log("suspicion_cleared", subject=each.key)
 
     def _record_refusal(
         self,
@@ -718,10 +753,17 @@
         return self.route.repeatable() and more
 
     async def _stream(
-        self, attempt: attempts.Attempt, answer: request_types.ServerResponse
+        self,
+        attempt: attempts.Attempt,
+        answer: request_types.ServerResponse,
+        *,
+        framed: bool,
     ) -> None:
         """Relays events as they arrive.
 
+        A stream that ends with its connection before any event looks the same
+        as one of a server that crashed.
+
         Raises:
             BrokenError: the stream ended early.
         """
@@ -730,14 +772,19 @@
             self._record_first_event(attempt)
             for event in splitter.feed(chunk):
                 self._received_events += 1
+                if self._received_events == PROVING_EVENTS:
+                    self._record_success()
                 pause = self.answer.pass_event(event, answer)
                 if pause is not None:
                     attempt.backend.note_event_gap(pause)
             await self.answer.client.drained()
         if splitter.rest:
             raise _broken_error("ended within an event")
+        if not framed and not self._received_events:
+            raise _broken_error("ended with its connection and no event")
         attempt.backend.note_success()
-        self._clear_suspicion()
+        if framed:
+            self._record_success()
         attempt.release(answer)
         self.answer.end_stream(answer)
         self._log_stream(attempt.backend)
@@ -820,7 +867,7 @@
     def _retry_seconds(self, code: results.Code, now: float) -> float | None:
         """Returns the seconds until the client may retry, or None."""
         if code is results.Code.CRASHES:
-            return self.view.suspects.quarantined_until(self.content) - now
+            return self.view.suspects.blocked_until(self.subjects) - now
         if code in NO_CAPACITY_CODES:
             back_at = backoffs.back_at(self.view, self.route, now)
             if back_at is not None:
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -242,14 +242,15 @@
 
 @attrs.define(kw_only=True)
 class CrashRecord:
-    """A server that died while it ran some content.
+    """A server that died while it ran a suspect.
 
     Attributes:
-        content: fingerprint of the content.
+        content: key of the suspect: the content of a request or a prompt part.
         incarnation: the server.
         age: ms since it died.
         released: whether this doesn't count any more.
         silent: whether the server was only silent.
+        depth: place of a part in the prompt, or 0 for content.
     """
 
     content: str
@@ -257,6 +258,20 @@
     age: int
     released: bool = False
     silent: bool = False
+    depth: int = 0
+
+
+@attrs.define(kw_only=True)
+class SuccessRecord:
+    """A suspect that has run at a server after a crash.
+
+    Attributes:
+        subject: key of the suspect.
+        age: ms since it was shown to be sound.
+    """
+
+    subject: str
+    age: int
 
 
 @attrs.define(kw_only=True)
@@ -269,6 +284,7 @@
         upto: number up to which they are complete.
         clock: as in a heartbeat.
         crashes: servers that died, and what they ran.
+        successes: what has run since.
     """
 
     life: int
@@ -276,6 +292,7 @@
     upto: int
     clock: tuple[int, int]
     crashes: list[CrashRecord] = attrs.field(factory=list)
+    successes: list[SuccessRecord] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import logbook
@@ -25,6 +26,7 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import replicators
 from pimentoledge.routing import rosters
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import stored_quarantines
 from pimentoledge.routing import view_updaters
@@ -62,7 +64,7 @@
         replicator: synchronises the copies of stored objects with peers.
         load_reports: exchange the routers' load at servers.
         limit_reports: exchange the limits that servers advertise.
-        crash_reports: exchange which content crashed servers.
+        crash_reports: exchange what crashed servers.
         records: replicate the records that every router must have.
         fleet_size: number of routers.
         limiter: enforces organisations' limits across all routers.
@@ -128,8 +130,9 @@
             changed=self._note_record,
             forgotten=self._discard_record,
         )
+        view.suspects.rank = lambda key: self.roster.rank_for(key, clocks.now())
         self.records = record_logs.RecordExchange(
-            kinds=[self.crash_reports.kind()],
+            kinds=self.crash_reports.kinds(),
             send=self._send_all,
             partners=lambda: self.roster.partners,
             clock=view.clock,
@@ -351,19 +354,23 @@
         self.crash_reports.server_died(incarnation, clocks.now())
 
     def server_broke(
-        self, content: str, incarnation: str, sent: float, silent: bool
+        self,
+        subjects: Iterable[server_deaths.Subject],
+        incarnation: str,
+        sent: float,
+        silent: bool,
     ) -> None:
-        """Records that a server gave no response to a request.
+        """Records that a server gave no complete response to a request.
 
         Args:
-            content: fingerprint of the request.
+            subjects: what the request may crash servers by.
             incarnation: the server.
             sent: when the request was sent.
             silent: whether the server was silent, rather than closed the
                 connection.
         """
         self.crash_reports.server_broke(
-            content, incarnation, sent=sent, now=clocks.now(), silent=silent
+            subjects, incarnation, sent=sent, now=clocks.now(), silent=silent
         )
 
     def _note_record(self, kind: str, key: object) -> None:
--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -3,6 +3,7 @@
 import random
 
 import attrs
+import xxhash
 
 from pimentoledge.routing import delays
 from pimentoledge.routing import heartbeat_rings
@@ -211,6 +212,14 @@
             most = 0
         return max(1 + alive, most)
 
+    def rank_for(self, key: str, now: float) -> int:
+        """Returns how many members precede this router for a key.
+
+        Routers that know the same members agree without a message.
+        """
+        own = _score(key, self.own)
+        return sum(_score(key, each) > own for each in self.members(now))
+
     def reaches_all(self) -> bool:
         """Returns whether every router sends heartbeats to all others."""
         return len(self.known) <= heartbeat_rings.ALL_TO_ALL
@@ -232,3 +241,7 @@
             for address, peer in self.known.items()
             if now - peer.last_heard_at < AWAY_SECONDS
         }
+
+
+def _score(key: str, address: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key} {address}".encode())
--- a/pimentoledge/routing/stored_quarantines.py
+++ b/pimentoledge/routing/stored_quarantines.py
@@ -1,7 +1,7 @@
-"""The store's record of quarantined content.
+"""The store's record of quarantined content and prompt parts.
 
-Routers that run tell each other which content crashed servers. When all of them
-restart at once, only the store still knows. Content is written there once it is
+Routers that run tell each other what crashed servers. When all of them restart
+at once, only the store still knows. A subject is written there once it is
 quarantined, by the routers that saw one of its crashes; single crashes aren't,
 since a data centre that goes would have thousands of them written.
 """
@@ -15,6 +15,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import suspects as suspects_module
 
 logger = logbook.Logger("stored_quarantines")
@@ -69,17 +70,10 @@
         if self._task is not None:
             self._task.cancel()
 
-    def crashed(self, content: str, now: float) -> None:
-        """Handles a crash, or its release, of content seen to crash here."""
-        if self.suspects.is_quarantined(content, now) or (
-            content in self.revisions
-        ):
-            self.pending[content] = None
-
-    def forgotten(self, content: str) -> None:
-        """Handles content that is no longer suspected."""
-        if content in self.revisions:
-            self.pending[content] = None
+    def changed(self, subject: str) -> None:
+        """Handles changed evidence against a subject seen to crash here."""
+        if subject in self.suspects.quarantines or subject in self.revisions:
+            self.pending[subject] = None
 
     async def _run(self) -> None:
         while True:
@@ -104,10 +98,10 @@
             self.era = self.store.era
         if not self.pending:
             return True
-        content = next(iter(self.pending))
-        if not await self._save(content, now):
+        subject = next(iter(self.pending))
+        if not await self._save(subject, now):
             return False
-        self.pending.pop(content, None)
+        self.pending.pop(subject, None)
         return True
 
     async def _read(self) -> bool:
@@ -129,74 +123,78 @@
         if not ages:
             self.lines.write("unreadable", object=stored.name)
             return
-        expired = suspects_module.memory_seconds(len(ages)) + CLOCK_SECONDS
-        if min(ages.values()) > expired:
+        subject = server_deaths.Subject(
+            key=stored.name, depth=_depth(stored.value)
+        )
+        remembered = suspects_module.memory_seconds(
+            len(ages), is_part=subject.depth > 0
+        )
+        if min(ages.values()) > remembered + CLOCK_SECONDS:
             await self.store.delete(KIND, stored.name, stored.revision)
             return
         for incarnation, age in ages.items():
-            self.suspects.record_crash(stored.name, incarnation, now - age)
+            self.suspects.record_crash(subject, incarnation, now - age)
 
-    async def _save(self, content: str, now: float) -> bool:
+    async def _save(self, subject: str, now: float) -> bool:
         """Writes or deletes a record; returns whether that is done."""
-        if not self.suspects.is_quarantined(content, now):
-            return await self._delete(content)
+        if subject not in self.suspects.quarantines:
+            return await self._delete(subject)
         answer = await self.store.write(
             KIND,
-            content,
-            {"crashes": self._crash_times(content, now)},
-            revision=self.revisions.get(content),
+            subject,
+            {
+                "crashes": self._crash_times(subject, now),
+                "depth": self.suspects.subjects[subject].depth,
+            },
+            revision=self.revisions.get(subject),
         )
         match answer:
             case registrations.Unavailable(reason=reason):
                 self.lines.write(
-                    "quarantine_not_written", content=content, why=reason
+                    "quarantine_not_written", subject=subject, why=reason
                 )
                 return False
             case registrations.Conflict(found=found):
                 # Another router wrote it, or it was deleted meanwhile.
-                self.revisions.pop(content, None)
+                self.revisions.pop(subject, None)
                 if found is not None:
-                    self.revisions[content] = found.revision
+                    self.revisions[subject] = found.revision
                     await self._apply(found, now, time.time())
-                return self._is_saved(content, found)
+                return self._is_saved(subject, found)
             case registrations.Stored(revision=revision):
-                self.revisions[content] = revision
-        self.lines.write("quarantine_written", content=content)
+                self.revisions[subject] = revision
+        self.lines.write("quarantine_written", subject=subject)
         return True
 
     def _is_saved(
-        self, content: str, found: registrations.Stored | None
+        self, subject: str, found: registrations.Stored | None
     ) -> bool:
         """Returns whether a record has all crashes that count."""
         if found is None:
             return False
         stored = _ages(found.value, time.time())
-        return all(
-            each.released or incarnation in stored
-            for incarnation, each in self.suspects.contents[
-                content
-            ].crashes.items()
-        )
+        return self._counted(subject).keys() <= stored.keys()
 
-    async def _delete(self, content: str) -> bool:
-        revision = self.revisions.get(content)
+    def _counted(self, subject: str) -> dict[str, suspects_module.Crash]:
+        suspect = self.suspects.subjects.get(subject)
+        return {} if suspect is None else suspect.counted()
+
+    async def _delete(self, subject: str) -> bool:
+        revision = self.revisions.get(subject)
         if revision is None:
             return True
-        deleted = await self.store.delete(KIND, content, revision)
+        deleted = await self.store.delete(KIND, subject, revision)
         if isinstance(deleted, registrations.Unavailable):
             return False
-        del self.revisions[content]
+        del self.revisions[subject]
         return True
 
-    def _crash_times(self, content: str, now: float) -> dict[str, int]:
+    def _crash_times(self, subject: str, now: float) -> dict[str, int]:
         """Returns the crashes that count, in ms of the time of day."""
         time_of_day = time.time()
         return {
             incarnation: int((time_of_day - (now - each.when)) * 1000)
-            for incarnation, each in self.suspects.contents[
-                content
-            ].crashes.items()
-            if not each.released
+            for incarnation, each in self._counted(subject).items()
         }
 
 
@@ -213,3 +211,9 @@
         for incarnation, when in crashes.items()
         if isinstance(when, int)
     }
+
+
+def _depth(value: object) -> int:
+    """Returns the place of a part in the prompt; 0 for content."""
+    depth = value.get("depth") if isinstance(value, dict) else None
+    return depth if isinstance(depth, int) else 0
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -1,56 +1,60 @@
-"""Quarantine of request content that crashes servers.
+"""Quarantine of request content and prompt parts that crash servers.
 
 A request may crash each server that begins to run it, and its client may send
-it again with a new id, to any router. Unless routers remember its content, it
-crashes one server after another.
+it again with a new id, to any router. Also one part of a prompt may crash each
+server, whatever else the request holds. Unless routers remember both, they
+crash one server after another.
 
-A broken connection alone shows no crash: most break for other reasons. It
-counts once its server is found dead, and until a later response shows that the
-server lives. Where servers die together, little of what ran there is the cause.
+Where servers die together, little of what ran there is the cause. A suspect
+that succeeded after a crash did not cause it, in whichever order the two are
+reported.
 """
 
 import collections
 from collections.abc import Callable
-import itertools
+from collections.abc import Iterable
 import math
 
 import attrs
 import xxhash
 
+from pimentoledge.routing import blames
 from pimentoledge.routing import request_types
+from pimentoledge.routing import server_deaths
 
-# At most three servers may crash from one content. Quarantine after the second
-# crash leaves one for a router that has not yet received the report.
-MAX_CRASHES = 2
 # Weight of a crash that something else may explain: the server was only silent,
 # as behind a partition, or servers that did not run the content died within the
-# time below. Two such crashes don't reach the least sum of weights for
-# quarantine.
+# time below.
 WEAK_WEIGHT = 0.5
 MASS_LOSS_SECONDS = 0.5
-MIN_WEIGHT = 1.5
-# How long content of two crashes is quarantined; each further crash multiplies
-# the time by the factor, up to the maximum.
+# So many crashes of a part at the same moment count as one, since a lost rack
+# has all parts that are much in use. Silence shows only with time.
+MASS_LOSS_SERVERS = 3
+SAME_MOMENT_SECONDS = 0.1
+SILENCE_SECONDS = 3.0
+# How long content of the least number of crashes is quarantined; each further
+# crash multiplies the time by the factor, up to the maximum.
 QUARANTINE_SECONDS = 60.0
 QUARANTINE_FACTOR = 10.0
 MAX_QUARANTINE_SECONDS = 86400.0
-# A crash is forgotten this long after the newest one of its content, and never
+# The same for a part, which sound requests may share.
+PART_QUARANTINE_SECONDS = 15.0
+PART_QUARANTINE_FACTOR = 4.0
+# After a part's quarantine single requests with it are sent, each once the
+# outcome of the one before must be known.
+TRIAL_SECONDS = 5.0
+# A crash is forgotten this long after the newest one of its subject, and never
 # before twice the quarantine has passed.
 MEMORY_SECONDS = 300.0
-# How long a broken connection may count after it broke. The entry of a dead
-# server lapses some seconds later, and after an outage of the store only then.
-BREAK_SECONDS = 30.0
-# Most contents remembered, at some 300 bytes each.
-MAX_CONTENTS = 2000
-# Most servers with broken connections, and connections of each.
-MAX_BROKEN_SERVERS = 500
-MAX_BREAKS = 100
-# Most dead servers remembered.
-MAX_DEAD = 1000
+# Most subjects with crashes, and with successes, remembered, at some 300 and
+# 150 bytes each.
+MAX_SUSPECTS = 4000
+MAX_SUCCESSES = 4000
+NEVER = -math.inf
 
 
 class QuarantinedError(Exception):
-    """A request's content is quarantined, so it must not be sent."""
+    """A request's content or a part is quarantined: it must not be sent."""
 
 
 def fingerprint(
@@ -73,15 +77,42 @@
     return digest.hexdigest()
 
 
+def part_key(model: str, part: str) -> str:
+    """Returns the key of a prompt part as read by a model."""
+    return xxhash.xxh3_128_hexdigest(f"{model}\0{part}".encode())
+
+
+def subjects_of(
+    client_request: request_types.ClientRequest, organisation: str
+) -> tuple[server_deaths.Subject, ...]:
+    """Returns what a request may crash servers by, its content first.
+
+    Args:
+        client_request: the request.
+        organisation: name of the organisation, "" if none.
+    """
+    content = server_deaths.Subject(
+        key=fingerprint(client_request, organisation)
+    )
+    parts = {
+        part_key(client_request.model, part.name): depth
+        for depth, part in enumerate(client_request.shared, 1)
+    }
+    return content, *(
+        server_deaths.Subject(key=key, depth=depth)
+        for key, depth in parts.items()
+    )
+
+
 @attrs.define
 class Crash:
-    """A server that died while it ran some content.
+    """A server that died while it ran some subject.
 
     Attributes:
         when: when its connection broke, in seconds of clocks.now; never before
             the server died.
-        released: whether it no longer counts, because the content was completed
-            or the server turned out to live. This is never revoked.
+        released: whether it no longer counts, because the server turned out to
+            live. This is never revoked.
         silent: whether the server did not close the connection.
     """
 
@@ -92,163 +123,140 @@
 
 @attrs.define(kw_only=True)
 class Suspect:
-    """Content that was on servers when they died.
+    """A subject of requests that were on servers when they died.
 
     Attributes:
+        depth: place of a part in the prompt, or 0 for the content of a request.
         crashes: the crashes, by incarnation of the server.
+        succeeded_at: when it last succeeded, in seconds of clocks.now.
     """
 
+    depth: int
     crashes: dict[str, Crash] = attrs.field(factory=dict)
+    succeeded_at: float = NEVER
 
     def counted(self) -> dict[str, Crash]:
         """Returns the crashes that count."""
         return {
             incarnation: each
             for incarnation, each in self.crashes.items()
-            if not each.released
+            if not each.released and each.when > self.succeeded_at
         }
 
     def newest(self) -> float:
-        """Returns the time of the newest crash, released or not."""
+        """Returns the time of the newest crash, counted or not."""
         return max(each.when for each in self.crashes.values())
 
 
-@attrs.frozen
-class BrokenConnection:
-    """A connection that broke while a server ran some content.
+@attrs.define(kw_only=True)
+class Quarantine:
+    """A subject that is to blame for crashes.
 
     Attributes:
-        content: the content.
-        sent: when the request was sent.
-        when: when the connection broke.
-        silent: whether the server did not close it.
+        until: end of the quarantine, in seconds of clocks.now.
+        trial_until: until when no further request is sent on trial.
     """
 
-    content: str
-    sent: float
-    when: float
-    silent: bool
-
-
-@attrs.define
-class ServerBreaks:
-    """Connections to a server that broke and may show its death.
-
-    Attributes:
-        connections: the connections, the latest to break last.
-        accepted_at: when the server last accepted a new connection.
-    """
+    until: float
+    trial_until: float = NEVER
 
-    connections: list[BrokenConnection] = attrs.field(factory=list)
-    accepted_at: float = 0.0
 
-    def died_at(self, found_at: float) -> float:
-        """Returns when the server died if it was found dead at some time."""
-        later = (
-            each.when
-            for each in self.connections
-            if each.when >= self.accepted_at
+def quarantine_seconds(crashes: int, *, is_part: bool = False) -> float:
+    """Returns how long a subject is quarantined after its newest crash."""
+    least, seconds, factor = (
+        (
+            blames.MIN_PART_CRASHES,
+            PART_QUARANTINE_SECONDS,
+            PART_QUARANTINE_FACTOR,
         )
-        return min(later, default=found_at)
-
-
-def quarantine_seconds(crashes: int) -> float:
-    """Returns how long content is quarantined after its newest crash."""
-    if crashes < MAX_CRASHES:
+        if is_part
+        else (
+            blames.MIN_CONTENT_CRASHES,
+            QUARANTINE_SECONDS,
+            QUARANTINE_FACTOR,
+        )
+    )
+    if crashes < least:
         return 0.0
-    seconds = QUARANTINE_SECONDS * QUARANTINE_FACTOR ** (crashes - MAX_CRASHES)
-    return min(seconds, MAX_QUARANTINE_SECONDS)
+    # The exponent is bounded, as a float's range is.
+    exponent = min(crashes - least, 20)
+    return min(seconds * factor**exponent, MAX_QUARANTINE_SECONDS)
 
 
 class Suspects:
-    """Request content suspected of crashing servers.
+    """Subjects of requests suspected of crashing servers.
 
     Attributes:
-        contents: the suspects by content fingerprint, the newest last.
-        breaks: connections that broke during requests, by incarnation of the
-            server, the server of the newest last.
-        dead: when servers were found dead, by incarnation, the newest last.
-        on_change: called with the content and the incarnation of a crash that
-            is new or newly released.
-        on_forget: called with the content and the incarnation of a crash that
-            is forgotten.
+        subjects: the suspects by key, the newest last.
+        quarantines: those that are to blame, by key.
+        deaths: servers that died or may have.
+        on_change: called with the key and the incarnation of a crash that is
+            new or newly released.
+        on_success: called with the key of a suspect that succeeded after a
+            crash.
+        on_forget: called with the key and the incarnations of a suspect that is
+            forgotten.
+        on_verdict: called with the key of a suspect that is newly quarantined
+            or released.
+        rank: returns how many routers precede this one in sending requests of a
+            subject on trial.
     """
 
-    def __init__(self):
-        self.contents: collections.OrderedDict[str, Suspect] = (
-            collections.OrderedDict()
-        )
-        self.breaks: collections.OrderedDict[str, ServerBreaks] = (
-            collections.OrderedDict()
-        )
-        self.dead: collections.OrderedDict[str, float] = (
+    def __init__(self, *, explain=blames.explain):
+        self.subjects: collections.OrderedDict[str, Suspect] = (
             collections.OrderedDict()
         )
+        self.quarantines: dict[str, Quarantine] = {}
+        self.deaths = server_deaths.ServerDeaths()
         self.on_change: Callable[[str, str], None] = lambda *_: None
-        self.on_forget: Callable[[str, str], None] = lambda *_: None
-        self._contents_by_incarnation: dict[str, set[str]] = {}
+        self.on_success: Callable[[str], None] = lambda *_: None
+        self.on_forget: Callable[[str, Iterable[str]], None] = lambda *_: None
+        self.on_verdict: Callable[[str], None] = lambda *_: None
+        self.rank: Callable[[str], int] = lambda key: 0
+        self._explain = explain
+        self._changed = False
+        self._subjects_by_incarnation: dict[str, set[str]] = {}
+        # Subjects with enough crashes to be quarantined if nothing explains
+        # them.
+        self._candidates: set[str] = set()
         # When the servers of all known crashes died.
-        self._deaths: dict[str, float] = {}
+        self._died_at: dict[str, float] = {}
+        self._successes: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
 
     def record_break(
         self,
-        content: str,
+        subjects: Iterable[server_deaths.Subject],
         incarnation: str,
         *,
         sent: float,
         now: float,
         silent: bool = False,
     ) -> list[str]:
-        """Records that a connection broke while the server ran content.
+        """Records that a connection broke while the server ran a request.
 
-        Args:
-            content: the content.
-            incarnation: the server.
-            sent: when the request was sent.
-            now: the time.
-            silent: whether the server was silent, rather than closed the
-                connection.
-
-        Returns:
-            the contents that crashed the server, if it is known to be dead.
+        Returns the subjects that may have crashed the server, if it is known to
+        be dead; see server_deaths.ServerDeaths.
         """
-        breaks = self.breaks.setdefault(incarnation, ServerBreaks())
-        breaks.connections.append(BrokenConnection(content, sent, now, silent))
-        self.breaks.move_to_end(incarnation)
-        while len(self.breaks) > MAX_BROKEN_SERVERS:
-            self.breaks.popitem(last=False)
-        del breaks.connections[:-MAX_BREAKS]
-        if incarnation in self.dead:
-            return self.record_death(incarnation, now)
-        return []
-
-    def record_accepted(self, incarnation: str, now: float) -> None:
-        """Records that a server accepted a new connection after one broke."""
-        breaks = self.breaks.get(incarnation)
-        if breaks is not None:
-            breaks.accepted_at = now
+        causes = self.deaths.record_break(
+            subjects, incarnation, sent=sent, now=now, silent=silent
+        )
+        return self._record_causes(causes, incarnation)
 
     def record_death(self, incarnation: str, now: float) -> list[str]:
-        """Records that a server died; returns the contents that it ran.
+        """Records that a server died; returns the subjects that it ran."""
+        causes = self.deaths.record_death(incarnation, now)
+        return self._record_causes(causes, incarnation)
 
-        A request that was sent when the server had died did not end it.
-        """
-        breaks = self.breaks.pop(incarnation, ServerBreaks())
-        died_at = min(self.dead.get(incarnation, now), breaks.died_at(now))
-        self.dead[incarnation] = died_at
-        self.dead.move_to_end(incarnation)
-        while len(self.dead) > MAX_DEAD:
-            self.dead.popitem(last=False)
-        causes = {
-            each.content: each
-            for each in breaks.connections
-            if each.sent <= died_at and now - each.when < BREAK_SECONDS
-        }
-        for content, each in causes.items():
+    def _record_causes(
+        self, causes: list[server_deaths.Cause], incarnation: str
+    ) -> list[str]:
+        for each in causes:
             self.record_crash(
-                content, incarnation, each.when, silent=each.silent
+                each.subject, incarnation, each.when, silent=each.silent
             )
-        return sorted(causes)
+        return sorted(each.subject.key for each in causes)
 
     def record_life(self, incarnation: str, sent_at: float) -> list[str]:
         """Records that a server has answered a request.
@@ -261,144 +269,260 @@
             sent_at: when the request was sent.
 
         Returns:
-            the contents that are released by this.
+            the subjects that are released by this.
         """
-        if self.dead.get(incarnation, sent_at) < sent_at:
-            del self.dead[incarnation]
-        breaks = self.breaks.get(incarnation)
-        if breaks is not None:
-            breaks.connections = [
-                each for each in breaks.connections if each.when >= sent_at
-            ]
-            if not breaks.connections:
-                del self.breaks[incarnation]
-        if self._deaths.get(incarnation, sent_at) < sent_at:
-            del self._deaths[incarnation]
+        self.deaths.record_life(incarnation, sent_at)
+        if self._died_at.get(incarnation, sent_at) < sent_at:
+            del self._died_at[incarnation]
         return [
-            content
-            for content in list(
-                self._contents_by_incarnation.get(incarnation, ())
-            )
-            if self.contents[content].crashes[incarnation].when < sent_at
-            and self._release(content, incarnation)
+            key
+            for key in list(self._subjects_by_incarnation.get(incarnation, ()))
+            if self.subjects[key].crashes[incarnation].when < sent_at
+            and self._release(key, incarnation)
         ]
 
     def record_crash(
         self,
-        content: str,
+        subject: server_deaths.Subject,
         incarnation: str,
         when: float,
         *,
         released: bool = False,
         silent: bool = False,
     ) -> bool:
-        """Records that a server died while it ran content.
+        """Records that a server died while it ran a subject.
 
         Returns whether this crash, or its release, was not known before.
         """
-        suspect = self.contents.setdefault(content, Suspect())
+        key = subject.key
+        suspect = self.subjects.get(key)
+        if suspect is None:
+            suspect = self._add_suspect(subject)
+        suspect.depth = max(suspect.depth, subject.depth)
         crash = suspect.crashes.get(incarnation)
-        self._deaths[incarnation] = min(
-            self._deaths.get(incarnation, when), when
+        self._died_at[incarnation] = min(
+            self._died_at.get(incarnation, when), when
         )
         if crash is not None:
             crash.when = min(crash.when, when)
-            return released and self._release(content, incarnation)
+            self._reconsider(key)
+            return released and self._release(key, incarnation)
         suspect.crashes[incarnation] = Crash(when, released, silent)
-        self._contents_by_incarnation.setdefault(incarnation, set()).add(
-            content
-        )
-        self.contents.move_to_end(content)
-        while len(self.contents) > MAX_CONTENTS:
+        self._subjects_by_incarnation.setdefault(incarnation, set()).add(key)
+        self.subjects.move_to_end(key)
+        while len(self.subjects) > MAX_SUSPECTS:
             self._forget(self._least_suspected())
-        self.on_change(content, incarnation)
+        self._reconsider(key)
+        self.on_change(key, incarnation)
+        if when <= suspect.succeeded_at:
+            self.on_success(key)
         return True
 
-    def clear(self, content: str) -> bool:
-        """Clears content of suspicion, since a server has completed it.
+    def _add_suspect(self, subject: server_deaths.Subject) -> Suspect:
+        suspect = Suspect(
+            depth=subject.depth,
+            succeeded_at=self._successes.get(subject.key, NEVER),
+        )
+        self.subjects[subject.key] = suspect
+        return suspect
 
-        Returns whether any crash of it counted.
+    def record_success(self, key: str, when: float) -> bool:
+        """Records that a server has run a subject without a crash.
+
+        Args:
+            key: the subject.
+            when: a time at which it was shown to be sound.
+
+        Returns:
+            whether this releases the subject of any crash.
         """
-        suspect = self.contents.get(content)
+        if when <= self._successes.get(key, NEVER):
+            return False
+        self._successes[key] = when
+        self._successes.move_to_end(key)
+        if len(self._successes) > MAX_SUCCESSES:
+            self._successes.popitem(last=False)
+        suspect = self.subjects.get(key)
         if suspect is None:
             return False
-        released = [
-            self._release(content, incarnation)
-            for incarnation in suspect.crashes
-        ]
-        return any(released)
+        before = len(suspect.counted())
+        suspect.succeeded_at = max(suspect.succeeded_at, when)
+        if len(suspect.counted()) == before:
+            return False
+        self._reconsider(key)
+        self.on_success(key)
+        return True
 
-    def _release(self, content: str, incarnation: str) -> bool:
-        crash = self.contents[content].crashes[incarnation]
+    def _release(self, key: str, incarnation: str) -> bool:
+        crash = self.subjects[key].crashes[incarnation]
         if crash.released:
             return False
         crash.released = True
-        self.on_change(content, incarnation)
+        self._reconsider(key)
+        self.on_change(key, incarnation)
         return True
 
-    def is_quarantined(self, content: str, now: float) -> bool:
-        """Returns whether content has crashed too many servers to run again."""
-        return self.quarantined_until(content) > now
-
-    def quarantined_until(self, content: str) -> float:
-        """Returns the end of a content's quarantine, or 0."""
-        suspect = self.contents.get(content)
-        counted = suspect.counted() if suspect is not None else {}
-        if len(counted) < MAX_CRASHES:
-            return 0.0
-        weight = sum(map(self._weight, counted, itertools.repeat(counted)))
-        if weight < MIN_WEIGHT:
-            return 0.0
-        newest = max(each.when for each in counted.values())
-        crashes = max(MAX_CRASHES, math.floor(weight))
-        return newest + quarantine_seconds(crashes)
+    def _reconsider(self, key: str) -> None:
+        """Handles changed evidence against a subject."""
+        counted = len(self.subjects[key].counted())
+        if counted >= blames.MIN_CONTENT_CRASHES:
+            self._candidates.add(key)
+        elif key in self._candidates:
+            self._candidates.discard(key)
+        else:
+            return
+        self._changed = True
+
+    def _judge(self) -> None:
+        """Decides again what is quarantined, if the evidence has changed."""
+        if not self._changed:
+            return
+        self._changed = False
+        blamed = self._explain(
+            [self._evidence(key) for key in self._candidates]
+        )
+        verdicts = {}
+        for key, crashes in blamed.items():
+            former = self.quarantines.get(key)
+            verdicts[key] = Quarantine(
+                until=self._ends_at(key, crashes),
+                trial_until=NEVER if former is None else former.trial_until,
+            )
+        changed = verdicts.keys() ^ self.quarantines.keys()
+        self.quarantines = verdicts
+        for key in sorted(changed):
+            self.on_verdict(key)
+
+    def _ends_at(self, key: str, crashes: dict[str, float]) -> float:
+        suspect = self.subjects[key]
+        newest = max(suspect.crashes[each].when for each in crashes)
+        is_part = suspect.depth > 0
+        least = (
+            blames.MIN_PART_CRASHES if is_part else (blames.MIN_CONTENT_CRASHES)
+        )
+        number = max(least, math.floor(sum(crashes.values())))
+        return newest + quarantine_seconds(number, is_part=is_part)
+
+    def _evidence(self, key: str) -> blames.Evidence:
+        suspect = self.subjects[key]
+        counted = suspect.counted()
+        weight = self._part_weight if suspect.depth else self._content_weight
+        return blames.Evidence(
+            key=key,
+            depth=suspect.depth,
+            crashes={each: weight(each, counted) for each in counted},
+            succeeded_at=suspect.succeeded_at,
+        )
 
-    def _weight(self, incarnation: str, counted: dict[str, Crash]) -> float:
+    def _content_weight(
+        self, incarnation: str, counted: dict[str, Crash]
+    ) -> float:
         """Returns the weight of one of the crashes of some content."""
         crash = counted[incarnation]
         is_weak = crash.silent or any(
             abs(died_at - crash.when) < MASS_LOSS_SECONDS
-            for other, died_at in self._deaths.items()
+            for other, died_at in self._died_at.items()
             if other not in counted
         )
         return WEAK_WEIGHT if is_weak else 1.0
 
+    def _part_weight(
+        self, incarnation: str, counted: dict[str, Crash]
+    ) -> float:
+        """Returns the weight of one of the crashes of some part."""
+        crash = counted[incarnation]
+        span = SILENCE_SECONDS if crash.silent else SAME_MOMENT_SECONDS
+        together = sum(
+            abs(each.when - crash.when) < span for each in counted.values()
+        )
+        weight = WEAK_WEIGHT if crash.silent else 1.0
+        return weight / together if together >= MASS_LOSS_SERVERS else weight
+
+    def is_quarantined(self, key: str, now: float) -> bool:
+        """Returns whether a subject must not run, not even on trial."""
+        return self.quarantined_until(key) > now
+
+    def quarantined_until(self, key: str) -> float:
+        """Returns when requests of a subject may be sent again, or 0."""
+        self._judge()
+        quarantine = self.quarantines.get(key)
+        if quarantine is None:
+            return 0.0
+        until = max(quarantine.until, quarantine.trial_until)
+        if self.subjects[key].depth:
+            until = max(until, quarantine.until + self._trial_delay(key))
+        return until
+
+    def _trial_delay(self, key: str) -> float:
+        return TRIAL_SECONDS * self.rank(key)
+
+    def blocking(
+        self, subjects: Iterable[server_deaths.Subject], now: float
+    ) -> str | None:
+        """Returns the subject for which a request must not run, or None."""
+        self._judge()
+        if not self.quarantines:
+            return None
+        for each in subjects:
+            if self.is_quarantined(each.key, now):
+                return each.key
+        return None
+
+    def blocked_until(self, subjects: Iterable[server_deaths.Subject]) -> float:
+        """Returns when a request with some subjects may be sent again."""
+        return max(self.quarantined_until(each.key) for each in subjects)
+
+    def start_trial(
+        self, subjects: Iterable[server_deaths.Subject], now: float
+    ) -> None:
+        """Records that a request is sent whose subjects' quarantines ended.
+
+        Until its outcome is known, no other request with the same part is.
+        """
+        for each in subjects:
+            quarantine = self.quarantines.get(each.key)
+            if quarantine is not None and each.depth:
+                quarantine.trial_until = now + TRIAL_SECONDS
+
     def _least_suspected(self) -> str:
-        """Returns the oldest content of those with the fewest crashes.
+        """Returns the oldest subject of those with the fewest crashes.
 
-        A data centre that is lost makes suspects of all content that ran there;
-        they must not displace content that is quarantined.
+        A data centre that is lost makes suspects of all that ran there; they
+        must not displace what is quarantined.
         """
-        for content, suspect in self.contents.items():
-            if len(suspect.counted()) < MAX_CRASHES:
-                return content
-        return next(iter(self.contents))
-
-    def _forget(self, content: str) -> None:
-        suspect = self.contents.pop(content)
+        for key, suspect in self.subjects.items():
+            if len(suspect.counted()) < blames.MIN_CONTENT_CRASHES:
+                return key
+        return next(iter(self.subjects))
+
+    def _forget(self, key: str) -> None:
+        suspect = self.subjects.pop(key)
+        self._candidates.discard(key)
+        self._changed = True
         for incarnation in suspect.crashes:
-            contents = self._contents_by_incarnation[incarnation]
-            contents.discard(content)
-            if not contents:
-                del self._contents_by_incarnation[incarnation]
-                self._deaths.pop(incarnation, None)
-            self.on_forget(content, incarnation)
+            keys = self._subjects_by_incarnation[incarnation]
+            keys.discard(key)
+            if not keys:
+                del self._subjects_by_incarnation[incarnation]
+                self._died_at.pop(incarnation, None)
+        self.on_forget(key, suspect.crashes)
 
     def expire(self, now: float) -> list[str]:
-        """Forgets what has become too old; returns the forgotten contents."""
+        """Forgets what has become too old; returns the forgotten subjects."""
+        self._judge()
         expired = [
-            content
-            for content, suspect in self.contents.items()
-            if now > suspect.newest() + memory_seconds(len(suspect.counted()))
+            key
+            for key, suspect in self.subjects.items()
+            if now
+            > suspect.newest()
+            + memory_seconds(len(suspect.counted()), is_part=suspect.depth > 0)
         ]
-        for content in expired:
-            self._forget(content)
-        for incarnation, breaks in list(self.breaks.items()):
-            if now - breaks.connections[-1].when >= BREAK_SECONDS:
-                del self.breaks[incarnation]
+        for key in expired:
+            self._forget(key)
+        self.deaths.expire(now)
         return expired
 
 
-def memory_seconds(crashes: int) -> float:
-    """Returns how long content is remembered after its newest crash."""
-    return max(MEMORY_SECONDS, 2 * quarantine_seconds(crashes))
+def memory_seconds(crashes: int, *, is_part: bool = False) -> float:
+    """Returns how long a suspect is remembered after its newest crash."""
+    return max(MEMORY_SECONDS, 2 * quarantine_seconds(crashes, is_part=is_part))
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -7,6 +7,7 @@
 
 from pimentoledge.routing import clocks
 from pimentoledge.routing import server_connections
+from pimentoledge.routing import server_deaths
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -75,7 +76,7 @@
     [exchange] = router.exchanges
     for server in ("a", "b"):
         router.view.suspects.record_crash(
-            exchange.content, server, clocks.now()
+            exchange.subjects[0], server, clocks.now()
         )
     answer = await waiting
     assert answer.status == QUARANTINED
@@ -91,7 +92,7 @@
     [exchange] = router.exchanges
     for server in ("a", "b"):
         router.view.suspects.record_crash(
-            exchange.content, server, clocks.now()
+            exchange.subjects[0], server, clocks.now()
         )
     assert (await request).status == QUARANTINED
     assert not world.executed_requests("plain")
@@ -176,7 +177,9 @@
 
 def _quarantine(router, content="c"):
     for server in ("a", "b"):
-        router.view.suspects.record_crash(content, server, clocks.now())
+        router.view.suspects.record_crash(
+            server_deaths.Subject(key=content), server, clocks.now()
+        )
 
 
 def _all_quarantine(routers, content="c"):
@@ -249,14 +252,16 @@
     _quarantine(first)
     await world.until(lambda: _all_quarantine(world.routers))
     heal = _cut_off(third, first, second)
-    first.view.suspects.clear("c")
+    first.view.suspects.record_success("c", clocks.now())
     await asyncio.sleep(0.5)
     heal()
     await world.until(
         lambda: not any(_all_quarantine([each]) for each in world.routers),
         seconds=3,
     )
-    assert not first.view.suspects.record_crash("c", "a", clocks.now())
+    assert not first.view.suspects.record_crash(
+        server_deaths.Subject(key="c"), "a", clocks.now()
+    )
 
 
 async def _restart_all(world):
@@ -278,7 +283,7 @@
         assert (await _send(world)).status == CRASHED
     await world.until(lambda: "POST quarantines" in world.store.counts)
     router = await _restart_all(world)
-    await world.until(lambda: router.view.suspects.contents)
+    await world.until(lambda: router.view.suspects.subjects)
     await world.until(world.all_servers_known)
     assert (await _send(world)).status == QUARANTINED
 
@@ -330,8 +335,8 @@
     for _ in range(2):
         assert (await _send(world)).status == CRASHED
     await world.until(lambda: _stored(world))
-    [content] = router.view.suspects.contents
-    router.view.suspects.clear(content)
+    [content] = router.view.suspects.subjects
+    router.view.suspects.record_success(content, clocks.now())
     await world.until(lambda: not _stored(world))
 
 
@@ -344,6 +349,6 @@
     world.store.put("quarantines", "d", {"crashes": {"a": recent, "b": recent}})
     world.store.put("quarantines", "e", ["unreadable"])
     router = await _restart_all(world)
-    await world.until(lambda: router.view.suspects.contents)
-    assert list(router.view.suspects.contents) == ["d"]
+    await world.until(lambda: router.view.suspects.subjects)
+    assert list(router.view.suspects.subjects) == ["d"]
     await world.until(lambda: len(_stored(world)) == 2)
--- a/pimentoledge/tests/test_router_crashing_parts.py
+++ b/pimentoledge/tests/test_router_crashing_parts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from pimentoledge.routing import clocks
+from pimentoledge.routing import server_deaths
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -143,3 +145,69 @@
         headers=router_world.stream_headers(f"first:100,{BAD}:100"),
     )
     assert answer.status == 200
+
+
+@with_world(plain=0, runners=12)
+async def test_a_quarantined_part_is_known_after_all_routers_restart(world):
+    """Guards against more crashes after each restart of all routers."""
+    _crash_on_part(world)
+    sender = _Sender(world)
+    while await sender.crash() == CRASHED:
+        pass
+    crashes = _crashes(world)
+    await world.until(lambda: "POST quarantines" in world.store.counts)
+    for router in world.routers:
+        router.close()
+    world.routers.clear()
+    port = router_world.free_port()
+    router = await world.add_router("after", port, [port])
+    await world.until(router.view.ready)
+    await world.until(lambda: router.view.suspects.subjects)
+    assert await sender.crash() == QUARANTINED
+    assert (await sender.send("first", "other")).status == 200
+    assert _crashes(world) == crashes
+
+
+@with_world(routers=3, plain=0, runners=12)
+async def test_a_router_that_joins_learns_which_part_is_quarantined(world):
+    """Guards against crashes for each router that is added."""
+    _crash_on_part(world)
+    sender = _Sender(world)
+    while await sender.crash() == CRASHED:
+        pass
+    crashes = _crashes(world)
+    ports = [
+        int(each.chosen.text("peer-listen").rpartition(":")[2])
+        for each in world.routers
+    ]
+    await world.add_router("late", router_world.free_port(), ports)
+    await world.until(
+        lambda: len(world.routers[3].view.suspects.quarantines) > 0
+    )
+    assert await sender.crash(3) == QUARANTINED
+    assert _crashes(world) == crashes
+
+
+@with_world(routers=3, plain=0, runners=12)
+async def test_a_success_at_one_router_releases_the_part_at_all(world):
+    """Guards against a wrong verdict that outlasts its refutation."""
+    first, *others = world.routers
+    for number in range(3):
+        first.view.suspects.record_crash(
+            server_deaths.Subject(key="part", depth=1),
+            f"gone{number}",
+            clocks.now() - number / 5,
+        )
+    await world.until(
+        lambda: all(
+            each.view.suspects.is_quarantined("part", clocks.now())
+            for each in others
+        )
+    )
+    first.view.suspects.record_success("part", clocks.now())
+    await world.until(
+        lambda: not any(
+            each.view.suspects.is_quarantined("part", clocks.now())
+            for each in others
+        )
+    )
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -25,6 +25,7 @@
 from pimentoledge.routing import router_responses
 from pimentoledge.routing import saved_parts
 from pimentoledge.routing import selections
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import suspects
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import wait_estimates
@@ -438,13 +439,17 @@
         assert seconds(None, True) == pytest.approx(1.0)
 
 
+def subject(key, depth=0):
+    return server_deaths.Subject(key=key, depth=depth)
+
+
 class TestSuspects:
     """Quarantine of content that crashes servers."""
 
     def test_content_of_two_crashed_servers_is_quarantined_for_a_while(self):
         known = suspects.Suspects()
         for name, when in (("i", 1.0), ("j", 2.0)):
-            known.record_break("c", name, sent=when - 0.1, now=when)
+            known.record_break([subject("c")], name, sent=when - 0.1, now=when)
             assert known.record_death(name, when + 0.5) == ["c"]
         assert known.is_quarantined("c", 3.0)
         assert not known.is_quarantined("d", 3.0)
@@ -454,17 +459,19 @@
         """Guards against content that crashes two servers each minute."""
         known = suspects.Suspects()
         for name in ("i", "j", "k"):
-            known.record_crash("c", name, 1.0)
+            known.record_crash(subject("c"), name, 1.0)
         until = known.quarantined_until("c")
         assert until == 1.0 + 10 * suspects.QUARANTINE_SECONDS
         known.expire(until + suspects.QUARANTINE_SECONDS)
-        known.record_crash("c", "l", until + suspects.QUARANTINE_SECONDS)
+        known.record_crash(
+            subject("c"), "l", until + suspects.QUARANTINE_SECONDS
+        )
         later = until + 90 * suspects.QUARANTINE_SECONDS
         assert known.is_quarantined("c", later)
 
     def test_crashes_are_forgotten(self):
         known = suspects.Suspects()
-        known.record_crash("c", "i", 1.0)
+        known.record_crash(subject("c"), "i", 1.0)
         assert not known.expire(1.0 + suspects.MEMORY_SECONDS)
         assert known.expire(1.1 + suspects.MEMORY_SECONDS) == ["c"]
 
@@ -472,21 +479,23 @@
         """Guards against refusing harmless requests after lost responses."""
         known = suspects.Suspects()
         for number in range(9):
-            known.record_break("c", f"i{number}", sent=0.9, now=1.0)
+            known.record_break([subject("c")], f"i{number}", sent=0.9, now=1.0)
         assert not known.is_quarantined("c", 2.0)
         known.record_life("i1", 1.1)
         assert not known.record_death("i1", 1.2)
-        assert not known.record_death("i2", 1.0 + suspects.BREAK_SECONDS)
+        assert not known.record_death("i2", 1.0 + server_deaths.BREAK_SECONDS)
 
     def test_a_break_after_the_known_death_counts(self):
         known = suspects.Suspects()
         assert not known.record_death("i", 1.0)
-        assert known.record_break("c", "i", sent=0.9, now=1.1) == ["c"]
+        assert known.record_break([subject("c")], "i", sent=0.9, now=1.1) == [
+            "c"
+        ]
 
     def test_a_response_to_an_earlier_request_proves_no_life(self):
         """Guards against a late response that refutes a real crash."""
         known = suspects.Suspects()
-        known.record_break("c", "i", sent=1.5, now=2.0)
+        known.record_break([subject("c")], "i", sent=1.5, now=2.0)
         known.record_life("i", 1.9)
         assert known.record_death("i", 2.1) == ["c"]
         assert not known.record_life("i", 2.0)
@@ -495,17 +504,17 @@
     def test_a_request_sent_to_a_dead_server_did_not_end_it(self):
         """Guards against content resent while a data centre is lost."""
         known = suspects.Suspects()
-        known.record_break("c", "i", sent=1.0, now=2.0)
-        known.record_break("d", "i", sent=2.1, now=2.2)
+        known.record_break([subject("c")], "i", sent=1.0, now=2.0)
+        known.record_break([subject("d")], "i", sent=2.1, now=2.2)
         assert known.record_death("i", 2.3) == ["c"]
-        assert not known.record_break("e", "i", sent=2.1, now=2.4)
+        assert not known.record_break([subject("e")], "i", sent=2.1, now=2.4)
 
     def test_a_break_before_an_accepted_connection_is_not_the_death(self):
         """Guards against a crash that an earlier lost response hides."""
         known = suspects.Suspects()
-        known.record_break("d", "i", sent=1.0, now=2.0)
-        known.record_accepted("i", 2.1)
-        known.record_break("c", "i", sent=2.2, now=3.0)
+        known.record_break([subject("d")], "i", sent=1.0, now=2.0)
+        known.deaths.record_accepted("i", 2.1)
+        known.record_break([subject("c")], "i", sent=2.2, now=3.0)
         assert "c" in known.record_death("i", 3.1)
 
     def test_content_of_two_mass_losses_is_not_quarantined(self):
@@ -513,10 +522,10 @@
         known = suspects.Suspects()
         for when, servers in ((1.0, "ijk"), (5.0, "lmn")):
             for server in servers:
-                known.record_crash(f"on {server}", server, when)
-            known.record_crash("c", servers[0], when)
+                known.record_crash(subject(f"on {server}"), server, when)
+            known.record_crash(subject("c"), servers[0], when)
         assert not known.is_quarantined("c", 6.0)
-        known.record_crash("c", "o", 7.0)
+        known.record_crash(subject("c"), "o", 7.0)
         assert known.is_quarantined("c", 8.0)
 
     def test_content_of_two_silent_servers_is_not_quarantined(self):
@@ -524,7 +533,9 @@
         known = suspects.Suspects()
         for when, server in enumerate("ijk"):
             assert not known.is_quarantined("c", when)
-            known.record_break("c", server, sent=when, now=when, silent=True)
+            known.record_break(
+                [subject("c")], server, sent=when, now=when, silent=True
+            )
             assert known.record_death(server, when) == ["c"]
         assert known.is_quarantined("c", 3.0)
 
@@ -532,8 +543,8 @@
         """Guards against copies that crash two servers at the same time."""
         known = suspects.Suspects()
         for server in "ij":
-            known.record_crash(f"on {server}", server, 1.0)
-            known.record_crash("c", server, 1.1)
+            known.record_crash(subject(f"on {server}"), server, 1.0)
+            known.record_crash(subject("c"), server, 1.1)
         assert known.is_quarantined("c", 2.0)
         assert not known.is_quarantined("on i", 2.0)
 
@@ -541,35 +552,35 @@
         """Guards against a fourth server that such content crashes."""
         known = suspects.Suspects()
         for number in range(3):
-            known.record_crash("c", f"i{number}", number)
-            known.record_crash("d", f"j{number}", number + 0.1)
+            known.record_crash(subject("c"), f"i{number}", number)
+            known.record_crash(subject("d"), f"j{number}", number + 0.1)
         assert known.is_quarantined("c", 4.0)
 
     def test_a_complete_response_clears_the_suspicion(self):
         known = suspects.Suspects()
-        known.record_crash("c", "i", 1.0)
-        known.clear("c")
-        known.record_crash("c", "j", 2.0)
+        known.record_crash(subject("c"), "i", 1.0)
+        known.record_success("c", 1.5)
+        known.record_crash(subject("c"), "j", 2.0)
         assert not known.is_quarantined("c", 3.0)
 
     def test_a_late_report_of_a_released_crash_does_not_count(self):
         """Guards against a clearance that the next report takes back."""
         known = suspects.Suspects()
         for name in ("i", "j"):
-            known.record_crash("c", name, 1.0)
-        known.clear("c")
+            known.record_crash(subject("c"), name, 1.0)
+        known.record_success("c", 1.5)
         for name in ("i", "j"):
-            assert not known.record_crash("c", name, 1.0)
+            assert not known.record_crash(subject("c"), name, 1.0)
         assert not known.is_quarantined("c", 2.0)
 
     def test_a_lost_data_centre_displaces_no_quarantined_content(self):
         """Guards against a memory that harmless content fills."""
         known = suspects.Suspects()
         for name in ("i", "j"):
-            known.record_crash("c", name, 1.0)
-        for number in range(2 * suspects.MAX_CONTENTS):
-            known.record_crash(f"d{number}", f"k{number % 40}", 2.0)
-        assert len(known.contents) == suspects.MAX_CONTENTS
+            known.record_crash(subject("c"), name, 1.0)
+        for number in range(2 * suspects.MAX_SUSPECTS):
+            known.record_crash(subject(f"d{number}"), f"k{number % 40}", 2.0)
+        assert len(known.subjects) == suspects.MAX_SUSPECTS
         assert known.is_quarantined("c", 3.0)
 
 
--- a/pimentoledge/tests/test_router_lives.py
+++ b/pimentoledge/tests/test_router_lives.py
@@ -14,6 +14,7 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
 from pimentoledge.routing import rollouts
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import view_updaters
 
 ENTRY = {
@@ -111,8 +112,12 @@
     suspects = router.view.suspects
     first = router.put().registration.incarnation
     second = router.put(born=2000).registration.incarnation
-    assert suspects.record_crash("content", first, 1.0)
-    assert suspects.record_crash("content", second, 2.0)
+    assert suspects.record_crash(
+        server_deaths.Subject(key="content"), first, 1.0
+    )
+    assert suspects.record_crash(
+        server_deaths.Subject(key="content"), second, 2.0
+    )
     assert suspects.is_quarantined("content", 3.0)
 
 
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -14,6 +14,7 @@
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rosters
+from pimentoledge.routing import server_deaths
 from pimentoledge.routing import watch_shares
 from pimentoledge.tests import router_world
 
@@ -484,7 +485,10 @@
     for incarnation in ("p0", "p1"):
         now = clocks.now()
         first.view.suspects.record_break(
-            "content", incarnation, sent=now, now=now
+            [server_deaths.Subject(key="content")],
+            incarnation,
+            sent=now,
+            now=now,
         )
         first.peers.server_died(incarnation)
     await world.until(
