Leave connections that a router can't serve to the others

The load balancer may hand most new connections to one router. It accepted and read all of them, so that what it read was late, or failed at its deadline, while the other routers had time.

A router now closes further connections unread, by a reset, as long as its event loop spends half of the time in iterations of 0.1 s and more: its clients' retries meet other routers. The bound on requests in progress falls to four fifths of what there is and rises again with time to spare; without overload there is none. Kept connections are served, and the router stays ready. The processor's clock shows nothing useful on the platform, the iterations of the loop do.

No stand-in of ours hands out connections so.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -191,6 +191,14 @@
         if now - self.idle_since > self._idle_limit():
             self._transport.close()
 
+    def awaits_first_request(self, now: float) -> bool:
+        """Returns whether it was just opened and has sent no request yet."""
+        return (
+            not self.served
+            and self.exchange is None
+            and now - self.idle_since < FIRST_REQUEST_SECONDS
+        )
+
     def _idle_limit(self) -> float:
         """Returns how long it may wait for a request or the rest of one."""
         bounds = self.limits()
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -16,9 +16,11 @@
 from pimentoledge.routing import cache_monitors
 from pimentoledge.routing import calls
 from pimentoledge.routing import client_connections
+from pimentoledge.routing import client_listeners
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
+from pimentoledge.routing import connection_limits
 from pimentoledge.routing import counters
 from pimentoledge.routing import exchanges
 from pimentoledge.routing import hedged_calls
@@ -26,6 +28,7 @@
 from pimentoledge.routing import leases
 from pimentoledge.routing import liveness_checks
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import loop_loads
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import object_merges
 from pimentoledge.routing import pages
@@ -72,10 +75,19 @@
         pool: connections to backend servers.
         connections: open client connections.
         exchanges: requests in progress, also those whose clients disconnected.
+        loop_load: load of the event loop, or None if it isn't measured.
+        connection_limit: decides which connections of clients are accepted.
     """
 
-    def __init__(self, *, chosen: settings.Settings):
+    def __init__(
+        self,
+        *,
+        chosen: settings.Settings,
+        loop_load: loop_loads.LoopLoad | None = None,
+    ):
         self.chosen = chosen
+        self.loop_load = loop_load
+        self.connection_limit = connection_limits.ConnectionLimit()
         self.counters = counters.Counters()
         self.lines = log_lines.Lines(counters=self.counters)
         self.view = cluster_views.ClusterView(
@@ -211,6 +223,14 @@
             lines=self.lines,
         )
         self._servers: list[asyncio.Server] = []
+        self.listener = client_listeners.ClientListener(
+            address=chosen.text("listen"),
+            make=self._new_connection,
+            limit=self.connection_limit,
+            in_progress=self._requests_in_progress,
+            late_share=self._late_share,
+            lines=self.lines,
+        )
         self._settings_modified = _settings_modified(chosen.text("config"))
         self._next_settings_check = 0.0
         self._ticked = clocks.now()
@@ -225,8 +245,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for each in self.watchers:
             each.start()
+        self.listener.start()
         for name, make in (
-            ("listen", self._new_connection),
             ("ready-listen", self._new_connection),
             ("metrics-listen", lambda: pages.PageConnection(page=self._page)),
         ):
@@ -271,6 +291,7 @@
                 else 0,
                 "routers": self.view.members,
                 "server_connections_opened": self.pool.opened,
+                "connections_refused": self.connection_limit.refused,
             }
         )
 
@@ -315,6 +336,17 @@
             open_connections=self.connections,
         )
 
+    def _requests_in_progress(self) -> int:
+        now = clocks.now()
+        return len(self.exchanges) + sum(
+            each.awaits_first_request(now) for each in self.connections
+        )
+
+    def _late_share(self, now: float) -> float:
+        if self.loop_load is None:
+            return 0.0
+        return self.loop_load.late_share(now)
+
     def _limits(self) -> configurations.ClientLimits:
         if self.view.configuration is None:
             return configurations.ClientLimits()
@@ -417,6 +449,7 @@
 
     def close(self) -> None:
         """Closes every socket."""
+        self.listener.close()
         for each in self._servers:
             each.close()
         self.holder.close()
@@ -499,6 +532,15 @@
 def run(chosen: settings.Settings) -> int:
     """Runs a router until a signal ends it; returns the exit status."""
     handler = log_lines.to_standard_output(level=chosen.text("log-level"))
-    with handler.applicationbound():
-        asyncio.run(Router(chosen=chosen).run())
+    load = loop_loads.LoopLoad()
+    with (
+        handler.applicationbound(),
+        asyncio.Runner(loop_factory=lambda: new_loop(load)) as runner,
+    ):
+        runner.run(Router(chosen=chosen, loop_load=load).run())
     return 0
+
+
+def new_loop(load: loop_loads.LoopLoad) -> asyncio.AbstractEventLoop:
+    """Returns an event loop whose load is measured."""
+    return asyncio.SelectorEventLoop(loop_loads.TimedSelector(load))
