Evaluate a bounded number of servers for a request

The cost of choosing a server grew with the servers of its service: each was evaluated, and each asked for cached parts, twice a request. Of a service with over 32 servers, 16 of the own data centre, 8 of all and up to 8 that hold the prompt are drawn now, and 96 if none of these has room; who holds a part is looked up in an index.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -103,9 +103,14 @@
         failure_rate: moving failure rate of its requests.
         failure_rate_at: time of the last failure.
         mean_event_gap: mean time between its events, in seconds; 0 if unknown.
+        holders: the servers that are assumed to have each part cached, by
+            namespace and name; shared with the other servers.
     """
 
     registration: registrations.Registration
+    holders: dict[tuple[str, str], dict["Backend", None]] = attrs.field(
+        factory=dict, repr=False
+    )
     notice: ServerNotice = attrs.field(factory=ServerNotice)
     open: int = 0
     unread_tokens: int = 0
@@ -355,9 +360,19 @@
                 continue
             self.parts[key] = CachedPart(part.tokens, ready_at)
             self.part_tokens += part.tokens
+            self.holders.setdefault(key, {})[self] = None
         while self.part_tokens > max_tokens and self.parts:
-            _, evicted = self.parts.popitem(last=False)
+            key, evicted = self.parts.popitem(last=False)
             self.part_tokens -= evicted.tokens
+            self._drop_holder(key)
+
+    def _drop_holder(self, key: tuple[str, str]) -> None:
+        others = self.holders.get(key)
+        if others is None:
+            return
+        others.pop(self, None)
+        if not others:
+            del self.holders[key]
 
     def note_parts_read(self, namespace: str, parts: tuple, now: float) -> None:
         """Marks these parts as prefilled and ready to fetch."""
@@ -368,6 +383,8 @@
 
     def forget_parts(self) -> None:
         """Clears the parts that it is assumed to have cached."""
+        for key in self.parts:
+            self._drop_holder(key)
         self.parts.clear()
         self.part_tokens = 0
 
@@ -379,12 +396,17 @@
         by_incarnation: the servers by their current incarnation.
         by_server: the servers by id.
         by_service: the servers by service.
+        by_place: the servers by service and data centre.
+        holders: the servers that are assumed to have a part cached, by
+            namespace and name.
     """
 
     def __init__(self):
         self.by_incarnation: dict[str, Backend] = {}
         self.by_server: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
+        self.by_place: dict[tuple[str, str], list[Backend]] = {}
+        self.holders: dict[tuple[str, str], dict[Backend, None]] = {}
         self._former_notices: collections.OrderedDict[str, ServerNotice] = (
             collections.OrderedDict()
         )
@@ -403,10 +425,9 @@
         if registration.incarnation != before.incarnation:
             self.remove(registration.server)
             return self._add(registration)
-        if registration.service != before.service:
-            self.by_service[before.service].remove(backend)
-            self.by_service.setdefault(registration.service, []).append(backend)
+        self._unlist(backend)
         backend.registration = registration
+        self._list(backend)
         if before.weights != registration.weights:
             backend.finish_loading()
         return backend
@@ -416,18 +437,33 @@
             self._former_notices.pop(registration.incarnation, None)
             or ServerNotice()
         )
-        backend = Backend(registration=registration, notice=notice)
+        backend = Backend(
+            registration=registration, notice=notice, holders=self.holders
+        )
         self.by_incarnation[registration.incarnation] = backend
         self.by_server[registration.server] = backend
-        self.by_service.setdefault(registration.service, []).append(backend)
+        self._list(backend)
         return backend
 
+    def _list(self, backend: Backend) -> None:
+        service = backend.registration.service
+        place = (service, backend.registration.data_centre)
+        self.by_service.setdefault(service, []).append(backend)
+        self.by_place.setdefault(place, []).append(backend)
+
+    def _unlist(self, backend: Backend) -> None:
+        service = backend.registration.service
+        place = (service, backend.registration.data_centre)
+        self.by_service[service].remove(backend)
+        self.by_place[place].remove(backend)
+
     def remove(self, server: str) -> Backend | None:
         """Removes a server that is no longer declared and returns it."""
         backend = self.by_server.pop(server, None)
         if backend is not None:
             del self.by_incarnation[backend.registration.incarnation]
-            self.by_service[backend.registration.service].remove(backend)
+            self._unlist(backend)
+            backend.forget_parts()
             backend.ended = True
             backend.notice.leaving |= backend.registration.leaving
             self._former_notices[backend.registration.incarnation] = (
@@ -440,3 +476,25 @@
     def of_service(self, service: str) -> list[Backend]:
         """Returns the servers of a service."""
         return self.by_service.get(service, [])
+
+    def of_place(self, service: str, data_centre: str) -> list[Backend]:
+        """Returns the servers of a service in a data centre."""
+        return self.by_place.get((service, data_centre), [])
+
+    def holders_of(
+        self, namespace: str, parts: tuple, most: int
+    ) -> list[Backend]:
+        """Returns servers that are assumed to have parts of a prompt cached.
+
+        Args:
+            namespace: cache namespace of the parts.
+            parts: the prompt's parts; those that have more of them come first.
+            most: maximum number of servers.
+        """
+        found: dict[Backend, None] = {}
+        for part in reversed(parts):
+            for each in self.holders.get((namespace, part.name), ()):
+                found[each] = None
+                if len(found) >= most:
+                    return list(found)
+        return list(found)
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -10,6 +10,7 @@
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import placements
 from pimentoledge.routing import request_types
+from pimentoledge.routing import shortlists
 from pimentoledge.routing import wait_estimates
 
 MAX_URGENCY = 9
@@ -68,24 +69,52 @@
 ) -> placements.Choice | placements.NoCapacity:
     """Returns the server to send a request to, or the shortages if none."""
     result = placements.NoCapacity(shortage={})
+    prompt = _prompt(view, client_request, organisation)
     for name in ordered_services(route, client_request.request):
-        candidates = [
-            each
-            for each in view.servers.of_service(name)
-            if each.registration.incarnation not in without
-            and weights_allow(view, client_request.model, each, now)
-        ]
         criteria = _criteria(
             view, client_request, route, organisation, name, now
         )
-        result = placements.choose(
-            candidates=candidates, criteria=criteria, now=now
-        )
-        if isinstance(result, placements.Choice):
-            return result
+        listed = len(view.servers.of_service(name))
+        for more in (
+            (False, True) if listed > shortlists.MAX_EVALUATED else (False,)
+        ):
+            drawn = shortlists.draw(
+                view.servers,
+                service=name,
+                data_centre=view.data_centre,
+                prompt=prompt,
+                more=more,
+            )
+            candidates = [
+                each
+                for each in drawn
+                if each.registration.incarnation not in without
+                and weights_allow(view, client_request.model, each, now)
+            ]
+            result = placements.choose(
+                candidates=candidates, criteria=criteria, now=now
+            )
+            if isinstance(result, placements.Choice):
+                return result
     return result
 
 
+def _prompt(
+    view: cluster_views.ClusterView,
+    client_request: request_types.ClientRequest,
+    organisation: configurations.Organisation | None,
+) -> shortlists.Prompt:
+    wanted = view.wanted.get(client_request.model)
+    if wanted is None:
+        return shortlists.Prompt()
+    return shortlists.Prompt(
+        namespace=placements.namespace(
+            wanted.version, _isolated_by(organisation)
+        ),
+        parts=client_request.shared,
+    )
+
+
 def weights_allow(
     view: cluster_views.ClusterView,
     model: str,
@@ -215,7 +244,9 @@
             ),
         )
     return cache_sources.find(
-        runners=_unlimited(view, service_name),
+        runners=_unlimited(
+            view, service_name, namespace, client_request.shared
+        ),
         stored=stored,
         model=client_request.model,
         version=version,
@@ -226,17 +257,23 @@
 
 
 def _unlimited(
-    view: cluster_views.ClusterView, service_name: str
+    view: cluster_views.ClusterView,
+    service_name: str,
+    namespace: str,
+    parts: tuple[request_types.Part, ...],
 ) -> list[backends.Backend]:
-    """Returns a service's servers that have announced no rate limit.
+    """Returns servers with cached parts that have announced no rate limit.
 
     Fetches would load a server in addition to the requests that its limit
     admits.
     """
     return [
         each
-        for each in view.servers.of_service(service_name)
-        if not view.server_limits.get(each.registration.incarnation)
+        for each in view.servers.holders_of(
+            namespace, parts, shortlists.MAX_EVALUATED
+        )
+        if each.registration.service == service_name
+        and not view.server_limits.get(each.registration.incarnation)
     ]
 
 
--- /dev/null
+++ b/pimentoledge/routing/shortlists.py
@@ -0,0 +1,76 @@
+"""Draws the servers of which one is chosen for a request.
+
+The cost of each server depends on all that is known of it, so evaluating every
+server of a large service would take most of a request's processor time. Of a
+few random servers the best is nearly as good as the best of all (power of two
+choices), if those that have the prompt cached are among them.
+"""
+
+import random
+
+import attrs
+
+from pimentoledge.routing import backends
+
+# A service with up to so many servers is evaluated completely.
+MAX_EVALUATED = 32
+# Servers drawn of each kind otherwise.
+HOLDERS = 8
+NEAR = 16
+ANY = 8
+# The same if none of these has room.
+MORE = 96
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """The prompt of a request, as far as it is cached.
+
+    Attributes:
+        namespace: cache namespace of its parts, or None.
+        parts: its shared parts.
+    """
+
+    namespace: str | None = None
+    parts: tuple = ()
+
+
+def draw(
+    servers: backends.Backends,
+    *,
+    service: str,
+    data_centre: str,
+    prompt: Prompt,
+    more: bool = False,
+) -> list[backends.Backend]:
+    """Returns the servers of a service to choose from.
+
+    Args:
+        servers: all servers.
+        service: the service.
+        data_centre: the router's own data centre.
+        prompt: the request's prompt.
+        more: whether the servers drawn before had no room.
+    """
+    declared = servers.of_service(service)
+    if len(declared) <= MAX_EVALUATED:
+        return declared
+    if more:
+        return _sample(declared, MORE)
+    drawn = dict.fromkeys(_sample(servers.of_place(service, data_centre), NEAR))
+    drawn |= dict.fromkeys(_sample(declared, ANY))
+    if prompt.namespace is not None:
+        drawn |= dict.fromkeys(
+            each
+            for each in servers.holders_of(
+                prompt.namespace, prompt.parts, HOLDERS
+            )
+            if each.registration.service == service
+        )
+    return list(drawn)
+
+
+def _sample(
+    listed: list[backends.Backend], number: int
+) -> list[backends.Backend]:
+    return random.sample(listed, min(number, len(listed)))
