Relay events from the callback that receives them

Each event of a stream woke the task of its request, and several that arrived in one read were sent one by one. Events are now relayed where they are received, those of one read in one send; a client that reads too slowly pauses its server as before. It is a stage of its own, stream_relays, taken out of exchanges.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -158,6 +158,10 @@
         if not self.gone:
             self._transport.write(data)
 
+    def is_writable(self) -> bool:
+        """Returns whether the send buffer is below its high-water mark."""
+        return self._writable.is_set()
+
     async def drained(self) -> None:
         """Waits until the send buffer is below its high-water mark."""
         await self._writable.wait()
--- a/pimentoledge/routing/client_responses.py
+++ b/pimentoledge/routing/client_responses.py
@@ -64,22 +64,34 @@
         )
         self.client.finished()
 
-    def pass_event(
-        self, event: event_streams.Event, answer: request_types.ServerResponse
-    ) -> float | None:
-        """Sends an event unless the client has received it already.
+    def pass_events(
+        self,
+        events: list[event_streams.Event],
+        answer: request_types.ServerResponse,
+    ) -> list[float]:
+        """Sends events that arrived together, but those the client has already.
 
         Returns:
-            The time since the previous event in seconds, or None if there is
-            none or nothing was sent.
+            the time since the previous event in seconds, for each event sent
+            after the first.
         """
-        if event.number is not None:
-            if self.last_event is not None and event.number <= self.last_event:
-                return None
-            self.last_event = event.number
-        self._send_stream_head(answer)
-        self.client.send(b"%x\r\n%b\r\n" % (len(event.data), event.data))
-        return self._record_gap()
+        gaps = []
+        unsent = []
+        for event in events:
+            if event.number is not None:
+                last = self.last_event
+                if last is not None and event.number <= last:
+                    continue
+                self.last_event = event.number
+            unsent.append(event.data)
+            gap = self._record_gap()
+            if gap is not None:
+                gaps.append(gap)
+        if unsent:
+            self._send_stream_head(answer)
+            data = b"".join(unsent)
+            self.client.send(b"%x\r\n%b\r\n" % (len(data), data))
+        return gaps
 
     def _record_gap(self) -> float | None:
         now = clocks.now()
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -17,7 +17,6 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
 from pimentoledge.routing import decision_fields
-from pimentoledge.routing import event_streams
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import placements
@@ -29,6 +28,7 @@
 from pimentoledge.routing import server_deaths
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
+from pimentoledge.routing import stream_relays
 from pimentoledge.routing import suspects
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.quotas import limiters
@@ -47,9 +47,6 @@
 MAX_PERMIT_REFUSALS = 3
 # Codes of refusals because no server can accept the request.
 NO_CAPACITY_CODES = frozenset((results.Code.NO_SERVER, results.Code.OVERLOADED))
-# An answer that has gone on to this many events shows that the request's parts
-# don't crash the server: that happens as it begins to write.
-PROVING_EVENTS = 2
 # Assumed for clients that send no deadline.
 DEFAULT_WAIT_SECONDS = 60.0
 
@@ -134,8 +131,8 @@
         self._limit_refusals = 0
         # When the newest attempt was sent.
         self._sent_at = 0.0
-        # Complete events of the newest attempt.
-        self._received_events = 0
+        # The stream of the newest attempt, if it got one.
+        self._relay: stream_relays.StreamRelay | None = None
         self._task: asyncio.Task | None = None
         self._current_attempt: attempts.Attempt | None = None
         self._failed_answer: (
@@ -369,7 +366,7 @@
                     subjects=[each.key for each in self.subjects],
                     organisation=self._organisation_name(),
                     model=self.client_request.model,
-                    events=self._received_events,
+                    events=0 if self._relay is None else self._relay.events,
                     chosen=self._chosen,
                 )
             if not self._may_retry():
@@ -425,7 +422,7 @@
 
     def _has_proved_sound(self) -> bool:
         """Returns whether the server's answer has gone on after it began."""
-        return self._received_events >= PROVING_EVENTS
+        return self._relay is not None and self._relay.has_proved_sound()
 
     def _consume_retry_budget(self, backend: backends.Backend) -> bool:
         """Counts a first send or a retry; returns whether it may be sent."""
@@ -565,7 +562,7 @@
         self._sent_at = clocks.now()
         self.view.suspects.start_trial(self.subjects, self._sent_at)
         self._current_attempt = attempt
-        self._received_events = 0
+        self._relay = None
         try:
             attempt.start()
             self.prompt_changed(self.client_request.prompt_tokens, clocks.now())
@@ -759,29 +756,20 @@
         *,
         framed: bool,
     ) -> None:
-        """Relays events as they arrive.
-
-        A stream that ends with its connection before any event looks the same
-        as one of a server that crashed.
+        """Relays a stream.
 
         Raises:
             BrokenError: the stream ended early.
         """
-        splitter = event_streams.Splitter()
-        while (chunk := await attempt.next_chunk()) is not None:
-            self._record_first_event(attempt)
-            for event in splitter.feed(chunk):
-                self._received_events += 1
-                if self._received_events == PROVING_EVENTS:
-                    self._record_success()
-                pause = self.answer.pass_event(event, answer)
-                if pause is not None:
-                    attempt.backend.note_event_gap(pause)
-            await self.answer.client.drained()
-        if splitter.rest:
-            raise _broken_error("ended within an event")
-        if not framed and not self._received_events:
-            raise _broken_error("ended with its connection and no event")
+        self._relay = stream_relays.StreamRelay(
+            attempt=attempt,
+            response=answer,
+            answer=self.answer,
+            framed=framed,
+            on_first=lambda: self._record_first_event(attempt),
+            on_proved=self._record_success,
+        )
+        await self._relay.run()
         attempt.backend.note_success()
         if framed:
             self._record_success()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import select
 import socket
 
@@ -85,6 +86,8 @@
         reusable: whether another request may be sent on it.
         idle_until: until when it may be reused, in seconds of clocks.now.
         received_at: when data last arrived, in seconds of clocks.now.
+        relay: called with bytes of a response's body as they arrive, or None
+            while `next` returns them.
     """
 
     def __init__(self, *, address: str, on_lost=lambda connection: None):
@@ -94,6 +97,7 @@
         self.reusable = True
         self.idle_until = 0.0
         self.received_at = 0.0
+        self.relay: Callable[[bytes], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._parser = http_messages.ResponseParser(
             heads=self._on_head, pieces=self._on_chunk, ends=self._on_end
@@ -149,16 +153,26 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        if self._paused and len(self._events) <= MAX_QUEUED_EVENTS // 2:
+        if len(self._events) <= MAX_QUEUED_EVENTS // 2:
+            self.resume()
+        return self._events.popleft()
+
+    def pause(self) -> None:
+        """Stops reading from the server until `resume` or `next`."""
+        if not self._paused and not self._ended:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Reads from the server again."""
+        if self._paused:
             self._paused = False
             self._transport.resume_reading()
-        return self._events.popleft()
 
     def _push_event(self, event: ConnectionEvent) -> None:
         self._events.append(event)
-        if len(self._events) > MAX_QUEUED_EVENTS and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+        if len(self._events) > MAX_QUEUED_EVENTS:
+            self.pause()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
@@ -185,7 +199,11 @@
         self._push_event(HeadReceived(head=head))
 
     def _on_chunk(self, data: bytes) -> None:
-        if self.busy:
+        if not self.busy:
+            return
+        if self.relay is not None and not self._events:
+            self.relay(data)
+        else:
             self._push_event(BodyReceived(data=data))
 
     def _on_end(self) -> None:
--- /dev/null
+++ b/pimentoledge/routing/stream_relays.py
@@ -0,0 +1,122 @@
+"""Relays the events of a server's stream to a client as they arrive."""
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from pimentoledge.routing import attempts
+from pimentoledge.routing import client_responses
+from pimentoledge.routing import event_streams
+from pimentoledge.routing import request_types
+from pimentoledge.routing import retry_rules
+
+logger = logbook.Logger("stream_relays")
+
+# An answer that has gone on to this many events shows that the request's parts
+# don't crash the server: that happens as it begins to write.
+PROVING_EVENTS = 2
+
+
+class StreamRelay:
+    """Relays the stream of one attempt.
+
+    Events are relayed from the callback that receives them: a wake-up of the
+    request's task for each would cost as much as the relaying.
+
+    Attributes:
+        attempt: the attempt.
+        response: the head of the server's response.
+        answer: the response to the client.
+        framed: whether the response tells where it ends.
+        on_first: called before the first bytes are relayed.
+        on_proved: called once the answer has gone on after it began.
+        events: number of complete events received.
+    """
+
+    def __init__(
+        self,
+        *,
+        attempt: attempts.Attempt,
+        response: request_types.ServerResponse,
+        answer: client_responses.ClientResponse,
+        framed: bool,
+        on_first: Callable[[], None],
+        on_proved: Callable[[], None],
+    ):
+        self.attempt = attempt
+        self.response = response
+        self.answer = answer
+        self.framed = framed
+        self.on_first = on_first
+        self.on_proved = on_proved
+        self.events = 0
+        self._begun = False
+        self._splitter = event_streams.Splitter()
+        self._resuming: asyncio.Task | None = None
+
+    def has_proved_sound(self) -> bool:
+        """Returns whether the answer has gone on after it began."""
+        return self.events >= PROVING_EVENTS
+
+    async def run(self) -> None:
+        """Relays the stream to its end.
+
+        A stream that ends with its connection before any event looks the same
+        as one of a server that crashed.
+
+        Raises:
+            BrokenError: the stream ended early.
+        """
+        connection = self.attempt.connection
+        connection.relay = self._receive
+        try:
+            while (chunk := await self.attempt.next_chunk()) is not None:
+                self._feed(chunk)
+                await self.answer.client.drained()
+        finally:
+            connection.relay = None
+            if self._resuming is not None:
+                self._resuming.cancel()
+        if self._splitter.rest:
+            raise _broken_error("ended within an event")
+        if not self.framed and not self.events:
+            raise _broken_error("ended with its connection and no event")
+
+    def _receive(self, chunk: bytes) -> None:
+        """Relays bytes from the connection's callback."""
+        try:
+            self._feed(chunk)
+        except Exception:
+            logger.exception("defect")
+            self.attempt.connection.break_off("defect")
+            return
+        if not self.answer.client.is_writable() and self._resuming is None:
+            self.attempt.connection.pause()
+            self._resuming = asyncio.get_running_loop().create_task(
+                self._resume()
+            )
+
+    async def _resume(self) -> None:
+        """Reads from the server again once the client has caught up."""
+        await self.answer.client.drained()
+        self._resuming = None
+        self.attempt.connection.resume()
+
+    def _feed(self, chunk: bytes) -> None:
+        if not self._begun:
+            self._begun = True
+            self.on_first()
+        complete = self._splitter.feed(chunk)
+        if not complete:
+            return
+        had_proved = self.has_proved_sound()
+        self.events += len(complete)
+        if self.has_proved_sound() and not had_proved:
+            self.on_proved()
+        for gap in self.answer.pass_events(complete, self.response):
+            self.attempt.backend.note_event_gap(gap)
+
+
+def _broken_error(reason: str) -> attempts.BrokenError:
+    return attempts.BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
