--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -432,11 +432,14 @@
         """Returns the weight of one of the crashes of some part."""
         crash = counted[incarnation]
         span = SILENCE_SECONDS if crash.silent else SAME_MOMENT_SECONDS
-        together = sum(
-            abs(each.when - crash.when) < span for each in counted.values()
-        )
         weight = WEAK_WEIGHT if crash.silent else 1.0
-        return weight / together if together >= MASS_LOSS_SERVERS else weight
+        times = [each.when for each in counted.values()]
+        together = _count_near(crash.when, times, span)
+        died = _count_near(crash.when, self._died_at.values(), span)
+        if max(together, died) < MASS_LOSS_SERVERS:
+            return weight
+        # A lost rack also has servers that did not run the part.
+        return weight / max(together, died)
 
     def is_quarantined(self, key: str, now: float) -> bool:
         """Returns whether a subject must not run, not even on trial."""
@@ -523,6 +526,10 @@
         return expired
 
 
+def _count_near(when: float, times: Iterable[float], span: float) -> int:
+    return sum(abs(each - when) < span for each in times)
+
+
 def memory_seconds(crashes: int, *, is_part: bool = False) -> float:
     """Returns how long a suspect is remembered after its newest crash."""
     return max(MEMORY_SECONDS, 2 * quarantine_seconds(crashes, is_part=is_part))
--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -26,7 +26,8 @@
     "weights": "no request begins on old weights later than weights-ms",
     "configuration": "no request uses a configuration replaced config-ms ago",
     "orders": "holders order lease-ms apart, each with a higher fencing token",
-    "crashes": "content that crashed three servers reaches at most three more",
+    "crashes": "content that crashed three servers, and a part that crashed"
+    " five, reaches at most three more",
     "harmless": "no content is refused as crashing that crashed no server",
     "recovery": "every request is served some seconds after the last fault",
 }
@@ -37,9 +38,10 @@
 WEIGHTS_SECONDS = 5.0
 CONFIGURATION_SECONDS = 2.0
 LEASE_SECONDS = 1.0
-# Servers that content may crash before the bound on its retries applies, the
-# time after which it does, and the bound.
+# Servers that content, or a prompt part, may crash before the bound on its
+# retries applies, the time after which it does, and the bound.
 MAX_CRASHES = 3
+MAX_PART_CRASHES = 5
 CRASHES_APPLY_SECONDS = 3.0
 MAX_RETRIES_AFTER_CRASHES = 3
 CRASHES_MARK = b"crashed servers; not run"
@@ -619,33 +621,49 @@
 
 def check_crashes(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that content which crashes servers is kept from others."""
-    by_content: dict[bytes, list[records.Arrival]] = {}
+    by_content: dict[str, list[records.Arrival]] = {}
+    by_part: dict[str, list[records.Arrival]] = {}
     for arrival in list(record.arrivals):
         request = record.crashing.get(arrival.request)
-        if request is not None:
-            by_content.setdefault(request.body, []).append(arrival)
+        part = record.crashing_parts.get(arrival.request)
+        if part is not None:
+            by_part.setdefault(part, []).append(arrival)
+        elif request is not None:
+            by_content.setdefault(request.body.decode(), []).append(arrival)
     for content, arrivals in by_content.items():
-        crashes = [each.at for each in arrivals if each.ran]
-        if len(crashes) < MAX_CRASHES:
-            continue
-        applies_from = crashes[MAX_CRASHES - 1] + CRASHES_APPLY_SECONDS
-        later = [
-            each
-            for each in arrivals
-            if each.at > applies_from
-            and was_undisturbed(
-                record, record.crashing[each.request].router, each.at
-            )
-        ]
-        if len(later) > MAX_RETRIES_AFTER_CRASHES:
-            yield Violation(
-                invariant="crashes",
-                at=later[MAX_RETRIES_AFTER_CRASHES].at,
-                subject=content.decode(),
-                text=f"reached {len(later)} servers later than"
-                f" {CRASHES_APPLY_SECONDS} s after the third crash;"
-                f" {len(crashes)} crashes in all",
-            )
+        yield from _check_late_sends(record, content, arrivals, MAX_CRASHES)
+    for part, arrivals in by_part.items():
+        yield from _check_late_sends(record, part, arrivals, MAX_PART_CRASHES)
+
+
+def _check_late_sends(
+    record: records.SoakRecord,
+    subject: str,
+    arrivals: list[records.Arrival],
+    most: int,
+) -> Iterator[Violation]:
+    """Checks the sends after a number of crashes of one subject."""
+    crashes = [each.at for each in arrivals if each.ran]
+    if len(crashes) < most:
+        return
+    applies_from = crashes[most - 1] + CRASHES_APPLY_SECONDS
+    later = [
+        each
+        for each in arrivals
+        if each.at > applies_from
+        and was_undisturbed(
+            record, record.crashing[each.request].router, each.at
+        )
+    ]
+    if len(later) > MAX_RETRIES_AFTER_CRASHES:
+        yield Violation(
+            invariant="crashes",
+            at=later[MAX_RETRIES_AFTER_CRASHES].at,
+            subject=subject,
+            text=f"reached {len(later)} servers later than"
+            f" {CRASHES_APPLY_SECONDS} s after crash {most};"
+            f" {len(crashes)} crashes in all",
+        )
 
 
 def check_harmless(record: records.SoakRecord) -> Iterator[Violation]:
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -123,7 +123,10 @@
 
 
 async def send(
-    connection: Connection, request: records.Request, blocks: int
+    connection: Connection,
+    request: records.Request,
+    blocks: int,
+    part: str = "",
 ) -> None:
     """Sends a request and records its response.
 
@@ -131,10 +134,14 @@
         connection: an open connection to the request's router.
         request: the request.
         blocks: number of parts of the prompt, for routes to a model.
+        part: name of a further shared part after the first, or "".
     """
     headers = {"Request-Id": request.identity}
     if request.route in STREAMS:
-        headers |= router_world.stream_headers(",".join(PROMPT_BLOCKS[:blocks]))
+        parts = list(PROMPT_BLOCKS[:blocks])
+        if part:
+            parts = [parts[0], f"{part}:100", f"own-{request.identity}:40"]
+        headers |= router_world.stream_headers(",".join(parts))
     try:
         answer = await connection.request(
             f"/{request.route}/",
@@ -160,8 +167,9 @@
     address: str,
     route: str,
     body: bytes,
+    part: str = "",
 ) -> None:
-    """Sends a request whose content crashes servers, on a new connection.
+    """Sends a request that crashes servers, on a new connection.
 
     Args:
         record: the record of the run, to which the request is added.
@@ -169,6 +177,8 @@
         address: IP:PORT of the router.
         route: name of the route.
         body: the content.
+        part: name of the prompt part that crashes servers, or "" for the
+            content.
     """
     number = len(record.crashing)
     request = records.Request(
@@ -182,10 +192,12 @@
         sent=time.monotonic(),
     )
     record.crashing[request.identity] = request
+    if part:
+        record.crashing_parts[request.identity] = part
     connection = Connection(address)
     try:
         await connection.open()
-        await send(connection, request, 1)
+        await send(connection, request, 1, part)
     except OSError:
         # The router is restarting.
         return
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -38,6 +38,8 @@
 RESTORE_KINDS = ("store_restored",)
 # A client sends content that crashes servers again and again, by any router.
 CRASH_KINDS = ("content_crashes",)
+# A client sends requests that share one prompt part, which crashes servers.
+PART_CRASH_KINDS = ("part_crashes",)
 # All routers are killed at the same moment.
 HERD_KINDS = ("kill_all",)
 KINDS = (
@@ -56,6 +58,7 @@
     *RESTORE_KINDS,
     *CRASH_KINDS,
     *HERD_KINDS,
+    *PART_CRASH_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -154,6 +154,7 @@
         requests: requests of clients, by id.
         crashing: requests whose content crashes servers, by id. They are not
             among `requests`.
+        crashing_parts: the prompt part that makes them crash servers, by id.
         arrivals: arrivals at servers, in order.
         process_runs: processes of each router in order, by name of the router.
         freezes: periods in which routers were stopped.
@@ -175,6 +176,7 @@
 
     requests: dict[str, Request] = attrs.field(factory=dict)
     crashing: dict[str, Request] = attrs.field(factory=dict)
+    crashing_parts: dict[str, str] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     process_runs: dict[str, list[ProcessRun]] = attrs.field(factory=dict)
     freezes: list[Span] = attrs.field(factory=list)
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -13,6 +13,8 @@
 INCARNATION_HEADER = b"Soak-Server"
 # Begin of the bodies of requests that crash each server that runs them.
 CRASHING_PREFIX = b"crashes "
+# Begin of the names of prompt parts that do the same.
+CRASHING_PART = "crashing-part-"
 
 
 class Server(stand_in_servers.StandInServer):
@@ -125,11 +127,14 @@
             arrival.harmed = True
         arrival.weights = call.weights
         arrival.ran = True
-        if call.body.startswith(CRASHING_PREFIX):
-            self._crash(request, call)
-            return
         super()._run_request(request, call)
 
+    def _is_crashed_by(self, call) -> bool:
+        parts = call.headers.get(names.PROMPT_PREFIX.decode(), "").split(",")
+        return call.body.startswith(CRASHING_PREFIX) or any(
+            each.startswith(CRASHING_PART) for each in parts[:-1]
+        )
+
     def _send_stream(self, request, call, head) -> None:
         if self.cut_after is not None:
             self._in_progress[request].harmed = True
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -39,8 +39,10 @@
 # Factor by which outages of the store are longer than a fault's duration.
 OUTAGE_FACTOR = 2.5
 STORE_LATENCY_SECONDS = 0.4
-# How often a client sends content that crashes servers, and the mean interval.
+# How often a client sends content, or a prompt part, that crashes servers, and
+# the mean interval.
 CRASHING_SENDS = 16
+CRASHING_PART_SENDS = 24
 CRASHING_GAP_SECONDS = 0.8
 # Limits that servers announce, in requests per second.
 LIMITS_PER_SECOND = (0.3, 1.0, 1.1, 2.0, 5.0)
@@ -462,6 +464,25 @@
             )
             await asyncio.sleep(CRASHING_GAP_SECONDS * fault.seconds / 2)
 
+    async def _part_crashes(self, fault: plans.Fault) -> None:
+        """Sends requests that share a part which crashes servers."""
+        self._crashing_contents += 1
+        part = f"{servers.CRASHING_PART}{self._crashing_contents}"
+        route = clients.STREAMS[fault.target % len(clients.STREAMS)]
+        self.record.add_fault(f"{route} with {part} is sent")
+        for number in range(CRASHING_PART_SENDS):
+            routers = self.fleet.routers
+            router = routers[(fault.target + number) % len(routers)]
+            await clients.send_crashing(
+                self.record,
+                router=router.name,
+                address=router.address,
+                route=route,
+                body=f"{part} {number}".encode(),
+                part=part,
+            )
+            await asyncio.sleep(CRASHING_GAP_SECONDS * fault.seconds / 2)
+
     async def _server_refuses(self, fault: plans.Fault) -> None:
         server = self._choose_server(fault)
         self.record.add_fault(f"{server.incarnation} refuses {fault.count}")
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -35,6 +35,17 @@
     "store_refuses",
     "server_crashes",
 )
+PARTS = (
+    *plans.PART_CRASH_KINDS,
+    *plans.PART_CRASH_KINDS,
+    *plans.HERD_KINDS,
+    "term",
+    "kill",
+    *plans.JOIN_KINDS,
+    "store_silent",
+    "store_refuses",
+    "server_crashes",
+)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -48,6 +59,7 @@
         pytest.param(8, 6.0, LIMITS, id="limits"),
         pytest.param(3, 12.0, RESTORES, id="restores"),
         pytest.param(11, 18.0, CRASHES, id="crashes"),
+        pytest.param(11, 18.0, PARTS, id="parts"),
     ],
 )
 def test_soak_run_violates_no_invariant(seed, seconds, kinds):
