Take an empty response that ends with its connection for a failure

Neither a length nor chunks tell an empty response from one whose server crashed right after its head, so callers got an empty 200 as a success. A forgotten suspect also leaves the quarantines at once: its record in the store could meet neither.

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -80,8 +80,9 @@
         crashes_on_part: name of a prompt part that crashes it, or "".
         crashes_after_head: whether it sends a response's head before it
             crashes.
-        unframed: whether its streams have no chunks and end with their
-            connections.
+        unframed: whether its responses have no length or chunks and end with
+            their connections.
+        empty: whether its responses have no body, if they are no streams.
         crashes: requests that have crashed it, in order.
     """
 
@@ -124,6 +125,7 @@
         self.crashes_on_part = ""
         self.crashes_after_head = False
         self.unframed = False
+        self.empty = False
         self.crashes: list[ReceivedRequest] = []
         self._crash_thread: threading.Thread | None = None
         self._lock = threading.Lock()
@@ -274,9 +276,13 @@
         if is_model_request(call):
             self._send_stream(request, call, head)
             return
-        fake_http.send_response(
-            request, b"answer of " + call.body, headers=head
-        )
+        body = b"" if self.empty else b"answer of " + call.body
+        if self.unframed:
+            fake_http.end_with_connection(request, head)
+            fake_http.begin_response(request, 200, head)
+            request.conn.wfile.write(body)
+            return
+        fake_http.send_response(request, body, headers=head)
 
     def _response_headers(
         self, headers: dict[str, str]
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -681,6 +681,8 @@
             raise _broken_error(f"status {answer.status}")
         if answer.status < 300 and not answer.signed:
             raise _broken_error("no signature")
+        if answer.status < 300 and not framed and not body:
+            raise _broken_error("ended with its connection and no body")
         if self.answer.head_sent:
             # A second response head must not follow a stream's first events.
             raise _broken_error(
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -500,6 +500,7 @@
 
     def _forget(self, key: str) -> None:
         suspect = self.subjects.pop(key)
+        self.quarantines.pop(key, None)
         self._candidates.discard(key)
         self._changed = True
         for incarnation in suspect.crashes:
--- a/pimentoledge/tests/test_router_unframed.py
+++ b/pimentoledge/tests/test_router_unframed.py
@@ -53,3 +53,31 @@
         "/drafts/", headers=router_world.stream_headers()
     )
     assert (answer.status, answer.complete) == (200, True)
+
+
+@with_world(plain=1, runners=0)
+async def test_a_response_that_ends_with_its_connection_is_whole(world):
+    """Guards against answers without a length that are taken for broken."""
+    world.servers["p0"].unframed = True
+    answer = await world.request("/cards/", body=b"card")
+    assert (answer.status, answer.complete) == (200, True)
+    assert answer.body == b"answer of card"
+
+
+@with_world(plain=1, runners=0)
+async def test_an_empty_response_that_ends_with_its_connection_has_failed(
+    world,
+):
+    """Guards against a crash that is passed on as an empty success."""
+    server = world.servers["p0"]
+    server.unframed = server.empty = True
+    answer = await world.request("/cards/", body=b"card")
+    assert answer.status == 502
+
+
+@with_world(plain=1, runners=0)
+async def test_an_empty_response_with_a_length_is_whole(world):
+    """Guards against an empty answer that is refused though it is complete."""
+    world.servers["p0"].empty = True
+    answer = await world.request("/cards/", body=b"card")
+    assert (answer.status, answer.complete) == (200, True)
