--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -400,6 +400,7 @@
             except TimeoutError:
                 continue
         await self.drain()
+        _ignore_stop_signals()
         self.close()
 
     def tick(self) -> None:
@@ -464,6 +465,20 @@
         self.lines.write("ended")
 
 
+def _ignore_stop_signals() -> None:
+    """Ignores further signals, which would end the process with a failure.
+
+    The event loop restores the default action when it closes, while the
+    process takes some time to exit.
+    """
+    loop = asyncio.get_running_loop()
+    stops = (signal.SIGTERM, signal.SIGINT)
+    signal.pthread_sigmask(signal.SIG_BLOCK, stops)
+    for each in stops:
+        loop.remove_signal_handler(each)
+        signal.signal(each, signal.SIG_IGN)
+
+
 def _bounds(chosen: settings.Settings) -> cluster_views.RouterBounds:
     return cluster_views.RouterBounds(
         budget_ratio=chosen.number("retry-ratio"),
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -309,6 +309,32 @@
     assert b'"message":"ended"' in output
 
 
+def test_further_sigterms_do_not_fail_a_router_that_exits(tmp_path):
+    """Guards against an exit that a second SIGTERM turns into a failure."""
+    path = tmp_path / "router.toml"
+    path.write_text(
+        'name = "r"\nstore-address = "127.0.0.1:9"\n'
+        'listen = "127.0.0.1:0"\nready-listen = "127.0.0.1:0"\n'
+        'metrics-listen = "127.0.0.1:0"\npeer-listen = "127.0.0.1:0"\n'
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "pimentoledge.router"],
+        env={**os.environ, daemons.CONFIG_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        while b'"message":"started"' not in process.stdout.readline():
+            pass
+        deadline = time.monotonic() + 10
+        while process.poll() is None and time.monotonic() < deadline:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.0005)
+    finally:
+        process.kill()
+        process.communicate()
+    assert process.returncode == 0
+
+
 def _request_until_ok(port):
     deadline = time.monotonic() + 10
     response = b""
