--- a/benches/part_blame.py
+++ b/benches/part_blame.py
@@ -5,7 +5,7 @@
 and reports reach the others after a delay, or after a cut between them. Prints
 a table in Markdown for each scene.
 
-Usage: python -m benches.part_blame [SEEDS]
+Usage: python -m benches.part_blame [SEEDS [TEXT IN A RULE'S NAME]]
 """
 
 from collections.abc import Callable
@@ -62,6 +62,7 @@
             part.
         parts: number of such parts.
         first: whether the part stands first in the prompt.
+        shared: whether all such parts follow the same first part.
         worked: whether sound requests had the part before.
         healed_at: when the part stops to crash servers, and sound requests have
             it again.
@@ -78,6 +79,7 @@
     bad: float = 0.0
     parts: int = 1
     first: bool = False
+    shared: bool = False
     worked: bool = False
     healed_at: float | None = None
     models: int = 1
@@ -285,7 +287,8 @@
             when = CRASHES_FROM
             while when < (scene.healed_at or CRASHES_UNTIL):
                 when += self.random.expovariate(scene.bad)
-                first = [f"s{number % FIRST_PARTS}", bad]
+                place = 0 if scene.shared else number % FIRST_PARTS
+                first = [f"s{place}", bad]
                 parts = [bad, documents[0]] if scene.first else first
                 self.at(when, self._arrive, parts, 0, bad)
         for each in scene.losses:
@@ -470,6 +473,8 @@
 
 
 NO_MASS_LOSS = 10**6
+
+
 RULES = [
     Rule(name="contents alone (before)", parts=False),
     Rule(
@@ -500,6 +505,12 @@
     Scene(name="a part that had worked, 3 a second", bad=3.0, worked=True),
     Scene(name="3 a second, deaths proven late", bad=3.0, late=True),
     Scene(name="three parts, 1 a second each", bad=1.0, parts=3),
+    Scene(
+        name="three parts after the same one, 1 a second each",
+        bad=1.0,
+        parts=3,
+        shared=True,
+    ),
     Scene(name="one model's part, 2 a second", bad=2.0, models=2),
     Scene(name="a third lost three times", losses=(10, 15, 20)),
     Scene(name="a third silent three times", losses=(10, 15, 20), silent=True),
@@ -541,6 +552,7 @@
 def main() -> None:
     """Prints the tables."""
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 10
+    only = sys.argv[2] if len(sys.argv) > 2 else ""
     print(f"Seeds: 0 to {seeds - 1}.")
     for scene in SCENES:
         print(
@@ -550,6 +562,8 @@
             "| --- | --- | --- | --- | --- |"
         )
         for rule in RULES:
+            if only not in rule.name:
+                continue
             print(_row(rule, scene, seeds), flush=True)
 
 
