--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -402,8 +402,8 @@
     def _record_break(self, backend: backends.Backend, silent: bool) -> None:
         """Records that a server gave no response, which may be a crash.
 
-        A server begins an answer before what it may crash by, so that a request
-        whose answer went on is not the cause.
+        A request crashes a server as its answer begins, so one whose answer
+        has gone on is not the cause.
         """
         incarnation = backend.registration.incarnation
         subjects = () if self._has_proved_sound() else self.subjects
--- a/pimentoledge/tests/test_router_server_limits_path.py
+++ b/pimentoledge/tests/test_router_server_limits_path.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import request_types
 from pimentoledge.routing import selections
 from pimentoledge.routing import server_limits
 from pimentoledge.routing import server_permits
@@ -360,7 +361,11 @@
     """Guards against fetches of cached parts that bypass a limit."""
     [router] = world.routers
     advertise_limit(router, "r0", 1.0)
-    found = selections._unlimited(router.view, "runners")
+    part = request_types.Part(name="part", tokens=600)
+    for name in ("r0", "r1"):
+        holder = router.view.servers.by_incarnation[name]
+        holder.note_parts("1", (part,), 50000, 0.0)
+    found = selections._unlimited(router.view, "runners", "1", (part,))
     assert [each.registration.incarnation for each in found] == ["r1"]
 
 
