--- a/benches/part_blame.py
+++ b/benches/part_blame.py
@@ -100,7 +100,7 @@
         part_crashes: crashes that convict a part.
         parts: whether parts are suspected at all.
         acquits: whether a request that had begun its answer is no suspect.
-        tells: whether routers report successes to each other.
+        reports: whether routers report successes to each other.
         by_model: whether a part counts for each model apart.
         mass_loss: servers that die together and count as one crash.
         by_time: whether a success counts from its own time, rather than
@@ -112,7 +112,7 @@
     part_crashes: int = 3
     parts: bool = True
     acquits: bool = True
-    tells: bool = True
+    reports: bool = True
     by_model: bool = True
     mass_loss: int = suspects.MASS_LOSS_SERVERS
     by_time: bool = True
@@ -241,10 +241,10 @@
     def _router(self, number: int) -> suspects.Suspects:
         kind = suspects.Suspects if self.rule.by_time else _ReleasingSuspects
         router = kind(explain=self.rule.explain)
-        router.on_change = lambda key, incarnation: self._tell_crash(
+        router.on_change = lambda key, incarnation: self._report_crash(
             number, key, incarnation
         )
-        router.on_success = lambda key: self._tell_success(number, key)
+        router.on_success = lambda key: self._report_success(number, key)
         router.rank = (
             lambda key: (xxhash.xxh3_64_intdigest(key.encode()) + number)
             % ROUTERS
@@ -420,7 +420,7 @@
             when = cut[1] + self.random.uniform(*REPORT_SECONDS)
         return when
 
-    def _tell(self, sender: int, call: Callable) -> None:
+    def _report(self, sender: int, call: Callable) -> None:
         if self._merging:
             return
         for number in range(ROUTERS):
@@ -434,21 +434,21 @@
         call(self.routers[number])
         self._merging = False
 
-    def _tell_crash(self, sender: int, key: str, incarnation: str) -> None:
+    def _report_crash(self, sender: int, key: str, incarnation: str) -> None:
         suspect = self.routers[sender].subjects[key]
         crash = suspect.crashes[incarnation]
         subject = server_deaths.Subject(key=key, depth=suspect.depth)
         values = attrs.asdict(crash)
-        self._tell(
+        self._report(
             sender,
             lambda router: router.record_crash(subject, incarnation, **values),
         )
 
-    def _tell_success(self, sender: int, key: str) -> None:
-        if not self.rule.tells:
+    def _report_success(self, sender: int, key: str) -> None:
+        if not self.rule.reports:
             return
         when = self.routers[sender].subjects[key].succeeded_at
-        self._tell(sender, lambda router: router.record_success(key, when))
+        self._report(sender, lambda router: router.record_success(key, when))
 
 
 @contextlib.contextmanager
@@ -491,7 +491,7 @@
     Rule(name="the same, begun answers acquitted", explain=count_alone),
     Rule(name="3 crashes, shared among suspects", explain=share),
     Rule(name="3 explained, nobody acquitted", acquits=False),
-    Rule(name="3 explained, successes not told", tells=False),
+    Rule(name="3 explained, successes not reported", reports=False),
     Rule(name="3 explained, losses count apart", mass_loss=NO_MASS_LOSS),
     Rule(name="3 explained, for all models", by_model=False),
     Rule(name="2 explained", part_crashes=2),
--- a/pimentoledge/tests/test_router_blames.py
+++ b/pimentoledge/tests/test_router_blames.py
@@ -104,19 +104,19 @@
     assert _quarantined(known, 2.1) == ["bad"]
 
 
-def test_a_success_that_releases_a_crash_is_told():
+def test_a_success_that_releases_a_crash_is_reported():
     known = suspects.Suspects()
-    told = []
-    known.on_success = told.append
+    reported = []
+    known.on_success = reported.append
     known.record_success("bad", 0.5)
-    assert not told
+    assert not reported
     _crash(known, "i", 0.4, BAD)
-    assert told == ["bad"]
+    assert reported == ["bad"]
     known.record_success("bad", 0.6)
-    assert told == ["bad"]
+    assert reported == ["bad"]
     _crash(known, "j", 0.7, BAD)
     known.record_success("bad", 0.8)
-    assert told == ["bad", "bad"]
+    assert reported == ["bad", "bad"]
 
 
 @pytest.mark.parametrize("silent", [True, False])
