One copy of the error of a broken attempt; the draws of servers in their module

exchanges and stream_relays each made the same error, and select knew when a second draw of servers is due. Behaviour is the same.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -39,6 +39,11 @@
         self.silent = silent
 
 
+def broken(reason: str) -> BrokenError:
+    """Returns the error of a sent attempt whose outcome is unknown."""
+    return BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
+
+
 class Attempt:
     """Sends a request to a server and reads its response.
 
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -678,14 +678,14 @@
         if answer.status in router_responses.NOT_RUN_STATUSES or answer.encoded:
             # The status promises that the request did not run, but the
             # response isn't marked "not run": the promise may be false.
-            raise _broken_error(f"status {answer.status}")
+            raise attempts.broken(f"status {answer.status}")
         if answer.status < 300 and not answer.signed:
-            raise _broken_error("no signature")
+            raise attempts.broken("no signature")
         if answer.status < 300 and not framed and not body:
-            raise _broken_error("ended with its connection and no body")
+            raise attempts.broken("ended with its connection and no body")
         if self.answer.head_sent:
             # A second response head must not follow a stream's first events.
-            raise _broken_error(
+            raise attempts.broken(
                 f"status {answer.status} instead of a stream's rest"
             )
         self._record_status(backend, answer.status, framed=framed)
@@ -874,10 +874,6 @@
         self.lines.write(message, **fields)
 
 
-def _broken_error(reason: str) -> attempts.BrokenError:
-    return attempts.BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
-
-
 def _load_text(load: request_types.ServerLoad | None) -> str:
     if load is None:
         return "unknown"
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -74,17 +74,12 @@
         criteria = _criteria(
             view, client_request, route, organisation, name, now
         )
-        listed = len(view.servers.of_service(name))
-        for more in (
-            (False, True) if listed > shortlists.MAX_EVALUATED else (False,)
+        for drawn in shortlists.draws(
+            view.servers,
+            service=name,
+            data_centre=view.data_centre,
+            prompt=prompt,
         ):
-            drawn = shortlists.draw(
-                view.servers,
-                service=name,
-                data_centre=view.data_centre,
-                prompt=prompt,
-                more=more,
-            )
             candidates = [
                 each
                 for each in drawn
--- a/pimentoledge/routing/shortlists.py
+++ b/pimentoledge/routing/shortlists.py
@@ -6,6 +6,7 @@
 choices), if those that have the prompt cached are among them.
 """
 
+from collections.abc import Iterator
 import random
 
 import attrs
@@ -35,6 +36,29 @@
     parts: tuple = ()
 
 
+def draws(
+    servers: backends.Backends,
+    *,
+    service: str,
+    data_centre: str,
+    prompt: Prompt,
+) -> Iterator[list[backends.Backend]]:
+    """Yields the servers to choose from, then more if none of these has room.
+
+    See `draw` for the arguments.
+    """
+    for more in (False, True):
+        yield draw(
+            servers,
+            service=service,
+            data_centre=data_centre,
+            prompt=prompt,
+            more=more,
+        )
+        if len(servers.of_service(service)) <= MAX_EVALUATED:
+            return
+
+
 def draw(
     servers: backends.Backends,
     *,
--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -9,7 +9,6 @@
 from pimentoledge.routing import client_responses
 from pimentoledge.routing import event_streams
 from pimentoledge.routing import request_types
-from pimentoledge.routing import retry_rules
 
 logger = logbook.Logger("stream_relays")
 
@@ -79,9 +78,9 @@
             if self._resuming is not None:
                 self._resuming.cancel()
         if self._splitter.rest:
-            raise _broken_error("ended within an event")
+            raise attempts.broken("ended within an event")
         if not self.framed and not self.events:
-            raise _broken_error("ended with its connection and no event")
+            raise attempts.broken("ended with its connection and no event")
 
     def _receive(self, chunk: bytes) -> None:
         """Relays bytes from the connection's callback."""
@@ -116,7 +115,3 @@
             self.on_proved()
         for gap in self.answer.pass_events(complete, self.response):
             self.attempt.backend.note_event_gap(gap)
-
-
-def _broken_error(reason: str) -> attempts.BrokenError:
-    return attempts.BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
