--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -64,6 +64,10 @@
 ENTRY_LAPSE_SECONDS = 1.5
 
 
+class NoServerError(Exception):
+    """No server runs that a fault could affect."""
+
+
 class World:
     """A store, servers and router processes.
 
@@ -138,7 +142,10 @@
 
     async def inject(self, fault: plans.Fault) -> None:
         """Injects one fault; returns when it has ended."""
-        await getattr(self, f"_{fault.kind}")(fault)
+        try:
+            await getattr(self, f"_{fault.kind}")(fault)
+        except NoServerError:
+            self.record.add_fault(f"no server for {fault.kind}")
 
     def clear_pending_faults(self) -> None:
         """Clears faults that still wait for requests to act on."""
@@ -337,11 +344,19 @@
 
     def _choose_server(self, fault: plans.Fault) -> servers.Server:
         """Returns the server that a fault affects."""
-        usable = self._usable_servers("plain") + self._usable_servers("runners")
-        return usable[fault.target % len(usable)]
+        return self._choose_of(fault, "plain", "runners")
 
     def _choose_runner(self, fault: plans.Fault) -> servers.Server:
-        usable = self._usable_servers("runners")
+        return self._choose_of(fault, "runners")
+
+    def _choose_of(self, fault: plans.Fault, *services: str) -> servers.Server:
+        usable = [
+            server
+            for service in services
+            for server in self._usable_servers(service)
+        ]
+        if not usable:
+            raise NoServerError
         return usable[fault.target % len(usable)]
 
     def _choose_spare_server(self, fault: plans.Fault) -> servers.Server | None:
