Ask what spoke for a prompt part before it is blamed

Three requests with different crashing parts after it had ended all three runners within 0.6 s, 70 ms after the first part had succeeded; it explained three crashes, each of the others one or two.

Cause: only crashes were compared, not what is known of the suspects before them. Now parts that had not succeeded for 20 s are blamed first, then those of which no success could be known (all routers restarted), the later in the prompt the sooner, and last what had just worked; a crash that a part with less trust may have caused counts 0.625, so five are needed instead of three. The success before the crashes is told to the other routers once the part has two crashes, and for how long successes have been known is a record that joining routers get. A part that has enough crashes in all needs two unexplained ones only, so that verdicts on parts that crash the same servers don't alternate.

Evidence: on the code before, test_a_part_that_just_worked_is_not_blamed_for_ what_follows_it, ..._after_a_restart, test_a_part_stays_blamed_beside_one_that_ explains_more, test_a_success_before_crashes_is_reported_once and test_a_router_that_joins_knows_for_how_long_parts_were_watched fail.

How much a crash weighs is a module of its own now (crash_evidence).

--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -14,6 +14,9 @@
 
 CRASHES = "crashes"
 SUCCESSES = "successes"
+WATCHED = "watched"
+# A longer time of knowledge is told on only if it is longer by this.
+WATCHED_STEP_SECONDS = 2.0
 
 
 class CrashReports:
@@ -51,18 +54,40 @@
         suspects.on_verdict = self._note_verdict
 
     def kinds(self) -> list[record_logs.RecordKind]:
-        """Returns the kinds of these records."""
+        """Returns the kinds of these records, in the order of merging.
+
+        Crashes come last: what speaks for a suspect must be known by then.
+        """
         return [
             record_logs.RecordKind(
-                name=CRASHES, encode=self.encode, merge=self.merge
+                name=WATCHED,
+                encode=self.encode_watched,
+                merge=self.merge_watched,
             ),
             record_logs.RecordKind(
                 name=SUCCESSES,
                 encode=self.encode_successes,
                 merge=self.merge_successes,
             ),
+            record_logs.RecordKind(
+                name=CRASHES, encode=self.encode, merge=self.merge
+            ),
         ]
 
+    def start(self, started_at: float) -> None:
+        """Starts to keep successes.
+
+        Args:
+            started_at: time from which this router sees them.
+        """
+        self.suspects.watched_from = started_at
+        self.changed(WATCHED, "")
+        self.stored.start()
+
+    def close(self) -> None:
+        """Stops the tasks."""
+        self.stored.close()
+
     def _note(self, subject: str, incarnation: str) -> None:
         self.changed(CRASHES, (subject, incarnation))
         if subject in self._observed:
@@ -151,6 +176,23 @@
                     age=each.age,
                 )
 
+    def encode_watched(self, keys: list[str], now: float) -> list[int]:
+        """Returns for how long successes have been known, in ms."""
+        return [max(0, int((now - self.suspects.watched_from) * 1000))]
+
+    def merge_watched(
+        self, ages: list[int], sender: str, sent_at: float
+    ) -> None:
+        """Merges for how long another router has known successes.
+
+        It tells those that matter with its crashes, so this router knows them
+        from then on, too.
+        """
+        watched_from = sent_at - max(ages) / 1000
+        if self.suspects.watched_from - watched_from > WATCHED_STEP_SECONDS:
+            self.suspects.watch_from(watched_from)
+            self.changed(WATCHED, "")
+
     def merge(
         self,
         records: list[peer_messages.CrashRecord],
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -285,6 +285,7 @@
         clock: as in a heartbeat.
         crashes: servers that died, and what they ran.
         successes: what has run since.
+        watched: ms for which successes have been known, one value at most.
     """
 
     life: int
@@ -293,6 +294,7 @@
     clock: tuple[int, int]
     crashes: list[CrashRecord] = attrs.field(factory=list)
     successes: list[SuccessRecord] = attrs.field(factory=list)
+    watched: list[int] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -170,7 +170,7 @@
         self._loop = asyncio.get_running_loop()
         self._mailbox.start()
         self.fleet_size.start()
-        self.crash_reports.stored.start()
+        self.crash_reports.start(self.view.started_at)
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Adds addresses, as IP:PORT, for the discovery of routers."""
@@ -179,7 +179,7 @@
     def close(self) -> None:
         """Closes all connections."""
         self.fleet_size.close()
-        self.crash_reports.stored.close()
+        self.crash_reports.close()
         self._mailbox.close()
 
     def _deliver(self, event: object) -> None:
--- a/pimentoledge/routing/stored_quarantines.py
+++ b/pimentoledge/routing/stored_quarantines.py
@@ -13,6 +13,7 @@
 
 from pimentoledge.platform import stores
 from pimentoledge.routing import clocks
+from pimentoledge.routing import crash_evidence
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
 from pimentoledge.routing import server_deaths
@@ -175,7 +176,7 @@
         stored = _ages(found.value, time.time())
         return self._counted(subject).keys() <= stored.keys()
 
-    def _counted(self, subject: str) -> dict[str, suspects_module.Crash]:
+    def _counted(self, subject: str) -> dict[str, crash_evidence.Crash]:
         suspect = self.suspects.subjects.get(subject)
         return {} if suspect is None else suspect.counted()
 
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -19,19 +19,10 @@
 import xxhash
 
 from pimentoledge.routing import blames
+from pimentoledge.routing import crash_evidence
 from pimentoledge.routing import request_types
 from pimentoledge.routing import server_deaths
 
-# Weight of a crash that something else may explain: the server was only silent,
-# as behind a partition, or servers that did not run the content died within the
-# time below.
-WEAK_WEIGHT = 0.5
-MASS_LOSS_SECONDS = 0.5
-# So many crashes of a part at the same moment count as one, since a lost rack
-# has all parts that are much in use. Silence shows only with time.
-MASS_LOSS_SERVERS = 3
-SAME_MOMENT_SECONDS = 0.1
-SILENCE_SECONDS = 3.0
 # How long content of the least number of crashes is quarantined; each further
 # crash multiplies the time by the factor, up to the maximum.
 QUARANTINE_SECONDS = 60.0
@@ -50,7 +41,6 @@
 # 150 bytes each.
 MAX_SUSPECTS = 4000
 MAX_SUCCESSES = 4000
-NEVER = -math.inf
 
 
 class QuarantinedError(Exception):
@@ -104,50 +94,6 @@
     )
 
 
-@attrs.define
-class Crash:
-    """A server that died while it ran some subject.
-
-    Attributes:
-        when: when its connection broke, in seconds of clocks.now; never before
-            the server died.
-        released: whether it no longer counts, because the server turned out to
-            live. This is never revoked.
-        silent: whether the server did not close the connection.
-    """
-
-    when: float
-    released: bool = False
-    silent: bool = False
-
-
-@attrs.define(kw_only=True)
-class Suspect:
-    """A subject of requests that were on servers when they died.
-
-    Attributes:
-        depth: place of a part in the prompt, or 0 for the content of a request.
-        crashes: the crashes, by incarnation of the server.
-        succeeded_at: when it last succeeded, in seconds of clocks.now.
-    """
-
-    depth: int
-    crashes: dict[str, Crash] = attrs.field(factory=dict)
-    succeeded_at: float = NEVER
-
-    def counted(self) -> dict[str, Crash]:
-        """Returns the crashes that count."""
-        return {
-            incarnation: each
-            for incarnation, each in self.crashes.items()
-            if not each.released and each.when > self.succeeded_at
-        }
-
-    def newest(self) -> float:
-        """Returns the time of the newest crash, counted or not."""
-        return max(each.when for each in self.crashes.values())
-
-
 @attrs.define(kw_only=True)
 class Quarantine:
     """A subject that is to blame for crashes.
@@ -158,7 +104,7 @@
     """
 
     until: float
-    trial_until: float = NEVER
+    trial_until: float = crash_evidence.NEVER
 
 
 def quarantine_seconds(crashes: int, *, is_part: bool = False) -> float:
@@ -190,10 +136,12 @@
         subjects: the suspects by key, the newest last.
         quarantines: those that are to blame, by key.
         deaths: servers that died or may have.
+        watched_from: time from which successes are known, by this router or by
+            those that told it of theirs.
         on_change: called with the key and the incarnation of a crash that is
             new or newly released.
-        on_success: called with the key of a suspect that succeeded after a
-            crash.
+        on_success: called with the key of a suspect whose success after a
+            crash, or shortly before, the other routers must know.
         on_forget: called with the key and the incarnations of a suspect that is
             forgotten.
         on_verdict: called with the key of a suspect that is newly quarantined
@@ -203,11 +151,12 @@
     """
 
     def __init__(self, *, explain=blames.explain):
-        self.subjects: collections.OrderedDict[str, Suspect] = (
+        self.subjects: collections.OrderedDict[str, crash_evidence.Suspect] = (
             collections.OrderedDict()
         )
         self.quarantines: dict[str, Quarantine] = {}
         self.deaths = server_deaths.ServerDeaths()
+        self.watched_from = crash_evidence.NEVER
         self.on_change: Callable[[str, str], None] = lambda *_: None
         self.on_success: Callable[[str], None] = lambda *_: None
         self.on_forget: Callable[[str, Iterable[str]], None] = lambda *_: None
@@ -307,7 +256,9 @@
             crash.when = min(crash.when, when)
             self._reconsider(key)
             return released and self._release(key, incarnation)
-        suspect.crashes[incarnation] = Crash(when, released, silent)
+        suspect.crashes[incarnation] = crash_evidence.Crash(
+            when, released, silent
+        )
         self._subjects_by_incarnation.setdefault(incarnation, set()).add(key)
         self.subjects.move_to_end(key)
         while len(self.subjects) > MAX_SUSPECTS:
@@ -318,10 +269,12 @@
             self.on_success(key)
         return True
 
-    def _add_suspect(self, subject: server_deaths.Subject) -> Suspect:
-        suspect = Suspect(
+    def _add_suspect(
+        self, subject: server_deaths.Subject
+    ) -> crash_evidence.Suspect:
+        suspect = crash_evidence.Suspect(
             depth=subject.depth,
-            succeeded_at=self._successes.get(subject.key, NEVER),
+            succeeded_at=self._successes.get(subject.key, crash_evidence.NEVER),
         )
         self.subjects[subject.key] = suspect
         return suspect
@@ -336,7 +289,7 @@
         Returns:
             whether this releases the subject of any crash.
         """
-        if when <= self._successes.get(key, NEVER):
+        if when <= self._successes.get(key, crash_evidence.NEVER):
             return False
         self._successes[key] = when
         self._successes.move_to_end(key)
@@ -345,13 +298,16 @@
         suspect = self.subjects.get(key)
         if suspect is None:
             return False
-        before = len(suspect.counted())
+        before, trust = len(suspect.counted()), suspect.trust(self.watched_from)
         suspect.succeeded_at = max(suspect.succeeded_at, when)
-        if len(suspect.counted()) == before:
-            return False
-        self._reconsider(key)
-        self.on_success(key)
-        return True
+        releases = len(suspect.counted()) < before
+        if releases or (
+            key in self._candidates
+            and suspect.trust(self.watched_from) is not trust
+        ):
+            self._reconsider(key)
+            self.on_success(key)
+        return releases
 
     def _release(self, key: str, incarnation: str) -> bool:
         crash = self.subjects[key].crashes[incarnation]
@@ -364,9 +320,15 @@
 
     def _reconsider(self, key: str) -> None:
         """Handles changed evidence against a subject."""
-        counted = len(self.subjects[key].counted())
-        if counted >= blames.MIN_CONTENT_CRASHES:
+        suspect = self.subjects[key]
+        if len(suspect.counted()) >= blames.MIN_CONTENT_CRASHES:
+            is_new = key not in self._candidates
             self._candidates.add(key)
+            if (
+                is_new
+                and suspect.trust(self.watched_from) is blames.Trust.RECENT
+            ):
+                self.on_success(key)
         elif key in self._candidates:
             self._candidates.discard(key)
         else:
@@ -378,15 +340,23 @@
         if not self._changed:
             return
         self._changed = False
+        assessment = crash_evidence.Assessment(
+            subjects=self.subjects,
+            run_on=self._subjects_by_incarnation,
+            died_at=self._died_at,
+            watched_from=self.watched_from,
+        )
         blamed = self._explain(
-            [self._evidence(key) for key in self._candidates]
+            [assessment.evidence(key) for key in self._candidates]
         )
         verdicts = {}
         for key, crashes in blamed.items():
             former = self.quarantines.get(key)
             verdicts[key] = Quarantine(
                 until=self._ends_at(key, crashes),
-                trial_until=NEVER if former is None else former.trial_until,
+                trial_until=crash_evidence.NEVER
+                if former is None
+                else former.trial_until,
             )
         changed = verdicts.keys() ^ self.quarantines.keys()
         self.quarantines = verdicts
@@ -403,44 +373,6 @@
         number = max(least, math.floor(sum(crashes.values())))
         return newest + quarantine_seconds(number, is_part=is_part)
 
-    def _evidence(self, key: str) -> blames.Evidence:
-        suspect = self.subjects[key]
-        counted = suspect.counted()
-        weight = self._part_weight if suspect.depth else self._content_weight
-        return blames.Evidence(
-            key=key,
-            depth=suspect.depth,
-            crashes={each: weight(each, counted) for each in counted},
-            succeeded_at=suspect.succeeded_at,
-        )
-
-    def _content_weight(
-        self, incarnation: str, counted: dict[str, Crash]
-    ) -> float:
-        """Returns the weight of one of the crashes of some content."""
-        crash = counted[incarnation]
-        is_weak = crash.silent or any(
-            abs(died_at - crash.when) < MASS_LOSS_SECONDS
-            for other, died_at in self._died_at.items()
-            if other not in counted
-        )
-        return WEAK_WEIGHT if is_weak else 1.0
-
-    def _part_weight(
-        self, incarnation: str, counted: dict[str, Crash]
-    ) -> float:
-        """Returns the weight of one of the crashes of some part."""
-        crash = counted[incarnation]
-        span = SILENCE_SECONDS if crash.silent else SAME_MOMENT_SECONDS
-        weight = WEAK_WEIGHT if crash.silent else 1.0
-        times = [each.when for each in counted.values()]
-        together = _count_near(crash.when, times, span)
-        died = _count_near(crash.when, self._died_at.values(), span)
-        if max(together, died) < MASS_LOSS_SERVERS:
-            return weight
-        # A lost rack also has servers that did not run the part.
-        return weight / max(together, died)
-
     def is_quarantined(self, key: str, now: float) -> bool:
         """Returns whether a subject must not run, not even on trial."""
         return self.quarantined_until(key) > now
@@ -511,6 +443,12 @@
                 self._died_at.pop(incarnation, None)
         self.on_forget(key, suspect.crashes)
 
+    def watch_from(self, when: float) -> None:
+        """Extends the time from which successes are known."""
+        if when < self.watched_from:
+            self.watched_from = when
+            self._changed = True
+
     def expire(self, now: float) -> list[str]:
         """Forgets what has become too old; returns the forgotten subjects."""
         self._judge()
@@ -527,10 +465,6 @@
         return expired
 
 
-def _count_near(when: float, times: Iterable[float], span: float) -> int:
-    return sum(abs(each - when) < span for each in times)
-
-
 def memory_seconds(crashes: int, *, is_part: bool = False) -> float:
     """Returns how long a suspect is remembered after its newest crash."""
     return max(MEMORY_SECONDS, 2 * quarantine_seconds(crashes, is_part=is_part))
--- a/pimentoledge/tests/test_router_blames.py
+++ b/pimentoledge/tests/test_router_blames.py
@@ -69,6 +69,72 @@
     assert _quarantined(known, 3.0) == ["bad", "other"]
 
 
+THIRD = server_deaths.Subject(key="third", depth=2)
+
+
+def _crash_with_each(known, first_at):
+    """Lets three parts that follow the same one crash a server each."""
+    for number, each in enumerate((BAD, OTHER, THIRD)):
+        _crash(known, f"i{number}", first_at + number / 2, SOUND, each)
+
+
+def test_a_part_that_just_worked_is_not_blamed_for_what_follows_it():
+    """Guards against a first part refused for several parts that follow it."""
+    known = suspects.Suspects()
+    known.record_success("sound", 99.9)
+    _crash_with_each(known, 100.0)
+    assert not _quarantined(known, 101.1)
+
+
+def test_a_part_is_not_blamed_for_what_follows_it_after_a_restart():
+    """Guards against a first part refused while no success can be known."""
+    known = suspects.Suspects()
+    known.watched_from = 99.0
+    _crash_with_each(known, 100.0)
+    assert not _quarantined(known, 101.1)
+
+
+def test_a_part_that_just_worked_is_found_beside_others():
+    """Guards against a part that is never blamed for what comes with it."""
+    known = suspects.Suspects()
+    known.record_success("sound", 99.9)
+    for number in range(5):
+        other = server_deaths.Subject(key=f"own{number}", depth=2)
+        _crash(known, f"i{number}", 100.0 + number, SOUND, other)
+    assert _quarantined(known, 104.1) == ["sound"]
+
+
+def test_a_part_stays_blamed_beside_one_that_explains_more():
+    """Guards against verdicts that alternate while servers go on dying."""
+    known = suspects.Suspects()
+    for number in range(4):
+        _crash(known, f"i{number}", float(number), BAD)
+    for number in range(3):
+        _crash(known, f"j{number}", 10.0 + number, OTHER)
+    assert _quarantined(known, 12.1) == ["bad", "other"]
+    _crash(known, "j2", 12.0, BAD)
+    assert _quarantined(known, 12.2) == ["bad", "other"]
+
+
+def test_a_success_before_crashes_is_reported_once():
+    """Guards against routers that refuse what another one saw succeed."""
+    known = suspects.Suspects()
+    reported = []
+    known.on_success = reported.append
+    known.record_success("sound", 99.9)
+    _crash(known, "i0", 100.0, SOUND)
+    assert not reported
+    _crash(known, "i1", 101.0, SOUND)
+    _crash(known, "i2", 102.0, SOUND)
+    assert reported == ["sound"]
+    told = suspects.Suspects()
+    told.on_success = reported.append
+    _crash(told, "i0", 100.0, SOUND)
+    _crash(told, "i1", 101.0, SOUND)
+    assert not told.record_success("sound", 99.9)
+    assert reported == ["sound", "sound"]
+
+
 def test_a_wrong_verdict_ends_when_a_part_explains_more():
     """Guards against a verdict that stays though its cause is found."""
     known = suspects.Suspects()
--- a/pimentoledge/tests/test_router_crashing_parts.py
+++ b/pimentoledge/tests/test_router_crashing_parts.py
@@ -211,3 +211,19 @@
             for each in others
         )
     )
+
+
+@with_world(routers=2, plain=0, runners=1)
+async def test_a_router_that_joins_knows_for_how_long_parts_were_watched(world):
+    """Guards against a router that takes parts unknown to it for sound."""
+    first, second = world.routers
+    since = clocks.now() - 100.0
+    first.view.suspects.watched_from = since
+    first.peers.crash_reports.changed("watched", "")
+    await world.until(lambda: second.view.suspects.watched_from < since + 1.0)
+    ports = [
+        int(each.chosen.text("peer-listen").rpartition(":")[2])
+        for each in world.routers
+    ]
+    joined = await world.add_router("late", router_world.free_port(), ports)
+    await world.until(lambda: joined.view.suspects.watched_from < since + 1.0)
