Count open connections only when a limit may apply

For each accepted connection a router counted all open ones. Without overload the count isn't used: it is taken when the event loop is late or a limit holds. The test fails on the code before.

--- a/pimentoledge/routing/client_listeners.py
+++ b/pimentoledge/routing/client_listeners.py
@@ -87,8 +87,11 @@
 
     def _handle(self, accepted: socket.socket) -> None:
         now = clocks.now()
-        in_progress = self.in_progress() + len(self._pending)
         late = self.late_share(now)
+        in_progress = 0
+        if self.limit.is_needed(late):
+            # To count takes longer the more connections are open.
+            in_progress = self.in_progress() + len(self._pending)
         if not self.limit.accepts(in_progress, late, now):
             accepted.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
--- a/pimentoledge/routing/connection_limits.py
+++ b/pimentoledge/routing/connection_limits.py
@@ -47,6 +47,10 @@
         self._rose_at = -math.inf
         self._accepted_at = -math.inf
 
+    def is_needed(self, late_share: float) -> bool:
+        """Returns whether there is a limit, or overload that calls for one."""
+        return late_share > MAX_LATE or not math.isinf(self.limit)
+
     def accepts(self, in_progress: int, late_share: float, now: float) -> bool:
         """Returns whether a further connection is accepted.
 
--- a/pimentoledge/tests/test_router_connection_limits.py
+++ b/pimentoledge/tests/test_router_connection_limits.py
@@ -156,3 +156,16 @@
     writer.write(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
     assert (await reader.readline()).startswith(b"HTTP/1.1 200")
     writer.close()
+
+
+@with_world(plain=2, runners=0)
+async def test_without_overload_open_connections_are_not_counted(world):
+    """Guards against a cost of each connection that grows with their number."""
+    [router] = world.routers
+    counts = []
+    router.listener.in_progress = lambda: counts.append(1) or 0
+    assert (await world.request("/notices/")).status == 200
+    assert not counts
+    router.listener.late_share = lambda now: 1.0
+    assert (await world.request("/notices/")).status == 200
+    assert counts
