--- a/benches/part_blame.py
+++ b/benches/part_blame.py
@@ -21,6 +21,7 @@
 import xxhash
 
 from pimentoledge.routing import blames
+from pimentoledge.routing import crash_evidence
 from pimentoledge.routing import server_deaths
 from pimentoledge.routing import suspects
 
@@ -73,6 +74,8 @@
         all_lost: whether losses take all servers.
         cut: when the routers are cut into two halves, and until when.
         late: whether a death is proven only by its lapsed entry.
+        restarted: when all routers restart at the same moment.
+        servers: number of servers.
     """
 
     name: str
@@ -88,6 +91,8 @@
     all_lost: bool = False
     cut: tuple[float, float] | None = None
     late: bool = False
+    restarted: tuple[float, ...] = ()
+    servers: int = SERVERS
 
 
 @attrs.frozen(kw_only=True)
@@ -105,6 +110,11 @@
         mass_loss: servers that die together and count as one crash.
         by_time: whether a success counts from its own time, rather than
             releases the crashes that are known when it is.
+        trust_seconds: how long a success before a crash counts for a part.
+        rival_weight: weight of a crash that a part with less trust may have
+            caused.
+        own_crashes: unexplained crashes that are enough for what has the number
+            in all.
     """
 
     name: str
@@ -114,8 +124,11 @@
     acquits: bool = True
     reports: bool = True
     by_model: bool = True
-    mass_loss: int = suspects.MASS_LOSS_SERVERS
+    mass_loss: int = crash_evidence.MASS_LOSS_SERVERS
     by_time: bool = True
+    trust_seconds: float = crash_evidence.TRUST_SECONDS
+    rival_weight: float = blames.RIVAL_WEIGHT
+    own_crashes: int = blames.MIN_OWN_CRASHES
 
 
 def count_alone(
@@ -232,15 +245,20 @@
         self._queue: list = []
         self._order = itertools.count()
         self._own = itertools.count()
-        self.alive = [True] * SERVERS
-        self.lives = [0] * SERVERS
-        self.running: list[dict[int, _Request]] = [{} for _ in range(SERVERS)]
+        self.servers = scene.servers
+        self.alive = [True] * self.servers
+        self.lives = [0] * self.servers
+        self.running: list[dict[int, _Request]] = [
+            {} for _ in range(self.servers)
+        ]
         self.routers = [self._router(number) for number in range(ROUTERS)]
         self._merging = False
 
     def _router(self, number: int) -> suspects.Suspects:
         kind = suspects.Suspects if self.rule.by_time else _ReleasingSuspects
         router = kind(explain=self.rule.explain)
+        if self.rule.trust_seconds:
+            router.watched_from = self.now
         router.on_change = lambda key, incarnation: self._report_crash(
             number, key, incarnation
         )
@@ -292,12 +310,34 @@
                 parts = [bad, documents[0]] if scene.first else first
                 self.at(when, self._arrive, parts, 0, bad)
         for each in scene.losses:
-            for server in range(0, SERVERS, 1 if scene.all_lost else 3):
+            for server in range(0, self.servers, 1 if scene.all_lost else 3):
                 self.at(
                     each + self.random.uniform(0, 0.2),
                     lambda server=server: self._end(server, scene.silent),
                 )
 
+        for each in scene.restarted:
+            self.at(each, self._restart_routers)
+
+    def _restart_routers(self) -> None:
+        """Replaces all routers; only the store knows what is quarantined."""
+        stored = {
+            (key, incarnation): (each.subjects[key].depth, crash)
+            for each in self.routers
+            for key in each.quarantines
+            for incarnation, crash in each.subjects[key].counted().items()
+        }
+        self.routers = [self._router(number) for number in range(ROUTERS)]
+        self._merging = True
+        for each in self.routers:
+            for (key, incarnation), (depth, crash) in stored.items():
+                each.record_crash(
+                    server_deaths.Subject(key=key, depth=depth),
+                    incarnation,
+                    crash.when,
+                )
+        self._merging = False
+
     def _is_sound(self, when: float, model: int) -> bool:
         scene = self.scene
         before = scene.worked and when < CRASHES_FROM
@@ -327,7 +367,7 @@
             if bad is None:
                 self.run.refused[second] = self.run.refused.get(second, 0) + 1
             return
-        servers = [each for each in range(SERVERS) if self.alive[each]]
+        servers = [each for each in range(self.servers) if self.alive[each]]
         if not servers:
             return
         router.start_trial(subjects, self.now)
@@ -457,18 +497,27 @@
     former = (
         blames.MIN_PART_CRASHES,
         blames.MIN_PART_WEIGHT,
-        suspects.MASS_LOSS_SERVERS,
+        crash_evidence.MASS_LOSS_SERVERS,
+        crash_evidence.TRUST_SECONDS,
+        blames.RIVAL_WEIGHT,
+        blames.MIN_OWN_CRASHES,
     )
     blames.MIN_PART_CRASHES = rule.part_crashes
     blames.MIN_PART_WEIGHT = float(rule.part_crashes)
-    suspects.MASS_LOSS_SERVERS = rule.mass_loss
+    crash_evidence.MASS_LOSS_SERVERS = rule.mass_loss
+    crash_evidence.TRUST_SECONDS = rule.trust_seconds
+    blames.RIVAL_WEIGHT = rule.rival_weight
+    blames.MIN_OWN_CRASHES = rule.own_crashes
     try:
         yield
     finally:
         (
             blames.MIN_PART_CRASHES,
             blames.MIN_PART_WEIGHT,
-            suspects.MASS_LOSS_SERVERS,
+            crash_evidence.MASS_LOSS_SERVERS,
+            crash_evidence.TRUST_SECONDS,
+            blames.RIVAL_WEIGHT,
+            blames.MIN_OWN_CRASHES,
         ) = former
 
 
@@ -494,6 +543,17 @@
     Rule(name="3 explained, successes not reported", reports=False),
     Rule(name="3 explained, losses count apart", mass_loss=NO_MASS_LOSS),
     Rule(name="3 explained, for all models", by_model=False),
+    Rule(
+        name="3 explained, the most first (former)",
+        trust_seconds=0.0,
+        own_crashes=3,
+    ),
+    Rule(name="3 explained, trust for 5 s", trust_seconds=5.0),
+    Rule(name="3 explained, trust for 60 s", trust_seconds=60.0),
+    Rule(name="3 explained, rivals or not", rival_weight=1.0),
+    Rule(name="3 explained, half with rivals", rival_weight=0.5),
+    Rule(name="3 explained, all its own", own_crashes=3),
+    Rule(name="3 explained, one its own", own_crashes=1),
     Rule(name="2 explained", part_crashes=2),
     Rule(name="3 explained (chosen)"),
     Rule(name="4 explained", part_crashes=4),
@@ -528,6 +588,28 @@
         losses=(9.0, 16.0),
     ),
     Scene(name="routers cut into halves, 2 a second", bad=2.0, cut=(7, 25)),
+    Scene(
+        name="all routers restarted twice, three parts after the same one",
+        bad=1.0,
+        parts=3,
+        shared=True,
+        restarted=(10.0, 25.0),
+    ),
+    Scene(
+        name="five parts after the same one, three servers",
+        bad=1.0,
+        parts=5,
+        shared=True,
+        servers=3,
+    ),
+    Scene(
+        name="the same, all routers restarted twice",
+        bad=1.0,
+        parts=5,
+        shared=True,
+        servers=3,
+        restarted=(10.0, 25.0),
+    ),
     Scene(name="a part that is mended at 14 s", bad=2.0, healed_at=14.0),
 ]
 
--- a/benches/router_costs.py
+++ b/benches/router_costs.py
@@ -20,7 +20,9 @@
 import json
 import pstats
 import random
+import signal
 import sys
+import threading
 import time
 
 import attrs
@@ -48,6 +50,7 @@
 # Time for the last requests of a load to end.
 LOAD_END_SECONDS = 30.0
 PROFILED_FUNCTIONS = 45
+THROTTLE_SECONDS = 0.05
 LOOPBACK = "127.0.0.1"
 PARTS = 40
 
@@ -286,6 +289,42 @@
         )
 
 
+class _Throttle:
+    """Grants processes a share of a processor, by stopping them in turns.
+
+    Attributes:
+        children: the processes.
+        share: the share of each period in which they run.
+    """
+
+    def __init__(self, *, children: list[processes.Process], share: float):
+        self.children = children
+        self.share = share
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def start(self) -> None:
+        """Starts to stop and continue the processes."""
+        if self.share < 1.0:
+            self._thread.start()
+
+    def close(self) -> None:
+        """Lets the processes run on."""
+        self._ended.set()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def _run(self) -> None:
+        while not self._ended.wait(self.share * THROTTLE_SECONDS):
+            self._signal(signal.SIGSTOP)
+            time.sleep((1.0 - self.share) * THROTTLE_SECONDS)
+            self._signal(signal.SIGCONT)
+
+    def _signal(self, number: signal.Signals) -> None:
+        for each in self.children:
+            each.child.send_signal(number)
+
+
 class Deployment:
     """Routers and their stand-ins, each a process.
 
@@ -415,8 +454,10 @@
         limited=not args.unlimited,
     )
     begin = args.seconds / 4
+    throttle = _Throttle(children=deployment.routers, share=args.core)
     try:
         time.sleep(SETTLE_SECONDS)
+        throttle.start()
         deployment.load(rate=args.rate / 2, seconds=WARMUP_SECONDS)
         for each in deployment.load(
             rate=args.rate,
@@ -425,6 +466,7 @@
         ):
             print(json.dumps(each), flush=True)
     finally:
+        throttle.close()
         deployment.close()
 
 
@@ -463,6 +505,7 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--share", type=float, default=0.9)
+    parser.add_argument("--core", type=float, default=1.0)
     parser.add_argument("--unlimited", action="store_true")
     args = parser.parse_args()
     {"cost": cost, "profile": profile, "overload": overload}[args.part](args)
