Keep the sums of other routers' loads at a server

Each placement summed the loads of all other routers at each server that it evaluated, three times, so that a request cost more with each router. The sums are kept now, where they change; what depends on a server's weights is asked once a version instead of for each server.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentoledge.routing import peer_loads as peer_loads_module
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
 
@@ -44,21 +45,6 @@
     ready_at: float
 
 
-@attrs.frozen(kw_only=True)
-class PeerLoad:
-    """Another router's load at a server, from its last report.
-
-    Attributes:
-        open: requests that have not ended.
-        unbegun: open requests without a first event.
-        unread: prompt tokens of these that the server has not prefilled yet.
-    """
-
-    open: int
-    unbegun: int
-    unread: int
-
-
 @attrs.define(kw_only=True)
 class ServerNotice:
     """What one incarnation of a server has announced.
@@ -90,7 +76,7 @@
         load_unbegun: `unbegun` at the time of the load report.
         load_at: time of the load report.
         load_first_hand: whether the report was sent to this process.
-        peer_loads: load of the other routers, by mailbox.
+        peer_loads: load of the other routers.
         avoid_until: end of the backoff after a failure or a full server.
         limited_until: time until which its rate limit is used up for this
             process.
@@ -121,7 +107,9 @@
     load_unbegun: int = 0
     load_at: float = 0.0
     load_first_hand: bool = False
-    peer_loads: dict[str, PeerLoad] = attrs.field(factory=dict)
+    peer_loads: peer_loads_module.PeerLoads = attrs.field(
+        factory=peer_loads_module.PeerLoads
+    )
     avoid_until: float = 0.0
     limited_until: float = 0.0
     failures: int = 0
@@ -228,7 +216,7 @@
 
     def estimated_requests(self, now: float) -> float:
         """Returns the estimated number of requests at the server."""
-        known = self.open + sum(each.open for each in self.peer_loads.values())
+        known = self.open + self.peer_loads.open
         if self.load is None:
             return known
         reported = self.load.running + self.load.waiting - self.load_open
@@ -236,8 +224,7 @@
 
     def queued(self, now: float) -> float:
         """Returns the estimated number of requests without a first event."""
-        peers = sum(each.unbegun for each in self.peer_loads.values())
-        known = self.unbegun + peers
+        known = self.unbegun + self.peer_loads.unbegun
         if self.load is None:
             return known
         reported = self.load.waiting - self.load_unbegun
@@ -245,8 +232,7 @@
 
     def outstanding(self) -> int:
         """Returns the prompt tokens of known requests without a first event."""
-        peers = self.peer_loads.values()
-        return self.unread_tokens + sum(each.unread for each in peers)
+        return self.unread_tokens + self.peer_loads.unread
 
     def unread(self, mean: float, now: float, token_seconds: float) -> int:
         """Returns the estimated prompt tokens that it has not prefilled yet.
@@ -264,8 +250,9 @@
         if known and token_seconds:
             read = (now - self.read_since) / token_seconds
             known = max(0, known - int(read))
-        peers = self.peer_loads.values()
-        unbegun = self.unbegun + sum(each.unbegun for each in peers)
+        if self.load is None or not mean:
+            return known
+        unbegun = self.unbegun + self.peer_loads.unbegun
         return known + int(mean * max(0, self.queued(now) - unbegun))
 
     def update_load(
--- a/pimentoledge/routing/load_reports.py
+++ b/pimentoledge/routing/load_reports.py
@@ -12,6 +12,7 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import heartbeat_rings
+from pimentoledge.routing import peer_loads
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import request_types
 from pimentoledge.routing import rosters
@@ -283,11 +284,13 @@
         to the next prompt, so the time of its current prefill starts anew.
         """
         before = backend.outstanding()
-        backend.peer_loads.pop(sender, None)
-        if peer_load is not None:
+        if peer_load is None:
+            backend.peer_loads.remove(sender)
+        else:
             open_, unbegun, unread = peer_load
-            backend.peer_loads[sender] = backends.PeerLoad(
-                open=open_, unbegun=unbegun, unread=unread
+            backend.peer_loads.set(
+                sender,
+                peer_loads.PeerLoad(open=open_, unbegun=unbegun, unread=unread),
             )
         if not before or backend.outstanding() < before:
             backend.read_since = now
@@ -329,7 +332,7 @@
         for name in self.servers_by_sender.pop(sender, ()):
             backend = servers.get(name)
             if backend is not None:
-                backend.peer_loads.pop(sender, None)
+                backend.peer_loads.remove(sender)
 
 
 def _differ(before: OwnLoad, has: OwnLoad) -> bool:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -1,5 +1,7 @@
 """Selects a backend server for a request and builds its dispatch."""
 
+import functools
+
 import xxhash
 
 from pimentoledge.routing import backends
@@ -70,6 +72,10 @@
     """Returns the server to send a request to, or the shortages if none."""
     result = placements.NoCapacity(shortage={})
     prompt = _prompt(view, client_request, organisation)
+    model = client_request.model
+    may_begin = functools.cache(
+        lambda version: view.may_begin(model, version, now)
+    )
     for name in ordered_services(route, client_request.request):
         criteria = _criteria(
             view, client_request, route, organisation, name, now
@@ -84,7 +90,7 @@
                 each
                 for each in drawn
                 if each.registration.incarnation not in without
-                and weights_allow(view, client_request.model, each, now)
+                and may_begin(placements.weights_of(each, model))
             ]
             result = placements.choose(
                 candidates=candidates, criteria=criteria, now=now
@@ -137,8 +143,8 @@
         unshared=client_request.unshared_tokens(),
         model=client_request.model,
         newest=None if wanted is None else wanted.version,
-        withdrawn_at=lambda version: view.withdrawn_at(
-            client_request.model, version
+        withdrawn_at=functools.cache(
+            lambda version: view.withdrawn_at(client_request.model, version)
         ),
         isolated_by=_isolated_by(organisation),
         sources=_newest_sources(
--- a/pimentoledge/tests/test_router_first_events.py
+++ b/pimentoledge/tests/test_router_first_events.py
@@ -7,6 +7,7 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import cache_sources
 from pimentoledge.routing import first_events
+from pimentoledge.routing import peer_loads
 from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
@@ -78,7 +79,8 @@
 
 def test_load_of_other_routers_counts_as_they_reported_it():
     found = runner("r")
-    found.peer_loads["x"] = backends.PeerLoad(open=3, unbegun=2, unread=9000)
+    load = peer_loads.PeerLoad(open=3, unbegun=2, unread=9000)
+    found.peer_loads.set("x", load)
     assert found.estimated_requests(1.0) == 3
     assert found.queued(1.0) == 2
     assert found.unread(1500, 1.0, 0.0) == 9000
