Forward changes with what was known when they were requested

Cause, from the events of a run that failed: a router forwards what its watch or poll returned with the revision of the newest change that it had known before, so that a receiver that lacks more asks the store. That revision was taken when the wait for changes began. A peer's change that came during the wait advanced the copy, and with it the position from which the next poll was sent: its result lacked that change, but was forwarded as if it followed the older one. A receiver without the change took it, and its position was then that of all others, so nothing ever showed the gap.

Now the result of each call has the newest change known when that call was sent.

--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -128,6 +128,7 @@
         revision: revision from which the next watch continues.
         unreadable: for each unreadable object, why it can't be read.
         era: era of the revision.
+        after: revision of the newest change known when these were requested.
     """
 
     changed: list[Stored]
@@ -135,6 +136,7 @@
     revision: int
     unreadable: tuple[str, ...] = ()
     era: int = 0
+    after: int = 0
 
     @property
     def position(self) -> tuple[int, int]:
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -158,17 +158,12 @@
             self.shares.record_own(now)
         return self.shares.watcher_ages(now)
 
-    def forward_changes(self, after: int, found: registrations.Changes) -> None:
-        """Forwards changes that this router's watch of the servers returned.
-
-        Args:
-            after: revision of the newest change known before.
-            found: the changes.
-        """
+    def forward_changes(self, found: registrations.Changes) -> None:
+        """Forwards changes that this router's watch of the servers returned."""
         if self.roster.reaches_all() or not (found.changed or found.removed):
             return
         watched = peer_messages.WatchedChanges(
-            after=after, changes=found, lapse_ms=self._lapse_ms()
+            after=found.after, changes=found, lapse_ms=self._lapse_ms()
         )
         self._offer(watched, excluded="")
 
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import random
 
+import attrs
 import logbook
 
 from pimentoledge.platform import stores
@@ -74,8 +75,7 @@
         bound_seconds: returns the allowed age of the copy.
         poll_rank: returns when this router polls, as an index of POLL_SHARES.
         follows: returns whether peers watch the store for this router.
-        on_changes: called with the revision of the newest change known before,
-            and the changes.
+        on_changes: called with changes that the store has returned.
         answers: signals to the watchers of a store that it answered one of
             them.
         arrived: returns the earliest time at which data read at a given time,
@@ -99,8 +99,8 @@
         bound_seconds: Callable[[], float],
         poll_rank: Callable[[], int] = lambda: 0,
         follows: Callable[[], bool] = lambda: False,
-        on_changes: Callable[[int, registrations.Changes], None] = (
-            lambda after, changes: None
+        on_changes: Callable[[registrations.Changes], None] = (
+            lambda changes: None
         ),
         answers: hedged_calls.AnswerSignal,
         polls_in_outage: bool,
@@ -179,7 +179,6 @@
 
     async def _step(self) -> None:
         since = self.cache.revision
-        after = self.cache.changed_at
         if self._relist or since is None:
             found = await self._list()
         elif not self.reached:
@@ -193,7 +192,7 @@
         if await self._apply(found) and isinstance(
             found, registrations.Changes
         ):
-            self.on_changes(after, found)
+            self.on_changes(found)
         await asyncio.sleep(BATCH_SECONDS)
 
     async def _watch(self, since: int) -> registrations.WatchResult:
@@ -231,10 +230,14 @@
         out again.
         """
         era, revision = self.cache.position
+        # A peer's changes may advance the copy before the response.
+        after = self.cache.changed_at
         found = await self.store.watch(self.cache.kind, revision, seconds)
-        if isinstance(found, registrations.Changes) and found.era != era:
+        if not isinstance(found, registrations.Changes):
+            return found
+        if found.era != era:
             return registrations.HistoryGone(era=found.era)
-        return found
+        return attrs.evolve(found, after=after)
 
     async def _wait_until_poll_due(self, waiting: asyncio.Future) -> bool:
         """Returns whether a watch ended before a poll became due."""
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -266,6 +266,59 @@
     assert (servers.lapse_ends() > clocks.now()) is lapsed
 
 
+class _ScriptedStore:
+    """A store whose watches stay open and whose polls return one change."""
+
+    def __init__(self, found):
+        self.found = found
+
+    async def list(self, kind):
+        return registrations.Listing(objects=[], revision=7)
+
+    async def watch(self, kind, revision, seconds):
+        if seconds:
+            await asyncio.Event().wait()
+        return self.found
+
+    def is_receiving(self, *_):
+        return False
+
+
+def _changed(name, revision):
+    entry = registrations.Stored(name=name, revision=revision, value={})
+    return registrations.Changes(changed=[entry], removed=[], revision=revision)
+
+
+def test_forwarded_changes_name_what_was_known_when_they_were_requested():
+    """Guards against routers that miss for good that a server leaves."""
+
+    async def run():
+        forwarded = []
+        servers = watchers.Watcher(
+            cache=object_caches.ObjectCache(
+                kind="servers", on_change=lambda changed, gone: None
+            ),
+            store=_ScriptedStore(_changed("p1", 9)),
+            lines=log_lines.Lines(counters=counters.Counters()),
+            bound_seconds=lambda: DRAIN_SECONDS,
+            on_changes=lambda *found: forwarded.append(found),
+            answers=hedged_calls.AnswerSignal(),
+            polls_in_outage=False,
+        )
+        await servers._step()
+        step = asyncio.ensure_future(servers._step())
+        await asyncio.sleep(0.05)
+        # A peer tells of a change while the watch is open.
+        servers.cache.apply(_changed("p0", 8))
+        servers.catch_up()
+        await step
+        return forwarded
+
+    [[changes]] = asyncio.run(run())
+    assert changes.revision == 9
+    assert changes.after == 8
+
+
 @with_world(routers=3, plain=1, runners=1)
 async def test_one_router_polls_for_all(world):
     """Guards against polls by each router, since each call has a cost.
