--- a/benches/part_blame.py
+++ b/benches/part_blame.py
@@ -16,6 +16,7 @@
 import random
 import statistics
 import sys
+from unittest import mock
 
 import attrs
 import xxhash
@@ -320,7 +321,7 @@
             self.at(each, self._restart_routers)
 
     def _restart_routers(self) -> None:
-        """Replaces all routers; only the store knows what is quarantined."""
+        """Replaces all routers; the store keeps what is quarantined."""
         stored = {
             (key, incarnation): (each.subjects[key].depth, crash)
             for each in self.routers
@@ -494,31 +495,18 @@
 @contextlib.contextmanager
 def _constants(rule: Rule):
     """Applies a rule's figures to the modules that it varies."""
-    former = (
-        blames.MIN_PART_CRASHES,
-        blames.MIN_PART_WEIGHT,
-        crash_evidence.MASS_LOSS_SERVERS,
-        crash_evidence.TRUST_SECONDS,
-        blames.RIVAL_WEIGHT,
-        blames.MIN_OWN_CRASHES,
-    )
-    blames.MIN_PART_CRASHES = rule.part_crashes
-    blames.MIN_PART_WEIGHT = float(rule.part_crashes)
-    crash_evidence.MASS_LOSS_SERVERS = rule.mass_loss
-    crash_evidence.TRUST_SECONDS = rule.trust_seconds
-    blames.RIVAL_WEIGHT = rule.rival_weight
-    blames.MIN_OWN_CRASHES = rule.own_crashes
-    try:
+    figures = [
+        (blames, "MIN_PART_CRASHES", rule.part_crashes),
+        (blames, "MIN_PART_WEIGHT", float(rule.part_crashes)),
+        (blames, "RIVAL_WEIGHT", rule.rival_weight),
+        (blames, "MIN_OWN_CRASHES", rule.own_crashes),
+        (crash_evidence, "MASS_LOSS_SERVERS", rule.mass_loss),
+        (crash_evidence, "TRUST_SECONDS", rule.trust_seconds),
+    ]
+    with contextlib.ExitStack() as stack:
+        for module, name, value in figures:
+            stack.enter_context(mock.patch.object(module, name, value))
         yield
-    finally:
-        (
-            blames.MIN_PART_CRASHES,
-            blames.MIN_PART_WEIGHT,
-            crash_evidence.MASS_LOSS_SERVERS,
-            crash_evidence.TRUST_SECONDS,
-            blames.RIVAL_WEIGHT,
-            blames.MIN_OWN_CRASHES,
-        ) = former
 
 
 NO_MASS_LOSS = 10**6
--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -15,7 +15,7 @@
 CRASHES = "crashes"
 SUCCESSES = "successes"
 WATCHED = "watched"
-# A longer time of knowledge is told on only if it is longer by this.
+# An earlier start of what is known is forwarded only if earlier by this.
 WATCHED_STEP_SECONDS = 2.0
 
 
@@ -185,8 +185,7 @@
     ) -> None:
         """Merges for how long another router has known successes.
 
-        It tells those that matter with its crashes, so this router knows them
-        from then on, too.
+        Its records have those that matter, so this router has them, too.
         """
         watched_from = sent_at - max(ages) / 1000
         if self.suspects.watched_from - watched_from > WATCHED_STEP_SECONDS:
--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -54,8 +54,8 @@
         quiet_until: no orders are sent before this time, because they would be
             too close to a former holder's.
         fence: this tenure's fencing token.
-        quiet_seconds: for how long after the write of that revision its holder
-            gives no order, because it would be too close to a former holder's.
+        quiet_seconds: time after the write of that revision in which its holder
+            sends no order, because it would be too close to a former holder's.
     """
 
     holder: str
@@ -162,7 +162,7 @@
         Args:
             stored: the lease after the write.
             sent: when the write was sent; the term starts then.
-            quiet_seconds: for how long it tells that no order follows it.
+            quiet_seconds: time after it in which no order is sent, as stored.
         """
         if stored.era < self.era:
             # The store has lost this write.
@@ -227,7 +227,7 @@
 def _quiet_seconds(
     stored: registrations.Stored | registrations.Absent,
 ) -> float:
-    """Returns for how long the holder is quiet; 0 if it doesn't tell."""
+    """Returns for how long the holder sends no order; 0 if not stored."""
     match stored:
         case registrations.Stored(value={"quiet_ms": int(ms)}):
             return ms / 1000
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -136,8 +136,8 @@
         subjects: the suspects by key, the newest last.
         quarantines: those that are to blame, by key.
         deaths: servers that died or may have.
-        watched_from: time from which successes are known, by this router or by
-            those that told it of theirs.
+        watched_from: time from which successes are known, to this router or to
+            those whose records it has.
         on_change: called with the key and the incarnation of a crash that is
             new or newly released.
         on_success: called with the key of a suspect whose success after a
--- a/pimentoledge/tests/test_router_blames.py
+++ b/pimentoledge/tests/test_router_blames.py
@@ -127,11 +127,11 @@
     _crash(known, "i1", 101.0, SOUND)
     _crash(known, "i2", 102.0, SOUND)
     assert reported == ["sound"]
-    told = suspects.Suspects()
-    told.on_success = reported.append
-    _crash(told, "i0", 100.0, SOUND)
-    _crash(told, "i1", 101.0, SOUND)
-    assert not told.record_success("sound", 99.9)
+    other = suspects.Suspects()
+    other.on_success = reported.append
+    _crash(other, "i0", 100.0, SOUND)
+    _crash(other, "i1", 101.0, SOUND)
+    assert not other.record_success("sound", 99.9)
     assert reported == ["sound", "sound"]
 
 
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -308,7 +308,7 @@
         await servers._step()
         step = asyncio.ensure_future(servers._step())
         await asyncio.sleep(0.05)
-        # A peer tells of a change while the watch is open.
+        # A peer forwards a change while the watch is open.
         servers.cache.apply(_changed("p0", 8))
         servers.catch_up()
         await step
