--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -54,7 +54,6 @@
 SHUTDOWN_MARGIN_SECONDS = 0.6
 # Time to transmit the last responses before the sockets close.
 FLUSH_SECONDS = 0.1
-BACKLOG = 512
 # A tick that is this late shows that the process was suspended.
 PAUSE_SECONDS = 1.0
 # Interval between checks of the settings file, which may change without SIGHUP.
@@ -252,7 +251,9 @@
         ):
             host, _, port = self.chosen.text(name).rpartition(":")
             self._servers.append(
-                await loop.create_server(make, host, int(port), backlog=BACKLOG)
+                await loop.create_server(
+                    make, host, int(port), backlog=client_listeners.BACKLOG
+                )
             )
         self.peers.start()
         self.holder.start()
--- a/pimentoledge/routing/suspects.py
+++ b/pimentoledge/routing/suspects.py
@@ -109,18 +109,11 @@
 
 def quarantine_seconds(crashes: int, *, is_part: bool = False) -> float:
     """Returns how long a subject is quarantined after its newest crash."""
-    least, seconds, factor = (
-        (
-            blames.MIN_PART_CRASHES,
-            PART_QUARANTINE_SECONDS,
-            PART_QUARANTINE_FACTOR,
-        )
+    least = _least_crashes(is_part)
+    seconds, factor = (
+        (PART_QUARANTINE_SECONDS, PART_QUARANTINE_FACTOR)
         if is_part
-        else (
-            blames.MIN_CONTENT_CRASHES,
-            QUARANTINE_SECONDS,
-            QUARANTINE_FACTOR,
-        )
+        else (QUARANTINE_SECONDS, QUARANTINE_FACTOR)
     )
     if crashes < least:
         return 0.0
@@ -367,10 +360,7 @@
         suspect = self.subjects[key]
         newest = max(suspect.crashes[each].when for each in crashes)
         is_part = suspect.depth > 0
-        least = (
-            blames.MIN_PART_CRASHES if is_part else (blames.MIN_CONTENT_CRASHES)
-        )
-        number = max(least, math.floor(sum(crashes.values())))
+        number = max(_least_crashes(is_part), math.floor(sum(crashes.values())))
         return newest + quarantine_seconds(number, is_part=is_part)
 
     def is_quarantined(self, key: str, now: float) -> bool:
@@ -465,6 +455,10 @@
         return expired
 
 
+def _least_crashes(is_part: bool) -> int:
+    return blames.MIN_PART_CRASHES if is_part else blames.MIN_CONTENT_CRASHES
+
+
 def memory_seconds(crashes: int, *, is_part: bool = False) -> float:
     """Returns how long a suspect is remembered after its newest crash."""
     return max(MEMORY_SECONDS, 2 * quarantine_seconds(crashes, is_part=is_part))
