--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -129,6 +129,8 @@
         self._chosen: dict[str, object] = {}
         self._shortages: dict[capacity_checks.Shortage, int] = {}
         self._limit_refusals = 0
+        # Whether the retry budget has counted this request.
+        self._counted = False
         # When the newest attempt was sent.
         self._sent_at = 0.0
         # The stream of the newest attempt, if it got one.
@@ -429,8 +431,10 @@
         service = backend.registration.service
         budget = self.view.budget(service)
         now = clocks.now()
-        if not self.history.sends:
+        if not self._counted:
+            self._counted = True
             budget.note_request(now)
+        if not self.history.sends:
             return True
         return budget.try_consume(now, self.view.members)
 
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 
+import attrs
 from returns import result
 
 from pimentoledge import settings
@@ -341,6 +342,11 @@
     return decorate
 
 
+def bounds_without_slack(bounds):
+    """Returns bounds whose retry budget consists of the ratio alone."""
+    return attrs.evolve(bounds, budget_slack=0.0)
+
+
 def stream_headers(parts="aa:600,bb:900,own:40", **more):
     """Returns the headers of a request to a model."""
     return {
