Apply a watch's answer while a poll is open

The poll is now given up when the watch is answered with changes.

Proof: test_a_watch_that_is_answered_is_applied_while_a_poll_is_open timed out on the code before.

--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -209,7 +209,9 @@
         waiting = asyncio.ensure_future(self._request_changes(WATCH_SECONDS))
         try:
             while not await self._wait_until_poll_due(waiting):
-                found = await self._poll()
+                found = await self._poll_beside(waiting)
+                if found is None:
+                    break
                 if not _is_unchanged(found):
                     await asyncio.wait({waiting}, timeout=WATCH_GRACE_SECONDS)
                     if not waiting.done():
@@ -221,6 +223,26 @@
         finally:
             waiting.cancel()
 
+    async def _poll_beside(
+        self, waiting: asyncio.Future
+    ) -> registrations.WatchResult | None:
+        """Polls; returns None if an open watch brings changes meanwhile.
+
+        The poll would only bring them once more, and later on a slow link.
+        """
+        polling = asyncio.ensure_future(self._poll())
+        try:
+            await asyncio.wait(
+                {polling, waiting}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not polling.done() and isinstance(
+                waiting.result(), registrations.Changes
+            ):
+                return None
+            return await polling
+        finally:
+            polling.cancel()
+
     async def _request_changes(
         self, seconds: float
     ) -> registrations.WatchResult:
--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -238,3 +238,23 @@
     assert not polls
     await world.until(lambda: polls)
     assert polls[0] - began < 1.5
+
+
+@with_world()
+async def test_a_watch_that_is_answered_is_applied_while_a_poll_is_open(world):
+    """Guards against a new version that waits for a second copy of it."""
+    [router] = world.routers
+    watcher = router.kinds["configuration"]
+    await asyncio.sleep(0.6)
+    polls = []
+
+    async def poll_slowly():
+        polls.append(clocks.now())
+        await asyncio.sleep(4.0)
+
+    watcher._request_poll = poll_slowly
+    watcher.cache.known_at = clocks.now() - CONFIGURATION_SECONDS
+    watcher.catch_up()
+    await world.until(lambda: polls)
+    _store(world, 9)
+    await _in_force(world, 9, [router], seconds=0.5)
