Find a route by the prefixes of its path

Routes are now kept by prefix, which ends with a slash, so a request looks up as many as its path has slashes.

--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -166,7 +166,7 @@
 
     Attributes:
         version: increases with each change.
-        routes: routes by host, longest prefix first.
+        routes: routes by host and path prefix.
         organisations: organisations by name.
         services: services by name.
         limits: bounds on client requests and connections.
@@ -175,7 +175,7 @@
     """
 
     version: int
-    routes: dict[str, list[Route]]
+    routes: dict[str, dict[str, Route]]
     organisations: dict[str, Organisation]
     services: dict[str, Service]
     limits: ClientLimits
@@ -184,9 +184,15 @@
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, or None."""
-        for route in self.routes.get(host, ()):
-            if path.startswith(route.path_prefix):
+        by_prefix = self.routes.get(host)
+        if by_prefix is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
                 return route
+            end = path.rfind("/", 0, end)
         return None
 
     def cache_servers(self) -> list[Service]:
@@ -207,11 +213,9 @@
     limits: ClientLimits,
 ) -> Configuration:
     """Returns a configuration with its indexes."""
-    by_host: dict[str, list[Route]] = {}
+    by_host: dict[str, dict[str, Route]] = {}
     for route in routes:
-        by_host.setdefault(route.host, []).append(route)
-    for host_routes in by_host.values():
-        host_routes.sort(key=lambda route: -len(route.path_prefix))
+        by_host.setdefault(route.host, {}).setdefault(route.path_prefix, route)
     by_key = None
     if organisations is not None:
         by_key = {key: each for each in organisations for key in each.keys}
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -135,10 +135,10 @@
     [router] = world.routers
     routes = router.view.configuration.routes
     for host, found in routes.items():
-        routes[host] = [
-            attrs.evolve(each, objective_seconds=30.0, gap_seconds=1e-6)
-            for each in found
-        ]
+        routes[host] = {
+            prefix: attrs.evolve(each, objective_seconds=30.0, gap_seconds=1e-6)
+            for prefix, each in found.items()
+        }
     with fields_of_lines() as lines:
         await world.request("/drafts/", headers=router_world.stream_headers())
     [stream] = lines["streamed"]
