Refuse nothing by a configuration that is known to be older

A router that had heard by heartbeat of a newer configuration answered 404 and 401 by its own. Such a refusal now waits for the newer one, 0.5 s and 0.3 of the client's time at most, and is a 503 with Retry-After then; from half of config-ms after a newer version became known, nothing is served by the older one. A version that this build can't decode doesn't count.

Proof: the first three tests of test_router_stale_configurations failed without the check (404 and 401 at once; 200 by the replaced one).

--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -28,6 +28,7 @@
 from pimentoledge.routing import server_deaths
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
+from pimentoledge.routing import stale_configurations
 from pimentoledge.routing import stream_relays
 from pimentoledge.routing import suspects
 from pimentoledge.routing.quotas import ledgers
@@ -200,10 +201,11 @@
             case result.Success(client_request):
                 self.client_request = client_request
                 self.answer.begin(client_request)
-        code = self._accept(client_request)
+        code = await self._admit(client_request)
         if code is not None:
             self._refuse(code)
             return
+        self._note_prompt(client_request)
         try:
             async with asyncio.timeout(
                 self._ends_at + ANSWER_GRACE_SECONDS - clocks.now()
@@ -215,6 +217,13 @@
         except suspects.QuarantinedError:
             self._give_up(retry_rules.quarantine_code(self.history))
 
+    def _note_prompt(self, client_request: request_types.ClientRequest) -> None:
+        """Counts the prompt of an accepted request in its model's mean."""
+        if client_request.model:
+            self.view.mean_unshared(client_request.model).note(
+                memory_estimates.unshared_tokens(client_request)
+            )
+
     def _note_timeout(self) -> None:
         """Counts a deadline that passed without a response as a failure."""
         pending = self.history.pending
@@ -223,6 +232,30 @@
             backend.note_request_failure(clocks.now())
             self._record_break(backend, silent=True)
 
+    async def _admit(
+        self, client_request: request_types.ClientRequest
+    ) -> results.Code | None:
+        """Returns the code with which the request is refused, or None.
+
+        Waits for a newer configuration that is known to be in force elsewhere,
+        if the one in force here may be wrong about the request.
+        """
+        wait = client_request.wait_seconds or DEFAULT_WAIT_SECONDS
+        until = clocks.now() + stale_configurations.hold_seconds(wait)
+        while True:
+            code = self._accept(client_request)
+            now = clocks.now()
+            if stale_configurations.may_act(
+                code,
+                behind_since=self.view.behind_since,
+                bound_seconds=self.view.bounds.configuration_seconds,
+                now=now,
+            ):
+                return code
+            if now >= until:
+                return results.Code.STALE_CONFIGURATION
+            await asyncio.sleep(WAIT_STEP_SECONDS)
+
     def _accept(
         self, client_request: request_types.ClientRequest
     ) -> results.Code | None:
@@ -251,10 +284,6 @@
         self.subjects = suspects.subjects_of(
             client_request, self._organisation_name()
         )
-        if client_request.model:
-            self.view.mean_unshared(client_request.model).note(
-                memory_estimates.unshared_tokens(client_request)
-            )
         if self._blocking_subject() is not None:
             return results.Code.CRASHES
         return None
