Test of large versions in quick succession on slow links

5,000 routes twice, routers that get a quarter of 10 Mbit/s from the store, two with fast links beside them.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import threading
+import time
 import urllib.parse
 
 import cheroot.server
@@ -17,6 +18,8 @@
 LISTEN_BACKLOG = 512
 SHUTDOWN_TIMEOUT_SECONDS = 5
 POLL_INTERVAL_SECONDS = 0.05
+# Bytes that are written at once to a caller on a slow link.
+SLOW_PIECE_BYTES = 4096
 JSON = b"application/json"
 EVENT_STREAM = b"text/event-stream"
 
@@ -149,12 +152,27 @@
     body: bytes,
     status: int = 200,
     headers: list[tuple[bytes, bytes]] | None = None,
+    bytes_per_second: float = 0.0,
 ) -> None:
-    """Sends a complete response, as JSON unless headers are given."""
+    """Sends a complete response, as JSON unless headers are given.
+
+    Args:
+        request: the request.
+        body: the whole body.
+        status: HTTP status.
+        headers: names and values.
+        bytes_per_second: bandwidth of the caller's link; 0 for no limit.
+    """
     all_headers = list(headers or [(b"Content-Type", JSON)])
     all_headers.append((b"Content-Length", b"%d" % len(body)))
     begin_response(request, status, all_headers)
-    request.conn.wfile.write(body)
+    if not bytes_per_second:
+        request.conn.wfile.write(body)
+        return
+    for start in range(0, len(body), SLOW_PIECE_BYTES):
+        piece = body[start : start + SLOW_PIECE_BYTES]
+        time.sleep(len(piece) / bytes_per_second)
+        request.conn.wfile.write(piece)
 
 
 def cut_connection(request: cheroot.server.HTTPRequest) -> None:
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -26,6 +26,7 @@
         silent: whether calls, and watches whose wait ends, get no response.
             They never get one, even after the fault ends.
         counts: number of calls by method and kind.
+        bytes_per_second: bandwidth of the callers' links; 0 for no limit.
         closing: whether the server is stopping.
     """
 
@@ -35,6 +36,7 @@
         self.refused: set[str] = set()
         self.silent = False
         self.counts: dict[str, int] = {}
+        self.bytes_per_second = 0.0
         self.closing = False
         # A watch that started before the latest increment is cut, or gets no
         # response.
@@ -288,4 +290,5 @@
             msgspec.json.encode(body),
             status=status,
             headers=[(names.STORE_ERA, b"%d" % self.objects.era)],
+            bytes_per_second=self.bytes_per_second,
         )
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -104,7 +104,7 @@
             for each in self.routers
         )
 
-    async def add_router(self, name, port, ports):
+    async def add_router(self, name, port, ports, **more):
         flags = {
             "name": name,
             "data-centre": "a",
@@ -115,6 +115,7 @@
             "peer-seeds": ",".join(f"127.0.0.1:{each}" for each in ports),
             "store-address": self.store.address,
             "lease-ms": "200",
+            **more,
         }
         checked = settings.check_settings(
             program=settings.ROUTER, flags={}, environment={}, file=flags
--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -369,3 +369,42 @@
         "/a/b/c/d": "ab",
     }
     assert built.match("elsewhere", "/a/") is None
+
+
+@with_world(routers=2)
+async def test_large_versions_in_quick_succession_are_in_force_on_slow_links(
+    world,
+):
+    """Guards against versions that take a slow link longer than the bound."""
+    slow_store = world.store.with_another_address()
+    slow_store.start()
+    # A quarter of 10 Mbit/s: traffic takes the rest.
+    slow_store.bytes_per_second = 10e6 / 8 / 4
+    ports = [router_world.free_port() for _ in range(2)]
+    seeds = [each.chosen.text("peer-listen") for each in world.routers]
+    for number, port in enumerate(ports):
+        await world.add_router(
+            f"slow-{number}",
+            port,
+            [each.rpartition(":")[2] for each in seeds],
+            **{"store-address": slow_store.address},
+        )
+    for each in world.routers[:2]:
+        each.peers.replicator.configuration_shares.bandwidth = 100.0
+    slow = world.routers[2:]
+    try:
+        await world.until(
+            lambda: all(_shape(each) == (True, False) for each in slow),
+            seconds=10,
+        )
+        fields = {name: each for name, each in ROUTE.items() if each}
+        routes = [
+            fields | {"name": f"r{each}", "pathPrefix": f"/r{each}/"}
+            for each in range(5000)
+        ]
+        _store(world, 9, routes=routes)
+        await _in_force(world, 9, slow)
+        _store(world, 10, routes=routes)
+        await _in_force(world, 10, slow)
+    finally:
+        slow_store.close()
