Let streams go on only at the software version that began them

Cause: nothing read the software version of a registration, nor Resumes; a stream went on at any runner.

A request is bound to the version of the first event that is passed on. The router tells two others, chosen by a hash of the request's id; whoever gets a resumption asks them, then all.

--- a/pimentoledge/platform/names.py
+++ b/pimentoledge/platform/names.py
@@ -9,6 +9,8 @@
 DEADLINE = b"deadline-ms"
 PROMPT_PREFIX = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the request that brought the first event of a stream that is taken up.
+RESUMES = b"resumes"
 SIGNATURE = b"server-stamp"
 ORGANISATION = b"tenant"
 EXPECTED_INCARNATION = b"expect-instance"
--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -77,6 +77,8 @@
         leaving=_LEAVING_BY_STATE[state] or stored.leaving,
         weights=_weight_versions(_field(spec, "models", list, [])),
         born=_incarnation_start(spec),
+        # Beside `models`, `version` is that of the server's software.
+        software=str(spec.get("version") or ""),
     )
 
 
--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -108,6 +108,7 @@
             answer_tokens=answer_tokens,
             parts=_prompt_parts(head.value(names.PROMPT_PREFIX)),
             resume_after=_parse_integer(head.value(names.LAST_EVENT_ID)),
+            resumes=_decode_text(head.value(names.RESUMES)),
             passed_on=[
                 (name, value)
                 for name, value in head.headers
--- a/pimentoledge/platform/stand_in_platforms.py
+++ b/pimentoledge/platform/stand_in_platforms.py
@@ -129,11 +129,13 @@
         *,
         service: str,
         weights: dict[str, int] | None = None,
+        software: str = "v1",
     ) -> stand_in_servers.StandInServer:
         """Starts a backend server and writes its registration."""
         server = stand_in_servers.StandInServer(
             incarnation=incarnation, service=service, weights=weights
         )
+        server.software = software
         server.start()
         server.on_loaded = lambda: self.write_registration(server)
         self.servers[incarnation] = server
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -84,6 +84,7 @@
             their connections.
         empty: whether its responses have no body, if they are no streams.
         crashes: requests that have crashed it, in order.
+        software: version of its software.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
         self.limit = ""
         self.on_loaded = lambda: None
         self.crashes_on = b""
+        self.software = "v1"
         self.crashes_on_part = ""
         self.crashes_after_head = False
         self.unframed = False
@@ -156,7 +158,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": "draining" if leaving else "ready",
             "coldRemainingMs": 0,
--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -39,6 +39,8 @@
     SHUTTING_DOWN = 2005
     CRASHES = 2006
     LIMIT_UNKNOWN = 2007
+    STREAM_UNKNOWN = 2008
+    STREAM_VERSION_GONE = 2009
     # 3xxx: routing; refusals by agents, and requests that an entry can't place.
     NO_SERVER = 3001
     STALE_INCARNATION = 3002
@@ -136,6 +138,14 @@
     Code.LIMIT_UNKNOWN: _row(
         503, _NOT_RUN, "what the contract's rate has left cannot be told now"
     ),
+    Code.STREAM_UNKNOWN: _row(
+        503,
+        _NOT_RUN,
+        "the software version that began this stream is not known here",
+    ),
+    Code.STREAM_VERSION_GONE: _row(
+        503, _NOT_RUN, "no server has the software version of this stream"
+    ),
     Code.NO_SERVER: _row(503, _NOT_RUN, "no server can take this call now"),
     Code.STALE_INCARNATION: _row(503, _NOT_RUN, "the engine has restarted"),
     Code.STALE_WEIGHTS: _row(503, _NOT_RUN, "the weights have changed"),
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -372,6 +372,7 @@
             check_alive=self.liveness_checks.check,
             recheck=self.rechecks.recheck,
             prompt_changed=self.peers.load_reports.prompt_changed,
+            stream_versions=self.peers.stream_versions,
             limiter=self.peers.limiter,
             notices=self.notices,
             permits=self.permits,
@@ -432,6 +433,7 @@
         self.lines.write("leaving")
         self.view.leaving = True
         self.peers.limiter.leave(clocks.now())
+        self.peers.stream_versions.hand_over()
         self.peers.send_heartbeat_soon()
         drain_start = clocks.now()
         until = (
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -29,7 +29,9 @@
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import stale_configurations
+from pimentoledge.routing import stream_bindings
 from pimentoledge.routing import stream_relays
+from pimentoledge.routing import stream_version_exchanges
 from pimentoledge.routing import suspects
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.quotas import limiters
@@ -48,8 +50,6 @@
 MAX_PERMIT_REFUSALS = 3
 # Codes of refusals because no server can accept the request.
 NO_CAPACITY_CODES = frozenset((results.Code.NO_SERVER, results.Code.OVERLOADED))
-# Assumed for clients that send no deadline.
-DEFAULT_WAIT_SECONDS = 60.0
 
 
 class Exchange:
@@ -75,6 +75,7 @@
         limiter: enforces the organisations' limits.
         notices: applies what responses report about their servers.
         permits: enforces the limits that servers have announced.
+        binding: the software version to which its stream is bound.
         subjects: what the request may crash servers by, its content first;
             empty before it is accepted.
         history: the attempts made so far.
@@ -104,6 +105,7 @@
         limiter: limiters.Limiter,
         notices: server_notices.ServerNotices,
         permits: server_permits.Permits,
+        stream_versions: stream_version_exchanges.StreamVersionExchange,
     ):
         self.decoded = decoded
         self.died = died
@@ -114,6 +116,7 @@
         self.limiter = limiter
         self.notices = notices
         self.permits = permits
+        self.binding = stream_bindings.StreamBinding(versions=stream_versions)
         self.answer = client_responses.ClientResponse(client=client)
         self.view = view
         self.pool = pool
@@ -202,6 +205,10 @@
                 self.client_request = client_request
                 self.answer.begin(client_request)
         code = await self._admit(client_request)
+        if code is not None:
+            self._refuse(code)
+            return
+        code = await self.binding.take_up(client_request, self.route)
         if code is not None:
             self._refuse(code)
             return
@@ -240,7 +247,7 @@
         Waits for a newer configuration that is known to be in force elsewhere,
         if the one in force here may be wrong about the request.
         """
-        wait = client_request.wait_seconds or DEFAULT_WAIT_SECONDS
+        wait = client_request.wait_seconds or request_types.DEFAULT_WAIT_SECONDS
         until = clocks.now() + stale_configurations.hold_seconds(wait)
         while True:
             code = self._accept(client_request)
@@ -277,7 +284,7 @@
         self.route = route
         wait = client_request.wait_seconds
         if wait is None:
-            wait = DEFAULT_WAIT_SECONDS
+            wait = request_types.DEFAULT_WAIT_SECONDS
         self._ends_at = client_request.arrived + min(
             wait, route.timeout_seconds
         )
@@ -409,6 +416,8 @@
     ) -> results.Code:
         """Returns the code of a request for which no server can be chosen."""
         code = retry_rules.final_code(self.history)
+        if code is results.Code.NO_SERVER and self._has_lost_its_version():
+            return results.Code.STREAM_VERSION_GONE
         if code is not results.Code.NO_SERVER or not no_capacity.shortage:
             return code
         return results.Code.OVERLOADED
@@ -492,9 +501,12 @@
                 organisation=self.organisation,
                 without=self._excluded(),
                 now=now,
+                software=self.binding.software,
             )
             if isinstance(choice, placements.Choice) or now >= until:
                 return choice
+            if self._has_lost_its_version():
+                return choice
             back_at = backoffs.back_at(
                 self.view, self.route, now, self._excluded()
             )
@@ -502,6 +514,13 @@
                 return choice
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
+    def _has_lost_its_version(self) -> bool:
+        """Returns whether no server can go on with the stream."""
+        software = self.binding.software
+        return software is not None and not selections.has_software(
+            self.view, self.route, software, self._excluded()
+        )
+
     def _excluded(self) -> set[str]:
         """Returns the servers that the request must not be sent to.
 
@@ -796,12 +815,16 @@
         Raises:
             BrokenError: the stream ended early.
         """
+        software = attempt.backend.registration.software
         self._relay = stream_relays.StreamRelay(
             attempt=attempt,
             response=answer,
             answer=self.answer,
             framed=framed,
             on_first=lambda: self._record_first_event(attempt),
+            on_event=lambda: self.binding.begin(
+                self.client_request, self.route, software
+            ),
             on_proved=self._record_success,
         )
         await self._relay.run()
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -4,6 +4,7 @@
 
 from pimentoledge.routing import configuration_histories
 from pimentoledge.routing import registrations
+from pimentoledge.routing import stream_versions
 from pimentoledge.routing.quotas import messages as quota_messages
 
 
@@ -137,6 +138,45 @@
     steps: list[configuration_histories.Step]
 
 
+@attrs.define(kw_only=True)
+class StreamsBegan:
+    """Streams that the receiver keeps a record of."""
+
+    streams: list[stream_versions.Began]
+
+
+@attrs.define(kw_only=True)
+class StreamVersionQuery:
+    """Asks for the software version that began a stream.
+
+    Attributes:
+        number: number of the question.
+        request: id of the request that brought the stream's first event.
+        service: its service.
+        seconds: for how long a stream may be taken up.
+    """
+
+    number: int
+    request: str
+    service: str
+    seconds: float
+
+
+@attrs.define(kw_only=True)
+class StreamVersionAnswer:
+    """Answers a StreamVersionQuery.
+
+    Attributes:
+        number: number of the question.
+        software: the version, or None if the sender doesn't know it.
+        only: the version that alone has served in that time, or None.
+    """
+
+    number: int
+    software: str | None = None
+    only: str | None = None
+
+
 @attrs.define(kw_only=True)
 class ChangesOffer:
     """Announces that its sender has changes of the servers.
@@ -369,4 +409,7 @@
     17: RecordsRequest,
     18: ConfigurationRequest,
     19: ConfigurationUpdate,
+    20: StreamsBegan,
+    21: StreamVersionQuery,
+    22: StreamVersionAnswer,
 }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -29,6 +29,7 @@
 from pimentoledge.routing import server_deaths
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import stored_quarantines
+from pimentoledge.routing import stream_version_exchanges
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
@@ -67,6 +68,7 @@
         crash_reports: exchange what crashed servers.
         records: replicate the records that every router must have.
         fleet_size: number of routers.
+        stream_versions: software versions of streams.
         limiter: enforces organisations' limits across all routers.
         arrived: returns the earliest time at which data that is read at a
             given time may have arrived, since a paused process leaves data in
@@ -139,6 +141,12 @@
             partners=lambda: self.roster.partners,
             clock=view.clock,
         )
+        self.stream_versions = stream_version_exchanges.StreamVersionExchange(
+            roster=self.roster,
+            send=self._send,
+            lines=lines,
+            started_at=view.started_at,
+        )
         self.fleet_size = fleet_sizes.FleetSize(
             roster=self.roster,
             store=store,
@@ -206,6 +214,7 @@
             self._next_expiry = now + EXPIRY_SECONDS
             self.view.suspects.expire(now)
             self.records.forget(set(self.roster.known))
+            self._note_versions(now)
         self.load_reports.tick(now)
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
@@ -213,6 +222,15 @@
         self.view.members = self.roster.count(now)
         self.replicator.update_behind(now)
 
+    def _note_versions(self, now: float) -> None:
+        """Records the software versions that are registered."""
+        for each in self.view.servers.by_incarnation.values():
+            registered = each.registration
+            self.stream_versions.times.note(
+                registered.service, registered.software, now
+            )
+        self.stream_versions.records.expire(now)
+
     def send_heartbeat_soon(self) -> None:
         """Sends a heartbeat after a change, at once or coalesced."""
         if self._loop is None or self._heartbeat_scheduled:
@@ -324,6 +342,16 @@
                 message=peer_messages.ConfigurationUpdate() as update
             ):
                 self.replicator.receive_configuration(event.sender, update)
+            case events.FromNode(message=peer_messages.StreamsBegan() as began):
+                self.stream_versions.receive(began)
+            case events.FromNode(
+                message=peer_messages.StreamVersionQuery() as query
+            ):
+                self.stream_versions.answer(event.sender, query)
+            case events.FromNode(
+                message=peer_messages.StreamVersionAnswer() as answer
+            ):
+                self.stream_versions.receive_answer(event.sender, answer)
             case events.FromNode(message=peer_messages.CrashReport() as crash):
                 self.crash_reports.receive_former(
                     event.sender, crash, clocks.now()
@@ -357,7 +385,8 @@
                 self._mailbox.handle(event)
             case events.FromNode(message=message):
                 self.limiter.handle(event.sender, message, clocks.now())
-            case events.Unreachable(address=address):
+            case events.Unreachable(address=address, unsent=unsent):
+                self.stream_versions.resend_later(unsent)
                 # The next heartbeat retries; peers that stay silent are
                 # detected by the age of their last heartbeat.
                 self.limiter.unreachable(address, clocks.now())
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -25,6 +25,7 @@
         born: when this incarnation started, in whole ms since 1970 by the
             server's clock; None if not reported, where each start has a new
             id.
+        software: version of its software; "" if not reported.
     """
 
     server: str
@@ -35,6 +36,7 @@
     leaving: bool
     weights: dict[str, int]
     born: int | None = None
+    software: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/pimentoledge/routing/request_types.py
+++ b/pimentoledge/routing/request_types.py
@@ -3,6 +3,8 @@
 import attrs
 
 HIGHEST_URGENCY = 0
+# How long a client that sends no deadline is assumed to wait.
+DEFAULT_WAIT_SECONDS = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +37,8 @@
         answer_tokens: maximum number of tokens to generate.
         parts: the prompt's parts in order; the last is not shared.
         resume_after: number of the last event that the client has, or None.
+        resumes: id of the request that brought the first event of the stream
+            that it takes up, or "".
         passed_on: headers forwarded to the server unchanged.
         body: the complete body.
         arrived: time at which the request was fully received, in seconds of
@@ -56,6 +60,7 @@
     passed_on: list[tuple[bytes, bytes]]
     body: bytes
     arrived: float
+    resumes: str = ""
 
     @property
     def shared(self) -> tuple[Part, ...]:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -1,7 +1,9 @@
 """Selects a backend server for a request and builds its dispatch."""
 
 import functools
+import math
 
+import attrs
 import xxhash
 
 from pimentoledge.routing import backends
@@ -68,8 +70,19 @@
     organisation: configurations.Organisation | None,
     without: set[str],
     now: float,
+    software: str | None = None,
 ) -> placements.Choice | placements.NoCapacity:
-    """Returns the server to send a request to, or the shortages if none."""
+    """Returns the server to send a request to, or the shortages if none.
+
+    Args:
+        view: the router's view of the cluster.
+        client_request: the request.
+        route: its route.
+        organisation: its organisation, or None.
+        without: incarnations of servers to leave out.
+        now: the time.
+        software: the only software version that it may go on at, or None.
+    """
     result = placements.NoCapacity(shortage={})
     prompt = _prompt(view, client_request, organisation)
     model = client_request.model
@@ -80,11 +93,14 @@
         criteria = _criteria(
             view, client_request, route, organisation, name, now
         )
+        if software is not None:
+            criteria = _urgent(criteria)
         for drawn in shortlists.draws(
             view.servers,
             service=name,
             data_centre=view.data_centre,
             prompt=prompt,
+            software=software,
         ):
             candidates = [
                 each
@@ -100,6 +116,38 @@
     return result
 
 
+def has_software(
+    view: cluster_views.ClusterView,
+    route: configurations.Route,
+    software: str,
+    without: set[str],
+) -> bool:
+    """Returns whether a stream of a software version can go on anywhere."""
+    return any(
+        each.registration.incarnation not in without and not each.is_leaving()
+        for share in route.shares
+        for each in shortlists.of_software(
+            view.servers, share.service, software
+        )
+    )
+
+
+def _urgent(criteria: placements.Criteria) -> placements.Criteria:
+    """Returns the criteria of a stream that goes on.
+
+    Only servers of its version can serve it, so it goes before new ones there,
+    and late is better than not at all.
+    """
+    if criteria.demand is None:
+        return criteria
+    return attrs.evolve(
+        criteria,
+        demand=attrs.evolve(
+            criteria.demand, urgent=True, objective_seconds=math.inf
+        ),
+    )
+
+
 def _prompt(
     view: cluster_views.ClusterView,
     client_request: request_types.ClientRequest,
--- a/pimentoledge/routing/shortlists.py
+++ b/pimentoledge/routing/shortlists.py
@@ -42,11 +42,23 @@
     service: str,
     data_centre: str,
     prompt: Prompt,
+    software: str | None = None,
 ) -> Iterator[list[backends.Backend]]:
     """Yields the servers to choose from, then more if none of these has room.
 
-    See `draw` for the arguments.
+    See `draw` for the other arguments.
+
+    Args:
+        servers: all servers.
+        service: the service.
+        data_centre: the router's own data centre.
+        prompt: the request's prompt.
+        software: the only software version to choose from, or None. It may be
+            rare, so its servers are drawn from alone.
     """
+    if software is not None:
+        yield _sample(of_software(servers, service, software), MORE)
+        return
     for more in (False, True):
         yield draw(
             servers,
@@ -59,6 +71,17 @@
             return
 
 
+def of_software(
+    servers: backends.Backends, service: str, software: str
+) -> list[backends.Backend]:
+    """Returns the servers of a service with a software version."""
+    return [
+        each
+        for each in servers.of_service(service)
+        if each.registration.software == software
+    ]
+
+
 def draw(
     servers: backends.Backends,
     *,
--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -29,6 +29,7 @@
         answer: the response to the client.
         framed: whether the response tells where it ends.
         on_first: called before the first bytes are relayed.
+        on_event: called before the first complete events are relayed.
         on_proved: called once the answer has gone on after it began.
         events: number of complete events received.
     """
@@ -41,6 +42,7 @@
         answer: client_responses.ClientResponse,
         framed: bool,
         on_first: Callable[[], None],
+        on_event: Callable[[], None],
         on_proved: Callable[[], None],
     ):
         self.attempt = attempt
@@ -48,6 +50,7 @@
         self.answer = answer
         self.framed = framed
         self.on_first = on_first
+        self.on_event = on_event
         self.on_proved = on_proved
         self.events = 0
         self._begun = False
@@ -109,6 +112,8 @@
         complete = self._splitter.feed(chunk)
         if not complete:
             return
+        if not self.events:
+            self.on_event()
         had_proved = self.has_proved_sound()
         self.events += len(complete)
         if self.has_proved_sound() and not had_proved:
--- /dev/null
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -0,0 +1,253 @@
+"""Keeps and finds the software versions of streams over all routers."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from pimentoledge.routing import clocks
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import rosters
+from pimentoledge.routing import stream_versions
+
+# Routers asked first for a stream's version, and the time for their answers.
+FIRST_ASKED = 4
+FIRST_ASKED_SECONDS = 0.15
+# Further routers asked if none of those knows, and the time for all answers.
+MAX_ASKED = 32
+ALL_ASKED_SECONDS = 0.35
+# Time until records that could not be sent are sent again.
+RESEND_SECONDS = 0.2
+# Records in one message when a router leaves.
+MAX_HANDED_OVER = 200
+
+
+@attrs.define(kw_only=True)
+class _Query:
+    """A question that is open.
+
+    Attributes:
+        answered: set when it is decided.
+        waiting_for: mailboxes of routers that have not answered.
+        software: the version, or None.
+        only: versions that routers know to have served alone.
+    """
+
+    answered: asyncio.Event = attrs.field(factory=asyncio.Event)
+    waiting_for: set[str] = attrs.field(factory=set)
+    software: str | None = None
+    only: set[str] = attrs.field(factory=set)
+
+
+class StreamVersionExchange:
+    """Sends records of streams to their owners, and asks for them.
+
+    Attributes:
+        roster: the other routers.
+        send: sends a message to a mailbox.
+        lines: log of what is asked.
+        records: streams that this router knows.
+        times: when servers of each version were registered.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: rosters.Roster,
+        send: Callable[[str, object], None],
+        lines: log_lines.Lines,
+        started_at: float,
+    ):
+        self.roster = roster
+        self.send = send
+        self.lines = lines
+        self.records = stream_versions.StreamRecords()
+        self.times = stream_versions.VersionTimes(started_at=started_at)
+        self._number = 0
+        self._queries: dict[int, _Query] = {}
+        self._unsent: list[stream_versions.Began] = []
+
+    def began(self, request: str, software: str, seconds: float) -> None:
+        """Records a stream that begins here, and tells its owners.
+
+        Args:
+            request: id of the request.
+            software: version of the server.
+            seconds: for how long the stream may be taken up.
+        """
+        began = stream_versions.Began(
+            request=request, software=software, left_ms=int(1000 * seconds)
+        )
+        self.records.put(began, clocks.now())
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._send_unsent)
+        self._unsent.append(began)
+
+    def _send_unsent(self) -> None:
+        unsent, self._unsent = self._unsent, []
+        self._send_records(unsent)
+
+    def _send_records(self, records: list[stream_versions.Began]) -> None:
+        by_owner: dict[str, list[stream_versions.Began]] = {}
+        members = self._members()
+        for each in records:
+            ranked = stream_versions.ranked(each.request, members)
+            for owner in ranked[: stream_versions.OWNERS]:
+                by_owner.setdefault(owner, []).append(each)
+        for owner, owned in by_owner.items():
+            for start in range(0, len(owned), MAX_HANDED_OVER):
+                part = owned[start : start + MAX_HANDED_OVER]
+                self.send(owner, peer_messages.StreamsBegan(streams=part))
+
+    def _members(self) -> dict[str, str]:
+        """Returns the data centres of other routers that seem to run."""
+        now = clocks.now()
+        members = self.roster.members(now)
+        if self.roster.reaches_all():
+            members = self.roster.present(now) or members
+        # A router that has just started knows its seeds only.
+        return {
+            address: peer.data_centre
+            for address, peer in (members or self.roster.known).items()
+            if peer.heartbeat is None or not peer.heartbeat.leaving
+        }
+
+    def hand_over(self) -> None:
+        """Tells the owners of all streams, as this router leaves."""
+        self._send_records(self.records.current(clocks.now()))
+
+    def resend_later(self, unsent: list[object]) -> None:
+        """Sends records again that a router could not be sent."""
+        lost = [
+            each
+            for message in unsent
+            if isinstance(message, peer_messages.StreamsBegan)
+            for each in message.streams
+        ]
+        if lost:
+            asyncio.get_running_loop().call_later(
+                RESEND_SECONDS, self._resend, lost, clocks.now()
+            )
+
+    def _resend(
+        self, lost: list[stream_versions.Began], lost_at: float
+    ) -> None:
+        passed_ms = int(1000 * (clocks.now() - lost_at))
+        self._send_records(
+            [
+                attrs.evolve(each, left_ms=each.left_ms - passed_ms)
+                for each in lost
+                if each.left_ms > passed_ms
+            ]
+        )
+
+    def receive(self, began: peer_messages.StreamsBegan) -> None:
+        """Records streams that began at another router."""
+        now = clocks.now()
+        for each in began.streams:
+            self.records.put(each, now)
+
+    async def find(
+        self, request: str, service: str, seconds: float
+    ) -> str | None:
+        """Returns the version that a stream goes on at, or None if unknown.
+
+        Args:
+            request: id of the request that brought its first event, or "".
+            service: the service.
+            seconds: for how long a stream may be taken up.
+        """
+        now = clocks.now()
+        known = self.records.get(request, now)
+        if known is None:
+            query = await self._ask(request, service, seconds)
+            known = query.software
+            if known is None and len(query.only) == 1:
+                [known] = query.only
+        if known is None:
+            known = self.times.only(service, seconds, now)
+        self.lines.write(
+            "stream_taken_up",
+            began_as=request,
+            software=known,
+            ask_ms=round(1000 * (clocks.now() - now), 1),
+        )
+        return known
+
+    async def _ask(self, request: str, service: str, seconds: float) -> _Query:
+        members = self._members()
+        if self.roster.reaches_all():
+            members |= {
+                address: peer.data_centre
+                for address, peer in self.roster.known.items()
+            }
+        ranked = stream_versions.ranked(request, members)
+        self._number += 1
+        number, query = self._number, _Query()
+        self._queries[number] = query
+        message = peer_messages.StreamVersionQuery(
+            number=number,
+            request=request,
+            service=service,
+            seconds=seconds,
+        )
+        first = FIRST_ASKED if not self.roster.reaches_all() else MAX_ASKED
+        try:
+            await self._ask_some(
+                query, ranked[:first], message, FIRST_ASKED_SECONDS
+            )
+            if query.software is None:
+                rest = ranked[first:MAX_ASKED]
+                await self._ask_some(query, rest, message, ALL_ASKED_SECONDS)
+        finally:
+            del self._queries[number]
+        return query
+
+    async def _ask_some(
+        self,
+        query: _Query,
+        addresses: list[str],
+        message: peer_messages.StreamVersionQuery,
+        seconds: float,
+    ) -> None:
+        if not addresses and not query.waiting_for:
+            return
+        query.waiting_for.update(addresses)
+        for each in addresses:
+            self.send(each, message)
+        try:
+            async with asyncio.timeout(seconds):
+                await query.answered.wait()
+        except TimeoutError:
+            # Routers that are cut off don't answer; the others have.
+            return
+
+    def answer(
+        self, sender: str, query: peer_messages.StreamVersionQuery
+    ) -> None:
+        """Answers another router's question."""
+        now = clocks.now()
+        self.send(
+            sender,
+            peer_messages.StreamVersionAnswer(
+                number=query.number,
+                software=self.records.get(query.request, now),
+                only=self.times.only(query.service, query.seconds, now),
+            ),
+        )
+
+    def receive_answer(
+        self, sender: str, answer: peer_messages.StreamVersionAnswer
+    ) -> None:
+        """Handles another router's answer."""
+        query = self._queries.get(answer.number)
+        if query is None:
+            return
+        query.waiting_for.discard(sender)
+        if answer.only is not None:
+            query.only.add(answer.only)
+        if answer.software is not None:
+            query.software = answer.software
+        if answer.software is not None or not query.waiting_for:
+            query.answered.set()
--- /dev/null
+++ b/pimentoledge/routing/stream_versions.py
@@ -0,0 +1,123 @@
+"""Software versions of the servers that began streams.
+
+What two software versions of a server write doesn't fit together, so a stream
+goes on only at the version that began it.
+"""
+
+import collections
+
+import attrs
+import xxhash
+
+# Records that a router keeps, of some 200 bytes each.
+MAX_RECORDS = 20000
+# Routers that keep a record beside the one that the stream began at.
+OWNERS = 2
+
+
+@attrs.frozen(kw_only=True)
+class Began:
+    """A stream that has begun.
+
+    Attributes:
+        request: id of the request that brought its first event.
+        software: software version of the server that began it.
+        left_ms: ms for which the stream may still be taken up.
+    """
+
+    request: str
+    software: str
+    left_ms: int
+
+
+class StreamRecords:
+    """The streams that this router knows, by the id of their first request."""
+
+    def __init__(self):
+        self._records: collections.OrderedDict[str, tuple[str, float]] = (
+            collections.OrderedDict()
+        )
+
+    def put(self, began: Began, now: float) -> None:
+        """Records a stream."""
+        until = now + began.left_ms / 1000
+        self._records[began.request] = (began.software, until)
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+
+    def get(self, request: str, now: float) -> str | None:
+        """Returns the software version that began a stream, or None."""
+        software, until = self._records.get(request, (None, 0.0))
+        return software if now < until else None
+
+    def expire(self, now: float) -> None:
+        """Removes streams that can't be taken up any more."""
+        for request, (_, until) in list(self._records.items()):
+            if now >= until:
+                del self._records[request]
+
+    def current(self, now: float) -> list[Began]:
+        """Returns all streams that may still be taken up."""
+        return [
+            Began(
+                request=request,
+                software=software,
+                left_ms=int(1000 * (until - now)),
+            )
+            for request, (software, until) in self._records.items()
+            if until > now
+        ]
+
+
+class VersionTimes:
+    """When servers of each software version were last registered."""
+
+    def __init__(self, *, started_at: float):
+        self.started_at = started_at
+        self._seen: dict[tuple[str, str], float] = {}
+
+    def note(self, service: str, software: str, now: float) -> None:
+        """Records that a server of a version is registered."""
+        self._seen[service, software] = now
+
+    def only(self, service: str, seconds: float, now: float) -> str | None:
+        """Returns the only version that has served a service, or None.
+
+        Args:
+            service: the service.
+            seconds: for how long it must have been the only one.
+            now: the time.
+        """
+        if now - self.started_at < seconds:
+            return None
+        versions = [
+            software
+            for (name, software), when in self._seen.items()
+            if name == service and now - when < seconds
+        ]
+        return versions[0] if len(versions) == 1 else None
+
+
+def ranked(request: str, members: dict[str, str]) -> list[str]:
+    """Returns routers in the order in which they are owners of a stream.
+
+    The second is in another data centre than the first, if any is.
+
+    Args:
+        request: id of the stream's first request.
+        members: data centres of the routers by mailbox.
+    """
+    order = sorted(
+        members,
+        key=lambda each: xxhash.xxh3_64_intdigest(f"{request} {each}".encode()),
+    )
+    if not order:
+        return []
+    first = order[0]
+    elsewhere = [each for each in order[1:] if members[each] != members[first]]
+    if not elsewhere:
+        return order
+    second = elsewhere[0]
+    return [first, second] + [
+        each for each in order if each not in (first, second)
+    ]
--- /dev/null
+++ b/pimentoledge/tests/test_router_software_versions.py
@@ -0,0 +1,271 @@
+"""Streams go on only at the software version that began them."""
+
+import asyncio
+
+from pimentoledge.routing import clocks
+from pimentoledge.routing import stream_versions
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+MODEL = router_world.MODEL
+
+
+async def _all_heard(world):
+    """Waits until each router hears all others."""
+    others = len(world.routers) - 1
+    await world.until(
+        lambda: all(
+            len(each.peers.roster.present(clocks.now())) == others
+            for each in world.routers
+        )
+    )
+
+
+async def _add_runners(world, **counts):
+    """Adds runners by software version."""
+    for software, count in counts.items():
+        for number in range(count):
+            world.platform.add_server(
+                f"{software}-{number}",
+                service="runners",
+                weights={MODEL: 1},
+                software=software,
+            )
+    await world.until(world.all_servers_known)
+
+
+def _runs(world, request):
+    """Returns the software versions at which a request ran, in order."""
+    return [
+        server.software
+        for server in world.servers.values()
+        for call in server.calls
+        if call.ran and call.headers["request-id"] == request
+    ]
+
+
+def _avoid(world, software, seconds):
+    """Makes all routers avoid the servers of a version for a while."""
+    for router in world.routers:
+        for each in router.view.servers.by_incarnation.values():
+            if each.registration.software == software:
+                each.avoid_until = clocks.now() + seconds
+
+
+async def _begin(world, request, number=0, avoided="v1"):
+    """Sends a new stream; returns the version that served it."""
+    _avoid(world, avoided, 5.0)
+    answer = await world.request(
+        "/lookups/",
+        number=number,
+        headers=router_world.stream_headers(**{"Request-Id": request}),
+    )
+    _avoid(world, avoided, 0.0)
+    assert answer.complete
+    [software] = _runs(world, request)
+    assert software != avoided
+    return software
+
+
+async def _take_up(world, request, resumes, number=0):
+    """Takes a stream up after its second event."""
+    more = {"Request-Id": request, "Last-Event-Id": "2"}
+    if resumes:
+        more["Resumes"] = resumes
+    return await world.request(
+        "/lookups/", number=number, headers=router_world.stream_headers(**more)
+    )
+
+
+@with_world(runners=0)
+async def test_a_response_holds_no_events_of_two_software_versions(world):
+    """Guards against a stream that goes on at another version by itself."""
+    await _add_runners(world, v1=1, v2=1)
+    await world.until_retries_allowed("runners")
+    for server in world.servers.values():
+        server.cut_after = 3
+    began = clocks.now()
+    answer = await world.request(
+        "/lookups/", headers=router_world.stream_headers()
+    )
+    assert not answer.complete
+    assert answer.body.count(b"data:") == 3
+    assert len(world.executed_requests("runners")) == 1
+    assert clocks.now() - began < 1.0
+
+
+@with_world(runners=0)
+async def test_a_broken_stream_goes_on_at_its_own_software_version(world):
+    await _add_runners(world, v1=2, v2=2)
+    await world.until_retries_allowed("runners")
+    for number in range(4):
+        for server in world.servers.values():
+            server.cut_after = 3
+        request = f"own-{number}"
+        answer = await world.request(
+            "/lookups/",
+            headers=router_world.stream_headers(**{"Request-Id": request}),
+        )
+        versions = _runs(world, request)
+        assert len(set(versions)) == 1
+        for server in world.servers.values():
+            server.cut_after = None
+        if answer.complete:
+            assert answer.body.count(b"data:") == 5
+
+
+@with_world(routers=3, runners=0)
+async def test_a_client_takes_a_stream_up_at_any_router_at_its_version(world):
+    """Guards against resumptions at a version drawn by chance."""
+    await _add_runners(world, v1=2, v2=2)
+    await _all_heard(world)
+    for number in range(24):
+        avoided = ("v1", "v2")[number % 2]
+        began = await _begin(
+            world, f"a-{number}", number=number % 3, avoided=avoided
+        )
+        for taken in range(2):
+            again = await _take_up(
+                world,
+                f"b-{number}-{taken}",
+                f"a-{number}",
+                number=(number + 1 + taken) % 3,
+            )
+            assert again.complete
+            assert again.body.count(b"data:") == 3
+            assert _runs(world, f"b-{number}-{taken}") == [began]
+
+
+@with_world(routers=4, runners=0)
+async def test_a_stream_is_taken_up_though_the_router_that_began_it_is_gone(
+    world,
+):
+    """Guards against versions that only the router of a stream knows."""
+    await _add_runners(world, v1=2, v2=2)
+    await _all_heard(world)
+    began = {
+        f"a-{number}": await _begin(
+            world, f"a-{number}", avoided=("v1", "v2")[number % 2]
+        )
+        for number in range(16)
+    }
+    await asyncio.sleep(0.1)
+    world.routers[0].close()
+    for number, (request, software) in enumerate(began.items()):
+        again = f"b-{number}"
+        answer = await _take_up(world, again, request, number=1 + number % 3)
+        assert answer.complete
+        assert _runs(world, again) == [software]
+
+
+@with_world(runners=0)
+async def test_a_stream_of_unknown_version_is_refused_at_once(world):
+    """Guards against a guess where nobody knows the version."""
+    await _add_runners(world, v1=1, v2=1)
+    for resumes in ("never-seen", ""):
+        began = clocks.now()
+        answer = await _take_up(world, f"of-{resumes}", resumes)
+        assert answer.status == 503
+        assert b"2008" in answer.body
+        assert clocks.now() - began < 0.6
+    assert not world.executed_requests("runners")
+
+
+@with_world(runners=0)
+async def test_a_stream_whose_version_no_server_has_is_refused_at_once(world):
+    """Guards against a wait to the deadline for a version that is gone."""
+    await _add_runners(world, v1=1, v2=1)
+    [router] = world.routers
+    router.peers.stream_versions.began("of-v3", "v3", 10.0)
+    began = clocks.now()
+    answer = await _take_up(world, "again", "of-v3")
+    assert answer.status == 503
+    assert b"2009" in answer.body
+    assert clocks.now() - began < 0.3
+
+
+@with_world(runners=0)
+async def test_a_stream_goes_on_at_the_only_version_of_all_its_life(world):
+    """Guards against errors where one version alone has served for long."""
+    await _add_runners(world, v1=2)
+    [router] = world.routers
+    assert (await _take_up(world, "early", "unknown")).status == 503
+    router.peers.stream_versions.times.started_at -= 100
+    answer = await _take_up(world, "late", "unknown")
+    assert answer.complete
+    await _add_runners(world, v2=1)
+    router.peers._note_versions(clocks.now())
+    assert (await _take_up(world, "after", "unknown")).status == 503
+
+
+@with_world(routers=3, runners=0)
+async def test_a_record_that_an_owner_could_not_get_goes_to_another(world):
+    """Guards against versions lost with a router that has just died."""
+    await _all_heard(world)
+    first, second, third = world.routers
+    third.close()
+    versions = first.peers.stream_versions
+    for number in range(20):
+        versions.began(f"q{number}", "v1", 10.0)
+    kept = second.peers.stream_versions.records
+    await world.until(lambda: len(kept.current(clocks.now())) == 20)
+
+
+@with_world(routers=2, runners=0)
+async def test_a_router_that_leaves_hands_its_streams_over(world):
+    """Guards against streams lost while all routers restart in turn."""
+    await _add_runners(world, v1=1, v2=1)
+    first, second = world.routers
+    versions = first.peers.stream_versions
+    versions.roster = type(
+        "Alone",
+        (),
+        {
+            "members": lambda now: {},
+            "reaches_all": lambda: True,
+            "present": lambda now: {},
+        },
+    )
+    versions.began("kept", "v2", 10.0)
+    await asyncio.sleep(0.05)
+    assert (
+        second.peers.stream_versions.records.get("kept", clocks.now()) is None
+    )
+    versions.roster = first.peers.roster
+    versions.hand_over()
+    await world.until(
+        lambda: second.peers.stream_versions.records.get("kept", clocks.now())
+        == "v2"
+    )
+
+
+def test_owners_are_the_same_for_all_and_in_two_data_centres():
+    members = {f"r{each}": "ab"[each % 2] for each in range(9)}
+    for number in range(50):
+        ranked = stream_versions.ranked(f"q{number}", members)
+        assert sorted(ranked) == sorted(members)
+        assert members[ranked[0]] != members[ranked[1]]
+        shuffled = dict(reversed(members.items()))
+        assert stream_versions.ranked(f"q{number}", shuffled) == ranked
+
+
+def test_a_record_ends_with_the_life_of_its_stream():
+    records = stream_versions.StreamRecords()
+    records.put(
+        stream_versions.Began(request="q", software="v1", left_ms=2000), 10.0
+    )
+    assert records.get("q", 11.9) == "v1"
+    assert records.get("q", 12.1) is None
+    records.expire(12.1)
+    assert not records.current(0.0)
+
+
+def test_a_version_counts_as_the_only_one_after_the_last_other_one():
+    times = stream_versions.VersionTimes(started_at=0.0)
+    times.note("s", "v1", 1.0)
+    times.note("s", "v2", 90.0)
+    times.note("t", "v3", 95.0)
+    assert times.only("s", 20.0, 10.0) is None
+    assert times.only("s", 20.0, 100.0) == "v2"
+    times.note("s", "v1", 101.0)
+    assert times.only("s", 20.0, 102.0) is None
