--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -85,14 +85,14 @@
         )
         await self.until(self.all_servers_known)
 
-    async def until_retries_allowed(self, service):
-        """Waits until the retry budgets of new routers hold a retry."""
+    async def until_retries_allowed(self, service, count=1):
+        """Waits until the retry budgets of new routers hold some retries."""
         await self.until(
             lambda: all(
                 each.view.budget(service).allowance(
                     clocks.now(), each.view.members
                 )
-                >= 1
+                >= count
                 for each in self.routers
             )
         )
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -101,6 +101,7 @@
 @with_world(plain=6, runners=0)
 async def test_a_request_that_ran_is_not_refused_as_not_run(world):
     """Guards against a false "not run" after an attempt that crashed."""
+    await world.until_retries_allowed("plain")
     _crash_on_request(world)
     statuses = [(await _send(world, path="/notices/")).status for _ in range(2)]
     assert statuses == [CRASHED, QUARANTINED]
--- a/pimentoledge/tests/test_router_evidence.py
+++ b/pimentoledge/tests/test_router_evidence.py
@@ -33,6 +33,7 @@
     Its status check passes and the store shows it as ready, but requests fail
     there. The other server must get nearly all of them.
     """
+    await world.until_retries_allowed("plain", 4)
     grey = world.servers["p0"]
     grey.fail = 1000
     for _ in range(60):
