Let no signal meet its default action while a router exits

By reading: the loop's handler was removed, which sets the default action, and then ignored; only the main thread blocked the signals meanwhile, and any other thread may take them. The handlers are now the process's own, and are replaced in one step. Not reproduced at will, so the cause is suspected.

--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -59,6 +59,7 @@
 # Interval between checks of the settings file, which may change without SIGHUP.
 SETTINGS_CHECK_SECONDS = 1.0
 BAD_SETTING_EXIT = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 CONFIG_VARIABLE = settings.ENVIRONMENT_PREFIX + "CONFIG"
 
 
@@ -240,14 +241,18 @@
         self._next_settings_check = 0.0
         self._ticked = clocks.now()
         self._stop_requested: asyncio.Event | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._former_handlers: dict[signal.Signals, object] = {}
 
     async def start(self) -> None:
         """Opens every socket and starts every task."""
         self._stop_requested = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        loop = self._loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # A handler of the loop can't be replaced without a moment of the
+        # default action, which ends the process.
+        for each in STOP_SIGNALS:
+            self._former_handlers[each] = signal.signal(each, self._stop)
         for each in self.watchers:
             each.start()
         self.listener.start()
@@ -265,6 +270,12 @@
         self.holder.start()
         self.lines.write("started", name=self.view.name)
 
+    def _stop(self, number: int, frame: object) -> None:
+        """Requests the end; runs in the main thread, between two operations."""
+        loop = self._loop
+        if loop is not None and not loop.is_closed():
+            loop.call_soon_threadsafe(self._stop_requested.set)
+
     def _send_heartbeat(self) -> None:
         self.peers.send_heartbeat_soon()
 
@@ -459,6 +470,9 @@
 
     def close(self) -> None:
         """Closes every socket."""
+        for number, former in self._former_handlers.items():
+            if signal.getsignal(number) == self._stop:
+                signal.signal(number, former)
         self.listener.close()
         for each in self._servers:
             each.close()
@@ -475,16 +489,8 @@
 
 
 def _ignore_stop_signals() -> None:
-    """Ignores further signals, which would end the process with a failure.
-
-    The event loop restores the default action when it closes, while the
-    process takes some time to exit.
-    """
-    loop = asyncio.get_running_loop()
-    stops = (signal.SIGTERM, signal.SIGINT)
-    signal.pthread_sigmask(signal.SIG_BLOCK, stops)
-    for each in stops:
-        loop.remove_signal_handler(each)
+    """Ignores further signals, while the process takes some time to exit."""
+    for each in STOP_SIGNALS:
         signal.signal(each, signal.SIG_IGN)
 
 
