Soak: servers that shed, repeats over all routers, two software versions

Most servers of a service refuse most requests for some seconds (shed), beside kills of all routers; the repeats of a service are counted over all routers in each window of 10 s; runners have two software versions, and clients take broken streams up at any router, by Resumes. Two new invariants: budget, versions.

--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """Invariants of a run, checked against what clients and servers recorded."""
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterator
 import math
@@ -29,6 +30,9 @@
     "crashes": "content that crashed three servers, and a part that crashed"
     " five, reaches at most three more",
     "harmless": "no content is refused as crashing that crashed no server",
+    "budget": "in 10 s a service gets no more repeats than the budget of all"
+    " routers allows",
+    "versions": "a stream goes on only at the software version that began it",
     "recovery": "every request is served some seconds after the last fault",
 }
 # A router that was restarted, frozen or disconnected from the store within this
@@ -63,6 +67,17 @@
 # Time after SIGTERM during which a router still accepts new connections.
 ACCEPTING_SECONDS = 2.0
 STREAM_EVENTS = 5
+# The retry budget of all routers, as the settings have it by default.
+BUDGET_RATIO = 0.2
+BUDGET_SLACK = 20
+BUDGET_WINDOW_SECONDS = 10.0
+# Services to which requests of a route may go.
+SERVICES_OF_ROUTES = {
+    "cards": ("plain",),
+    "notices": ("plain", "runners"),
+    "lookups": ("runners",),
+    "drafts": ("runners",),
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -697,7 +712,106 @@
             )
 
 
+def check_budget(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks the repeats of a service over all routers, in each window."""
+    asked: dict[str, list[float]] = {}
+    repeats: dict[str, list[float]] = {}
+    taken_up = [each.request for each in list(record.resumptions.values())]
+    for request in (
+        *list(record.requests.values()),
+        *list(record.crashing.values()),
+        *taken_up,
+    ):
+        for service in SERVICES_OF_ROUTES.get(request.route, ()):
+            asked.setdefault(service, []).append(request.sent)
+    arrived = set()
+    for arrival in list(record.arrivals):
+        if arrival.request in arrived:
+            repeats.setdefault(arrival.service, []).append(arrival.at)
+        arrived.add(arrival.request)
+    for service, times in repeats.items():
+        sent = sorted(asked.get(service, ()))
+        for begin in sorted(times):
+            most = max(
+                _count(sent, begin - share * BUDGET_WINDOW_SECONDS)
+                for share in (0, 0.5, 1)
+            )
+            allowed = BUDGET_RATIO * most + BUDGET_SLACK
+            count = _count(sorted(times), begin)
+            if count > allowed:
+                yield Violation(
+                    invariant="budget",
+                    at=begin,
+                    subject=service,
+                    text=f"{count} repeats for {most} requests",
+                )
+                break
+
+
+def _count(times: list[float], begin: float) -> int:
+    """Returns how many sorted times lie in the window that begins then."""
+    end = begin + BUDGET_WINDOW_SECONDS
+    return bisect.bisect_right(times, end) - bisect.bisect_left(times, begin)
+
+
+def check_versions(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks that streams hold events of one software version."""
+    arrivals: dict[str, list[records.Arrival]] = {}
+    for each in list(record.arrivals):
+        if each.ran:
+            arrivals.setdefault(each.request, []).append(each)
+    for request in list(record.requests):
+        began = None
+        for each in arrivals.get(request, ()):
+            if not each.resumed:
+                began = each.software
+            elif each.software != began:
+                yield _joined(each, began)
+    for identity, taken in list(record.resumptions.items()):
+        before = [
+            each
+            for each in arrivals.get(taken.began_as, ())
+            if each.at < taken.request.sent
+        ]
+        began = before[-1].software if before else None
+        for each in arrivals.get(identity, ()):
+            if each.software != began:
+                yield _joined(each, began)
+        yield from _check_taken_up(taken)
+
+
+def _joined(arrival: records.Arrival, began: str | None) -> Violation:
+    return Violation(
+        invariant="versions",
+        at=arrival.at,
+        subject=arrival.request,
+        text=f"began at {began}, goes on at {arrival.software}",
+    )
+
+
+def _check_taken_up(taken: records.Resumption) -> Iterator[Violation]:
+    """Checks that a stream that was taken up has the events that follow."""
+    request = taken.request
+    if request.status != 200:
+        return
+    expected = b"".join(
+        servers.encode_event(number, request.body)
+        for number in range(taken.after + 1, STREAM_EVENTS + 1)
+    )
+    if not expected.startswith(request.answer) or (
+        request.whole and request.answer != expected
+    ):
+        yield Violation(
+            invariant="stream",
+            at=request.ended,
+            subject=request.identity,
+            text=f"after {taken.after}: {request.answer!r}",
+        )
+
+
 CHECKS: tuple[Check, ...] = (
+    check_budget,
+    check_versions,
     check_runs_at_most_once,
     check_refused_not_run,
     check_complete_answers,
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -1,6 +1,7 @@
 """Clients that keep their connections open until the router process ends."""
 
 import asyncio
+from collections.abc import Callable
 import random
 import time
 
@@ -9,6 +10,7 @@
 
 ROUTES = ("cards", "notices", "lookups", "drafts")
 STREAMS = ("lookups", "drafts")
+RESUMABLE = "lookups"
 PAUSE_SECONDS = (0.05, 0.4)
 # Time until a client retries to open a connection.
 REOPEN_SECONDS = 0.2
@@ -42,6 +44,7 @@
         key: key of its organisation.
         record: the record of the run, to which it adds its requests.
         chooser: random generator of routes and pauses.
+        routers: returns name and address of each router.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         key: str,
         record: records.SoakRecord,
         seed: str,
+        routers: Callable[[], list[tuple[str, str]]],
     ):
         self.name = name
         self.router = router
@@ -60,6 +64,7 @@
         self.key = key
         self.record = record
         self.chooser = random.Random(seed)
+        self.routers = routers
         self._number = 0
 
     async def run(self, stopped: asyncio.Event) -> None:
@@ -93,6 +98,8 @@
             request = self._next_request(process_run, first)
             first = False
             await self._send(connection, request)
+            if request.route == RESUMABLE and not request.whole:
+                await self._take_up(request)
             await asyncio.sleep(self.chooser.uniform(*PAUSE_SECONDS))
             closes = request.headers.get("connection") == "close"
             if not request.whole or closes:
@@ -115,6 +122,44 @@
         self.record.requests[identity] = request
         return request
 
+    async def _take_up(self, broken: records.Request) -> None:
+        """Takes a broken stream up at any router, if it has brought events."""
+        after = broken.answer.count(b"\n\n")
+        if not after:
+            return
+        router, address = self.chooser.choice(self.routers())
+        request = records.Request(
+            identity=f"{broken.identity}-again",
+            route=broken.route,
+            key=broken.key,
+            body=broken.body,
+            router=router,
+            process_run=len(self.record.process_runs[router]) - 1,
+            first=True,
+            sent=time.monotonic(),
+        )
+        self.record.resumptions[request.identity] = records.Resumption(
+            request=request, began_as=broken.identity, after=after
+        )
+        connection = Connection(address)
+        try:
+            await connection.open()
+            await send(
+                connection,
+                request,
+                1,
+                more={
+                    "Last-Event-Id": str(after),
+                    "Resumes": broken.identity,
+                },
+            )
+        except OSError:
+            # The router is restarting.
+            return
+        finally:
+            if hasattr(connection, "writer"):
+                connection.close()
+
     async def _send(
         self, connection: Connection, request: records.Request
     ) -> None:
@@ -127,6 +172,7 @@
     request: records.Request,
     blocks: int,
     part: str = "",
+    more: dict[str, str] | None = None,
 ) -> None:
     """Sends a request and records its response.
 
@@ -135,8 +181,9 @@
         request: the request.
         blocks: number of parts of the prompt, for routes to a model.
         part: name of a further shared part after the first, or "".
+        more: further headers.
     """
-    headers = {"Request-Id": request.identity}
+    headers = {"Request-Id": request.identity, **(more or {})}
     if request.route in STREAMS:
         parts = list(PROMPT_BLOCKS[:blocks])
         if part:
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -42,6 +42,8 @@
 PART_CRASH_KINDS = ("part_crashes",)
 # All routers are killed at the same moment.
 HERD_KINDS = ("kill_all",)
+# Most servers refuse most requests for some seconds.
+SHED_KINDS = ("shed",)
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
@@ -59,6 +61,7 @@
     *CRASH_KINDS,
     *HERD_KINDS,
     *PART_CRASH_KINDS,
+    *SHED_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -58,6 +58,7 @@
         service: the server's service.
         at: when it arrived.
         resumed: whether it asked for the remaining events of a stream.
+        software: software version of the server.
         ran: whether the server ran it.
         weights: version of the weights that it began on, or None.
         rest_seconds: backoff that the server asked for, or None.
@@ -69,12 +70,28 @@
     service: str
     at: float
     resumed: bool
+    software: str = ""
     ran: bool = False
     weights: int | None = None
     rest_seconds: float | None = None
     harmed: bool = False
 
 
+@attrs.define(kw_only=True)
+class Resumption:
+    """A stream that a client takes up after its response broke.
+
+    Attributes:
+        request: the request that takes it up.
+        began_as: id of the request that brought its first event.
+        after: number of the last event that the client has.
+    """
+
+    request: Request
+    began_as: str
+    after: int
+
+
 @attrs.define(kw_only=True)
 class ProcessRun:
     """One process of a router.
@@ -155,6 +172,8 @@
         crashing: requests whose content crashes servers, by id. They are not
             among `requests`.
         crashing_parts: the prompt part that makes them crash servers, by id.
+        resumptions: streams that clients took up, by id of the request. They
+            are not among `requests`.
         arrivals: arrivals at servers, in order.
         process_runs: processes of each router in order, by name of the router.
         freezes: periods in which routers were stopped.
@@ -177,6 +196,7 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     crashing: dict[str, Request] = attrs.field(factory=dict)
     crashing_parts: dict[str, str] = attrs.field(factory=dict)
+    resumptions: dict[str, Resumption] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     process_runs: dict[str, list[ProcessRun]] = attrs.field(factory=dict)
     freezes: list[Span] = attrs.field(factory=list)
--- a/pimentoledge/tests/soak/runs.py
+++ b/pimentoledge/tests/soak/runs.py
@@ -116,6 +116,10 @@
                 key=worlds.GUEST_KEY if number == GUEST_CLIENT else worlds.KEY,
                 record=self.record,
                 seed=f"{self.seed} {router.name} {number}",
+                routers=lambda: [
+                    (each.name, each.address)
+                    for each in self.world.fleet.routers
+                ],
             )
             for number in range(count)
         ]
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -98,6 +98,7 @@
             service=self.service,
             at=time.monotonic(),
             resumed=names.LAST_EVENT_ID in headers,
+            software=self.software,
         )
         with self._in_progress_lock:
             self._in_progress[request] = arrival
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -22,6 +22,8 @@
 # Key of an organisation that the "key" fault removes and adds.
 GUEST_KEY = "key-of-guest"
 SERVICES = ("plain", "plain", "runners", "runners", "runners")
+# Software versions of the servers, in turn.
+SOFTWARE = ("v1", "v2", "v1")
 EVENT_INTERVAL_SECONDS = 0.02
 WORK_SECONDS = 0.01
 # Longer than clients wait for an answer.
@@ -39,6 +41,8 @@
 # Factor by which outages of the store are longer than a fault's duration.
 OUTAGE_FACTOR = 2.5
 STORE_LATENCY_SECONDS = 0.4
+# Interval in which servers that shed refuse the next requests again.
+SHED_STEP_SECONDS = 0.1
 # How often a client sends content, or a prompt part, that crashes servers, and
 # the mean interval.
 CRASHING_SENDS = 16
@@ -315,6 +319,8 @@
             service=service,
             weights={MODEL: self._weights} if service == "runners" else None,
         )
+        number = self._incarnation_counts[service]
+        server.software = SOFTWARE[number % len(SOFTWARE)]
         server.event_seconds = EVENT_INTERVAL_SECONDS
         server.work_seconds = WORK_SECONDS
         server.on_loaded = lambda: self._write_registration(server)
@@ -503,6 +509,19 @@
         self.record.add_fault(f"{server.incarnation} refuses {fault.count}")
         server.refuse += fault.count
 
+    async def _shed(self, fault: plans.Fault) -> None:
+        """Makes all servers of a service but one refuse most requests."""
+        service = SERVICES[fault.target % len(SERVICES)]
+        shedding = self._usable_servers(service)[1:]
+        self.record.add_fault(f"{service} shed, {2 * fault.seconds:.1f} s")
+        until = time.monotonic() + 2 * fault.seconds
+        while time.monotonic() < until:
+            for each in shedding:
+                each.refuse = 4
+            await asyncio.sleep(SHED_STEP_SECONDS)
+        for each in shedding:
+            each.refuse = 0
+
     async def _server_loses(self, fault: plans.Fault) -> None:
         server = self._choose_server(fault)
         self.record.add_fault(f"{server.incarnation} loses an answer")
