Tests at the edges of the rule that blames prompt parts

Each has a test now; with each defect planted again, one or more of them fail.

benches.quotas: a case of six kills of all routers, 1.5 s apart.

--- a/benches/quotas.py
+++ b/benches/quotas.py
@@ -117,6 +117,11 @@
             one_way=True,
         ),
         Case(name="hot-kills", hot_load=HOT, kill_all_at=(9.0, 12.0)),
+        Case(
+            name="hot-many-kills",
+            hot_load=HOT,
+            kill_all_at=(6.0, 7.5, 9.0, 10.5, 12.0, 13.5),
+        ),
         Case(name="hot-owner-dies", hot_load=HOT, kill_owner_at=10.0),
         Case(name="hot-rolling", hot_load=HOT, rolling_restart_from=8.0),
         Case(name="hot-lowered", hot_load=HOT, lowered_at=12.0),
--- a/pimentoledge/tests/test_router_blames.py
+++ b/pimentoledge/tests/test_router_blames.py
@@ -285,3 +285,35 @@
             }
         )
     assert verdicts[0] == verdicts[1]
+
+
+def _evidence(key, *crashes, **fields):
+    return blames.Evidence(
+        key=key,
+        depth=fields.pop("depth", 2),
+        crashes=dict.fromkeys(crashes, 1.0),
+        succeeded_at=fields.pop("succeeded_at", 0.0),
+        **fields,
+    )
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_of_parts_alike_the_one_that_last_worked_longest_ago_is_blamed(first):
+    """Guards against a conviction of what was sound most lately."""
+    suspected = [
+        _evidence("longer ago", "i0", "i1", "i2", succeeded_at=1.0),
+        _evidence("lately", "i0", "i1", "i2", succeeded_at=5.0),
+    ]
+    if not first:
+        suspected.reverse()
+    assert blames.explain(suspected).keys() == {"longer ago"}
+
+
+def test_a_part_that_just_worked_needs_crashes_that_nothing_else_explains():
+    """Guards against a first part refused for crashes of what follows it."""
+    other = _evidence("other", "i0", "i1", "i9")
+    crashes = ("i0", "i1", "i2", "i3")
+    lately = _evidence("first", *crashes, depth=1, trust=blames.Trust.RECENT)
+    assert blames.explain([other, lately]).keys() == {"other"}
+    unknown = _evidence("first", *crashes, depth=1, trust=blames.Trust.UNKNOWN)
+    assert blames.explain([other, unknown]).keys() == {"other", "first"}
--- a/pimentoledge/tests/test_router_crashing_parts.py
+++ b/pimentoledge/tests/test_router_crashing_parts.py
@@ -227,3 +227,19 @@
     ]
     joined = await world.add_router("late", router_world.free_port(), ports)
     await world.until(lambda: joined.view.suspects.watched_from < since + 1.0)
+
+
+@with_world(runners=1)
+async def test_a_request_whose_answer_has_gone_on_is_not_suspected(world):
+    """Guards against suspicion of what a runner was past when it broke."""
+    [router] = world.routers
+    broken = []
+    router.peers.server_broke = lambda subjects, *more: broken.append(subjects)
+    for events in (1, 3):
+        world.servers["r0"].cut_after = events
+        answer = await world.request(
+            "/drafts/", headers=router_world.stream_headers()
+        )
+        assert not answer.complete
+    assert broken[0]
+    assert not broken[1]
