Share the retry budget with routers that are not heard any more

The highest count of the last two minutes now holds. Price: after routers are removed for good, the others use their part of the slack for two minutes.

Proof: test_a_partition_gives_no_side_the_budget_of_the_other fails with the count itself (2 of 4 routers).

--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -79,7 +79,7 @@
         server_limits: rate limits that servers announced in their responses.
         wanted: wanted weights by model.
         caches_down: addresses of KV cache servers that don't respond.
-        members: number of routers, this one included.
+        members: routers that share the retry budget, this one included.
         leaving: whether this process is shutting down.
         refusing: whether it has stopped starting requests.
         repeats: retry budgets by service.
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -307,7 +307,7 @@
                 "configuration_version": configuration.version
                 if configuration
                 else 0,
-                "routers": self.view.members,
+                "routers": self.peers.roster.count(now),
                 "server_connections_opened": self.pool.opened,
                 "connections_refused": self.connection_limit.refused,
             }
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -21,6 +21,7 @@
 from pimentoledge.routing import limit_reports
 from pimentoledge.routing import load_reports
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import peak_counts
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import record_logs
 from pimentoledge.routing import registrations
@@ -47,6 +48,9 @@
 # With 300 routers each then knows the others' ages to within some 15 s, at a
 # cost of 4 KB/s.
 AGES_SECONDS = 2.0
+# For how long routers that are not heard any more still share the retry budget:
+# during a long partition each side would otherwise use all of it.
+SHARED_BUDGET_SECONDS = 120.0
 # Interval between checks for crashes that are too old to count.
 EXPIRY_SECONDS = 1.0
 CODEC = codecs.Codec(numbers=peer_messages.NUMBERS)
@@ -165,6 +169,9 @@
             renew=self._reconnect,
         )
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._routers = peak_counts.PeakCount(
+            window_seconds=SHARED_BUDGET_SECONDS
+        )
         self._next_heartbeat = 0.0
         self._next_ages = 0.0
         self._next_expiry = 0.0
@@ -219,7 +226,7 @@
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
             self.limiter.tick(now)
-        self.view.members = self.roster.count(now)
+        self.view.members = self._routers.note(self.roster.count(now), now)
         self.replicator.update_behind(now)
 
     def _note_versions(self, now: float) -> None:
--- a/pimentoledge/tests/test_router_retry_budget.py
+++ b/pimentoledge/tests/test_router_retry_budget.py
@@ -1,6 +1,9 @@
 """The retry budget as requests use it, before real routers."""
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import peak_counts
+from pimentoledge.routing import peers
+from pimentoledge.routing import rosters
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -18,3 +21,35 @@
     assert (await world.request("/cards/", body=b"c")).status == 503
     budget = router.view.budget("plain")
     assert budget.allowance(clocks.now(), 1) <= 0.2
+
+
+@with_world(routers=4)
+async def test_a_partition_gives_no_side_the_budget_of_the_other(world):
+    """Guards against slack that both sides of a long cut use in full."""
+    first, second, *others = world.routers
+    await world.until(lambda: first.view.members == 4)
+    for each in others:
+        each.close()
+    roster = first.peers.roster
+    begin = clocks.now()
+    for seconds, members in (
+        (rosters.MEMBER_SECONDS + 2.0, 4),
+        (peers.SHARED_BUDGET_SECONDS + rosters.MEMBER_SECONDS + 4.0, 2),
+    ):
+        roster.known[second.peers.address].alive_at = begin + seconds
+        first.peers.tick(begin + seconds)
+        assert roster.count(begin + seconds) == 2
+        assert first.view.members == members
+
+
+def test_a_peak_lasts_as_long_as_its_window():
+    peak = peak_counts.PeakCount(window_seconds=10.0)
+    values = [(0.0, 4), (1.0, 2), (5.0, 3), (9.9, 1), (10.1, 1), (15.2, 1)]
+    assert [peak.note(value, now) for now, value in values] == [
+        4,
+        4,
+        4,
+        4,
+        3,
+        1,
+    ]
