Ask again sooner for differences; count software versions as servers change

From a read of the change: - A request for a difference that is not answered (its router cut off, or of a former build) held up the next one for 0.6 to 2.4 s, as for whole listings. Differences are small, so it is 0.25 to 1 s. - Each router went through all servers once a second to know which software versions serve; with 12,000 runners that is 12,000 steps. The counts are now kept as servers come and go. - A resumption's question to other routers counts within the request's time.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -381,6 +381,7 @@
 
     Attributes:
         by_incarnation: the servers by their current incarnation.
+        software: number of servers by service and software version.
         by_server: the servers by id.
         by_service: the servers by service.
         by_place: the servers by service and data centre.
@@ -390,6 +391,9 @@
 
     def __init__(self):
         self.by_incarnation: dict[str, Backend] = {}
+        self.software: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.by_server: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self.by_place: dict[tuple[str, str], list[Backend]] = {}
@@ -435,12 +439,17 @@
     def _list(self, backend: Backend) -> None:
         service = backend.registration.service
         place = (service, backend.registration.data_centre)
+        self.software[service, backend.registration.software] += 1
         self.by_service.setdefault(service, []).append(backend)
         self.by_place.setdefault(place, []).append(backend)
 
     def _unlist(self, backend: Backend) -> None:
         service = backend.registration.service
         place = (service, backend.registration.data_centre)
+        kind = service, backend.registration.software
+        self.software[kind] -= 1
+        if not self.software[kind]:
+            del self.software[kind]
         self.by_service[service].remove(backend)
         self.by_place[place].remove(backend)
 
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -205,10 +205,6 @@
                 self.client_request = client_request
                 self.answer.begin(client_request)
         code = await self._admit(client_request)
-        if code is not None:
-            self._refuse(code)
-            return
-        code = await self.binding.take_up(client_request, self.route)
         if code is not None:
             self._refuse(code)
             return
@@ -217,7 +213,11 @@
             async with asyncio.timeout(
                 self._ends_at + ANSWER_GRACE_SECONDS - clocks.now()
             ):
-                await self._try_servers()
+                code = await self.binding.take_up(client_request, self.route)
+                if code is None:
+                    await self._try_servers()
+                else:
+                    self._refuse(code)
         except TimeoutError:
             self._note_timeout()
             self._give_up(retry_rules.timeout_code(self.history))
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -231,12 +231,9 @@
 
     def _note_versions(self, now: float) -> None:
         """Records the software versions that are registered."""
-        for each in self.view.servers.by_incarnation.values():
-            registered = each.registration
-            self.stream_versions.times.note(
-                registered.service, registered.software, now
-            )
-        self.stream_versions.records.expire(now)
+        for service, software in self.view.servers.software:
+            self.stream_versions.times.note(service, software, now)
+        self.stream_versions.expire(now)
 
     def send_heartbeat_soon(self) -> None:
         """Sends a heartbeat after a change, at once or coalesced."""
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -35,6 +35,11 @@
 # copies of a large listing on a slow link would delay each other and all else.
 LISTING_REQUEST_SECONDS = 0.6
 MAX_LISTING_REQUEST_SECONDS = 2.4
+# The same for differences of the configuration, which are small. A router that
+# is cut off or of a former build doesn't answer, and others may.
+DIFFERENCE_REQUEST_SECONDS = 0.25
+MAX_DIFFERENCE_REQUEST_SECONDS = 1.0
+_DIFFERENCE = "difference"
 
 
 class Replicator:
@@ -350,24 +355,38 @@
         peer = self.roster.known.get(address)
         if peer is None or not self._lacks_configuration(peer):
             return
-        if self._may_request("configuration"):
+        if self._may_request(
+            _DIFFERENCE,
+            first=DIFFERENCE_REQUEST_SECONDS,
+            most=MAX_DIFFERENCE_REQUEST_SECONDS,
+        ):
             self.configurations.request(address)
 
     def _request_listing(self, address: str, kind: str) -> None:
         if self._may_request(kind):
             self.send(address, peer_messages.ListingRequest(kind=kind))
 
-    def _may_request(self, kind: str) -> bool:
-        """Returns whether another request is due; counts it."""
+    def _may_request(
+        self,
+        kind: str,
+        *,
+        first: float = LISTING_REQUEST_SECONDS,
+        most: float = MAX_LISTING_REQUEST_SECONDS,
+    ) -> bool:
+        """Returns whether another request is due; counts it.
+
+        Args:
+            kind: what is requested.
+            first: interval after the first request, in seconds.
+            most: longest interval.
+        """
         now = clocks.now()
-        next_at, interval = self._listing_requests.get(
-            kind, (now, LISTING_REQUEST_SECONDS)
-        )
+        next_at, interval = self._listing_requests.get(kind, (now, first))
         if now < next_at:
             return False
         self._listing_requests[kind] = (
             now + interval,
-            min(2 * interval, MAX_LISTING_REQUEST_SECONDS),
+            min(2 * interval, most),
         )
         return True
 
@@ -375,13 +394,15 @@
         self, sender: str, update: peer_messages.ConfigurationUpdate
     ) -> None:
         """Applies a difference of the configuration that a peer has sent."""
-        self._note_answer("configuration")
+        self._note_answer(_DIFFERENCE, DIFFERENCE_REQUEST_SECONDS)
         self.configurations.receive(sender, update)
 
-    def _note_answer(self, kind: str) -> None:
+    def _note_answer(
+        self, kind: str, first: float = LISTING_REQUEST_SECONDS
+    ) -> None:
         """Lets the next request wait for the shortest interval only."""
         next_at, _ = self._listing_requests.get(kind, (0.0, 0.0))
-        self._listing_requests[kind] = (next_at, LISTING_REQUEST_SECONDS)
+        self._listing_requests[kind] = (next_at, first)
 
     def send_listing(self, address: str, kind: str) -> None:
         """Sends all objects of a kind to a peer."""
--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -142,6 +142,11 @@
             ]
         )
 
+    def expire(self, now: float) -> None:
+        """Forgets what can't be needed any more."""
+        self.records.expire(now)
+        self.times.expire(now)
+
     def receive(self, began: peer_messages.StreamsBegan) -> None:
         """Records streams that began at another router."""
         now = clocks.now()
--- a/pimentoledge/routing/stream_versions.py
+++ b/pimentoledge/routing/stream_versions.py
@@ -11,6 +11,9 @@
 
 # Records that a router keeps, of some 200 bytes each.
 MAX_RECORDS = 20000
+# For how long a software version is remembered that no server has any more;
+# longer than any stream lasts.
+REMEMBERED_SECONDS = 3600.0
 # Routers that keep a record beside the one that the stream began at.
 OWNERS = 2
 
@@ -80,6 +83,12 @@
         """Records that a server of a version is registered."""
         self._seen[service, software] = now
 
+    def expire(self, now: float) -> None:
+        """Forgets versions that were last registered long ago."""
+        for key, when in list(self._seen.items()):
+            if now - when > REMEMBERED_SECONDS:
+                del self._seen[key]
+
     def only(self, service: str, seconds: float, now: float) -> str | None:
         """Returns the only version that has served a service, or None.
 
