--- a/benches/configuration_ways.py
+++ b/benches/configuration_ways.py
@@ -123,7 +123,7 @@
     histories = []
     for _ in range(2):
         history = configuration_histories.ConfigurationHistory()
-        history.take(history.prepare(msgspec.json.decode(before)))
+        history.commit(history.prepare(msgspec.json.decode(before)))
         histories.append(history)
     return tuple(histories)
 
@@ -142,7 +142,7 @@
 def difference(before: bytes, after: bytes) -> Step:
     """A difference from another router; only new routes are built."""
     ahead, own = _histories(before)
-    ahead.take(ahead.prepare(msgspec.json.decode(after)))
+    ahead.commit(ahead.prepare(msgspec.json.decode(after)))
     memory = objects.RouteMemory()
     _build(own.content, memory)
     steps = ahead.steps_from(own.digest)
--- a/benches/retry_budget_ways.py
+++ b/benches/retry_budget_ways.py
@@ -81,7 +81,7 @@
         """Returns what heartbeats tell other routers of this one."""
         return None
 
-    def told(self, heartbeat: object) -> None:
+    def receive_former(self, heartbeat: object) -> None:
         """Handles what the others know of this router's former process."""
 
 
@@ -144,7 +144,7 @@
 
 
 class ToldByPeers(Way):
-    """No slack until a peer has told what the former process used.
+    """No slack until a peer has reported what the former process used.
 
     A process announces each part of its slack before it uses it.
     """
@@ -186,7 +186,7 @@
                 self.announced.append((now, part))
         return list(self.announced) + (self.former or [])
 
-    def told(self, heartbeat: object) -> None:
+    def receive_former(self, heartbeat: object) -> None:
         """Handles what the others know of this router's former process."""
         self.former = heartbeat
 
@@ -341,7 +341,7 @@
         process = self.processes[number]
         if process is None:
             return
-        told = process.heartbeat(now)
+        report = process.heartbeat(now)
         for other in range(self.routers):
             if other != number and self.processes[other] is not None:
                 self._at(
@@ -349,19 +349,19 @@
                     self._receive,
                     other,
                     number,
-                    told,
+                    report,
                     process,
                 )
 
     def _receive(
-        self, now: float, own: int, sender: int, told: object, sent_by: Way
+        self, now: float, own: int, sender: int, report: object, sent_by: Way
     ) -> None:
         former = self.known[own][sender]
         if self.processes[sender] is not sent_by:
             return
         if former is not None and former[0] is not sent_by:
-            sent_by.told(former[1])
-        self.known[own][sender] = (sent_by, told)
+            sent_by.receive_former(former[1])
+        self.known[own][sender] = (sent_by, report)
 
     def _request(self, now: float, number: int) -> None:
         self._at(now + self.random.expovariate(RATE), self._request, number)
--- a/benches/stream_version_ways.py
+++ b/benches/stream_version_ways.py
@@ -1,9 +1,9 @@
 """Compares ways to find the software version at which a stream goes on.
 
-In virtual time: streams begin at routers, break, and are taken up at any
+In virtual time: streams begin at routers, break, and are resumed at any
 router, while routers are killed or cut off. Prints a table in Markdown: the
 streams that went on at their version, that went on at another one, and that
-were refused, in % of those taken up, and messages for each stream that began.
+were refused, in % of those resumed, and messages for each stream that began.
 
 Usage: python -m benches.stream_version_ways [SEEDS [ROUTERS ...]]
 """
@@ -19,7 +19,7 @@
 from pimentoledge.routing import stream_versions
 
 END_SECONDS = 60.0
-# Streams that may be taken up, a second and router.
+# Streams that may be resumed, a second and router.
 RATE = 4.0
 # From the first event to the break of a stream, and to its resumption.
 BREAK_SECONDS = (0.02, 4.0)
@@ -87,20 +87,20 @@
     drawn: bool = False
 
 
-FIRST_ASKED = stream_version_exchanges.FIRST_ASKED
+FIRST_QUERIED = stream_version_exchanges.FIRST_QUERIED
 WAYS = (
     Way(name="own router only"),
     Way(name="drawn by id", drawn=True),
-    Way(name="one owner", owners=1, asked=FIRST_ASKED),
+    Way(name="one owner", owners=1, asked=FIRST_QUERIED),
     Way(
         name="two owners",
         owners=stream_versions.OWNERS,
-        asked=FIRST_ASKED,
+        asked=FIRST_QUERIED,
     ),
     Way(
         name="two owners, then all",
         owners=stream_versions.OWNERS,
-        asked=FIRST_ASKED,
+        asked=FIRST_QUERIED,
         asks_all=True,
     ),
     Way(name="three owners, then all", owners=3, asked=4, asks_all=True),
@@ -188,7 +188,7 @@
         pending: list[tuple[float, str, str]] = []
         for when, kind, who in events:
             while pending and pending[0][0] <= when:
-                self._take_up(*pending.pop(0))
+                self._resume(*pending.pop(0))
             if kind == "kill":
                 for each in who:
                     each.killed_at = when
@@ -222,14 +222,14 @@
             ),
             None,
         )
-        self._tell(router, request, version, now, killed_at)
+        self._replicate(router, request, version, now, killed_at)
         if killed_at is None and self.draw.random() >= BROKEN_SHARE:
             return None
         ended_at = broken_at if killed_at is None else killed_at
         back_at = ended_at + self.draw.uniform(*RETURN_SECONDS)
         return back_at, request, version
 
-    def _tell(
+    def _replicate(
         self,
         router: Router,
         request: str,
@@ -249,7 +249,7 @@
             if arrives and router.reaches(by_name[name], now):
                 by_name[name].records.put(began, now)
 
-    def _take_up(self, now: float, request: str, version: str) -> None:
+    def _resume(self, now: float, request: str, version: str) -> None:
         running = [each for each in self.routers if each.runs(now)]
         if not running:
             return
--- a/pimentoledge/platform/names.py
+++ b/pimentoledge/platform/names.py
@@ -9,7 +9,7 @@
 DEADLINE = b"deadline-ms"
 PROMPT_PREFIX = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
-# Id of the request that brought the first event of a stream that is taken up.
+# Id of the request that brought the first event of a stream that is resumed.
 RESUMES = b"resumes"
 SIGNATURE = b"server-stamp"
 ORGANISATION = b"tenant"
--- a/pimentoledge/routing/configuration_histories.py
+++ b/pimentoledge/routing/configuration_histories.py
@@ -112,7 +112,7 @@
         self._received = Update(content=content, digest=digest, steps=steps)
         return self._received
 
-    def take(self, update: Update) -> None:
+    def commit(self, update: Update) -> None:
         """Puts an update in force."""
         for each in update.steps:
             if each.base:
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -213,7 +213,7 @@
             async with asyncio.timeout(
                 self._ends_at + ANSWER_GRACE_SECONDS - clocks.now()
             ):
-                code = await self.binding.take_up(client_request, self.route)
+                code = await self.binding.resume(client_request, self.route)
                 if code is None:
                     await self._try_servers()
                 else:
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -153,7 +153,7 @@
         number: number of the question.
         request: id of the request that brought the stream's first event.
         service: its service.
-        seconds: for how long a stream may be taken up.
+        seconds: for how long a stream may be resumed.
     """
 
     number: int
--- a/pimentoledge/routing/request_types.py
+++ b/pimentoledge/routing/request_types.py
@@ -38,7 +38,7 @@
         parts: the prompt's parts in order; the last is not shared.
         resume_after: number of the last event that the client has, or None.
         resumes: id of the request that brought the first event of the stream
-            that it takes up, or "".
+            that it resumes, or "".
         passed_on: headers forwarded to the server unchanged.
         body: the complete body.
         arrived: time at which the request was fully received, in seconds of
--- a/pimentoledge/routing/stream_bindings.py
+++ b/pimentoledge/routing/stream_bindings.py
@@ -5,7 +5,7 @@
 from pimentoledge.routing import request_types
 from pimentoledge.routing import stream_version_exchanges
 
-# A stream may be taken up until its client's deadline. This is for the time in
+# A stream may be resumed until its client's deadline. This is for the time in
 # which the last attempt is on its way.
 LIFE_MARGIN_SECONDS = 5.0
 
@@ -25,12 +25,12 @@
         self.versions = versions
         self.software: str | None = None
 
-    async def take_up(
+    async def resume(
         self,
         client_request: request_types.ClientRequest,
         route: configurations.Route,
     ) -> results.Code | None:
-        """Binds a request that takes a stream up to the stream's version.
+        """Binds a request that resumes a stream to the stream's version.
 
         Returns:
             the code with which it is refused, or None.
--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -12,11 +12,11 @@
 from pimentoledge.routing import stream_versions
 
 # Routers asked first for a stream's version, and the time for their answers.
-FIRST_ASKED = 4
-FIRST_ASKED_SECONDS = 0.15
+FIRST_QUERIED = 4
+FIRST_QUERIED_SECONDS = 0.15
 # Further routers asked if none of those knows, and the time for all answers.
-MAX_ASKED = 32
-ALL_ASKED_SECONDS = 0.35
+MAX_QUERIED = 32
+ALL_QUERIED_SECONDS = 0.35
 # Time until records that could not be sent are sent again.
 RESEND_SECONDS = 0.2
 # Records in one message when a router leaves.
@@ -74,7 +74,7 @@
         Args:
             request: id of the request.
             software: version of the server.
-            seconds: for how long the stream may be taken up.
+            seconds: for how long the stream may be resumed.
         """
         began = stream_versions.Began(
             request=request, software=software, left_ms=int(1000 * seconds)
@@ -161,26 +161,28 @@
         Args:
             request: id of the request that brought its first event, or "".
             service: the service.
-            seconds: for how long a stream may be taken up.
+            seconds: for how long a stream may be resumed.
         """
         now = clocks.now()
         known = self.records.get(request, now)
         if known is None:
-            query = await self._ask(request, service, seconds)
+            query = await self._query(request, service, seconds)
             known = query.software
             if known is None and len(query.only) == 1:
                 [known] = query.only
         if known is None:
             known = self.times.only(service, seconds, now)
         self.lines.write(
-            "stream_taken_up",
+            "stream_resumed",
             began_as=request,
             software=known,
-            ask_ms=round(1000 * (clocks.now() - now), 1),
+            query_ms=round(1000 * (clocks.now() - now), 1),
         )
         return known
 
-    async def _ask(self, request: str, service: str, seconds: float) -> _Query:
+    async def _query(
+        self, request: str, service: str, seconds: float
+    ) -> _Query:
         members = self._members()
         if self.roster.reaches_all():
             members |= {
@@ -197,19 +199,21 @@
             service=service,
             seconds=seconds,
         )
-        first = FIRST_ASKED if not self.roster.reaches_all() else MAX_ASKED
+        first = FIRST_QUERIED if not self.roster.reaches_all() else MAX_QUERIED
         try:
-            await self._ask_some(
-                query, ranked[:first], message, FIRST_ASKED_SECONDS
+            await self._query_some(
+                query, ranked[:first], message, FIRST_QUERIED_SECONDS
             )
             if query.software is None:
-                rest = ranked[first:MAX_ASKED]
-                await self._ask_some(query, rest, message, ALL_ASKED_SECONDS)
+                rest = ranked[first:MAX_QUERIED]
+                await self._query_some(
+                    query, rest, message, ALL_QUERIED_SECONDS
+                )
         finally:
             del self._queries[number]
         return query
 
-    async def _ask_some(
+    async def _query_some(
         self,
         query: _Query,
         addresses: list[str],
--- a/pimentoledge/routing/stream_versions.py
+++ b/pimentoledge/routing/stream_versions.py
@@ -25,7 +25,7 @@
     Attributes:
         request: id of the request that brought its first event.
         software: software version of the server that began it.
-        left_ms: ms for which the stream may still be taken up.
+        left_ms: ms for which the stream may still be resumed.
     """
 
     request: str
@@ -54,13 +54,13 @@
         return software if now < until else None
 
     def expire(self, now: float) -> None:
-        """Removes streams that can't be taken up any more."""
+        """Removes streams that can't be resumed any more."""
         for request, (_, until) in list(self._records.items()):
             if now >= until:
                 del self._records[request]
 
     def current(self, now: float) -> list[Began]:
-        """Returns all streams that may still be taken up."""
+        """Returns all streams that may still be resumed."""
         return [
             Began(
                 request=request,
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -112,7 +112,7 @@
         if received is None:
             self.view.unreadable_version = version
             return
-        self.history.take(update)
+        self.history.commit(update)
         self.view.configuration = received
         self.view.configured = clocks.now()
         self.lines.write(
--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -716,11 +716,11 @@
     """Checks the repeats of a service over all routers, in each window."""
     asked: dict[str, list[float]] = {}
     repeats: dict[str, list[float]] = {}
-    taken_up = [each.request for each in list(record.resumptions.values())]
+    resumed = [each.request for each in list(record.resumptions.values())]
     for request in (
         *list(record.requests.values()),
         *list(record.crashing.values()),
-        *taken_up,
+        *resumed,
     ):
         for service in SERVICES_OF_ROUTES.get(request.route, ()):
             asked.setdefault(service, []).append(request.sent)
@@ -777,7 +777,7 @@
         for each in arrivals.get(identity, ()):
             if each.software != began:
                 yield _joined(each, began)
-        yield from _check_taken_up(taken)
+        yield from _check_resumed(taken)
 
 
 def _joined(arrival: records.Arrival, began: str | None) -> Violation:
@@ -789,8 +789,8 @@
     )
 
 
-def _check_taken_up(taken: records.Resumption) -> Iterator[Violation]:
-    """Checks that a stream that was taken up has the events that follow."""
+def _check_resumed(taken: records.Resumption) -> Iterator[Violation]:
+    """Checks that a stream that was resumed has the events that follow."""
     request = taken.request
     if request.status != 200:
         return
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -99,7 +99,7 @@
             first = False
             await self._send(connection, request)
             if request.route == RESUMABLE and not request.whole:
-                await self._take_up(request)
+                await self._resume(request)
             await asyncio.sleep(self.chooser.uniform(*PAUSE_SECONDS))
             closes = request.headers.get("connection") == "close"
             if not request.whole or closes:
@@ -122,8 +122,8 @@
         self.record.requests[identity] = request
         return request
 
-    async def _take_up(self, broken: records.Request) -> None:
-        """Takes a broken stream up at any router, if it has brought events."""
+    async def _resume(self, broken: records.Request) -> None:
+        """Resumes a broken stream at any router, if it has brought events."""
         after = broken.answer.count(b"\n\n")
         if not after:
             return
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -79,10 +79,10 @@
 
 @attrs.define(kw_only=True)
 class Resumption:
-    """A stream that a client takes up after its response broke.
+    """A stream that a client resumes after its response broke.
 
     Attributes:
-        request: the request that takes it up.
+        request: the request that resumes it.
         began_as: id of the request that brought its first event.
         after: number of the last event that the client has.
     """
--- a/pimentoledge/tests/test_router_software_versions.py
+++ b/pimentoledge/tests/test_router_software_versions.py
@@ -10,7 +10,7 @@
 MODEL = router_world.MODEL
 
 
-async def _all_heard(world):
+async def _all_connected(world):
     """Waits until each router hears all others."""
     others = len(world.routers) - 1
     await world.until(
@@ -67,8 +67,8 @@
     return software
 
 
-async def _take_up(world, request, resumes, number=0):
-    """Takes a stream up after its second event."""
+async def _resume(world, request, resumes, number=0):
+    """Resumes a stream after its second event."""
     more = {"Request-Id": request, "Last-Event-Id": "2"}
     if resumes:
         more["Resumes"] = resumes
@@ -115,17 +115,17 @@
 
 
 @with_world(routers=3, runners=0)
-async def test_a_client_takes_a_stream_up_at_any_router_at_its_version(world):
+async def test_a_client_resumes_a_stream_at_any_router_at_its_version(world):
     """Guards against resumptions at a version drawn by chance."""
     await _add_runners(world, v1=2, v2=2)
-    await _all_heard(world)
+    await _all_connected(world)
     for number in range(24):
         avoided = ("v1", "v2")[number % 2]
         began = await _begin(
             world, f"a-{number}", number=number % 3, avoided=avoided
         )
         for taken in range(2):
-            again = await _take_up(
+            again = await _resume(
                 world,
                 f"b-{number}-{taken}",
                 f"a-{number}",
@@ -137,12 +137,12 @@
 
 
 @with_world(routers=4, runners=0)
-async def test_a_stream_is_taken_up_though_the_router_that_began_it_is_gone(
+async def test_a_stream_is_resumed_though_the_router_that_began_it_is_gone(
     world,
 ):
     """Guards against versions that only the router of a stream knows."""
     await _add_runners(world, v1=2, v2=2)
-    await _all_heard(world)
+    await _all_connected(world)
     began = {
         f"a-{number}": await _begin(
             world, f"a-{number}", avoided=("v1", "v2")[number % 2]
@@ -153,7 +153,7 @@
     world.routers[0].close()
     for number, (request, software) in enumerate(began.items()):
         again = f"b-{number}"
-        answer = await _take_up(world, again, request, number=1 + number % 3)
+        answer = await _resume(world, again, request, number=1 + number % 3)
         assert answer.complete
         assert _runs(world, again) == [software]
 
@@ -164,7 +164,7 @@
     await _add_runners(world, v1=1, v2=1)
     for resumes in ("never-seen", ""):
         began = clocks.now()
-        answer = await _take_up(world, f"of-{resumes}", resumes)
+        answer = await _resume(world, f"of-{resumes}", resumes)
         assert answer.status == 503
         assert b"2008" in answer.body
         assert clocks.now() - began < 0.6
@@ -178,7 +178,7 @@
     [router] = world.routers
     router.peers.stream_versions.began("of-v3", "v3", 10.0)
     began = clocks.now()
-    answer = await _take_up(world, "again", "of-v3")
+    answer = await _resume(world, "again", "of-v3")
     assert answer.status == 503
     assert b"2009" in answer.body
     assert clocks.now() - began < 0.3
@@ -189,19 +189,19 @@
     """Guards against errors where one version alone has served for long."""
     await _add_runners(world, v1=2)
     [router] = world.routers
-    assert (await _take_up(world, "early", "unknown")).status == 503
+    assert (await _resume(world, "early", "unknown")).status == 503
     router.peers.stream_versions.times.started_at -= 100
-    answer = await _take_up(world, "late", "unknown")
+    answer = await _resume(world, "late", "unknown")
     assert answer.complete
     await _add_runners(world, v2=1)
     router.peers._note_versions(clocks.now())
-    assert (await _take_up(world, "after", "unknown")).status == 503
+    assert (await _resume(world, "after", "unknown")).status == 503
 
 
 @with_world(routers=3, runners=0)
 async def test_a_record_that_an_owner_could_not_get_goes_to_another(world):
     """Guards against versions lost with a router that has just died."""
-    await _all_heard(world)
+    await _all_connected(world)
     first, second, third = world.routers
     third.close()
     versions = first.peers.stream_versions
--- a/pimentoledge/tests/test_value_changes.py
+++ b/pimentoledge/tests/test_value_changes.py
@@ -35,7 +35,7 @@
 def _history(*contents):
     history = configuration_histories.ConfigurationHistory()
     for each in contents:
-        history.take(history.prepare(each))
+        history.commit(history.prepare(each))
     return history
 
 
@@ -74,7 +74,7 @@
     for each in contents:
         behind = _history(each)
         update = behind.receive(ahead.steps_from(behind.digest))
-        behind.take(update)
+        behind.commit(update)
         assert behind.digest == ahead.digest
         assert behind.steps_from(ahead.steps_from("")[-1].digest)
 
