Hold only what a newer configuration may change

A router that was behind for half of config-ms held refusals of any kind for up to 0.5 s, as that it shuts down; they now stand at once.

--- a/pimentoledge/routing/stale_configurations.py
+++ b/pimentoledge/routing/stale_configurations.py
@@ -31,8 +31,8 @@
     """
     if behind_since is None:
         return True
-    if code in DOUBTFUL_CODES:
-        return False
+    if code is not None:
+        return code not in DOUBTFUL_CODES
     return now - behind_since < OVERDUE_SHARE * bound_seconds
 
 
--- a/pimentoledge/tests/test_router_stale_configurations.py
+++ b/pimentoledge/tests/test_router_stale_configurations.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from pimentoledge import results
 from pimentoledge.routing import clocks
+from pimentoledge.routing import stale_configurations
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -79,3 +81,22 @@
     peer.configuration = 9
     second.peers.replicator.update_behind(clocks.now())
     assert second.view.behind_since is not None
+
+
+def test_only_what_a_newer_configuration_may_change_is_held():
+    """Guards against refusals that wait for nothing."""
+
+    def may_act(code, behind_since, now=10.0):
+        return stale_configurations.may_act(
+            code, behind_since=behind_since, bound_seconds=2.0, now=now
+        )
+
+    for code in (None, results.Code.NOT_FOUND, results.Code.SHUTTING_DOWN):
+        assert may_act(code, None)
+    assert may_act(None, 9.1)
+    assert not may_act(None, 9.0)
+    assert not may_act(results.Code.NOT_FOUND, 10.0)
+    assert not may_act(results.Code.BAD_KEY, 10.0)
+    for seconds in (0.0, 100.0):
+        assert may_act(results.Code.SHUTTING_DOWN, 10.0 - seconds)
+        assert may_act(results.Code.CONFIGURATION_INCOMPLETE, 10.0 - seconds)
