Send differences also after the store was restored

From a read of the change: a restored store brings an equal configuration at another position, as another object; a router that got it no longer found the content in force in its copy, and answered no request for a difference until the next version. The test fails without the comparison by content.

--- a/pimentoledge/routing/configuration_exchanges.py
+++ b/pimentoledge/routing/configuration_exchanges.py
@@ -67,18 +67,16 @@
     def _stored(self) -> registrations.Stored | None:
         """Returns the object whose content is in force, or None.
 
-        The copy may hold a newer one that can't be decoded.
+        The copy may hold a newer one that can't be decoded, or an equal one of
+        a restored store.
         """
-        if self.cache is None or self.history.content is None:
+        content = self.history.content
+        if self.cache is None or content is None:
             return None
-        return next(
-            (
-                each
-                for each in self.cache.objects.values()
-                if each.value is self.history.content
-            ),
-            None,
-        )
+        for each in self.cache.objects.values():
+            if each.value is content or each.value == content:
+                return each
+        return None
 
     def receive(
         self, sender: str, update: peer_messages.ConfigurationUpdate
--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 
 import attrs
 import pytest
@@ -408,3 +409,22 @@
         await _in_force(world, 10, slow)
     finally:
         slow_store.close()
+
+
+@with_world(routers=2)
+async def test_differences_are_sent_after_the_store_was_restored(world):
+    """Guards against a copy whose equal content is another object."""
+    first, second = world.routers
+    for each in second.watchers:
+        each.close()
+    _store(world, 9)
+    await _in_force(world, 9, world.routers)
+    [stored] = first.kinds["configuration"].cache.objects.values()
+    stored.value = copy.deepcopy(stored.value)
+    sent = []
+    exchange = first.peers.replicator.configurations
+    exchange.send = lambda address, message: sent.append(message)
+    exchange.answer(
+        second.peers.address, peer_messages.ConfigurationRequest(base="")
+    )
+    assert [len(each.steps) for each in sent] == [1]
