Wait for all routers if the first ones don't know a stream's version

From a last read of the change: in fleets of more than nine routers a resumption asks four routers first, then all others. Once the first four had all answered that they don't know, the query counted as answered, and the answers of the others were not awaited: the resumption was refused as unknown.

Proof: test_all_others_are_queried_if_the_first_ones_know_nothing gets None before (12 routers queried, the last one knows) and the version after.

--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -222,6 +222,8 @@
     ) -> None:
         if not addresses and not query.waiting_for:
             return
+        # Answers of the routers queried before may have set it.
+        query.answered.clear()
         query.waiting_for.update(addresses)
         for each in addresses:
             self.send(each, message)
--- a/pimentoledge/tests/test_router_software_versions.py
+++ b/pimentoledge/tests/test_router_software_versions.py
@@ -3,6 +3,11 @@
 import asyncio
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import counters
+from pimentoledge.routing import log_lines
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import rosters
+from pimentoledge.routing import stream_version_exchanges
 from pimentoledge.routing import stream_versions
 from pimentoledge.tests import router_world
 
@@ -269,3 +274,35 @@
     assert times.only("s", 20.0, 100.0) == "v2"
     times.note("s", "v1", 101.0)
     assert times.only("s", 20.0, 102.0) is None
+
+
+def test_all_others_are_queried_if_the_first_ones_know_nothing():
+    """Guards against answers of the first routers that end the whole query."""
+
+    async def play():
+        peer = rosters.Peer(alive_at=clocks.now())
+        roster = rosters.Roster(own="own", data_centre="a")
+        roster.known = {f"r{each}": peer for each in range(12)}
+        exchange = stream_version_exchanges.StreamVersionExchange(
+            roster=roster,
+            send=lambda address, query: sent.append((address, query)),
+            lines=log_lines.Lines(counters=counters.Counters()),
+            started_at=0.0,
+        )
+        sent = []
+        finding = asyncio.ensure_future(exchange.find("q", "s", 9.0))
+        answered = 0
+        while not finding.done():
+            await asyncio.sleep(0.01)
+            for address, query in sent[answered:]:
+                known = "v2" if answered == 11 else None
+                answered += 1
+                exchange.receive_answer(
+                    address,
+                    peer_messages.StreamVersionAnswer(
+                        number=query.number, software=known
+                    ),
+                )
+        return await finding, len(sent)
+
+    assert asyncio.run(play()) == ("v2", 12)
