Split the serving of a request by stage

exchanges.py had 940 lines with admission, choice, attempts and responses in one class. Each stage is a module of routing/request_stages now; they share the request's state in a Context. Behaviour is unchanged: the methods were moved as they are, without the leading underscore where another stage calls them.

--- a/benches/fleet_runs.py
+++ b/benches/fleet_runs.py
@@ -29,6 +29,7 @@
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import rosters
 from pimentoledge.routing import selections
+from pimentoledge.routing.request_stages import server_choices
 
 MODEL = "m"
 SERVICE = "runners"
@@ -556,7 +557,7 @@
             self._dispatch(router, client, route, choice)
         elif now - arrived_at < exchanges.WAIT_SHARE * route.objective_seconds:
             self.scheduler.schedule_after(
-                exchanges.WAIT_STEP_SECONDS,
+                server_choices.WAIT_STEP_SECONDS,
                 lambda: self._route(router, client, arrived_at),
             )
         else:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -42,6 +42,7 @@
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
 from pimentoledge.routing.quotas import ledgers
+from pimentoledge.routing.request_stages import contexts
 
 logger = logbook.Logger("router")
 
@@ -373,20 +374,22 @@
     def _new_exchange(self, decoded, client) -> exchanges.Exchange:
         return exchanges.Exchange(
             decoded=decoded,
-            client=client,
-            view=self.view,
-            pool=self.pool,
-            lines=self.lines,
             active_exchanges=self.exchanges,
-            died=self._on_death,
-            broke=self.peers.server_broke,
-            check_alive=self.liveness_checks.check,
-            recheck=self.rechecks.recheck,
-            prompt_changed=self.peers.load_reports.prompt_changed,
-            stream_versions=self.peers.stream_versions,
-            limiter=self.peers.limiter,
-            notices=self.notices,
-            permits=self.permits,
+            context=contexts.Context(
+                client=client,
+                view=self.view,
+                pool=self.pool,
+                lines=self.lines,
+                died=self._on_death,
+                broke=self.peers.server_broke,
+                check_alive=self.liveness_checks.check,
+                recheck=self.rechecks.recheck,
+                prompt_changed=self.peers.load_reports.prompt_changed,
+                stream_versions=self.peers.stream_versions,
+                limiter=self.peers.limiter,
+                notices=self.notices,
+                permits=self.permits,
+            ),
         )
 
     def detect_pause(self, now: float) -> None:
--- /dev/null
+++ b/pimentoledge/routing/request_stages/__init__.py
@@ -0,0 +1,1 @@
+"""The stages of serving one client request."""
--- /dev/null
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -0,0 +1,219 @@
+"""Runs the attempts of a client request."""
+
+from pimentoledge.routing import attempts
+from pimentoledge.routing import backends
+from pimentoledge.routing import clocks
+from pimentoledge.routing import configurations
+from pimentoledge.routing import decision_fields
+from pimentoledge.routing import request_types
+from pimentoledge.routing import retry_rules
+from pimentoledge.routing import selections
+from pimentoledge.routing import server_connections
+from pimentoledge.routing import server_permits
+from pimentoledge.routing import suspects
+from pimentoledge.routing.request_stages import contexts
+from pimentoledge.routing.request_stages import server_responses
+
+
+class AttemptRuns:
+    """Sends a request to servers and records the outcomes.
+
+    Attributes:
+        context: the request and its state.
+        responses: handles the servers' responses.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        responses: server_responses.ServerResponses,
+    ):
+        self.context = context
+        self.responses = responses
+
+    async def run(
+        self, backend: backends.Backend, permit: server_permits.Permit
+    ) -> bool:
+        """Sends the request to a server; returns whether it is answered.
+
+        Raises:
+            BrokenError: the attempt gave no response to relay.
+        """
+        try:
+            connection = await self._connect(backend, permit)
+        except BaseException:
+            permit.give_back()
+            raise
+        attempt = attempts.Attempt(
+            client_request=self.context.client_request,
+            backend=backend,
+            dispatch=self._dispatch(backend),
+            pool=self.context.pool,
+            connection=connection,
+            max_idle=selections.max_idle_connections(
+                self.context.view, backend.registration.service
+            ),
+            speeds=selections.speeds_of(
+                self.context.view,
+                self.context.client_request.model,
+                backend.registration.service,
+            ),
+        )
+        self.context.history.sent(backend.registration.incarnation)
+        self.context.sent_at = clocks.now()
+        self.context.view.suspects.start_trial(
+            self.context.subjects, self.context.sent_at
+        )
+        self.context.current_attempt = attempt
+        self.context.relay = None
+        try:
+            attempt.start()
+            self.context.prompt_changed(
+                self.context.client_request.prompt_tokens, clocks.now()
+            )
+            return await self._receive(attempt)
+        finally:
+            self.context.current_attempt = None
+            attempt.close()
+
+    async def _connect(
+        self, backend: backends.Backend, permit: server_permits.Permit
+    ) -> server_connections.ServerConnection:
+        """Returns a connection on which the request may be sent.
+
+        Raises:
+            BrokenError: there is none.
+        """
+        address = backend.registration.address
+        try:
+            connection = await self.context.pool.acquire(address)
+        except server_connections.CannotConnectError as error:
+            backend.note_connection_failure(clocks.now())
+            self.context.died(backend.registration.incarnation)
+            raise attempts.BrokenError(
+                retry_rules.AttemptOutcome.UNSENT, str(error)
+            ) from error
+        try:
+            self.context.check_quarantine()
+        except suspects.QuarantinedError:
+            connection.abort()
+            raise
+        unavailable_reason = self._unavailable_reason(backend, permit)
+        if unavailable_reason is not None:
+            # Nothing has been sent yet.
+            connection.abort()
+            raise attempts.BrokenError(
+                retry_rules.AttemptOutcome.UNSENT, unavailable_reason
+            )
+        return connection
+
+    def _unavailable_reason(
+        self, backend: backends.Backend, permit: server_permits.Permit
+    ) -> str | None:
+        """Returns why a chosen server must not get the request, or None.
+
+        A permit and a connection take up to a second, in which newer reports
+        about the server may arrive.
+        """
+        now = clocks.now()
+        if backend.is_leaving():
+            return "it started to drain meanwhile"
+        if backend.is_backing_off(now):
+            return "it announced a backoff meanwhile"
+        if self.context.permits.is_missing(backend, permit):
+            return "it announced a limit meanwhile"
+        model = self.context.client_request.model
+        if not selections.weights_allow(self.context.view, model, backend, now):
+            return "its weights became too old meanwhile"
+        return None
+
+    def _dispatch(self, backend: backends.Backend) -> request_types.Dispatch:
+        """Builds the dispatch to a server and records the expected cache."""
+        now = clocks.now()
+        dispatch = selections.dispatch(
+            view=self.context.view,
+            client_request=self.context.client_request,
+            route=self.context.route,
+            organisation=self.context.organisation,
+            backend=backend,
+            resume_after=self.context.answer.last_event,
+            seconds_left=self.context.ends_at - now,
+            now=now,
+        )
+        self.context.chosen |= decision_fields.of_dispatch(
+            self.context.client_request, backend, dispatch
+        )
+        selections.note_sent(
+            self.context.view,
+            self.context.client_request,
+            backend,
+            dispatch,
+            now,
+        )
+        return dispatch
+
+    async def _receive(self, attempt: attempts.Attempt) -> bool:
+        answer, head = await attempt.read_head()
+        self.responses.update_server_state(attempt, answer)
+        streams = self.context.route.kind is configurations.Repeatability.STREAM
+        if streams and answer.status == 200 and answer.signed:
+            await self.responses.stream(
+                attempt, answer, framed=not head.ends_by_close
+            )
+            return True
+        body = await attempt.read_body()
+        attempt.release(answer)
+        self.responses.handle(
+            attempt.backend, answer, body, framed=not head.ends_by_close
+        )
+        return True
+
+    def withdraw_if_late(self, now: float) -> None:
+        """Withdraws an attempt that would start on weights that are too old.
+
+        A slow or full runner may start a request seconds after it was sent.
+        Closing the connection cancels the request there.
+        """
+        attempt = self.context.current_attempt
+        if attempt is None or attempt.withdrawn or attempt.has_begun():
+            return
+        withdrawn_at = self.context.view.withdrawn_at(
+            self.context.client_request.model, attempt.dispatch.weights
+        )
+        if withdrawn_at is not None and now >= withdrawn_at:
+            attempt.withdraw("not begun before its weights were too old")
+
+    def note_timeout(self) -> None:
+        """Counts a deadline that passed without a response as a failure."""
+        pending = self.context.history.pending
+        backend = self.context.view.servers.by_incarnation.get(pending)
+        if backend is not None and not self.context.answer.head_sent:
+            backend.note_request_failure(clocks.now())
+            self._record_break(backend, silent=True)
+
+    def record_outcome(
+        self,
+        backend: backends.Backend,
+        outcome: retry_rules.AttemptOutcome,
+        silent: bool,
+    ) -> None:
+        """Records how an attempt at a server ended without a response."""
+        incarnation = backend.registration.incarnation
+        self.context.history.note_outcome(incarnation, outcome)
+        if outcome is retry_rules.AttemptOutcome.BROKE:
+            backend.note_request_failure(clocks.now())
+            self._record_break(backend, silent)
+
+    def _record_break(self, backend: backends.Backend, silent: bool) -> None:
+        """Records that a server gave no response, which may be a crash.
+
+        A request crashes a server as its answer begins, so one whose answer
+        has gone on is not the cause.
+        """
+        incarnation = backend.registration.incarnation
+        subjects = (
+            () if self.context.has_proved_sound() else self.context.subjects
+        )
+        self.context.broke(subjects, incarnation, self.context.sent_at, silent)
+        self.context.check_alive(backend)
--- a/pimentoledge/tests/test_router_crashes.py
+++ b/pimentoledge/tests/test_router_crashes.py
@@ -76,7 +76,7 @@
     [exchange] = router.exchanges
     for server in ("a", "b"):
         router.view.suspects.record_crash(
-            exchange.subjects[0], server, clocks.now()
+            exchange.context.subjects[0], server, clocks.now()
         )
     answer = await waiting
     assert answer.status == QUARANTINED
@@ -92,7 +92,7 @@
     [exchange] = router.exchanges
     for server in ("a", "b"):
         router.view.suspects.record_crash(
-            exchange.subjects[0], server, clocks.now()
+            exchange.context.subjects[0], server, clocks.now()
         )
     assert (await request).status == QUARANTINED
     assert not world.executed_requests("plain")
