Read load reports with further figures; interfaces of load control

Callers of servers that add a fourth figure to Server-Load got placements without any load report: the decoder returned nothing unless there were exactly three figures. It reads the known figures now, whatever follows; the new test fails on the former decoder, which returned None.

The fourth figure, how long work takes on the server's VM, turns load control on at that service (setting load-control, auto by default), so deployments whose servers don't report it are served as before.

--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -194,12 +194,17 @@
 def _server_load(value: bytes | None) -> request_types.ServerLoad | None:
     if value is None:
         return None
+    # Servers may add figures; the known ones hold whatever follows them.
     numbers = [_parse_integer(each) for each in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) < 3 or None in numbers[:3]:
         return None
-    running, waiting, slots = numbers
+    running, waiting, slots = numbers[:3]
+    percent = numbers[3] if len(numbers) > 3 else None
     return request_types.ServerLoad(
-        running=running, waiting=waiting, slots=slots
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=percent / 100 if percent else None,
     )
 
 
--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -8,6 +8,7 @@
 from pimentoledge.routing import cache_sources
 from pimentoledge.routing import configurations
 from pimentoledge.routing import first_events as first_events_module
+from pimentoledge.routing import load_controls
 from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import peer_messages
@@ -94,6 +95,7 @@
             not, only those of its data centre do.
         remote_means: mean load of runners in other data centres.
         suspects: request content that was on servers when they crashed.
+        load_control: at which services load control is in effect.
     """
 
     name: str
@@ -129,6 +131,9 @@
     remote_means: dict[str, wait_estimates.MeanLoad] = attrs.field(factory=dict)
     saved: saved_parts.SavedParts = attrs.field(factory=saved_parts.SavedParts)
     links: cache_sources.Links = attrs.field(factory=cache_sources.Links)
+    load_control: load_controls.LoadControl = attrs.field(
+        factory=load_controls.LoadControl
+    )
 
     def known_at(self, name: str) -> float:
         """Returns up to when changes of a kind of objects are known, or 0."""
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -27,6 +27,7 @@
 from pimentoledge.routing import lease_holders
 from pimentoledge.routing import leases
 from pimentoledge.routing import liveness_checks
+from pimentoledge.routing import load_controls
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import loop_loads
 from pimentoledge.routing import object_caches
@@ -96,6 +97,9 @@
             data_centre=chosen.text("data-centre"),
             started_at=clocks.now(),
             bounds=_bounds(chosen),
+            load_control=load_controls.LoadControl(
+                mode=load_controls.Mode(chosen.text("load-control"))
+            ),
         )
         self.notices = server_notices.ServerNotices(
             servers=self.view.servers,
@@ -330,6 +334,9 @@
         self.chosen = chosen
         self.view.bounds = _bounds(chosen)
         self.view.update_budgets()
+        self.view.load_control.mode = load_controls.Mode(
+            chosen.text("load-control")
+        )
         self.peers.limiter.set_bounds(self.view.bounds.limits)
         self.lease.lease_seconds = self.view.bounds.lease_seconds
         self.store.address = chosen.text("store-address")
--- a/pimentoledge/routing/load_reports.py
+++ b/pimentoledge/routing/load_reports.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 from pimentoledge.routing import backends
 from pimentoledge.routing import cluster_views
@@ -44,6 +45,21 @@
 OwnLoad = dict[str, tuple[int, int, int]]
 
 
+class ReportPart(Protocol):
+    """Fills and merges some fields of the reports between nearby routers."""
+
+    def fill(self, report: peer_messages.LoadReport, now: float) -> None:
+        """Sets its fields of a report that is about to be sent."""
+
+    def merge(
+        self, sender: str, report: peer_messages.LoadReport, now: float
+    ) -> None:
+        """Merges its fields of a report of a router, given its mailbox."""
+
+    def forget(self, sender: str) -> None:
+        """Discards what an absent router had reported."""
+
+
 class LoadReports:
     """Sends this router's load at servers and receives that of its peers.
 
@@ -54,6 +70,7 @@
         last_report: load in this router's newest report, and its time.
         servers_by_sender: servers in each peer's last report, by mailbox.
         to_forward: prompts from other data centres, yet to be forwarded.
+        parts: fill and merge further fields of the reports.
     """
 
     def __init__(
@@ -69,6 +86,7 @@
         self.last_report: tuple[OwnLoad, float] = ({}, -1e9)
         self.servers_by_sender: dict[str, set[str]] = {}
         self.to_forward: list[peer_messages.PromptReport] = []
+        self.parts: list[ReportPart] = []
         self._next_remote = 0.0
         self._remote_prompts: list[peer_messages.PromptReport] = []
 
@@ -125,6 +143,8 @@
             prompts=prompts + forwarded,
             means=self._means(now),
         )
+        for part in self.parts:
+            part.fill(message, now)
         self.send_all(self._near_receivers(now), message)
 
     def _report_remote(self, now: float) -> None:
@@ -259,6 +279,8 @@
             return
         self._merge_own_loads(sender, report, now)
         self._merge_reported_loads(report, now)
+        for part in self.parts:
+            part.merge(sender, report, now)
 
     def _merge_own_loads(
         self, sender: str, report: peer_messages.LoadReport, now: float
@@ -328,6 +350,8 @@
                 del known[data_centre]
 
     def _forget(self, sender: str) -> None:
+        for part in self.parts:
+            part.forget(sender)
         servers = self.view.servers.by_incarnation
         for name in self.servers_by_sender.pop(sender, ()):
             backend = servers.get(name)
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -311,12 +311,26 @@
         means: by data centre, the mean load of a runner: requests, those of
             them without a first event, and prompt tokens yet to be prefilled;
             with the age in ms.
+        slowdowns: slowdown in percent that servers reported with the load in
+            `said`; absent from older builds, as are the fields below.
+        speeds: the sender's observations of servers' speeds, by incarnation.
+        shares: service that organisations received through the sender.
+        memory: tokens of memory of the sender's open requests, by incarnation.
+        waiting: number of requests that wait at the sender, by service.
+        refused: refused requests whose clients may return, by content digest,
+            with the ms since their first arrival.
     """
 
     has: dict[str, tuple[int, int, int]]
     said: dict[str, tuple[int, int, int, int]]
     prompts: list[PromptReport]
     means: dict[str, tuple[float, float, int, int]]
+    slowdowns: dict[str, int] = attrs.field(factory=dict)
+    speeds: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
+    shares: list[tuple[str, str, int, int]] = attrs.field(factory=list)
+    memory: dict[str, int] = attrs.field(factory=dict)
+    waiting: dict[str, int] = attrs.field(factory=dict)
+    refused: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -32,6 +32,9 @@
         self.context.notices.apply(backend, answer, attempt.sent)
         if answer.load is not None:
             backend.update_load(answer.load, clocks.now())
+            self.context.view.load_control.note_report(
+                backend.registration.service, answer.load
+            )
         reported = answer.server
         if reported is not None and reported != backend.registration.server:
             # Another incarnation, or another service's server, now uses the
--- a/pimentoledge/routing/request_types.py
+++ b/pimentoledge/routing/request_types.py
@@ -117,11 +117,14 @@
         running: number of running requests.
         waiting: number of queued requests.
         slots: maximum number of concurrently running requests.
+        slowdown: how long work takes on the server's VM at this moment, as a
+            multiple of the usual time; None if not reported.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -393,6 +393,23 @@
         text="bandwidth of the VM's link in Mbit/s, 0 if unknown; routers with"
         " the fastest links watch the configuration for the others",
     ),
+    Setting(
+        name="load-control",
+        kind=Choice(values=("auto", "on", "off")),
+        default="auto",
+        programs=(ROUTER,),
+        text="whether requests are queued and placed by shares and by the"
+        " servers' speeds; auto: at services whose servers report how long"
+        " work takes on their VMs",
+    ),
+    Setting(
+        name="memory-mb",
+        kind=Number(low=0, high=1048576),
+        default="0",
+        programs=(ROUTER,),
+        text="memory of this VM in MB, of which a part may hold bytes of"
+        " requests and responses; 0 if unknown",
+    ),
     Setting(
         name="grace-s",
         kind=_seconds(0.5, 3600),
--- a/pimentoledge/tests/test_platform_adapter.py
+++ b/pimentoledge/tests/test_platform_adapter.py
@@ -178,30 +178,44 @@
     assert raw.endswith(b"\r\n\r\nxyz")
 
 
-def test_a_response_head_tells_whether_the_request_ran():
-    def decode(status, **headers):
-        pairs = [
-            (name.replace("_", "-").encode(), value)
-            for name, value in headers.items()
-        ]
-        return requests.decode_response_head(
-            http_messages.ResponseHead(
-                status=status,
-                headers=pairs,
-                keep_alive=True,
-                ends_by_close=False,
-            )
+def decode_head(status, **headers):
+    pairs = [
+        (name.replace("_", "-").encode(), value)
+        for name, value in headers.items()
+    ]
+    return requests.decode_response_head(
+        http_messages.ResponseHead(
+            status=status,
+            headers=pairs,
+            keep_alive=True,
+            ends_by_close=False,
         )
+    )
 
-    assert decode(503, not_run=b"1").not_run
-    assert decode(421).not_run
-    assert not decode(503).not_run
-    response = decode(200, server_load=b"3,1,8", keep_alive=b"timeout=7, max=3")
+
+def test_a_response_head_tells_whether_the_request_ran():
+    assert decode_head(503, not_run=b"1").not_run
+    assert decode_head(421).not_run
+    assert not decode_head(503).not_run
+    response = decode_head(
+        200, server_load=b"3,1,8", keep_alive=b"timeout=7, max=3"
+    )
     assert response.load == request_types.ServerLoad(
         running=3, waiting=1, slots=8
     )
     assert response.idle_seconds == 7
-    assert decode(200, server_load=b"x").load is None
+    assert decode_head(200, server_load=b"x").load is None
+
+
+def test_a_load_report_with_further_figures_is_not_discarded():
+    """Guards against reports that are lost as servers add figures."""
+    load = decode_head(200, server_load=b"3,1,8,250").load
+    assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+    assert load.slowdown == 2.5
+    assert decode_head(200, server_load=b"3,1,8,250,7").load == load
+    assert decode_head(200, server_load=b"3,1,8,x").load.slowdown is None
+    assert decode_head(200, server_load=b"3,1,8").load.slowdown is None
+    assert decode_head(200, server_load=b"3,1").load is None
 
 
 def test_a_configuration_is_decoded_into_typed_fields():
