Estimate each server's speed and concurrency limit

Servers of one service differ in speed, and some slow down long before they are full, while placements assume equal servers and fixed shares of the slots. Where load control is in effect, expected waits use each server's own factors, by its reported figure and by observed gaps and first events; streams cost the time of their events at a server, prompts the delay that their chunks cause, and a latency gradient finds how many requests a server takes. Routers exchange observations and slowdowns with their load reports. Without load control decisions stay as they are.

--- a/pimentoledge/routing/attempt_loads.py
+++ b/pimentoledge/routing/attempt_loads.py
@@ -56,7 +56,11 @@
         self, fit: first_events.FirstEventFit, now: float
     ) -> None:
         """Records the first event: the server has prefilled the prompt."""
-        fit.note(now - self._sent, self._reading + self._ahead)
+        tokens = self._reading + self._ahead
+        self.backend.speed.note_first_event(
+            now - self._sent, fit.expected_seconds(tokens), now
+        )
+        fit.note(now - self._sent, tokens)
         self.backend.read_since = now
         self.end_prompt_reading()
 
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -7,6 +7,8 @@
 from pimentoledge.routing import peer_loads as peer_loads_module
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
+from pimentoledge.routing.server_speeds import paces
+from pimentoledge.routing.server_speeds import speeds
 
 # Backoff after a server reported that it is full.
 FULL_BACKOFF_SECONDS = 0.15
@@ -91,6 +93,7 @@
         mean_event_gap: mean time between its events, in seconds; 0 if unknown.
         holders: the servers that are assumed to have each part cached, by
             namespace and name; shared with the other servers.
+        speed: its estimated speed and concurrency limit.
     """
 
     registration: registrations.Registration
@@ -122,6 +125,7 @@
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
     mean_event_gap: float = 0.0
+    speed: speeds.ServerSpeed = attrs.field(factory=speeds.ServerSpeed)
 
     def is_other_incarnation(self, born: int | None) -> bool:
         """Returns whether a message is from another incarnation of the server.
@@ -148,6 +152,15 @@
             seconds - self.mean_event_gap
         )
 
+    def note_paced_gap(self, seconds: float, now: float) -> None:
+        """Adds the gap between two events to its estimated speed."""
+        self.speed.note_event_gap(
+            seconds,
+            self.estimated_requests(now),
+            self.registration.slots,
+            now,
+        )
+
     def finish_loading(self) -> None:
         """Marks the end of a load of weights, which empties its cache."""
         self.forget_parts()
@@ -268,6 +281,8 @@
         self.load_open = self.open
         self.load_unbegun = self.unbegun
         self.load_at = now
+        if load.slowdown is not None:
+            self.speed.note_report(load.slowdown, now)
 
     def back_off_full(self, now: float) -> None:
         """Starts a short backoff because the server is full."""
@@ -387,6 +402,7 @@
         by_place: the servers by service and data centre.
         holders: the servers that are assumed to have a part cached, by
             namespace and name.
+        paces: pace of the streams by service.
     """
 
     def __init__(self):
@@ -398,6 +414,7 @@
         self.by_service: dict[str, list[Backend]] = {}
         self.by_place: dict[tuple[str, str], list[Backend]] = {}
         self.holders: dict[tuple[str, str], dict[Backend, None]] = {}
+        self.paces: dict[str, paces.ServicePace] = {}
         self._former_notices: collections.OrderedDict[str, ServerNotice] = (
             collections.OrderedDict()
         )
@@ -429,7 +446,10 @@
             or ServerNotice()
         )
         backend = Backend(
-            registration=registration, notice=notice, holders=self.holders
+            registration=registration,
+            notice=notice,
+            holders=self.holders,
+            speed=speeds.ServerSpeed(pace=self.pace(registration.service)),
         )
         self.by_incarnation[registration.incarnation] = backend
         self.by_server[registration.server] = backend
@@ -469,6 +489,10 @@
                 self._former_notices.popitem(last=False)
         return backend
 
+    def pace(self, service: str) -> paces.ServicePace:
+        """Returns the pace of a service's streams."""
+        return self.paces.setdefault(service, paces.ServicePace())
+
     def of_service(self, service: str) -> list[Backend]:
         """Returns the servers of a service."""
         return self.by_service.get(service, [])
--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -64,6 +64,7 @@
     busy: float,
     first_seconds: float,
     wait_seconds: float,
+    limit: float | None = None,
 ) -> Shortage | None:
     """Returns the resource that a runner lacks for one more request, or None.
 
@@ -76,11 +77,13 @@
         busy: number of requests at the runner.
         first_seconds: expected time to the first event there.
         wait_seconds: the share of that time spent waiting for other requests.
+        limit: number of requests that the runner takes well, or None if it is
+            estimated as a share of its slots.
     """
     if not busy:
         return None
     slot_share = URGENT_SLOTS if demand.urgent else LESS_URGENT_SLOTS
-    if busy + 1 > slot_share * slots:
+    if busy + 1 > (slot_share * slots if limit is None else limit):
         return Shortage.SLOTS
     memory_share = URGENT_MEMORY_SHARE if demand.urgent else MEMORY_SHARE
     used = (busy + 1) * demand.mean_tokens
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -44,6 +44,7 @@
 from pimentoledge.routing import watchers
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.request_stages import contexts
+from pimentoledge.routing.server_speeds import speed_metrics
 
 logger = logbook.Logger("router")
 
@@ -316,6 +317,7 @@
                 "server_connections_opened": self.pool.opened,
                 "connections_refused": self.connection_limit.refused,
             }
+            | speed_metrics.gauges(self.view, now)
         )
 
     def _reload(self) -> None:
--- a/pimentoledge/routing/decision_fields.py
+++ b/pimentoledge/routing/decision_fields.py
@@ -31,6 +31,8 @@
         "busy": round(backend.estimated_requests(now), 1),
         "load_age": _age(backend.load_at, now),
     }
+    if view.load_control.applies(backend.registration.service):
+        fields |= _speed(backend, now)
     wanted = view.wanted.get(client_request.model)
     if wanted is not None:
         fields["weights"] = placements.weights_of(backend, client_request.model)
@@ -42,6 +44,18 @@
     return fields
 
 
+def _speed(backend: backends.Backend, now: float) -> dict[str, object]:
+    """Returns the estimates of a server's speed that a choice used."""
+    speed = backend.speed
+    event = speed.event_seconds(backend.estimated_requests(now) + 1, now)
+    return {
+        "speed": round(speed.prefill_factor(now), 2),
+        "step": round(speed.step_factor(now), 2),
+        "event_ms": None if event is None else round(1000 * event, 1),
+        "limit": round(speed.limit(backend.registration.slots), 1),
+    }
+
+
 def of_dispatch(
     client_request: request_types.ClientRequest,
     backend: backends.Backend,
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -35,6 +35,7 @@
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
 from pimentoledge.routing.quotas import limiters
+from pimentoledge.routing.server_speeds import speed_reports
 
 logger = logbook.Logger("peers")
 
@@ -120,6 +121,7 @@
         self.load_reports = load_reports.LoadReports(
             view=view, roster=self.roster, send_all=self._send_all
         )
+        self.load_reports.parts.append(speed_reports.SpeedReports(view=view))
         self.limit_reports = limit_reports.LimitReports(
             view=view,
             roster=self.roster,
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import random
 
 import attrs
 import xxhash
@@ -33,6 +34,28 @@
 # Penalty for a server that failed all of its recent requests; scaled by its
 # failure rate.
 FAILURE_RATE_MS = 400.0
+# Share of its longest gap between events that a stream's events take on
+# average. A stream's time at a server costs this, divided by the objective for
+# that gap: with a near objective, any disruption makes the stream late.
+PACED_GAP_SECONDS = 0.1
+# Cost of the time by which the chunks of a prompt delay each request that runs
+# there, as a share of that time: most of them have time left.
+DELAY_SHARE = 0.1
+# Cost of a pause as long as its objective, besides what it takes, when events
+# and chunks of prompts meet; and the share of the objective that is safe.
+PAUSE_SECONDS = 1.0
+SAFE_PAUSE = 0.4
+# Servers whose cost exceeds the best by at most this share of its expected
+# wait are equal: one is drawn, as routers with the same view would all send to
+# the best.
+EQUAL_SHARE = 0.1
+# A server without a new request for this long may be drawn although others are
+# better, since its speed is only known from what it serves; and the time by
+# which it gets a request.
+PROBE_SECONDS = 1.5
+PROBE_UNTIL_SECONDS = 2.0
+# Share of the requests that go to such a server while the best is idle.
+IDLE_PROBE_SHARE = 0.05
 # Share of an engine's memory that is assumed to hold cached parts.
 CACHED_SHARE = 0.7
 
@@ -56,6 +79,10 @@
         speeds: speeds estimated from first events.
         local_first: whether servers of this router's data centre are preferred
             to all others regardless of cost.
+        members: number of routers.
+        events: expected number of events of the response.
+        gap_objective: target for the longest gap between events, in seconds,
+            or None.
     """
 
     data_centre: str
@@ -69,6 +96,9 @@
     sources: cache_sources.Sources = cache_sources.Sources()
     speeds: wait_estimates.Speeds = wait_estimates.Speeds()
     local_first: bool = False
+    members: int = 1
+    events: float = 0.0
+    gap_objective: float | None = None
 
 
 def namespace(version: int, isolated_by: str) -> str:
@@ -95,12 +125,14 @@
         first_seconds: expected time to the first event.
         penalty_ms: other costs, as the equivalent wait in ms.
         shortage: the resource that the server has too little of, or None.
+        busy: estimated number of requests at the server.
     """
 
     backend: backends.Backend
     first_seconds: float
     penalty_ms: float
     shortage: capacity_checks.Shortage | None
+    busy: float = 0.0
 
     @property
     def cost(self) -> float:
@@ -162,14 +194,63 @@
             each.cost,
         )
     )
+    chosen = free[0]
+    if criteria.speeds.per_server:
+        chosen = _probe(free, criteria, now) or _draw(free, criteria)
+        chosen.backend.speed.received_at = now
+    second = free[1] if chosen is free[0] and len(free) > 1 else free[0]
     return Choice(
-        candidate=free[0],
-        second_cost=free[1].cost if len(free) > 1 else None,
+        candidate=chosen,
+        second_cost=None if second is chosen else second.cost,
         usable=len(usable),
         declared=len(candidates),
     )
 
 
+def _draw(ranked: list[ServerCandidate], criteria: Criteria) -> ServerCandidate:
+    """Returns one of the candidates that are about as good as the first."""
+    best = ranked[0]
+    most = best.cost + EQUAL_SHARE * 1000 * best.first_seconds
+    equal = [
+        each
+        for each in ranked
+        if each.cost <= most
+        and (
+            not criteria.local_first
+            or _is_remote(each.backend, criteria)
+            == _is_remote(best.backend, criteria)
+        )
+    ]
+    return random.choice(equal)
+
+
+def _probe(
+    ranked: list[ServerCandidate], criteria: Criteria, now: float
+) -> ServerCandidate | None:
+    """Returns a server that is due for a request whatever its cost, if any.
+
+    All routers draw for the same server, so each does so seldom at first.
+    """
+    if len(ranked) < 2:
+        return None
+    due = [
+        each
+        for each in ranked[1:]
+        if now - each.backend.speed.received_at > PROBE_SECONDS
+        and not (criteria.local_first and _is_remote(each.backend, criteria))
+    ]
+    if not due:
+        return None
+    longest = max(now - each.backend.speed.received_at for each in due)
+    left = (PROBE_UNTIL_SECONDS - longest) / (
+        PROBE_UNTIL_SECONDS - PROBE_SECONDS
+    )
+    share = max(2, criteria.members) ** -max(0.0, left)
+    if not ranked[0].busy:
+        share = min(share, IDLE_PROBE_SHARE)
+    return random.choice(due) if random.random() < share else None
+
+
 def _is_remote(backend: backends.Backend, criteria: Criteria) -> bool:
     return backend.registration.data_centre != criteria.data_centre
 
@@ -194,7 +275,11 @@
     prompt = _prompt_work(backend, criteria, version, older)
     wait = wait_estimates.expected_wait(backend, prompt, criteria.speeds, now)
     penalty_ms = FAILURE_RATE_MS * backend.decayed_failure_rate(now)
-    if (
+    per_server = criteria.speeds.per_server
+    if per_server:
+        penalty_ms += _pace_ms(wait, criteria)
+        backend.speed.note_requests(backend.estimated_requests(now), now)
+    elif (
         criteria.unshared > CHUNK_TOKENS
         and backend.mean_event_gap
         and min_event_gap
@@ -217,6 +302,9 @@
             busy=wait.busy,
             first_seconds=wait.seconds,
             wait_seconds=wait.others_seconds,
+            limit=backend.speed.limit(backend.registration.slots)
+            if per_server
+            else None,
         )
     withdrawn_at = criteria.withdrawn_at(version)
     if withdrawn_at is not None and now + wait.seconds >= withdrawn_at:
@@ -226,9 +314,28 @@
         first_seconds=wait.seconds,
         penalty_ms=penalty_ms + _tie_break_ms(backend, criteria),
         shortage=shortage,
+        busy=wait.busy,
     )
 
 
+def _pace_ms(wait: wait_estimates.ExpectedWait, criteria: Criteria) -> float:
+    """Returns the cost of the pace of streams at a server, in ms.
+
+    A stream costs the time of all its events there and of the chunks that it
+    meets, a prompt the delay that its chunks cause to the requests there.
+    """
+    cost = DELAY_SHARE * wait.read_seconds * wait.busy
+    if not criteria.gap_objective or not wait.event_seconds:
+        return 1000 * cost
+    weight = min(1.0, PACED_GAP_SECONDS / criteria.gap_objective)
+    event_seconds = wait.event_seconds + wait.delay_seconds
+    cost += weight * (criteria.events * event_seconds + wait.later_seconds)
+    chunks = wait.read_seconds + wait.reader_seconds + wait.later_seconds
+    pause = (wait.event_seconds + chunks) / criteria.gap_objective
+    cost += PAUSE_SECONDS * max(0.0, pause - SAFE_PAUSE) ** 2
+    return 1000 * cost
+
+
 def _is_older(version: int | None, criteria: Criteria) -> bool:
     """Returns whether weights newer than this version are announced."""
     return None not in (version, criteria.newest) and version < criteria.newest
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -190,6 +190,11 @@
         )
         await self.context.relay.run()
         attempt.backend.note_success()
+        if self.context.client_request.resume_after is None:
+            attempt.backend.speed.pace.note_stream(
+                self.context.relay.events,
+                self.context.client_request.answer_tokens,
+            )
         if framed:
             self._record_success()
         attempt.release(answer)
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -201,6 +201,11 @@
         speeds=speeds_of(view, client_request.model, service_name),
         demand=_demand(view, client_request, route, service),
         local_first=bool(client_request.model) and not view.reaches_all,
+        members=view.members,
+        events=view.servers.pace(service_name).expected_events(
+            client_request.answer_tokens
+        ),
+        gap_objective=route.gap_seconds,
     )
 
 
@@ -208,8 +213,9 @@
     view: cluster_views.ClusterView, model: str, service_name: str
 ) -> wait_estimates.Speeds:
     """Returns the speeds estimated from a model's first events."""
+    per_server = view.load_control.applies(service_name)
     if not model:
-        return wait_estimates.Speeds()
+        return wait_estimates.Speeds(per_server=per_server)
     known = view.first_event(model)
     return wait_estimates.Speeds(
         base_seconds=known.expected_seconds(0),
@@ -222,6 +228,7 @@
         ),
         mean_unread=view.mean_unshared(model).mean(),
         remote_means=view.remote_means,
+        per_server=per_server,
     )
 
 
--- /dev/null
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -0,0 +1,108 @@
+"""Finds how many requests a server takes well, by a latency gradient."""
+
+import attrs
+
+from pimentoledge.routing.server_speeds import paces
+
+# Least limit: a server with fewer requests wastes its steps.
+MIN_LIMIT = 4.0
+# Events and time of one comparison.
+WINDOW_EVENTS = 10
+WINDOW_SECONDS = 0.5
+# Growth of latency beyond the service's line that counts as too much. Chunks
+# of prompts let the time between events vary by less.
+TOLERANCE = 1.5
+# Factor on the limit after a comparison with too much growth.
+DECREASE = 0.9
+# Growth of the limit after one without, as a share of it.
+INCREASE = 0.1
+# Weight of the newest comparison in the latency at few requests, and the
+# weight at more requests. Without the latter, a latency measured once would
+# be compared with forever.
+FEW_WEIGHT = 0.2
+MORE_WEIGHT = 0.001
+
+
+@attrs.define(kw_only=True)
+class ConcurrencyLimit:
+    """The number of requests that a server takes well.
+
+    The latency at the present number of requests is compared with that at few.
+    It may grow as the service's line does, but no faster than the requests:
+    beyond that more requests make fewer events. Latencies are multiples of the
+    line, so that one that grows at all servers at once lowers no limit.
+
+    Attributes:
+        pace: the line of the service.
+        value: the limit, or None while it is the number of slots.
+        few_running: requests at which `few_ratio` was observed.
+        few_ratio: time between events at few requests, as a multiple of the
+            line; 0 if unknown.
+    """
+
+    pace: paces.ServicePace
+    value: float | None = None
+    few_running: float = 0.0
+    few_ratio: float = 0.0
+    _events: int = 0
+    _running: float = 0.0
+    _seconds: float = 0.0
+    _since: float = 0.0
+
+    def note(
+        self, seconds: float, running: float, slots: int, now: float
+    ) -> None:
+        """Adds a time between two events, at the VM's usual speed.
+
+        Args:
+            seconds: the time.
+            running: number of requests at the server.
+            slots: number of its slots.
+            now: the time.
+        """
+        if not self._events:
+            self._since = now
+        self._events += 1
+        self._running += running
+        self._seconds += seconds
+        if self._events < WINDOW_EVENTS or now - self._since < WINDOW_SECONDS:
+            return
+        mean_running = max(1.0, self._running / self._events)
+        mean_seconds = self._seconds / self._events
+        self._events = 0
+        self._running = self._seconds = 0.0
+        if mean_seconds > 0:
+            self._compare(mean_seconds, mean_running, slots)
+
+    def _compare(self, seconds: float, running: float, slots: int) -> None:
+        line = self.pace.gap_seconds(running)
+        if not line:
+            return
+        ratio = seconds / line
+        if not self.few_ratio:
+            self.few_running, self.few_ratio = running, ratio
+        grown = ratio / self.few_ratio > self._most_growth(running, line)
+        limit = self.limit(slots)
+        if grown:
+            self.value = max(MIN_LIMIT, DECREASE * min(limit, running))
+        else:
+            self.value = limit + max(1.0, INCREASE * limit)
+            if self.value >= slots:
+                self.value = None
+        few = running <= MIN_LIMIT + 1
+        few = few or (running <= self.few_running and not grown)
+        share = FEW_WEIGHT if few else MORE_WEIGHT
+        self.few_running += share * (running - self.few_running)
+        self.few_ratio += share * (ratio - self.few_ratio)
+
+    def _most_growth(self, running: float, line: float) -> float:
+        """Returns the growth beyond the line up to which the limit rises."""
+        requests = max(TOLERANCE, running / self.few_running)
+        return min(TOLERANCE, requests * self._few_line() / line)
+
+    def _few_line(self) -> float:
+        return self.pace.gap_seconds(self.few_running) or 0.0
+
+    def limit(self, slots: int) -> float:
+        """Returns the number of requests that the server takes well."""
+        return slots if self.value is None else min(slots, self.value)
--- /dev/null
+++ b/pimentoledge/routing/server_speeds/paces.py
@@ -0,0 +1,102 @@
+"""The pace of a service's streams: time between events, tokens per event."""
+
+import attrs
+
+# Factor applied to an event's weight by each later one: an effective window
+# of some 2,000 events, or 10 s at 200 events a second.
+DECAY = 0.9995
+# Events before the line counts as known, about one short stream.
+MIN_EVENTS = 30
+# Assumed growth of the time between events by each running request, as a
+# share of the time at an idle server, and the variance of the number of
+# running requests that this assumption is worth. Without it, the slope would
+# be undetermined while all servers run equally many.
+GUESS_SLOPE = 0.03
+GUESS_VARIANCE = 4.0
+# The line is computed again after this many events.
+REFRESH_EVENTS = 20
+# Assumed tokens of an event before a stream has ended, and the weight of the
+# assumption in tokens.
+GUESS_EVENT_TOKENS = 7.0
+GUESS_TOKENS = 300.0
+# Factor applied to a stream's weight by each later one.
+STREAM_DECAY = 0.98
+
+
+@attrs.define(kw_only=True)
+class ServicePace:
+    """A line of the time between two events over the running requests.
+
+    A step of a server takes a base and a time for each running request, so
+    their number decides how long a stream takes. The line is that of a server
+    of the service's mean speed.
+
+    Attributes:
+        weight: sum of the events' weights.
+        running: weighted sum of the running requests.
+        seconds: weighted sum of the times between events.
+        squares: weighted sum of the squared running requests.
+        products: weighted sum of running requests times seconds.
+        events: weighted sum of the events of ended streams.
+        tokens: weighted sum of the tokens that these might have had.
+    """
+
+    weight: float = 0.0
+    running: float = 0.0
+    seconds: float = 0.0
+    squares: float = 0.0
+    products: float = 0.0
+    events: float = GUESS_TOKENS / GUESS_EVENT_TOKENS
+    tokens: float = GUESS_TOKENS
+    _line: tuple[float, float] | None = None
+    _unused: int = 0
+
+    def note_gap(self, seconds: float, running: float) -> None:
+        """Adds the time between two events of a server of mean speed.
+
+        Args:
+            seconds: the time.
+            running: number of requests at the server.
+        """
+        self.weight = DECAY * self.weight + 1
+        self.running = DECAY * self.running + running
+        self.seconds = DECAY * self.seconds + seconds
+        self.squares = DECAY * self.squares + running * running
+        self.products = DECAY * self.products + running * seconds
+        self._unused += 1
+        if self.weight >= MIN_EVENTS and (
+            self._line is None or self._unused >= REFRESH_EVENTS
+        ):
+            self._unused = 0
+            self._line = self._fit()
+
+    def _fit(self) -> tuple[float, float]:
+        """Returns the time at an idle server and the time per request."""
+        running = self.running / self.weight
+        seconds = self.seconds / self.weight
+        variance = max(0.0, self.squares / self.weight - running**2)
+        covariance = self.products / self.weight - running * seconds
+        guess = GUESS_SLOPE * seconds / (1 + GUESS_SLOPE * running)
+        slope = (covariance + GUESS_VARIANCE * guess) / (
+            variance + GUESS_VARIANCE
+        )
+        slope = min(max(0.0, slope), seconds / max(1.0, running))
+        return seconds - slope * running, slope
+
+    def gap_seconds(self, running: float) -> float | None:
+        """Returns the expected time between events, or None if unknown."""
+        if self._line is None:
+            return None
+        base, slope = self._line
+        return base + slope * running
+
+    def note_stream(self, events: int, answer_tokens: int) -> None:
+        """Adds a complete stream's events and maximum of tokens."""
+        if not answer_tokens:
+            return
+        self.events = STREAM_DECAY * self.events + events
+        self.tokens = STREAM_DECAY * self.tokens + answer_tokens
+
+    def expected_events(self, answer_tokens: int) -> float:
+        """Returns the expected number of events of an answer."""
+        return answer_tokens * self.events / self.tokens
--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -7,6 +7,7 @@
 
 from pimentoledge.routing import attempts
 from pimentoledge.routing import client_responses
+from pimentoledge.routing import clocks
 from pimentoledge.routing import event_streams
 from pimentoledge.routing import request_types
 
@@ -120,3 +121,4 @@
             self.on_proved()
         for gap in self.answer.pass_events(complete, self.response):
             self.attempt.backend.note_event_gap(gap)
+            self.attempt.backend.note_paced_gap(gap, clocks.now())
--- a/pimentoledge/routing/wait_estimates.py
+++ b/pimentoledge/routing/wait_estimates.py
@@ -60,6 +60,8 @@
         remote_means: reported mean load of runners by other data centre. The
             load of single runners there is not reported to this router, and
             without the mean they would appear idle.
+        per_server: whether each server's own speed counts, as with load
+            control.
     """
 
     base_seconds: float = 0.0
@@ -67,6 +69,7 @@
     fetch_seconds: float = 0.0
     mean_unread: float = 0.0
     remote_means: dict[str, MeanLoad] = attrs.field(factory=dict)
+    per_server: bool = False
 
 
 def prompt_work(
@@ -111,12 +114,22 @@
         own_seconds: time for the prompt's own fetch and prefill.
         step_seconds: time for decode steps of running requests and for a slot.
         reader_seconds: time for the prefill of other requests' prompts.
+        read_seconds: part of `own_seconds` in which the prompt is prefilled.
+        later_seconds: time for the prefill of other requests' prompts after
+            this one's first event.
+        event_seconds: time between two events of a stream there; 0 if
+            unknown.
+        delay_seconds: by how much the stream delays the others in that time.
     """
 
     busy: float
     own_seconds: float
     step_seconds: float
     reader_seconds: float
+    read_seconds: float = 0.0
+    later_seconds: float = 0.0
+    event_seconds: float = 0.0
+    delay_seconds: float = 0.0
 
     @property
     def others_seconds(self) -> float:
@@ -133,6 +146,8 @@
     backend: backends.Backend, prompt: PromptWork, speeds: Speeds, now: float
 ) -> ExpectedWait:
     """Returns the expected wait for a request's first event at a server."""
+    if speeds.per_server:
+        return _wait_by_speed(backend, prompt, speeds, now)
     slots = max(1, backend.registration.slots)
     busy = estimated_busy(backend, speeds, now)
     shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
@@ -148,6 +163,45 @@
     )
 
 
+def _wait_by_speed(
+    backend: backends.Backend, prompt: PromptWork, speeds: Speeds, now: float
+) -> ExpectedWait:
+    """Returns the expected wait by the server's own speed."""
+    slots = max(1, backend.registration.slots)
+    speed = backend.speed
+    step_factor = speed.step_factor(now)
+    prefill_factor = speed.prefill_factor(now)
+    busy = estimated_busy(backend, speeds, now)
+    running = min(busy + 1, slots)
+    event_seconds = speed.event_seconds(running, now)
+    delay_seconds = 0.0
+    if event_seconds is None:
+        shared = SHARED_STEP_SLOTS / max(SHARED_STEP_SLOTS, slots)
+        steps = SHARED_STEP_SECONDS * running * shared * step_factor
+    else:
+        # The base of the time to a first event has the steps of an idle
+        # server of mean speed.
+        steps = max(0.0, event_seconds - speed.pace.gap_seconds(0))
+        twice = speed.event_seconds(running + min(busy, slots), now)
+        delay_seconds = twice - event_seconds
+    queued = QUEUE_SECONDS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
+    token_seconds = speeds.token_seconds * prefill_factor
+    known, ahead = _unread_and_ahead(
+        backend, prompt.to_read, speeds, token_seconds, now
+    )
+    own = speeds.base_seconds * prefill_factor + prompt.fetch_seconds
+    return ExpectedWait(
+        busy=busy,
+        own_seconds=own + token_seconds * prompt.to_read,
+        step_seconds=steps + queued * step_factor,
+        reader_seconds=token_seconds * ahead,
+        read_seconds=token_seconds * prompt.to_read,
+        later_seconds=token_seconds * max(0.0, known - ahead),
+        event_seconds=event_seconds or 0.0,
+        delay_seconds=delay_seconds,
+    )
+
+
 def estimated_busy(
     backend: backends.Backend, speeds: Speeds, now: float
 ) -> float:
@@ -165,11 +219,25 @@
     prefilled meanwhile as of this one, so a short prompt waits little for a
     long one.
     """
+    token_seconds = speeds.token_seconds
+    if speeds.per_server:
+        token_seconds *= backend.speed.prefill_factor(now)
+    return _unread_and_ahead(backend, to_read, speeds, token_seconds, now)[1]
+
+
+def _unread_and_ahead(
+    backend: backends.Backend,
+    to_read: int,
+    speeds: Speeds,
+    token_seconds: float,
+    now: float,
+) -> tuple[float, float]:
+    """Returns the tokens to prefill, and those before a prompt is done."""
     queued = backend.queued(now)
-    known = backend.unread(speeds.mean_unread, now, speeds.token_seconds)
+    known = backend.unread(speeds.mean_unread, now, token_seconds)
     mean = speeds.remote_means.get(backend.registration.data_centre)
     if mean is not None and mean.unread > known:
         known, queued = mean.unread, max(queued, mean.queued)
     if not queued:
-        return 0.0
-    return queued * min(to_read, known / queued)
+        return known, 0.0
+    return known, queued * min(to_read, known / queued)
--- /dev/null
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -0,0 +1,356 @@
+"""Tests of the estimated speeds and limits of servers, in virtual time."""
+
+import attrs
+import msgspec
+import pytest
+
+from benches import speed_ways
+from pimentoledge.routing import backends
+from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import load_controls
+from pimentoledge.routing import peer_messages
+from pimentoledge.routing import placements
+from pimentoledge.routing import registrations
+from pimentoledge.routing import request_types
+from pimentoledge.routing import wait_estimates
+from pimentoledge.routing.server_speeds import concurrency_limits
+from pimentoledge.routing.server_speeds import observations
+from pimentoledge.routing.server_speeds import paces
+from pimentoledge.routing.server_speeds import slowdowns
+from pimentoledge.routing.server_speeds import speed_metrics
+from pimentoledge.routing.server_speeds import speeds
+
+USUAL_SECONDS = 0.04
+SPEEDS = wait_estimates.Speeds(
+    base_seconds=0.1, token_seconds=3e-5, per_server=True
+)
+
+
+def pace():
+    found = paces.ServicePace()
+    for _ in range(200):
+        found.note_gap(USUAL_SECONDS, 8)
+    return found
+
+
+def observe(speed, ratio, since, until, running=8):
+    """Adds events of some streams, spaced by 10 ms."""
+    for step in range(int(100 * since), int(100 * until)):
+        gap = ratio * USUAL_SECONDS
+        speed.note_event_gap(gap, running, 64, step / 100)
+        for _ in range(3):
+            # Events of the service's other servers.
+            speed.pace.note_gap(USUAL_SECONDS, running)
+
+
+def servers(count):
+    found = backends.Backends()
+    for number in range(count):
+        backend = found.put(
+            registrations.Registration(
+                server=f"b{number}",
+                service="s",
+                address=f"b{number}",
+                data_centre="d",
+                slots=64,
+                leaving=False,
+                weights={"m": 1},
+            )
+        )
+        backend.speed = speeds.ServerSpeed(pace=pace())
+    return found.of_service("s")
+
+
+def choose(candidates, now=10.0, **more):
+    criteria = placements.Criteria(
+        data_centre="d", model="m", speeds=SPEEDS, gap_objective=0.3
+    )
+    return placements.choose(
+        candidates=candidates, criteria=attrs.evolve(criteria, **more), now=now
+    )
+
+
+class TestEstimates:
+    """The factors by which a server differs from its service's mean."""
+
+    def test_a_report_counts_at_once_and_fades(self):
+        """Guards against requests that are sent to a VM that became slow."""
+        speed = speeds.ServerSpeed(pace=pace())
+        speed.note_report(2.0, 10.0)
+        assert speed.step_factor(10.0) == speed.prefill_factor(10.0) == 2.0
+        assert speed.step_factor(40.0) == pytest.approx(1.0, abs=0.05)
+
+    @pytest.mark.parametrize("reports", [None, 0.3, 1.0, 9.0])
+    @pytest.mark.parametrize("ratio", [0.5, 1.0, 3.0])
+    def test_observation_corrects_what_a_server_reports(self, reports, ratio):
+        """Guards against servers that report nothing, or always the same."""
+        speed = speeds.ServerSpeed(pace=pace())
+        for second in range(4):
+            if reports is not None:
+                speed.note_report(reports, second)
+            observe(speed, ratio, second, second + 1)
+        assert speed.step_factor(4.0) == pytest.approx(ratio, rel=0.3)
+        assert speed.prefill_factor(4.0) == pytest.approx(ratio, rel=0.3)
+
+    @pytest.mark.parametrize("reports", [0.0, 0.001, 50.0, 1e9, float("nan")])
+    def test_a_false_report_moves_the_estimate_by_a_factor_of_four(
+        self, reports
+    ):
+        """Guards against a server that attracts all requests by a report."""
+        speed = speeds.ServerSpeed(pace=pace())
+        speed.note_report(1.0, 0.0)
+        observe(speed, 1.0, 0, 2)
+        for late in range(10):
+            speed.note_report(reports, 2 + late / 100)
+        most = 1.1 * speeds.MAX_REPORT_FACTOR
+        assert 1 / most <= speed.step_factor(2.1) <= most
+
+    @pytest.mark.parametrize(("before", "after"), [(1.0, 3.0), (3.0, 1.0)])
+    def test_a_change_is_followed_in_two_seconds(self, before, after):
+        """Guards against estimates that are right too late."""
+        speed = speeds.ServerSpeed(pace=pace())
+        observe(speed, before, 0, 4)
+        observe(speed, after, 4, 6)
+        factor = speed.step_factor(6.0)
+        assert 0.7 * after < factor < 1.5 * after
+
+    def test_reports_out_of_order_are_ignored(self):
+        """Guards against an older figure in place of the present one."""
+        reported = slowdowns.ReportedSlowdown()
+        reported.note(3.0, 5.0)
+        reported.note(1.0, 4.9)
+        assert reported.value(5.0) == 3.0
+
+    def test_others_observations_count_expire_and_are_forgotten(self):
+        """Guards against speeds of a router that was cut off or killed."""
+        own, other = (speeds.ServerSpeed(pace=pace()) for _ in range(2))
+        observe(other, 3.0, 0, 3)
+        own.merge("r", other.summary(3.0), 3.0)
+        assert own.step_factor(3.0) > 2.0
+        late = 3.1 + observations.EXPIRY_SECONDS
+        assert own.step_factor(late) == 1.0
+        own.merge("r", other.summary(3.0), late)
+        own.forget("r")
+        assert own.step_factor(late + 1) == 1.0
+
+    @pytest.mark.parametrize("odd", [(), (1,), (5, -9, -5, 10**9, 0), (0,) * 6])
+    def test_odd_summaries_do_no_harm(self, odd):
+        """Guards against summaries of builds that this one doesn't know."""
+        speed = speeds.ServerSpeed(pace=pace())
+        speed.merge("r", odd, 1.0)
+        assert 0.2 <= speed.step_factor(1.0) <= 5.0
+
+    def test_a_summary_takes_at_most_twelve_bytes(self):
+        """Guards against reports that fill a router's link."""
+        speed = speeds.ServerSpeed(pace=pace())
+        speed.note_report(20.0, 0.0)
+        observe(speed, 90.0, 0, 30)
+        for _ in range(100):
+            speed.note_first_event(9.0, 0.1, 30.0)
+        assert len(msgspec.msgpack.encode(speed.summary(30.0))) <= 12
+
+    def test_the_line_over_running_requests_is_learned(self):
+        """Guards against fixed times of a step."""
+        found = paces.ServicePace()
+        for number in range(4000):
+            running = 5 + number % 20
+            found.note_gap(7 * (0.00347 + 0.00016 * running), running)
+        assert found.gap_seconds(0) == pytest.approx(7 * 0.00347, rel=0.05)
+        assert found.gap_seconds(40) == pytest.approx(7 * 0.00987, rel=0.05)
+        found.note_stream(42, 300)
+        assert found.expected_events(300) == pytest.approx(42, rel=0.03)
+
+
+class TestLimits:
+    """How many requests a server takes well."""
+
+    def line(self):
+        found = paces.ServicePace()
+        for number in range(4000):
+            found.note_gap(0.025 + 0.001 * (number % 20), number % 20)
+        return found
+
+    def settled(self, latency, requests, slots=64):
+        """Returns the limit after requests that use all that it allows."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(6000):
+            wanted = min(requests, 4 + number / 100)
+            running = min(wanted, found.limit(slots))
+            found.note(latency(running), running, slots, number / 20)
+        return found.limit(slots)
+
+    def test_a_server_that_slows_down_early_gets_a_lower_limit(self):
+        """Guards against servers that are filled beyond what they take."""
+
+        def early(running):
+            return (0.025 + 0.001 * running) * max(1, running / 21) ** 3
+
+        assert 18 <= self.settled(early, 64) <= 32
+
+    @pytest.mark.parametrize("requests", [6, 60])
+    def test_a_server_that_shares_its_steps_keeps_its_slots(self, requests):
+        """Guards against limits below what a server takes well."""
+        assert self.settled(lambda n: 0.025 + 0.001 * n, requests) == 64
+
+    def test_the_limit_stays_within_its_bounds_and_recovers(self):
+        """Guards against a server that is closed by one bad time."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(3000):
+            bad = 500 < number < 1000
+            found.note(9.0 if bad else 0.03, 12, 64, number / 20)
+            if number == 999:
+                assert found.limit(64) >= concurrency_limits.MIN_LIMIT
+                assert found.limit(64) < 12
+        assert found.limit(64) == 64
+
+    @pytest.mark.parametrize(
+        ("limit", "busy", "urgent", "short"),
+        [
+            (None, 50, False, True),
+            (None, 50, True, False),
+            (60.0, 50, False, False),
+            (30.0, 30, True, True),
+            (4.0, 0, False, False),
+        ],
+    )
+    def test_a_limit_replaces_the_shares_of_the_slots(
+        self, limit, busy, urgent, short
+    ):
+        """Guards against admission beyond a limit, and at an idle runner."""
+        found = capacity_checks.shortage(
+            64,
+            capacity_checks.Demand(
+                urgent=urgent,
+                mean_tokens=0,
+                memory=None,
+                objective_seconds=1.0,
+            ),
+            busy=busy,
+            first_seconds=0.1,
+            wait_seconds=0.0,
+            limit=limit,
+        )
+        assert (found is capacity_checks.Shortage.SLOTS) is short
+
+
+class TestChoices:
+    """Choices of a server by its speed."""
+
+    def test_equal_servers_share_the_requests_of_many_routers(self):
+        """Guards against all routers sending to the same server."""
+        found = servers(8)
+        chosen = [choose(found, 1.0).backend for _ in range(400)]
+        assert max(map(chosen.count, found)) < 2 * 400 / 8
+
+    def test_streams_avoid_a_slow_server_until_others_are_busier(self):
+        """Guards against long streams at a server with long gaps."""
+        slow, fast = servers(2)
+        for second in range(4):
+            observe(slow.speed, 2.5, second, second + 1)
+        fast.open = 3
+        slow.speed.received_at = fast.speed.received_at = 4.0
+        criteria = dict(now=4.0, events=42, unshared=600)
+        assert choose([slow, fast], **criteria).backend is fast
+        fast.open = 60
+        assert choose([slow, fast], **criteria).backend is slow
+
+    @pytest.mark.parametrize("members", [1, 30])
+    def test_a_slow_server_gets_a_request_in_two_seconds(self, members):
+        """Guards against servers whose recovery is never noticed."""
+        slow, fast = servers(2)
+        fast.open = 2
+        last, longest = 100.0, 0.0
+        for step in range(1000):
+            now = 100 + step / 50
+            slow.speed.note_report(4.0, now)
+            if choose(
+                [slow, fast], now, events=42, members=members
+            ).backend is (slow):
+                longest, last = max(longest, now - last), now
+        assert last > 115 and longest <= placements.PROBE_UNTIL_SECONDS + 0.1
+
+    def test_without_load_control_speeds_change_nothing(self):
+        """Guards against other decisions on the earlier deployments."""
+        slow, fast = servers(2)
+        for second in range(4):
+            observe(slow.speed, 4.0, second, second + 1)
+        fast.open = 1
+        off = attrs.evolve(SPEEDS, per_server=False)
+        found = choose([slow, fast], 4.0, speeds=off, events=42)
+        assert found.backend is slow
+
+
+class TestRouters:
+    """Routers that exchange what they know, and servers that differ."""
+
+    def world(self, **more):
+        return speed_ways.World(
+            **dict(name="slow", reports="true", way="both") | more
+        )
+
+    def test_a_forwarded_slowdown_turns_load_control_on(self):
+        """Guards against routers that decide by different rules."""
+        world = self.world(servers=2, routers=2, way="before")
+        near, far = world.routers.values()
+        for each in (near, far):
+            each.view.load_control.mode = load_controls.Mode.AUTO
+        backend = near.view.servers.by_server["b0"]
+        load = request_types.ServerLoad(
+            running=1, waiting=0, slots=64, slowdown=3.0
+        )
+        backend.update_load(load, 1.0)
+        world.now = 1.1
+        near.reports.tick(1.1)
+        assert far.view.load_control.applies(speed_ways.SERVICE)
+        there = far.view.servers.by_server["b0"].speed
+        assert there.step_factor(1.1) == 3.0
+        gauges = speed_metrics.gauges(far.view, 1.1)
+        assert len(gauges) == 6 and gauges["speed_factor_largest_s"] == 3.0
+
+    def test_a_report_without_the_fields_changes_no_speed(self):
+        """Guards against reports of builds that don't send speeds."""
+        world = self.world(servers=2, routers=2)
+        router = world.routers["tcp://r0"]
+        report = peer_messages.LoadReport(
+            has={}, said={"b0": (1, 0, 64, 5)}, prompts=[], means={}
+        )
+        router.reports.receive("tcp://r1", report, 1.0)
+        backend = router.view.servers.by_server["b0"]
+        assert backend.speed.reported.at is None
+
+    def test_a_restarted_server_has_no_former_speed(self):
+        """Guards against a new incarnation that counts as slow."""
+        router = self.world(servers=1, routers=1).routers["tcp://r0"]
+        backend = router.view.servers.by_server["b0"]
+        backend.speed.note_report(4.0, 1.0)
+        again = router.view.servers.put(
+            attrs.evolve(backend.registration, born=7)
+        )
+        assert again is not backend and again.speed.step_factor(1.0) == 1.0
+        assert again.speed.pace is router.view.servers.pace(speed_ways.SERVICE)
+
+    @pytest.mark.parametrize(
+        ("name", "reports"),
+        [
+            ("slow", "true"),
+            ("slow", "none"),
+            ("slow", "false"),
+            ("slow", "late"),
+            ("early", "true"),
+        ],
+    )
+    def test_streams_are_in_time_though_servers_differ(self, name, reports):
+        """Guards against late streams at slow servers, and idle servers."""
+        world = self.world(name=name, reports=reports, servers=8, routers=3)
+        if reports == "late":
+            world.cut = {"tcp://r1"}
+        world.run(15.0)
+        assert world.late_share("short") < 0.05
+        assert world.late_share("long") < 0.05
+        assert world.busiest() <= 1.15
+        waits = [
+            later - earlier
+            for each in world.servers
+            for earlier, later in zip(each.received, each.received[1:])
+        ]
+        assert max(waits) <= 2.5
