Admission queue in place of polling

Cause: a request without a place slept 20 ms and looked again, so the next place went to whichever looked first, whatever its urgency, and requests of plain services queued at their servers, where a crash loses them.

Change: routing/admission holds the waiting requests of a service. Places go by urgency, share and deadline; the least urgent get every fourth. A request that can't be in time is refused at once with the time at which a place is expected. A place is reserved until its request is sent, several routers share a free place by parts, and refused requests are recognised when their clients return. Where load control doesn't apply, requests poll as before.

--- a/benches/fleet_runs.py
+++ b/benches/fleet_runs.py
@@ -19,7 +19,6 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
 from pimentoledge.routing import daemons
-from pimentoledge.routing import exchanges
 from pimentoledge.routing import heartbeat_rings
 from pimentoledge.routing import load_reports
 from pimentoledge.routing import placements
@@ -539,7 +538,7 @@
         self._route(router, client, self.scheduler.now)
 
     def _route(self, router: Router, client: Client, arrived_at: float) -> None:
-        """Selects an engine as `exchanges` does, and dispatches the request."""
+        """Selects an engine as `server_choices` does, and dispatches."""
         if client.ended:
             return
         now = self.scheduler.now
@@ -555,7 +554,10 @@
         chosen = isinstance(choice, placements.Choice)
         if chosen and len(client.tried) < retry_rules.MAX_SENDS:
             self._dispatch(router, client, route, choice)
-        elif now - arrived_at < exchanges.WAIT_SHARE * route.objective_seconds:
+        elif (
+            now - arrived_at
+            < server_choices.WAIT_SHARE * route.objective_seconds
+        ):
             self.scheduler.schedule_after(
                 server_choices.WAIT_STEP_SECONDS,
                 lambda: self._route(router, client, arrived_at),
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -71,6 +71,8 @@
             yet.
         read_since: start of the prefill in progress, as far as known.
         unbegun: open requests of this process without a first event.
+        reserved: requests of this process that have a place and are not sent.
+        reserved_tokens: prompt tokens of these that it will have to prefill.
         load: its last load report, or None.
         load_open: `open` at the time of the load report.
         load_unbegun: `unbegun` at the time of the load report.
@@ -102,6 +104,8 @@
     unread_tokens: int = 0
     read_since: float = 0.0
     unbegun: int = 0
+    reserved: int = 0
+    reserved_tokens: int = 0
     load: request_types.ServerLoad | None = None
     load_open: int = 0
     load_unbegun: int = 0
@@ -216,23 +220,26 @@
 
     def estimated_requests(self, now: float) -> float:
         """Returns the estimated number of requests at the server."""
-        known = self.open + self.peer_loads.open
+        own = self.open + self.reserved
+        known = own + self.peer_loads.open
         if self.load is None:
             return known
         reported = self.load.running + self.load.waiting - self.load_open
-        return max(known, reported * self._load_freshness(now) + self.open)
+        return max(known, reported * self._load_freshness(now) + own)
 
     def queued(self, now: float) -> float:
         """Returns the estimated number of requests without a first event."""
-        known = self.unbegun + self.peer_loads.unbegun
+        own = self.unbegun + self.reserved
+        known = own + self.peer_loads.unbegun
         if self.load is None:
             return known
         reported = self.load.waiting - self.load_unbegun
-        return max(known, reported * self._load_freshness(now) + self.unbegun)
+        return max(known, reported * self._load_freshness(now) + own)
 
     def outstanding(self) -> int:
         """Returns the prompt tokens of known requests without a first event."""
-        return self.unread_tokens + self.peer_loads.unread
+        own = self.unread_tokens + self.reserved_tokens
+        return own + self.peer_loads.unread
 
     def unread(self, mean: float, now: float, token_seconds: float) -> int:
         """Returns the estimated prompt tokens that it has not prefilled yet.
@@ -252,7 +259,7 @@
             known = max(0, known - int(read))
         if self.load is None or not mean:
             return known
-        unbegun = self.unbegun + self.peer_loads.unbegun
+        unbegun = self.unbegun + self.reserved + self.peer_loads.unbegun
         return known + int(mean * max(0, self.queued(now) - unbegun))
 
     def update_load(
@@ -469,6 +476,14 @@
                 self._former_notices.popitem(last=False)
         return backend
 
+    def requests_in_use(self, service: str, now: float) -> float:
+        """Returns the estimated number of requests at a service's servers."""
+        return sum(
+            each.estimated_requests(now)
+            for each in self.of_service(service)
+            if not each.is_leaving()
+        )
+
     def of_service(self, service: str) -> list[Backend]:
         """Returns the servers of a service."""
         return self.by_service.get(service, [])
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -42,6 +42,7 @@
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
+from pimentoledge.routing.admission import gates
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.request_stages import contexts
 
@@ -186,6 +187,13 @@
             arrived=self.pauses.arrived,
             bandwidth=chosen.number("link-mbps"),
         )
+        self.admission = gates.AdmissionGate(
+            counters=self.counters, in_use=self.view.servers.requests_in_use
+        )
+        self.peers.load_reports.parts.append(self.admission)
+        self.updater.on_server = lambda service: self.admission.notify(
+            service, clocks.now()
+        )
         self.permits = server_permits.Permits(
             limits=self.view.server_limits,
             limiter=self.peers.limiter,
@@ -316,6 +324,7 @@
                 "server_connections_opened": self.pool.opened,
                 "connections_refused": self.connection_limit.refused,
             }
+            | self.admission.gauges(now)
         )
 
     def _reload(self) -> None:
@@ -396,6 +405,7 @@
                 limiter=self.peers.limiter,
                 notices=self.notices,
                 permits=self.permits,
+                admission=self.admission,
             ),
         )
 
@@ -443,6 +453,7 @@
         self.peers.tick(now)
         self.cache_links.tick()
         self.updater.tick(now)
+        self.admission.tick(now)
         self._reload_if_changed(now)
 
     async def drain(self) -> None:
@@ -453,6 +464,7 @@
         """
         self.lines.write("leaving")
         self.view.leaving = True
+        self.admission.drain()
         self.peers.limiter.leave(clocks.now())
         self.peers.stream_versions.hand_over()
         self.peers.send_heartbeat_soon()
@@ -486,6 +498,7 @@
         self.listener.close()
         for each in self._servers:
             each.close()
+        self.admission.close()
         self.holder.close()
         self.rechecks.close()
         self.liveness_checks.close()
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -7,11 +7,13 @@
 
 from pimentoledge import results
 from pimentoledge.routing import attempts
+from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import placements
 from pimentoledge.routing import request_types
 from pimentoledge.routing import retry_rules
+from pimentoledge.routing import server_permits
 from pimentoledge.routing import suspects
 from pimentoledge.routing.request_stages import acceptance
 from pimentoledge.routing.request_stages import attempt_runs
@@ -25,9 +27,6 @@
 # A server sends its own timeout response at the deadline. The router waits
 # this much longer before it sends one itself.
 ANSWER_GRACE_SECONDS = 0.05
-# Part of the route's latency objective that a request may wait in the router
-# for a free server before it is refused.
-WAIT_SHARE = 0.12
 
 
 class Exchange:
@@ -96,6 +95,7 @@
             logger.exception("defect")
             self.final.give_up(results.Code.INTERNAL)
         finally:
+            self.choice.release_place()
             if self.context.charge is not None:
                 self.context.charge.settle(self.context.history.runs())
             self.active_exchanges.discard(self)
@@ -158,8 +158,7 @@
             if not await self.acceptance.acquire_quota():
                 return
             if until is None:
-                seconds = WAIT_SHARE * self.context.route.objective_seconds
-                until = clocks.now() + seconds
+                until = self.choice.wait_until(clocks.now())
             choice = await self.choice.choose(until)
             if isinstance(choice, placements.NoCapacity):
                 self.context.shortages = choice.shortage
@@ -180,7 +179,7 @@
                 return
             until = None
             try:
-                if await self.attempt_runs.run(backend, permit):
+                if await self._run_attempt(backend, permit):
                     return
             except attempts.BrokenError as broken:
                 self.attempt_runs.record_outcome(
@@ -203,6 +202,17 @@
                 self.final.give_up(retry_rules.final_code(self.context.history))
                 return
 
+    async def _run_attempt(
+        self, backend: backends.Backend, permit: server_permits.Permit
+    ) -> bool:
+        """Runs an attempt; returns whether the request is answered."""
+        answered = False
+        try:
+            answered = await self.attempt_runs.run(backend, permit)
+            return answered
+        finally:
+            self.choice.note_ended(backend, answered)
+
     def _may_retry(self) -> bool:
         """Returns whether a further attempt is allowed and of use."""
         more = retry_rules.may_retry(self.context.history, self.context.route)
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -67,6 +67,7 @@
         )
         self.context.current_attempt = attempt
         self.context.relay = None
+        self.context.release_place()
         try:
             attempt.start()
             self.context.prompt_changed(
--- a/pimentoledge/routing/request_stages/contexts.py
+++ b/pimentoledge/routing/request_stages/contexts.py
@@ -21,6 +21,8 @@
 from pimentoledge.routing import stream_relays
 from pimentoledge.routing import stream_version_exchanges
 from pimentoledge.routing import suspects
+from pimentoledge.routing.admission import gates
+from pimentoledge.routing.admission import reservations
 from pimentoledge.routing.quotas import limiters
 
 
@@ -44,6 +46,10 @@
         limiter: enforces the organisations' limits.
         notices: applies what responses report about their servers.
         permits: enforces the limits that servers have announced.
+        admission: the queue for places at servers.
+        place: the place that the request has until it is sent, or None.
+        refusal: log fields of a refusal by the queue, or empty.
+        place_seconds: time until a place is expected, in seconds, or None.
         binding: the software version to which its stream is bound.
         subjects: what the request may crash servers by, its content first;
             empty before it is accepted.
@@ -82,6 +88,7 @@
         limiter: limiters.Limiter,
         notices: server_notices.ServerNotices,
         permits: server_permits.Permits,
+        admission: gates.AdmissionGate,
         stream_versions: stream_version_exchanges.StreamVersionExchange,
     ):
         self.died = died
@@ -92,6 +99,10 @@
         self.limiter = limiter
         self.notices = notices
         self.permits = permits
+        self.admission = admission
+        self.place: reservations.Reservation | None = None
+        self.refusal: dict[str, object] = {}
+        self.place_seconds: float | None = None
         self.binding = stream_bindings.StreamBinding(versions=stream_versions)
         self.answer = client_responses.ClientResponse(client=client)
         self.view = view
@@ -127,6 +138,12 @@
         fields["sends"] = self.history.sends
         self.lines.write(message, **fields)
 
+    def release_place(self) -> None:
+        """Ends the reservation of a place, if there is one."""
+        if self.place is not None:
+            self.place.release()
+            self.place = None
+
     def organisation_name(self) -> str:
         """Returns the organisation's name, or ""."""
         return "" if self.organisation is None else self.organisation.name
--- a/pimentoledge/routing/request_stages/final_responses.py
+++ b/pimentoledge/routing/request_stages/final_responses.py
@@ -86,6 +86,7 @@
                 each.value: count
                 for each, count in self.context.shortages.items()
             },
+            **self.context.refusal,
         )
         self.context.answer.refuse(code, wait)
 
@@ -102,4 +103,8 @@
             )
             if back_at is not None:
                 return router_responses.backoff_retry_seconds(back_at - now)
+            if self.context.place_seconds is not None:
+                return router_responses.place_retry_seconds(
+                    self.context.place_seconds
+                )
         return router_responses.retry_seconds(code)
--- a/pimentoledge/routing/router_responses.py
+++ b/pimentoledge/routing/router_responses.py
@@ -30,6 +30,10 @@
 # Random addition to the time until the first server's backoff ends, as a part
 # of that time: clients must not retry before it, nor all at once.
 BACKOFF_RETRY_SPREAD = 0.25
+# Spreads the retries of clients that get the time at which a place is expected.
+PLACE_RETRY_SPREAD = 0.25
+# Clients that return sooner find the queue as it was.
+MIN_PLACE_RETRY_SECONDS = 0.1
 # Spreads the retries of clients that get the longest wait.
 LIMIT_RETRY_SPREAD = 0.2
 
@@ -61,6 +65,16 @@
     return wait_seconds + random.uniform(0.0, spread)
 
 
+def place_retry_seconds(wait_seconds: float) -> float:
+    """Returns the seconds until a client may retry after it got no place.
+
+    Args:
+        wait_seconds: expected time until it would get one.
+    """
+    seconds = max(MIN_PLACE_RETRY_SECONDS, wait_seconds)
+    return _spread(seconds, PLACE_RETRY_SPREAD)
+
+
 def limit_retry_seconds(wait_seconds: float | None) -> float | None:
     """Returns the seconds until a client over its limit may retry, or None.
 
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -42,6 +42,8 @@
             without having announced that it leaves.
         on_restart: called with the address of a server that restarted under the
             same id.
+        on_server: called with the service of a server whose registration is
+            new or changed.
         lapse_ends: returns until when the entry of a removed server may be
             written again.
         lapsed: servers whose entries lapsed and that are still used, with the
@@ -60,6 +62,7 @@
         on_death=lambda incarnation: None,
         lapse_ends=lambda: 0.0,
         on_restart=lambda address: None,
+        on_server=lambda service: None,
     ):
         self.view = view
         self.lines = lines
@@ -67,6 +70,7 @@
         self.on_death = on_death
         self.lapse_ends = lapse_ends
         self.on_restart = on_restart
+        self.on_server = on_server
         self.lapsed: dict[str, float] = {}
         self.withheld: dict[str, tuple[registrations.Registration, float]] = {}
         self.history = configuration_histories.ConfigurationHistory()
@@ -351,6 +355,7 @@
             weights=registration.weights,
         )
         self.infer_named_weights(registration)
+        self.on_server(registration.service)
 
     def infer_named_weights(
         self, registration: registrations.Registration
