--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -42,6 +42,7 @@
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
+from pimentoledge.routing.admission import gates
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.request_stages import contexts
 from pimentoledge.routing.server_speeds import speed_metrics
@@ -187,6 +188,13 @@
             arrived=self.pauses.arrived,
             bandwidth=chosen.number("link-mbps"),
         )
+        self.admission = gates.AdmissionGate(
+            counters=self.counters, in_use=self.view.servers.requests_in_use
+        )
+        self.peers.load_reports.parts.append(self.admission)
+        self.updater.on_server = lambda service: self.admission.notify(
+            service, clocks.now()
+        )
         self.permits = server_permits.Permits(
             limits=self.view.server_limits,
             limiter=self.peers.limiter,
@@ -318,6 +326,7 @@
                 "connections_refused": self.connection_limit.refused,
             }
             | speed_metrics.gauges(self.view, now)
+            | self.admission.gauges(now)
         )
 
     def _reload(self) -> None:
@@ -398,6 +407,7 @@
                 limiter=self.peers.limiter,
                 notices=self.notices,
                 permits=self.permits,
+                admission=self.admission,
             ),
         )
 
@@ -445,6 +455,7 @@
         self.peers.tick(now)
         self.cache_links.tick()
         self.updater.tick(now)
+        self.admission.tick(now)
         self._reload_if_changed(now)
 
     async def drain(self) -> None:
@@ -455,6 +466,7 @@
         """
         self.lines.write("leaving")
         self.view.leaving = True
+        self.admission.drain()
         self.peers.limiter.leave(clocks.now())
         self.peers.stream_versions.hand_over()
         self.peers.send_heartbeat_soon()
@@ -488,6 +500,7 @@
         self.listener.close()
         for each in self._servers:
             each.close()
+        self.admission.close()
         self.holder.close()
         self.rechecks.close()
         self.liveness_checks.close()
