Fair shares of capacity among organisations

An organisation that sent many times its usual load took the capacity of all others, since admission didn't know whose requests were served; and memory was taken as number times mean, which makes a runner with many short and few long requests look full.

The package fair_shares counts the dominant share that each organisation receives of a service, exchanges the counters with the load reports, and restricts organisations above their shares while capacity is scarce. Memory in use is counted by the tokens of known open requests. Lines of refused requests name the organisation and its standing. Where load control isn't in effect only the latter changes.

--- a/benches/fleet_runs.py
+++ b/benches/fleet_runs.py
@@ -616,7 +616,7 @@
         registered = router.view.servers.by_server[engine.name]
         weights_match = registered.registration.weights[MODEL] == engine.version
         if not weights_match or not engine.submit(run):
-            client.attempt_load.close()
+            client.attempt_load.close(self.scheduler.now)
             client.attempt_load = None
             backend = backend_of(router, engine)
             backend.back_off_full(self.scheduler.now)
@@ -650,7 +650,7 @@
         if client.ended:
             return
         client.ended = True
-        client.attempt_load.close()
+        client.attempt_load.close(self.scheduler.now)
         backend.note_success()
         outcome = self.outcomes[client.kind.name]
         first_event_wait = client.first_event_at - client.started_at
@@ -678,7 +678,7 @@
         """Ends an attempt without an answer; a client makes two attempts."""
         client.ended = True
         if client.attempt_load is not None:
-            client.attempt_load.close()
+            client.attempt_load.close(self.scheduler.now)
             client.attempt_load = None
         if client.attempts < 2:
             self.scheduler.schedule_after(
--- a/pimentoledge/routing/attempt_loads.py
+++ b/pimentoledge/routing/attempt_loads.py
@@ -4,6 +4,8 @@
 from pimentoledge.routing import first_events
 from pimentoledge.routing import request_types
 from pimentoledge.routing import wait_estimates
+from pimentoledge.routing.fair_shares import organisation_shares
+from pimentoledge.routing.fair_shares import share_counters
 
 
 class AttemptLoad:
@@ -13,6 +15,9 @@
         client_request: the client's request.
         backend: the server.
         dispatch: routing data sent along with the request.
+        fair_shares: counts what organisations receive; None where load control
+            is not in effect.
+        work: what the request takes of its service.
         prompt_read: whether the prefill has finished or was given up.
     """
 
@@ -22,10 +27,13 @@
         client_request: request_types.ClientRequest,
         backend: backends.Backend,
         dispatch: request_types.Dispatch,
+        fair_shares: organisation_shares.FairShares | None = None,
     ):
         self.client_request = client_request
         self.backend = backend
         self.dispatch = dispatch
+        self.fair_shares = fair_shares
+        self.work = share_counters.work_of(client_request)
         self.prompt_read = False
         self._reading = 0
         self._unbegun = False
@@ -48,9 +56,12 @@
         if not backend.outstanding():
             backend.read_since = now
         backend.open += 1
+        backend.open_tokens += self.work.memory
         backend.unbegun += 1
         self._unbegun = True
         backend.unread_tokens += self._reading
+        if self.fair_shares is not None:
+            self.fair_shares.note_started(*self._owner(), self.work, now)
 
     def note_first_event(
         self, fit: first_events.FirstEventFit, now: float
@@ -68,7 +79,15 @@
         self._reading = 0
         self.prompt_read = True
 
-    def close(self) -> None:
+    def close(self, now: float) -> None:
         """Removes the ended attempt from the server's load."""
         self.end_prompt_reading()
         self.backend.open -= 1
+        self.backend.open_tokens -= self.work.memory
+        if self.fair_shares is not None:
+            self.fair_shares.note_ended(*self._owner(), self.work, now)
+
+    def _owner(self) -> tuple[str, str]:
+        """Returns the service and the organisation that receives it."""
+        service = self.backend.registration.service
+        return service, self.dispatch.organisation or ""
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import retry_rules
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import wait_estimates
+from pimentoledge.routing.fair_shares import organisation_shares
 
 # How long an idle connection is kept if the server announces no idle timeout.
 DEFAULT_IDLE_SECONDS = 3.0
@@ -71,6 +72,7 @@
         connection: server_connections.ServerConnection,
         max_idle: int | None,
         speeds: wait_estimates.Speeds,
+        fair_shares: organisation_shares.FairShares | None = None,
     ):
         self.client_request = client_request
         self.backend = backend
@@ -80,7 +82,10 @@
         self.max_idle = max_idle
         self.speeds = speeds
         self.account = attempt_loads.AttemptLoad(
-            client_request=client_request, backend=backend, dispatch=dispatch
+            client_request=client_request,
+            backend=backend,
+            dispatch=dispatch,
+            fair_shares=fair_shares,
         )
         self.begun = False
         self.withdrawn = False
@@ -99,7 +104,7 @@
 
         The abort makes the server cancel the request.
         """
-        self.account.close()
+        self.account.close(clocks.now())
         if self.connection.busy:
             self.connection.abort()
 
--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -67,6 +67,7 @@
         registration: its last registration in the store.
         notice: what it has announced, also before its entry was removed.
         open: requests of this process that it has not ended.
+        open_tokens: memory of these, in tokens.
         unread_tokens: prompt tokens of this process that it has not prefilled
             yet.
         read_since: start of the prefill in progress, as far as known.
@@ -99,6 +100,7 @@
     )
     notice: ServerNotice = attrs.field(factory=ServerNotice)
     open: int = 0
+    open_tokens: int = 0
     unread_tokens: int = 0
     read_since: float = 0.0
     unbegun: int = 0
--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from pimentoledge.routing.fair_shares import standings
+
 # Share of a runner's slots that less urgent requests may use. Prefilling long
 # prompts slows all responses of a runner: with every slot open to them, short
 # responses take ten times as long, occupy their slots, and nothing ends in
@@ -28,6 +30,13 @@
 # refused everywhere, and an underestimated prefill speed would never be
 # corrected because no request would be sent.
 TOLERATED_QUEUE_OBJECTIVES = 0.3
+# Under scarcity, part of what others may use that an organisation above its
+# share may use. The rest stays free for those below theirs: they ask for less
+# than a seventh of what the others have, so it is enough for them.
+ABOVE_SHARE = 0.85
+# How much longer than others a starved request may wait. A wait beyond the
+# objective is worth less than one in time and more than a refusal.
+STARVED_WAIT = 2.0
 
 
 class Shortage(enum.StrEnum):
@@ -46,15 +55,48 @@
 
     Attributes:
         urgent: whether its route is among the most urgent.
-        mean_tokens: mean memory use of a runner's requests, in tokens.
+        mean_tokens: mean memory use of a runner's requests, in tokens; with
+            `tokens`, of those whose memory no router has reported.
         memory: size of a runner's memory in tokens, or None if unknown.
         objective_seconds: target time to the first event.
+        tokens: memory that the request uses, in tokens; None without load
+            control, where `mean_tokens` stands for it.
+        standing: how its organisation's service compares with its share, or
+            None without load control.
+        scarce: whether most of what such a request may use is in use.
+        starved: whether its kind or organisation is hardly ever served.
     """
 
     urgent: bool
     mean_tokens: float
     memory: int | None
     objective_seconds: float
+    tokens: int | None = None
+    standing: standings.Standing | None = None
+    scarce: bool = False
+    starved: bool = False
+
+    def shares(self) -> tuple[float, float]:
+        """Returns the shares of slots and of memory that it may use.
+
+        A starved request competes with the most urgent ones.
+        """
+        urgent = self.urgent or self.starved
+        limit = self._limit()
+        return (
+            limit * (URGENT_SLOTS if urgent else LESS_URGENT_SLOTS),
+            limit * (URGENT_MEMORY_SHARE if urgent else MEMORY_SHARE),
+        )
+
+    def wait_factor(self) -> float:
+        """Returns by how much its longest accepted wait is changed."""
+        return STARVED_WAIT if self.starved else self._limit()
+
+    def _limit(self) -> float:
+        above = self.standing is standings.Standing.ABOVE
+        if above and self.scarce and not self.starved:
+            return ABOVE_SHARE
+        return 1.0
 
 
 def shortage(
@@ -64,6 +106,7 @@
     busy: float,
     first_seconds: float,
     wait_seconds: float,
+    held_tokens: float = 0.0,
 ) -> Shortage | None:
     """Returns the resource that a runner lacks for one more request, or None.
 
@@ -76,20 +119,22 @@
         busy: number of requests at the runner.
         first_seconds: expected time to the first event there.
         wait_seconds: the share of that time spent waiting for other requests.
+        held_tokens: memory in use at the runner, in tokens; used with load
+            control.
     """
     if not busy:
         return None
-    slot_share = URGENT_SLOTS if demand.urgent else LESS_URGENT_SLOTS
+    slot_share, memory_share = demand.shares()
     if busy + 1 > slot_share * slots:
         return Shortage.SLOTS
-    memory_share = URGENT_MEMORY_SHARE if demand.urgent else MEMORY_SHARE
-    used = (busy + 1) * demand.mean_tokens
+    if demand.tokens is None:
+        used = (busy + 1) * demand.mean_tokens
+    else:
+        used = held_tokens + demand.tokens
     if demand.memory is not None and used > memory_share * demand.memory:
         return Shortage.MEMORY
-    late = first_seconds > MAX_WAIT_OBJECTIVES * demand.objective_seconds
-    if (
-        late
-        and wait_seconds > TOLERATED_QUEUE_OBJECTIVES * demand.objective_seconds
-    ):
+    objective = demand.wait_factor() * demand.objective_seconds
+    late = first_seconds > MAX_WAIT_OBJECTIVES * objective
+    if late and wait_seconds > TOLERATED_QUEUE_OBJECTIVES * objective:
         return Shortage.TIME
     return None
--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -18,6 +18,7 @@
 from pimentoledge.routing import suspects as suspects_module
 from pimentoledge.routing import wait_estimates
 from pimentoledge.routing import wanted_weights
+from pimentoledge.routing.fair_shares import organisation_shares
 from pimentoledge.routing.quotas import ledgers
 
 # Requests are sent to a server with superseded weights only until this long
@@ -96,6 +97,7 @@
         remote_means: mean load of runners in other data centres.
         suspects: request content that was on servers when they crashed.
         load_control: at which services load control is in effect.
+        fair_shares: what organisations receive of each service.
     """
 
     name: str
@@ -134,6 +136,9 @@
     load_control: load_controls.LoadControl = attrs.field(
         factory=load_controls.LoadControl
     )
+    fair_shares: organisation_shares.FairShares = attrs.field(
+        factory=organisation_shares.FairShares
+    )
 
     def known_at(self, name: str) -> float:
         """Returns up to when changes of a kind of objects are known, or 0."""
--- a/pimentoledge/routing/counters.py
+++ b/pimentoledge/routing/counters.py
@@ -6,15 +6,24 @@
 
 import bisect
 
+from pimentoledge.routing import clocks
+from pimentoledge.routing.fair_shares import refusal_counts
+
 # Upper bounds in seconds, around the usual latency objectives of 0.2 to 0.8 s.
 BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0)
 
+# Organisations with a gauge of their refusals.
+MAX_SHOWN = 10
+
 
 class Counters:
     """The counters of one router.
 
     Attributes:
         decisions: number of decisions by kind and outcome.
+        refusals: number of refusals by urgency of the route and standing of the
+            organisation; "" where they are unknown.
+        refused: recent refusals by organisation.
         first_events: number of streams by bucket of the time to their first
             event; the last bucket holds those beyond all bounds.
         first_seconds: sum of these times in seconds.
@@ -22,6 +31,8 @@
 
     def __init__(self):
         self.decisions: dict[tuple[str, str], int] = {}
+        self.refusals: dict[tuple[str, str], int] = {}
+        self.refused = refusal_counts.RefusalCounts()
         self.first_events = [0] * (len(BUCKETS) + 1)
         self.first_seconds = 0.0
 
@@ -30,6 +41,14 @@
         key = (kind, outcome)
         self.decisions[key] = self.decisions.get(key, 0) + 1
 
+    def refusal(
+        self, *, urgency: str, standing: str, organisation: str, now: float
+    ) -> None:
+        """Counts a refused request, also one over its organisation's limit."""
+        key = (urgency, standing)
+        self.refusals[key] = self.refusals.get(key, 0) + 1
+        self.refused.add(organisation, now)
+
     def first_event(self, seconds: float) -> None:
         """Counts a stream's time to its first event."""
         self.first_events[bisect.bisect_left(BUCKETS, seconds)] += 1
@@ -66,6 +85,23 @@
         for (kind, outcome), count in self.counters.decisions.items():
             family.add_metric([kind, outcome], count)
         yield family
+        family = self.core.CounterMetricFamily(
+            "pimentoledge_router_refusals",
+            "Refused requests, by urgency and standing of the organisation",
+            labels=["urgency", "standing"],
+        )
+        for (urgency, standing), count in self.counters.refusals.items():
+            family.add_metric([urgency, standing], count)
+        yield family
+        family = self.core.GaugeMetricFamily(
+            "pimentoledge_router_organisation_refusals",
+            "Recent refusals, halved each minute, of the largest organisations",
+            labels=["organisation"],
+        )
+        largest = self.counters.refused.largest(MAX_SHOWN, clocks.now())
+        for organisation, count in largest.items():
+            family.add_metric([organisation], count)
+        yield family
         buckets = []
         total = 0
         for bound, count in zip(
--- a/pimentoledge/routing/decision_fields.py
+++ b/pimentoledge/routing/decision_fields.py
@@ -5,6 +5,7 @@
 from pimentoledge.routing import configurations
 from pimentoledge.routing import placements
 from pimentoledge.routing import request_types
+from pimentoledge.routing.fair_shares import share_demands
 
 
 def of_choice(
@@ -95,6 +96,45 @@
     }
 
 
+def of_standing(
+    view: cluster_views.ClusterView,
+    client_request: request_types.ClientRequest | None,
+    route: configurations.Route | None,
+    organisation: configurations.Organisation | None,
+    now: float,
+) -> dict[str, object]:
+    """Returns the log fields of how an organisation's service compares.
+
+    `received` and `share` are parts of the service's capacity, divided by the
+    organisation's weight. Where load control is not in effect, only the
+    organisation is named.
+    """
+    fields = {
+        "organisation": share_demands.name_of(organisation),
+        "standing": None,
+    }
+    if route is None or client_request is None or view.configuration is None:
+        return fields
+    service = route.shares[0].service
+    shares = share_demands.counting(view, service)
+    if shares is None:
+        return fields
+    name = fields["organisation"]
+    usage = share_demands.update(view, service, client_request.model, now)
+    return fields | {
+        "standing": shares.standing(service, name, now).value,
+        "received": round(shares.received(service, name, now), 4),
+        "share": round(shares.level(service, now), 4),
+        "slots_used": _part(usage.busy, usage.slots),
+        "memory_used": _part(usage.held, usage.memory),
+        "starved": shares.served.is_starved(service, name, route.urgency),
+    }
+
+
+def _part(used: float, total: float) -> float | None:
+    return round(used / total, 3) if total else None
+
+
 def _configuration(
     view: cluster_views.ClusterView, now: float
 ) -> dict[str, object]:
--- /dev/null
+++ b/pimentoledge/routing/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divides the capacity of services among organisations by their shares."""
--- /dev/null
+++ b/pimentoledge/routing/fair_shares/share_demands.py
@@ -0,0 +1,108 @@
+"""Adds an organisation's standing and a service's scarcity to a demand."""
+
+import attrs
+
+from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import cluster_views
+from pimentoledge.routing import configurations
+from pimentoledge.routing import request_types
+from pimentoledge.routing.fair_shares import organisation_shares
+from pimentoledge.routing.fair_shares import service_usages
+from pimentoledge.routing.fair_shares import share_counters
+
+# Interval at which the use of a service's servers is summed up.
+USAGE_SECONDS = 0.2
+# Shortages that show that capacity is scarce; weights that are too old don't.
+CAPACITY_SHORTAGES = frozenset(
+    (
+        capacity_checks.Shortage.SLOTS,
+        capacity_checks.Shortage.MEMORY,
+        capacity_checks.Shortage.TIME,
+    )
+)
+
+
+def counting(
+    view: cluster_views.ClusterView, service: str
+) -> organisation_shares.FairShares | None:
+    """Returns what counts requests of a service, or None if nothing does."""
+    return view.fair_shares if view.load_control.applies(service) else None
+
+
+def name_of(organisation: configurations.Organisation | None) -> str:
+    """Returns the name that an organisation is counted under.
+
+    Requests without a key count together as one organisation.
+    """
+    return "" if organisation is None else organisation.name
+
+
+def with_shares(
+    demand: capacity_checks.Demand,
+    *,
+    view: cluster_views.ClusterView,
+    client_request: request_types.ClientRequest,
+    route: configurations.Route,
+    organisation: configurations.Organisation | None,
+    service_name: str,
+    now: float,
+) -> capacity_checks.Demand:
+    """Returns the demand of a request where load control is in effect."""
+    shares = view.fair_shares
+    name = name_of(organisation)
+    usage = update(view, service_name, client_request.model, now)
+    demand = attrs.evolve(
+        demand,
+        tokens=share_counters.work_of(client_request).memory,
+        mean_tokens=usage.mean_tokens,
+        starved=shares.served.is_starved(
+            route.shares[0].service, name, route.urgency
+        ),
+    )
+    scarce = usage.is_scarce(*demand.shares())
+    return attrs.evolve(
+        demand,
+        standing=shares.standing(service_name, name, now),
+        scarce=scarce or shares.is_short(service_name, now),
+    )
+
+
+def update(
+    view: cluster_views.ClusterView, service_name: str, model: str, now: float
+) -> service_usages.ServiceUsage:
+    """Returns the use of a service's servers; measures it if that is due."""
+    shares = view.fair_shares
+    usage = shares.usage(service_name, now - USAGE_SECONDS)
+    if usage is not None:
+        return usage
+    service = view.configuration.services.get(service_name)
+    memory = None if service is None else service.cache_tokens
+    usage = service_usages.measure(
+        view.servers.of_service(service_name),
+        memory=memory,
+        mean_tokens=view.mean_unshared(model).mean(),
+        now=now,
+    )
+    token_seconds = view.first_event(model).token_seconds if model else 0.0
+    shares.set_organisations(view.configuration.organisations)
+    shares.set_capacity(
+        service_name,
+        memory=(memory or 0) * usage.servers if model else usage.slots,
+        prefill=usage.servers / token_seconds if token_seconds > 0 else None,
+    )
+    shares.set_usage(service_name, usage, now)
+    return usage
+
+
+def note_shortage(
+    view: cluster_views.ClusterView,
+    service_name: str,
+    organisation: configurations.Organisation | None,
+    shortages: dict[capacity_checks.Shortage, int],
+    now: float,
+) -> None:
+    """Records that no server of a service had capacity for a request."""
+    if view.load_control.applies(service_name) and (
+        CAPACITY_SHORTAGES & shortages.keys()
+    ):
+        view.fair_shares.note_shortage(service_name, name_of(organisation), now)
--- a/pimentoledge/routing/load_reports.py
+++ b/pimentoledge/routing/load_reports.py
@@ -291,13 +291,20 @@
         for name in gone | set(report.has):
             backend = servers.get(name)
             if backend is not None:
-                self._set_peer_load(backend, sender, report.has.get(name), now)
+                self._set_peer_load(
+                    backend,
+                    sender,
+                    report.has.get(name),
+                    report.memory.get(name),
+                    now,
+                )
 
     def _set_peer_load(
         self,
         backend: backends.Backend,
         sender: str,
         peer_load: tuple[int, int, int] | None,
+        tokens: int | None,
         now: float,
     ) -> None:
         """Sets a router's load at a server.
@@ -312,7 +319,9 @@
             open_, unbegun, unread = peer_load
             backend.peer_loads.set(
                 sender,
-                peer_loads.PeerLoad(open=open_, unbegun=unbegun, unread=unread),
+                peer_loads.PeerLoad(
+                    open=open_, unbegun=unbegun, unread=unread, tokens=tokens
+                ),
             )
         if not before or backend.outstanding() < before:
             backend.read_since = now
--- a/pimentoledge/routing/peer_loads.py
+++ b/pimentoledge/routing/peer_loads.py
@@ -11,11 +11,13 @@
         open: requests that have not ended.
         unbegun: open requests without a first event.
         unread: prompt tokens of these that the server has not prefilled yet.
+        tokens: memory of the open requests in tokens, or None if not reported.
     """
 
     open: int
     unbegun: int
     unread: int
+    tokens: int | None = None
 
 
 class PeerLoads:
@@ -28,12 +30,16 @@
         open: sum of their open requests.
         unbegun: sum of their open requests without a first event.
         unread: sum of the prompt tokens of these.
+        sized: sum of the open requests whose memory was reported.
+        tokens: sum of the memory of these.
     """
 
     def __init__(self):
         self.open = 0
         self.unbegun = 0
         self.unread = 0
+        self.sized = 0
+        self.tokens = 0
         self._loads: dict[str, PeerLoad] = {}
 
     def set(self, router: str, load: PeerLoad) -> None:
@@ -52,3 +58,6 @@
         self.open += sign * load.open
         self.unbegun += sign * load.unbegun
         self.unread += sign * load.unread
+        if load.tokens is not None:
+            self.sized += sign * load.open
+            self.tokens += sign * load.tokens
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -34,6 +34,7 @@
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
+from pimentoledge.routing.fair_shares import share_reports
 from pimentoledge.routing.quotas import limiters
 
 logger = logbook.Logger("peers")
@@ -120,6 +121,7 @@
         self.load_reports = load_reports.LoadReports(
             view=view, roster=self.roster, send_all=self._send_all
         )
+        self.load_reports.parts.append(share_reports.ShareReports(view=view))
         self.limit_reports = limit_reports.LimitReports(
             view=view,
             roster=self.roster,
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import cache_sources
 from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import request_types
 from pimentoledge.routing import wait_estimates
 
@@ -217,6 +218,9 @@
             busy=wait.busy,
             first_seconds=wait.seconds,
             wait_seconds=wait.others_seconds,
+            held_tokens=memory_estimates.held_tokens(
+                backend, wait.busy, criteria.demand.mean_tokens
+            ),
         )
     withdrawn_at = criteria.withdrawn_at(version)
     if withdrawn_at is not None and now + wait.seconds >= withdrawn_at:
--- a/pimentoledge/routing/request_stages/acceptance.py
+++ b/pimentoledge/routing/request_stages/acceptance.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import request_types
 from pimentoledge.routing import stale_configurations
 from pimentoledge.routing import suspects
+from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.quotas import ledgers
 from pimentoledge.routing.request_stages import contexts
 from pimentoledge.routing.request_stages import final_responses
@@ -36,7 +37,17 @@
         self.final = final
 
     def note_prompt(self, client_request: request_types.ClientRequest) -> None:
-        """Counts the prompt of an accepted request in its model's mean."""
+        """Counts an accepted request, and its prompt in its model's mean."""
+        context = self.context
+        service = context.route.shares[0].service
+        shares = share_demands.counting(context.view, service)
+        if shares is not None:
+            shares.served.note_asked(
+                service,
+                context.organisation_name(),
+                context.route.urgency,
+                clocks.now(),
+            )
         if client_request.model:
             self.context.view.mean_unshared(client_request.model).note(
                 memory_estimates.unshared_tokens(client_request)
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -11,6 +11,7 @@
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import suspects
+from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.request_stages import contexts
 from pimentoledge.routing.request_stages import server_responses
 
@@ -59,6 +60,9 @@
                 self.context.client_request.model,
                 backend.registration.service,
             ),
+            fair_shares=share_demands.counting(
+                self.context.view, backend.registration.service
+            ),
         )
         self.context.history.sent(backend.registration.incarnation)
         self.context.sent_at = clocks.now()
--- a/pimentoledge/routing/request_stages/final_responses.py
+++ b/pimentoledge/routing/request_stages/final_responses.py
@@ -7,6 +7,7 @@
 from pimentoledge.routing import decision_fields
 from pimentoledge.routing import retry_rules
 from pimentoledge.routing import router_responses
+from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.quotas import limiters
 from pimentoledge.routing.request_stages import contexts
 
@@ -37,7 +38,7 @@
         self.context.log(
             "limited",
             code=code.name,
-            organisation=self.context.organisation.name,
+            **self._standing(clocks.now()),
             cost=self.context.charge.cost,
             left=round(decision.left),
             share=round(decision.share, 3),
@@ -71,16 +72,21 @@
 
     def refuse(self, code: results.Code) -> None:
         """Refuses the request, and says when the client may retry."""
-        wait = self._retry_seconds(code, clocks.now())
+        now = clocks.now()
+        wait = self._retry_seconds(code, now)
+        standing = self._standing(now)
+        if code in NO_CAPACITY_CODES:
+            self._note_no_capacity(now)
         self.context.log(
             "refused",
             code=code.name,
             retry_s=None if wait is None else round(wait, 3),
+            **standing,
             **decision_fields.of_refusal(
                 self.context.view,
                 self.context.route,
                 len(self.context.history.excluded_servers()),
-                clocks.now(),
+                now,
             ),
             lacks={
                 each.value: count
@@ -89,6 +95,37 @@
         )
         self.context.answer.refuse(code, wait)
 
+    def _standing(self, now: float) -> dict[str, object]:
+        """Counts a refusal; returns the log fields of who is refused."""
+        context = self.context
+        fields = decision_fields.of_standing(
+            context.view,
+            context.client_request,
+            context.route,
+            context.organisation,
+            now,
+        )
+        route = context.route
+        context.lines.counters.refusal(
+            urgency="" if route is None else str(route.urgency),
+            standing=fields["standing"] or "",
+            organisation=fields["organisation"],
+            now=now,
+        )
+        return fields
+
+    def _note_no_capacity(self, now: float) -> None:
+        """Counts that no server could accept the request."""
+        route = self.context.route
+        if route is None:
+            return
+        service = route.shares[0].service
+        shares = share_demands.counting(self.context.view, service)
+        if shares is not None:
+            shares.served.note_refused(
+                service, self.context.organisation_name(), route.urgency, now
+            )
+
     def _retry_seconds(self, code: results.Code, now: float) -> float | None:
         """Returns the seconds until the client may retry, or None."""
         if code is results.Code.CRASHES:
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -16,6 +16,7 @@
 from pimentoledge.routing import request_types
 from pimentoledge.routing import shortlists
 from pimentoledge.routing import wait_estimates
+from pimentoledge.routing.fair_shares import share_demands
 
 MAX_URGENCY = 9
 # Distinct route urgencies within one urgency of an organisation.
@@ -113,6 +114,9 @@
             )
             if isinstance(result, placements.Choice):
                 return result
+        share_demands.note_shortage(
+            view, name, organisation, result.shortage, now
+        )
     return result
 
 
@@ -143,7 +147,10 @@
     return attrs.evolve(
         criteria,
         demand=attrs.evolve(
-            criteria.demand, urgent=True, objective_seconds=math.inf
+            criteria.demand,
+            urgent=True,
+            objective_seconds=math.inf,
+            standing=None,
         ),
     )
 
@@ -183,7 +190,6 @@
     service_name: str,
     now: float,
 ) -> placements.Criteria:
-    service = view.configuration.services.get(service_name)
     wanted = view.wanted.get(client_request.model)
     return placements.Criteria(
         data_centre=view.data_centre,
@@ -199,7 +205,9 @@
             view, client_request, organisation, service_name, now
         ),
         speeds=speeds_of(view, client_request.model, service_name),
-        demand=_demand(view, client_request, route, service),
+        demand=_demand(
+            view, client_request, route, organisation, service_name, now
+        ),
         local_first=bool(client_request.model) and not view.reaches_all,
     )
 
@@ -229,16 +237,30 @@
     view: cluster_views.ClusterView,
     client_request: request_types.ClientRequest,
     route: configurations.Route,
-    service: configurations.Service | None,
+    organisation: configurations.Organisation | None,
+    service_name: str,
+    now: float,
 ) -> capacity_checks.Demand | None:
     if not client_request.model:
         return None
-    return capacity_checks.Demand(
+    service = view.configuration.services.get(service_name)
+    demand = capacity_checks.Demand(
         urgent=route.urgency == request_types.HIGHEST_URGENCY,
         mean_tokens=view.mean_unshared(client_request.model).mean(),
         memory=None if service is None else service.cache_tokens,
         objective_seconds=route.objective_seconds,
     )
+    if not view.load_control.applies(service_name):
+        return demand
+    return share_demands.with_shares(
+        demand,
+        view=view,
+        client_request=client_request,
+        route=route,
+        organisation=organisation,
+        service_name=service_name,
+        now=now,
+    )
 
 
 def _newest_sources(
