--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -10,6 +10,7 @@
 from pimentoledge.routing import backends
 from pimentoledge.routing import cache_sources
 from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import request_types
 from pimentoledge.routing import wait_estimates
 
@@ -305,6 +306,9 @@
             limit=backend.speed.limit(backend.registration.slots)
             if per_server
             else None,
+            held_tokens=memory_estimates.held_tokens(
+                backend, wait.busy, criteria.demand.mean_tokens
+            ),
         )
     withdrawn_at = criteria.withdrawn_at(version)
     if withdrawn_at is not None and now + wait.seconds >= withdrawn_at:
