--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -189,7 +189,9 @@
             bandwidth=chosen.number("link-mbps"),
         )
         self.admission = gates.AdmissionGate(
-            counters=self.counters, in_use=self.view.servers.requests_in_use
+            counters=self.counters,
+            in_use=self.view.servers.requests_in_use,
+            received=self.view.fair_shares.received,
         )
         self.peers.load_reports.parts.append(self.admission)
         self.updater.on_server = lambda service: self.admission.notify(
