--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -21,6 +21,8 @@
 # News within this time lead to one search for places. A search costs up to
 # 1 ms, and some 300 load reports a second arrive in a large data centre.
 SEARCH_SECONDS = 0.02
+# The same for ended attempts of this router, each of which leaves a place.
+END_SEARCH_SECONDS = 0.005
 # After this many failed searches for requests of one kind, others of that kind
 # are not tried until the next news.
 MAX_FAILED_SEARCHES = 3
@@ -213,7 +215,12 @@
             self.rates[service].note_released(seconds, now)
             self.service_rates[kind].note_released(seconds, now)
         self.shares.note_ended(server)
-        self.notify(service, now)
+        queue = self.queues.get(service)
+        since = now - self._searched.get(service, 0.0)
+        if queue is not None and queue.tickets and since >= END_SEARCH_SECONDS:
+            self._search(service, now)
+        else:
+            self.notify(service, now)
 
     def service_seconds(self, kind: str) -> float:
         """Returns how long attempts of a route take, or 0 if unknown."""
