Admission queue: cheaper estimates; waits of middle urgencies

Change: the wait counts at most eight places for each request as urgent; the time between places is estimated once per 50 ms.

--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -28,8 +28,8 @@
 MAX_FAILED_SEARCHES = 3
 # Most servers at which one request looks for an unused part of the places.
 MAX_SERVERS_TRIED = 4
-# The number of places in use is computed anew after this time.
-IN_USE_SECONDS = 0.05
+# The expected time between two places is computed anew after this time.
+ESTIMATE_SECONDS = 0.05
 
 
 class PlaceFinder(Protocol):
@@ -119,7 +119,7 @@
         )
         self._searched: dict[str, float] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
-        self._in_use: dict[str, tuple[float, float]] = {}
+        self._place_seconds: dict[str, tuple[float | None, float]] = {}
 
     async def wait(
         self, ticket: tickets_module.Ticket, finder: PlaceFinder
@@ -326,13 +326,16 @@
     def _expected_wait(
         self, service: str, ahead: int, now: float
     ) -> float | None:
-        in_use, at = self._in_use.get(service, (0.0, -1.0))
-        if not 0 <= now - at < IN_USE_SECONDS:
-            in_use = self.in_use(service, now)
-            self._in_use[service] = (in_use, now)
-        return self.rates[service].expected_wait(
-            ahead, now, in_use=in_use, routers=self._routers(service, now)
-        )
+        seconds, at = self._place_seconds.get(service, (None, -1.0))
+        if not 0 <= now - at < ESTIMATE_SECONDS:
+            seconds = self.rates[service].expected_wait(
+                0,
+                now,
+                in_use=self.in_use(service, now),
+                routers=self._routers(service, now),
+            )
+            self._place_seconds[service] = (seconds, now)
+        return None if seconds is None else seconds * (ahead + 1)
 
     def _routers(self, service: str, now: float) -> int:
         return 1 + self.peers.routers(service, now)
--- a/pimentoledge/routing/admission/queues.py
+++ b/pimentoledge/routing/admission/queues.py
@@ -119,15 +119,17 @@
             ticket,
             len(before),
             sum(each.urgency == ticket.urgency for each in before),
+            {each.urgency for each in self.tickets},
         )
 
     def late(self, now: float) -> list[tickets_module.Ticket]:
         """Returns the tickets for which no place is expected in time."""
         found = []
         kept: collections.Counter[int] = collections.Counter()
+        urgencies = {each.urgency for each in self.tickets}
         for ticket in self.ordered(now):
             ahead = self._places_before(
-                ticket, kept.total(), kept[ticket.urgency]
+                ticket, kept.total(), kept[ticket.urgency], urgencies
             )
             if self._is_late(ticket, ahead, now):
                 found.append(ticket)
@@ -149,7 +151,11 @@
         return now + (wait or 0.0) >= ticket.until
 
     def _places_before(
-        self, ticket: tickets_module.Ticket, before: int, alike: int
+        self,
+        ticket: tickets_module.Ticket,
+        before: int,
+        alike: int,
+        urgencies: set[int],
     ) -> int:
         """Returns the number of places given out before a ticket's.
 
@@ -157,10 +163,12 @@
             ticket: the ticket.
             before: number of tickets before it in the order.
             alike: number of those that are as urgent.
+            urgencies: the urgencies of all tickets.
         """
-        if any(each.urgency > ticket.urgency for each in self.tickets):
+        if all(each >= ticket.urgency for each in urgencies):
             return before
-        return min(before, LEAST_URGENT_EVERY * (alike + 1) - 1)
+        least = all(each <= ticket.urgency for each in urgencies)
+        return min(before, _places_each(least=least) * (alike + 1) - 1)
 
     def _key(
         self, now: float
@@ -187,9 +195,8 @@
         return [
             urgency
             for urgency in present[:-1]
-            if self._passed[urgency]
-            >= (LEAST_URGENT_EVERY if urgency == present[0] else BETWEEN_EVERY)
-            - 1
+            if self._passed[urgency] + 1
+            >= _places_each(least=urgency == present[0])
         ]
 
     def _note_served(self, ticket: tickets_module.Ticket) -> None:
@@ -203,6 +210,11 @@
         self._passed[ticket.urgency] = 0
 
 
+def _places_each(*, least: bool) -> int:
+    """Returns of how many places an urgency gets at least one."""
+    return LEAST_URGENT_EVERY if least else BETWEEN_EVERY
+
+
 def _level(received: float) -> float:
     """Returns the same number for about equal amounts of service."""
     if received <= 0:
--- a/pimentoledge/tests/test_router_admission_path.py
+++ b/pimentoledge/tests/test_router_admission_path.py
@@ -98,3 +98,21 @@
     bodies = {call.body for call in world.executed_requests("plain")}
     assert not bodies & {b"left", b"late"}
     assert router.admission.returning.refused
+
+
+@with_world(routers=2, plain=1, runners=0)
+async def test_routers_report_waiting_and_refused_requests(world):
+    """Guards against places that all routers give out."""
+    _control_load(world, work_seconds=1.5)
+    answers = _requests(world, SLOTS + 1)
+    first, second = world.routers
+    await _until_waiting(first, 1)
+    await world.until(
+        lambda: second.admission.peers.routers("plain", clocks.now()) == 1
+    )
+    assert (await answers[-1]).status == 503
+    await world.until(lambda: second.admission.returning.refused)
+    assert second.admission.returning.refused.keys() == (
+        first.admission.returning.refused.keys()
+    )
+    await asyncio.gather(*answers)
--- a/pimentoledge/tests/test_router_admission_queue.py
+++ b/pimentoledge/tests/test_router_admission_queue.py
@@ -141,7 +141,9 @@
     waiting = queue(0.1)
     for _ in range(60):
         waiting.offer(ticket(until=9.0), 0.0)
-    assert isinstance(waiting.offer(ticket(urgency=2), 0.0), tickets.Queued)
+    for urgency in (2, 1):
+        got = waiting.offer(ticket(urgency=urgency), 0.0)
+        assert isinstance(got, tickets.Queued)
 
 
 def test_a_waiting_request_is_refused_once_its_wait_does_not_fit():
