--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -21,13 +21,15 @@
 # News within this time lead to one search for places. A search costs up to
 # 1 ms, and some 300 load reports a second arrive in a large data centre.
 SEARCH_SECONDS = 0.02
+# The same for ended attempts of this router, each of which leaves a place.
+END_SEARCH_SECONDS = 0.005
 # After this many failed searches for requests of one kind, others of that kind
 # are not tried until the next news.
 MAX_FAILED_SEARCHES = 3
 # Most servers at which one request looks for an unused part of the places.
 MAX_SERVERS_TRIED = 4
-# The number of places in use is computed anew after this time.
-IN_USE_SECONDS = 0.05
+# The expected time between two places is computed anew after this time.
+ESTIMATE_SECONDS = 0.05
 
 
 class PlaceFinder(Protocol):
@@ -117,7 +119,7 @@
         )
         self._searched: dict[str, float] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
-        self._in_use: dict[str, tuple[float, float]] = {}
+        self._place_seconds: dict[str, tuple[float | None, float]] = {}
 
     async def wait(
         self, ticket: tickets_module.Ticket, finder: PlaceFinder
@@ -213,7 +215,12 @@
             self.rates[service].note_released(seconds, now)
             self.service_rates[kind].note_released(seconds, now)
         self.shares.note_ended(server)
-        self.notify(service, now)
+        queue = self.queues.get(service)
+        since = now - self._searched.get(service, 0.0)
+        if queue is not None and queue.tickets and since >= END_SEARCH_SECONDS:
+            self._search(service, now)
+        else:
+            self.notify(service, now)
 
     def service_seconds(self, kind: str) -> float:
         """Returns how long attempts of a route take, or 0 if unknown."""
@@ -319,13 +326,16 @@
     def _expected_wait(
         self, service: str, ahead: int, now: float
     ) -> float | None:
-        in_use, at = self._in_use.get(service, (0.0, -1.0))
-        if not 0 <= now - at < IN_USE_SECONDS:
-            in_use = self.in_use(service, now)
-            self._in_use[service] = (in_use, now)
-        return self.rates[service].expected_wait(
-            ahead, now, in_use=in_use, routers=self._routers(service, now)
-        )
+        seconds, at = self._place_seconds.get(service, (None, -1.0))
+        if not 0 <= now - at < ESTIMATE_SECONDS:
+            seconds = self.rates[service].expected_wait(
+                0,
+                now,
+                in_use=self.in_use(service, now),
+                routers=self._routers(service, now),
+            )
+            self._place_seconds[service] = (seconds, now)
+        return None if seconds is None else seconds * (ahead + 1)
 
     def _routers(self, service: str, now: float) -> int:
         return 1 + self.peers.routers(service, now)
