--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -34,6 +34,11 @@
 # share may use. The rest stays free for those below theirs: they ask for less
 # than a seventh of what the others have, so it is enough for them.
 ABOVE_SHARE = 0.85
+# Under scarcity, part of what the most urgent may use that other requests of an
+# organisation below its share may use, while others have more than theirs:
+# more than the most urgent requests of those above may use, so that a flood of
+# these doesn't displace it.
+PREFERRED_SHARE = 0.92
 # How much longer than others a starved request may wait. A wait beyond the
 # objective is worth less than one in time and more than a refusal.
 STARVED_WAIT = 2.0
@@ -64,6 +69,8 @@
         standing: how its organisation's service compares with its share, or
             None without load control.
         scarce: whether most of what such a request may use is in use.
+        preferred: whether capacity is scarce, its organisation below its
+            share, and others have more than theirs.
         starved: whether its kind or organisation is hardly ever served.
     """
 
@@ -74,6 +81,7 @@
     tokens: int | None = None
     standing: standings.Standing | None = None
     scarce: bool = False
+    preferred: bool = False
     starved: bool = False
 
     def shares(self) -> tuple[float, float]:
@@ -81,22 +89,23 @@
 
         A starved request competes with the most urgent ones.
         """
-        urgent = self.urgent or self.starved
         limit = self._limit()
-        return (
-            limit * (URGENT_SLOTS if urgent else LESS_URGENT_SLOTS),
-            limit * (URGENT_MEMORY_SHARE if urgent else MEMORY_SHARE),
-        )
+        if self.urgent or self.starved:
+            return limit * URGENT_SLOTS, limit * URGENT_MEMORY_SHARE
+        if self.preferred:
+            return (
+                PREFERRED_SHARE * URGENT_SLOTS,
+                PREFERRED_SHARE * URGENT_MEMORY_SHARE,
+            )
+        return limit * LESS_URGENT_SLOTS, limit * MEMORY_SHARE
 
     def wait_factor(self) -> float:
         """Returns by how much its longest accepted wait is changed."""
-        return STARVED_WAIT if self.starved else self._limit()
+        return self._limit() * (STARVED_WAIT if self.starved else 1.0)
 
     def _limit(self) -> float:
         above = self.standing is standings.Standing.ABOVE
-        if above and self.scarce and not self.starved:
-            return ABOVE_SHARE
-        return 1.0
+        return ABOVE_SHARE if above and self.scarce else 1.0
 
 
 def shortage(
--- a/pimentoledge/routing/decision_fields.py
+++ b/pimentoledge/routing/decision_fields.py
@@ -121,13 +121,14 @@
         return fields
     name = fields["organisation"]
     usage = share_demands.update(view, service, client_request.model, now)
+    standing = shares.standing(service, name, now)
     return fields | {
-        "standing": shares.standing(service, name, now).value,
+        "standing": standing.value,
         "received": round(shares.received(service, name, now), 4),
-        "share": round(shares.level(service, now), 4),
+        "share": round(shares.level(service, now).share, 4),
         "slots_used": _part(usage.busy, usage.slots),
         "memory_used": _part(usage.held, usage.memory),
-        "starved": shares.served.is_starved(service, name, route.urgency),
+        "starved": share_demands.is_starved(view, route, name, standing),
     }
 
 
--- a/pimentoledge/routing/fair_shares/organisation_shares.py
+++ b/pimentoledge/routing/fair_shares/organisation_shares.py
@@ -40,7 +40,7 @@
         memory: tokens of memory of the servers, or None if unknown.
         prefill: prompt tokens per second that they prefill, or None if unknown.
         capacity: the capacity that dominant shares are parts of.
-        level: share of an organisation of weight 1.
+        level: what organisations are entitled to.
         level_at: time of the level.
         active: number of organisations that have received service.
         below: whether organisations below their shares receive service.
@@ -56,7 +56,7 @@
     capacity: share_counters.Capacity = share_counters.Capacity(
         memory=1.0, prefill=1.0
     )
-    level: float = 0.0
+    level: standings.ShareLevel = standings.ShareLevel()
     level_at: float = -1e9
     active: int = 0
     below: bool = False
@@ -108,7 +108,7 @@
         shares = self._service(service)
         shares.short_until = now + SHORTAGE_SECONDS
         self._update_level(shares, now)
-        if self.received(service, organisation, now) <= shares.level:
+        if self.received(service, organisation, now) <= shares.level.share:
             shares.below_until = now + SHORTAGE_SECONDS
 
     def received(self, service: str, organisation: str, now: float) -> float:
@@ -128,7 +128,7 @@
         shares = self._service(service)
         self._update_level(shares, now)
         received = self.received(service, organisation, now)
-        if received <= shares.level:
+        if received <= shares.level.share:
             alone = shares.active == 0 or (shares.active == 1 and received)
             if alone and now >= shares.below_until:
                 return standings.Standing.ALONE
@@ -137,8 +137,8 @@
             return standings.Standing.ABOVE
         return standings.Standing.ALONE
 
-    def level(self, service: str, now: float) -> float:
-        """Returns the share of an organisation of weight 1."""
+    def level(self, service: str, now: float) -> standings.ShareLevel:
+        """Returns what organisations are entitled to."""
         shares = self._service(service)
         self._update_level(shares, now)
         return shares.level
@@ -293,7 +293,7 @@
         below = sum(
             amount
             for amount, weight in received
-            if amount <= shares.level * weight
+            if amount <= shares.level.share * weight
         )
         total = sum(amount for amount, _ in received)
         shares.below = below > MIN_BELOW_SHARE * total
--- a/pimentoledge/routing/fair_shares/served_rates.py
+++ b/pimentoledge/routing/fair_shares/served_rates.py
@@ -70,18 +70,10 @@
         while len(self._counts) > MAX_COUNTED:
             self._counts.popitem(last=False)
 
-    def is_starved(self, service: str, organisation: str, urgency: int) -> bool:
-        """Returns whether an organisation or a kind is hardly ever served."""
+    def is_starved(self, service: str, kind: str | int) -> bool:
+        """Returns whether an organisation or an urgency is hardly served."""
         total = self._all.get(service)
-        if total is None or not total.refused:
+        count = self._counts.get((service, kind))
+        if total is None or count is None or count.asked < MIN_ASKED:
             return False
-        least = STARVED_RATIO * total.served()
-        for kind in (organisation, urgency):
-            count = self._counts.get((service, kind))
-            if (
-                count is not None
-                and count.asked >= MIN_ASKED
-                and count.served() < least
-            ):
-                return True
-        return False
+        return count.served() < STARVED_RATIO * total.served()
--- a/pimentoledge/routing/fair_shares/share_demands.py
+++ b/pimentoledge/routing/fair_shares/share_demands.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing.fair_shares import organisation_shares
 from pimentoledge.routing.fair_shares import service_usages
 from pimentoledge.routing.fair_shares import share_counters
+from pimentoledge.routing.fair_shares import standings
 
 # Interval at which the use of a service's servers is summed up.
 USAGE_SECONDS = 0.2
@@ -55,15 +56,39 @@
         demand,
         tokens=share_counters.work_of(client_request).memory,
         mean_tokens=usage.mean_tokens,
-        starved=shares.served.is_starved(
-            route.shares[0].service, name, route.urgency
-        ),
     )
-    scarce = usage.is_scarce(*demand.shares())
+    standing = shares.standing(service_name, name, now)
+    scarce = usage.is_scarce(*demand.shares()) or shares.is_short(
+        service_name, now
+    )
     return attrs.evolve(
         demand,
-        standing=shares.standing(service_name, name, now),
-        scarce=scarce or shares.is_short(service_name, now),
+        standing=standing,
+        scarce=scarce,
+        preferred=scarce
+        and standing is standings.Standing.BELOW
+        and shares.level(service_name, now).uneven,
+        starved=is_starved(view, route, name, standing),
+    )
+
+
+def is_starved(
+    view: cluster_views.ClusterView,
+    route: configurations.Route,
+    organisation: str,
+    standing: standings.Standing,
+) -> bool:
+    """Returns whether a request's organisation or kind is hardly ever served.
+
+    If its kind is, organisations above their shares don't profit: they may send
+    most of that kind, and the others would be served no more often.
+    """
+    served = view.fair_shares.served
+    service = route.shares[0].service
+    if served.is_starved(service, organisation):
+        return True
+    return standing is not standings.Standing.ABOVE and served.is_starved(
+        service, route.urgency
     )
 
 
--- a/pimentoledge/routing/fair_shares/standings.py
+++ b/pimentoledge/routing/fair_shares/standings.py
@@ -3,10 +3,13 @@
 from collections.abc import Iterable
 import enum
 
+import attrs
+
 # Part of all service received by which organisations together exceed the level
-# of shares. With none, only the largest organisation would be above its share
-# and the next largest would take what that one yields.
-EXCESS = 0.02
+# of shares: what those above it yield under scarcity. With a small part only
+# the largest would be above its share, and the next largest would take what it
+# yields.
+EXCESS = 0.15
 # Lowest level of shares, as a multiple of the mean: counters of organisations
 # that send the same differ by chance.
 MEAN_MULTIPLE = 1.05
@@ -27,12 +30,26 @@
     ALONE = "alone"
 
 
-def share_level(received: Iterable[tuple[float, float]]) -> float:
-    """Returns the share of an organisation of weight 1.
+@attrs.frozen(kw_only=True)
+class ShareLevel:
+    """What organisations are entitled to.
+
+    Attributes:
+        share: share of an organisation of weight 1.
+        uneven: whether some have clearly more than equal parts, and not only by
+            chance.
+    """
+
+    share: float = 0.0
+    uneven: bool = False
+
 
-    It is what max-min division leaves: organisations that use less than an
-    equal part leave the rest to the others, so it is at least the mean.
-    Organisations that received more are above their shares.
+def share_level(received: Iterable[tuple[float, float]]) -> ShareLevel:
+    """Returns the level of shares.
+
+    As in max-min division, organisations that use less than an equal part leave
+    the rest to the others, so a share is at least the mean. Organisations that
+    received more are above their shares.
 
     Args:
         received: what each organisation received, and its weight.
@@ -42,9 +59,9 @@
         reverse=True,
     )
     total = sum(amount * weight for amount, weight in ordered)
-    all_weights = sum(weight for _, weight in ordered)
     if not total:
-        return 0.0
+        return ShareLevel()
+    mean = total / sum(weight for _, weight in ordered)
     # The level lies between two organisations; those before it exceed it.
     above = weights = level = 0.0
     for amount, weight in ordered:
@@ -53,4 +70,6 @@
         above += amount * weight
         weights += weight
         level = (above - EXCESS * total) / weights
-    return max(level, MEAN_MULTIPLE * total / all_weights)
+    return ShareLevel(
+        share=max(level, MEAN_MULTIPLE * mean), uneven=level > mean
+    )
