Bound what a router buffers for servers and clients

Cause: heads, events and bodies of servers were collected without a bound, so one server that sent without end filled the memory or kept the event loop parsing.

Change: heads, interim heads, chunk framing and events have bounds; a connection that meets one is aborted, and the attempt counts as broken. Reads shrink while their bytes take long to handle.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -8,6 +8,7 @@
 
 from pimentoledge.platform import names
 from pimentoledge.platform import objects
+from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import calls
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
@@ -92,6 +93,7 @@
                 target=names.OBJECTS_PATH + target,
                 body=body,
                 seconds=seconds,
+                max_body_bytes=buffer_bounds.LISTING_BYTES,
             )
         except calls.CallError as error:
             return registrations.Unavailable(
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -3,6 +3,8 @@
 from pimentoledge.platform import requests
 from pimentoledge.routing import attempt_loads
 from pimentoledge.routing import backends
+from pimentoledge.routing import buffer_bounds
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import request_types
@@ -24,6 +26,7 @@
         outcome: how the attempt ended.
         reason: text for the log.
         silent: whether the server acknowledged nothing for too long.
+        exceeded: the bound that was exceeded, or None.
     """
 
     def __init__(
@@ -32,11 +35,13 @@
         reason: str,
         *,
         silent: bool = False,
+        exceeded: buffer_bounds.Exceeded | None = None,
     ):
         super().__init__(reason)
         self.outcome = outcome
         self.reason = reason
         self.silent = silent
+        self.exceeded = exceeded
 
 
 def broken(reason: str) -> BrokenError:
@@ -44,6 +49,14 @@
     return BrokenError(retry_rules.AttemptOutcome.BROKE, reason)
 
 
+def over_bound(bound: buffer_bounds.Bound, size: int) -> BrokenError:
+    """Returns the error of a sent attempt whose response exceeds a bound."""
+    exceeded = buffer_bounds.Exceeded(bound=bound, size=size)
+    return BrokenError(
+        retry_rules.AttemptOutcome.BROKE, str(exceeded), exceeded=exceeded
+    )
+
+
 class Attempt:
     """Sends a request to a server and reads its response.
 
@@ -123,8 +136,10 @@
 
         Raises:
             BrokenError: the connection ended, or the skipped response has no
-                request id or no defined end.
+                request id or no defined end, or there are too many of them.
         """
+        skipped = 0
+        skipped_bytes = 0
         while True:
             match await self.connection.next():
                 case server_connections.HeadReceived(head=head):
@@ -138,12 +153,24 @@
                             retry_rules.AttemptOutcome.BROKE,
                             "response to another request",
                         )
+                    skipped += 1
+                    if skipped > buffer_bounds.SKIPPED_RESPONSES:
+                        raise over_bound(buffer_bounds.Bound.SKIPPED, skipped)
+                case server_connections.BodyReceived(data=data):
+                    skipped_bytes += len(data)
+                    if skipped_bytes > buffer_bounds.COLLECTED_BYTES:
+                        raise over_bound(
+                            buffer_bounds.Bound.SKIPPED, skipped_bytes
+                        )
                 case server_connections.ConnectionBroken() as broken:
                     outcome = retry_rules.AttemptOutcome.BROKE
                     if self.withdrawn:
                         outcome = retry_rules.AttemptOutcome.WITHDRAWN
                     raise BrokenError(
-                        outcome, broken.reason, silent=broken.silent
+                        outcome,
+                        broken.reason,
+                        silent=broken.silent,
+                        exceeded=broken.exceeded,
                     )
 
     async def next_chunk(self) -> bytes | None:
@@ -163,18 +190,36 @@
                         retry_rules.AttemptOutcome.BROKE,
                         broken.reason,
                         silent=broken.silent,
+                        exceeded=broken.exceeded,
                     )
 
-    async def read_body(self) -> bytes:
-        """Returns the complete body.
+    async def collect_body(self, length: int | None) -> tuple[bytes, bool]:
+        """Returns the body, or its begin if it is too large to be held.
+
+        Args:
+            length: the announced length of the body, or None.
+
+        Returns:
+            the bytes, and whether they are the complete body.
 
         Raises:
             BrokenError: the connection ended before.
         """
+        most = buffer_bounds.COLLECTED_BYTES
+        if length is not None and length > most:
+            return b"", False
         chunks = []
-        while (chunk := await self.next_chunk()) is not None:
+        size = 0
+        while size <= most:
+            chunk = await self.next_chunk()
+            if chunk is None:
+                return b"".join(chunks), True
             chunks.append(chunk)
-        return b"".join(chunks)
+            size += len(chunk)
+            holder = self.connection.holder
+            if holder is not None:
+                holder.note(buffer_budgets.Part.COLLECTED, size)
+        return b"".join(chunks), False
 
     def release(self, answer: request_types.ServerResponse) -> None:
         """Returns the connection to the pool after a complete response."""
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -5,8 +5,10 @@
 import attrs
 import msgspec
 
+from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
+from pimentoledge.routing import log_lines
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import transfers
 
@@ -68,9 +70,11 @@
     Attributes:
         pool: the connection pool.
         open_calls: the calls whose response is pending.
+        lines: log of exceeded bounds, or None.
     """
 
-    def __init__(self):
+    def __init__(self, *, lines: log_lines.Lines | None = None):
+        self.lines = lines
         self.pool = server_connections.ConnectionPool()
         self.open_calls: set[OpenCall] = set()
 
@@ -87,6 +91,7 @@
         body: object = None,
         headers: tuple[tuple[str, str], ...] = (),
         seconds: float,
+        max_body_bytes: int = buffer_bounds.REPLY_BYTES,
     ) -> Reply:
         """Makes one call; raises CallError.
 
@@ -97,6 +102,7 @@
             body: sent as JSON unless None.
             headers: further headers.
             seconds: timeout of the whole call.
+            max_body_bytes: largest body of the response.
         """
         sent = False
         connection = None
@@ -112,9 +118,12 @@
                     sent_at=clocks.now(),
                 )
                 self.open_calls.add(open_call)
-                reply = await _read(open_call)
+                reply = await _read(open_call, max_body_bytes)
         except server_connections.CannotConnectError as error:
             raise CallError(str(error), sent=False) from error
+        except buffer_bounds.BoundExceededError as error:
+            self._log_exceeded(address, error.exceeded)
+            raise CallError(str(error), sent=True) from error
         except TimeoutError as error:
             raise CallError(
                 "no response in time", sent=sent, overdue=True
@@ -129,6 +138,17 @@
                     connection.abort()
         return reply
 
+    def _log_exceeded(
+        self, address: str, exceeded: buffer_bounds.Exceeded
+    ) -> None:
+        if self.lines is not None:
+            self.lines.write(
+                "bound_exceeded",
+                server=address,
+                bound=exceeded.bound.value,
+                bytes=exceeded.size,
+            )
+
 
 def _encode(address, method, target, body, headers) -> bytes:
     data = b"" if body is None else msgspec.json.encode(body)
@@ -140,9 +160,10 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + data
 
 
-async def _read(open_call: OpenCall) -> Reply:
+async def _read(open_call: OpenCall, max_body_bytes: int) -> Reply:
     head = None
     pieces = []
+    size = 0
     while True:
         match await open_call.connection.next():
             case server_connections.HeadReceived(head=found):
@@ -150,10 +171,20 @@
                 open_call.head_at = clocks.now()
             case server_connections.BodyReceived(data=data):
                 pieces.append(data)
+                size += len(data)
+                if size > max_body_bytes:
+                    raise buffer_bounds.BoundExceededError(
+                        buffer_bounds.Bound.BODY, size
+                    )
             case server_connections.ResponseEnded():
                 return _reply(open_call, head, b"".join(pieces))
-            case server_connections.ConnectionBroken(reason=reason):
-                raise CallError(reason, sent=True)
+            case server_connections.ConnectionBroken() as broken:
+                exceeded = broken.exceeded
+                if exceeded is not None:
+                    raise buffer_bounds.BoundExceededError(
+                        exceeded.bound, exceeded.size
+                    )
+                raise CallError(broken.reason, sent=True)
 
 
 def _reply(
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -7,10 +7,13 @@
 
 from pimentoledge import results
 from pimentoledge.platform import requests
+from pimentoledge.routing import buffer_bounds
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import exchanges
 from pimentoledge.routing import http_messages
+from pimentoledge.routing import log_lines
 from pimentoledge.routing import router_responses
 from pimentoledge.routing import server_connections
 
@@ -37,6 +40,8 @@
         begin: creates the exchange that serves a request.
         leaving: returns whether the router drains and closes connections.
         open_connections: all open connections; contains this one while open.
+        lines: log of clients that are closed.
+        holder: counts what is held for the client.
         idle_since: when it last became idle, in seconds of clocks.now.
         exchange: the exchange in progress, or None.
         gone: whether the connection is closed.
@@ -51,12 +56,20 @@
         begin: Callable[..., exchanges.Exchange],
         leaving: Callable[[], bool],
         open_connections: set,
+        buffers: buffer_budgets.BufferBudget,
+        lines: log_lines.Lines,
     ):
         self.limits = limits
         self.ready = ready
         self.begin = begin
         self.leaving = leaving
         self.open_connections = open_connections
+        self.lines = lines
+        self.holder = buffer_budgets.Holder(
+            budget=buffers,
+            unsent_bytes=self._unsent_bytes,
+            close_client=self._close_slow,
+        )
         self.idle_since = clocks.now()
         self.exchange: exchanges.Exchange | None = None
         self.gone = False
@@ -75,6 +88,9 @@
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
         self._transport = transport
+        # All that the client doesn't read at once is reported, to be counted,
+        # and stops the reading from its server.
+        transport.set_write_buffer_limits(high=0)
         self.open_connections.add(self)
         server_connections.enable_keepalive(transport.get_extra_info("socket"))
 
@@ -82,6 +98,7 @@
         """Notifies the exchange in progress of the connection's end."""
         self.gone = True
         self._writable.set()
+        self.holder.note(buffer_budgets.Part.UNSENT, 0)
         self.open_connections.discard(self)
         if self.exchange is not None:
             self.exchange.client_left()
@@ -93,6 +110,28 @@
     def resume_writing(self) -> None:
         """Marks the connection as writable again."""
         self._writable.set()
+        self.holder.note(buffer_budgets.Part.UNSENT, 0)
+
+    def _unsent_bytes(self) -> int:
+        return 0 if self.gone else self._transport.get_write_buffer_size()
+
+    def _close_slow(self, exceeded: buffer_bounds.Exceeded) -> None:
+        """Closes the connection of a client that reads too slowly.
+
+        Its exchange is notified like that of a client that has left.
+        """
+        request = ""
+        if self.exchange is not None:
+            client_request = self.exchange.context.client_request
+            request = client_request.request if client_request else ""
+        self.lines.write(
+            "bound_exceeded",
+            bound=exceeded.bound.value,
+            bytes=exceeded.size,
+            request=request,
+            server=None,
+        )
+        self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and serves the next complete request."""
@@ -157,13 +196,17 @@
         """Sends bytes unless the connection is closed."""
         if not self.gone:
             self._transport.write(data)
+            if not self._writable.is_set():
+                self.holder.note(
+                    buffer_budgets.Part.UNSENT, self._unsent_bytes()
+                )
 
     def is_writable(self) -> bool:
-        """Returns whether the send buffer is below its high-water mark."""
+        """Returns whether the send buffer is empty."""
         return self._writable.is_set()
 
     async def drained(self) -> None:
-        """Waits until the send buffer is below its high-water mark."""
+        """Waits until the send buffer is empty or the client is gone."""
         await self._writable.wait()
 
     def finished(self) -> None:
--- a/pimentoledge/routing/client_responses.py
+++ b/pimentoledge/routing/client_responses.py
@@ -11,15 +11,15 @@
 class ClientResponse:
     """The response to one request.
 
-    It ends with exactly one of `pass_on`, `end_stream`, `break_off` and
-    `refuse`.
+    It ends with exactly one of `pass_on`, `end_body`, `end_stream`,
+    `break_off` and `refuse`.
 
     Attributes:
         client: the client's connection.
         request: the request id sent by the client, or "".
         arrived: when the request had been read, in seconds of clocks.now.
         last_event: number of the last event sent to the client, or None.
-        head_sent: whether a stream's head was sent.
+        head_sent: whether the head of a stream or of a large body was sent.
         first_seconds: time to the first event, or None before it.
         gap_seconds: longest time between two events.
     """
@@ -33,6 +33,8 @@
         self.first_seconds: float | None = None
         self.gap_seconds = 0.0
         self._event_at = 0.0
+        self._length: int | None = None
+        self._is_body = False
 
     def silent_seconds(self, now: float) -> float:
         """Returns the time since the client last received anything."""
@@ -49,7 +51,10 @@
 
         It may not once events without numbers were sent: those of a second run
         can't be matched with them, and the client would receive them twice.
+        A body that is passed on as it arrives can't be continued either.
         """
+        if self._is_body:
+            return False
         return not self.head_sent or self.last_event is not None
 
     def pass_on(
@@ -64,6 +69,38 @@
         )
         self.client.finished()
 
+    def begin_body(
+        self, answer: request_types.ServerResponse, length: int | None
+    ) -> None:
+        """Sends the head of a response whose body is passed on in pieces.
+
+        Args:
+            answer: the head of the server's response.
+            length: length of the body, or None to send it in chunks.
+        """
+        self.head_sent = self._is_body = True
+        self._length = length
+        self.client.send(
+            requests.encode_response_head(
+                answer, length=length, closes=self.client.closes
+            )
+        )
+
+    async def pass_body(self, data: bytes) -> None:
+        """Sends a piece of a body; waits until the client has read it."""
+        if not data:
+            return
+        if self._length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.client.send(data)
+        await self.client.drained()
+
+    def end_body(self) -> None:
+        """Ends a complete body."""
+        if self._length is None:
+            self.client.send(b"0\r\n\r\n")
+        self.client.finished()
+
     def pass_events(
         self,
         events: list[event_streams.Event],
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -13,6 +13,7 @@
 from pimentoledge.platform import objects
 from pimentoledge.platform import orders
 from pimentoledge.platform import stores
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import cache_monitors
 from pimentoledge.routing import calls
 from pimentoledge.routing import client_connections
@@ -77,6 +78,7 @@
         pool: connections to backend servers.
         connections: open client connections.
         exchanges: requests in progress, also those whose clients disconnected.
+        buffers: counts the bytes held for exchanges.
         loop_load: load of the event loop, or None if it isn't measured.
         connection_limit: decides which connections of clients are accepted.
     """
@@ -111,7 +113,10 @@
             arrived=lambda now: self.pauses.arrived(now),
         )
         self.pool = server_connections.ConnectionPool()
-        self.caller = calls.Caller()
+        self.buffers = buffer_budgets.BufferBudget(
+            bound=buffer_budgets.bound_of(chosen.number("memory-mb"))
+        )
+        self.caller = calls.Caller(lines=self.lines)
         self.connections: set[client_connections.ClientConnection] = set()
         self.exchanges: set[exchanges.Exchange] = set()
         self.store = stores.StoreClient(
@@ -315,6 +320,9 @@
                 "routers": self.peers.roster.count(now),
                 "server_connections_opened": self.pool.opened,
                 "connections_refused": self.connection_limit.refused,
+                "buffered_bytes": self.buffers.held,
+                "buffered_bytes_peak": self.buffers.peak,
+                "buffered_bytes_bound": self.buffers.bound,
             }
         )
 
@@ -334,6 +342,7 @@
         self.chosen = chosen
         self.view.bounds = _bounds(chosen)
         self.view.update_budgets()
+        self.buffers.bound = buffer_budgets.bound_of(chosen.number("memory-mb"))
         self.view.load_control.mode = load_controls.Mode(
             chosen.text("load-control")
         )
@@ -360,6 +369,8 @@
             begin=self._new_exchange,
             leaving=lambda: self.view.leaving,
             open_connections=self.connections,
+            buffers=self.buffers,
+            lines=self.lines,
         )
 
     def _requests_in_progress(self) -> int:
@@ -436,6 +447,7 @@
         """Runs the periodic work: heartbeats, idle connections, settings."""
         now = clocks.now()
         self.pauses.tick(now)
+        self.buffers.refresh()
         for each in list(self.connections):
             each.close_if_idle(now)
         for each in list(self.exchanges):
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -3,6 +3,11 @@
 import attrs
 import httptools
 
+from pimentoledge.routing import buffer_bounds
+
+# Bytes of a response that are parsed between two checks of its bounds.
+SLICE_BYTES = 16 * 1024
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -67,6 +72,13 @@
                 return value
         return None
 
+    def body_length(self) -> int | None:
+        """Returns the announced length of the body, or None."""
+        value = self.value(b"content-length")
+        if value is None or self.value(b"transfer-encoding") is not None:
+            return None
+        return int(value) if value.strip().isdigit() else None
+
 
 class BadMessageError(Exception):
     """A malformed message, or one that is not accepted.
@@ -218,9 +230,13 @@
 class ResponseParser:
     """Parses a server's bytes into heads, body chunks and ends.
 
+    Bytes are counted in slices, so a bound may be exceeded by at most one
+    slice. The body bytes of a slice are passed on together: single chunks of
+    a few bytes would each take the memory and time of a whole event.
+
     Attributes:
         heads: called with the head of each final, not interim, response.
-        pieces: called with each chunk of a body.
+        pieces: called with the bytes of a body.
         ends: called at the end of each final response.
     """
 
@@ -229,34 +245,102 @@
         self.pieces = pieces
         self.ends = ends
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
         self._interim = False
+        self._error: buffer_bounds.BoundExceededError | None = None
+        self._headers: Headers = []
+        self._slice_body: list[bytes] = []
+        self._reset()
 
-    def feed(self, data: bytes) -> None:
+    def _reset(self) -> None:
+        """Prepares for the next final response."""
+        self._in_head = True
+        self._head_bytes = 0
+        self._header_bytes = 0
+        self._lines = 0
+        self._framing_bytes = 0
+        self._body_bytes = 0
+
+    def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes.
 
         Raises:
             BadMessageError: the bytes are no HTTP response.
+            BoundExceededError: the response exceeds a bound.
         """
+        if len(data) <= SLICE_BYTES:
+            self._feed_slice(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(view), SLICE_BYTES):
+            self._feed_slice(view[start : start + SLICE_BYTES])
+
+    def _feed_slice(self, data: bytes | memoryview) -> None:
+        self._ended_in_slice = False
+        was_in_head, body_before = self._in_head, self._body_bytes
         try:
             self._parser.feed_data(data)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            self._flush()
+            if self._error is not None:
+                raise self._error from error
             raise BadMessageError(str(error)) from error
+        self._flush()
+        if self._ended_in_slice:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+            self._check(
+                buffer_bounds.Bound.HEAD,
+                self._head_bytes,
+                buffer_bounds.HEAD_BYTES,
+            )
+        elif not was_in_head:
+            body = self._body_bytes - body_before
+            self._framing_bytes += len(data) - body
+            if self._framing_bytes > buffer_bounds.FRAMING_BYTES:
+                self._check(
+                    buffer_bounds.Bound.FRAMING,
+                    self._framing_bytes,
+                    buffer_bounds.FRAMING_BYTES + self._body_bytes,
+                )
+
+    def _check(
+        self, bound: buffer_bounds.Bound, size: int, maximum: int
+    ) -> None:
+        if size > maximum:
+            self._error = buffer_bounds.BoundExceededError(bound, size)
+            raise self._error
+
+    def _flush(self) -> None:
+        """Passes on the body bytes of the current slice."""
+        if not self._slice_body:
+            return
+        pieces, self._slice_body = self._slice_body, []
+        self.pieces(pieces[0] if len(pieces) == 1 else b"".join(pieces))
 
     def on_message_begin(self) -> None:  # noqa: D102
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+        if not self._in_head:
+            # Trailers are not passed on.
+            return
         self._headers.append((name.lower(), value))
+        self._lines += 1
+        self._header_bytes += len(name) + len(value) + 4
+        bounds = buffer_bounds.Bound
+        self._check(bounds.HEAD_LINES, self._lines, buffer_bounds.HEAD_LINES)
+        self._check(bounds.HEAD, self._header_bytes, buffer_bounds.HEAD_BYTES)
 
     def on_headers_complete(self) -> None:  # noqa: D102
         status = self._parser.get_status_code()
         self._interim = status < 200
         if self._interim:
             return
+        self._in_head = False
         names = {name for name, _ in self._headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
         self.heads(
@@ -269,8 +353,12 @@
         )
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
-        self.pieces(body)
+        self._slice_body.append(body)
+        self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:  # noqa: D102
         if not self._interim:
+            self._flush()
             self.ends()
+            self._ended_in_slice = True
+            self._reset()
--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -93,7 +93,10 @@
             **fields: fields of the log line.
         """
         outcome = (
-            fields.get("code") or fields.get("verdict") or fields.get("late")
+            fields.get("code")
+            or fields.get("verdict")
+            or fields.get("late")
+            or fields.get("bound")
         )
         self.counters.decided(message, str(outcome or ""))
         now = clocks.now()
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -2,6 +2,7 @@
 
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import decision_fields
@@ -68,14 +69,30 @@
         self.context.current_attempt = attempt
         self.context.relay = None
         try:
+            connection.count_for(self.context.answer.client.holder)
             attempt.start()
             self.context.prompt_changed(
                 self.context.client_request.prompt_tokens, clocks.now()
             )
             return await self._receive(attempt)
+        except attempts.BrokenError as broken:
+            if broken.exceeded is not None:
+                self._log_exceeded(backend, broken.exceeded)
+            raise
         finally:
             self.context.current_attempt = None
             attempt.close()
+            connection.stop_counting()
+
+    def _log_exceeded(
+        self, backend: backends.Backend, exceeded: buffer_bounds.Exceeded
+    ) -> None:
+        self.context.log(
+            "bound_exceeded",
+            server=backend.registration.incarnation,
+            bound=exceeded.bound.value,
+            bytes=exceeded.size,
+        )
 
     async def _connect(
         self, backend: backends.Backend, permit: server_permits.Permit
@@ -162,8 +179,14 @@
                 attempt, answer, framed=not head.ends_by_close
             )
             return True
-        body = await attempt.read_body()
+        length = head.body_length()
+        body, complete = await attempt.collect_body(length)
+        if not complete:
+            await self.responses.relay_body(attempt, answer, body, length)
+            return True
         attempt.release(answer)
+        # What the client doesn't read of it counts as unsent from now on.
+        attempt.connection.stop_counting()
         self.responses.handle(
             attempt.backend, answer, body, framed=not head.ends_by_close
         )
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -2,6 +2,8 @@
 
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import buffer_bounds
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
 from pimentoledge.routing import request_types
 from pimentoledge.routing import retry_rules
@@ -85,26 +87,35 @@
                 retry_rules.AttemptOutcome.NOT_RUN,
                 f"{answer.status}: not run, load {_load_text(answer.load)}",
             )
+        self._check_response(answer)
+        if answer.status < 300 and not framed and not body:
+            raise attempts.broken("ended with its connection and no body")
+        self._record_status(backend, answer.status, framed=framed)
+        if answer.status >= 500 and self._would_retry():
+            self.context.failed_answer = (answer, body)
+            raise attempts.BrokenError(
+                retry_rules.AttemptOutcome.FAILED, f"status {answer.status}"
+            )
+        self.context.answer.pass_on(answer, body)
+        self._log_answered(backend, answer)
+
+    def _check_response(self, answer: request_types.ServerResponse) -> None:
+        """Raises BrokenError if a response must not be relayed."""
         if answer.status in router_responses.NOT_RUN_STATUSES or answer.encoded:
             # The status promises that the request did not run, but the
             # response isn't marked "not run": the promise may be false.
             raise attempts.broken(f"status {answer.status}")
         if answer.status < 300 and not answer.signed:
             raise attempts.broken("no signature")
-        if answer.status < 300 and not framed and not body:
-            raise attempts.broken("ended with its connection and no body")
         if self.context.answer.head_sent:
             # A second response head must not follow a stream's first events.
             raise attempts.broken(
                 f"status {answer.status} instead of a stream's rest"
             )
-        self._record_status(backend, answer.status, framed=framed)
-        if answer.status >= 500 and self._would_retry():
-            self.context.failed_answer = (answer, body)
-            raise attempts.BrokenError(
-                retry_rules.AttemptOutcome.FAILED, f"status {answer.status}"
-            )
-        self.context.answer.pass_on(answer, body)
+
+    def _log_answered(
+        self, backend: backends.Backend, answer: request_types.ServerResponse
+    ) -> None:
         self.context.log(
             "answered",
             server=backend.registration.incarnation,
@@ -112,6 +123,50 @@
             chosen=self.context.chosen,
         )
 
+    async def relay_body(
+        self,
+        attempt: attempts.Attempt,
+        answer: request_types.ServerResponse,
+        first: bytes,
+        length: int | None,
+    ) -> None:
+        """Relays a body that is too large to be held, as it arrives.
+
+        Args:
+            attempt: the attempt.
+            answer: the head of its response.
+            first: the bytes of the body that were collected.
+            length: length of the body, or None if it was not announced.
+
+        Raises:
+            BrokenError: the response must not be relayed, or ended early.
+        """
+        backend = attempt.backend
+        if answer.not_run:
+            # A server that refuses has no such body to send.
+            raise attempts.over_bound(
+                buffer_bounds.Bound.BODY, max(len(first), length or 0)
+            )
+        self._check_response(answer)
+        if answer.status >= 500 and self._would_retry():
+            self._record_status(backend, answer.status, framed=False)
+            raise attempts.BrokenError(
+                retry_rules.AttemptOutcome.FAILED, f"status {answer.status}"
+            )
+        connection = attempt.connection
+        connection.reads_ahead = False
+        self.context.answer.begin_body(answer, length)
+        if connection.holder is not None:
+            connection.holder.note(buffer_budgets.Part.COLLECTED, 0)
+        await self.context.answer.pass_body(first)
+        while (chunk := await attempt.next_chunk()) is not None:
+            await self.context.answer.pass_body(chunk)
+        framed = not connection.ends_by_close
+        self._record_status(backend, answer.status, framed=framed)
+        attempt.release(answer)
+        self.context.answer.end_body()
+        self._log_answered(backend, answer)
+
     def _record_status(
         self, backend: backends.Backend, status: int, *, framed: bool
     ) -> None:
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -5,9 +5,12 @@
 from collections.abc import Callable
 import select
 import socket
+import time
 
 import attrs
 
+from pimentoledge.routing import buffer_bounds
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
 
@@ -19,9 +22,20 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Number of events that may wait for a slow client; beyond it the router stops
-# reading from the server.
+# Number of events, and of their bytes, that may wait to be read; beyond it the
+# router stops reading from the server.
 MAX_QUEUED_EVENTS = 64
+MAX_QUEUED_BYTES = 64 * 1024
+# Bytes read at a time. A connection begins with the smaller number, which is
+# doubled while its bytes are handled quickly, and halved while they aren't:
+# 32 KiB may hold 16,000 empty events, which take 60 ms. What the exchange of a
+# slow client holds is up to twice the larger number.
+MIN_READ_BYTES = 1024
+FIRST_READ_BYTES = 4096
+MAX_READ_BYTES = 32 * 1024
+# Processor time that the bytes of one read may take. Events must reach clients
+# within 200 ms, also if dozens of connections carry such bytes.
+HANDLING_SECONDS = 0.004
 # Servers are a few ms away, and a lost SYN is retransmitted after a second, so
 # trying another server is better than a longer wait.
 CONNECT_SECONDS = 0.6
@@ -53,10 +67,12 @@
     Attributes:
         reason: text for the log.
         silent: whether the peer acknowledged nothing for too long.
+        exceeded: the bound that it exceeded, or None.
     """
 
     reason: str
     silent: bool = False
+    exceeded: buffer_bounds.Exceeded | None = None
 
 
 ConnectionEvent = HeadReceived | BodyReceived | ResponseEnded | ConnectionBroken
@@ -76,7 +92,11 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
-class ServerConnection(asyncio.Protocol):
+# Every read is parsed before the next one begins, so connections share it.
+_read_buffer = memoryview(bytearray(MAX_READ_BYTES))
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection to a server.
 
     Attributes:
@@ -88,6 +108,10 @@
         received_at: when data last arrived, in seconds of clocks.now.
         relay: called with bytes of a response's body as they arrive, or None
             while `next` returns them.
+        holder: counts what is held for the client whose request it has, or
+            None.
+        ends_by_close: whether the response's body ends with the connection.
+        reads_ahead: whether bytes are read while others are queued.
     """
 
     def __init__(self, *, address: str, on_lost=lambda connection: None):
@@ -98,25 +122,61 @@
         self.idle_until = 0.0
         self.received_at = 0.0
         self.relay: Callable[[bytes], None] | None = None
+        self.holder: buffer_budgets.Holder | None = None
+        self.reads_ahead = True
         self._transport: asyncio.Transport | None = None
         self._parser = http_messages.ResponseParser(
             heads=self._on_head, pieces=self._on_chunk, ends=self._on_end
         )
         self._events: collections.deque[ConnectionEvent] = collections.deque()
+        self._queued_bytes = 0
+        self._read_bytes = FIRST_READ_BYTES
         self._waiter: asyncio.Future | None = None
-        self._ends_by_close = False
+        self.ends_by_close = False
         self._ended = False
         self._paused = False
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
         self._transport = transport
+        # Any unsent bytes are reported, to be counted.
+        transport.set_write_buffer_limits(high=0)
         enable_keepalive(transport.get_extra_info("socket"))
 
     def send(self, data: bytes) -> None:
         """Sends a request; `next` returns its response."""
         self.busy = True
         self._transport.write(data)
+        if self.holder is not None:
+            self.holder.note(
+                buffer_budgets.Part.REQUEST,
+                self._transport.get_write_buffer_size(),
+            )
+
+    def resume_writing(self) -> None:
+        """Notes that the server has read the request."""
+        if self.holder is not None:
+            self.holder.note(buffer_budgets.Part.REQUEST, 0)
+
+    def count_for(self, holder: buffer_budgets.Holder) -> None:
+        """Counts what is held of this connection for a client from now on."""
+        self.holder = holder
+        holder.close_server = self._exceed
+
+    def stop_counting(self) -> None:
+        """Ends `count_for`, as the exchange has ended."""
+        if self.holder is not None:
+            self.holder.server_ended()
+            self.holder = None
+        self.reads_ahead = True
+
+    def _exceed(self, exceeded: buffer_bounds.Exceeded) -> None:
+        if exceeded.bound is buffer_bounds.Bound.BUFFERS:
+            # What is queued must be freed at once.
+            self.holder = None
+            self._events.clear()
+            self._queued_bytes = 0
+        self.break_off(str(exceeded), exceeded=exceeded)
 
     def has_unread_input(self) -> bool:
         """Returns whether an event is queued that `next` hasn't returned."""
@@ -147,15 +207,39 @@
 
         No event follows ConnectionBroken.
         """
+        if not self._events:
+            self.resume()
         while not self._events:
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
-        if len(self._events) <= MAX_QUEUED_EVENTS // 2:
+        event = self._events.popleft()
+        if isinstance(event, BodyReceived):
+            self._note_queued(-len(event.data))
+        if self.reads_ahead and not self._is_full(share=0.5):
             self.resume()
-        return self._events.popleft()
+        return event
+
+    def _note_queued(self, change: int) -> None:
+        self._queued_bytes += change
+        if self.holder is not None:
+            self.holder.note(buffer_budgets.Part.QUEUED, self._queued_bytes)
+
+    def _is_full(self, *, share: float = 1.0) -> bool:
+        """Returns whether nothing may be read before `next` returns more.
+
+        Args:
+            share: part of the maxima that may be queued.
+        """
+        tight = self.holder is not None and self.holder.budget.is_tight()
+        if tight or not self.reads_ahead:
+            return self._queued_bytes > 0
+        return (
+            len(self._events) > MAX_QUEUED_EVENTS * share
+            or self._queued_bytes > MAX_QUEUED_BYTES * share
+        )
 
     def pause(self) -> None:
         """Stops reading from the server until `resume` or `next`."""
@@ -171,12 +255,32 @@
 
     def _push_event(self, event: ConnectionEvent) -> None:
         self._events.append(event)
-        if len(self._events) > MAX_QUEUED_EVENTS:
+        if isinstance(event, BodyReceived):
+            self._note_queued(len(event.data))
+        if self._is_full():
             self.pause()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return _read_buffer[: self._read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses the bytes that were read into the buffer."""
+        if nbytes < MIN_READ_BYTES:
+            # Single events are not worth the measurement.
+            self.data_received(_read_buffer[:nbytes])
+            return
+        began = time.thread_time()
+        self.data_received(_read_buffer[:nbytes])
+        took = time.thread_time() - began
+        if took > HANDLING_SECONDS:
+            self._read_bytes = max(MIN_READ_BYTES, self._read_bytes // 2)
+        elif nbytes == self._read_bytes and took < HANDLING_SECONDS / 4:
+            self._read_bytes = min(MAX_READ_BYTES, self._read_bytes * 2)
+
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parses received bytes."""
         self.received_at = clocks.now()
         if not self.busy:
@@ -188,18 +292,20 @@
             self._parser.feed(data)
         except http_messages.BadMessageError as error:
             self.break_off(f"invalid HTTP response: {error}")
+        except buffer_bounds.BoundExceededError as error:
+            self._exceed(error.exceeded)
 
     def _on_head(self, head: http_messages.ResponseHead) -> None:
-        if not self.busy:
+        if not self.busy or self._ended:
             self.reusable = False
             return
-        self._ends_by_close = head.ends_by_close
+        self.ends_by_close = head.ends_by_close
         if not head.keep_alive or head.ends_by_close:
             self.reusable = False
         self._push_event(HeadReceived(head=head))
 
     def _on_chunk(self, data: bytes) -> None:
-        if not self.busy:
+        if not self.busy or self._ended:
             return
         if self.relay is not None and not self._events:
             self.relay(data)
@@ -207,7 +313,7 @@
             self._push_event(BodyReceived(data=data))
 
     def _on_end(self) -> None:
-        if not self.busy:
+        if not self.busy or self._ended:
             return
         self._push_event(ResponseEnded())
 
@@ -215,21 +321,30 @@
         """Ends a request; the connection may be reused for `idle_seconds`."""
         self.busy = False
         self.idle_until = clocks.now() + idle_seconds
+        # Without reading, the end of an idle connection isn't noticed.
+        self.resume()
         if self._events or self._ended:
             # More data, or the connection's end, followed the response.
             self.abort()
 
-    def break_off(self, reason: str) -> None:
-        """Aborts the connection and queues a ConnectionBroken event."""
+    def break_off(
+        self, reason: str, *, exceeded: buffer_bounds.Exceeded | None = None
+    ) -> None:
+        """Aborts the connection and queues a ConnectionBroken event.
+
+        Args:
+            reason: text for the log.
+            exceeded: the bound that was exceeded, or None.
+        """
         if self._ended:
             return
         self._ended = True
-        self._push_event(ConnectionBroken(reason=reason))
+        self._push_event(ConnectionBroken(reason=reason, exceeded=exceeded))
         self.abort()
 
     def eof_received(self) -> bool:
         """Handles the server's close, which may end a response's body."""
-        if self.busy and self._ends_by_close and not self._ended:
+        if self.busy and self.ends_by_close and not self._ended:
             self._ended = True
             self._push_event(ResponseEnded())
         return False
--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -6,6 +6,8 @@
 import logbook
 
 from pimentoledge.routing import attempts
+from pimentoledge.routing import buffer_bounds
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import client_responses
 from pimentoledge.routing import event_streams
 from pimentoledge.routing import request_types
@@ -68,7 +70,7 @@
         as one of a server that crashed.
 
         Raises:
-            BrokenError: the stream ended early.
+            BrokenError: the stream ended early, or an event is too large.
         """
         connection = self.attempt.connection
         connection.relay = self._receive
@@ -76,6 +78,9 @@
             while (chunk := await self.attempt.next_chunk()) is not None:
                 self._feed(chunk)
                 await self.answer.client.drained()
+        except buffer_bounds.BoundExceededError as error:
+            exceeded = error.exceeded
+            raise attempts.over_bound(exceeded.bound, exceeded.size) from error
         finally:
             connection.relay = None
             if self._resuming is not None:
@@ -89,6 +94,11 @@
         """Relays bytes from the connection's callback."""
         try:
             self._feed(chunk)
+        except buffer_bounds.BoundExceededError as error:
+            self.attempt.connection.break_off(
+                str(error), exceeded=error.exceeded
+            )
+            return
         except Exception:
             logger.exception("defect")
             self.attempt.connection.break_off("defect")
@@ -110,6 +120,11 @@
             self._begun = True
             self.on_first()
         complete = self._splitter.feed(chunk)
+        holder = self.attempt.connection.holder
+        if holder is not None:
+            holder.note(
+                buffer_budgets.Part.INCOMPLETE_EVENT, len(self._splitter.rest)
+            )
         if not complete:
             return
         if not self.events:
