Let observations of reporting servers decay more slowly

Where servers change speed at once and say so, observations of one second's half-life lagged behind the report and varied with the queue there. A report shows the change, so observations only correct its level: their half-life is 4 s at such servers.

--- a/pimentoledge/routing/server_speeds/observations.py
+++ b/pimentoledge/routing/server_speeds/observations.py
@@ -5,6 +5,9 @@
 # Half-life of an observation: two seconds after a change, three quarters of
 # the weight is of the time since.
 HALF_LIFE_SECONDS = 1.0
+# The same at servers that report their slowdown. The report shows a change, so
+# observations need only correct its level, and vary less.
+REPORTED_HALF_LIFE_SECONDS = 4.0
 # Observations of other routers count for this long after their arrival.
 EXPIRY_SECONDS = 3.0
 # Longest time counted for one event, as a multiple of the expected one, so
@@ -34,16 +37,18 @@
         expected: the time expected of the service's mean server.
         slowed: the same, times the slowdown that was reported then.
         at: time as of which the sums hold.
+        half_life: half-life of the weights, in seconds.
     """
 
     seconds: float = 0.0
     expected: float = 0.0
     slowed: float = 0.0
     at: float = 0.0
+    half_life: float = HALF_LIFE_SECONDS
 
     def share(self, now: float) -> float:
         """Returns what is left of the sums' weight at a time."""
-        return 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_SECONDS)
+        return 0.5 ** (max(0.0, now - self.at) / self.half_life)
 
     def note(
         self, seconds: float, expected: float, slowdown: float, now: float
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -57,6 +57,8 @@
     def note_report(self, slowdown: float, at: float) -> None:
         """Adds a slowdown that the server reported at a time."""
         self.reported.note(slowdown, at)
+        for each in (self.gaps.own, self.firsts.own):
+            each.half_life = observations.REPORTED_HALF_LIFE_SECONDS
         self._until = float("-inf")
 
     def note_requests(self, requests: float, now: float) -> None:
