Bound the slowdowns that routers forward

A server's figure too large for a message would have ended the load reports of the router that received it.

--- a/pimentoledge/routing/server_speeds/speed_reports.py
+++ b/pimentoledge/routing/server_speeds/speed_reports.py
@@ -4,6 +4,7 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import request_types
+from pimentoledge.routing.server_speeds import slowdowns
 
 # Observations are sent at this interval: with each of ten reports a second
 # they would take a tenth of the slowest routers' links.
@@ -30,7 +31,8 @@
         for name in report.said:
             load = servers[name].load
             if load is not None and load.slowdown is not None:
-                report.slowdowns[name] = round(100 * load.slowdown)
+                slowdown = min(slowdowns.MAX_SLOWDOWN, load.slowdown)
+                report.slowdowns[name] = round(100 * slowdown)
         if now >= self._next:
             self._next = now + INTERVAL_SECONDS
             report.speeds = self._speeds(now)
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -290,24 +290,28 @@
             **{"name": "slow", "reports": "true", "way": "both"} | more
         )
 
-    def test_a_forwarded_slowdown_turns_load_control_on(self):
-        """Guards against routers that decide by different rules."""
+    @pytest.mark.parametrize(("said", "counts"), [(3.0, 3.0), (1e30, 4.0)])
+    def test_a_forwarded_slowdown_turns_load_control_on(self, said, counts):
+        """Guards against routers that decide by different rules.
+
+        A figure too large for a message must not end the load reports.
+        """
         world = self.world(servers=2, routers=2, way="before")
         near, far = world.routers.values()
         for each in (near, far):
             each.view.load_control.mode = load_controls.Mode.AUTO
         backend = near.view.servers.by_server["b0"]
         load = request_types.ServerLoad(
-            running=1, waiting=0, slots=64, slowdown=3.0
+            running=1, waiting=0, slots=64, slowdown=said
         )
         backend.update_load(load, 1.0)
         world.now = 1.1
         near.reports.tick(1.1)
         assert far.view.load_control.applies(speed_ways.SERVICE)
         there = far.view.servers.by_server["b0"].speed
-        assert there.step_factor(1.1) == 3.0
+        assert there.step_factor(1.1) == counts
         gauges = speed_metrics.gauges(far.view, 1.1)
-        assert len(gauges) == 6 and gauges["speed_factor_largest_s"] == 3.0
+        assert len(gauges) == 6 and gauges["speed_factor_largest_s"] == counts
 
     def test_a_report_without_the_fields_changes_no_speed(self):
         """Guards against reports of builds that don't send speeds."""
