Admission queue: errors stay with their request; streams that go on first

Cause: an error in the search for one request's place would have ended the router's periodic work; a stream that goes on elsewhere waited like a new one. Change: the error ends that request's wait alone. Streams that go on have the highest urgency in the queue.

--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -354,9 +354,14 @@
 
         def accepts(ticket: tickets_module.Ticket) -> bool:
             waiter = self._waiters.get(ticket)
-            return waiter is not None and self._place(
-                ticket, waiter.finder, now
-            )
+            if waiter is None:
+                return False
+            try:
+                return self._place(ticket, waiter.finder, now)
+            except Exception as error:
+                # A request that can't be evaluated must not hold up others.
+                self._fail(ticket, error)
+                return False
 
         while (ticket := queue.next(now, accepts)) is not None:
             self._end(ticket, tickets_module.Outcome.PLACE)
@@ -404,6 +409,13 @@
         waiter.finder.claim(place)
         self._end(ticket, tickets_module.Outcome.PLACE)
 
+    def _fail(self, ticket: tickets_module.Ticket, error: Exception) -> None:
+        """Ends a wait with an error, which its caller gets."""
+        waiter = self._waiters.pop(ticket)
+        self._queue(ticket.service).remove(ticket)
+        if not waiter.future.done():
+            waiter.future.set_exception(error)
+
     def _end(
         self,
         ticket: tickets_module.Ticket,
@@ -418,10 +430,14 @@
         blocked: dict[object, float | None] = {}
         for ticket in list(queue.tickets):
             finder = self._waiters[ticket].finder
-            if ticket.kind not in blocked:
-                blocked[ticket.kind] = finder.blocked_until(now)
-            until = blocked[ticket.kind]
-            if finder.is_hopeless(now) or (until or 0.0) > ticket.until:
+            try:
+                if ticket.kind not in blocked:
+                    blocked[ticket.kind] = finder.blocked_until(now)
+                hopeless = finder.is_hopeless(now)
+            except Exception as error:
+                self._fail(ticket, error)
+                continue
+            if hopeless or (blocked[ticket.kind] or 0.0) > ticket.until:
                 self._end(ticket, tickets_module.Outcome.TOO_LATE)
 
     def _is_hopeless(
--- a/pimentoledge/routing/request_stages/server_choices.py
+++ b/pimentoledge/routing/request_stages/server_choices.py
@@ -9,6 +9,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import decision_fields
 from pimentoledge.routing import placements
+from pimentoledge.routing import request_types
 from pimentoledge.routing import retry_rules
 from pimentoledge.routing import selections
 from pimentoledge.routing.admission import reservations
@@ -114,7 +115,7 @@
         return tickets.Ticket(
             service=self._service(),
             organisation=context.organisation_name(),
-            urgency=selections.urgency_of(context.route, context.organisation),
+            urgency=self._urgency(),
             deadline=context.ends_at,
             until=until,
             arrived=arrived if first is None else min(arrived, first),
@@ -127,6 +128,13 @@
             digest=digest,
         )
 
+    def _urgency(self) -> int:
+        """Returns the urgency in the queue; streams that go on come first."""
+        context = self.context
+        if context.binding.software is not None or context.answer.head_sent:
+            return request_types.HIGHEST_URGENCY
+        return selections.urgency_of(context.route, context.organisation)
+
     def find(self, without: frozenset[str], now: float) -> tickets.Place | None:
         """Returns a free place for the request, or None.
 
--- a/pimentoledge/tests/admission_world.py
+++ b/pimentoledge/tests/admission_world.py
@@ -39,7 +39,7 @@
     return asyncio.get_running_loop().time()
 
 
-@attrs.define(kw_only=True, eq=False)
+@attrs.define(kw_only=True, eq=False, slots=False)
 class Finder:
     """Finds a place at the least busy server of a world.
 
--- a/pimentoledge/tests/test_router_admission_queue.py
+++ b/pimentoledge/tests/test_router_admission_queue.py
@@ -431,6 +431,26 @@
     play(run())
 
 
+@pytest.mark.parametrize("name", ["find", "is_hopeless"])
+def test_a_request_that_cannot_be_evaluated_holds_up_no_other(name):
+    """Guards against an error that ends the router's periodic work."""
+
+    async def run():
+        world = World({"a": 1})
+        finder = admission_world.Finder(world=world)
+        running = asyncio.ensure_future(world.request("running", seconds=0.5))
+        await asyncio.sleep(0.01)
+        broken = asyncio.ensure_future(world.gate.wait(world.ticket(), finder))
+        await asyncio.sleep(0.01)
+        setattr(finder, name, None)
+        await world.run([running, world.request("next")], until=2.0)
+        assert world.order == ["running", "next"]
+        with pytest.raises(TypeError):
+            await broken
+
+    play(run())
+
+
 def test_ticks_make_up_for_lost_reports():
     """Guards against requests that wait though places are free."""
 
