Admission queue: an error at the end of a wait ends that request alone

Cause: an error in the last search for a place left its request waiting until its deadline. Change: the error is passed to the request.

--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -126,8 +126,8 @@
     ) -> tickets_module.Outcome:
         """Waits until the request has a place, or can't get one in time.
 
-        The place is claimed before this returns, also if the caller is
-        cancelled meanwhile.
+        The place is claimed before this returns. A caller that is cancelled
+        meanwhile gives it back.
         """
         outcome = await self._wait(ticket, finder)
         self.counters.decided("admission", outcome.value)
@@ -402,12 +402,17 @@
         self._search(ticket.service, now)
         if waiter.future.done():
             return
-        place = waiter.finder.find(frozenset(), now)
-        if place is None:
-            self._end(ticket, tickets_module.Outcome.TOO_LATE)
+        try:
+            place = waiter.finder.find(frozenset(), now)
+            if place is not None:
+                waiter.finder.claim(place)
+        except Exception as error:
+            self._fail(ticket, error)
             return
-        waiter.finder.claim(place)
-        self._end(ticket, tickets_module.Outcome.PLACE)
+        outcome = tickets_module.Outcome.PLACE
+        if place is None:
+            outcome = tickets_module.Outcome.TOO_LATE
+        self._end(ticket, outcome)
 
     def _fail(self, ticket: tickets_module.Ticket, error: Exception) -> None:
         """Ends a wait with an error, which its caller gets."""
