--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -126,8 +126,8 @@
     ) -> tickets_module.Outcome:
         """Waits until the request has a place, or can't get one in time.
 
-        The place is claimed before this returns, also if the caller is
-        cancelled meanwhile.
+        The place is claimed before this returns. A caller that is cancelled
+        meanwhile gives it back.
         """
         outcome = await self._wait(ticket, finder)
         self.counters.decided("admission", outcome.value)
@@ -354,9 +354,14 @@
 
         def accepts(ticket: tickets_module.Ticket) -> bool:
             waiter = self._waiters.get(ticket)
-            return waiter is not None and self._place(
-                ticket, waiter.finder, now
-            )
+            if waiter is None:
+                return False
+            try:
+                return self._place(ticket, waiter.finder, now)
+            except Exception as error:
+                # A request that can't be evaluated must not hold up others.
+                self._fail(ticket, error)
+                return False
 
         while (ticket := queue.next(now, accepts)) is not None:
             self._end(ticket, tickets_module.Outcome.PLACE)
@@ -397,12 +402,24 @@
         self._search(ticket.service, now)
         if waiter.future.done():
             return
-        place = waiter.finder.find(frozenset(), now)
-        if place is None:
-            self._end(ticket, tickets_module.Outcome.TOO_LATE)
+        try:
+            place = waiter.finder.find(frozenset(), now)
+            if place is not None:
+                waiter.finder.claim(place)
+        except Exception as error:
+            self._fail(ticket, error)
             return
-        waiter.finder.claim(place)
-        self._end(ticket, tickets_module.Outcome.PLACE)
+        outcome = tickets_module.Outcome.PLACE
+        if place is None:
+            outcome = tickets_module.Outcome.TOO_LATE
+        self._end(ticket, outcome)
+
+    def _fail(self, ticket: tickets_module.Ticket, error: Exception) -> None:
+        """Ends a wait with an error, which its caller gets."""
+        waiter = self._waiters.pop(ticket)
+        self._queue(ticket.service).remove(ticket)
+        if not waiter.future.done():
+            waiter.future.set_exception(error)
 
     def _end(
         self,
@@ -418,10 +435,14 @@
         blocked: dict[object, float | None] = {}
         for ticket in list(queue.tickets):
             finder = self._waiters[ticket].finder
-            if ticket.kind not in blocked:
-                blocked[ticket.kind] = finder.blocked_until(now)
-            until = blocked[ticket.kind]
-            if finder.is_hopeless(now) or (until or 0.0) > ticket.until:
+            try:
+                if ticket.kind not in blocked:
+                    blocked[ticket.kind] = finder.blocked_until(now)
+                hopeless = finder.is_hopeless(now)
+            except Exception as error:
+                self._fail(ticket, error)
+                continue
+            if hopeless or (blocked[ticket.kind] or 0.0) > ticket.until:
                 self._end(ticket, tickets_module.Outcome.TOO_LATE)
 
     def _is_hopeless(
