--- a/benches/share_runs.py
+++ b/benches/share_runs.py
@@ -17,7 +17,6 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
 from pimentoledge.routing import daemons
-from pimentoledge.routing import exchanges
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import load_reports
 from pimentoledge.routing import peer_messages
@@ -414,7 +413,7 @@
         if isinstance(choice, placements.Choice):
             self._send(view, number, load, request, choice.backend)
             return
-        wait = exchanges.WAIT_SHARE * route.objective_seconds
+        wait = server_choices.WAIT_SHARE * route.objective_seconds
         if now - request.arrived < wait:
             self.scheduler.schedule_after(
                 server_choices.WAIT_STEP_SECONDS,
