Lower a limit only if latency grows faster than the requests

The limit fell as soon as events took 1.5 times as long as the service's line, which prefills alone can do. It falls now only if that growth also exceeds the growth of the requests, as docs/load-control.md asks. Long prompts that share parts stay at the best server instead of being drawn among about equal ones, so that fewer parts are read again.

--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -89,7 +89,7 @@
 
         A starved request competes with the most urgent ones.
         """
-        limit = self._limit()
+        limit = self.share_factor()
         if self.urgent or self.starved:
             return limit * URGENT_SLOTS, limit * URGENT_MEMORY_SHARE
         if self.preferred:
@@ -101,9 +101,10 @@
 
     def wait_factor(self) -> float:
         """Returns by how much its longest accepted wait is changed."""
-        return self._limit() * (STARVED_WAIT if self.starved else 1.0)
+        return self.share_factor() * (STARVED_WAIT if self.starved else 1.0)
 
-    def _limit(self) -> float:
+    def share_factor(self) -> float:
+        """Returns the part that it may use of what others may use."""
         above = self.standing is standings.Standing.ABOVE
         return ABOVE_SHARE if above and self.scarce else 1.0
 
@@ -129,15 +130,19 @@
         busy: number of requests at the runner.
         first_seconds: expected time to the first event there.
         wait_seconds: the share of that time spent waiting for other requests.
-        limit: number of requests that the runner takes well, of which less
-            urgent ones may use their part; None for its slots.
+        limit: number of requests that the runner takes well, which replaces
+            the shares of its slots; None if it is not estimated.
         held_tokens: memory in use at the runner, in tokens; used with load
             control.
     """
     if not busy:
         return None
     slot_share, memory_share = demand.shares()
-    if busy + 1 > slot_share * (slots if limit is None else limit):
+    if limit is None:
+        most = slot_share * slots
+    else:
+        most = demand.share_factor() * limit
+    if busy + 1 > most:
         return Shortage.SLOTS
     if demand.tokens is None:
         used = (busy + 1) * demand.mean_tokens
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -211,6 +211,9 @@
 def _draw(ranked: list[ServerCandidate], criteria: Criteria) -> ServerCandidate:
     """Returns one of the candidates that are about as good as the first."""
     best = ranked[0]
+    if criteria.unshared > CHUNK_TOKENS and criteria.parts:
+        # Requests that share a long prompt stay together.
+        return best
     most = best.cost + EQUAL_SHARE * 1000 * best.first_seconds
     equal = [
         each
--- a/pimentoledge/routing/server_speeds/concurrency_limits.py
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -98,7 +98,7 @@
     def _most_growth(self, running: float, line: float) -> float:
         """Returns the growth beyond the line up to which the limit rises."""
         requests = max(TOLERANCE, running / self.few_running)
-        return min(TOLERANCE, requests * self._few_line() / line)
+        return max(TOLERANCE, requests * self._few_line() / line)
 
     def _few_line(self) -> float:
         return self.pace.gap_seconds(self.few_running) or 0.0
