Admission: no refusal untried, bounded searches, drains of sent requests

Three requests that fit nowhere made the router refuse all others of their route at once while slots were free, since failed searches were counted by route: model, size and standing are part of the kind now, a newcomer that would be refused is tried itself, and failures are also bounded over all kinds. A drain leaves requests that were sent before to wait, as they may have run. An unsafe call that no server ran is cancelled when its client leaves. Choosing a server without sending to it no longer counts as a request there.

--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import math
 from typing import Protocol
 
 import attrs
@@ -26,6 +27,10 @@
 # After this many failed searches for requests of one kind, others of that kind
 # are not tried until the next news.
 MAX_FAILED_SEARCHES = 3
+# The same for requests of all kinds together.
+MAX_FAILED_OF_ALL = 24
+# Longest time for which one search keeps the event loop from other work.
+MAX_SEARCH_SECONDS = 0.004
 # Most servers at which one request looks for an unused part of the places.
 MAX_SERVERS_TRIED = 4
 # The expected time between two places is computed anew after this time.
@@ -144,7 +149,7 @@
             self._failed.pop(ticket.service, None)
             if self._place(ticket, finder, now):
                 return tickets_module.Outcome.PLACE
-        if self.draining:
+        if self.draining and not ticket.sent:
             return tickets_module.Outcome.DRAINING
         waiter = _Waiter(
             finder=finder, future=asyncio.get_running_loop().create_future()
@@ -152,7 +157,7 @@
         match queue.offer(ticket, now):
             case tickets_module.Rejected(outcome=outcome):
                 self._give_out(queue, now)
-                if self._place(ticket, finder, now):
+                if self._place(ticket, finder, now, untried=True):
                     return tickets_module.Outcome.PLACE
                 return outcome
             case tickets_module.Queued() as queued:
@@ -242,13 +247,10 @@
         queue = self.queues.get(service)
         if queue is None or not queue.tickets or service in self._timers:
             return
-        wait = self._searched.get(service, 0.0) + SEARCH_SECONDS - now
-        if wait <= 0:
+        if now - self._searched.get(service, -math.inf) >= SEARCH_SECONDS:
             self._search(service, now)
-            return
-        self._timers[service] = asyncio.get_running_loop().call_later(
-            wait, self._search_later, service
-        )
+        else:
+            self._search_soon(service)
 
     def tick(self, now: float) -> None:
         """Looks for places, and refuses what can't be in time any more."""
@@ -266,10 +268,15 @@
                 del self.service_rates[kind]
 
     def drain(self) -> None:
-        """Empties the queues; from now on no request waits."""
+        """Empties the queues; from now on no new request waits.
+
+        A request that was sent before, such as a stream whose server died,
+        may have run, so it can't be told to come back as one that has not.
+        """
         self.draining = True
         for ticket in list(self._waiters):
-            self._end(ticket, tickets_module.Outcome.DRAINING)
+            if not ticket.sent:
+                self._end(ticket, tickets_module.Outcome.DRAINING)
 
     def close(self) -> None:
         """Cancels the searches that are due."""
@@ -340,6 +347,13 @@
     def _routers(self, service: str, now: float) -> int:
         return 1 + self.peers.routers(service, now)
 
+    def _search_soon(self, service: str) -> None:
+        """Searches once SEARCH_SECONDS have passed, unless that is due."""
+        if service not in self._timers:
+            self._timers[service] = asyncio.get_running_loop().call_later(
+                SEARCH_SECONDS, self._search_later, service
+            )
+
     def _search_later(self, service: str) -> None:
         del self._timers[service]
         self._search(service, self.clock())
@@ -363,18 +377,35 @@
                 self._fail(ticket, error)
                 return False
 
+        until = self.clock() + MAX_SEARCH_SECONDS
         while (ticket := queue.next(now, accepts)) is not None:
             self._end(ticket, tickets_module.Outcome.PLACE)
+            if self.clock() >= until:
+                self._search_soon(ticket.service)
+                return
 
     def _place(
         self,
         ticket: tickets_module.Ticket,
         finder: PlaceFinder,
         now: float,
+        *,
+        untried: bool = False,
     ) -> bool:
-        """Claims a place for a request; returns whether there is one."""
+        """Claims a place for a request; returns whether there is one.
+
+        Args:
+            ticket: the request's ticket.
+            finder: finds a place for it.
+            now: the time.
+            untried: whether failed searches for others don't count, since the
+                request is refused otherwise.
+        """
         failed = self._failed[ticket.service]
-        if failed[ticket.kind] >= MAX_FAILED_SEARCHES:
+        if not untried and (
+            failed[ticket.kind] >= MAX_FAILED_SEARCHES
+            or failed.total() >= MAX_FAILED_OF_ALL
+        ):
             return False
         routers = self._routers(ticket.service, now)
         without: frozenset[str] = frozenset()
@@ -399,7 +430,9 @@
         if waiter is None or waiter.future.done():
             return
         now = self.clock()
-        self._search(ticket.service, now)
+        searched = self._searched.get(ticket.service, -math.inf)
+        if now - searched >= END_SEARCH_SECONDS:
+            self._search(ticket.service, now)
         if waiter.future.done():
             return
         try:
--- a/pimentoledge/routing/admission/tickets.py
+++ b/pimentoledge/routing/admission/tickets.py
@@ -44,6 +44,7 @@
         returning: whether it was refused before.
         kind: equal for requests that servers have places for alike.
         digest: digest of its content.
+        sent: whether a server may have run it already.
     """
 
     service: str
@@ -55,6 +56,7 @@
     returning: bool = False
     kind: Hashable = ""
     digest: str = ""
+    sent: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -81,7 +81,7 @@
             self.context.route is not None
             and self.context.route.kind is configurations.Repeatability.UNSAFE
         )
-        if unsafe and self.context.history.sends:
+        if unsafe and self.context.history.runs():
             return
         self._task.cancel()
 
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -198,7 +198,6 @@
     chosen = free[0]
     if criteria.speeds.per_server:
         chosen = _probe(free, criteria, now) or _draw(free, criteria)
-        chosen.backend.speed.received_at = now
     second = free[1] if chosen is free[0] and len(free) > 1 else free[0]
     return Choice(
         candidate=chosen,
--- a/pimentoledge/routing/request_stages/server_choices.py
+++ b/pimentoledge/routing/request_stages/server_choices.py
@@ -1,6 +1,7 @@
 """Chooses the server for an attempt."""
 
 import asyncio
+from collections.abc import Hashable
 
 from pimentoledge import results
 from pimentoledge.routing import backends
@@ -8,6 +9,7 @@
 from pimentoledge.routing import capacity_checks
 from pimentoledge.routing import clocks
 from pimentoledge.routing import decision_fields
+from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import placements
 from pimentoledge.routing import request_types
 from pimentoledge.routing import retry_rules
@@ -120,12 +122,9 @@
             until=until,
             arrived=arrived if first is None else min(arrived, first),
             returning=first is not None,
-            kind=(
-                context.route.name,
-                context.binding.software,
-                frozenset(self._excluded()),
-            ),
+            kind=self._kind(now),
             digest=digest,
+            sent=context.history.runs() > 0,
         )
 
     def _urgency(self) -> int:
@@ -135,6 +134,22 @@
             return request_types.HIGHEST_URGENCY
         return selections.urgency_of(context.route, context.organisation)
 
+    def _kind(self, now: float) -> Hashable:
+        """Returns what decides which servers have places for the request."""
+        context = self.context
+        client_request = context.client_request
+        tokens = memory_estimates.unshared_tokens(client_request)
+        return (
+            context.route.name,
+            context.binding.software,
+            frozenset(self._excluded()),
+            client_request.model,
+            tokens.bit_length(),
+            context.view.fair_shares.standing(
+                self._service(), context.organisation_name(), now
+            ),
+        )
+
     def find(self, without: frozenset[str], now: float) -> tickets.Place | None:
         """Returns a free place for the request, or None.
 
