--- a/pimentoledge/tests/test_router_fair_shares.py
+++ b/pimentoledge/tests/test_router_fair_shares.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import memory_estimates
 from pimentoledge.routing import peer_messages
+from pimentoledge.routing import peers
 from pimentoledge.routing import request_types
 from pimentoledge.routing.fair_shares import organisation_shares
 from pimentoledge.routing.fair_shares import refusal_counts
@@ -20,6 +21,8 @@
 from pimentoledge.routing.fair_shares import share_counters
 from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.fair_shares import standings
+from pimentoledge.tests import router_world
+from pimentoledge.tests import test_router_logs
 
 SHORT, LONG = share_runs.SHORT, share_runs.LONG
 BELOW, ABOVE, ALONE = standings.Standing
@@ -369,3 +372,40 @@
     assert not backend.peer_loads.sized
     assert not view.fair_shares.summary(3.0)
     assert share_demands.counting(view, share_runs.SERVICE) is None
+
+
+@pytest.mark.parametrize(
+    "mode", [load_controls.Mode.OFF, load_controls.Mode.ON]
+)
+def test_lines_of_refusals_name_the_organisation(mode):
+    """Guards against refusals of which nobody can tell who is refused."""
+
+    @router_world.with_world(routers=2, runners=0)
+    async def refuse(world):
+        for each in world.routers:
+            each.view.load_control.mode = mode
+        answer = await world.request(
+            "/drafts/x", headers=router_world.stream_headers()
+        )
+        assert answer.status == 503
+
+    with test_router_logs.fields_of_lines() as lines:
+        refuse()
+    [line] = lines["refused"]
+    assert line["organisation"] == "acme"
+    applies = mode is load_controls.Mode.ON
+    assert line["standing"] == ("alone" if applies else None)
+
+
+def test_reports_between_routers_carry_shares_and_memory():
+    """Guards against reports that another router can't read."""
+    report = peer_messages.LoadReport(
+        has={"r0": (1, 0, 0)},
+        said={},
+        prompts=[],
+        means={},
+        shares=[("s", "a", 12, 3)],
+        memory={"r0": 826},
+    )
+    data = peers.CODEC.encode(report, sender="x", configuration=1)
+    assert peers.CODEC.decode(data).unwrap().message == report
