Count a service's mean steps once in the expected wait

The base of the time to a first event, fitted to observed ones, includes the decode steps of the service's mean server; the expected wait added a server's steps beyond an idle one's to it, some 30 ms too much at 30 requests, so that requests could be refused for lack of time too early. Steps count as their difference to the mean now.

--- a/pimentoledge/routing/server_speeds/paces.py
+++ b/pimentoledge/routing/server_speeds/paces.py
@@ -92,6 +92,10 @@
         base, slope = self.line
         return base + slope * running
 
+    def mean_seconds(self) -> float:
+        """Returns the mean time between events; 0 if unknown."""
+        return self.seconds / self.weight if self.weight else 0.0
+
     def note_stream(self, events: int, answer_tokens: int) -> None:
         """Adds a complete stream's events and maximum of tokens."""
         if not answer_tokens:
--- a/pimentoledge/routing/wait_estimates.py
+++ b/pimentoledge/routing/wait_estimates.py
@@ -9,6 +9,9 @@
 # Servers with more slots share a step among more requests.
 SHARED_STEP_SECONDS = 0.0015
 SHARED_STEP_SLOTS = 10
+# Largest share of the base of the time to a first event that is taken for
+# decode steps.
+MAX_BASE_STEPS = 0.5
 # Wait per request beyond the slots, at a server of QUEUE_SLOTS slots. With more
 # slots, one becomes free sooner.
 QUEUE_SECONDS = 0.06
@@ -181,9 +184,11 @@
         base, slope = line
         event_seconds = step_factor * (base + slope * running)
         delay_seconds = step_factor * slope * others
-        # The base of the time to a first event has the steps of an idle
-        # server of mean speed.
-        steps = max(0.0, event_seconds - base)
+        # The base of the time to a first event includes the mean steps.
+        steps = max(
+            -MAX_BASE_STEPS * speeds.base_seconds,
+            event_seconds - backend.speed.pace.mean_seconds(),
+        )
     queued = QUEUE_SECONDS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
     token_seconds = speeds.token_seconds * prefill_factor
     known, ahead = _unread_and_ahead(
