Soak: servers that slow down and report it, headers without end

The soak learns the parts of load control and the bounds on servers: a stand-in reports a slowdown, which turns load control on at its service, and floods routers with a header until they close.

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -12,6 +12,9 @@
 
 THREADS = 32
 SIGNATURE = b"stand.in"
+# An endless header, in blocks: 16 MB are far above any bound of a router.
+FLOOD_BLOCK = b"x" * 65536
+FLOOD_BLOCKS = 256
 # Interval at which a queued request's connection is checked.
 QUEUE_POLL_SECONDS = 0.02
 POLL_SECONDS = 0.001
@@ -85,6 +88,11 @@
         empty: whether its responses have no body, if they are no streams.
         crashes: requests that have crashed it, in order.
         software: version of its software.
+        slowdown: how long work takes on its VM, in percent of the usual time,
+            as its responses report; 0 if they don't.
+        floods: number of next requests that it answers with a header that
+            doesn't end, until the caller closes.
+        flooded_until_closed: how often the caller has closed in such a header.
     """
 
     def __init__(
@@ -125,6 +133,9 @@
         self.crashes_on = b""
         self.software = "v1"
         self.crashes_on_part = ""
+        self.slowdown = 0
+        self.floods = 0
+        self.flooded_until_closed = 0
         self.crashes_after_head = False
         self.unframed = False
         self.empty = False
@@ -265,6 +276,9 @@
         if self._consume_fault("lose"):
             fake_http.cut_connection(request)
             return
+        if self._consume_fault("floods"):
+            self._flood(request)
+            return
         if self.work_seconds:
             time.sleep(self.work_seconds)
         head = self._response_headers(call.headers)
@@ -286,6 +300,20 @@
             return
         fake_http.send_response(request, body, headers=head)
 
+    def _flood(self, request) -> None:
+        """Sends a header without an end until the caller closes."""
+        try:
+            request.conn.wfile.write(b"HTTP/1.1 200 OK\r\nFiller: ")
+            for _ in range(FLOOD_BLOCKS):
+                request.conn.wfile.write(FLOOD_BLOCK)
+        except OSError:
+            self.flooded_until_closed += 1
+        fake_http.cut_connection(request)
+
+    def _load_header(self) -> bytes:
+        load = b"%d,0,8" % self.active_requests
+        return load + b",%d" % self.slowdown if self.slowdown else load
+
     def _response_headers(
         self, headers: dict[str, str]
     ) -> list[tuple[bytes, bytes]]:
@@ -293,7 +321,7 @@
         return [
             (names.REQUEST_ID, request_id),
             (names.SIGNATURE, SIGNATURE),
-            (names.SERVER_LOAD, b"%d,0,8" % self.active_requests),
+            (names.SERVER_LOAD, self._load_header()),
             *self._notice_headers(),
         ]
 
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -44,6 +44,10 @@
 HERD_KINDS = ("kill_all",)
 # Most servers refuse most requests for some seconds.
 SHED_KINDS = ("shed",)
+# A server's VM becomes slow, as its responses report, so load control applies.
+SLOWDOWN_KINDS = ("server_slowed",)
+# A server sends headers without an end until the router closes.
+FLOOD_KINDS = ("server_floods",)
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
@@ -62,6 +66,8 @@
     *HERD_KINDS,
     *PART_CRASH_KINDS,
     *SHED_KINDS,
+    *SLOWDOWN_KINDS,
+    *FLOOD_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -124,7 +124,7 @@
 
     def _run_request(self, request, call) -> None:
         arrival = self._in_progress[request]
-        if self.lose:
+        if self.lose or self.floods:
             arrival.harmed = True
         arrival.weights = call.weights
         arrival.ran = True
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -536,6 +536,24 @@
         if await self._is_last("late", server, fault.seconds):
             server.work_seconds = WORK_SECONDS
 
+    async def _server_slowed(self, fault: plans.Fault) -> None:
+        """Slows a server, which reports it in its responses."""
+        server = self._choose_server(fault)
+        self.record.add_fault(
+            f"{server.incarnation} slowed by {fault.count}, "
+            f"{fault.seconds:.1f} s"
+        )
+        server.slowdown = 100 + 100 * fault.count
+        server.work_seconds = (1 + fault.count) * WORK_SECONDS
+        if await self._is_last("slowed", server, fault.seconds):
+            server.slowdown = 100
+            server.work_seconds = WORK_SECONDS
+
+    async def _server_floods(self, fault: plans.Fault) -> None:
+        server = self._choose_server(fault)
+        self.record.add_fault(f"{server.incarnation} floods {fault.count}")
+        server.floods += fault.count
+
     async def _stream_cut(self, fault: plans.Fault) -> None:
         server = self._choose_runner(fault)
         self.record.add_fault(f"{server.incarnation} cuts after {fault.count}")
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -46,6 +46,14 @@
     "store_refuses",
     "server_crashes",
 )
+LOADS = (
+    *plans.SLOWDOWN_KINDS,
+    *plans.SLOWDOWN_KINDS,
+    *plans.FLOOD_KINDS,
+    *plans.ROUTER_KINDS,
+    *plans.SHED_KINDS,
+    "server_crashes",
+)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -55,6 +63,7 @@
         pytest.param(32, 7.0, SERVERS, id="servers"),
         pytest.param(32, 7.0, STORE, id="store"),
         pytest.param(7, 10.0, NOTICES, id="notices"),
+        pytest.param(5, 8.0, LOADS, id="loads"),
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
         pytest.param(3, 12.0, RESTORES, id="restores"),
