Fair shares: line of a request over its limit

With load control on, a request over its organisation's limit got 500 in place of 429: the field "share" of its log line was given twice, as the level of shares and as the part of all rights. The former is named fair_share now. A trial with load control on in test_router_limits_path.py showed it; a test now covers both lines with load control off and on.

--- a/pimentoledge/routing/decision_fields.py
+++ b/pimentoledge/routing/decision_fields.py
@@ -105,8 +105,8 @@
 ) -> dict[str, object]:
     """Returns the log fields of how an organisation's service compares.
 
-    `received` and `share` are parts of the service's capacity, divided by the
-    organisation's weight. Where load control is not in effect, only the
+    `received` and `fair_share` are parts of the service's capacity, divided by
+    the organisation's weight. Where load control is not in effect, only the
     organisation is named.
     """
     fields = {
@@ -125,7 +125,7 @@
     return fields | {
         "standing": standing.value,
         "received": round(shares.received(service, name, now), 4),
-        "share": round(shares.level(service, now).share, 4),
+        "fair_share": round(shares.level(service, now).share, 4),
         "slots_used": _part(usage.busy, usage.slots),
         "memory_used": _part(usage.held, usage.memory),
         "starved": share_demands.is_starved(view, route, name, standing),
--- a/pimentoledge/tests/test_router_fair_shares.py
+++ b/pimentoledge/tests/test_router_fair_shares.py
@@ -22,6 +22,7 @@
 from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.fair_shares import standings
 from pimentoledge.tests import router_world
+from pimentoledge.tests import test_router_limits_path
 from pimentoledge.tests import test_router_logs
 
 SHORT, LONG = share_runs.SHORT, share_runs.LONG
@@ -339,7 +340,7 @@
         assert fields == {"organisation": "hot", "standing": None}
         return
     assert fields["standing"] == "above"
-    assert fields["received"] > fields["share"] > 0
+    assert fields["received"] > fields["fair_share"] > 0
     assert fields["slots_used"] > 0.7
     nobody = decision_fields.of_standing(view, None, None, None, 10.0)
     assert nobody == {"organisation": "", "standing": None}
@@ -374,27 +375,29 @@
     assert share_demands.counting(view, share_runs.SERVICE) is None
 
 
-@pytest.mark.parametrize(
-    "mode", [load_controls.Mode.OFF, load_controls.Mode.ON]
-)
-def test_lines_of_refusals_name_the_organisation(mode):
+@pytest.mark.parametrize("mode", ["off", "on"])
+@pytest.mark.parametrize("message", ["refused", "limited"])
+def test_lines_of_refusals_name_the_organisation(mode, message):
     """Guards against refusals of which nobody can tell who is refused."""
+    runners = 0 if message == "refused" else 1
 
-    @router_world.with_world(routers=2, runners=0)
+    @router_world.with_world(routers=1, runners=runners)
     async def refuse(world):
-        for each in world.routers:
-            each.view.load_control.mode = mode
+        world.routers[0].view.load_control.mode = load_controls.Mode(mode)
+        if message == "limited":
+            await test_router_limits_path.limit(
+                world, unit="tokens", ratePerS=1, burst=1
+            )
         answer = await world.request(
             "/drafts/x", headers=router_world.stream_headers()
         )
-        assert answer.status == 503
+        assert answer.status == (503 if message == "refused" else 429)
 
     with test_router_logs.fields_of_lines() as lines:
         refuse()
-    [line] = lines["refused"]
+    [line] = lines[message]
     assert line["organisation"] == "acme"
-    applies = mode is load_controls.Mode.ON
-    assert line["standing"] == ("alone" if applies else None)
+    assert line["standing"] == ("alone" if mode == "on" else None)
 
 
 def test_reports_between_routers_carry_shares_and_memory():
