--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -210,7 +210,7 @@
 def _draw(ranked: list[ServerCandidate], criteria: Criteria) -> ServerCandidate:
     """Returns one of the candidates that are about as good as the first."""
     best = ranked[0]
-    most = best.cost + EQUAL_SHARE * 1000 * best.first_seconds
+    most = best.cost + EQUAL_SHARE * 1000 * max(0.0, best.first_seconds)
     equal = [
         each
         for each in ranked
--- a/pimentoledge/routing/wait_estimates.py
+++ b/pimentoledge/routing/wait_estimates.py
@@ -186,7 +186,7 @@
         delay_seconds = step_factor * slope * others
         # The base of the time to a first event includes the mean steps.
         steps = max(
-            -MAX_BASE_STEPS * speeds.base_seconds,
+            -MAX_BASE_STEPS * speeds.base_seconds * prefill_factor,
             event_seconds - backend.speed.pace.mean_seconds(),
         )
     queued = QUEUE_SECONDS * max(0, busy + 1 - slots) * QUEUE_SLOTS / slots
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -256,6 +256,22 @@
         fast.open = 60
         assert choose([slow, fast], **criteria).backend is slow
 
+    @pytest.mark.parametrize("ratio", [0.05, 1.0, 20.0])
+    @pytest.mark.parametrize("base", [0.0, 0.1])
+    def test_a_server_is_chosen_at_any_speed(self, ratio, base):
+        """Guards against an expected wait below zero, and a failed draw."""
+        found = servers(2)
+        for each in found:
+            each.speed.note_report(ratio, 0.0)
+            observe(each.speed, ratio, 0, 2)
+        assert choose(
+            found, 2.0, speeds=attrs.evolve(SPEEDS, base_seconds=base)
+        )
+        wait = wait_estimates.expected_wait(
+            found[0], wait_estimates.PromptWork(), SPEEDS, 2.0
+        )
+        assert wait.seconds >= 0.0
+
     @pytest.mark.parametrize("members", [1, 30])
     def test_a_slow_server_gets_a_request_in_two_seconds(self, members):
         """Guards against servers whose recovery is never noticed."""
