--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -110,7 +110,7 @@
     def prefill_factor(self, now: float) -> float:
         """Returns the time to prefill; 1.0 is as the model's line says.
 
-        Fetches aren't observed apart from prefills, so it includes them.
+        Times of fetches aren't observed apart from it.
         """
         return self.factors(now)[1]
 
