--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -213,7 +213,7 @@
     if criteria.unshared > CHUNK_TOKENS and criteria.parts:
         # Requests that share a long prompt stay together.
         return best
-    most = best.cost + EQUAL_SHARE * 1000 * best.first_seconds
+    most = best.cost + EQUAL_SHARE * 1000 * max(0.0, best.first_seconds)
     equal = [
         each
         for each in ranked
