Break an ended connection that the buffer budget closes

When the budget closed a connection that had already ended, its last event was discarded with the queued bytes and none followed, so the exchange waited until its deadline. It now gets ConnectionBroken, as for an open connection.

test_router_bounds, tests of connections: 3 passed; the new test with an ended connection timed out before.

--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -176,6 +176,13 @@
             self.holder = None
             self._events.clear()
             self._queued_bytes = 0
+            if self._ended:
+                # Its last event was among them, and `next` would never return.
+                self._push_event(
+                    ConnectionBroken(reason=str(exceeded), exceeded=exceeded)
+                )
+                self.abort()
+                return
         self.break_off(str(exceeded), exceeded=exceeded)
 
     def has_unread_input(self) -> bool:
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -488,6 +488,33 @@
         assert min(sizes) == server_connections.MIN_READ_BYTES
         assert sizes[-1] == server_connections.MAX_READ_BYTES
 
+    @pytest.mark.parametrize("ended", [False, True])
+    def test_a_connection_closed_by_the_budget_breaks(self, ended):
+        """Guards against waiting for a connection whose end was discarded."""
+
+        async def run():
+            budget = buffer_budgets.BufferBudget(bound=2_000_000)
+            holder = buffer_budgets.Holder(
+                budget=budget,
+                unsent_bytes=lambda: 0,
+                close_client=lambda exceeded: pytest.fail("client closed"),
+            )
+            connection = server_connections.ServerConnection(address="")
+            connection.busy = True
+            connection.count_for(holder)
+            connection.data_received(OK + b"\r\n" + b"x" * 1000)
+            if ended:
+                connection.connection_lost(None)
+            assert budget.held == 1000
+            holder.note(buffer_budgets.Part.COLLECTED, 2_000_000)
+            assert budget.held == 0
+            event = await asyncio.wait_for(connection.next(), 1.0)
+            assert isinstance(event, server_connections.ConnectionBroken)
+            assert event.exceeded.bound is buffer_bounds.Bound.BUFFERS
+            assert not connection.has_unread_input()
+
+        asyncio.run(run())
+
 
 class TestBufferBudget:
     """Tests of the order in which holders are closed."""
