Remove only the load that an attempt has added

An attempt whose start failed was still removed from its server's load: the server then appeared to have fewer requests than none, and attracted traffic. AttemptLoad.close removes nothing unless start has added something.

The new test in test_router_path found -1 open requests before, and passes now.

--- a/pimentoledge/routing/attempt_loads.py
+++ b/pimentoledge/routing/attempt_loads.py
@@ -35,6 +35,7 @@
         self.fair_shares = fair_shares
         self.work = share_counters.work_of(client_request)
         self.prompt_read = False
+        self._started = False
         self._reading = 0
         self._unbegun = False
         self._ahead = 0
@@ -48,11 +49,13 @@
             now: the time.
         """
         backend = self.backend
-        self._reading = self.dispatch.to_read
+        reading = self.dispatch.to_read
         self._ahead = int(
-            wait_estimates.tokens_ahead(backend, self._reading, speeds, now)
+            wait_estimates.tokens_ahead(backend, reading, speeds, now)
         )
         self._sent = now
+        self._started = True
+        self._reading = reading
         if not backend.outstanding():
             backend.read_since = now
         backend.open += 1
@@ -84,8 +87,14 @@
         self.prompt_read = True
 
     def close(self, now: float) -> None:
-        """Removes the ended attempt from the server's load."""
+        """Removes the ended attempt from the server's load.
+
+        Nothing is removed if `start` has failed before it added anything.
+        """
         self.end_prompt_reading()
+        if not self._started:
+            return
+        self._started = False
         self.backend.open -= 1
         self.backend.open_tokens -= self.work.memory
         if self.fair_shares is not None:
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -5,6 +5,8 @@
 import attrs
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import load_controls
+from pimentoledge.routing import wait_estimates
 from pimentoledge.routing import watchers
 from pimentoledge.tests import router_world
 
@@ -593,3 +595,28 @@
     expects = {"Expect": "100-continue", "Content-Length": "20000"}
     got = await world.request("/cards/1", headers=expects)
     assert got.status == 413
+
+
+def test_an_attempt_that_fails_to_start_leaves_no_load(monkeypatch):
+    """Guards against servers that appear to have less than no requests."""
+
+    def fail(*args):
+        raise ValueError("no estimate")
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        router.view.load_control.mode = load_controls.Mode.ON
+        backend = router.view.servers.by_incarnation["r0"]
+        with monkeypatch.context() as patched:
+            patched.setattr(wait_estimates, "tokens_ahead", fail)
+            got = await world.request("/drafts/", headers=stream_headers())
+        assert got.status == 500
+        load = (backend.open, backend.open_tokens, backend.unbegun)
+        assert load == (0, 0, 0)
+        assert backend.unread_tokens == 0
+        got = await world.request("/drafts/", headers=stream_headers())
+        assert (got.status, got.complete) == (200, True)
+        assert (backend.open, backend.open_tokens) == (0, 0)
+
+    run()
