Estimate speeds from event gaps only where load control applies

Every event of a stream updated its server's estimated speed, also with load control off, where nothing uses the estimate. StreamRelay gets a flag that is set when the stream begins.

test_router_path: the new test with load control off failed before; both of its cases pass now.

--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -231,15 +231,20 @@
         Raises:
             BrokenError: the stream ended early.
         """
-        software = attempt.backend.registration.software
+        registration = attempt.backend.registration
         self.context.relay = stream_relays.StreamRelay(
             attempt=attempt,
             response=answer,
             answer=self.context.answer,
             framed=framed,
+            observes_speed=self.context.view.load_control.applies(
+                registration.service
+            ),
             on_first=lambda: self._record_first_event(attempt),
             on_event=lambda: self.context.binding.begin(
-                self.context.client_request, self.context.route, software
+                self.context.client_request,
+                self.context.route,
+                registration.software,
             ),
             on_proved=self._record_success,
         )
--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -31,6 +31,8 @@
         response: the head of the server's response.
         answer: the response to the client.
         framed: whether the response tells where it ends.
+        observes_speed: whether the gaps between events are added to the
+            estimated speed of the server.
         on_first: called before the first bytes are relayed.
         on_event: called before the first complete events are relayed.
         on_proved: called once the answer has gone on after it began.
@@ -44,6 +46,7 @@
         response: request_types.ServerResponse,
         answer: client_responses.ClientResponse,
         framed: bool,
+        observes_speed: bool,
         on_first: Callable[[], None],
         on_event: Callable[[], None],
         on_proved: Callable[[], None],
@@ -52,6 +55,7 @@
         self.response = response
         self.answer = answer
         self.framed = framed
+        self.observes_speed = observes_speed
         self.on_first = on_first
         self.on_event = on_event
         self.on_proved = on_proved
@@ -136,4 +140,5 @@
             self.on_proved()
         for gap in self.answer.pass_events(complete, self.response):
             self.attempt.backend.note_event_gap(gap)
-            self.attempt.backend.note_paced_gap(gap, clocks.now())
+            if self.observes_speed:
+                self.attempt.backend.note_paced_gap(gap, clocks.now())
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import attrs
+import pytest
 
+from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import wait_estimates
@@ -620,3 +622,26 @@
         assert (backend.open, backend.open_tokens) == (0, 0)
 
     run()
+
+
+@pytest.mark.parametrize(
+    "mode", [load_controls.Mode.ON, load_controls.Mode.OFF]
+)
+def test_gaps_are_observed_where_load_control_applies(monkeypatch, mode):
+    """Guards against estimating speeds at each event for no use."""
+    gaps = []
+    monkeypatch.setattr(
+        backends.Backend,
+        "note_paced_gap",
+        lambda backend, seconds, now: gaps.append(seconds),
+    )
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        router.view.load_control.mode = mode
+        got = await world.request("/drafts/", headers=stream_headers())
+        assert (got.status, got.complete) == (200, True)
+        assert bool(gaps) == (mode is load_controls.Mode.ON)
+
+    run()
