Don't blame a server for the bound of the whole process

A connection that the buffer budget closes raised the failure rate of its server and recorded a possible crash, though all exchanges together had reached the bound.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -44,6 +44,20 @@
         self.silent = silent
         self.exceeded = exceeded
 
+    def is_server_fault(self) -> bool:
+        """Returns whether the server may have failed or crashed.
+
+        The bound of the process is reached by all exchanges together, and the
+        router itself then closes the connection to a server that is sound.
+        """
+        if self.outcome is not retry_rules.AttemptOutcome.BROKE:
+            return False
+        exceeded = self.exceeded
+        return (
+            exceeded is None
+            or exceeded.bound is not buffer_bounds.Bound.BUFFERS
+        )
+
 
 def broken(reason: str) -> BrokenError:
     """Returns the error of a sent attempt whose outcome is unknown."""
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -182,9 +182,7 @@
                 if await self._run_attempt(backend, permit):
                     return
             except attempts.BrokenError as broken:
-                self.attempt_runs.record_outcome(
-                    backend, broken.outcome, broken.silent
-                )
+                self.attempt_runs.record_outcome(backend, broken)
                 self.context.log(
                     "attempt_ended",
                     server=backend.registration.incarnation,
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -221,17 +221,14 @@
             self._record_break(backend, silent=True)
 
     def record_outcome(
-        self,
-        backend: backends.Backend,
-        outcome: retry_rules.AttemptOutcome,
-        silent: bool,
+        self, backend: backends.Backend, broken: attempts.BrokenError
     ) -> None:
         """Records how an attempt at a server ended without a response."""
         incarnation = backend.registration.incarnation
-        self.context.history.note_outcome(incarnation, outcome)
-        if outcome is retry_rules.AttemptOutcome.BROKE:
+        self.context.history.note_outcome(incarnation, broken.outcome)
+        if broken.is_server_fault():
             backend.note_request_failure(clocks.now())
-            self._record_break(backend, silent)
+            self._record_break(backend, broken.silent)
 
     def _record_break(self, backend: backends.Backend, silent: bool) -> None:
         """Records that a server gave no response, which may be a crash.
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -375,6 +375,32 @@
     run()
 
 
+def test_the_bound_of_the_process_is_not_the_fault_of_a_server():
+    """Guards against sound servers that are avoided or count as crashed."""
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        broke = []
+        router.peers.server_broke = lambda *args: broke.append(args)
+        router.buffers.bound = PIECE
+        server = EndlessServer(
+            fields=b"Content-Length: 250000\r\n",
+            pieces=lambda: [FILLER, FILLER],
+        )
+        await server.start(world, "plain")
+        answer = await world.request("/cards/", body=b"c")
+        assert answer.status == 502
+        await world.until(lambda: server.ended == 1)
+        assert counted(router, buffer_bounds.Bound.BUFFERS) == 1
+        assert not router.view.servers.by_incarnation["x0"].failure_rate
+        assert not broke
+        assert server.requests == 1
+        assert not router.buffers.held
+
+    run()
+
+
 async def open_slow(client):
     """Opens a client's connection that takes a few KB without being read."""
     sock = socket.socket()
