Count failure responses that are kept during further attempts

A failure response of up to 256 KiB was held outside the buffer budget while a request waited for and ran its next attempt. It is now a part of the client's holder, and released when any response is sent or the request ends.

--- a/pimentoledge/routing/buffer_budgets.py
+++ b/pimentoledge/routing/buffer_budgets.py
@@ -38,6 +38,12 @@
     QUEUED = enum.auto()
     COLLECTED = enum.auto()
     INCOMPLETE_EVENT = enum.auto()
+    # A failure response that is kept in case no further attempt succeeds.
+    FAILED_ANSWER = enum.auto()
+
+
+# Parts that don't belong to the connection to the server.
+_KEPT_PARTS = frozenset((Part.UNSENT, Part.FAILED_ANSWER))
 
 
 class BufferBudget:
@@ -150,7 +156,7 @@
         """Removes all that is held of a server's connection."""
         self.close_server = None
         for part in Part:
-            if part is not Part.UNSENT:
+            if part not in _KEPT_PARTS:
                 self.note(part, 0)
 
     def close(self) -> None:
--- a/pimentoledge/routing/request_stages/contexts.py
+++ b/pimentoledge/routing/request_stages/contexts.py
@@ -4,6 +4,7 @@
 
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import capacity_checks
 from pimentoledge.routing import charges
 from pimentoledge.routing import client_responses
@@ -144,6 +145,24 @@
             self.place.release()
             self.place = None
 
+    def keep_failed_answer(
+        self, answer: request_types.ServerResponse, body: bytes
+    ) -> None:
+        """Keeps a failure response until `take_failed_answer`."""
+        self.failed_answer = (answer, body)
+        self.answer.client.holder.note(
+            buffer_budgets.Part.FAILED_ANSWER, len(body)
+        )
+
+    def take_failed_answer(
+        self,
+    ) -> tuple[request_types.ServerResponse, bytes] | None:
+        """Returns the kept failure response, or None, and ends its keeping."""
+        found, self.failed_answer = self.failed_answer, None
+        if found is not None:
+            self.answer.client.holder.note(buffer_budgets.Part.FAILED_ANSWER, 0)
+        return found
+
     def organisation_name(self) -> str:
         """Returns the organisation's name, or ""."""
         return "" if self.organisation is None else self.organisation.name
--- a/pimentoledge/routing/request_stages/final_responses.py
+++ b/pimentoledge/routing/request_stages/final_responses.py
@@ -63,8 +63,9 @@
             self.context.log("broken_off", code=code.name)
             self.context.answer.break_off()
             return
-        if self.context.failed_answer is not None:
-            answer, body = self.context.failed_answer
+        failed_answer = self.context.take_failed_answer()
+        if failed_answer is not None:
+            answer, body = failed_answer
             self.context.log("answered", status=answer.status, again=True)
             self.context.answer.pass_on(answer, body)
             return
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -92,10 +92,11 @@
             raise attempts.broken("ended with its connection and no body")
         self._record_status(backend, answer.status, framed=framed)
         if answer.status >= 500 and self._would_retry():
-            self.context.failed_answer = (answer, body)
+            self.context.keep_failed_answer(answer, body)
             raise attempts.BrokenError(
                 retry_rules.AttemptOutcome.FAILED, f"status {answer.status}"
             )
+        self.context.take_failed_answer()
         self.context.answer.pass_on(answer, body)
         self._log_answered(backend, answer)
 
@@ -155,6 +156,7 @@
             )
         connection = attempt.connection
         connection.reads_ahead = False
+        self.context.take_failed_answer()
         self.context.answer.begin_body(answer, length)
         if connection.holder is not None:
             connection.holder.note(buffer_budgets.Part.COLLECTED, 0)
@@ -241,11 +243,7 @@
                 registration.service
             ),
             on_first=lambda: self._record_first_event(attempt),
-            on_event=lambda: self.context.binding.begin(
-                self.context.client_request,
-                self.context.route,
-                registration.software,
-            ),
+            on_event=lambda: self._begin_events(registration.software),
             on_proved=self._record_success,
         )
         await self.context.relay.run()
@@ -261,6 +259,13 @@
         self.context.answer.end_stream(answer)
         self._log_stream(attempt.backend)
 
+    def _begin_events(self, software: str) -> None:
+        """Prepares for the first events of a stream."""
+        self.context.take_failed_answer()
+        self.context.binding.begin(
+            self.context.client_request, self.context.route, software
+        )
+
     def _log_stream(self, backend: backends.Backend) -> None:
         first = self.context.answer.first_seconds
         if first is not None:
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -375,6 +375,62 @@
     run()
 
 
+@pytest.mark.parametrize("end", ["answered", "failed", "left"])
+def test_a_kept_failure_is_counted(end):
+    """Guards against failures that fill the memory during other attempts."""
+    size = 200_000
+
+    @with_world(plain=0, runners=0)
+    async def run(world):
+        await world.until_retries_allowed("plain")
+        [router] = world.routers
+        servers = router.view.servers.by_incarnation
+        again = asyncio.Event()
+
+        def failure():
+            servers["x1"].avoid_until = 0.0
+            return [b"x" * size]
+
+        failed = EndlessServer(
+            fields=b"Content-Length: %d\r\n" % size,
+            pieces=failure,
+            status=b"500 Failed",
+        )
+        other = EndlessServer(
+            fields=b"Content-Length: 2\r\n",
+            pieces=lambda: [b"ok"],
+            status=b"200 OK" if end == "answered" else b"500 Failed",
+        )
+        serve = other._serve
+
+        async def serve_later(reader, writer):
+            await again.wait()
+            await serve(reader, writer)
+
+        other._serve = serve_later
+        await failed.start(world, "plain")
+        await other.start(world, "plain", name="x1")
+        servers["x1"].avoid_until = clocks.now() + 9
+        client = world.client()
+        await client.open()
+        client.send("/notices/")
+        # It is sent to the other server, which doesn't answer yet.
+        await world.until(lambda: servers["x1"].open)
+        assert router.buffers.held == size
+        if end == "left":
+            client.close()
+        else:
+            again.set()
+            answer = await client.read()
+            assert answer.status == (200 if end == "answered" else 500)
+            assert other.requests == 1
+            client.close()
+        await world.until(lambda: not router.buffers.held)
+        again.set()
+
+    run()
+
+
 def test_the_bound_of_the_process_is_not_the_fault_of_a_server():
     """Guards against sound servers that are avoided or count as crashed."""
 
