Send no chunks to clients of HTTP/1.0

Streams, and since large bodies pass through also those without a length, were sent in chunks to clients of HTTP/1.0, which take the chunk sizes for part of the body. Such responses now end with the connection. Until the whole body is written, SO_LINGER makes any end of the connection a reset, so that a cut body doesn't look complete.

The new tests in test_router_bounds and test_router_unframed (2 cases each) failed before and pass now.

--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -259,20 +259,27 @@
 
 
 def encode_response_head(
-    response: request_types.ServerResponse, *, length: int | None, closes: bool
+    response: request_types.ServerResponse,
+    *,
+    length: int | None,
+    closes: bool,
+    chunked: bool = True,
 ) -> bytes:
     """Encodes the head of a server's response for the client.
 
     Args:
         response: the server's response.
-        length: length of the body, or None if it is sent in chunks.
+        length: length of the body, or None if it isn't known.
         closes: whether the connection is closed after the response.
+        chunked: whether a body of unknown length is sent in chunks; otherwise
+            it ends with the connection.
     """
     reason = _REASON_PHRASES.get(response.status, b"Answer")
     lines = [b"HTTP/1.1 %d %b" % (response.status, reason)]
     lines += [b"%b: %b" % pair for pair in response.passed_on]
     if length is None:
-        lines.append(b"Transfer-Encoding: chunked")
+        if chunked:
+            lines.append(b"Transfer-Encoding: chunked")
     elif response.status not in (204, 304):
         lines.append(b"Content-Length: %d" % length)
     if closes:
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+import socket
+import struct
 
 import logbook
 
@@ -29,6 +31,10 @@
 # or their own timeout ends. It is sent once no earlier response is pending on
 # the connection.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Values of SO_LINGER. With the first one the kernel resets the connection when
+# the socket is closed, also if the process is killed.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -46,6 +52,7 @@
         exchange: the exchange in progress, or None.
         gone: whether the connection is closed.
         served: whether a complete response was sent on it.
+        allows_chunks: whether the current response may be sent in chunks.
     """
 
     def __init__(
@@ -74,6 +81,7 @@
         self.exchange: exchanges.Exchange | None = None
         self.gone = False
         self.served = False
+        self.allows_chunks = True
         self._transport: asyncio.Transport | None = None
         bounds = limits()
         self._parser = http_messages.RequestParser(
@@ -81,6 +89,8 @@
             max_body_bytes=bounds.body_bytes,
         )
         self._keep_alive = True
+        self._ends_by_close = False
+        self._body_ended = False
         self._parse_error: http_messages.BadMessageError | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -110,6 +120,8 @@
     def resume_writing(self) -> None:
         """Marks the connection as writable again."""
         self._writable.set()
+        if self._body_ended:
+            self._set_linger(_END_ON_CLOSE)
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
 
     def _unsent_bytes(self) -> int:
@@ -161,6 +173,7 @@
 
     def _serve(self, head: http_messages.RequestHead, body: bytes) -> None:
         self._keep_alive = head.keep_alive
+        self.allows_chunks = head.allows_chunks()
         if requests.is_readiness_probe(head):
             status = 200 if self.ready() else 503
             self.send(
@@ -192,6 +205,22 @@
         """Whether the connection closes after the current response."""
         return not self._keep_alive or self.leaving()
 
+    def end_body_by_close(self) -> None:
+        """Prepares for a response whose body ends with the connection.
+
+        Until the whole body was written, any end of the connection is a reset,
+        since the client would take a normal one for the end of the body.
+        """
+        self._keep_alive = False
+        self._ends_by_close = True
+        if not self.gone:
+            self._set_linger(_RESET_ON_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        self._transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, value
+        )
+
     def send(self, data: bytes) -> None:
         """Sends bytes unless the connection is closed."""
         if not self.gone:
@@ -216,6 +245,10 @@
         self.idle_since = clocks.now()
         if self.gone:
             return
+        if self._ends_by_close:
+            self._body_ended = True
+            if self.is_writable():
+                self._set_linger(_END_ON_CLOSE)
         if self.closes:
             self._transport.close()
             return
--- a/pimentoledge/routing/client_responses.py
+++ b/pimentoledge/routing/client_responses.py
@@ -33,8 +33,8 @@
         self.first_seconds: float | None = None
         self.gap_seconds = 0.0
         self._event_at = 0.0
-        self._length: int | None = None
         self._is_body = False
+        self._chunked = False
 
     def silent_seconds(self, now: float) -> float:
         """Returns the time since the client last received anything."""
@@ -76,30 +76,54 @@
 
         Args:
             answer: the head of the server's response.
-            length: length of the body, or None to send it in chunks.
+            length: length of the body, or None if it isn't known.
         """
-        self.head_sent = self._is_body = True
-        self._length = length
+        self._is_body = True
+        self._send_head(answer, length)
+
+    def _send_head(
+        self, answer: request_types.ServerResponse, length: int | None
+    ) -> None:
+        """Sends the head of a response that is sent in pieces.
+
+        Args:
+            answer: the head of the server's response.
+            length: length of the body, or None if it isn't known.
+        """
+        self.head_sent = True
+        if length is None:
+            self._chunked = self.client.allows_chunks
+            if not self._chunked:
+                self.client.end_body_by_close()
         self.client.send(
             requests.encode_response_head(
-                answer, length=length, closes=self.client.closes
+                answer,
+                length=length,
+                closes=self.client.closes,
+                chunked=self._chunked,
             )
         )
 
+    def _send_piece(self, data: bytes) -> None:
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.client.send(data)
+
+    def _end_pieces(self) -> None:
+        if self._chunked:
+            self.client.send(b"0\r\n\r\n")
+        self.client.finished()
+
     async def pass_body(self, data: bytes) -> None:
         """Sends a piece of a body; waits until the client has read it."""
         if not data:
             return
-        if self._length is None:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self.client.send(data)
+        self._send_piece(data)
         await self.client.drained()
 
     def end_body(self) -> None:
         """Ends a complete body."""
-        if self._length is None:
-            self.client.send(b"0\r\n\r\n")
-        self.client.finished()
+        self._end_pieces()
 
     def pass_events(
         self,
@@ -126,8 +150,7 @@
                 gaps.append(gap)
         if unsent:
             self._send_stream_head(answer)
-            data = b"".join(unsent)
-            self.client.send(b"%x\r\n%b\r\n" % (len(data), data))
+            self._send_piece(b"".join(unsent))
         return gaps
 
     def _record_gap(self) -> float | None:
@@ -140,20 +163,13 @@
         return now - previous
 
     def _send_stream_head(self, answer: request_types.ServerResponse) -> None:
-        if self.head_sent:
-            return
-        self.head_sent = True
-        self.client.send(
-            requests.encode_response_head(
-                answer, length=None, closes=self.client.closes
-            )
-        )
+        if not self.head_sent:
+            self._send_head(answer, None)
 
     def end_stream(self, answer: request_types.ServerResponse) -> None:
         """Ends a complete stream."""
         self._send_stream_head(answer)
-        self.client.send(b"0\r\n\r\n")
-        self.client.finished()
+        self._end_pieces()
 
     def break_off(self) -> None:
         """Aborts a stream, so that it doesn't look complete."""
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -8,6 +8,9 @@
 # Bytes of a response that are parsed between two checks of its bounds.
 SLICE_BYTES = 16 * 1024
 
+# RFC 9112, 6.1: clients of these versions take chunk sizes for the body.
+VERSIONS_WITHOUT_CHUNKS = frozenset(("0.9", "1.0"))
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -20,12 +23,18 @@
         target: path and query as received.
         headers: names as received, and values, in order.
         keep_alive: whether the connection may serve another request.
+        version: HTTP version, such as "1.1".
     """
 
     method: bytes
     target: bytes
     headers: Headers
     keep_alive: bool
+    version: str = "1.1"
+
+    def allows_chunks(self) -> bool:
+        """Returns whether the response may be sent in chunks."""
+        return self.version not in VERSIONS_WITHOUT_CHUNKS
 
     def values(self, name: bytes) -> list[bytes]:
         """Returns all values of a header.
@@ -184,6 +193,7 @@
             target=self._target,
             headers=self._headers,
             keep_alive=self._parser.should_keep_alive(),
+            version=self._parser.get_http_version(),
         )
         self._check_framing(self._head)
         self.awaits_continue = self._expects_continue(self._head)
@@ -194,7 +204,7 @@
         RFC 9110, 10.1.1: the expectation is ignored in HTTP/1.0, whose clients
         can't parse such a response.
         """
-        if self._parser.get_http_version() != "1.1":
+        if head.version != "1.1":
             return False
         return b"100-continue" in (
             value.strip().lower() for value in head.values(b"expect")
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -262,7 +262,16 @@
     def close(self):
         self.writer.close()
 
-    def send(self, path, *, method="POST", body=b"", key=KEY, headers=()):
+    def send(
+        self,
+        path,
+        *,
+        method="POST",
+        body=b"",
+        key=KEY,
+        headers=(),
+        version="1.1",
+    ):
         """Sends a request without reading the response."""
         self.number += 1
         fields = {
@@ -274,7 +283,7 @@
         if key is not None:
             fields["Authorization"] = f"Bearer {key}"
         fields.update(headers)
-        lines = [f"{method} {path} HTTP/1.1"]
+        lines = [f"{method} {path} HTTP/{version}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
@@ -314,6 +323,16 @@
             headers[name.lower()] = value.strip()
         return int(first.split()[1]), headers
 
+    async def read_to_close(self):
+        """Reads a response whose body ends with the connection."""
+        status, headers = await self._read_head()
+        body, complete = b"", False
+        with contextlib.suppress(ConnectionError):
+            while data := await self.reader.read(65536):
+                body += data
+            complete = True
+        return ClientResponse(status, headers, body, complete)
+
     async def _read_chunks(self):
         body = b""
         while True:
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -295,6 +295,33 @@
     run()
 
 
+@pytest.mark.parametrize("form", ["chunks", "cut chunks"])
+def test_a_large_body_for_http_1_0_ends_with_the_connection(form):
+    """Guards against chunk sizes in a body, and cut bodies that look whole."""
+    fields, body = LARGE_BODIES[form]
+
+    @with_world(plain=0, runners=0)
+    async def run(world):
+        server = EndlessServer(fields=fields, pieces=lambda: [body])
+        await server.start(world, "plain")
+        client = world.client()
+        await client.open()
+        headers = {"Deadline-Ms": "900", "Connection": "keep-alive"}
+        client.send("/notices/", headers=headers, version="1.0")
+        async with asyncio.timeout(8):
+            answer = await client.read_to_close()
+        client.close()
+        assert answer.status == 200
+        assert "transfer-encoding" not in answer.headers
+        assert answer.headers["connection"] == "close"
+        assert answer.complete == (form == "chunks")
+        # A reset may discard bytes that the client has not read.
+        assert BIG.startswith(answer.body)
+        assert answer.body == BIG or not answer.complete
+
+    run()
+
+
 @pytest.mark.parametrize(
     "path,fields,status",
     [
--- a/pimentoledge/tests/test_router_unframed.py
+++ b/pimentoledge/tests/test_router_unframed.py
@@ -1,5 +1,9 @@
 """Responses that end with their connections, before real routers."""
 
+import asyncio
+
+import pytest
+
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -31,6 +35,35 @@
     assert not answer.complete
 
 
+@pytest.mark.parametrize("cut_after", [None, 2])
+def test_a_stream_for_http_1_0_ends_with_the_connection(cut_after):
+    """Guards against chunk sizes in events, and cut streams that look whole."""
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        server = world.servers["r0"]
+        server.cut_after = cut_after
+        client = world.client()
+        await client.open()
+        headers = router_world.stream_headers(Connection="keep-alive")
+        client.send("/drafts/", headers=headers, version="1.0")
+        async with asyncio.timeout(8):
+            answer = await client.read_to_close()
+        client.close()
+        assert answer.status == 200
+        assert "transfer-encoding" not in answer.headers
+        assert answer.headers["connection"] == "close"
+        assert answer.complete == (cut_after is None)
+        lines = answer.body.split(b"\n")
+        assert all(
+            not line or line.startswith((b"id:", b"data:")) for line in lines
+        )
+        if answer.complete:
+            assert answer.body.count(b"id:") == server.events
+
+    run()
+
+
 @with_world(plain=0, runners=1)
 async def test_an_empty_stream_that_ends_with_its_connection_has_failed(world):
     """Guards against a crash after the head that is passed on as a success."""
