Skip framing for clients that left and yield between pieces

The endless body of an unsafe call whose client had left was framed and read without any wait for a client, until the deadline. Its pieces are now dropped unframed, and other tasks run after each.

test_router_bounds: the new test failed before and passes now.

--- a/pimentoledge/routing/client_responses.py
+++ b/pimentoledge/routing/client_responses.py
@@ -1,5 +1,7 @@
 """The response to a client: a server's response, a stream, or a refusal."""
 
+import asyncio
+
 from pimentoledge import results
 from pimentoledge.platform import requests
 from pimentoledge.routing import clocks
@@ -115,9 +117,16 @@
         self.client.finished()
 
     async def pass_body(self, data: bytes) -> None:
-        """Sends a piece of a body; waits until the client has read it."""
+        """Sends a piece of a body; waits until the client has read it.
+
+        The body of an unsafe call is read to its end also if the client has
+        left. No client slows that down, so other tasks run after each piece.
+        """
         if not data:
             return
+        if self.client.gone:
+            await asyncio.sleep(0)
+            return
         self._send_piece(data)
         await self.client.drained()
 
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import calls
+from pimentoledge.routing import client_responses
 from pimentoledge.routing import clocks
 from pimentoledge.routing import event_streams
 from pimentoledge.routing import http_messages
@@ -524,6 +525,32 @@
         asyncio.run(run(buffer_bounds.LISTING_BYTES))
 
 
+class TestClientResponse:
+    """Tests of the passing on of bodies."""
+
+    def test_the_body_for_a_client_that_left_lets_others_run(self):
+        """Guards against endless bodies that occupy the event loop unread."""
+
+        class GoneClient:
+            gone = True
+
+            def send(self, data):
+                pytest.fail("sent to a client that has left")
+
+            async def drained(self):
+                """Returns at once, as for a closed connection."""
+
+        async def run():
+            response = client_responses.ClientResponse(client=GoneClient())
+            ran = []
+            for number in range(3):
+                asyncio.get_running_loop().call_soon(ran.append, number)
+                await response.pass_body(FILLER)
+                assert len(ran) == number + 1
+
+        asyncio.run(run())
+
+
 class TestSplitter:
     """Tests of the splitting of events."""
 
