--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -96,6 +96,7 @@
             self.final.give_up(results.Code.INTERNAL)
         finally:
             self.choice.release_place()
+            self.context.take_failed_answer()
             if self.context.charge is not None:
                 self.context.charge.settle(self.context.history.runs())
             self.active_exchanges.discard(self)
@@ -182,9 +183,7 @@
                 if await self._run_attempt(backend, permit):
                     return
             except attempts.BrokenError as broken:
-                self.attempt_runs.record_outcome(
-                    backend, broken.outcome, broken.silent
-                )
+                self.attempt_runs.record_outcome(backend, broken)
                 self.context.log(
                     "attempt_ended",
                     server=backend.registration.incarnation,
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import calls
+from pimentoledge.routing import client_responses
 from pimentoledge.routing import clocks
 from pimentoledge.routing import event_streams
 from pimentoledge.routing import http_messages
@@ -307,6 +308,33 @@
     run()
 
 
+@pytest.mark.parametrize("form", ["chunks", "cut chunks"])
+def test_a_large_body_for_http_1_0_ends_with_the_connection(form):
+    """Guards against chunk sizes in a body, and cut bodies that look whole."""
+    fields, body = LARGE_BODIES[form]
+
+    @with_world(plain=0, runners=0)
+    async def run(world):
+        server = EndlessServer(fields=fields, pieces=lambda: [body])
+        await server.start(world, "plain")
+        client = world.client()
+        await client.open()
+        headers = {"Deadline-Ms": "900", "Connection": "keep-alive"}
+        client.send("/notices/", headers=headers, version="1.0")
+        async with asyncio.timeout(8):
+            answer = await client.read_to_close()
+        client.close()
+        assert answer.status == 200
+        assert "transfer-encoding" not in answer.headers
+        assert answer.headers["connection"] == "close"
+        assert answer.complete == (form == "chunks")
+        # A reset may discard bytes that the client has not read.
+        assert BIG.startswith(answer.body)
+        assert answer.body == BIG or not answer.complete
+
+    run()
+
+
 @pytest.mark.parametrize(
     "path,fields,status",
     [
@@ -387,6 +415,88 @@
     run()
 
 
+@pytest.mark.parametrize("end", ["answered", "failed", "left"])
+def test_a_kept_failure_is_counted(end):
+    """Guards against failures that fill the memory during other attempts."""
+    size = 200_000
+
+    @with_world(plain=0, runners=0)
+    async def run(world):
+        await world.until_retries_allowed("plain")
+        [router] = world.routers
+        servers = router.view.servers.by_incarnation
+        again = asyncio.Event()
+
+        def failure():
+            servers["x1"].avoid_until = 0.0
+            return [b"x" * size]
+
+        failed = EndlessServer(
+            fields=b"Content-Length: %d\r\n" % size,
+            pieces=failure,
+            status=b"500 Failed",
+        )
+        other = EndlessServer(
+            fields=b"Content-Length: 2\r\n",
+            pieces=lambda: [b"ok"],
+            status=b"200 OK" if end == "answered" else b"500 Failed",
+        )
+        serve = other._serve
+
+        async def serve_later(reader, writer):
+            await again.wait()
+            await serve(reader, writer)
+
+        other._serve = serve_later
+        await failed.start(world, "plain")
+        await other.start(world, "plain", name="x1")
+        servers["x1"].avoid_until = clocks.now() + 9
+        client = world.client()
+        await client.open()
+        client.send("/notices/")
+        # It is sent to the other server, which doesn't answer yet.
+        await world.until(lambda: servers["x1"].open)
+        assert router.buffers.held == size
+        if end == "left":
+            client.close()
+        else:
+            again.set()
+            answer = await client.read()
+            assert answer.status == (200 if end == "answered" else 500)
+            assert other.requests == 1
+            client.close()
+        await world.until(lambda: not router.buffers.held)
+        again.set()
+
+    run()
+
+
+def test_the_bound_of_the_process_is_not_the_fault_of_a_server():
+    """Guards against sound servers that are avoided or count as crashed."""
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        broke = []
+        router.peers.server_broke = lambda *args: broke.append(args)
+        router.buffers.bound = PIECE
+        server = EndlessServer(
+            fields=b"Content-Length: 250000\r\n",
+            pieces=lambda: [FILLER, FILLER],
+        )
+        await server.start(world, "plain")
+        answer = await world.request("/cards/", body=b"c")
+        assert answer.status == 502
+        await world.until(lambda: server.ended == 1)
+        assert counted(router, buffer_bounds.Bound.BUFFERS) == 1
+        assert not router.view.servers.by_incarnation["x0"].failure_rate
+        assert not broke
+        assert server.requests == 1
+        assert not router.buffers.held
+
+    run()
+
+
 async def open_slow(client):
     """Opens a client's connection that takes a few KB without being read."""
     sock = socket.socket()
@@ -427,6 +537,32 @@
         asyncio.run(run(buffer_bounds.LISTING_BYTES))
 
 
+class TestClientResponse:
+    """Tests of the passing on of bodies."""
+
+    def test_the_body_for_a_client_that_left_lets_others_run(self):
+        """Guards against endless bodies that occupy the event loop unread."""
+
+        class GoneClient:
+            gone = True
+
+            def send(self, data):
+                pytest.fail("sent to a client that has left")
+
+            async def drained(self):
+                """Returns at once, as for a closed connection."""
+
+        async def run():
+            response = client_responses.ClientResponse(client=GoneClient())
+            ran = []
+            for number in range(3):
+                asyncio.get_running_loop().call_soon(ran.append, number)
+                await response.pass_body(FILLER)
+                assert len(ran) == number + 1
+
+        asyncio.run(run())
+
+
 class TestSplitter:
     """Tests of the splitting of events."""
 
@@ -500,6 +636,33 @@
         assert min(sizes) == server_connections.MIN_READ_BYTES
         assert sizes[-1] == server_connections.MAX_READ_BYTES
 
+    @pytest.mark.parametrize("ended", [False, True])
+    def test_a_connection_closed_by_the_budget_breaks(self, ended):
+        """Guards against waiting for a connection whose end was discarded."""
+
+        async def run():
+            budget = buffer_budgets.BufferBudget(bound=2_000_000)
+            holder = buffer_budgets.Holder(
+                budget=budget,
+                unsent_bytes=lambda: 0,
+                close_client=lambda exceeded: pytest.fail("client closed"),
+            )
+            connection = server_connections.ServerConnection(address="")
+            connection.busy = True
+            connection.count_for(holder)
+            connection.data_received(OK + b"\r\n" + b"x" * 1000)
+            if ended:
+                connection.connection_lost(None)
+            assert budget.held == 1000
+            holder.note(buffer_budgets.Part.COLLECTED, 2_000_000)
+            assert budget.held == 0
+            event = await asyncio.wait_for(connection.next(), 1.0)
+            assert isinstance(event, server_connections.ConnectionBroken)
+            assert event.exceeded.bound is buffer_bounds.Bound.BUFFERS
+            assert not connection.has_unread_input()
+
+        asyncio.run(run())
+
 
 class TestBufferBudget:
     """Tests of the order in which holders are closed."""
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -3,8 +3,12 @@
 import asyncio
 
 import attrs
+import pytest
 
+from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
+from pimentoledge.routing import load_controls
+from pimentoledge.routing import wait_estimates
 from pimentoledge.routing import watchers
 from pimentoledge.tests import router_world
 
@@ -593,3 +597,51 @@
     expects = {"Expect": "100-continue", "Content-Length": "20000"}
     got = await world.request("/cards/1", headers=expects)
     assert got.status == 413
+
+
+def test_an_attempt_that_fails_to_start_leaves_no_load(monkeypatch):
+    """Guards against servers that appear to have less than no requests."""
+
+    def fail(*args):
+        raise ValueError("no estimate")
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        router.view.load_control.mode = load_controls.Mode.ON
+        backend = router.view.servers.by_incarnation["r0"]
+        with monkeypatch.context() as patched:
+            patched.setattr(wait_estimates, "tokens_ahead", fail)
+            got = await world.request("/drafts/", headers=stream_headers())
+        assert got.status == 500
+        load = (backend.open, backend.open_tokens, backend.unbegun)
+        assert load == (0, 0, 0)
+        assert backend.unread_tokens == 0
+        got = await world.request("/drafts/", headers=stream_headers())
+        assert (got.status, got.complete) == (200, True)
+        assert (backend.open, backend.open_tokens) == (0, 0)
+
+    run()
+
+
+@pytest.mark.parametrize(
+    "mode", [load_controls.Mode.ON, load_controls.Mode.OFF]
+)
+def test_gaps_are_observed_where_load_control_applies(monkeypatch, mode):
+    """Guards against estimating speeds at each event for no use."""
+    gaps = []
+    monkeypatch.setattr(
+        backends.Backend,
+        "note_paced_gap",
+        lambda backend, seconds, now: gaps.append(seconds),
+    )
+
+    @with_world(plain=0, runners=1)
+    async def run(world):
+        [router] = world.routers
+        router.view.load_control.mode = mode
+        got = await world.request("/drafts/", headers=stream_headers())
+        assert (got.status, got.complete) == (200, True)
+        assert bool(gaps) == (mode is load_controls.Mode.ON)
+
+    run()
