Limits: one stall lowers one step, and limits rise without events

A gap of 5 s with two requests running took the limit of a server from 64 to its minimum of 4, and it stayed there: a server short of slots gets no request whose events could raise it. One time now counts for at most 6 times the line, up to 5 requests nothing counts as growth, a comparison lowers the limit by a tenth at most, and without comparisons it rises by a tenth a second.

--- a/pimentoledge/routing/decision_fields.py
+++ b/pimentoledge/routing/decision_fields.py
@@ -53,7 +53,7 @@
         "speed": round(speed.prefill_factor(now), 2),
         "step": round(speed.step_factor(now), 2),
         "event_ms": None if event is None else round(1000 * event, 1),
-        "limit": round(speed.limit(backend.registration.slots), 1),
+        "limit": round(speed.limit(backend.registration.slots, now), 1),
     }
 
 
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -305,7 +305,7 @@
             busy=wait.busy,
             first_seconds=wait.seconds,
             wait_seconds=wait.others_seconds,
-            limit=backend.speed.limit(backend.registration.slots)
+            limit=backend.speed.limit(backend.registration.slots, now)
             if per_server
             else None,
             held_tokens=memory_estimates.held_tokens(
--- a/pimentoledge/routing/server_speeds/concurrency_limits.py
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from pimentoledge.routing.server_speeds import observations
 from pimentoledge.routing.server_speeds import paces
 
 # Least limit: a server with fewer requests wastes its steps.
@@ -16,6 +17,12 @@
 DECREASE = 0.9
 # Growth of the limit after one without, as a share of it.
 INCREASE = 0.1
+# Without comparisons for this long, the limit grows by RISE a second. A server
+# short of slots gets no requests, so no comparison would ever raise it.
+RISE_AFTER_SECONDS = 1.0
+RISE = 0.1
+# Growth stops after this time: it exceeds any number of slots by then.
+MAX_RISE_SECONDS = 100.0
 # Weight of the newest comparison in the latency at few requests, and the
 # weight at more requests. Without the latter, a latency measured once would
 # be compared with forever.
@@ -38,12 +45,14 @@
         few_running: requests at which `few_ratio` was observed.
         few_ratio: time between events at few requests, as a multiple of the
             line; 0 if unknown.
+        compared_at: time of the last comparison.
     """
 
     pace: paces.ServicePace
     value: float | None = None
     few_running: float = 0.0
     few_ratio: float = 0.0
+    compared_at: float = 0.0
     _events: int = 0
     _running: float = 0.0
     _seconds: float = 0.0
@@ -60,6 +69,9 @@
             slots: number of its slots.
             now: the time.
         """
+        line = self.pace.gap_seconds(running)
+        if line:
+            seconds = min(seconds, observations.MAX_OUTLIER_FACTOR * line)
         if not self._events:
             self._since = now
         self._events += 1
@@ -72,25 +84,29 @@
         self._events = 0
         self._running = self._seconds = 0.0
         if mean_seconds > 0:
-            self._compare(mean_seconds, mean_running, slots)
+            self._compare(mean_seconds, mean_running, slots, now)
 
-    def _compare(self, seconds: float, running: float, slots: int) -> None:
+    def _compare(
+        self, seconds: float, running: float, slots: int, now: float
+    ) -> None:
         line = self.pace.gap_seconds(running)
         if not line:
             return
         ratio = seconds / line
         if not self.few_ratio:
             self.few_running, self.few_ratio = running, ratio
-        grown = ratio / self.few_ratio > self._most_growth(running, line)
-        limit = self.limit(slots)
+        is_least = running <= MIN_LIMIT + 1
+        most_growth = self._most_growth(running, line)
+        grown = not is_least and ratio / self.few_ratio > most_growth
+        limit = self.limit(slots, now)
+        self.compared_at = now
         if grown:
-            self.value = max(MIN_LIMIT, DECREASE * min(limit, running))
+            self.value = max(MIN_LIMIT, DECREASE * limit)
         else:
             self.value = limit + max(1.0, INCREASE * limit)
             if self.value >= slots:
                 self.value = None
-        few = running <= MIN_LIMIT + 1
-        few = few or (running <= self.few_running and not grown)
+        few = is_least or (running <= self.few_running and not grown)
         share = FEW_WEIGHT if few else MORE_WEIGHT
         self.few_running += share * (running - self.few_running)
         self.few_ratio += share * (ratio - self.few_ratio)
@@ -103,6 +119,10 @@
     def _few_line(self) -> float:
         return self.pace.gap_seconds(self.few_running) or 0.0
 
-    def limit(self, slots: int) -> float:
+    def limit(self, slots: int, now: float) -> float:
         """Returns the number of requests that the server takes well."""
-        return slots if self.value is None else min(slots, self.value)
+        if self.value is None:
+            return slots
+        idle = now - self.compared_at - RISE_AFTER_SECONDS
+        idle = min(MAX_RISE_SECONDS, max(0.0, idle))
+        return min(slots, self.value * (1 + RISE) ** idle)
--- a/pimentoledge/routing/server_speeds/speed_metrics.py
+++ b/pimentoledge/routing/server_speeds/speed_metrics.py
@@ -19,7 +19,10 @@
             ("speed_factor", [each.speed.step_factor(now) for each in servers]),
             (
                 "concurrency_limit",
-                [each.speed.limit(each.registration.slots) for each in servers],
+                [
+                    each.speed.limit(each.registration.slots, now)
+                    for each in servers
+                ],
             ),
         ):
             values.sort()
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -124,9 +124,9 @@
         usual = self.pace.gap_seconds(running)
         return None if usual is None else usual * self.step_factor(now)
 
-    def limit(self, slots: int) -> float:
+    def limit(self, slots: int, now: float) -> float:
         """Returns the number of requests that it takes well."""
-        return self.concurrency.limit(slots)
+        return self.concurrency.limit(slots, now)
 
     def factors(self, now: float) -> tuple[float, float]:
         """Returns the factors of a step and of a prefill."""
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -177,9 +177,9 @@
         found = concurrency_limits.ConcurrencyLimit(pace=self.line())
         for number in range(6000):
             wanted = min(requests, 4 + number / 100)
-            running = min(wanted, found.limit(slots))
+            running = min(wanted, found.limit(slots, number / 20))
             found.note(latency(running), running, slots, number / 20)
-        return found.limit(slots)
+        return found.limit(slots, number / 20)
 
     def test_a_server_that_slows_down_early_gets_a_lower_limit(self):
         """Guards against servers that are filled beyond what they take."""
@@ -201,9 +201,28 @@
             bad = 500 < number < 1000
             found.note(9.0 if bad else 0.03, 12, 64, number / 20)
             if number == 999:
-                assert found.limit(64) >= concurrency_limits.MIN_LIMIT
-                assert found.limit(64) < 12
-        assert found.limit(64) == 64
+                limit = found.limit(64, number / 20)
+                assert concurrency_limits.MIN_LIMIT <= limit < 12
+        assert found.limit(64, number / 20) == 64
+
+    @pytest.mark.parametrize(("running", "least"), [(2, 64), (20, 57)])
+    def test_one_stall_lowers_a_limit_by_one_step_at_most(self, running, least):
+        """Guards against a limit that one stall takes to its minimum."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(100):
+            stalls = 80 <= number < 84
+            usual = 0.025 + 0.001 * running
+            found.note(5.0 if stalls else usual, running, 64, number / 20)
+            assert found.limit(64, number / 20) >= least
+
+    def test_a_limit_rises_without_events(self):
+        """Guards against a server that gets no request for want of events."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(400):
+            found.note(0.03 if number < 40 else 9.0, 12, 64, number / 20)
+        assert found.limit(64, 20.0) <= 5
+        assert found.limit(64, 30.0) == pytest.approx(9.4, rel=0.15)
+        assert found.limit(64, 60.0) == 64
 
     @pytest.mark.parametrize(
         ("limit", "busy", "urgent", "short"),
