Paces: determine the level of a service's line

The line was fed gaps divided by their server's factor, and factors are relative to the line, so nearly any level of it was a fixed point: after 2,400 events of eight servers that all became twice as slow it was at 1.49 of the former level, and at 1.46 of the mean where its first events were those of a slow server. Gaps are now multiplied by the mean factor of the service's recently observed servers; both are within 15 % of the mean.

--- a/pimentoledge/routing/server_speeds/paces.py
+++ b/pimentoledge/routing/server_speeds/paces.py
@@ -21,6 +21,10 @@
 GUESS_TOKENS = 300.0
 # Factor applied to a stream's weight by each later one.
 STREAM_DECAY = 0.98
+# Servers observed within this time count for the mean factor, which is
+# computed again at the interval.
+RECENT_SECONDS = 3.0
+MEAN_INTERVAL_SECONDS = 0.25
 
 
 @attrs.define(kw_only=True)
@@ -52,6 +56,9 @@
     tokens: float = GUESS_TOKENS
     line: tuple[float, float] | None = None
     _unused: int = 0
+    _factors: dict[int, tuple[float, float]] = attrs.field(factory=dict)
+    _mean_factor: float = 1.0
+    _mean_until: float = float("-inf")
 
     def note_gap(self, seconds: float, running: float) -> None:
         """Adds the time between two events of a server of mean speed.
@@ -72,6 +79,40 @@
             self._unused = 0
             self.line = self._fit()
 
+    def note_observed_gap(
+        self,
+        seconds: float,
+        running: float,
+        *,
+        server: int,
+        factor: float,
+        now: float,
+    ) -> None:
+        """Adds the time between two events of a server.
+
+        Factors are relative to the line. Divided by its server's factor alone,
+        a time would confirm any level of the line; the mean of the factors
+        corrects the level.
+
+        Args:
+            seconds: the time.
+            running: number of requests at the server.
+            server: identifies the server.
+            factor: the server's factor.
+            now: the time.
+        """
+        self._factors[server] = factor, now
+        if now >= self._mean_until:
+            self._mean_until = now + MEAN_INTERVAL_SECONDS
+            self._factors = {
+                key: (each, at)
+                for key, (each, at) in self._factors.items()
+                if now - at <= RECENT_SECONDS
+            }
+            total = sum(each for each, _ in self._factors.values())
+            self._mean_factor = total / len(self._factors)
+        self.note_gap(seconds * self._mean_factor / factor, running)
+
     def _fit(self) -> tuple[float, float]:
         """Returns the time at an idle server and the time per request."""
         running = self.running / self.weight
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -96,11 +96,17 @@
             self.pace.note_gap(seconds, running)
         else:
             self.gaps.own.note(seconds, expected, slowdown, now)
-            longest = observations.MAX_OUTLIER_FACTOR * expected
             # Slow servers get fewer requests: without the factor, the line
             # would fall with the requests.
-            usual = seconds / self.step_factor(now)
-            self.pace.note_gap(min(usual, longest), running)
+            factor = self.step_factor(now)
+            longest = observations.MAX_OUTLIER_FACTOR * expected * factor
+            self.pace.note_observed_gap(
+                min(seconds, longest),
+                running,
+                server=id(self),
+                factor=factor,
+                now=now,
+            )
         self.concurrency.note(seconds / slowdown, running, slots, now)
 
     def step_factor(self, now: float) -> float:
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -36,13 +36,18 @@
 
 
 def observe(speed, ratio, since, until, running=8):
-    """Adds events of some streams, spaced by 10 ms."""
+    """Adds events of some streams, spaced by 10 ms.
+
+    Three in four are of the service's other servers, which are of usual speed.
+    """
+    others = itertools.cycle(
+        [speeds.ServerSpeed(pace=speed.pace) for _ in range(30)]
+    )
     for step in range(int(100 * since), int(100 * until)):
         gap = ratio * USUAL_SECONDS
         speed.note_event_gap(gap, running, 64, step / 100)
         for _ in range(3):
-            # Events of the service's other servers.
-            speed.pace.note_gap(USUAL_SECONDS, running)
+            next(others).note_event_gap(USUAL_SECONDS, running, 64, step / 100)
 
 
 def servers(count):
@@ -116,6 +121,23 @@
         factor = speed.step_factor(6.0)
         assert 0.7 * after < factor < 1.5 * after
 
+    @pytest.mark.parametrize(
+        ("first", "ratios"),
+        [(3.0, [3.0] + 7 * [1.0]), (0.5, 8 * [1.0]), (1.0, 8 * [2.0])],
+    )
+    def test_the_line_has_the_level_of_the_mean_server(self, first, ratios):
+        """Guards against a line that stays at the level of its first events."""
+        line = paces.ServicePace()
+        found = [speeds.ServerSpeed(pace=line) for _ in ratios]
+        for _ in range(200):
+            line.note_gap(first * USUAL_SECONDS, 8)
+        for step in range(300):
+            for each, ratio in zip(found, ratios, strict=True):
+                gap = ratio * USUAL_SECONDS
+                each.note_event_gap(gap, 8, 64, step / 20)
+        mean = USUAL_SECONDS * sum(ratios) / len(ratios)
+        assert line.gap_seconds(8) == pytest.approx(mean, rel=0.15)
+
     def test_reports_out_of_order_are_ignored(self):
         """Guards against an older figure in place of the present one."""
         reported = slowdowns.ReportedSlowdown()
