Limits: no false report lowers a limit

The times that are compared were divided by the reported slowdown as it came, so a server that reported falsely had its limit lowered to the minimum.

--- a/pimentoledge/routing/server_speeds/concurrency_limits.py
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -45,6 +45,7 @@
         few_running: requests at which `few_ratio` was observed.
         few_ratio: time between events at few requests, as a multiple of the
             line; 0 if unknown.
+        few_usual: the same at the VM's usual speed.
         compared_at: time of the last comparison.
     """
 
@@ -52,22 +53,30 @@
     value: float | None = None
     few_running: float = 0.0
     few_ratio: float = 0.0
+    few_usual: float = 0.0
     compared_at: float = 0.0
     _events: int = 0
     _running: float = 0.0
     _seconds: float = 0.0
+    _usual: float = 0.0
     _since: float = 0.0
 
     def note(
-        self, seconds: float, running: float, slots: int, now: float
+        self,
+        seconds: float,
+        running: float,
+        slots: int,
+        now: float,
+        slowdown: float = 1.0,
     ) -> None:
-        """Adds a time between two events, at the VM's usual speed.
+        """Adds a time between two events.
 
         Args:
             seconds: the time.
             running: number of requests at the server.
             slots: number of its slots.
             now: the time.
+            slowdown: slowdown that the server's VM reports.
         """
         line = self.pace.gap_seconds(running)
         if line:
@@ -77,27 +86,37 @@
         self._events += 1
         self._running += running
         self._seconds += seconds
+        self._usual += seconds / slowdown
         if self._events < WINDOW_EVENTS or now - self._since < WINDOW_SECONDS:
             return
         mean_running = max(1.0, self._running / self._events)
         mean_seconds = self._seconds / self._events
+        mean_usual = self._usual / self._events
         self._events = 0
-        self._running = self._seconds = 0.0
+        self._running = self._seconds = self._usual = 0.0
         if mean_seconds > 0:
-            self._compare(mean_seconds, mean_running, slots, now)
+            self._compare(mean_seconds, mean_usual, mean_running, slots, now)
 
     def _compare(
-        self, seconds: float, running: float, slots: int, now: float
+        self,
+        seconds: float,
+        usual: float,
+        running: float,
+        slots: int,
+        now: float,
     ) -> None:
         line = self.pace.gap_seconds(running)
         if not line:
             return
-        ratio = seconds / line
+        ratio, usual_ratio = seconds / line, usual / line
         if not self.few_ratio:
             self.few_running, self.few_ratio = running, ratio
+            self.few_usual = usual_ratio
         is_least = running <= MIN_LIMIT + 1
         most_growth = self._most_growth(running, line)
-        grown = not is_least and ratio / self.few_ratio > most_growth
+        # A VM that became slow lowers no limit, nor does a false report.
+        growth = min(ratio / self.few_ratio, usual_ratio / self.few_usual)
+        grown = not is_least and growth > most_growth
         limit = self.limit(slots, now)
         self.compared_at = now
         if grown:
@@ -110,6 +129,7 @@
         share = FEW_WEIGHT if few else MORE_WEIGHT
         self.few_running += share * (running - self.few_running)
         self.few_ratio += share * (ratio - self.few_ratio)
+        self.few_usual += share * (usual_ratio - self.few_usual)
 
     def _most_growth(self, running: float, line: float) -> float:
         """Returns the growth beyond the line up to which the limit rises."""
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -107,7 +107,8 @@
                 factor=factor,
                 now=now,
             )
-        self.concurrency.note(seconds / slowdown, running, slots, now)
+        bounded = min(MAX_REPORT_FACTOR, max(1 / MAX_REPORT_FACTOR, slowdown))
+        self.concurrency.note(seconds, running, slots, now, bounded)
 
     def step_factor(self, now: float) -> float:
         """Returns the time of a decode step; 1.0 is the service's mean."""
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -237,6 +237,18 @@
             found.note(5.0 if stalls else usual, running, 64, number / 20)
             assert found.limit(64, number / 20) >= least
 
+    @pytest.mark.parametrize("reports", [0.1, 20.0])
+    def test_a_false_report_lowers_no_limit(self, reports):
+        """Guards against reports that take a limit to its minimum."""
+        speed = speeds.ServerSpeed(pace=self.line())
+        for step in range(1600):
+            now = step / 40
+            false = 400 <= step < 1000
+            if not step % 4:
+                speed.note_report(reports if false else 1.0, now)
+            speed.note_event_gap(0.045, 20, 64, now)
+            assert speed.limit(64, now) == 64
+
     def test_a_limit_rises_without_events(self):
         """Guards against a server that gets no request for want of events."""
         found = concurrency_limits.ConcurrencyLimit(pace=self.line())
