Limits: follow a lasting slowdown of one server

The latency at few requests, with which others are compared, followed a lasting slowdown of one server only at its minimum of requests. While latency stays high at fewer requests, it now follows with a half-life of 10 s: in trials with 20 requests and times 2 or 3 times as long, the limit was below 20 for 4.4 and 9.9 s, before for 6.6 and 15.9 s. At more requests its weight is by time too, with a half-life of 300 s: trials with 10 to 60 s raised the limit of a server that slows down from a third of its slots to all of them.

--- a/pimentoledge/routing/server_speeds/concurrency_limits.py
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -23,11 +23,15 @@
 RISE = 0.1
 # Growth stops after this time: it exceeds any number of slots by then.
 MAX_RISE_SECONDS = 100.0
-# Weight of the newest comparison in the latency at few requests, and the
-# weight at more requests. Without the latter, a latency measured once would
-# be compared with forever.
+# Weight of the newest comparison in the latency at few requests.
 FEW_WEIGHT = 0.2
-MORE_WEIGHT = 0.001
+# Half-life of that latency while it has grown though the requests are fewer:
+# the server has become slower, which a lower limit doesn't change.
+SLOWED_HALF_LIFE_SECONDS = 10.0
+# The same at more requests. Without it, a latency measured once would be
+# compared with forever; with 10 to 60 s, a server that slows down from a third
+# of its slots had its limit rise to all of them time and again.
+MORE_HALF_LIFE_SECONDS = 300.0
 
 
 @attrs.define(kw_only=True)
@@ -118,6 +122,7 @@
         growth = min(ratio / self.few_ratio, usual_ratio / self.few_usual)
         grown = not is_least and growth > most_growth
         limit = self.limit(slots, now)
+        elapsed = max(0.0, now - self.compared_at)
         self.compared_at = now
         if grown:
             self.value = max(MIN_LIMIT, DECREASE * limit)
@@ -126,7 +131,14 @@
             if self.value >= slots:
                 self.value = None
         few = is_least or (running <= self.few_running and not grown)
-        share = FEW_WEIGHT if few else MORE_WEIGHT
+        share = FEW_WEIGHT
+        if not few:
+            half_life = (
+                SLOWED_HALF_LIFE_SECONDS
+                if running <= self.few_running - 1
+                else MORE_HALF_LIFE_SECONDS
+            )
+            share = 1 - 0.5 ** (elapsed / half_life)
         self.few_running += share * (running - self.few_running)
         self.few_ratio += share * (ratio - self.few_ratio)
         self.few_usual += share * (usual_ratio - self.few_usual)
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -237,6 +237,21 @@
             found.note(5.0 if stalls else usual, running, 64, number / 20)
             assert found.limit(64, number / 20) >= least
 
+    @pytest.mark.parametrize(("slowdown", "most"), [(2.0, 6.0), (3.0, 12.0)])
+    def test_a_lasting_slowdown_lowers_a_limit_briefly(self, slowdown, most):
+        """Guards against a low limit at a server that is slow, not full."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        low = 0
+        for number in range(1200):
+            now = number / 20
+            running = min(20, found.limit(64, now))
+            gap = 0.025 + 0.001 * running
+            slow = slowdown if number >= 400 else 1.0
+            found.note(slow * gap, running, 64, now)
+            low += found.limit(64, now) < 20
+        assert low / 20 < most
+        assert found.limit(64, now) == 64
+
     @pytest.mark.parametrize("reports", [0.1, 20.0])
     def test_a_false_report_lowers_no_limit(self, reports):
         """Guards against reports that take a limit to its minimum."""
