Placements: observe slow servers with one router's requests

A server without a request for 2 s got the next request of every router, also if it failed its requests or would be late: 3,000 of 3,000 requests in the test. Its share is now at most one in as many requests as there are routers. Servers with a failure rate from 5 % or an expected wait beyond the objective are left out, and unsafe calls and resumed streams are not sent there.

The test that a slow server gets a request within 2 s let one of 30 routers choose; since about one router sends now, it lets all of them choose.

--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -55,6 +55,8 @@
 # which it gets a request.
 PROBE_SECONDS = 1.5
 PROBE_UNTIL_SECONDS = 2.0
+# Servers with a higher failure rate get no request for the sake of their speed.
+PROBE_FAILURE_RATE = 0.05
 # Share of the requests that go to such a server while the best is idle.
 IDLE_PROBE_SHARE = 0.05
 # Share of an engine's memory that is assumed to hold cached parts.
@@ -84,6 +86,8 @@
         events: expected number of events of the response.
         gap_objective: target for the longest gap between events, in seconds,
             or None.
+        may_probe: whether the request may go to a server that isn't among the
+            best, to observe its speed.
     """
 
     data_centre: str
@@ -100,6 +104,7 @@
     members: int = 1
     events: float = 0.0
     gap_objective: float | None = None
+    may_probe: bool = True
 
 
 def namespace(version: int, isolated_by: str) -> str:
@@ -232,14 +237,21 @@
 ) -> ServerCandidate | None:
     """Returns a server that is due for a request whatever its cost, if any.
 
-    All routers draw for the same server, so each does so seldom at first.
+    All routers draw for the same server, so that about one of them sends to it
+    before the others know. Servers that would fail the request or serve it too
+    late are left out.
     """
-    if len(ranked) < 2:
+    if len(ranked) < 2 or not criteria.may_probe:
         return None
     due = [
         each
         for each in ranked[1:]
         if now - each.backend.speed.received_at > PROBE_SECONDS
+        and each.backend.decayed_failure_rate(now) < PROBE_FAILURE_RATE
+        and (
+            criteria.demand is None
+            or each.first_seconds <= criteria.demand.objective_seconds
+        )
         and not (criteria.local_first and _is_remote(each.backend, criteria))
     ]
     if not due:
@@ -248,7 +260,7 @@
     left = (PROBE_UNTIL_SECONDS - longest) / (
         PROBE_UNTIL_SECONDS - PROBE_SECONDS
     )
-    share = max(2, criteria.members) ** -max(0.0, left)
+    share = min(1 / max(1, criteria.members), 2 ** -max(0.0, left))
     if not ranked[0].busy:
         share = min(share, IDLE_PROBE_SHARE)
     return random.choice(due) if random.random() < share else None
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -95,7 +95,7 @@
             view, client_request, route, organisation, name, now
         )
         if software is not None:
-            criteria = _urgent(criteria)
+            criteria = attrs.evolve(_urgent(criteria), may_probe=False)
         for drawn in shortlists.draws(
             view.servers,
             service=name,
@@ -214,6 +214,8 @@
             client_request.answer_tokens
         ),
         gap_objective=route.gap_seconds,
+        may_probe=route.kind is not configurations.Repeatability.UNSAFE
+        and client_request.resume_after is None,
     )
 
 
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -333,12 +333,47 @@
         for step in range(1000):
             now = 100 + step / 50
             slow.speed.note_report(4.0, now)
-            if choose(
-                [slow, fast], now, events=42, members=members
-            ).backend is (slow):
-                longest, last = max(longest, now - last), now
+            for _ in range(members):
+                if choose(
+                    [slow, fast], now, events=42, members=members
+                ).backend is (slow):
+                    longest, last = max(longest, now - last), now
         assert last > 115 and longest <= placements.PROBE_UNTIL_SECONDS + 0.1
 
+    def probes(self, change=lambda slow: None, members=30, **more):
+        """Returns how many of 3,000 requests go to a server that is overdue."""
+        slow, fast = servers(2)
+        fast.open = 2
+        slow.speed.received_at = fast.speed.received_at = 1.0
+        slow.speed.note_report(4.0, 10.0)
+        change(slow)
+        more = {"events": 42, "members": members} | more
+        chosen = [
+            choose([slow, fast], 10.0, **more).backend for _ in range(3000)
+        ]
+        return chosen.count(slow)
+
+    def test_about_one_router_sends_to_an_overdue_server(self):
+        """Guards against bursts of all routers at a slow server."""
+        assert 50 <= self.probes() <= 170
+
+    def test_no_request_goes_to_a_server_that_fails_or_is_late(self):
+        """Guards against callers that are sent to a known bad server."""
+
+        def fails(slow):
+            slow.note_request_failure(10.0)
+
+        demand = capacity_checks.Demand(
+            urgent=True, mean_tokens=0, memory=None, objective_seconds=0.38
+        )
+        assert not self.probes(fails)
+        assert not self.probes(demand=demand)
+        assert self.probes(demand=attrs.evolve(demand, objective_seconds=1.0))
+
+    def test_requests_that_may_not_probe_go_to_the_best(self):
+        """Guards against unsafe calls and resumed streams at a slow server."""
+        assert not self.probes(may_probe=False)
+
     def test_without_load_control_speeds_change_nothing(self):
         """Guards against other decisions on the earlier deployments."""
         slow, fast = servers(2)
