--- a/pimentoledge/routing/server_speeds/observations.py
+++ b/pimentoledge/routing/server_speeds/observations.py
@@ -89,6 +89,7 @@
             now: the time.
             prior: what is assumed without observations.
         """
+        self._expire(now)
         expected = seconds = slowed = 0.0
         for each, share in self._shares(now):
             expected += share * each.expected
@@ -104,8 +105,17 @@
     def _shares(self, now: float):
         yield self.own, self.own.share(now)
         for each in self.others.values():
-            if now - each.at <= EXPIRY_SECONDS:
-                yield each, each.share(now)
+            yield each, each.share(now)
+
+    def _expire(self, now: float) -> None:
+        """Removes the observations of routers that report none any more."""
+        expired = [
+            sender
+            for sender, each in self.others.items()
+            if now - each.at > EXPIRY_SECONDS
+        ]
+        for sender in expired:
+            del self.others[sender]
 
     def summary(self, now: float) -> tuple[int, int]:
         """Returns the own observations for a report: weight and percent."""
--- a/pimentoledge/routing/server_speeds/speed_reports.py
+++ b/pimentoledge/routing/server_speeds/speed_reports.py
@@ -1,5 +1,7 @@
 """Exchange of servers' speeds in the load reports between routers."""
 
+import itertools
+
 from pimentoledge.routing import backends
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import peer_messages
@@ -59,11 +61,16 @@
             backend = servers.get(name)
             if backend is not None and name in report.said:
                 self._merge_slowdown(backend, percent, report.said[name], now)
-        for name, summary in report.speeds.items():
-            backend = servers.get(name)
-            if backend is not None:
-                backend.speed.merge(sender, summary, now)
-                self._by_sender.setdefault(sender, set()).add(name)
+        if not report.speeds:
+            return
+        summaries = dict(itertools.islice(report.speeds.items(), MAX_SERVERS))
+        self._forget_at(
+            sender, self._by_sender.get(sender, set()) - set(summaries)
+        )
+        known = {name for name in summaries if name in servers}
+        self._by_sender[sender] = known
+        for name in known:
+            servers[name].speed.merge(sender, summaries[name], now)
 
     def _merge_slowdown(
         self,
@@ -84,8 +91,12 @@
 
     def forget(self, sender: str) -> None:
         """Discards the observations of an absent router."""
+        self._forget_at(sender, self._by_sender.pop(sender, set()))
+
+    def _forget_at(self, sender: str, names: set[str]) -> None:
+        """Discards a router's observations of some servers."""
         servers = self.view.servers.by_incarnation
-        for name in self._by_sender.pop(sender, ()):
+        for name in names:
             backend = servers.get(name)
             if backend is not None:
                 backend.speed.forget(sender)
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -20,6 +20,7 @@
 from pimentoledge.routing.server_speeds import paces
 from pimentoledge.routing.server_speeds import slowdowns
 from pimentoledge.routing.server_speeds import speed_metrics
+from pimentoledge.routing.server_speeds import speed_reports
 from pimentoledge.routing.server_speeds import speeds
 
 USUAL_SECONDS = 0.04
@@ -427,6 +428,37 @@
         backend = router.view.servers.by_server["b0"]
         assert backend.speed.reported.at is None
 
+    def report(self, speeds_):
+        return peer_messages.LoadReport(
+            has={}, said={}, prompts=[], means={}, speeds=speeds_
+        )
+
+    def test_observations_that_are_not_reported_any_more_are_removed(self):
+        """Guards against memory that grows with every sender and server."""
+        router = self.world(servers=3, routers=2).routers["tcp://r0"]
+        found = [each.speed for each in router.view.servers.of_service("s")]
+        names = list(router.view.servers.by_incarnation)
+        summary = (20, 300, 20, 300, 100)
+        for reported in (names, names[:1], []):
+            router.reports.receive(
+                "tcp://r1", self.report(dict.fromkeys(reported, summary)), 1.0
+            )
+        assert [len(each.gaps.others) for each in found] == [1, 0, 0]
+        found[0].step_factor(1.1 + observations.EXPIRY_SECONDS)
+        assert not found[0].gaps.others and not found[0].firsts.others
+
+    def test_a_report_counts_for_a_bounded_number_of_servers(self):
+        """Guards against a router whose reports fill another's memory."""
+        count = speed_reports.MAX_SERVERS + 5
+        router = self.world(servers=count, routers=2).routers["tcp://r0"]
+        names = router.view.servers.by_incarnation
+        summary = (20, 300, 20, 300, 100)
+        router.reports.receive(
+            "tcp://r1", self.report(dict.fromkeys(names, summary)), 1.0
+        )
+        observed = [each for each in names.values() if each.speed.gaps.others]
+        assert len(observed) == speed_reports.MAX_SERVERS
+
     def test_a_restarted_server_has_no_former_speed(self):
         """Guards against a new incarnation that counts as slow."""
         router = self.world(servers=1, routers=1).routers["tcp://r0"]
