Stream relays: leave out gaps that a server didn't cause

A gap while reading was paused for a slow client, and the one until the first event of a resumed attempt, counted for the server's speed: 3.0 s in the test. The gaps of the events that arrive next are left out in both cases.

--- a/pimentoledge/routing/stream_relays.py
+++ b/pimentoledge/routing/stream_relays.py
@@ -59,6 +59,9 @@
         self._begun = False
         self._splitter = event_streams.Splitter()
         self._resuming: asyncio.Task | None = None
+        # The next gap isn't due to the server: it has the time in which the
+        # stream had no server, or in which reading was paused for the client.
+        self._ignores_gap = answer.first_seconds is not None
 
     def has_proved_sound(self) -> bool:
         """Returns whether the answer has gone on after it began."""
@@ -78,6 +81,8 @@
         try:
             while (chunk := await self.attempt.next_chunk()) is not None:
                 self._feed(chunk)
+                if not self.answer.client.is_writable():
+                    self._ignores_gap = True
                 await self.answer.client.drained()
         except buffer_bounds.BoundExceededError as error:
             exceeded = error.exceeded
@@ -104,7 +109,10 @@
             logger.exception("defect")
             self.attempt.connection.break_off("defect")
             return
-        if not self.answer.client.is_writable() and self._resuming is None:
+        if self.answer.client.is_writable():
+            return
+        self._ignores_gap = True
+        if self._resuming is None:
             self.attempt.connection.pause()
             self._resuming = asyncio.get_running_loop().create_task(
                 self._resume()
@@ -134,6 +142,11 @@
         self.events += len(complete)
         if self.has_proved_sound() and not had_proved:
             self.on_proved()
-        for gap in self.answer.pass_events(complete, self.response):
+        gaps = self.answer.pass_events(complete, self.response)
+        if gaps and self._ignores_gap:
+            # Those after the first are of events that had arrived meanwhile.
+            self._ignores_gap = False
+            return
+        for gap in gaps:
             self.attempt.backend.note_event_gap(gap)
             self.attempt.backend.note_paced_gap(gap, clocks.now())
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -1,6 +1,8 @@
 """Tests of the estimated speeds and limits of servers, in virtual time."""
 
+import asyncio
 import itertools
+import types
 
 import attrs
 import msgspec
@@ -9,11 +11,14 @@
 from benches import speed_ways
 from pimentoledge.routing import backends
 from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import client_responses
+from pimentoledge.routing import clocks
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
+from pimentoledge.routing import stream_relays
 from pimentoledge.routing import wait_estimates
 from pimentoledge.routing.server_speeds import concurrency_limits
 from pimentoledge.routing.server_speeds import observations
@@ -386,6 +391,91 @@
         assert found.backend is slow
 
 
+class Client:
+    """A client's connection that reads when the test says so."""
+
+    def __init__(self):
+        self.closes = False
+        self.reads = asyncio.Event()
+        self.reads.set()
+
+    def send(self, data):
+        """Drops the data."""
+
+    def is_writable(self):
+        """Returns whether the client reads."""
+        return self.reads.is_set()
+
+    async def drained(self):
+        """Waits until the client reads."""
+        await self.reads.wait()
+
+
+class TestRelays:
+    """Gaps of streams that count for a server's speed."""
+
+    async def relay(self, answer, *waits):
+        """Relays one event after each time, and returns the noted gaps.
+
+        A time below zero stands for its absolute value, and the client reads
+        nothing from that event to the next.
+        """
+        noted, ended = [], asyncio.Event()
+
+        async def next_chunk():
+            await ended.wait()
+
+        connection = types.SimpleNamespace(
+            relay=None, holder=None, pause=lambda: None, resume=lambda: None
+        )
+        attempt = types.SimpleNamespace(
+            connection=connection,
+            next_chunk=next_chunk,
+            backend=types.SimpleNamespace(
+                note_event_gap=lambda gap: None,
+                note_paced_gap=lambda gap, now: noted.append(round(gap, 3)),
+            ),
+        )
+        running = asyncio.create_task(
+            stream_relays.StreamRelay(
+                attempt=attempt,
+                response=None,
+                answer=answer,
+                framed=True,
+                on_first=lambda: None,
+                on_event=lambda: None,
+                on_proved=lambda: None,
+            ).run()
+        )
+        await asyncio.sleep(0)
+        for wait in waits:
+            self.now += abs(wait)
+            answer.client.reads.set()
+            await asyncio.sleep(0)
+            if wait < 0:
+                answer.client.reads.clear()
+            connection.relay(b"data: x\n\n")
+        answer.client.reads.set()
+        ended.set()
+        await running
+        return noted
+
+    def test_gaps_that_others_cause_do_not_count(self, monkeypatch):
+        """Guards against servers that count as slow for clients or failures."""
+        self.now = 100.0
+        monkeypatch.setattr(clocks, "now", lambda: self.now)
+
+        async def run():
+            answer = client_responses.ClientResponse(client=Client())
+            answer.head_sent = True
+            first = await self.relay(answer, 0.1, 0.04, -0.04, 3.0, 0.04)
+            return first, await self.relay(answer, 2.0, 0.04)
+
+        first, resumed = asyncio.run(run())
+        assert first == [0.04, 0.04, 0.04]
+        assert resumed == [0.04]
+
+
 class TestRouters:
     """Routers that exchange what they know, and servers that differ."""
 
