Speeds: follow changes that a constant report doesn't show

At servers that report a slowdown, observations had a half-life of 4 s: when the time between events tripled under a constant report, the factor was 1.79 after 2 s. The longer half-life now applies only within 3 s of a report that differs by more than 5 % from those before it.

--- a/pimentoledge/routing/server_speeds/observations.py
+++ b/pimentoledge/routing/server_speeds/observations.py
@@ -5,8 +5,9 @@
 # Half-life of an observation: two seconds after a change, three quarters of
 # the weight is of the time since.
 HALF_LIFE_SECONDS = 1.0
-# The same at servers that report their slowdown. The report shows a change, so
-# observations need only correct its level, and vary less.
+# The same while the slowdown that a server reports varies. The report shows a
+# change, so observations need only correct its level, and vary less. A constant
+# report shows none.
 REPORTED_HALF_LIFE_SECONDS = 4.0
 # Observations of other routers count for this long after their arrival.
 EXPIRY_SECONDS = 3.0
--- a/pimentoledge/routing/server_speeds/slowdowns.py
+++ b/pimentoledge/routing/server_speeds/slowdowns.py
@@ -16,6 +16,10 @@
 # A report counts in full for this long; afterwards with this half-life.
 FRESH_SECONDS = 0.5
 FADE_HALF_LIFE_SECONDS = 1.0
+# A report that differs from the newest by more than this share shows that the
+# figure varies, for the time after it.
+VARIATION = 0.05
+VARIATION_SECONDS = 3.0
 # Half-life after which a mean without new reports falls back to the usual.
 FORGET_HALF_LIFE_SECONDS = 4.0
 
@@ -28,11 +32,13 @@
         newest: mean of the newest reports; 1.0 without any.
         mean: mean of some seconds.
         at: time of the newest report, or None.
+        varied_at: time of the last report that differed from those before it.
     """
 
     newest: float = 1.0
     mean: float = 1.0
     at: float | None = None
+    varied_at: float = float("-inf")
 
     def note(self, slowdown: float, at: float) -> None:
         """Adds a report made at a time; one older than the newest is ignored.
@@ -46,6 +52,8 @@
         if self.at is None:
             self.newest = self.mean = slowdown
         else:
+            if abs(slowdown - self.newest) > VARIATION * self.newest:
+                self.varied_at = at
             age = at - self.at
             share = 1 - 0.5 ** (age / FAST_HALF_LIFE_SECONDS)
             share = max(MIN_NEWEST_WEIGHT, share)
@@ -54,6 +62,10 @@
             self.mean += share * (slowdown - self.mean)
         self.at = at
 
+    def varies(self, now: float) -> bool:
+        """Returns whether the reported figure follows changes."""
+        return now - self.varied_at <= VARIATION_SECONDS
+
     def value(self, now: float) -> float:
         """Returns the present slowdown; 1.0 if nothing is known."""
         if self.at is None:
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -57,8 +57,11 @@
     def note_report(self, slowdown: float, at: float) -> None:
         """Adds a slowdown that the server reported at a time."""
         self.reported.note(slowdown, at)
+        half_life = observations.HALF_LIFE_SECONDS
+        if self.reported.varies(at):
+            half_life = observations.REPORTED_HALF_LIFE_SECONDS
         for each in (self.gaps.own, self.firsts.own):
-            each.half_life = observations.REPORTED_HALF_LIFE_SECONDS
+            each.half_life = half_life
         self._until = float("-inf")
 
     def note_requests(self, requests: float, now: float) -> None:
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -127,6 +127,18 @@
         factor = speed.step_factor(6.0)
         assert 0.7 * after < factor < 1.5 * after
 
+    @pytest.mark.parametrize("interval", [1, 5])
+    def test_a_change_that_is_not_reported_is_followed(self, interval):
+        """Guards against observations that count too little at reports."""
+        speed = speeds.ServerSpeed(pace=pace())
+        for step in range(60):
+            since = step / 10
+            if not step % interval:
+                speed.note_report(1.0, since)
+            ratio = 3.0 if since >= 4 else 1.0
+            observe(speed, ratio, since, since + 0.1)
+        assert 0.7 * 3 < speed.step_factor(6.0) < 1.5 * 3
+
     @pytest.mark.parametrize(
         ("first", "ratios"),
         [(3.0, [3.0] + 7 * [1.0]), (0.5, 8 * [1.0]), (1.0, 8 * [2.0])],
