--- a/pimentoledge/routing/server_speeds/observations.py
+++ b/pimentoledge/routing/server_speeds/observations.py
@@ -5,8 +5,9 @@
 # Half-life of an observation: two seconds after a change, three quarters of
 # the weight is of the time since.
 HALF_LIFE_SECONDS = 1.0
-# The same at servers that report their slowdown. The report shows a change, so
-# observations need only correct its level, and vary less.
+# The same while the slowdown that a server reports varies. The report shows a
+# change, so observations need only correct its level, and vary less. A constant
+# report shows none.
 REPORTED_HALF_LIFE_SECONDS = 4.0
 # Observations of other routers count for this long after their arrival.
 EXPIRY_SECONDS = 3.0
@@ -89,6 +90,7 @@
             now: the time.
             prior: what is assumed without observations.
         """
+        self._expire(now)
         expected = seconds = slowed = 0.0
         for each, share in self._shares(now):
             expected += share * each.expected
@@ -104,8 +106,17 @@
     def _shares(self, now: float):
         yield self.own, self.own.share(now)
         for each in self.others.values():
-            if now - each.at <= EXPIRY_SECONDS:
-                yield each, each.share(now)
+            yield each, each.share(now)
+
+    def _expire(self, now: float) -> None:
+        """Removes the observations of routers that report none any more."""
+        expired = [
+            sender
+            for sender, each in self.others.items()
+            if now - each.at > EXPIRY_SECONDS
+        ]
+        for sender in expired:
+            del self.others[sender]
 
     def summary(self, now: float) -> tuple[int, int]:
         """Returns the own observations for a report: weight and percent."""
--- a/pimentoledge/routing/server_speeds/speeds.py
+++ b/pimentoledge/routing/server_speeds/speeds.py
@@ -57,8 +57,11 @@
     def note_report(self, slowdown: float, at: float) -> None:
         """Adds a slowdown that the server reported at a time."""
         self.reported.note(slowdown, at)
+        half_life = observations.HALF_LIFE_SECONDS
+        if self.reported.varies(at):
+            half_life = observations.REPORTED_HALF_LIFE_SECONDS
         for each in (self.gaps.own, self.firsts.own):
-            each.half_life = observations.REPORTED_HALF_LIFE_SECONDS
+            each.half_life = half_life
         self._until = float("-inf")
 
     def note_requests(self, requests: float, now: float) -> None:
@@ -96,12 +99,19 @@
             self.pace.note_gap(seconds, running)
         else:
             self.gaps.own.note(seconds, expected, slowdown, now)
-            longest = observations.MAX_OUTLIER_FACTOR * expected
             # Slow servers get fewer requests: without the factor, the line
             # would fall with the requests.
-            usual = seconds / self.step_factor(now)
-            self.pace.note_gap(min(usual, longest), running)
-        self.concurrency.note(seconds / slowdown, running, slots, now)
+            factor = self.step_factor(now)
+            longest = observations.MAX_OUTLIER_FACTOR * expected * factor
+            self.pace.note_observed_gap(
+                min(seconds, longest),
+                running,
+                server=id(self),
+                factor=factor,
+                now=now,
+            )
+        bounded = min(MAX_REPORT_FACTOR, max(1 / MAX_REPORT_FACTOR, slowdown))
+        self.concurrency.note(seconds, running, slots, now, bounded)
 
     def step_factor(self, now: float) -> float:
         """Returns the time of a decode step; 1.0 is the service's mean."""
@@ -124,9 +134,9 @@
         usual = self.pace.gap_seconds(running)
         return None if usual is None else usual * self.step_factor(now)
 
-    def limit(self, slots: int) -> float:
+    def limit(self, slots: int, now: float) -> float:
         """Returns the number of requests that it takes well."""
-        return self.concurrency.limit(slots)
+        return self.concurrency.limit(slots, now)
 
     def factors(self, now: float) -> tuple[float, float]:
         """Returns the factors of a step and of a prefill."""
--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -1,6 +1,8 @@
 """Tests of the estimated speeds and limits of servers, in virtual time."""
 
+import asyncio
 import itertools
+import types
 
 import attrs
 import msgspec
@@ -9,17 +11,21 @@
 from benches import speed_ways
 from pimentoledge.routing import backends
 from pimentoledge.routing import capacity_checks
+from pimentoledge.routing import client_responses
+from pimentoledge.routing import clocks
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
+from pimentoledge.routing import stream_relays
 from pimentoledge.routing import wait_estimates
 from pimentoledge.routing.server_speeds import concurrency_limits
 from pimentoledge.routing.server_speeds import observations
 from pimentoledge.routing.server_speeds import paces
 from pimentoledge.routing.server_speeds import slowdowns
 from pimentoledge.routing.server_speeds import speed_metrics
+from pimentoledge.routing.server_speeds import speed_reports
 from pimentoledge.routing.server_speeds import speeds
 
 USUAL_SECONDS = 0.04
@@ -36,13 +42,18 @@
 
 
 def observe(speed, ratio, since, until, running=8):
-    """Adds events of some streams, spaced by 10 ms."""
+    """Adds events of some streams, spaced by 10 ms.
+
+    Three in four are of the service's other servers, which are of usual speed.
+    """
+    others = itertools.cycle(
+        [speeds.ServerSpeed(pace=speed.pace) for _ in range(30)]
+    )
     for step in range(int(100 * since), int(100 * until)):
         gap = ratio * USUAL_SECONDS
         speed.note_event_gap(gap, running, 64, step / 100)
         for _ in range(3):
-            # Events of the service's other servers.
-            speed.pace.note_gap(USUAL_SECONDS, running)
+            next(others).note_event_gap(USUAL_SECONDS, running, 64, step / 100)
 
 
 def servers(count):
@@ -116,6 +127,35 @@
         factor = speed.step_factor(6.0)
         assert 0.7 * after < factor < 1.5 * after
 
+    @pytest.mark.parametrize("interval", [1, 5])
+    def test_a_change_that_is_not_reported_is_followed(self, interval):
+        """Guards against observations that count too little at reports."""
+        speed = speeds.ServerSpeed(pace=pace())
+        for step in range(60):
+            since = step / 10
+            if not step % interval:
+                speed.note_report(1.0, since)
+            ratio = 3.0 if since >= 4 else 1.0
+            observe(speed, ratio, since, since + 0.1)
+        assert 0.7 * 3 < speed.step_factor(6.0) < 1.5 * 3
+
+    @pytest.mark.parametrize(
+        ("first", "ratios"),
+        [(3.0, [3.0] + 7 * [1.0]), (0.5, 8 * [1.0]), (1.0, 8 * [2.0])],
+    )
+    def test_the_line_has_the_level_of_the_mean_server(self, first, ratios):
+        """Guards against a line that stays at the level of its first events."""
+        line = paces.ServicePace()
+        found = [speeds.ServerSpeed(pace=line) for _ in ratios]
+        for _ in range(200):
+            line.note_gap(first * USUAL_SECONDS, 8)
+        for step in range(300):
+            for each, ratio in zip(found, ratios, strict=True):
+                gap = ratio * USUAL_SECONDS
+                each.note_event_gap(gap, 8, 64, step / 20)
+        mean = USUAL_SECONDS * sum(ratios) / len(ratios)
+        assert line.gap_seconds(8) == pytest.approx(mean, rel=0.15)
+
     def test_reports_out_of_order_are_ignored(self):
         """Guards against an older figure in place of the present one."""
         reported = slowdowns.ReportedSlowdown()
@@ -177,9 +217,9 @@
         found = concurrency_limits.ConcurrencyLimit(pace=self.line())
         for number in range(6000):
             wanted = min(requests, 4 + number / 100)
-            running = min(wanted, found.limit(slots))
+            running = min(wanted, found.limit(slots, number / 20))
             found.note(latency(running), running, slots, number / 20)
-        return found.limit(slots)
+        return found.limit(slots, number / 20)
 
     def test_a_server_that_slows_down_early_gets_a_lower_limit(self):
         """Guards against servers that are filled beyond what they take."""
@@ -201,9 +241,55 @@
             bad = 500 < number < 1000
             found.note(9.0 if bad else 0.03, 12, 64, number / 20)
             if number == 999:
-                assert found.limit(64) >= concurrency_limits.MIN_LIMIT
-                assert found.limit(64) < 12
-        assert found.limit(64) == 64
+                limit = found.limit(64, number / 20)
+                assert concurrency_limits.MIN_LIMIT <= limit < 12
+        assert found.limit(64, number / 20) == 64
+
+    @pytest.mark.parametrize(("running", "least"), [(2, 64), (20, 57)])
+    def test_one_stall_lowers_a_limit_by_one_step_at_most(self, running, least):
+        """Guards against a limit that one stall takes to its minimum."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(100):
+            stalls = 80 <= number < 84
+            usual = 0.025 + 0.001 * running
+            found.note(5.0 if stalls else usual, running, 64, number / 20)
+            assert found.limit(64, number / 20) >= least
+
+    @pytest.mark.parametrize(("slowdown", "most"), [(2.0, 6.0), (3.0, 12.0)])
+    def test_a_lasting_slowdown_lowers_a_limit_briefly(self, slowdown, most):
+        """Guards against a low limit at a server that is slow, not full."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        low = 0
+        for number in range(1200):
+            now = number / 20
+            running = min(20, found.limit(64, now))
+            gap = 0.025 + 0.001 * running
+            slow = slowdown if number >= 400 else 1.0
+            found.note(slow * gap, running, 64, now)
+            low += found.limit(64, now) < 20
+        assert low / 20 < most
+        assert found.limit(64, now) == 64
+
+    @pytest.mark.parametrize("reports", [0.1, 20.0])
+    def test_a_false_report_lowers_no_limit(self, reports):
+        """Guards against reports that take a limit to its minimum."""
+        speed = speeds.ServerSpeed(pace=self.line())
+        for step in range(1600):
+            now = step / 40
+            false = 400 <= step < 1000
+            if not step % 4:
+                speed.note_report(reports if false else 1.0, now)
+            speed.note_event_gap(0.045, 20, 64, now)
+            assert speed.limit(64, now) == 64
+
+    def test_a_limit_rises_without_events(self):
+        """Guards against a server that gets no request for want of events."""
+        found = concurrency_limits.ConcurrencyLimit(pace=self.line())
+        for number in range(400):
+            found.note(0.03 if number < 40 else 9.0, 12, 64, number / 20)
+        assert found.limit(64, 20.0) <= 5
+        assert found.limit(64, 30.0) == pytest.approx(9.4, rel=0.15)
+        assert found.limit(64, 60.0) == 64
 
     @pytest.mark.parametrize(
         ("limit", "busy", "urgent", "short"),
@@ -281,12 +367,47 @@
         for step in range(1000):
             now = 100 + step / 50
             slow.speed.note_report(4.0, now)
-            if choose(
-                [slow, fast], now, events=42, members=members
-            ).backend is (slow):
-                longest, last = max(longest, now - last), now
+            for _ in range(members):
+                if choose(
+                    [slow, fast], now, events=42, members=members
+                ).backend is (slow):
+                    longest, last = max(longest, now - last), now
         assert last > 115 and longest <= placements.PROBE_UNTIL_SECONDS + 0.1
 
+    def probes(self, change=lambda slow: None, members=30, **more):
+        """Returns how many of 3,000 requests go to a server that is overdue."""
+        slow, fast = servers(2)
+        fast.open = 2
+        slow.speed.received_at = fast.speed.received_at = 1.0
+        slow.speed.note_report(4.0, 10.0)
+        change(slow)
+        more = {"events": 42, "members": members} | more
+        chosen = [
+            choose([slow, fast], 10.0, **more).backend for _ in range(3000)
+        ]
+        return chosen.count(slow)
+
+    def test_about_one_router_sends_to_an_overdue_server(self):
+        """Guards against bursts of all routers at a slow server."""
+        assert 50 <= self.probes() <= 170
+
+    def test_no_request_goes_to_a_server_that_fails_or_is_late(self):
+        """Guards against callers that are sent to a known bad server."""
+
+        def fails(slow):
+            slow.note_request_failure(10.0)
+
+        demand = capacity_checks.Demand(
+            urgent=True, mean_tokens=0, memory=None, objective_seconds=0.38
+        )
+        assert not self.probes(fails)
+        assert not self.probes(demand=demand)
+        assert self.probes(demand=attrs.evolve(demand, objective_seconds=1.0))
+
+    def test_requests_that_may_not_probe_go_to_the_best(self):
+        """Guards against unsafe calls and resumed streams at a slow server."""
+        assert not self.probes(may_probe=False)
+
     def test_without_load_control_speeds_change_nothing(self):
         """Guards against other decisions on the earlier deployments."""
         slow, fast = servers(2)
@@ -298,6 +419,91 @@
         assert found.backend is slow
 
 
+class Client:
+    """A client's connection that reads when the test says so."""
+
+    def __init__(self):
+        self.closes = False
+        self.reads = asyncio.Event()
+        self.reads.set()
+
+    def send(self, data):
+        """Drops the data."""
+
+    def is_writable(self):
+        """Returns whether the client reads."""
+        return self.reads.is_set()
+
+    async def drained(self):
+        """Waits until the client reads."""
+        await self.reads.wait()
+
+
+class TestRelays:
+    """Gaps of streams that count for a server's speed."""
+
+    async def relay(self, answer, *waits):
+        """Relays one event after each time, and returns the noted gaps.
+
+        A time below zero stands for its absolute value, and the client reads
+        nothing from that event to the next.
+        """
+        noted, ended = [], asyncio.Event()
+
+        async def next_chunk():
+            await ended.wait()
+
+        connection = types.SimpleNamespace(
+            relay=None, holder=None, pause=lambda: None, resume=lambda: None
+        )
+        attempt = types.SimpleNamespace(
+            connection=connection,
+            next_chunk=next_chunk,
+            backend=types.SimpleNamespace(
+                note_event_gap=lambda gap: None,
+                note_paced_gap=lambda gap, now: noted.append(round(gap, 3)),
+            ),
+        )
+        running = asyncio.create_task(
+            stream_relays.StreamRelay(
+                attempt=attempt,
+                response=None,
+                answer=answer,
+                framed=True,
+                on_first=lambda: None,
+                on_event=lambda: None,
+                on_proved=lambda: None,
+            ).run()
+        )
+        await asyncio.sleep(0)
+        for wait in waits:
+            self.now += abs(wait)
+            answer.client.reads.set()
+            await asyncio.sleep(0)
+            if wait < 0:
+                answer.client.reads.clear()
+            connection.relay(b"data: x\n\n")
+        answer.client.reads.set()
+        ended.set()
+        await running
+        return noted
+
+    def test_gaps_that_others_cause_do_not_count(self, monkeypatch):
+        """Guards against servers that count as slow for clients or failures."""
+        self.now = 100.0
+        monkeypatch.setattr(clocks, "now", lambda: self.now)
+
+        async def run():
+            answer = client_responses.ClientResponse(client=Client())
+            answer.head_sent = True
+            first = await self.relay(answer, 0.1, 0.04, -0.04, 3.0, 0.04)
+            return first, await self.relay(answer, 2.0, 0.04)
+
+        first, resumed = asyncio.run(run())
+        assert first == [0.04, 0.04, 0.04]
+        assert resumed == [0.04]
+
+
 class TestRouters:
     """Routers that exchange what they know, and servers that differ."""
 
@@ -340,6 +546,37 @@
         backend = router.view.servers.by_server["b0"]
         assert backend.speed.reported.at is None
 
+    def report(self, speeds_):
+        return peer_messages.LoadReport(
+            has={}, said={}, prompts=[], means={}, speeds=speeds_
+        )
+
+    def test_observations_that_are_not_reported_any_more_are_removed(self):
+        """Guards against memory that grows with every sender and server."""
+        router = self.world(servers=3, routers=2).routers["tcp://r0"]
+        found = [each.speed for each in router.view.servers.of_service("s")]
+        names = list(router.view.servers.by_incarnation)
+        summary = (20, 300, 20, 300, 100)
+        for reported in (names, names[:1], []):
+            router.reports.receive(
+                "tcp://r1", self.report(dict.fromkeys(reported, summary)), 1.0
+            )
+        assert [len(each.gaps.others) for each in found] == [1, 0, 0]
+        found[0].step_factor(1.1 + observations.EXPIRY_SECONDS)
+        assert not found[0].gaps.others and not found[0].firsts.others
+
+    def test_a_report_counts_for_a_bounded_number_of_servers(self):
+        """Guards against a router whose reports fill another's memory."""
+        count = speed_reports.MAX_SERVERS + 5
+        router = self.world(servers=count, routers=2).routers["tcp://r0"]
+        names = router.view.servers.by_incarnation
+        summary = (20, 300, 20, 300, 100)
+        router.reports.receive(
+            "tcp://r1", self.report(dict.fromkeys(names, summary)), 1.0
+        )
+        observed = [each for each in names.values() if each.speed.gaps.others]
+        assert len(observed) == speed_reports.MAX_SERVERS
+
     def test_a_restarted_server_has_no_former_speed(self):
         """Guards against a new incarnation that counts as slow."""
         router = self.world(servers=1, routers=1).routers["tcp://r0"]
