--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -470,6 +470,7 @@
                 response=None,
                 answer=answer,
                 framed=True,
+                observes_speed=True,
                 on_first=lambda: None,
                 on_event=lambda: None,
                 on_proved=lambda: None,
