Test the bounds of heads, cut bodies and the closing of servers

The largest heads that pass, and the smallest that don't; that the client of an endless body sees an incomplete response; that the budget closes the server of a client that reads all.

--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -25,6 +25,7 @@
 # Sockets of the loopback interface may buffer this much unread, in bytes.
 SOCKET_BYTES = 16 * 1024 * 1024
 FILLER = b"x" * PIECE
+LAST_CHUNK = b"0\r\n\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
@@ -244,10 +245,15 @@
         await client.open()
         client.send("/cards/", body=b"c", headers={"Deadline-Ms": "1500"})
         received = 0
+        last = b""
         await check_other_client(world, "/drafts/")
+        if reads:
+            status, headers = await client._read_head()
+            assert status == 200
         with contextlib.suppress(ConnectionError):
             while reads and (data := await client.reader.read(PIECE)):
                 received += len(data)
+                last = (last + data)[-len(LAST_CHUNK) :]
         await world.until(lambda: server.ended == 1)
         client.close()
         [router] = world.routers
@@ -255,6 +261,11 @@
         if reads:
             # The deadline ends it, and far more than the bound was passed on.
             assert received > 4 * buffer_bounds.COLLECTED_BYTES
+            # The client sees that the response is incomplete.
+            if "transfer-encoding" in headers:
+                assert last != LAST_CHUNK
+            else:
+                assert received < int(headers["content-length"])
         assert router.buffers.peak < 2 * buffer_bounds.COLLECTED_BYTES
         await world.until(lambda: not router.buffers.held)
 
@@ -595,6 +606,42 @@
             parser.feed(OK + line + body)
         assert len(ends) == 9
 
+    @pytest.mark.parametrize("piece", [1000, 65536])
+    @pytest.mark.parametrize("excess", [0, 1])
+    @pytest.mark.parametrize("kind", ["bytes", "lines"])
+    def test_a_head_at_the_bound_passes(self, kind, excess, piece):
+        """Guards against refusing the largest honest heads."""
+        heads = []
+        parser = http_messages.ResponseParser(
+            heads=heads.append, pieces=lambda data: None, ends=lambda: None
+        )
+        length = b"Content-Length: 0\r\n"
+        if kind == "lines":
+            most = buffer_bounds.HEAD_LINES
+            fields = length + b"A: b\r\n" * (most - 1 + excess)
+        else:
+            most = buffer_bounds.HEAD_BYTES
+            size = most - len(OK + length + b"A: \r\n\r\n") - 1
+            # The status line and the empty line are counted with a part of
+            # the head only.
+            size += excess * len(OK + b"\r\n\r\n")
+            fields = length + b"A: %b\r\n" % (b"x" * size)
+        data = OK + fields + b"\r\n"
+        assert kind == "lines" or excess or len(data) == most - 1
+
+        def feed():
+            for start in range(0, len(data), piece):
+                parser.feed(data[start : start + piece])
+
+        if not excess:
+            feed()
+            [head] = heads
+            assert len(head.headers) == fields.count(b"\r\n")
+            return
+        with pytest.raises(buffer_bounds.BoundExceededError):
+            feed()
+        assert not heads
+
 
 class TestServerConnection:
     """Tests of how much is read at a time."""
@@ -664,6 +711,27 @@
         holder.note(buffer_budgets.Part.UNSENT, unsent)
         return holder
 
+    def test_a_server_is_closed_if_its_client_reads_all(self):
+        """Guards against closing clients for what a server has sent."""
+        closed = []
+        budget = buffer_budgets.BufferBudget(bound=2_000_000)
+        large = self.holder(budget, 0, closed, "client")
+        large.close_server = closed.append
+        large.note(buffer_budgets.Part.FAILED_ANSWER, 1000)
+        large.note(buffer_budgets.Part.COLLECTED, 1_000_000)
+        small = self.holder(budget, 0, closed, "other client")
+        small.close_server = lambda exceeded: pytest.fail("small was closed")
+        small.note(buffer_budgets.Part.QUEUED, 100_000)
+        small.note(buffer_budgets.Part.COLLECTED, 800_000)
+        assert not closed
+        large.note(buffer_budgets.Part.INCOMPLETE_EVENT, 500_000)
+        [exceeded] = closed
+        assert exceeded.bound is buffer_bounds.Bound.BUFFERS
+        assert exceeded.size == 1_501_000
+        assert large.close_server is None
+        # What isn't held of the server's connection stays counted.
+        assert (large.held, budget.held) == (1000, 901_000)
+
     def test_the_largest_and_then_the_slowest_is_closed(self):
         """Guards against closing clients that read before those that don't."""
         closed = []
