Count a closed client's kept failure as freed at once

The exchange of a client that the budget closes ends only later. Until then its kept failure response still counted, and further clients were closed.

--- a/pimentoledge/routing/buffer_budgets.py
+++ b/pimentoledge/routing/buffer_budgets.py
@@ -165,7 +165,9 @@
             bound=buffer_bounds.Bound.BUFFERS, size=self.held
         )
         if self._sizes[Part.UNSENT] or self.close_server is None:
-            self.note(Part.UNSENT, 0)
+            # The exchange ends later, and until then others would be closed.
+            for part in _KEPT_PARTS:
+                self.note(part, 0)
             self.close_client(exceeded)
         else:
             close_server = self.close_server
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -732,6 +732,18 @@
         # What isn't held of the server's connection stays counted.
         assert (large.held, budget.held) == (1000, 901_000)
 
+    def test_closing_a_client_frees_its_kept_failure(self):
+        """Guards against closing further clients until the first has ended."""
+        closed = []
+        budget = buffer_budgets.BufferBudget(bound=500_000)
+        for number in range(3):
+            holder = self.holder(budget, 0, closed, number)
+            holder.progress_at = number
+            holder.note(buffer_budgets.Part.FAILED_ANSWER, 200_000)
+            holder.progress_at = number
+        assert len(closed) == 1
+        assert budget.held == 400_000
+
     def test_the_largest_and_then_the_slowest_is_closed(self):
         """Guards against closing clients that read before those that don't."""
         closed = []
