--- a/pimentoledge/tests/test_router_server_speeds.py
+++ b/pimentoledge/tests/test_router_server_speeds.py
@@ -13,11 +13,13 @@
 from pimentoledge.routing import capacity_checks
 from pimentoledge.routing import client_responses
 from pimentoledge.routing import clocks
+from pimentoledge.routing import configurations
 from pimentoledge.routing import load_controls
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import placements
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
+from pimentoledge.routing import selections
 from pimentoledge.routing import stream_relays
 from pimentoledge.routing import wait_estimates
 from pimentoledge.routing.server_speeds import concurrency_limits
@@ -392,6 +394,58 @@
         """Guards against unsafe calls and resumed streams at a slow server."""
         assert not self.probes(may_probe=False)
 
+    @pytest.mark.parametrize(
+        ("kind", "resume_after", "software", "may"),
+        [
+            (configurations.Repeatability.STREAM, None, None, True),
+            (configurations.Repeatability.SAFE, None, None, True),
+            (configurations.Repeatability.UNSAFE, None, None, False),
+            (configurations.Repeatability.STREAM, 3, None, False),
+            (configurations.Repeatability.STREAM, None, "1", False),
+        ],
+    )
+    def test_unsafe_calls_and_resumed_streams_do_not_probe(
+        self, monkeypatch, kind, resume_after, software, may
+    ):
+        """Guards against calls that can't be repeated at a slow server."""
+        world = speed_ways.World(
+            name="slow", reports="true", way="both", servers=2, routers=1
+        )
+        request = request_types.ClientRequest(
+            request="1",
+            method=b"POST",
+            host="h",
+            target=b"/",
+            path="/",
+            key=None,
+            wait_seconds=12.0,
+            model=speed_ways.MODEL,
+            prompt_tokens=600,
+            answer_tokens=300,
+            parts=(),
+            resume_after=resume_after,
+            passed_on=[],
+            body=b"",
+            arrived=1.0,
+        )
+        found = []
+
+        def record(*, candidates, criteria, now):
+            found.append(criteria.may_probe)
+            return placements.NoCapacity(shortage={})
+
+        monkeypatch.setattr(placements, "choose", record)
+        selections.select(
+            view=world.routers["tcp://r0"].view,
+            client_request=request,
+            route=attrs.evolve(speed_ways.ROUTES["short"], kind=kind),
+            organisation=None,
+            without=set(),
+            now=1.0,
+            software=software,
+        )
+        assert found and set(found) == {may}
+
     def test_without_load_control_speeds_change_nothing(self):
         """Guards against other decisions on the earlier deployments."""
         slow, fast = servers(2)
