Preferred requests use more slots, not more memory

Under scarcity less urgent requests of every organisation below its share could use 0.92 of the slots and 1.38 of the memory, so long prompts filled the memory that is kept for the most urgent requests, beyond the 0.9 above which congestion outlasts its cause. They now use 0.92 of the slots and 0.9 of the memory.

The new test fails before the change.

--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -34,10 +34,11 @@
 # share may use. The rest stays free for those below theirs: they ask for less
 # than a seventh of what the others have, so it is enough for them.
 ABOVE_SHARE = 0.85
-# Under scarcity, part of what the most urgent may use that other requests of an
+# Under scarcity, part of the slots of the most urgent that other requests of an
 # organisation below its share may use, while others have more than theirs:
 # more than the most urgent requests of those above may use, so that a flood of
-# these doesn't displace it.
+# these doesn't displace it. It doesn't raise MEMORY_SHARE: memory in use beyond
+# that makes congestion outlast its cause.
 PREFERRED_SHARE = 0.92
 # How much longer than others a starved request may wait. A wait beyond the
 # objective is worth less than one in time and more than a refusal.
@@ -93,10 +94,7 @@
         if self.urgent or self.starved:
             return limit * URGENT_SLOTS, limit * URGENT_MEMORY_SHARE
         if self.preferred:
-            return (
-                PREFERRED_SHARE * URGENT_SLOTS,
-                PREFERRED_SHARE * URGENT_MEMORY_SHARE,
-            )
+            return PREFERRED_SHARE * URGENT_SLOTS, MEMORY_SHARE
         return limit * LESS_URGENT_SLOTS, limit * MEMORY_SHARE
 
     def wait_factor(self) -> float:
--- a/pimentoledge/tests/test_router_fair_shares.py
+++ b/pimentoledge/tests/test_router_fair_shares.py
@@ -6,6 +6,7 @@
 import pytest
 
 from benches import share_runs
+from pimentoledge.routing import capacity_checks
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import counters
@@ -246,6 +247,34 @@
     assert level.uneven == uneven
 
 
+def demand(**fields):
+    defaults = {"mean_tokens": 0.0, "memory": 1000, "objective_seconds": 1.0}
+    return capacity_checks.Demand(
+        **(defaults | {"urgent": False, "tokens": 10} | fields)
+    )
+
+
+def test_preferred_requests_leave_the_memory_of_the_most_urgent():
+    """Guards against long prompts that fill the memory kept for urgent work."""
+    preferred = demand(standing=BELOW, scarce=True, preferred=True)
+    found = [
+        capacity_checks.shortage(
+            64,
+            preferred,
+            busy=busy,
+            first_seconds=0.1,
+            wait_seconds=0.0,
+            held_tokens=held,
+        )
+        for busy, held in [(57, 890), (58, 890), (20, 891)]
+    ]
+    assert found == [
+        None,
+        capacity_checks.Shortage.SLOTS,
+        capacity_checks.Shortage.MEMORY,
+    ]
+
+
 def limited(name, rate, unit=configurations.Unit.TOKENS):
     quota = configurations.Quota(unit=unit, per_second=rate, burst=rate)
     return share_runs.organisation(name, quota=quota)
