Less urgent requests use 0.7 of a learned limit

A learned limit replaced the shares of the slots for all urgencies alike, so less urgent requests could fill it, preferred and starved requests had no effect on slots, and scarcity was still measured by the slots. The limit now replaces the slots: less urgent requests use 0.7 of it (0.92 if preferred), the most urgent and starved ones all of it. Scarcity is measured against the sum of the limits.

--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -6,7 +6,8 @@
 
 from pimentoledge.routing.fair_shares import standings
 
-# Share of a runner's slots that less urgent requests may use. Prefilling long
+# Share of a runner's slots, or of the requests that it takes well, that less
+# urgent requests may use. Prefilling long
 # prompts slows all responses of a runner: with every slot open to them, short
 # responses take ten times as long, occupy their slots, and nothing ends in
 # time. With a quarter of 60 runners unreachable and more load than the rest can
@@ -129,18 +130,14 @@
         first_seconds: expected time to the first event there.
         wait_seconds: the share of that time spent waiting for other requests.
         limit: number of requests that the runner takes well, which replaces
-            the shares of its slots; None if it is not estimated.
+            its slots; None if it is not estimated.
         held_tokens: memory in use at the runner, in tokens; used with load
             control.
     """
     if not busy:
         return None
     slot_share, memory_share = demand.shares()
-    if limit is None:
-        most = slot_share * slots
-    else:
-        most = demand.share_factor() * limit
-    if busy + 1 > most:
+    if busy + 1 > slot_share * (slots if limit is None else limit):
         return Shortage.SLOTS
     if demand.tokens is None:
         used = (busy + 1) * demand.mean_tokens
--- a/pimentoledge/routing/fair_shares/service_usages.py
+++ b/pimentoledge/routing/fair_shares/service_usages.py
@@ -20,6 +20,7 @@
 
     Attributes:
         slots: their slots.
+        limit: requests that they take well, at most their slots.
         busy: estimated requests there.
         memory: tokens of their memory, or 0 if unknown.
         held: estimated tokens of memory in use.
@@ -28,6 +29,7 @@
     """
 
     slots: int = 0
+    limit: float = 0.0
     busy: float = 0.0
     memory: int = 0
     held: float = 0.0
@@ -38,11 +40,11 @@
         """Returns whether most of what a request may use is in use.
 
         Args:
-            slot_share: part of the slots that it may use.
+            slot_share: part of the limit of requests that it may use.
             memory_share: part of the memory that it may use.
         """
         return (
-            self.busy > SCARCE_SHARE * slot_share * self.slots > 0
+            self.busy > SCARCE_SHARE * slot_share * self.limit > 0
             or self.held > SCARCE_SHARE * memory_share * self.memory > 0
         )
 
@@ -75,6 +77,7 @@
     busy = [each.estimated_requests(now) for each in usable]
     return ServiceUsage(
         slots=sum(each.registration.slots for each in usable),
+        limit=sum(map(_limit, usable)),
         busy=sum(busy),
         memory=(memory or 0) * len(usable),
         held=sum(
@@ -84,3 +87,8 @@
         mean_tokens=mean,
         servers=servers,
     )
+
+
+def _limit(server: backends.Backend) -> float:
+    """Returns the number of requests that a server takes well."""
+    return server.speed.limit(server.registration.slots)
--- a/pimentoledge/tests/test_router_fair_shares.py
+++ b/pimentoledge/tests/test_router_fair_shares.py
@@ -19,6 +19,7 @@
 from pimentoledge.routing.fair_shares import organisation_shares
 from pimentoledge.routing.fair_shares import refusal_counts
 from pimentoledge.routing.fair_shares import served_rates
+from pimentoledge.routing.fair_shares import service_usages
 from pimentoledge.routing.fair_shares import share_counters
 from pimentoledge.routing.fair_shares import share_demands
 from pimentoledge.routing.fair_shares import standings
@@ -168,6 +169,19 @@
     assert tallies["a", 2].served == (mode is load_controls.Mode.ON)
 
 
+def test_scarcity_is_measured_against_learned_limits():
+    """Guards against slots counted as free that no request may use."""
+    world = share_runs.World(loads=EVEN)
+    servers = list(world.views[0].servers.by_incarnation.values())
+    for each, limit in zip(servers, [20.0, 30.0], strict=True):
+        each.speed.concurrency.value = limit
+        each.open = 15
+    usage = service_usages.measure(servers, memory=None, mean_tokens=0, now=0.0)
+    assert (usage.limit, usage.slots, usage.busy) == (50.0, 128, 30.0)
+    assert usage.is_scarce(0.7, 0.9)
+    assert not usage.is_scarce(1.0, 1.5)
+
+
 @given(
     strategies.lists(
         strategies.tuples(
