Keep as much for small organisations as they need

Beside one small organisation that was served completely, the large one was held to 0.85 of the slots, so an eighth of the capacity stayed idle. The part kept now grows with the square root of the part that organisations below their shares receive, up to the former 0.15, which also applies for a second after one of them found no place here. They count from 0.004 of all service on, not 0.02.

--- a/pimentoledge/routing/capacity_checks.py
+++ b/pimentoledge/routing/capacity_checks.py
@@ -31,9 +31,9 @@
 # refused everywhere, and an underestimated prefill speed would never be
 # corrected because no request would be sent.
 TOLERATED_QUEUE_OBJECTIVES = 0.3
-# Under scarcity, part of what others may use that an organisation above its
-# share may use. The rest stays free for those below theirs: they ask for less
-# than a seventh of what the others have, so it is enough for them.
+# Under scarcity, least part of what others may use that an organisation above
+# its share may use. The rest stays free for those below theirs: they ask for
+# less than a seventh of what the others have, so it is enough for them.
 ABOVE_SHARE = 0.85
 # Under scarcity, part of the slots of the most urgent that other requests of an
 # organisation below its share may use, while others have more than theirs:
@@ -74,6 +74,8 @@
         preferred: whether capacity is scarce, its organisation below its
             share, and others have more than theirs.
         starved: whether its kind or organisation is hardly ever served.
+        above_share: if its organisation is above its share, the part that it
+            may use under scarcity of what others may use.
     """
 
     urgent: bool
@@ -85,6 +87,7 @@
     scarce: bool = False
     preferred: bool = False
     starved: bool = False
+    above_share: float = ABOVE_SHARE
 
     def shares(self) -> tuple[float, float]:
         """Returns the shares of slots and of memory that it may use.
@@ -105,7 +108,7 @@
     def share_factor(self) -> float:
         """Returns the part that it may use of what others may use."""
         above = self.standing is standings.Standing.ABOVE
-        return ABOVE_SHARE if above and self.scarce else 1.0
+        return self.above_share if above and self.scarce else 1.0
 
 
 def shortage(
--- a/pimentoledge/routing/fair_shares/organisation_shares.py
+++ b/pimentoledge/routing/fair_shares/organisation_shares.py
@@ -1,6 +1,7 @@
 """Shares of services' capacity by organisation, over all routers."""
 
 from collections.abc import Iterable
+import math
 import statistics
 
 import attrs
@@ -24,8 +25,15 @@
 # organisation below its share that sent it as wanting capacity.
 SHORTAGE_SECONDS = 1.0
 # Organisations below their shares want capacity if they together receive more
-# than this part of all service.
-MIN_BELOW_SHARE = 0.02
+# than this part of all service. At 0.02, one that sent a fiftieth lost its
+# reserve whenever it was refused a few times.
+MIN_BELOW_SHARE = 0.004
+
+# Part of capacity kept for organisations below their shares, as a multiple of
+# the square root of their part of all service: the requests of small ones vary
+# by the square root of their number. A fixed reserve left an eighth of the
+# capacity idle beside one small organisation that was served completely.
+RESERVE_FACTOR = 0.25
 
 # Service, organisation, mean tokens of memory, prompt tokens per second.
 Report = list[tuple[str, str, int, int]]
@@ -43,7 +51,7 @@
         level: what organisations are entitled to.
         level_at: time of the level.
         active: number of organisations that have received service.
-        below: whether organisations below their shares receive service.
+        below: part of all service that those below their shares receive.
         short_until: until when capacity is scarce for requests refused.
         below_until: until when one below its share wants capacity.
         usage: use of the servers.
@@ -59,7 +67,7 @@
     level: standings.ShareLevel = standings.ShareLevel()
     level_at: float = -1e9
     active: int = 0
-    below: bool = False
+    below: float = 0.0
     short_until: float = -1e9
     below_until: float = -1e9
     usage: service_usages.ServiceUsage = service_usages.ServiceUsage()
@@ -133,10 +141,21 @@
             if alone and now >= shares.below_until:
                 return standings.Standing.ALONE
             return standings.Standing.BELOW
-        if shares.below or now < shares.below_until:
+        if shares.below > MIN_BELOW_SHARE or now < shares.below_until:
             return standings.Standing.ABOVE
         return standings.Standing.ALONE
 
+    def reserve(self, service: str, now: float) -> float:
+        """Returns the part of capacity to keep for those below their shares.
+
+        All of it, 1.0, if one of them has found no place here recently.
+        """
+        shares = self._service(service)
+        self._update_level(shares, now)
+        if now < shares.below_until:
+            return 1.0
+        return RESERVE_FACTOR * math.sqrt(shares.below)
+
     def level(self, service: str, now: float) -> standings.ShareLevel:
         """Returns what organisations are entitled to."""
         shares = self._service(service)
@@ -296,7 +315,7 @@
             if amount <= shares.level.share * weight
         )
         total = sum(amount for amount, _ in received)
-        shares.below = below > MIN_BELOW_SHARE * total
+        shares.below = below / total if total else 0.0
 
     def _prune(self, shares: _ServiceShares) -> None:
         """Removes counters that have decayed, and the smallest of too many."""
--- a/pimentoledge/routing/fair_shares/share_demands.py
+++ b/pimentoledge/routing/fair_shares/share_demands.py
@@ -65,6 +65,10 @@
     return attrs.evolve(
         demand,
         standing=standing,
+        above_share=max(
+            capacity_checks.ABOVE_SHARE,
+            1 - shares.reserve(service_name, now),
+        ),
         scarce=scarce,
         preferred=scarce
         and standing is standings.Standing.BELOW
