Fair shares count at services without a model, in bounded counters

A request at a service without a model counted as 1, so its counter was below 0.5 and was deleted, and nothing was reported. A slot now counts as 1,000 units, in reports too. The level was computed on refusals only, so 36,000 organisations left 36,000 counters and the reports of lost routers stayed; it is now also computed for reports, when the service received is read, and when there are too many counters. Services share the entries of a report equally: parts of different capacities can't be compared.

--- a/pimentoledge/routing/fair_shares/organisation_shares.py
+++ b/pimentoledge/routing/fair_shares/organisation_shares.py
@@ -35,7 +35,8 @@
 # capacity idle beside one small organisation that was served completely.
 RESERVE_FACTOR = 0.25
 
-# Service, organisation, mean tokens of memory, prompt tokens per second.
+# Service, organisation, mean tokens of memory (or units of slots), and prompt
+# tokens per second.
 Report = list[tuple[str, str, int, int]]
 
 
@@ -122,7 +123,10 @@
     def received(self, service: str, organisation: str, now: float) -> float:
         """Returns an organisation's dominant share, divided by its weight."""
         shares = self._services.get(service)
-        counter = None if shares is None else shares.counters.get(organisation)
+        if shares is None:
+            return 0.0
+        self._update_level(shares, now)
+        counter = shares.counters.get(organisation)
         if counter is None:
             return 0.0
         return counter.received(shares.capacity, now) / self._weight(
@@ -168,10 +172,17 @@
         return shares is not None and now < shares.short_until
 
     def summary(self, now: float) -> Report:
-        """Returns this router's counters for a report, the largest first."""
+        """Returns this router's counters for a report, the largest first.
+
+        The entries are divided equally among services, and what one doesn't
+        need is left to the others: parts of different capacities can't be
+        compared.
+        """
         found = []
         for service, shares in self._services.items():
+            self._update_level(shares, now)
             capacity = shares.capacity
+            entries = []
             for organisation, counter in shares.counters.items():
                 counter.advance(now)
                 memory, prefill = round(counter.memory), round(counter.prefill)
@@ -179,11 +190,16 @@
                     size = max(
                         memory / capacity.memory, prefill / capacity.prefill
                     )
-                    found.append(
+                    entries.append(
                         (size, (service, organisation, memory, prefill))
                     )
-        found.sort(reverse=True)
-        return [entry for _, entry in found[:MAX_REPORTED]]
+            entries.sort(reverse=True)
+            found += [
+                (rank, -size, entry)
+                for rank, (size, entry) in enumerate(entries[:MAX_REPORTED])
+            ]
+        found.sort()
+        return [entry for _, _, entry in found[:MAX_REPORTED]]
 
     def merge(self, router: str, summary: Report, now: float) -> None:
         """Replaces the counters of a router, given its mailbox.
@@ -248,7 +264,8 @@
 
         Args:
             service: the service.
-            memory: tokens of memory, or slots without a model; None if unknown.
+            memory: tokens of memory, or units of slots without a model; None if
+                unknown.
             prefill: prompt tokens per second, or None if unknown.
         """
         shares = self._service(service)
@@ -281,11 +298,13 @@
     def _counter(
         self, service: str, organisation: str, now: float
     ) -> share_counters.ShareCounter:
-        counters = self._service(service).counters
-        counter = counters.get(organisation)
+        shares = self._service(service)
+        counter = shares.counters.get(organisation)
         if counter is None:
+            if len(shares.counters) >= MAX_COUNTED:
+                self._update_level(shares, now)
             counter = share_counters.ShareCounter(at=now)
-            counters[organisation] = counter
+            shares.counters[organisation] = counter
         return counter
 
     def _update_level(self, shares: _ServiceShares, now: float) -> None:
--- a/pimentoledge/routing/fair_shares/share_counters.py
+++ b/pimentoledge/routing/fair_shares/share_counters.py
@@ -12,6 +12,10 @@
 # pays for it after its excess has ended.
 HALF_LIFE_SECONDS = 3.0
 DECAY = math.log(2) / HALF_LIFE_SECONDS
+# Units that a slot counts as at services without a model. Counters below half a
+# unit are deleted and reports are whole numbers; requests of 50 ms hold a slot
+# for far less than half of the time.
+SLOT_UNITS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -20,7 +24,7 @@
 
     Attributes:
         memory: tokens of memory that it occupies while it is open; at services
-            without a model 1, for the slot.
+            without a model SLOT_UNITS, for the slot.
         prefill: unshared tokens of its prompt to prefill.
     """
 
@@ -31,7 +35,7 @@
 def work_of(client_request: request_types.ClientRequest) -> Work:
     """Returns what a request takes of its service."""
     if not client_request.model:
-        return Work(memory=1, prefill=0)
+        return Work(memory=SLOT_UNITS, prefill=0)
     return Work(
         memory=memory_estimates.unshared_tokens(client_request),
         prefill=max(0, client_request.unshared_tokens()),
@@ -43,7 +47,7 @@
     """What a service's servers can give together.
 
     Attributes:
-        memory: tokens of memory, or slots at services without a model.
+        memory: tokens of memory, or units of slots at services without a model.
         prefill: prompt tokens prefilled per second.
     """
 
--- a/pimentoledge/routing/fair_shares/share_demands.py
+++ b/pimentoledge/routing/fair_shares/share_demands.py
@@ -117,7 +117,9 @@
     shares.set_organisations(view.configuration.organisations)
     shares.set_capacity(
         service_name,
-        memory=(memory or 0) * usage.servers if model else usage.slots,
+        memory=(memory or 0) * usage.servers
+        if model
+        else share_counters.SLOT_UNITS * usage.slots,
         prefill=usage.servers / token_seconds if token_seconds > 0 else None,
     )
     shares.set_usage(service_name, usage, now)
