Memory that other routers report isn't negative

A report with negative tokens lowered the sum of the memory in use, so a full runner looked empty. Tokens below zero now count as zero. The new test fails before the change.

--- a/pimentoledge/routing/load_reports.py
+++ b/pimentoledge/routing/load_reports.py
@@ -320,7 +320,10 @@
             backend.peer_loads.set(
                 sender,
                 peer_loads.PeerLoad(
-                    open=open_, unbegun=unbegun, unread=unread, tokens=tokens
+                    open=open_,
+                    unbegun=unbegun,
+                    unread=unread,
+                    tokens=None if tokens is None else max(0, tokens),
                 ),
             )
         if not before or backend.outstanding() < before:
--- a/pimentoledge/tests/test_router_fair_shares.py
+++ b/pimentoledge/tests/test_router_fair_shares.py
@@ -325,6 +325,22 @@
     assert level.uneven == uneven
 
 
+def test_reported_memory_is_not_negative():
+    """Guards against a report that makes a full runner look empty."""
+    world = share_runs.World(loads=EVEN, runners=1)
+    report = peer_messages.LoadReport(
+        has={"r0": (1, 0, 0)},
+        said={},
+        prompts=[],
+        means={},
+        memory={"r0": -50_000},
+    )
+    world.deliver(world.names[1], world.names[0], report)
+    backend = world.views[0].servers.by_incarnation["r0"]
+    backend.open, backend.open_tokens = 1, 800
+    assert memory_estimates.held_tokens(backend, 2, 3000) == 800
+
+
 def demand(**fields):
     defaults = {"mean_tokens": 0.0, "memory": 1000, "objective_seconds": 1.0}
     return capacity_checks.Demand(
