--- a/pimentoledge/routing/fair_shares/service_usages.py
+++ b/pimentoledge/routing/fair_shares/service_usages.py
@@ -89,7 +89,9 @@
     busy = [each.estimated_requests(now) for each in usable]
     return ServiceUsage(
         slots=sum(each.registration.slots for each in usable),
-        limit=sum(map(_limit, usable)),
+        limit=sum(
+            each.speed.limit(each.registration.slots, now) for each in usable
+        ),
         busy=sum(busy),
         memory=(memory or 0) * len(usable),
         held=sum(
@@ -99,8 +101,3 @@
         mean_tokens=mean,
         servers=servers,
     )
-
-
-def _limit(server: backends.Backend) -> float:
-    """Returns the number of requests that a server takes well."""
-    return server.speed.limit(server.registration.slots)
