--- a/pimentoledge/routing/admission/gates.py
+++ b/pimentoledge/routing/admission/gates.py
@@ -17,15 +17,16 @@
 from pimentoledge.routing.admission import returning_clients
 from pimentoledge.routing.admission import tickets as tickets_module
 
-# Most waiting requests of all services, some 2 KB each with their connections.
+# Most waiting requests of all services, some 2 KB each with their connections,
+# besides their bodies.
 MAX_WAITING = 1000
-# News within this time lead to one search for places. A search costs up to
-# 1 ms, and some 300 load reports a second arrive in a large data centre.
+# Reports within this time lead to one search for places. A search takes some
+# ms, and some 300 load reports a second arrive in a large data centre.
 SEARCH_SECONDS = 0.02
 # The same for ended attempts of this router, each of which leaves a place.
 END_SEARCH_SECONDS = 0.005
 # After this many failed searches for requests of one kind, others of that kind
-# are not tried until the next news.
+# are not tried until the next search.
 MAX_FAILED_SEARCHES = 3
 # The same for requests of all kinds together.
 MAX_FAILED_OF_ALL = 24
--- a/pimentoledge/routing/admission/place_shares.py
+++ b/pimentoledge/routing/admission/place_shares.py
@@ -9,7 +9,7 @@
 
 # How long another router's number of waiting requests counts.
 PEER_EXPIRY_SECONDS = 3.0
-# A part is drawn again after this time without news of the server.
+# A part is drawn again after this time without a report of the server.
 REDRAW_SECONDS = 0.1
 # A part that was not used for this time is forgotten.
 PART_EXPIRY_SECONDS = 3.0
@@ -51,7 +51,7 @@
     """Keeps all routers from taking the same free place.
 
     All routers learn of a free place at about the same time. Each gives out at
-    most its part of a server's free places until the next news of it, or the
+    most its part of a server's free places until its next report, or the
     next tick.
 
     Attributes:
--- a/pimentoledge/routing/fair_shares/organisation_shares.py
+++ b/pimentoledge/routing/fair_shares/organisation_shares.py
@@ -314,8 +314,8 @@
         shares.level_at = now
         for router in [
             router
-            for router, (heard, _) in self._reports.items()
-            if now - heard > EXPIRY_SECONDS
+            for router, (received_at, _) in self._reports.items()
+            if now - received_at > EXPIRY_SECONDS
         ]:
             self.forget(router)
         for counter in shares.counters.values():
--- a/pimentoledge/routing/server_speeds/concurrency_limits.py
+++ b/pimentoledge/routing/server_speeds/concurrency_limits.py
@@ -28,9 +28,8 @@
 # Half-life of that latency while it has grown though the requests are fewer:
 # the server has become slower, which a lower limit doesn't change.
 SLOWED_HALF_LIFE_SECONDS = 10.0
-# The same at more requests. Without it, a latency measured once would be
-# compared with forever; with 10 to 60 s, a server that slows down from a third
-# of its slots had its limit rise to all of them time and again.
+# The same at more requests. With a short one, the limit of a server that slows
+# down from a third of its slots rises to all of them time and again.
 MORE_HALF_LIFE_SECONDS = 300.0
 
 
--- a/pimentoledge/tests/test_router_admission_queue.py
+++ b/pimentoledge/tests/test_router_admission_queue.py
@@ -178,7 +178,7 @@
         rate.note_released(1.0, 0.0)
     got = rate.expected_wait(0, 0.0, in_use=in_use, routers=routers)
     assert got == (wait and pytest.approx(wait, rel=0.1))
-    # What ended long ago tells nothing.
+    # Attempts that ended long ago don't count.
     assert rate.expected_wait(0, 60.0, in_use=in_use) is None
 
 
