Compute a server's memory in use only where load control needs it

Each candidate of each request summed the memory of known open requests, also where load control is off and capacity_checks doesn't read it.

--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -320,9 +320,7 @@
             limit=backend.speed.limit(backend.registration.slots, now)
             if per_server
             else None,
-            held_tokens=memory_estimates.held_tokens(
-                backend, wait.busy, criteria.demand.mean_tokens
-            ),
+            held_tokens=_held_tokens(backend, criteria.demand, wait.busy),
         )
     withdrawn_at = criteria.withdrawn_at(version)
     if withdrawn_at is not None and now + wait.seconds >= withdrawn_at:
@@ -336,6 +334,15 @@
     )
 
 
+def _held_tokens(
+    backend: backends.Backend, demand: capacity_checks.Demand, busy: float
+) -> float:
+    """Returns the memory in use at a server, in tokens, if it is needed."""
+    if demand.tokens is None:
+        return 0.0
+    return memory_estimates.held_tokens(backend, busy, demand.mean_tokens)
+
+
 def _pace_ms(wait: wait_estimates.ExpectedWait, criteria: Criteria) -> float:
     """Returns the cost of the pace of streams at a server, in ms.
 
--- a/pimentoledge/tests/test_router_admission_queue.py
+++ b/pimentoledge/tests/test_router_admission_queue.py
@@ -211,16 +211,16 @@
     shares = place_shares.PlaceShares(draw=lambda: draws.pop())
     draws = [0.1, 0.1, 0.9, 0.9]
     place = tickets.Place(server="a", free=1, reported_at=1.0)
-    news = tickets.Place(server="a", free=1, reported_at=1.1)
+    newer = tickets.Place(server="a", free=1, reported_at=1.1)
     assert [
         shares.take(place, 2, 1.0),
         shares.take(place, 2, 1.05),
-        shares.take(news, 2, 1.06),
-        shares.take(news, 2, 1.07),
-        shares.take(news, 2, 1.2),
+        shares.take(newer, 2, 1.06),
+        shares.take(newer, 2, 1.07),
+        shares.take(newer, 2, 1.2),
     ] == [False, False, False, False, True]
     shares.expire(9.0)
-    assert shares.take(news, 2, 9.0)
+    assert shares.take(newer, 2, 9.0)
     assert not draws
 
 
@@ -304,7 +304,7 @@
     play(run())
 
 
-def test_the_told_wait_is_near_the_time_at_which_a_place_is_free():
+def test_the_expected_wait_is_near_the_time_at_which_a_place_is_free():
     async def run():
         world = World({"a": 10})
         load = [
