Retry budget: a router that has just started applies the stored number of routers

Callers could see: more repeats than allowed after a restart of a fleet whose routers don't reach each other, each with the slack of all. Cause: the budget divided the slack by the routers heard of. The store's number of routers was read at the start but used for organisations' limits only, and written only where there are such limits. Evidence: by reading; the new test, a router that starts while the others are gone, failed before (the number was never stored, and not applied). Result: the test passes; tests of quotas, eras and limits as before.

--- a/pimentoledge/routing/fleet_sizes.py
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -1,9 +1,9 @@
 """Number of routers in the fleet, also for a router that has just started.
 
-A router's share of an organisation's limit follows from this number. When many
-routers start together, each knows few others at first and would take too large
-a share. So the store keeps the number and the owners of the limits, and a
-router that starts reads them from there.
+A router's share of an organisation's limit and of the retry budget follows from
+this number. When many routers start together, each knows few others at first
+and would take too large a share. So the store keeps the number and the owners
+of the limits, and a router that starts reads them from there.
 """
 
 import asyncio
@@ -42,7 +42,6 @@
         roster: the other routers.
         store: the store's client.
         lines: log of changes of the view.
-        is_needed: returns whether the number is in use.
         owners: returns the owners of the limits that this router knows.
         started_at: when this router started.
         stored: the stored number, 0 if there is none, None if not read yet.
@@ -57,14 +56,12 @@
         roster: rosters.Roster,
         store: stores.StoreClient,
         lines: log_lines.Lines,
-        is_needed: Callable[[], bool],
         owners: Callable[[], list[str]],
         started_at: float,
     ):
         self.roster = roster
         self.store = store
         self.lines = lines
-        self.is_needed = is_needed
         self.owners = owners
         self.started_at = started_at
         self.stored: int | None = None
@@ -85,12 +82,16 @@
 
     def share(self, now: float) -> float:
         """Returns this router's share of a fleet-wide limit; 0 if unknown."""
-        count = self.roster.count(now)
-        if now - self.started_at >= STARTING_SECONDS:
-            return 1 / count
         if self.stored is None and now - self.started_at < UNKNOWN_SECONDS:
             return 0.0
-        return 1 / max(count, self.stored or 0)
+        return 1 / self.count(now)
+
+    def count(self, now: float) -> int:
+        """Returns the number of routers, this one included."""
+        count = self.roster.count(now)
+        if now - self.started_at >= STARTING_SECONDS:
+            return count
+        return max(count, self.stored or 0)
 
     def routers(self, now: float) -> list[str]:
         """Returns the mailboxes of the other members.
@@ -119,7 +120,7 @@
         if self.stored is None:
             self._apply(await self.store.read(KIND, NAME))
             return
-        if not self.is_needed() or not self._is_writer(now):
+        if not self._is_writer(now):
             self._differed = 0
             return
         if self.store.era > self.era:
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -159,7 +159,6 @@
             roster=self.roster,
             store=store,
             lines=lines,
-            is_needed=view.shares_limits,
             owners=lambda: self.limiter.rights.wanted,
             started_at=view.started_at,
         )
@@ -230,7 +229,8 @@
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
             self.limiter.tick(now)
-        self.view.members = self._routers.note(self.roster.count(now), now)
+        routers = self.fleet_size.count(now)
+        self.view.members = self._routers.note(routers, now)
         self.replicator.update_behind(now)
 
     def _note_versions(self, now: float) -> None:
--- a/pimentoledge/tests/test_router_retry_budget.py
+++ b/pimentoledge/tests/test_router_retry_budget.py
@@ -53,3 +53,21 @@
         3,
         1,
     ]
+
+
+@with_world(routers=2)
+async def test_a_router_that_starts_alone_shares_the_budget_with_the_others(
+    world,
+):
+    """Guards against the whole slack for each router of a restarted fleet."""
+    for each in world.routers:
+        each.peers.fleet_size.started_at = clocks.now() - 60
+    path = "router-leases/fleet"
+    await world.until(lambda: path in world.store.objects.objects, seconds=8)
+    for each in world.routers:
+        each.close()
+    port = router_world.free_port()
+    router = await world.add_router("router-2", port, [port])
+    await world.until(lambda: router.view.ready())
+    await world.until(lambda: router.view.members == 2, seconds=2)
+    assert router.peers.roster.count(clocks.now()) == 1
--- a/pimentoledge/tests/test_router_store_eras.py
+++ b/pimentoledge/tests/test_router_store_eras.py
@@ -288,7 +288,6 @@
     """Guards against a router that starts and finds no size of the fleet."""
     [router] = world.routers
     size = router.peers.fleet_size
-    size.is_needed = lambda: True
     size.started_at = clocks.now() - 60
     backup = world.store.objects.back_up()
     path = "router-leases/fleet"
