Routers: an unexpected end of a task or thread ends the process

Cause: an error in the main loop ended it, but the receiving thread is no daemon and waits for messages for ever, so the process went on and the platform didn't restart it. An error in the receiving thread, a watcher, the lease holder, the fleet's size, the quarantines or a monitor ended that alone. Change: these tasks and the thread are supervised; whatever ends one ends the process with status 1 and a log line. Closing waits for the thread half a second at most. The threads of the entry and agent programs, which aren't deployed, are not supervised.

--- a/pimentoledge/nodes/mailboxes.py
+++ b/pimentoledge/nodes/mailboxes.py
@@ -23,6 +23,8 @@
 # the peer reported as unreachable.
 SEND_BUFFER = 512
 RECEIVE_BUFFER = 512
+# How long closing waits for the receiving thread.
+CLOSE_SECONDS = 0.5
 # How long a message may wait until its connection is up.
 CONNECT_TIMEOUT_SECONDS = 1.0
 # How long an idle connection stays open. A connection takes about 29 KB, and
@@ -78,6 +80,7 @@
         address: address of this process, as tcp://ip:port; port 0 chooses a
             free port, which `start` fills in.
         deliver: called with each event, possibly in another thread.
+        on_failure: called in the receiving thread with the error that ended it.
         codec: encodes and decodes the messages.
         peers: connections by address.
         generation: number of connections opened so far.
@@ -91,9 +94,11 @@
         address: str,
         deliver: Callable[[object], None],
         codec: codecs.Codec = codecs.CODEC,
+        on_failure: Callable[[Exception], None] = lambda error: None,
     ):
         self.address = address
         self.deliver = deliver
+        self.on_failure = on_failure
         self.codec = codec
         self.peers: dict[str, Peer] = {}
         self.generation = 0
@@ -106,7 +111,9 @@
         self.socket.listen(self.address)
         if self.address.endswith(":0"):
             self.address = str(self.socket.listeners[0].url)
-        self.thread = threading.Thread(target=self.receive, name="mailbox")
+        self.thread = threading.Thread(
+            target=self.receive, name="mailbox", daemon=True
+        )
         self.thread.start()
 
     def close(self) -> None:
@@ -117,20 +124,27 @@
         if self.socket is not None:
             self.socket.close()
         if self.thread is not None:
-            self.thread.join()
+            self.thread.join(CLOSE_SECONDS)
+            if self.thread.is_alive():
+                logger.warning("{}: the receiving thread goes on", self.address)
 
     def receive(self) -> None:
         """Receives messages until the socket is closed."""
-        while True:
-            try:
-                data = self.socket.recv()
-            except pynng.Closed:
-                return
-            match self.codec.decode(data):
-                case result.Success(event):
-                    self.deliver(event)
-                case result.Failure(error):
-                    logger.warning("{}", error.text)
+        try:
+            while True:
+                self._receive_one()
+        except pynng.Closed:
+            return
+        except Exception as error:
+            logger.exception("the receiving thread of {} ended", self.address)
+            self.on_failure(error)
+
+    def _receive_one(self) -> None:
+        match self.codec.decode(self.socket.recv()):
+            case result.Success(event):
+                self.deliver(event)
+            case result.Failure(error):
+                logger.warning("{}", error.text)
 
     def send(
         self, address: str, message: object, *, configuration: int, now: float
--- a/pimentoledge/routing/cache_monitors.py
+++ b/pimentoledge/routing/cache_monitors.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import server_connections
+from pimentoledge.routing import supervised_tasks
 
 logger = logbook.Logger("cache_links")
 
@@ -51,7 +52,9 @@
             self._tasks.pop(address).cancel()
             self.view.caches_down.discard(address)
         for address in wanted - set(self._tasks):
-            task = asyncio.get_running_loop().create_task(self._keep(address))
+            task = supervised_tasks.start(
+                f"monitor of {address}", self._keep(address)
+            )
             self._tasks[address] = task
 
     def close(self) -> None:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import sys
 
 import logbook
 from returns import result
@@ -41,6 +42,7 @@
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
+from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
 from pimentoledge.routing.admission import gates
@@ -64,6 +66,7 @@
 # Interval between checks of the settings file, which may change without SIGHUP.
 SETTINGS_CHECK_SECONDS = 1.0
 BAD_SETTING_EXIT = 2
+FAILURE_EXIT = 1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 CONFIG_VARIABLE = settings.ENVIRONMENT_PREFIX + "CONFIG"
 
@@ -262,6 +265,7 @@
         self._next_settings_check = 0.0
         self._ticked = clocks.now()
         self._stop_requested: asyncio.Event | None = None
+        self._failure: supervised_tasks.TaskEndedError | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         self._former_handlers: dict[signal.Signals, object] = {}
 
@@ -442,7 +446,12 @@
             self.lines.write("paused", seconds=round(paused, 2))
 
     async def run(self) -> None:
-        """Runs until a signal requests the end, then drains and closes."""
+        """Runs until a signal requests the end, then drains and closes.
+
+        Raises:
+            TaskEndedError: a task or thread that it needs has ended.
+        """
+        asyncio.get_running_loop().set_exception_handler(self._on_loop_error)
         await self.start()
         self._ticked = clocks.now()
         while not self._stop_requested.is_set():
@@ -453,10 +462,25 @@
                     await self._stop_requested.wait()
             except TimeoutError:
                 continue
+        if self._failure is not None:
+            raise self._failure
         await self.drain()
         _ignore_stop_signals()
         self.close()
 
+    def _on_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict
+    ) -> None:
+        """Handles an error that no task handles."""
+        name = supervised_tasks.ended_task(context)
+        if name is None or self.view.leaving:
+            loop.default_exception_handler(context)
+            return
+        error = supervised_tasks.TaskEndedError(context["message"])
+        error.__cause__ = context.get("exception")
+        self._failure = error
+        self._stop_requested.set()
+
     def tick(self) -> None:
         """Runs the periodic work: heartbeats, idle connections, settings."""
         now = clocks.now()
@@ -606,10 +630,24 @@
         handler.applicationbound(),
         asyncio.Runner(loop_factory=lambda: new_loop(load)) as runner,
     ):
-        runner.run(Router(chosen=chosen, loop_load=load).run())
+        runner.run(_run_or_exit(Router(chosen=chosen, loop_load=load)))
     return 0
 
 
+async def _run_or_exit(router: Router) -> None:
+    """Runs a router; an unexpected error ends the process at once.
+
+    Closing might wait for what has failed, and the platform restarts only
+    processes that have ended.
+    """
+    try:
+        await router.run()
+    except Exception:
+        logger.exception("unexpected error; the process ends")
+        sys.stdout.flush()
+        os._exit(FAILURE_EXIT)
+
+
 def new_loop(load: loop_loads.LoopLoad) -> asyncio.AbstractEventLoop:
     """Returns an event loop whose load is measured."""
     return asyncio.SelectorEventLoop(loop_loads.TimedSelector(load))
--- a/pimentoledge/routing/fleet_sizes.py
+++ b/pimentoledge/routing/fleet_sizes.py
@@ -17,6 +17,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rosters
+from pimentoledge.routing import supervised_tasks
 
 logger = logbook.Logger("fleet_sizes")
 
@@ -73,7 +74,7 @@
 
     def start(self) -> None:
         """Starts to read the stored number and to keep it up to date."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = supervised_tasks.start("fleet size", self._run())
 
     def close(self) -> None:
         """Stops the task."""
--- a/pimentoledge/routing/lease_holders.py
+++ b/pimentoledge/routing/lease_holders.py
@@ -16,6 +16,7 @@
 from pimentoledge.routing import registrations
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_permits
+from pimentoledge.routing import supervised_tasks
 
 logger = logbook.Logger("holder")
 
@@ -76,7 +77,7 @@
 
     def start(self) -> None:
         """Starts the task."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = supervised_tasks.start("lease holder", self._run())
 
     def close(self) -> None:
         """Stops the task, and cancels orders in flight."""
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -31,6 +31,7 @@
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import stored_quarantines
 from pimentoledge.routing import stream_version_exchanges
+from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import wanted_weights
 from pimentoledge.routing import watchers
@@ -181,7 +182,10 @@
         self._heartbeat_scheduled = False
         self._records_scheduled = False
         self._mailbox = mailboxes.Mailbox(
-            address=f"tcp://{listen}", deliver=self._deliver, codec=CODEC
+            address=f"tcp://{listen}",
+            deliver=self._deliver,
+            codec=CODEC,
+            on_failure=self._on_receiver_ended,
         )
         self.add_seeds(seeds)
 
@@ -210,6 +214,16 @@
             # The loop is closed, so nothing is left to handle the event.
             return
 
+    def _on_receiver_ended(self, error: Exception) -> None:
+        """Reports the end of the receiving thread, in that thread."""
+        try:
+            self._loop.call_soon_threadsafe(
+                supervised_tasks.report, "receiving thread", error
+            )
+        except RuntimeError:
+            # The loop is closed, so the process ends anyway.
+            return
+
     def tick(self, now: float) -> None:
         """Does the periodic work; sends messages that are due."""
         self.roster.tick(now)
--- a/pimentoledge/routing/stored_quarantines.py
+++ b/pimentoledge/routing/stored_quarantines.py
@@ -17,6 +17,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import registrations
 from pimentoledge.routing import server_deaths
+from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import suspects as suspects_module
 
 logger = logbook.Logger("stored_quarantines")
@@ -64,7 +65,7 @@
 
     def start(self) -> None:
         """Starts to read and write."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = supervised_tasks.start("quarantines", self._run())
 
     def close(self) -> None:
         """Stops the task."""
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -14,6 +14,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import registrations
+from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import unanswered_calls
 
 logger = logbook.Logger("watchers")
@@ -142,7 +143,9 @@
 
     def start(self) -> None:
         """Starts the task."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = supervised_tasks.start(
+            f"watcher of {self.cache.kind}", self._run()
+        )
 
     def close(self) -> None:
         """Stops the task."""
