Routers: entries of undeclared services name no server and no weights

Cause: the weights of any entry counted as named by the operator, of whatever service and model; a version beyond 64 bits then reached every heartbeat, which can't encode it. Change: an entry of a service that no configuration has named is kept aside until one names it; weights count only for models that the service is declared to run; integers beyond 64 bits and texts of over 4,096 characters are refused at decoding, in every field. One test of weights declared no service: its set-up has a configuration now, what it asserts is unchanged. The new test failed before (KeyError of the declaration, version 7 wanted).

--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -17,6 +17,9 @@
 _LEAVING_BY_STATE = {"ready": False, _DRAINING: True}
 # Highest TCP port.
 _MAX_PORT = 65535
+# Integers are encoded in 64 bits in messages to other routers.
+_MAX_INTEGER = 2**63 - 1
+_MAX_TEXT_CHARACTERS = 4096
 
 
 def decode_stored(item: Any, era: int = 0) -> registrations.Stored:
@@ -47,7 +50,8 @@
 ) -> Any:
     """Returns a field; raises ValueError if it is missing or of another type.
 
-    If `default` is given, it is returned for a missing or null field.
+    Integers that no message can hold and very long texts are refused too. If
+    `default` is given, it is returned for a missing or null field.
     """
     value = fields.get(name)
     if value is None and default is not None:
@@ -55,6 +59,10 @@
     # A bool is an int in Python, but is no number on the platform.
     if not isinstance(value, kind) or isinstance(value, bool):
         raise ValueError(f"{name} is {value!r}"[:100])
+    if isinstance(value, int) and abs(value) > _MAX_INTEGER:
+        raise ValueError(f"{name} is beyond 64 bits")
+    if isinstance(value, str) and len(value) > _MAX_TEXT_CHARACTERS:
+        raise ValueError(f"{name} has {len(value)} characters")
     return value
 
 
@@ -78,7 +86,7 @@
         weights=_weight_versions(_field(spec, "models", list, [])),
         born=_incarnation_start(spec),
         # Beside `models`, `version` is that of the server's software.
-        software=str(spec.get("version") or ""),
+        software=str(_field(spec, "version", (str, int, float), "")),
     )
 
 
--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -171,6 +171,7 @@
         services: services by name.
         limits: bounds on client requests and connections.
         by_key: organisations by API key; None if no keys are declared.
+        service_names: the services that it declares or sends requests to.
         has_quotas: whether any organisation has a limit.
     """
 
@@ -180,6 +181,7 @@
     services: dict[str, Service]
     limits: ClientLimits
     by_key: dict[str, Organisation] | None
+    service_names: frozenset[str] = frozenset()
     has_quotas: bool = False
 
     def match(self, host: str, path: str) -> Route | None:
@@ -195,6 +197,11 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def runs_model(self, service: str, model: str) -> bool:
+        """Returns whether a service is declared to run a model."""
+        declared = self.services.get(service)
+        return declared is not None and model in declared.models
+
     def cache_servers(self) -> list[Service]:
         """Returns the KV cache servers."""
         return [
@@ -226,5 +233,9 @@
         services={each.name: each for each in services},
         limits=limits,
         by_key=by_key,
+        service_names=frozenset(
+            [each.name for each in services]
+            + [share.service for route in routes for share in route.shares]
+        ),
         has_quotas=any(each.quota for each in organisations or ()),
     )
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -50,6 +50,8 @@
             time at which they are removed.
         withheld: registrations of removed servers that a restored store
             contains again, with the time at which they are used.
+        undeclared: registrations of services that no configuration has named,
+            by server. Another writer may have stored them.
         history: the newest contents of the configuration.
     """
 
@@ -73,7 +75,9 @@
         self.on_server = on_server
         self.lapsed: dict[str, float] = {}
         self.withheld: dict[str, tuple[registrations.Registration, float]] = {}
+        self.undeclared: dict[str, registrations.Registration] = {}
         self.history = configuration_histories.ConfigurationHistory()
+        self._services: set[str] = set()
         self._routes = objects.RouteMemory()
         self._removed: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
@@ -126,8 +130,35 @@
             built_ms=round(1000 * (self.view.configured - began), 1),
             **self._transfer_fields(began),
         )
+        self._declare_services(received)
         self.on_change()
 
+    def _declare_services(
+        self, configuration: configurations.Configuration
+    ) -> None:
+        """Uses the servers of services that a configuration names first."""
+        is_first = not self._services
+        if configuration.service_names <= self._services:
+            return
+        self._services |= configuration.service_names
+        for name, registration in list(self.undeclared.items()):
+            if self._is_declared(registration):
+                del self.undeclared[name]
+                self._put_server(registration)
+        if is_first:
+            for backend in list(self.view.servers.by_incarnation.values()):
+                self._check_declared(backend.registration)
+
+    def _check_declared(self, registration: registrations.Registration) -> None:
+        """Handles a server that was used before the first configuration."""
+        if self._is_declared(registration):
+            self.infer_named_weights(registration)
+        else:
+            self._hold_undeclared(registration)
+
+    def _is_declared(self, registration: registrations.Registration) -> bool:
+        return not self._services or registration.service in self._services
+
     def _decode_configuration(
         self, each: registrations.Stored
     ) -> configurations.Configuration:
@@ -311,6 +342,10 @@
                     self._remove_server(each.name)
                 continue
             self.lapsed.pop(each.name, None)
+            if not self._is_declared(registration):
+                self._hold_undeclared(registration)
+                continue
+            self.undeclared.pop(each.name, None)
             if self._was_removed(registration):
                 self._withhold(registration)
                 continue
@@ -318,6 +353,8 @@
             self._put_server(registration)
         ends = self.lapse_ends()
         for name in removed:
+            if self.undeclared.pop(name, None) is not None:
+                continue
             if self.withheld.pop(name, None) is not None:
                 self.lines.write("server_gone", server=name)
             elif clocks.now() < ends:
@@ -326,6 +363,20 @@
             else:
                 self._remove_server(name)
 
+    def _hold_undeclared(
+        self, registration: registrations.Registration
+    ) -> None:
+        """Keeps a server of an unknown service unused."""
+        if registration.server in self.view.servers.by_server:
+            self._remove_server(registration.server)
+        if registration.server not in self.undeclared:
+            self.lines.write(
+                "server_undeclared",
+                server=registration.server,
+                service=registration.service,
+            )
+        self.undeclared[registration.server] = registration
+
     def _was_removed(self, registration: registrations.Registration) -> bool:
         """Returns whether an entry is there only because of a restore."""
         cache = self.view.caches_by_kind.get("servers")
@@ -363,9 +414,15 @@
         """Infers wanted versions from the weights that a runner has loaded.
 
         They may have been named at any time since all named weights were last
-        known.
+        known. Models that the runner's service isn't declared to run say
+        nothing about those of the configuration.
         """
+        configuration = self.view.configuration
         for model, version in registration.weights.items():
+            if configuration is None or not configuration.runs_model(
+                registration.service, model
+            ):
+                continue
             wanted = self.view.wanted.get(model)
             if wanted is None or wanted.version < version:
                 since = self.view.known_at("weights")
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -7,9 +7,11 @@
 import attrs
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 from returns import result
 
 from pimentoledge.nodes import codecs
+from pimentoledge.platform import names
 from pimentoledge.platform import stores
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
@@ -653,6 +655,57 @@
     assert isinstance(former.decode(new), result.Success)
 
 
+def _configuration(*services, version=1):
+    """Returns a stored configuration whose services run the model."""
+    engine = {"models": [{"name": MODEL}]}
+    return registrations.Stored(
+        name=names.CONFIGURATION_NAME,
+        revision=version,
+        value={
+            "version": version,
+            "routes": [],
+            "services": [{"name": each, "engine": engine} for each in services],
+        },
+    )
+
+
+def _runner(name, service, version):
+    return registrations.Stored(
+        name=name,
+        revision=version % 1000,
+        value={
+            "service": service,
+            "address": "10.0.0.1:80",
+            "zone": "a",
+            "models": [{"name": MODEL, "version": version}],
+        },
+    )
+
+
+@pytest.mark.parametrize("first", ["configuration", "servers"])
+@pytest.mark.parametrize("version", [7, 20261204130059123456])
+def test_entries_of_undeclared_services_name_no_weights(first, version):
+    """Guards against orders for weights that another writer has stored."""
+    view = cluster_views.ClusterView(
+        name="x", data_centre="a", started_at=clocks.now()
+    )
+    updater = view_updaters.ViewUpdater(
+        view=view, lines=log_lines.Lines(counters=counters.Counters())
+    )
+    entries = [_runner("r1", "runners", 2), _runner("x1", "other", version)]
+    if first == "servers":
+        updater.apply_servers(entries, [])
+    updater.apply_configuration([_configuration("runners")], [])
+    if first == "configuration":
+        updater.apply_servers(entries, [])
+    assert view.wanted[MODEL].version == 2
+    assert list(view.servers.by_server) == ["r1"]
+    updater.apply_configuration(
+        [_configuration("runners", "other", version=2)], []
+    )
+    assert ("x1" in view.servers.by_server) == (version == 7)
+
+
 def test_a_first_version_ever_named_is_shown_by_a_runner_too():
     """Guards against older weights used before any announcement.
 
@@ -665,6 +718,7 @@
         view=view,
         lines=log_lines.Lines(counters=counters.Counters()),
     )
+    updater.apply_configuration([_configuration("runners")], [])
     entries = [
         registrations.Stored(
             name=f"r{version}",
