Routers: an unreadable element of the store's response hides no other

Cause: a response was decoded as a whole, so one entry that the decoder refuses made each listing and watch that contains it fail, for ever. Change: a response that can't be decoded, or has an integer that no message can hold, is split by its brackets and decoded element by element. Metadata stay where they can be read and the content is empty, so the entry names no server and its revision is passed.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -10,6 +10,7 @@
 from pimentoledge.platform import objects
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import calls
+from pimentoledge.routing import json_documents
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
 
@@ -25,6 +26,9 @@
 # calls of other routers were refused at the same time.
 MAX_PAGE_RETRY_SECONDS = 0.5
 
+# Fields of a response that hold objects or events, one an element.
+_ELEMENTS = ("items", "events")
+
 
 @attrs.frozen(kw_only=True)
 class _Answer:
@@ -94,6 +98,7 @@
                 body=body,
                 seconds=seconds,
                 max_body_bytes=buffer_bounds.LISTING_BYTES,
+                decode=decode_body,
             )
         except calls.CallError as error:
             return registrations.Unavailable(
@@ -136,6 +141,7 @@
         revision = era = None
         after = ""
         while True:
+            before = after
             reply = await self._read_page(kind, after, allow_stale)
             if isinstance(reply, registrations.Unavailable):
                 return reply
@@ -153,7 +159,7 @@
             if revision is None:
                 # Changes made while later pages are read appear in the watch.
                 revision = reply.body["storeRevision"]
-            if not reply.body.get("more") or not page:
+            if not reply.body.get("more"):
                 return registrations.Listing(
                     objects=listed,
                     revision=revision,
@@ -161,7 +167,11 @@
                     era=era,
                     transfer=reply.transfer,
                 )
-            after = page[-1].name
+            after = page[-1].name if page else before
+            if after == before:
+                return registrations.Unavailable(
+                    reason="no name on a page of a listing", maybe_done=False
+                )
 
     async def _read_page(
         self, kind: str, after: str, allow_stale: bool
@@ -283,6 +293,60 @@
     )
 
 
+def decode_body(data: bytes) -> object:
+    """Decodes a response of the store.
+
+    Of an object that can't be decoded the metadata stay, if they can be
+    decoded; an element without readable metadata becomes None.
+
+    Raises:
+        json_documents.UnreadableError: it can't be decoded in parts either.
+    """
+    try:
+        return json_documents.decode(data)
+    except json_documents.UnreadableError:
+        return _decode_parts(data)
+
+
+def _decode_parts(data: bytes) -> object:
+    fields = json_documents.split_object(data)
+    if "metadata" in fields:
+        return _decode_object(data)
+    body = {}
+    for name, value in fields.items():
+        if name in _ELEMENTS:
+            parts = json_documents.split_array(value)
+            body[name] = [_decode_element(each) for each in parts]
+        else:
+            body[name] = json_documents.decode(value)
+    return body
+
+
+def _decode_element(data: bytes) -> object:
+    """Decodes an item of a listing, or an event of a watch."""
+    try:
+        return json_documents.decode(data)
+    except json_documents.UnreadableError:
+        pass
+    try:
+        fields = json_documents.split_object(data)
+        if "object" not in fields:
+            return _decode_object(data)
+        return {
+            "object": _decode_object(fields["object"]),
+            "deleted": json_documents.decode(fields.get("deleted", b"false")),
+        }
+    except json_documents.UnreadableError:
+        return None
+
+
+def _decode_object(data: bytes) -> dict:
+    """Decodes an object without its content."""
+    fields = json_documents.split_object(data)
+    metadata = json_documents.decode(fields.get("metadata", b""))
+    return {"metadata": metadata, "spec": None}
+
+
 def decode_items(
     items: list, era: int = 0
 ) -> tuple[list[registrations.Stored], list[str]]:
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -1,6 +1,7 @@
 """Short HTTP calls with JSON bodies, to the store and to servers."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 import msgspec
@@ -8,6 +9,7 @@
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import clocks
 from pimentoledge.routing import http_messages
+from pimentoledge.routing import json_documents
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import transfers
@@ -92,6 +94,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         seconds: float,
         max_body_bytes: int = buffer_bounds.REPLY_BYTES,
+        decode: Callable[[bytes], object] = json_documents.decode,
     ) -> Reply:
         """Makes one call; raises CallError.
 
@@ -103,6 +106,7 @@
             headers: further headers.
             seconds: timeout of the whole call.
             max_body_bytes: largest body of the response.
+            decode: decodes the body; may raise UnreadableError.
         """
         sent = False
         connection = None
@@ -118,7 +122,7 @@
                     sent_at=clocks.now(),
                 )
                 self.open_calls.add(open_call)
-                reply = await _read(open_call, max_body_bytes)
+                reply = await _read(open_call, max_body_bytes, decode)
         except server_connections.CannotConnectError as error:
             raise CallError(str(error), sent=False) from error
         except buffer_bounds.BoundExceededError as error:
@@ -160,7 +164,11 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + data
 
 
-async def _read(open_call: OpenCall, max_body_bytes: int) -> Reply:
+async def _read(
+    open_call: OpenCall,
+    max_body_bytes: int,
+    decode: Callable[[bytes], object],
+) -> Reply:
     head = None
     pieces = []
     size = 0
@@ -177,7 +185,7 @@
                         buffer_bounds.Bound.BODY, size
                     )
             case server_connections.ResponseEnded():
-                return _reply(open_call, head, b"".join(pieces))
+                return _reply(open_call, head, b"".join(pieces), decode)
             case server_connections.ConnectionBroken() as broken:
                 exceeded = broken.exceeded
                 if exceeded is not None:
@@ -188,11 +196,17 @@
 
 
 def _reply(
-    open_call: OpenCall, head: http_messages.ResponseHead, data: bytes
+    open_call: OpenCall,
+    head: http_messages.ResponseHead,
+    data: bytes,
+    decode: Callable[[bytes], object],
 ) -> Reply:
     """Returns a complete response with its decoded body."""
     began = clocks.now()
-    body = _decoded(data)
+    try:
+        body = decode(data) if data else None
+    except json_documents.UnreadableError as error:
+        raise CallError(f"unreadable response: {error}", sent=True) from error
     return Reply(
         status=head.status,
         body=body,
@@ -206,12 +220,3 @@
             decode_seconds=clocks.now() - began,
         ),
     )
-
-
-def _decoded(data: bytes) -> object:
-    if not data:
-        return None
-    try:
-        return msgspec.json.decode(data)
-    except msgspec.MsgspecError as error:
-        raise CallError(f"unreadable response: {error}", sent=True) from error
