Routers: peers that read slowly are not taken for unreachable

Cause: TCP_USER_TIMEOUT ends a connection also while the peer's window is closed, after 1 to 3 s, however many probes of the window it answers. Change: each 0.3 s the state of the sockets on which data may be waiting is read (TCP_INFO); while data waits for a closed window and the peer answers its probes, the timeout is suspended. It applies as before while the window is open, and again after two unanswered probes. A peer that becomes unreachable while its window is closed is found later than before, by the interval of its probes.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -31,6 +31,8 @@
 # or their own timeout ends. It is sent once no earlier response is pending on
 # the connection.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# For how long after a response its client may still have to read it.
+UNREAD_SECONDS = 60.0
 # Values of SO_LINGER. With the first one the kernel resets the connection when
 # the socket is closed, also if the process is killed.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -94,6 +96,7 @@
         self._parse_error: http_messages.BadMessageError | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._sent_at = 0.0
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -223,6 +226,7 @@
 
     def send(self, data: bytes) -> None:
         """Sends bytes unless the connection is closed."""
+        self._sent_at = clocks.now()
         if not self.gone:
             self._transport.write(data)
             if not self._writable.is_set():
@@ -230,6 +234,12 @@
                     buffer_budgets.Part.UNSENT, self._unsent_bytes()
                 )
 
+    def sending_socket(self, now: float) -> socket.socket | None:
+        """Returns the socket if the client may not have read all, or None."""
+        if self.gone or now - self._sent_at > UNREAD_SECONDS:
+            return None
+        return self._transport.get_extra_info("socket")
+
     def is_writable(self) -> bool:
         """Returns whether the send buffer is empty."""
         return self._writable.is_set()
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -1,8 +1,10 @@
 """The router daemon: its sockets and tasks on one event loop."""
 
 import asyncio
+from collections.abc import Iterator
 import os
 import signal
+import socket
 import sys
 
 import logbook
@@ -42,6 +44,7 @@
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
+from pimentoledge.routing import slow_readers
 from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
@@ -83,6 +86,7 @@
         pool: connections to backend servers.
         connections: open client connections.
         exchanges: requests in progress, also those whose clients disconnected.
+        slow_readers: connections whose peers read slowly.
         buffers: counts the bytes held for exchanges.
         loop_load: load of the event loop, or None if it isn't measured.
         connection_limit: decides which connections of clients are accepted.
@@ -124,6 +128,7 @@
         self.caller = calls.Caller(lines=self.lines)
         self.connections: set[client_connections.ClientConnection] = set()
         self.exchanges: set[exchanges.Exchange] = set()
+        self.slow_readers = slow_readers.SlowReaders()
         self.store = stores.StoreClient(
             address=chosen.text("store-address"), caller=self.caller
         )
@@ -490,12 +495,27 @@
             each.close_if_idle(now)
         for each in list(self.exchanges):
             each.withdraw_if_late(now)
+        self.slow_readers.tick(self._sending_sockets(now), now)
         self.peers.tick(now)
         self.cache_links.tick()
         self.updater.tick(now)
         self.admission.tick(now)
         self._reload_if_changed(now)
 
+    def _sending_sockets(self, now: float) -> Iterator[socket.socket]:
+        """Returns the sockets of which a peer may not have read all."""
+        for client in self.connections:
+            sock = client.sending_socket(now)
+            if sock is not None:
+                yield sock
+        for exchange in self.exchanges:
+            attempt = exchange.context.current_attempt
+            if attempt is None or attempt.has_begun():
+                continue
+            sock = attempt.connection.sending_socket()
+            if sock is not None:
+                yield sock
+
     async def drain(self) -> None:
         """Fails the readiness probe and finishes the accepted requests.
 
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -153,6 +153,12 @@
                 self._transport.get_write_buffer_size(),
             )
 
+    def sending_socket(self) -> socket.socket | None:
+        """Returns the socket, or None if the connection has ended."""
+        if self._ended:
+            return None
+        return self._transport.get_extra_info("socket")
+
     def resume_writing(self) -> None:
         """Notes that the server has read the request."""
         if self.holder is not None:
--- /dev/null
+++ b/pimentoledge/tests/test_router_slow_readers.py
@@ -0,0 +1,190 @@
+"""Peers that read nothing for longer than unreachable ones are kept."""
+
+import asyncio
+import socket
+import struct
+import time
+
+import pytest
+
+from pimentoledge.platform import names
+from pimentoledge.platform import stand_in_platforms
+from pimentoledge.platform import stand_in_servers
+from pimentoledge.routing import server_connections
+from pimentoledge.routing import slow_readers
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+
+# Longer than the timeout of unacknowledged data and all keepalive probes.
+PAUSE_SECONDS = 4.5
+BODY = b"x" * 300_000
+
+
+def _narrow_socket(**more):
+    """Returns a socket whose receive window holds a few KB."""
+    sock = socket.socket(**more)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    return sock
+
+
+def _request(body, request):
+    head = (
+        "POST /cards/ HTTP/1.1\r\nHost: shop.example\r\n"
+        f"Request-Id: {request}\r\nAuthorization: Bearer key-of-acme\r\n"
+        f"Deadline-Ms: 20000\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def _allow_long_requests(world):
+    """Configures a timeout beyond the pause, and large bodies."""
+    route = stand_in_platforms.route(
+        "cards", service="plain", kind="unsafe", timeoutMs=15000
+    )
+    configuration = stand_in_platforms.configuration(
+        2, routes=[route], limits={"maxBodyBytes": 2 * len(BODY)}
+    )
+    world.store.put(
+        names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, configuration
+    )
+    [router] = world.routers
+    await world.until(lambda: router.view.configuration.version == 2)
+
+
+@with_world(plain=1, runners=0)
+async def test_a_client_that_reads_late_gets_its_whole_response(world):
+    """Guards against a live client whose connection is reset."""
+    [router] = world.routers
+    await _allow_long_requests(world)
+    host, _, port = router.chosen.text("listen").rpartition(":")
+    sock = _narrow_socket()
+    sock.connect((host, int(port)))
+    sock.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=sock, limit=2048)
+    reader._transport.pause_reading()
+    writer.write(_request(BODY, "slow"))
+    await asyncio.sleep(PAUSE_SECONDS)
+    reader._transport.resume_reading()
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    body = await reader.readexactly(len(b"answer of ") + len(BODY))
+    assert body.endswith(BODY)
+    await world.until(lambda: not router.slow_readers.waiting)
+    writer.close()
+
+
+@with_world(plain=0, runners=0)
+async def test_a_server_that_reads_late_gets_its_whole_request(world):
+    """Guards against a long request that breaks at a live server."""
+    received = []
+
+    async def serve(reader, writer):
+        reader._transport.pause_reading()
+        await asyncio.sleep(PAUSE_SECONDS)
+        reader._transport.resume_reading()
+        head = await reader.readuntil(b"\r\n\r\n")
+        received.append(await reader.readexactly(len(BODY)))
+        assert b"slow" in head
+        fields = b"%b: slow\r\n%b: s\r\n" % (names.REQUEST_ID, names.SIGNATURE)
+        fields += b"Content-Length: 2\r\n\r\n"
+        writer.write(b"HTTP/1.1 200 OK\r\n" + fields + b"ok")
+
+    listener = _narrow_socket()
+    listener.bind(("127.0.0.1", 0))
+    server = await asyncio.start_server(serve, sock=listener, limit=2048)
+    host, port = listener.getsockname()
+    entry = stand_in_servers.StandInServer(
+        incarnation="p9", service="plain", weights={}
+    ).entry() | {"address": f"{host}:{port}"}
+    world.store.put(names.SERVER_KIND, "p9", entry)
+    [router] = world.routers
+    await _allow_long_requests(world)
+    await world.until(lambda: "p9" in router.view.servers.by_incarnation)
+    host, _, port = router.chosen.text("listen").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(_request(BODY, "slow"))
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert received == [BODY]
+    writer.close()
+    server.close()
+
+
+@pytest.mark.parametrize(
+    ("state", "waits"),
+    [
+        ({}, False),
+        ({"unsent_bytes": 9000}, True),
+        ({"unsent_bytes": 9000, "probes": 1}, True),
+        ({"unsent_bytes": 9000, "probes": 2}, False),
+        ({"unsent_bytes": 9000, "unacknowledged": 4}, False),
+        ({"unacknowledged": 4, "window_bytes": 0}, False),
+        ({"unsent_bytes": 9, "unacknowledged": 1, "window_bytes": 0}, True),
+        (
+            {
+                "unsent_bytes": 9,
+                "unacknowledged": 1,
+                "window_bytes": 0,
+                "acknowledged_ms": 1500,
+            },
+            False,
+        ),
+    ],
+)
+def test_only_a_peer_that_answers_probes_is_waited_for(state, waits):
+    """Guards against unreachable peers that are found late."""
+    fields = {
+        "probes": 0,
+        "retransmit_ms": 200.0,
+        "segment_bytes": 1448,
+        "unacknowledged": 0,
+        "acknowledged_ms": 100,
+        "unsent_bytes": 0,
+        "window_bytes": 65536,
+    }
+    assert slow_readers.SendState(**fields | state).waits_for_reader() is waits
+
+
+def test_a_timeout_is_suspended_until_the_peer_has_read_all():
+    tcp = socket.IPPROTO_TCP
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        _narrow_socket() as peer,
+    ):
+        peer.connect(listener.getsockname())
+        sock, _ = listener.accept()
+        with sock:
+            server_connections.enable_keepalive(sock)
+            sock.setblocking(False)
+            readers = slow_readers.SlowReaders()
+            readers.tick([sock], 1.0)
+            assert not readers.waiting
+            sock.send(BODY)
+            _await_closed_window(sock)
+            readers.tick([sock], 2.0)
+            assert readers.waiting == {sock}
+            assert not sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            peer.settimeout(0.3)
+            try:
+                while peer.recv(65536):
+                    pass
+            except TimeoutError:
+                pass
+            readers.tick([], 3.0)
+            assert not readers.waiting
+            assert (
+                sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+                == server_connections.UNACKNOWLEDGED_MS
+            )
+
+
+def _await_closed_window(sock):
+    for _ in range(100):
+        state = slow_readers.send_state(sock)
+        if state.waits_for_reader():
+            return
+        time.sleep(0.02)
