Cached parts: an organisation that becomes isolated shares no earlier parts

Cause: the namespace of cached parts changed for the isolated organisation alone; what it had made stayed in that of all others, where nothing can be deleted. Change: the namespace of all others bears the set of isolated organisations, computed with each dispatch from the current configuration, also for a request that waited. docs/design/configuration-fields.md lists what else outlives the configuration that it came from. A test of the stream path expected the namespace 1 beside an isolated organisation; it expects exactly the new name there. A change of the set of isolated organisations costs one reading of all shared parts.

--- a/pimentoledge/routing/configurations.py
+++ b/pimentoledge/routing/configurations.py
@@ -3,6 +3,8 @@
 import enum
 
 import attrs
+import msgspec
+import xxhash
 
 # For routes without a timeout of their own; clients' deadlines are shorter.
 USUAL_TIMEOUT_SECONDS = 60.0
@@ -171,6 +173,7 @@
         services: services by name.
         limits: bounds on client requests and connections.
         by_key: organisations by API key; None if no keys are declared.
+        shared_group: group of the organisations that aren't isolated.
         service_names: the services that it declares or sends requests to.
         has_quotas: whether any organisation has a limit.
     """
@@ -181,6 +184,7 @@
     services: dict[str, Service]
     limits: ClientLimits
     by_key: dict[str, Organisation] | None
+    shared_group: str = ""
     service_names: frozenset[str] = frozenset()
     has_quotas: bool = False
 
@@ -197,6 +201,22 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def cache_group(self, organisation: Organisation | None) -> str:
+        """Returns the group of organisations that share cached prompt parts.
+
+        Parts that an organisation made before it became isolated stay in the
+        servers' caches, so the group of all others changes with the set of
+        isolated ones.
+
+        Args:
+            organisation: the organisation of a request, as it was when the
+                request arrived, or None.
+        """
+        if organisation is None:
+            return self.shared_group
+        current = self.organisations.get(organisation.name, organisation)
+        return current.name if current.isolated else self.shared_group
+
     def runs_model(self, service: str, model: str) -> bool:
         """Returns whether a service is declared to run a model."""
         declared = self.services.get(service)
@@ -233,9 +253,18 @@
         services={each.name: each for each in services},
         limits=limits,
         by_key=by_key,
+        shared_group=_shared_group(organisations or []),
         service_names=frozenset(
             [each.name for each in services]
             + [share.service for route in routes for share in route.shares]
         ),
         has_quotas=any(each.quota for each in organisations or ()),
     )
+
+
+def _shared_group(organisations: list[Organisation]) -> str:
+    """Returns a name that differs for each set of isolated organisations."""
+    isolated = sorted(each.name for each in organisations if each.isolated)
+    if not isolated:
+        return ""
+    return f"~{xxhash.xxh3_64_hexdigest(msgspec.json.encode(isolated))}"
--- a/pimentoledge/routing/placements.py
+++ b/pimentoledge/routing/placements.py
@@ -77,7 +77,7 @@
         newest: newest version of its weights, or None.
         withdrawn_at: returns when requests that have not begun on a version are
             withdrawn, or None.
-        isolated_by: organisation that shares no cached parts, or "".
+        cache_group: group of organisations that share cached parts, or "".
         sources: where cached parts of the newest weights can be fetched.
         speeds: speeds estimated from first events.
         local_first: whether servers of this router's data centre are preferred
@@ -97,7 +97,7 @@
     model: str = ""
     newest: int | None = None
     withdrawn_at: Callable[[int | None], float | None] = lambda version: None
-    isolated_by: str = ""
+    cache_group: str = ""
     sources: cache_sources.Sources = cache_sources.Sources()
     speeds: wait_estimates.Speeds = wait_estimates.Speeds()
     local_first: bool = False
@@ -107,14 +107,14 @@
     may_probe: bool = True
 
 
-def namespace(version: int, isolated_by: str) -> str:
+def namespace(version: int, cache_group: str) -> str:
     """Returns the namespace of cached parts.
 
-    Separate namespaces isolate parts of other weights and of organisations that
-    share none, because neither the engine nor the KV cache server checks
+    Separate namespaces isolate parts of other weights and of other groups of
+    organisations, because neither the engine nor the KV cache server checks
     either.
     """
-    return f"{version}.{isolated_by}" if isolated_by else str(version)
+    return f"{version}.{cache_group}" if cache_group else str(version)
 
 
 def weights_of(backend: backends.Backend, model: str) -> int | None:
@@ -375,7 +375,7 @@
     """Returns the prefill and fetch work for the prompt at a runner."""
     if not criteria.parts or version is None:
         return wait_estimates.PromptWork(to_read=criteria.unshared)
-    cache_namespace = namespace(version, criteria.isolated_by)
+    cache_namespace = namespace(version, criteria.cache_group)
     cached = backend.cached_tokens(cache_namespace, criteria.parts)
     shared = sum(part.tokens for part in criteria.parts)
     prompt = wait_estimates.prompt_work(
--- a/pimentoledge/routing/selections.py
+++ b/pimentoledge/routing/selections.py
@@ -171,7 +171,7 @@
         return shortlists.Prompt()
     return shortlists.Prompt(
         namespace=placements.namespace(
-            wanted.version, _isolated_by(organisation)
+            wanted.version, _cache_group(view, organisation)
         ),
         parts=client_request.shared,
     )
@@ -206,7 +206,7 @@
         withdrawn_at=functools.cache(
             lambda version: view.withdrawn_at(client_request.model, version)
         ),
-        isolated_by=_isolated_by(organisation),
+        cache_group=_cache_group(view, organisation),
         sources=_newest_sources(
             view, client_request, organisation, service_name, now
         ),
@@ -294,7 +294,7 @@
         service_name=service_name,
         version=wanted.version,
         namespace=placements.namespace(
-            wanted.version, _isolated_by(organisation)
+            wanted.version, _cache_group(view, organisation)
         ),
         now=now,
     )
@@ -363,9 +363,12 @@
     ]
 
 
-def _isolated_by(
+def _cache_group(
+    view: cluster_views.ClusterView,
     organisation: configurations.Organisation | None,
 ) -> str:
+    if view.configuration is not None:
+        return view.configuration.cache_group(organisation)
     if organisation is None or not organisation.isolated:
         return ""
     return organisation.name
@@ -420,7 +423,9 @@
         return sent
     sent.urgency = urgency_of(route, organisation)
     sent.weights = version
-    sent.namespace = placements.namespace(version, _isolated_by(organisation))
+    sent.namespace = placements.namespace(
+        version, _cache_group(view, organisation)
+    )
     sent.to_read = client_request.prompt_tokens
     if not client_request.parts:
         return sent
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -5,6 +5,8 @@
 import attrs
 import pytest
 
+from pimentoledge.platform import names
+from pimentoledge.platform import stand_in_platforms
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
 from pimentoledge.routing import load_controls
@@ -162,7 +164,10 @@
     assert [int(n) for n in _numbers(got.body)] == [1, 2, 3, 4, 5]
     [call] = world.executed_requests("runners")
     assert call.headers["expect-version"] == "1"
-    assert call.headers["cache-salt"] == "1"
+    [router] = world.routers
+    group = router.view.configuration.shared_group
+    assert group.startswith("~")
+    assert call.headers["cache-salt"] == f"1.{group}"
     assert call.headers["kv-save"] == world.kv_server.address
     # The route's urgency, 1, within the organisation's, 2.
     assert call.headers["request-priority"] == "7"
@@ -177,6 +182,41 @@
     assert call.headers["cache-salt"] == "1.walled"
 
 
+@with_world(runners=1)
+async def test_an_organisation_that_becomes_isolated_shares_no_earlier_parts(
+    world,
+):
+    """Guards against parts made before that others go on using."""
+    [router] = world.routers
+    salts = {}
+    for version, isolated in ((2, False), (3, True), (4, False), (5, True)):
+        tenants = [
+            {"name": "acme", "apiKeys": ["key-a"], "isolated": isolated},
+            {"name": "other", "apiKeys": ["key-o"]},
+        ]
+        world.store.put(
+            names.CONFIGURATION_KIND,
+            names.CONFIGURATION_NAME,
+            stand_in_platforms.configuration(version, tenants=tenants),
+        )
+        await world.until(
+            lambda number=version: router.view.configuration.version == number
+        )
+        for key in ("key-a", "key-o"):
+            await world.request("/drafts/", key=key, headers=stream_headers())
+            call = world.executed_requests("runners")[-1]
+            salts[version, key] = call.headers["cache-salt"]
+    for version in (2, 4):
+        assert salts[version, "key-a"] == salts[version, "key-o"]
+    for version in (3, 5):
+        alone = salts[version, "key-a"]
+        assert [key for key, salt in salts.items() if salt == alone] == [
+            (3, "key-a"),
+            (5, "key-a"),
+        ]
+        assert salts[version, "key-o"] != salts[version - 1, "key-o"]
+
+
 def _numbers(body):
     return [
         line[3:].strip()
