Quarantine: a content on all servers that are lost at once is not blamed

Cause: the crashes of a content counted one by one; those of parts at one moment count as one. Change: three or more crashes of a content within 0.1 s count as one. Silent ones keep their weight of a half: tests demand a verdict after three. The new test failed before. Result: tests of blame, crashes and parts pass. A trial before the verdict, as parts have, is not built for contents.

--- a/pimentoledge/routing/crash_evidence.py
+++ b/pimentoledge/routing/crash_evidence.py
@@ -13,8 +13,9 @@
 # time below.
 WEAK_WEIGHT = 0.5
 MASS_LOSS_SECONDS = 0.5
-# So many crashes of a part at the same moment count as one, since a lost rack
-# has all parts that are much in use. Silence shows only with time.
+# So many crashes of a suspect at the same moment count as one, since a lost
+# rack has all parts and contents that are much in use. Silence shows only with
+# time.
 MASS_LOSS_SERVERS = 3
 SAME_MOMENT_SECONDS = 0.1
 SILENCE_SECONDS = 3.0
@@ -152,23 +153,30 @@
             for other, died_at in self.died_at.items()
             if other not in counted
         )
-        return WEAK_WEIGHT if is_weak else 1.0
+        weight = WEAK_WEIGHT if is_weak else 1.0
+        times = [each.when for each in counted.values()]
+        return weight / _lost(_count_near(crash.when, times))
 
     def _part_weight(
         self, incarnation: str, counted: dict[str, Crash]
     ) -> float:
         """Returns the weight of one of the crashes of some part."""
         crash = counted[incarnation]
-        span = SILENCE_SECONDS if crash.silent else SAME_MOMENT_SECONDS
         weight = WEAK_WEIGHT if crash.silent else 1.0
+        span = SILENCE_SECONDS if crash.silent else SAME_MOMENT_SECONDS
         times = [each.when for each in counted.values()]
         together = _count_near(crash.when, times, span)
-        died = _count_near(crash.when, self.died_at.values(), span)
-        if max(together, died) < MASS_LOSS_SERVERS:
-            return weight
         # A lost rack also has servers that did not run the part.
-        return weight / max(together, died)
+        died = _count_near(crash.when, self.died_at.values(), span)
+        return weight / _lost(max(together, died))
+
+
+def _lost(deaths: int) -> int:
+    """Returns how many of the deaths at one moment count as one."""
+    return deaths if deaths >= MASS_LOSS_SERVERS else 1
 
 
-def _count_near(when: float, times: Iterable[float], span: float) -> int:
+def _count_near(
+    when: float, times: Iterable[float], span: float = SAME_MOMENT_SECONDS
+) -> int:
     return sum(abs(each - when) < span for each in times)
--- a/pimentoledge/tests/test_router_blames.py
+++ b/pimentoledge/tests/test_router_blames.py
@@ -43,6 +43,27 @@
     assert _quarantined(known, 2.1) == ["bad"]
 
 
+@pytest.mark.parametrize("silent", [False, True])
+def test_a_content_that_all_servers_ran_when_lost_at_once_is_not_blamed(silent):
+    """Guards against a sound, popular call that is refused for minutes."""
+    known = suspects.Suspects()
+    content = server_deaths.Subject(key="popular")
+    for number in range(4):
+        known.record_crash(
+            content, f"i{number}", 1.0 + 0.02 * number, silent=silent
+        )
+    assert not known.is_quarantined("popular", 1.5)
+
+
+def test_a_content_that_crashes_servers_after_a_loss_of_all_is_blamed():
+    known = suspects.Suspects()
+    content = server_deaths.Subject(key="poison")
+    for number in range(3):
+        known.record_crash(content, f"i{number}", 1.0)
+    known.record_crash(content, "i3", 4.0)
+    assert known.is_quarantined("poison", 4.1)
+
+
 def test_the_part_that_explains_the_most_crashes_is_blamed_alone():
     """Guards against a first part that is refused for what follows it."""
     known = suspects.Suspects()
