Requests: trailers set no header fields; ids name no other's incarnation

Cause: the list of header fields went on to grow after the head; an incarnation was the id, an @ and a time, which an id may contain as well. Change: trailers are counted and dropped; an @ in an id is doubled in the name of an incarnation. Result: the two tests failed before and pass.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -178,7 +178,9 @@
         self._count(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
-        self._headers.append((name, value))
+        if self.unread_head:
+            # Trailers are counted and not passed on.
+            self._headers.append((name, value))
         self._count(len(name) + len(value) + 4)
 
     def _count(self, size: int) -> None:
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -45,10 +45,10 @@
         A server that restarts under the same id has lost its state. If state
         were keyed by the id alone, the cached parts, load, failures and order
         count of the previous incarnation would be attributed to the new one.
+        No id of another server may name it, so the separator is doubled in ids.
         """
-        if self.born is None:
-            return self.server
-        return f"{self.server}@{self.born}"
+        name = self.server.replace("@", "@@")
+        return name if self.born is None else f"{name}@{self.born}"
 
     def is_older_than(self, other: "Registration") -> bool:
         """Returns whether another incarnation of the server started later."""
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -205,6 +205,17 @@
         budget = self.budget()
         assert sum(budget.try_consume(each, 30) for each in range(30)) >= 1
 
+    def test_no_id_names_an_incarnation_of_another_server(self):
+        """Guards against state that another writer's entry shares."""
+        starts = (None, 5, 55)
+        ids = ("i", "i@", "i@5", "i@@5", "i@@@5", "@5", "i@5@5")
+        names = {
+            attrs.evolve(registration(each), born=born).incarnation
+            for each in ids
+            for born in starts
+        }
+        assert len(names) == len(ids) * len(starts)
+
 
 class TestVerdicts:
     """Whether a request is retried after an attempt, and its final code."""
@@ -289,6 +300,20 @@
         with pytest.raises(http_messages.BadMessageError):
             self.parser().feed(raw.encode())
 
+    def test_trailers_are_no_header_fields(self):
+        """Guards against a model or a host that a trailer sets."""
+        raw = (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nx\r\n0\r\nHost: b\r\nModel: m\r\n\r\n"
+        )
+        parser = self.parser()
+        parser.feed(raw + raw)
+        for head, body in parser.requests:
+            assert body == b"x"
+            assert head.values(b"host") == [b"a"]
+            assert head.value(b"model") is None
+        assert len(parser.requests) == 2
+
     @given(strategies.lists(strategies.integers(1, 90), max_size=6))
     def test_whole_requests_are_returned_for_any_segmentation(self, cuts):
         raw = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
