Streams: a version is named only if no other can have begun the stream

Callers that resumed a stream which no router had a record of could get 200 and a text joined from two software versions.

Cause: a router named "the only version" from a view of any age, noted as current at each tick; from the start of the process instead of the first listing; without what came and went between two responses; for the route's time-out of now instead of the stream's life; and for the first service of a route. Servers without a version counted as of the same one.

A version is now named only if the router knows each change of the registrations and of the host's routes for an hour, one version alone served in it, and the store confirms the copies by a call sent after the question. That is enough at one router. A stream is bound to its service as well, and one of a server without a version to that server's incarnation. The log line says where the version is known from.

test_a_stream_goes_on_at_the_only_version_of_all_its_life shifted the start of the process by 100 s; it shifts what is known by two hours now, and asserts the refusal after the other version has left as well. The unit test of the former class asserts the same of the new one, and more.

--- a/pimentoledge/routing/backends.py
+++ b/pimentoledge/routing/backends.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from pimentoledge.routing import clocks
 from pimentoledge.routing import peer_loads as peer_loads_module
 from pimentoledge.routing import registrations
 from pimentoledge.routing import request_types
+from pimentoledge.routing import version_histories
 from pimentoledge.routing.server_speeds import paces
 from pimentoledge.routing.server_speeds import speeds
 
@@ -405,7 +407,7 @@
 
     Attributes:
         by_incarnation: the servers by their current incarnation.
-        software: number of servers by service and software version.
+        versions: the software that has served each service.
         by_server: the servers by id.
         by_service: the servers by service.
         by_place: the servers by service and data centre.
@@ -416,9 +418,7 @@
 
     def __init__(self):
         self.by_incarnation: dict[str, Backend] = {}
-        self.software: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
+        self.versions = version_histories.VersionHistory()
         self.by_server: dict[str, Backend] = {}
         self.by_service: dict[str, list[Backend]] = {}
         self.by_place: dict[tuple[str, str], list[Backend]] = {}
@@ -468,17 +468,14 @@
     def _list(self, backend: Backend) -> None:
         service = backend.registration.service
         place = (service, backend.registration.data_centre)
-        self.software[service, backend.registration.software] += 1
+        self.versions.put(backend.registration, clocks.now())
         self.by_service.setdefault(service, []).append(backend)
         self.by_place.setdefault(place, []).append(backend)
 
     def _unlist(self, backend: Backend) -> None:
         service = backend.registration.service
         place = (service, backend.registration.data_centre)
-        kind = service, backend.registration.software
-        self.software[kind] -= 1
-        if not self.software[kind]:
-            del self.software[kind]
+        self.versions.remove(backend.registration.server, clocks.now())
         self.by_service[service].remove(backend)
         self.by_place[place].remove(backend)
 
--- a/pimentoledge/routing/object_caches.py
+++ b/pimentoledge/routing/object_caches.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pimentoledge.routing import clocks
 from pimentoledge.routing import object_merges
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
@@ -34,6 +35,8 @@
         silent_at: when the newest call was sent that the store is known not to
             have answered, in seconds of clocks.now, or 0.
         transfer: how the newest changes arrived, or None.
+        listed_at: when changes were last not known one by one, in seconds of
+            clocks.now; 0 before the first listing.
     """
 
     kind: str
@@ -49,6 +52,7 @@
     change_age_seconds: float = 0.0
     silent_at: float = 0.0
     transfer: transfers.Transfer | None = None
+    listed_at: float = 0.0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -103,6 +107,7 @@
                 if self.keeps_missing:
                     removed = []
                 newest = objects
+                self.listed_at = clocks.now()
                 if removed:
                     # A listing doesn't show the revision of a removal; it is at
                     # most that of the listing.
@@ -115,6 +120,8 @@
                     if self._is_removal_current(each)
                 ]
                 newest = found.changed + found.removed
+                if any(self._is_unseen(each) for each in found.removed):
+                    self.listed_at = clocks.now()
         changed = [each for each in objects if self._merge(each)]
         for name in removed:
             del self.objects[name]
@@ -169,6 +176,11 @@
         cached = self.objects.get(gone.name)
         return cached is not None and cached.position <= gone.position
 
+    def _is_unseen(self, gone: registrations.Stored) -> bool:
+        """Returns whether an object was created and removed unseen."""
+        known_to = (self.era, self.changed_at)
+        return gone.name not in self.objects and gone.position > known_to
+
     def listing(self) -> registrations.Listing:
         """Returns all objects as of the cached position."""
         return registrations.Listing(
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -152,14 +152,17 @@
     Attributes:
         number: number of the question.
         request: id of the request that brought the stream's first event.
-        service: its service.
-        seconds: for how long a stream may be resumed.
+        host: host of its route.
+        services: services of its route.
+        seconds: for how long a stream may be resumed, or 0 if only a record of
+            it is asked for.
     """
 
     number: int
     request: str
-    service: str
-    seconds: float
+    host: str = ""
+    services: list[str] = attrs.field(factory=list)
+    seconds: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -169,12 +172,12 @@
     Attributes:
         number: number of the question.
         software: the version, or None if the sender doesn't know it.
-        only: the version that alone has served in that time, or None.
+        alone: the version that alone has served in that time, or None.
     """
 
     number: int
     software: str | None = None
-    only: str | None = None
+    alone: str | None = None
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -13,6 +13,7 @@
 from pimentoledge.platform import stores
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
+from pimentoledge.routing import copy_confirmations
 from pimentoledge.routing import crash_reports
 from pimentoledge.routing import delays
 from pimentoledge.routing import fleet_sizes
@@ -154,7 +155,10 @@
             roster=self.roster,
             send=self._send,
             lines=lines,
-            started_at=view.started_at,
+            view=view,
+            confirm=lambda: copy_confirmations.confirm(
+                watching[kind] for kind in ("servers", "configuration")
+            ),
         )
         self.fleet_size = fleet_sizes.FleetSize(
             roster=self.roster,
@@ -238,7 +242,7 @@
             self._next_expiry = now + EXPIRY_SECONDS
             self.view.suspects.expire(now)
             self.records.forget(set(self.roster.known))
-            self._note_versions(now)
+            self.stream_versions.expire(now)
         self.load_reports.tick(now)
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
@@ -247,12 +251,6 @@
         self.view.members = self._routers.note(routers, now)
         self.replicator.update_behind(now)
 
-    def _note_versions(self, now: float) -> None:
-        """Records the software versions that are registered."""
-        for service, software in self.view.servers.software:
-            self.stream_versions.times.note(service, software, now)
-        self.stream_versions.expire(now)
-
     def send_heartbeat_soon(self) -> None:
         """Sends a heartbeat after a change, at once or coalesced."""
         if self._loop is None or self._heartbeat_scheduled:
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -50,6 +50,15 @@
         name = self.server.replace("@", "@@")
         return name if self.born is None else f"{name}@{self.born}"
 
+    @property
+    def stream_software(self) -> str:
+        """Identifies what software writes a stream here.
+
+        What two services or two software versions write doesn't fit together.
+        A server that reports no version may have any.
+        """
+        return f"{self.service} {self.software or self.incarnation}"
+
     def is_older_than(self, other: "Registration") -> bool:
         """Returns whether another incarnation of the server started later."""
         if self.born is None or other.born is None:
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -243,7 +243,7 @@
                 registration.service
             ),
             on_first=lambda: self._record_first_event(attempt),
-            on_event=lambda: self._begin_events(registration.software),
+            on_event=lambda: self._begin_events(registration.stream_software),
             on_proved=self._record_success,
         )
         await self.context.relay.run()
--- a/pimentoledge/routing/shortlists.py
+++ b/pimentoledge/routing/shortlists.py
@@ -78,7 +78,7 @@
     return [
         each
         for each in servers.of_service(service)
-        if each.registration.software == software
+        if each.registration.stream_software == software
     ]
 
 
--- a/pimentoledge/routing/stream_bindings.py
+++ b/pimentoledge/routing/stream_bindings.py
@@ -4,6 +4,7 @@
 from pimentoledge.routing import configurations
 from pimentoledge.routing import request_types
 from pimentoledge.routing import stream_version_exchanges
+from pimentoledge.routing import version_histories
 
 # A stream may be resumed until its client's deadline. This is for the time in
 # which the last attempt is on its way.
@@ -40,8 +41,11 @@
             return None
         self.software = await self.versions.find(
             client_request.resumes,
-            route.shares[0].service,
-            max(route.timeout_seconds, self._life_seconds(client_request)),
+            route,
+            max(
+                version_histories.REMEMBERED_SECONDS,
+                self._life_seconds(client_request),
+            ),
         )
         if self.software is None:
             return results.Code.STREAM_UNKNOWN
--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -1,15 +1,19 @@
 """Keeps and finds the software versions of streams over all routers."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import attrs
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import cluster_views
+from pimentoledge.routing import configurations
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import rosters
 from pimentoledge.routing import stream_versions
+from pimentoledge.routing import version_histories
 
 # Routers asked first for a stream's version, and the time for their answers.
 FIRST_QUERIED = 4
@@ -31,13 +35,13 @@
         answered: set when it is decided.
         waiting_for: mailboxes of routers that have not answered.
         software: the version, or None.
-        only: versions that routers know to have served alone.
+        alone: versions that routers know to have served alone.
     """
 
     answered: asyncio.Event = attrs.field(factory=asyncio.Event)
     waiting_for: set[str] = attrs.field(factory=set)
     software: str | None = None
-    only: set[str] = attrs.field(factory=set)
+    alone: set[str] = attrs.field(factory=set)
 
 
 class StreamVersionExchange:
@@ -47,8 +51,9 @@
         roster: the other routers.
         send: sends a message to a mailbox.
         lines: log of what is asked.
+        view: cached state of the cluster.
+        confirm: returns whether the view has all changes made before the call.
         records: streams that this router knows.
-        times: when servers of each version were registered.
     """
 
     def __init__(
@@ -57,14 +62,17 @@
         roster: rosters.Roster,
         send: Callable[[str, object], None],
         lines: log_lines.Lines,
-        started_at: float,
+        view: cluster_views.ClusterView,
+        confirm: Callable[[], Awaitable[bool]],
     ):
         self.roster = roster
         self.send = send
         self.lines = lines
         self.records = stream_versions.StreamRecords()
-        self.times = stream_versions.VersionTimes(started_at=started_at)
+        self.view = view
+        self.confirm = confirm
         self._number = 0
+        self._answering: set[asyncio.Task] = set()
         self._queries: dict[int, _Query] = {}
         self._unsent: list[stream_versions.Began] = []
 
@@ -145,7 +153,7 @@
     def expire(self, now: float) -> None:
         """Forgets what can't be needed any more."""
         self.records.expire(now)
-        self.times.expire(now)
+        self.view.servers.versions.expire(now)
 
     def receive(self, began: peer_messages.StreamsBegan) -> None:
         """Records streams that began at another router."""
@@ -154,51 +162,90 @@
             self.records.put(each, now)
 
     async def find(
-        self, request: str, service: str, seconds: float
+        self, request: str, route: configurations.Route, seconds: float
     ) -> str | None:
         """Returns the version that a stream goes on at, or None if unknown.
 
         Args:
             request: id of the request that brought its first event, or "".
-            service: the service.
+            route: its route.
             seconds: for how long a stream may be resumed.
         """
         now = clocks.now()
+        source = "record"
         known = self.records.get(request, now)
         if known is None:
-            query = await self._query(request, service, seconds)
-            known = query.software
-            if known is None and len(query.only) == 1:
-                [known] = query.only
-        if known is None:
-            known = self.times.only(service, seconds, now)
+            source, known = await self._find_elsewhere(request, route, seconds)
         self.lines.write(
             "stream_resumed",
             began_as=request,
             software=known,
+            source=source,
             query_ms=round(1000 * (clocks.now() - now), 1),
         )
         return known
 
-    async def _query(
-        self, request: str, service: str, seconds: float
-    ) -> _Query:
+    async def _find_elsewhere(
+        self, request: str, route: configurations.Route, seconds: float
+    ) -> tuple[str | None, str | None]:
+        """Returns how a version is known that this router has no record of."""
+        services = [share.service for share in route.shares]
+        knows_all = self._knows_all(route.host, seconds)
+        query = await self._query(
+            peer_messages.StreamVersionQuery(
+                number=self._next_number(),
+                request=request,
+                host=route.host,
+                services=services,
+                seconds=0.0 if knows_all else seconds,
+            )
+        )
+        if query.software is not None:
+            return "peer", query.software
+        if knows_all:
+            alone = await self._alone(route.host, services, seconds)
+            return "alone", alone
+        if len(query.alone) == 1:
+            return "alone at peer", *query.alone
+        return None, None
+
+    def _knows_all(self, host: str, seconds: float) -> bool:
+        """Returns whether no change that may matter to a stream is unknown."""
+        if seconds > version_histories.REMEMBERED_SECONDS:
+            return False
+        since = self.view.servers.versions.known_since(
+            host, self.view.caches_by_kind.get("servers")
+        )
+        return since is not None and clocks.now() - since >= seconds
+
+    async def _alone(
+        self, host: str, services: list[str], seconds: float
+    ) -> str | None:
+        """Returns the version that alone can have begun a stream, or None.
+
+        Only the store can tell that no other version was registered up to now.
+        """
+        since = clocks.now() - seconds
+        if not await self.confirm():
+            return None
+        # What was confirmed may be a listing, or other routes.
+        if not self._knows_all(host, seconds):
+            return None
+        return self.view.servers.versions.only(services, since)
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    async def _query(self, message: peer_messages.StreamVersionQuery) -> _Query:
         members = self._members()
         if self.roster.reaches_all():
             members |= {
                 address: peer.data_centre
                 for address, peer in self.roster.known.items()
             }
-        ranked = stream_versions.ranked(request, members)
-        self._number += 1
-        number, query = self._number, _Query()
-        self._queries[number] = query
-        message = peer_messages.StreamVersionQuery(
-            number=number,
-            request=request,
-            service=service,
-            seconds=seconds,
-        )
+        ranked = stream_versions.ranked(message.request, members)
+        query = self._queries[message.number] = _Query()
         first = FIRST_QUERIED if not self.roster.reaches_all() else MAX_QUERIED
         try:
             await self._query_some(
@@ -210,7 +257,7 @@
                     query, rest, message, ALL_QUERIED_SECONDS
                 )
         finally:
-            del self._queries[number]
+            del self._queries[message.number]
         return query
 
     async def _query_some(
@@ -238,15 +285,31 @@
         self, sender: str, query: peer_messages.StreamVersionQuery
     ) -> None:
         """Answers another router's question."""
-        now = clocks.now()
-        self.send(
-            sender,
-            peer_messages.StreamVersionAnswer(
-                number=query.number,
-                software=self.records.get(query.request, now),
-                only=self.times.only(query.service, query.seconds, now),
-            ),
-        )
+        software = self.records.get(query.request, clocks.now())
+        asks_alone = software is None and query.seconds > 0
+        if asks_alone and self._knows_all(query.host, query.seconds):
+            task = asyncio.get_running_loop().create_task(
+                self._answer_alone(sender, query)
+            )
+            self._answering.add(task)
+            task.add_done_callback(self._answering.discard)
+            return
+        self._send_answer(sender, query, software=software)
+
+    async def _answer_alone(
+        self, sender: str, query: peer_messages.StreamVersionQuery
+    ) -> None:
+        alone = await self._alone(query.host, query.services, query.seconds)
+        self._send_answer(sender, query, alone=alone)
+
+    def _send_answer(
+        self,
+        sender: str,
+        query: peer_messages.StreamVersionQuery,
+        **found: str | None,
+    ) -> None:
+        answer = peer_messages.StreamVersionAnswer(number=query.number, **found)
+        self.send(sender, answer)
 
     def receive_answer(
         self, sender: str, answer: peer_messages.StreamVersionAnswer
@@ -256,8 +319,8 @@
         if query is None:
             return
         query.waiting_for.discard(sender)
-        if answer.only is not None:
-            query.only.add(answer.only)
+        if answer.alone is not None:
+            query.alone.add(answer.alone)
         if answer.software is not None:
             query.software = answer.software
         if answer.software is not None or not query.waiting_for:
--- a/pimentoledge/routing/stream_versions.py
+++ b/pimentoledge/routing/stream_versions.py
@@ -11,9 +11,6 @@
 
 # Records that a router keeps, of some 200 bytes each.
 MAX_RECORDS = 20000
-# For how long a software version is remembered that no server has any more;
-# longer than any stream lasts.
-REMEMBERED_SECONDS = 3600.0
 # Routers that keep a record beside the one that the stream began at.
 OWNERS = 2
 
@@ -24,7 +21,7 @@
 
     Attributes:
         request: id of the request that brought its first event.
-        software: software version of the server that began it.
+        software: what identifies the software of the server that began it.
         left_ms: ms for which the stream may still be resumed.
     """
 
@@ -72,41 +69,6 @@
         ]
 
 
-class VersionTimes:
-    """When servers of each software version were last registered."""
-
-    def __init__(self, *, started_at: float):
-        self.started_at = started_at
-        self._seen: dict[tuple[str, str], float] = {}
-
-    def note(self, service: str, software: str, now: float) -> None:
-        """Records that a server of a version is registered."""
-        self._seen[service, software] = now
-
-    def expire(self, now: float) -> None:
-        """Forgets versions that were last registered long ago."""
-        for key, when in list(self._seen.items()):
-            if now - when > REMEMBERED_SECONDS:
-                del self._seen[key]
-
-    def only(self, service: str, seconds: float, now: float) -> str | None:
-        """Returns the only version that has served a service, or None.
-
-        Args:
-            service: the service.
-            seconds: for how long it must have been the only one.
-            now: the time.
-        """
-        if now - self.started_at < seconds:
-            return None
-        versions = [
-            software
-            for (name, software), when in self._seen.items()
-            if name == service and now - when < seconds
-        ]
-        return versions[0] if len(versions) == 1 else None
-
-
 def ranked(request: str, members: dict[str, str]) -> list[str]:
     """Returns routers in the order in which they are owners of a stream.
 
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -123,6 +123,7 @@
         self.history.commit(update)
         self.view.configuration = received
         self.view.configured = clocks.now()
+        self.view.servers.versions.configure(received, self.view.configured)
         self.lines.write(
             "configuration",
             version=received.version,
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -91,6 +91,8 @@
             store for this router, for kinds whose changes are large.
         reached: whether the store answered the last call.
         watching: whether a watch of its own is open or was just answered.
+        complete_at: send time of the newest call whose response had all changes
+            and was applied, in seconds of clocks.now.
         recovered_at: when the store last recovered from an outage in which
             entries may have lapsed, in seconds of clocks.now, or 0.
     """
@@ -124,6 +126,7 @@
         self.leaves_watch = False
         self.reached = True
         self.watching = False
+        self.complete_at = 0.0
         self._poll_requested = asyncio.Event()
         self.recovered_at = 0.0
         # The copy's known_at when the first call since the last response was
@@ -537,9 +540,14 @@
         if self.cache.revision is not None and found.era != self.cache.era:
             self._begin_era(found)
         self.cache.apply(found, self._change_age_seconds(found))
+        self._advance()
+        return True
+
+    def _advance(self) -> None:
+        """Notes that the copy has all changes of the newest response."""
+        self.complete_at = self._complete_at
         self.cache.advance_known_at(self._complete_at)
         self._relist = False
-        return True
 
     def _drop(
         self, found: registrations.Listing | registrations.Changes
@@ -554,8 +562,7 @@
         )
         if found.era == self.cache.era:
             # The copy has all that the result has.
-            self.cache.advance_known_at(self._complete_at)
-            self._relist = False
+            self._advance()
 
     def _begin_era(self, found: registrations.Listing) -> None:
         """Notes that the store was restored from an older copy.
--- a/pimentoledge/tests/test_router_software_versions.py
+++ b/pimentoledge/tests/test_router_software_versions.py
@@ -1,15 +1,22 @@
 """Streams go on only at the software version that began them."""
 
 import asyncio
+import socket
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import cluster_views
+from pimentoledge.routing import configurations
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
+from pimentoledge.routing import object_caches
 from pimentoledge.routing import peer_messages
+from pimentoledge.routing import registrations
 from pimentoledge.routing import rosters
 from pimentoledge.routing import stream_version_exchanges
 from pimentoledge.routing import stream_versions
+from pimentoledge.routing import version_histories
 from pimentoledge.tests import router_world
+from pimentoledge.tests import test_router_silent_peers
 
 with_world = router_world.with_world
 MODEL = router_world.MODEL
@@ -49,6 +56,14 @@
     ]
 
 
+def _let_pass(router):
+    """Lets the time pass for which versions must be known."""
+    versions = router.view.servers.versions
+    versions._configured_since -= 2 * version_histories.REMEMBERED_SECONDS
+    cache = router.view.caches_by_kind["servers"]
+    cache.listed_at = versions._configured_since
+
+
 def _avoid(world, software, seconds):
     """Makes all routers avoid the servers of a version for a while."""
     for router in world.routers:
@@ -72,6 +87,12 @@
     return software
 
 
+async def _is_unknown(world, request, resumes="unknown"):
+    """Returns whether a resumption is refused for its unknown version."""
+    answer = await _resume(world, request, resumes)
+    return answer.status == 503 and b"2008" in answer.body
+
+
 async def _resume(world, request, resumes, number=0):
     """Resumes a stream after its second event."""
     more = {"Request-Id": request, "Last-Event-Id": "2"}
@@ -194,13 +215,111 @@
     """Guards against errors where one version alone has served for long."""
     await _add_runners(world, v1=2)
     [router] = world.routers
-    assert (await _resume(world, "early", "unknown")).status == 503
-    router.peers.stream_versions.times.started_at -= 100
+    assert await _is_unknown(world, "early")
+    _let_pass(router)
     answer = await _resume(world, "late", "unknown")
     assert answer.complete
     await _add_runners(world, v2=1)
-    router.peers._note_versions(clocks.now())
-    assert (await _resume(world, "after", "unknown")).status == 503
+    assert await _is_unknown(world, "after")
+    world.store.remove("servers", "v2-0")
+    await world.until(lambda: "v2-0" not in router.view.servers.by_server)
+    assert await _is_unknown(world, "left")
+
+
+@with_world(routers=2, runners=0)
+async def test_a_router_that_knows_that_one_version_served_tells_others(world):
+    """Guards against errors where only another router has run for long."""
+    await _add_runners(world, v1=2)
+    await _all_connected(world)
+    _let_pass(world.routers[1])
+    assert (await _resume(world, "again", "unknown")).complete
+
+
+@with_world(routers=2, runners=0)
+async def test_a_router_with_an_old_view_does_not_name_the_only_version(world):
+    """Guards against a version that registered while the store was silent."""
+    await _add_runners(world, v1=2)
+    await _all_connected(world)
+    first, second = world.routers
+    for each in world.routers:
+        _let_pass(each)
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        first.store.address = f"127.0.0.1:{silent.getsockname()[1]}"
+        first.caller.close()
+        for call in list(first.caller.open_calls):
+            call.connection.abort()
+        for router in world.routers:
+            test_router_silent_peers.silence(router)
+        world.platform.add_server(
+            "v2-0", service="runners", weights={MODEL: 1}, software="v2"
+        )
+        await world.until(lambda: "v2-0" in second.view.servers.by_server)
+        assert await _begin(world, "of-v2", number=1) == "v2"
+        assert "v2-0" not in first.view.servers.by_server
+        second.close()
+        answer = await _resume(world, "again", "of-v2")
+    assert answer.status == 503
+    assert b"2008" in answer.body
+
+
+@with_world(runners=0)
+async def test_a_version_that_came_and_went_between_two_listings_counts(world):
+    """Guards against versions of which a router has seen no registration."""
+    await _add_runners(world, v1=2)
+    [router] = world.routers
+    _let_pass(router)
+    router.kinds["servers"]._relist = True
+    router.kinds["servers"].catch_up()
+    listed = router.view.caches_by_kind["servers"].listed_at
+    await world.until(
+        lambda: router.view.caches_by_kind["servers"].listed_at > listed,
+        seconds=8.0,
+    )
+    assert await _is_unknown(world, "again")
+
+
+@with_world(runners=0)
+async def test_a_route_that_had_another_service_has_no_only_version(world):
+    """Guards against streams that the former service of a route began."""
+    await _add_runners(world, v1=2)
+    [router] = world.routers
+    _let_pass(router)
+    moved = router_world.configuration(2)
+    for each in moved["routes"]:
+        if each["pathPrefix"] == "/lookups/":
+            each["service"] = "plain"
+    world.store.put("config", "main", moved)
+    await world.until(lambda: router.view.configuration.version == 2)
+    world.store.put("config", "main", router_world.configuration(3))
+    await world.until(lambda: router.view.configuration.version == 3)
+    assert await _is_unknown(world, "again")
+
+
+@with_world(runners=0)
+async def test_a_stream_of_a_server_without_a_version_goes_on_nowhere(world):
+    """Guards against two unknown versions that are taken for the same."""
+    for number in range(2):
+        world.platform.add_server(
+            f"none-{number}",
+            service="runners",
+            weights={MODEL: 1},
+            software="",
+        )
+    await world.until(world.all_servers_known)
+    answer = await world.request(
+        "/lookups/",
+        headers=router_world.stream_headers(**{"Request-Id": "began"}),
+    )
+    assert answer.complete
+    [began] = [each for each in world.servers.values() if each.calls]
+    world.store.remove("servers", began.incarnation)
+    [router] = world.routers
+    await world.until(
+        lambda: began.incarnation not in router.view.servers.by_server
+    )
+    answer = await _resume(world, "again", "began")
+    assert answer.status == 503
+    assert b"2009" in answer.body
 
 
 @with_world(routers=3, runners=0)
@@ -265,15 +384,61 @@
     assert not records.current(0.0)
 
 
+def _registration(server, service, software):
+    return registrations.Registration(
+        server=server,
+        service=service,
+        address="127.0.0.1:1",
+        data_centre="a",
+        slots=1,
+        leaving=False,
+        weights={},
+        software=software,
+    )
+
+
 def test_a_version_counts_as_the_only_one_after_the_last_other_one():
-    times = stream_versions.VersionTimes(started_at=0.0)
-    times.note("s", "v1", 1.0)
-    times.note("s", "v2", 90.0)
-    times.note("t", "v3", 95.0)
-    assert times.only("s", 20.0, 10.0) is None
-    assert times.only("s", 20.0, 100.0) == "v2"
-    times.note("s", "v1", 101.0)
-    assert times.only("s", 20.0, 102.0) is None
+    history = version_histories.VersionHistory()
+    history.put(_registration("a", "s", "v1"), 1.0)
+    assert history.only(["s"], 0.0) == "s v1"
+    history.put(_registration("b", "s", "v2"), 2.0)
+    history.put(_registration("c", "t", "v3"), 2.0)
+    assert history.only(["s"], 0.0) is None
+    history.remove("a", 80.0)
+    assert history.only(["s"], 80.0) is None
+    assert history.only(["s"], 80.1) == "s v2"
+    assert history.only(["s", "t"], 80.1) is None
+    history.put(_registration("b", "s", "v1"), 90.0)
+    assert history.only(["s"], 85.0) is None
+
+
+def test_changes_are_known_since_the_last_listing():
+    """Guards against servers that nobody has seen, or only their removal."""
+    history = version_histories.VersionHistory()
+    cache = object_caches.ObjectCache(
+        kind="servers", on_change=lambda changed, removed: None
+    )
+    history.configure(_configuration(), clocks.now())
+    assert history.known_since("h", cache) is None
+    cache.apply(registrations.Listing(objects=[], revision=3))
+    cache.listed_at = 5.0
+    history._configured_since = 4.0
+    assert history.known_since("h", cache) == 5.0
+    cache.apply(registrations.Changes(changed=[], removed=[], revision=4))
+    assert history.known_since("h", cache) == 5.0
+    gone = registrations.Stored(name="unseen", revision=5, value=None)
+    cache.apply(registrations.Changes(changed=[], removed=[gone], revision=5))
+    assert history.known_since("h", cache) > 5.0
+
+
+def _configuration():
+    return configurations.build(
+        version=1,
+        routes=[],
+        organisations=None,
+        services=[],
+        limits=configurations.ClientLimits(),
+    )
 
 
 def test_all_others_are_queried_if_the_first_ones_know_nothing():
@@ -287,10 +452,28 @@
             roster=roster,
             send=lambda address, query: sent.append((address, query)),
             lines=log_lines.Lines(counters=counters.Counters()),
-            started_at=0.0,
+            view=cluster_views.ClusterView(
+                name="own", data_centre="a", started_at=0.0
+            ),
+            confirm=lambda: asyncio.sleep(0, False),
         )
         sent = []
-        finding = asyncio.ensure_future(exchange.find("q", "s", 9.0))
+        route = configurations.Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            kind=configurations.Repeatability.STREAM,
+            timeout_seconds=9.0,
+            objective_seconds=1.0,
+            urgency=0,
+            shares=(configurations.ServiceShare(service="s", weight=1.0),),
+            most_servers=2,
+            open=True,
+            by_prefix=True,
+            resumable=True,
+            gap_seconds=None,
+        )
+        finding = asyncio.ensure_future(exchange.find("q", route, 9.0))
         answered = 0
         while not finding.done():
             await asyncio.sleep(0.01)
