Clients: a call that may run once keeps its connection while its client is cut off

A caller whose link was down for two seconds while its order ran got no answer, though it would have waited for it, and its next segment met a reset, as if the order had not been read.

Cause: TCP_USER_TIMEOUT and the keepalive probes end the connection of an unreachable client after one to three seconds. That frees what a stream holds, but an unsafe call runs to its end anyway, and only its answer was dropped. From when such a call is sent until a second after its deadline the limits don't apply to its client's connection now.

A stream whose client is cut off is ended as before.

The lines of a client's end name its reason, so an end by these limits can be told from a client that left.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -97,6 +97,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._sent_at = 0.0
+        self._held_until = 0.0
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -105,7 +106,7 @@
         # and stops the reading from its server.
         transport.set_write_buffer_limits(high=0)
         self.open_connections.add(self)
-        server_connections.enable_keepalive(transport.get_extra_info("socket"))
+        server_connections.enable_keepalive(self._socket())
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notifies the exchange in progress of the connection's end."""
@@ -114,7 +115,31 @@
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
         self.open_connections.discard(self)
         if self.exchange is not None:
-            self.exchange.client_left()
+            self.exchange.client_left("closed" if error is None else str(error))
+
+    def hold_until(self, until: float) -> None:
+        """Keeps the connection while the client is unreachable, until a time.
+
+        A client whose connection ends without a response can't tell whether
+        its request was read, and may send one that must not run twice again.
+
+        Args:
+            until: the time, in seconds of clocks.now.
+        """
+        self._held_until = until
+        if not self.gone:
+            server_connections.disable_keepalive(self._socket())
+
+    def end_hold(self, now: float) -> None:
+        """Ends `hold_until` if its time has passed."""
+        if not self._held_until or now < self._held_until:
+            return
+        self._held_until = 0.0
+        if not self.gone:
+            server_connections.enable_keepalive(self._socket())
+
+    def _socket(self) -> socket.socket:
+        return self._transport.get_extra_info("socket")
 
     def pause_writing(self) -> None:
         """Marks the connection as not writable: the client reads too slowly."""
@@ -175,6 +200,8 @@
             self.send(CONTINUE_RESPONSE)
 
     def _serve(self, head: http_messages.RequestHead, body: bytes) -> None:
+        # The client has read the former response.
+        self.end_hold(self._held_until)
         self._keep_alive = head.keep_alive
         self.allows_chunks = head.allows_chunks()
         if requests.is_readiness_probe(head):
@@ -220,9 +247,7 @@
             self._set_linger(_RESET_ON_CLOSE)
 
     def _set_linger(self, value: bytes) -> None:
-        self._transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, value
-        )
+        self._socket().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def send(self, data: bytes) -> None:
         """Sends bytes unless the connection is closed."""
@@ -235,10 +260,12 @@
                 )
 
     def sending_socket(self, now: float) -> socket.socket | None:
-        """Returns the socket if bytes were just sent on it, or None."""
-        if self.gone or now - self._sent_at > UNREAD_SECONDS:
+        """Returns the socket if bytes were just sent, unless it is held."""
+        if self.gone or self._held_until:
             return None
-        return self._transport.get_extra_info("socket")
+        if now - self._sent_at > UNREAD_SECONDS:
+            return None
+        return self._socket()
 
     def is_writable(self) -> bool:
         """Returns whether the send buffer is empty."""
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -493,6 +493,7 @@
         self.buffers.refresh()
         for each in list(self.connections):
             each.close_if_idle(now)
+            each.end_hold(now)
         for each in list(self.exchanges):
             each.withdraw_if_late(now)
         self.slow_readers.tick(self._sending_sockets(now), now)
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -63,6 +63,7 @@
             responses=server_responses.ServerResponses(context=context),
         )
         self._shutting_down = False
+        self._left_reason = ""
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -70,18 +71,23 @@
         self.active_exchanges.add(self)
         self._task = asyncio.get_running_loop().create_task(self.run())
 
-    def client_left(self) -> None:
-        """Handles a client that closed its connection.
+    def client_left(self, reason: str) -> None:
+        """Handles the end of the client's connection.
 
         Streams and repeatable calls are cancelled at the server. A call that
         may not be repeated runs to its end once it was sent: the client needs
         its effect, and a partly executed call is of no use.
+
+        Args:
+            reason: why the connection ended, for the log.
         """
+        self._left_reason = reason
         unsafe = (
             self.context.route is not None
             and self.context.route.kind is configurations.Repeatability.UNSAFE
         )
         if unsafe and self.context.history.runs():
+            self.context.log("client_left_call", reason=reason)
             return
         self._task.cancel()
 
@@ -107,6 +113,7 @@
             return
         self.context.log(
             "client_left",
+            reason=self._left_reason,
             server=self.context.history.pending,
             silent_ms=contexts.milliseconds(
                 self.context.answer.silent_seconds(clocks.now())
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -16,6 +16,10 @@
 from pimentoledge.routing.request_stages import contexts
 from pimentoledge.routing.request_stages import server_responses
 
+# Time after the deadline in which a response may reach a client that was
+# unreachable. Segments are then sent again at most this much apart.
+RESPONSE_SECONDS = 1.0
+
 
 class AttemptRuns:
     """Sends a request to servers and records the outcomes.
@@ -70,6 +74,10 @@
         self.context.view.suspects.start_trial(
             self.context.subjects, self.context.sent_at
         )
+        if self.context.route.kind is configurations.Repeatability.UNSAFE:
+            self.context.answer.client.hold_until(
+                self.context.ends_at + RESPONSE_SECONDS
+            )
         self.context.current_attempt = attempt
         self.context.relay = None
         self.context.release_place()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -92,6 +92,12 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+def disable_keepalive(sock: socket.socket) -> None:
+    """Keeps a connection open while its peer is unreachable."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
 # Every read is parsed before the next one begins, so connections share it.
 _read_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
