Requests: an id that may run once and was sent is not sent again

A balancer or a client library that repeats a request on a new connection, because the first one ended, got a second run of it under the same id.

Cause: routers kept no ids; "once" held for each arrival, not for each id. A second arrival gets 502 ALREADY_SENT, which promises nothing, and is not sent. An id whose request was certainly not run is free again.

Ids are not exchanged between routers: a repeat at another router still runs.

The tests' client numbered its requests by the address of a Python object, which is used again; each request has an id of its own now.

--- a/pimentoledge/results.py
+++ b/pimentoledge/results.py
@@ -68,6 +68,7 @@
     KEY_REUSED = 5004
     ANSWER_NOT_KEPT = 5005
     CLAIMS_FULL = 5006
+    ALREADY_SENT = 5007
     # 6xxx: operators and the platform's store.
     INVALID_DECLARATION = 6001
     VERSION_CONFLICT = 6002
@@ -193,6 +194,12 @@
     Code.CLAIMS_FULL: _row(
         503, _NOT_RUN, "too many keys are remembered; this request was not run"
     ),
+    Code.ALREADY_SENT: _row(
+        502,
+        _UNKNOWN,
+        "a request with this id is in progress or may have run; it is not"
+        " sent again",
+    ),
     Code.INVALID_DECLARATION: _row(
         400, _NOT_RUN, "the declaration is not valid"
     ),
--- a/pimentoledge/routing/cluster_views.py
+++ b/pimentoledge/routing/cluster_views.py
@@ -6,6 +6,7 @@
 
 from pimentoledge.routing import backends
 from pimentoledge.routing import cache_sources
+from pimentoledge.routing import claimed_requests
 from pimentoledge.routing import configurations
 from pimentoledge.routing import first_events as first_events_module
 from pimentoledge.routing import load_controls
@@ -89,6 +90,7 @@
             to be read, by model.
         unshared: mean tokens of a request outside of shared prompt parts, by
             model.
+        claimed: ids of requests that may run only once.
         saved: shared prompt parts held by the KV cache servers.
         links: load of the links of the KV cache servers.
         prompts_sent: prompt reports not yet sent to the other routers.
@@ -131,6 +133,9 @@
     prompts_sent: list[peer_messages.PromptReport] = attrs.field(factory=list)
     reaches_all: bool = True
     remote_means: dict[str, wait_estimates.MeanLoad] = attrs.field(factory=dict)
+    claimed: claimed_requests.ClaimedRequests = attrs.field(
+        factory=claimed_requests.ClaimedRequests
+    )
     saved: saved_parts.SavedParts = attrs.field(factory=saved_parts.SavedParts)
     links: cache_sources.Links = attrs.field(factory=cache_sources.Links)
     load_control: load_controls.LoadControl = attrs.field(
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -102,6 +102,7 @@
             self.final.give_up(results.Code.INTERNAL)
         finally:
             self.choice.release_place()
+            self.context.end_claim()
             self.context.take_failed_answer()
             if self.context.charge is not None:
                 self.context.charge.settle(self.context.history.runs())
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -243,6 +243,7 @@
             self.view.suspects.expire(now)
             self.records.forget(set(self.roster.known))
             self.stream_versions.expire(now)
+            self.view.claimed.expire(now)
         self.load_reports.tick(now)
         self.limit_reports.tick(now)
         if self.view.shares_limits() or self.limiter.pending:
--- a/pimentoledge/routing/request_stages/acceptance.py
+++ b/pimentoledge/routing/request_stages/acceptance.py
@@ -109,6 +109,8 @@
         )
         if self.context.blocking_subject() is not None:
             return results.Code.CRASHES
+        if not self.context.claim_request(clocks.now()):
+            return results.Code.ALREADY_SENT
         return None
 
     def _charge(self, version: int) -> charges.Charge | None:
--- a/pimentoledge/routing/request_stages/contexts.py
+++ b/pimentoledge/routing/request_stages/contexts.py
@@ -65,6 +65,7 @@
         shortages: what the usable servers lacked when none could be chosen.
         limit_refusals: number of permits that servers' limits refused.
         counted: whether the retry budget has counted this request.
+        claimed: whether the request has claimed its id.
         sent_at: when the newest attempt was sent, in seconds of clocks.now.
         relay: the stream of the newest attempt, if it got one.
         current_attempt: the attempt in progress, or None.
@@ -120,6 +121,7 @@
         self.shortages: dict[capacity_checks.Shortage, int] = {}
         self.limit_refusals = 0
         self.counted = False
+        self.claimed = False
         self.sent_at = 0.0
         self.relay: stream_relays.StreamRelay | None = None
         self.current_attempt: attempts.Attempt | None = None
@@ -139,6 +141,25 @@
         fields["sends"] = self.history.sends
         self.lines.write(message, **fields)
 
+    def claim_request(self, now: float) -> bool:
+        """Returns whether the request isn't here already under its id."""
+        if self.route.repeatable() or self.claimed:
+            return True
+        self.claimed = self.view.claimed.claim(
+            self.organisation_name(),
+            self.client_request.request,
+            self.ends_at,
+            now,
+        )
+        return self.claimed
+
+    def end_claim(self) -> None:
+        """Frees the request's id unless a server may have run it."""
+        if self.claimed and not self.history.runs():
+            self.view.claimed.release(
+                self.organisation_name(), self.client_request.request
+            )
+
     def release_place(self) -> None:
         """Ends the reservation of a place, if there is one."""
         if self.place is not None:
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import socket
 import threading
@@ -28,6 +29,8 @@
 # first of them until it ends, so that no other test process uses the block.
 BLOCK_SIZE = 200
 _block_sockets = []
+# No two requests of a test process have the same id.
+_numbers = itertools.count(1)
 _ports = []
 
 
@@ -252,7 +255,6 @@
     def __init__(self, address):
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
-        self.number = 0
 
     async def open(self):
         self.reader, self.writer = await asyncio.open_connection(
@@ -273,10 +275,9 @@
         version="1.1",
     ):
         """Sends a request without reading the response."""
-        self.number += 1
         fields = {
             "Host": HOST,
-            "Request-Id": f"q-{id(self)}-{self.number}",
+            "Request-Id": f"q-{next(_numbers)}",
             "Deadline-Ms": "2500",
             "Content-Length": str(len(body)),
         }
