Responses: a success that is marked as not run counts as run

A caller could get 503, which promises that its order did not run and never will, though a server had run it and answered with a success; with a second server it would have run twice.

Cause: any status with the field for "not run" counted as not run. Statuses below 400 contradict it, and what contradicts itself may have run: the response is passed on as it is.

Evidence: a stand-in that runs an order and marks its 200: 503 to the caller on the code before, the server's own 200 now. That a real server sends this is only suspected.

--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -8,6 +8,7 @@
 from pimentoledge.routing import request_types
 
 _MAX_NUMBER_DIGITS = 15
+_FIRST_ERROR_STATUS = 400
 
 
 def _parse_integer(value: bytes | None) -> int | None:
@@ -171,7 +172,7 @@
     return request_types.ServerResponse(
         status=head.status,
         request=None if request_id is None else _decode_text(request_id),
-        not_run=head.value(names.NOT_RUN) is not None or head.status == 421,
+        not_run=_is_not_run(head),
         signed=head.value(names.SIGNATURE) is not None,
         encoded=head.value(b"content-encoding") is not None,
         load=_server_load(head.value(names.SERVER_LOAD)),
@@ -191,6 +192,16 @@
     )
 
 
+def _is_not_run(head: http_messages.ResponseHead) -> bool:
+    """Returns whether a server states that it did not run the request.
+
+    A success contradicts the statement, so it doesn't count.
+    """
+    if head.status < _FIRST_ERROR_STATUS:
+        return False
+    return head.value(names.NOT_RUN) is not None or head.status == 421
+
+
 def _server_load(value: bytes | None) -> request_types.ServerLoad | None:
     if value is None:
         return None
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -85,6 +85,8 @@
             crashes.
         unframed: whether its responses have no length or chunks and end with
             their connections.
+        marks_not_run: whether its successful responses state that the request
+            did not run.
         empty: whether its responses have no body, if they are no streams.
         crashes: requests that have crashed it, in order.
         software: version of its software.
@@ -138,6 +140,7 @@
         self.flooded_until_closed = 0
         self.crashes_after_head = False
         self.unframed = False
+        self.marks_not_run = False
         self.empty = False
         self.crashes: list[ReceivedRequest] = []
         self._crash_thread: threading.Thread | None = None
@@ -292,6 +295,8 @@
         if is_model_request(call):
             self._send_stream(request, call, head)
             return
+        if self.marks_not_run:
+            head.append((names.NOT_RUN, b"1"))
         body = b"" if self.empty else b"answer of " + call.body
         if self.unframed:
             fake_http.end_with_connection(request, head)
--- a/pimentoledge/tests/test_router_repeated_requests.py
+++ b/pimentoledge/tests/test_router_repeated_requests.py
@@ -63,6 +63,16 @@
     assert other.status == 200
 
 
+@with_world(plain=1)
+async def test_a_success_that_is_marked_as_not_run_is_not_sent_again(world):
+    """Guards against a second run after contradictory response fields."""
+    server = world.servers["p0"]
+    server.marks_not_run = True
+    answer = await world.request("/cards/", body=b"c")
+    assert answer.status == 200
+    assert len(world.executed_requests("plain")) == 1
+
+
 def test_claims_end_in_time_and_are_bounded():
     claimed = claimed_requests.ClaimedRequests()
     assert claimed.claim("o", "q", 10.0, 9.0)
