--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -183,15 +183,21 @@
 
 
 def check_runs_at_most_once(record: records.SoakRecord) -> Iterator[Violation]:
-    """Checks that unsafe requests ran at most once."""
+    """Checks that what may run once did, also if its client repeated it."""
+    by_first: dict[str, list[records.Arrival]] = {}
     for identity, runs in _runs_by_request(record).items():
-        request = record.requests.get(identity)
-        if request and request.route == "cards" and len(runs) > 1:
-            where_run = ", ".join(each.server for each in runs)
+        request = record.requests.get(identity) or record.repeats.get(identity)
+        if request and request.route in clients.UNREPEATABLE:
+            by_first.setdefault(request.repeats or identity, []).extend(runs)
+    for first, runs in by_first.items():
+        if len(runs) > 1:
+            where_run = ", ".join(
+                f"{each.server} as {each.request}" for each in runs
+            )
             yield Violation(
                 invariant="once",
-                at=runs[1].at,
-                subject=identity,
+                at=max(each.at for each in runs),
+                subject=first,
                 text=f"ran at {where_run}",
             )
 
@@ -199,7 +205,7 @@
 def check_refused_not_run(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that no server ran a request that was answered as not run."""
     for identity, runs in _runs_by_request(record).items():
-        request = record.requests.get(identity)
+        request = record.requests.get(identity) or record.repeats.get(identity)
         if request and request.status in router_responses.NOT_RUN_STATUSES:
             yield Violation(
                 invariant="not_run",
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -5,12 +5,18 @@
 import random
 import time
 
+from pimentoledge.routing import router_responses
 from pimentoledge.tests import router_world
 from pimentoledge.tests.soak import records
 
 ROUTES = ("cards", "notices", "lookups", "drafts")
 STREAMS = ("lookups", "drafts")
 RESUMABLE = "lookups"
+# Routes whose requests may run only once.
+UNREPEATABLE = ("cards", "drafts")
+# How often a client sends such a request again, and its longest pause before.
+MAX_REPEATS = 2
+MAX_REPEAT_PAUSE_SECONDS = 0.5
 PAUSE_SECONDS = (0.05, 0.4)
 # Time until a client retries to open a connection.
 REOPEN_SECONDS = 0.2
@@ -100,6 +106,8 @@
             await self._send(connection, request)
             if request.route == RESUMABLE and not request.whole:
                 await self._resume(request)
+            if request.route in UNREPEATABLE:
+                await self._repeat(request)
             await asyncio.sleep(self.chooser.uniform(*PAUSE_SECONDS))
             closes = request.headers.get("connection") == "close"
             if not request.whole or closes:
@@ -160,6 +168,38 @@
             if hasattr(connection, "writer"):
                 connection.close()
 
+    async def _repeat(self, first: records.Request) -> None:
+        """Sends a request again that certainly has not run, at any router."""
+        request = first
+        for number in range(MAX_REPEATS):
+            if not _is_certainly_unrun(request):
+                return
+            pause = float(request.headers.get("retry-after", 0))
+            await asyncio.sleep(min(pause, MAX_REPEAT_PAUSE_SECONDS))
+            router, address = self.chooser.choice(self.routers())
+            request = records.Request(
+                identity=f"{first.identity}-repeat-{number}",
+                route=first.route,
+                key=first.key,
+                body=first.body,
+                router=router,
+                process_run=len(self.record.process_runs[router]) - 1,
+                first=True,
+                sent=time.monotonic(),
+                repeats=first.identity,
+            )
+            connection = Connection(address)
+            try:
+                await connection.open()
+            except OSError:
+                # The router is restarting.
+                return
+            self.record.repeats[request.identity] = request
+            try:
+                await self._send(connection, request)
+            finally:
+                connection.close()
+
     async def _send(
         self, connection: Connection, request: records.Request
     ) -> None:
@@ -167,6 +207,17 @@
         await send(connection, request, count)
 
 
+def _is_certainly_unrun(request: records.Request) -> bool:
+    """Returns whether a client may conclude that a request has not run.
+
+    A kernel resets a connection that is closed with unread bytes, and ends
+    others.
+    """
+    if request.status is None:
+        return request.reset
+    return request.status in router_responses.NOT_RUN_STATUSES
+
+
 async def send(
     connection: Connection,
     request: records.Request,
@@ -203,6 +254,9 @@
         request.headers = answer.headers
         request.answer = answer.body
         request.whole = answer.complete
+        request.reset = answer.status is None and isinstance(
+            connection.reader.exception(), ConnectionResetError
+        )
     request.headed = connection.head_at
     request.ended = time.monotonic()
 
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -29,6 +29,9 @@
         answer: the part of the answer's body that arrived.
         whole: whether the answer was complete.
         timed_out: whether the client gave up before the answer's end.
+        reset: whether the connection was reset before any part of the answer,
+            as one that is closed with unread bytes is.
+        repeats: id of the request that it sends again, or "".
     """
 
     identity: str
@@ -46,6 +49,8 @@
     answer: bytes = b""
     whole: bool = False
     timed_out: bool = False
+    reset: bool = False
+    repeats: str = ""
 
 
 @attrs.define(kw_only=True)
@@ -174,6 +179,8 @@
         crashing_parts: the prompt part that makes them crash servers, by id.
         resumptions: streams that clients took up, by id of the request. They
             are not among `requests`.
+        repeats: requests that clients sent again after they had not run, by id.
+            They are not among `requests`.
         arrivals: arrivals at servers, in order.
         process_runs: processes of each router in order, by name of the router.
         freezes: periods in which routers were stopped.
@@ -197,6 +204,7 @@
     crashing: dict[str, Request] = attrs.field(factory=dict)
     crashing_parts: dict[str, str] = attrs.field(factory=dict)
     resumptions: dict[str, Resumption] = attrs.field(factory=dict)
+    repeats: dict[str, Request] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     process_runs: dict[str, list[ProcessRun]] = attrs.field(factory=dict)
     freezes: list[Span] = attrs.field(factory=list)
