--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -200,7 +200,7 @@
             self.send(CONTINUE_RESPONSE)
 
     def _serve(self, head: http_messages.RequestHead, body: bytes) -> None:
-        # The client has read the former response.
+        # The client can be reached again.
         self.end_hold(self._held_until)
         self._keep_alive = head.keep_alive
         self.allows_chunks = head.allows_chunks()
