Requests: bodies count toward a bound of the process

Cause: bodies were limited for each client only, and not counted. They are counted now, read, waiting and in progress, and while their sum with the announced rests exceeds 0.15 of the VM's memory, incomplete bodies are read oldest first, as far as they fit. A large body alone always passes.

Tests: twelve bodies within the bound, one above it, clients that leave, and the rule itself by hypothesis.

Not covered: one read of 64 KiB for each connection, and heads; nothing is refused before it is read.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -9,6 +9,7 @@
 
 from pimentoledge import results
 from pimentoledge.platform import requests
+from pimentoledge.routing import body_budgets
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
@@ -31,6 +32,7 @@
 # or their own timeout ends. It is sent once no earlier response is pending on
 # the connection.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+READ_BYTES = 64 * 1024
 # Within this time after the last bytes were sent a closed window shows.
 UNREAD_SECONDS = 2.0
 # Values of SO_LINGER. With the first one the kernel resets the connection when
@@ -50,6 +52,7 @@
         open_connections: all open connections; contains this one while open.
         lines: log of clients that are closed.
         holder: counts what is held for the client.
+        bodies: counts the bodies of requests.
         idle_since: when it last became idle, in seconds of clocks.now.
         exchange: the exchange in progress, or None.
         gone: whether the connection is closed.
@@ -66,6 +69,7 @@
         leaving: Callable[[], bool],
         open_connections: set,
         buffers: buffer_budgets.BufferBudget,
+        bodies: body_budgets.BodyBudget,
         lines: log_lines.Lines,
     ):
         self.limits = limits
@@ -74,6 +78,7 @@
         self.leaving = leaving
         self.open_connections = open_connections
         self.lines = lines
+        self.bodies = bodies
         self.holder = buffer_budgets.Holder(
             budget=buffers,
             unsent_bytes=self._unsent_bytes,
@@ -98,6 +103,8 @@
         self._writable.set()
         self._sent_at = 0.0
         self._held_until = 0.0
+        self._served_bytes = 0
+        self._body_paused = False
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -105,6 +112,8 @@
         # All that the client doesn't read at once is reported, to be counted,
         # and stops the reading from its server.
         transport.set_write_buffer_limits(high=0)
+        # What one read adds to a body that should not be read on.
+        transport.max_size = READ_BYTES
         self.open_connections.add(self)
         server_connections.enable_keepalive(self._socket())
 
@@ -114,6 +123,7 @@
         self._writable.set()
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
         self.open_connections.discard(self)
+        self._note_bodies()
         if self.exchange is not None:
             self.exchange.client_left("closed" if error is None else str(error))
 
@@ -181,9 +191,42 @@
             self._parser.feed(data)
         except http_messages.BadMessageError as error:
             self._parse_error = error
-        if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
         self._serve_next()
+        self._note_bodies()
+        self._pause_or_resume()
+
+    def _note_bodies(self) -> None:
+        """Counts the bodies of this connection's requests.
+
+        The request in progress may outlast the connection.
+        """
+        complete = self._served_bytes
+        read = announced = 0
+        if not self.gone:
+            complete += self._parser.waiting_bytes()
+        if not self.gone and self._parse_error is None:
+            read = self._parser.incomplete_bytes()
+            announced = self._parser.announced_bytes()
+        self.bodies.note(
+            self,
+            body_budgets.Bodies(
+                complete=complete, read=read, announced=announced
+            ),
+        )
+
+    def pause_body(self, paused: bool) -> None:
+        """Stops reading an incomplete body, or goes on."""
+        self._body_paused = paused
+        self._pause_or_resume()
+
+    def _pause_or_resume(self) -> None:
+        if self.gone or self._transport.is_closing():
+            return
+        waiting = len(self._parser.requests) > MAX_PIPELINED_REQUESTS
+        if self._body_paused or waiting:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def _serve_next(self) -> None:
         """Serves the next complete request, if none is in progress."""
@@ -191,7 +234,7 @@
             return
         if self._parser.requests:
             head, body = self._parser.requests.pop(0)
-            self._transport.resume_reading()
+            self._served_bytes = len(body)
             self._serve(head, body)
         elif self._parse_error is not None:
             self._refuse_malformed(self._parse_error)
@@ -277,7 +320,7 @@
 
     def finished(self) -> None:
         """Finishes a request whose response was sent completely."""
-        self.exchange = None
+        self._end_exchange()
         self.served = True
         self.idle_since = clocks.now()
         if self.gone:
@@ -290,10 +333,17 @@
             self._transport.close()
             return
         self._serve_next()
+        self._note_bodies()
+        self._pause_or_resume()
+
+    def _end_exchange(self) -> None:
+        self.exchange = None
+        self._served_bytes = 0
+        self._note_bodies()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response doesn't look complete."""
-        self.exchange = None
+        self._end_exchange()
         if self._transport is not None:
             self._transport.abort()
 
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -16,6 +16,7 @@
 from pimentoledge.platform import objects
 from pimentoledge.platform import orders
 from pimentoledge.platform import stores
+from pimentoledge.routing import body_budgets
 from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import cache_monitors
 from pimentoledge.routing import calls
@@ -88,6 +89,7 @@
         exchanges: requests in progress, also those whose clients disconnected.
         slow_readers: connections whose peers read slowly.
         buffers: counts the bytes held for exchanges.
+        bodies: counts the bodies of requests.
         loop_load: load of the event loop, or None if it isn't measured.
         connection_limit: decides which connections of clients are accepted.
     """
@@ -125,6 +127,9 @@
         self.buffers = buffer_budgets.BufferBudget(
             bound=buffer_budgets.bound_of(chosen.number("memory-mb"))
         )
+        self.bodies = body_budgets.BodyBudget(
+            bound=body_budgets.bound_of(chosen.number("memory-mb"))
+        )
         self.caller = calls.Caller(lines=self.lines)
         self.connections: set[client_connections.ClientConnection] = set()
         self.exchanges: set[exchanges.Exchange] = set()
@@ -343,6 +348,9 @@
                 "buffered_bytes": self.buffers.held,
                 "buffered_bytes_peak": self.buffers.peak,
                 "buffered_bytes_bound": self.buffers.bound,
+                "request_body_bytes": self.bodies.held,
+                "request_body_bytes_peak": self.bodies.peak,
+                "request_body_bytes_bound": self.bodies.bound,
             }
             | speed_metrics.gauges(self.view, now)
             | self.admission.gauges(now)
@@ -365,6 +373,7 @@
         self.view.bounds = _bounds(chosen)
         self.view.update_budgets()
         self.buffers.bound = buffer_budgets.bound_of(chosen.number("memory-mb"))
+        self.bodies.bound = body_budgets.bound_of(chosen.number("memory-mb"))
         self.view.load_control.mode = load_controls.Mode(
             chosen.text("load-control")
         )
@@ -392,6 +401,7 @@
             leaving=lambda: self.view.leaving,
             open_connections=self.connections,
             buffers=self.buffers,
+            bodies=self.bodies,
             lines=self.lines,
         )
 
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -132,8 +132,21 @@
         self._unread_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._announced_bytes = 0
         self._head: RequestHead | None = None
 
+    def incomplete_bytes(self) -> int:
+        """Returns the size of the body that is being read."""
+        return self._body_bytes
+
+    def announced_bytes(self) -> int:
+        """Returns the announced size of that body, or 0 without one."""
+        return self._announced_bytes
+
+    def waiting_bytes(self) -> int:
+        """Returns the size of the bodies of `requests`."""
+        return sum(len(body) for _, body in self.requests)
+
     def feed(self, data: bytes) -> None:
         """Parses bytes.
 
@@ -222,7 +235,9 @@
             self._refuse("transfer coding is not served", 400)
         if len(head.values(b"host")) != 1:
             self._refuse("one Host header is needed", 400)
-        if lengths and int(lengths[0]) > self.max_body_bytes:
+        if lengths:
+            self._announced_bytes = int(lengths[0])
+        if self._announced_bytes > self.max_body_bytes:
             self._refuse("the body is too large", 413)
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
--- /dev/null
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -0,0 +1,117 @@
+"""The memory that request bodies take."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies
+
+from pimentoledge.routing import body_budgets
+from pimentoledge.routing import client_connections
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+BODY_BYTES = 3_000_000
+LIMITS = {
+    "maxHeaderBytes": 4096,
+    "maxBodyBytes": 4_000_000,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
+}
+
+
+async def _allow_large_bodies(world):
+    [router] = world.routers
+    changed = router_world.configuration(2, limits=LIMITS)
+    world.store.put("config", "main", changed)
+    await world.until(lambda: router.view.configuration.version == 2)
+    return router
+
+
+async def _send(world, size, path="/notices/"):
+    headers = {"Deadline-Ms": "8000"}
+    return await world.request(path, body=b"b" * size, headers=headers)
+
+
+@with_world(plain=2, runners=0)
+async def test_many_large_bodies_stay_within_their_bound(world):
+    """Guards against clients that fill the memory with request bodies."""
+    router = await _allow_large_bodies(world)
+    router.bodies.bound = 2 * BODY_BYTES
+    for server in world.servers.values():
+        server.work_seconds = 0.1
+    answers = await asyncio.gather(
+        *(_send(world, BODY_BYTES) for _ in range(12))
+    )
+    assert [each.status for each in answers] == [200] * 12
+    reads = 12 * client_connections.READ_BYTES
+    assert router.bodies.peak <= 3 * BODY_BYTES + reads
+    assert router.bodies.held == 0
+
+
+@with_world(plain=1, runners=0)
+async def test_a_body_above_the_bound_passes_alone(world):
+    """Guards against a bound that no large request can meet."""
+    router = await _allow_large_bodies(world)
+    router.bodies.bound = 1000
+    assert (await _send(world, BODY_BYTES)).status == 200
+    assert router.bodies.held == 0
+
+
+@with_world(plain=2, runners=0)
+async def test_bodies_of_clients_that_left_are_not_counted(world):
+    """Guards against a bound that is used up by clients that are gone."""
+    router = await _allow_large_bodies(world)
+    router.bodies.bound = BODY_BYTES
+    clients = [world.client() for _ in range(6)]
+    for client in clients:
+        await client.open()
+        more = {"Content-Length": str(BODY_BYTES)}
+        client.send("/notices/", body=b"b" * (BODY_BYTES // 2), headers=more)
+    await world.until(lambda: router.bodies.held > BODY_BYTES // 2)
+    for client in clients:
+        client.writer.transport.abort()
+    assert (await _send(world, BODY_BYTES)).status == 200
+    await world.until(lambda: router.bodies.held == 0)
+
+
+class _Reader:
+
+    def __init__(self):
+        self.paused = False
+
+    def pause_body(self, paused):
+        self.paused = paused
+
+
+_BODIES = strategies.builds(
+    body_budgets.Bodies,
+    complete=strategies.integers(0, 30),
+    read=strategies.integers(0, 30),
+    announced=strategies.integers(0, 60),
+)
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 3), _BODIES), max_size=30
+    )
+)
+def test_reading_goes_on_exactly_while_it_may(changes):
+    """Guards against bodies that wait for ever, or beyond the bound."""
+    budget = body_budgets.BodyBudget(bound=40)
+    readers = [_Reader() for _ in range(4)]
+    noted = dict.fromkeys(readers, body_budgets.Bodies())
+    for number, bodies in changes:
+        budget.note(readers[number], bodies)
+        noted[readers[number]] = bodies
+        held = sum(each.held() for each in noted.values())
+        assert budget.held == held
+        begun = [each for each in readers if noted[each].read]
+        reading = [each for each in begun if not each.paused]
+        assert not any(each.paused for each in readers if each not in begun)
+        rests = sum(noted[each].rest() for each in reading)
+        completes = any(each.complete for each in noted.values())
+        if held + sum(each.rest() for each in noted.values()) <= 40:
+            assert reading == begun
+        assert held + rests <= 40 or (len(reading) <= (0 if completes else 1))
+        assert reading or completes or not begun
