Clients: a stream that can't resume keeps its connection while its client is cut off

Cause: as with unsafe calls, TCP_USER_TIMEOUT ends a connection whose peer acknowledges nothing for a second, also with an answer on its way. All requests that may not be repeated hold their client's connection now, from when they are sent until the client's own deadline, at most five seconds beyond the end of the request.

Dead clients of such requests are found at their deadline; of resumable streams as fast as before.

An unsafe call that reached a server must keep its connection until its client's deadline, whatever is cut.

--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -16,9 +16,9 @@
 from pimentoledge.routing.request_stages import contexts
 from pimentoledge.routing.request_stages import server_responses
 
-# Time after the deadline in which a response may reach a client that was
-# unreachable. Segments are then sent again at most this much apart.
-RESPONSE_SECONDS = 1.0
+# Time after the end of a request in which a response may reach a client that
+# was unreachable: a segment is sent again after about as long as it was lost.
+RESPONSE_SECONDS = 5.0
 
 
 class AttemptRuns:
@@ -74,10 +74,8 @@
         self.context.view.suspects.start_trial(
             self.context.subjects, self.context.sent_at
         )
-        if self.context.route.kind is configurations.Repeatability.UNSAFE:
-            self.context.answer.client.hold_until(
-                self.context.ends_at + RESPONSE_SECONDS
-            )
+        if not self.context.route.repeatable():
+            self._hold_client()
         self.context.current_attempt = attempt
         self.context.relay = None
         self.context.release_place()
@@ -97,6 +95,17 @@
             attempt.close()
             connection.stop_counting()
 
+    def _hold_client(self) -> None:
+        """Keeps the client's connection for as long as it may wait."""
+        client_request = self.context.client_request
+        wait = client_request.wait_seconds or request_types.DEFAULT_WAIT_SECONDS
+        self.context.answer.client.hold_until(
+            min(
+                client_request.arrived + wait,
+                self.context.ends_at + RESPONSE_SECONDS,
+            )
+        )
+
     def _log_exceeded(
         self, backend: backends.Backend, exceeded: buffer_bounds.Exceeded
     ) -> None:
--- a/pimentoledge/tests/cut_links.py
+++ b/pimentoledge/tests/cut_links.py
@@ -20,4 +20,5 @@
     try:
         yield
     finally:
-        sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+        if sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -279,6 +279,8 @@
         return True
     if was_frozen(record, request.router, request.sent, request.ended):
         return True
+    if _was_client_cut(record, request, arrivals):
+        return True
     if request.status is not None:
         # Once a stream has begun, the router can't send another answer.
         return any(each.harmed for each in arrivals)
@@ -297,6 +299,27 @@
     )
 
 
+def _was_client_cut(
+    record: records.SoakRecord, request: records.Request, arrivals: list
+) -> bool:
+    """Returns whether a request lost its answer as its client was cut off.
+
+    The connection of an unsafe call that reached a server must last until the
+    client's deadline all the same. An idle one may have ended in a cut before
+    the request.
+    """
+    within = request.ended - request.sent < clients.DEADLINE_SECONDS
+    if request.route == "cards" and arrivals and within:
+        return False
+    begin = request.sent
+    if not arrivals and request.reset:
+        begin = -math.inf
+    return any(
+        each.overlaps(request.router, begin, request.ended)
+        for each in record.client_cuts
+    )
+
+
 def check_accepted_answered(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that accepted requests are answered."""
     arrivals_by_request: dict[str, list[records.Arrival]] = {}
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -48,6 +48,10 @@
 SLOWDOWN_KINDS = ("server_slowed",)
 # A server sends headers without an end until the router closes.
 FLOOD_KINDS = ("server_floods",)
+# The clients of a router can't be reached for some seconds.
+CLIENT_KINDS = ("clients_cut",)
+# Another writer puts entries that name no usable server beside the servers.
+ENTRY_KINDS = ("foreign_entries",)
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
@@ -68,6 +72,8 @@
     *SHED_KINDS,
     *SLOWDOWN_KINDS,
     *FLOOD_KINDS,
+    *CLIENT_KINDS,
+    *ENTRY_KINDS,
 )
 
 FIRST_FAULT_SECONDS = 1.0
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -185,6 +185,7 @@
         process_runs: processes of each router in order, by name of the router.
         freezes: periods in which routers were stopped.
         outages: periods with a fault of the store.
+        client_cuts: periods in which the clients of routers were unreachable.
         named: version and time of each change of the wanted weights.
         leaving: when a server's registration was marked as leaving, by
             incarnation.
@@ -209,6 +210,7 @@
     process_runs: dict[str, list[ProcessRun]] = attrs.field(factory=dict)
     freezes: list[Span] = attrs.field(factory=list)
     outages: list[Span] = attrs.field(factory=list)
+    client_cuts: list[Span] = attrs.field(factory=list)
     named: list[tuple[int, float]] = attrs.field(factory=list)
     leaving: dict[str, float] = attrs.field(factory=dict)
     gone: dict[str, list[float]] = attrs.field(factory=dict)
--- a/pimentoledge/tests/soak/runs.py
+++ b/pimentoledge/tests/soak/runs.py
@@ -120,6 +120,7 @@
                     (each.name, each.address)
                     for each in self.world.fleet.routers
                 ],
+                sockets=self.world.client_sockets,
             )
             for number in range(count)
         ]
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -54,6 +54,14 @@
     *plans.SHED_KINDS,
     "server_crashes",
 )
+CUTS = (
+    *plans.CLIENT_KINDS,
+    *plans.CLIENT_KINDS,
+    *plans.ENTRY_KINDS,
+    "term",
+    "server_slow",
+    *plans.SHED_KINDS,
+)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -66,6 +74,7 @@
         pytest.param(5, 8.0, LOADS, id="loads"),
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
+        pytest.param(971, 16.0, CUTS, id="cuts"),
         pytest.param(3, 12.0, RESTORES, id="restores"),
         pytest.param(11, 18.0, CRASHES, id="crashes"),
         pytest.param(11, 18.0, PARTS, id="parts"),
