Bodies: clients that stall within a body hold no others up

A body of which nothing has arrived for 0.2 s while it may be read reserves no room now, and every tick decides anew.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -1,15 +1,20 @@
 """The request bodies that a process holds, and their bound."""
 
+from typing import Any
 from typing import Protocol
 
 import attrs
 
+from pimentoledge.routing import clocks
+
 # Bound of a process that doesn't know its VM's memory, in bytes.
 DEFAULT_BYTES = 24_000_000
 # Part of the VM's memory that bodies may take. While a server reads one slowly,
 # there are two copies of it.
 MEMORY_SHARE = 0.15
 BYTES_PER_MB = 1_000_000
+# A client that sends nothing of its body for so long reserves no room for it.
+STALLED_SECONDS = 0.2
 
 
 def bound_of(memory_mb: float) -> float:
@@ -59,7 +64,7 @@
     Incomplete bodies are read on, oldest first, while their rests fit. Complete
     ones are freed as their requests are answered. Without any, waiting would
     free nothing, so the oldest incomplete one is read on: at most one body
-    exceeds the bound.
+    exceeds the bound. Clients that stall hold no others up.
 
     Attributes:
         bound: number of bytes above which reading stops.
@@ -74,6 +79,7 @@
         self._rest = 0
         self._complete: dict[Reader, Bodies] = {}
         self._incomplete: dict[Reader, Bodies] = {}
+        self._progress_at: dict[Reader, float] = {}
         self._pauses = False
 
     def note(self, reader: Reader, bodies: Bodies) -> None:
@@ -87,27 +93,37 @@
         self.peak = max(self.peak, self.held)
         _keep(self._complete, reader, bodies, bool(bodies.complete))
         _keep(self._incomplete, reader, bodies, bool(bodies.read))
+        now = clocks.now()
+        _keep(self._progress_at, reader, now, bool(bodies.read))
         if self._pauses or self.held + self._rest > self.bound:
-            self._pause_or_resume(reader)
+            if not bodies.read:
+                reader.pause_body(False)
+            self._pause_or_resume(now)
+
+    def tick(self, now: float) -> None:
+        """Lets others read on in place of clients that have stalled."""
+        if self._pauses:
+            self._pause_or_resume(now)
 
-    def _pause_or_resume(self, reader: Reader) -> None:
-        if reader not in self._incomplete:
-            reader.pause_body(False)
+    def _pause_or_resume(self, now: float) -> None:
         self._pauses = False
         room = self.bound - self.held
         may_exceed = not self._complete
         for each, bodies in list(self._incomplete.items()):
+            if now - self._progress_at[each] > STALLED_SECONDS:
+                continue
             reads = not self._pauses and (room >= bodies.rest() or may_exceed)
             may_exceed = False
             room -= bodies.rest()
             self._pauses |= not reads
+            if not reads:
+                # It is not the client that holds its body back.
+                self._progress_at[each] = now
             each.pause_body(not reads)
 
 
-def _keep(
-    kept: dict[Reader, Bodies], reader: Reader, bodies: Bodies, holds: bool
-) -> None:
+def _keep(kept: dict[Reader, Any], reader: Reader, value: Any, holds: bool):
     if holds:
-        kept[reader] = bodies
+        kept[reader] = value
     else:
         kept.pop(reader, None)
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -501,6 +501,7 @@
         now = clocks.now()
         self.pauses.tick(now)
         self.buffers.refresh()
+        self.bodies.tick(now)
         for each in list(self.connections):
             each.close_if_idle(now)
             each.end_hold(now)
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -7,6 +7,7 @@
 
 from pimentoledge.routing import body_budgets
 from pimentoledge.routing import client_connections
+from pimentoledge.routing import clocks
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -74,6 +75,25 @@
     await world.until(lambda: router.bodies.held == 0)
 
 
+@with_world(plain=2, runners=0)
+async def test_clients_that_stall_within_a_body_hold_no_others_up(world):
+    """Guards against announced bodies that use up the bound."""
+    router = await _allow_large_bodies(world)
+    router.bodies.bound = BODY_BYTES
+    clients = [world.client() for _ in range(6)]
+    for client in clients:
+        await client.open()
+        more = {"Content-Length": str(BODY_BYTES)}
+        client.send("/notices/", body=b"b" * 1000, headers=more)
+    await world.until(lambda: router.bodies.held == 6000)
+    began = clocks.now()
+    answers = await asyncio.gather(*(_send(world, BODY_BYTES) for _ in "abc"))
+    assert [each.status for each in answers] == [200] * 3
+    assert clocks.now() - began < 3.0
+    for client in clients:
+        client.close()
+
+
 class _Reader:
 
     def __init__(self):
