Budgets and the soak's clients: one copy of what stood twice

Found on reading the change again, behaviour unchanged: both budgets worked out a part of the VM's memory; the soak built a request at any router twice, for resumptions and repeats; two tests of bodies began a body alike.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pimentoledge.routing import buffer_budgets
 from pimentoledge.routing import clocks
 
 # Bound of a process that doesn't know its VM's memory, in bytes.
@@ -12,7 +13,6 @@
 # Part of the VM's memory that bodies may take. While a server reads one slowly,
 # there are two copies of it.
 MEMORY_SHARE = 0.15
-BYTES_PER_MB = 1_000_000
 # A client that sends nothing of its body for so long reserves no room for it.
 STALLED_SECONDS = 0.2
 
@@ -23,9 +23,9 @@
     Args:
         memory_mb: memory of its VM in MB, or 0 if unknown.
     """
-    if not memory_mb:
-        return DEFAULT_BYTES
-    return memory_mb * BYTES_PER_MB * MEMORY_SHARE
+    return buffer_budgets.part_of_memory(
+        memory_mb, share=MEMORY_SHARE, default=DEFAULT_BYTES
+    )
 
 
 class Reader(Protocol):
--- a/pimentoledge/routing/buffer_budgets.py
+++ b/pimentoledge/routing/buffer_budgets.py
@@ -22,9 +22,18 @@
     Args:
         memory_mb: memory of its VM in MB, or 0 if unknown.
     """
-    if not memory_mb:
-        return DEFAULT_BYTES
-    return memory_mb * BYTES_PER_MB * MEMORY_SHARE
+    return part_of_memory(memory_mb, share=MEMORY_SHARE, default=DEFAULT_BYTES)
+
+
+def part_of_memory(memory_mb: float, *, share: float, default: float) -> float:
+    """Returns a part of the VM's memory in bytes.
+
+    Args:
+        memory_mb: memory of the VM in MB, or 0 if unknown.
+        share: the part.
+        default: number of bytes if the memory is unknown.
+    """
+    return memory_mb * BYTES_PER_MB * share if memory_mb else default
 
 
 class Part(enum.Enum):
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -144,16 +144,8 @@
         after = broken.answer.count(b"\n\n")
         if not after:
             return
-        router, address = self.chooser.choice(self.routers())
-        request = records.Request(
-            identity=f"{broken.identity}-again",
-            route=broken.route,
-            key=broken.key,
-            body=broken.body,
-            router=router,
-            process_run=len(self.record.process_runs[router]) - 1,
-            first=True,
-            sent=time.monotonic(),
+        request, address = self._at_any_router(
+            broken, f"{broken.identity}-again"
         )
         self.record.resumptions[request.identity] = records.Resumption(
             request=request, began_as=broken.identity, after=after
@@ -177,6 +169,28 @@
             if hasattr(connection, "writer"):
                 connection.close()
 
+    def _at_any_router(
+        self, former: records.Request, identity: str
+    ) -> tuple[records.Request, str]:
+        """Returns a request with a former one's content, and its address.
+
+        Args:
+            former: the former request.
+            identity: id of the new one.
+        """
+        router, address = self.chooser.choice(self.routers())
+        request = records.Request(
+            identity=identity,
+            route=former.route,
+            key=former.key,
+            body=former.body,
+            router=router,
+            process_run=len(self.record.process_runs[router]) - 1,
+            first=True,
+            sent=time.monotonic(),
+        )
+        return request, address
+
     async def _repeat(self, first: records.Request) -> None:
         """Sends a request again that certainly has not run, at any router."""
         request = first
@@ -186,18 +200,10 @@
                 return
             pause = float(request.headers.get("retry-after", 0))
             await asyncio.sleep(min(pause, MAX_REPEAT_PAUSE_SECONDS))
-            router, address = self.chooser.choice(self.routers())
-            request = records.Request(
-                identity=f"{first.identity}-repeat-{number}",
-                route=first.route,
-                key=first.key,
-                body=first.body,
-                router=router,
-                process_run=len(self.record.process_runs[router]) - 1,
-                first=True,
-                sent=time.monotonic(),
-                repeats=first.identity,
+            request, address = self._at_any_router(
+                first, f"{first.identity}-repeat-{number}"
             )
+            request.repeats = first.identity
             connection = Connection(address)
             try:
                 await connection.open()
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -33,6 +33,15 @@
     return await world.request(path, body=b"b" * size, headers=headers)
 
 
+async def _begin(world, size):
+    """Returns a client that has sent the first part of a large body."""
+    client = world.client()
+    await client.open()
+    more = {"Content-Length": str(BODY_BYTES)}
+    client.send("/notices/", body=b"b" * size, headers=more)
+    return client
+
+
 @with_world(plain=2, runners=0)
 async def test_many_large_bodies_stay_within_their_bound(world):
     """Guards against clients that fill the memory with request bodies."""
@@ -63,11 +72,7 @@
     """Guards against a bound that is used up by clients that are gone."""
     router = await _allow_large_bodies(world)
     router.bodies.bound = BODY_BYTES
-    clients = [world.client() for _ in range(6)]
-    for client in clients:
-        await client.open()
-        more = {"Content-Length": str(BODY_BYTES)}
-        client.send("/notices/", body=b"b" * (BODY_BYTES // 2), headers=more)
+    clients = [await _begin(world, BODY_BYTES // 2) for _ in range(6)]
     await world.until(lambda: router.bodies.held > BODY_BYTES // 2)
     for client in clients:
         client.writer.transport.abort()
@@ -80,11 +85,7 @@
     """Guards against announced bodies that use up the bound."""
     router = await _allow_large_bodies(world)
     router.bodies.bound = BODY_BYTES
-    clients = [world.client() for _ in range(6)]
-    for client in clients:
-        await client.open()
-        more = {"Content-Length": str(BODY_BYTES)}
-        client.send("/notices/", body=b"b" * 1000, headers=more)
+    clients = [await _begin(world, 1000) for _ in range(6)]
     await world.until(lambda: router.bodies.held == 6000)
     began = clocks.now()
     answers = await asyncio.gather(*(_send(world, BODY_BYTES) for _ in "abc"))
