Tests: drawn values are the same on every run and need no table of characters

Seen: on a clean checkout test_a_registration_is_refused_or_fits_into_messages failed 3 of 3 (FailedHealthCheck: one input in 2.7 s), and passed once .hypothesis was there. Cause: the first draw of strategies.text() builds a table of all characters, which takes seconds here and is kept in .hypothesis; other drawn tests take it from whichever ran first. Change: texts are drawn from ranges of code points, without a table. One profile draws the same values everywhere, with all health checks on, and keeps no database. make fuzz runs the drawn tests with values of its seed.

--- a/pimentoledge/tests/conftest.py
+++ b/pimentoledge/tests/conftest.py
@@ -7,11 +7,22 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
 KNOWN_RED_FILE = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
 _deselected_ids = pytest.StashKey()
 
+# Each run draws the same values, wherever and after whatever it runs.
+hypothesis.settings.register_profile(
+    "repeatable", derandomize=True, database=None, deadline=None
+)
+# For make fuzz, whose seed is an option of pytest.
+hypothesis.settings.register_profile(
+    "fresh", derandomize=False, database=None, deadline=None, max_examples=200
+)
+hypothesis.settings.load_profile("repeatable")
+
 
 def parse_entries(text):
     """Returns the text of each entry by test id."""
--- a/pimentoledge/tests/fuzz/__main__.py
+++ b/pimentoledge/tests/fuzz/__main__.py
@@ -8,6 +8,7 @@
 
 import hypothesis
 import hypothesis.stateful
+import pytest
 
 from pimentoledge.tests.fuzz import machines
 
@@ -46,10 +47,25 @@
         traceback.print_exc()
         print(f"FAILED; to replay: make fuzz {replay_arguments}")
         return 1
+    if _run_drawn_tests(seed) != pytest.ExitCode.OK:
+        print(f"FAILED; to replay: make fuzz {replay_arguments}")
+        return 1
     seconds = time.monotonic() - started_at
     print(f"{arguments.examples} examples passed in {seconds:.0f} s")
     return 0
 
 
+def _run_drawn_tests(seed: int) -> int:
+    """Runs the tests that draw values, with other values than CI draws."""
+    return pytest.main(
+        [
+            "-m",
+            "hypothesis",
+            "--hypothesis-profile=fresh",
+            f"--hypothesis-seed={seed}",
+        ]
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pimentoledge/tests/test_router_lives.py
+++ b/pimentoledge/tests/test_router_lives.py
@@ -16,6 +16,7 @@
 from pimentoledge.routing import rollouts
 from pimentoledge.routing import server_deaths
 from pimentoledge.routing import view_updaters
+from pimentoledge.tests import drawn_values
 
 ENTRY = {
     "service": "s",
@@ -151,7 +152,7 @@
     | strategies.booleans()
     | strategies.integers()
     | strategies.floats(allow_nan=False)
-    | strategies.text(max_size=8),
+    | drawn_values.texts(max_size=8),
     lambda inner: strategies.lists(inner, max_size=3)
     | strategies.dictionaries(
         strategies.sampled_from([*ENTRY, "name", "version", "metadata"]),
--- a/pimentoledge/tests/test_router_unreadable.py
+++ b/pimentoledge/tests/test_router_unreadable.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import calls
 from pimentoledge.routing import json_documents
 from pimentoledge.routing import registrations
+from pimentoledge.tests import drawn_values
 
 BAD_VALUES = {
     "lone surrogate": rb'"\udcff\udcfe"',
@@ -111,10 +112,10 @@
     | strategies.booleans()
     | strategies.integers()
     | strategies.floats()
-    | strategies.text(),
+    | drawn_values.texts(),
     lambda inner: (
         strategies.lists(inner, max_size=4)
-        | strategies.dictionaries(strategies.text(), inner, max_size=4)
+        | strategies.dictionaries(drawn_values.texts(), inner, max_size=4)
     ),
     max_leaves=8,
 )
