Routers: a content that breaks the grammar of a response hides no other

Cause: a response that can't be decoded was split by its brackets, and given up where they didn't match; the event stayed in each watch from that revision. Change: an element ends where its brackets close by the grammar of JSON, with any strings and literals, and otherwise before what looks like the begin of the next element. A single object keeps its metadata, so that it can be replaced. What another writer nests in complete arrays or in strings still names no entry. Result: of 17 kinds of bad contents, alone and in pairs, in listings and watches, each leaves all others; so do drawn bytes and drawn contents of JSON's own characters.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -8,9 +8,9 @@
 
 from pimentoledge.platform import names
 from pimentoledge.platform import objects
+from pimentoledge.platform import store_responses
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import calls
-from pimentoledge.routing import json_documents
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
 
@@ -26,9 +26,6 @@
 # calls of other routers were refused at the same time.
 MAX_PAGE_RETRY_SECONDS = 0.5
 
-# Fields of a response that hold objects or events, one an element.
-_ELEMENTS = ("items", "events")
-
 
 @attrs.frozen(kw_only=True)
 class _Answer:
@@ -98,7 +95,7 @@
                 body=body,
                 seconds=seconds,
                 max_body_bytes=buffer_bounds.LISTING_BYTES,
-                decode=decode_body,
+                decode=store_responses.decode,
             )
         except calls.CallError as error:
             return registrations.Unavailable(
@@ -293,60 +290,6 @@
     )
 
 
-def decode_body(data: bytes) -> object:
-    """Decodes a response of the store.
-
-    Of an object that can't be decoded the metadata stay, if they can be
-    decoded; an element without readable metadata becomes None.
-
-    Raises:
-        json_documents.UnreadableError: it can't be decoded in parts either.
-    """
-    try:
-        return json_documents.decode(data)
-    except json_documents.UnreadableError:
-        return _decode_parts(data)
-
-
-def _decode_parts(data: bytes) -> object:
-    fields = json_documents.split_object(data)
-    if "metadata" in fields:
-        return _decode_object(data)
-    body = {}
-    for name, value in fields.items():
-        if name in _ELEMENTS:
-            parts = json_documents.split_array(value)
-            body[name] = [_decode_element(each) for each in parts]
-        else:
-            body[name] = json_documents.decode(value)
-    return body
-
-
-def _decode_element(data: bytes) -> object:
-    """Decodes an item of a listing, or an event of a watch."""
-    try:
-        return json_documents.decode(data)
-    except json_documents.UnreadableError:
-        pass
-    try:
-        fields = json_documents.split_object(data)
-        if "object" not in fields:
-            return _decode_object(data)
-        return {
-            "object": _decode_object(fields["object"]),
-            "deleted": json_documents.decode(fields.get("deleted", b"false")),
-        }
-    except json_documents.UnreadableError:
-        return None
-
-
-def _decode_object(data: bytes) -> dict:
-    """Decodes an object without its content."""
-    fields = json_documents.split_object(data)
-    metadata = json_documents.decode(fields.get("metadata", b""))
-    return {"metadata": metadata, "spec": None}
-
-
 def decode_items(
     items: list, era: int = 0
 ) -> tuple[list[registrations.Stored], list[str]]:
--- a/pimentoledge/routing/json_documents.py
+++ b/pimentoledge/routing/json_documents.py
@@ -2,7 +2,7 @@
 
 Other writers may store bytes that no decoder accepts, and values that no
 message to other routers can hold. Where a document as a whole can't be used,
-its parts are found by their brackets alone and decoded one by one.
+its parts are found by their grammar alone and decoded one by one.
 """
 
 from collections.abc import Iterator
@@ -12,8 +12,13 @@
 
 # A run of digits that may be an integer beyond 64 bits.
 _LONG_INTEGER = re.compile(rb"\d{19}")
-# Strings and brackets; all else between them can't contain these.
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},:]', re.DOTALL)
+# A string, a structural character, or a literal; the content of strings and
+# literals isn't checked.
+_TOKEN = re.compile(
+    rb'\s*("(?:[^"\\]|\\.)*"|[\[\]{},:]|[^\s"\[\]{},:]+)', re.DOTALL
+)
+_CLOSING = {b"{": b"}", b"[": b"]"}
+_STRUCTURAL = frozenset(b"{}[],:")
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -37,58 +42,88 @@
     return document
 
 
-def split_object(data: bytes) -> dict[str, bytes]:
-    """Returns the undecoded values of an object by name.
+def end_of_value(data: bytes, begin: int) -> int:
+    """Returns the end of the value that begins at an offset.
 
-    Entries whose name can't be decoded are left out.
+    Raises:
+        UnreadableError: the strings and brackets there form no value.
+    """
+    open_brackets: list[bytes] = []
+    expects = "value"
+    position = begin
+    while True:
+        token, position = _next_token(data, position)
+        match expects, token:
+            case ("value" | "first", b"{" | b"["):
+                open_brackets.append(token)
+                expects = "first key" if token == b"{" else "first"
+                continue
+            case ("value" | "first", _) if token[0] not in _STRUCTURAL:
+                pass
+            case ("first", b"]") | ("first key", b"}"):
+                open_brackets.pop()
+            case ("key" | "first key", _) if token.startswith(b'"'):
+                expects = "colon"
+                continue
+            case "colon", b":":
+                expects = "value"
+                continue
+            case "comma", b",":
+                expects = "key" if open_brackets[-1] == b"{" else "value"
+                continue
+            case "comma", _ if token == _CLOSING[open_brackets[-1]]:
+                open_brackets.pop()
+            case _:
+                raise UnreadableError("strings and brackets don't match")
+        if not open_brackets:
+            return position
+        expects = "comma"
+
+
+def _next_token(data: bytes, position: int) -> tuple[bytes, int]:
+    match = _TOKEN.match(data, position)
+    if match is None:
+        raise UnreadableError("strings and brackets don't match")
+    return match.group(1), match.end()
+
+
+def fields(data: bytes) -> Iterator[tuple[str, int]]:
+    """Yields the name of each field of an object, and where its value begins.
+
+    The value of a field must be valid only if the next field is asked for.
+    Fields whose name can't be decoded are left out.
 
     Raises:
-        UnreadableError: it is no object.
+        UnreadableError: it is no object, or not from this field on.
     """
-    values = {}
-    for part in _split(data, b"{", b"}"):
-        match = _TOKEN.match(part)
-        name, colon, value = part.partition(b":")
-        if match is not None:
-            name = match.group()
-            _, colon, value = part[match.end() :].partition(b":")
-        if not colon:
-            raise UnreadableError("an entry of an object has no value")
+    token, position = _next_token(data, 0)
+    if token != b"{":
+        raise UnreadableError("not an object")
+    token, position = _next_token(data, position)
+    while token != b"}":
+        name = token
+        token, position = _next_token(data, position)
+        if token != b":" or not name.startswith(b'"'):
+            raise UnreadableError("a field has no name or no value")
         try:
-            values[str(decode(name.strip()))] = value.strip()
+            yield str(decode(name)), position
         except UnreadableError:
-            continue
-    return values
+            pass
+        position = end_of_value(data, position)
+        token, position = _next_token(data, position)
+        if token == b",":
+            token, position = _next_token(data, position)
+        elif token != b"}":
+            raise UnreadableError("a field isn't followed by another one")
 
 
-def split_array(data: bytes) -> list[bytes]:
-    """Returns the undecoded elements of an array.
+def decode_field(data: bytes, name: str) -> object:
+    """Decodes one field of an object; what follows it may be unreadable.
 
     Raises:
-        UnreadableError: it is no array.
+        UnreadableError: there is no such field, or it can't be decoded.
     """
-    return list(_split(data, b"[", b"]"))
-
-
-def _split(data: bytes, opening: bytes, closing: bytes) -> Iterator[bytes]:
-    data = data.strip()
-    if not (data.startswith(opening) and data.endswith(closing)):
-        raise UnreadableError("brackets don't match")
-    depth = 0
-    begin = 1
-    for match in _TOKEN.finditer(data):
-        token = match.group()
-        if token in (b"[", b"{"):
-            depth += 1
-        elif token in (b"]", b"}"):
-            depth -= 1
-            if depth == 0 and match.end() != len(data):
-                raise UnreadableError("brackets don't match")
-        elif token == b"," and depth == 1:
-            yield data[begin : match.start()].strip()
-            begin = match.end()
-    if depth != 0:
-        raise UnreadableError("brackets don't match")
-    last = data[begin:-1].strip()
-    if last or begin > 1:
-        yield last
+    for each, begin in fields(data):
+        if each == name:
+            return decode(data[begin : end_of_value(data, begin)])
+    raise UnreadableError(f"no field {name}")
--- a/pimentoledge/tests/test_router_unreadable.py
+++ b/pimentoledge/tests/test_router_unreadable.py
@@ -9,9 +9,9 @@
 
 from pimentoledge.nodes import codecs
 from pimentoledge.platform import objects
+from pimentoledge.platform import store_responses
 from pimentoledge.platform import stores
 from pimentoledge.routing import calls
-from pimentoledge.routing import json_documents
 from pimentoledge.routing import registrations
 from pimentoledge.tests import drawn_values
 
@@ -25,6 +25,14 @@
     "control character": b'"\x01"',
     "unknown escape": rb'"\q"',
     "unknown literal": b"NaN",
+    "object cut short": b'{"service":"x"',
+    "array cut short": b"[1",
+    "bracket too many": b'{"service":"x"}}',
+    "wrong bracket": b'{"service":"x"]',
+    "open string": b'"x',
+    "string that ends in a backslash": rb'"x\"',
+    "bytes with brackets": b'\xff]{\x00"}[',
+    "nothing": b"",
 }
 GOOD = b'{"metadata":{"name":"%b","rev":3},"spec":{"a":[1,"x,]}\\""]}}'
 
@@ -35,6 +43,14 @@
     return b'{"metadata":{"name":"%b","rev":4},"spec":{"b":%b}}' % (name, value)
 
 
+def _broken_page(*values):
+    """Returns a listing whose unreadable items are between readable ones."""
+    items = [_item(b"a")]
+    for index, value in enumerate(values):
+        items += [_item(b"bad%d" % index, value), _item(b"good%d" % index)]
+    return b'{"items":[%b],"more":false,"storeRevision":9}' % b",".join(items)
+
+
 def _names(found):
     return [each.name for each in found]
 
@@ -44,7 +60,7 @@
     """Guards against routers that see no change of servers any more."""
     items = [_item(b"a"), _item(b"bad", value), _item(b"c")]
     data = b'{"items":[%b],"storeRevision":9}' % b", ".join(items)
-    body = stores.decode_body(data)
+    body = store_responses.decode(data)
     found, errors = stores.decode_items(body["items"])
     assert body["storeRevision"] == 9
     assert _names(found) == ["a", "bad", "c"]
@@ -94,19 +110,59 @@
     assert isinstance(found, registrations.Unavailable)
 
 
+@pytest.mark.parametrize("first", BAD_VALUES.values(), ids=list(BAD_VALUES))
+def test_two_unreadable_items_hide_none_between_them(first):
+    """Guards against brackets of one item that close those of another."""
+    for second in BAD_VALUES.values():
+        body = store_responses.decode(_broken_page(first, second))
+        found, _ = stores.decode_items(body["items"])
+        assert _names(found) == ["a", "bad0", "good0", "bad1", "good1"]
+        assert body["storeRevision"] == 9
+
+
+@pytest.mark.parametrize("value", BAD_VALUES.values(), ids=list(BAD_VALUES))
+def test_an_unreadable_object_has_its_revision(value):
+    """Guards against an object that can't be replaced any more."""
+    found = objects.decode_stored(store_responses.decode(_item(b"x", value)))
+    assert (found.name, found.revision, found.value) == ("x", 4, None)
+
+
+def test_what_looks_like_an_item_within_an_unreadable_one_is_none():
+    """Guards against entries that another writer names in a content."""
+    value = b'[{"c":1},%b,{"d":"\\udcff"}]' % _item(b"forged")
+    body = store_responses.decode(_broken_page(value))
+    found, _ = stores.decode_items(body["items"])
+    assert _names(found) == ["a", "bad0", "good0"]
+
+
 @given(strategies.binary(max_size=60))
-def test_any_bytes_in_an_item_leave_the_document_or_none(data):
+def test_any_bytes_beside_an_item_leave_it(data):
     document = b'{"items":[%b,%b],"storeRevision":9}' % (_item(b"a"), data)
-    try:
-        body = stores.decode_body(document)
-    except json_documents.UnreadableError:
-        return
+    body = store_responses.decode(document)
     found, _ = stores.decode_items(body["items"])
-    assert "a" in _names(found)
+    assert _item_of(found, "a").value is not None
     for each in found:
         msgspec.msgpack.encode(each.value)
 
 
+def _item_of(found, name):
+    return next(each for each in found if each.name == name)
+
+
+# What JSON is made of, and bytes that it may not have.
+PIECES = [*(bytes([each]) for each in b'{}[],:"\\ 1\xff\x00'), b"null", b'"k"']
+
+
+@given(strategies.lists(strategies.sampled_from(PIECES), max_size=20))
+def test_any_content_of_an_item_leaves_the_others(pieces):
+    body = store_responses.decode(_broken_page(b"".join(pieces)))
+    found, _ = stores.decode_items(body["items"])
+    assert _names(found) == ["a", "bad0", "good0"]
+    assert body["storeRevision"] == 9
+    for name in ("a", "good0"):
+        assert _item_of(found, name).value == {"a": [1, 'x,]}"']}
+
+
 JSON_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
