Routers: numbers and mailboxes of peers' messages end no process

Cause: messages were checked for types, not for ranges. An age near 2^63 or one that isn't finite goes into the next heartbeat, which can't be encoded; a text that is no address raises as the main loop opens a connection to it. Change: numbers have ranges in the types of messages, checked as they are decoded; the times that a router sends are bounded to half of that; a mailbox that can't be dialled counts as unreachable.

--- a/pimentoledge/nodes/codecs.py
+++ b/pimentoledge/nodes/codecs.py
@@ -6,10 +6,13 @@
 from pimentoledge import results
 from pimentoledge.decisions import events
 from pimentoledge.nodes import messages
+from pimentoledge.nodes import numbers
 
 _ENCODER = msgspec.msgpack.Encoder()
 # Message number, sender's mailbox, sender's configuration version, body.
-_ENVELOPE_DECODER = msgspec.msgpack.Decoder(tuple[int, str, int, msgspec.Raw])
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(
+    tuple[int, str, numbers.Identifier, msgspec.Raw]
+)
 
 
 class Codec:
--- a/pimentoledge/nodes/mailboxes.py
+++ b/pimentoledge/nodes/mailboxes.py
@@ -188,7 +188,11 @@
         socket.add_post_pipe_connect_cb(lambda _: self.deliver(up))
         socket.add_post_pipe_remove_cb(lambda _: self.deliver(down))
         self.peers[address] = peer
-        socket.dial(address, block=False)
+        try:
+            socket.dial(address, block=False)
+        except pynng.NNGException as error:
+            # The peer is reported as unreachable like one that doesn't answer.
+            logger.warning("{}: no address of a mailbox: {}", address, error)
         return peer
 
     def push(
--- a/pimentoledge/routing/admission/returning_clients.py
+++ b/pimentoledge/routing/admission/returning_clients.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
+
 # How long a refused request is remembered: clients retry within a third of
 # their remaining time.
 KEPT_SECONDS = 10.0
@@ -61,7 +63,7 @@
     def take_report(self, now: float) -> dict[str, int]:
         """Returns newly refused requests with the ms since their arrival."""
         report = {
-            digest: int(1000 * (now - arrived))
+            digest: numbers.milliseconds(now - arrived)
             for digest, arrived in self._unreported.items()
         }
         self._unreported.clear()
--- a/pimentoledge/routing/crash_reports.py
+++ b/pimentoledge/routing/crash_reports.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import clocks
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import peer_messages
@@ -132,7 +132,7 @@
                 peer_messages.CrashRecord(
                     content=subject,
                     incarnation=incarnation,
-                    age=max(0, int((now - crash.when) * 1000)),
+                    age=max(0, numbers.milliseconds(now - crash.when)),
                     released=crash.released,
                     silent=crash.silent,
                     depth=suspect.depth,
@@ -147,8 +147,9 @@
         return [
             peer_messages.SuccessRecord(
                 subject=key,
-                age=math.ceil(
-                    (now - self.suspects.subjects[key].succeeded_at) * 1000
+                age=1
+                + numbers.milliseconds(
+                    now - self.suspects.subjects[key].succeeded_at
                 ),
             )
             for key in keys
@@ -178,7 +179,7 @@
 
     def encode_watched(self, keys: list[str], now: float) -> list[int]:
         """Returns for how long successes have been known, in ms."""
-        return [max(0, int((now - self.suspects.watched_from) * 1000))]
+        return [max(0, numbers.milliseconds(now - self.suspects.watched_from))]
 
     def merge_watched(
         self, ages: list[int], sender: str, sent_at: float
--- a/pimentoledge/routing/holder_heartbeats.py
+++ b/pimentoledge/routing/holder_heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeats of the lease holder, forwarded by all routers."""
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import leases
 from pimentoledge.routing import peer_messages
@@ -77,7 +78,7 @@
     def loading_servers(self, now: float) -> dict[str, int]:
         """Returns the servers that are loading, with ms left."""
         return {
-            name: int((until - now) * 1000)
+            name: numbers.milliseconds(until - now)
             for name, until in self.loading.items()
             if until > now
         }
--- a/pimentoledge/routing/load_reports.py
+++ b/pimentoledge/routing/load_reports.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import backends
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import heartbeat_rings
@@ -193,7 +194,7 @@
                 each.busy,
                 each.queued,
                 each.unread,
-                int((now - each.since) * 1000),
+                numbers.milliseconds(now - each.since),
             )
             for data_centre, each in self.view.remote_means.items()
         }
@@ -217,7 +218,7 @@
                 each.load.running,
                 each.load.waiting,
                 each.load.slots,
-                int((now - each.load_at) * 1000),
+                numbers.milliseconds(now - each.load_at),
             )
             for name, each in servers.items()
             if each.load_first_hand and each.load_at > since
--- a/pimentoledge/routing/peer_messages.py
+++ b/pimentoledge/routing/peer_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import configuration_histories
 from pimentoledge.routing import registrations
 from pimentoledge.routing import stream_versions
@@ -57,28 +58,32 @@
     """
 
     data_centre: str
-    counted: tuple[int, int]
-    wanted: dict[str, tuple[int, int]]
-    known: dict[str, tuple[int, int]]
+    counted: tuple[numbers.Number, numbers.Number]
+    wanted: dict[str, tuple[numbers.Identifier, numbers.Number]]
+    known: dict[str, tuple[numbers.Identifier, numbers.Number]]
     store_reached: bool
-    lease_revision: int
+    lease_revision: numbers.Identifier
     lease_holder: str
-    lease_ms: int
+    lease_ms: numbers.Number
     leaving: bool
-    pulse: tuple[int, int] = (0, 0)
+    pulse: tuple[numbers.Identifier, numbers.Number] = (0, 0)
     holding: bool = False
-    loading: dict[str, int] = attrs.field(factory=dict)
-    watchers: dict[str, int] = attrs.field(factory=dict)
-    named: dict[str, list[tuple[int, int, int]]] = attrs.field(factory=dict)
-    clock: tuple[int, int] = (0, 0)
+    loading: dict[str, numbers.Number] = attrs.field(factory=dict)
+    watchers: dict[str, numbers.Number] = attrs.field(factory=dict)
+    named: dict[str, list[tuple[numbers.Identifier, numbers.Number, int]]] = (
+        attrs.field(factory=dict)
+    )
+    clock: tuple[numbers.Number, numbers.Number] = (0, 0)
     unheard: list[str] = attrs.field(factory=list)
-    eras: dict[str, int] = attrs.field(factory=dict)
-    lease_era: int = 0
-    named_known: dict[str, list[tuple[int, int]]] = attrs.field(factory=dict)
-    records: tuple[int, int] = (0, 0)
-    lease_quiet_ms: int = 0
-    configuration_watchers: dict[str, tuple[int, float]] = attrs.field(
-        factory=dict
+    eras: dict[str, numbers.Identifier] = attrs.field(factory=dict)
+    lease_era: numbers.Identifier = 0
+    named_known: dict[str, list[tuple[numbers.Identifier, numbers.Number]]] = (
+        attrs.field(factory=dict)
+    )
+    records: tuple[numbers.Identifier, numbers.Number] = (0, 0)
+    lease_quiet_ms: numbers.Number = 0
+    configuration_watchers: dict[str, tuple[numbers.Number, numbers.Real]] = (
+        attrs.field(factory=dict)
     )
 
     def known_position(self, kind: str) -> tuple[int, int]:
@@ -107,7 +112,7 @@
 
     kind: str
     listing: registrations.Listing
-    lapse_ms: int = 0
+    lapse_ms: numbers.Number = 0
 
 
 @attrs.define(kw_only=True)
@@ -133,8 +138,8 @@
     """
 
     name: str
-    position: tuple[int, int]
-    known_to: tuple[int, int]
+    position: tuple[numbers.Identifier, numbers.Identifier]
+    known_to: tuple[numbers.Identifier, numbers.Identifier]
     steps: list[configuration_histories.Step]
 
 
@@ -158,11 +163,11 @@
             it is asked for.
     """
 
-    number: int
+    number: numbers.Number
     request: str
     host: str = ""
     services: list[str] = attrs.field(factory=list)
-    seconds: float = 0.0
+    seconds: numbers.Real = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -175,7 +180,7 @@
         alone: the version that alone has served in that time, or None.
     """
 
-    number: int
+    number: numbers.Number
     software: str | None = None
     alone: str | None = None
 
@@ -192,8 +197,8 @@
         era: era of that revision.
     """
 
-    changed_at: int
-    era: int = 0
+    changed_at: numbers.Identifier
+    era: numbers.Identifier = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -210,8 +215,8 @@
         era: era of that revision.
     """
 
-    changed_at: int
-    era: int = 0
+    changed_at: numbers.Identifier
+    era: numbers.Identifier = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -232,9 +237,9 @@
         lapse_ms: ms left in which a removed server may still reappear.
     """
 
-    after: int
+    after: numbers.Identifier
     changes: registrations.Changes
-    lapse_ms: int
+    lapse_ms: numbers.Number
 
 
 @attrs.define(kw_only=True)
@@ -260,7 +265,7 @@
         ages: in ms, by data centre and mailbox.
     """
 
-    ages: dict[str, dict[str, int]]
+    ages: dict[str, dict[str, numbers.Number]]
 
 
 @attrs.define(kw_only=True)
@@ -274,8 +279,8 @@
         clock: as in a heartbeat.
     """
 
-    limits: dict[str, tuple[float, int]]
-    clock: tuple[int, int]
+    limits: dict[str, tuple[numbers.Real, numbers.Number]]
+    clock: tuple[numbers.Number, numbers.Number]
 
 
 @attrs.define(kw_only=True)
@@ -295,7 +300,7 @@
 
     server: str
     namespace: str
-    parts: list[tuple[str, int]]
+    parts: list[tuple[str, numbers.Number]]
     saved_to: str = ""
     read: bool = False
 
@@ -324,16 +329,23 @@
             with the ms since their first arrival.
     """
 
-    has: dict[str, tuple[int, int, int]]
-    said: dict[str, tuple[int, int, int, int]]
+    has: dict[str, tuple[numbers.Number, numbers.Number, numbers.Number]]
+    said: dict[
+        str,
+        tuple[numbers.Number, numbers.Number, numbers.Number, numbers.Number],
+    ]
     prompts: list[PromptReport]
-    means: dict[str, tuple[float, float, int, int]]
-    slowdowns: dict[str, int] = attrs.field(factory=dict)
-    speeds: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
-    shares: list[tuple[str, str, int, int]] = attrs.field(factory=list)
-    memory: dict[str, int] = attrs.field(factory=dict)
-    waiting: dict[str, int] = attrs.field(factory=dict)
-    refused: dict[str, int] = attrs.field(factory=dict)
+    means: dict[
+        str, tuple[numbers.Real, numbers.Real, numbers.Number, numbers.Number]
+    ]
+    slowdowns: dict[str, numbers.Number] = attrs.field(factory=dict)
+    speeds: dict[str, tuple[numbers.Number, ...]] = attrs.field(factory=dict)
+    shares: list[tuple[str, str, numbers.Number, numbers.Number]] = attrs.field(
+        factory=list
+    )
+    memory: dict[str, numbers.Number] = attrs.field(factory=dict)
+    waiting: dict[str, numbers.Number] = attrs.field(factory=dict)
+    refused: dict[str, numbers.Number] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -351,10 +363,10 @@
 
     content: str
     incarnation: str
-    age: int
+    age: numbers.Number
     released: bool = False
     silent: bool = False
-    depth: int = 0
+    depth: numbers.Number = 0
 
 
 @attrs.define(kw_only=True)
@@ -367,7 +379,7 @@
     """
 
     subject: str
-    age: int
+    age: numbers.Number
 
 
 @attrs.define(kw_only=True)
@@ -384,13 +396,13 @@
         watched: ms for which successes have been known, one value at most.
     """
 
-    life: int
-    after: int
-    upto: int
-    clock: tuple[int, int]
+    life: numbers.Identifier
+    after: numbers.Number
+    upto: numbers.Number
+    clock: tuple[numbers.Number, numbers.Number]
     crashes: list[CrashRecord] = attrs.field(factory=list)
     successes: list[SuccessRecord] = attrs.field(factory=list)
-    watched: list[int] = attrs.field(factory=list)
+    watched: list[numbers.Number] = attrs.field(factory=list)
 
 
 @attrs.define(kw_only=True)
@@ -402,8 +414,8 @@
         after: the number.
     """
 
-    life: int
-    after: int
+    life: numbers.Identifier
+    after: numbers.Number
 
 
 NUMBERS: dict[int, type] = {
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -10,6 +10,7 @@
 from pimentoledge.decisions import events
 from pimentoledge.nodes import codecs
 from pimentoledge.nodes import mailboxes
+from pimentoledge.nodes import numbers
 from pimentoledge.platform import stores
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
@@ -292,7 +293,10 @@
             data_centre=self.view.data_centre,
             counted=self.roster.count_report(now),
             wanted={
-                model: (wanted.version, int((now - wanted.since) * 1000))
+                model: (
+                    wanted.version,
+                    numbers.milliseconds(now - wanted.since),
+                )
                 for model, wanted in self.view.wanted.items()
             },
             known=self.replicator.known(now),
@@ -301,8 +305,8 @@
             lease_revision=-1 if lease.revision is None else lease.revision,
             lease_holder=lease.held_by,
             lease_era=lease.era,
-            lease_ms=int((now - lease.learnt_at) * 1000),
-            lease_quiet_ms=round(lease.quiet_seconds * 1000),
+            lease_ms=numbers.milliseconds(now - lease.learnt_at),
+            lease_quiet_ms=numbers.milliseconds(lease.quiet_seconds),
             leaving=self.view.leaving,
             pulse=self.holder_heartbeats.newest,
             holding=self.holder_heartbeats.holding,
@@ -312,7 +316,7 @@
                 model: [
                     (
                         each.version,
-                        int((now - each.since) * 1000),
+                        numbers.milliseconds(now - each.since),
                         int(each.source),
                     )
                     for each in wanted.named
@@ -321,7 +325,7 @@
             },
             named_known={
                 model: [
-                    (each.version, int((now - each.latest()) * 1000))
+                    (each.version, numbers.milliseconds(now - each.latest()))
                     for each in wanted.named
                     if each.latest() <= now
                 ]
--- a/pimentoledge/routing/quotas/messages.py
+++ b/pimentoledge/routing/quotas/messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
+
 
 @attrs.define(kw_only=True)
 class LeaseRights:
@@ -24,14 +26,14 @@
             since the newest that it answered.
     """
 
-    number: int
-    life: int
-    echo_ms: int
-    term_ms: int
-    share: float
-    slots: list[int]
-    fresh: list[int]
-    unanswered: int = 1
+    number: numbers.Number
+    life: numbers.Identifier
+    echo_ms: numbers.Number
+    term_ms: numbers.Number
+    share: numbers.Real
+    slots: list[numbers.Number]
+    fresh: list[numbers.Number]
+    unanswered: numbers.Number = 1
 
 
 @attrs.define(kw_only=True)
@@ -45,8 +47,8 @@
             rights of other routers.
     """
 
-    number: int
-    clock_ms: int
+    number: numbers.Number
+    clock_ms: numbers.Number
     leaving: bool = False
 
 
@@ -65,13 +67,13 @@
         limit_age_ms: age of a server's limit; -1 for an organisation's.
     """
 
-    number: int
+    number: numbers.Number
     organisation: str
-    cost: float
-    version: int
-    per_second: float
-    burst: float
-    limit_age_ms: int = -1
+    cost: numbers.Real
+    version: numbers.Identifier
+    per_second: numbers.Real
+    burst: numbers.Real
+    limit_age_ms: numbers.Number = -1
 
 
 @attrs.define(kw_only=True)
@@ -86,11 +88,11 @@
         share: part of all rights that the owner has.
     """
 
-    number: int
+    number: numbers.Number
     granted: bool
-    wait_ms: int
-    left: float
-    share: float
+    wait_ms: numbers.Number
+    left: numbers.Real
+    share: numbers.Real
 
 
 @attrs.define(kw_only=True)
@@ -104,4 +106,4 @@
     """
 
     organisation: str
-    cost: float
+    cost: numbers.Real
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import transfers
 
 
@@ -87,10 +88,10 @@
     """
 
     name: str
-    revision: int
+    revision: numbers.Identifier
     value: object
     leaving: bool = False
-    era: int = 0
+    era: numbers.Identifier = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -106,7 +107,7 @@
         era: era of the store.
     """
 
-    era: int = 0
+    era: numbers.Identifier = 0
 
 
 @attrs.define(kw_only=True)
@@ -122,9 +123,9 @@
     """
 
     objects: list[Stored]
-    revision: int
+    revision: numbers.Identifier
     unreadable: tuple[str, ...] = ()
-    era: int = 0
+    era: numbers.Identifier = 0
     transfer: transfers.Transfer | None = None
 
     @property
@@ -149,10 +150,10 @@
 
     changed: list[Stored]
     removed: list[Stored]
-    revision: int
+    revision: numbers.Identifier
     unreadable: tuple[str, ...] = ()
-    era: int = 0
-    after: int = 0
+    era: numbers.Identifier = 0
+    after: numbers.Identifier = 0
     transfer: transfers.Transfer | None = None
 
     @property
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configuration_exchanges
@@ -109,7 +110,7 @@
         return {
             name: (
                 each.cache.changed_at,
-                int((now - each.cache.known_at) * 1000),
+                numbers.milliseconds(now - each.cache.known_at),
             )
             for name, each in self.watching.items()
             if each.cache.revision is not None and each.cache.known_at
@@ -223,7 +224,7 @@
     def _lapse_ms(self) -> int:
         """Returns the ms left in which a removed server may still reappear."""
         lapse_seconds = self.updater.lapse_ends() - clocks.now()
-        return max(0, int(lapse_seconds * 1000))
+        return max(0, numbers.milliseconds(lapse_seconds))
 
     def _merge_lapse(self, lapse_ms: int) -> None:
         """Merges the time for which a peer waits for removed servers."""
--- a/pimentoledge/routing/rosters.py
+++ b/pimentoledge/routing/rosters.py
@@ -5,6 +5,7 @@
 import attrs
 import xxhash
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import delays
 from pimentoledge.routing import heartbeat_rings
 from pimentoledge.routing import peer_messages
@@ -111,7 +112,7 @@
         for address in chosen:
             peer = members[address]
             ages = by_data_centre.setdefault(peer.data_centre, {})
-            ages[address] = int((now - peer.alive_at) * 1000)
+            ages[address] = numbers.milliseconds(now - peer.alive_at)
         return by_data_centre
 
     def merge_ages(self, ages: dict[str, dict[str, int]], now: float) -> None:
@@ -135,7 +136,7 @@
         most, when = self.counted
         if own >= most or now - when > COUNT_SECONDS:
             return own, 0
-        return most, int((now - when) * 1000)
+        return most, numbers.milliseconds(now - when)
 
     def merge_count(self, count: int, age: int, now: float) -> None:
         """Merges a peer's count of routers.
--- a/pimentoledge/routing/server_limits.py
+++ b/pimentoledge/routing/server_limits.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import delays
 
 # Encodes "no limit" in messages between routers.
@@ -121,7 +122,7 @@
                 )
                 encoded[server] = (
                     number,
-                    int((now - limit.received_at) * 1000),
+                    numbers.milliseconds(now - limit.received_at),
                 )
         return encoded
 
--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
@@ -85,7 +86,9 @@
             seconds: for how long the stream may be resumed.
         """
         began = stream_versions.Began(
-            request=request, software=software, left_ms=int(1000 * seconds)
+            request=request,
+            software=software,
+            left_ms=numbers.milliseconds(seconds),
         )
         self.records.put(began, clocks.now())
         if not self._unsent:
--- a/pimentoledge/routing/stream_versions.py
+++ b/pimentoledge/routing/stream_versions.py
@@ -9,6 +9,8 @@
 import attrs
 import xxhash
 
+from pimentoledge.nodes import numbers
+
 # Records that a router keeps, of some 200 bytes each.
 MAX_RECORDS = 20000
 # Routers that keep a record beside the one that the stream began at.
@@ -27,7 +29,7 @@
 
     request: str
     software: str
-    left_ms: int
+    left_ms: numbers.Number
 
 
 class StreamRecords:
@@ -62,7 +64,7 @@
             Began(
                 request=request,
                 software=software,
-                left_ms=int(1000 * (until - now)),
+                left_ms=numbers.milliseconds(until - now),
             )
             for request, (software, until) in self._records.items()
             if until > now
--- a/pimentoledge/routing/watch_shares.py
+++ b/pimentoledge/routing/watch_shares.py
@@ -5,6 +5,7 @@
 there. A router that knows of too few watchers watches for itself.
 """
 
+from pimentoledge.nodes import numbers
 from pimentoledge.routing import heartbeat_rings
 
 # Number of watchers per data centre. If one misses a change or dies before it
@@ -77,7 +78,7 @@
     def watcher_ages(self, now: float) -> dict[str, int]:
         """Returns the first watchers by rank, with their ages in ms."""
         return {
-            each: int((now - self.seen[each]) * 1000)
+            each: numbers.milliseconds(now - self.seen[each])
             for each in self._fresh(now)[:WATCHERS]
         }
 
