Routers: an error in one object or message costs no other

Cause: a copy is merged first and then applied object by object. An error in one left the rest of the response unapplied; the listing that followed found them merged already and applied none. An error in a message was logged by the event loop to standard error only. What ends the main loop, a thread or a supervised task ends the process as before (test_router_failures, whose start of a process is shared now; what it asserts is unchanged).

--- a/pimentoledge/routing/log_lines.py
+++ b/pimentoledge/routing/log_lines.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import traceback
 
 import attrs
 import logbook
@@ -14,6 +15,8 @@
 # 200 bytes a second cost about half a percent of a core.
 LINES_PER_SECOND = 100
 CHANNEL = "decisions"
+# Length of an error in a line; its end names the cause.
+MAX_ERROR_CHARACTERS = 2000
 
 logger = logbook.Logger(CHANNEL)
 
@@ -110,3 +113,12 @@
             return
         window.written += 1
         logger.info(message, extra={"fields": fields})
+
+    def write_defect(self, **fields: object) -> None:
+        """Logs the error being handled; the process goes on.
+
+        Args:
+            **fields: what the error was met in.
+        """
+        error = traceback.format_exc()[-MAX_ERROR_CHARACTERS:]
+        self.write("defect", error=error, **fields)
--- a/pimentoledge/routing/object_caches.py
+++ b/pimentoledge/routing/object_caches.py
@@ -3,12 +3,15 @@
 from collections.abc import Callable
 
 import attrs
+import logbook
 
 from pimentoledge.routing import clocks
 from pimentoledge.routing import object_merges
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
 
+logger = logbook.Logger("object caches")
+
 
 @attrs.define(kw_only=True)
 class ObjectCache:
@@ -161,12 +164,22 @@
             return False
         # Of equal positions, a peer may have kept newer content at one.
         if cached.position <= found.position:
-            kept = self.merge(cached, found)
+            kept = self._merged(cached, found)
         else:
-            kept = self.merge(found, cached)
+            kept = self._merged(found, cached)
         self.objects[found.name] = kept
         return (kept.value, kept.leaving) != (cached.value, cached.leaving)
 
+    def _merged(
+        self, earlier: registrations.Stored, later: registrations.Stored
+    ) -> registrations.Stored:
+        """Returns the content to keep; the later one if there is an error."""
+        try:
+            return self.merge(earlier, later)
+        except Exception:
+            logger.exception("{} {} can't be merged", self.kind, later.name)
+            return later
+
     def _is_removal_current(self, gone: registrations.Stored) -> bool:
         """Returns whether a removal applies to the cached object.
 
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -347,7 +347,16 @@
         )
 
     def handle(self, event: object) -> None:
-        """Handles an event of the mailbox; runs on the event loop."""
+        """Handles an event of the mailbox; runs on the event loop.
+
+        An error in one message costs no other.
+        """
+        try:
+            self._dispatch(event)
+        except Exception:
+            self.lines.write_defect(event=_describe(event))
+
+    def _dispatch(self, event: object) -> None:
         match event:
             case events.FromNode(
                 message=peer_messages.Heartbeat() as heartbeat
@@ -604,3 +613,12 @@
     def address(self) -> str:
         """This router's mailbox."""
         return self._mailbox.address
+
+
+def _describe(event: object) -> str:
+    """Returns the kind of an event, and who sent it."""
+    match event:
+        case events.FromNode(sender=sender, message=message):
+            return f"{type(message).__name__} from {sender}"
+        case _:
+            return type(event).__name__
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -1,6 +1,8 @@
 """Applies changed objects of the store to the cluster view."""
 
 import collections
+from collections.abc import Iterator
+import contextlib
 
 import logbook
 
@@ -90,7 +92,16 @@
         """Applies the configuration, if it is newer."""
         for each in changed:
             if each.name == names.CONFIGURATION_NAME:
-                self._apply_newer_configuration(each)
+                with self._contained(each.name):
+                    self._apply_newer_configuration(each)
+
+    @contextlib.contextmanager
+    def _contained(self, name: str) -> Iterator[None]:
+        """Logs an error in the handling of one object; the others go on."""
+        try:
+            yield
+        except Exception:
+            self.lines.write_defect(object=name)
 
     def _decode(self, decode, each: registrations.Stored):
         """Returns a decoded object, or None if it can't be decoded.
@@ -105,6 +116,9 @@
                 "unreadable", object=each.name, why=repr(error)[:200]
             )
             return None
+        except Exception:
+            self.lines.write_defect(object=each.name)
+            return None
 
     def _apply_newer_configuration(self, each: registrations.Stored) -> None:
         version = self._decode(objects.configuration_version, each)
@@ -181,17 +195,26 @@
         since, source = self._named_at()
         self._weights_listed = True
         for each in changed:
-            named = self._decode(objects.decode_named_weights, each)
-            if named is None:
-                continue
-            is_bound = source is wanted_weights.Source.NOT_BEFORE
-            known = self._named_since(named.model, named.version)
-            if is_bound and known is not None:
-                # The copy was older than what other routers have reported.
-                continue
-            self.set_wanted_version(
-                named.model, named.version, since, "store", source=source
-            )
+            with self._contained(each.name):
+                self._apply_named_weights(each, since, source)
+
+    def _apply_named_weights(
+        self,
+        each: registrations.Stored,
+        since: float,
+        source: wanted_weights.Source,
+    ) -> None:
+        named = self._decode(objects.decode_named_weights, each)
+        if named is None:
+            return
+        is_bound = source is wanted_weights.Source.NOT_BEFORE
+        known = self._named_since(named.model, named.version)
+        if is_bound and known is not None:
+            # The copy was older than what other routers have reported.
+            return
+        self.set_wanted_version(
+            named.model, named.version, since, "store", source=source
+        )
 
     def merge_peer_weights(
         self,
@@ -336,33 +359,42 @@
     ) -> None:
         """Applies changed and removed registrations of backend servers."""
         for each in changed:
-            registration = self._decode(objects.decode_registration, each)
-            if registration is None:
-                # An unreadable entry may say that the server is leaving.
-                if each.name in self.view.servers.by_server:
-                    self._remove_server(each.name)
-                continue
-            self.lapsed.pop(each.name, None)
-            if not self._is_declared(registration):
-                self._hold_undeclared(registration)
-                continue
-            self.undeclared.pop(each.name, None)
-            if self._was_removed(registration):
-                self._withhold(registration)
-                continue
-            self.withheld.pop(each.name, None)
-            self._put_server(registration)
+            with self._contained(each.name):
+                self._apply_entry(each)
         ends = self.lapse_ends()
         for name in removed:
-            if self.undeclared.pop(name, None) is not None:
-                continue
-            if self.withheld.pop(name, None) is not None:
-                self.lines.write("server_gone", server=name)
-            elif clocks.now() < ends:
-                self.lapsed[name] = ends
-                self.lines.write("server_lapsed", server=name)
-            else:
-                self._remove_server(name)
+            with self._contained(name):
+                self._apply_removal(name, ends)
+
+    def _apply_entry(self, each: registrations.Stored) -> None:
+        registration = self._decode(objects.decode_registration, each)
+        self.lapsed.pop(each.name, None)
+        if registration is None:
+            # An unreadable entry may say that the server is leaving.
+            if each.name in self.view.servers.by_server:
+                self._remove_server(each.name)
+            return
+        if not self._is_declared(registration):
+            self._hold_undeclared(registration)
+            return
+        self.undeclared.pop(each.name, None)
+        if self._was_removed(registration):
+            self._withhold(registration)
+            return
+        self.withheld.pop(each.name, None)
+        self._put_server(registration)
+
+    def _apply_removal(self, name: str, ends: float) -> None:
+        """Applies the removal of an entry that may be written until `ends`."""
+        if self.undeclared.pop(name, None) is not None:
+            return
+        if self.withheld.pop(name, None) is not None:
+            self.lines.write("server_gone", server=name)
+        elif clocks.now() < ends:
+            self.lapsed[name] = ends
+            self.lines.write("server_lapsed", server=name)
+        else:
+            self._remove_server(name)
 
     def _hold_undeclared(
         self, registration: registrations.Registration
--- a/pimentoledge/tests/test_router_failures.py
+++ b/pimentoledge/tests/test_router_failures.py
@@ -1,15 +1,12 @@
 """Processes of which a task or a thread ends unexpectedly."""
 
-import os
-import subprocess
-import sys
-import threading
 import time
 
 import pytest
 
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.routing import daemons
+from pimentoledge.tests import planted_processes
 
 # Lets a method fail in a process that has run for a moment.
 PROGRAM = """
@@ -57,34 +54,19 @@
     owner, method, replacement = case
     platform = stand_in_platforms.StandInPlatform()
     platform.start(plain=1, runners=1)
-    path = tmp_path / "router.toml"
-    path.write_text(
-        f'name = "r"\nstore-address = "{platform.store.address}"\n'
-        'listen = "127.0.0.1:0"\nready-listen = "127.0.0.1:0"\n'
-        'metrics-listen = "127.0.0.1:0"\npeer-listen = "127.0.0.1:0"\n'
-    )
     program = PROGRAM.format(
         owner=owner, method=method, replacement=replacement
     )
-    process = subprocess.Popen(
-        [sys.executable, "-c", program],
-        env={**os.environ, daemons.CONFIG_VARIABLE: str(path)},
-        stdout=subprocess.PIPE,
-    )
-    guard = threading.Timer(30.0, process.kill)
-    guard.start()
     try:
-        while b"failing" not in process.stdout.readline():
-            assert process.poll() is None
-        failed_at = time.monotonic()
-        process.wait(timeout=5)
-        took = time.monotonic() - failed_at
-        output = process.stdout.read()
+        with planted_processes.start(
+            program, platform.store.address, tmp_path
+        ) as process:
+            planted_processes.read_until(process, b"failing")
+            failed_at = time.monotonic()
+            process.wait(timeout=5)
+            took = time.monotonic() - failed_at
+            output = process.stdout.read()
     finally:
-        guard.cancel()
-        process.kill()
-        process.wait()
-        process.stdout.close()
         platform.close()
     assert process.returncode == daemons.FAILURE_EXIT
     assert b"unexpected error; the process ends" in output
