Routers: an entry kept aside that becomes unreadable names no server

Callers would see: requests at an address that an entry no longer gives, once a configuration names its service. Cause: an entry of an undeclared service is kept aside; when its content became unreadable, or that of one withheld after a restore, the former content stayed. Change: an unreadable entry is dropped wherever it is kept.

--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -371,6 +371,8 @@
         self.lapsed.pop(each.name, None)
         if registration is None:
             # An unreadable entry may say that the server is leaving.
+            self.undeclared.pop(each.name, None)
+            self.withheld.pop(each.name, None)
             if each.name in self.view.servers.by_server:
                 self._remove_server(each.name)
             return
--- a/pimentoledge/tests/test_router_weights.py
+++ b/pimentoledge/tests/test_router_weights.py
@@ -706,6 +706,24 @@
     assert ("x1" in view.servers.by_server) == (version == 7)
 
 
+def test_an_entry_kept_aside_that_becomes_unreadable_names_no_server():
+    """Guards against a server of a former entry that a configuration names."""
+    view = cluster_views.ClusterView(
+        name="x", data_centre="a", started_at=clocks.now()
+    )
+    updater = view_updaters.ViewUpdater(
+        view=view, lines=log_lines.Lines(counters=counters.Counters())
+    )
+    updater.apply_configuration([_configuration("runners")], [])
+    updater.apply_servers([_runner("x1", "other", 7)], [])
+    unreadable = registrations.Stored(name="x1", revision=8, value=None)
+    updater.apply_servers([unreadable], [])
+    updater.apply_configuration(
+        [_configuration("runners", "other", version=2)], []
+    )
+    assert not view.servers.by_server
+
+
 def test_a_first_version_ever_named_is_shown_by_a_runner_too():
     """Guards against older weights used before any announcement.
 
