Routers: a watch that can't be read is followed by a listing; views name their state

Callers would see: requests at servers that had left, for as long as the store keeps a change that makes each watch unreadable, also once the object is gone. Operators saw one line store_lost, as if the store were silent. Cause: an unreadable answer was taken for a missing one and asked for again from the same revision. Evidence: a stand-in whose watches are unreadable as long as they have one object's change: the server registered after it is never used (the test times out on the code before). Change: an unreadable answer is told from a missing one; the kind is listed anew. The line store_unreadable, gauges by kind (store_reached, store_readable, unreadable_objects) and the body of readiness probes say which it is. Readiness itself stays: to take out routers that serve by what they know would take out all.

--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -102,6 +102,7 @@
                 reason=str(error),
                 maybe_done=writes and error.sent,
                 overdue=error.overdue,
+                unreadable=error.unreadable,
             )
         if reply.status in (429, 503):
             return registrations.Unavailable(
@@ -111,7 +112,7 @@
             era = _decode_era(reply)
         except ValueError as error:
             return registrations.Unavailable(
-                reason=f"unreadable era: {error}", maybe_done=writes
+                reason=f"era: {error}", maybe_done=writes, unreadable=True
             )
         self.era = max(self.era, era)
         return _Answer(
@@ -342,4 +343,5 @@
     return registrations.Unavailable(
         reason=f"status {reply.status}: {str(reply.body)[:200]}",
         maybe_done=False,
+        unreadable=reply.status == 200,
     )
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -41,12 +41,21 @@
     Attributes:
         sent: whether the request may have arrived.
         overdue: whether the call timed out.
+        unreadable: whether a complete response can't be decoded.
     """
 
-    def __init__(self, reason: str, *, sent: bool, overdue: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        *,
+        sent: bool,
+        overdue: bool = False,
+        unreadable: bool = False,
+    ):
         super().__init__(reason)
         self.sent = sent
         self.overdue = overdue
+        self.unreadable = unreadable
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -206,7 +215,7 @@
     try:
         body = decode(data) if data else None
     except json_documents.UnreadableError as error:
-        raise CallError(f"unreadable response: {error}", sent=True) from error
+        raise CallError(str(error), sent=True, unreadable=True) from error
     return Reply(
         status=head.status,
         body=body,
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -47,6 +47,7 @@
     Attributes:
         limits: returns the limits on clients' requests.
         ready: returns whether the load balancer should send clients here.
+        state_page: returns the body of answers to readiness probes, as JSON.
         begin: creates the exchange that serves a request.
         leaving: returns whether the router drains and closes connections.
         open_connections: all open connections; contains this one while open.
@@ -65,6 +66,7 @@
         *,
         limits: Callable[[], configurations.ClientLimits],
         ready: Callable[[], bool],
+        state_page: Callable[[], bytes] = lambda: b"",
         begin: Callable[..., exchanges.Exchange],
         leaving: Callable[[], bool],
         open_connections: set,
@@ -74,6 +76,7 @@
     ):
         self.limits = limits
         self.ready = ready
+        self.state_page = state_page
         self.begin = begin
         self.leaving = leaving
         self.open_connections = open_connections
@@ -250,7 +253,9 @@
         if requests.is_readiness_probe(head):
             status = 200 if self.ready() else 503
             self.send(
-                requests.encode_router_response(status=status, request="")
+                requests.encode_router_response(
+                    status=status, request="", body=self.state_page()
+                )
             )
             self.finished()
             return
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -8,6 +8,7 @@
 import sys
 
 import logbook
+import msgspec
 from returns import result
 
 from pimentoledge import results
@@ -46,6 +47,7 @@
 from pimentoledge.routing import server_notices
 from pimentoledge.routing import server_permits
 from pimentoledge.routing import slow_readers
+from pimentoledge.routing import store_states
 from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import view_updaters
 from pimentoledge.routing import watchers
@@ -327,6 +329,40 @@
     def _on_death(self, incarnation: str) -> None:
         self.peers.server_died(incarnation)
 
+    def _state_page(self) -> bytes:
+        """Returns what readiness probes get: what the router knows, and why."""
+        configuration = self.view.configuration
+        return msgspec.json.encode(
+            {
+                "ready": self.view.ready(),
+                "leaving": self.view.leaving,
+                "configuration_version": configuration.version
+                if configuration
+                else None,
+                "store": {
+                    name: each.state() for name, each in self.kinds.items()
+                },
+                "unreadable_objects": {
+                    name: len(found)
+                    for name, found in self.updater.unreadable.items()
+                },
+            }
+        )
+
+    def _store_gauges(self) -> dict[str, float]:
+        """Returns whether the store is reached and read, by kind of objects."""
+        gauges = {}
+        for name, each in self.kinds.items():
+            state = each.state()
+            unreached = state is store_states.StoreState.UNREACHED
+            unreadable = state is store_states.StoreState.UNREADABLE
+            gauges[f"{name}_store_reached"] = not unreached
+            gauges[f"{name}_store_readable"] = not (unreached or unreadable)
+            gauges[f"{name}_unreadable_objects"] = len(
+                self.updater.unreadable[name]
+            )
+        return gauges
+
     def _page(self) -> bytes:
         configuration = self.view.configuration
         now = clocks.now()
@@ -352,6 +388,7 @@
                 "request_body_bytes_peak": self.bodies.peak,
                 "request_body_bytes_bound": self.bodies.bound,
             }
+            | self._store_gauges()
             | speed_metrics.gauges(self.view, now)
             | self.admission.gauges(now)
         )
@@ -397,6 +434,7 @@
         return client_connections.ClientConnection(
             limits=self._limits,
             ready=self.view.ready,
+            state_page=self._state_page,
             begin=self._new_exchange,
             leaving=lambda: self.view.leaving,
             open_connections=self.connections,
--- a/pimentoledge/routing/registrations.py
+++ b/pimentoledge/routing/registrations.py
@@ -181,11 +181,13 @@
         reason: the error.
         maybe_done: whether a write may have been applied, or may yet be.
         overdue: whether the call timed out.
+        unreadable: whether there was a response that can't be read.
     """
 
     reason: str
     maybe_done: bool
     overdue: bool = False
+    unreadable: bool = False
 
 
 # Result of a watch.
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -29,6 +29,8 @@
 RESTORED_ENTRY_SECONDS = 4.5
 # Least change of a naming's time that is logged.
 MOVED_SECONDS = 0.1
+# The kinds of objects, as watchers name them.
+CONFIGURATION, SERVERS, WEIGHTS = "configuration", "servers", "weights"
 # Removed incarnations that are remembered.
 MAX_REMOVED = 1000
 
@@ -54,6 +56,7 @@
             contains again, with the time at which they are used.
         undeclared: registrations of services that no configuration has named,
             by server. Another writer may have stored them.
+        unreadable: names of the objects that can't be read, by kind.
         history: the newest contents of the configuration.
     """
 
@@ -78,6 +81,9 @@
         self.lapsed: dict[str, float] = {}
         self.withheld: dict[str, tuple[registrations.Registration, float]] = {}
         self.undeclared: dict[str, registrations.Registration] = {}
+        self.unreadable: dict[str, set[str]] = {
+            kind: set() for kind in (CONFIGURATION, SERVERS, WEIGHTS)
+        }
         self.history = configuration_histories.ConfigurationHistory()
         self._services: set[str] = set()
         self._routes = objects.RouteMemory()
@@ -103,14 +109,15 @@
         except Exception:
             self.lines.write_defect(object=name)
 
-    def _decode(self, decode, each: registrations.Stored):
+    def _decode(self, kind: str, decode, each: registrations.Stored):
         """Returns a decoded object, or None if it can't be decoded.
 
         An invalid object must not prevent the use of others of its kind, so
         it is logged and skipped.
         """
+        self.unreadable[kind].add(each.name)
         try:
-            return decode(each)
+            decoded = decode(each)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self.lines.write(
                 "unreadable", object=each.name, why=repr(error)[:200]
@@ -119,9 +126,13 @@
         except Exception:
             self.lines.write_defect(object=each.name)
             return None
+        self.unreadable[kind].discard(each.name)
+        return decoded
 
     def _apply_newer_configuration(self, each: registrations.Stored) -> None:
-        version = self._decode(objects.configuration_version, each)
+        version = self._decode(
+            CONFIGURATION, objects.configuration_version, each
+        )
         current = self.view.configuration
         if version is None or (
             current is not None and current.version >= version
@@ -130,7 +141,7 @@
         began = clocks.now()
         update = self.history.prepare(each.value)
         each.value = update.content
-        received = self._decode(self._decode_configuration, each)
+        received = self._decode(CONFIGURATION, self._decode_configuration, each)
         if received is None:
             self.view.unreadable_version = version
             return
@@ -204,7 +215,7 @@
         since: float,
         source: wanted_weights.Source,
     ) -> None:
-        named = self._decode(objects.decode_named_weights, each)
+        named = self._decode(WEIGHTS, objects.decode_named_weights, each)
         if named is None:
             return
         is_bound = source is wanted_weights.Source.NOT_BEFORE
@@ -367,7 +378,7 @@
                 self._apply_removal(name, ends)
 
     def _apply_entry(self, each: registrations.Stored) -> None:
-        registration = self._decode(objects.decode_registration, each)
+        registration = self._decode(SERVERS, objects.decode_registration, each)
         self.lapsed.pop(each.name, None)
         if registration is None:
             # An unreadable entry may say that the server is leaving.
@@ -388,6 +399,7 @@
 
     def _apply_removal(self, name: str, ends: float) -> None:
         """Applies the removal of an entry that may be written until `ends`."""
+        self.unreadable[SERVERS].discard(name)
         if self.undeclared.pop(name, None) is not None:
             return
         if self.withheld.pop(name, None) is not None:
--- a/pimentoledge/routing/watchers.py
+++ b/pimentoledge/routing/watchers.py
@@ -14,6 +14,7 @@
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import object_caches
 from pimentoledge.routing import registrations
+from pimentoledge.routing import store_states
 from pimentoledge.routing import supervised_tasks
 from pimentoledge.routing import unanswered_calls
 
@@ -89,7 +90,8 @@
             has a cost.
         leaves_watch: whether an open watch is given up once peers watch the
             store for this router, for kinds whose changes are large.
-        reached: whether the store answered the last call.
+        reached: whether the store gave a readable answer to the last call.
+        unreadable: whether its answer to the last call can't be read.
         watching: whether a watch of its own is open or was just answered.
         complete_at: send time of the newest call whose response had all changes
             and was applied, in seconds of clocks.now.
@@ -125,6 +127,7 @@
         self.arrived = arrived
         self.leaves_watch = False
         self.reached = True
+        self.unreadable = False
         self.watching = False
         self.complete_at = 0.0
         self._poll_requested = asyncio.Event()
@@ -161,6 +164,16 @@
             self.cache.kind, now, RECEIVING_SHARE * self.bound_seconds()
         )
 
+    def state(self) -> store_states.StoreState:
+        """Returns what the last call showed of the store."""
+        if self.unreadable:
+            return store_states.StoreState.UNREADABLE
+        if not self.reached:
+            return store_states.StoreState.UNREACHED
+        if self.cache.revision is None:
+            return store_states.StoreState.UNKNOWN
+        return store_states.StoreState.CURRENT
+
     def lapse_ends(self) -> float:
         """Returns until when a missing entry may have lapsed in an outage.
 
@@ -454,12 +467,19 @@
 
     def _record_failure(self, unavailable: registrations.Unavailable) -> None:
         """Records that a call failed."""
-        if self.reached:
+        if self.reached or self.unreadable != unavailable.unreadable:
             self.lines.write(
-                "store_lost", kind=self.cache.kind, why=unavailable.reason
+                "store_unreadable" if unavailable.unreadable else "store_lost",
+                kind=self.cache.kind,
+                why=unavailable.reason,
             )
-        self._record_missing_answer()
+        if unavailable.unreadable:
+            # The changes that can't be read may no longer be in a listing.
+            self._relist = True
+        else:
+            self._record_missing_answer()
         self.reached = False
+        self.unreadable = unavailable.unreadable
         self.watching = False
 
     def _record_missing_answer(self) -> None:
@@ -473,6 +493,7 @@
         if not self.reached:
             self.lines.write("store_back", kind=self.cache.kind)
             self.reached = True
+            self.unreadable = False
         if self._missing_since is not None:
             if now - self._missing_since >= MIN_LAPSE_OUTAGE_SECONDS:
                 self.recovered_at = now
