Configuration: a router that starts beside an unreadable one gets what is in force

Cause: three steps each left it without. Its peers looked for the object of what is in force in their copies, which hold the unreadable one, and didn't answer; what a peer sent is at an earlier position than the unreadable object in its copy, and was merged away; and beside one with a readable version it asked for nothing older. Evidence: two routers in a test, three kinds of unreadable content: 3 of 3 time out on the code before. Change: a router keeps the object of what is in force, apart from its copy; what a peer sends is applied if the copy can't be; a router without any configuration asks for whatever a peer has. Result: 3 of 3 pass; the second router serves, and both take the next readable version.

--- a/pimentoledge/routing/configuration_exchanges.py
+++ b/pimentoledge/routing/configuration_exchanges.py
@@ -9,12 +9,14 @@
 from pimentoledge.routing import peer_messages
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
+from pimentoledge.routing import view_updaters
 
 
 class ConfigurationExchange:
     """Requests, sends and receives differences between configurations.
 
     Attributes:
+        updater: applies received contents to the view.
         history: the newest contents of the configuration.
         cache: this router's copy of the object, or None.
         lines: log for what is received.
@@ -24,12 +26,13 @@
     def __init__(
         self,
         *,
-        history: configuration_histories.ConfigurationHistory,
         cache: object_caches.ObjectCache | None,
+        updater: view_updaters.ViewUpdater,
         lines: log_lines.Lines,
         send: Callable[[str, object], None],
     ):
-        self.history = history
+        self.updater = updater
+        self.history = updater.history
         self.cache = cache
         self.lines = lines
         self.send = send
@@ -68,7 +71,7 @@
         """Returns the object whose content is in force, or None.
 
         The copy may hold a newer one that can't be decoded, or an equal one of
-        a restored store.
+        a restored store at a later position.
         """
         content = self.history.content
         if self.cache is None or content is None:
@@ -76,7 +79,7 @@
         for each in self.cache.objects.values():
             if each.value is content or each.value == content:
                 return each
-        return None
+        return self.updater.in_force
 
     def receive(
         self, sender: str, update: peer_messages.ConfigurationUpdate
@@ -99,16 +102,15 @@
         era, revision = update.position
         known_era, known_revision = update.known_to
         size = sum(len(each.data) for each in update.steps)
+        stored = registrations.Stored(
+            name=update.name,
+            revision=revision,
+            value=received.content,
+            era=era,
+        )
         self.cache.apply(
             registrations.Listing(
-                objects=[
-                    registrations.Stored(
-                        name=update.name,
-                        revision=revision,
-                        value=received.content,
-                        era=era,
-                    )
-                ],
+                objects=[stored],
                 revision=known_revision,
                 era=known_era,
                 transfer=transfers.Transfer(
@@ -121,3 +123,6 @@
                 ),
             )
         )
+        if received.digest != self.history.digest:
+            # The copy keeps a later content, which may be unreadable.
+            self.updater.apply_configuration([stored], [])
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -82,7 +82,7 @@
             own=roster.own, bandwidth=bandwidth
         )
         self.configurations = configuration_exchanges.ConfigurationExchange(
-            history=updater.history,
+            updater=updater,
             cache=self._cache("configuration"),
             lines=lines,
             send=lambda address, message: self.send(address, message),
@@ -303,11 +303,11 @@
 
     def _lacks_configuration(self, peer: rosters.Peer) -> bool:
         configuration = self.view.configuration
-        known = max(
-            configuration.version if configuration else 0,
-            self.view.unreadable_version,
+        if configuration is None:
+            return peer.configuration > 0
+        return peer.configuration > max(
+            configuration.version, self.view.unreadable_version
         )
-        return peer.configuration > known
 
     def update_behind(self, now: float) -> None:
         """Records since when a router in reach has a newer configuration."""
--- a/pimentoledge/routing/view_updaters.py
+++ b/pimentoledge/routing/view_updaters.py
@@ -58,6 +58,7 @@
             by server. Another writer may have stored them.
         unreadable: names of the objects that can't be read, by kind.
         history: the newest contents of the configuration.
+        in_force: the object with the configuration in force, or None.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
             kind: set() for kind in (CONFIGURATION, SERVERS, WEIGHTS)
         }
         self.history = configuration_histories.ConfigurationHistory()
+        self.in_force: registrations.Stored | None = None
         self._services: set[str] = set()
         self._routes = objects.RouteMemory()
         self._removed: collections.OrderedDict[str, None] = (
@@ -146,6 +148,7 @@
             self.view.unreadable_version = version
             return
         self.history.commit(update)
+        self.in_force = each
         self.view.configuration = received
         self.view.configured = clocks.now()
         self.view.servers.versions.configure(received, self.view.configured)
--- a/pimentoledge/tests/test_router_stale_configurations.py
+++ b/pimentoledge/tests/test_router_stale_configurations.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from pimentoledge import results
 from pimentoledge.routing import clocks
 from pimentoledge.routing import stale_configurations
@@ -100,3 +102,32 @@
     for seconds in (0.0, 100.0):
         assert may_act(results.Code.SHUTTING_DOWN, 10.0 - seconds)
         assert may_act(results.Code.CONFIGURATION_INCOMPLETE, 10.0 - seconds)
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [[], {"routes": []}, {"version": 8, "routes": [{}]}],
+    ids=["no object", "no version", "bad route"],
+)
+def test_a_router_that_starts_beside_an_unreadable_configuration(spec):
+    """Guards against a starting router that serves nothing beside others."""
+
+    @with_world()
+    async def run(world):
+        [first] = world.routers
+        before = first.view.configuration.version
+        world.store.put("config", "main", spec)
+        await world.until(lambda: first.updater.unreadable["configuration"])
+        port = router_world.free_port()
+        seeds = [port, first.chosen.text("peer-listen").rpartition(":")[2]]
+        late = await world.add_router("late", port, seeds)
+        await world.until(late.view.ready)
+        assert late.view.configuration.version == before
+        assert (await world.request("/cards/", 1, body=b"c")).status == 200
+        world.store.put("config", "main", router_world.configuration(version=9))
+        for router in world.routers:
+            await world.until(
+                lambda router=router: router.view.configuration.version == 9
+            )
+
+    run()
