Lease: a time without orders that another writer stored ends

Cause: the time was taken as it is read, from the store or a peer. Evidence: the new test fails on the code before; no run of processes showed it. Change: the time counts up to four times the longest that a successor waits.

--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -21,6 +21,9 @@
 RENEW_SECONDS = 0.8
 # No order is sent in the last part of the term, as it takes time to arrive.
 ORDER_MARGIN_SECONDS = 0.25
+# Longest time without orders that a holder may have written, as a multiple of
+# the longest that a successor waits: settings of routers may differ for a time.
+MAX_QUIET_WAITS = 4
 # Fencing tokens consist of an era and, in this many bits, a revision.
 REVISION_BITS = 32
 
@@ -123,7 +126,9 @@
         self.held_by = _holder(stored)
         self.written_in_era = written_in_era
         self.learnt_at = now
-        self.quiet_seconds = _quiet_seconds(stored)
+        self.quiet_seconds = min(
+            _quiet_seconds(stored), MAX_QUIET_WAITS * self._longest_wait()
+        )
         if self.held_by != self.holder:
             self.term_ends = 0.0
 
@@ -183,6 +188,10 @@
         self.quiet_seconds = quiet_seconds
         self.term_ends = sent + TERM_SECONDS
 
+    def _longest_wait(self) -> float:
+        """Returns how long a successor waits after a former holder's write."""
+        return TERM_SECONDS + self.lease_seconds
+
     def _former_quiet(self, sent: float) -> float:
         """Returns until when orders may be too close to a former holder's.
 
@@ -192,7 +201,7 @@
         those before it are as far away as it had to wait itself. A holder whose
         writes were lost sent its last one before the new era became known.
         """
-        wait = TERM_SECONDS + self.lease_seconds
+        wait = self._longest_wait()
         quiet = self.learnt_at + self.quiet_seconds
         if self.held_by not in ("", self.holder):
             may_have_ordered = (
--- a/pimentoledge/tests/test_leases.py
+++ b/pimentoledge/tests/test_leases.py
@@ -252,3 +252,12 @@
     mine.record_write(in_era(1, 90, "a"), 60.0)
     assert not mine.holds(60.1)
     assert mine.step(60.1) is leases.Step.READ
+
+
+def test_a_quiet_time_of_another_writer_ends():
+    """Guards against orders that nobody gives any more."""
+    mine = lease("a")
+    mine.learn(quiet(8, "b", 2**62), 10.0)
+    most = leases.MAX_QUIET_WAITS * (leases.TERM_SECONDS + LEASE_SECONDS)
+    mine.record_write(stored(9, "a"), 10.0 + most)
+    assert mine.may_order(10.0 + most)
