Soak: servers may be closed twice, contents that break responses, logs of failures

Cause: two threads closed one HTTP server of the fakes. Change: the second one waits and returns. Foreign entries have five more contents, four of which break the grammar of the responses that hold them; the stand-in of the store sends contents as they are.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -78,6 +78,7 @@
         self.threads = threads
         self.http = None
         self.thread = None
+        self._closing = threading.Lock()
 
     @property
     def url(self) -> str:
@@ -102,13 +103,17 @@
         self.thread.start()
 
     def close(self) -> None:
-        """Stops listening and closes all connections."""
-        if self.http is None:
-            return
-        self.http.stop()
-        self.thread.join()
-        self.http = None
-        self.thread = None
+        """Stops listening and closes all connections.
+
+        It may be called in several threads; each returns when it is closed.
+        """
+        with self._closing:
+            if self.http is None:
+                return
+            self.http.stop()
+            self.thread.join()
+            self.http = None
+            self.thread = None
 
     def is_listening(self) -> bool:
         """Returns whether connections are accepted."""
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -94,13 +94,17 @@
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object as an operator or a server would."""
+        self.put_content(kind, name, msgspec.json.encode(spec))
+
+    def put_content(self, kind: str, name: str, content: bytes) -> None:
+        """Writes an object whose content is sent as it is, JSON or not."""
         path = f"{kind}/{name}"
         with self.objects.changed:
             current = self.objects.objects.get(path)
         expected = (
             current.version if current and current.value is not None else 0
         )
-        self._write(path, msgspec.json.encode(spec), expected)
+        self._write(path, content, expected)
 
     def remove(self, kind: str, name: str) -> None:
         """Deletes an object, if it exists."""
@@ -269,9 +273,6 @@
         create_revision = self._create_revisions.setdefault(
             stored.path, stored.version
         )
-        spec = (
-            None if stored.value is None else msgspec.json.decode(stored.value)
-        )
         return {
             "metadata": {
                 "name": stored.path.partition("/")[2],
@@ -280,7 +281,7 @@
                 "finalizers": [],
                 "deleting": False,
             },
-            "spec": spec,
+            "spec": None if stored.value is None else msgspec.Raw(stored.value),
             "status": None,
         }
 
--- a/pimentoledge/tests/router_world.py
+++ b/pimentoledge/tests/router_world.py
@@ -26,7 +26,7 @@
 
 # Below the ephemeral ports of the system: one of those could be assigned to a
 # connection between its choice and its use.
-PORTS = range(20000, 32000)
+PORTS = range(10000, 20000)
 # Number of ports that a test process reserves at a time. It listens on the
 # first of them until it ends, so that no other test process uses the block.
 BLOCK_SIZE = 200
--- a/pimentoledge/tests/soak/runs.py
+++ b/pimentoledge/tests/soak/runs.py
@@ -26,6 +26,8 @@
 # Time after the recovery in which every request must be served.
 RECOVERED_SECONDS = 2.0
 MAX_PRINTED = 20
+# Log lines that a failed test prints.
+MAX_RELATED = 100
 
 
 class Run:
@@ -164,6 +166,20 @@
         for name, lines in self.world.fleet.logs.items():
             (folder / f"{name}.log").write_text("".join(lines))
 
+    def related_lines(self) -> list[str]:
+        """Returns what the routers logged about the subjects of violations."""
+        subjects = {
+            subject
+            for each in self.violations.values()
+            for subject in each.subject.split()
+        }
+        return [
+            f"{name}: {line.rstrip()}"
+            for name, lines in self.world.fleet.logs.items()
+            for line in lines
+            if any(subject in line for subject in subjects)
+        ][:MAX_RELATED]
+
     def draw(self, path: pathlib.Path) -> None:
         """Writes charts of the run to a file."""
         from pimentoledge.tests.soak import reports  # noqa: PLC0415
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -9,6 +9,8 @@
 import threading
 import time
 
+import msgspec
+
 from pimentoledge.platform import names
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.platform import stand_in_stores
@@ -38,6 +40,15 @@
         "models": [{"name": stand_in_platforms.MODEL, "version": 1 << 62}],
     },
 )
+# The last ones break the grammar of the responses that hold them.
+FOREIGN_CONTENTS = (
+    *map(msgspec.json.encode, FOREIGN_ENTRIES),
+    rb'"\udcff"',
+    b'{"service":"plain"',
+    b'{"service":"plain"}}',
+    b'"x',
+    b'\xff]{\x00"}[',
+)
 SERVICES = ("plain", "plain", "runners", "runners", "runners")
 # Software versions of the servers, in turn.
 SOFTWARE = ("v1", "v2", "v1")
@@ -678,11 +689,11 @@
     async def _foreign_entries(self, fault: plans.Fault) -> None:
         """Stores entries of another writer that name no usable server."""
         self.record.add_fault(f"foreign entries, {fault.seconds:.1f} s")
-        for number, entry in enumerate(FOREIGN_ENTRIES):
+        for number, entry in enumerate(FOREIGN_CONTENTS):
             name = f"foreign-{number}"
-            self.platform.store.put(names.SERVER_KIND, name, entry)
+            self.platform.store.put_content(names.SERVER_KIND, name, entry)
         if await self._is_last_of("foreign entries", fault.seconds):
-            for number in range(len(FOREIGN_ENTRIES)):
+            for number in range(len(FOREIGN_CONTENTS)):
                 name = f"foreign-{number}"
                 self.platform.store.remove(names.SERVER_KIND, name)
 
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -82,4 +82,4 @@
 )
 def test_soak_run_violates_no_invariant(seed, seconds, kinds):
     run = runs.Run(seed=seed, seconds=seconds, kinds=kinds)
-    assert not run.execute(), run.summary()
+    assert not run.execute(), "\n".join([run.summary(), *run.related_lines()])
