Tests: a late stream has events that are read apart

Cause: the stand-in sent its events without a pause, and the route allowed a gap of a microsecond. So the test asked for a pause that there was not. Change: the stand-in sends an event each 0.1 s and the route allows 0.02 s; what is asserted is unchanged.

--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -136,9 +136,11 @@
     routes = router.view.configuration.routes
     for host, found in routes.items():
         routes[host] = {
-            prefix: attrs.evolve(each, objective_seconds=30.0, gap_seconds=1e-6)
+            prefix: attrs.evolve(each, objective_seconds=30.0, gap_seconds=0.02)
             for prefix, each in found.items()
         }
+    for server in world.servers.values():
+        server.event_seconds = 0.1
     with fields_of_lines() as lines:
         await world.request("/drafts/", headers=router_world.stream_headers())
     [stream] = lines["streamed"]
