Configuration: services and limits with values of other types are refused

Callers would see: errors of single requests after a change whose maxConns is true, or a service without a name, instead of the configuration before it. Cause: routes and organisations were checked field by field, services and limits taken as they are. Change: each field is checked; amounts are finite.

--- a/pimentoledge/platform/objects.py
+++ b/pimentoledge/platform/objects.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 from pimentoledge.routing import configurations
@@ -285,17 +286,18 @@
 
 
 def _service(entry: dict) -> configurations.Service:
-    engine = entry.get("engine") or {}
+    engine = _field(entry, "engine", dict, {})
+    models = _field(engine, "models", list, [])
     return configurations.Service(
-        name=entry["name"],
-        max_connections=entry.get("maxConns") or 0,
-        models=tuple(each["name"] for each in engine.get("models") or ()),
-        slots=engine.get("slots"),
-        cache_tokens=engine.get("kvCapacityTokens")
-        or entry.get("kvCapacityTokens"),
-        cache_address=entry.get("kvStore"),
-        data_centre=entry.get("zone"),
-        token_bytes=engine.get("kvBytes"),
+        name=_field(entry, "name", str),
+        max_connections=_amount(entry, "maxConns"),
+        models=tuple(_field(each, "name", str) for each in models),
+        slots=_optional_amount(engine, "slots"),
+        cache_tokens=_optional_amount(engine, "kvCapacityTokens")
+        or _optional_amount(entry, "kvCapacityTokens"),
+        cache_address=_optional_text(entry, "kvStore"),
+        data_centre=_optional_text(entry, "zone"),
+        token_bytes=_optional_amount(engine, "kvBytes"),
         link_bytes=_link_bytes_per_second(engine)
         or _link_bytes_per_second(entry),
     )
@@ -303,21 +305,30 @@
 
 def _link_bytes_per_second(entry: dict) -> float | None:
     """Returns a link's bandwidth, which is given in Mbit/s, or None."""
-    megabits_per_second = entry.get("linkMbps")
+    megabits_per_second = _amount(entry, "linkMbps")
     return megabits_per_second * 1_000_000 / 8 if megabits_per_second else None
 
 
 def _limits(entry: dict) -> configurations.ClientLimits:
     defaults = configurations.ClientLimits()
     return configurations.ClientLimits(
-        header_bytes=entry.get("maxHeaderBytes") or defaults.header_bytes,
-        body_bytes=entry.get("maxBodyBytes") or defaults.body_bytes,
+        header_bytes=_amount(entry, "maxHeaderBytes") or defaults.header_bytes,
+        body_bytes=_amount(entry, "maxBodyBytes") or defaults.body_bytes,
         header_seconds=_seconds(entry, "headerTimeoutMs")
         or defaults.header_seconds,
         idle_seconds=_seconds(entry, "idleTimeoutMs") or defaults.idle_seconds,
     )
 
 
+def _optional_amount(entry: dict, name: str) -> float | None:
+    """Returns a number that is not negative; None without it."""
+    return None if entry.get(name) is None else _amount(entry, name)
+
+
+def _optional_text(entry: dict, name: str) -> str | None:
+    return None if entry.get(name) is None else _field(entry, name, str)
+
+
 def _seconds(entry: dict, name: str) -> float:
     """Returns a field given in milliseconds as seconds; 0 without it."""
     return _amount(entry, name) / 1000
@@ -326,7 +337,7 @@
 def _amount(entry: dict, name: str) -> float:
     """Returns a number that is not negative; 0 without it."""
     value = _field(entry, name, (int, float), 0)
-    if value < 0:
+    if not 0 <= value < math.inf:
         raise ValueError(f"{name} is {value!r}")
     return value
 
