HEAD: responses have no body, on either side

Cause: neither side knew of the method. Change: a server's response to HEAD ends with its head, and its connection isn't used again, as the parser waits for a body; a client gets the head alone. Its length isn't passed on, since it isn't known to be that of the body.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -171,6 +171,8 @@
     all_headers = list(headers or [(b"Content-Type", JSON)])
     all_headers.append((b"Content-Length", b"%d" % len(body)))
     begin_response(request, status, all_headers)
+    if request.method == b"HEAD":
+        return
     if not bytes_per_second:
         request.conn.wfile.write(body)
         return
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -61,6 +61,7 @@
         heartbeats: number of entries that it has written.
         events: number of events of a stream.
         event_seconds: delay after each event.
+        body_to_head: whether responses to HEAD wrongly have a body.
         queue_seconds: how long a request is queued.
         work_seconds: execution time of a request.
         refuse: number of next requests that it refuses to run.
@@ -116,6 +117,7 @@
         self.heartbeats = 0
         self.events = 5
         self.event_seconds = 0.0
+        self.body_to_head = False
         self.queue_seconds = 0.0
         self.work_seconds = 0.0
         self.refuse = 0
@@ -303,6 +305,8 @@
             fake_http.begin_response(request, 200, head)
             request.conn.wfile.write(body)
             return
+        if self.body_to_head:
+            request.method = b"GET"
         fake_http.send_response(request, body, headers=head)
 
     def _flood(self, request) -> None:
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -122,6 +122,7 @@
         """Sends the request."""
         self.sent = clocks.now()
         self.account.start(self.speeds, self.sent)
+        self.connection.expects_body = self.client_request.method != b"HEAD"
         self.connection.send(
             requests.encode_request(self.client_request, self.dispatch)
         )
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -32,6 +32,7 @@
 # or their own timeout ends. It is sent once no earlier response is pending on
 # the connection.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HEAD_END = b"\r\n\r\n"
 READ_BYTES = 64 * 1024
 # Within this time after the last bytes were sent a closed window shows.
 UNREAD_SECONDS = 2.0
@@ -59,6 +60,7 @@
         gone: whether the connection is closed.
         served: whether a complete response was sent on it.
         allows_chunks: whether the current response may be sent in chunks.
+        omits_body: whether only the head of the current response is sent.
     """
 
     def __init__(
@@ -92,6 +94,8 @@
         self.gone = False
         self.served = False
         self.allows_chunks = True
+        self.omits_body = False
+        self._head_sent = False
         self._transport: asyncio.Transport | None = None
         bounds = limits()
         self._parser = http_messages.RequestParser(
@@ -250,6 +254,8 @@
         self.end_hold(self._held_until)
         self._keep_alive = head.keep_alive
         self.allows_chunks = head.allows_chunks()
+        self.omits_body = head.method == b"HEAD"
+        self._head_sent = False
         if requests.is_readiness_probe(head):
             status = 200 if self.ready() else 503
             self.send(
@@ -300,6 +306,8 @@
     def send(self, data: bytes) -> None:
         """Sends bytes unless the connection is closed."""
         self._sent_at = clocks.now()
+        if self.omits_body:
+            data = self._head_of(data)
         if not self.gone:
             self._transport.write(data)
             if not self._writable.is_set():
@@ -307,6 +315,13 @@
                     buffer_budgets.Part.UNSENT, self._unsent_bytes()
                 )
 
+    def _head_of(self, data: bytes) -> bytes:
+        """Returns the part of a response to HEAD that is sent."""
+        if self._head_sent:
+            return b""
+        self._head_sent = True
+        return data[: data.index(HEAD_END) + len(HEAD_END)]
+
     def sending_socket(self, now: float) -> socket.socket | None:
         """Returns the socket if bytes were just sent, unless it is held."""
         if self.gone or self._held_until:
@@ -343,6 +358,7 @@
 
     def _end_exchange(self) -> None:
         self.exchange = None
+        self.omits_body = False
         self._served_bytes = 0
         self._note_bodies()
 
--- a/pimentoledge/routing/client_responses.py
+++ b/pimentoledge/routing/client_responses.py
@@ -63,9 +63,14 @@
         self, answer: request_types.ServerResponse, body: bytes
     ) -> None:
         """Sends a server's complete response."""
+        # The length of the body that a response to HEAD omits isn't known.
+        length = None if self.client.omits_body else len(body)
         self.client.send(
             requests.encode_response_head(
-                answer, length=len(body), closes=self.client.closes
+                answer,
+                length=length,
+                closes=self.client.closes,
+                chunked=False,
             )
             + body
         )
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -118,6 +118,8 @@
             None.
         ends_by_close: whether the response's body ends with the connection.
         reads_ahead: whether bytes are read while others are queued.
+        expects_body: whether the response may have a body; one to HEAD has
+            none, whatever its head says.
     """
 
     def __init__(self, *, address: str, on_lost=lambda connection: None):
@@ -130,6 +132,7 @@
         self.relay: Callable[[bytes], None] | None = None
         self.holder: buffer_budgets.Holder | None = None
         self.reads_ahead = True
+        self.expects_body = True
         self._transport: asyncio.Transport | None = None
         self._parser = http_messages.ResponseParser(
             heads=self._on_head, pieces=self._on_chunk, ends=self._on_end
@@ -318,10 +321,16 @@
         if not self.busy or self._ended:
             self.reusable = False
             return
+        if not self.expects_body:
+            head = attrs.evolve(head, ends_by_close=False)
         self.ends_by_close = head.ends_by_close
         if not head.keep_alive or head.ends_by_close:
             self.reusable = False
         self._push_event(HeadReceived(head=head))
+        if not self.expects_body:
+            # The parser goes on to wait for a body.
+            self.reusable = False
+            self._push_event(ResponseEnded())
 
     def _on_chunk(self, data: bytes) -> None:
         if not self.busy or self._ended:
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -685,3 +685,39 @@
         assert bool(gaps) == (mode is load_controls.Mode.ON)
 
     run()
+
+
+@with_world()
+async def test_a_response_to_head_has_no_body_on_either_side(world):
+    """Guards against a wait for a body, and bytes taken for a next response."""
+    client = world.client()
+    await client.open()
+    for path, status in (("/notices/", 200), ("/nowhere/", 404)):
+        client.send(path, method="HEAD")
+        async with asyncio.timeout(2):
+            found, headers = await client._read_head()
+        assert found == status
+        assert headers.get("content-length") != "0"
+        answer = await client.request("/notices/", body=b"n")
+        assert (answer.status, answer.complete) == (200, True)
+    client.close()
+    [head, *_] = world.executed_requests("plain")
+    assert head.body == b""
+
+
+@with_world()
+async def test_a_server_that_sends_a_body_to_head_answers_no_other_request(
+    world,
+):
+    """Guards against a body that is taken for a later response."""
+    for server in world.servers.values():
+        server.body_to_head = True
+    client = world.client()
+    await client.open()
+    for _ in range(4):
+        client.send("/notices/", method="HEAD")
+        async with asyncio.timeout(2):
+            assert (await client._read_head())[0] == 200
+        answer = await client.request("/notices/", body=b"n")
+        assert (answer.status, answer.complete) == (200, True)
+    client.close()
