Soak: endless heads that are still due end with the faults

Cause: the server was still to answer its next three requests with an endless head, as the log line bound_exceeded of both requests shows; what is due is cleared at the end for the other kinds, and wasn't for this one. Change: it is cleared too.

--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -186,7 +186,7 @@
     def clear_pending_faults(self) -> None:
         """Clears faults that still wait for requests to act on."""
         for server in self.platform.servers.values():
-            server.refuse = server.lose = 0
+            server.refuse = server.lose = server.floods = 0
             server.cut_after = None
 
     # Routers.
