Log what servers send that no request waits for, and connections

Callers got successes where the server had answered with a failure, and the logs could tell neither on which connection an answer came, nor whether a server had sent bytes after a complete answer, nor whose they were. Skipped answers and bytes on idle connections had neither a line nor a counter.

The stand-in server can send a second, late response where the next one is due. Behaviour is unchanged.

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -86,6 +86,8 @@
             crashes.
         unframed: whether its responses have no length or chunks and end with
             their connections.
+        late_status: status of the second, late response to each request, sent
+            where the next response on the connection is due; 0 for none.
         marks_not_run: whether its successful responses state that the request
             did not run.
         empty: whether its responses have no body, if they are no streams.
@@ -142,6 +144,7 @@
         self.flooded_until_closed = 0
         self.crashes_after_head = False
         self.unframed = False
+        self.late_status = 0
         self.marks_not_run = False
         self.empty = False
         self.crashes: list[ReceivedRequest] = []
@@ -194,6 +197,7 @@
         self.arrival_times.append(time.monotonic())
         path = fake_http.path_of(request)
         body = fake_http.read_body(request)
+        request.conn.wfile.write(self._take_late_response(request, headers))
         expected_incarnation = headers.get(names.EXPECTED_INCARNATION.decode())
         if expected_incarnation not in (None, self.incarnation):
             self._send_not_run(request, headers, 421)
@@ -211,6 +215,24 @@
             self.calls.append(call)
             self._handle_call(request, call)
 
+    def _take_late_response(self, request, headers: dict[str, str]) -> bytes:
+        """Returns the late response that is due on a connection, or nothing.
+
+        Args:
+            request: the request that arrived; one to it is due next.
+            headers: headers of the request.
+        """
+        due = getattr(request.conn, "late_response", b"")
+        request.conn.late_response = b""
+        if self.late_status:
+            head = self._response_headers(headers)
+            lines = [b"HTTP/1.1 %d late" % self.late_status]
+            lines += [b"%b: %b" % pair for pair in head]
+            lines.append(b"Content-Length: 4")
+            late = b"\r\n".join(lines) + b"\r\n\r\nlate"
+            request.conn.late_response = late
+        return due
+
     def _consume_fault(self, fault: str) -> bool:
         """Returns whether a fault is pending, and decrements its counter."""
         with self._lock:
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -87,6 +87,8 @@
         begun: whether the response head has arrived.
         withdrawn: whether the router cancelled the attempt before that.
         sent: when the request was sent, in seconds of clocks.now; 0 before.
+        skipped: number of responses to other requests that arrived before its
+            own.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.begun = False
         self.withdrawn = False
         self.sent = 0.0
+        self.skipped = 0
 
     def start(self) -> None:
         """Sends the request."""
@@ -136,6 +139,19 @@
         if self.connection.busy:
             self.connection.abort()
 
+    def log_fields(self) -> dict[str, int]:
+        """Returns what tells on which connection the response came, and when.
+
+        Returns:
+            the connection's number, how many requests it has carried, and the
+            number of skipped responses.
+        """
+        return {
+            "number": self.connection.number,
+            "requests": self.connection.requests,
+            "skipped": self.skipped,
+        }
+
     def has_begun(self) -> bool:
         """Returns whether response data or the connection's end has arrived."""
         return self.begun or self.connection.has_unread_input()
@@ -158,7 +174,6 @@
             BrokenError: the connection ended, or the skipped response has no
                 request id or no defined end, or there are too many of them.
         """
-        skipped = 0
         skipped_bytes = 0
         while True:
             match await self.connection.next():
@@ -168,14 +183,17 @@
                         self.begun = True
                         return answer, head
                     self.connection.reusable = False
+                    self.connection.on_extra(self.connection, head, 0)
                     if head.ends_by_close or answer.request is None:
                         raise BrokenError(
                             retry_rules.AttemptOutcome.BROKE,
                             "response to another request",
                         )
-                    skipped += 1
-                    if skipped > buffer_bounds.SKIPPED_RESPONSES:
-                        raise over_bound(buffer_bounds.Bound.SKIPPED, skipped)
+                    self.skipped += 1
+                    if self.skipped > buffer_bounds.SKIPPED_RESPONSES:
+                        raise over_bound(
+                            buffer_bounds.Bound.SKIPPED, self.skipped
+                        )
                 case server_connections.BodyReceived(data=data):
                     skipped_bytes += len(data)
                     if skipped_bytes > buffer_bounds.COLLECTED_BYTES:
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -8,6 +8,7 @@
 
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import clocks
+from pimentoledge.routing import extra_responses
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import json_documents
 from pimentoledge.routing import log_lines
@@ -86,7 +87,9 @@
 
     def __init__(self, *, lines: log_lines.Lines | None = None):
         self.lines = lines
-        self.pool = server_connections.ConnectionPool()
+        self.pool = server_connections.ConnectionPool(
+            on_extra=extra_responses.logger_to(lines)
+        )
         self.open_calls: set[OpenCall] = set()
 
     def close(self) -> None:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -29,6 +29,7 @@
 from pimentoledge.routing import connection_limits
 from pimentoledge.routing import counters
 from pimentoledge.routing import exchanges
+from pimentoledge.routing import extra_responses
 from pimentoledge.routing import hedged_calls
 from pimentoledge.routing import lease_holders
 from pimentoledge.routing import leases
@@ -125,7 +126,9 @@
             ),
             arrived=lambda now: self.pauses.arrived(now),
         )
-        self.pool = server_connections.ConnectionPool()
+        self.pool = server_connections.ConnectionPool(
+            on_extra=extra_responses.logger_to(self.lines)
+        )
         self.buffers = buffer_budgets.BufferBudget(
             bound=buffer_budgets.bound_of(chosen.number("memory-mb"))
         )
--- a/pimentoledge/routing/exchanges.py
+++ b/pimentoledge/routing/exchanges.py
@@ -203,6 +203,7 @@
                     events=0
                     if self.context.relay is None
                     else self.context.relay.events,
+                    connection=self.context.connection_fields(),
                     chosen=self.context.chosen,
                 )
             if not self._may_retry():
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -46,6 +46,7 @@
         Raises:
             BrokenError: the attempt gave no response to relay.
         """
+        self.context.last_attempt = None
         try:
             connection = await self._connect(backend, permit)
         except BaseException:
@@ -77,6 +78,7 @@
         if not self.context.route.repeatable():
             self._hold_client()
         self.context.current_attempt = attempt
+        self.context.last_attempt = attempt
         self.context.relay = None
         self.context.release_place()
         try:
--- a/pimentoledge/routing/request_stages/contexts.py
+++ b/pimentoledge/routing/request_stages/contexts.py
@@ -125,6 +125,7 @@
         self.sent_at = 0.0
         self.relay: stream_relays.StreamRelay | None = None
         self.current_attempt: attempts.Attempt | None = None
+        self.last_attempt: attempts.Attempt | None = None
         self.failed_answer: (
             tuple[request_types.ServerResponse, bytes] | None
         ) = None
@@ -141,6 +142,12 @@
         fields["sends"] = self.history.sends
         self.lines.write(message, **fields)
 
+    def connection_fields(self) -> dict[str, int] | None:
+        """Returns what the log tells of the last attempt's connection."""
+        if self.last_attempt is None:
+            return None
+        return self.last_attempt.log_fields()
+
     def claim_request(self, now: float) -> bool:
         """Returns whether the request isn't here already under its id."""
         if self.route.repeatable() or self.claimed:
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -121,6 +121,7 @@
             "answered",
             server=backend.registration.incarnation,
             status=answer.status,
+            connection=self.context.connection_fields(),
             chosen=self.context.chosen,
         )
 
@@ -277,6 +278,7 @@
             first_ms=contexts.milliseconds(first),
             gap_ms=contexts.milliseconds(self.context.answer.gap_seconds),
             late=self._late_part(),
+            connection=self.context.connection_fields(),
             chosen=self.context.chosen,
         )
 
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -76,6 +76,9 @@
 
 
 ConnectionEvent = HeadReceived | BodyReceived | ResponseEnded | ConnectionBroken
+OnExtra = Callable[
+    ["ServerConnection", http_messages.ResponseHead | None, int], None
+]
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -120,11 +123,25 @@
         reads_ahead: whether bytes are read while others are queued.
         expects_body: whether the response may have a body; one to HEAD has
             none, whatever its head says.
+        number: its number among the connections of its pool.
+        requests: how many requests were sent on it.
+        on_extra: called with the connection, the head or None, and the number
+            of bytes of a response that no request is waiting for.
     """
 
-    def __init__(self, *, address: str, on_lost=lambda connection: None):
+    def __init__(
+        self,
+        *,
+        address: str,
+        number: int = 0,
+        on_lost: Callable[["ServerConnection"], None] = lambda connection: None,
+        on_extra: OnExtra = lambda connection, head, size: None,
+    ):
         self.address = address
+        self.number = number
+        self.requests = 0
         self.on_lost = on_lost
+        self.on_extra = on_extra
         self.busy = False
         self.reusable = True
         self.idle_until = 0.0
@@ -144,6 +161,7 @@
         self.ends_by_close = False
         self._ended = False
         self._paused = False
+        self._extra_head: http_messages.ResponseHead | None = None
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -155,6 +173,7 @@
     def send(self, data: bytes) -> None:
         """Sends a request; `next` returns its response."""
         self.busy = True
+        self.requests += 1
         self._transport.write(data)
         if self.holder is not None:
             self.holder.note(
@@ -308,6 +327,7 @@
         if not self.busy:
             # Bytes after a complete response belong to no request. Data that
             # follows could be taken for the response to another request.
+            self._note_extra_bytes(data)
             self.abort()
             return
         try:
@@ -317,9 +337,21 @@
         except buffer_bounds.BoundExceededError as error:
             self._exceed(error.exceeded)
 
+    def _note_extra_bytes(self, data: bytes | memoryview) -> None:
+        try:
+            self._parser.feed(data)
+        except (
+            http_messages.BadMessageError,
+            buffer_bounds.BoundExceededError,
+        ):
+            # The connection is aborted, whatever the bytes are.
+            pass
+        self.on_extra(self, self._extra_head, len(data))
+
     def _on_head(self, head: http_messages.ResponseHead) -> None:
         if not self.busy or self._ended:
             self.reusable = False
+            self._extra_head = head
             return
         if not self.expects_body:
             head = attrs.evolve(head, ends_by_close=False)
@@ -353,6 +385,9 @@
         self.resume()
         if self._events or self._ended:
             # More data, or the connection's end, followed the response.
+            for event in self._events:
+                if isinstance(event, HeadReceived):
+                    self.on_extra(self, event.head, self._queued_bytes)
             self.abort()
 
     def break_off(
@@ -401,9 +436,13 @@
     Attributes:
         idle: idle connections by address, the last used last.
         opened: how many connections this pool has tried to open.
+        on_extra: called as `ServerConnection.on_extra`.
     """
 
-    def __init__(self):
+    def __init__(
+        self, *, on_extra: OnExtra = lambda connection, head, size: None
+    ):
+        self.on_extra = on_extra
         self.idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
 
@@ -436,11 +475,15 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened += 1
+        number = self.opened
         try:
             async with asyncio.timeout(seconds):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
-                        address=address, on_lost=self._lost
+                        address=address,
+                        number=number,
+                        on_lost=self._lost,
+                        on_extra=self.on_extra,
                     ),
                     host,
                     int(port),
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -225,6 +225,27 @@
     assert line["chosen"]["parts"] == ["aa:600", "bb:900"]
 
 
+@with_world(plain=1)
+async def test_a_late_response_is_logged_beside_the_request_it_preceded(world):
+    """Guards against mixed-up responses whose connection can't be traced."""
+    server = world.servers["p0"]
+    server.late_status = 500
+    with fields_of_lines() as lines:
+        for name in ("first", "second"):
+            await world.request(
+                "/cards/", body=b"c", headers={"Request-Id": name}
+            )
+    [extra] = lines["extra_response"]
+    assert (extra["request"], extra["status"]) == ("first", 500)
+    assert extra["awaits"]
+    places = [each["connection"] for each in lines["answered"]]
+    number = extra["connection"]
+    assert places == [
+        {"number": number, "requests": 1, "skipped": 0},
+        {"number": number, "requests": 2, "skipped": 1},
+    ]
+
+
 @with_world()
 async def test_the_line_of_a_configuration_has_the_time_of_each_step(world):
     [router] = world.routers
