Connections to servers: no request id twice on one connection

Reproduced: a server answers a request, and again, late; the second answer arrives on the pooled connection while a request with the same id waits there. Attempt.read_head compares ids, so it took the old answer for the new one. Ids are unique for one client only: the same id comes from a client that repeats a request, from another client, or from another organisation, whose unsafe requests the memory of ids rightly lets through.

A connection now remembers the ids it has carried, and the pool hands it to no request with one of them, whoever sent it first; it carries 256 requests at most, so what it remembers is bounded. An answer can then only belong to the one request with its id on that connection.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -127,7 +127,8 @@
         self.account.start(self.speeds, self.sent)
         self.connection.expects_body = self.client_request.method != b"HEAD"
         self.connection.send(
-            requests.encode_request(self.client_request, self.dispatch)
+            requests.encode_request(self.client_request, self.dispatch),
+            request=self.client_request.request,
         )
 
     def close(self) -> None:
--- a/pimentoledge/routing/request_stages/attempt_runs.py
+++ b/pimentoledge/routing/request_stages/attempt_runs.py
@@ -128,7 +128,9 @@
         """
         address = backend.registration.address
         try:
-            connection = await self.context.pool.acquire(address)
+            connection = await self.context.pool.acquire(
+                address, request=self.context.client_request.request
+            )
         except server_connections.CannotConnectError as error:
             backend.note_connection_failure(clocks.now())
             self.context.died(backend.registration.incarnation)
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -39,6 +39,8 @@
 # Servers are a few ms away, and a lost SYN is retransmitted after a second, so
 # trying another server is better than a longer wait.
 CONNECT_SECONDS = 0.6
+# A connection keeps the ids of all its requests, so it carries no more.
+MAX_REQUESTS = 256
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +127,7 @@
             none, whatever its head says.
         number: its number among the connections of its pool.
         requests: how many requests were sent on it.
+        carried: ids of the requests that were sent on it.
         on_extra: called with the connection, the head or None, and the number
             of bytes of a response that no request is waiting for.
     """
@@ -140,6 +143,7 @@
         self.address = address
         self.number = number
         self.requests = 0
+        self.carried: set[str] = set()
         self.on_lost = on_lost
         self.on_extra = on_extra
         self.busy = False
@@ -170,10 +174,17 @@
         transport.set_write_buffer_limits(high=0)
         enable_keepalive(transport.get_extra_info("socket"))
 
-    def send(self, data: bytes) -> None:
-        """Sends a request; `next` returns its response."""
+    def send(self, data: bytes, *, request: str | None = None) -> None:
+        """Sends a request; `next` returns its response.
+
+        Args:
+            data: the encoded request.
+            request: its id, or None if it has none.
+        """
         self.busy = True
         self.requests += 1
+        if request is not None:
+            self.carried.add(request)
         self._transport.write(data)
         if self.holder is not None:
             self.holder.note(
@@ -447,20 +458,34 @@
         self.opened = 0
 
     async def acquire(
-        self, address: str, *, connect_seconds: float = CONNECT_SECONDS
+        self,
+        address: str,
+        *,
+        request: str | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> ServerConnection:
         """Returns an idle connection to an address, or opens one.
 
+        A server may answer a request again, and late. The id of a response
+        tells to which request it belongs, so no id is sent twice on one
+        connection, whoever sent it first.
+
+        Args:
+            address: IP:PORT.
+            request: id of the request that is to be sent on it, or None.
+            connect_seconds: how long opening a connection may take.
+
         Raises:
             CannotConnectError: no connection could be opened.
         """
-        waiting = self.idle.get(address, [])
         now = clocks.now()
-        while waiting:
-            connection = waiting.pop()
-            if connection.is_reusable(now):
+        for connection in reversed(self.idle.get(address, [])[:]):
+            if not connection.is_reusable(now):
+                self.idle[address].remove(connection)
+                connection.abort()
+            elif request is None or request not in connection.carried:
+                self.idle[address].remove(connection)
                 return connection
-            connection.abort()
         return await self._open(address, connect_seconds)
 
     async def open(self, address: str) -> ServerConnection:
@@ -511,7 +536,8 @@
         connection.finish(idle_seconds=idle_seconds)
         waiting = self.idle.setdefault(connection.address, [])
         full = max_idle is not None and len(waiting) >= max_idle
-        if full or not connection.reusable:
+        used_up = connection.requests >= MAX_REQUESTS
+        if full or used_up or not connection.reusable:
             connection.abort()
             return
         waiting.append(connection)
--- /dev/null
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -0,0 +1,53 @@
+"""Servers that answer again on a connection that carries further requests."""
+
+import pytest
+
+from pimentoledge.routing import server_connections
+from pimentoledge.tests import router_world
+
+with_world = router_world.with_world
+
+
+@pytest.mark.parametrize("path", ["/notices/", "/cards/"])
+@pytest.mark.parametrize("late_status", [200, 503])
+def test_a_late_response_does_not_answer_a_request_with_the_same_id(
+    path, late_status
+):
+    """Guards against a success of a first try for a second that failed."""
+
+    @with_world(plain=1)
+    async def test(world):
+        server = world.servers["p0"]
+        server.late_status = late_status
+        server.fail = 2
+        answers = []
+        for organisation_key in (
+            router_world.KEY,
+            router_world.stand_in_platforms.ISOLATED_KEY,
+        ):
+            answers.append(
+                await world.request(
+                    path,
+                    body=b"c",
+                    headers={"Request-Id": "same"},
+                    key=organisation_key,
+                )
+            )
+        assert [each.status for each in answers] == [500, 500]
+        assert [each.body for each in answers] == [b"failed", b"failed"]
+
+    test()
+
+
+@with_world(plain=1)
+async def test_a_connection_does_not_collect_ids_without_end(world):
+    """Guards against memory that grows with the age of a connection."""
+    [router] = world.routers
+    client = world.client()
+    await client.open()
+    for _ in range(server_connections.MAX_REQUESTS + 1):
+        assert (await client.request("/cards/", body=b"c")).status == 200
+    client.close()
+    [address] = router.pool.idle
+    [connection] = router.pool.idle[address]
+    assert connection.requests == len(connection.carried) == 1
