--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -265,12 +265,14 @@
         heads: called with the head of each final, not interim, response.
         pieces: called with the bytes of a body.
         ends: called at the end of each final response.
+        begun: whether part of a response was read.
     """
 
     def __init__(self, *, heads, pieces, ends):
         self.heads = heads
         self.pieces = pieces
         self.ends = ends
+        self.begun = False
         self._parser = httptools.HttpResponseParser(self)
         self._interim = False
         self._error: buffer_bounds.BoundExceededError | None = None
@@ -349,6 +351,7 @@
         self.pieces(pieces[0] if len(pieces) == 1 else b"".join(pieces))
 
     def on_message_begin(self) -> None:  # noqa: D102
+        self.begun = True
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
@@ -384,6 +387,7 @@
         self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:  # noqa: D102
+        self.begun = False
         if not self._interim:
             self._flush()
             self.ends()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -400,6 +400,10 @@
                 if isinstance(event, HeadReceived):
                     self.on_extra(self, event.head, self._queued_bytes)
             self.abort()
+        elif self.reusable and self._parser.begun:
+            # The head of another response has begun to arrive.
+            self.on_extra(self, None, 0)
+            self.abort()
 
     def break_off(
         self, reason: str, *, exceeded: buffer_bounds.Exceeded | None = None
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -1,5 +1,8 @@
 """Servers that answer again on a connection that carries further requests."""
 
+import asyncio
+import socket
+
 import pytest
 
 from pimentoledge.routing import server_connections
@@ -51,3 +54,33 @@
     [address] = router.pool.idle
     [connection] = router.pool.idle[address]
     assert connection.requests == len(connection.carried) == 1
+
+
+@pytest.mark.parametrize("size", [1, 17, 50])
+def test_a_connection_on_which_another_head_has_begun_is_not_reused(size):
+    """Guards against the rest of a late head that completes the next one."""
+    response = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    async def play():
+        extra = []
+        pool = server_connections.ConnectionPool(
+            on_extra=lambda connection, head, size: extra.append(head)
+        )
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await pool.acquire(address)
+            accepted, _ = listener.accept()
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="first")
+            accepted.sendall(response + response[:size])
+            while not isinstance(
+                await connection.next(), server_connections.ResponseEnded
+            ):
+                pass
+            pool.release(connection, idle_seconds=10)
+            assert not pool.idle[address]
+            assert extra == [None]
+            accepted.close()
+
+    asyncio.run(play())
