Responses: a status line within a head is refused

What callers saw: a success where the server had answered with a failure. A server that sends a second response, cut within its head, while the next request waits on the connection, and then goes on with the response to that request: the cut head swallows the status line of the real one as the rest of its reason phrase or of a header value, and takes its id, stamp and body.

Cause: nothing told the merged head from a right one; its id is the right one.

Evidence: a scripted server on a real socket, second response 200 cut at each byte, next response 500.

Why it works: a response that follows is sent whole, so its status line stands in the merged head; no reason phrase and no field value of a right head has one. The connection is broken off and the attempt counts as one that may have run. Not covered: a second response that is itself cut within its status line or an alien head without HTTP/1.x.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -1,5 +1,7 @@
 """Parsing of HTTP/1.1 requests and responses with httptools."""
 
+import re
+
 import attrs
 import httptools
 
@@ -11,6 +13,9 @@
 # RFC 9112, 6.1: clients of these versions take chunk sizes for the body.
 VERSIONS_WITHOUT_CHUNKS = frozenset(("0.9", "1.0"))
 
+# Within a head it shows that the head was cut and another response followed.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}")
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -275,7 +280,10 @@
         self.begun = False
         self._parser = httptools.HttpResponseParser(self)
         self._interim = False
-        self._error: buffer_bounds.BoundExceededError | None = None
+        self._error: (
+            BadMessageError | buffer_bounds.BoundExceededError | None
+        ) = None
+        self._phrase: list[bytes] = []
         self._headers: Headers = []
         self._slice_body: list[bytes] = []
         self._reset()
@@ -352,9 +360,19 @@
 
     def on_message_begin(self) -> None:  # noqa: D102
         self.begun = True
+        self._phrase = []
         self._headers = []
 
+    def on_status(self, phrase: bytes) -> None:  # noqa: D102
+        self._phrase.append(phrase)
+
+    def _refuse_status_line(self, text: bytes) -> None:
+        if b"HTTP/" in text and STATUS_LINE.search(text):
+            self._error = BadMessageError("a status line within a head")
+            raise self._error
+
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+        self._refuse_status_line(value)
         if not self._in_head:
             # Trailers are not passed on.
             return
@@ -366,6 +384,7 @@
         self._check(bounds.HEAD, self._header_bytes, buffer_bounds.HEAD_BYTES)
 
     def on_headers_complete(self) -> None:  # noqa: D102
+        self._refuse_status_line(b"".join(self._phrase))
         status = self._parser.get_status_code()
         self._interim = status < 200
         if self._interim:
--- /dev/null
+++ b/pimentoledge/tests/test_router_connection_scripts.py
@@ -0,0 +1,27 @@
+"""Scripts of servers' bytes on connections that carry several requests."""
+
+import pytest
+
+from pimentoledge.tests import scripted_connections
+from pimentoledge.tests.scripted_connections import Exchange
+from pimentoledge.tests.scripted_connections import Extra
+from pimentoledge.tests.scripted_connections import Moment
+from pimentoledge.tests.scripted_connections import Response
+
+
+@pytest.mark.parametrize("id_first", [True, False])
+def test_a_cut_head_is_not_continued_by_the_next_response(id_first):
+    """Guards against the status of a cut response for the next request."""
+    late = Response(status=200, id_first=id_first)
+    for cut in range(1, len(late.encode("<1+0>", "a"))):
+        extra = Extra(moment=Moment.AWAITED, response=late, cut=cut)
+        first = Exchange(
+            request="a",
+            method=b"GET",
+            response=Response(status=500),
+            extras=(extra,),
+        )
+        second = Exchange(
+            request="b", method=b"GET", response=Response(status=500)
+        )
+        assert scripted_connections.play([first, second]).reused == 1
