Connections to servers: none is reused after an interim response too many

What callers could see: a connection went on to the next request though the server had sent a whole interim response after the complete one, which belongs to no request. No wrong answer was seen; the server and the router no longer agree on where they are.

Cause: the check for another head saw only one that is incomplete. An interim response that is complete, and arrives in the read that ends the response, left no trace; in a later read it ended the connection.

Why it works: the parser counts the responses that have begun, interim ones too, and the connection compares the count with that at the response's end. Line ends between two responses leave no trace still; they change neither.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -270,14 +270,14 @@
         heads: called with the head of each final, not interim, response.
         pieces: called with the bytes of a body.
         ends: called at the end of each final response.
-        begun: whether part of a response was read.
+        messages: number of responses, interim ones too, that have begun.
     """
 
     def __init__(self, *, heads, pieces, ends):
         self.heads = heads
         self.pieces = pieces
         self.ends = ends
-        self.begun = False
+        self.messages = 0
         self._parser = httptools.HttpResponseParser(self)
         self._interim = False
         self._error: (
@@ -359,7 +359,7 @@
         self.pieces(pieces[0] if len(pieces) == 1 else b"".join(pieces))
 
     def on_message_begin(self) -> None:  # noqa: D102
-        self.begun = True
+        self.messages += 1
         self._phrase = []
         self._headers = []
 
@@ -406,7 +406,6 @@
         self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:  # noqa: D102
-        self.begun = False
         if not self._interim:
             self._flush()
             self.ends()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -160,6 +160,7 @@
         )
         self._events: collections.deque[ConnectionEvent] = collections.deque()
         self._queued_bytes = 0
+        self._messages_at_end = 0
         self._read_bytes = FIRST_READ_BYTES
         self._waiter: asyncio.Future | None = None
         self.ends_by_close = False
@@ -386,6 +387,7 @@
     def _on_end(self) -> None:
         if not self.busy or self._ended:
             return
+        self._messages_at_end = self._parser.messages
         self._push_event(ResponseEnded())
 
     def finish(self, *, idle_seconds: float) -> None:
@@ -400,8 +402,8 @@
                 if isinstance(event, HeadReceived):
                     self.on_extra(self, event.head, self._queued_bytes)
             self.abort()
-        elif self.reusable and self._parser.begun:
-            # The head of another response has begun to arrive.
+        elif self.reusable and self._parser.messages > self._messages_at_end:
+            # Another response, or an interim one, has begun to arrive.
             self.on_extra(self, None, 0)
             self.abort()
 
--- a/pimentoledge/tests/test_router_connection_scripts.py
+++ b/pimentoledge/tests/test_router_connection_scripts.py
@@ -25,3 +25,18 @@
             request="b", method=b"GET", response=Response(status=500)
         )
         assert scripted_connections.play([first, second]).reused == 1
+
+
+def test_a_connection_is_not_reused_after_an_unrequested_interim_response():
+    """Guards against reuse after extra bytes that arrive with the response."""
+    interim = Extra(
+        moment=Moment.AT_ONCE,
+        response=None,
+        raw=b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    )
+    response = Response(status=200)
+    first = Exchange(
+        request="a", method=b"GET", response=response, extras=(interim,)
+    )
+    second = Exchange(request="b", method=b"GET", response=response)
+    assert scripted_connections.play([first, second]).reused == 0
