Connections to servers: none is reused before its request has been sent

What callers could see: a request that waits without being read. A server may answer before it has read a long body. The connection went back to the pool with the rest of the body still to be written, and the next request stood behind it until the server read on, or for good if it never did.

Cause: the pool looked at the response only.

The test fails before and passes after.

Why it works: the connection is aborted at release if any of its request is unsent. What has left the process and lies in sockets' buffers is not seen.

--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -406,6 +406,10 @@
             # Another response, or an interim one, has begun to arrive.
             self.on_extra(self, None, 0)
             self.abort()
+        elif self._transport.get_write_buffer_size():
+            # The server has not read the request, and may never do so. Another
+            # one would wait behind the rest.
+            self.abort()
 
     def break_off(
         self, reason: str, *, exceeded: buffer_bounds.Exceeded | None = None
--- a/pimentoledge/tests/test_router_connection_scripts.py
+++ b/pimentoledge/tests/test_router_connection_scripts.py
@@ -1,13 +1,19 @@
 """Scripts of servers' bytes on connections that carry several requests."""
 
+import asyncio
+import socket
+
 import pytest
 
+from pimentoledge.routing import server_connections
 from pimentoledge.tests import scripted_connections
 from pimentoledge.tests.scripted_connections import Exchange
 from pimentoledge.tests.scripted_connections import Extra
 from pimentoledge.tests.scripted_connections import Moment
 from pimentoledge.tests.scripted_connections import Response
 
+MORE_THAN_SOCKETS_BUFFER = 32 * 1024 * 1024
+
 
 @pytest.mark.parametrize("id_first", [True, False])
 def test_a_cut_head_is_not_continued_by_the_next_response(id_first):
@@ -40,3 +46,27 @@
     )
     second = Exchange(request="b", method=b"GET", response=response)
     assert scripted_connections.play([first, second]).reused == 0
+
+
+def test_a_connection_is_not_reused_while_its_request_is_being_sent():
+    """Guards against a request that waits behind the rest of another one."""
+
+    async def run():
+        pool = server_connections.ConnectionPool()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await pool.acquire(address)
+            accepted, _ = listener.accept()
+            body = bytes(MORE_THAN_SOCKETS_BUFFER)
+            head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+            connection.send(head % len(body) + body)
+            accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            while not isinstance(
+                await connection.next(), server_connections.ResponseEnded
+            ):
+                pass
+            pool.release(connection, idle_seconds=10)
+            assert not pool.idle[address]
+            accepted.close()
+
+    asyncio.run(run())
