Responses: one that is cut is not completed by the one after it

What callers could see: a success whose body ends with the head of a failure, where the server had answered twice and cut the first answer within its body. The missing bytes of the first body were taken from the second answer; what was left of that is no response, so the connection ended, but the end of the first response had been passed on already.

Why it works: a body that holds a status line, and an end that is followed by bytes that are no response, show together that the response was cut. Neither alone does: a body may quote a response, and a faulty server may send bytes that belong to no request. The event of the end is taken back, and the attempt counts as one that may have run. Not seen: a second response whose rest comes in a later read than the bytes that complete the body, and one after a response without a length. The status line in heads ends with a space or the line, as a Via field may hold an address behind the protocol.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -13,8 +13,9 @@
 # RFC 9112, 6.1: clients of these versions take chunk sizes for the body.
 VERSIONS_WITHOUT_CHUNKS = frozenset(("0.9", "1.0"))
 
-# Within a head it shows that the head was cut and another response followed.
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}")
+# Within a response it shows that the response was cut and another followed.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?:[ \r\n]|$)")
+STATUS_LINE_BYTES = len(b"HTTP/1.1 200 ")
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -106,6 +107,10 @@
         self.status = status
 
 
+class CutResponseError(BadMessageError):
+    """A response was cut: its body ends with the begin of another one."""
+
+
 class RequestParser:
     """Parses a client's bytes into complete requests.
 
@@ -286,6 +291,7 @@
         self._phrase: list[bytes] = []
         self._headers: Headers = []
         self._slice_body: list[bytes] = []
+        self._maybe_cut = False
         self._reset()
 
     def _reset(self) -> None:
@@ -296,12 +302,16 @@
         self._lines = 0
         self._framing_bytes = 0
         self._body_bytes = 0
+        self._body_end = b""
+        self._holds_status_line = False
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes.
 
         Raises:
             BadMessageError: the bytes are no HTTP response.
+            CutResponseError: nor was the response before them complete,
+                whose end has just been reported.
             BoundExceededError: the response exceeds a bound.
         """
         if len(data) <= SLICE_BYTES:
@@ -323,6 +333,8 @@
             self._flush()
             if self._error is not None:
                 raise self._error from error
+            if self._ended_in_slice and self._maybe_cut:
+                raise CutResponseError("cut before another one") from error
             raise BadMessageError(str(error)) from error
         self._flush()
         if self._ended_in_slice:
@@ -356,7 +368,13 @@
         if not self._slice_body:
             return
         pieces, self._slice_body = self._slice_body, []
-        self.pieces(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        # A status line may begin in one slice and end in the next one.
+        searched = self._body_end + data
+        if b"HTTP/" in searched and STATUS_LINE.search(searched):
+            self._holds_status_line = True
+        self._body_end = searched[-STATUS_LINE_BYTES:]
+        self.pieces(data)
 
     def on_message_begin(self) -> None:  # noqa: D102
         self.messages += 1
@@ -410,4 +428,5 @@
             self._flush()
             self.ends()
             self._ended_in_slice = True
+            self._maybe_cut = self._holds_status_line
             self._reset()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -344,6 +344,10 @@
             return
         try:
             self._parser.feed(data)
+        except http_messages.CutResponseError as error:
+            if self._events and isinstance(self._events[-1], ResponseEnded):
+                self._events.pop()
+            self.break_off(f"invalid HTTP response: {error}")
         except http_messages.BadMessageError as error:
             self.break_off(f"invalid HTTP response: {error}")
         except buffer_bounds.BoundExceededError as error:
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -1,6 +1,7 @@
 """Servers that answer again on a connection that carries further requests."""
 
 import asyncio
+import itertools
 import socket
 
 import pytest
@@ -84,3 +85,62 @@
             accepted.close()
 
     asyncio.run(play())
+
+
+async def _events_until_end(connection):
+    """Returns the kinds of events up to the end of a response."""
+    kinds = []
+    while not kinds or kinds[-1] not in (
+        server_connections.ResponseEnded,
+        server_connections.ConnectionBroken,
+    ):
+        kinds.append(type(await connection.next()))
+    return kinds
+
+
+@pytest.mark.parametrize("sizes", [(), (10,), (27,), (10, 20)])
+def test_a_cut_response_is_not_completed_by_the_next_one(sizes):
+    """Guards against a success whose body ends with the head of a failure."""
+    cut = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 40\r\n\r\nbegin"
+    other = b"HTTP/1.1 500 Failed\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n"
+
+    async def play():
+        pool = server_connections.ConnectionPool()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await pool.acquire(address)
+            accepted, _ = listener.accept()
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+            ends = (0, *sizes, len(other))
+            pieces = [cut] + [
+                other[start:end] for start, end in itertools.pairwise(ends)
+            ]
+            for each in pieces:
+                accepted.sendall(each)
+                await asyncio.sleep(0.02)
+            kinds = await _events_until_end(connection)
+            assert kinds[0] is server_connections.HeadReceived
+            assert kinds[-1] is server_connections.ConnectionBroken
+            accepted.close()
+
+    asyncio.run(play())
+
+
+def test_a_response_is_whole_whatever_its_body_quotes():
+    """Guards against answers about HTTP that are taken for cut ones."""
+    body = b"HTTP/1.1 500 Failed\r\nRequest-Id: a\r\n\r\n"
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def play():
+        pool = server_connections.ConnectionPool()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            connection = await pool.acquire(address)
+            accepted, _ = listener.accept()
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+            accepted.sendall(response + body + response)
+            kinds = await _events_until_end(connection)
+            assert kinds[-1] is server_connections.ResponseEnded
+            accepted.close()
+
+    asyncio.run(play())
