Reports and orders: each on a connection of its own

What callers saw: nothing directly. A router could believe that a server had weights which it no longer had, that an order held or was carried out which the server had refused, and so send requests to the wrong weights.

Cause: responses to reports and orders have no id, and their connections were pooled by address, so any complete response was taken for the one that was due. A server that answers again, and late, was read off by one until the connection ended: the copy of a report as the next report, or, with status 200, as an order that already holds; the 202 of an order as that of the next.

Evidence: a stand-in that repeats its responses to reports and orders. On the code before, all three tests fail: a former report is taken for the next one, an order that the server refuses with 409 is taken for one that holds after a report, and for one that was accepted after another order.

Why it works: the call gets a new connection, which is closed after its response, so no response to another call can arrive on it. The number of calls is small: reports follow contradictions, orders follow named weights. Bytes after the response are still logged as extra_response.

--- a/pimentoledge/platform/orders.py
+++ b/pimentoledge/platform/orders.py
@@ -50,6 +50,7 @@
                 target=names.REPORT_PATH,
                 headers=((_EXPECTED_INCARNATION, runner.server),),
                 seconds=REPORT_TIMEOUT_SECONDS,
+                exclusive=True,
             )
         except calls.CallError as error:
             return registrations.Unavailable(
@@ -90,6 +91,7 @@
                     "precondition": order.orders_taken,
                 },
                 seconds=ORDER_TIMEOUT_SECONDS,
+                exclusive=True,
             )
         except calls.CallError as error:
             if not error.sent:
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -88,6 +88,8 @@
             their connections.
         late_status: status of the second, late response to each request, sent
             where the next response on the connection is due; 0 for none.
+        repeats_control: whether its response to a report or an order is sent
+            again where the next response on the connection is due.
         marks_not_run: whether its successful responses state that the request
             did not run.
         empty: whether its responses have no body, if they are no streams.
@@ -145,6 +147,7 @@
         self.crashes_after_head = False
         self.unframed = False
         self.late_status = 0
+        self.repeats_control = False
         self.marks_not_run = False
         self.empty = False
         self.crashes: list[ReceivedRequest] = []
@@ -225,12 +228,9 @@
         due = getattr(request.conn, "late_response", b"")
         request.conn.late_response = b""
         if self.late_status:
-            head = self._response_headers(headers)
-            lines = [b"HTTP/1.1 %d late" % self.late_status]
-            lines += [b"%b: %b" % pair for pair in head]
-            lines.append(b"Content-Length: 4")
-            late = b"\r\n".join(lines) + b"\r\n\r\nlate"
-            request.conn.late_response = late
+            request.conn.late_response = _encode_response(
+                self.late_status, self._response_headers(headers), b"late"
+            )
         return due
 
     def _consume_fault(self, fault: str) -> bool:
@@ -412,14 +412,10 @@
             return
         with self._lock:
             if body.get("precondition", self.orders_taken) != self.orders_taken:
-                fake_http.send_response(
-                    request, b"{}", status=409, headers=self._notice_headers()
-                )
+                self._send_control(request, b"{}", 409)
                 return
             self.orders_taken += 1
-        fake_http.send_response(
-            request, b"{}", status=202, headers=self._notice_headers()
-        )
+        self._send_control(request, b"{}", 202)
         timer = threading.Timer(self.load_seconds, self._finish_load, [body])
         timer.start()
 
@@ -437,11 +433,25 @@
             "seq": self.orders_taken,
             "state": "draining" if self.reports_leaving else "ready",
         }
-        fake_http.send_response(
-            request, msgspec.json.encode(body), headers=self._notice_headers()
-        )
+        self._send_control(request, msgspec.json.encode(body), 200)
+
+    def _send_control(self, request, body: bytes, status: int) -> None:
+        """Sends the response to a report or an order."""
+        headers = self._notice_headers()
+        fake_http.send_response(request, body, status=status, headers=headers)
+        if self.repeats_control:
+            request.conn.late_response = _encode_response(status, headers, body)
 
 
 def is_model_request(call: ReceivedRequest) -> bool:
     """Returns whether a request names a model; its response is a stream."""
     return names.MODEL.decode() in call.headers
+
+
+def _encode_response(
+    status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    lines = [b"HTTP/1.1 %d late" % status]
+    lines += [b"%b: %b" % pair for pair in headers]
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/pimentoledge/routing/calls.py
+++ b/pimentoledge/routing/calls.py
@@ -107,6 +107,7 @@
         seconds: float,
         max_body_bytes: int = buffer_bounds.REPLY_BYTES,
         decode: Callable[[bytes], object] = json_documents.decode,
+        exclusive: bool = False,
     ) -> Reply:
         """Makes one call; raises CallError.
 
@@ -119,13 +120,19 @@
             seconds: timeout of the whole call.
             max_body_bytes: largest body of the response.
             decode: decodes the body; may raise UnreadableError.
+            exclusive: whether its connection carries no other call. A server
+                may answer a call again, and late, and responses to calls
+                have no id that tells to which one they belong.
         """
         sent = False
         connection = None
         open_call = None
         try:
             async with asyncio.timeout(seconds):
-                connection = await self.pool.acquire(address)
+                if exclusive:
+                    connection = await self.pool.open(address)
+                else:
+                    connection = await self.pool.acquire(address)
                 sent = True
                 connection.send(_encode(address, method, target, body, headers))
                 open_call = OpenCall(
@@ -149,7 +156,11 @@
             if connection is not None and connection.busy:
                 done = "reply" in locals()
                 if done:
-                    self.pool.release(connection, idle_seconds=IDLE_SECONDS)
+                    self.pool.release(
+                        connection,
+                        idle_seconds=IDLE_SECONDS,
+                        max_idle=0 if exclusive else None,
+                    )
                 else:
                     connection.abort()
         return reply
