Store: a response that belongs to another call is not accepted

What callers saw: nothing directly. If a response of the store arrived where the response to another call was due, a router took it: a lease holder could believe that it renewed its lease by the 200 of its former write, while another router held it, and an object could be read as another one. The response to a listing ended a write with an error instead of an unknown outcome, and the lease kept the revision from before.

Cause: no response has an id. Only the status decided; name and revision of the returned object were not compared with the call, and a ValueError of the decoder was not caught.

Evidence: a stand-in of the store that repeats its responses.

Why it works: the store returns the object of a call. A read or write is accepted only with its name, a replacement only with a revision above the expected one, or with that revision and the written content. A router has learnt each revision that an earlier response told, so a copy of one is never above the expected revision. After a mismatch, the outcome of a write counts as unknown and the connections to the store are closed, since the call's own response may follow. No call costs more; connections to the store stay shared, as opening them takes longer than losing a packet on one.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -182,6 +182,16 @@
         request.conn.wfile.write(piece)
 
 
+def encode_response(
+    status: int, headers: list[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    """Returns the bytes of a complete response."""
+    lines = [b"HTTP/1.1 %d status" % status]
+    lines += [b"%b: %b" % pair for pair in headers]
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 def cut_connection(request: cheroot.server.HTTPRequest) -> None:
     """Closes the connection at once, without a response or an end marker."""
     request.sent_headers = True
--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -228,7 +228,7 @@
         due = getattr(request.conn, "late_response", b"")
         request.conn.late_response = b""
         if self.late_status:
-            request.conn.late_response = _encode_response(
+            request.conn.late_response = fake_http.encode_response(
                 self.late_status, self._response_headers(headers), b"late"
             )
         return due
@@ -440,18 +440,11 @@
         headers = self._notice_headers()
         fake_http.send_response(request, body, status=status, headers=headers)
         if self.repeats_control:
-            request.conn.late_response = _encode_response(status, headers, body)
+            request.conn.late_response = fake_http.encode_response(
+                status, headers, body
+            )
 
 
 def is_model_request(call: ReceivedRequest) -> bool:
     """Returns whether a request names a model; its response is a stream."""
     return names.MODEL.decode() in call.headers
-
-
-def _encode_response(
-    status: int, headers: list[tuple[bytes, bytes]], body: bytes
-) -> bytes:
-    lines = [b"HTTP/1.1 %d late" % status]
-    lines += [b"%b: %b" % pair for pair in headers]
-    lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/pimentoledge/platform/stand_in_stores.py
+++ b/pimentoledge/platform/stand_in_stores.py
@@ -27,6 +27,8 @@
             They never get one, even after the fault ends.
         counts: number of calls by method and kind.
         bytes_per_second: bandwidth of the callers' links; 0 for no limit.
+        repeats: whether each response is sent again where the next response
+            on the connection is due.
         closing: whether the server is stopping.
     """
 
@@ -37,6 +39,7 @@
         self.silent = False
         self.counts: dict[str, int] = {}
         self.bytes_per_second = 0.0
+        self.repeats = False
         self.closing = False
         # A watch that started before the latest increment is cut, or gets no
         # response.
@@ -137,6 +140,8 @@
         count = f"{method} {kind}"
         self.counts[count] = self.counts.get(count, 0) + 1
         body = fake_http.read_body(request)
+        request.conn.wfile.write(getattr(request.conn, "late_response", b""))
+        request.conn.late_response = b""
         if self.objects.latency:
             time.sleep(self.objects.latency)
         if self.silent:
@@ -286,10 +291,16 @@
         }
 
     def _send_json(self, request, body: object, status: int = 200) -> None:
+        data = msgspec.json.encode(body)
+        headers = [(names.STORE_ERA, b"%d" % self.objects.era)]
+        if self.repeats:
+            request.conn.late_response = fake_http.encode_response(
+                status, headers, data
+            )
         fake_http.send_response(
             request,
-            msgspec.json.encode(body),
+            data,
             status=status,
-            headers=[(names.STORE_ERA, b"%d" % self.objects.era)],
+            headers=headers,
             bytes_per_second=self.bytes_per_second,
         )
--- a/pimentoledge/platform/stores.py
+++ b/pimentoledge/platform/stores.py
@@ -225,7 +225,7 @@
             return registrations.Absent(era=reply.era)
         if reply.status != 200:
             return _unexpected_response(reply)
-        return objects.decode_stored(reply.body, reply.era)
+        return self._decode_object(reply, name, writes=False)
 
     async def write(
         self, kind: str, name: str, value: object, *, revision: int | None
@@ -253,17 +253,54 @@
         if isinstance(reply, registrations.Unavailable):
             return reply
         if reply.status in (200, 201):
-            return objects.decode_stored(reply.body, reply.era)
+            stored = self._decode_object(reply, name, writes=True)
+            if isinstance(stored, registrations.Stored) and not _may_result(
+                stored, value, revision
+            ):
+                return self._reject(
+                    f"revision {stored.revision} after a write to {revision}",
+                    writes=True,
+                )
+            return stored
+        if reply.status == 409 and not reply.body:
+            return registrations.Conflict(found=None, era=reply.era)
         if reply.status == 409:
-            try:
-                found = objects.decode_stored(reply.body, reply.era)
-            except (KeyError, TypeError):
-                found = None
+            found = self._decode_object(reply, name, writes=True)
+            if isinstance(found, registrations.Unavailable):
+                return found
             return registrations.Conflict(found=found, era=reply.era)
         if reply.status == 404:
             return registrations.Conflict(found=None, era=reply.era)
         return _unexpected_response(reply)
 
+    def _decode_object(
+        self, reply: _Answer, name: str, *, writes: bool
+    ) -> registrations.Stored | registrations.Unavailable:
+        """Decodes the object in a response to a call for it."""
+        try:
+            stored = objects.decode_stored(reply.body, reply.era)
+        except ValueError as error:
+            return self._reject(str(error), writes=writes)
+        if stored.name != name:
+            return self._reject(
+                f"object {stored.name} instead of {name}", writes=writes
+            )
+        return stored
+
+    def _reject(
+        self, reason: str, *, writes: bool
+    ) -> registrations.Unavailable:
+        """Returns the result of a call that got the response to another one.
+
+        Its own response may still arrive, so the connection isn't used again.
+        """
+        self.forget_connections()
+        return registrations.Unavailable(
+            reason=f"not the response to this call: {reason}",
+            maybe_done=writes,
+            unreadable=True,
+        )
+
     async def delete(
         self, kind: str, name: str, revision: int
     ) -> (
@@ -282,6 +319,22 @@
         return _unexpected_response(reply)
 
 
+def _may_result(
+    stored: registrations.Stored, value: object, revision: int | None
+) -> bool:
+    """Returns whether an object may result from a successful write.
+
+    Args:
+        stored: the object.
+        value: the content that was written.
+        revision: the expected revision, or None if the object was created.
+    """
+    if revision is None or stored.revision > revision:
+        return True
+    # A write that changes nothing has no revision of its own.
+    return stored.revision == revision and stored.value == value
+
+
 def _is_page(body: object, name: str) -> bool:
     """Returns whether a body is a page of a listing or of a watch."""
     return (
