Stream versions: answers to an earlier process are not taken

Cause: each process numbers its questions from 1, and an answer names only the number. A router that restarts at its mailbox could take the answer to a question of the process before for the answer to its own question with the same number, as answers that wait for a confirmation of the view are late.

Evidence: a test in which the answers to the question of the former process arrive at the restarted one, which fails on the code before ("v2" for a stream of which nobody knows anything).

Why it works: the first number is random, of 48 bits, so numbers of two processes meet only by chance. No message changes, so builds can be mixed.

--- a/pimentoledge/routing/stream_version_exchanges.py
+++ b/pimentoledge/routing/stream_version_exchanges.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import random
 
 import attrs
 
@@ -26,6 +27,8 @@
 RESEND_SECONDS = 0.2
 # Records in one message when a router leaves.
 MAX_HANDED_OVER = 200
+# Bits of the random number of the first question of a process.
+FIRST_NUMBER_BITS = 48
 
 
 @attrs.define(kw_only=True)
@@ -72,7 +75,8 @@
         self.records = stream_versions.StreamRecords()
         self.view = view
         self.confirm = confirm
-        self._number = 0
+        # Answers to an earlier process at this mailbox have other numbers.
+        self._number = random.getrandbits(FIRST_NUMBER_BITS)
         self._answering: set[asyncio.Task] = set()
         self._queries: dict[int, _Query] = {}
         self._unsent: list[stream_versions.Began] = []
--- a/pimentoledge/tests/test_router_software_versions.py
+++ b/pimentoledge/tests/test_router_software_versions.py
@@ -441,39 +441,49 @@
     )
 
 
+def _exchange(sent):
+    """Returns the exchange of a router that knows twelve others."""
+    peer = rosters.Peer(alive_at=clocks.now())
+    roster = rosters.Roster(own="own", data_centre="a")
+    roster.known = {f"r{each}": peer for each in range(12)}
+    return stream_version_exchanges.StreamVersionExchange(
+        roster=roster,
+        send=lambda address, query: sent.append((address, query)),
+        lines=log_lines.Lines(counters=counters.Counters()),
+        view=cluster_views.ClusterView(
+            name="own", data_centre="a", started_at=0.0
+        ),
+        confirm=lambda: asyncio.sleep(0, False),
+    )
+
+
+def _resumable_route():
+    return configurations.Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=configurations.Repeatability.STREAM,
+        timeout_seconds=9.0,
+        objective_seconds=1.0,
+        urgency=0,
+        shares=(configurations.ServiceShare(service="s", weight=1.0),),
+        most_servers=2,
+        open=True,
+        by_prefix=True,
+        resumable=True,
+        gap_seconds=None,
+    )
+
+
 def test_all_others_are_queried_if_the_first_ones_know_nothing():
     """Guards against answers of the first routers that end the whole query."""
 
     async def play():
-        peer = rosters.Peer(alive_at=clocks.now())
-        roster = rosters.Roster(own="own", data_centre="a")
-        roster.known = {f"r{each}": peer for each in range(12)}
-        exchange = stream_version_exchanges.StreamVersionExchange(
-            roster=roster,
-            send=lambda address, query: sent.append((address, query)),
-            lines=log_lines.Lines(counters=counters.Counters()),
-            view=cluster_views.ClusterView(
-                name="own", data_centre="a", started_at=0.0
-            ),
-            confirm=lambda: asyncio.sleep(0, False),
-        )
         sent = []
-        route = configurations.Route(
-            name="r",
-            host="h",
-            path_prefix="/",
-            kind=configurations.Repeatability.STREAM,
-            timeout_seconds=9.0,
-            objective_seconds=1.0,
-            urgency=0,
-            shares=(configurations.ServiceShare(service="s", weight=1.0),),
-            most_servers=2,
-            open=True,
-            by_prefix=True,
-            resumable=True,
-            gap_seconds=None,
+        exchange = _exchange(sent)
+        finding = asyncio.ensure_future(
+            exchange.find("q", _resumable_route(), 9.0)
         )
-        finding = asyncio.ensure_future(exchange.find("q", route, 9.0))
         answered = 0
         while not finding.done():
             await asyncio.sleep(0.01)
@@ -489,3 +499,27 @@
         return await finding, len(sent)
 
     assert asyncio.run(play()) == ("v2", 12)
+
+
+def test_an_answer_to_an_earlier_process_is_not_taken():
+    """Guards against the version of another stream after a restart."""
+
+    async def play():
+        sent = []
+        former, restarted = _exchange(sent), _exchange(sent)
+        findings = [
+            asyncio.ensure_future(each.find(request, _resumable_route(), 9.0))
+            for each, request in ((former, "of-v2"), (restarted, "of-v1"))
+        ]
+        await asyncio.sleep(0.01)
+        for address, query in sent[:]:
+            if query.request == "of-v2":
+                restarted.receive_answer(
+                    address,
+                    peer_messages.StreamVersionAnswer(
+                        number=query.number, software="v2"
+                    ),
+                )
+        return (await asyncio.gather(*findings))[1]
+
+    assert asyncio.run(play()) is None
