Quotas: answers to an earlier process are not taken

Cause: each process numbers its acquires from 1, and an answer names only the number. An answer to the process before at the same mailbox could decide the acquire of the new one with the same number; the owner's answer to that one then found nothing pending, and its grant was not given back.

Evidence: a test in which a router starts anew while an answer is on its way, and fails on the code before: the answer to an acquire of 1 grants one of 50.

Why it works: numbers begin with the process's life, 31 random bits, above 20 bits of count, which stays within the range of numbers in messages. The fields of messages are the same, so builds can be mixed.

--- a/pimentoledge/routing/quotas/limiters.py
+++ b/pimentoledge/routing/quotas/limiters.py
@@ -24,6 +24,9 @@
 # A pending acquire is dropped after this time. Until then a late grant is
 # matched to it and given back.
 FORGET_SECONDS = 10.0
+# An acquire's number has the process's life above this many bits. Lives of 31
+# bits keep it within the range of numbers in messages.
+ACQUIRE_BITS = 20
 
 
 @attrs.frozen(kw_only=True)
@@ -104,7 +107,8 @@
         self.renew = renew
         self.pending: dict[int, PendingAcquire] = {}
         self.leaving = False
-        self._number = 0
+        # Answers to an earlier process at this mailbox have other numbers.
+        self._number = life << ACQUIRE_BITS
         self._stepped = False
         self._next_step_at = 0.0
         self._newest_leases: dict[str, tuple[int, int]] = {}
--- a/pimentoledge/tests/test_router_quotas.py
+++ b/pimentoledge/tests/test_router_quotas.py
@@ -571,6 +571,26 @@
         self.deliver()
         assert [each.decision.granted for each in results] == [True]
 
+    def test_an_answer_to_an_earlier_process_is_not_taken(self):
+        """Guards against a grant for a cost that another request had."""
+        self.build(3)
+        self.run(10.0)
+        other = self.other()
+        # Both processes start anew, so that each sends its first acquire.
+        self.start(other)
+        self.acquire(other, cost=1.0)
+        while self.mail[0][1] != other:
+            sender, to, message = self.mail.pop(0)
+            self.limiters[to].handle(sender, message, self.now)
+        self.start(other, life=2)
+        results, _ = self.acquire(other, cost=50.0)
+        sender, to, message = self.mail.pop(0)
+        assert isinstance(message, messages.Acquired)
+        self.limiters[to].handle(sender, message, self.now)
+        assert not results
+        self.deliver()
+        assert len(results) == 1
+
     def test_an_owner_that_shuts_down_is_replaced_at_once(self):
         """Guards against limits without an owner during a rolling restart."""
         self.build()
