Services: each call on a connection of its own

What callers saw: a service that answers again, and late, where the next response is due gave a caller the response to another caller's call, and each call after it on that connection likewise.

Cause: the agent's connections to its service were pooled. Responses of a plain service have no id, and the pool drops a connection only if bytes are there when it is taken out, not if they arrive after the next request.

Evidence: a service that repeats its responses: of three calls, the second got the body of the first on the code before.

Why it works: HttpPool(reuses=False) closes each connection after its response, so a late copy has nowhere to arrive.

--- a/pimentoledge/http_pools.py
+++ b/pimentoledge/http_pools.py
@@ -20,6 +20,9 @@
     Attributes:
         connections: the open connections.
         is_cut: whether the pool was cut; new connections then fail.
+        reuses: whether connections carry further requests. A server may answer
+            a request again, and late, where the next response is due; this is
+            noticed only if responses tell to which request they belong.
     """
 
     def __init__(
@@ -27,10 +30,12 @@
         *,
         size: int,
         timeout: float | urllib3.Timeout = DEFAULT_TIMEOUT_SECONDS,
+        reuses: bool = True,
     ):
         super().__init__(retries=False, maxsize=size, timeout=timeout)
         self.connections: set[connection.HTTPConnection] = set()
         self.is_cut = False
+        self.reuses = reuses
         pool = self
 
         class TrackedConnection(connection.HTTPConnection):
@@ -46,6 +51,12 @@
         class TrackedPool(connectionpool.HTTPConnectionPool):
             ConnectionCls = TrackedConnection
 
+            def _put_conn(self, conn):
+                if conn is not None and not pool.reuses:
+                    # The pool opens it again for the next request.
+                    conn.close()
+                super()._put_conn(conn)
+
         self.pool_classes_by_scheme = {"http": TrackedPool}
 
     def track(self, opened: connection.HTTPConnection) -> None:
--- a/pimentoledge/services/clients.py
+++ b/pimentoledge/services/clients.py
@@ -47,7 +47,7 @@
 
     def start(self) -> None:
         """Opens the connection pool."""
-        self.pool = http_pools.HttpPool(size=POOL_SIZE)
+        self.pool = http_pools.HttpPool(size=POOL_SIZE, reuses=False)
 
     def close(self) -> None:
         """Closes all connections, including those in use by other threads."""
--- a/pimentoledge/tests/test_fake_services.py
+++ b/pimentoledge/tests/test_fake_services.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pimentoledge import fake_http
 from pimentoledge.decisions import actions
 from pimentoledge.decisions import events
 from pimentoledge.nodes import messages
@@ -67,6 +68,28 @@
     assert service.runs_by_body == {fake_services.body_digest(b"wheel"): 1}
 
 
+def test_a_response_to_an_earlier_call_is_not_taken():
+    """Guards against a service that answers again where a response is due."""
+
+    def answer(request):
+        body = fake_http.read_body(request)
+        request.conn.wfile.write(getattr(request.conn, "late_response", b""))
+        request.conn.late_response = fake_http.encode_response(200, [], body)
+        fake_http.send_response(request, body)
+
+    server = fake_http.HttpServer(
+        handle=answer, host="127.0.0.1", port=0, threads=2
+    )
+    server.start()
+    client = clients.ServiceClient(url=server.url)
+    client.start()
+    bodies = [b"first", b"second", b"third"]
+    found = [client.run(create_action(body=body)).body for body in bodies]
+    client.close()
+    server.close()
+    assert found == bodies
+
+
 def test_lost_request_and_lost_response_are_both_unknown(service_and_client):
     """Guards against retrying a call that may have run.
 
