Engines: each call on a connection of its own

What callers saw: an engine that answers again, and late, where the next response is due gave a call the response to another one: a cancellation that the engine refused counted as confirmed. Orders, reports of the status and exchanged blocks went over the same pool.

Evidence: a test with an engine that repeats its responses, which fails on the code before (two confirmed cancellations of one).

Why it works: as for services, HttpPool(reuses=False) closes each connection after its response.

--- a/pimentoledge/runners/engines.py
+++ b/pimentoledge/runners/engines.py
@@ -53,7 +53,9 @@
     def start(self) -> None:
         """Opens the connection pool and starts the stream task."""
         self.closing = False
-        self.pool = http_pools.HttpPool(size=POOL_SIZE, timeout=self.timeout)
+        self.pool = http_pools.HttpPool(
+            size=POOL_SIZE, timeout=self.timeout, reuses=False
+        )
         # Each request occupies a thread from sending it until the first bytes
         # of its response.
         self.executor = futures.ThreadPoolExecutor(
--- a/pimentoledge/tests/test_engine_clients.py
+++ b/pimentoledge/tests/test_engine_clients.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from pimentoledge import fake_http
 from pimentoledge.decisions import events
 from pimentoledge.runners import blocks
 from pimentoledge.runners import engines
@@ -59,6 +60,29 @@
     assert server.engine.counters.runs == {"r0": 1, "r1": 1, "r2": 1}
 
 
+def test_a_response_to_an_earlier_call_is_not_taken():
+    """Guards against an engine that answers again where a response is due."""
+    statuses = iter([200, 404])
+
+    def answer(request):
+        fake_http.read_body(request)
+        request.conn.wfile.write(getattr(request.conn, "late_response", b""))
+        status = next(statuses)
+        request.conn.late_response = fake_http.encode_response(status, [], b"")
+        fake_http.send_response(request, b"", status=status)
+
+    server = fake_http.HttpServer(
+        handle=answer, host="127.0.0.1", port=0, threads=2
+    )
+    server.start()
+    client = engines.EngineClient(url=server.url, timeout=5)
+    client.start()
+    found = [client.cancel("known", 1), client.cancel("unknown", 1)]
+    client.close()
+    server.close()
+    assert found == [True, False]
+
+
 def test_one_receiver_gets_the_events_of_all_streams(server_and_client):
     _, client = server_and_client
     inbox = queue.SimpleQueue()
