Design of the platform: which call a response belongs to

With a test of the object client: the answer to an earlier call costs one call only. It passes without a change, since the client compares call ids and the pool drops a connection on which bytes are waiting.

--- a/pimentoledge/tests/test_fake_platform.py
+++ b/pimentoledge/tests/test_fake_platform.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentoledge import fake_http
 from pimentoledge.decisions import stores
 from pimentoledge.stores import fake_objects
 from pimentoledge.stores import fake_servers
@@ -208,6 +209,34 @@
         client.close()
 
 
+def test_the_answer_to_an_earlier_call_costs_one_call_only():
+    """Guards against a connection on which every answer is late by one."""
+
+    def answer(request):
+        path, data = fake_http.path_of(request), fake_http.read_body(request)
+        call = wires.decode_call(path, data)
+        body = wires.encode(
+            stores.StoreAnswer(call=call.call, outcome=Outcome.ABSENT)
+        )
+        request.conn.wfile.write(getattr(request.conn, "late_response", b""))
+        request.conn.late_response = fake_http.encode_response(200, [], body)
+        fake_http.send_response(request, body)
+
+    server = fake_http.HttpServer(
+        handle=answer, host="127.0.0.1", port=0, threads=2
+    )
+    server.start()
+    client = objects.ObjectClient(url=server.url)
+    client.start()
+    found = [
+        client.call(stores.Read(call=f"c{number}", path="a")).outcome
+        for number in range(3)
+    ]
+    client.close()
+    server.close()
+    assert found == [Outcome.ABSENT, Outcome.DOWN, Outcome.ABSENT]
+
+
 def vm(name):
     return vms.Vm(name=name, address="10.0.0.1", data_centre="north")
 
