Stand-in servers: second responses of each kind

A stand-in could answer a request again only with one fixed status, where the next response on the connection is due. Copies, delays and pieces couldn't be played.

`second_response` replaces `late_status`: it chooses for each request whether and how it is answered again. A second response is a copy of the first one, byte by byte, or one with another status; it is sent after a delay or where the next response is due, whole or in pieces of which the first leaves in the same segment as the end of the first response.

The two tests that used `late_status` play what they played before; a second response with status 503 now has `Not-Run`, as other refusals of a stand-in do.

--- a/pimentoledge/platform/stand_in_servers.py
+++ b/pimentoledge/platform/stand_in_servers.py
@@ -1,5 +1,6 @@
 """Stand-ins of backend servers, with injected faults."""
 
+from collections.abc import Callable
 import threading
 import time
 
@@ -9,6 +10,7 @@
 
 from pimentoledge import fake_http
 from pimentoledge.platform import names
+from pimentoledge.platform import second_responses
 
 THREADS = 32
 SIGNATURE = b"stand.in"
@@ -86,8 +88,8 @@
             crashes.
         unframed: whether its responses have no length or chunks and end with
             their connections.
-        late_status: status of the second, late response to each request, sent
-            where the next response on the connection is due; 0 for none.
+        second_response: returns how a request is answered again, or None if it
+            isn't.
         marks_not_run: whether its successful responses state that the request
             did not run.
         empty: whether its responses have no body, if they are no streams.
@@ -144,7 +146,10 @@
         self.flooded_until_closed = 0
         self.crashes_after_head = False
         self.unframed = False
-        self.late_status = 0
+        self.second_response: Callable[
+            [cheroot.server.HTTPRequest],
+            second_responses.SecondResponse | None,
+        ] = lambda request: None
         self.marks_not_run = False
         self.empty = False
         self.crashes: list[ReceivedRequest] = []
@@ -195,9 +200,22 @@
             for name, value in request.inheaders.items()
         }
         self.arrival_times.append(time.monotonic())
-        path = fake_http.path_of(request)
         body = fake_http.read_body(request)
-        request.conn.wfile.write(self._take_late_response(request, headers))
+        second_responses.finish_pending(request)
+        second = self.second_response(request)
+        if second is None:
+            self._dispatch(request, headers, body)
+            return
+        second_responses.answer_twice(
+            request,
+            second,
+            answer=lambda: self._dispatch(request, headers, body),
+            encode=lambda status: self._encode_response(headers, body, status),
+        )
+
+    def _dispatch(self, request, headers: dict[str, str], body: bytes) -> None:
+        """Answers one request."""
+        path = fake_http.path_of(request)
         expected_incarnation = headers.get(names.EXPECTED_INCARNATION.decode())
         if expected_incarnation not in (None, self.incarnation):
             self._send_not_run(request, headers, 421)
@@ -215,23 +233,24 @@
             self.calls.append(call)
             self._handle_call(request, call)
 
-    def _take_late_response(self, request, headers: dict[str, str]) -> bytes:
-        """Returns the late response that is due on a connection, or nothing.
+    def _encode_response(
+        self, headers: dict[str, str], body: bytes, status: int
+    ) -> bytes:
+        """Returns a whole response with a status.
 
         Args:
-            request: the request that arrived; one to it is due next.
             headers: headers of the request.
+            body: body of the request.
+            status: HTTP status.
         """
-        due = getattr(request.conn, "late_response", b"")
-        request.conn.late_response = b""
-        if self.late_status:
-            head = self._response_headers(headers)
-            lines = [b"HTTP/1.1 %d late" % self.late_status]
-            lines += [b"%b: %b" % pair for pair in head]
-            lines.append(b"Content-Length: 4")
-            late = b"\r\n".join(lines) + b"\r\n\r\nlate"
-            request.conn.late_response = late
-        return due
+        content = b"answer of " + body if status == 200 else b"failed"
+        head = self._response_headers(headers)
+        if status == 503:
+            head.append((names.NOT_RUN, b"1"))
+        head.append((b"Content-Length", b"%d" % len(content)))
+        lines = [b"HTTP/1.1 %d status" % status]
+        lines += [b"%b: %b" % pair for pair in head]
+        return b"\r\n".join(lines) + b"\r\n\r\n" + content
 
     def _consume_fault(self, fault: str) -> bool:
         """Returns whether a fault is pending, and decrements its counter."""
--- a/pimentoledge/tests/test_router_logs.py
+++ b/pimentoledge/tests/test_router_logs.py
@@ -8,6 +8,7 @@
 import logbook
 import msgspec
 
+from pimentoledge.platform import second_responses
 from pimentoledge.routing import counters
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import watchers
@@ -229,7 +230,9 @@
 async def test_a_late_response_is_logged_beside_the_request_it_preceded(world):
     """Guards against mixed-up responses whose connection can't be traced."""
     server = world.servers["p0"]
-    server.late_status = 500
+    server.second_response = lambda request: second_responses.SecondResponse(
+        statuses={200: 500}
+    )
     with fields_of_lines() as lines:
         for name in ("first", "second"):
             await world.request(
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentoledge.platform import second_responses
 from pimentoledge.routing import server_connections
 from pimentoledge.tests import router_world
 
@@ -21,7 +22,9 @@
     @with_world(plain=1)
     async def test(world):
         server = world.servers["p0"]
-        server.late_status = late_status
+        server.second_response = lambda request: (
+            second_responses.SecondResponse(statuses={500: late_status})
+        )
         server.fail = 2
         answers = []
         for organisation_key in (
