Soak: servers answer requests twice, and clients repeat failed ones

The check `own` compares the number and the status of the arrival that an answer names with the try that got it; a header names the try where several have the same id.

--- a/pimentoledge/tests/soak/checks.py
+++ b/pimentoledge/tests/soak/checks.py
@@ -18,6 +18,8 @@
     "once": "an unsafe request runs at most once",
     "not_run": "a request answered with 408, 421, 429 or 503 never ran",
     "whole": "a 2xx is a server's complete, correct answer to its request",
+    "own": "a server's answer has the status that the server gave, and answers"
+    " this very try",
     "stream": "a stream has each event once, in order, and ends when complete",
     "answered": "an accepted request is answered, even around a SIGTERM",
     "exit": "a router exits with 0 within its grace period after SIGTERM",
@@ -220,7 +222,7 @@
 ) -> str | None:
     """Returns what is wrong with a 2xx answer, or None if it is correct."""
     server = request.headers.get(servers.INCARNATION_HEADER.decode().lower())
-    if request.headers.get("request-id") != request.identity:
+    if request.headers.get("request-id") != request.sent_as:
         return "another request's id"
     if "server-stamp" not in request.headers:
         return "no signature"
@@ -249,6 +251,32 @@
             )
 
 
+def check_own_answers(record: records.SoakRecord) -> Iterator[Violation]:
+    """Checks that servers' answers belong to the tries that they answer."""
+    arrivals = {str(each.number): each for each in list(record.arrivals)}
+    for request in (
+        *list(record.requests.values()),
+        *list(record.repeats.values()),
+        *[each.request for each in list(record.resumptions.values())],
+    ):
+        number = request.headers.get(servers.ARRIVAL_HEADER.decode().lower())
+        if number is None:
+            continue
+        arrival = arrivals[number]
+        error = None
+        if arrival.request != request.identity:
+            error = f"got the answer to {arrival.request}"
+        elif arrival.status not in (None, request.status):
+            error = f"got {request.status}, the server gave {arrival.status}"
+        if error is not None:
+            yield Violation(
+                invariant="own",
+                at=request.headed,
+                subject=f"{request.identity} {request.sent_as}",
+                text=f"{error} at {arrival.server}",
+            )
+
+
 def check_stream_events(record: records.SoakRecord) -> Iterator[Violation]:
     """Checks that streams have the expected events."""
     for request in list(record.requests.values()):
@@ -845,6 +873,7 @@
     check_runs_at_most_once,
     check_refused_not_run,
     check_complete_answers,
+    check_own_answers,
     check_stream_events,
     check_accepted_answered,
     check_exits,
--- a/pimentoledge/tests/soak/clients.py
+++ b/pimentoledge/tests/soak/clients.py
@@ -6,13 +6,18 @@
 import socket
 import time
 
+import attrs
+
 from pimentoledge.routing import router_responses
 from pimentoledge.tests import router_world
 from pimentoledge.tests.soak import records
+from pimentoledge.tests.soak import servers
 
 ROUTES = ("cards", "notices", "lookups", "drafts")
 STREAMS = ("lookups", "drafts")
 RESUMABLE = "lookups"
+# Route whose requests may be sent again under their ids after a failure.
+REPEATABLE = "notices"
 # Routes whose requests may run only once.
 UNREPEATABLE = ("cards", "drafts")
 # Within this time of the first one a client may send a request again.
@@ -20,7 +25,13 @@
 # How often a client sends such a request again, and its longest pause before.
 MAX_REPEATS = 2
 MAX_REPEAT_PAUSE_SECONDS = 0.5
+FAILED_STATUS = 500
+# How often a client sends a failed request again under its id.
+MAX_FAILED_REPEATS = 8
+NEW_CONNECTION_PROBABILITY = 0.5
 PAUSE_SECONDS = (0.05, 0.4)
+# Period in which clients that share ids use the same one, each once.
+SHARED_ID_SECONDS = 0.5
 # Time until a client retries to open a connection.
 REOPEN_SECONDS = 0.2
 PROMPT_BLOCKS = ("aa:600", "bb:900", "cc:300", "own:40")
@@ -54,6 +65,8 @@
         record: the record of the run, to which it adds its requests.
         chooser: random generator of routes and pauses.
         routers: returns name and address of each router.
+        shares_ids: whether it also uses ids that other clients of its router
+            use at the same time. Ids are unique for one organisation only.
         sockets: adds the sockets of its connections, by name of the router.
     """
 
@@ -68,6 +81,7 @@
         seed: str,
         routers: Callable[[], list[tuple[str, str]]],
         sockets: dict[str, set[socket.socket]],
+        shares_ids: bool = False,
     ):
         self.name = name
         self.router = router
@@ -77,7 +91,9 @@
         self.chooser = random.Random(seed)
         self.routers = routers
         self.sockets = sockets[router]
+        self.shares_ids = shares_ids
         self._number = 0
+        self._last_shared_id = ""
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Sends requests until `stopped` is set."""
@@ -117,6 +133,8 @@
                 await self._resume(request)
             if request.route in UNREPEATABLE:
                 await self._repeat(request)
+            if request.route == REPEATABLE:
+                request = await self._repeat_failed(connection, request)
             await asyncio.sleep(self.chooser.uniform(*PAUSE_SECONDS))
             closes = request.headers.get("connection") == "close"
             if not request.whole or closes:
@@ -126,9 +144,11 @@
         """Returns a new request, which it adds to the record."""
         self._number += 1
         identity = f"{self.name}-{self._number}"
+        route = self.chooser.choice(ROUTES)
         request = records.Request(
             identity=identity,
-            route=self.chooser.choice(ROUTES),
+            sent_as=self._next_shared_id(route) or identity,
+            route=route,
             key=self.key,
             body=f"body of {identity}".encode(),
             router=self.router,
@@ -139,6 +159,69 @@
         self.record.requests[identity] = request
         return request
 
+    def _next_shared_id(self, route: str) -> str:
+        """Returns an id that other clients use, too, or "" for its own one."""
+        period = int(time.monotonic() / SHARED_ID_SECONDS)
+        shared = f"{self.router}-shared-{period}"
+        if (
+            not self.shares_ids
+            or route in STREAMS
+            or shared == self._last_shared_id
+        ):
+            return ""
+        self._last_shared_id = shared
+        return shared
+
+    async def _repeat_failed(
+        self, connection: Connection, failed: records.Request
+    ) -> records.Request:
+        """Sends a failed request again at once, under the same id.
+
+        Returns:
+            The last request that was sent on the connection.
+        """
+        request = last = failed
+        for number in range(MAX_FAILED_REPEATS):
+            closes = last.headers.get("connection") == "close"
+            if request.status != FAILED_STATUS or not last.whole or closes:
+                break
+            request = attrs.evolve(
+                failed,
+                identity=f"{failed.identity}-same-{number}",
+                first=False,
+                sent=time.monotonic(),
+                headed=None,
+                ended=None,
+                status=None,
+                headers={},
+                answer=b"",
+                whole=False,
+            )
+            if self.chooser.random() < NEW_CONNECTION_PROBABILITY:
+                await self._send_on_new_connection(request)
+            else:
+                last = request
+                self.record.requests[request.identity] = request
+                await self._send(connection, request)
+        return last
+
+    async def _send_on_new_connection(self, request: records.Request) -> None:
+        """Sends a request unless its router restarts."""
+        connection = Connection(self.address)
+        try:
+            await connection.open()
+        except OSError:
+            # The router is restarting.
+            return
+        try:
+            if request.process_run == self._newest_process_run():
+                request.first = True
+                request.sent = time.monotonic()
+                self.record.requests[request.identity] = request
+                await self._send(connection, request)
+        finally:
+            connection.close()
+
     async def _resume(self, broken: records.Request) -> None:
         """Resumes a broken stream at any router, if it has brought events."""
         after = broken.answer.count(b"\n\n")
@@ -250,7 +333,9 @@
         part: name of a further shared part after the first, or "".
         more: further headers.
     """
-    headers = {"Request-Id": request.identity, **(more or {})}
+    headers = {"Request-Id": request.sent_as, **(more or {})}
+    if request.sent_as != request.identity:
+        headers[servers.IDENTITY_HEADER.decode()] = request.identity
     if request.route in STREAMS:
         parts = list(PROMPT_BLOCKS[:blocks])
         if part:
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -48,6 +48,8 @@
 SLOWDOWN_KINDS = ("server_slowed",)
 # A server sends headers without an end until the router closes.
 FLOOD_KINDS = ("server_floods",)
+# A server answers requests again, late, and fails others with status 500.
+REPETITION_KINDS = ("server_answers_twice",)
 # The clients of a router can't be reached for some seconds.
 CLIENT_KINDS = ("clients_cut",)
 # Another writer puts entries that name no usable server beside the servers.
@@ -72,6 +74,7 @@
     *SHED_KINDS,
     *SLOWDOWN_KINDS,
     *FLOOD_KINDS,
+    *REPETITION_KINDS,
     *CLIENT_KINDS,
     *ENTRY_KINDS,
 )
--- a/pimentoledge/tests/soak/records.py
+++ b/pimentoledge/tests/soak/records.py
@@ -14,7 +14,7 @@
     """A request as observed by its client.
 
     Attributes:
-        identity: its id.
+        identity: its name in the record, and its id unless `sent_as` is given.
         route: name of its route.
         key: the organisation's key that it was sent with.
         body: its body.
@@ -32,6 +32,8 @@
         reset: whether the connection was reset before any part of the answer,
             as one that is closed with unread bytes is.
         repeats: id of the request that it sends again, or "".
+        sent_as: the id that it was sent under; other tries, and requests of
+            other organisations, may have the same one.
     """
 
     identity: str
@@ -51,6 +53,9 @@
     timed_out: bool = False
     reset: bool = False
     repeats: str = ""
+    sent_as: str = attrs.field(
+        default=attrs.Factory(lambda self: self.identity, takes_self=True)
+    )
 
 
 @attrs.define(kw_only=True)
@@ -58,7 +63,8 @@
     """The arrival of a request at a server.
 
     Attributes:
-        request: its id.
+        request: its name in the record.
+        number: number of the arrival, as the server's answer has it.
         server: the server's incarnation.
         service: the server's service.
         at: when it arrived.
@@ -68,9 +74,12 @@
         weights: version of the weights that it began on, or None.
         rest_seconds: backoff that the server asked for, or None.
         harmed: whether a fault may have cut off or lost its answer.
+        status: status of the server's answer, or None without one or before
+            its end.
     """
 
     request: str
+    number: int
     server: str
     service: str
     at: float
@@ -80,6 +89,7 @@
     weights: int | None = None
     rest_seconds: float | None = None
     harmed: bool = False
+    status: int | None = None
 
 
 @attrs.define(kw_only=True)
--- a/pimentoledge/tests/soak/runs.py
+++ b/pimentoledge/tests/soak/runs.py
@@ -22,6 +22,8 @@
 # Number of the client of each router that has the guest's key, which the "key"
 # fault revokes and restores.
 GUEST_CLIENT = 0
+# Clients of each router that use the same ids, of two organisations.
+ID_SHARING_CLIENTS = (GUEST_CLIENT, 1)
 CHECK_SECONDS = 2.0
 # Time after the recovery in which every request must be served.
 RECOVERED_SECONDS = 2.0
@@ -123,6 +125,7 @@
                     for each in self.world.fleet.routers
                 ],
                 sockets=self.world.client_sockets,
+                shares_ids=number in ID_SHARING_CLIENTS,
             )
             for number in range(count)
         ]
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -1,20 +1,69 @@
 """Stand-ins for backend servers that record the requests they receive."""
 
+import itertools
+import random
 import threading
 import time
 
+import attrs
+
 from pimentoledge import fake_http
 from pimentoledge.platform import names
+from pimentoledge.platform import second_responses
 from pimentoledge.platform import stand_in_servers
 from pimentoledge.tests.soak import links
 from pimentoledge.tests.soak import records
 
 # Response header with the incarnation of the server.
 INCARNATION_HEADER = b"Soak-Server"
+# Response header with the number of the arrival that it answers.
+ARRIVAL_HEADER = b"Soak-Arrival"
+# Request header with the request's name in the record, if that isn't its id.
+IDENTITY_HEADER = b"Soak-Request"
 # Begin of the bodies of requests that crash each server that runs them.
 CRASHING_PREFIX = b"crashes "
 # Begin of the names of prompt parts that do the same.
 CRASHING_PART = "crashing-part-"
+# Longest time from a response to a second one, and largest piece of it.
+MAX_SECOND_DELAY_SECONDS = 0.1
+MAX_PIECE_BYTES = 2000
+# Statuses of second responses by those of the first ones.
+SECOND_STATUSES = (
+    {},
+    {200: 500, 202: 500, 500: 200},
+    {200: 503, 202: 503, 500: 503},
+)
+_arrival_numbers = itertools.count(1)
+
+
+@attrs.frozen(kw_only=True)
+class Repetition:
+    """How a server answers requests more than once.
+
+    Attributes:
+        chooser: random generator of what happens to each request.
+        repeated: share of requests that it answers again.
+        failed: share of clients' requests that it answers with status 500.
+        answers_routers: whether it also answers orders and requests for its
+            report again.
+    """
+
+    chooser: random.Random
+    repeated: float
+    failed: float
+    answers_routers: bool
+
+    def draw(self) -> second_responses.SecondResponse | None:
+        """Returns how the next request is answered again, or None."""
+        if self.chooser.random() >= self.repeated:
+            return None
+        delay = self.chooser.uniform(0, MAX_SECOND_DELAY_SECONDS)
+        size = self.chooser.randint(1, MAX_PIECE_BYTES)
+        return second_responses.SecondResponse(
+            statuses=self.chooser.choice(SECOND_STATUSES),
+            delay_seconds=self.chooser.choice((0.0, delay, None)),
+            piece_bytes=self.chooser.choice((0, size % 100 + 1, size)),
+        )
 
 
 class Server(stand_in_servers.StandInServer):
@@ -26,6 +75,7 @@
         running: whether its simulated process runs.
         link: the proxy through which routers reach it, or None.
         on_crashed: called from a thread when a request has crashed it.
+        repetition: how it answers requests more than once, or None.
     """
 
     def __init__(self, *, record: records.SoakRecord, **options):
@@ -35,6 +85,9 @@
         self.draining = False
         self.running = False
         self.on_crashed = lambda: None
+        self.repetition: Repetition | None = None
+        self.second_response = self._draw_second_response
+        self._handled = threading.local()
         self._in_progress: dict[object, records.Arrival] = {}
         self._in_progress_lock = threading.Lock()
 
@@ -87,19 +140,24 @@
             self.record.own_calls.setdefault(self.incarnation, []).append(
                 time.monotonic()
             )
+            self._handled.arrival = None
             super().handle(request)
             return
         headers = {
             name.lower(): value for name, value in request.inheaders.items()
         }
         arrival = records.Arrival(
-            request=headers.get(names.REQUEST_ID, b"").decode(),
+            request=headers.get(
+                IDENTITY_HEADER.lower(), headers.get(names.REQUEST_ID, b"")
+            ).decode(),
+            number=next(_arrival_numbers),
             server=self.incarnation,
             service=self.service,
             at=time.monotonic(),
             resumed=names.LAST_EVENT_ID in headers,
             software=self.software,
         )
+        self._handled.arrival = arrival
         with self._in_progress_lock:
             self._in_progress[request] = arrival
         self.record.arrivals.append(arrival)
@@ -111,9 +169,26 @@
                 fake_http.cut_connection(request)
         finally:
             arrival.harmed |= request.close_connection
+            if request.status:
+                arrival.status = int(request.status[:3])
             with self._in_progress_lock:
                 del self._in_progress[request]
 
+    def _draw_second_response(self, request):
+        """Returns how a request is answered again, or None if it isn't."""
+        repetition = self.repetition
+        if repetition is None:
+            return None
+        if request not in self._in_progress and not repetition.answers_routers:
+            return None
+        return repetition.draw()
+
+    def _consume_fault(self, fault: str) -> bool:
+        repetition = self.repetition
+        if fault == "fail" and repetition is not None:
+            return repetition.chooser.random() < repetition.failed
+        return super()._consume_fault(fault)
+
     def _handle_order(self, request, body: dict) -> None:
         self.record.orders.append(
             records.Order(
@@ -146,6 +221,9 @@
     ) -> list[tuple[bytes, bytes]]:
         head = super()._response_headers(headers)
         head.append((INCARNATION_HEADER, self.incarnation.encode()))
+        arrival = self._handled.arrival
+        if arrival is not None:
+            head.append((ARRIVAL_HEADER, b"%d" % arrival.number))
         return head
 
     def _encode_event(self, call, number: int) -> bytes:
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -5,6 +5,7 @@
 from collections.abc import Hashable
 import contextlib
 import pathlib
+import random
 import socket
 import threading
 import time
@@ -69,6 +70,12 @@
 # Factor by which outages of the store are longer than a fault's duration.
 OUTAGE_FACTOR = 2.5
 STORE_LATENCY_SECONDS = 0.4
+# Shares of requests that servers answer again, and with status 500.
+REPEATED_SHARES = (0.3, 0.6, 1.0)
+FAILED_SHARES = (0.4, 0.6, 0.8)
+# Factor by which a period of such answers is longer than a fault's duration.
+REPETITION_FACTOR = 5 / 3
+WHOLE_SERVICE_PROBABILITY = 0.7
 # Interval in which servers that shed refuse the next requests again.
 SHED_STEP_SECONDS = 0.1
 # How often a client sends content, or a prompt part, that crashes servers, and
@@ -605,6 +612,35 @@
         self.record.add_fault(f"{server.incarnation} floods {fault.count}")
         server.floods += fault.count
 
+    async def _server_answers_twice(self, fault: plans.Fault) -> None:
+        """Makes a server, or all of its service, answer requests again."""
+        server = self._choose_server(fault)
+        seconds = REPETITION_FACTOR * fault.seconds
+        chooser = random.Random(fault.seconds)
+        affected = [server]
+        if chooser.random() < WHOLE_SERVICE_PROBABILITY:
+            affected = self._usable_servers(server.service)
+        repetition = servers.Repetition(
+            chooser=chooser,
+            repeated=chooser.choice(REPEATED_SHARES),
+            failed=chooser.choice(FAILED_SHARES),
+            answers_routers=bool(fault.count % 2),
+        )
+        affected_names = " ".join(each.incarnation for each in affected)
+        self.record.add_fault(
+            f"{affected_names}: {repetition.repeated:g} answered twice,"
+            f" {repetition.failed:g} failed, {seconds:.1f} s"
+        )
+        for each in affected:
+            each.repetition = repetition
+        for each in affected:
+            self._active_faults["repetition", each.incarnation] += 1
+        await asyncio.sleep(seconds)
+        for each in affected:
+            self._active_faults["repetition", each.incarnation] -= 1
+            if not self._active_faults["repetition", each.incarnation]:
+                each.repetition = None
+
     async def _stream_cut(self, fault: plans.Fault) -> None:
         server = self._choose_runner(fault)
         self.record.add_fault(f"{server.incarnation} cuts after {fault.count}")
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -62,6 +62,7 @@
     "server_slow",
     *plans.SHED_KINDS,
 )
+REPETITIONS = plans.REPETITION_KINDS
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -74,6 +75,7 @@
         pytest.param(5, 8.0, LOADS, id="loads"),
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
+        pytest.param(4, 5.0, REPETITIONS, id="repetitions"),
         pytest.param(971, 16.0, CUTS, id="cuts"),
         pytest.param(3, 12.0, RESTORES, id="restores"),
         pytest.param(11, 18.0, CRASHES, id="crashes"),
