--- a/pimentoledge/tests/test_router_control_calls.py
+++ b/pimentoledge/tests/test_router_control_calls.py
@@ -1,6 +1,7 @@
 """Servers that answer reports and orders again."""
 
 from pimentoledge.platform import orders
+from pimentoledge.platform import second_responses
 from pimentoledge.routing import calls
 from pimentoledge.routing import rollouts
 from pimentoledge.tests import router_world
@@ -12,7 +13,7 @@
 def _client_of(world):
     """Returns a server that repeats its answers, and a client and its entry."""
     server = world.servers["r0"]
-    server.repeats_control = True
+    server.second_response = lambda _: second_responses.SecondResponse()
     [router] = world.routers
     backend = router.view.servers.by_incarnation["r0"]
     client = orders.RunnerClient(caller=calls.Caller(), holder="test")
