--- a/pimentoledge/platform/second_responses.py
+++ b/pimentoledge/platform/second_responses.py
@@ -23,11 +23,13 @@
             the next response on the connection is due.
         piece_bytes: size of the pieces, of which the first is sent together
             with the end of the first response; 0 to send it as a whole.
+        max_bytes: number of bytes after which it is cut, or None.
     """
 
     statuses: dict[int, int] = attrs.field(factory=dict)
     delay_seconds: float | None = None
     piece_bytes: int = 0
+    max_bytes: int | None = None
 
 
 class _RecordingFile:
@@ -113,6 +115,7 @@
         return
     status = second.statuses.get(int(request.status[:3]))
     data = bytes(recording.written) if status is None else encode(status)
+    data = data[: second.max_bytes]
     try:
         sock.sendall(data[: second.piece_bytes])
         if second.piece_bytes:
--- a/pimentoledge/tests/soak/servers.py
+++ b/pimentoledge/tests/soak/servers.py
@@ -27,6 +27,8 @@
 # Longest time from a response to a second one, and largest piece of it.
 MAX_SECOND_DELAY_SECONDS = 0.1
 MAX_PIECE_BYTES = 2000
+# Longest begin of a second response that is cut; heads are longer.
+MAX_CUT_BYTES = 150
 # Statuses of second responses by those of the first ones.
 SECOND_STATUSES = (
     {},
@@ -63,6 +65,9 @@
             statuses=self.chooser.choice(SECOND_STATUSES),
             delay_seconds=self.chooser.choice((0.0, delay, None)),
             piece_bytes=self.chooser.choice((0, size % 100 + 1, size)),
+            max_bytes=self.chooser.choice(
+                (None, self.chooser.randint(1, MAX_CUT_BYTES))
+            ),
         )
 
 
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -147,3 +147,23 @@
             accepted.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("path", ["/notices/", "/cards/"])
+@pytest.mark.parametrize("size", [13, 16, 40, 60, 90])
+def test_a_late_response_that_is_cut_gives_no_status_to_the_next_one(
+    path, size
+):
+    """Guards against a success that a server had answered with a failure."""
+
+    @with_world(plain=1)
+    async def test(world):
+        server = world.servers["p0"]
+        server.second_response = lambda _: second_responses.SecondResponse(
+            max_bytes=size
+        )
+        assert (await world.request(path, body=b"c")).status == 200
+        server.fail = 1
+        assert (await world.request(path, body=b"c")).status != 200
+
+    test()
