Tests: drawn bytes of servers on connections that carry several requests

A property test of the real pool, connections, parser and attempts against a scripted server on real sockets: each request gets the whole response to it or none, and a connection that carried bytes of no request is not reused.

Three faults of the test itself were mended on the way, each traced: a cut response that the next bytes completed counted as mixed; an interim response while a request waits counted as one of no request; it waited for responses without an end.

--- a/pimentoledge/tests/scripted_connections.py
+++ b/pimentoledge/tests/scripted_connections.py
@@ -373,13 +373,17 @@
 
     def _encode(self, extra: Extra, index: int, peer: Peer):
         """Returns an extra's bytes, and whether they show an error."""
+        if extra.moment is Moment.AWAITED and is_interim(extra.raw):
+            # It is one to the request that waits then.
+            return extra.raw, False
         if extra.response is None:
             # Line ends between two responses change neither.
             return extra.raw, bool(extra.raw.strip(b"\r\n"))
         name = (None, "unknown", peer.carried[-1], peer.carried[0])[extra.names]
         data = extra.response.encode(f"<{self.played}+{index}>", name)
         data = data[: extra.cut]
-        return data, bool(data)
+        awaited = extra.moment is Moment.AWAITED
+        return data, not (awaited and is_interim(data))
 
     async def _send(self, peer: Peer, data: bytes, sizes) -> None:
         position = 0
@@ -397,8 +401,8 @@
             await self._send(peer, data, pieces)
 
     async def _outcome(self, reading, attempt, exchange, disturbed: bool):
-        complete = exchange.cut is None and not exchange.response.length_error
-        if not disturbed and complete and not reading.done():
+        due = not disturbed and is_sound(exchange)
+        if due and not reading.done():
             await asyncio.wait([reading], timeout=ANSWER_SECONDS)
         if not reading.done():
             reading.cancel()
@@ -441,6 +445,13 @@
         assert found.body == expected, "another body, or a part of it"
 
 
+def is_interim(data: bytes) -> bool:
+    """Returns whether bytes are complete interim responses."""
+    *heads, rest = data.split(b"\r\n\r\n")
+    starts = [each.startswith(b"HTTP/1.1 1") for each in heads]
+    return bool(heads) and not rest and all(starts)
+
+
 def is_sound(exchange: Exchange) -> bool:
     """Returns whether the response to a request must be delivered."""
     response = exchange.response
--- /dev/null
+++ b/pimentoledge/tests/test_router_drawn_connections.py
@@ -0,0 +1,96 @@
+"""Draws what servers send on connections that carry several requests."""
+
+from hypothesis import Phase
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from pimentoledge.tests import scripted_connections
+from pimentoledge.tests.scripted_connections import End
+from pimentoledge.tests.scripted_connections import Exchange
+from pimentoledge.tests.scripted_connections import Extra
+from pimentoledge.tests.scripted_connections import Framing
+from pimentoledge.tests.scripted_connections import Moment
+from pimentoledge.tests.scripted_connections import Response
+
+MOST_EXCHANGES = 6
+CI_EXAMPLES = 300
+# Shrinking would take minutes: many variants wait for a response in vain.
+NO_SHRINKING = (Phase.explicit, Phase.generate)
+
+
+def mostly(usual, rare):
+    """Draws the usual value in about two of three cases."""
+    return strategies.one_of(
+        strategies.just(usual), strategies.just(usual), rare
+    )
+
+
+def rarely(usual, rare):
+    """Draws the usual value in about eight of nine cases."""
+    return mostly(usual, mostly(usual, rare))
+
+
+responses = strategies.builds(
+    Response,
+    status=strategies.sampled_from([200, 500, 204, 304]),
+    framing=mostly(Framing.LENGTH, strategies.sampled_from(Framing)),
+    filler=mostly(0, strategies.sampled_from([1, 40, 5000])),
+    length_error=rarely(0, strategies.integers(-6, 6)),
+    id_first=strategies.booleans(),
+    interim=mostly(
+        (), strategies.sampled_from([(100,), (103, 102), (102, 100, 103)])
+    ),
+    head_body=strategies.booleans(),
+    closes=rarely(False, strategies.booleans()),
+)
+extras = strategies.one_of(
+    strategies.builds(
+        Extra,
+        moment=mostly(Moment.AWAITED, strategies.sampled_from(Moment)),
+        response=responses,
+        names=mostly(2, strategies.integers(0, 3)),
+        cut=strategies.none() | strategies.integers(1, 150),
+    ),
+    strategies.builds(
+        Extra,
+        moment=strategies.sampled_from(Moment),
+        response=strategies.none(),
+        raw=strategies.sampled_from(
+            [
+                b"\r\n",
+                b"0\r\n\r\n",
+                b"HTTP/1.1 100 Continue\r\n\r\n",
+                b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n",
+            ]
+        )
+        | strategies.binary(min_size=1, max_size=8),
+    ),
+)
+exchanges = strategies.builds(
+    Exchange,
+    request=strategies.sampled_from(["a", "b", "c"]),
+    method=mostly(b"POST", mostly(b"GET", strategies.just(b"HEAD"))),
+    response=responses,
+    extras=strategies.just(())
+    | strategies.lists(extras, min_size=1, max_size=2).map(tuple),
+    end=rarely(End.KEEP, strategies.sampled_from(End)),
+    cut=rarely(None, strategies.integers(0, 200)),
+    speaks_first=rarely(False, strategies.booleans()),
+    pieces=mostly(
+        (4096,),
+        strategies.lists(
+            strategies.integers(20, 200), min_size=1, max_size=3
+        ).map(tuple),
+    ),
+)
+
+
+@settings(
+    max_examples=max(CI_EXAMPLES, settings.default.max_examples),
+    phases=NO_SHRINKING,
+)
+@given(strategies.lists(exchanges, min_size=2, max_size=MOST_EXCHANGES))
+def test_each_request_gets_the_whole_response_to_it_or_none(drawn):
+    """Guards against bytes of one exchange in the response to another."""
+    scripted_connections.play(drawn)
