Responses: cut ones are found at any place, also if they are relayed or skipped

A late response that was cut in its body took the right one into itself, and the request waited for its deadline (504 after 2.55 s).

What a slice holds is now passed on once all of it was parsed; a body that ends with the begin of a status line, which what follows it continues, is cut. A skipped body that holds a status line ends the attempt at once: 502, or another server. Still delivered: a second response that is as long as what is missing, or split just where the first one's length ends.

Two counts have names of counts.

--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -149,7 +149,7 @@
         """
         return {
             "number": self.connection.number,
-            "requests": self.connection.requests,
+            "requests": self.connection.request_count,
             "skipped": self.skipped,
         }
 
@@ -196,6 +196,12 @@
                             buffer_bounds.Bound.SKIPPED, self.skipped
                         )
                 case server_connections.BodyReceived(data=data):
+                    if http_messages.STATUS_LINE.search(data):
+                        # It was cut, and has taken the begin of this one.
+                        raise BrokenError(
+                            retry_rules.AttemptOutcome.BROKE,
+                            "cut response to another request",
+                        )
                     skipped_bytes += len(data)
                     if skipped_bytes > buffer_bounds.COLLECTED_BYTES:
                         raise over_bound(
--- a/pimentoledge/routing/extra_responses.py
+++ b/pimentoledge/routing/extra_responses.py
@@ -25,7 +25,7 @@
             "extra_response",
             server=connection.address,
             connection=connection.number,
-            requests=connection.requests,
+            requests=connection.request_count,
             awaits=connection.busy,
             request=None if response is None else response.request,
             status=None if response is None else response.status,
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -1,5 +1,6 @@
 """Parsing of HTTP/1.1 requests and responses with httptools."""
 
+from collections.abc import Callable
 import re
 
 import attrs
@@ -16,6 +17,10 @@
 # Within a response it shows that the response was cut and another followed.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?:[ \r\n]|$)")
 STATUS_LINE_BYTES = len(b"HTTP/1.1 200 ")
+# The begin of one, where the bytes that were read end.
+BEGUN_STATUS_LINE = re.compile(
+    rb"HTTP/(?:1(?:\.(?:[0-9](?: (?:[1-5][0-9]?)?)?)?)?)?$"
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -107,10 +112,6 @@
         self.status = status
 
 
-class CutResponseError(BadMessageError):
-    """A response was cut: its body ends with the begin of another one."""
-
-
 class RequestParser:
     """Parses a client's bytes into complete requests.
 
@@ -269,20 +270,23 @@
 
     Bytes are counted in slices, so a bound may be exceeded by at most one
     slice. The body bytes of a slice are passed on together: single chunks of
-    a few bytes would each take the memory and time of a whole event.
+    a few bytes would each take the memory and time of a whole event. What a
+    slice holds is passed on once all of it was parsed, since the bytes after a
+    response may show that it was cut.
 
     Attributes:
         heads: called with the head of each final, not interim, response.
         pieces: called with the bytes of a body.
-        ends: called at the end of each final response.
-        messages: number of responses, interim ones too, that have begun.
+        ends: called at the end of each final response, with the value that
+            `message_count` had there.
+        message_count: number of responses, interim ones too, that have begun.
     """
 
     def __init__(self, *, heads, pieces, ends):
         self.heads = heads
         self.pieces = pieces
         self.ends = ends
-        self.messages = 0
+        self.message_count = 0
         self._parser = httptools.HttpResponseParser(self)
         self._interim = False
         self._error: (
@@ -291,6 +295,11 @@
         self._phrase: list[bytes] = []
         self._headers: Headers = []
         self._slice_body: list[bytes] = []
+        self._ended_in_slice = False
+        self._reports: list[tuple[Callable, tuple]] = []
+        self._head_in_slice = False
+        self._ended_body = b""
+        self._last_body_end = b""
         self._maybe_cut = False
         self._reset()
 
@@ -309,9 +318,8 @@
         """Parses bytes.
 
         Raises:
-            BadMessageError: the bytes are no HTTP response.
-            CutResponseError: nor was the response before them complete,
-                whose end has just been reported.
+            BadMessageError: the bytes are no HTTP response, or show that one
+                was cut and lacks bytes that another one seemed to bring.
             BoundExceededError: the response exceeds a bound.
         """
         if len(data) <= SLICE_BYTES:
@@ -324,6 +332,7 @@
     def _feed_slice(self, data: bytes | memoryview) -> None:
         self._ended_in_slice = False
         was_in_head, body_before = self._in_head, self._body_bytes
+        self._head_in_slice = False
         try:
             self._parser.feed_data(data)
         except (
@@ -331,12 +340,15 @@
             httptools.HttpParserUpgrade,
         ) as error:
             self._flush()
+            if self._error is None and self._was_cut(bytes(data)):
+                self._reports.clear()
+                self._error = BadMessageError("cut before another response")
+            self._report()
             if self._error is not None:
                 raise self._error from error
-            if self._ended_in_slice and self._maybe_cut:
-                raise CutResponseError("cut before another one") from error
             raise BadMessageError(str(error)) from error
         self._flush()
+        self._report()
         if self._ended_in_slice:
             return
         if self._in_head:
@@ -370,14 +382,44 @@
         pieces, self._slice_body = self._slice_body, []
         data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
         # A status line may begin in one slice and end in the next one.
-        searched = self._body_end + data
-        if b"HTTP/" in searched and STATUS_LINE.search(searched):
-            self._holds_status_line = True
-        self._body_end = searched[-STATUS_LINE_BYTES:]
-        self.pieces(data)
+        seam = self._body_end + data[:STATUS_LINE_BYTES]
+        for searched in (seam, data):
+            if b"HTTP/1." in searched and STATUS_LINE.search(searched):
+                self._holds_status_line = True
+        self._body_end = (self._body_end + data[-STATUS_LINE_BYTES:])[
+            -STATUS_LINE_BYTES:
+        ]
+        self._reports.append((self.pieces, (data,)))
+
+    def _report(self) -> None:
+        """Passes on what the current slice holds."""
+        reports, self._reports = self._reports, []
+        for report, arguments in reports:
+            report(*arguments)
+
+    def _was_cut(self, data: bytes) -> bool:
+        """Returns whether the last response took bytes of the next one.
+
+        Its body then holds the begin of a status line at least, and what
+        follows the body is no response.
+
+        Args:
+            data: the slice that holds the end of the response.
+        """
+        if not self._ended_in_slice:
+            return False
+        if self._maybe_cut:
+            return True
+        end = len(self._ended_body)
+        if self._head_in_slice:
+            end += data.find(b"\r\n\r\n" + self._ended_body) + 4
+        within = len(self._last_body_end)
+        seam = self._last_body_end + data[end : end + STATUS_LINE_BYTES]
+        found = STATUS_LINE.search(seam) or BEGUN_STATUS_LINE.search(seam)
+        return found is not None and found.start() < within
 
     def on_message_begin(self) -> None:  # noqa: D102
-        self.messages += 1
+        self.message_count += 1
         self._phrase = []
         self._headers = []
 
@@ -408,16 +450,16 @@
         if self._interim:
             return
         self._in_head = False
+        self._head_in_slice = True
         names = {name for name, _ in self._headers}
         framed = b"content-length" in names or b"transfer-encoding" in names
-        self.heads(
-            ResponseHead(
-                status=status,
-                headers=self._headers,
-                keep_alive=self._parser.should_keep_alive(),
-                ends_by_close=not framed and status not in (204, 304),
-            )
+        head = ResponseHead(
+            status=status,
+            headers=self._headers,
+            keep_alive=self._parser.should_keep_alive(),
+            ends_by_close=not framed and status not in (204, 304),
         )
+        self._reports.append((self.heads, (head,)))
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
         self._slice_body.append(body)
@@ -425,8 +467,10 @@
 
     def on_message_complete(self) -> None:  # noqa: D102
         if not self._interim:
+            self._ended_body = b"".join(self._slice_body)
             self._flush()
-            self.ends()
-            self._ended_in_slice = True
             self._maybe_cut = self._holds_status_line
+            self._last_body_end = self._body_end
+            self._reports.append((self.ends, (self.message_count,)))
+            self._ended_in_slice = True
             self._reset()
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -126,7 +126,7 @@
         expects_body: whether the response may have a body; one to HEAD has
             none, whatever its head says.
         number: its number among the connections of its pool.
-        requests: how many requests were sent on it.
+        request_count: how many requests were sent on it.
         carried: ids of the requests that were sent on it.
         on_extra: called with the connection, the head or None, and the number
             of bytes of a response that no request is waiting for.
@@ -142,7 +142,7 @@
     ):
         self.address = address
         self.number = number
-        self.requests = 0
+        self.request_count = 0
         self.carried: set[str] = set()
         self.on_lost = on_lost
         self.on_extra = on_extra
@@ -183,7 +183,7 @@
             request: its id, or None if it has none.
         """
         self.busy = True
-        self.requests += 1
+        self.request_count += 1
         if request is not None:
             self.carried.add(request)
         self._transport.write(data)
@@ -344,11 +344,9 @@
             return
         try:
             self._parser.feed(data)
-        except http_messages.CutResponseError as error:
-            if self._events and isinstance(self._events[-1], ResponseEnded):
-                self._events.pop()
-            self.break_off(f"invalid HTTP response: {error}")
         except http_messages.BadMessageError as error:
+            if self._events and isinstance(self._events[-1], ResponseEnded):
+                self.on_extra(self, None, 0)
             self.break_off(f"invalid HTTP response: {error}")
         except buffer_bounds.BoundExceededError as error:
             self._exceed(error.exceeded)
@@ -388,10 +386,10 @@
         else:
             self._push_event(BodyReceived(data=data))
 
-    def _on_end(self) -> None:
+    def _on_end(self, message_count: int) -> None:
         if not self.busy or self._ended:
             return
-        self._messages_at_end = self._parser.messages
+        self._messages_at_end = message_count
         self._push_event(ResponseEnded())
 
     def finish(self, *, idle_seconds: float) -> None:
@@ -406,7 +404,9 @@
                 if isinstance(event, HeadReceived):
                     self.on_extra(self, event.head, self._queued_bytes)
             self.abort()
-        elif self.reusable and self._parser.messages > self._messages_at_end:
+        elif (
+            self.reusable and self._parser.message_count > self._messages_at_end
+        ):
             # Another response, or an interim one, has begun to arrive.
             self.on_extra(self, None, 0)
             self.abort()
@@ -550,7 +550,7 @@
         connection.finish(idle_seconds=idle_seconds)
         waiting = self.idle.setdefault(connection.address, [])
         full = max_idle is not None and len(waiting) >= max_idle
-        used_up = connection.requests >= MAX_REQUESTS
+        used_up = connection.request_count >= MAX_REQUESTS
         if full or used_up or not connection.reusable:
             connection.abort()
             return
--- a/pimentoledge/stores/objects.py
+++ b/pimentoledge/stores/objects.py
@@ -64,7 +64,9 @@
             return _failed_answer(call, never_sent=False)
         if answer.call != call.call:
             # The answer belongs to another call, for example because a proxy
-            # mixed up connections; the result of this one is unknown.
+            # mixed up connections; the result of this one is unknown, and its
+            # own answer may still arrive.
+            self.pool.clear()
             return _failed_answer(call, never_sent=False)
         return answer
 
--- a/pimentoledge/tests/test_router_bounds.py
+++ b/pimentoledge/tests/test_router_bounds.py
@@ -610,7 +610,7 @@
         parser = http_messages.ResponseParser(
             heads=lambda head: None,
             pieces=lambda data: None,
-            ends=lambda: ends.append(1),
+            ends=ends.append,
         )
         line = b"A: %b\r\n" % (b"x" * 30000)
         body = b"Content-Length: 9\r\n\r\n123456789"
@@ -625,7 +625,9 @@
         """Guards against refusing the largest honest heads."""
         heads = []
         parser = http_messages.ResponseParser(
-            heads=heads.append, pieces=lambda data: None, ends=lambda: None
+            heads=heads.append,
+            pieces=lambda data: None,
+            ends=lambda count: None,
         )
         length = b"Content-Length: 0\r\n"
         if kind == "lines":
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -1,6 +1,7 @@
 """Servers that answer again on a connection that carries further requests."""
 
 import asyncio
+import contextlib
 import itertools
 import socket
 
@@ -57,7 +58,7 @@
     client.close()
     [address] = router.pool.idle
     [connection] = router.pool.idle[address]
-    assert connection.requests == len(connection.carried) == 1
+    assert connection.request_count == len(connection.carried) == 1
 
 
 @pytest.mark.parametrize("size", [1, 17, 50])
@@ -101,10 +102,15 @@
     return kinds
 
 
-@pytest.mark.parametrize("sizes", [(), (10,), (27,), (10, 20)])
-def test_a_cut_response_is_not_completed_by_the_next_one(sizes):
+@pytest.mark.parametrize("missing", [1, 5, 11, 12, 35])
+@pytest.mark.parametrize("sizes", [(), (0,), (10,), (10, 20)])
+def test_a_cut_response_is_not_completed_by_the_next_one(missing, sizes):
     """Guards against a success whose body ends with the head of a failure."""
-    cut = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 40\r\n\r\nbegin"
+    cut = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: %d\r\n\r\n"
+        % (5 + missing)
+        + b"begin"
+    )
     other = b"HTTP/1.1 500 Failed\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n"
 
     async def play():
@@ -118,11 +124,14 @@
             pieces = [cut] + [
                 other[start:end] for start, end in itertools.pairwise(ends)
             ]
-            for each in pieces:
-                accepted.sendall(each)
-                await asyncio.sleep(0.02)
+            if not sizes:
+                pieces = [cut + other]
+            # The router may close the connection before all pieces are sent.
+            with contextlib.suppress(ConnectionError):
+                for each in pieces:
+                    accepted.sendall(each)
+                    await asyncio.sleep(0.02)
             kinds = await _events_until_end(connection)
-            assert kinds[0] is server_connections.HeadReceived
             assert kinds[-1] is server_connections.ConnectionBroken
             accepted.close()
 
@@ -167,3 +176,17 @@
         assert (await world.request(path, body=b"c")).status != 200
 
     test()
+
+
+@with_world(plain=1)
+async def test_a_cut_late_response_does_not_hold_up_the_next_one(world):
+    """Guards against a response that is skipped as part of another's body."""
+    server = world.servers["p0"]
+    body = b"c" * 2000
+    server.second_response = lambda _: second_responses.SecondResponse(
+        max_bytes=300
+    )
+    await world.request("/cards/", body=body)
+    began = asyncio.get_running_loop().time()
+    assert (await world.request("/cards/", body=body)).status == 502
+    assert asyncio.get_running_loop().time() - began < 1.0
