Responses: a body with another response to its request is not passed on

Found by the review, beside the cut responses: where a second response is as long as what the first one lacks, or follows one without a length, callers got a success whose body ends with the whole second response. Its head bears the request's own id, which no body quotes by chance; such a response counts as one that may have run. A test with a body that holds the head of a failure under the request's id: 200 before, 502 now; under another id it passes.

--- a/pimentoledge/platform/requests.py
+++ b/pimentoledge/platform/requests.py
@@ -1,5 +1,7 @@
 """Encodes and decodes requests of clients and responses of servers."""
 
+import re
+
 from returns import result
 
 from pimentoledge import results
@@ -192,6 +194,29 @@
     )
 
 
+def holds_response_to(body: bytes, request: str) -> bool:
+    """Returns whether a body holds the head of a response to its own request.
+
+    Then a server has responded twice, and its first response was cut or told
+    no length.
+
+    Args:
+        body: the body of a response.
+        request: id of the request.
+    """
+    if b"HTTP/1." not in body:
+        return False
+    status_line = http_messages.STATUS_LINE.search(body)
+    if status_line is None:
+        return False
+    field = re.compile(
+        rb"\n%b:[ \t]*%b[ \t\r\n]"
+        % (re.escape(names.REQUEST_ID), re.escape(request.encode("latin-1"))),
+        re.IGNORECASE,
+    )
+    return field.search(body, status_line.end() - 1) is not None
+
+
 def _is_not_run(head: http_messages.ResponseHead) -> bool:
     """Returns whether a server states that it did not run the request.
 
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -311,6 +311,7 @@
         self._lines = 0
         self._framing_bytes = 0
         self._body_bytes = 0
+        self._has_length = False
         self._body_end = b""
         self._holds_status_line = False
 
@@ -381,7 +382,16 @@
             return
         pieces, self._slice_body = self._slice_body, []
         data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
-        # A status line may begin in one slice and end in the next one.
+        if self._has_length:
+            self._search_status_line(data)
+        self._reports.append((self.pieces, (data,)))
+
+    def _search_status_line(self, data: bytes) -> None:
+        """Notes whether a body holds a status line.
+
+        Where chunks are cut, the next response is no valid chunk.
+        """
+        # It may begin in one slice and end in the next one.
         seam = self._body_end + data[:STATUS_LINE_BYTES]
         for searched in (seam, data):
             if b"HTTP/1." in searched and STATUS_LINE.search(searched):
@@ -389,7 +399,6 @@
         self._body_end = (self._body_end + data[-STATUS_LINE_BYTES:])[
             -STATUS_LINE_BYTES:
         ]
-        self._reports.append((self.pieces, (data,)))
 
     def _report(self) -> None:
         """Passes on what the current slice holds."""
@@ -452,6 +461,7 @@
         self._in_head = False
         self._head_in_slice = True
         names = {name for name, _ in self._headers}
+        self._has_length = b"content-length" in names
         framed = b"content-length" in names or b"transfer-encoding" in names
         head = ResponseHead(
             status=status,
--- a/pimentoledge/routing/request_stages/server_responses.py
+++ b/pimentoledge/routing/request_stages/server_responses.py
@@ -1,5 +1,6 @@
 """Handles the responses of servers to a client request."""
 
+from pimentoledge.platform import requests
 from pimentoledge.routing import attempts
 from pimentoledge.routing import backends
 from pimentoledge.routing import buffer_bounds
@@ -88,6 +89,10 @@
                 f"{answer.status}: not run, load {_load_text(answer.load)}",
             )
         self._check_response(answer)
+        if requests.holds_response_to(
+            body, self.context.client_request.request
+        ):
+            raise attempts.broken("holds another response")
         if answer.status < 300 and not framed and not body:
             raise attempts.broken("ended with its connection and no body")
         self._record_status(backend, answer.status, framed=framed)
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -190,3 +190,18 @@
     began = asyncio.get_running_loop().time()
     assert (await world.request("/cards/", body=body)).status == 502
     assert asyncio.get_running_loop().time() - began < 1.0
+
+
+@pytest.mark.parametrize(("name", "status"), [("same", 502), ("other", 200)])
+def test_a_body_with_another_response_to_its_request_is_not_whole(name, status):
+    """Guards against a cut response that a second one completes exactly."""
+
+    @with_world(plain=1)
+    async def test(world):
+        second = f"HTTP/1.1 500 Failed\r\nRequest-Id: {name}\r\n\r\n"
+        answer = await world.request(
+            "/cards/", body=second.encode(), headers={"Request-Id": "same"}
+        )
+        assert answer.status == status
+
+    test()
