--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -17,6 +17,8 @@
 # Within a response it shows that the response was cut and another followed.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?:[ \r\n]|$)")
 STATUS_LINE_BYTES = len(b"HTTP/1.1 200 ")
+# A field may quote one, where it doesn't go on from the middle of a value.
+QUOTED_STATUS_LINE = re.compile(rb"(?:^|[ \t\"'(,;=])" + STATUS_LINE.pattern)
 # The begin of one, where the bytes that were read end.
 BEGUN_STATUS_LINE = re.compile(
     rb"HTTP/(?:1(?:\.(?:[0-9](?: (?:[1-5][0-9]?)?)?)?)?)?$"
@@ -280,6 +282,9 @@
         ends: called at the end of each final response, with the value that
             `message_count` had there.
         message_count: number of responses, interim ones too, that have begun.
+        allows_quotes: whether a field may quote a status line, as no earlier
+            response can have been cut.
+        quoted: whether one has.
     """
 
     def __init__(self, *, heads, pieces, ends):
@@ -287,6 +292,8 @@
         self.pieces = pieces
         self.ends = ends
         self.message_count = 0
+        self.allows_quotes = False
+        self.quoted = False
         self._parser = httptools.HttpResponseParser(self)
         self._interim = False
         self._error: (
@@ -440,8 +447,17 @@
             self._error = BadMessageError("a status line within a head")
             raise self._error
 
-    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+    def _check_field(self, value: bytes) -> None:
+        """Refuses a field that shows that its head was cut."""
+        if b"HTTP/" not in value:
+            return
+        if self.allows_quotes and QUOTED_STATUS_LINE.search(value):
+            self.quoted = True
+            return
         self._refuse_status_line(value)
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+        self._check_field(value)
         if not self._in_head:
             # Trailers are not passed on.
             return
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -184,6 +184,7 @@
         """
         self.busy = True
         self.request_count += 1
+        self._parser.allows_quotes = self.request_count == 1
         if request is not None:
             self.carried.add(request)
         self._transport.write(data)
@@ -372,6 +373,10 @@
         self.ends_by_close = head.ends_by_close
         if not head.keep_alive or head.ends_by_close:
             self.reusable = False
+        if self._parser.quoted:
+            # On a connection that was used before, it would not be told from a
+            # head that was cut.
+            self.reusable = False
         self._push_event(HeadReceived(head=head))
         if not self.expects_body:
             # The parser goes on to wait for a body.
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -205,3 +205,34 @@
         assert answer.status == status
 
     test()
+
+
+@pytest.mark.parametrize(
+    ("value", "delivered"),
+    [
+        (b"HTTP/1.1 502 Bad Gateway, then retried", True),
+        (b'214 - "HTTP/1.1 200 OK"', True),
+        (b"1.1 cacheHTTP/1.1 500 Failed", False),
+    ],
+)
+def test_a_field_may_quote_a_status_line_on_a_new_connection(value, delivered):
+    """Guards against servers of which each response counts as cut."""
+    data = b"HTTP/1.1 200 OK\r\nNote: %b\r\nContent-Length: 0\r\n\r\n" % value
+
+    async def play():
+        pool = server_connections.ConnectionPool()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            for _ in range(2):
+                connection = await pool.acquire(address)
+                accepted, _ = listener.accept()
+                connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+                accepted.sendall(data)
+                kinds = await _events_until_end(connection)
+                ended = kinds[-1] is server_connections.ResponseEnded
+                assert ended == delivered
+                pool.release(connection, idle_seconds=10)
+                assert not pool.idle[address]
+                accepted.close()
+
+    asyncio.run(play())
