Soak: a stand-in may be closed while it starts

A start that fails left the same state behind. Starting and closing now exclude each other, and what is started is set last.

--- a/pimentoledge/fake_http.py
+++ b/pimentoledge/fake_http.py
@@ -78,7 +78,7 @@
         self.threads = threads
         self.http = None
         self.thread = None
-        self._closing = threading.Lock()
+        self._changing = threading.Lock()
 
     @property
     def url(self) -> str:
@@ -87,27 +87,30 @@
 
     def start(self) -> None:
         """Binds the port and serves."""
-        self.http = ReusingServer(
-            (self.host, self.port), HandlerGateway, minthreads=self.threads
-        )
-        self.http.handle = self.handle
-        self.http.request_queue_size = LISTEN_BACKLOG
-        self.http.shutdown_timeout = SHUTDOWN_TIMEOUT_SECONDS
-        self.http.expiration_interval = POLL_INTERVAL_SECONDS
-        self.http.keep_alive_conn_limit = 1000
-        self.http.prepare()
-        self.port = self.http.bind_addr[1]
-        self.thread = threading.Thread(
-            target=self.http.serve, name=f"fake-{self.port}"
-        )
-        self.thread.start()
+        with self._changing:
+            http = ReusingServer(
+                (self.host, self.port), HandlerGateway, minthreads=self.threads
+            )
+            http.handle = self.handle
+            http.request_queue_size = LISTEN_BACKLOG
+            http.shutdown_timeout = SHUTDOWN_TIMEOUT_SECONDS
+            http.expiration_interval = POLL_INTERVAL_SECONDS
+            http.keep_alive_conn_limit = 1000
+            http.prepare()
+            self.http = http
+            self.port = http.bind_addr[1]
+            self.thread = threading.Thread(
+                target=http.serve, name=f"fake-{self.port}"
+            )
+            self.thread.start()
 
     def close(self) -> None:
         """Stops listening and closes all connections.
 
-        It may be called in several threads; each returns when it is closed.
+        It may be called in several threads, also while it starts; each returns
+        when it is closed.
         """
-        with self._closing:
+        with self._changing:
             if self.http is None:
                 return
             self.http.stop()
--- a/pimentoledge/tests/test_fake_http.py
+++ b/pimentoledge/tests/test_fake_http.py
@@ -46,3 +46,27 @@
     second.join()
     assert not errors
     assert not server.is_listening()
+
+
+def test_a_server_may_be_closed_while_it_starts(monkeypatch):
+    """Guards against a soak that ends as a fault meets a server that starts."""
+    server = fake_http.HttpServer(
+        handle=lambda request: None, host="127.0.0.1", port=0, threads=2
+    )
+    prepare = fake_http.ReusingServer.prepare
+    entered = threading.Event()
+
+    def prepare_slowly(http):
+        entered.set()
+        time.sleep(0.2)
+        prepare(http)
+
+    monkeypatch.setattr(fake_http.ReusingServer, "prepare", prepare_slowly)
+    starting = threading.Thread(target=server.start)
+    starting.start()
+    entered.wait(2)
+    server.close()
+    starting.join()
+    listening = server.is_listening()
+    server.close()
+    assert not listening
