--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -61,6 +61,30 @@
     assert connection.request_count == len(connection.carried) == 1
 
 
+@contextlib.asynccontextmanager
+async def _waiting_connection(pool=None):
+    """Yields a connection on which a request waits, and the server's socket."""
+    pool = pool or server_connections.ConnectionPool()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        connection = await pool.acquire(f"{host}:{port}")
+        accepted, _ = listener.accept()
+        with accepted:
+            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+            yield connection, accepted
+
+
+async def _events_until_end(connection):
+    """Returns the kinds of events up to the end of a response."""
+    kinds = []
+    while not kinds or kinds[-1] not in (
+        server_connections.ResponseEnded,
+        server_connections.ConnectionBroken,
+    ):
+        kinds.append(type(await connection.next()))
+    return kinds
+
+
 @pytest.mark.parametrize("size", [1, 17, 50])
 def test_a_connection_on_which_another_head_has_begun_is_not_reused(size):
     """Guards against the rest of a late head that completes the next one."""
@@ -73,35 +97,17 @@
         pool = server_connections.ConnectionPool(
             on_extra=lambda connection, head, size: extra.append(head)
         )
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = f"127.0.0.1:{listener.getsockname()[1]}"
-            connection = await pool.acquire(address)
-            accepted, _ = listener.accept()
-            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="first")
+        async with _waiting_connection(pool) as (connection, accepted):
             accepted.sendall(response + response[:size])
-            while not isinstance(
-                await connection.next(), server_connections.ResponseEnded
-            ):
-                pass
+            kinds = await _events_until_end(connection)
+            assert kinds[-1] is server_connections.ResponseEnded
             pool.release(connection, idle_seconds=10)
-            assert not pool.idle[address]
+            assert not pool.idle[connection.address]
             assert extra == [None]
-            accepted.close()
 
     asyncio.run(play())
 
 
-async def _events_until_end(connection):
-    """Returns the kinds of events up to the end of a response."""
-    kinds = []
-    while not kinds or kinds[-1] not in (
-        server_connections.ResponseEnded,
-        server_connections.ConnectionBroken,
-    ):
-        kinds.append(type(await connection.next()))
-    return kinds
-
-
 @pytest.mark.parametrize("missing", [1, 5, 11, 12, 35])
 @pytest.mark.parametrize("sizes", [(), (0,), (10,), (10, 20)])
 def test_a_cut_response_is_not_completed_by_the_next_one(missing, sizes):
@@ -114,12 +120,7 @@
     other = b"HTTP/1.1 500 Failed\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n"
 
     async def play():
-        pool = server_connections.ConnectionPool()
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = f"127.0.0.1:{listener.getsockname()[1]}"
-            connection = await pool.acquire(address)
-            accepted, _ = listener.accept()
-            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+        async with _waiting_connection() as (connection, accepted):
             ends = (0, *sizes, len(other))
             pieces = [cut] + [
                 other[start:end] for start, end in itertools.pairwise(ends)
@@ -133,7 +134,6 @@
                     await asyncio.sleep(0.02)
             kinds = await _events_until_end(connection)
             assert kinds[-1] is server_connections.ConnectionBroken
-            accepted.close()
 
     asyncio.run(play())
 
@@ -144,16 +144,10 @@
     response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
 
     async def play():
-        pool = server_connections.ConnectionPool()
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            address = f"127.0.0.1:{listener.getsockname()[1]}"
-            connection = await pool.acquire(address)
-            accepted, _ = listener.accept()
-            connection.send(b"GET / HTTP/1.1\r\n\r\n", request="a")
+        async with _waiting_connection() as (connection, accepted):
             accepted.sendall(response + body + response)
             kinds = await _events_until_end(connection)
             assert kinds[-1] is server_connections.ResponseEnded
-            accepted.close()
 
     asyncio.run(play())
 
