--- a/pimentoledge/tests/planted_processes.py
+++ b/pimentoledge/tests/planted_processes.py
@@ -13,13 +13,16 @@
 
 
 @contextlib.contextmanager
-def start(program, store_address, folder, **settings):
+def start(
+    program, store_address, folder, *, guard_seconds=GUARD_SECONDS, **settings
+):
     """Starts a program that runs a router, and kills it at the end.
 
     Args:
         program: source of the program.
         store_address: IP:PORT of the store.
         folder: directory for the settings file.
+        guard_seconds: the process is killed after so many seconds.
         **settings: further settings; underscores stand for hyphens.
 
     Yields:
@@ -44,7 +47,7 @@
         env={**os.environ, daemons.CONFIG_VARIABLE: str(path)},
         stdout=subprocess.PIPE,
     )
-    guard = threading.Timer(GUARD_SECONDS, process.kill)
+    guard = threading.Timer(guard_seconds, process.kill)
     guard.start()
     try:
         yield process
@@ -66,3 +69,8 @@
         if text in line:
             return line
     raise AssertionError(b"".join(lines).decode())
+
+
+def read_in_background(process):
+    """Reads all output, so that the process never blocks on a full pipe."""
+    threading.Thread(target=process.stdout.read, daemon=True).start()
