Requests: chunk extensions and trailers of a request are limited

Callers saw a router end: after a complete head only bodies and complete trailer lines were counted. The parser library joins the name or the value of an unfinished trailer, so 12 clients with an endless one took 614 and 527 MB of a VM of 128 MB; an endless chunk extension or chunk size was read as long as the client sent (64 MB in the tests, never refused). Bytes are now parsed in slices, and what a slice holds beside the body and beyond 20 bytes a chunk counts toward maxHeaderBytes; beyond it the client gets 431 and the connection closes. A body in chunks of one byte, with extensions and trailers within maxHeaderBytes, is served as before.

--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -10,6 +10,11 @@
 
 # Bytes of a response that are parsed between two checks of its bounds.
 SLICE_BYTES = 16 * 1024
+# Bytes of a client that are parsed between two checks, where no body of known
+# length is due.
+REQUEST_SLICE_BYTES = 1024
+# Framing of a chunk: its size in up to 16 digits, and two line ends.
+CHUNK_FRAMING_BYTES = 20
 
 # RFC 9112, 6.1: clients of these versions take chunk sizes for the body.
 VERSIONS_WITHOUT_CHUNKS = frozenset(("0.9", "1.0"))
@@ -117,8 +122,12 @@
 class RequestParser:
     """Parses a client's bytes into complete requests.
 
+    Bytes are checked in slices, so a bound may be exceeded by at most one
+    slice.
+
     Attributes:
-        max_header_bytes: maximum size of a head.
+        max_header_bytes: maximum size of a head, and of what surrounds the
+            chunks of a body beyond the framing that they need.
         max_body_bytes: maximum size of a body.
         requests: complete requests that are not served yet, oldest first.
         begun: whether part of a request was read.
@@ -136,6 +145,8 @@
         self.awaits_continue = False
         self._parser = httptools.HttpRequestParser(self)
         self._error: BadMessageError | None = None
+        self._ended_in_slice = False
+        self._chunks_in_slice = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -143,6 +154,7 @@
         self._headers: Headers = []
         self._header_bytes = 0
         self._unread_bytes = 0
+        self._framing_bytes = 0
         self._body = bytearray()
         self._announced_bytes = 0
         self._head: RequestHead | None = None
@@ -166,6 +178,21 @@
             BadMessageError: the bytes are refused; the parser can't be used
                 any more.
         """
+        start = 0
+        while start < len(data):
+            end = start + self._slice_size()
+            self._parse_slice(data[start:end])
+            start = end
+
+    def _slice_size(self) -> int:
+        """Returns how many bytes to parse before the next check."""
+        due = self._announced_bytes - len(self._body)
+        return max(REQUEST_SLICE_BYTES, due)
+
+    def _parse_slice(self, data: bytes) -> None:
+        self._ended_in_slice = False
+        self._chunks_in_slice = 0
+        was_in_head, body_before = self._head is None, len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -174,21 +201,36 @@
             if self._error is not None:
                 raise self._error from error
             raise BadMessageError(str(error)) from error
-        self._limit_unread_head(len(data))
+        if self._ended_in_slice:
+            return
+        if self.unread_head:
+            self._limit_unread_head(len(data))
+        elif not was_in_head:
+            body = len(self._body) - body_before
+            self._limit_framing(len(data) - body)
 
     def _limit_unread_head(self, size: int) -> None:
         """Refuses an incomplete head that exceeds the maximum size.
 
         Header lines are counted when they are complete, so a line without an
-        end would fill the memory uncounted. Bytes after a complete head belong
-        to the body and don't count.
+        end would fill the memory uncounted.
         """
-        if not self.unread_head:
-            return
         self._unread_bytes += size
         if self._unread_bytes > self.max_header_bytes:
             raise BadMessageError("the head is too large", 431)
 
+    def _limit_framing(self, size: int) -> None:
+        """Refuses chunk extensions and trailers that exceed the maximum size.
+
+        Args:
+            size: bytes read that don't belong to the body.
+        """
+        needed = self._chunks_in_slice * CHUNK_FRAMING_BYTES
+        # What one chunk doesn't need is no allowance for later ones.
+        self._framing_bytes = max(0, self._framing_bytes + size - needed)
+        if self._framing_bytes > self.max_header_bytes:
+            raise BadMessageError("the framing of the body is too large", 431)
+
     def _refuse(self, text: str, status: int) -> None:
         self._error = BadMessageError(text, status)
         raise self._error
@@ -252,6 +294,9 @@
         if self._announced_bytes > self.max_body_bytes:
             self._refuse("the body is too large", 413)
 
+    def on_chunk_header(self) -> None:  # noqa: D102
+        self._chunks_in_slice += 1
+
     def on_body(self, body: bytes) -> None:  # noqa: D102
         self.awaits_continue = False
         self._body += body
@@ -262,6 +307,7 @@
         self.requests.append((self._head, bytes(self._body)))
         self.awaits_continue = False
         self.begun = False
+        self._ended_in_slice = True
         self._reset()
 
 
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -340,6 +340,42 @@
         [(_, body)] = parser.requests
         assert len(body) == 4000
 
+    @pytest.mark.parametrize(
+        ("first", "unit"),
+        [
+            (b"1;", b"e"),
+            (b"0", b"0"),
+            (b"0\r\n", b"a"),
+            (b"0\r\na: ", b"a"),
+            (b"0\r\n", b"a: b\r\n"),
+        ],
+    )
+    def test_bytes_around_chunks_are_limited(self, first, unit):
+        """Guards against extensions and trailers that are read without end."""
+        parser = self.parser()
+        parser.feed(
+            b"POST / HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + first
+        )
+        with pytest.raises(http_messages.BadMessageError):
+            for _ in range(2 * 1000 + http_messages.REQUEST_SLICE_BYTES):
+                parser.feed(unit)
+
+    @given(strategies.integers(1, 2000))
+    def test_a_body_may_come_in_the_smallest_chunks(self, cut):
+        """Guards against a bound that a client inside the limits meets."""
+        parser = self.parser()
+        raw = (
+            b"POST / HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"0000000000000001\r\nx\r\n" * 99
+            + b"1;e=%b\r\nx\r\n0\r\n" % (b"f" * 400)
+            + b"t: %b\r\n\r\n" % (b"u" * 400)
+        )
+        parser.feed(raw[:cut])
+        parser.feed(raw[cut:])
+        assert [body for _, body in parser.requests] == [b"x" * 100]
+
     def test_the_size_of_head_and_body_is_limited(self):
         parser = self.parser()
         with pytest.raises(http_messages.BadMessageError) as caught:
