Requests: pipelined requests are parsed as they are served

Callers saw a router take 177 MB of 128 (150 connections, 1,900 tiny requests in one write behind the first): reading stopped at 8 waiting requests, but only after all of a read had been parsed, some 1 KB of objects each.

Requests are also served in a loop now: an answer that was sent at once served the next request by a further call, so 1,500 pipelined probes exceeded the interpreter's depth of calls and lost their connection (the new test failed so before).

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -101,6 +101,7 @@
         self._parser = http_messages.RequestParser(
             max_header_bytes=bounds.header_bytes,
             max_body_bytes=bounds.body_bytes,
+            max_waiting=MAX_PIPELINED_REQUESTS,
         )
         self._keep_alive = True
         self._ends_by_close = False
@@ -112,6 +113,7 @@
         self._held_until = 0.0
         self._served_bytes = 0
         self._body_paused = False
+        self._serving = False
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -192,15 +194,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and serves the next complete request."""
+        if self._parse_error is not None:
+            return
+        self._parse(data)
+        self._serve_next()
+        self._note_bodies()
+        self._pause_or_resume()
+
+    def _parse(self, data: bytes = b"") -> None:
+        """Parses received bytes, or those that were kept before."""
         if self._parse_error is not None:
             return
         try:
             self._parser.feed(data)
         except http_messages.BadMessageError as error:
             self._parse_error = error
-        self._serve_next()
-        self._note_bodies()
-        self._pause_or_resume()
 
     def _note_bodies(self) -> None:
         """Counts the bodies of this connection's requests.
@@ -230,24 +238,44 @@
         if self.gone or self._transport.is_closing():
             return
         waiting = len(self._parser.requests) > MAX_PIPELINED_REQUESTS
-        if self._body_paused or waiting:
+        unparsed = self._parser.unparsed_bytes()
+        if self._body_paused or waiting or unparsed:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
     def _serve_next(self) -> None:
-        """Serves the next complete request, if none is in progress."""
-        if self.exchange is not None or self.gone:
+        """Serves complete requests until one is in progress or none is left."""
+        if self._serving:
             return
+        self._serving = True
+        try:
+            while self._serve_one():
+                self._parse()
+        finally:
+            self._serving = False
+
+    def _serve_one(self) -> bool:
+        """Serves the next complete request, if none is in progress.
+
+        Returns:
+            Whether it served one.
+        """
+        if self.exchange is not None or self.gone:
+            return False
+        if self._transport.is_closing():
+            return False
         if self._parser.requests:
             head, body = self._parser.requests.pop(0)
             self._served_bytes = len(body)
             self._serve(head, body)
-        elif self._parse_error is not None:
+            return True
+        if self._parse_error is not None:
             self._refuse_malformed(self._parse_error)
         elif self._parser.awaits_continue:
             self._parser.awaits_continue = False
             self.send(CONTINUE_RESPONSE)
+        return False
 
     def _serve(self, head: http_messages.RequestHead, body: bytes) -> None:
         # The client can be reached again.
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -13,6 +13,8 @@
 # Bytes of a client that are parsed between two checks, where no body of known
 # length is due.
 REQUEST_SLICE_BYTES = 1024
+# Default number of complete requests beyond which no more is parsed.
+MAX_WAITING_REQUESTS = 8
 # Framing of a chunk: its size in up to 16 digits, and two line ends.
 CHUNK_FRAMING_BYTES = 20
 
@@ -123,12 +125,14 @@
     """Parses a client's bytes into complete requests.
 
     Bytes are checked in slices, so a bound may be exceeded by at most one
-    slice.
+    slice, and at most the requests of one slice wait beyond `max_waiting`.
 
     Attributes:
         max_header_bytes: maximum size of a head, and of what surrounds the
             chunks of a body beyond the framing that they need.
         max_body_bytes: maximum size of a body.
+        max_waiting: number of complete requests beyond which no more is
+            parsed.
         requests: complete requests that are not served yet, oldest first.
         begun: whether part of a request was read.
         unread_head: whether a request's head is not complete yet.
@@ -136,15 +140,23 @@
             an interim response.
     """
 
-    def __init__(self, *, max_header_bytes: int, max_body_bytes: int):
+    def __init__(
+        self,
+        *,
+        max_header_bytes: int,
+        max_body_bytes: int,
+        max_waiting: int = MAX_WAITING_REQUESTS,
+    ):
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
+        self.max_waiting = max_waiting
         self.requests: list[tuple[RequestHead, bytes]] = []
         self.begun = False
         self.unread_head = False
         self.awaits_continue = False
         self._parser = httptools.HttpRequestParser(self)
         self._error: BadMessageError | None = None
+        self._unparsed = b""
         self._ended_in_slice = False
         self._chunks_in_slice = 0
         self._reset()
@@ -171,18 +183,33 @@
         """Returns the size of the bodies of `requests`."""
         return sum(len(body) for _, body in self.requests)
 
+    def unparsed_bytes(self) -> int:
+        """Returns the number of bytes that were kept and not parsed yet."""
+        return len(self._unparsed)
+
     def feed(self, data: bytes) -> None:
-        """Parses bytes.
+        """Parses bytes, and keeps those that are not to be parsed yet.
 
         Raises:
             BadMessageError: the bytes are refused; the parser can't be used
                 any more.
         """
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self.parse_rest()
+
+    def parse_rest(self) -> None:
+        """Parses bytes that were kept, while no more requests wait than may.
+
+        Raises:
+            BadMessageError: as `feed`.
+        """
+        unparsed, self._unparsed = self._unparsed, b""
         start = 0
-        while start < len(data):
+        while start < len(unparsed) and len(self.requests) <= self.max_waiting:
             end = start + self._slice_size()
-            self._parse_slice(data[start:end])
+            self._parse_slice(unparsed[start:end])
             start = end
+        self._unparsed = unparsed[start:]
 
     def _slice_size(self) -> int:
         """Returns how many bytes to parse before the next check."""
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -376,6 +376,26 @@
         parser.feed(raw[cut:])
         assert [body for _, body in parser.requests] == [b"x" * 100]
 
+    @given(strategies.integers(0, 12), strategies.integers(1, 300))
+    def test_only_some_pipelined_requests_are_parsed_ahead(self, most, cut):
+        """Guards against thousands of requests held for one connection."""
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        parser = http_messages.RequestParser(
+            max_header_bytes=1000, max_body_bytes=100, max_waiting=most
+        )
+        raw = request * 2000
+        parser.feed(raw[:cut])
+        parser.feed(raw[cut:])
+        in_slice = http_messages.REQUEST_SLICE_BYTES // len(request) + 1
+        served = 0
+        while parser.requests:
+            assert len(parser.requests) <= most + 1 + in_slice
+            parser.requests.pop(0)
+            served += 1
+            parser.parse_rest()
+        assert served == 2000
+        assert parser.unparsed_bytes() == 0
+
     def test_the_size_of_head_and_body_is_limited(self):
         parser = self.parser()
         with pytest.raises(http_messages.BadMessageError) as caught:
--- a/pimentoledge/tests/test_router_path.py
+++ b/pimentoledge/tests/test_router_path.py
@@ -721,3 +721,15 @@
         answer = await client.request("/notices/", body=b"n")
         assert (answer.status, answer.complete) == (200, True)
     client.close()
+
+
+@with_world(plain=1, runners=0)
+async def test_many_pipelined_probes_are_all_answered(world):
+    """Guards against a depth of calls that grows with pipelined requests."""
+    client = world.client()
+    await client.open()
+    client.writer.write(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n" * 1500)
+    async with asyncio.timeout(8):
+        for _ in range(1500):
+            assert (await client.read()).status == 200
+    client.close()
