Requests: bodies of clients that stall count, and are refused

Callers saw a router end: with the bound of bodies reached, the oldest body whose client still sends may exceed it. A client that stalled for 0.2 s was left out, and its bytes stayed, so the next one took its turn: the sum was the number of clients times maxBodyBytes. 60 clients that stop 8 bytes short of 4 MB took 279 MB of a VM of 128 MB (276 in chunks, 279 with an unknown key), 1,500 that stop within one read of 60 KB 138 MB.

While others wait, clients that stalled longest are now refused (503, not run, with Retry-After) until they hold half of the bound; apart from the largest body no more than 1.5 times the bound is held, and above it the newest incomplete bodies are refused. Less than 4 KB in 0.2 s counts as stalled, so single bytes keep nothing. Nobody is refused in calm: that needs incomplete bodies beyond the bound. A paused client never counts as stalled, also if the event loop is late.

The drawn test of the budget now lets readers be refused; its assertions stand, with two more about what is held and when a body may be refused.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -13,8 +13,14 @@
 # Part of the VM's memory that bodies may take. While a server reads one slowly,
 # there are two copies of it.
 MEMORY_SHARE = 0.15
-# A client that sends nothing of its body for so long reserves no room for it.
+# A client that sends less of its body in this time stalls. It reserves no room
+# for the rest.
 STALLED_SECONDS = 0.2
+PROGRESS_BYTES = 4096
+# Part of the bound that clients which stall may hold while others wait.
+STALLED_SHARE = 0.5
+# Part of the bound by which first reads of many clients may exceed it.
+OVERRUN_SHARE = 0.5
 
 
 def bound_of(memory_mb: float) -> float:
@@ -34,6 +40,9 @@
     def pause_body(self, paused: bool) -> None:
         """Stops reading an incomplete body, or goes on."""
 
+    def refuse_body(self) -> None:
+        """Refuses the request of an incomplete body and notes what is left."""
+
 
 @attrs.frozen(kw_only=True)
 class Bodies:
@@ -58,13 +67,25 @@
         return max(0, self.announced - self.read) if self.read else 0
 
 
+@attrs.frozen(kw_only=True)
+class _Progress:
+    """When a client last sent a part of its body, and its size then."""
+
+    at: float
+    read: int
+
+
 class BodyBudget:
     """Counts request bodies, and stops reading what would exceed a bound.
 
     Incomplete bodies are read on, oldest first, while their rests fit. Complete
     ones are freed as their requests are answered. Without any, waiting would
-    free nothing, so the oldest incomplete one is read on: at most one body
-    exceeds the bound. Clients that stall hold no others up.
+    free nothing, so the oldest incomplete one is read on.
+
+    Clients that stall hold no others up: while others wait, those that have
+    stalled longest are refused until they hold no more than STALLED_SHARE of
+    the bound. Apart from the largest body, no more than OVERRUN_SHARE beyond
+    the bound is held; above it the newest incomplete bodies are refused.
 
     Attributes:
         bound: number of bytes above which reading stops.
@@ -79,8 +100,10 @@
         self._rest = 0
         self._complete: dict[Reader, Bodies] = {}
         self._incomplete: dict[Reader, Bodies] = {}
-        self._progress_at: dict[Reader, float] = {}
+        self._progress: dict[Reader, _Progress] = {}
+        self._paused: set[Reader] = set()
         self._pauses = False
+        self._relieving = False
 
     def note(self, reader: Reader, bodies: Bodies) -> None:
         """Sets what a connection holds."""
@@ -94,33 +117,88 @@
         _keep(self._complete, reader, bodies, bool(bodies.complete))
         _keep(self._incomplete, reader, bodies, bool(bodies.read))
         now = clocks.now()
-        _keep(self._progress_at, reader, now, bool(bodies.read))
+        self._note_progress(reader, bodies, now)
         if self._pauses or self.held + self._rest > self.bound:
             if not bodies.read:
                 reader.pause_body(False)
             self._pause_or_resume(now)
+            self._relieve(now)
+
+    def _note_progress(
+        self, reader: Reader, bodies: Bodies, now: float
+    ) -> None:
+        if not bodies.read:
+            self._progress.pop(reader, None)
+            self._paused.discard(reader)
+            return
+        last = self._progress.get(reader)
+        if last is None or not (
+            last.read <= bodies.read < last.read + PROGRESS_BYTES
+        ):
+            self._progress[reader] = _Progress(at=now, read=bodies.read)
 
     def tick(self, now: float) -> None:
         """Lets others read on in place of clients that have stalled."""
         if self._pauses:
             self._pause_or_resume(now)
+            self._relieve(now)
+
+    def _stalls(self, reader: Reader, now: float) -> bool:
+        if reader in self._paused:
+            # It is not the client that holds its body back.
+            return False
+        return now - self._progress[reader].at > STALLED_SECONDS
 
     def _pause_or_resume(self, now: float) -> None:
         self._pauses = False
         room = self.bound - self.held
         may_exceed = not self._complete
         for each, bodies in list(self._incomplete.items()):
-            if now - self._progress_at[each] > STALLED_SECONDS:
+            if self._stalls(each, now):
                 continue
             reads = not self._pauses and (room >= bodies.rest() or may_exceed)
             may_exceed = False
             room -= bodies.rest()
             self._pauses |= not reads
             if not reads:
-                # It is not the client that holds its body back.
-                self._progress_at[each] = now
+                self._paused.add(each)
+            elif each in self._paused:
+                self._paused.discard(each)
+                self._progress[each] = _Progress(at=now, read=bodies.read)
             each.pause_body(not reads)
 
+    def _relieve(self, now: float) -> None:
+        """Refuses bodies while too much is held."""
+        if self._relieving:
+            return
+        self._relieving = True
+        try:
+            while (reader := self._to_refuse(now)) is not None:
+                reader.refuse_body()
+        finally:
+            self._relieving = False
+
+    def _to_refuse(self, now: float) -> Reader | None:
+        """Returns the client whose incomplete body is to be refused, if any."""
+        stalled = [each for each in self._incomplete if self._stalls(each, now)]
+        size = sum(self._incomplete[each].read for each in stalled)
+        exceeds = self._exceeds()
+        if stalled and (
+            exceeds or (self._pauses and size > STALLED_SHARE * self.bound)
+        ):
+            return min(stalled, key=lambda each: self._progress[each].at)
+        if exceeds and len(self._incomplete) > 1:
+            return next(reversed(self._incomplete))
+        return None
+
+    def _exceeds(self) -> bool:
+        """Returns whether more is held than may be, apart from one body."""
+        maximum = (1 + OVERRUN_SHARE) * self.bound
+        if self.held <= maximum:
+            return False
+        sizes = [each.read for each in self._incomplete.values()]
+        return self.held - max(sizes, default=0) > maximum
+
 
 def _keep(kept: dict[Reader, Any], reader: Reader, value: Any, holds: bool):
     if holds:
--- a/pimentoledge/routing/buffer_bounds.py
+++ b/pimentoledge/routing/buffer_bounds.py
@@ -35,6 +35,8 @@
     SKIPPED = "skipped_responses"
     # The bytes that the whole process holds.
     BUFFERS = "buffers"
+    # The incomplete request bodies that the whole process holds.
+    REQUEST_BODIES = "request_bodies"
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -234,6 +234,30 @@
         self._body_paused = paused
         self._pause_or_resume()
 
+    def refuse_body(self) -> None:
+        """Refuses the request whose body is being read."""
+        self.lines.write(
+            "bound_exceeded",
+            bound=buffer_bounds.Bound.REQUEST_BODIES.value,
+            bytes=self._parser.incomplete_bytes(),
+            request="",
+            server=None,
+        )
+        self._refuse_unread("too many bytes of other requests are held")
+
+    def _refuse_unread(self, why: str) -> None:
+        """Refuses what was not read completely, after what was.
+
+        Args:
+            why: text of the response.
+        """
+        self._parser.abandon()
+        self._parse_error = http_messages.BadMessageError(why, 503)
+        self._body_paused = False
+        self._serve_next()
+        self._note_bodies()
+        self._pause_or_resume()
+
     def _pause_or_resume(self) -> None:
         if self.gone or self._transport.is_closing():
             return
@@ -271,7 +295,7 @@
             self._serve(head, body)
             return True
         if self._parse_error is not None:
-            self._refuse_malformed(self._parse_error)
+            self._refuse_incomplete(self._parse_error)
         elif self._parser.awaits_continue:
             self._parser.awaits_continue = False
             self.send(CONTINUE_RESPONSE)
@@ -297,16 +321,24 @@
         self.exchange = self.begin(decoded, self)
         self.exchange.start()
 
-    def _refuse_malformed(self, error: http_messages.BadMessageError) -> None:
+    def _refuse_incomplete(self, error: http_messages.BadMessageError) -> None:
+        """Refuses the request that is being read, and closes the connection."""
         logger.info(
             "refused bytes",
             extra={"fields": {"status": error.status, "why": str(error)}},
         )
+        code = results.Code.BAD_FIELD
+        retry_seconds = None
+        if error.status in router_responses.NOT_RUN_STATUSES:
+            code = results.Code.OVERLOADED
+            retry_seconds = router_responses.retry_seconds(code)
         self.send(
             router_responses.encode(
-                code=results.Code.BAD_FIELD,
+                code=code,
                 status=error.status,
                 request="",
+                text=str(error) if retry_seconds else "",
+                retry_seconds=retry_seconds,
                 closes=True,
             )
         )
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -183,6 +183,11 @@
         """Returns the size of the bodies of `requests`."""
         return sum(len(body) for _, body in self.requests)
 
+    def abandon(self) -> None:
+        """Frees an incomplete request; no more bytes may be fed."""
+        self._unparsed = b""
+        self._reset()
+
     def unparsed_bytes(self) -> int:
         """Returns the number of bytes that were kept and not parsed yet."""
         return len(self._unparsed)
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -97,12 +97,22 @@
 
 class _Reader:
 
-    def __init__(self):
+    def __init__(self, budget, noted):
+        self.budget = budget
+        self.noted = noted
         self.paused = False
+        self.refused = 0
 
     def pause_body(self, paused):
         self.paused = paused
 
+    def refuse_body(self):
+        assert self.noted[self].read
+        self.refused += 1
+        complete = self.noted[self].complete
+        self.noted[self] = body_budgets.Bodies(complete=complete)
+        self.budget.note(self, self.noted[self])
+
 
 _BODIES = strategies.builds(
     body_budgets.Bodies,
@@ -120,11 +130,12 @@
 def test_reading_goes_on_exactly_while_it_may(changes):
     """Guards against bodies that wait for ever, or beyond the bound."""
     budget = body_budgets.BodyBudget(bound=40)
-    readers = [_Reader() for _ in range(4)]
-    noted = dict.fromkeys(readers, body_budgets.Bodies())
+    noted = {}
+    readers = [_Reader(budget, noted) for _ in range(4)]
+    noted.update(dict.fromkeys(readers, body_budgets.Bodies()))
     for number, bodies in changes:
-        budget.note(readers[number], bodies)
         noted[readers[number]] = bodies
+        budget.note(readers[number], bodies)
         held = sum(each.held() for each in noted.values())
         assert budget.held == held
         begun = [each for each in readers if noted[each].read]
@@ -136,3 +147,60 @@
             assert reading == begun
         assert held + rests <= 40 or (len(reading) <= (0 if completes else 1))
         assert reading or completes or not begun
+        largest = max(each.read for each in noted.values())
+        assert held - largest <= 60 or len(begun) <= 1
+        refused = sum(each.refused for each in readers)
+        assert not refused or budget.peak > 60
+
+
+class TestStalledClients:
+    """Refusal of bodies whose clients have stalled."""
+
+    STALLED = 1.5 * body_budgets.STALLED_SECONDS
+
+    def start(self, monkeypatch, sizes):
+        self.now = 100.0
+        monkeypatch.setattr(clocks, "now", lambda: self.now)
+        self.budget = body_budgets.BodyBudget(bound=100_000)
+        self.noted = {}
+        self.readers = [_Reader(self.budget, self.noted) for _ in sizes]
+        for reader, size in zip(self.readers, sizes, strict=True):
+            self.read(reader, size)
+
+    def read(self, reader, size, announced=90_000):
+        self.noted[reader] = body_budgets.Bodies(read=size, announced=announced)
+        self.budget.note(reader, self.noted[reader])
+
+    def wait(self):
+        self.now += self.STALLED
+        self.budget.tick(self.now)
+
+    def refused(self):
+        return [each.refused for each in self.readers]
+
+    def test_those_that_hold_most_of_the_bound_are_refused(self, monkeypatch):
+        """Guards against clients that each take their turn, and stall."""
+        self.start(monkeypatch, [80_000, 30_000, 20_000])
+        self.wait()
+        assert self.refused() == [1, 0, 0]
+        assert not self.readers[1].paused
+
+    def test_they_stay_while_nobody_waits(self, monkeypatch):
+        self.start(monkeypatch, [80_000])
+        self.wait()
+        assert self.refused() == [0]
+
+    def test_they_stay_while_they_hold_little(self, monkeypatch):
+        """Guards against a slow client that is refused for another's load."""
+        self.start(monkeypatch, [1_000, 50_000, 50_000])
+        self.wait()
+        assert self.refused()[0] == 0
+
+    def test_single_bytes_are_no_progress(self, monkeypatch):
+        """Guards against clients that send a byte now and then."""
+        self.start(monkeypatch, [80_000, 30_000, 20_000])
+        for more in range(1, 4):
+            self.now += body_budgets.STALLED_SECONDS / 2
+            self.read(self.readers[0], 80_000 + more)
+            self.budget.tick(self.now)
+        assert self.refused() == [1, 0, 0]
