Requests: room is kept for the rest of bodies in chunks

A body in chunks announces no size, so its rest counted as 0 and more of them were begun than could be completed within the bound. It is now expected to become twice as large as it is, at most maxBodyBytes; the oldest is still read on in any case.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -51,7 +51,7 @@
     Attributes:
         complete: bytes of bodies that were read completely.
         read: bytes that were read of an incomplete one.
-        announced: its whole size, or 0 if it isn't known.
+        announced: its whole size, as announced or expected.
     """
 
     complete: int = 0
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -176,8 +176,14 @@
         return len(self._body)
 
     def announced_bytes(self) -> int:
-        """Returns the announced size of that body, or 0 without one."""
-        return self._announced_bytes
+        """Returns the size that this body is expected to have.
+
+        A body in chunks announces none. It is expected to become twice as large
+        as it is.
+        """
+        if self._announced_bytes:
+            return self._announced_bytes
+        return min(2 * len(self._body), self.max_body_bytes)
 
     def waiting_bytes(self) -> int:
         """Returns the size of the bodies of `requests`."""
--- a/pimentoledge/tests/test_router_decisions.py
+++ b/pimentoledge/tests/test_router_decisions.py
@@ -376,6 +376,18 @@
         parser.feed(raw[cut:])
         assert [body for _, body in parser.requests] == [b"x" * 100]
 
+    @given(strategies.integers(1, 100))
+    def test_the_rest_of_a_body_in_chunks_is_expected(self, size):
+        """Guards against more bodies in chunks than can all be read."""
+        parser = self.parser()
+        parser.feed(
+            b"POST / HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        assert parser.announced_bytes() == 0
+        parser.feed(b"%x\r\n%b" % (size, b"x" * size))
+        assert parser.announced_bytes() == min(2 * size, 100)
+
     @given(strategies.integers(0, 12), strategies.integers(1, 300))
     def test_only_some_pipelined_requests_are_parsed_ahead(self, most, cut):
         """Guards against thousands of requests held for one connection."""
