Requests: the memory of heads is bounded

Callers saw a router end: heads counted toward no budget, and a head of tiny lines takes some ten times its bytes as objects. 800 connections with 12 KB of lines "a:" each, never finished, took 228 MB of a VM of 128 MB.

A process now counts incomplete heads, requests that wait behind another one, bytes that weren't parsed yet and the heads of requests in progress, by about the memory that they take, toward a tenth of the VM's memory. Beyond it the largest that aren't in progress are refused (503, not run, with Retry-After) and their connections close, so small ordinary heads stay. Gauges and a log line show it. A refused request is also freed at once, not when its connection ends.

--- a/pimentoledge/routing/buffer_bounds.py
+++ b/pimentoledge/routing/buffer_bounds.py
@@ -37,6 +37,8 @@
     BUFFERS = "buffers"
     # The incomplete request bodies that the whole process holds.
     REQUEST_BODIES = "request_bodies"
+    # The request heads that the whole process holds.
+    REQUEST_HEADS = "request_heads"
 
 
 @attrs.frozen(kw_only=True)
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -15,6 +15,7 @@
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import exchanges
+from pimentoledge.routing import head_budgets
 from pimentoledge.routing import http_messages
 from pimentoledge.routing import log_lines
 from pimentoledge.routing import router_responses
@@ -32,6 +33,8 @@
 # or their own timeout ends. It is sent once no earlier response is pending on
 # the connection.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Text of a refusal while requests of others take the memory.
+HELD_TEXT = "too many bytes of other requests are held"
 HEAD_END = b"\r\n\r\n"
 READ_BYTES = 64 * 1024
 # Within this time after the last bytes were sent a closed window shows.
@@ -55,6 +58,7 @@
         lines: log of clients that are closed.
         holder: counts what is held for the client.
         bodies: counts the bodies of requests.
+        heads: counts the heads of requests.
         idle_since: when it last became idle, in seconds of clocks.now.
         exchange: the exchange in progress, or None.
         gone: whether the connection is closed.
@@ -74,6 +78,7 @@
         open_connections: set,
         buffers: buffer_budgets.BufferBudget,
         bodies: body_budgets.BodyBudget,
+        heads: head_budgets.HeadBudget,
         lines: log_lines.Lines,
     ):
         self.limits = limits
@@ -84,6 +89,7 @@
         self.open_connections = open_connections
         self.lines = lines
         self.bodies = bodies
+        self.heads = heads
         self.holder = buffer_budgets.Holder(
             budget=buffers,
             unsent_bytes=self._unsent_bytes,
@@ -112,6 +118,7 @@
         self._sent_at = 0.0
         self._held_until = 0.0
         self._served_bytes = 0
+        self._served_head_bytes = 0
         self._body_paused = False
         self._serving = False
 
@@ -132,7 +139,7 @@
         self._writable.set()
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
         self.open_connections.discard(self)
-        self._note_bodies()
+        self._note_held()
         if self.exchange is not None:
             self.exchange.client_left("closed" if error is None else str(error))
 
@@ -194,11 +201,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and serves the next complete request."""
-        if self._parse_error is not None:
-            return
         self._parse(data)
         self._serve_next()
-        self._note_bodies()
+        self._note_held()
         self._pause_or_resume()
 
     def _parse(self, data: bytes = b"") -> None:
@@ -209,16 +214,18 @@
             self._parser.feed(data)
         except http_messages.BadMessageError as error:
             self._parse_error = error
+            self._parser.abandon()
 
-    def _note_bodies(self) -> None:
-        """Counts the bodies of this connection's requests.
+    def _note_held(self) -> None:
+        """Counts what is held of this connection's requests.
 
         The request in progress may outlast the connection.
         """
         complete = self._served_bytes
-        read = announced = 0
+        read = announced = unserved = 0
         if not self.gone:
             complete += self._parser.waiting_bytes()
+            unserved = self._parser.heads_memory()
         if not self.gone and self._parse_error is None:
             read = self._parser.incomplete_bytes()
             announced = self._parser.announced_bytes()
@@ -228,6 +235,12 @@
                 complete=complete, read=read, announced=announced
             ),
         )
+        self.heads.note(
+            self,
+            head_budgets.Heads(
+                served=self._served_head_bytes, unserved=unserved
+            ),
+        )
 
     def pause_body(self, paused: bool) -> None:
         """Stops reading an incomplete body, or goes on."""
@@ -236,26 +249,37 @@
 
     def refuse_body(self) -> None:
         """Refuses the request whose body is being read."""
+        self._log_refusal(
+            buffer_bounds.Bound.REQUEST_BODIES, self._parser.incomplete_bytes()
+        )
+        self._refuse_unread()
+
+    def refuse_heads(self) -> None:
+        """Refuses the requests that wait, and the one that is being read."""
+        self._log_refusal(
+            buffer_bounds.Bound.REQUEST_HEADS, self._parser.heads_memory()
+        )
+        self._parser.requests.clear()
+        self._refuse_unread()
+
+    def _log_refusal(
+        self, bound: buffer_bounds.Bound, size: int, request: str = ""
+    ) -> None:
         self.lines.write(
             "bound_exceeded",
-            bound=buffer_bounds.Bound.REQUEST_BODIES.value,
-            bytes=self._parser.incomplete_bytes(),
-            request="",
+            bound=bound.value,
+            bytes=size,
+            request=request,
             server=None,
         )
-        self._refuse_unread("too many bytes of other requests are held")
 
-    def _refuse_unread(self, why: str) -> None:
-        """Refuses what was not read completely, after what was.
-
-        Args:
-            why: text of the response.
-        """
+    def _refuse_unread(self) -> None:
+        """Refuses what was not read completely, after what was."""
         self._parser.abandon()
-        self._parse_error = http_messages.BadMessageError(why, 503)
+        self._parse_error = http_messages.BadMessageError(HELD_TEXT, 503)
         self._body_paused = False
         self._serve_next()
-        self._note_bodies()
+        self._note_held()
         self._pause_or_resume()
 
     def _pause_or_resume(self) -> None:
@@ -292,6 +316,7 @@
         if self._parser.requests:
             head, body = self._parser.requests.pop(0)
             self._served_bytes = len(body)
+            self._served_head_bytes = head.memory_bytes
             self._serve(head, body)
             return True
         if self._parse_error is not None:
@@ -413,14 +438,15 @@
             self._transport.close()
             return
         self._serve_next()
-        self._note_bodies()
+        self._note_held()
         self._pause_or_resume()
 
     def _end_exchange(self) -> None:
         self.exchange = None
         self.omits_body = False
         self._served_bytes = 0
-        self._note_bodies()
+        self._served_head_bytes = 0
+        self._note_held()
 
     def abort(self) -> None:
         """Aborts the connection, so that the response doesn't look complete."""
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -30,6 +30,7 @@
 from pimentoledge.routing import counters
 from pimentoledge.routing import exchanges
 from pimentoledge.routing import extra_responses
+from pimentoledge.routing import head_budgets
 from pimentoledge.routing import hedged_calls
 from pimentoledge.routing import lease_holders
 from pimentoledge.routing import leases
@@ -93,6 +94,7 @@
         slow_readers: connections whose peers read slowly.
         buffers: counts the bytes held for exchanges.
         bodies: counts the bodies of requests.
+        heads: counts the heads of requests.
         loop_load: load of the event loop, or None if it isn't measured.
         connection_limit: decides which connections of clients are accepted.
     """
@@ -135,6 +137,9 @@
         self.bodies = body_budgets.BodyBudget(
             bound=body_budgets.bound_of(chosen.number("memory-mb"))
         )
+        self.heads = head_budgets.HeadBudget(
+            bound=head_budgets.bound_of(chosen.number("memory-mb"))
+        )
         self.caller = calls.Caller(lines=self.lines)
         self.connections: set[client_connections.ClientConnection] = set()
         self.exchanges: set[exchanges.Exchange] = set()
@@ -390,6 +395,9 @@
                 "request_body_bytes": self.bodies.held,
                 "request_body_bytes_peak": self.bodies.peak,
                 "request_body_bytes_bound": self.bodies.bound,
+                "request_head_bytes": self.heads.held,
+                "request_head_bytes_peak": self.heads.peak,
+                "request_head_bytes_bound": self.heads.bound,
             }
             | self._store_gauges()
             | speed_metrics.gauges(self.view, now)
@@ -414,6 +422,7 @@
         self.view.update_budgets()
         self.buffers.bound = buffer_budgets.bound_of(chosen.number("memory-mb"))
         self.bodies.bound = body_budgets.bound_of(chosen.number("memory-mb"))
+        self.heads.bound = head_budgets.bound_of(chosen.number("memory-mb"))
         self.view.load_control.mode = load_controls.Mode(
             chosen.text("load-control")
         )
@@ -443,6 +452,7 @@
             open_connections=self.connections,
             buffers=self.buffers,
             bodies=self.bodies,
+            heads=self.heads,
             lines=self.lines,
         )
 
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -15,6 +15,9 @@
 REQUEST_SLICE_BYTES = 1024
 # Default number of complete requests beyond which no more is parsed.
 MAX_WAITING_REQUESTS = 8
+# Memory of a header line and of a head in addition to their bytes.
+LINE_OBJECT_BYTES = 150
+HEAD_OBJECT_BYTES = 500
 # Framing of a chunk: its size in up to 16 digits, and two line ends.
 CHUNK_FRAMING_BYTES = 20
 
@@ -44,6 +47,7 @@
         headers: names as received, and values, in order.
         keep_alive: whether the connection may serve another request.
         version: HTTP version, such as "1.1".
+        memory_bytes: about the memory that it takes.
     """
 
     method: bytes
@@ -51,6 +55,7 @@
     headers: Headers
     keep_alive: bool
     version: str = "1.1"
+    memory_bytes: int = 0
 
     def allows_chunks(self) -> bool:
         """Returns whether the response may be sent in chunks."""
@@ -189,8 +194,21 @@
         """Returns the size of the bodies of `requests`."""
         return sum(len(body) for _, body in self.requests)
 
+    def heads_memory(self) -> int:
+        """Returns about the memory of what is held beside bodies, in bytes."""
+        waiting = sum(head.memory_bytes for head, _ in self.requests)
+        size = len(self._unparsed) + waiting
+        if self.begun:
+            size += self._head_memory() + self._framing_bytes
+        return size
+
+    def _head_memory(self) -> int:
+        read = max(self._unread_bytes, self._header_bytes)
+        return HEAD_OBJECT_BYTES + read + LINE_OBJECT_BYTES * len(self._headers)
+
     def abandon(self) -> None:
         """Frees an incomplete request; no more bytes may be fed."""
+        self.begun = False
         self._unparsed = b""
         self._reset()
 
@@ -301,6 +319,7 @@
             headers=self._headers,
             keep_alive=self._parser.should_keep_alive(),
             version=self._parser.get_http_version(),
+            memory_bytes=self._head_memory(),
         )
         self._check_framing(self._head)
         self.awaits_continue = self._expects_continue(self._head)
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -1,4 +1,4 @@
-"""The memory that request bodies take."""
+"""The memory that request bodies and heads take."""
 
 import asyncio
 
@@ -8,6 +8,7 @@
 from pimentoledge.routing import body_budgets
 from pimentoledge.routing import client_connections
 from pimentoledge.routing import clocks
+from pimentoledge.routing import head_budgets
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -204,3 +205,69 @@
             self.read(self.readers[0], 80_000 + more)
             self.budget.tick(self.now)
         assert self.refused() == [1, 0, 0]
+
+
+class _HeadReader:
+
+    def __init__(self, budget, noted):
+        self.budget = budget
+        self.noted = noted
+        self.refused = 0
+
+    def refuse_heads(self):
+        self.refused += 1
+        heads = self.noted[self]
+        assert heads.unserved == max(
+            each.unserved for each in self.noted.values()
+        )
+        self.noted[self] = head_budgets.Heads(served=heads.served)
+        self.budget.note(self, self.noted[self])
+
+
+_HEADS = strategies.builds(
+    head_budgets.Heads,
+    served=strategies.integers(0, 30),
+    unserved=strategies.integers(0, 30),
+)
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 3), _HEADS), max_size=30
+    )
+)
+def test_heads_stay_within_their_bound_while_any_can_be_refused(changes):
+    """Guards against heads that fill the memory, or are refused in calm."""
+    budget = head_budgets.HeadBudget(bound=40)
+    noted = {}
+    readers = [_HeadReader(budget, noted) for _ in range(4)]
+    for number, heads in changes:
+        reader = readers[number]
+        noted[reader] = heads
+        refused = sum(each.refused for each in readers)
+        before = sum(each.held() for each in noted.values())
+        budget.note(reader, heads)
+        assert budget.held == sum(each.held() for each in noted.values())
+        unserved = sum(each.unserved for each in noted.values())
+        assert budget.held <= 40 or not unserved
+        if before <= 40:
+            assert refused == sum(each.refused for each in readers)
+
+
+@with_world(plain=1, runners=0)
+async def test_a_client_whose_head_is_refused_is_told(world):
+    """Guards against a refusal that doesn't say that nothing ran."""
+    [router] = world.routers
+    router.heads.bound = 1000
+    client = world.client()
+    await client.open()
+    client.writer.write(b"POST /notices/ HTTP/1.1\r\nA: " + b"b" * 3000)
+    answer = await client.read()
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert answer.headers["connection"] == "close"
+    assert not world.executed_requests("plain")
+    client.close()
+    router.heads.bound = 100_000
+    assert (await world.request("/notices/")).status == 200
+    assert router.heads.held == 0
