Requests: complete ones are refused while others take the memory

Callers saw a router end: reading stops above the bounds, but complete requests of many clients were begun whatever was held. 1,500 clients with bodies of 60 KB, which fit into one read, at servers that take 1.5 s took 149 MB of a VM of 128 MB; 800 with heads of 12 KB of tiny lines 151 MB. A request now begins only if heads are within their bound and other bodies within 1.5 times theirs; else it gets 503 (not run, with Retry-After and its id) at once, and its connection stays. A single body passes whatever its size.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -137,6 +137,16 @@
         ):
             self._progress[reader] = _Progress(at=now, read=bodies.read)
 
+    def is_full(self, reader: Reader) -> bool:
+        """Returns whether a connection's request may not begin.
+
+        Reading stops above the bound, but what was read with the first bytes
+        of many clients may be complete.
+        """
+        own = self._complete.get(reader) or self._incomplete.get(reader)
+        others = self.held - (own.held() if own is not None else 0)
+        return others > (1 + OVERRUN_SHARE) * self.bound
+
     def tick(self, now: float) -> None:
         """Lets others read on in place of clients that have stalled."""
         if self._pauses:
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -6,6 +6,7 @@
 import struct
 
 import logbook
+from returns import result
 
 from pimentoledge import results
 from pimentoledge.platform import requests
@@ -342,10 +343,38 @@
             )
             self.finished()
             return
+        if self.heads.is_full() or self.bodies.is_full(self):
+            self._refuse_complete(head, len(body))
+            return
         decoded = requests.decode_request(head, body, clocks.now())
         self.exchange = self.begin(decoded, self)
         self.exchange.start()
 
+    def _refuse_complete(
+        self, head: http_messages.RequestHead, size: int
+    ) -> None:
+        """Refuses a request while those in progress take the memory."""
+        match requests.decode_request(head, b"", clocks.now()):
+            case result.Success(decoded):
+                request = decoded.request
+            case result.Failure():
+                request = ""
+        bound = buffer_bounds.Bound.REQUEST_BODIES
+        if self.heads.is_full():
+            bound = buffer_bounds.Bound.REQUEST_HEADS
+        self._log_refusal(bound, size, request)
+        code = results.Code.OVERLOADED
+        self.send(
+            router_responses.encode(
+                code=code,
+                request=request,
+                text=HELD_TEXT,
+                retry_seconds=router_responses.retry_seconds(code),
+                closes=self.closes,
+            )
+        )
+        self.finished()
+
     def _refuse_incomplete(self, error: http_messages.BadMessageError) -> None:
         """Refuses the request that is being read, and closes the connection."""
         logger.info(
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 
 from pimentoledge.routing import body_budgets
 from pimentoledge.routing import client_connections
@@ -271,3 +272,29 @@
     router.heads.bound = 100_000
     assert (await world.request("/notices/")).status == 200
     assert router.heads.held == 0
+
+
+@pytest.mark.parametrize("budget", ["bodies", "heads"])
+def test_a_request_that_would_exceed_a_bound_is_refused(budget):
+    """Guards against complete requests that together fill the memory."""
+
+    @with_world(plain=1, runners=0)
+    async def run(world):
+        [router] = world.routers
+        router.bodies.bound = router.heads.bound = 10_000
+        getattr(router, budget).bound = 1000
+        for server in world.servers.values():
+            server.work_seconds = 0.5
+        first = asyncio.ensure_future(
+            world.request("/notices/", body=b"b" * 2000)
+        )
+        await world.until(lambda: router.exchanges)
+        answer = await world.request("/notices/", headers={"Request-Id": "x"})
+        assert answer.status == 503
+        assert answer.headers["request-id"] == "x"
+        assert float(answer.headers["retry-after"]) > 0
+        assert (await first).status == 200
+        assert len(world.executed_requests("plain")) == 1
+        assert (await world.request("/notices/")).status == 200
+
+    run()
