Routers: clients' connections leave descriptors free

Callers saw a router that reached neither servers nor the store: silent connections may stay open for 15 s, and nothing kept descriptors for anything else. 400 silent connections took all 300 descriptors of a process at each of its three listeners; at that of the metrics, which had no limit on idle time, an ordinary request got no answer within 30 s.

Connections of clients now take 0.6 of the process's descriptors (max-descriptors, or what the system allows) and each of the two pages 0.05, at most 64. At the limit an idle connection ends for a new one: first those that were served nothing, longest idle first; with a request in progress on each, the new one is reset. Connections to the metrics end after 15 s. Without free descriptors the listener pauses for 50 ms, where it was called again at once. All three listeners share the code.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -483,6 +483,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def is_busy(self) -> bool:
+        """Returns whether a request is in progress."""
+        return self.exchange is not None
+
     def close_if_idle(self, now: float) -> None:
         """Closes the connection if it has been idle for too long.
 
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -27,6 +27,7 @@
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import configurations
 from pimentoledge.routing import connection_limits
+from pimentoledge.routing import connection_slots
 from pimentoledge.routing import counters
 from pimentoledge.routing import exchanges
 from pimentoledge.routing import extra_responses
@@ -73,6 +74,7 @@
 PAUSE_SECONDS = 1.0
 # Interval between checks of the settings file, which may change without SIGHUP.
 SETTINGS_CHECK_SECONDS = 1.0
+PAGE_LISTENERS = ("ready-listen", "metrics-listen")
 BAD_SETTING_EXIT = 2
 FAILURE_EXIT = 1
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -89,7 +91,8 @@
         lines: writes the decision log.
         notices: applies what responses report about their servers.
         pool: connections to backend servers.
-        connections: open client connections.
+        client_slots: open connections of clients.
+        page_slots: open connections of the balancer, and to the metrics.
         exchanges: requests in progress, also those whose clients disconnected.
         slow_readers: connections whose peers read slowly.
         buffers: counts the bytes held for exchanges.
@@ -141,7 +144,18 @@
             bound=head_budgets.bound_of(chosen.number("memory-mb"))
         )
         self.caller = calls.Caller(lines=self.lines)
-        self.connections: set[client_connections.ClientConnection] = set()
+        descriptors = connection_slots.descriptors_of(
+            chosen.number("max-descriptors")
+        )
+        self.client_slots = connection_slots.ConnectionSlots(
+            maximum=connection_slots.client_connections_of(descriptors)
+        )
+        self.page_slots = {
+            name: connection_slots.ConnectionSlots(
+                maximum=connection_slots.page_connections_of(descriptors)
+            )
+            for name in PAGE_LISTENERS
+        }
         self.exchanges: set[exchanges.Exchange] = set()
         self.slow_readers = slow_readers.SlowReaders()
         self.store = stores.StoreClient(
@@ -272,15 +286,28 @@
             peers=self.peers,
             lines=self.lines,
         )
-        self._servers: list[asyncio.Server] = []
-        self.listener = client_listeners.ClientListener(
-            address=chosen.text("listen"),
-            make=self._new_connection,
+        self.listener = self._new_listener(
+            "listen",
+            make=lambda: self._new_connection(self.client_slots),
+            slots=self.client_slots,
             limit=self.connection_limit,
-            in_progress=self._requests_in_progress,
             late_share=self._late_share,
-            lines=self.lines,
         )
+        ready, metrics = (self.page_slots[name] for name in PAGE_LISTENERS)
+        self.page_listeners = [
+            self._new_listener(
+                "ready-listen",
+                make=lambda: self._new_connection(ready),
+                slots=ready,
+            ),
+            self._new_listener(
+                "metrics-listen",
+                make=lambda: pages.PageConnection(
+                    page=self._page, open_connections=metrics.connections
+                ),
+                slots=metrics,
+            ),
+        ]
         self._settings_modified = _settings_modified(chosen.text("config"))
         self._next_settings_check = 0.0
         self._ticked = clocks.now()
@@ -301,20 +328,31 @@
         for each in self.watchers:
             each.start()
         self.listener.start()
-        for name, make in (
-            ("ready-listen", self._new_connection),
-            ("metrics-listen", lambda: pages.PageConnection(page=self._page)),
-        ):
-            host, _, port = self.chosen.text(name).rpartition(":")
-            self._servers.append(
-                await loop.create_server(
-                    make, host, int(port), backlog=client_listeners.BACKLOG
-                )
-            )
+        for each in self.page_listeners:
+            each.start()
         self.peers.start()
         self.holder.start()
         self.lines.write("started", name=self.view.name)
 
+    def _new_listener(
+        self,
+        name: str,
+        *,
+        make,
+        slots: connection_slots.ConnectionSlots,
+        limit: connection_limits.ConnectionLimit | None = None,
+        late_share=lambda now: 0.0,
+    ) -> client_listeners.ClientListener:
+        return client_listeners.ClientListener(
+            address=self.chosen.text(name),
+            make=make,
+            limit=limit or connection_limits.ConnectionLimit(),
+            slots=slots,
+            in_progress=self._requests_in_progress,
+            late_share=late_share,
+            lines=self.lines,
+        )
+
     def _stop(self, number: int, frame: object) -> None:
         """Requests the end; runs in the main thread, between two operations."""
         loop = self._loop
@@ -389,6 +427,7 @@
                 "routers": self.peers.roster.count(now),
                 "server_connections_opened": self.pool.opened,
                 "connections_refused": self.connection_limit.refused,
+                "connections_ended": self.client_slots.ended,
                 "buffered_bytes": self.buffers.held,
                 "buffered_bytes_peak": self.buffers.peak,
                 "buffered_bytes_bound": self.buffers.bound,
@@ -442,20 +481,28 @@
             self._settings_modified = written
             self._reload()
 
-    def _new_connection(self) -> client_connections.ClientConnection:
+    def _new_connection(
+        self, slots: connection_slots.ConnectionSlots
+    ) -> client_connections.ClientConnection:
         return client_connections.ClientConnection(
             limits=self._limits,
             ready=self.view.ready,
             state_page=self._state_page,
             begin=self._new_exchange,
             leaving=lambda: self.view.leaving,
-            open_connections=self.connections,
+            open_connections=slots.connections,
             buffers=self.buffers,
             bodies=self.bodies,
             heads=self.heads,
             lines=self.lines,
         )
 
+    @property
+    def connections(self) -> list[client_connections.ClientConnection]:
+        """Returns the open connections of clients, also of the balancer."""
+        ready = self.page_slots["ready-listen"].connections
+        return [*self.client_slots.connections, *ready]
+
     def _requests_in_progress(self) -> int:
         now = clocks.now()
         return len(self.exchanges) + sum(
@@ -553,9 +600,11 @@
         self.pauses.tick(now)
         self.buffers.refresh()
         self.bodies.tick(now)
-        for each in list(self.connections):
+        for each in self.connections:
             each.close_if_idle(now)
             each.end_hold(now)
+        for each in list(self.page_slots["metrics-listen"].connections):
+            each.close_if_idle(now)
         for each in list(self.exchanges):
             each.withdraw_if_late(now)
         self.slow_readers.tick(self._sending_sockets(now), now)
@@ -619,7 +668,7 @@
             if signal.getsignal(number) == self._stop:
                 signal.signal(number, former)
         self.listener.close()
-        for each in self._servers:
+        for each in self.page_listeners:
             each.close()
         self.admission.close()
         self.holder.close()
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -410,6 +410,14 @@
         text="memory of this VM in MB, of which a part may hold bytes of"
         " requests and responses; 0 if unknown",
     ),
+    Setting(
+        name="max-descriptors",
+        kind=Number(low=0, high=1048576, integral=True),
+        default="0",
+        programs=(ROUTER,),
+        text="descriptors that this process may open, of which connections of"
+        " clients take 0.6 at most; 0: what the system allows",
+    ),
     Setting(
         name="grace-s",
         kind=_seconds(0.5, 3600),
