Routers: what the kernel holds for clients is bounded

Connections of clients have a receive buffer of 32 KB, and of 256 KB once a large body is announced that fits into the bound of bodies. A connection whose reading is paused counts with its buffer toward the bounds of bodies or heads. Connections of clients take a fifth of the VM's memory at most, 24 KB each (measured: 6 KB silent, 24 KB with a small request in progress), and 0.45 of the descriptors, as each may need another one to a server.

--- a/pimentoledge/routing/body_budgets.py
+++ b/pimentoledge/routing/body_budgets.py
@@ -85,16 +85,19 @@
     Clients that stall hold no others up: while others wait, those that have
     stalled longest are refused until they hold no more than STALLED_SHARE of
     the bound. Apart from the largest body, no more than OVERRUN_SHARE beyond
-    the bound is held; above it the newest incomplete bodies are refused.
+    the bound is held; above it the newest incomplete bodies are refused. There,
+    what the kernel may hold for each client that isn't read counts, too.
 
     Attributes:
         bound: number of bytes above which reading stops.
+        paused_bytes: what the kernel holds for a client that isn't read.
         held: number of bytes held now.
         peak: largest number that was held.
     """
 
-    def __init__(self, *, bound: float):
+    def __init__(self, *, bound: float, paused_bytes: int = 0):
         self.bound = bound
+        self.paused_bytes = paused_bytes
         self.held = 0
         self.peak = 0
         self._rest = 0
@@ -137,6 +140,10 @@
         ):
             self._progress[reader] = _Progress(at=now, read=bodies.read)
 
+    def fits(self) -> bool:
+        """Returns whether all bodies fit, with what is due of them."""
+        return self.held + self._rest <= self.bound
+
     def is_full(self, reader: Reader) -> bool:
         """Returns whether a connection's request may not begin.
 
@@ -204,10 +211,11 @@
     def _exceeds(self) -> bool:
         """Returns whether more is held than may be, apart from one body."""
         maximum = (1 + OVERRUN_SHARE) * self.bound
-        if self.held <= maximum:
+        taken = self.held + len(self._paused) * self.paused_bytes
+        if taken <= maximum:
             return False
         sizes = [each.read for each in self._incomplete.values()]
-        return self.held - max(sizes, default=0) > maximum
+        return taken - max(sizes, default=0) > maximum
 
 
 def _keep(kept: dict[Reader, Any], reader: Reader, value: Any, holds: bool):
--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -13,6 +13,7 @@
 from pimentoledge.routing import body_budgets
 from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import buffer_budgets
+from pimentoledge.routing import client_listeners
 from pimentoledge.routing import clocks
 from pimentoledge.routing import configurations
 from pimentoledge.routing import exchanges
@@ -38,6 +39,8 @@
 HELD_TEXT = "too many bytes of other requests are held"
 HEAD_END = b"\r\n\r\n"
 READ_BYTES = 64 * 1024
+# Receive buffer of a connection with a large body.
+LARGE_BUFFER_BYTES = 256 * 1024
 # Within this time after the last bytes were sent a closed window shows.
 UNREAD_SECONDS = 2.0
 # Values of SO_LINGER. With the first one the kernel resets the connection when
@@ -122,6 +125,7 @@
         self._served_head_bytes = 0
         self._body_paused = False
         self._serving = False
+        self._buffer_enlarged = False
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -206,6 +210,7 @@
         self._serve_next()
         self._note_held()
         self._pause_or_resume()
+        self._enlarge_buffer()
 
     def _parse(self, data: bytes = b"") -> None:
         """Parses received bytes, or those that were kept before."""
@@ -227,6 +232,8 @@
         if not self.gone:
             complete += self._parser.waiting_bytes()
             unserved = self._parser.heads_memory()
+            if self._waits():
+                unserved += client_listeners.RECEIVE_BUFFER_BYTES
         if not self.gone and self._parse_error is None:
             read = self._parser.incomplete_bytes()
             announced = self._parser.announced_bytes()
@@ -243,6 +250,25 @@
             ),
         )
 
+    def _enlarge_buffer(self) -> None:
+        """Lets the kernel receive a large announced body faster.
+
+        Its rest is counted, so that the kernel holds no more than the bound
+        of bodies allows.
+        """
+        announced = self._parser.announced_bytes()
+        if (
+            not self._buffer_enlarged
+            and not self.gone
+            and self._parser.announces_length()
+            and announced > client_listeners.RECEIVE_BUFFER_BYTES
+            and self.bodies.fits()
+        ):
+            self._buffer_enlarged = True
+            self._socket().setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, LARGE_BUFFER_BYTES
+            )
+
     def pause_body(self, paused: bool) -> None:
         """Stops reading an incomplete body, or goes on."""
         self._body_paused = paused
@@ -283,12 +309,15 @@
         self._note_held()
         self._pause_or_resume()
 
+    def _waits(self) -> bool:
+        """Returns whether nothing is read until a request was served."""
+        waiting = len(self._parser.requests) > MAX_PIPELINED_REQUESTS
+        return waiting or bool(self._parser.unparsed_bytes())
+
     def _pause_or_resume(self) -> None:
         if self.gone or self._transport.is_closing():
             return
-        waiting = len(self._parser.requests) > MAX_PIPELINED_REQUESTS
-        unparsed = self._parser.unparsed_bytes()
-        if self._body_paused or waiting or unparsed:
+        if self._body_paused or self._waits():
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/pimentoledge/routing/client_listeners.py
+++ b/pimentoledge/routing/client_listeners.py
@@ -16,6 +16,9 @@
 logger = logbook.Logger("listeners")
 
 BACKLOG = 512
+# Size of a connection's receive buffer. The kernel would let it grow to many MB
+# for a client that is read, and keep these while it isn't.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 # Connections accepted in a row before other work of the event loop.
 MAX_ACCEPTED_AT_ONCE = 64
 # Closes a socket with a reset, so that its client knows at once.
@@ -75,6 +78,10 @@
         host, _, port = self.address.rpartition(":")
         self._socket = socket.create_server((host, int(port)), backlog=BACKLOG)
         self._socket.setblocking(False)
+        # Accepted sockets inherit it.
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self._resume()
 
     def _resume(self) -> None:
--- a/pimentoledge/routing/connection_slots.py
+++ b/pimentoledge/routing/connection_slots.py
@@ -4,11 +4,19 @@
 could reach neither servers nor the store.
 """
 
+import math
 import resource
 from typing import Protocol
 
+from pimentoledge.routing import buffer_budgets
+
 # Part of the process's descriptors that connections of clients may take.
-CLIENT_SHARE = 0.6
+# Each of them may need a further one to a server.
+CLIENT_SHARE = 0.45
+# Part of the VM's memory that connections may take, of about so many bytes
+# each: idle ones take some 6 KB, with a small request in progress some 24 KB.
+MEMORY_SHARE = 0.2
+CONNECTION_BYTES = 24_000
 # The same for each of the pages for the balancer and for metrics.
 PAGE_SHARE = 0.05
 MIN_PAGE_CONNECTIONS = 8
@@ -30,9 +38,18 @@
     return min(known, default=MAX_PAGE_CONNECTIONS * int(1 / PAGE_SHARE))
 
 
-def client_connections_of(descriptors: int) -> int:
-    """Returns how many connections of clients may be open."""
-    return max(1, int(CLIENT_SHARE * descriptors))
+def client_connections_of(descriptors: int, memory_mb: float) -> int:
+    """Returns how many connections of clients may be open.
+
+    Args:
+        descriptors: number that the process may open.
+        memory_mb: memory of its VM in MB, or 0 if unknown.
+    """
+    memory = buffer_budgets.part_of_memory(
+        memory_mb, share=MEMORY_SHARE, default=math.inf
+    )
+    most = min(CLIENT_SHARE * descriptors, memory / CONNECTION_BYTES)
+    return max(1, int(most))
 
 
 def page_connections_of(descriptors: int) -> int:
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -138,7 +138,8 @@
             bound=buffer_budgets.bound_of(chosen.number("memory-mb"))
         )
         self.bodies = body_budgets.BodyBudget(
-            bound=body_budgets.bound_of(chosen.number("memory-mb"))
+            bound=body_budgets.bound_of(chosen.number("memory-mb")),
+            paused_bytes=client_listeners.RECEIVE_BUFFER_BYTES,
         )
         self.heads = head_budgets.HeadBudget(
             bound=head_budgets.bound_of(chosen.number("memory-mb"))
@@ -148,7 +149,9 @@
             chosen.number("max-descriptors")
         )
         self.client_slots = connection_slots.ConnectionSlots(
-            maximum=connection_slots.client_connections_of(descriptors)
+            maximum=connection_slots.client_connections_of(
+                descriptors, chosen.number("memory-mb")
+            )
         )
         self.page_slots = {
             name: connection_slots.ConnectionSlots(
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -190,6 +190,10 @@
             return self._announced_bytes
         return min(2 * len(self._body), self.max_body_bytes)
 
+    def announces_length(self) -> bool:
+        """Returns whether that body has a Content-Length."""
+        return self._announced_bytes > 0
+
     def waiting_bytes(self) -> int:
         """Returns the size of the bodies of `requests`."""
         return sum(len(body) for _, body in self.requests)
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -416,7 +416,7 @@
         default="0",
         programs=(ROUTER,),
         text="descriptors that this process may open, of which connections of"
-        " clients take 0.6 at most; 0: what the system allows",
+        " clients take 0.45 at most; 0: what the system allows",
     ),
     Setting(
         name="grace-s",
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -198,6 +198,18 @@
         self.wait()
         assert self.refused()[0] == 0
 
+    def test_what_the_kernel_holds_for_paused_ones_counts(self, monkeypatch):
+        """Guards against paused clients that fill the memory of the VM."""
+        self.start(monkeypatch, [])
+        self.budget.paused_bytes = 40_000
+        self.readers = [_Reader(self.budget, self.noted) for _ in range(9)]
+        for reader in self.readers:
+            self.read(reader, 10_000)
+        paused = [each for each in self.readers if each.paused]
+        assert self.budget.held + 40_000 * len(paused) <= 150_000 + 10_000
+        assert self.refused()[0] == 0
+        assert self.refused()[-1] == 1
+
     def test_single_bytes_are_no_progress(self, monkeypatch):
         """Guards against clients that send a byte now and then."""
         self.start(monkeypatch, [80_000, 30_000, 20_000])
--- a/pimentoledge/tests/test_router_connection_slots.py
+++ b/pimentoledge/tests/test_router_connection_slots.py
@@ -57,13 +57,22 @@
 
 
 @pytest.mark.parametrize(
-    ("descriptors", "clients", "pages"),
-    [(4200, 2520, 64), (1024, 614, 51), (300, 180, 15), (64, 38, 8)],
+    ("descriptors", "memory_mb", "clients", "pages"),
+    [
+        (4200, 0, 1890, 64),
+        (4200, 300, 1890, 64),
+        (4200, 150, 1250, 64),
+        (1024, 0, 460, 51),
+        (300, 150, 135, 15),
+        (64, 0, 28, 8),
+    ],
 )
-def test_most_descriptors_are_for_clients_and_some_are_not(
-    descriptors, clients, pages
+def test_clients_leave_descriptors_and_memory_free(
+    descriptors, memory_mb, clients, pages
 ):
-    assert connection_slots.client_connections_of(descriptors) == clients
+    """Guards against connections that leave nothing for requests."""
+    found = connection_slots.client_connections_of(descriptors, memory_mb)
+    assert found == clients
     assert connection_slots.page_connections_of(descriptors) == pages
 
 
--- a/pimentoledge/tests/test_router_crowds.py
+++ b/pimentoledge/tests/test_router_crowds.py
@@ -108,6 +108,7 @@
         lambda: short_chunked(20_000, 2),
     ),
     "bodies of one read": (1500, lambda: short_body(60_000)),
+    "bodies whose reading is paused": (1000, lambda: short_body(300_000)),
     "a trailer's name": (12, lambda: after_chunk(b"0\r\n", b"a")),
     "a trailer's value": (12, lambda: after_chunk(b"0\r\na: ", b"a")),
     "unfinished heads": (800, lambda: unfinished_head(b"a:\r\n", 12_000)),
@@ -255,7 +256,14 @@
     yield b"\r\n"
 
 
+def pipelined_rest(size):
+    """One request, then many behind it that aren't read before it ends."""
+    yield head(length(4)) + b"body"
+    yield from crowds.repeated(TINY_REQUEST, size)
+
+
 IN_PROGRESS = {
+    "requests behind them": (1000, lambda: pipelined_rest(300_000)),
     "bodies": (1500, lambda: complete_body(60_000)),
     "heads": (800, lambda: complete_head(b"a:\r\n", 12_000)),
 }
