Entries: bodies are read within a bound of the process

Callers saw an entry end. Each of its threads could hold a body of max-body-bytes, with no bound over the threads; and the HTTP library reads a chunk's line, size or extension, to its end whatever its length, outside of its limit. It also joined a body chunk by chunk, copying all of it each time, and left the trailers to be parsed as the next request.

Bodies are now read by the entry's own code, in pieces that count toward body-memory-bytes (64 MB, over all threads) before they are read. Without room callers that stalled longest are ended until it suffices; if none stalls, the request is refused at once. Both get 503 (not run, with Retry-After). Lines of chunks and trailers have 64 KB beyond what chunks need. What is accepted as a chunk's size is stricter (no sign, no prefix), a body's limit counts its content alone, and a body without an end gets 400 as before. Sockets of callers have a receive buffer of 64 KB.

--- a/pimentoledge/callers/gateways.py
+++ b/pimentoledge/callers/gateways.py
@@ -15,7 +15,6 @@
 import time
 
 import attrs
-from cheroot import errors
 from cheroot import server
 import logbook
 from returns import result
@@ -25,6 +24,7 @@
 from pimentoledge.callers import completions
 from pimentoledge.callers import faults
 from pimentoledge.callers import replies
+from pimentoledge.callers import request_bodies
 from pimentoledge.callers import service_calls
 from pimentoledge.callers import writers
 from pimentoledge.decisions import actions
@@ -176,7 +176,23 @@
             self.caller_server.close_request()
 
     def _read_and_serve(self, serve) -> None:
-        match self._read_body():
+        bodies = self.caller_server.bodies
+        held = bodies.begin(self._end_reading)
+        try:
+            return self._serve_held(serve, held)
+        finally:
+            bodies.end(held)
+
+    def _end_reading(self) -> None:
+        """Ends the reading of the body, called in another thread."""
+        try:
+            self.req.conn.socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The caller has left.
+            pass
+
+    def _serve_held(self, serve, held: request_bodies.HeldBody) -> None:
+        match self._read_body(held):
             case result.Failure(error):
                 return self._send_error(error)
             case result.Success(body):
@@ -481,35 +497,41 @@
             trace=parsed.traceparent,
         )
 
-    def _read_body(self) -> result.Result[bytes, results.Error]:
-        max_bytes = self.caller_server.max_body_bytes
-        too_large = results.Error(
-            code=results.Code.BODY_TOO_LARGE,
-            text=f"the body is larger than {max_bytes} bytes",
-        )
-        if self.req.chunked_read:
-            # The library's own limit responds in plain text; without a limit
-            # it would read a chunk of any declared size into memory.
-            self.req.rfile = server.ChunkedRFile(self.req.conn.rfile, max_bytes)
-        elif self.content_length > max_bytes:
-            return result.Failure(too_large)
+    def _read_body(
+        self, held: request_bodies.HeldBody
+    ) -> result.Result[bytes, results.Error]:
         if self.content_length < 0:
             return result.Failure(_bad_request("Content-Length is negative"))
+        max_bytes = self.caller_server.max_body_bytes
+        chunked = self.req.chunked_read
+        reader = request_bodies.BodyReader(
+            # The library counts what is read of a body of known length.
+            source=self.req.conn.rfile if chunked else self.req.rfile,
+            max_bytes=max_bytes,
+            budget=self.caller_server.bodies,
+            held=held,
+        )
         try:
-            body = self.req.rfile.read()
+            if chunked:
+                body = reader.read_chunks()
+            else:
+                body = reader.read_length(self.content_length)
         except TimeoutError:
             return result.Failure(
                 _bad_request("the body did not arrive in time")
             )
-        except ValueError as error:
+        except request_bodies.BadFramingError as error:
+            if held.ending:
+                return result.Failure(_no_room())
             return result.Failure(_bad_request(str(error)))
-        except (errors.MaxSizeExceeded, OSError) as error:
-            if isinstance(error, ConnectionError):
-                raise
-            return result.Failure(too_large)
-        if not self.req.chunked_read and len(body) < self.content_length:
+        except request_bodies.NoRoomError:
+            return result.Failure(_no_room())
+        except request_bodies.TooLargeError:
             return result.Failure(
-                _bad_request("the body is shorter than declared")
+                results.Error(
+                    code=results.Code.BODY_TOO_LARGE,
+                    text=f"the body is larger than {max_bytes} bytes",
+                )
             )
         return result.Success(body)
 
@@ -530,6 +552,14 @@
                 raise _CallerGoneError
 
 
+def _no_room() -> results.Error:
+    return results.Error(
+        code=results.Code.OVERLOADED,
+        text="too many bytes of other requests are held",
+        retry_after=_OVERLOAD_RETRY_SECONDS,
+    )
+
+
 def _bad_request(text: str) -> results.Error:
     return results.Error(code=results.Code.BAD_FIELD, text=text)
 
--- a/pimentoledge/callers/servers.py
+++ b/pimentoledge/callers/servers.py
@@ -12,6 +12,7 @@
 
 from pimentoledge.callers import gateways
 from pimentoledge.callers import replies
+from pimentoledge.callers import request_bodies
 from pimentoledge.callers import writers
 from pimentoledge.decisions import events
 
@@ -28,6 +29,8 @@
 # balancer closes first and never sends a request on a closing connection.
 KEEP_ALIVE_SECONDS = 75.0
 MAX_HEADER_BYTES = 64 * 1024
+# Receive buffer of a connection, which the kernel would let grow to many MB.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 _LISTEN_BACKLOG = 1024
 _SHUTDOWN_SECONDS = 5.0
 _READ_CHECK_SECONDS = 1.0
@@ -96,6 +99,7 @@
         listen: address as IP:PORT; port 0 selects a free port.
         max_open_requests: maximum number of concurrent requests.
         max_body_bytes: maximum size of a body.
+        bodies: counts the bodies of all requests.
         send_buffer_bytes: bytes of a response that the kernel may buffer for
             a slow caller, in addition to those in its ReplyQueue.
         submit: passes a request to the core and returns its ReplyQueue.
@@ -116,6 +120,7 @@
         listen: str,
         max_open_requests: int,
         max_body_bytes: int,
+        body_memory_bytes: int,
         send_buffer_bytes: int,
         submit: Callable[[events.CallerRequest], replies.ReplyQueue],
         on_caller_left: Callable[[str], None],
@@ -125,6 +130,9 @@
         self.listen = listen
         self.max_open_requests = max_open_requests
         self.max_body_bytes = max_body_bytes
+        self.bodies = request_bodies.BodyBudget(
+            bound=max(body_memory_bytes, max_body_bytes)
+        )
         self.send_buffer_bytes = send_buffer_bytes
         self.submit = submit
         self.on_caller_left = on_caller_left
@@ -151,11 +159,14 @@
             self._start_threads()
         finally:
             threading.stack_size(previous_stack_bytes)
-        # Accepted sockets inherit the size. By default the kernel would buffer
+        # Accepted sockets inherit the sizes. By default the kernel would buffer
         # some megabytes for each caller that doesn't read.
         self._server.socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer_bytes // 2
         )
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         host, port = self._server.bind_addr
         self.address = f"{host}:{port}"
 
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -100,6 +100,7 @@
             listen=chosen.text("listen"),
             max_open_requests=chosen.integer("caller-threads"),
             max_body_bytes=chosen.integer("max-body-bytes"),
+            body_memory_bytes=chosen.integer("body-memory-bytes"),
             send_buffer_bytes=chosen.integer("stream-buffer-bytes"),
             submit=self.submit,
             on_caller_left=self.caller_left,
--- a/pimentoledge/settings.py
+++ b/pimentoledge/settings.py
@@ -197,6 +197,14 @@
         programs=(ENTRY,),
         text="largest body of a request, in bytes",
     ),
+    Setting(
+        name="body-memory-bytes",
+        kind=Number(low=64 * 1024, high=64 * 1024 * 1024 * 1024, integral=True),
+        default=str(64 * 1024 * 1024),
+        programs=(ENTRY,),
+        text="bodies of all requests that are read or in progress, in bytes;"
+        " at least max-body-bytes",
+    ),
     Setting(
         name="stream-buffer-bytes",
         kind=Number(low=4096, high=16 * 1024 * 1024, integral=True),
--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -13,6 +13,7 @@
 from pimentoledge import results
 from pimentoledge.callers import gateways
 from pimentoledge.callers import replies
+from pimentoledge.callers import request_bodies
 from pimentoledge.callers import servers
 from pimentoledge.decisions import actions
 
@@ -40,6 +41,7 @@
             listen="127.0.0.1:0",
             max_open_requests=4,
             max_body_bytes=MAX_BYTES,
+            body_memory_bytes=4 * MAX_BYTES,
             send_buffer_bytes=16 * 1024,
             submit=self.submit,
             on_caller_left=self.abandoned.put,
@@ -467,6 +469,69 @@
     assert b"BODY_TOO_LARGE" in answer
 
 
+def _send_chunked(sock, body):
+    sock.sendall(
+        request_head(0).replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        + body
+    )
+
+
+def test_chunks_with_extensions_and_trailers_are_read_to_their_end(core):
+    """Guards against trailers that are read as the next request."""
+    body = json.dumps(CHAT_BODY).encode()
+    chunks = b"".join(b"1;e=f\r\n%c\r\n" % each for each in body)
+    with connect(core) as sock:
+        for _ in range(2):
+            _send_chunked(sock, chunks + b"0\r\na: b\r\nc: d\r\n\r\n")
+            answer = b""
+            while b"chat.completion" not in answer:
+                answer += sock.recv(65536)
+            assert answer.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"1;" + b"e" * 200_000,
+        b"0" * 200_000,
+        b"1\r\n{\r\n0\r\n" + b"a" * 200_000,
+        b"0x1\r\n{\r\n",
+        b"-1\r\n",
+        b"1\r\n{}",
+    ],
+)
+def test_malformed_or_endless_framing_is_refused(core, body):
+    """Guards against lines outside of bodies that are read without end."""
+    with connect(core) as sock:
+        with contextlib.suppress(ConnectionError):
+            _send_chunked(sock, body)
+        answer = read_to_end(sock)
+    assert b"400" in answer.split(b"\r\n")[0]
+
+
+def test_bodies_of_stalled_callers_are_refused_for_others(core):
+    """Guards against callers that hold the memory and send no more."""
+    part = b" " * (MAX_BYTES - 100)
+    with contextlib.ExitStack() as stack:
+        stalled = []
+        for _ in range(3):
+            sock = stack.enter_context(connect(core))
+            sock.sendall(request_head(MAX_BYTES) + part)
+            stalled.append(sock)
+        budget = core.server.bodies
+        wait_until(lambda: budget.held >= 3 * len(part))
+        budget.bound = budget.held
+        time.sleep(2 * request_bodies.STALLED_SECONDS)
+        assert core.chat().status == 200
+        answer = read_to_end(stalled[0])
+        assert b"503" in answer.split(b"\r\n")[0]
+        assert b"Retry-After" in answer
+        assert sum(each.ending for each in budget._bodies) == 0
+    wait_until(lambda: budget.held == 0)
+
+
 def test_full_entry_rejects_at_once_and_stays_healthy(core):
     core.script = lambda request, reply_queue: None
     body = json.dumps(CHAT_BODY).encode()
--- /dev/null
+++ b/pimentoledge/tests/test_entry_crowds.py
@@ -0,0 +1,161 @@
+"""Crowds of clients that don't behave, at an entry process."""
+
+import contextlib
+import http.client
+import itertools
+import resource
+import time
+
+import pytest
+
+from pimentoledge.tests import crowds
+from pimentoledge.tests import processes
+
+# Memory of the smallest VM, in bytes.
+MEMORY_BYTES = 128 * crowds.BYTES_PER_MB
+BODY_BYTES = 1_000_000
+SETTINGS = {
+    "max-body-bytes": "1048576",
+    "body-memory-bytes": "16000000",
+    "caller-threads": "100",
+}
+DESCRIPTORS = 300
+# For the store, agents and files.
+RESERVED_DESCRIPTORS = 30
+ANSWER_SECONDS = 30.0
+CHUNKED = "Transfer-Encoding: chunked"
+_numbers = itertools.count(1)
+
+
+def head(*fields):
+    lines = [
+        "POST /services/cards/new HTTP/1.1",
+        "Host: h",
+        f"Authorization: Bearer {processes.KEY}",
+        f"Idempotency-Key: c-{next(_numbers)}",
+        *fields,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def short_body():
+    """A body with a length that stops just short of its end."""
+    yield head(f"Content-Length: {BODY_BYTES}")
+    yield from crowds.repeated(b"x", BODY_BYTES - 8)
+
+
+def short_chunked(step):
+    yield head(CHUNKED)
+    yield from crowds.chunks(BODY_BYTES - 8 - step, step)
+
+
+def endless(first, unit, size=32_000_000):
+    yield head(CHUNKED) + first
+    yield from crowds.repeated(unit, size)
+
+
+CROWDS = {
+    "bodies with a length": (90, short_body),
+    "bodies in chunks": (90, lambda: short_chunked(50_000)),
+    "bodies in chunks of 1 byte": (10, lambda: short_chunked(1)),
+    "a chunk's extension": (12, lambda: endless(b"1;", b"e")),
+    "a chunk's size": (12, lambda: endless(b"", b"0")),
+    "a trailer": (12, lambda: endless(b"1\r\nx\r\n0\r\n", b"a")),
+    "a head": (
+        12,
+        lambda: iter([head()[:-2], *crowds.repeated(b"a", 32 << 20)]),
+    ),
+}
+
+
+@pytest.fixture
+def deployment():
+    started = processes.Deployment()
+    try:
+        started.start_service("cards-1")
+        entry = started.start_entry("entry-1", **SETTINGS)
+        processes.wait_until(entry.ready)
+        processes.wait_until(lambda: post_card(entry) == 200)
+        yield started, entry
+    finally:
+        started.close()
+
+
+def post_card(entry):
+    """Sends an ordinary request; returns its status, or None."""
+    host = entry.url.removeprefix("http://")
+    connection = http.client.HTTPConnection(host, timeout=5)
+    fields = dict(entry.headers) | {"Idempotency-Key": f"o-{next(_numbers)}"}
+    try:
+        connection.request("POST", "/services/cards/new", b"{}", fields)
+        with contextlib.closing(connection.getresponse()) as response:
+            response.read()
+            return response.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def answer(entry):
+    """Sends an ordinary request until it is answered; returns its status."""
+    end = time.monotonic() + ANSWER_SECONDS
+    while (status := post_card(entry)) != 200 and time.monotonic() < end:
+        time.sleep(0.2)
+    return status
+
+
+@contextlib.contextmanager
+def measured(process, address):
+    usage = crowds.Usage(
+        process=process.popen.pid, ports=[int(address.rpartition(":")[2])]
+    )
+    usage.start()
+    try:
+        yield usage
+    finally:
+        usage.close()
+    print({"MB": usage.memory / 1e6, "fds": usage.descriptors})
+    assert process.popen.poll() is None
+
+
+@contextlib.contextmanager
+def crowd_at(address, pieces, usage):
+    crowd = crowds.Crowd(address=address, pieces=pieces)
+    crowd.start()
+    try:
+        crowd.wait(usage)
+        yield crowd
+    finally:
+        crowd.close()
+
+
+@pytest.mark.parametrize("name", CROWDS)
+def test_a_crowd_leaves_an_entry_within_its_memory(name, deployment):
+    """Guards against clients whose requests fill the memory of the VM."""
+    _, entry = deployment
+    count, pieces = CROWDS[name]
+    address = entry.url.removeprefix("http://")
+    with measured(entry.process, address) as usage:
+        crowd = [pieces() for _ in range(count)]
+        with crowd_at(address, crowd, usage):
+            assert answer(entry) == 200
+        assert answer(entry) == 200
+    assert usage.memory < MEMORY_BYTES
+
+
+def test_silent_clients_leave_an_entry_descriptors(deployment):
+    """Guards against silent clients that take every descriptor."""
+    _, entry = deployment
+    process = entry.process
+    resource.prlimit(
+        process.popen.pid,
+        resource.RLIMIT_NOFILE,
+        (DESCRIPTORS, DESCRIPTORS),
+    )
+    address = entry.url.removeprefix("http://")
+    with measured(process, address) as usage:
+        with crowd_at(address, [iter(()) for _ in range(400)], usage):
+            assert answer(entry) == 200
+        assert answer(entry) == 200
+    assert usage.descriptors < DESCRIPTORS - RESERVED_DESCRIPTORS
