Entries and agents: connections leave descriptors and threads free

Callers saw an entry that answered nothing: connections that send nothing were kept for 75 s without a limit on their number, and 400 took all 300 descriptors of a process, so that it could neither accept nor reach an agent. Unfinished heads held a thread for 10 s after each byte, without end.

Both servers now share one module. A connection gets a thread only once it has data; connections take 0.45 of the descriptors at callers' servers and 0.1 at operators', and the one that is idle for longest ends for a new one; a request has 30 s to arrive, and 2 s while requests wait for a thread.

--- a/pimentoledge/callers/servers.py
+++ b/pimentoledge/callers/servers.py
@@ -5,11 +5,11 @@
 import secrets
 import socket
 import threading
-import time
 
 from cheroot import server
 import logbook
 
+from pimentoledge import http_servers
 from pimentoledge.callers import gateways
 from pimentoledge.callers import replies
 from pimentoledge.callers import request_bodies
@@ -21,10 +21,6 @@
 THREAD_STACK_BYTES = 256 * 1024
 # Threads for health checks and rejections, in addition to those of requests.
 SPARE_THREADS = 8
-# Maximum wait for the next byte from or to a caller.
-SOCKET_TIMEOUT_SECONDS = 10.0
-# Maximum time for a complete request to arrive.
-REQUEST_READ_SECONDS = 30.0
 # Idle timeout of persistent connections. It exceeds the balancer's, so that the
 # balancer closes first and never sends a request on a closing connection.
 KEEP_ALIVE_SECONDS = 75.0
@@ -33,29 +29,13 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024
 _LISTEN_BACKLOG = 1024
 _SHUTDOWN_SECONDS = 5.0
-_READ_CHECK_SECONDS = 1.0
 
 _log = logbook.Logger("callers")
 
 
-class _Connection(server.HTTPConnection):
-    """A caller's connection that records when reading a request began."""
-
-    waited_for_data = False
-
-    def communicate(self) -> bool:
-        self.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
-        self.server.caller_server.read_started_at[self] = time.monotonic()
-        try:
-            return super().communicate()
-        finally:
-            self.server.caller_server.on_request_read(self)
-
-
-class _Server(server.HTTPServer):
+class _Server(http_servers.BoundedServer, server.HTTPServer):
     """The HTTP library's server, configured with the limits for callers."""
 
-    ConnectionClass = _Connection
     max_request_header_size = MAX_HEADER_BYTES
     request_queue_size = _LISTEN_BACKLOG
     timeout = KEEP_ALIVE_SECONDS
@@ -73,18 +53,6 @@
         self.caller_server = caller_server
         self.keep_alive_conn_limit = 2 * threads
 
-    def process_conn(self, conn: server.HTTPConnection) -> None:
-        """Passes a connection to a thread once it has data to read.
-
-        Otherwise a silent connection would occupy a thread until its timeout,
-        and a few hundred of them would block the whole entry.
-        """
-        if getattr(conn, "waited_for_data", True):
-            super().process_conn(conn)
-        else:
-            conn.waited_for_data = True
-            self.put_conn(conn)
-
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
@@ -109,8 +77,6 @@
             use; None for an unknown key.
         is_ready: whether the balancer should send callers to this entry.
         writer: sends the streams.
-        read_started_at: start time of each connection's request that is
-            being read.
         address: the bound address, once started.
     """
 
@@ -138,15 +104,13 @@
         self.on_caller_left = on_caller_left
         self.list_models = list_models
         self.is_ready = is_ready
-        self.read_started_at: dict[server.HTTPConnection, float] = {}
         self.address = ""
         self._id_prefix = secrets.token_hex(8)
         self._request_numbers = itertools.count(1)
         self._request_slots = threading.Semaphore(max_open_requests)
-        self._closing = threading.Event()
         self.writer = writers.StreamWriter()
         self._server: _Server | None = None
-        self._threads: list[threading.Thread] = []
+        self._thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Binds the address and starts the serving threads."""
@@ -156,7 +120,10 @@
         previous_stack_bytes = threading.stack_size(THREAD_STACK_BYTES)
         try:
             self._server.prepare()
-            self._start_threads()
+            self._thread = threading.Thread(
+                target=self._server.serve, name="serve"
+            )
+            self._thread.start()
         finally:
             threading.stack_size(previous_stack_bytes)
         # Accepted sockets inherit the sizes. By default the kernel would buffer
@@ -172,13 +139,11 @@
 
     def close(self) -> None:
         """Stops accepting, waits briefly for open requests and ends them."""
-        self._closing.set()
         if self._server is not None:
             self._server.stop()
         self.writer.close()
-        for thread in self._threads:
-            thread.join()
-        self._threads.clear()
+        if self._thread is not None:
+            self._thread.join()
 
     def open_request(self) -> bool:
         """Reserves a slot for a request; returns False if none is free."""
@@ -190,35 +155,16 @@
 
     def on_request_read(self, conn: server.HTTPConnection) -> None:
         """Ends the time limit for reading a request from a connection."""
-        self.read_started_at.pop(conn, None)
+        self._server.on_request_read(conn)
 
     def new_request_id(self) -> str:
         """Returns an id that is unique among all entries."""
         return f"{self._id_prefix}-{next(self._request_numbers)}"
 
-    def _start_threads(self) -> None:
-        for target in (self._server.serve, self._watch):
-            thread = threading.Thread(target=target, name=target.__name__)
-            thread.start()
-            self._threads.append(thread)
-
-    def _watch(self) -> None:
-        while not self._closing.wait(_READ_CHECK_SECONDS):
-            self._end_slow_requests(time.monotonic() - REQUEST_READ_SECONDS)
+    @property
+    def read_started_at(self) -> dict[server.HTTPConnection, float]:
+        """Start time of each connection's request that is being read."""
+        return self._server.read_started_at
 
     def _end_slow_requests(self, latest_start: float) -> None:
-        """Ends reading of requests that started before a given time.
-
-        A caller that sends a byte now and then never triggers the timeout of
-        its socket and would occupy a thread for hours. Shutting down the
-        receiving side lets the reading thread respond with an error.
-        """
-        for conn, started_at in list(self.read_started_at.items()):
-            if (
-                started_at < latest_start
-                and self.read_started_at.pop(conn, None) is not None
-            ):
-                try:
-                    conn.socket.shutdown(socket.SHUT_RD)
-                except OSError:
-                    pass
+        self._server.end_slow_requests(latest_start)
--- a/pimentoledge/entry.py
+++ b/pimentoledge/entry.py
@@ -120,6 +120,7 @@
 
     def start(self) -> None:
         """Opens every socket and starts every task."""
+        allocators.limit_arenas()
         self.loop.start()
         self.core.address = self.loop.mailbox.address
         self.core.limits.address = self.core.address
--- a/pimentoledge/operators/servers.py
+++ b/pimentoledge/operators/servers.py
@@ -10,6 +10,8 @@
 from cheroot import wsgi
 import logbook
 
+from pimentoledge import http_servers
+
 logger = logbook.Logger("operators")
 
 THREADS = 8
@@ -17,6 +19,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 SOCKET_TIMEOUT_SECONDS = 10.0
 SHUTDOWN_SECONDS = 2.0
+# Part of the process's descriptors that operators' connections may take.
+CONNECTION_SHARE = 0.1
 JSON_TYPE = "application/json"
 _REASON_PHRASES = {
     200: "OK",
@@ -74,6 +78,12 @@
 Page = abc.Callable[[PageRequest], PageResponse]
 
 
+class _Server(http_servers.BoundedServer, wsgi.Server):
+    """The HTTP library's server, with limits for its clients."""
+
+    max_connection_share = CONNECTION_SHARE
+
+
 class AdminServer:
     """Serves the page with the longest matching path prefix.
 
@@ -87,13 +97,13 @@
         self.listen = listen
         self.pages = pages
         self.address = ""
-        self._server: wsgi.Server | None = None
+        self._server: _Server | None = None
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Binds the address and starts serving."""
         host, port = self.listen.rsplit(":", 1)
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, int(port)),
             self.serve,
             numthreads=THREADS,
--- a/pimentoledge/tests/processes.py
+++ b/pimentoledge/tests/processes.py
@@ -152,7 +152,12 @@
         assert answer.outcome == stores.Outcome.WRITTEN
 
     def start_agent(
-        self, name: str, kind: str, backend: str, peers: str = ""
+        self,
+        name: str,
+        kind: str,
+        backend: str,
+        peers: str = "",
+        admin: str = "127.0.0.1:0",
     ) -> Process:
         extra_flags = [f"--peers={peers}"] if peers else []
         process = self.start_process(
@@ -162,7 +167,7 @@
             f"--backend={backend}",
             f"--store={self.url}",
             "--mailbox=tcp://127.0.0.1:0",
-            "--admin-listen=127.0.0.1:0",
+            f"--admin-listen={admin}",
             "--slots=8",
             *extra_flags,
         )
@@ -185,13 +190,17 @@
         backend = engine.find(r"(http://\S+)")
         return engine, self.start_agent(name, "runner", backend, **flags)
 
-    def start_service(self, name: str) -> tuple[Process, Process]:
+    def start_service(self, name: str, **flags: str) -> tuple[Process, Process]:
         service = self.start_process("fake", "service")
         backend = service.find(r"(http://\S+)")
-        return service, self.start_agent(name, "service", backend)
+        return service, self.start_agent(name, "service", backend, **flags)
 
     def start_entry(
-        self, name: str, mailbox: str = "tcp://127.0.0.1:0", **flags: str
+        self,
+        name: str,
+        mailbox: str = "tcp://127.0.0.1:0",
+        admin: str = "127.0.0.1:0",
+        **flags: str,
     ) -> "Entry":
         extra_flags = [f"--{flag}={value}" for flag, value in flags.items()]
         process = self.start_process(
@@ -200,7 +209,7 @@
             f"--store={self.url}",
             f"--mailbox={mailbox}",
             "--listen=127.0.0.1:0",
-            "--admin-listen=127.0.0.1:0",
+            f"--admin-listen={admin}",
             "--drain-seconds=0.2",
             *extra_flags,
         )
--- a/pimentoledge/tests/test_entry_crowds.py
+++ b/pimentoledge/tests/test_entry_crowds.py
@@ -6,10 +6,12 @@
 import resource
 import time
 
+import attrs
 import pytest
 
 from pimentoledge.tests import crowds
 from pimentoledge.tests import processes
+from pimentoledge.tests import router_world
 
 # Memory of the smallest VM, in bytes.
 MEMORY_BYTES = 128 * crowds.BYTES_PER_MB
@@ -68,17 +70,35 @@
 }
 
 
+@attrs.define(kw_only=True)
+class World:
+    """An entry and an agent, with the addresses of their admin pages."""
+
+    entry: processes.Entry
+    agent: processes.Process
+    entry_admin: str
+    agent_admin: str
+
+
 @pytest.fixture
-def deployment():
-    started = processes.Deployment()
+def world():
+    deployment = processes.Deployment()
+    entry_admin, agent_admin = (
+        f"127.0.0.1:{router_world.free_port()}" for _ in range(2)
+    )
     try:
-        started.start_service("cards-1")
-        entry = started.start_entry("entry-1", **SETTINGS)
+        _, agent = deployment.start_service("cards-1", admin=agent_admin)
+        entry = deployment.start_entry("entry-1", admin=entry_admin, **SETTINGS)
         processes.wait_until(entry.ready)
         processes.wait_until(lambda: post_card(entry) == 200)
-        yield started, entry
+        yield World(
+            entry=entry,
+            agent=agent,
+            entry_admin=entry_admin,
+            agent_admin=agent_admin,
+        )
     finally:
-        started.close()
+        deployment.close()
 
 
 def post_card(entry):
@@ -131,9 +151,9 @@
 
 
 @pytest.mark.parametrize("name", CROWDS)
-def test_a_crowd_leaves_an_entry_within_its_memory(name, deployment):
+def test_a_crowd_leaves_an_entry_within_its_memory(name, world):
     """Guards against clients whose requests fill the memory of the VM."""
-    _, entry = deployment
+    entry = world.entry
     count, pieces = CROWDS[name]
     address = entry.url.removeprefix("http://")
     with measured(entry.process, address) as usage:
@@ -144,9 +164,9 @@
     assert usage.memory < MEMORY_BYTES
 
 
-def test_silent_clients_leave_an_entry_descriptors(deployment):
+def test_silent_clients_leave_an_entry_descriptors(world):
     """Guards against silent clients that take every descriptor."""
-    _, entry = deployment
+    entry = world.entry
     process = entry.process
     resource.prlimit(
         process.popen.pid,
@@ -159,3 +179,57 @@
             assert answer(entry) == 200
         assert answer(entry) == 200
     assert usage.descriptors < DESCRIPTORS - RESERVED_DESCRIPTORS
+
+
+def read_health(address):
+    """Returns the status of a process's health page, or None."""
+    connection = http.client.HTTPConnection(address, timeout=5)
+    try:
+        connection.request("GET", "/healthz")
+        with contextlib.closing(connection.getresponse()) as response:
+            response.read()
+            return response.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def is_healthy(address):
+    """Returns whether the health page is answered, within a time."""
+    end = time.monotonic() + ANSWER_SECONDS
+    while read_health(address) != 200:
+        if time.monotonic() > end:
+            return False
+    return True
+
+
+ADMIN_CROWDS = {
+    "silent": (400, lambda: iter(())),
+    "an unfinished head": (20, lambda: iter([head()[:-2]])),
+    "an endless head": (20, lambda: iter([head()[:-2], b"a" * 40_000_000])),
+    "an unfinished body": (
+        20,
+        lambda: iter([head("Content-Length: 1000000"), b"x" * 999_000]),
+    ),
+}
+
+
+@pytest.mark.parametrize("program", ["entry", "agent"])
+@pytest.mark.parametrize("name", ADMIN_CROWDS)
+def test_a_crowd_at_admin_pages_leaves_a_process_well(name, program, world):
+    """Guards against clients that take the threads of pages, or all else."""
+    count, pieces = ADMIN_CROWDS[name]
+    process = world.entry.process if program == "entry" else world.agent
+    address = world.entry_admin if program == "entry" else world.agent_admin
+    resource.prlimit(
+        process.popen.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS)
+    )
+    with measured(process, address) as usage:
+        crowd = [pieces() for _ in range(count)]
+        with crowd_at(address, crowd, usage):
+            assert is_healthy(address)
+            assert answer(world.entry) == 200
+        assert answer(world.entry) == 200
+    assert usage.memory < MEMORY_BYTES
+    assert usage.descriptors < DESCRIPTORS - RESERVED_DESCRIPTORS
