Mailboxes: the size of a message is limited

A mailbox received messages of any size: the library's limit is off by default, and memory is taken as a sender announces it. Routers now receive up to 16 MiB, as much as a listing of the store, and entries and agents up to 64 MiB; the connection of a sender that announces more is closed. What many connections together hold below that is not bounded.

--- a/pimentoledge/nodes/mailboxes.py
+++ b/pimentoledge/nodes/mailboxes.py
@@ -23,6 +23,9 @@
 # the peer reported as unreachable.
 SEND_BUFFER = 512
 RECEIVE_BUFFER = 512
+# Largest message that is received, in bytes. Snapshots of the configuration are
+# the largest ones. The connection of a sender that announces more is closed.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 # How long closing waits for the receiving thread.
 CLOSE_SECONDS = 0.5
 # How long a message may wait until its connection is up.
@@ -82,6 +85,7 @@
         deliver: called with each event, possibly in another thread.
         on_failure: called in the receiving thread with the error that ended it.
         codec: encodes and decodes the messages.
+        max_message_bytes: largest message that is received.
         peers: connections by address.
         generation: number of connections opened so far.
         socket: the pull socket, after `start`.
@@ -95,11 +99,13 @@
         deliver: Callable[[object], None],
         codec: codecs.Codec = codecs.CODEC,
         on_failure: Callable[[Exception], None] = lambda error: None,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
     ):
         self.address = address
         self.deliver = deliver
         self.on_failure = on_failure
         self.codec = codec
+        self.max_message_bytes = max_message_bytes
         self.peers: dict[str, Peer] = {}
         self.generation = 0
         self.socket: pynng.Pull0 | None = None
@@ -107,7 +113,10 @@
 
     def start(self) -> None:
         """Listens; raises pynng.NNGException if the address is in use."""
-        self.socket = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
+        self.socket = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER,
+            recv_max_size=self.max_message_bytes,
+        )
         self.socket.listen(self.address)
         if self.address.endswith(":0"):
             self.address = str(self.socket.listeners[0].url)
--- a/pimentoledge/routing/peers.py
+++ b/pimentoledge/routing/peers.py
@@ -12,6 +12,7 @@
 from pimentoledge.nodes import mailboxes
 from pimentoledge.nodes import numbers
 from pimentoledge.platform import stores
+from pimentoledge.routing import buffer_bounds
 from pimentoledge.routing import clocks
 from pimentoledge.routing import cluster_views
 from pimentoledge.routing import copy_confirmations
@@ -191,6 +192,7 @@
             deliver=self._deliver,
             codec=CODEC,
             on_failure=self._on_receiver_ended,
+            max_message_bytes=buffer_bounds.LISTING_BYTES,
         )
         self.add_seeds(seeds)
 
--- a/pimentoledge/tests/test_nodes.py
+++ b/pimentoledge/tests/test_nodes.py
@@ -1,6 +1,9 @@
 """Tests of codec, mailboxes, timers and event loop."""
 
+import contextlib
 import queue
+import socket
+import struct
 import time
 
 import pynng
@@ -212,3 +215,24 @@
     assert receiver.next_event(events.FromNode).message.attempt == 2
     sender.mailbox.close()
     receiver.mailbox.close()
+
+
+def test_a_message_above_the_maximum_is_not_received():
+    """Guards against announced messages that fill the memory."""
+    mailbox = mailboxes.Mailbox(
+        address="tcp://127.0.0.1:0",
+        deliver=lambda event: None,
+        max_message_bytes=1000,
+    )
+    mailbox.start()
+    try:
+        port = int(mailbox.address.rpartition(":")[2])
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            # The handshake of a push socket, and the size of a message.
+            sock.sendall(b"\0SP\0\0\x50\0\0" + struct.pack(">Q", 2000))
+            sock.settimeout(5)
+            with contextlib.suppress(ConnectionError):
+                while sock.recv(100):
+                    pass
+    finally:
+        mailbox.close()
