Crowds: one way of asking; a slow caller ended for others is told so

A caller whose request was ended since others wait for a thread was told that its body was shorter than declared (400); it gets 503 now (not run, with Retry-After), with a test. The limit of descriptors is looked up in one place.

--- a/pimentoledge/callers/gateways.py
+++ b/pimentoledge/callers/gateways.py
@@ -521,7 +521,7 @@
                 _bad_request("the body did not arrive in time")
             )
         except request_bodies.BadFramingError as error:
-            if held.ending:
+            if held.ending or self.req.conn.ended_for_others:
                 return result.Failure(_no_room())
             return result.Failure(_bad_request(str(error)))
         except request_bodies.NoRoomError:
@@ -555,7 +555,7 @@
 def _no_room() -> results.Error:
     return results.Error(
         code=results.Code.OVERLOADED,
-        text="too many bytes of other requests are held",
+        text="other requests take the memory or the threads",
         retry_after=_OVERLOAD_RETRY_SECONDS,
     )
 
--- a/pimentoledge/http_servers.py
+++ b/pimentoledge/http_servers.py
@@ -24,9 +24,16 @@
 
 
 class Connection(server.HTTPConnection):
-    """A connection that records when reading a request began."""
+    """A connection that records when reading a request began.
+
+    Attributes:
+        waited_for_data: whether it had data to read when a thread got it.
+        ended_for_others: whether its reading was ended since requests of
+            others wait for a thread.
+    """
 
     waited_for_data = False
+    ended_for_others = False
 
     def communicate(self) -> bool:
         """Serves one request."""
@@ -124,20 +131,29 @@
             now = time.monotonic()
             self.end_slow_requests(now - REQUEST_READ_SECONDS)
             if self.requests.qsize:
-                self.end_slow_requests(now - CROWDED_READ_SECONDS)
+                self.end_slow_requests(
+                    now - CROWDED_READ_SECONDS, for_others=True
+                )
 
-    def end_slow_requests(self, latest_start: float) -> None:
+    def end_slow_requests(
+        self, latest_start: float, *, for_others: bool = False
+    ) -> None:
         """Ends reading of requests that started before a given time.
 
         A client that sends a byte now and then never triggers the timeout of
         its socket and would occupy a thread for hours. Shutting down the
         receiving side lets the reading thread respond with an error.
+
+        Args:
+            latest_start: time in seconds of time.monotonic.
+            for_others: whether they may begin again later.
         """
         for conn, started_at in list(self.read_started_at.items()):
             if (
                 started_at < latest_start
                 and self.read_started_at.pop(conn, None) is not None
             ):
+                conn.ended_for_others = for_others
                 _shut_down(conn, socket.SHUT_RD)
 
 
--- a/pimentoledge/routing/connection_slots.py
+++ b/pimentoledge/routing/connection_slots.py
@@ -5,9 +5,9 @@
 """
 
 import math
-import resource
 from typing import Protocol
 
+from pimentoledge import descriptors
 from pimentoledge.routing import buffer_budgets
 
 # Part of the process's descriptors that connections of clients may take.
@@ -29,32 +29,27 @@
     Args:
         maximum: the setting, or 0 for what the system allows.
     """
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    known = [
-        int(each)
-        for each in (allowed, maximum)
-        if each not in (0, resource.RLIM_INFINITY)
-    ]
-    return min(known, default=MAX_PAGE_CONNECTIONS * int(1 / PAGE_SHARE))
+    allowed = descriptors.allowed()
+    return min(allowed, int(maximum)) if maximum else allowed
 
 
-def client_connections_of(descriptors: int, memory_mb: float) -> int:
+def client_connections_of(available: int, memory_mb: float) -> int:
     """Returns how many connections of clients may be open.
 
     Args:
-        descriptors: number that the process may open.
+        available: number of descriptors that the process may open.
         memory_mb: memory of its VM in MB, or 0 if unknown.
     """
     memory = buffer_budgets.part_of_memory(
         memory_mb, share=MEMORY_SHARE, default=math.inf
     )
-    most = min(CLIENT_SHARE * descriptors, memory / CONNECTION_BYTES)
+    most = min(CLIENT_SHARE * available, memory / CONNECTION_BYTES)
     return max(1, int(most))
 
 
-def page_connections_of(descriptors: int) -> int:
+def page_connections_of(available: int) -> int:
     """Returns how many connections of one page may be open."""
-    share = int(PAGE_SHARE * descriptors)
+    share = int(PAGE_SHARE * available)
     return min(max(share, MIN_PAGE_CONNECTIONS), MAX_PAGE_CONNECTIONS)
 
 
--- a/pimentoledge/tests/crowds.py
+++ b/pimentoledge/tests/crowds.py
@@ -1,6 +1,9 @@
 """Crowds of clients that don't behave, and what a process takes meanwhile."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
+import http.client
 import os
 import pathlib
 import select
@@ -17,6 +20,11 @@
 SETTLED_SECONDS = 1.5
 LONGEST_SECONDS = 30.0
 SAMPLE_SECONDS = 0.05
+# Time-out of an ordinary request, and time in which one that was refused is
+# repeated after each pause.
+ANSWER_SECONDS = 5.0
+REPEAT_SECONDS = 30.0
+PAUSE_SECONDS = 0.2
 # What a sample must be larger by to count as growth, in bytes.
 GROWTH_BYTES = 200_000
 # The kernel keeps no more of what a client has sent and nobody received.
@@ -200,3 +208,46 @@
             if fields[1].rpartition(":")[2] in self._ports:
                 unread += int(fields[4].partition(":")[2], 16)
         return unread
+
+
+@contextlib.contextmanager
+def crowd_at(address: str, pieces: list[Iterator[bytes]], usage: Usage):
+    """Starts a crowd, yields it once it has settled, and closes it."""
+    crowd = Crowd(address=address, pieces=pieces)
+    crowd.start()
+    try:
+        crowd.wait(usage)
+        yield crowd
+    finally:
+        crowd.close()
+
+
+def status_of(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    fields: dict[str, str] | None = None,
+) -> int | None:
+    """Sends an ordinary request; returns its status, or None without one."""
+    connection = http.client.HTTPConnection(address, timeout=ANSWER_SECONDS)
+    try:
+        connection.request(method, path, body, fields or {})
+        with contextlib.closing(connection.getresponse()) as response:
+            response.read()
+            return response.status
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def is_answered(send: Callable[[], int | None]) -> bool:
+    """Repeats an ordinary request; returns whether it succeeds in time."""
+    end = time.monotonic() + REPEAT_SECONDS
+    while send() != 200:
+        if time.monotonic() > end:
+            return False
+        time.sleep(PAUSE_SECONDS)
+    return True
--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -458,6 +458,17 @@
     assert b"shorter than declared" in answer
 
 
+def test_a_request_that_is_ended_for_others_may_be_sent_again(core):
+    """Guards against a slow caller that is told that its request is faulty."""
+    with connect(core) as sock:
+        sock.sendall(request_head(100) + b"{")
+        wait_until(lambda: core.server.read_started_at)
+        core.server._server.end_slow_requests(float("inf"), for_others=True)
+        answer = read_to_end(sock)
+    assert b"503" in answer.split(b"\r\n")[0]
+    assert b"not_run" in answer
+
+
 def test_chunk_above_the_limit_is_rejected_unread(core):
     chunked = request_head(0).replace(
         b"Content-Length: 0", b"Transfer-Encoding: chunked"
