Routers: limits on connections follow changed settings

The limits on clients' connections were set at the start alone, though memory-mb and max-descriptors are read again when the settings change, as the bounds of bodies and heads are. They are set again with them now. Found by reading; no test.

--- a/pimentoledge/routing/connection_slots.py
+++ b/pimentoledge/routing/connection_slots.py
@@ -80,7 +80,7 @@
         ended: number of connections ended for others.
     """
 
-    def __init__(self, *, maximum: int):
+    def __init__(self, *, maximum: int = MIN_PAGE_CONNECTIONS):
         self.maximum = maximum
         self.connections: set[Connection] = set()
         self.ended = 0
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -145,20 +145,11 @@
             bound=head_budgets.bound_of(chosen.number("memory-mb"))
         )
         self.caller = calls.Caller(lines=self.lines)
-        descriptors = connection_slots.descriptors_of(
-            chosen.number("max-descriptors")
-        )
-        self.client_slots = connection_slots.ConnectionSlots(
-            maximum=connection_slots.client_connections_of(
-                descriptors, chosen.number("memory-mb")
-            )
-        )
+        self.client_slots = connection_slots.ConnectionSlots()
         self.page_slots = {
-            name: connection_slots.ConnectionSlots(
-                maximum=connection_slots.page_connections_of(descriptors)
-            )
-            for name in PAGE_LISTENERS
+            name: connection_slots.ConnectionSlots() for name in PAGE_LISTENERS
         }
+        self._limit_connections()
         self.exchanges: set[exchanges.Exchange] = set()
         self.slow_readers = slow_readers.SlowReaders()
         self.store = stores.StoreClient(
@@ -337,6 +328,17 @@
         self.holder.start()
         self.lines.write("started", name=self.view.name)
 
+    def _limit_connections(self) -> None:
+        """Sets the limits on connections by the settings."""
+        descriptors = connection_slots.descriptors_of(
+            self.chosen.number("max-descriptors")
+        )
+        self.client_slots.maximum = connection_slots.client_connections_of(
+            descriptors, self.chosen.number("memory-mb")
+        )
+        for slots in self.page_slots.values():
+            slots.maximum = connection_slots.page_connections_of(descriptors)
+
     def _new_listener(
         self,
         name: str,
@@ -465,6 +467,7 @@
         self.buffers.bound = buffer_budgets.bound_of(chosen.number("memory-mb"))
         self.bodies.bound = body_budgets.bound_of(chosen.number("memory-mb"))
         self.heads.bound = head_budgets.bound_of(chosen.number("memory-mb"))
+        self._limit_connections()
         self.view.load_control.mode = load_controls.Mode(
             chosen.text("load-control")
         )
