Clients: a refused client that still sends gets the response

A client whose request was refused while it was still sending saw a reset in place of the response, and not that nothing had run: the connection was closed at once, and the kernel resets one that has unread input. It stays open for half a second now, for its input to be dropped, and its sending side ends with the response.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -39,6 +39,10 @@
 HELD_TEXT = "too many bytes of other requests are held"
 HEAD_END = b"\r\n\r\n"
 READ_BYTES = 64 * 1024
+# Time in which a client that was refused may go on sending. Closing a
+# connection with unread input resets it, and the client might see the reset
+# and not the response.
+LINGER_SECONDS = 0.5
 # Receive buffer of a connection with a large body.
 LARGE_BUFFER_BYTES = 256 * 1024
 # Within this time after the last bytes were sent a closed window shows.
@@ -126,6 +130,7 @@
         self._body_paused = False
         self._serving = False
         self._buffer_enlarged = False
+        self._lingers_until: float | None = None
 
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
@@ -341,7 +346,7 @@
         """
         if self.exchange is not None or self.gone:
             return False
-        if self._transport.is_closing():
+        if self._transport.is_closing() or self._lingers_until is not None:
             return False
         if self._parser.requests:
             head, body = self._parser.requests.pop(0)
@@ -425,7 +430,8 @@
                 closes=True,
             )
         )
-        self._transport.close()
+        self._transport.write_eof()
+        self._lingers_until = clocks.now() + LINGER_SECONDS
 
     @property
     def closes(self) -> bool:
@@ -524,6 +530,8 @@
         """
         if self.exchange is not None:
             return
+        if self._lingers_until is not None and now > self._lingers_until:
+            self._transport.close()
         if now - self.idle_since > self._idle_limit():
             self._transport.close()
 
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -310,3 +310,29 @@
         assert (await world.request("/notices/")).status == 200
 
     run()
+
+
+@with_world(plain=1, runners=0)
+async def test_a_client_that_still_sends_gets_its_refusal(world):
+    """Guards against a reset in place of the response that refuses a body."""
+    client = world.client()
+    await client.open()
+    client.send("/notices/", headers={"Content-Length": "5000000"})
+    for _ in range(40):
+        client.writer.write(b"b" * 65536)
+        await asyncio.sleep(0.005)
+    assert (await client.read()).status == 413
+    assert await client.reader.read() == b""
+    client.close()
+    await world.until(lambda: not world.routers[0].connections)
+
+
+@with_world(plain=1, runners=0)
+async def test_a_refused_client_that_stays_is_closed(world):
+    """Guards against refused clients that keep their connections."""
+    client = world.client()
+    await client.open()
+    client.send("/notices/", headers={"Content-Length": "5000000"})
+    assert (await client.read()).status == 413
+    await world.until(lambda: not world.routers[0].connections)
+    client.close()
