Tests: the readiness address is that of the settings

The test of a view that stands still took the address from a private list of the router's servers, which is gone: all three listeners share one class now.

--- a/pimentoledge/tests/test_router_unreadable_store.py
+++ b/pimentoledge/tests/test_router_unreadable_store.py
@@ -29,9 +29,8 @@
 
 
 async def _probe(router):
-    reader, writer = await asyncio.open_connection(
-        *router._servers[0].sockets[0].getsockname()
-    )
+    host, _, port = router.chosen.text("ready-listen").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(b"GET /-/ready HTTP/1.1\r\nHost: r\r\n\r\n")
     head = await reader.readuntil(b"\r\n\r\n")
     length = next(
