HTTP servers: one way to end a direction of a connection

The gateway of callers and the shared servers each shut a socket down and dropped the error of one whose client has left; it is a method of the connection now. The operators' server uses the shared time-out in place of its own equal constant. A test of refused heads has a name in the field's terms.

--- a/pimentoledge/callers/gateways.py
+++ b/pimentoledge/callers/gateways.py
@@ -185,11 +185,7 @@
 
     def _end_reading(self) -> None:
         """Ends the reading of the body, called in another thread."""
-        try:
-            self.req.conn.socket.shutdown(socket.SHUT_RD)
-        except OSError:
-            # The caller has left.
-            pass
+        self.req.conn.shut_down(socket.SHUT_RD)
 
     def _serve_held(self, serve, held: request_bodies.HeldBody) -> None:
         match self._read_body(held):
--- a/pimentoledge/http_servers.py
+++ b/pimentoledge/http_servers.py
@@ -44,6 +44,18 @@
         finally:
             self.server.on_request_read(self)
 
+    def shut_down(self, how: int) -> None:
+        """Ends a direction of the connection; any thread may call it.
+
+        Args:
+            how: as for socket.shutdown.
+        """
+        try:
+            self.socket.shutdown(how)
+        except OSError:
+            # The client has left.
+            pass
+
     def close(self) -> None:
         """Closes the connection, which frees its place."""
         self.server.open_connections.pop(self, None)
@@ -118,7 +130,7 @@
         for conn, idle in list(self.open_connections.items()):
             if idle:
                 self.open_connections[conn] = False
-                _shut_down(conn, socket.SHUT_RDWR)
+                conn.shut_down(socket.SHUT_RDWR)
                 return count < (1 + ENDING_SHARE) * maximum
         return False
 
@@ -154,12 +166,4 @@
                 and self.read_started_at.pop(conn, None) is not None
             ):
                 conn.ended_for_others = for_others
-                _shut_down(conn, socket.SHUT_RD)
-
-
-def _shut_down(conn: server.HTTPConnection, how: int) -> None:
-    try:
-        conn.socket.shutdown(how)
-    except OSError:
-        # The client has left.
-        pass
+                conn.shut_down(socket.SHUT_RD)
--- a/pimentoledge/operators/servers.py
+++ b/pimentoledge/operators/servers.py
@@ -17,7 +17,6 @@
 THREADS = 8
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 16 * 1024
-SOCKET_TIMEOUT_SECONDS = 10.0
 SHUTDOWN_SECONDS = 2.0
 # Part of the process's descriptors that operators' connections may take.
 CONNECTION_SHARE = 0.1
@@ -108,7 +107,7 @@
             self.serve,
             numthreads=THREADS,
             max=THREADS,
-            timeout=SOCKET_TIMEOUT_SECONDS,
+            timeout=http_servers.SOCKET_TIMEOUT_SECONDS,
             shutdown_timeout=SHUTDOWN_SECONDS,
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -268,7 +268,7 @@
 
 
 @with_world(plain=1, runners=0)
-async def test_a_client_whose_head_is_refused_is_told(world):
+async def test_a_refused_head_gets_a_response_that_allows_a_retry(world):
     """Guards against a refusal that doesn't say that nothing ran."""
     [router] = world.routers
     router.heads.bound = 1000
