--- a/review/runners2.py
+++ b/review/runners2.py
@@ -181,3 +181,68 @@
         head = [("Request-Id", name), ("Server-Stamp", f"{self.name}.{name}")]
         body = (name.encode() + b" ") * self.answer_bytes
         return stage2.encode(200, head, body[: self.answer_bytes])
+
+
+class StutteringServer(PlainServer):
+    """A plain server that writes its answers in pieces.
+
+    Attributes:
+        piece_bytes: size of a piece; each is sent by itself.
+        garbles: returns whether the next answer is broken off before its last
+            piece, and followed by a second answer to the same request.
+    """
+
+    def __init__(self, name, *, piece_bytes, garbles, **more):
+        super().__init__(name, **more)
+        self.piece_bytes = piece_bytes
+        self.garbles = garbles
+        self.bodies = {}
+        self.garbled = []
+
+    async def _serve(self, request, reader, writer):
+        expected = request.headers.get("expect-instance")
+        if expected not in (None, self.name):
+            return stage2.encode(421, [("Not-Run", "1")])
+        name = request.headers.get("request-id", "")
+        self.ran.append(
+            (name, self.record.now(), request.method, request.target,
+             request.body)
+        )
+        await asyncio.sleep(self.work_seconds)
+        answer = self._answer(200, name)
+        garbled = self.garbles()
+        cut = len(answer) - self.piece_bytes if garbled else len(answer)
+        await self._write(writer, answer[:cut])
+        if not garbled:
+            return b""
+        self.garbled.append(name)
+        self.record.write(
+            f"server {self.name} breaks off {name}, and answers it again"
+        )
+        await asyncio.sleep(0.1)
+        await self._write(writer, self._answer(500, name))
+        return b""
+
+    def _answer(self, status, name):
+        """Returns an answer whose size is a multiple of that of a piece."""
+        head = [
+            ("Content-Type", "text/plain"),
+            ("Server-Stamp", f"{self.name}.{name}"),
+            ("Request-Id", name),
+        ]
+        size = self.answer_bytes
+        while True:
+            body = (f"{name} of {self.name}\n".encode() * size)[:size]
+            answer = stage2.encode(status, head, body)
+            if len(answer) % self.piece_bytes == 0:
+                break
+            size += 1
+        if status == 200:
+            self.bodies[name] = body
+        return answer
+
+    async def _write(self, writer, data):
+        for begin in range(0, len(data), self.piece_bytes):
+            writer.write(data[begin : begin + self.piece_bytes])
+            await writer.drain()
+            await asyncio.sleep(0.002)
