Lease: each tenure and the sent fencing token are logged

lease_taken is now written for each new fence, with the one before it; reads of the lease and what a conflict shows have a line; an order logs what was sent.

--- a/pimentoledge/routing/lease_holders.py
+++ b/pimentoledge/routing/lease_holders.py
@@ -156,9 +156,16 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         self.lease.learn(stored, clocks.now())
+        self.lines.write(
+            "lease_read",
+            holder=self.lease.held_by,
+            era=self.lease.era,
+            revision=self.lease.revision,
+            fence=self.lease.fence,
+        )
 
     async def _write(self, now: float) -> None:
-        before = self.lease.held_by
+        before, former_fence = self.lease.held_by, self.lease.fence
         quiet_ms = math.ceil(self.lease.quiet_seconds_at(now) * 1000)
         outcome = await self.store.write(
             KIND,
@@ -177,10 +184,11 @@
                 self.lease.record_write(
                     outcome, now, quiet_seconds=quiet_ms / 1000
                 )
-                if before != self.lease.holder and self.lease.holds(now):
+                if self.lease.fence != former_fence:
                     self.lines.write(
                         "lease_taken",
                         before=before,
+                        former_fence=former_fence,
                         fence=self.lease.fence,
                         quiet_s=round(
                             max(0.0, self.lease.quiet_until - now), 2
@@ -188,17 +196,20 @@
                     )
                     self.peers.send_heartbeat_soon()
             case registrations.Conflict(found=current, era=era):
-                self.lines.write(
-                    "lease_conflict",
-                    before=before,
-                    era=era,
-                    held_era=self.lease.era,
-                )
+                held_era = self.lease.era
                 if current is None:
                     self.lease.learn_era(era, clocks.now())
                     self.lease.mark_unknown()
                 else:
                     self.lease.learn(current, clocks.now())
+                self.lines.write(
+                    "lease_conflict",
+                    before=before,
+                    holder=self.lease.held_by,
+                    revision=self.lease.revision,
+                    era=era,
+                    held_era=held_era,
+                )
             case registrations.Unavailable(reason=reason):
                 self.lines.write("lease_write_failed", why=reason)
                 self.lease.mark_unknown()
@@ -222,9 +233,16 @@
     async def _send_order(self, due: rollouts.DueLoad) -> None:
         """Sends one order and records its verdict."""
         verdict = rollouts.OrderVerdict.UNREACHED
+        order = None
         try:
             await asyncio.sleep(NOTICE_SECONDS)
-            verdict = await self._load(due)
+            match await self._prepare_order(due):
+                case rollouts.LoadOrder() as order:
+                    verdict = await self.runners.load(
+                        due.backend.registration, order
+                    )
+                case rollouts.OrderVerdict() as verdict:
+                    pass
         finally:
             now = clocks.now()
             self.rollout.note_verdict(due, verdict, now)
@@ -235,7 +253,7 @@
                 server=due.backend.registration.incarnation,
                 model=due.model,
                 version=due.version,
-                fence=self.lease.fence,
+                fence=None if order is None else order.fence,
                 verdict=verdict,
             )
 
@@ -255,7 +273,10 @@
             self.peers.send_heartbeat_soon()
             await asyncio.sleep(backend.limited_until - now)
 
-    async def _load(self, due: rollouts.DueLoad) -> rollouts.OrderVerdict:
+    async def _prepare_order(
+        self, due: rollouts.DueLoad
+    ) -> rollouts.LoadOrder | rollouts.OrderVerdict:
+        """Returns the order to send, or why none is."""
         progress = self.rollout.progress_of(due.backend)
         registration = due.backend.registration
         if progress.orders_taken is None:
@@ -277,12 +298,9 @@
         # The lease is checked last because the report may have taken long.
         if not self.lease.may_order(now):
             return rollouts.OrderVerdict.UNREACHED
-        return await self.runners.load(
-            registration,
-            rollouts.LoadOrder(
-                model=due.model,
-                version=due.version,
-                fence=self.lease.fence,
-                orders_taken=progress.orders_taken,
-            ),
+        return rollouts.LoadOrder(
+            model=due.model,
+            version=due.version,
+            fence=self.lease.fence,
+            orders_taken=progress.orders_taken,
         )
