Lease: a fence lasts as long as a chain of acknowledged writes

Cause: record_write took a new token only if another router was known to hold the lease. A router whose write was executed without an answer, after another one's tenure, reads its own name and goes on with the token of its former tenure. The same follows from a conflict and from a peer that show the write.

Now a token lasts while each own write replaces the position of the own write acknowledged before it; any gap begins a new tenure.

--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -56,7 +56,10 @@
         term_ends: when this process's term ends.
         quiet_until: no orders are sent before this time, because they would be
             too close to a former holder's.
-        fence: this tenure's fencing token.
+        fence: this tenure's fencing token. A tenure lasts as long as each of
+            its writes replaces the one before it.
+        last_write: position of this process's newest acknowledged write, or
+            None.
         quiet_seconds: time after the write of that revision in which its holder
             sends no order, because it would be too close to a former holder's.
     """
@@ -72,6 +75,7 @@
     term_ends: float = 0.0
     quiet_until: float = 0.0
     fence: int = 0
+    last_write: tuple[int, int] | None = None
     quiet_seconds: float = 0.0
 
     def step(self, now: float) -> Step:
@@ -177,10 +181,11 @@
         self.quiet_until = max(
             self.quiet_until, self._former_quiet(sent), sent + quiet_seconds
         )
-        token = (stored.era << REVISION_BITS) + stored.revision
-        is_first_in_era = self.fence >> REVISION_BITS < stored.era
-        if self.held_by != self.holder or not self.fence or is_first_in_era:
-            self.fence = token
+        if (self.era, self.revision) != self.last_write:
+            # Others may have held the lease since the last acknowledged write,
+            # even if this process is its holder again.
+            self.fence = (stored.era << REVISION_BITS) + stored.revision
+        self.last_write = stored.position
         self.revision = stored.revision
         self.held_by = self.holder
         self.written_in_era = True
--- a/pimentoledge/tests/test_leases.py
+++ b/pimentoledge/tests/test_leases.py
@@ -169,6 +169,176 @@
         assert former == later or after - before >= LEASE_SECONDS - 0.001
 
 
+def learn_by_read(mine, state):
+    mine.mark_unknown()
+    mine.learn(state, 30.2)
+
+
+def learn_by_conflict(mine, state):
+    mine.learn(state, 30.2)
+
+
+def learn_by_peer(mine, state):
+    mine.merge_peer(state, 30.1, 30.2)
+
+
+@pytest.mark.parametrize(
+    "learn", [learn_by_read, learn_by_conflict, learn_by_peer]
+)
+def test_a_lease_that_was_regained_unnoticed_gets_a_new_fence(learn):
+    """Guards against orders with the fence of a tenure before another's."""
+    mine = lease()
+    mine.learn(registrations.Absent(), 0.0)
+    mine.record_write(stored(5, "a"), 0.0)
+    mine.learn(stored(7, "b"), 10.0)
+    # Revision 8 was written by this process, whose answer was lost.
+    learn(mine, stored(8, "a"))
+    assert not mine.may_order(30.3)
+    mine.record_write(stored(9, "a"), 30.3)
+    assert mine.fence == 9
+
+
+def test_an_unanswered_renewal_ends_no_term():
+    """Guards against orders without a fence in the rest of a term."""
+    mine = lease()
+    mine.learn(registrations.Absent(), 0.0)
+    mine.record_write(stored(5, "a"), 0.0)
+    mine.mark_unknown()
+    mine.learn(stored(6, "a"), 1.0)
+    assert mine.may_order(1.1)
+    assert mine.fence == 5
+
+
+class DrawnLease:
+    """Processes that share a lease, with drawn faults, in virtual time.
+
+    A write may be executed without an answer, at once or a while later, or
+    get no answer and not be executed; a process may be turned away by the
+    store, freeze, or restart. An answer may arrive late.
+
+    Attributes:
+        orders: the time, the holder and the fence of each order.
+    """
+
+    NAMES = "abc"
+    STEP_SECONDS = 0.1
+
+    def __init__(self, chooser):
+        self.chooser = chooser
+        self.now = 100.0
+        self.revision = 0
+        self.state = registrations.Absent()
+        self.processes = [lease(name) for name in self.NAMES]
+        self.idle_until = [0.0] * len(self.NAMES)
+        self.turned_away_until = [0.0] * len(self.NAMES)
+        self.late_writes = []
+        self.late_answers = []
+        self.orders = []
+
+    def play(self, steps):
+        for _ in range(steps):
+            self.now += self.STEP_SECONDS
+            self._apply_late()
+            self._disturb(self.chooser.randrange(len(self.processes)))
+            for number, process in enumerate(self.processes):
+                # The holder acts at once, the others rarely.
+                acts = process.holds(self.now) or self.chooser.random() < 0.05
+                if acts and self.now >= self.idle_until[number]:
+                    self._step(number)
+
+    def _disturb(self, number):
+        draw = self.chooser.random()
+        if draw < 0.01:
+            self.processes[number] = lease(self.NAMES[number])
+        elif draw < 0.03:
+            self.idle_until[number] = self.now + self.chooser.uniform(1, 6)
+        elif draw < 0.06:
+            away = self.chooser.uniform(1, 7)
+            self.turned_away_until[number] = self.now + away
+        elif draw < 0.10:
+            self._gossip(number)
+
+    def _gossip(self, number):
+        """Tells one process what another one knows."""
+        process = self.processes[number]
+        peer = self.chooser.choice(self.processes)
+        if peer.revision:
+            known = quiet(
+                peer.revision, peer.held_by, round(peer.quiet_seconds * 1000)
+            )
+            process.merge_peer(known, peer.learnt_at, self.now)
+
+    def _step(self, number):
+        process = self.processes[number]
+        away = self.now < self.turned_away_until[number]
+        match process.step(self.now):
+            case leases.Step.READ if not away:
+                process.learn(self.state, self.now)
+            case leases.Step.WRITE if away:
+                process.mark_unknown()
+            case leases.Step.WRITE:
+                self._write(number, process)
+        if process.may_order(self.now):
+            self.orders.append((self.now, process.holder, process.fence))
+
+    def _write(self, number, process):
+        seconds = process.quiet_seconds_at(self.now)
+        write = process.revision, process.holder, round(seconds * 1000)
+        draw = self.chooser.random()
+        if draw < 0.1:
+            self._execute(*write)
+            process.mark_unknown()
+        elif draw < 0.2:
+            due = self.now + self.chooser.uniform(0.1, 3)
+            self.late_writes.append((due, write))
+            process.mark_unknown()
+        elif draw < 0.25:
+            process.mark_unknown()
+        elif not self._execute(*write):
+            process.learn(self.state, self.now)
+        elif draw < 0.4:
+            due = self.now + self.chooser.uniform(0.1, 2)
+            answer = self.state, self.now, seconds
+            self.late_answers.append((due, process, answer))
+            self.idle_until[number] = due
+        else:
+            process.record_write(self.state, self.now, quiet_seconds=seconds)
+
+    def _execute(self, expected, holder, quiet_ms):
+        if expected != getattr(self.state, "revision", 0):
+            return False
+        self.revision += 1
+        self.state = quiet(self.revision, holder, quiet_ms)
+        return True
+
+    def _apply_late(self):
+        for due, write in self.late_writes:
+            if due <= self.now:
+                self._execute(*write)
+        for due, process, (state, sent, seconds) in self.late_answers:
+            if due <= self.now:
+                process.record_write(state, sent, quiet_seconds=seconds)
+        for waiting in (self.late_writes, self.late_answers):
+            waiting[:] = [each for each in waiting if each[0] > self.now]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_order_has_a_lower_fence_or_that_of_another_holder(seed):
+    """Guards against a former tenure's fence after a write without answer."""
+    drawn = DrawnLease(random.Random(seed))
+    drawn.play(1500)
+    holders = {}
+    highest = 0
+    for when, holder, fence in drawn.orders:
+        assert holders.setdefault(fence, holder) == holder
+        assert fence >= max(highest, 1), when
+        highest = fence
+    for (before, former, _), (after, later, _) in itertools.pairwise(
+        drawn.orders
+    ):
+        assert former == later or after - before >= LEASE_SECONDS - 0.001
+
+
 def in_era(era, revision, holder, *, written=None):
     """Returns a lease whose value names the era in which it was written."""
     value = {"holder": holder, "era": era if written is None else written}
