Lease: a succeeded holder doesn't hide its successor's heartbeats

Callers: none seen. A holder whose store is silent may receive its successor's heartbeat before it knows of the succession. For the rest of its term, up to 1.5 s, each heartbeat of its own then replaced the newer one, and it forwarded the older: routers behind it heard of the successor late, and 1.6 s without heartbeats let them treat a live holder as gone.

Now the newest heartbeat is replaced only by one with the same or a later fence.

The test fails before the change and passes now.

--- a/pimentoledge/routing/holder_heartbeats.py
+++ b/pimentoledge/routing/holder_heartbeats.py
@@ -35,10 +35,13 @@
         """Records a heartbeat if this router is the holder.
 
         A router that has just lost the lease records one more, which
-        announces that.
+        announces that. One that has received a later holder's heartbeat
+        records none, even if its own term hasn't ended.
         """
         holds = self.lease.holds(now)
         fence, number = self.newest
+        if fence > self.lease.fence:
+            return
         is_own = fence == self.lease.fence
         if not holds and not (is_own and self.holding):
             return
--- a/pimentoledge/tests/test_router_rings.py
+++ b/pimentoledge/tests/test_router_rings.py
@@ -258,6 +258,28 @@
         holder.record_own(20.8)
         assert holder.newest == before
 
+    def test_a_succeeded_holder_does_not_hide_its_successor(self):
+        """Guards against a successor's heartbeat replaced by an older one.
+
+        A holder whose store doesn't answer may receive its successor's
+        heartbeat before it knows of the succession.
+        """
+        holder, lease, _ = self.parts()
+        successor, later, _ = self.parts()
+        lease.record_write(
+            registrations.Stored(name="", revision=7, value=None), 20.0
+        )
+        holder.record_own(20.0)
+        later.record_write(
+            registrations.Stored(name="", revision=8, value=None), 20.1
+        )
+        successor.record_own(20.1)
+        assert holder.merge(self.heartbeat(successor, 20.1), 20.2)
+        holder.record_own(20.3)
+        assert holder.newest == successor.newest
+        successor.record_own(20.6)
+        assert holder.merge(self.heartbeat(successor, 20.6), 20.7)
+
     def test_a_holder_without_recent_heartbeats_is_not_alive(self):
         holder, lease, _ = self.parts()
         other, _, _ = self.parts()
