Lease: an acknowledgement that a successor overtook gives no term

Callers: none seen. If a peer's word of a successor's write arrives before the store's answer to the write that it replaced, the answer set the lease back: this router took itself for the holder for the rest of a term and announced that, and forgot the successor until its next write conflicted. Its orders were not too close, as the successor waits.

An acknowledgement older than the newest known revision now changes nothing. The test fails before the change and passes now.

--- a/pimentoledge/routing/leases.py
+++ b/pimentoledge/routing/leases.py
@@ -168,6 +168,8 @@
     ) -> None:
         """Records this process's own successful write.
 
+        One that is known to be overwritten gives no term.
+
         Args:
             stored: the lease after the write.
             sent: when the write was sent; the term starts then.
@@ -178,6 +180,9 @@
             self.mark_unknown()
             return
         self.learn_era(stored.era, sent)
+        if self.revision is not None and stored.revision < self.revision:
+            # A newer write became known before this acknowledgement.
+            return
         self.quiet_until = max(
             self.quiet_until, self._former_quiet(sent), sent + quiet_seconds
         )
--- a/pimentoledge/tests/test_leases.py
+++ b/pimentoledge/tests/test_leases.py
@@ -209,6 +209,17 @@
     assert mine.fence == 5
 
 
+def test_an_acknowledgement_after_a_succession_gives_no_term():
+    """Guards against a holder that forgets its successor."""
+    mine = lease()
+    mine.learn(registrations.Absent(), 0.0)
+    # The store executes this process's write as revision 5 and answers late.
+    mine.merge_peer(stored(6, "b"), 0.4, 0.5)
+    mine.record_write(stored(5, "a"), 0.1)
+    assert not mine.holds(0.6)
+    assert (mine.revision, mine.held_by) == (6, "b")
+
+
 class DrawnLease:
     """Processes that share a lease, with drawn faults, in virtual time.
 
