--- a/pimentoledge/stores/fake_objects.py
+++ b/pimentoledge/stores/fake_objects.py
@@ -1,5 +1,6 @@
 """In-memory fake of the platform's object API, with simulated faults."""
 
+import collections
 import threading
 import time
 
@@ -58,6 +59,7 @@
         latency: seconds that the server waits before it executes a call.
         lose_answers: number of following writes that take effect but whose
             answer is lost.
+        lose_answers_of: the same for writes of one object, by path.
         lose_requests: number of following writes that are lost before they
             take effect, so that they get no answer either.
         drop_watch_entries: number of following changes that watches omit.
@@ -76,6 +78,7 @@
         self.down = False
         self.latency = 0.0
         self.lose_answers = 0
+        self.lose_answers_of = collections.Counter()
         self.lose_requests = 0
         self.drop_watch_entries = 0
         self.max_value_bytes = MAX_VALUE_BYTES
@@ -193,11 +196,19 @@
             write_id=call.write_id,
         )
         self.changed.notify_all()
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
+        if self._loses_answer(call.path):
             return self._answer(call, stores.Outcome.LOST)
         return self._answer(call, stores.Outcome.WRITTEN, version=self.revision)
 
+    def _loses_answer(self, path: str) -> bool:
+        if self.lose_answers_of[path] > 0:
+            self.lose_answers_of[path] -= 1
+            return True
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return True
+        return False
+
     def _watch(self, call: stores.Watch) -> stores.StoreAnswer:
         written = self._written_after(call.prefix, call.after)
         dropped = min(self.drop_watch_entries, len(written))
--- a/pimentoledge/tests/soak/__main__.py
+++ b/pimentoledge/tests/soak/__main__.py
@@ -40,9 +40,10 @@
     )
     arguments = parser.parse_args()
     kinds = tuple(arguments.faults.split(","))
-    unknown = set(kinds) - set(plans.KINDS)
+    known = (*plans.KINDS, *plans.HOLDER_KINDS)
+    unknown = set(kinds) - set(known)
     if unknown:
-        parser.error(f"unknown faults {unknown}; known: {plans.KINDS}")
+        parser.error(f"unknown faults {unknown}; known: {known}")
     seed = arguments.seed
     if seed is None:
         seed = secrets.randbits(SEED_BITS)
--- a/pimentoledge/tests/soak/plans.py
+++ b/pimentoledge/tests/soak/plans.py
@@ -54,6 +54,10 @@
 CLIENT_KINDS = ("clients_cut",)
 # Another writer puts entries that name no usable server beside the servers.
 ENTRY_KINDS = ("foreign_entries",)
+# The store turns away the router that gave the newest order while newer weights
+# are named, or loses the answers to writes of the lease. They are played only
+# where a run names them, so that the plans of all kinds keep their seeds.
+HOLDER_KINDS = ("holder_refused", "lease_loses")
 KINDS = (
     *ROUTER_KINDS,
     *STORE_KINDS,
--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -15,6 +15,7 @@
 from pimentoledge.platform import names
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.platform import stand_in_stores
+from pimentoledge.routing import lease_holders
 from pimentoledge.tests import cut_links
 from pimentoledge.tests.soak import clients
 from pimentoledge.tests.soak import fleets
@@ -90,6 +91,9 @@
 MAX_ROUTERS = 8
 # Time from the begin of an outage until newer weights are named.
 SILENCE_BEFORE_VERSION_SECONDS = 0.2
+# Time after a holder's outage in which no other one is turned away, so that the
+# next one has orders to give.
+AFTER_HOLDER_SECONDS = 2.0
 # Time between two changes of the wanted weights.
 VERSION_GAP_SECONDS = 0.4
 # Interval between copies of the store, and number of copies that are kept.
@@ -143,6 +147,7 @@
         self._backups: collections.deque = collections.deque(maxlen=MAX_BACKUPS)
         self._backup_task: asyncio.Task | None = None
         self._restore_lock = asyncio.Lock()
+        self._holder_lock = asyncio.Lock()
         # Number of active faults, by kind and by router or server.
         self._active_faults = collections.Counter()
 
@@ -238,14 +243,26 @@
             await asyncio.sleep(fault.seconds)
         span.end = time.monotonic()
 
+    def _one_or_all(self, fault: plans.Fault) -> fleets.Router | None:
+        """Returns the router whose store is disturbed; None for all."""
+        return self._choose_router(fault) if fault.count % 2 else None
+
+    def _newest_holder(self, fault: plans.Fault) -> fleets.Router:
+        """Returns the router that gave the newest order, or any other one."""
+        holder = self.record.orders[-1].holder if self.record.orders else ""
+        for each in self.fleet.routers:
+            if holder.partition("@")[0] == each.name:
+                return each
+        return self._choose_router(fault)
+
     @contextlib.asynccontextmanager
-    async def _outage(self, fault: plans.Fault, kind: str, one_router: bool):
+    async def _outage(
+        self, fault: plans.Fault, kind: str, router: fleets.Router | None
+    ):
         """Makes the store faulty for one or all routers; yields the seconds."""
         seconds = OUTAGE_FACTOR * fault.seconds
-        routers = (
-            [self._choose_router(fault)] if one_router else self.fleet.routers
-        )
-        router_name = routers[0].name if one_router else None
+        routers = self.fleet.routers if router is None else [router]
+        router_name = None if router is None else router.name
         self.record.add_fault(
             f"store {kind} to {router_name or 'all'}, {seconds:.1f} s"
         )
@@ -275,17 +292,17 @@
                 )
 
     async def _store_silent(self, fault: plans.Fault) -> None:
-        one_router = bool(fault.count % 2)
-        async with self._outage(fault, "silent", one_router) as seconds:
+        router = self._one_or_all(fault)
+        async with self._outage(fault, "silent", router) as seconds:
             await asyncio.sleep(seconds)
 
     async def _store_refuses(self, fault: plans.Fault) -> None:
-        one_router = bool(fault.count % 2)
-        async with self._outage(fault, "refuses", one_router) as seconds:
+        router = self._one_or_all(fault)
+        async with self._outage(fault, "refuses", router) as seconds:
             await asyncio.sleep(seconds)
 
     async def _store_slow(self, fault: plans.Fault) -> None:
-        async with self._outage(fault, "slow", one_router=False) as seconds:
+        async with self._outage(fault, "slow", router=None) as seconds:
             await asyncio.sleep(seconds)
 
     async def _watches_cut(self, fault: plans.Fault) -> None:
@@ -307,6 +324,22 @@
         self.record.add_fault(f"answers to {fault.count} writes get lost")
         self.platform.store.objects.lose_answers += fault.count
 
+    async def _holder_refused(self, fault: plans.Fault) -> None:
+        if self._holder_lock.locked():
+            return
+        async with self._holder_lock:
+            router = self._newest_holder(fault)
+            async with self._outage(fault, "refuses", router) as seconds:
+                await asyncio.sleep(SILENCE_BEFORE_VERSION_SECONDS)
+                await self._version(fault)
+                await asyncio.sleep(seconds)
+            await asyncio.sleep(AFTER_HOLDER_SECONDS)
+
+    async def _lease_loses(self, fault: plans.Fault) -> None:
+        self.record.add_fault(f"answers to {fault.count} leases get lost")
+        path = f"{lease_holders.KIND}/{lease_holders.NAME}"
+        self.platform.store.objects.lose_answers_of[path] = fault.count
+
     async def _back_up(self) -> None:
         """Copies the store at regular intervals."""
         while True:
@@ -749,7 +782,8 @@
         await self._version(fault)
 
     async def _version_in_silence(self, fault: plans.Fault) -> None:
-        async with self._outage(fault, "silent", one_router=True) as seconds:
+        router = self._choose_router(fault)
+        async with self._outage(fault, "silent", router) as seconds:
             await asyncio.sleep(SILENCE_BEFORE_VERSION_SECONDS)
             await self._version(fault)
             await asyncio.sleep(seconds)
--- a/pimentoledge/tests/test_soak.py
+++ b/pimentoledge/tests/test_soak.py
@@ -63,6 +63,7 @@
     *plans.SHED_KINDS,
 )
 REPETITIONS = plans.REPETITION_KINDS
+HOLDERS = ("holder_refused", "holder_refused", *plans.HOLDER_KINDS)
 WEIGHTS = (*plans.ORDER_KINDS, "version", "versions", "stop")
 
 
@@ -74,6 +75,7 @@
         pytest.param(7, 10.0, NOTICES, id="notices"),
         pytest.param(5, 8.0, LOADS, id="loads"),
         pytest.param(1, 20.0, WEIGHTS, id="weights"),
+        pytest.param(14, 25.0, HOLDERS, id="holders"),
         pytest.param(8, 6.0, LIMITS, id="limits"),
         pytest.param(2, 8.0, REPETITIONS, id="repetitions"),
         pytest.param(971, 16.0, CUTS, id="cuts"),
