Server connections: a body that may have another's begin waits for its next bytes

Cause: the first piece of a second answer completed the cut body, and what shows that came in a later read, after the response had been passed on.

A body that holds a status line, or ends as one begins, now waits up to 0.1 s for bytes that are no response. Answers that quote one are passed on then; all other answers don't wait.

Stand-in servers can cut their first answer; without that they write as before.

--- a/pimentoledge/platform/second_responses.py
+++ b/pimentoledge/platform/second_responses.py
@@ -25,24 +25,31 @@
         piece_bytes: size of the pieces, of which the first is sent together
             with the end of the first response; 0 to send it as a whole.
         max_bytes: number of bytes after which it is cut, or None.
+        missing_bytes: number of bytes that the first response lacks.
     """
 
     statuses: dict[int, int] = attrs.field(factory=dict)
     delay_seconds: float | None = None
     piece_bytes: int = 0
     max_bytes: int | None = None
+    missing_bytes: int = 0
 
 
 class _RecordingFile:
-    """Writes to a connection and keeps what was written."""
+    """Writes to a connection, less the last bytes, and keeps all of them."""
 
-    def __init__(self, file):
+    def __init__(self, file, missing_bytes: int):
         self.file = file
+        self.missing_bytes = missing_bytes
         self.written = bytearray()
+        self.passed = 0
 
     def write(self, data: bytes) -> int:
         self.written += data
-        return self.file.write(data)
+        end = max(self.passed, len(self.written) - self.missing_bytes)
+        self.file.write(bytes(self.written[self.passed : end]))
+        self.passed = end
+        return len(data)
 
     def flush(self) -> None:
         self.file.flush()
@@ -106,7 +113,7 @@
     sock = request.conn.socket
     _hold_back(sock, bool(second.piece_bytes))
     try:
-        first = _record_answer(request, answer)
+        first = _record_answer(request, answer, second.missing_bytes)
         if request.close_connection:
             return
         status = second.statuses.get(int(request.status[:3]))
@@ -121,10 +128,12 @@
 
 
 def _record_answer(
-    request: cheroot.server.HTTPRequest, answer: Callable[[], None]
+    request: cheroot.server.HTTPRequest,
+    answer: Callable[[], None],
+    missing_bytes: int,
 ) -> bytes:
-    """Answers a request and returns the bytes that were sent."""
-    recording = _RecordingFile(request.conn.wfile)
+    """Answers a request; returns the whole answer."""
+    recording = _RecordingFile(request.conn.wfile, missing_bytes)
     request.conn.wfile = recording
     try:
         answer()
--- a/pimentoledge/routing/attempts.py
+++ b/pimentoledge/routing/attempts.py
@@ -248,7 +248,8 @@
             the bytes, and whether they are the complete body.
 
         Raises:
-            BrokenError: the connection ended before.
+            BrokenError: the connection ended before, or another response has
+                completed the body.
         """
         most = buffer_bounds.COLLECTED_BYTES
         if length is not None and length > most:
@@ -258,6 +259,8 @@
         while size <= most:
             chunk = await self.next_chunk()
             if chunk is None:
+                if await self.connection.was_cut():
+                    raise broken("cut before another response")
                 return b"".join(chunks), True
             chunks.append(chunk)
             size += len(chunk)
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -31,7 +31,7 @@
 QUOTED_STATUS_LINE = re.compile(rb"(?:^|[ \t\"'(,;=])" + STATUS_LINE.pattern)
 # The begin of one, where the bytes that were read end.
 BEGUN_STATUS_LINE = re.compile(
-    rb"HTTP/(?:1(?:\.(?:[0-9](?: (?:[1-5][0-9]?)?)?)?)?)?$"
+    rb"H(?:T(?:T(?:P(?:/(?:1(?:\.(?:[0-9](?: (?:[1-5][0-9]?)?)?)?)?)?)?)?)?)?$"
 )
 
 Headers = list[tuple[bytes, bytes]]
@@ -427,6 +427,14 @@
         self._body_end = b""
         self._holds_status_line = False
 
+    def may_be_cut(self) -> bool:
+        """Returns whether the last response may have taken bytes of another.
+
+        If it has, what follows it is no response.
+        """
+        begun = BEGUN_STATUS_LINE.search(self._last_body_end)
+        return self._maybe_cut or begun is not None
+
     def feed(self, data: bytes | memoryview) -> None:
         """Parses bytes.
 
--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import contextlib
 import select
 import socket
 import time
@@ -39,6 +40,9 @@
 # Servers are a few ms away, and a lost SYN is retransmitted after a second, so
 # trying another server is better than a longer wait.
 CONNECT_SECONDS = 0.6
+# How long the next bytes of a response that is being sent may take. A packet
+# that was lost takes longer.
+NEXT_BYTES_SECONDS = 0.1
 # A connection keeps the ids of all its requests, so it carries no more.
 MAX_REQUESTS = 256
 
@@ -69,11 +73,13 @@
     Attributes:
         reason: text for the log.
         silent: whether the peer acknowledged nothing for too long.
+        invalid: whether it carried bytes that are no HTTP response.
         exceeded: the bound that it exceeded, or None.
     """
 
     reason: str
     silent: bool = False
+    invalid: bool = False
     exceeded: buffer_bounds.Exceeded | None = None
 
 
@@ -261,6 +267,15 @@
 
         No event follows ConnectionBroken.
         """
+        await self._wait_for_event()
+        event = self._events.popleft()
+        if isinstance(event, BodyReceived):
+            self._note_queued(-len(event.data))
+        if self.reads_ahead and not self._is_full(share=0.5):
+            self.resume()
+        return event
+
+    async def _wait_for_event(self) -> None:
         if not self._events:
             self.resume()
         while not self._events:
@@ -269,12 +284,22 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        event = self._events.popleft()
-        if isinstance(event, BodyReceived):
-            self._note_queued(-len(event.data))
-        if self.reads_ahead and not self._is_full(share=0.5):
-            self.resume()
-        return event
+
+    async def was_cut(self) -> bool:
+        """Returns whether the complete response has taken bytes of another.
+
+        A body that may have is held until the other one's next bytes, which are
+        no response, must have arrived.
+        """
+        if not self._parser.may_be_cut():
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(NEXT_BYTES_SECONDS):
+                await self._wait_for_event()
+        return any(
+            isinstance(each, ConnectionBroken) and each.invalid
+            for each in self._events
+        )
 
     def _note_queued(self, change: int) -> None:
         self._queued_bytes += change
@@ -348,7 +373,7 @@
         except http_messages.BadMessageError as error:
             if self._events and isinstance(self._events[-1], ResponseEnded):
                 self.on_extra(self, None, 0)
-            self.break_off(f"invalid HTTP response: {error}")
+            self.break_off(f"invalid HTTP response: {error}", invalid=True)
         except buffer_bounds.BoundExceededError as error:
             self._exceed(error.exceeded)
 
@@ -421,18 +446,25 @@
             self.abort()
 
     def break_off(
-        self, reason: str, *, exceeded: buffer_bounds.Exceeded | None = None
+        self,
+        reason: str,
+        *,
+        invalid: bool = False,
+        exceeded: buffer_bounds.Exceeded | None = None,
     ) -> None:
         """Aborts the connection and queues a ConnectionBroken event.
 
         Args:
             reason: text for the log.
+            invalid: whether it carried bytes that are no HTTP response.
             exceeded: the bound that was exceeded, or None.
         """
         if self._ended:
             return
         self._ended = True
-        self._push_event(ConnectionBroken(reason=reason, exceeded=exceeded))
+        self._push_event(
+            ConnectionBroken(reason=reason, invalid=invalid, exceeded=exceeded)
+        )
         self.abort()
 
     def eof_received(self) -> bool:
--- a/pimentoledge/tests/test_router_reused_connections.py
+++ b/pimentoledge/tests/test_router_reused_connections.py
@@ -186,6 +186,39 @@
     assert asyncio.get_running_loop().time() - began < 1.0
 
 
+@pytest.mark.parametrize("path", ["/notices/", "/cards/"])
+@pytest.mark.parametrize("missing", [1, 4, 12, 32])
+def test_a_cut_body_is_not_completed_by_a_response_that_goes_on_later(
+    path, missing
+):
+    """Guards against a success with another answer's head in its body.
+
+    The first bytes of the second response complete the body exactly, and what
+    tells that they don't belong to it comes in a later read.
+    """
+
+    @with_world(plain=1)
+    async def test(world):
+        server = world.servers["p0"]
+        server.second_response = lambda _: second_responses.SecondResponse(
+            statuses={200: 500},
+            delay_seconds=0.02,
+            piece_bytes=missing,
+            missing_bytes=missing,
+        )
+        assert (await world.request(path, body=b"c" * 64)).status == 502
+
+    test()
+
+
+@with_world(plain=1)
+async def test_a_body_that_quotes_a_status_line_is_passed_on(world):
+    """Guards against whole answers that wait for their missing bytes."""
+    for body in (b"HTTP/1.1 500 Failed\r\n", b"GET / HTT"):
+        answer = await world.request("/cards/", body=body)
+        assert (answer.status, answer.body) == (200, b"answer of " + body)
+
+
 @pytest.mark.parametrize(("name", "status"), [("same", 502), ("other", 200)])
 def test_a_body_with_another_response_to_its_request_is_not_whole(name, status):
     """Guards against a cut response that a second one completes exactly."""
