Client connections: each request goes by the limits in force when it begins

Cause: the parser of a connection kept the limits of its opening. It now looks them up when a request begins.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -116,6 +116,7 @@
             max_header_bytes=bounds.header_bytes,
             max_body_bytes=bounds.body_bytes,
             max_waiting=MAX_PIPELINED_REQUESTS,
+            on_begin=self._apply_limits,
         )
         self._keep_alive = True
         self._ends_by_close = False
@@ -132,6 +133,12 @@
         self._buffer_enlarged = False
         self._lingers_until: float | None = None
 
+    def _apply_limits(self) -> None:
+        """Applies the limits in force to the request that begins."""
+        bounds = self.limits()
+        self._parser.max_header_bytes = bounds.header_bytes
+        self._parser.max_body_bytes = bounds.body_bytes
+
     def connection_made(self, transport) -> None:
         """Stores the transport and enables keepalive probes."""
         self._transport = transport
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -138,6 +138,7 @@
         max_body_bytes: maximum size of a body.
         max_waiting: number of complete requests beyond which no more is
             parsed.
+        on_begin: called when a request begins; may change the maximum sizes.
         requests: complete requests that are not served yet, oldest first.
         begun: whether part of a request was read.
         unread_head: whether a request's head is not complete yet.
@@ -151,10 +152,12 @@
         max_header_bytes: int,
         max_body_bytes: int,
         max_waiting: int = MAX_WAITING_REQUESTS,
+        on_begin: Callable[[], None] = lambda: None,
     ):
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
         self.max_waiting = max_waiting
+        self.on_begin = on_begin
         self.requests: list[tuple[RequestHead, bytes]] = []
         self.begun = False
         self.unread_head = False
@@ -296,6 +299,7 @@
         raise self._error
 
     def on_message_begin(self) -> None:  # noqa: D102
+        self.on_begin()
         self._reset()
         self.begun = True
         self.unread_head = True
--- a/pimentoledge/tests/test_router_bodies.py
+++ b/pimentoledge/tests/test_router_bodies.py
@@ -30,6 +30,22 @@
     return router
 
 
+@with_world(plain=1, runners=0)
+async def test_a_kept_connection_goes_by_the_limits_in_force(world):
+    """Guards against refusals by the limits of a former configuration."""
+    client = world.client()
+    await client.open()
+    body = b"b" * 20_000
+    assert (await client.request("/notices/")).status == 200
+    router = await _allow_large_bodies(world)
+    assert (await client.request("/notices/", body=body)).status == 200
+    lowered = router_world.configuration(3)
+    world.store.put("config", "main", lowered)
+    await world.until(lambda: router.view.configuration.version == 3)
+    answer = await client.request("/notices/", body=body)
+    assert answer.status == 413
+
+
 async def _send(world, size, path="/notices/"):
     headers = {"Deadline-Ms": "8000"}
     return await world.request(path, body=b"b" * size, headers=headers)
