Slow readers: a timeout stays suspended until all was sent

Cause: the kernel's timeout also ends a connection whose window stays closed for a second. It was restored whenever a check found the window open, and then the socket was looked at no more, as the bytes had been written over 2 s before.

Sockets are now checked until all was sent, and the timeout comes back then, or when the peer acknowledges nothing.

--- a/pimentoledge/routing/slow_readers.py
+++ b/pimentoledge/routing/slow_readers.py
@@ -2,8 +2,9 @@
 
 TCP_USER_TIMEOUT ends a connection also while the peer's window is closed,
 although a peer that acknowledges each probe of its window is alive. So the
-timeout doesn't apply to a connection for as long as that is the case. What is
-held for such a peer is bounded by the buffer budget, and for how long by the
+timeout doesn't apply to a connection from then on, until the peer has taken
+all or acknowledges nothing: a window that has opened may close again before
+the next check. What is held for such a peer is bounded by the buffer budget, and for how long by the
 deadline of its request.
 """
 
@@ -46,20 +47,22 @@
     unsent_bytes: int
     window_bytes: int
 
-    def waits_for_reader(self) -> bool:
-        """Returns whether the peer is alive and its window is closed."""
-        if not self.unsent_bytes:
-            return False
+    def is_alive(self) -> bool:
+        """Returns whether the peer has acknowledged what it could."""
         if not self.unacknowledged:
             return self.probes < UNANSWERED_PROBES
-        # A part of a segment was sent that the peer has no room for.
         limit = max(
             server_connections.UNACKNOWLEDGED_MS, 2 * self.retransmit_ms
         )
-        return (
-            self.window_bytes < self.segment_bytes
-            and self.acknowledged_ms < limit
+        return self.acknowledged_ms < limit
+
+    def waits_for_reader(self) -> bool:
+        """Returns whether the peer is alive and its window is closed."""
+        # A part of a segment may be sent that the peer has no room for.
+        closed = (
+            not self.unacknowledged or self.window_bytes < self.segment_bytes
         )
+        return self.unsent_bytes > 0 and closed and self.is_alive()
 
 
 def send_state(sock: socket.socket) -> SendState | None:
@@ -88,10 +91,12 @@
     """Suspends the timeout of connections whose peer reads slowly.
 
     Attributes:
-        waiting: the sockets whose timeout is suspended.
+        unsent: the sockets that had unsent bytes at the last check.
+        waiting: those of them whose timeout is suspended.
     """
 
     def __init__(self):
+        self.unsent: set[socket.socket] = set()
         self.waiting: set[socket.socket] = set()
         self._next_check = 0.0
 
@@ -105,18 +110,20 @@
         if now < self._next_check:
             return
         self._next_check = now + CHECK_SECONDS
-        waiting = set()
-        for each in self.waiting.union(sockets):
-            if each.fileno() < 0:
+        unsent, waiting = set(), set()
+        for each in self.unsent.union(sockets):
+            state = send_state(each) if each.fileno() >= 0 else None
+            if state is None or not state.unsent_bytes:
                 continue
-            state = send_state(each)
-            if state is not None and state.waits_for_reader():
+            unsent.add(each)
+            was_waiting = each in self.waiting
+            if state.is_alive() if was_waiting else state.waits_for_reader():
                 waiting.add(each)
         for each in waiting - self.waiting:
             _set_timeout(each, 0)
         for each in self.waiting - waiting:
             _set_timeout(each, server_connections.UNACKNOWLEDGED_MS)
-        self.waiting = waiting
+        self.unsent, self.waiting = unsent, waiting
 
 
 def _set_timeout(sock: socket.socket, milliseconds: int) -> None:
--- a/pimentoledge/tests/test_router_slow_readers.py
+++ b/pimentoledge/tests/test_router_slow_readers.py
@@ -19,6 +19,7 @@
 # Longer than the timeout of unacknowledged data and all keepalive probes.
 PAUSE_SECONDS = 4.5
 BODY = b"x" * 300_000
+SLOW_BODY = b"x" * 40_000
 
 
 def _narrow_socket(**more):
@@ -37,10 +38,10 @@
     return head.encode() + body
 
 
-async def _allow_long_requests(world):
+async def _allow_long_requests(world, *, kind="unsafe"):
     """Configures a timeout beyond the pause, and large bodies."""
     route = stand_in_platforms.route(
-        "cards", service="plain", kind="unsafe", timeoutMs=15000
+        "cards", service="plain", kind=kind, timeoutMs=15000
     )
     configuration = stand_in_platforms.configuration(
         2, routes=[route], limits={"maxBodyBytes": 2 * len(BODY)}
@@ -74,6 +75,42 @@
     writer.close()
 
 
+async def _read_slowly(address, number):
+    """Returns a response that is read at an even pace of 5 KB a second."""
+    loop = asyncio.get_running_loop()
+    # Windows close at different times between two checks.
+    await asyncio.sleep(0.13 * number)
+    sock = _narrow_socket()
+    # Segments as on an Ethernet link.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+    sock.connect(address)
+    sock.setblocking(False)
+    await loop.sock_sendall(sock, _request(SLOW_BODY, f"slow-{number}"))
+    received = b""
+    while not received.endswith(SLOW_BODY):
+        data = await loop.sock_recv(sock, 500)
+        if not data:
+            break
+        received += data
+        await asyncio.sleep(0.1)
+    sock.close()
+    return received
+
+
+@with_world(plain=1, runners=0)
+async def test_clients_that_read_at_an_even_pace_get_whole_responses(world):
+    """Guards against a reset when a window closes again, long after a write."""
+    [router] = world.routers
+    # Connections with unsafe requests have no timeout in any case.
+    await _allow_long_requests(world, kind="safe")
+    host, _, port = router.chosen.text("listen").rpartition(":")
+    responses = await asyncio.gather(
+        *(_read_slowly((host, int(port)), number) for number in range(16))
+    )
+    assert all(each.endswith(SLOW_BODY) for each in responses)
+    await world.until(lambda: not router.slow_readers.waiting)
+
+
 @with_world(plain=0, runners=0)
 async def test_a_server_that_reads_late_gets_its_whole_request(world):
     """Guards against a long request that breaks at a live server."""
