Routers: a planned stop waits for bytes that clients haven't taken

Cause: the drain waited for exchanges, which end when an answer was handed to the transport. It now also waits while a client's transport holds bytes, within the grace time.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -195,6 +195,10 @@
             self._set_linger(_END_ON_CLOSE)
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
 
+    def has_unsent(self) -> bool:
+        """Returns whether the client has not taken all that was sent to it."""
+        return self._unsent_bytes() > 0
+
     def _unsent_bytes(self) -> int:
         return 0 if self.gone else self._transport.get_write_buffer_size()
 
--- a/pimentoledge/routing/daemons.py
+++ b/pimentoledge/routing/daemons.py
@@ -637,8 +637,9 @@
     async def drain(self) -> None:
         """Fails the readiness probe and finishes the accepted requests.
 
-        Requests that are still in progress shortly before the end of the grace
-        time get their final response.
+        Clients that read slowly get the rest of their responses. Requests that
+        are still in progress shortly before the end of the grace time get their
+        final response.
         """
         self.lines.write("leaving")
         self.view.leaving = True
@@ -657,17 +658,24 @@
             self.view.refusing = (
                 clocks.now() - drain_start > BALANCER_REMOVAL_SECONDS
             )
-            busy = self.exchanges or self.holder.busy()
-            if (
-                not busy
-                and clocks.now() - drain_start > BALANCER_REMOVAL_SECONDS
-            ):
+            if self.view.refusing and not self._is_busy():
                 break
             await asyncio.sleep(TICK_SECONDS)
         for each in list(self.exchanges):
             each.end_now()
         await asyncio.sleep(FLUSH_SECONDS)
 
+    def _is_busy(self) -> bool:
+        """Returns whether the process would cut something if it ended now.
+
+        The bytes that a client's connection holds are lost with the process.
+        """
+        return (
+            bool(self.exchanges)
+            or self.holder.busy()
+            or any(each.has_unsent() for each in self.connections)
+        )
+
     def close(self) -> None:
         """Closes every socket."""
         for number, former in self._former_handlers.items():
--- a/pimentoledge/routing/slow_readers.py
+++ b/pimentoledge/routing/slow_readers.py
@@ -4,8 +4,8 @@
 although a peer that acknowledges each probe of its window is alive. So the
 timeout doesn't apply to a connection from then on, until the peer has taken
 all or acknowledges nothing: a window that has opened may close again before
-the next check. What is held for such a peer is bounded by the buffer budget, and for how long by the
-deadline of its request.
+the next check. What is held for such a peer is bounded by the buffer budget,
+and for how long by the deadline of its request.
 """
 
 from collections.abc import Iterable
--- a/pimentoledge/tests/test_router_slow_readers.py
+++ b/pimentoledge/tests/test_router_slow_readers.py
@@ -10,6 +10,8 @@
 from pimentoledge.platform import names
 from pimentoledge.platform import stand_in_platforms
 from pimentoledge.platform import stand_in_servers
+from pimentoledge.routing import clocks
+from pimentoledge.routing import daemons
 from pimentoledge.routing import server_connections
 from pimentoledge.routing import slow_readers
 from pimentoledge.tests import router_world
@@ -29,6 +31,16 @@
     return sock
 
 
+def _slow_client(address):
+    """Returns a connected socket of which a sender buffers some 50 KB."""
+    sock = _narrow_socket()
+    # Segments as on an Ethernet link; the buffer grows with their size.
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+    sock.connect(address)
+    sock.setblocking(False)
+    return sock
+
+
 def _request(body, request):
     head = (
         "POST /cards/ HTTP/1.1\r\nHost: shop.example\r\n"
@@ -75,16 +87,40 @@
     writer.close()
 
 
+@with_world(plain=1, runners=0)
+async def test_a_planned_stop_waits_for_a_client_that_reads_late(world):
+    """Guards against the end of a process that holds a part of a response."""
+    # Small enough to be passed on at once.
+    body = BODY[:200_000]
+    [router] = world.routers
+    await _allow_long_requests(world)
+    host, _, port = router.chosen.text("listen").rpartition(":")
+    sock = _slow_client((host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=2048)
+    reader._transport.pause_reading()
+    writer.write(_request(body, "slow"))
+    await world.until(
+        lambda: any(each.has_unsent() for each in router.connections)
+    )
+    await world.until(lambda: not router.exchanges)
+    began = clocks.now()
+    drain = asyncio.create_task(router.drain())
+    await asyncio.sleep(daemons.BALANCER_REMOVAL_SECONDS + 0.5)
+    assert not drain.done()
+    reader._transport.resume_reading()
+    await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(len(b"answer of ") + len(body))
+    await drain
+    assert clocks.now() - began < router.view.bounds.grace_seconds - 1
+    writer.close()
+
+
 async def _read_slowly(address, number):
     """Returns a response that is read at an even pace of 5 KB a second."""
     loop = asyncio.get_running_loop()
     # Windows close at different times between two checks.
     await asyncio.sleep(0.13 * number)
-    sock = _narrow_socket()
-    # Segments as on an Ethernet link.
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-    sock.connect(address)
-    sock.setblocking(False)
+    sock = _slow_client(address)
     await loop.sock_sendall(sock, _request(SLOW_BODY, f"slow-{number}"))
     received = b""
     while not received.endswith(SLOW_BODY):
