Client connections: what was read is freed as a connection ends

Cause: the request parser and httptools' parser refer to each other, so a body stayed until the garbage collector ran, though it was no longer counted. A connection that ends now frees it, the requests behind it and what wasn't parsed.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -153,6 +153,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notifies the exchange in progress of the connection's end."""
         self.gone = True
+        self._parser.close()
         self._writable.set()
         self.holder.note(buffer_budgets.Part.UNSENT, 0)
         self.open_connections.discard(self)
--- a/pimentoledge/routing/http_messages.py
+++ b/pimentoledge/routing/http_messages.py
@@ -219,6 +219,15 @@
         self._unparsed = b""
         self._reset()
 
+    def close(self) -> None:
+        """Frees all that was read, as the connection has ended.
+
+        This object and its parser refer to each other, so what they hold would
+        stay until the garbage collector runs.
+        """
+        self.abandon()
+        self.requests.clear()
+
     def unparsed_bytes(self) -> int:
         """Returns the number of bytes that were kept and not parsed yet."""
         return len(self._unparsed)
--- a/pimentoledge/routing/pages.py
+++ b/pimentoledge/routing/pages.py
@@ -40,6 +40,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notes that the connection has ended."""
+        self._parser.close()
         self.open_connections.discard(self)
 
     def is_busy(self) -> bool:
--- a/pimentoledge/tests/test_router_crowds.py
+++ b/pimentoledge/tests/test_router_crowds.py
@@ -158,14 +158,14 @@
 
 
 @contextlib.contextmanager
-def started(folder, *, descriptors=DESCRIPTORS, work_seconds=0.0):
+def started(folder, *, descriptors=DESCRIPTORS, work_seconds=0.0, **limits):
     """Starts a platform and a router that serves it."""
     platform = stand_in_platforms.StandInPlatform()
     platform.start(plain=2, runners=0)
     for server in platform.servers.values():
         server.work_seconds = work_seconds
     spec = router_world.configuration(
-        2, limits=LIMITS, kv_address=platform.kv_server.address
+        2, limits=LIMITS | limits, kv_address=platform.kv_server.address
     )
     platform.store.put(names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, spec)
     addresses = [f"127.0.0.1:{router_world.free_port()}" for _ in range(3)]
@@ -221,6 +221,31 @@
         assert router.answers()
 
 
+ENDED = {
+    "large chunks": lambda: short_chunked(LARGE, 65536),
+    "small chunks": lambda: short_chunked(LARGE, 8192),
+    "a length": lambda: short_body(LARGE),
+}
+ENDED_CLIENTS = 100
+ENDED_CROWDS = 6
+
+
+@pytest.mark.parametrize("name", ENDED)
+def test_ended_connections_leave_a_router_within_its_memory(name, tmp_path):
+    """Guards against bodies that stay in memory after their connections."""
+    limits = {"headerTimeoutMs": 500, "idleTimeoutMs": 500}
+    with (
+        started(tmp_path, **limits) as router,
+        measured(router) as usage,
+    ):
+        for _ in range(ENDED_CROWDS):
+            members = [ENDED[name]() for _ in range(ENDED_CLIENTS)]
+            with crowds.crowd_at(router.address, members, usage) as crowd:
+                assert crowd.closed()
+                assert router.answers()
+        assert router.answers()
+
+
 def complete_body(size):
     yield head(length(size))
     yield from crowds.repeated(b"x", size)
