Client connections: a large receive buffer only once a body's rest counts

Cause: the kernel's buffer of a connection was enlarged when the head of its request had been read, if all bodies fitted; nothing of the body had been read, so its rest didn't count, and all of them did. Now a part of it must have been.

--- a/pimentoledge/routing/client_connections.py
+++ b/pimentoledge/routing/client_connections.py
@@ -270,14 +270,15 @@
     def _enlarge_buffer(self) -> None:
         """Lets the kernel receive a large announced body faster.
 
-        Its rest is counted, so that the kernel holds no more than the bound
-        of bodies allows.
+        Its rest is counted once a part of it was read, so that the kernel
+        holds no more than the bound of bodies allows.
         """
         announced = self._parser.announced_bytes()
         if (
             not self._buffer_enlarged
             and not self.gone
             and self._parser.announces_length()
+            and self._parser.incomplete_bytes()
             and announced > client_listeners.RECEIVE_BUFFER_BYTES
             and self.bodies.fits()
         ):
--- a/pimentoledge/tests/test_router_crowds.py
+++ b/pimentoledge/tests/test_router_crowds.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import json
+import time
 
 import attrs
 import pytest
@@ -33,6 +34,7 @@
 CHUNKED = "Transfer-Encoding: chunked"
 # For servers, the store, other routers and files.
 RESERVED_DESCRIPTORS = 30
+LATE_SECONDS = 1.0
 _numbers = itertools.count(1)
 
 
@@ -65,6 +67,14 @@
     yield from crowds.repeated(b"x", size - 8)
 
 
+def late_body(size):
+    """A body that follows its head once all clients have sent theirs."""
+    due = time.monotonic() + LATE_SECONDS
+    yield head(length(size))
+    time.sleep(max(0.0, due - time.monotonic()))
+    yield from crowds.repeated(b"x", size - 8)
+
+
 def after_chunk(first, unit, size=32_000_000):
     """A chunked body that goes on after one chunk with `unit`, without end."""
     yield head(CHUNKED) + crowds.chunk(1) + first
@@ -106,6 +116,7 @@
     ),
     "bodies of one read": (1500, lambda: short_body(60_000)),
     "bodies whose reading is paused": (1000, lambda: short_body(300_000)),
+    "bodies after all heads": (1000, lambda: late_body(300_000)),
     "a trailer's name": (12, lambda: after_chunk(b"0\r\n", b"a")),
     "a trailer's value": (12, lambda: after_chunk(b"0\r\na: ", b"a")),
     "unfinished heads": (800, lambda: unfinished_head(b"a:\r\n", 12_000)),
