Slow readers: a held connection gets no timeout back

A client that has just read a slow answer to its end and sends an unsafe request is held, without time-outs, so that it learns the outcome. The check that restores the timeout of the earlier answer, up to 0.3 s later, ended that: if the client was unreachable for a second, its connection was reset, and it couldn't tell whether its request had run.

The timeout is restored only where keepalive probes are on, which a hold turns off. The test fails before the change and passes now.

--- a/pimentoledge/routing/slow_readers.py
+++ b/pimentoledge/routing/slow_readers.py
@@ -122,10 +122,21 @@
         for each in waiting - self.waiting:
             _set_timeout(each, 0)
         for each in self.waiting - waiting:
-            _set_timeout(each, server_connections.UNACKNOWLEDGED_MS)
+            _restore_timeout(each)
         self.unsent, self.waiting = unsent, waiting
 
 
+def _restore_timeout(sock: socket.socket) -> None:
+    """Restores the timeout, unless the connection is held meanwhile.
+
+    One that is held for an unreachable client has no keepalive probes either.
+    """
+    if sock.fileno() < 0:
+        return
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE):
+        _set_timeout(sock, server_connections.UNACKNOWLEDGED_MS)
+
+
 def _set_timeout(sock: socket.socket, milliseconds: int) -> None:
     if sock.fileno() >= 0:
         sock.setsockopt(
--- a/pimentoledge/tests/test_router_slow_readers.py
+++ b/pimentoledge/tests/test_router_slow_readers.py
@@ -1,6 +1,7 @@
 """Peers that read nothing for longer than unreachable ones are kept."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -255,6 +256,33 @@
             )
 
 
+def test_a_held_connection_gets_no_timeout_back():
+    """Guards against the reset of a client whose unsafe request runs."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        _narrow_socket() as peer,
+    ):
+        peer.connect(listener.getsockname())
+        sock, _ = listener.accept()
+        with sock:
+            sock.setblocking(False)
+            sock.send(BODY)
+            _await_closed_window(sock)
+            readers = slow_readers.SlowReaders()
+            readers.tick([sock], 2.0)
+            assert readers.waiting == {sock}
+            server_connections.disable_keepalive(sock)
+            peer.settimeout(0.3)
+            with contextlib.suppress(TimeoutError):
+                while peer.recv(65536):
+                    pass
+            readers.tick([], 3.0)
+            assert not readers.waiting
+            assert not sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+
+
 def _await_closed_window(sock):
     for _ in range(100):
         state = slow_readers.send_state(sock)
