--- a/pimentoledge/tests/test_router_slow_readers.py
+++ b/pimentoledge/tests/test_router_slow_readers.py
@@ -220,8 +220,9 @@
     assert slow_readers.SendState(**fields | state).waits_for_reader() is waits
 
 
-def test_a_timeout_is_suspended_until_the_peer_has_read_all():
-    tcp = socket.IPPROTO_TCP
+@contextlib.contextmanager
+def _connected():
+    """Yields a socket that doesn't block, and its peer, which reads slowly."""
     with (
         socket.create_server(("127.0.0.1", 0)) as listener,
         _narrow_socket() as peer,
@@ -229,58 +230,54 @@
         peer.connect(listener.getsockname())
         sock, _ = listener.accept()
         with sock:
-            server_connections.enable_keepalive(sock)
             sock.setblocking(False)
-            readers = slow_readers.SlowReaders()
-            readers.tick([sock], 1.0)
-            assert not readers.waiting
-            sock.send(BODY)
-            _await_closed_window(sock)
-            readers.tick([sock], 2.0)
-            assert readers.waiting == {sock}
-            assert not sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            peer.settimeout(0.3)
-            try:
-                while peer.recv(65536):
-                    pass
-            except TimeoutError:
-                pass
-            readers.tick([], 3.0)
-            assert not readers.waiting
-            assert (
-                sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
-                == server_connections.UNACKNOWLEDGED_MS
-            )
+            yield sock, peer
+
+
+def _read_all(peer):
+    peer.settimeout(0.3)
+    with contextlib.suppress(TimeoutError):
+        while peer.recv(65536):
+            pass
+
+
+def test_a_timeout_is_suspended_until_the_peer_has_read_all():
+    tcp = socket.IPPROTO_TCP
+    with _connected() as (sock, peer):
+        server_connections.enable_keepalive(sock)
+        readers = slow_readers.SlowReaders()
+        readers.tick([sock], 1.0)
+        assert not readers.waiting
+        sock.send(BODY)
+        _await_closed_window(sock)
+        readers.tick([sock], 2.0)
+        assert readers.waiting == {sock}
+        assert not sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        _read_all(peer)
+        readers.tick([], 3.0)
+        assert not readers.waiting
+        assert (
+            sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+            == server_connections.UNACKNOWLEDGED_MS
+        )
 
 
 def test_a_held_connection_gets_no_timeout_back():
     """Guards against the reset of a client whose unsafe request runs."""
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        _narrow_socket() as peer,
-    ):
-        peer.connect(listener.getsockname())
-        sock, _ = listener.accept()
-        with sock:
-            sock.setblocking(False)
-            sock.send(BODY)
-            _await_closed_window(sock)
-            readers = slow_readers.SlowReaders()
-            readers.tick([sock], 2.0)
-            assert readers.waiting == {sock}
-            server_connections.disable_keepalive(sock)
-            peer.settimeout(0.3)
-            with contextlib.suppress(TimeoutError):
-                while peer.recv(65536):
-                    pass
-            readers.tick([], 3.0)
-            assert not readers.waiting
-            assert not sock.getsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
-            )
+    with _connected() as (sock, peer):
+        sock.send(BODY)
+        _await_closed_window(sock)
+        readers = slow_readers.SlowReaders()
+        readers.tick([sock], 2.0)
+        assert readers.waiting == {sock}
+        server_connections.disable_keepalive(sock)
+        _read_all(peer)
+        readers.tick([], 3.0)
+        assert not readers.waiting
+        assert not sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
 
 
 def _await_closed_window(sock):
