Server connections: a pause during a connect is no failed connect

Callers: 503 "no server can take this call now" though the only server with room accepts connections; it then gets no request for its backoff, and counts as possibly dead.

Cause: the timeout of a connect runs on while the process stands still. In the loop's first turn after a pause the connection has been opened, but the timer has fired too, and cancels the connect before it sees that.

The last 0.1 s of the 0.6 s now begins only when the loop turns, so that what lies in the socket is seen first; a connect that isn't answered ends as before.

test_a_freeze_during_a_connect_shows_no_unreachable_server failed before. The test of the limit now names what was refused; it asks for the same.

--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
 import select
@@ -40,6 +41,9 @@
 # Servers are a few ms away, and a lost SYN is retransmitted after a second, so
 # trying another server is better than a longer wait.
 CONNECT_SECONDS = 0.6
+# The last part of that time begins only once this process runs: after a pause
+# of it, a connection that was opened in time has not been seen yet.
+CONNECT_UNREAD_SECONDS = 0.1
 # How long the next bytes of a response that is being sent may take. A packet
 # that was lost takes longer.
 NEXT_BYTES_SECONDS = 0.1
@@ -492,6 +496,22 @@
     """No connection could be opened: nothing was sent."""
 
 
+@contextlib.asynccontextmanager
+async def _connect_timeout(seconds: float) -> AsyncIterator[None]:
+    """Raises TimeoutError if the body takes longer, pauses not counted."""
+    loop = asyncio.get_running_loop()
+    last_seconds = min(seconds, CONNECT_UNREAD_SECONDS)
+    async with asyncio.timeout(None) as limit:
+        timer = loop.call_later(
+            seconds - last_seconds,
+            lambda: limit.reschedule(loop.time() + last_seconds),
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 class ConnectionPool:
     """A pool of idle connections to servers.
 
@@ -553,7 +573,7 @@
         self.opened += 1
         number = self.opened
         try:
-            async with asyncio.timeout(seconds):
+            async with _connect_timeout(seconds):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
                         address=address,
--- a/pimentoledge/tests/test_router_evidence.py
+++ b/pimentoledge/tests/test_router_evidence.py
@@ -1,6 +1,9 @@
 """Tests that requests, not status checks or stale state, show health."""
 
 import asyncio
+import time
+
+import pytest
 
 from pimentoledge.routing import backends
 from pimentoledge.routing import clocks
@@ -8,6 +11,7 @@
 from pimentoledge.routing import leases
 from pimentoledge.routing import registrations
 from pimentoledge.routing import selections
+from pimentoledge.routing import server_connections
 from pimentoledge.tests import router_world
 
 with_world = router_world.with_world
@@ -129,6 +133,39 @@
     await world.until(lambda: world.store.counts["GET servers"] > watches)
 
 
+@with_world(plain=1, runners=0)
+async def test_a_freeze_during_a_connect_shows_no_unreachable_server(world):
+    """Guards against connections that were opened in time and count as lost."""
+    [router] = world.routers
+    open_connection = router.pool._open
+
+    async def open_during_freeze(address, seconds):
+        asyncio.get_running_loop().call_soon(time.sleep, seconds + 0.1)
+        return await open_connection(address, seconds)
+
+    router.pool._open = open_during_freeze
+    assert (await world.request("/notices/", body=b"n")).status == 200
+    [server] = router.view.servers.by_incarnation.values()
+    assert not server.failures
+
+
+def test_a_connect_that_is_not_answered_ends_in_time(monkeypatch):
+    """Guards against requests that wait for a server that is gone."""
+
+    async def connect():
+        async def never_opened(*_):
+            await asyncio.sleep(10)
+
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", never_opened)
+        await server_connections.ConnectionPool().open("127.0.0.1:9")
+
+    began = clocks.now()
+    with pytest.raises(server_connections.CannotConnectError):
+        asyncio.run(connect())
+    assert clocks.now() - began < server_connections.CONNECT_SECONDS + 0.2
+
+
 def test_after_a_freeze_the_lease_is_over_before_anything_is_done():
     """Guards against orders from a former lease holder after a freeze.
 
--- a/pimentoledge/tests/test_router_server_limits_path.py
+++ b/pimentoledge/tests/test_router_server_limits_path.py
@@ -93,7 +93,7 @@
         assert most_in_window(limited_server, enforced_from) <= allowed(
             float(limit)
         )
-        assert {each.status for each in answers} == {200}
+        assert [each.body for each in answers if each.status != 200] == []
 
     test()
 
