Object caches: a heartbeat ahead of its change still confirms the copy

Seen: test_a_version_is_read_from_the_store_by_two_routers_only, now and then, 5 or 6 calls to the store for one version where 4 are asked.

Cause: a heartbeat says up to when the peer's copy is known to be current, and the newest change in it. A router that has not yet got that change dropped the whole statement, although it got the change 20 ms later. With 0.5 s between heartbeats, and none before that, its copy then reached the age at which it polls the store for itself, as did all the other followers'.

Evidence: lines of each call and each heartbeat (trial): the poller's heartbeat comes 11 ms after the change with (change 7, 402 ms), at routers that have change 6 and get 7 by 34 ms; all of them poll 0.18 s later, at 1.4 s of age. The poll carries nothing; each call has its cost.

The position and time are kept, and count once the copy has that position, in the same era. A copy that has all changes of another one is as current as it.

--- a/pimentoledge/routing/object_caches.py
+++ b/pimentoledge/routing/object_caches.py
@@ -6,6 +6,7 @@
 import logbook
 
 from pimentoledge.routing import clocks
+from pimentoledge.routing import delays
 from pimentoledge.routing import object_merges
 from pimentoledge.routing import registrations
 from pimentoledge.routing import transfers
@@ -40,6 +41,8 @@
         transfer: how the newest changes arrived, or None.
         listed_at: when changes were last not known one by one, in seconds of
             clocks.now; 0 before the first listing.
+        confirmed: position and time of a peer's copy that was current then and
+            has changes that this one lacks, or None.
     """
 
     kind: str
@@ -56,6 +59,7 @@
     silent_at: float = 0.0
     transfer: transfers.Transfer | None = None
     listed_at: float = 0.0
+    confirmed: tuple[tuple[int, int], float] | None = None
 
     @property
     def position(self) -> tuple[int, int]:
@@ -66,6 +70,35 @@
         """Records that all changes up to a time are known."""
         self.known_at = max(self.known_at, when)
 
+    def merge_confirmed(self, position: tuple[int, int], when: float) -> None:
+        """Merges the time at which a peer's copy was known to be current.
+
+        If this copy lacks changes of that one, it is as current as that one
+        once it has them.
+
+        Args:
+            position: position of the newest change of the peer's copy.
+            when: the time, in seconds of clocks.now.
+        """
+        if self._includes(position):
+            self._advance_confirmed(when)
+        elif self.confirmed is None or (position, when) > self.confirmed:
+            self.confirmed = (position, when)
+
+    def _advance_confirmed(self, when: float) -> None:
+        # Each heartbeat would add its transit time to the same time.
+        if when - self.known_at > delays.ROUND_TRIP_SECONDS:
+            self.advance_known_at(when)
+
+    def _includes(self, position: tuple[int, int]) -> bool:
+        """Returns whether the copy has all changes up to a position."""
+        era, revision = position
+        return (
+            self.revision is not None
+            and era == self.era
+            and revision <= self.revision
+        )
+
     def is_older(
         self, found: registrations.Listing | registrations.Changes
     ) -> bool:
@@ -132,6 +165,9 @@
         self.changed_at = max(
             [self.changed_at, *(each.revision for each in newest)]
         )
+        if self.confirmed is not None and self._includes(self.confirmed[0]):
+            self._advance_confirmed(self.confirmed[1])
+            self.confirmed = None
         return self._notify([each.name for each in changed], removed)
 
     def _apply_forgotten(
--- a/pimentoledge/routing/replicators.py
+++ b/pimentoledge/routing/replicators.py
@@ -125,23 +125,18 @@
     ) -> None:
         """Marks copies as current that a peer has confirmed to be current.
 
-        This applies only to kinds of which this router has every change that
-        the peer has, which the revisions of another era don't show. Weights
-        always qualify, as the heartbeat itself carries all of their versions.
+        A copy that lacks a change that the peer has counts as current once it
+        has that change. Weights always qualify, as the heartbeat itself carries
+        all of their versions.
         """
         for name, (changed_at, age) in heartbeat.known.items():
             cache = self._cache(name)
             if cache is None or cache.revision is None:
                 continue
-            has_changes = (
-                heartbeat.eras.get(name, 0) == cache.era
-                and changed_at <= cache.revision
-            )
-            confirmed_at = now - age / 1000
-            # Each heartbeat would add its transit time to the same time.
-            is_later = confirmed_at - cache.known_at > delays.ROUND_TRIP_SECONDS
-            if is_later and (name == "weights" or has_changes):
-                cache.advance_known_at(confirmed_at)
+            position = (heartbeat.eras.get(name, 0), changed_at)
+            if name == "weights":
+                position = cache.position
+            cache.merge_confirmed(position, now - age / 1000)
 
     def poll_rank(self) -> int:
         """Returns when this router polls the store, as an index of POLL_SHARES.
--- a/pimentoledge/tests/test_router_leaving.py
+++ b/pimentoledge/tests/test_router_leaving.py
@@ -369,6 +369,28 @@
         assert (cache.known_at > now + 1) is (ahead == 0)
 
 
+@pytest.mark.parametrize(("eras", "counts"), [(0, True), (1, False)])
+def test_a_heartbeat_counts_once_its_changes_have_arrived(eras, counts):
+    """Guards against a poll of each router after a change told in between.
+
+    Args:
+        eras: number of eras between the heartbeat and the change.
+        counts: whether the heartbeat then shows that nothing is newer.
+    """
+    cache = object_caches.ObjectCache(
+        kind="config", on_change=lambda new, gone: None
+    )
+    cache.apply(registrations.Listing(objects=[], revision=6, era=1))
+    cache.advance_known_at(100.0)
+    cache.merge_confirmed((1, 7), 101.0)
+    assert cache.known_at == 100.0
+    stored = registrations.Stored(name="main", revision=7, value={}, era=1)
+    cache.apply(
+        registrations.Listing(objects=[stored], revision=7, era=1 + eras)
+    )
+    assert cache.known_at == (101.0 if counts else 100.0)
+
+
 @with_world(routers=2, plain=1, runners=1)
 async def test_heartbeats_to_and_fro_do_not_renew_a_copy(world):
     """Guards against a dead watch that heartbeats keep hidden."""
