Soak: an outage of the store ends for the routers it began for

_outage walked the fleet's own list at its begin and again at its end, so a router that joined in between had one fault fewer than none, and a later outage of its store was recorded and not played. Seen in a read of the code; the check becomes stricter.

--- a/pimentoledge/tests/soak/worlds.py
+++ b/pimentoledge/tests/soak/worlds.py
@@ -261,7 +261,8 @@
     ):
         """Makes the store faulty for one or all routers; yields the seconds."""
         seconds = OUTAGE_FACTOR * fault.seconds
-        routers = self.fleet.routers if router is None else [router]
+        # Without those that join during the outage, which it doesn't reach.
+        routers = list(self.fleet.routers) if router is None else [router]
         router_name = None if router is None else router.name
         self.record.add_fault(
             f"store {kind} to {router_name or 'all'}, {seconds:.1f} s"
