Tests: the set-up of large versions waits for a configuration

test_large_versions_in_quick_succession_are_in_force_on_slow_links failed with an AttributeError: a slow router counts as a follower, as its set-up waits for, before it has any configuration, and the test then reads that one's version. It now waits for the first configuration too, within the same 10 s; the bound of the versions, 2 s, is as it was.

--- a/pimentoledge/tests/test_router_configurations.py
+++ b/pimentoledge/tests/test_router_configurations.py
@@ -395,7 +395,10 @@
     slow = world.routers[2:]
     try:
         await world.until(
-            lambda: all(_shape(each) == (True, False) for each in slow),
+            lambda: all(
+                each.view.configuration and _shape(each) == (True, False)
+                for each in slow
+            ),
             seconds=10,
         )
         fields = {name: each for name, each in ROUTE.items() if each}
