--- a/pimentoledge/routing/server_connections.py
+++ b/pimentoledge/routing/server_connections.py
@@ -41,8 +41,7 @@
 # Servers are a few ms away, and a lost SYN is retransmitted after a second, so
 # trying another server is better than a longer wait.
 CONNECT_SECONDS = 0.6
-# The last part of that time begins only once this process runs: after a pause
-# of it, a connection that was opened in time has not been seen yet.
+# The last part of that time begins only when the event loop turns.
 CONNECT_UNREAD_SECONDS = 0.1
 # How long the next bytes of a response that is being sent may take. A packet
 # that was lost takes longer.
@@ -498,7 +497,10 @@
 
 @contextlib.asynccontextmanager
 async def _connect_timeout(seconds: float) -> AsyncIterator[None]:
-    """Raises TimeoutError if the body takes longer, pauses not counted."""
+    """Raises TimeoutError in a connect that takes longer.
+
+    After a pause of this process, a connection that is open is seen first.
+    """
     loop = asyncio.get_running_loop()
     last_seconds = min(seconds, CONNECT_UNREAD_SECONDS)
     async with asyncio.timeout(None) as limit:
