Tests: stalled callers are ended in the order in which they stalled

It asks that the first of three callers is ended for another one, as the one that has stalled longest, but sent all three at once, so that the threads that read them could begin in another order.

Each is now sent once the one before is counted; what is asked is as it was.

--- a/pimentoledge/tests/test_callers.py
+++ b/pimentoledge/tests/test_callers.py
@@ -525,14 +525,15 @@
 def test_bodies_of_stalled_callers_are_refused_for_others(core):
     """Guards against callers that hold the memory and send no more."""
     part = b" " * (MAX_BYTES - 100)
+    budget = core.server.bodies
     with contextlib.ExitStack() as stack:
         stalled = []
         for _ in range(3):
             sock = stack.enter_context(connect(core))
             sock.sendall(request_head(MAX_BYTES) + part)
             stalled.append(sock)
-        budget = core.server.bodies
-        wait_until(lambda: budget.held >= 3 * len(part))
+            # The one that stalled longest is ended first.
+            wait_until(lambda: budget.held >= len(stalled) * len(part))
         budget.bound = budget.held
         time.sleep(2 * request_bodies.STALLED_SECONDS)
         assert core.chat().status == 200
